--- /dev/null
+++ b/bin/garnet-bench/src/main.rs
@@ -0,0 +1,39 @@
+//! `garnet-bench`: load, experiments, hollow fleets and reports.
+
+mod call;
+mod options;
+
+use std::process::ExitCode;
+
+use garnet_runtime::command_line;
+use options::Options;
+
+const HELP: &str = "\
+Usage: garnet-bench VERB [OPTIONS]
+
+  call completion   one completion through a gateway, checked word by word
+  call service      one application call through a gateway
+
+`garnet-bench VERB --help` lists a verb's options.
+Exit codes: 0 all held, 1 something did not, 2 wrong usage.
+";
+
+fn main() -> ExitCode {
+    let options = match Options::parse() {
+        Ok(options) => options,
+        Err(error) => return command_line::usage_error(error),
+    };
+    let outcome = match options.verb() {
+        Some("call") => call::run(&options),
+        Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
+        None => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => command_line::usage_error(message),
+    }
+}
--- /dev/null
+++ b/bin/garnet-control/src/connections.rs
@@ -0,0 +1,226 @@
+//! Connections to peers, gateways and operators.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use garnet_consensus::Envelope;
+use garnet_control::{ControlReply, Event, OperatorAnswer, OperatorRequest};
+use garnet_runtime::frames::{self, FrameReader, FrameWriter};
+use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
+use garnet_types::ReplicaId;
+use garnet_wire::{Frame, Sender as FrameSender, WireError};
+use smol::channel::{Receiver, Sender, bounded};
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+
+/// Frames that wait for one connection; more are dropped, which the protocol
+/// bears like any loss.
+const QUEUED_FRAMES: usize = 1024;
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for an operator's answer: a change may wait for all gateways.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(40);
+
+#[derive(Default)]
+struct Open {
+    peers: HashMap<String, Sender<Frame>>,
+    gateways: HashMap<u64, Sender<Frame>>,
+    operators: HashMap<u64, Sender<OperatorAnswer>>,
+    next: u64,
+}
+
+/// All connections of the process.
+#[derive(Clone)]
+pub(crate) struct Connections {
+    id: ReplicaId,
+    executor: Rc<LocalExecutor<'static>>,
+    events: Sender<Event>,
+    open: Rc<RefCell<Open>>,
+}
+
+impl Connections {
+    pub(crate) fn new(
+        id: ReplicaId,
+        executor: Rc<LocalExecutor<'static>>,
+        events: Sender<Event>,
+    ) -> Self {
+        Connections {
+            id,
+            executor,
+            events,
+            open: Rc::default(),
+        }
+    }
+
+    // ---- Peers ----
+
+    /// Queues a message for a peer. Without an address, or when the queue is
+    /// full, it is lost.
+    pub(crate) fn send_peer(&self, address: Option<String>, envelope: Envelope) {
+        let Some(address) = address else {
+            return;
+        };
+        let sender = self.peer_queue(&address);
+        let _lost = sender.try_send(Frame::Peer(envelope));
+    }
+
+    fn peer_queue(&self, address: &str) -> Sender<Frame> {
+        if let Some(sender) = self.open.borrow().peers.get(address) {
+            return sender.clone();
+        }
+        let (sender, frames) = bounded(QUEUED_FRAMES);
+        let hello = FrameSender::Replica(self.id);
+        let task = run_peer(address.to_owned(), hello, frames);
+        self.executor.spawn(task).detach();
+        let mut open = self.open.borrow_mut();
+        open.peers.insert(address.to_owned(), sender.clone());
+        sender
+    }
+
+    // ---- Gateways ----
+
+    pub(crate) fn reply_gateway(&self, connection: u64, reply: ControlReply) {
+        if let Some(sender) = self.open.borrow().gateways.get(&connection) {
+            let _lost = sender.try_send(Frame::Control(reply));
+        }
+    }
+
+    /// A child that takes connections of peers and gateways.
+    pub(crate) fn listener_child(&self, listener: TcpListener) -> ChildSpec {
+        let listener = Rc::new(listener);
+        let connections = self.clone();
+        ChildSpec::new("listener", Restart::Permanent, move |stop: StopSignal| {
+            let listener = Rc::clone(&listener);
+            let connections = connections.clone();
+            async move {
+                let accepting = connections.accept(&listener);
+                smol::future::or(accepting, stop.stopped()).await;
+                Ok::<(), ChildError>(())
+            }
+        })
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let connection = self.clone().serve(stream);
+                    self.executor.spawn(connection).detach();
+                }
+                // Out of file handles, for example: give the others time.
+                Err(_) => {
+                    Timer::after(RECONNECT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let (mut reader, writer) = frames::split(stream);
+        let outcome = match reader.accept().await {
+            Ok(FrameSender::Replica(id)) => self.serve_peer(id, reader).await,
+            Ok(FrameSender::Gateway(_)) => self.serve_gateway(reader, writer).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = outcome {
+            log::warn!(cause = error.to_string().as_str(); "connection_ended");
+        }
+    }
+
+    async fn serve_peer(&self, id: ReplicaId, mut reader: FrameReader) -> Result<(), WireError> {
+        while let Some(frame) = reader.next().await? {
+            match frame {
+                // A replica speaks for itself only.
+                Frame::Peer(envelope) if envelope.from == id => {
+                    let _stopping = self.events.send(Event::Peer(envelope)).await;
+                }
+                _ => return Err(WireError::Malformed("not a peer's frame".to_owned())),
+            }
+        }
+        Ok(())
+    }
+
+    async fn serve_gateway(
+        &self,
+        mut reader: FrameReader,
+        writer: FrameWriter,
+    ) -> Result<(), WireError> {
+        let (sender, replies) = bounded(QUEUED_FRAMES);
+        let connection = self.next_number();
+        self.open.borrow_mut().gateways.insert(connection, sender);
+        let writing = self.executor.spawn(write_all(writer, replies));
+        let outcome = self.read_gateway(connection, &mut reader).await;
+        self.open.borrow_mut().gateways.remove(&connection);
+        drop(writing);
+        outcome
+    }
+
+    async fn read_gateway(
+        &self,
+        connection: u64,
+        reader: &mut FrameReader,
+    ) -> Result<(), WireError> {
+        while let Some(frame) = reader.next().await? {
+            let Frame::Gateway(request) = frame else {
+                return Err(WireError::Malformed("not a gateway's frame".to_owned()));
+            };
+            let event = Event::Gateway {
+                connection,
+                request,
+            };
+            let _stopping = self.events.send(event).await;
+        }
+        Ok(())
+    }
+
+    // ---- Operators ----
+
+    /// Puts a question to the replica and waits for its answer.
+    pub(crate) async fn ask(&self, request: OperatorRequest) -> Option<OperatorAnswer> {
+        let (sender, answers) = bounded(1);
+        let ticket = self.next_number();
+        self.open.borrow_mut().operators.insert(ticket, sender);
+        let _stopping = self.events.send(Event::Operator { ticket, request }).await;
+        let answer = async { answers.recv().await.ok() };
+        let late = async {
+            Timer::after(OPERATOR_PATIENCE).await;
+            None
+        };
+        let answer = smol::future::or(answer, late).await;
+        self.open.borrow_mut().operators.remove(&ticket);
+        answer
+    }
+
+    pub(crate) fn answer_operator(&self, ticket: u64, answer: OperatorAnswer) {
+        if let Some(sender) = self.open.borrow().operators.get(&ticket) {
+            let _gone = sender.try_send(answer);
+        }
+    }
+
+    fn next_number(&self) -> u64 {
+        let mut open = self.open.borrow_mut();
+        open.next += 1;
+        open.next
+    }
+}
+
+/// Keeps a connection to a peer and sends what is queued.
+async fn run_peer(address: String, hello: FrameSender, frames: Receiver<Frame>) {
+    while !frames.is_closed() {
+        if let Ok((_, writer)) = frames::connect(&address, hello.clone()).await {
+            write_all(writer, frames.clone()).await;
+        }
+        Timer::after(RECONNECT_PAUSE).await;
+        // What waited meanwhile is old: heartbeats bring the present.
+        while frames.try_recv().is_ok() {}
+    }
+}
+
+async fn write_all(mut writer: FrameWriter, frames: Receiver<Frame>) {
+    while let Ok(frame) = frames.recv().await {
+        if writer.send(frame).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/bin/garnet-control/src/main.rs
@@ -0,0 +1,42 @@
+//! `garnet-control`: one replica of the control group.
+
+mod admin;
+mod connections;
+mod engines;
+mod platform;
+mod replica_task;
+mod settings;
+mod start;
+
+use std::process::ExitCode;
+
+use garnet_runtime::{command_line, logging};
+use settings::{CommandLine, HELP};
+
+fn main() -> ExitCode {
+    let command_line = match CommandLine::parse() {
+        Ok(Some(command_line)) => command_line,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => return command_line::usage_error(error),
+    };
+    let settings = match command_line.load() {
+        Ok(settings) => settings,
+        Err(findings) => return command_line::usage_error(findings),
+    };
+    if command_line.check {
+        println!("the settings are sound");
+        return ExitCode::SUCCESS;
+    }
+    logging::start(&settings.name);
+    match start::run(settings, command_line.bootstrap) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(cause = error.to_string().as_str(); "control_failed");
+            eprintln!("garnet-control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -0,0 +1,219 @@
+//! One attempt at one back end, over HTTP.
+
+use std::time::Duration;
+
+use garnet_engine_api::{
+    EventReader, GenerateEvent, GenerateRequest, KvLocation, NOT_STARTED, PrefillRequest,
+    PrefillResponse, STARTED_HEADER, paths,
+};
+use garnet_gateway::{AttemptEvent, AttemptId, Event, Job, KvSource};
+use garnet_routing::LoadReport;
+use garnet_runtime::{HttpError, client};
+use garnet_types::{BackendId, Class, Millis, ModelId, RecordedResponse};
+use hyper::HeaderMap;
+
+use crate::context::Context;
+
+/// Longest wait for a load report.
+const LOAD_PATIENCE: Duration = Duration::from_millis(800);
+/// Time on top of a request's deadline before an attempt is given up: what
+/// runs once is waited for, so that its result can be kept.
+const GRACE: Duration = Duration::from_secs(30);
+
+/// Runs an attempt to its end.
+pub(crate) async fn run(
+    context: Context,
+    attempt: AttemptId,
+    backend: BackendId,
+    address: String,
+    job: Job,
+    remaining: Millis,
+) {
+    let patience = Duration::from_millis(remaining.0) + GRACE;
+    let event = match job {
+        Job::Prefill {
+            model,
+            prompt,
+            class,
+        } => prefill(&context, &address, model, prompt, class, patience).await,
+        Job::Generate {
+            model,
+            prompt,
+            max_tokens,
+            from_token,
+            kv,
+            class,
+        } => {
+            let body = GenerateRequest {
+                model: model.0,
+                prompt,
+                max_tokens,
+                from_token,
+                kv: kv.map(locate),
+                class,
+            };
+            generate(&context, attempt, &address, &body).await
+        }
+        Job::Application {
+            method,
+            path,
+            content_type,
+            body,
+            key,
+        } => {
+            let request = client::build_request(&method, &path, &content_type, body);
+            match request {
+                Ok(mut request) => {
+                    if let Some(key) = key.and_then(|key| key.parse().ok()) {
+                        request.headers_mut().insert("idempotency-key", key);
+                    }
+                    let answer = context.http.send(&address, request, patience).await;
+                    application_event(answer, &backend)
+                }
+                Err(error) => failure(&error),
+            }
+        }
+    };
+    context.end_attempt(attempt);
+    context.handle(Event::Attempt(attempt, event));
+}
+
+fn locate(kv: KvSource) -> KvLocation {
+    KvLocation {
+        address: kv.address,
+        handle: kv.handle,
+    }
+}
+
+/// What a failure says about whether the request ran.
+fn failure(error: &HttpError) -> AttemptEvent {
+    match error {
+        HttpError::NotSent(_) => AttemptEvent::NotStarted { draining: false },
+        HttpError::Broken(_) | HttpError::TimedOut => AttemptEvent::Broken,
+    }
+}
+
+fn says_not_started(headers: &HeaderMap) -> bool {
+    headers
+        .get(STARTED_HEADER)
+        .is_some_and(|value| value == NOT_STARTED)
+}
+
+async fn prefill(
+    context: &Context,
+    address: &str,
+    model: ModelId,
+    prompt: String,
+    class: Class,
+    patience: Duration,
+) -> AttemptEvent {
+    let body = PrefillRequest {
+        model: model.0,
+        prompt,
+        class,
+    };
+    let request = client::json_request("POST", paths::PREFILL, &body);
+    let response = match context.http.send(address, request, patience).await {
+        Ok(response) => response,
+        Err(error) => return failure(&error),
+    };
+    if says_not_started(response.headers()) {
+        return AttemptEvent::NotStarted { draining: true };
+    }
+    match serde_json::from_slice::<PrefillResponse>(response.body()) {
+        Ok(read) => AttemptEvent::Prefilled {
+            handle: read.handle,
+        },
+        Err(_) => AttemptEvent::Broken,
+    }
+}
+
+async fn generate(
+    context: &Context,
+    attempt: AttemptId,
+    address: &str,
+    body: &GenerateRequest,
+) -> AttemptEvent {
+    let request = client::json_request("POST", paths::GENERATE, body);
+    let mut stream = match context.http.stream(address, request).await {
+        Ok(stream) => stream,
+        Err(error) => return failure(&error),
+    };
+    if says_not_started(stream.response.headers()) {
+        return AttemptEvent::NotStarted { draining: true };
+    }
+    if !stream.response.status().is_success() {
+        return AttemptEvent::Broken;
+    }
+    let mut reader = EventReader::default();
+    while let Ok(Some(piece)) = stream.next().await {
+        let events = reader.push(&piece);
+        if let Some(last) = take_events(context, attempt, &events) {
+            return last;
+        }
+    }
+    // A stream that ends without its explicit end was cut short.
+    AttemptEvent::Broken
+}
+
+/// Hands tokens on; gives the event that ends the attempt, if one came.
+fn take_events(context: &Context, attempt: AttemptId, events: &[Vec<u8>]) -> Option<AttemptEvent> {
+    let mut first = None;
+    let mut tokens = Vec::new();
+    let mut last = None;
+    for event in events {
+        match serde_json::from_slice(event) {
+            Ok(GenerateEvent::Token { index, text }) => {
+                first.get_or_insert(index);
+                tokens.push(text);
+            }
+            Ok(GenerateEvent::End { total }) => last = Some(AttemptEvent::Finished { total }),
+            Err(_) => last = Some(AttemptEvent::Broken),
+        }
+    }
+    if let Some(first) = first {
+        let event = AttemptEvent::Tokens { first, tokens };
+        context.handle(Event::Attempt(attempt, event));
+    }
+    last
+}
+
+fn application_event(
+    answer: Result<hyper::Response<hyper::body::Bytes>, HttpError>,
+    backend: &BackendId,
+) -> AttemptEvent {
+    let response = match answer {
+        Ok(response) => response,
+        Err(error) => return failure(&error),
+    };
+    if says_not_started(response.headers()) {
+        return AttemptEvent::NotStarted { draining: true };
+    }
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream");
+    AttemptEvent::Response(RecordedResponse {
+        status: response.status().as_u16(),
+        content_type: content_type.to_owned(),
+        body: response.body().to_vec(),
+        served_by: backend.to_string(),
+    })
+}
+
+/// Asks an engine for its load.
+pub(crate) async fn poll_load(context: Context, backend: BackendId, address: String) {
+    let from = context.cache_cursor(backend.as_str());
+    let path = format!("{}?events_from={from}", paths::LOAD);
+    let request = client::get_request(&path);
+    let answer = context.http.send(&address, request, LOAD_PATIENCE).await;
+    let report = answer
+        .ok()
+        .and_then(|answer| serde_json::from_slice::<LoadReport>(answer.body()).ok());
+    if let Some(report) = report {
+        let next = report.cache_events.last().map_or(from, |e| e.sequence + 1);
+        context.note_cache_cursor(backend.as_str(), report.incarnation, next);
+        context.handle(Event::Load(backend, report));
+    }
+}
--- /dev/null
+++ b/bin/garnet-standin/src/application.rs
@@ -0,0 +1,153 @@
+//! An application instance as a process.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use garnet_control::BackendRegistration;
+use garnet_engine_api::{Faults, NOT_STARTED, NotStarted, STARTED_HEADER, paths};
+use garnet_runtime::server::{channel_body, read_body, set_header};
+use garnet_runtime::{Body, Limits, json_response, text_response};
+use garnet_stand_in::ApplicationStandIn;
+use garnet_types::{BackendId, BackendKind, ServiceId};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use smol::Timer;
+
+use crate::arguments::Arguments;
+use crate::registration;
+use crate::shell::{Shared, Shell, bind, freeze, read_json};
+
+/// Status of a call that was not begun because the instance is stopping.
+const UNAVAILABLE: u16 = 503;
+
+struct Instance {
+    stand_in: ApplicationStandIn,
+    faults: Faults,
+    draining: bool,
+    open: usize,
+}
+
+/// Runs an instance until a planned stop.
+pub(crate) fn run(arguments: Arguments) -> io::Result<()> {
+    let shell = Shell::new();
+    let (server, address) = bind(arguments.listen)?;
+    let instance = Rc::new(RefCell::new(Instance {
+        stand_in: ApplicationStandIn::new(arguments.name.clone()),
+        faults: Faults::default(),
+        draining: false,
+        open: 0,
+    }));
+    let link = arguments.link;
+    let shared = Rc::clone(&instance);
+    let handler = move |request| handle(Rc::clone(&shared), link, request);
+    let mut children = vec![shell.http_child(server, handler)];
+    if let Some(platform) = &arguments.platform {
+        let registration = BackendRegistration {
+            id: BackendId::new(arguments.name.clone()),
+            kind: BackendKind::Application,
+            service: ServiceId::new(arguments.service.clone()),
+            address,
+            zone: arguments.zone.clone(),
+        };
+        let child = registration::child(&shell, platform.clone(), registration);
+        children.push(child);
+    }
+    let drain = drain(shell.clone(), instance, arguments);
+    shell.run(children, drain)
+}
+
+async fn drain(shell: Shell, instance: Shared<Instance>, arguments: Arguments) {
+    instance.borrow_mut().draining = true;
+    if let Some(platform) = &arguments.platform {
+        registration::leave(&shell, platform, &arguments.name).await;
+    }
+    while instance.borrow().open > 0 {
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+async fn handle(
+    instance: Shared<Instance>,
+    link: Duration,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    Timer::after(link * 2).await;
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, paths::JOURNAL) => json_response(200, instance.borrow().stand_in.journal()),
+        (&Method::GET, "/healthz") => text_response(200, "ok\n"),
+        (&Method::POST, paths::APPLICATION_FAULTS) => match read_json::<Faults>(request).await {
+            Ok(faults) => take_faults(&instance, faults),
+            Err(response) => response,
+        },
+        _ => call(instance, request).await,
+    }
+}
+
+fn take_faults(instance: &Shared<Instance>, faults: Faults) -> Response<Body> {
+    if faults.crash {
+        std::process::exit(3);
+    }
+    if faults.freeze_ms > 0 {
+        freeze(faults.freeze_ms);
+    }
+    instance.borrow_mut().faults = faults;
+    text_response(200, "set\n")
+}
+
+async fn call(instance: Shared<Instance>, request: Request<Incoming>) -> Response<Body> {
+    let refuses = {
+        let state = instance.borrow();
+        state.draining || state.faults.refuse
+    };
+    if refuses {
+        return not_started();
+    }
+    instance.borrow_mut().open += 1;
+    let response = run_call(&instance, request).await;
+    instance.borrow_mut().open -= 1;
+    response
+}
+
+async fn run_call(instance: &Shared<Instance>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    let key = request
+        .headers()
+        .get("idempotency-key")
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    let Ok(body) = read_body(request.into_body(), &Limits::default()).await else {
+        return text_response(400, "the body is not whole\n");
+    };
+    let delay = instance.borrow().faults.delay_ms;
+    Timer::after(Duration::from_millis(delay)).await;
+    let text = String::from_utf8_lossy(&body);
+    let answer = instance
+        .borrow_mut()
+        .stand_in
+        .run(&path, key.as_deref(), &text);
+    let lose = std::mem::take(&mut instance.borrow_mut().faults.lose_next_answer);
+    if lose {
+        return broken_response();
+    }
+    json_response(200, &answer)
+}
+
+fn not_started() -> Response<Body> {
+    let body = NotStarted {
+        reason: "draining".to_owned(),
+    };
+    let mut response = json_response(UNAVAILABLE, &body);
+    set_header(&mut response, STARTED_HEADER, NOT_STARTED);
+    response
+}
+
+/// A response that ends before the length that its head states.
+fn broken_response() -> Response<Body> {
+    let (sender, pieces) = smol::channel::bounded(1);
+    sender.close();
+    let mut response = Response::new(channel_body(pieces));
+    set_header(&mut response, "content-length", "1000");
+    response
+}
--- /dev/null
+++ b/bin/garnet-standin/src/engine.rs
@@ -0,0 +1,407 @@
+//! An engine as a process.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use garnet_control::BackendRegistration;
+use garnet_engine_api::{
+    Faults, GenerateEvent, GenerateRequest, KvExport, KvLocation, NOT_STARTED, NotStarted,
+    PrefillRequest, PrefillResponse, REFUSED_STATUS, STARTED_HEADER, event, paths,
+};
+use garnet_runtime::server::{channel_body, set_header};
+use garnet_runtime::{Body, Clock, HttpClient, client, json_response, text_response};
+use garnet_stand_in::{EngineSettings, EngineStandIn, JobId, JobOutput, JobRefusal, SubmittedJob};
+use garnet_storage::{DiskDirectory, load_value, save_value};
+use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
+use garnet_types::{
+    BackendId, BackendKind, EngineAssignment, EngineCapacity, EngineOrder, Fence, ModelId,
+    ServiceId,
+};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Method, Request, Response};
+use serde::{Deserialize, Serialize};
+use smol::channel::{Receiver, Sender, bounded, unbounded};
+use smol::{LocalExecutor, Timer};
+
+use crate::arguments::Arguments;
+use crate::registration;
+use crate::shell::{Shared, Shell, bind, freeze, read_json};
+
+const FENCE_FILE: &str = "engine-fence";
+const KV_PATIENCE: Duration = Duration::from_secs(2);
+/// Longest sleep of the driver when nothing is due.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// What an engine keeps across restarts.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct Kept {
+    highest_fence: Fence,
+    starts: u64,
+}
+
+struct Engine {
+    stand_in: EngineStandIn,
+    outputs: HashMap<JobId, Sender<JobOutput>>,
+    directory: Option<DiskDirectory>,
+    kept: Kept,
+    crash_in_order: bool,
+}
+
+#[derive(Clone)]
+struct Context {
+    engine: Shared<Engine>,
+    clock: Clock,
+    http: HttpClient,
+    executor: Rc<LocalExecutor<'static>>,
+    wake: Sender<()>,
+    link: Duration,
+}
+
+/// Runs an engine until a planned stop.
+pub(crate) fn run(arguments: Arguments) -> io::Result<()> {
+    let shell = Shell::new();
+    let (server, address) = bind(arguments.listen)?;
+    let engine = Rc::new(RefCell::new(open(&arguments)?));
+    let (wake, woken) = bounded(1);
+    let context = Context {
+        engine: Rc::clone(&engine),
+        clock: shell.clock,
+        http: HttpClient::new(Rc::clone(&shell.executor)),
+        executor: Rc::clone(&shell.executor),
+        wake,
+        link: arguments.link,
+    };
+    let driver = driver_child(context.clone(), woken);
+    let handler = move |request| handle(context.clone(), request);
+    let mut children = vec![driver, shell.http_child(server, handler)];
+    if let Some(platform) = &arguments.platform {
+        let registration = BackendRegistration {
+            id: BackendId::new(arguments.name.clone()),
+            kind: BackendKind::Engine,
+            service: ServiceId::new(arguments.service.clone()),
+            address,
+            zone: arguments.zone.clone(),
+        };
+        let child = registration::child(&shell, platform.clone(), registration);
+        children.push(child);
+    }
+    let drain = drain(shell.clone(), engine, arguments);
+    shell.run(children, drain)
+}
+
+fn open(arguments: &Arguments) -> io::Result<Engine> {
+    let mut directory = DiskDirectory::open(&arguments.data)?;
+    let mut kept: Kept = load_value(&directory, FENCE_FILE)
+        .map_err(io::Error::other)?
+        .unwrap_or_default();
+    kept.starts += 1;
+    save_value(&mut directory, FENCE_FILE, &kept).map_err(io::Error::other)?;
+    let assignment = EngineAssignment {
+        role: arguments.role,
+        model: ModelId::new(arguments.model.clone()),
+    };
+    let ordinary = EngineCapacity::default();
+    let settings = EngineSettings {
+        capacity: EngineCapacity {
+            prefill_tokens_per_second: ordinary.prefill_tokens_per_second * arguments.speed,
+            decode_step_ms: ordinary.decode_step_ms / arguments.speed,
+            ..ordinary
+        },
+        role_change: arguments.role_change,
+        report_lag: arguments.report_lag,
+        ..EngineSettings::new(assignment)
+    };
+    Ok(Engine {
+        stand_in: EngineStandIn::new(settings, kept.starts, kept.highest_fence),
+        outputs: HashMap::new(),
+        directory: Some(directory),
+        kept,
+        crash_in_order: false,
+    })
+}
+
+async fn drain(shell: Shell, engine: Shared<Engine>, arguments: Arguments) {
+    engine.borrow_mut().stand_in.drain();
+    if let Some(platform) = &arguments.platform {
+        registration::leave(&shell, platform, &arguments.name).await;
+    }
+    while engine.borrow().stand_in.running() > 0 {
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+/// Lets the engine's time pass and hands its outputs to their requests.
+fn driver_child(context: Context, woken: Receiver<()>) -> ChildSpec {
+    ChildSpec::new("driver", Restart::Essential, move |stop: StopSignal| {
+        let context = context.clone();
+        let woken = woken.clone();
+        async move {
+            while !stop.is_stopped() {
+                let sleep = step(&context);
+                let timer = async {
+                    Timer::after(sleep).await;
+                };
+                let wake = async {
+                    let _woken = woken.recv().await;
+                };
+                let until = smol::future::or(timer, wake);
+                smol::future::or(until, stop.stopped()).await;
+            }
+            Ok::<(), ChildError>(())
+        }
+    })
+}
+
+fn step(context: &Context) -> Duration {
+    let now = context.clock.now();
+    let mut engine = context.engine.borrow_mut();
+    engine.stand_in.advance(now);
+    for (job, output) in engine.stand_in.take_outputs() {
+        let ends = !matches!(output, JobOutput::Token { .. });
+        if let Some(sender) = engine.outputs.get(&job) {
+            // The request may have been broken off meanwhile.
+            let _unheard = sender.try_send(output);
+        }
+        if ends {
+            engine.outputs.remove(&job);
+        }
+    }
+    let due = engine.stand_in.next_due();
+    due.map_or(IDLE, |due| Duration::from_millis(due.since(now).0.max(1)))
+}
+
+async fn handle(context: Context, request: Request<Incoming>) -> Response<Body> {
+    Timer::after(context.link * 2).await;
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    match (method, path.as_str()) {
+        (Method::POST, paths::PREFILL) => match read_json(request).await {
+            Ok(body) => prefill(context, body).await,
+            Err(response) => response,
+        },
+        (Method::POST, paths::GENERATE) => match read_json(request).await {
+            Ok(body) => generate(context, body).await,
+            Err(response) => response,
+        },
+        (Method::GET, paths::LOAD) => load(&context, request.uri().query()),
+        (Method::GET, paths::STATUS) => status(&context),
+        (Method::POST, paths::ORDERS) => match read_json(request).await {
+            Ok(order) => take_order(context, order).await,
+            Err(response) => response,
+        },
+        (Method::POST, paths::FAULTS) => match read_json(request).await {
+            Ok(faults) => take_faults(&context, &faults),
+            Err(response) => response,
+        },
+        (Method::GET, "/healthz") => text_response(200, "ok\n"),
+        (Method::GET, path) => export(&context, path),
+        _ => text_response(404, "unknown path\n"),
+    }
+}
+
+fn status(context: &Context) -> Response<Body> {
+    let now = context.clock.now();
+    let mut engine = context.engine.borrow_mut();
+    engine.stand_in.advance(now);
+    json_response(200, &engine.stand_in.status())
+}
+
+fn load(context: &Context, query: Option<&str>) -> Response<Body> {
+    let from = query
+        .and_then(|query| query.strip_prefix("events_from="))
+        .and_then(|number| number.parse().ok())
+        .unwrap_or(0);
+    let engine = context.engine.borrow();
+    json_response(200, &engine.stand_in.load_report(from, context.clock.now()))
+}
+
+fn export(context: &Context, path: &str) -> Response<Body> {
+    let handle = path
+        .strip_prefix(paths::KV)
+        .and_then(|rest| rest.strip_prefix('/'))
+        .and_then(|number| number.parse().ok());
+    let tokens = handle.and_then(|handle| context.engine.borrow_mut().stand_in.export(handle));
+    match tokens {
+        Some(tokens) => json_response(200, &KvExport { tokens }),
+        None => text_response(404, "no such KV cache\n"),
+    }
+}
+
+// ---- Jobs ----
+
+/// Breaks the job off when its request goes away before it ends.
+struct JobGuard {
+    context: Context,
+    job: JobId,
+}
+
+impl Drop for JobGuard {
+    fn drop(&mut self) {
+        let now = self.context.clock.now();
+        let mut engine = self.context.engine.borrow_mut();
+        engine.outputs.remove(&self.job);
+        engine.stand_in.cancel(self.job, now);
+    }
+}
+
+fn submit(
+    context: &Context,
+    job: SubmittedJob,
+) -> Result<(JobGuard, Receiver<JobOutput>), JobRefusal> {
+    let now = context.clock.now();
+    let (sender, receiver) = unbounded();
+    let mut engine = context.engine.borrow_mut();
+    engine.stand_in.advance(now);
+    let job = engine.stand_in.submit(job, now)?;
+    engine.outputs.insert(job, sender);
+    let _pending = context.wake.try_send(());
+    let context = context.clone();
+    Ok((JobGuard { context, job }, receiver))
+}
+
+async fn prefill(context: Context, body: PrefillRequest) -> Response<Body> {
+    let job = SubmittedJob::Prefill {
+        model: body.model,
+        prompt: body.prompt,
+        class: body.class,
+    };
+    let (guard, outputs) = match submit(&context, job) {
+        Ok(submitted) => submitted,
+        Err(refusal) => return refused(refusal_reason(refusal)),
+    };
+    let output = outputs.recv().await;
+    drop(guard);
+    match output {
+        Ok(JobOutput::Prefilled { handle }) => json_response(200, &PrefillResponse { handle }),
+        _ => text_response(500, "the job was broken off\n"),
+    }
+}
+
+async fn generate(context: Context, body: GenerateRequest) -> Response<Body> {
+    if let Some(kv) = &body.kv
+        && !import(&context, kv).await
+    {
+        return refused("no_kv");
+    }
+    let job = SubmittedJob::Generate {
+        model: body.model,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        from_token: body.from_token,
+        imported: body.kv.is_some(),
+        class: body.class,
+    };
+    let (guard, outputs) = match submit(&context, job) {
+        Ok(submitted) => submitted,
+        Err(refusal) => return refused(refusal_reason(refusal)),
+    };
+    let (pieces, body) = bounded(64);
+    let forward = forward(guard, outputs, pieces);
+    context.executor.spawn(forward).detach();
+    let mut response = Response::new(channel_body(body));
+    set_header(&mut response, "content-type", "text/event-stream");
+    response
+}
+
+async fn forward(guard: JobGuard, outputs: Receiver<JobOutput>, pieces: Sender<Bytes>) {
+    while let Ok(output) = outputs.recv().await {
+        let (message, ends) = match output {
+            JobOutput::Token { index, text } => (GenerateEvent::Token { index, text }, false),
+            JobOutput::Finished { total } => (GenerateEvent::End { total }, true),
+            JobOutput::Prefilled { .. } => continue,
+        };
+        let line = serde_json::to_string(&message).unwrap_or_default();
+        let sent = pieces.send(Bytes::from(event(&line))).await;
+        if sent.is_err() || ends {
+            break;
+        }
+    }
+    drop(guard);
+}
+
+async fn import(context: &Context, kv: &KvLocation) -> bool {
+    let path = format!("{}/{}", paths::KV, kv.handle);
+    let request = client::get_request(&path);
+    let answer = context.http.send(&kv.address, request, KV_PATIENCE).await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+fn refusal_reason(refusal: JobRefusal) -> &'static str {
+    match refusal {
+        JobRefusal::Draining => "draining",
+        JobRefusal::WrongModel => "wrong_model",
+        JobRefusal::WrongRole => "wrong_role",
+    }
+}
+
+fn refused(reason: &str) -> Response<Body> {
+    let body = NotStarted {
+        reason: reason.to_owned(),
+    };
+    let mut response = json_response(REFUSED_STATUS, &body);
+    set_header(&mut response, STARTED_HEADER, NOT_STARTED);
+    response
+}
+
+// ---- Orders ----
+
+/// Takes an order. Its fence is on disk before the answer goes out.
+async fn take_order(context: Context, order: EngineOrder) -> Response<Body> {
+    let now = context.clock.now();
+    let (answer, to_keep) = {
+        let mut engine = context.engine.borrow_mut();
+        if engine.directory.is_none() {
+            return text_response(503, "another fence is being written\n");
+        }
+        let answer = engine.stand_in.order(&order, now);
+        let fence = answer.status().highest_fence;
+        let to_keep = (fence > engine.kept.highest_fence).then(|| {
+            engine.kept.highest_fence = fence;
+            (engine.directory.take(), engine.kept)
+        });
+        (answer, to_keep)
+    };
+    log::info!(fence = order.fence.to_string().as_str(), role = order.assignment.role.as_str(); "order");
+    if let Some((directory, kept)) = to_keep
+        && let Err(error) = keep(&context, directory, kept).await
+    {
+        return text_response(500, format!("{error}\n"));
+    }
+    if context.engine.borrow().crash_in_order {
+        std::process::exit(3);
+    }
+    let _pending = context.wake.try_send(());
+    json_response(200, &answer)
+}
+
+async fn keep(context: &Context, directory: Option<DiskDirectory>, kept: Kept) -> io::Result<()> {
+    let Some(mut directory) = directory else {
+        return Err(io::Error::other("another fence is being written"));
+    };
+    let (directory, saved) = smol::unblock(move || {
+        let saved = save_value(&mut directory, FENCE_FILE, &kept);
+        (directory, saved)
+    })
+    .await;
+    context.engine.borrow_mut().directory = Some(directory);
+    saved.map_err(io::Error::other)
+}
+
+fn take_faults(context: &Context, faults: &Faults) -> Response<Body> {
+    if faults.crash {
+        std::process::exit(3);
+    }
+    if faults.freeze_ms > 0 {
+        freeze(faults.freeze_ms);
+    }
+    let mut engine = context.engine.borrow_mut();
+    engine.crash_in_order = faults.crash_in_order;
+    engine.stand_in.set_slowness(faults.slow);
+    if faults.refuse {
+        engine.stand_in.drain();
+    }
+    text_response(200, "set\n")
+}
--- /dev/null
+++ b/components/consensus/src/log.rs
@@ -0,0 +1,123 @@
+//! The log in memory: what follows the latest snapshot.
+
+use crate::entry::{Entry, EntryPayload, Membership};
+
+/// Entries after a snapshot, with the position up to which they are durable.
+#[derive(Debug, Clone, Default)]
+pub struct ReplicatedLog {
+    snapshot_index: u64,
+    snapshot_term: u64,
+    entries: Vec<Entry>,
+    persisted_index: u64,
+}
+
+impl ReplicatedLog {
+    /// A log read back from disk; everything in it is durable.
+    pub fn restored(snapshot_index: u64, snapshot_term: u64, entries: Vec<Entry>) -> Self {
+        let persisted_index = entries.last().map_or(snapshot_index, |entry| entry.index);
+        ReplicatedLog {
+            snapshot_index,
+            snapshot_term,
+            entries,
+            persisted_index,
+        }
+    }
+
+    /// Last index that the snapshot covers.
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot_index
+    }
+
+    /// Index of the last entry.
+    pub fn last_index(&self) -> u64 {
+        self.snapshot_index + self.entries.len() as u64
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.entries
+            .last()
+            .map_or(self.snapshot_term, |entry| entry.term)
+    }
+
+    /// Highest durable index.
+    pub fn persisted_index(&self) -> u64 {
+        self.persisted_index
+    }
+
+    /// Term at `index`, or `None` when the log does not hold it.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.snapshot_index {
+            return Some(self.snapshot_term);
+        }
+        self.position(index).map(|at| self.entries[at].term)
+    }
+
+    /// Up to `limit` entries from `from` on.
+    pub fn slice(&self, from: u64, limit: usize) -> &[Entry] {
+        let Some(start) = self.position(from) else {
+            return &[];
+        };
+        let end = self.entries.len().min(start + limit);
+        &self.entries[start..end]
+    }
+
+    /// Entries that are not durable yet.
+    pub fn unpersisted(&self) -> &[Entry] {
+        self.slice(self.persisted_index + 1, usize::MAX >> 1)
+    }
+
+    /// Appends one entry at the end.
+    pub fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push(entry);
+    }
+
+    /// Drops every entry from `index` on; they are no longer durable either.
+    pub fn truncate_from(&mut self, index: u64) {
+        if let Some(at) = self.position(index) {
+            self.entries.truncate(at);
+            self.persisted_index = self.persisted_index.min(index - 1);
+        }
+    }
+
+    /// Notes that entries up to `index` of `term` are durable. Ignored when
+    /// they were replaced meanwhile.
+    pub fn mark_persisted(&mut self, index: u64, term: u64) {
+        if self.term_at(index) == Some(term) {
+            self.persisted_index = self.persisted_index.max(index);
+        }
+    }
+
+    /// Drops entries that a snapshot covers, keeping the rest.
+    pub fn compact(&mut self, index: u64) {
+        let Some(at) = self.position(index) else {
+            return;
+        };
+        self.snapshot_term = self.entries[at].term;
+        self.snapshot_index = index;
+        self.entries.drain(..=at);
+    }
+
+    /// Replaces the whole log by a snapshot from the leader.
+    pub fn reset(&mut self, index: u64, term: u64) {
+        *self = ReplicatedLog::restored(index, term, Vec::new());
+    }
+
+    /// The newest membership in the log, if any entry holds one.
+    pub fn latest_membership(&self) -> Option<(u64, &Membership)> {
+        self.entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                EntryPayload::Membership(membership) => Some((entry.index, membership)),
+                _ => None,
+            })
+    }
+
+    fn position(&self, index: u64) -> Option<usize> {
+        let offset = index.checked_sub(self.snapshot_index + 1)?;
+        let offset = usize::try_from(offset).ok()?;
+        (offset < self.entries.len()).then_some(offset)
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node.rs
@@ -0,0 +1,474 @@
+//! One replica of the group: state, the entry points and the terms' rules.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use garnet_types::{Millis, ReplicaId};
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::config::Config;
+use crate::entry::{Entry, EntryPayload, HardState, Membership, Snapshot};
+use crate::error::ProposeError;
+use crate::log::ReplicatedLog;
+use crate::message::{Envelope, Message};
+use crate::progress::Progress;
+use crate::ready::Ready;
+
+/// What a replica is in its term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRole {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it would win an election.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Orders the log.
+    Leader,
+}
+
+/// What a replica finds on its disk when it starts.
+#[derive(Debug, Clone, Default)]
+pub struct Restored {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Latest snapshot, if any was taken.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+    /// The group before any membership entry: given at the very first start
+    /// of a group, empty for a replica that joins later.
+    pub initial_membership: Membership,
+}
+
+/// A view of a node for status pages and decisions of the driver.
+#[derive(Debug, Clone)]
+pub struct Status {
+    /// Role in the term.
+    pub role: PeerRole,
+    /// The term.
+    pub term: u64,
+    /// The leader, as far as known.
+    pub leader: Option<ReplicaId>,
+    /// Highest committed index.
+    pub commit_index: u64,
+    /// Highest index handed out for applying.
+    pub applied_index: u64,
+    /// Highest index in the log.
+    pub last_index: u64,
+}
+
+/// The consensus state machine of one replica.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) config: Config,
+    pub(crate) role: PeerRole,
+    pub(crate) hard_state: HardState,
+    pub(crate) hard_state_changed: bool,
+    pub(crate) log: ReplicatedLog,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) pending_snapshot: Option<Snapshot>,
+    pub(crate) incoming_snapshot: Vec<u8>,
+    pub(crate) incoming_snapshot_index: u64,
+    pub(crate) initial_membership: Membership,
+    pub(crate) membership: Membership,
+    pub(crate) membership_index: u64,
+    pub(crate) commit_index: u64,
+    pub(crate) applied_index: u64,
+    pub(crate) leader: Option<ReplicaId>,
+    /// Before this point no vote is granted: a leader may hold a lease.
+    pub(crate) no_vote_before: Millis,
+    pub(crate) election_due: Millis,
+    pub(crate) votes: BTreeSet<ReplicaId>,
+    pub(crate) progress: BTreeMap<ReplicaId, Progress>,
+    pub(crate) leader_since: Millis,
+    pub(crate) transfer_to: Option<ReplicaId>,
+    pub(crate) transfer_due: Millis,
+    pub(crate) messages: Vec<Envelope>,
+    pub(crate) now: Millis,
+    random: Pcg64Mcg,
+}
+
+impl Node {
+    /// Starts a replica from what its disk holds.
+    pub fn new(config: Config, restored: Restored, now: Millis) -> Self {
+        let (snapshot_index, snapshot_term) = restored
+            .snapshot
+            .as_ref()
+            .map_or((0, 0), |snapshot| (snapshot.index, snapshot.term));
+        let log = ReplicatedLog::restored(snapshot_index, snapshot_term, restored.entries);
+        let random = Pcg64Mcg::seed_from_u64(config.seed ^ config.id.0);
+        let mut node = Node {
+            role: PeerRole::Follower,
+            hard_state: restored.hard_state,
+            hard_state_changed: false,
+            log,
+            snapshot: restored.snapshot,
+            pending_snapshot: None,
+            incoming_snapshot: Vec::new(),
+            incoming_snapshot_index: 0,
+            initial_membership: restored.initial_membership,
+            membership: Membership::default(),
+            membership_index: 0,
+            commit_index: snapshot_index,
+            applied_index: snapshot_index,
+            leader: None,
+            // The former life may have answered a heartbeat just before it
+            // ended, so the lease that rests on that answer is waited out.
+            no_vote_before: now + config.election_timeout,
+            election_due: Millis::ZERO,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            leader_since: Millis::ZERO,
+            transfer_to: None,
+            transfer_due: Millis::ZERO,
+            messages: Vec::new(),
+            now,
+            random,
+            config,
+        };
+        node.refresh_membership();
+        node.reset_election_timer();
+        node
+    }
+
+    /// This replica's identity.
+    pub fn id(&self) -> ReplicaId {
+        self.config.id
+    }
+
+    /// Whether this replica leads its term. It may have been deposed without
+    /// knowing: see [`Node::holds_lease`].
+    pub fn is_leader(&self) -> bool {
+        self.role == PeerRole::Leader
+    }
+
+    /// Last index that the newest snapshot covers.
+    pub fn snapshot_index(&self) -> u64 {
+        self.log.snapshot_index()
+    }
+
+    /// The group as this replica knows it.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// What the leader knows of its followers; empty on others.
+    pub fn followers(&self) -> &BTreeMap<ReplicaId, Progress> {
+        &self.progress
+    }
+
+    /// The present view of the node.
+    pub fn status(&self) -> Status {
+        Status {
+            role: self.role,
+            term: self.hard_state.term,
+            leader: self.leader,
+            commit_index: self.commit_index,
+            applied_index: self.applied_index,
+            last_index: self.log.last_index(),
+        }
+    }
+
+    /// Until when no other leader can exist, by this leader's clock.
+    ///
+    /// A majority answered heartbeats sent at or after `lease - duration`, and
+    /// none of that majority grants a vote within the election timeout of
+    /// receiving one. `None` when this replica does not lead, is handing its
+    /// office over, or has not committed an entry of its term.
+    pub fn lease_until(&self) -> Option<Millis> {
+        let usable = self.is_leader() && self.transfer_to.is_none() && self.term_is_committed();
+        if !usable {
+            return None;
+        }
+        let mut sent: Vec<Millis> = self
+            .membership
+            .voters()
+            .filter_map(|id| self.acknowledged_at(id))
+            .collect();
+        sent.sort_unstable_by(|left, right| right.cmp(left));
+        let oldest_of_quorum = *sent.get(self.membership.quorum() - 1)?;
+        Some(oldest_of_quorum + self.config.lease_duration)
+    }
+
+    /// Whether this replica surely is the only leader at `now`.
+    pub fn holds_lease(&self, now: Millis) -> bool {
+        self.lease_until().is_some_and(|until| now < until)
+    }
+
+    /// Takes the time. Call it at least once in a heartbeat interval.
+    pub fn tick(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        match self.role {
+            PeerRole::Leader => self.tick_leader(),
+            _ => self.tick_election(),
+        }
+    }
+
+    /// Appends a command; it is committed when it shows up in a [`Ready`].
+    ///
+    /// # Errors
+    /// When this replica does not lead or is handing its office over.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<u64, ProposeError> {
+        self.check_may_propose()?;
+        Ok(self.append(EntryPayload::Command(command)))
+    }
+
+    /// Takes a message from a peer.
+    pub fn step(&mut self, envelope: Envelope, now: Millis) {
+        self.now = self.now.max(now);
+        if envelope.to != self.config.id {
+            return;
+        }
+        if !self.accept_term(&envelope) {
+            return;
+        }
+        let from = envelope.from;
+        match envelope.message {
+            Message::RequestVote { .. } => self.handle_vote_request(&envelope),
+            Message::VoteReply { pre_vote, granted } => {
+                self.handle_vote_reply(from, envelope.term, pre_vote, granted)
+            }
+            Message::Append { .. } => self.handle_append(envelope),
+            Message::AppendReply {
+                match_index,
+                accepted,
+                sent_at,
+            } => self.handle_append_reply(from, match_index, accepted, sent_at),
+            Message::SnapshotChunk { .. } => self.handle_snapshot_chunk(envelope),
+            Message::SnapshotReply {
+                index,
+                next_offset,
+                sent_at,
+            } => self.handle_snapshot_reply(from, index, next_offset, sent_at),
+            Message::TimeoutNow => self.handle_timeout_now(from),
+        }
+    }
+
+    /// Takes the work that has gathered. Call [`Node::advance`] when its
+    /// durable part is synced, before the next call of this function.
+    pub fn ready(&mut self) -> Ready {
+        let hard_state = self.hard_state_changed.then_some(self.hard_state);
+        self.hard_state_changed = false;
+        Ready {
+            hard_state,
+            snapshot: self.pending_snapshot.take(),
+            entries: self.log.unpersisted().to_vec(),
+            messages: std::mem::take(&mut self.messages),
+            committed: self.take_committed(),
+        }
+    }
+
+    /// Notes that the durable part of `ready` is synced.
+    pub fn advance(&mut self, ready: &Ready) {
+        let Some(last) = ready.entries.last() else {
+            return;
+        };
+        self.log.mark_persisted(last.index, last.term);
+        if self.is_leader() {
+            self.advance_commit();
+        }
+    }
+
+    /// Takes the state machine's `data` at `index` as the newest snapshot and
+    /// drops the log before it from memory. The driver makes the returned
+    /// snapshot durable before it drops any log from disk. `None` when `index`
+    /// is not applied yet or is covered already.
+    pub fn compact(&mut self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
+        if index > self.applied_index || index <= self.log.snapshot_index() {
+            return None;
+        }
+        let term = self.log.term_at(index)?;
+        let membership = self.membership_at(index);
+        let snapshot = Snapshot {
+            index,
+            term,
+            membership,
+            data: Arc::new(data),
+        };
+        self.log.compact(index);
+        self.snapshot = Some(snapshot.clone());
+        Some(snapshot)
+    }
+
+    /// Whether there is work for the driver.
+    pub fn has_ready(&self) -> bool {
+        self.hard_state_changed
+            || self.pending_snapshot.is_some()
+            || !self.messages.is_empty()
+            || !self.log.unpersisted().is_empty()
+            || self.applied_index < self.appliable_index()
+    }
+
+    pub(crate) fn check_may_propose(&self) -> Result<(), ProposeError> {
+        if !self.is_leader() {
+            return Err(ProposeError::NotLeader(self.leader));
+        }
+        if self.transfer_to.is_some() {
+            return Err(ProposeError::Transferring);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn append(&mut self, payload: EntryPayload) -> u64 {
+        let index = self.log.last_index() + 1;
+        let changes_membership = matches!(payload, EntryPayload::Membership(_));
+        self.log.push(Entry {
+            index,
+            term: self.hard_state.term,
+            payload,
+        });
+        if changes_membership {
+            self.refresh_membership();
+        }
+        self.broadcast_append();
+        index
+    }
+
+    pub(crate) fn term_is_committed(&self) -> bool {
+        self.log.term_at(self.commit_index) == Some(self.hard_state.term)
+    }
+
+    pub(crate) fn send(&mut self, to: ReplicaId, message: Message) {
+        self.send_in_term(to, self.hard_state.term, message);
+    }
+
+    pub(crate) fn send_in_term(&mut self, to: ReplicaId, term: u64, message: Message) {
+        self.messages.push(Envelope {
+            from: self.config.id,
+            to,
+            term,
+            message,
+        });
+    }
+
+    pub(crate) fn become_follower(&mut self, term: u64, leader: Option<ReplicaId>) {
+        if term > self.hard_state.term {
+            self.hard_state = HardState {
+                term,
+                voted_for: None,
+            };
+            self.hard_state_changed = true;
+        }
+        self.role = PeerRole::Follower;
+        self.leader = leader;
+        self.transfer_to = None;
+        self.progress.clear();
+        self.reset_election_timer();
+    }
+
+    pub(crate) fn reset_election_timer(&mut self) {
+        let base = self.config.election_timeout;
+        let jitter = Millis(self.random.random_range(0..base.0));
+        self.election_due = self.now + base + jitter;
+    }
+
+    /// The membership in force is the newest in the log, committed or not.
+    pub(crate) fn refresh_membership(&mut self) {
+        let (index, membership) = match self.log.latest_membership() {
+            Some((index, membership)) => (index, membership.clone()),
+            None => (self.log.snapshot_index(), self.snapshot_membership()),
+        };
+        self.membership = membership;
+        self.membership_index = index;
+    }
+
+    fn snapshot_membership(&self) -> Membership {
+        self.snapshot
+            .as_ref()
+            .map_or_else(|| self.initial_membership.clone(), |s| s.membership.clone())
+    }
+
+    fn membership_at(&self, index: u64) -> Membership {
+        let first = self.log.snapshot_index() + 1;
+        let covered = self.log.slice(first, (index + 1 - first) as usize);
+        covered
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                EntryPayload::Membership(membership) => Some(membership.clone()),
+                _ => None,
+            })
+            .unwrap_or_else(|| self.snapshot_membership())
+    }
+
+    fn appliable_index(&self) -> u64 {
+        self.commit_index.min(self.log.persisted_index())
+    }
+
+    fn take_committed(&mut self) -> Vec<Entry> {
+        let until = self.appliable_index();
+        if until <= self.applied_index {
+            return Vec::new();
+        }
+        let count = (until - self.applied_index) as usize;
+        let entries = self.log.slice(self.applied_index + 1, count).to_vec();
+        self.applied_index = until;
+        entries
+    }
+
+    /// Applies the rules about terms. Returns whether to go on.
+    fn accept_term(&mut self, envelope: &Envelope) -> bool {
+        let own = self.hard_state.term;
+        if envelope.term > own {
+            return self.accept_higher_term(envelope);
+        }
+        if envelope.term < own {
+            self.answer_lower_term(envelope);
+            return false;
+        }
+        true
+    }
+
+    fn accept_higher_term(&mut self, envelope: &Envelope) -> bool {
+        match &envelope.message {
+            Message::RequestVote {
+                pre_vote, transfer, ..
+            } => {
+                // A voter that heard a leader lately stays loyal: this keeps
+                // the lease sound and ignores replicas that were cut off.
+                let loyal = self.now < self.no_vote_before || self.is_leader();
+                if loyal && !transfer {
+                    return false;
+                }
+                if !pre_vote {
+                    self.become_follower(envelope.term, None);
+                }
+                true
+            }
+            Message::VoteReply {
+                pre_vote: true,
+                granted: true,
+            } => true,
+            Message::Append { .. } | Message::SnapshotChunk { .. } => {
+                self.become_follower(envelope.term, Some(envelope.from));
+                true
+            }
+            _ => {
+                self.become_follower(envelope.term, None);
+                true
+            }
+        }
+    }
+
+    fn answer_lower_term(&mut self, envelope: &Envelope) {
+        let message = match envelope.message {
+            // Tells a deposed leader, or a candidate behind, the present term.
+            Message::Append { sent_at, .. } | Message::SnapshotChunk { sent_at, .. } => {
+                Message::AppendReply {
+                    match_index: 0,
+                    accepted: false,
+                    sent_at,
+                }
+            }
+            Message::RequestVote { pre_vote, .. } => Message::VoteReply {
+                pre_vote,
+                granted: false,
+            },
+            _ => return,
+        };
+        self.send(envelope.from, message);
+    }
+}
--- /dev/null
+++ b/components/consensus/src/replication.rs
@@ -0,0 +1,355 @@
+//! Heartbeats, log replication, commitment and snapshots in pieces.
+
+use std::sync::Arc;
+
+use garnet_types::{Millis, ReplicaId};
+
+use crate::entry::{Entry, EntryPayload, Snapshot};
+use crate::message::{Envelope, Message};
+use crate::node::Node;
+
+impl Node {
+    pub(crate) fn tick_leader(&mut self) {
+        if self.transfer_to.is_some() && self.now >= self.transfer_due {
+            self.transfer_to = None;
+        }
+        if !self.quorum_is_in_touch() {
+            self.become_follower(self.hard_state.term, None);
+            return;
+        }
+        let due: Vec<ReplicaId> = self
+            .progress
+            .iter()
+            .filter(|(_, progress)| {
+                self.now.since(progress.last_sent) >= self.config.heartbeat_interval
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            self.send_heartbeat(id);
+        }
+    }
+
+    /// Check-quorum: a leader that lost touch steps down by itself.
+    fn quorum_is_in_touch(&self) -> bool {
+        let timeout = self.config.election_timeout;
+        let fresh = |id| {
+            let heard = self.acknowledged_at(id).unwrap_or(self.leader_since);
+            self.now.since(heard.max(self.leader_since)) < timeout + timeout
+        };
+        self.membership.has_quorum(fresh)
+    }
+
+    pub(crate) fn broadcast_append(&mut self) {
+        let followers: Vec<ReplicaId> = self.progress.keys().copied().collect();
+        for id in followers {
+            self.send_entries(id);
+        }
+    }
+
+    /// A heartbeat also repairs: it takes anything under way as lost.
+    fn send_heartbeat(&mut self, to: ReplicaId) {
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.inflight = 0;
+            if progress.match_index > 0 {
+                progress.next_index = progress.match_index + 1;
+            }
+        }
+        self.send_append(to, true);
+    }
+
+    fn send_entries(&mut self, to: ReplicaId) {
+        self.send_append(to, false);
+    }
+
+    fn send_append(&mut self, to: ReplicaId, even_if_empty: bool) {
+        let Some(progress) = self.progress.get(&to) else {
+            return;
+        };
+        if progress.inflight >= self.config.max_inflight {
+            return;
+        }
+        let next_index = progress.next_index;
+        let previous_index = next_index - 1;
+        let Some(previous_term) = self.log.term_at(previous_index) else {
+            self.send_snapshot_chunk(to, even_if_empty);
+            return;
+        };
+        let entries = self
+            .log
+            .slice(next_index, self.config.max_batch_entries)
+            .to_vec();
+        if entries.is_empty() && !even_if_empty {
+            return;
+        }
+        let sent = entries.len() as u64;
+        let message = Message::Append {
+            previous_index,
+            previous_term,
+            entries,
+            commit_index: self.commit_index,
+            sent_at: self.now,
+        };
+        self.send(to, message);
+        let now = self.now;
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.next_index += sent;
+            progress.inflight += usize::from(sent > 0);
+            progress.last_sent = now;
+            progress.snapshot_offset = None;
+        }
+    }
+
+    fn send_snapshot_chunk(&mut self, to: ReplicaId, again: bool) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
+        if progress.snapshot_offset.is_some() && !again {
+            return;
+        }
+        let offset = progress.snapshot_offset.unwrap_or(0);
+        progress.snapshot_offset = Some(offset);
+        progress.last_sent = self.now;
+        let start = (offset as usize).min(snapshot.data.len());
+        let end = (start + self.config.snapshot_chunk_bytes).min(snapshot.data.len());
+        let message = Message::SnapshotChunk {
+            index: snapshot.index,
+            snapshot_term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            offset: start as u64,
+            data: snapshot.data[start..end].to_vec(),
+            done: end == snapshot.data.len(),
+            sent_at: self.now,
+        };
+        self.send(to, message);
+    }
+
+    fn note_leader(&mut self, leader: ReplicaId) {
+        if self.leader != Some(leader) {
+            self.become_follower(self.hard_state.term, Some(leader));
+        }
+        self.no_vote_before = self.now + self.config.election_timeout;
+        self.reset_election_timer();
+    }
+
+    pub(crate) fn handle_append(&mut self, envelope: Envelope) {
+        let Message::Append {
+            previous_index,
+            previous_term,
+            entries,
+            commit_index,
+            sent_at,
+        } = envelope.message
+        else {
+            return;
+        };
+        self.note_leader(envelope.from);
+        let known = previous_index < self.log.snapshot_index()
+            || self.log.term_at(previous_index) == Some(previous_term);
+        let match_index = if known {
+            self.accept_entries(previous_index, entries, commit_index)
+        } else {
+            // The leader goes on from the last index that can match.
+            self.log.last_index().min(previous_index.saturating_sub(1))
+        };
+        let reply = Message::AppendReply {
+            match_index,
+            accepted: known,
+            sent_at,
+        };
+        self.send(envelope.from, reply);
+    }
+
+    fn accept_entries(&mut self, previous: u64, entries: Vec<Entry>, commit: u64) -> u64 {
+        let match_index = previous + entries.len() as u64;
+        for entry in entries {
+            self.accept_entry(entry);
+        }
+        // Only what is known to equal the leader's log may be committed.
+        self.commit_index = self.commit_index.max(commit.min(match_index));
+        match_index
+    }
+
+    fn accept_entry(&mut self, entry: Entry) {
+        if entry.index <= self.log.snapshot_index() {
+            return;
+        }
+        match self.log.term_at(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => {
+                // Invariant: a committed entry is never replaced.
+                debug_assert!(entry.index > self.commit_index);
+                self.log.truncate_from(entry.index);
+                self.refresh_membership();
+            }
+            None => {}
+        }
+        let changes_membership = matches!(entry.payload, EntryPayload::Membership(_));
+        self.log.push(entry);
+        if changes_membership {
+            self.refresh_membership();
+        }
+    }
+
+    pub(crate) fn handle_append_reply(
+        &mut self,
+        from: ReplicaId,
+        match_index: u64,
+        accepted: bool,
+        sent_at: Millis,
+    ) {
+        if !self.is_leader() {
+            return;
+        }
+        let last_index = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.acknowledged_at = progress.acknowledged_at.max(Some(sent_at));
+        progress.inflight = progress.inflight.saturating_sub(1);
+        if accepted {
+            progress.match_index = progress.match_index.max(match_index.min(last_index));
+            progress.next_index = progress.next_index.max(progress.match_index + 1);
+        } else {
+            // A follower's durable entries never go back within its identity,
+            // so what it acknowledged earlier is the floor.
+            progress.next_index = (match_index + 1).max(progress.match_index + 1);
+            progress.inflight = 0;
+        }
+        let behind = progress.next_index <= last_index;
+        self.advance_commit();
+        if behind || !accepted {
+            self.send_append(from, !accepted);
+        }
+    }
+
+    /// Commits what a majority holds durably, if it is of the own term.
+    pub(crate) fn advance_commit(&mut self) {
+        let mut held: Vec<u64> = self
+            .membership
+            .voters()
+            .map(|id| self.durable_index(id))
+            .collect();
+        held.sort_unstable_by(|left, right| right.cmp(left));
+        let Some(candidate) = held.get(self.membership.quorum() - 1).copied() else {
+            return;
+        };
+        let own_term = self.log.term_at(candidate) == Some(self.hard_state.term);
+        if candidate > self.commit_index && own_term {
+            self.commit_index = candidate;
+            self.after_commit();
+        }
+    }
+
+    fn after_commit(&mut self) {
+        self.step_down_if_removed();
+        if self.is_leader() {
+            // Followers learn the commit index without waiting a heartbeat.
+            let followers: Vec<ReplicaId> = self.progress.keys().copied().collect();
+            for id in followers {
+                self.send_append(id, true);
+            }
+        }
+    }
+
+    fn durable_index(&self, id: ReplicaId) -> u64 {
+        if id == self.config.id {
+            return self.log.persisted_index();
+        }
+        self.progress
+            .get(&id)
+            .map_or(0, |progress| progress.match_index)
+    }
+
+    pub(crate) fn handle_snapshot_chunk(&mut self, envelope: Envelope) {
+        let Message::SnapshotChunk {
+            index,
+            snapshot_term,
+            membership,
+            offset,
+            data,
+            done,
+            sent_at,
+        } = envelope.message
+        else {
+            return;
+        };
+        self.note_leader(envelope.from);
+        if index <= self.commit_index {
+            // Everything in the snapshot is here already.
+            let reply = Message::AppendReply {
+                match_index: self.commit_index,
+                accepted: true,
+                sent_at,
+            };
+            self.send(envelope.from, reply);
+            return;
+        }
+        if index != self.incoming_snapshot_index || offset == 0 {
+            self.incoming_snapshot_index = index;
+            self.incoming_snapshot.clear();
+        }
+        let in_order = offset == self.incoming_snapshot.len() as u64;
+        if in_order {
+            self.incoming_snapshot.extend_from_slice(&data);
+        }
+        if in_order && done {
+            let data = std::mem::take(&mut self.incoming_snapshot);
+            self.incoming_snapshot_index = 0;
+            self.install(Snapshot {
+                index,
+                term: snapshot_term,
+                membership,
+                data: Arc::new(data),
+            });
+            let reply = Message::AppendReply {
+                match_index: index,
+                accepted: true,
+                sent_at,
+            };
+            self.send(envelope.from, reply);
+            return;
+        }
+        let reply = Message::SnapshotReply {
+            index,
+            next_offset: self.incoming_snapshot.len() as u64,
+            sent_at,
+        };
+        self.send(envelope.from, reply);
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        self.log.reset(snapshot.index, snapshot.term);
+        self.commit_index = snapshot.index;
+        self.applied_index = snapshot.index;
+        self.snapshot = Some(snapshot.clone());
+        self.pending_snapshot = Some(snapshot);
+        self.refresh_membership();
+    }
+
+    pub(crate) fn handle_snapshot_reply(
+        &mut self,
+        from: ReplicaId,
+        index: u64,
+        next_offset: u64,
+        sent_at: Millis,
+    ) {
+        if !self.is_leader() {
+            return;
+        }
+        let current = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.acknowledged_at = progress.acknowledged_at.max(Some(sent_at));
+        if progress.snapshot_offset.is_none() {
+            return;
+        }
+        let offset = if index == current { next_offset } else { 0 };
+        progress.snapshot_offset = Some(offset);
+        self.send_snapshot_chunk(from, true);
+    }
+}
--- /dev/null
+++ b/components/consensus/tests/group.rs
@@ -0,0 +1,208 @@
+//! A group of nodes with a network under the test's control.
+
+mod network;
+
+use garnet_consensus::{EntryPayload, PeerRole, ProposeError};
+use garnet_types::{Millis, ReplicaId};
+use network::Network;
+use rstest::rstest;
+
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(5)]
+fn a_group_elects_one_leader_and_commits(#[case] size: u64) {
+    let mut network = Network::new(size);
+    let leader = network.elect();
+    network.propose(leader, b"first");
+    network.run(Millis(500));
+    for id in network.ids() {
+        assert_eq!(
+            network.commands(id),
+            vec![b"first".to_vec()],
+            "replica {id}"
+        );
+    }
+}
+
+#[test]
+fn a_cut_off_leader_commits_nothing_and_its_entries_are_replaced() {
+    let mut network = Network::new(3);
+    let old = network.elect();
+    network.isolate(old);
+    network.propose(old, b"lost");
+    network.run(Millis(5000));
+    let new = network.leader_among(|id| id != old).expect("a new leader");
+    network.propose(new, b"kept");
+    network.run(Millis(500));
+    network.heal();
+    network.run(Millis(3000));
+    for id in network.ids() {
+        assert_eq!(network.commands(id), vec![b"kept".to_vec()], "replica {id}");
+    }
+    assert_ne!(network.node(old).status().role, PeerRole::Leader);
+}
+
+#[test]
+fn a_lease_ends_before_another_replica_can_lead() {
+    for seed in 0..50 {
+        let mut network = Network::with_seed(3, seed);
+        let old = network.elect();
+        network.run(Millis(1000));
+        assert!(network.node(old).holds_lease(network.now()));
+        network.isolate(old);
+        loop {
+            network.run(Millis(10));
+            let others = network.leader_among(|id| id != old);
+            let old_holds = network.node(old).holds_lease(network.now());
+            assert!(
+                !(old_holds && others.is_some()),
+                "two leases at seed {seed}"
+            );
+            if others.is_some() {
+                break;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_replica_that_was_cut_off_does_not_disturb_the_leader() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    let term = network.node(leader).status().term;
+    let other = network
+        .ids()
+        .into_iter()
+        .find(|id| *id != leader)
+        .expect("another");
+    network.isolate(other);
+    network.run(Millis(20_000));
+    network.heal();
+    network.run(Millis(3000));
+    assert_eq!(
+        network.node(leader).status().term,
+        term,
+        "no needless election"
+    );
+    assert!(network.node(leader).is_leader());
+}
+
+#[test]
+fn a_lagging_replica_is_caught_up_by_a_snapshot_in_pieces() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    let behind = network
+        .ids()
+        .into_iter()
+        .find(|id| *id != leader)
+        .expect("another");
+    network.isolate(behind);
+    for number in 0..200_u32 {
+        network.propose(leader, &number.to_le_bytes());
+        network.run(Millis(20));
+    }
+    network.compact(leader);
+    network.heal();
+    network.run(Millis(5000));
+    assert_eq!(network.commands(behind), network.commands(leader));
+    assert_eq!(network.commands(behind).len(), 200);
+    assert!(
+        network.node(behind).snapshot_index() > 0,
+        "it came by a snapshot"
+    );
+}
+
+#[test]
+fn leadership_is_handed_over_without_waiting_for_a_timeout() {
+    let mut network = Network::new(3);
+    let old = network.elect();
+    network.run(Millis(500));
+    let now = network.now();
+    let target = network
+        .node_mut(old)
+        .transfer_leadership()
+        .expect("a follower is current");
+    assert!(
+        !network.node(old).holds_lease(now),
+        "the lease is given up at once"
+    );
+    network.run(Millis(200));
+    assert!(network.node(target).is_leader());
+}
+
+#[test]
+fn members_change_one_at_a_time_and_a_learner_catches_up_first() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    for number in 0..100_u32 {
+        network.propose(leader, &number.to_le_bytes());
+        network.run(Millis(10));
+    }
+    let joining = ReplicaId(9);
+    network.join(joining);
+    let added = network
+        .node_mut(leader)
+        .add_learner(joining, "9".into(), "9".into());
+    assert!(added.is_ok());
+    let early = network.node_mut(leader).promote(joining);
+    assert_eq!(early, Err(ProposeError::ChangePending));
+    network.run(Millis(1000));
+    assert!(network.node_mut(leader).promote(joining).is_ok());
+    network.run(Millis(1000));
+    assert_eq!(network.node(joining).membership().voters().count(), 4);
+    assert_eq!(network.commands(joining).len(), 100);
+    assert!(network.node(leader).survives_one_loss());
+}
+
+#[test]
+fn a_removal_that_would_lose_the_quorum_is_refused() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    network.run(Millis(500));
+    let others: Vec<ReplicaId> = network
+        .ids()
+        .into_iter()
+        .filter(|id| *id != leader)
+        .collect();
+    network.isolate(others[0]);
+    network.run(Millis(1500));
+    assert!(!network.node(leader).survives_one_loss());
+    let refused = network.node_mut(leader).remove_member(others[1]);
+    assert_eq!(refused, Err(ProposeError::WouldLoseQuorum));
+    assert!(network.node_mut(leader).remove_member(others[0]).is_ok());
+}
+
+#[test]
+fn a_replica_with_a_new_disk_can_not_vote_as_its_former_self() {
+    // Five entries are committed by replicas 1 and 2 of three while 3 is cut
+    // off. 2 loses its disk. With its old identity, 2 and 3 could elect 3 and
+    // lose what was committed.
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    let others: Vec<ReplicaId> = network
+        .ids()
+        .into_iter()
+        .filter(|id| *id != leader)
+        .collect();
+    network.isolate(others[1]);
+    network.propose(leader, b"committed");
+    network.run(Millis(1000));
+    network.isolate(leader);
+    network.lose_disk(others[0], ReplicaId(77));
+    network.reconnect(others[1]);
+    network.run(Millis(30_000));
+    assert!(
+        network.leader_among(|id| id != leader).is_none(),
+        "a stranger's vote made a leader without the committed entry"
+    );
+}
+
+#[test]
+fn membership_entries_reach_every_replica() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    network.run(Millis(300));
+    let log = network.applied(leader);
+    assert!(log.iter().any(|entry| entry.payload == EntryPayload::Noop));
+}
--- /dev/null
+++ b/components/control/src/command.rs
@@ -0,0 +1,108 @@
+//! Commands of the replicated log.
+
+use garnet_types::{
+    BackendId, ClaimId, CommandId, EngineAssignment, Fence, IdempotencyKey, MachineState, Millis,
+    RecordedResponse, SessionId, TenantId,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::{BackendRegistration, EngineObservation, Session};
+
+/// A command with what is common to all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CommandEnvelope {
+    /// The operator's name for it: the same name gets the first answer again.
+    pub command_id: Option<CommandId>,
+    /// Revision that the operator saw of the thing to change; `None` takes
+    /// whatever stands. Zero means that it must not exist yet.
+    pub expected_revision: Option<u64>,
+    /// The leader's clock when it took the command.
+    pub at: Millis,
+    /// What to do.
+    pub command: Command,
+}
+
+/// A change of the replicated state.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Accepts a session.
+    CreateSession(Session),
+    /// Ends a session at the operator's wish.
+    CloseSession(SessionId),
+    /// Writes or replaces a policy. It was checked before it was proposed.
+    PutPolicy {
+        /// Its name.
+        name: String,
+        /// Its document.
+        document: String,
+    },
+    /// Withdraws a policy.
+    WithdrawPolicy(String),
+    /// Makes a back end known, or notes its new address.
+    PutBackend(BackendRegistration),
+    /// Notes what the platform says of a back end's machine.
+    SetMachine {
+        /// The back end.
+        backend: BackendId,
+        /// State of its machine.
+        state: MachineState,
+    },
+    /// Forgets a back end.
+    RemoveBackend(BackendId),
+    /// States what an engine shall become.
+    Assign {
+        /// The engine.
+        engine: BackendId,
+        /// What it shall become.
+        assignment: EngineAssignment,
+    },
+    /// Takes the engine out of routing, to order it once it has drained.
+    BeginOrder(BackendId),
+    /// Puts an outstanding order under the fence of a new leader.
+    RenewOrder {
+        /// The engine.
+        engine: BackendId,
+        /// Fence that the order had.
+        replaces: Fence,
+    },
+    /// Closes an order that the engine has carried out.
+    SettleOrder {
+        /// The engine.
+        engine: BackendId,
+        /// Fence of the order.
+        fence: Fence,
+        /// What the engine is now.
+        observation: EngineObservation,
+    },
+    /// Notes what an engine without an order is.
+    Observe {
+        /// The engine.
+        engine: BackendId,
+        /// What it is.
+        observation: EngineObservation,
+    },
+    /// Asks for the one right to dispatch a request that is not repeatable.
+    Claim(ClaimCommand),
+    /// Gives a claim back: its request provably did not and will not run.
+    ReleaseClaim(ClaimCommand),
+    /// Keeps the answer of a claimed request for resends.
+    RecordResult {
+        /// The claim.
+        claim: ClaimCommand,
+        /// The answer.
+        response: RecordedResponse,
+    },
+}
+
+/// A key and who claims it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimCommand {
+    /// Whose key.
+    pub tenant: TenantId,
+    /// The key.
+    pub key: IdempotencyKey,
+    /// Hash of method, path and body.
+    pub body_hash: u64,
+    /// Who claims it.
+    pub claim: ClaimId,
+}
--- /dev/null
+++ b/components/control/src/configuration.rs
@@ -0,0 +1,163 @@
+//! What every gateway must know: sessions, policies and back ends.
+
+use std::collections::BTreeMap;
+
+use garnet_types::{
+    BackendId, BackendKind, EngineAssignment, Fence, MachineState, ModelId, ServiceId, SessionId,
+    TenantId,
+};
+use serde::{Deserialize, Serialize};
+
+/// A long-lived session that carries many requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Session {
+    /// Its name.
+    pub id: SessionId,
+    /// Whose it is.
+    pub tenant: TenantId,
+    /// Service that its requests go to.
+    pub service: ServiceId,
+    /// Model of its completions; `None` for an application service.
+    pub model: Option<ModelId>,
+}
+
+/// A policy document and its revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PolicyRecord {
+    /// The document as it was accepted.
+    pub document: String,
+    /// Configuration index at which it was written.
+    pub revision: u64,
+}
+
+/// How a back end introduces itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendRegistration {
+    /// Its name.
+    pub id: BackendId,
+    /// What it is.
+    pub kind: BackendKind,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// IP address and port.
+    pub address: String,
+    /// Zone that it stands in.
+    pub zone: String,
+}
+
+/// What an engine was seen to be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineObservation {
+    /// Start of the engine that was seen.
+    pub incarnation: u64,
+    /// What it is set up for.
+    pub assignment: EngineAssignment,
+}
+
+/// An order that is not settled.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutstandingOrder {
+    /// Authority under which it may be sent.
+    pub fence: Fence,
+    /// What the engine shall become.
+    pub assignment: EngineAssignment,
+    /// Configuration index at which the engine left the routing set.
+    pub out_of_service_since: u64,
+}
+
+/// A back end as the control group knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendRecord {
+    /// How it introduced itself.
+    pub registration: BackendRegistration,
+    /// What the platform says of its machine.
+    pub machine: MachineState,
+    /// What it shall be, if anybody has said so.
+    pub desired: Option<EngineAssignment>,
+    /// What it was last seen to be.
+    pub observed: Option<EngineObservation>,
+    /// The one order that is not settled.
+    pub order: Option<OutstandingOrder>,
+    /// Configuration index of the latest change.
+    pub revision: u64,
+}
+
+impl BackendRecord {
+    /// Whether gateways may send it new work.
+    pub fn takes_work(&self) -> bool {
+        let ready = match self.registration.kind {
+            BackendKind::Application => true,
+            BackendKind::Engine => self.observed.is_some() && self.order.is_none(),
+        };
+        ready && self.machine == MachineState::Live
+    }
+
+    /// What the engine is, or is becoming.
+    pub fn assignment(&self) -> Option<&EngineAssignment> {
+        let ordered = self.order.as_ref().map(|order| &order.assignment);
+        ordered.or(self.observed.as_ref().map(|seen| &seen.assignment))
+    }
+}
+
+/// Everything that gateways must know, at one index.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Log index of the latest change; it only rises.
+    pub index: u64,
+    /// Accepted sessions.
+    pub sessions: BTreeMap<SessionId, Session>,
+    /// Policies in force.
+    pub policies: BTreeMap<String, PolicyRecord>,
+    /// Known back ends.
+    pub backends: BTreeMap<BackendId, BackendRecord>,
+}
+
+/// One change of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationChange {
+    /// A session was accepted.
+    SessionCreated(Session),
+    /// A session was ended.
+    SessionClosed(SessionId),
+    /// A policy was written or replaced.
+    PolicyPut {
+        /// Its name.
+        name: String,
+        /// Its document and revision.
+        record: PolicyRecord,
+    },
+    /// A policy was withdrawn.
+    PolicyWithdrawn(String),
+    /// A back end is as given.
+    BackendPut(BackendRecord),
+    /// A back end was forgotten.
+    BackendRemoved(BackendId),
+}
+
+impl Configuration {
+    /// Makes one change, which stands at log index `index`.
+    pub fn change(&mut self, index: u64, change: &ConfigurationChange) {
+        debug_assert!(index >= self.index);
+        self.index = index;
+        match change.clone() {
+            ConfigurationChange::SessionCreated(session) => {
+                self.sessions.insert(session.id.clone(), session);
+            }
+            ConfigurationChange::SessionClosed(id) => {
+                self.sessions.remove(&id);
+            }
+            ConfigurationChange::PolicyPut { name, record } => {
+                self.policies.insert(name, record);
+            }
+            ConfigurationChange::PolicyWithdrawn(name) => {
+                self.policies.remove(&name);
+            }
+            ConfigurationChange::BackendPut(record) => {
+                self.backends.insert(record.registration.id.clone(), record);
+            }
+            ConfigurationChange::BackendRemoved(id) => {
+                self.backends.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/control/src/effects.rs
@@ -0,0 +1,107 @@
+//! What a replica takes and what it wants done.
+
+use garnet_consensus::Envelope;
+use garnet_types::{BackendId, EngineOrder, EngineStatus, MachineState, OrderAnswer};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::BackendRegistration;
+use crate::messages::{ControlReply, GatewayRequest};
+use crate::operator::{OperatorAnswer, OperatorRequest};
+
+/// One line of the platform's list of machines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineEntry {
+    /// The back end on the machine.
+    pub registration: BackendRegistration,
+    /// What the platform believes of the machine.
+    pub state: MachineState,
+}
+
+/// A question to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EngineRequest {
+    /// How it is.
+    Status,
+    /// Become another.
+    Order(EngineOrder),
+}
+
+/// Something that happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message of another replica.
+    Peer(Envelope),
+    /// A request of a gateway; `connection` takes the reply.
+    Gateway {
+        /// Where the reply goes.
+        connection: u64,
+        /// The request.
+        request: GatewayRequest,
+    },
+    /// A question of an operator; `ticket` takes the answer.
+    Operator {
+        /// Where the answer goes.
+        ticket: u64,
+        /// The question.
+        request: OperatorRequest,
+    },
+    /// An engine told its state.
+    EngineStatus {
+        /// The engine.
+        engine: BackendId,
+        /// Its state.
+        status: EngineStatus,
+    },
+    /// An engine answered an order.
+    EngineOrder {
+        /// The engine.
+        engine: BackendId,
+        /// Its answer.
+        answer: OrderAnswer,
+    },
+    /// The platform's list, which lags.
+    Machines(Vec<MachineEntry>),
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send a message to a replica.
+    SendPeer(Envelope),
+    /// Reply to a gateway.
+    ReplyGateway {
+        /// Where the reply goes.
+        connection: u64,
+        /// The reply.
+        reply: ControlReply,
+    },
+    /// Answer an operator.
+    AnswerOperator {
+        /// Where the answer goes.
+        ticket: u64,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
+    /// Ask an engine. The driver reads the clock and asks
+    /// [`crate::Replica::may_send_order`] again just before it sends an order.
+    AskEngine {
+        /// The engine.
+        engine: BackendId,
+        /// Its address.
+        address: String,
+        /// The question.
+        request: EngineRequest,
+    },
+    /// The replica began to lead in this term.
+    BecameLeader {
+        /// The term.
+        term: u64,
+    },
+    /// The replica stopped leading.
+    LostLeadership {
+        /// The term in which it led.
+        term: u64,
+    },
+}
--- /dev/null
+++ b/components/control/src/gateways.rs
@@ -0,0 +1,78 @@
+//! Leases of the gateways on the configuration, as the leader counts them.
+//!
+//! A gateway may take new work until its own `sent_at` plus the lease. The
+//! leader counts from when it answered, which is later, so its view of the end
+//! is never too early. A new leader knows no leases of the former one, but all
+//! of them were given before it was elected: it waits one lease out.
+
+use std::collections::BTreeMap;
+
+use garnet_types::{GatewayId, Millis};
+
+use crate::operator::GatewayView;
+
+/// How long a gateway may take new work after it asked for a lease.
+pub const CONFIGURATION_LEASE: Millis = Millis(2500);
+/// Added by the leader for clocks that run at different speeds.
+const DRIFT_ALLOWANCE: Millis = Millis(250);
+/// A gateway that was silent for this long is forgotten.
+const FORGET_AFTER: Millis = Millis::from_secs(60);
+
+#[derive(Debug, Clone)]
+struct GatewayLease {
+    confirmed_index: u64,
+    lease_end: Millis,
+}
+
+/// All leases that this leader gave.
+#[derive(Debug, Clone, Default)]
+pub struct GatewayLeases {
+    leases: BTreeMap<GatewayId, GatewayLease>,
+    unknown_until: Millis,
+}
+
+impl GatewayLeases {
+    /// Leases at the start of a term: none known, some may run.
+    pub fn at_start_of_term(now: Millis) -> Self {
+        GatewayLeases {
+            leases: BTreeMap::new(),
+            unknown_until: now + CONFIGURATION_LEASE + DRIFT_ALLOWANCE,
+        }
+    }
+
+    /// Notes a lease that is given now to a gateway that works by `index`.
+    pub fn grant(&mut self, gateway: GatewayId, index: u64, now: Millis) {
+        let lease = GatewayLease {
+            confirmed_index: index,
+            lease_end: now + CONFIGURATION_LEASE + DRIFT_ALLOWANCE,
+        };
+        self.leases.insert(gateway, lease);
+    }
+
+    /// Whether no gateway can take new work by a configuration before `index`.
+    pub fn all_confirmed(&self, index: u64, now: Millis) -> bool {
+        let known = self
+            .leases
+            .values()
+            .all(|lease| lease.confirmed_index >= index || lease.lease_end <= now);
+        known && now >= self.unknown_until
+    }
+
+    /// Forgets gateways that have been silent for long.
+    pub fn forget_silent(&mut self, now: Millis) {
+        self.leases
+            .retain(|_, lease| now.since(lease.lease_end) < FORGET_AFTER);
+    }
+
+    /// The leases for a status page.
+    pub fn view(&self, now: Millis) -> BTreeMap<GatewayId, GatewayView> {
+        let view = |lease: &GatewayLease| GatewayView {
+            confirmed_index: lease.confirmed_index,
+            lease_left: lease.lease_end.since(now),
+        };
+        self.leases
+            .iter()
+            .map(|(id, lease)| (id.clone(), view(lease)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,37 @@
+//! The control group: what it keeps, and what its leader does with it.
+//!
+//! Contract: [`ControlState::apply`] is deterministic: the same log gives the
+//! same state, also through a snapshot at any index. [`Replica`] puts the
+//! consensus node, the state and the leader's duties (configuration leases,
+//! engine orders, planning) together; it takes an [`Event`] with the time and
+//! gives [`Effect`]s, with no socket, file or clock inside.
+
+mod answer;
+mod claims;
+mod command;
+mod configuration;
+mod effects;
+mod gateways;
+mod messages;
+mod operator;
+mod planning;
+mod reconciler;
+mod replica;
+mod state;
+mod watch;
+
+pub use answer::{ClaimAnswer, CommandAnswer};
+pub use claims::{CLAIM_RETENTION, ClaimState, Claims, MAX_CLAIMS, MAX_RECORDED_BYTES};
+pub use command::{ClaimCommand, Command, CommandEnvelope};
+pub use configuration::{
+    BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
+    OutstandingOrder, PolicyRecord, Session,
+};
+pub use effects::{Effect, EngineRequest, Event, MachineEntry};
+pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
+pub use messages::{ClaimRequest, ControlReply, GatewayRequest, PoolMix, WatchUpdate};
+pub use operator::{
+    GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
+};
+pub use replica::{Replica, ReplicaSettings, RestoreError};
+pub use state::{ControlState, STATE_FORMAT, StateDecodeError};
--- /dev/null
+++ b/components/control/src/messages.rs
@@ -0,0 +1,110 @@
+//! What gateways and the leader say to each other.
+
+use garnet_types::{GatewayId, Millis, ModelId, RecordedResponse, ServiceId};
+use serde::{Deserialize, Serialize};
+
+use crate::answer::ClaimAnswer;
+use crate::command::ClaimCommand;
+use crate::configuration::{Configuration, ConfigurationChange};
+
+/// What a gateway saw offered for one pool since its last report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PoolMix {
+    /// Service of the pool.
+    pub service: ServiceId,
+    /// Model of the pool.
+    pub model: ModelId,
+    /// Requests.
+    pub requests: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Tokens wanted.
+    pub output_tokens: u64,
+}
+
+/// A claim, its release or its result.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimRequest {
+    /// Ask for the key.
+    Claim(ClaimCommand),
+    /// Give it back.
+    Release(ClaimCommand),
+    /// Keep the answer.
+    Record {
+        /// The claim.
+        claim: ClaimCommand,
+        /// The answer.
+        response: RecordedResponse,
+    },
+}
+
+impl ClaimRequest {
+    /// The claim that the request is about.
+    pub fn claim(&self) -> &ClaimCommand {
+        match self {
+            ClaimRequest::Claim(claim) | ClaimRequest::Release(claim) => claim,
+            ClaimRequest::Record { claim, .. } => claim,
+        }
+    }
+}
+
+/// From a gateway to a control replica.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GatewayRequest {
+    /// Heartbeat: asks for changes and for a lease on the configuration.
+    Watch {
+        /// Who asks.
+        gateway: GatewayId,
+        /// Configuration index that the gateway works by.
+        configuration_index: u64,
+        /// Gateway's clock when it asked.
+        sent_at: Millis,
+        /// What it saw offered.
+        mix: Vec<PoolMix>,
+    },
+    /// About a claim.
+    Claim(ClaimRequest),
+}
+
+/// Changes for a gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WatchUpdate {
+    /// It is up to date.
+    Current,
+    /// Changes since the index that it named.
+    Changes {
+        /// Index that they build on.
+        from: u64,
+        /// Index that they lead to.
+        to: u64,
+        /// The changes, each with its index.
+        changes: Vec<(u64, ConfigurationChange)>,
+    },
+    /// Everything anew.
+    Snapshot(Box<Configuration>),
+}
+
+/// From a control replica to a gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// Answer to a watch: the configuration is in force, and the lease runs
+    /// from `sent_at`.
+    Watch {
+        /// Copied from the question.
+        sent_at: Millis,
+        /// What changed.
+        update: WatchUpdate,
+    },
+    /// Answer about a claim.
+    Claim {
+        /// The claim.
+        claim: ClaimCommand,
+        /// The answer.
+        answer: ClaimAnswer,
+    },
+    /// Ask the leader; its address, as far as known.
+    NotLeader {
+        /// Address of the leader for gateways.
+        leader: Option<String>,
+    },
+}
--- /dev/null
+++ b/components/control/src/planning.rs
@@ -0,0 +1,176 @@
+//! The leader's use of the role planner: one planner for each pool.
+
+use std::collections::BTreeMap;
+
+use garnet_planner::{Engine, Mix, Planner, PlannerSettings, PoolCapacity};
+use garnet_policy::{Policy, PolicySet};
+use garnet_types::{BackendId, EngineAssignment, EngineCapacity, Millis, ModelId, ServiceId};
+
+use crate::configuration::Configuration;
+use crate::messages::PoolMix;
+
+/// How often the planner looks at a pool.
+const PLANNING_INTERVAL: Millis = Millis::from_secs(1);
+/// Part of a mixed engine's speed that is left for each phase.
+const MIXED_EFFICIENCY: f64 = 0.6;
+
+/// A pool: engines of one service that hold one model.
+type Pool = (ServiceId, ModelId);
+
+/// Planners of all pools, and what gateways reported since the last look.
+#[derive(Debug, Default)]
+pub(crate) struct Planning {
+    settings: PlannerSettings,
+    planners: BTreeMap<Pool, Planner>,
+    offered: BTreeMap<Pool, Mix>,
+    planned_at: Option<Millis>,
+    /// Price that the policies state, and the configuration it was read from.
+    price: Option<f64>,
+    price_read_at: u64,
+}
+
+/// A change that a planner wants.
+pub(crate) struct PlannedChange {
+    pub(crate) engine: BackendId,
+    pub(crate) assignment: EngineAssignment,
+}
+
+impl Planning {
+    pub(crate) fn new(settings: PlannerSettings) -> Self {
+        Planning {
+            settings,
+            ..Planning::default()
+        }
+    }
+
+    /// Adds what a gateway saw.
+    pub(crate) fn add(&mut self, mixes: &[PoolMix]) {
+        for seen in mixes {
+            let pool = (seen.service.clone(), seen.model.clone());
+            let offered = self.offered.entry(pool).or_default();
+            offered.requests += seen.requests as f64;
+            offered.prompt_tokens += seen.prompt_tokens as f64;
+            offered.output_tokens += seen.output_tokens as f64;
+        }
+    }
+
+    /// The changes to make now.
+    pub(crate) fn decide(
+        &mut self,
+        configuration: &Configuration,
+        facts: impl Fn(&BackendId) -> Option<EngineFacts>,
+        now: Millis,
+    ) -> Vec<PlannedChange> {
+        let before = *self.planned_at.get_or_insert(now);
+        let elapsed = now.since(before);
+        if elapsed < PLANNING_INTERVAL {
+            return Vec::new();
+        }
+        self.planned_at = Some(now);
+        let offered = std::mem::take(&mut self.offered);
+        self.read_price(configuration);
+        let price = self.price;
+        let pools = pools(configuration, &facts);
+        let mut changes = Vec::new();
+        for (pool, members) in pools {
+            let planner = self
+                .planners
+                .entry(pool.clone())
+                .or_insert_with(|| Planner::new(self.settings));
+            if let Some(price) = price {
+                planner.set_price(price);
+            }
+            let mix = offered.get(&pool).copied().unwrap_or_default();
+            planner.observe(per_second(mix, elapsed), now);
+            let capacity = pool_capacity(&members.capacity);
+            if let Some(change) = planner.decide(&members.engines, &capacity, now) {
+                let assignment = EngineAssignment {
+                    role: change.to,
+                    model: pool.1.clone(),
+                };
+                let engine = change.engine;
+                changes.push(PlannedChange { engine, assignment });
+            }
+        }
+        changes
+    }
+}
+
+impl Planning {
+    fn read_price(&mut self, configuration: &Configuration) {
+        if self.price_read_at != configuration.index {
+            self.price_read_at = configuration.index;
+            self.price = role_change_price(configuration);
+        }
+    }
+}
+
+/// What the leader knows of an engine from its latest fresh status.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EngineFacts {
+    pub(crate) running: u64,
+    pub(crate) capacity: EngineCapacity,
+}
+
+#[derive(Default)]
+struct PoolMembers {
+    engines: Vec<Engine>,
+    capacity: EngineCapacity,
+}
+
+fn pools(
+    configuration: &Configuration,
+    facts: impl Fn(&BackendId) -> Option<EngineFacts>,
+) -> BTreeMap<Pool, PoolMembers> {
+    let mut pools: BTreeMap<Pool, PoolMembers> = BTreeMap::new();
+    for (id, record) in &configuration.backends {
+        let Some(assignment) = record.assignment() else {
+            continue;
+        };
+        let pool = (
+            record.registration.service.clone(),
+            assignment.model.clone(),
+        );
+        let members = pools.entry(pool).or_default();
+        let known = facts(id);
+        if let Some(known) = known {
+            members.capacity = known.capacity;
+        }
+        members.engines.push(Engine {
+            id: id.clone(),
+            role: assignment.role,
+            serving: record.takes_work() && known.is_some(),
+            load: known.map_or(0, |known| known.running),
+        });
+    }
+    pools
+}
+
+fn pool_capacity(capacity: &EngineCapacity) -> PoolCapacity {
+    PoolCapacity {
+        prefill_tokens_per_second: capacity.prefill_tokens_per_second,
+        decode_tokens_per_second: capacity.decode_slots as f64 * 1000.0 / capacity.decode_step_ms,
+        mixed_efficiency: MIXED_EFFICIENCY,
+    }
+}
+
+fn per_second(mix: Mix, elapsed: Millis) -> Mix {
+    let seconds = elapsed.as_secs_f64().max(0.001);
+    Mix {
+        requests: mix.requests / seconds,
+        prompt_tokens: mix.prompt_tokens / seconds,
+        output_tokens: mix.output_tokens / seconds,
+    }
+}
+
+/// The price that the policies state, if any does.
+fn role_change_price(configuration: &Configuration) -> Option<f64> {
+    let mut set = PolicySet::default();
+    for (name, record) in &configuration.policies {
+        if let Ok(policy) = Policy::compile(name, &record.document) {
+            set.put(name, policy);
+        }
+    }
+    set.planner_weights()
+        .map(|weights| weights.role_change_price)
+}
--- /dev/null
+++ b/components/control/src/reconciler.rs
@@ -0,0 +1,230 @@
+//! From desired to observed: drains an engine, orders it, settles the order.
+//!
+//! Runs on the leader only. The replicated record says which order is
+//! outstanding; what is kept here can be lost at any time. Sequence for one
+//! engine: `BeginOrder` takes it out of routing; every gateway confirms; the
+//! engine reports that nothing runs; the order is sent, again and again, until
+//! the engine reports the new assignment under the order's fence;
+//! `SettleOrder` puts it back into routing.
+
+use std::collections::BTreeMap;
+
+use garnet_types::{BackendId, BackendKind, EngineOrder, EngineStatus, MachineState, Millis};
+
+use crate::command::Command;
+use crate::configuration::{BackendRecord, Configuration, EngineObservation, OutstandingOrder};
+use crate::effects::EngineRequest;
+use crate::gateways::GatewayLeases;
+
+/// How often an engine is asked for its state.
+const POLL_INTERVAL: Millis = Millis(500);
+/// A state older than this is not acted upon.
+const STATUS_FRESH: Millis = Millis::from_secs(2);
+/// An unanswered order is sent again after this time.
+const ORDER_INTERVAL: Millis = Millis(500);
+
+#[derive(Debug, Default)]
+struct EngineTrack {
+    status: Option<(EngineStatus, Millis)>,
+    asked_at: Option<Millis>,
+    ordered_at: Option<Millis>,
+    /// When every gateway had confirmed that the engine is out of routing.
+    confirmed_at: Option<Millis>,
+    /// Log index of a command about this engine that is not applied yet.
+    awaiting_index: u64,
+}
+
+/// What the reconciler wants for one engine.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Step {
+    /// Ask the engine.
+    Ask(EngineRequest),
+    /// Put a command into the log.
+    Propose(Command),
+}
+
+/// The present for one look at an engine.
+pub(crate) struct Present<'a> {
+    pub(crate) configuration: &'a Configuration,
+    pub(crate) gateways: &'a GatewayLeases,
+    pub(crate) term: u64,
+    pub(crate) applied_index: u64,
+    pub(crate) now: Millis,
+}
+
+/// What the leader remembers of the engines.
+#[derive(Debug, Default)]
+pub(crate) struct Reconciler {
+    tracks: BTreeMap<BackendId, EngineTrack>,
+}
+
+impl Reconciler {
+    /// Notes the state that an engine told.
+    pub(crate) fn observe(&mut self, engine: &BackendId, status: EngineStatus, now: Millis) {
+        let track = self.tracks.entry(engine.clone()).or_default();
+        track.status = Some((status, now));
+    }
+
+    /// The latest state of an engine, if it is fresh.
+    pub(crate) fn fresh_status(&self, engine: &BackendId, now: Millis) -> Option<&EngineStatus> {
+        let (status, at) = self.tracks.get(engine)?.status.as_ref()?;
+        (now.since(*at) <= STATUS_FRESH).then_some(status)
+    }
+
+    /// Notes that a command about the engine was proposed.
+    pub(crate) fn proposed(&mut self, engine: &BackendId, index: u64) {
+        self.tracks
+            .entry(engine.clone())
+            .or_default()
+            .awaiting_index = index;
+    }
+
+    /// The next steps for one engine.
+    pub(crate) fn steps(&mut self, engine: &BackendId, present: &Present<'_>) -> Vec<Step> {
+        let Some(record) = present.configuration.backends.get(engine) else {
+            self.tracks.remove(engine);
+            return Vec::new();
+        };
+        if record.registration.kind != BackendKind::Engine {
+            return Vec::new();
+        }
+        let mut steps = Vec::new();
+        let track = self.tracks.entry(engine.clone()).or_default();
+        if elapsed(track.asked_at, present.now) >= POLL_INTERVAL {
+            track.asked_at = Some(present.now);
+            steps.push(Step::Ask(EngineRequest::Status));
+        }
+        if track.awaiting_index > present.applied_index {
+            return steps;
+        }
+        let next = match &record.order {
+            Some(order) => track.pursue(engine, order, present),
+            None => track.compare(engine, record, present),
+        };
+        steps.extend(next);
+        steps
+    }
+}
+
+impl EngineTrack {
+    fn fresh(&self, now: Millis) -> Option<&(EngineStatus, Millis)> {
+        let fresh = |(_, at): &&(EngineStatus, Millis)| now.since(*at) <= STATUS_FRESH;
+        self.status.as_ref().filter(fresh)
+    }
+
+    /// Without an order: note what the engine is; begin an order if it is not
+    /// what it shall be.
+    fn compare(
+        &mut self,
+        engine: &BackendId,
+        record: &BackendRecord,
+        present: &Present<'_>,
+    ) -> Option<Step> {
+        self.confirmed_at = None;
+        self.ordered_at = None;
+        let (status, _) = self.fresh(present.now)?;
+        let observation = EngineObservation {
+            incarnation: status.incarnation,
+            assignment: status.assignment.clone(),
+        };
+        if record.observed.as_ref() != Some(&observation) {
+            let engine = engine.clone();
+            return Some(Step::Propose(Command::Observe {
+                engine,
+                observation,
+            }));
+        }
+        let desired = record.desired.as_ref()?;
+        let settled = *desired == observation.assignment;
+        let may_leave = others_serve(engine, record, present.configuration);
+        let live = record.machine == MachineState::Live;
+        (!settled && may_leave && live).then(|| Step::Propose(Command::BeginOrder(engine.clone())))
+    }
+
+    /// With an order: put it under this leader's fence, drain, send, settle.
+    fn pursue(
+        &mut self,
+        engine: &BackendId,
+        order: &OutstandingOrder,
+        present: &Present<'_>,
+    ) -> Option<Step> {
+        let now = present.now;
+        if order.fence.term != present.term {
+            return Some(Step::Propose(Command::RenewOrder {
+                engine: engine.clone(),
+                replaces: order.fence,
+            }));
+        }
+        if let Some((status, _)) = self.fresh(now)
+            && is_done(status, order)
+        {
+            return Some(Step::Propose(Command::SettleOrder {
+                engine: engine.clone(),
+                fence: order.fence,
+                observation: EngineObservation {
+                    incarnation: status.incarnation,
+                    assignment: status.assignment.clone(),
+                },
+            }));
+        }
+        if !self.has_drained(order, present) || elapsed(self.ordered_at, now) < ORDER_INTERVAL {
+            return None;
+        }
+        self.ordered_at = Some(now);
+        Some(Step::Ask(EngineRequest::Order(EngineOrder {
+            fence: order.fence,
+            assignment: order.assignment.clone(),
+        })))
+    }
+
+    /// Whether every gateway has stopped sending, and the engine said after
+    /// that that nothing runs.
+    fn has_drained(&mut self, order: &OutstandingOrder, present: &Present<'_>) -> bool {
+        let since = order.out_of_service_since;
+        if !present.gateways.all_confirmed(since, present.now) {
+            return false;
+        }
+        let confirmed_at = *self.confirmed_at.get_or_insert(present.now);
+        self.fresh(present.now)
+            .is_some_and(|(status, at)| *at > confirmed_at && status.running == 0)
+    }
+}
+
+fn is_done(status: &EngineStatus, order: &OutstandingOrder) -> bool {
+    status.highest_fence == order.fence
+        && status.changing.is_none()
+        && status.assignment == order.assignment
+}
+
+/// Whether the pool serves both phases without this engine, and no other
+/// engine of the pool is out for an order: one change at a time.
+fn others_serve(engine: &BackendId, record: &BackendRecord, all: &Configuration) -> bool {
+    let Some(current) = record.observed.as_ref() else {
+        return false;
+    };
+    let pool = |other: &BackendRecord| {
+        other.registration.service == record.registration.service
+            && other
+                .assignment()
+                .is_some_and(|assignment| assignment.model == current.assignment.model)
+    };
+    let others: Vec<&BackendRecord> = all
+        .backends
+        .iter()
+        .filter(|(id, other)| *id != engine && pool(other))
+        .map(|(_, other)| other)
+        .collect();
+    let none_changing = others.iter().all(|other| other.order.is_none());
+    let serving: Vec<_> = others
+        .iter()
+        .filter(|other| other.takes_work())
+        .filter_map(|other| other.assignment())
+        .collect();
+    let reads = serving.iter().any(|other| other.role.reads_prompts());
+    let generates = serving.iter().any(|other| other.role.generates());
+    none_changing && reads && generates
+}
+
+fn elapsed(at: Option<Millis>, now: Millis) -> Millis {
+    at.map_or(Millis::NEVER, |at| now.since(at))
+}
--- /dev/null
+++ b/components/control/src/state.rs
@@ -0,0 +1,339 @@
+//! The replicated state and how each command changes it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use displaydoc::Display;
+use garnet_types::{BackendId, BackendKind, CommandId, Fence, MachineState, Millis};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::answer::CommandAnswer;
+use crate::claims::Claims;
+use crate::command::{Command, CommandEnvelope};
+use crate::configuration::{
+    BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
+    OutstandingOrder, PolicyRecord, Session,
+};
+
+/// Format of an encoded state.
+pub const STATE_FORMAT: u32 = 1;
+/// First answers that are kept for resent commands, the oldest dropped first.
+const KEPT_ANSWERS: usize = 10_000;
+
+/// Everything that survives in the control group.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlState {
+    /// What gateways must know.
+    pub configuration: Configuration,
+    /// Claims on keys.
+    pub claims: Claims,
+    /// Highest clock reading of any command: the clock of the log.
+    clock: Millis,
+    answers: BTreeMap<CommandId, CommandAnswer>,
+    answer_order: VecDeque<CommandId>,
+}
+
+/// A snapshot that can't be read.
+#[derive(Debug, Display, Error)]
+pub enum StateDecodeError {
+    /// the state has format {0}, which this program does not know
+    Format(u32),
+    /// the state can't be decoded: {0}
+    Malformed(String),
+}
+
+/// A command's answer and the changes of the configuration that it made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Applied {
+    /// The answer.
+    pub answer: CommandAnswer,
+    /// Changes for the gateways, none for most refused commands.
+    pub changes: Vec<ConfigurationChange>,
+}
+
+impl Applied {
+    fn refused(answer: CommandAnswer) -> Self {
+        Applied {
+            answer,
+            changes: Vec::new(),
+        }
+    }
+
+    fn changed(index: u64, change: ConfigurationChange) -> Self {
+        Applied {
+            answer: CommandAnswer::Accepted { revision: index },
+            changes: vec![change],
+        }
+    }
+}
+
+impl ControlState {
+    /// The state as bytes of a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        let versioned = (STATE_FORMAT, self);
+        // Encoding plain data into memory has no way to fail.
+        bincode::serde::encode_to_vec(versioned, bincode::config::standard()).unwrap_or_default()
+    }
+
+    /// The state from bytes of a snapshot.
+    ///
+    /// # Errors
+    /// When the bytes are of a newer format or of another shape.
+    pub fn decode(bytes: &[u8]) -> Result<Self, StateDecodeError> {
+        let malformed =
+            |error: bincode::error::DecodeError| StateDecodeError::Malformed(error.to_string());
+        let standard = bincode::config::standard();
+        let (format, length): (u32, usize) =
+            bincode::serde::decode_from_slice(bytes, standard).map_err(malformed)?;
+        if format != STATE_FORMAT {
+            return Err(StateDecodeError::Format(format));
+        }
+        bincode::serde::decode_from_slice(&bytes[length..], standard)
+            .map(|(state, _)| state)
+            .map_err(malformed)
+    }
+
+    /// Applies the command at `index`, written by the leader of `term`.
+    pub fn apply(&mut self, index: u64, term: u64, envelope: &CommandEnvelope) -> Applied {
+        self.clock = self.clock.max(envelope.at);
+        if let Some(first) = self.first_answer(envelope) {
+            return Applied::refused(first);
+        }
+        let fence = Fence { term, index };
+        let applied = self.execute(fence, envelope);
+        for change in &applied.changes {
+            self.configuration.change(index, change);
+        }
+        if let Some(id) = &envelope.command_id {
+            self.keep_answer(id.clone(), applied.answer.clone());
+        }
+        applied
+    }
+
+    fn first_answer(&self, envelope: &CommandEnvelope) -> Option<CommandAnswer> {
+        let id = envelope.command_id.as_ref()?;
+        self.answers.get(id).cloned()
+    }
+
+    fn keep_answer(&mut self, id: CommandId, answer: CommandAnswer) {
+        self.answers.insert(id.clone(), answer);
+        self.answer_order.push_back(id);
+        while self.answer_order.len() > KEPT_ANSWERS {
+            if let Some(oldest) = self.answer_order.pop_front() {
+                self.answers.remove(&oldest);
+            }
+        }
+    }
+
+    fn execute(&mut self, fence: Fence, envelope: &CommandEnvelope) -> Applied {
+        let expected = envelope.expected_revision;
+        match &envelope.command {
+            Command::CreateSession(session) => self.create_session(fence.index, session),
+            Command::CloseSession(id) => {
+                let exists = self.configuration.sessions.contains_key(id);
+                let change = ConfigurationChange::SessionClosed(id.clone());
+                change_if(exists, fence.index, change)
+            }
+            Command::PutPolicy { name, document } => {
+                self.put_policy(fence.index, name, document, expected)
+            }
+            Command::WithdrawPolicy(name) => self.withdraw_policy(fence.index, name, expected),
+            Command::PutBackend(registration) => self.put_backend(fence.index, registration),
+            Command::SetMachine { backend, state } => {
+                let state = *state;
+                self.edit(backend, fence.index, |record| {
+                    record.machine = state;
+                    Ok(())
+                })
+            }
+            Command::RemoveBackend(id) => self.remove_backend(fence.index, id),
+            Command::Assign { engine, assignment } => {
+                if let Some(conflict) = self.backend_conflict(engine, expected) {
+                    return Applied::refused(conflict);
+                }
+                self.edit(engine, fence.index, |record| {
+                    if record.registration.kind != BackendKind::Engine {
+                        return Err("an application instance has no role".into());
+                    }
+                    record.desired = Some(assignment.clone());
+                    Ok(())
+                })
+            }
+            Command::BeginOrder(engine) => self.begin_order(fence, engine),
+            Command::RenewOrder { engine, replaces } => self.renew_order(fence, engine, *replaces),
+            Command::SettleOrder {
+                engine,
+                fence: settled,
+                observation,
+            } => self.settle_order(fence.index, engine, *settled, observation),
+            Command::Observe {
+                engine,
+                observation,
+            } => self.edit(engine, fence.index, |record| {
+                record.observed = Some(observation.clone());
+                Ok(())
+            }),
+            Command::Claim(claim) => {
+                let answer = self.claims.claim(claim, self.clock);
+                Applied::refused(CommandAnswer::Claim(answer))
+            }
+            Command::ReleaseClaim(claim) => {
+                let answer = self.claims.release(claim, self.clock);
+                Applied::refused(CommandAnswer::Claim(answer))
+            }
+            Command::RecordResult { claim, response } => {
+                let answer = self.claims.record(claim, response.clone());
+                Applied::refused(CommandAnswer::Claim(answer))
+            }
+        }
+    }
+
+    fn create_session(&self, index: u64, session: &Session) -> Applied {
+        match self.configuration.sessions.get(&session.id) {
+            None => Applied::changed(index, ConfigurationChange::SessionCreated(session.clone())),
+            Some(existing) if existing == session => Applied::refused(CommandAnswer::Accepted {
+                revision: self.configuration.index,
+            }),
+            Some(_) => Applied::refused(CommandAnswer::Rejected(
+                "a session of this name exists with another content".into(),
+            )),
+        }
+    }
+
+    fn put_policy(&self, index: u64, name: &str, document: &str, expected: Option<u64>) -> Applied {
+        if let Some(conflict) = self.policy_conflict(name, expected) {
+            return Applied::refused(conflict);
+        }
+        let record = PolicyRecord {
+            document: document.to_owned(),
+            revision: index,
+        };
+        let name = name.to_owned();
+        Applied::changed(index, ConfigurationChange::PolicyPut { name, record })
+    }
+
+    fn withdraw_policy(&self, index: u64, name: &str, expected: Option<u64>) -> Applied {
+        if let Some(conflict) = self.policy_conflict(name, expected) {
+            return Applied::refused(conflict);
+        }
+        let exists = self.configuration.policies.contains_key(name);
+        let change = ConfigurationChange::PolicyWithdrawn(name.to_owned());
+        change_if(exists, index, change)
+    }
+
+    fn policy_conflict(&self, name: &str, expected: Option<u64>) -> Option<CommandAnswer> {
+        let record = self.configuration.policies.get(name);
+        conflict(record.map_or(0, |record| record.revision), expected)
+    }
+
+    fn backend_conflict(&self, id: &BackendId, expected: Option<u64>) -> Option<CommandAnswer> {
+        let record = self.configuration.backends.get(id);
+        conflict(record.map_or(0, |record| record.revision), expected)
+    }
+
+    fn put_backend(&self, index: u64, registration: &BackendRegistration) -> Applied {
+        let record = match self.configuration.backends.get(&registration.id) {
+            Some(existing) => BackendRecord {
+                registration: registration.clone(),
+                revision: index,
+                ..existing.clone()
+            },
+            None => BackendRecord {
+                registration: registration.clone(),
+                machine: MachineState::Live,
+                desired: None,
+                observed: None,
+                order: None,
+                revision: index,
+            },
+        };
+        Applied::changed(index, ConfigurationChange::BackendPut(record))
+    }
+
+    fn remove_backend(&self, index: u64, id: &BackendId) -> Applied {
+        match self.configuration.backends.get(id) {
+            Some(record) if record.order.is_some() => Applied::refused(CommandAnswer::Rejected(
+                "an order of this engine is not settled".into(),
+            )),
+            found => {
+                let change = ConfigurationChange::BackendRemoved(id.clone());
+                change_if(found.is_some(), index, change)
+            }
+        }
+    }
+
+    /// Invariant: an engine has at most one outstanding order.
+    fn begin_order(&self, fence: Fence, engine: &BackendId) -> Applied {
+        self.edit(engine, fence.index, |record| {
+            if record.order.is_some() {
+                return Err("an order of this engine is not settled".into());
+            }
+            let assignment = record.desired.clone().ok_or("nothing is desired")?;
+            record.order = Some(OutstandingOrder {
+                fence,
+                assignment,
+                out_of_service_since: fence.index,
+            });
+            Ok(())
+        })
+    }
+
+    fn renew_order(&self, fence: Fence, engine: &BackendId, replaces: Fence) -> Applied {
+        self.edit(engine, fence.index, |record| match &mut record.order {
+            Some(order) if order.fence == replaces => {
+                order.fence = fence;
+                Ok(())
+            }
+            _ => Err("the order is not outstanding".into()),
+        })
+    }
+
+    fn settle_order(
+        &self,
+        index: u64,
+        engine: &BackendId,
+        settled: Fence,
+        observation: &EngineObservation,
+    ) -> Applied {
+        self.edit(engine, index, |record| {
+            if record.order.as_ref().map(|order| order.fence) != Some(settled) {
+                return Err("the order is not outstanding".into());
+            }
+            record.order = None;
+            record.observed = Some(observation.clone());
+            Ok(())
+        })
+    }
+
+    fn edit(
+        &self,
+        id: &BackendId,
+        index: u64,
+        edit: impl FnOnce(&mut BackendRecord) -> Result<(), String>,
+    ) -> Applied {
+        let Some(existing) = self.configuration.backends.get(id) else {
+            return Applied::refused(CommandAnswer::NotFound);
+        };
+        let mut record = existing.clone();
+        match edit(&mut record) {
+            Ok(()) => {
+                record.revision = index;
+                Applied::changed(index, ConfigurationChange::BackendPut(record))
+            }
+            Err(reason) => Applied::refused(CommandAnswer::Rejected(reason)),
+        }
+    }
+}
+
+fn conflict(current_revision: u64, expected: Option<u64>) -> Option<CommandAnswer> {
+    let differs = expected.is_some_and(|expected| expected != current_revision);
+    differs.then_some(CommandAnswer::Conflict { current_revision })
+}
+
+fn change_if(exists: bool, index: u64, change: ConfigurationChange) -> Applied {
+    if exists {
+        Applied::changed(index, change)
+    } else {
+        Applied::refused(CommandAnswer::NotFound)
+    }
+}
--- /dev/null
+++ b/components/control/src/watch.rs
@@ -0,0 +1,54 @@
+//! Recent changes, from which gateways are brought up to date.
+
+use std::collections::VecDeque;
+
+use crate::configuration::{Configuration, ConfigurationChange};
+use crate::messages::WatchUpdate;
+
+/// Changes that are kept; a gateway farther behind gets everything anew.
+const KEPT_CHANGES: usize = 4096;
+
+/// The latest changes of the configuration.
+#[derive(Debug, Clone, Default)]
+pub struct RecentChanges {
+    changes: VecDeque<(u64, ConfigurationChange)>,
+    /// Every change after this index is kept.
+    complete_after: u64,
+}
+
+impl RecentChanges {
+    /// Nothing is known of changes up to `index`.
+    pub fn starting_at(index: u64) -> Self {
+        RecentChanges {
+            changes: VecDeque::new(),
+            complete_after: index,
+        }
+    }
+
+    /// Notes a change.
+    pub fn push(&mut self, index: u64, change: ConfigurationChange) {
+        self.changes.push_back((index, change));
+        while self.changes.len() > KEPT_CHANGES {
+            if let Some((dropped, _)) = self.changes.pop_front() {
+                self.complete_after = dropped;
+            }
+        }
+    }
+
+    /// What brings a gateway that works by `from` up to date.
+    pub fn update_for(&self, from: u64, configuration: &Configuration) -> WatchUpdate {
+        if from == configuration.index {
+            return WatchUpdate::Current;
+        }
+        let unknown = from < self.complete_after || from > configuration.index;
+        if unknown || from == 0 {
+            return WatchUpdate::Snapshot(Box::new(configuration.clone()));
+        }
+        let newer = self.changes.iter().filter(|(index, _)| *index > from);
+        WatchUpdate::Changes {
+            from,
+            to: configuration.index,
+            changes: newer.cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/application.rs
@@ -0,0 +1,189 @@
+//! Calls of application services.
+
+use garnet_routing::OwnWork;
+use garnet_types::{BackendId, Millis, OutcomeCode, RecordedResponse, Refusal, RequestId};
+
+use crate::call::{Answer, Work};
+use crate::effects::{AttemptEvent, AttemptId, Effect, Job};
+use crate::gateway::Gateway;
+use crate::request::Stage;
+
+/// Told when every instance is at its limit.
+const BUSY_RETRY_AFTER: Millis = Millis::from_secs(1);
+/// Told when no instance can be reached.
+const DOWN_RETRY_AFTER: Millis = Millis::from_secs(2);
+
+impl Gateway {
+    pub(crate) fn route_application(&mut self, id: RequestId) {
+        match self.choose_instance(id) {
+            Ok((backend, address)) => self.dispatch_application(id, backend, address),
+            Err(refusal) => self.refuse(id, refusal),
+        }
+    }
+
+    /// The least loaded healthy instance, the own zone first on a tie.
+    fn choose_instance(&self, id: RequestId) -> Result<(BackendId, String), Refusal> {
+        let request = &self.requests[&id];
+        let configuration = &self.watched.configuration;
+        let instances =
+            self.backends
+                .instances(configuration, &request.service, &request.tried, self.now);
+        if instances.is_empty() {
+            let message = "no instance of the service can be reached";
+            return Err(Refusal::not_run(
+                OutcomeCode::NotRun,
+                DOWN_RETRY_AFTER,
+                message,
+            ));
+        }
+        let load = |backend: &BackendId| {
+            self.backends
+                .known(backend)
+                .map_or(0, |belief| belief.estimate.in_flight())
+        };
+        instances
+            .into_iter()
+            .filter(|one| load(one.id) < self.settings.application_concurrency)
+            .min_by_key(|one| {
+                let far = one.record.registration.zone != self.settings.zone;
+                (load(one.id), far, one.id.clone())
+            })
+            .map(|one| (one.id.clone(), one.record.registration.address.clone()))
+            .ok_or_else(|| {
+                let message = "every instance of the service is at its limit";
+                Refusal::not_run(OutcomeCode::Overloaded, BUSY_RETRY_AFTER, message)
+            })
+    }
+
+    fn dispatch_application(&mut self, id: RequestId, backend: BackendId, address: String) {
+        let attempt = self.new_attempt(id, &backend);
+        let work = OwnWork {
+            prompt_tokens: 0,
+            decodes: false,
+            sent_at: self.now,
+            prompt_read: true,
+        };
+        self.backends.sent(&backend, attempt, work);
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Work::Application {
+            method,
+            path,
+            content_type,
+            body,
+            ..
+        } = request.call.work.clone()
+        else {
+            return;
+        };
+        request.stage = Stage::Running { attempt };
+        request.note_dispatch(now);
+        let remaining = request.deadline.since(now);
+        let service = request.service.clone();
+        let key = request.call.key.as_ref().map(|key| key.0.clone());
+        if request.tried.is_empty() {
+            self.earn_retry(&service);
+        }
+        self.emit(Effect::Dispatch {
+            attempt,
+            request: id,
+            backend,
+            address,
+            job: Job::Application {
+                method,
+                path,
+                content_type,
+                body,
+                key,
+            },
+            remaining,
+        });
+    }
+
+    pub(crate) fn application_event(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptId,
+        backend: &BackendId,
+        event: AttemptEvent,
+    ) {
+        match event {
+            AttemptEvent::Response(response) => {
+                self.attempts.remove(&attempt);
+                self.backends.succeeded(backend, attempt);
+                self.complete_application(id, response);
+            }
+            AttemptEvent::NotStarted { draining } => {
+                self.end_unstarted(id, attempt, backend, draining);
+                self.retry_application(id, true);
+            }
+            AttemptEvent::Broken => {
+                self.attempts.remove(&attempt);
+                self.backends.failed(backend, attempt, self.now);
+                self.note_tried(id, backend);
+                self.retry_application(id, false);
+            }
+            // Engines' answers make no sense here.
+            AttemptEvent::Prefilled { .. }
+            | AttemptEvent::Tokens { .. }
+            | AttemptEvent::Finished { .. } => {}
+        }
+    }
+
+    fn complete_application(&mut self, id: RequestId, response: RecordedResponse) {
+        self.record_result(id, &response);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.stage = Stage::Waiting;
+        }
+        self.finish(id, Answer::Response(response));
+    }
+
+    /// After a failure: another instance where that is safe, else the end.
+    fn retry_application(&mut self, id: RequestId, provably_not_run: bool) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stage = Stage::Waiting;
+        let service = request.service.clone();
+        if !provably_not_run && !request.is_repeatable() {
+            let message = "the service may have run the request";
+            let refusal = Refusal::in_doubt(DOWN_RETRY_AFTER, message);
+            self.finish(id, Answer::Refused(refusal));
+            return;
+        }
+        if provably_not_run || self.spend_retry(&service) {
+            self.route_application(id);
+            return;
+        }
+        let message = "the service failed and its retry budget is used up";
+        self.finish(id, Answer::Refused(Refusal::failed(message)));
+    }
+
+    /// Ends an attempt that the back end provably did not begin.
+    pub(crate) fn end_unstarted(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptId,
+        backend: &BackendId,
+        draining: bool,
+    ) {
+        self.attempts.remove(&attempt);
+        if draining {
+            self.backends.draining(backend, attempt, self.now);
+        } else {
+            self.backends.failed(backend, attempt, self.now);
+        }
+        self.note_tried(id, backend);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.note_unstarted();
+        }
+    }
+
+    pub(crate) fn note_tried(&mut self, id: RequestId, backend: &BackendId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.tried.push(backend.clone());
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/backends.rs
@@ -0,0 +1,212 @@
+//! What the gateway believes of each back end.
+
+use std::collections::BTreeMap;
+
+use garnet_control::{BackendRecord, Configuration};
+use garnet_routing::{CircuitBreaker, EngineEstimate, LoadReport, OwnWork, PrefixIndex};
+use garnet_types::{BackendId, BackendKind, EngineRole, Millis, ModelId, ServiceId};
+
+use crate::effects::AttemptId;
+
+/// After a back end said that it is draining, it is left alone for so long
+/// unless the configuration says otherwise before.
+const DRAINING_PAUSE: Millis = Millis(1500);
+
+/// An engine that has not reported for so long is not given new work.
+pub(crate) const SILENT_ENGINE: Millis = Millis(2000);
+
+/// Belief about one back end.
+#[derive(Debug, Default)]
+pub(crate) struct Belief {
+    pub(crate) estimate: EngineEstimate<AttemptId>,
+    pub(crate) breaker: CircuitBreaker,
+    avoid_until: Millis,
+    polled_at: Option<Millis>,
+    first_polled_at: Option<Millis>,
+    reported_at: Option<Millis>,
+}
+
+impl Belief {
+    /// How long the engine has not answered a question for its load.
+    fn silent_for(&self, now: Millis) -> Millis {
+        let heard = self.reported_at.max(self.first_polled_at);
+        heard.map_or(Millis::ZERO, |at| now.since(at))
+    }
+}
+
+/// Beliefs about all back ends of the configuration.
+#[derive(Debug, Default)]
+pub(crate) struct Backends {
+    beliefs: BTreeMap<BackendId, Belief>,
+    pub(crate) prefixes: PrefixIndex,
+}
+
+/// A back end that may take a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Eligible<'a> {
+    pub(crate) id: &'a BackendId,
+    pub(crate) record: &'a BackendRecord,
+    pub(crate) role: EngineRole,
+}
+
+impl Backends {
+    pub(crate) fn belief(&mut self, id: &BackendId) -> &mut Belief {
+        self.beliefs.entry(id.clone()).or_default()
+    }
+
+    pub(crate) fn known(&self, id: &BackendId) -> Option<&Belief> {
+        self.beliefs.get(id)
+    }
+
+    /// Forgets back ends that left the configuration and have no work here.
+    pub(crate) fn keep_only(&mut self, configuration: &Configuration) {
+        let prefixes = &mut self.prefixes;
+        self.beliefs.retain(|id, belief| {
+            let keep = configuration.backends.contains_key(id) || belief.estimate.in_flight() > 0;
+            if !keep {
+                prefixes.forget(id);
+            }
+            keep
+        });
+    }
+
+    pub(crate) fn observe(&mut self, id: &BackendId, report: &LoadReport, now: Millis) {
+        let belief = self.belief(id);
+        belief.estimate.observe(report, now);
+        belief.reported_at = Some(now);
+        self.prefixes
+            .observe(id, report.incarnation, &report.cache_events);
+    }
+
+    pub(crate) fn sent(&mut self, id: &BackendId, attempt: AttemptId, work: OwnWork) {
+        let belief = self.belief(id);
+        belief.estimate.sent(attempt, work);
+        belief.breaker.sent();
+    }
+
+    pub(crate) fn succeeded(&mut self, id: &BackendId, attempt: AttemptId) {
+        let belief = self.belief(id);
+        belief.estimate.ended(&attempt);
+        belief.breaker.succeeded();
+    }
+
+    pub(crate) fn released(&mut self, id: &BackendId, attempt: AttemptId) {
+        let belief = self.belief(id);
+        belief.estimate.ended(&attempt);
+        belief.breaker.released();
+    }
+
+    pub(crate) fn failed(&mut self, id: &BackendId, attempt: AttemptId, now: Millis) {
+        let belief = self.belief(id);
+        belief.estimate.ended(&attempt);
+        belief.breaker.failed(now);
+    }
+
+    /// Notes that a back end takes no new work on purpose: no fault of it.
+    pub(crate) fn draining(&mut self, id: &BackendId, attempt: AttemptId, now: Millis) {
+        self.released(id, attempt);
+        self.belief(id).avoid_until = now + DRAINING_PAUSE;
+    }
+
+    /// Engines of a service with a model that may take work now.
+    pub(crate) fn engines<'a>(
+        &self,
+        configuration: &'a Configuration,
+        service: &ServiceId,
+        model: &ModelId,
+        excluded: &[BackendId],
+        now: Millis,
+    ) -> Vec<Eligible<'a>> {
+        let of_model = configuration.backends.iter().filter_map(|(id, record)| {
+            let assignment = record.assignment()?;
+            let fits = record.registration.service == *service && assignment.model == *model;
+            let role = assignment.role;
+            (fits && record.takes_work()).then_some(Eligible { id, record, role })
+        });
+        self.healthy(of_model.collect(), excluded, now)
+    }
+
+    /// Instances of an application service that may take work now.
+    pub(crate) fn instances<'a>(
+        &self,
+        configuration: &'a Configuration,
+        service: &ServiceId,
+        excluded: &[BackendId],
+        now: Millis,
+    ) -> Vec<Eligible<'a>> {
+        let of_service = configuration.backends.iter().filter_map(|(id, record)| {
+            let is_application = record.registration.kind == BackendKind::Application;
+            let fits = record.registration.service == *service && is_application;
+            let role = EngineRole::Mixed;
+            (fits && record.takes_work()).then_some(Eligible { id, record, role })
+        });
+        self.healthy(of_service.collect(), excluded, now)
+    }
+
+    /// Engines whose load is due to be asked for.
+    pub(crate) fn due_for_poll(
+        &mut self,
+        configuration: &Configuration,
+        interval: Millis,
+        now: Millis,
+    ) -> Vec<(BackendId, String)> {
+        let mut due = Vec::new();
+        for (id, record) in &configuration.backends {
+            if record.registration.kind != BackendKind::Engine {
+                continue;
+            }
+            let belief = self.belief(id);
+            let elapsed = belief.polled_at.map_or(Millis::NEVER, |at| now.since(at));
+            if elapsed >= interval {
+                belief.polled_at = Some(now);
+                belief.first_polled_at.get_or_insert(now);
+                due.push((id.clone(), record.registration.address.clone()));
+            }
+        }
+        due
+    }
+
+    /// Leaves out back ends that failed this request, that are draining, or
+    /// whose breaker is open. Breakers never take out most of a service: with
+    /// so many open, the fault is likely elsewhere.
+    fn healthy<'a>(
+        &self,
+        all: Vec<Eligible<'a>>,
+        excluded: &[BackendId],
+        now: Millis,
+    ) -> Vec<Eligible<'a>> {
+        let total = all.len();
+        let usable: Vec<Eligible<'a>> = all
+            .into_iter()
+            .filter(|one| !excluded.contains(one.id) && !self.is_avoided(one.id, now))
+            .collect();
+        let closed: Vec<Eligible<'a>> = usable
+            .iter()
+            .filter(|one| self.breaker_allows(one.id, now))
+            .cloned()
+            .collect();
+        if closed.len() * 2 >= total {
+            closed
+        } else {
+            usable
+        }
+    }
+
+    fn is_avoided(&self, id: &BackendId, now: Millis) -> bool {
+        let draining = self
+            .known(id)
+            .is_some_and(|belief| now < belief.avoid_until);
+        draining || self.is_silent(id, now)
+    }
+
+    /// Whether an engine stopped answering: frozen, lost or cut off.
+    pub(crate) fn is_silent(&self, id: &BackendId, now: Millis) -> bool {
+        self.known(id)
+            .is_some_and(|belief| belief.silent_for(now) >= SILENT_ENGINE)
+    }
+
+    fn breaker_allows(&self, id: &BackendId, now: Millis) -> bool {
+        self.known(id)
+            .is_none_or(|belief| belief.breaker.allows(now))
+    }
+}
--- /dev/null
+++ b/components/gateway/src/claiming.rs
@@ -0,0 +1,180 @@
+//! Claims: the one right to dispatch a request that is not repeatable.
+//!
+//! Invariant: a request with a key is dispatched only after its claim was
+//! granted, and never after its claim was given back. Releases and results are
+//! obligations: they are sent again until the group has noted them.
+
+use garnet_control::{ClaimAnswer, ClaimCommand, ClaimRequest, GatewayRequest, MAX_RECORDED_BYTES};
+use garnet_types::{ClaimId, Millis, OutcomeCode, RecordedResponse, Refusal, RequestId, TenantId};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::call::{Answer, Work};
+use crate::effects::Effect;
+use crate::gateway::Gateway;
+use crate::request::Stage;
+
+/// When to ask again about a request that another gateway may be running.
+const HELD_RETRY_AFTER: Millis = Millis::from_secs(2);
+/// When to come back while the table of claims is full.
+const FULL_RETRY_AFTER: Millis = Millis::from_secs(30);
+
+impl Gateway {
+    pub(crate) fn send_claim(&mut self, id: RequestId) {
+        let now = self.now;
+        let gateway = self.settings.id.clone();
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(key) = request.call.key.clone() else {
+            return;
+        };
+        let claim = ClaimCommand {
+            tenant: request.tenant.clone(),
+            key,
+            body_hash: body_hash(&request.tenant, &request.call.work),
+            claim: ClaimId {
+                gateway,
+                request: id,
+            },
+        };
+        request.claim = Some(claim.clone());
+        request.stage = Stage::Claiming { sent_at: now };
+        self.send_claim_request(ClaimRequest::Claim(claim));
+    }
+
+    pub(crate) fn handle_claim_answer(&mut self, claim: &ClaimCommand, answer: ClaimAnswer) {
+        if answer == ClaimAnswer::Noted {
+            self.obligations.remove(&claim.claim);
+            return;
+        }
+        let id = claim.claim.request;
+        let awaited = self.requests.get(&id).is_some_and(|request| {
+            let same = request.claim.as_ref() == Some(claim);
+            same && matches!(request.stage, Stage::Claiming { .. })
+        });
+        if awaited {
+            self.take_claim_answer(id, answer);
+        }
+    }
+
+    fn take_claim_answer(&mut self, id: RequestId, answer: ClaimAnswer) {
+        match answer {
+            ClaimAnswer::Granted => self.route(id),
+            ClaimAnswer::Recorded(response) => self.finish(id, Answer::Response(response)),
+            ClaimAnswer::Held => {
+                let message = "a request with this key may be running or have run";
+                let refusal = Refusal::in_doubt(HELD_RETRY_AFTER, message);
+                self.finish(id, Answer::Refused(refusal));
+            }
+            ClaimAnswer::BodyDiffers => {
+                let message = "the key was used before with another request";
+                let refusal = Refusal::rejected(OutcomeCode::Conflict, message);
+                self.finish(id, Answer::Refused(refusal));
+            }
+            ClaimAnswer::Full => {
+                let message = "too many keys are kept";
+                let refusal = Refusal::not_run(OutcomeCode::Overloaded, FULL_RETRY_AFTER, message);
+                self.finish(id, Answer::Refused(refusal));
+            }
+            ClaimAnswer::Released | ClaimAnswer::Noted => {
+                let message = "the claim was given back";
+                let refusal = Refusal::not_run(OutcomeCode::NotRun, HELD_RETRY_AFTER, message);
+                self.finish(id, Answer::Refused(refusal));
+            }
+        }
+    }
+
+    /// Gives the claim of a request back that provably did not run.
+    pub(crate) fn release_claim(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if request.may_have_run {
+            return;
+        }
+        if let Some(claim) = request.claim.take() {
+            self.oblige(ClaimRequest::Release(claim));
+        }
+    }
+
+    /// Keeps the answer of a claimed request for resends.
+    pub(crate) fn record_result(&mut self, id: RequestId, response: &RecordedResponse) {
+        let claim = self.requests.get(&id).and_then(|one| one.claim.clone());
+        // A larger answer is not kept: a resend then hears "in doubt".
+        if let Some(claim) = claim
+            && response.body.len() <= MAX_RECORDED_BYTES
+        {
+            let response = response.clone();
+            self.oblige(ClaimRequest::Record { claim, response });
+        }
+    }
+
+    pub(crate) fn resend_claims(&mut self) {
+        let now = self.now;
+        let patience = self.settings.claim_resend;
+        let mut due = Vec::new();
+        for request in self.requests.values_mut() {
+            if let Stage::Claiming { sent_at } = &mut request.stage
+                && now.since(*sent_at) >= patience
+                && let Some(claim) = &request.claim
+            {
+                *sent_at = now;
+                due.push(ClaimRequest::Claim(claim.clone()));
+            }
+        }
+        for (obligation, sent_at) in self.obligations.values_mut() {
+            if now.since(*sent_at) >= patience {
+                *sent_at = now;
+                due.push(obligation.clone());
+            }
+        }
+        for request in due {
+            self.send_claim_request(request);
+        }
+    }
+
+    fn oblige(&mut self, request: ClaimRequest) {
+        let claim = request.claim().claim.clone();
+        self.obligations.insert(claim, (request.clone(), self.now));
+        self.send_claim_request(request);
+    }
+
+    fn send_claim_request(&mut self, request: ClaimRequest) {
+        self.emit(Effect::SendControl(GatewayRequest::Claim(request)));
+    }
+}
+
+/// Hash of everything that makes two requests with one key the same request.
+fn body_hash(tenant: &TenantId, work: &Work) -> u64 {
+    let mut hash = Xxh3::new();
+    let mut add = |part: &[u8]| {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    };
+    add(tenant.as_str().as_bytes());
+    match work {
+        Work::Completion {
+            model,
+            prompt,
+            max_tokens,
+            ..
+        } => {
+            add(model.as_str().as_bytes());
+            add(prompt.as_bytes());
+            add(&max_tokens.to_le_bytes());
+        }
+        Work::Application {
+            service,
+            method,
+            path,
+            body,
+            ..
+        } => {
+            add(service.as_str().as_bytes());
+            add(method.as_bytes());
+            add(path.as_bytes());
+            add(body);
+        }
+    }
+    hash.digest()
+}
--- /dev/null
+++ b/components/gateway/src/request.rs
@@ -0,0 +1,106 @@
+//! A request inside the gateway, from arrival to its final answer.
+
+use garnet_control::ClaimCommand;
+use garnet_types::{BackendId, Millis, ModelId, ServiceId, TenantId, Verdict};
+
+use crate::call::{Call, Work};
+use crate::effects::AttemptId;
+
+/// Where a request stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It names something unknown; a watch sent after its arrival will tell.
+    AwaitingConfiguration,
+    /// The claim on its key is not answered yet.
+    Claiming { sent_at: Millis },
+    /// It waits for room.
+    Waiting,
+    /// An engine reads its prompt for another one.
+    Prefilling { attempt: AttemptId },
+    /// An engine generates its text.
+    Generating { attempt: AttemptId },
+    /// An application instance works on it.
+    Running { attempt: AttemptId },
+}
+
+/// A request that has no final answer yet, or whose result is still recorded.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    pub(crate) call: Call,
+    pub(crate) stage: Stage,
+    pub(crate) arrived: Millis,
+    pub(crate) deadline: Millis,
+    pub(crate) tenant: TenantId,
+    pub(crate) service: ServiceId,
+    pub(crate) verdict: Verdict,
+    pub(crate) claim: Option<ClaimCommand>,
+    pub(crate) delivered: Vec<String>,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) prompt_blocks: Vec<u64>,
+    /// Back ends that this request failed at.
+    pub(crate) tried: Vec<BackendId>,
+    /// Whether any back end may have begun it.
+    pub(crate) may_have_run: bool,
+    /// The same, before the attempt that is under way.
+    pub(crate) may_have_run_before: bool,
+    /// Whether the caller has its answer: what goes on only serves a resend.
+    pub(crate) answered: bool,
+    pub(crate) resumed: u32,
+    /// When its attempt began or last gave tokens.
+    pub(crate) progress_at: Millis,
+}
+
+impl Request {
+    pub(crate) fn model(&self) -> Option<&ModelId> {
+        match &self.call.work {
+            Work::Completion { model, .. } => Some(model),
+            Work::Application { .. } => None,
+        }
+    }
+
+    /// Most tokens of the whole text; zero for an application call.
+    pub(crate) fn max_tokens(&self) -> u64 {
+        match &self.call.work {
+            Work::Completion { max_tokens, .. } => *max_tokens,
+            Work::Application { .. } => 0,
+        }
+    }
+
+    /// Tokens that are still to be generated.
+    pub(crate) fn missing_tokens(&self) -> u64 {
+        self.max_tokens()
+            .saturating_sub(self.delivered.len() as u64)
+    }
+
+    /// Whether it may go to a second back end after one may have begun it.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        let safe = match &self.call.work {
+            Work::Completion { .. } => true,
+            Work::Application { method, .. } => matches!(method.as_str(), "GET" | "HEAD"),
+        };
+        safe && self.call.key.is_none() && self.verdict.repeatable
+    }
+
+    /// From its dispatch on, a request counts as begun until the back end says
+    /// otherwise.
+    pub(crate) fn note_dispatch(&mut self, now: Millis) {
+        self.progress_at = now;
+        self.may_have_run_before = self.may_have_run;
+        self.may_have_run = true;
+    }
+
+    /// The back end of the latest dispatch provably did not begin it.
+    pub(crate) fn note_unstarted(&mut self) {
+        self.may_have_run = self.may_have_run_before;
+    }
+
+    /// The attempt that is under way.
+    pub(crate) fn attempt(&self) -> Option<AttemptId> {
+        match self.stage {
+            Stage::Prefilling { attempt }
+            | Stage::Generating { attempt }
+            | Stage::Running { attempt } => Some(attempt),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/components/planner/src/lib.rs
@@ -0,0 +1,17 @@
+//! The role planner: how many engines of a pool read prompts, and when one of
+//! them should change its role.
+//!
+//! Contract: [`Planner::observe`] takes what arrived; [`Planner::decide`] gives
+//! at most one role change. The loss of a split is a pure function
+//! ([`predicted_loss`]) of the offered load, so that baselines and tests can
+//! use it too. Without fresh figures the planner changes nothing.
+
+mod average;
+mod loss;
+mod planner;
+mod split;
+
+pub use average::{FastSlowAverage, Mix};
+pub use loss::{PoolCapacity, predicted_loss};
+pub use planner::{Engine, Planner, PlannerSettings, RoleChange};
+pub use split::Split;
--- /dev/null
+++ b/components/planner/src/loss.rs
@@ -0,0 +1,78 @@
+//! Useful answers that a split is predicted to lose, in a second.
+
+use crate::average::Mix;
+use crate::split::Split;
+
+/// What one engine of a pool can do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PoolCapacity {
+    /// Prompt tokens that an engine reads in a second.
+    pub prefill_tokens_per_second: f64,
+    /// Tokens that an engine generates in a second with all slots in use.
+    pub decode_tokens_per_second: f64,
+    /// Part of a mixed engine's speed that is left for each phase when it does
+    /// both, since chunks of prompts and decode steps delay each other.
+    pub mixed_efficiency: f64,
+}
+
+/// Above this utilisation answers begin to be late.
+const COMFORTABLE_UTILISATION: f64 = 0.75;
+/// Part of the answers that is late at full utilisation.
+const LATE_AT_FULL: f64 = 0.25;
+
+/// Predicted loss of a split under a mix, in answers a second.
+///
+/// An answer needs both phases, so the share of useful answers is bounded by
+/// the tighter phase; close to its limit a queue forms and answers are late.
+pub fn predicted_loss(split: &Split, mix: &Mix, capacity: &PoolCapacity) -> f64 {
+    if mix.requests <= 0.0 {
+        return 0.0;
+    }
+    let (prefill, decode) = utilisation(split, mix, capacity);
+    let served = useful_share(prefill).min(useful_share(decode));
+    mix.requests * (1.0 - served)
+}
+
+/// Utilisation of the prefill and of the decode phase.
+fn utilisation(split: &Split, mix: &Mix, capacity: &PoolCapacity) -> (f64, f64) {
+    let prefill_need = mix.prompt_tokens / capacity.prefill_tokens_per_second.max(1.0);
+    let decode_need = mix.output_tokens / capacity.decode_tokens_per_second.max(1.0);
+    let shared = f64::from(split.mixed) * capacity.mixed_efficiency;
+    let (to_prefill, to_decode) = divide_shared(
+        shared,
+        prefill_need - f64::from(split.prefill),
+        decode_need - f64::from(split.decode),
+    );
+    (
+        ratio(prefill_need, f64::from(split.prefill) + to_prefill),
+        ratio(decode_need, f64::from(split.decode) + to_decode),
+    )
+}
+
+/// Mixed engines go where the need is, in proportion to what is missing.
+fn divide_shared(shared: f64, prefill_missing: f64, decode_missing: f64) -> (f64, f64) {
+    let prefill = prefill_missing.max(0.01);
+    let decode = decode_missing.max(0.01);
+    let part = prefill / (prefill + decode);
+    (shared * part, shared * (1.0 - part))
+}
+
+fn ratio(need: f64, have: f64) -> f64 {
+    if need <= 0.0 {
+        0.0
+    } else if have <= 0.0 {
+        f64::INFINITY
+    } else {
+        need / have
+    }
+}
+
+fn useful_share(utilisation: f64) -> f64 {
+    let capacity_share = if utilisation > 1.0 {
+        1.0 / utilisation
+    } else {
+        1.0
+    };
+    let strain = (utilisation - COMFORTABLE_UTILISATION) / (1.0 - COMFORTABLE_UTILISATION);
+    capacity_share * (1.0 - LATE_AT_FULL * strain.clamp(0.0, 1.0))
+}
--- /dev/null
+++ b/components/planner/src/split.rs
@@ -0,0 +1,56 @@
+//! How the engines of a pool are divided over the roles.
+
+use garnet_types::EngineRole;
+
+/// Engines of each role.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Split {
+    /// Engines that only read prompts.
+    pub prefill: u32,
+    /// Engines that only generate.
+    pub decode: u32,
+    /// Engines that do both.
+    pub mixed: u32,
+}
+
+impl Split {
+    /// Counts roles.
+    pub fn of(roles: impl Iterator<Item = EngineRole>) -> Self {
+        let mut split = Split::default();
+        for role in roles {
+            *split.count_mut(role) += 1;
+        }
+        split
+    }
+
+    /// Whether each phase has an engine.
+    pub fn serves_both_phases(&self) -> bool {
+        self.prefill + self.mixed > 0 && self.decode + self.mixed > 0
+    }
+
+    /// The split after one engine changed from one role to another, or `None`
+    /// when there is no such engine or a phase would be left without one.
+    pub fn after(&self, from: EngineRole, to: EngineRole) -> Option<Split> {
+        let mut next = *self;
+        let count = next.count_mut(from);
+        *count = count.checked_sub(1)?;
+        *next.count_mut(to) += 1;
+        next.serves_both_phases().then_some(next)
+    }
+
+    /// The split while an engine of `role` is out of service.
+    pub fn without(&self, role: EngineRole) -> Split {
+        let mut next = *self;
+        let count = next.count_mut(role);
+        *count = count.saturating_sub(1);
+        next
+    }
+
+    fn count_mut(&mut self, role: EngineRole) -> &mut u32 {
+        match role {
+            EngineRole::Prefill => &mut self.prefill,
+            EngineRole::Decode => &mut self.decode,
+            EngineRole::Mixed => &mut self.mixed,
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,29 @@
+//! Routing and limits: which engine takes a request, and which requests are
+//! taken at all.
+//!
+//! Contract: state is updated by explicit events (reports, dispatches, ends);
+//! the cost of an engine is a pure function over a snapshot ([`cost`]), and the
+//! choice is a pure function over costs ([`choice`]). No clock, no I/O; random
+//! numbers come from a seeded generator.
+
+pub mod admission;
+pub mod choice;
+pub mod circuit_breaker;
+pub mod cost;
+pub mod estimate;
+pub mod prefix_index;
+pub mod report;
+pub mod retry_budget;
+pub mod token_bucket;
+pub mod waiting;
+
+pub use admission::{Admission, AdmissionSettings, admit};
+pub use choice::{Candidate, choose};
+pub use circuit_breaker::CircuitBreaker;
+pub use cost::{EngineSnapshot, WorkShape, predict_first_token};
+pub use estimate::{EngineEstimate, OwnWork};
+pub use prefix_index::{CacheEvent, PrefixIndex, block_hashes};
+pub use report::LoadReport;
+pub use retry_budget::RetryBudget;
+pub use token_bucket::TokenBucket;
+pub use waiting::{Waiting, WaitingQueue};
--- /dev/null
+++ b/components/runtime/src/lib.rs
@@ -0,0 +1,20 @@
+//! The I/O shell that the daemons share.
+//!
+//! Contract: one loop on one thread. Everything runs on one
+//! [`smol::LocalExecutor`]; only file syncs leave it, by [`smol::unblock`],
+//! since a sync would stop the loop (docs/design/one-loop.md).
+
+pub mod client;
+pub mod clock;
+pub mod command_line;
+pub mod frames;
+pub mod logging;
+pub mod metrics;
+pub mod server;
+pub mod shell;
+pub mod signal;
+
+pub use client::{HttpClient, HttpError, StreamedResponse};
+pub use clock::Clock;
+pub use server::{Body, HttpServer, Limits, bytes_body, json_response, text_response};
+pub use shell::{Shell, bind, read_json};
--- /dev/null
+++ b/components/runtime/src/logging.rs
@@ -0,0 +1,55 @@
+//! Logs: one line of key=value pairs for each event.
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+
+use env_logger::{Builder, Env};
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+
+/// Starts logging to standard error. `GARNET_LOG` sets the level.
+pub fn start(process: &str) {
+    let process = process.to_owned();
+    let clock = crate::Clock::default();
+    let environment = Env::default().filter_or("GARNET_LOG", "info");
+    let builder = Builder::from_env(environment)
+        .format(move |output, record| {
+            let line = format_line(clock.now().0, &process, record);
+            writeln!(output, "{line}")
+        })
+        .try_init();
+    // A second start in one process keeps the first logger.
+    drop(builder);
+}
+
+/// One line: time, level, process, event, and the event's own pairs.
+pub fn format_line(time_ms: u64, process: &str, record: &Record<'_>) -> String {
+    let mut line = format!(
+        "time_ms={time_ms} level={} process={} event={}",
+        record.level().as_str().to_lowercase(),
+        quote(process),
+        quote(&record.args().to_string()),
+    );
+    let mut pairs = Pairs(&mut line);
+    // Writing to a string has no way to fail.
+    let _written = record.key_values().visit(&mut pairs);
+    line
+}
+
+struct Pairs<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        write!(self.0, " {key}={}", quote(&value.to_string()))?;
+        Ok(())
+    }
+}
+
+/// The text as it is when it is one plain word, else quoted and escaped.
+fn quote(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"_-.:/@+,".contains(&byte);
+    if !text.is_empty() && text.bytes().all(plain) {
+        return text.to_owned();
+    }
+    format!("{text:?}")
+}
--- /dev/null
+++ b/components/runtime/src/metrics.rs
@@ -0,0 +1,62 @@
+//! Metrics in the Prometheus text format.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Content type of the text format.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// One value with its labels.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample {
+    /// Name without the common prefix.
+    pub name: &'static str,
+    /// One sentence.
+    pub help: &'static str,
+    /// Labels.
+    pub labels: Vec<(String, String)>,
+    /// Value.
+    pub value: i64,
+}
+
+impl Sample {
+    /// A value without labels.
+    pub fn new(name: &'static str, help: &'static str, value: u64) -> Self {
+        Sample {
+            name,
+            help,
+            labels: Vec::new(),
+            value: i64::try_from(value).unwrap_or(i64::MAX),
+        }
+    }
+
+    /// The same with one label.
+    #[must_use]
+    pub fn label(mut self, key: &str, value: &str) -> Self {
+        self.labels.push((key.to_owned(), value.to_owned()));
+        self
+    }
+}
+
+/// The samples as text; samples of one name must stand together.
+pub fn render(samples: &[Sample]) -> String {
+    let mut registry = Registry::with_prefix("garnet");
+    let mut at = 0;
+    while at < samples.len() {
+        let name = samples[at].name;
+        let family = Family::<Vec<(String, String)>, Gauge>::default();
+        registry.register(name, samples[at].help, family.clone());
+        while at < samples.len() && samples[at].name == name {
+            family
+                .get_or_create(&samples[at].labels)
+                .set(samples[at].value);
+            at += 1;
+        }
+    }
+    let mut text = String::new();
+    // Writing to a string has no way to fail.
+    let _written = encode(&mut text, &registry);
+    text
+}
--- /dev/null
+++ b/components/runtime/src/server.rs
@@ -0,0 +1,216 @@
+//! HTTP/1.1 server on the one loop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::StreamExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use smol::channel::Receiver;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+/// Body of a response.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Bounds on what one connection may do.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest time until the head is whole.
+    pub head_time: Duration,
+    /// Longest time until the body is whole.
+    pub body_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body_bytes: 4 * 1024 * 1024,
+            head_bytes: 32 * 1024,
+            head_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// Larger than allowed.
+    TooLarge,
+    /// The connection ended before it was whole.
+    CutOff,
+    /// It took too long.
+    TooSlow,
+}
+
+/// A listening server.
+#[derive(Debug)]
+pub struct HttpServer {
+    listener: TcpListener,
+    limits: Limits,
+}
+
+impl HttpServer {
+    /// Listens at `address`; port 0 lets the system pick one.
+    ///
+    /// # Errors
+    /// When the address can't be bound, such as a port that is in use.
+    pub async fn bind(address: SocketAddr, limits: Limits) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(HttpServer { listener, limits })
+    }
+
+    /// The address that it listens at.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop` ends, then lets open requests finish.
+    pub async fn serve<H, F>(
+        &self,
+        executor: Rc<LocalExecutor<'static>>,
+        handler: H,
+        stop: impl Future<Output = ()>,
+    ) where
+        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        let (ended, open) = smol::channel::bounded::<()>(1);
+        let mut stop = pin!(stop);
+        loop {
+            let accepted = async { Some(self.listener.accept().await) };
+            let stopped = async {
+                stop.as_mut().await;
+                None
+            };
+            match smol::future::or(stopped, accepted).await {
+                None => break,
+                Some(Ok((stream, _))) => {
+                    let signal = open.clone();
+                    let connection = serve_connection(stream, self.limits, handler.clone(), signal);
+                    executor.spawn(connection).detach();
+                }
+                // Out of file handles, for example: give the others time.
+                Some(Err(_)) => {
+                    Timer::after(Duration::from_millis(20)).await;
+                }
+            }
+        }
+        ended.close();
+        // Each open connection holds a receiver.
+        while open.receiver_count() > 1 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, limits: Limits, handler: H, stop: Receiver<()>)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    // Latency matters more than the count of packets.
+    let _unset = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let response = handler(request);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(limits.head_bytes)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let asked_to_stop = async {
+        let _closed = stop.recv().await;
+        true
+    };
+    let finished = async {
+        // A fault of one connection concerns nobody else.
+        let _ended = connection.as_mut().await;
+        false
+    };
+    if smol::future::or(finished, asked_to_stop).await {
+        connection.as_mut().graceful_shutdown();
+        let _ended = connection.await;
+    }
+}
+
+/// Reads a whole body within the limits.
+///
+/// # Errors
+/// As [`BodyError`] says.
+pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
+    let read = async {
+        let limited = Limited::new(body, limits.body_bytes);
+        match limited.collect().await {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(BodyError::TooLarge)
+            }
+            Err(_) => Err(BodyError::CutOff),
+        }
+    };
+    let late = async {
+        Timer::after(limits.body_time).await;
+        Err(BodyError::TooSlow)
+    };
+    smol::future::or(read, late).await
+}
+
+/// A body that is there as a whole.
+pub fn bytes_body(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// A body whose pieces come through a channel; it ends when the channel closes.
+pub fn channel_body(pieces: Receiver<Bytes>) -> Body {
+    let frames = pieces.map(|piece| Ok(Frame::data(piece)));
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// A response with a JSON body.
+pub fn json_response(status: u16, body: &impl serde::Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    with_type(status, "application/json", bytes)
+}
+
+/// A response with a text body.
+pub fn text_response(status: u16, text: impl Into<String>) -> Response<Body> {
+    with_type(
+        status,
+        "text/plain; charset=utf-8",
+        text.into().into_bytes(),
+    )
+}
+
+/// A response with a body of the given type.
+pub fn with_type(status: u16, content_type: &str, bytes: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(bytes_body(bytes));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    set_header(&mut response, "content-type", content_type);
+    response
+}
+
+/// Sets a header; a value that is no header value is left out.
+pub fn set_header(response: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/components/runtime/src/shell.rs
@@ -0,0 +1,118 @@
+//! A process: one loop, one supervisor tree, one planned stop.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::clock::Clock;
+use crate::server::{Body, HttpServer, Limits, json_response, read_body};
+use crate::signal;
+use garnet_supervisor::{
+    ChildError, ChildSpec, Intensity, Restart, StopSignal, Strategy, Supervisor, stop_channel,
+};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use serde::de::DeserializeOwned;
+use smol::LocalExecutor;
+
+/// The loop of the process and its clock.
+#[derive(Clone)]
+pub struct Shell {
+    /// The loop.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// The clock.
+    pub clock: Clock,
+}
+
+impl Default for Shell {
+    fn default() -> Self {
+        Shell::new()
+    }
+}
+
+impl Shell {
+    /// A loop that nothing runs on yet.
+    pub fn new() -> Self {
+        Shell {
+            executor: Rc::new(LocalExecutor::new()),
+            clock: Clock::default(),
+        }
+    }
+
+    /// Runs `children` under one supervisor until a planned stop. `drain` is
+    /// awaited before they are stopped.
+    ///
+    /// # Errors
+    /// When a child failed too often.
+    pub fn run(
+        &self,
+        children: Vec<ChildSpec>,
+        drain: impl Future<Output = ()> + 'static,
+    ) -> io::Result<()> {
+        let (stop, signal) = stop_channel();
+        let mut supervisor = Supervisor::new(
+            Rc::clone(&self.executor),
+            Strategy::OneForOne,
+            Intensity::default(),
+        );
+        for child in children {
+            supervisor = supervisor.child(child);
+        }
+        let waiter = self.executor.spawn(async move {
+            let _asked = signal::stop_requested().await;
+            drain.await;
+            stop.stop();
+        });
+        let outcome = smol::block_on(self.executor.run(supervisor.run(signal)));
+        drop(waiter);
+        outcome.map_err(io::Error::other)
+    }
+
+    /// A child that serves HTTP. The server is bound before, so that a port
+    /// in use is known at once.
+    pub fn http_child<H, F>(&self, server: Rc<HttpServer>, handler: H) -> ChildSpec
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        let executor = Rc::clone(&self.executor);
+        ChildSpec::new("http", Restart::Permanent, move |stop: StopSignal| {
+            let server = Rc::clone(&server);
+            let executor = Rc::clone(&executor);
+            let handler = handler.clone();
+            async move {
+                server
+                    .serve(executor, handler, async move { stop.stopped().await })
+                    .await;
+                Ok::<(), ChildError>(())
+            }
+        })
+    }
+}
+
+/// Binds the server and says where in the log.
+///
+/// # Errors
+/// When the address can't be bound, such as a port that is in use.
+pub fn bind(listen: SocketAddr) -> io::Result<(Rc<HttpServer>, String)> {
+    let server = smol::block_on(HttpServer::bind(listen, Limits::default()))?;
+    let address = server.address()?.to_string();
+    log::info!(address = address.as_str(); "listening");
+    Ok((Rc::new(server), address))
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+/// The response that says what is wrong with it.
+pub async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Response<Body>> {
+    let limits = Limits::default();
+    let bytes = read_body(request.into_body(), &limits)
+        .await
+        .map_err(|error| json_response(400, &serde_json::json!({"error": format!("{error:?}")})))?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| json_response(400, &serde_json::json!({"error": error.to_string()})))
+}
--- /dev/null
+++ b/components/settings/src/finding.rs
@@ -0,0 +1,58 @@
+//! What is wrong with a document, and where.
+
+use std::fmt;
+
+use thiserror::Error;
+
+/// One mistake with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The file or document.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Dotted key; empty when the mistake concerns no key.
+    pub key: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}: ", self.file, self.line)?;
+        if !self.key.is_empty() {
+            write!(formatter, "{}: ", self.key)?;
+        }
+        formatter.write_str(&self.message)
+    }
+}
+
+/// All mistakes of a document, in the order of their lines.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Error)]
+pub struct Findings(pub Vec<Finding>);
+
+impl Findings {
+    /// The findings as an error, or `value` when there are none.
+    ///
+    /// # Errors
+    /// When there is at least one finding.
+    pub fn into_result<T>(mut self, value: T) -> Result<T, Findings> {
+        if self.0.is_empty() {
+            return Ok(value);
+        }
+        self.0.sort_by_key(|finding| finding.line);
+        Err(self)
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, finding) in self.0.iter().enumerate() {
+            if position > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/settings/src/reader.rs
@@ -0,0 +1,304 @@
+//! Typed access to a TOML document that records findings as it goes.
+
+use std::cell::RefCell;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use crate::finding::{Finding, Findings};
+use crate::suggestion::nearest;
+
+#[derive(Debug)]
+struct Shared {
+    file: String,
+    text: String,
+    findings: RefCell<Vec<Finding>>,
+}
+
+impl Shared {
+    fn report(&self, offset: usize, key: &str, message: String) {
+        let end = offset.min(self.text.len());
+        let line = self.text.as_bytes()[..end]
+            .iter()
+            .filter(|byte| **byte == b'\n')
+            .count()
+            + 1;
+        self.findings.borrow_mut().push(Finding {
+            file: self.file.clone(),
+            line,
+            key: key.to_owned(),
+            message,
+        });
+    }
+}
+
+/// A document and what was found wrong with it so far.
+#[derive(Debug, Clone)]
+pub struct Document {
+    shared: Rc<Shared>,
+}
+
+impl Document {
+    /// Reads `text` with `read` and returns its value, or every finding.
+    ///
+    /// # Errors
+    /// All findings of the document, in the order of their lines.
+    pub fn read<T>(
+        file: &str,
+        text: &str,
+        read: impl FnOnce(&mut TableReader<'_>) -> T,
+    ) -> Result<T, Findings> {
+        let shared = Rc::new(Shared {
+            file: file.to_owned(),
+            text: text.to_owned(),
+            findings: RefCell::default(),
+        });
+        let parsed = match DeTable::parse(text) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                let offset = error.span().map_or(0, |span| span.start);
+                shared.report(offset, "", error.message().to_owned());
+                return Err(Findings(shared.findings.take()));
+            }
+        };
+        let mut reader = TableReader {
+            document: Document {
+                shared: Rc::clone(&shared),
+            },
+            table: parsed.get_ref(),
+            offset: 0,
+            path: String::new(),
+            known: Vec::new(),
+        };
+        let value = read(&mut reader);
+        reader.finish();
+        Findings(shared.findings.take()).into_result(value)
+    }
+}
+
+/// One table of a document. Every key that is asked for is known; keys that
+/// were never asked for are findings.
+#[derive(Debug)]
+pub struct TableReader<'a> {
+    document: Document,
+    table: &'a DeTable<'a>,
+    offset: usize,
+    path: String,
+    known: Vec<&'static str>,
+}
+
+impl<'a> TableReader<'a> {
+    /// Text at `key`.
+    pub fn string(&mut self, key: &'static str) -> Option<String> {
+        let value = self.value(key)?;
+        match value.get_ref() {
+            DeValue::String(text) => Some(text.to_string()),
+            _ => self.wrong_type(value, key, "a text in quotes"),
+        }
+    }
+
+    /// A whole number at `key` within `range`.
+    pub fn integer(&mut self, key: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        let value = self.value(key)?;
+        let DeValue::Integer(number) = value.get_ref() else {
+            return self.wrong_type(value, key, "a whole number");
+        };
+        let parsed = u64::from_str_radix(number.as_str(), number.radix()).ok();
+        match parsed {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => {
+                let message = format!("must be from {} to {}", range.start(), range.end());
+                self.report_at(value.span().start, key, message);
+                None
+            }
+        }
+    }
+
+    /// A number at `key` within `range`.
+    pub fn float(&mut self, key: &'static str, range: RangeInclusive<f64>) -> Option<f64> {
+        let value = self.value(key)?;
+        let parsed = match value.get_ref() {
+            DeValue::Float(number) => number.as_str().parse::<f64>().ok(),
+            DeValue::Integer(number) => number.as_str().parse::<f64>().ok(),
+            _ => return self.wrong_type(value, key, "a number"),
+        };
+        match parsed {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => {
+                let message = format!("must be from {} to {}", range.start(), range.end());
+                self.report_at(value.span().start, key, message);
+                None
+            }
+        }
+    }
+
+    /// `true` or `false` at `key`.
+    pub fn boolean(&mut self, key: &'static str) -> Option<bool> {
+        let value = self.value(key)?;
+        match value.get_ref() {
+            DeValue::Boolean(flag) => Some(*flag),
+            _ => self.wrong_type(value, key, "true or false"),
+        }
+    }
+
+    /// One of a closed set of words at `key`.
+    pub fn choice<T: Copy>(
+        &mut self,
+        key: &'static str,
+        choices: &[(&'static str, T)],
+    ) -> Option<T> {
+        let offset = self.value(key)?.span().start;
+        let word = self.string(key)?;
+        let found = choices.iter().find(|(name, _)| *name == word);
+        if found.is_none() {
+            let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+            let hint = nearest(&word, &names)
+                .map_or(String::new(), |near| format!("; did you mean \"{near}\"?"));
+            let message = format!("\"{word}\" is not one of {}{hint}", names.join(", "));
+            self.report_at(offset, key, message);
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// Texts of a list at `key`.
+    pub fn strings(&mut self, key: &'static str) -> Vec<String> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let DeValue::Array(items) = value.get_ref() else {
+            return self
+                .wrong_type(value, key, "a list of texts")
+                .unwrap_or_default();
+        };
+        let mut texts = Vec::new();
+        for item in items.iter() {
+            match item.get_ref() {
+                DeValue::String(text) => texts.push(text.to_string()),
+                _ => self.report_at(item.span().start, key, "must be a text in quotes".into()),
+            }
+        }
+        texts
+    }
+
+    /// The table at `key`, read with `read`.
+    pub fn table<T>(
+        &mut self,
+        key: &'static str,
+        read: impl FnOnce(&mut TableReader<'_>) -> T,
+    ) -> Option<T> {
+        let value = self.value(key)?;
+        let DeValue::Table(table) = value.get_ref() else {
+            return self.wrong_type(value, key, "a table");
+        };
+        Some(self.read_child(table, value.span().start, self.dotted(key), read))
+    }
+
+    /// The tables of `[[key]]`, each read with `read`.
+    pub fn tables<T>(
+        &mut self,
+        key: &'static str,
+        mut read: impl FnMut(&mut TableReader<'_>) -> T,
+    ) -> Vec<T> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let DeValue::Array(items) = value.get_ref() else {
+            return self
+                .wrong_type(value, key, "a list of tables")
+                .unwrap_or_default();
+        };
+        let mut values = Vec::new();
+        for (position, item) in items.iter().enumerate() {
+            let path = format!("{}[{position}]", self.dotted(key));
+            match item.get_ref() {
+                DeValue::Table(table) => {
+                    values.push(self.read_child(table, item.span().start, path, &mut read));
+                }
+                _ => self.report_at(item.span().start, key, "must be a table".into()),
+            }
+        }
+        values
+    }
+
+    /// Reports that `key` is missing when `value` is `None` and the key is not
+    /// there at all; a key with a bad value was reported already.
+    pub fn required<T>(&mut self, key: &'static str, value: Option<T>) -> Option<T> {
+        if value.is_none() && self.lookup(key).is_none() {
+            self.report_at(self.offset, key, "is missing".into());
+        }
+        value
+    }
+
+    /// Records a finding at `key`, or at the table when the key is not there.
+    pub fn report(&self, key: &str, message: impl Into<String>) {
+        let offset = self
+            .lookup(key)
+            .map_or(self.offset, |value| value.span().start);
+        self.report_at(offset, key, message.into());
+    }
+
+    fn read_child<T>(
+        &self,
+        table: &DeTable<'_>,
+        offset: usize,
+        path: String,
+        read: impl FnOnce(&mut TableReader<'_>) -> T,
+    ) -> T {
+        let mut child = TableReader {
+            document: self.document.clone(),
+            table,
+            offset,
+            path,
+            known: Vec::new(),
+        };
+        let value = read(&mut child);
+        child.finish();
+        value
+    }
+
+    fn finish(&self) {
+        for key in self.table.keys() {
+            let name = key.get_ref().as_ref();
+            if self.known.contains(&name) {
+                continue;
+            }
+            let message = match nearest(name, &self.known) {
+                Some(near) => format!("unknown key; did you mean \"{near}\"?"),
+                None => format!("unknown key; known are {}", self.known.join(", ")),
+            };
+            self.report_at(key.span().start, name, message);
+        }
+    }
+
+    fn value(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'a>>> {
+        if !self.known.contains(&key) {
+            self.known.push(key);
+        }
+        self.lookup(key)
+    }
+
+    fn lookup(&self, key: &str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.table.get(key)
+    }
+
+    fn wrong_type<T>(&self, value: &Spanned<DeValue<'_>>, key: &str, wanted: &str) -> Option<T> {
+        self.report_at(value.span().start, key, format!("must be {wanted}"));
+        None
+    }
+
+    fn report_at(&self, offset: usize, key: &str, message: String) {
+        self.document
+            .shared
+            .report(offset, &self.dotted(key), message);
+    }
+
+    fn dotted(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+}
