--- /dev/null
+++ b/components/stand-in/src/engine.rs
@@ -0,0 +1,593 @@
+//! An engine: continuous batching in iterations.
+//!
+//! An iteration generates one token for each active sequence and reads at most
+//! one chunk of prompts. Its length is the sum of both, so on an engine that
+//! does both, long prompts stretch the time between tokens: that is what the
+//! roles are for. Source: docs/engine-interface.md.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use garnet_routing::{LoadReport, block_hashes};
+use garnet_types::{
+    Class, EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, Fence, Millis, OrderAnswer,
+};
+
+use crate::prefix_cache::PrefixCache;
+use crate::text;
+
+/// Microseconds in a millisecond: iterations are shorter than a millisecond.
+const MICROS: u64 = 1000;
+/// How long an exported KV cache is kept for its reader.
+const KV_KEPT: Millis = Millis::from_secs(30);
+
+/// Settings of one engine.
+#[derive(Debug, Clone)]
+pub struct EngineSettings {
+    /// What it is set up for when it starts.
+    pub assignment: EngineAssignment,
+    /// Its speed.
+    pub capacity: EngineCapacity,
+    /// Most prompt tokens of one iteration.
+    pub chunk_tokens: u64,
+    /// Blocks of its prefix cache.
+    pub cache_blocks: usize,
+    /// Time out of service for a change of role.
+    pub role_change: Millis,
+    /// Time on top for a change of model.
+    pub model_load: Millis,
+    /// How old the figures of a load report are.
+    pub report_lag: Millis,
+}
+
+impl EngineSettings {
+    /// An engine of ordinary size.
+    pub fn new(assignment: EngineAssignment) -> Self {
+        EngineSettings {
+            assignment,
+            capacity: EngineCapacity::default(),
+            chunk_tokens: 2000,
+            cache_blocks: 4096,
+            role_change: Millis(3000),
+            model_load: Millis(4000),
+            report_lag: Millis(400),
+        }
+    }
+}
+
+/// A job inside one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+/// A job as it is handed in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SubmittedJob {
+    /// Read a prompt and keep its KV cache for another engine.
+    Prefill {
+        /// Model that must be loaded.
+        model: String,
+        /// The prompt.
+        prompt: String,
+        /// Priority.
+        class: Class,
+    },
+    /// Generate tokens.
+    Generate {
+        /// Model that must be loaded.
+        model: String,
+        /// The prompt.
+        prompt: String,
+        /// Tokens of the whole text.
+        max_tokens: u64,
+        /// First token wanted.
+        from_token: u64,
+        /// Whether the KV cache was imported, so that no prompt is read.
+        imported: bool,
+        /// Priority.
+        class: Class,
+    },
+}
+
+impl SubmittedJob {
+    fn model(&self) -> &str {
+        match self {
+            SubmittedJob::Prefill { model, .. } | SubmittedJob::Generate { model, .. } => model,
+        }
+    }
+
+    fn needs_prompt_read(&self) -> bool {
+        match self {
+            SubmittedJob::Prefill { .. } => true,
+            SubmittedJob::Generate { imported, .. } => !imported,
+        }
+    }
+
+    fn generates(&self) -> bool {
+        matches!(self, SubmittedJob::Generate { .. })
+    }
+}
+
+/// Why a job was not begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobRefusal {
+    /// The engine takes no new work on purpose.
+    Draining,
+    /// Another model is loaded.
+    WrongModel,
+    /// The engine's role does not include the job.
+    WrongRole,
+}
+
+/// What became of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobOutput {
+    /// The prompt is read; its KV cache can be fetched under this name.
+    Prefilled {
+        /// Name of the KV cache.
+        handle: u64,
+    },
+    /// One token.
+    Token {
+        /// Its number.
+        index: u64,
+        /// Its text.
+        text: String,
+    },
+    /// The explicit end.
+    Finished {
+        /// Tokens of the whole text.
+        total: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct ActiveJob {
+    job: SubmittedJob,
+    blocks: Vec<u64>,
+    unread_tokens: u64,
+    prompt_tokens: u64,
+    next_token: u64,
+    /// Imported KV cache arrives at this moment, in microseconds.
+    ready_at: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Iteration {
+    ends_at: u64,
+    read: Vec<(JobId, u64)>,
+    decode: Vec<JobId>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LoadSample {
+    at: Millis,
+    queued_prompt_tokens: u64,
+    active_sequences: u64,
+}
+
+/// The state machine of one engine.
+#[derive(Debug, Clone)]
+pub struct EngineStandIn {
+    settings: EngineSettings,
+    incarnation: u64,
+    assignment: EngineAssignment,
+    highest_fence: Fence,
+    changing: Option<(EngineOrder, Millis)>,
+    draining: bool,
+    /// Factor on the length of iterations: a fault on command.
+    slowness: u64,
+    jobs: BTreeMap<JobId, ActiveJob>,
+    /// Jobs with unread prompts, in order of arrival.
+    unread: VecDeque<JobId>,
+    /// Jobs that generate or wait for a slot, in order of readiness.
+    generating: VecDeque<JobId>,
+    iteration: Option<Iteration>,
+    cache: PrefixCache,
+    exported: BTreeMap<u64, (u64, Millis)>,
+    next_job: u64,
+    next_handle: u64,
+    samples: VecDeque<LoadSample>,
+    outputs: Vec<(JobId, JobOutput)>,
+}
+
+impl EngineStandIn {
+    /// Starts an engine that once accepted `highest_fence`.
+    pub fn new(settings: EngineSettings, incarnation: u64, highest_fence: Fence) -> Self {
+        EngineStandIn {
+            assignment: settings.assignment.clone(),
+            cache: PrefixCache::new(settings.cache_blocks),
+            incarnation,
+            highest_fence,
+            changing: None,
+            draining: false,
+            slowness: 1,
+            jobs: BTreeMap::new(),
+            unread: VecDeque::new(),
+            generating: VecDeque::new(),
+            iteration: None,
+            exported: BTreeMap::new(),
+            next_job: 0,
+            next_handle: incarnation << 32,
+            samples: VecDeque::new(),
+            outputs: Vec::new(),
+            settings,
+        }
+    }
+
+    /// State of the engine now.
+    pub fn status(&self) -> EngineStatus {
+        EngineStatus {
+            incarnation: self.incarnation,
+            highest_fence: self.highest_fence,
+            assignment: self.assignment.clone(),
+            changing: self.changing.as_ref().map(|(order, _)| order.clone()),
+            running: self.jobs.len() as u64,
+            capacity: self.settings.capacity,
+        }
+    }
+
+    /// Load as reports tell it: `report_lag` old. Cache events follow from
+    /// number `events_from` on.
+    pub fn load_report(&self, events_from: u64, now: Millis) -> LoadReport {
+        let described = now.since(self.settings.report_lag);
+        let sample = self
+            .samples
+            .iter()
+            .rev()
+            .find(|sample| sample.at <= described);
+        LoadReport {
+            incarnation: self.incarnation,
+            role: self.assignment.role,
+            accepting: self.accepts_work(),
+            queued_prompt_tokens: sample.map_or(0, |sample| sample.queued_prompt_tokens),
+            active_sequences: sample.map_or(0, |sample| sample.active_sequences),
+            age_ms: self.settings.report_lag.0,
+            capacity: self.settings.capacity,
+            cache_events: self.cache.events_from(events_from),
+        }
+    }
+
+    /// A planned stop: finish what runs, refuse what comes.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Jobs that it works on.
+    pub fn running(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Makes every iteration `factor` times as long.
+    pub fn set_slowness(&mut self, factor: u64) {
+        self.slowness = factor.max(1);
+    }
+
+    /// Takes a job.
+    ///
+    /// # Errors
+    /// When the engine provably does not begin it.
+    pub fn submit(&mut self, job: SubmittedJob, now: Millis) -> Result<JobId, JobRefusal> {
+        self.check(&job)?;
+        self.next_job += 1;
+        let id = JobId(self.next_job);
+        let active = self.activate(job, now);
+        if active.unread_tokens > 0 {
+            self.unread.push_back(id);
+        } else if active.job.generates() {
+            self.generating.push_back(id);
+        } else {
+            // Every block was cached: the prompt counts as read at once.
+            self.unread.push_back(id);
+        }
+        self.jobs.insert(id, active);
+        self.sample(now);
+        if self.iteration.is_none() {
+            self.start_iteration(now.0 * MICROS);
+        }
+        Ok(id)
+    }
+
+    /// Breaks a job off.
+    pub fn cancel(&mut self, id: JobId, now: Millis) {
+        self.jobs.remove(&id);
+        self.unread.retain(|queued| *queued != id);
+        self.generating.retain(|queued| *queued != id);
+        self.sample(now);
+    }
+
+    /// Hands over an exported KV cache: its tokens, or `None` when unknown.
+    pub fn export(&mut self, handle: u64) -> Option<u64> {
+        self.exported.get(&handle).map(|(tokens, _)| *tokens)
+    }
+
+    /// Takes an order. A fence that is to be kept must be durable before the
+    /// answer goes out: compare [`EngineStatus::highest_fence`].
+    pub fn order(&mut self, order: &EngineOrder, now: Millis) -> OrderAnswer {
+        self.advance(now);
+        if order.fence < self.highest_fence {
+            return OrderAnswer::StaleFence(self.status());
+        }
+        if let Some((current, _)) = &mut self.changing {
+            // Invariant: never two orders that want different things.
+            if current.assignment != order.assignment {
+                return OrderAnswer::Busy(self.status());
+            }
+            current.fence = order.fence;
+            self.highest_fence = order.fence;
+            return OrderAnswer::Accepted(self.status());
+        }
+        if order.assignment == self.assignment {
+            self.highest_fence = order.fence;
+            return OrderAnswer::Accepted(self.status());
+        }
+        if !self.jobs.is_empty() {
+            return OrderAnswer::Busy(self.status());
+        }
+        self.highest_fence = order.fence;
+        let load = if order.assignment.model == self.assignment.model {
+            Millis::ZERO
+        } else {
+            self.settings.model_load
+        };
+        let done = now + self.settings.role_change + load;
+        self.changing = Some((order.clone(), done));
+        OrderAnswer::Accepted(self.status())
+    }
+
+    /// When something happens next by itself.
+    pub fn next_due(&self) -> Option<Millis> {
+        let iteration = self
+            .iteration
+            .as_ref()
+            .map(|iteration| Millis(iteration.ends_at.div_ceil(MICROS)));
+        let change = self.changing.as_ref().map(|(_, done)| *done);
+        iteration.into_iter().chain(change).min()
+    }
+
+    /// Lets time pass up to `now`.
+    pub fn advance(&mut self, now: Millis) {
+        if let Some((order, done)) = &self.changing
+            && *done <= now
+        {
+            self.assignment = order.assignment.clone();
+            self.changing = None;
+            self.cache.clear();
+            self.exported.clear();
+        }
+        while let Some(iteration) = self.iteration.take() {
+            if iteration.ends_at > now.0 * MICROS {
+                self.iteration = Some(iteration);
+                break;
+            }
+            let ended_at = iteration.ends_at;
+            self.end_iteration(iteration);
+            self.start_iteration(ended_at);
+        }
+        self.exported.retain(|_, (_, until)| *until > now);
+        self.sample(now);
+    }
+
+    /// Takes what became of jobs, in order.
+    pub fn take_outputs(&mut self) -> Vec<(JobId, JobOutput)> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn accepts_work(&self) -> bool {
+        !self.draining && self.changing.is_none()
+    }
+
+    fn check(&self, job: &SubmittedJob) -> Result<(), JobRefusal> {
+        if !self.accepts_work() {
+            return Err(JobRefusal::Draining);
+        }
+        if job.model() != self.assignment.model.as_str() {
+            return Err(JobRefusal::WrongModel);
+        }
+        let role = self.assignment.role;
+        let reads = !job.needs_prompt_read() || role.reads_prompts();
+        let generates = !job.generates() || role.generates();
+        if reads && generates {
+            Ok(())
+        } else {
+            Err(JobRefusal::WrongRole)
+        }
+    }
+
+    fn activate(&self, job: SubmittedJob, now: Millis) -> ActiveJob {
+        let (prompt, next_token) = match &job {
+            SubmittedJob::Prefill { prompt, .. } => (prompt, 0),
+            SubmittedJob::Generate {
+                prompt, from_token, ..
+            } => (prompt, *from_token),
+        };
+        let prompt_tokens = prompt.split_whitespace().count() as u64 + next_token;
+        let blocks = block_hashes(prompt);
+        let imported = !job.needs_prompt_read();
+        let unread_tokens = if imported {
+            0
+        } else {
+            prompt_tokens.saturating_sub(self.cache.cached_tokens(&blocks))
+        };
+        let transfer_ms = if imported {
+            self.settings.capacity.transfer_ms_per_1000_tokens * prompt_tokens as f64 / 1000.0
+        } else {
+            0.0
+        };
+        ActiveJob {
+            job,
+            blocks,
+            unread_tokens,
+            prompt_tokens,
+            next_token,
+            ready_at: now.0 * MICROS + (transfer_ms * MICROS as f64) as u64,
+        }
+    }
+
+    // ---- Iterations ----
+
+    fn start_iteration(&mut self, at: u64) {
+        let read = self.choose_prompts();
+        let decode = self.choose_sequences(at);
+        if read.is_empty() && decode.is_empty() {
+            self.wait_for_import(at);
+            return;
+        }
+        let tokens: u64 = read.iter().map(|(_, tokens)| *tokens).sum();
+        let capacity = &self.settings.capacity;
+        let read_ms = tokens as f64 * 1000.0 / capacity.prefill_tokens_per_second;
+        let decode_ms = if decode.is_empty() {
+            0.0
+        } else {
+            capacity.decode_step_ms
+        };
+        let length = ((read_ms + decode_ms) * MICROS as f64).ceil() as u64;
+        self.iteration = Some(Iteration {
+            ends_at: at + length.max(1) * self.slowness,
+            read,
+            decode,
+        });
+    }
+
+    /// Nothing to do until an imported KV cache is there.
+    fn wait_for_import(&mut self, at: u64) {
+        let next = self
+            .generating
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .map(|job| job.ready_at)
+            .min();
+        self.iteration = next.map(|ready_at| Iteration {
+            ends_at: ready_at.max(at + 1),
+            read: Vec::new(),
+            decode: Vec::new(),
+        });
+    }
+
+    /// One chunk of prompts: urgent jobs first, then by arrival.
+    fn choose_prompts(&self) -> Vec<(JobId, u64)> {
+        let mut queue: Vec<JobId> = self.unread.iter().copied().collect();
+        queue.sort_by_key(|id| self.jobs.get(id).map(|job| class_of(&job.job)));
+        let mut left = self.settings.chunk_tokens;
+        let mut chunk = Vec::new();
+        for id in queue {
+            let unread = self.jobs.get(&id).map_or(0, |job| job.unread_tokens);
+            let tokens = unread.min(left);
+            if tokens == 0 && unread > 0 {
+                break;
+            }
+            left -= tokens;
+            chunk.push((id, tokens));
+        }
+        chunk
+    }
+
+    /// As many sequences as there are slots. Those that have begun keep theirs.
+    fn choose_sequences(&self, at: u64) -> Vec<JobId> {
+        let slots = self.settings.capacity.decode_slots as usize;
+        self.generating
+            .iter()
+            .filter(|id| self.jobs.get(id).is_some_and(|job| job.ready_at <= at))
+            .take(slots)
+            .copied()
+            .collect()
+    }
+
+    fn end_iteration(&mut self, iteration: Iteration) {
+        for (id, tokens) in iteration.read {
+            self.read_tokens(id, tokens, iteration.ends_at);
+        }
+        for id in iteration.decode {
+            self.generate_token(id);
+        }
+    }
+
+    fn read_tokens(&mut self, id: JobId, tokens: u64, at: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.unread_tokens = job.unread_tokens.saturating_sub(tokens);
+        if job.unread_tokens > 0 {
+            return;
+        }
+        self.unread.retain(|queued| *queued != id);
+        self.cache.store(&job.blocks);
+        if job.job.generates() {
+            job.ready_at = at;
+            self.insert_generating(id);
+        } else {
+            self.export_prompt(id, at);
+        }
+    }
+
+    /// Behind all jobs of the same or a more urgent class that have no token.
+    fn insert_generating(&mut self, id: JobId) {
+        let class = self.jobs.get(&id).map(|job| class_of(&job.job));
+        let slots = self.settings.capacity.decode_slots as usize;
+        let position = self
+            .generating
+            .iter()
+            .enumerate()
+            .skip(slots)
+            .find(|(_, other)| self.jobs.get(other).map(|job| class_of(&job.job)) > class)
+            .map_or(self.generating.len(), |(position, _)| position);
+        self.generating.insert(position, id);
+    }
+
+    fn export_prompt(&mut self, id: JobId, at: u64) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.next_handle += 1;
+        let handle = self.next_handle;
+        let until = Millis(at / MICROS) + KV_KEPT;
+        self.exported.insert(handle, (job.prompt_tokens, until));
+        self.outputs.push((id, JobOutput::Prefilled { handle }));
+    }
+
+    fn generate_token(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let SubmittedJob::Generate {
+            prompt, max_tokens, ..
+        } = &job.job
+        else {
+            return;
+        };
+        if job.next_token < *max_tokens {
+            let index = job.next_token;
+            let text = text::token(prompt, index);
+            job.next_token += 1;
+            self.outputs.push((id, JobOutput::Token { index, text }));
+        }
+        if job.next_token >= *max_tokens {
+            let total = *max_tokens;
+            self.jobs.remove(&id);
+            self.generating.retain(|queued| *queued != id);
+            self.outputs.push((id, JobOutput::Finished { total }));
+        }
+    }
+
+    // ---- Load ----
+
+    fn sample(&mut self, now: Millis) {
+        let queued = self.unread.iter().filter_map(|id| self.jobs.get(id));
+        let queued_prompt_tokens = queued.map(|job| job.unread_tokens).sum();
+        let generates = |job: &&ActiveJob| job.job.generates();
+        let active_sequences = self.jobs.values().filter(generates).count() as u64;
+        self.samples.push_back(LoadSample {
+            at: now,
+            queued_prompt_tokens,
+            active_sequences,
+        });
+        let oldest_needed = now.since(self.settings.report_lag);
+        while self.samples.len() > 1 && self.samples[1].at <= oldest_needed {
+            self.samples.pop_front();
+        }
+    }
+}
+
+fn class_of(job: &SubmittedJob) -> Class {
+    match job {
+        SubmittedJob::Prefill { class, .. } | SubmittedJob::Generate { class, .. } => *class,
+    }
+}
--- /dev/null
+++ b/components/stand-in/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for what stands outside: engines, applications, the platform.
+//!
+//! Contract: each is a state machine without I/O. The engine follows
+//! docs/engine-interface.md; its text is a function of the prompt
+//! ([`text::expected_text`]), so that a caller can check a whole answer.
+
+pub mod application;
+pub mod engine;
+pub mod platform;
+pub mod prefix_cache;
+pub mod text;
+
+pub use application::ApplicationStandIn;
+pub use engine::{EngineSettings, EngineStandIn, JobId, JobOutput, JobRefusal, SubmittedJob};
+pub use platform::{PlatformStandIn, WeightStore};
--- /dev/null
+++ b/components/storage/src/memory.rs
@@ -0,0 +1,161 @@
+//! A folder in memory that loses what was not synced, for tests and the
+//! simulator.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use crate::directory::Directory;
+
+/// What a power loss does to bytes that were written and not synced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PowerLoss {
+    /// They are gone.
+    DropUnsynced,
+    /// The first so many of them are kept: a torn write.
+    KeepPrefix(usize),
+    /// They are all there, with the byte at this offset from the first
+    /// unsynced one flipped.
+    Flip(usize),
+}
+
+#[derive(Debug, Clone, Default)]
+struct MemoryFile {
+    content: Vec<u8>,
+    synced_length: usize,
+}
+
+/// Files in memory. Names are durable once [`Directory::sync_names`] ran.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryDirectory {
+    files: BTreeMap<String, MemoryFile>,
+    durable: BTreeMap<String, MemoryFile>,
+    /// When set, each write or sync fails as on a full or broken disk.
+    pub broken: bool,
+    /// Count of syncs of file content.
+    pub syncs: u64,
+}
+
+impl MemoryDirectory {
+    /// The folder as a process finds it after a power loss.
+    pub fn after_power_loss(&self, loss: PowerLoss) -> MemoryDirectory {
+        let mut survived = BTreeMap::new();
+        for (name, durable) in &self.durable {
+            let current = self.files.get(name).unwrap_or(durable);
+            survived.insert(name.clone(), survive(current, loss));
+        }
+        MemoryDirectory {
+            files: survived.clone(),
+            durable: survived,
+            broken: false,
+            syncs: 0,
+        }
+    }
+
+    /// Total bytes of all files.
+    pub fn total_bytes(&self) -> usize {
+        self.files.values().map(|file| file.content.len()).sum()
+    }
+
+    /// Flips one byte, to model damage on the medium.
+    pub fn damage(&mut self, name: &str, offset: usize) {
+        if let Some(file) = self.files.get_mut(name)
+            && let Some(byte) = file.content.get_mut(offset)
+        {
+            *byte ^= 0xff;
+        }
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if self.broken {
+            return Err(io::Error::other("the disk fails"));
+        }
+        Ok(())
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut MemoryFile> {
+        self.files
+            .get_mut(name)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+fn survive(file: &MemoryFile, loss: PowerLoss) -> MemoryFile {
+    let synced = file.synced_length;
+    let mut content = match loss {
+        PowerLoss::DropUnsynced => file.content[..synced].to_vec(),
+        PowerLoss::KeepPrefix(bytes) => {
+            file.content[..file.content.len().min(synced + bytes)].to_vec()
+        }
+        PowerLoss::Flip(_) => file.content.clone(),
+    };
+    if let PowerLoss::Flip(offset) = loss
+        && let Some(byte) = content.get_mut(synced + offset)
+    {
+        *byte ^= 0x5a;
+    }
+    MemoryFile {
+        synced_length: content.len(),
+        content,
+    }
+}
+
+impl Directory for MemoryDirectory {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.files.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.files
+            .get(name)
+            .map(|file| file.content.clone())
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.check()?;
+        let file = self.files.entry(name.to_owned()).or_default();
+        file.content.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.check()?;
+        let file = self.file(name)?;
+        file.content.truncate(length as usize);
+        file.synced_length = file.synced_length.min(file.content.len());
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.check()?;
+        self.syncs += 1;
+        let file = self.file(name)?;
+        file.synced_length = file.content.len();
+        let synced = file.clone();
+        if let Some(durable) = self.durable.get_mut(name) {
+            *durable = synced;
+        }
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.check()?;
+        let file = self.file(from)?.clone();
+        self.files.remove(from);
+        self.files.insert(to.to_owned(), file);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.check()?;
+        self.file(name)?;
+        self.files.remove(name);
+        Ok(())
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.check()?;
+        self.durable = self.files.clone();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/storage/src/replica.rs
@@ -0,0 +1,383 @@
+//! Log segments and snapshots of one control replica.
+//!
+//! Segments are append-only. A later record replaces what earlier ones said of
+//! its index and all after it, so a log that is cut back needs no rewriting.
+//! Each segment opens with the hard state, so that older ones can be removed.
+
+use garnet_consensus::{Entry, HardState, Ready, Snapshot};
+use serde::{Deserialize, Serialize};
+
+use crate::directory::Directory;
+use crate::error::StorageError;
+use crate::frame;
+use crate::value::{TEMPORARY_SUFFIX, decode, encode, load_value, save_value};
+
+/// A segment is closed when it has grown to this many bytes.
+const SEGMENT_BYTES: u64 = 1 << 20;
+const SEGMENT_PREFIX: &str = "segment-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Record {
+    HardState(HardState),
+    Entry(Entry),
+    /// The log was replaced by the snapshot at this index.
+    Reset(u64),
+}
+
+#[derive(Debug)]
+struct Segment {
+    name: String,
+    /// Highest index of any entry in it.
+    highest_index: u64,
+    bytes: u64,
+}
+
+/// What a replica's folder held when it was opened.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Newest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after it.
+    pub entries: Vec<Entry>,
+    /// Bytes of a torn last write that were cut off.
+    pub cut_bytes: u64,
+}
+
+/// The open files of one replica.
+#[derive(Debug)]
+pub struct ReplicaStorage<D: Directory> {
+    directory: D,
+    segments: Vec<Segment>,
+    next_segment: u64,
+    hard_state: HardState,
+    poisoned: bool,
+}
+
+impl<D: Directory> ReplicaStorage<D> {
+    /// Reads a folder back, cutting a torn last write.
+    ///
+    /// # Errors
+    /// When synced content is damaged or the disk refuses.
+    pub fn open(mut directory: D) -> Result<(Self, Recovered), StorageError> {
+        let names = directory.list().map_err(StorageError::io("list", "."))?;
+        remove_temporary_files(&mut directory, &names)?;
+        let snapshot = newest_snapshot(&directory, &names)?;
+        let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let mut recovered = Recovered {
+            snapshot,
+            ..Recovered::default()
+        };
+        let mut segments = Vec::new();
+        let segment_names = with_prefix(&names, SEGMENT_PREFIX);
+        let last = segment_names.len().saturating_sub(1);
+        for (position, name) in segment_names.into_iter().enumerate() {
+            let is_last = position == last;
+            let segment = replay_segment(
+                &mut directory,
+                name,
+                is_last,
+                snapshot_index,
+                &mut recovered,
+            )?;
+            segments.extend(segment);
+        }
+        discard_replaced_log(&mut recovered);
+        check_contiguous(&recovered, snapshot_index)?;
+        let next_segment = segments.last().map_or(0, |s| segment_number(&s.name) + 1);
+        let storage = ReplicaStorage {
+            directory,
+            segments,
+            next_segment,
+            hard_state: recovered.hard_state,
+            poisoned: false,
+        };
+        Ok((storage, recovered))
+    }
+
+    /// Makes the durable part of `ready` last, with one sync of the log.
+    ///
+    /// # Errors
+    /// Any failure poisons the storage: see the module's contract.
+    pub fn write(&mut self, ready: &Ready) -> Result<(), StorageError> {
+        if !ready.needs_sync() {
+            return Ok(());
+        }
+        self.guarded(|storage| storage.write_records(ready))
+    }
+
+    /// Makes a snapshot last and drops the segments and snapshots it covers.
+    ///
+    /// # Errors
+    /// Any failure poisons the storage: see the module's contract.
+    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
+        self.guarded(|storage| {
+            storage.write_snapshot(snapshot)?;
+            storage.drop_covered(snapshot.index)
+        })
+    }
+
+    /// The folder, for the identity and small values.
+    pub fn directory_mut(&mut self) -> &mut D {
+        &mut self.directory
+    }
+
+    /// The folder.
+    pub fn directory(&self) -> &D {
+        &self.directory
+    }
+
+    fn guarded(
+        &mut self,
+        work: impl FnOnce(&mut Self) -> Result<(), StorageError>,
+    ) -> Result<(), StorageError> {
+        if self.poisoned {
+            return Err(StorageError::Poisoned);
+        }
+        let result = work(self);
+        self.poisoned = result.is_err();
+        result
+    }
+
+    fn write_records(&mut self, ready: &Ready) -> Result<(), StorageError> {
+        let mut records = Vec::new();
+        if let Some(hard_state) = ready.hard_state {
+            self.hard_state = hard_state;
+            records.push(Record::HardState(hard_state));
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            self.write_snapshot(snapshot)?;
+            records.push(Record::Reset(snapshot.index));
+        }
+        records.extend(ready.entries.iter().cloned().map(Record::Entry));
+        self.append_frame(&records)?;
+        if let Some(snapshot) = &ready.snapshot {
+            self.drop_covered(snapshot.index)?;
+        }
+        Ok(())
+    }
+
+    fn append_frame(&mut self, records: &[Record]) -> Result<(), StorageError> {
+        let is_full = self
+            .segments
+            .last()
+            .is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
+        if is_full {
+            self.start_segment()?;
+        }
+        let Some(segment) = self.segments.last_mut() else {
+            return Ok(());
+        };
+        let bytes = frame::encode(&encode(&records)?);
+        self.directory
+            .append(&segment.name, &bytes)
+            .map_err(StorageError::io("write", &segment.name))?;
+        self.directory
+            .sync(&segment.name)
+            .map_err(StorageError::io("sync", &segment.name))?;
+        segment.bytes += bytes.len() as u64;
+        for record in records {
+            if let Record::Entry(entry) = record {
+                segment.highest_index = segment.highest_index.max(entry.index);
+            }
+        }
+        Ok(())
+    }
+
+    fn start_segment(&mut self) -> Result<(), StorageError> {
+        let name = format!("{SEGMENT_PREFIX}{:016}", self.next_segment);
+        self.next_segment += 1;
+        let opening = [Record::HardState(self.hard_state)];
+        let bytes = frame::encode(&encode(&opening.as_slice())?);
+        self.directory
+            .append(&name, &bytes)
+            .map_err(StorageError::io("write", &name))?;
+        self.directory
+            .sync(&name)
+            .map_err(StorageError::io("sync", &name))?;
+        self.directory
+            .sync_names()
+            .map_err(StorageError::io("sync of the folder for", &name))?;
+        self.segments.push(Segment {
+            name,
+            highest_index: 0,
+            bytes: bytes.len() as u64,
+        });
+        Ok(())
+    }
+
+    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
+        save_value(
+            &mut self.directory,
+            &snapshot_name(snapshot.index),
+            snapshot,
+        )
+    }
+
+    fn drop_covered(&mut self, index: u64) -> Result<(), StorageError> {
+        let mut obsolete = Vec::new();
+        // The last segment stays open; earlier ones go while all before them go.
+        while self.segments.len() > 1 && self.segments[0].highest_index <= index {
+            obsolete.push(self.segments.remove(0).name);
+        }
+        let names = self
+            .directory
+            .list()
+            .map_err(StorageError::io("list", "."))?;
+        let kept = snapshot_name(index);
+        obsolete.extend(
+            with_prefix(&names, SNAPSHOT_PREFIX)
+                .into_iter()
+                .filter(|name| *name < kept),
+        );
+        for name in &obsolete {
+            self.directory
+                .remove(name)
+                .map_err(StorageError::io("remove", name))?;
+        }
+        self.directory
+            .sync_names()
+            .map_err(StorageError::io("sync of the folder for", &kept))
+    }
+}
+
+fn snapshot_name(index: u64) -> String {
+    format!("{SNAPSHOT_PREFIX}{index:016}")
+}
+
+fn segment_number(name: &str) -> u64 {
+    name[SEGMENT_PREFIX.len()..].parse().unwrap_or(0)
+}
+
+fn with_prefix(names: &[String], prefix: &str) -> Vec<String> {
+    names
+        .iter()
+        .filter(|name| name.starts_with(prefix) && !name.ends_with(TEMPORARY_SUFFIX))
+        .cloned()
+        .collect()
+}
+
+fn remove_temporary_files(
+    directory: &mut dyn Directory,
+    names: &[String],
+) -> Result<(), StorageError> {
+    for name in names.iter().filter(|name| name.ends_with(TEMPORARY_SUFFIX)) {
+        directory
+            .remove(name)
+            .map_err(StorageError::io("remove", name))?;
+    }
+    Ok(())
+}
+
+fn newest_snapshot(
+    directory: &dyn Directory,
+    names: &[String],
+) -> Result<Option<Snapshot>, StorageError> {
+    match with_prefix(names, SNAPSHOT_PREFIX).last() {
+        Some(name) => load_value(directory, name),
+        None => Ok(None),
+    }
+}
+
+fn replay_segment(
+    directory: &mut dyn Directory,
+    name: String,
+    is_last: bool,
+    snapshot_index: u64,
+    recovered: &mut Recovered,
+) -> Result<Option<Segment>, StorageError> {
+    let bytes = directory
+        .read(&name)
+        .map_err(StorageError::io("read", &name))?;
+    let frames = frame::read_all(&bytes);
+    let torn = frames.valid_length < bytes.len();
+    if torn && (frames.damaged || !is_last) {
+        return Err(StorageError::Damaged {
+            file: name,
+            offset: frames.valid_length as u64,
+            reason: "a record with a wrong checksum stands before good ones",
+        });
+    }
+    if frames.payloads.is_empty() {
+        // Made just before a crash: it lacks even its opening record.
+        recovered.cut_bytes = bytes.len() as u64;
+        directory
+            .remove(&name)
+            .map_err(StorageError::io("remove", &name))?;
+        return Ok(None);
+    }
+    let mut highest_index = 0;
+    for payload in &frames.payloads {
+        for record in decode::<Vec<Record>>(payload, &name)? {
+            if let Record::Entry(entry) = &record {
+                highest_index = highest_index.max(entry.index);
+            }
+            replay_record(record, snapshot_index, recovered);
+        }
+    }
+    if torn {
+        recovered.cut_bytes = (bytes.len() - frames.valid_length) as u64;
+        directory
+            .truncate(&name, frames.valid_length as u64)
+            .map_err(StorageError::io("truncate", &name))?;
+        directory
+            .sync(&name)
+            .map_err(StorageError::io("sync", &name))?;
+    }
+    Ok(Some(Segment {
+        name,
+        highest_index,
+        bytes: frames.valid_length as u64,
+    }))
+}
+
+/// Drops entries that a snapshot from a leader replaced just before a crash.
+///
+/// Terms never fall along a log. An entry behind the snapshot with a lower
+/// term is left over from a log that lost, and keeping it would make this
+/// replica look older than it is when it votes.
+fn discard_replaced_log(recovered: &mut Recovered) {
+    let snapshot_term = recovered.snapshot.as_ref().map_or(0, |s| s.term);
+    let replaced = recovered
+        .entries
+        .first()
+        .is_some_and(|entry| entry.term < snapshot_term);
+    if replaced {
+        recovered.entries.clear();
+    }
+}
+
+fn replay_record(record: Record, snapshot_index: u64, recovered: &mut Recovered) {
+    match record {
+        Record::HardState(hard_state) => recovered.hard_state = hard_state,
+        Record::Reset(_) => recovered.entries.clear(),
+        Record::Entry(entry) => {
+            while recovered
+                .entries
+                .last()
+                .is_some_and(|held| held.index >= entry.index)
+            {
+                recovered.entries.pop();
+            }
+            if entry.index > snapshot_index {
+                recovered.entries.push(entry);
+            }
+        }
+    }
+}
+
+/// The entries must go on from the snapshot without a gap.
+fn check_contiguous(recovered: &Recovered, snapshot_index: u64) -> Result<(), StorageError> {
+    for (expected, entry) in (snapshot_index + 1..).zip(&recovered.entries) {
+        if entry.index != expected {
+            return Err(StorageError::Damaged {
+                file: format!("{SEGMENT_PREFIX}*"),
+                offset: 0,
+                reason: "log entries are missing",
+            });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/components/storage/tests/recovery.rs
@@ -0,0 +1,218 @@
+//! A data folder gives back everything that a finished call wrote.
+
+use std::sync::Arc;
+
+use garnet_consensus::{Entry, EntryPayload, HardState, Membership, Ready, Snapshot};
+use garnet_storage::{
+    DiskIdentity, MemoryDirectory, PowerLoss, ReplicaStorage, StorageError, load_value, save_value,
+};
+use garnet_types::ReplicaId;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        payload: EntryPayload::Command(vec![index as u8; 40]),
+    }
+}
+
+fn entries(indexes: std::ops::RangeInclusive<u64>, term: u64) -> Ready {
+    Ready {
+        entries: indexes.map(|index| entry(index, term)).collect(),
+        hard_state: Some(HardState {
+            term,
+            voted_for: Some(ReplicaId(1)),
+        }),
+        ..Ready::default()
+    }
+}
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    Snapshot {
+        index,
+        term,
+        membership: Membership::default(),
+        data: Arc::new(vec![7; 100]),
+    }
+}
+
+fn open(directory: MemoryDirectory) -> ReplicaStorage<MemoryDirectory> {
+    ReplicaStorage::open(directory).expect("a sound folder").0
+}
+
+#[test]
+fn synced_entries_and_votes_survive() {
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&entries(1..=5, 3)).expect("written");
+    let after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    assert_eq!(recovered.entries.len(), 5);
+    assert_eq!(recovered.hard_state.term, 3);
+    assert_eq!(recovered.hard_state.voted_for, Some(ReplicaId(1)));
+}
+
+#[test]
+fn a_later_entry_replaces_all_from_its_index_on() {
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&entries(1..=5, 1)).expect("written");
+    storage.write(&entries(3..=3, 2)).expect("written");
+    let after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    let held: Vec<(u64, u64)> = recovered
+        .entries
+        .iter()
+        .map(|e| (e.index, e.term))
+        .collect();
+    assert_eq!(held, vec![(1, 1), (2, 1), (3, 2)]);
+}
+
+#[test]
+fn a_snapshot_keeps_the_folder_small() {
+    let mut storage = open(MemoryDirectory::default());
+    let mut largest = 0;
+    for round in 0..200_u64 {
+        let first = round * 100 + 1;
+        storage
+            .write(&entries(first..=first + 99, 1))
+            .expect("written");
+        storage
+            .save_snapshot(&snapshot(first + 99, 1))
+            .expect("saved");
+        largest = largest.max(storage.directory().total_bytes());
+    }
+    assert!(largest < 3 << 20, "{largest} bytes");
+    let after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    assert_eq!(recovered.snapshot.map(|s| s.index), Some(20_000));
+    assert!(recovered.entries.is_empty());
+}
+
+#[test]
+fn entries_of_a_log_that_lost_are_dropped_behind_a_leaders_snapshot() {
+    // A crash between the snapshot and the record that voids the old log.
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&entries(1..=9, 1)).expect("written");
+    storage.save_snapshot(&snapshot(6, 4)).expect("saved");
+    let after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    assert!(
+        recovered.entries.is_empty(),
+        "entries of term 1 behind a snapshot of term 4"
+    );
+}
+
+#[test]
+fn damage_before_good_records_is_refused_with_its_place() {
+    let mut storage = open(MemoryDirectory::default());
+    for index in 1..=5 {
+        storage.write(&entries(index..=index, 1)).expect("written");
+    }
+    let mut after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    after.damage("segment-0000000000000000", 120);
+    match ReplicaStorage::open(after) {
+        Err(StorageError::Damaged { file, offset, .. }) => {
+            assert_eq!(file, "segment-0000000000000000");
+            assert!(offset <= 120);
+        }
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn a_failed_sync_is_final() {
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&entries(1..=1, 1)).expect("written");
+    storage.directory_mut().broken = true;
+    assert!(storage.write(&entries(2..=2, 1)).is_err());
+    storage.directory_mut().broken = false;
+    let again = storage.write(&entries(2..=2, 1));
+    assert!(matches!(again, Err(StorageError::Poisoned)), "{again:?}");
+}
+
+#[rstest]
+#[case::drop(PowerLoss::DropUnsynced)]
+#[case::torn(PowerLoss::KeepPrefix(5))]
+fn a_value_is_replaced_as_a_whole_or_not_at_all(#[case] loss: PowerLoss) {
+    let mut directory = MemoryDirectory::default();
+    save_value(&mut directory, "v", &1_u64).expect("saved");
+    let mut later = directory.clone();
+    save_value(&mut later, "v", &2_u64).expect("saved");
+    for state in [
+        directory.after_power_loss(loss),
+        later.after_power_loss(loss),
+    ] {
+        let value: Option<u64> = load_value(&state, "v").expect("sound");
+        assert!(matches!(value, Some(1 | 2)));
+    }
+}
+
+#[test]
+fn a_folder_of_another_owner_or_a_newer_format_is_refused() {
+    let mut directory = MemoryDirectory::default();
+    let (identity, created) =
+        DiskIdentity::open_or_create(&mut directory, "control-1", 77).expect("made");
+    assert!(created);
+    assert_eq!(identity.incarnation, 77);
+    let (again, created) =
+        DiskIdentity::open_or_create(&mut directory, "control-1", 88).expect("opened");
+    assert!(!created);
+    assert_eq!(again.incarnation, 77, "the identity stays with its disk");
+    let foreign = DiskIdentity::open_or_create(&mut directory, "control-2", 1);
+    assert!(matches!(foreign, Err(StorageError::ForeignFolder { .. })));
+    let newer = DiskIdentity {
+        format: 99,
+        ..identity
+    };
+    save_value(&mut directory, "identity", &newer).expect("saved");
+    let refused = DiskIdentity::open_or_create(&mut directory, "control-1", 1);
+    assert!(matches!(
+        refused,
+        Err(StorageError::NewerFormat { found: 99, .. })
+    ));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever is left of the last write, everything before it is there, and
+    /// what is there of the last write is a whole number of its entries.
+    #[test]
+    fn any_torn_last_write_loses_only_itself(
+        batches in prop::collection::vec(1_u64..6, 1..12),
+        kept in 0_usize..400,
+        flip in any::<bool>(),
+    ) {
+        let mut storage = open(MemoryDirectory::default());
+        let mut next = 1;
+        for count in &batches {
+            storage.write(&entries(next..=next + count - 1, 1)).expect("written");
+            next += count;
+        }
+        let synced = next - 1;
+        // The last write is cut off before its sync: the directory refuses it.
+        let mut torn = storage.directory().clone();
+        let bytes = vec![0x47; kept];
+        garnet_storage::Directory::append(&mut torn, "segment-0000000000000000", &bytes)
+            .expect("appended");
+        let loss = if flip { PowerLoss::Flip(kept / 2) } else { PowerLoss::KeepPrefix(kept / 2) };
+        let (mut again, recovered) =
+            ReplicaStorage::open(torn.after_power_loss(loss)).expect("sound");
+        prop_assert_eq!(recovered.entries.len() as u64, synced);
+        again.write(&entries(next..=next, 1)).expect("goes on");
+        let after = again.directory().after_power_loss(PowerLoss::DropUnsynced);
+        let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+        prop_assert_eq!(recovered.entries.len() as u64, synced + 1);
+    }
+}
--- /dev/null
+++ b/components/types/src/fence.rs
@@ -0,0 +1,23 @@
+//! The fence that keeps orders of a deposed leader without effect.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Position of a committed order: engines refuse any fence below the highest
+/// one that they have accepted, and treat an equal one as the same order.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Fence {
+    /// Term of the leader that issued the order.
+    pub term: u64,
+    /// Log index of the committed order.
+    pub index: u64,
+}
+
+impl fmt::Display for Fence {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.term, self.index)
+    }
+}
--- /dev/null
+++ b/components/types/src/lib.rs
@@ -0,0 +1,22 @@
+//! Identifiers, time and closed types that every garnetcourse crate shares.
+//!
+//! Contract: plain data only. Nothing here reads a clock, a socket or a file.
+
+pub mod backend;
+pub mod engine;
+pub mod fence;
+pub mod identity;
+pub mod outcome;
+pub mod time;
+pub mod verdict;
+
+pub use backend::{BackendKind, EngineRole, MachineState};
+pub use engine::{EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, OrderAnswer};
+pub use fence::Fence;
+pub use identity::{
+    BackendId, ClaimId, CommandId, GatewayId, IdempotencyKey, ModelId, ReplicaId, RequestId,
+    ServiceId, SessionId, TenantId,
+};
+pub use outcome::{Execution, Outcome, OutcomeCode, RecordedResponse, Refusal};
+pub use time::Millis;
+pub use verdict::{Class, Verdict};
--- /dev/null
+++ b/components/wire/src/frame.rs
@@ -0,0 +1,53 @@
+//! What is sent.
+
+use garnet_consensus::Envelope;
+use garnet_control::{ControlReply, GatewayRequest};
+use garnet_types::{GatewayId, ReplicaId};
+use serde::{Deserialize, Serialize};
+
+use crate::error::WireError;
+
+/// Version of the protocol. It changes when a frame's encoding does.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Who opened a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Sender {
+    /// Another replica.
+    Replica(ReplicaId),
+    /// A gateway.
+    Gateway(GatewayId),
+}
+
+/// One frame.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Opens each connection.
+    Hello {
+        /// Version that the sender speaks.
+        version: u32,
+        /// Who it is.
+        sender: Sender,
+    },
+    /// Between replicas.
+    Peer(Envelope),
+    /// From a gateway.
+    Gateway(GatewayRequest),
+    /// To a gateway.
+    Control(ControlReply),
+}
+
+/// Checks the first frame of a connection.
+///
+/// # Errors
+/// When it is no hello, or one of another version.
+pub fn check_hello(frame: Frame) -> Result<Sender, WireError> {
+    match frame {
+        Frame::Hello { version, sender } if version == PROTOCOL_VERSION => Ok(sender),
+        Frame::Hello { version, .. } => Err(WireError::Version {
+            found: version,
+            known: PROTOCOL_VERSION,
+        }),
+        _ => Err(WireError::NoHello),
+    }
+}
