The whole system in virtual time, with faults and checkers

Cause: what must always hold needs runs that provoke the failure and can be repeated from a seed. `garnet-bench simulate` runs many seeds on several threads, each world on one.

--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -2,6 +2,8 @@
 
 mod call;
 mod options;
+mod parallel;
+mod simulate;
 
 use std::process::ExitCode;
 
@@ -13,6 +15,7 @@
 
   call completion   one completion through a gateway, checked word by word
   call service      one application call through a gateway
+  simulate          the whole system in virtual time, with faults and checkers
 
 `garnet-bench VERB --help` lists a verb's options.
 Exit codes: 0 all held, 1 something did not, 2 wrong usage.
@@ -25,6 +28,7 @@
     };
     let outcome = match options.verb() {
         Some("call") => call::run(&options),
+        Some("simulate") => simulate::run(&options),
         Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
         None => {
             print!("{HELP}");
--- a/bin/garnet-bench/src/options.rs
+++ b/bin/garnet-bench/src/options.rs
@@ -79,6 +79,24 @@
         }
     }
 
+    /// A list of numbers such as `1,2,5..9`; a range excludes its end.
+    pub(crate) fn numbers(&self, name: &str, default: &str) -> Result<Vec<u64>, String> {
+        let text = self.text(name).unwrap_or(default);
+        let mut numbers = Vec::new();
+        for part in text.split(',') {
+            let wrong = |_| format!("--{name}: \"{part}\" is no number or range");
+            match part.split_once("..") {
+                Some((first, end)) => {
+                    let first: u64 = first.parse().map_err(wrong)?;
+                    let end: u64 = end.parse().map_err(wrong)?;
+                    numbers.extend(first..end);
+                }
+                None => numbers.push(part.parse().map_err(wrong)?),
+            }
+        }
+        Ok(numbers)
+    }
+
     /// Fails when an option was given that the verb never asked for.
     pub(crate) fn check_all_asked(&self) -> Result<(), String> {
         let asked = self.asked.borrow();
--- /dev/null
+++ b/components/simulator/src/gateway_host.rs
@@ -0,0 +1,64 @@
+//! A gateway with what it keeps on disk, as a host of the simulation.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use garnet_gateway::{AttemptId, Gateway, GatewaySettings};
+use garnet_types::{GatewayId, RequestId};
+
+use crate::message::Host;
+
+/// One place for a gateway.
+pub(crate) struct GatewayHost {
+    place: usize,
+    pub(crate) gateway: Option<Gateway>,
+    starts: u64,
+    seed: u64,
+    /// Highest configuration index on its disk.
+    pub(crate) persisted_index: u64,
+    /// Replica that it talks to.
+    pub(crate) control: usize,
+    /// Callers' requests that it holds.
+    pub(crate) open_calls: BTreeSet<RequestId>,
+    /// Attempts under way and where.
+    pub(crate) attempts: BTreeMap<AttemptId, Host>,
+    pub(crate) draining: bool,
+}
+
+impl GatewayHost {
+    pub(crate) fn new(place: usize, seed: u64) -> Self {
+        GatewayHost {
+            place,
+            gateway: None,
+            starts: 0,
+            seed,
+            persisted_index: 0,
+            control: place,
+            open_calls: BTreeSet::new(),
+            attempts: BTreeMap::new(),
+            draining: false,
+        }
+    }
+
+    /// Starts the gateway from what its disk holds.
+    pub(crate) fn start(&mut self) {
+        self.starts += 1;
+        let id = GatewayId::new(format!("gateway-{}.{}", self.place, self.starts));
+        self.gateway = Some(Gateway::new(GatewaySettings {
+            highest_index: self.persisted_index,
+            ..GatewaySettings::new(id, self.seed + self.starts)
+        }));
+        self.draining = false;
+    }
+
+    /// Ends the process.
+    pub(crate) fn crash(&mut self) {
+        self.gateway = None;
+        self.open_calls.clear();
+        self.attempts.clear();
+    }
+
+    /// Number of this start, to tell messages of an earlier one.
+    pub(crate) fn starts(&self) -> u64 {
+        self.starts
+    }
+}
--- /dev/null
+++ b/components/simulator/src/workload.rs
@@ -0,0 +1,430 @@
+//! Callers: what they send, what they must hear, and when they send again.
+
+use std::collections::BTreeMap;
+
+use garnet_gateway::{Answer, Call, Work, openai};
+use garnet_stand_in::application::ApplicationAnswer;
+use garnet_stand_in::text::expected_text;
+use garnet_types::{
+    Execution, IdempotencyKey, Millis, ModelId, OutcomeCode, RecordedResponse, Refusal, RequestId,
+    ServiceId, SessionId, TenantId,
+};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::checker::{Checker, Invariant};
+use crate::service_hosts::{APPLICATION_SERVICE, MODEL};
+
+/// Most times that a caller sends one thing.
+const MOST_SENDS: u32 = 8;
+/// Time on top of a deadline for links, ticks and clocks that run slow.
+const LATE_ALLOWANCE: Millis = Millis(400);
+/// A caller that hears nothing for so long after its deadline gives up.
+const PATIENCE: Millis = Millis(6000);
+
+/// What a caller wants.
+#[derive(Debug, Clone)]
+struct Wish {
+    work: Work,
+    key: Option<IdempotencyKey>,
+    session: Option<SessionId>,
+    deadline: Millis,
+    sends: u32,
+    /// Whether it was sent twice at once, to race with itself.
+    raced: bool,
+    fulfilled: bool,
+}
+
+/// One sending of a wish.
+#[derive(Debug, Clone)]
+struct Sent {
+    wish: usize,
+    gateway: usize,
+    sent_at: Millis,
+    tokens: Vec<String>,
+}
+
+/// A call that is to be sent now.
+#[derive(Debug, Clone)]
+pub(crate) struct Outgoing {
+    pub(crate) gateway: usize,
+    pub(crate) call: Call,
+}
+
+/// Counts of the callers.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct WorkloadCounts {
+    pub(crate) sent: u64,
+    pub(crate) whole: u64,
+    pub(crate) refused: BTreeMap<OutcomeCode, u64>,
+    /// The same by the sentence that callers read.
+    pub(crate) reasons: BTreeMap<String, u64>,
+    pub(crate) disconnected: u64,
+}
+
+/// All callers.
+pub(crate) struct Workload {
+    gateways: usize,
+    planned_only: bool,
+    wishes: Vec<Wish>,
+    sent: BTreeMap<RequestId, Sent>,
+    again: Vec<(Millis, usize)>,
+    /// Wish of every sending, also of answered ones.
+    wish_of: BTreeMap<RequestId, usize>,
+    next_request: u64,
+    /// Sessions that were accepted, and when their operators heard it.
+    pub(crate) sessions: BTreeMap<SessionId, Millis>,
+    pub(crate) counts: WorkloadCounts,
+}
+
+impl Workload {
+    pub(crate) fn new(gateways: usize, planned_only: bool) -> Self {
+        Workload {
+            gateways,
+            planned_only,
+            wishes: Vec::new(),
+            sent: BTreeMap::new(),
+            again: Vec::new(),
+            wish_of: BTreeMap::new(),
+            next_request: 0,
+            sessions: BTreeMap::new(),
+            counts: WorkloadCounts::default(),
+        }
+    }
+
+    /// A new wish, sent once or, to race with itself, twice.
+    pub(crate) fn wish(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Outgoing> {
+        let number = self.wishes.len();
+        let mut wish = self.draw(random, number);
+        wish.raced = wish.key.is_some() && random.random_bool(0.15);
+        let raced = wish.raced;
+        self.wishes.push(wish);
+        let gateway = random.random_range(0..self.gateways);
+        let mut outgoing = vec![self.send(number, gateway, now)];
+        if raced {
+            let other = (gateway + 1) % self.gateways;
+            outgoing.push(self.send(number, other, now));
+        }
+        outgoing
+    }
+
+    fn draw(&self, random: &mut Pcg64Mcg, number: usize) -> Wish {
+        let kind = random.random_range(0..100);
+        let key = IdempotencyKey::new(format!("key-{number}"));
+        let (work, key, deadline) = match kind {
+            0..45 => (self.text(random, number), None, 6000),
+            45..55 => (self.text(random, number), Some(key), 6000),
+            55..85 => (application("POST", number), Some(key), 3000),
+            85..92 => (application("POST", number), None, 3000),
+            _ => (application("GET", number), None, 3000),
+        };
+        let is_text = matches!(work, Work::Completion { .. });
+        let session = self.some_session(random).filter(|_| is_text);
+        Wish {
+            work,
+            key,
+            session,
+            deadline: Millis(deadline),
+            sends: 0,
+            raced: false,
+            fulfilled: false,
+        }
+    }
+
+    fn text(&self, random: &mut Pcg64Mcg, number: usize) -> Work {
+        let words = random.random_range(5..400);
+        let filler: Vec<String> = (0..words).map(|word| format!("w{}", word % 50)).collect();
+        Work::Completion {
+            model: ModelId::new(MODEL),
+            prompt: format!("prompt {number} {}", filler.join(" ")),
+            max_tokens: random.random_range(1..60),
+            stream: random.random_bool(0.7),
+            chat: false,
+        }
+    }
+
+    fn some_session(&self, random: &mut Pcg64Mcg) -> Option<SessionId> {
+        let count = self.sessions.len();
+        if count == 0 || random.random_bool(0.4) {
+            return None;
+        }
+        // The latest are the ones that a gateway may not know yet.
+        let back = random.random_range(0..count.min(3));
+        let mut by_age: Vec<_> = self.sessions.iter().collect();
+        by_age.sort_by_key(|(_, accepted_at)| **accepted_at);
+        Some(by_age[count - 1 - back].0.clone())
+    }
+
+    fn send(&mut self, wish_number: usize, gateway: usize, now: Millis) -> Outgoing {
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
+        let wish = &mut self.wishes[wish_number];
+        wish.sends += 1;
+        self.counts.sent += 1;
+        self.wish_of.insert(id, wish_number);
+        self.sent.insert(
+            id,
+            Sent {
+                wish: wish_number,
+                gateway,
+                sent_at: now,
+                tokens: Vec::new(),
+            },
+        );
+        Outgoing {
+            gateway,
+            call: Call {
+                id,
+                // The sessions of the operators are this tenant's.
+                tenant: Some(TenantId::new("tenant")),
+                session: wish.session.clone(),
+                key: wish.key.clone(),
+                deadline: Some(wish.deadline),
+                work: wish.work.clone(),
+            },
+        }
+    }
+
+    /// Wishes that are to be sent again now.
+    pub(crate) fn due_again(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Outgoing> {
+        let due: Vec<usize> = self
+            .again
+            .extract_if(.., |(at, _)| *at <= now)
+            .map(|(_, wish)| wish)
+            .collect();
+        let mut outgoing = Vec::new();
+        for wish in due {
+            if !self.wishes[wish].fulfilled {
+                let gateway = random.random_range(0..self.gateways);
+                outgoing.push(self.send(wish, gateway, now));
+            }
+        }
+        outgoing
+    }
+
+    /// Sendings whose callers gave up waiting.
+    pub(crate) fn overdue(&mut self, now: Millis) -> Vec<RequestId> {
+        self.sent
+            .iter()
+            .filter(|(_, sent)| {
+                now.since(sent.sent_at) > self.wishes[sent.wish].deadline + PATIENCE
+            })
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Sendings without a final answer.
+    pub(crate) fn open(&self) -> usize {
+        self.sent.len()
+    }
+
+    /// Takes tokens of a stream.
+    pub(crate) fn tokens(
+        &mut self,
+        checker: &mut Checker,
+        request: RequestId,
+        first: u64,
+        tokens: Vec<String>,
+        now: Millis,
+    ) {
+        let Some(sent) = self.sent.get_mut(&request) else {
+            return;
+        };
+        let in_order = first == sent.tokens.len() as u64;
+        sent.tokens.extend(tokens);
+        checker.check(Invariant::WholeOwnAnswer, in_order, now, || {
+            format!("request {request} got token {first} out of order")
+        });
+    }
+
+    /// Takes a final answer. `steady` says that the gateway had no trouble of
+    /// its own meanwhile, so that its promptness can be judged.
+    pub(crate) fn answer(
+        &mut self,
+        checker: &mut Checker,
+        request: RequestId,
+        answer: &Answer,
+        steady: bool,
+        now: Millis,
+    ) {
+        let Some(sent) = self.sent.remove(&request) else {
+            return;
+        };
+        let wish = self.wishes[sent.wish].clone();
+        let elapsed = now.since(sent.sent_at);
+        if steady {
+            let prompt = elapsed <= wish.deadline + LATE_ALLOWANCE;
+            checker.check(Invariant::AnsweredAtOnce, prompt, now, || {
+                let (took, allowed) = (elapsed.0, wish.deadline.0);
+                format!("request {request} was answered after {took} ms of {allowed}")
+            });
+        }
+        match answer {
+            Answer::Text(text) => {
+                let whole = text.tokens.concat();
+                self.check_text(checker, request, &wish, &whole, now);
+                let streamed = sent.tokens.concat();
+                let streams = matches!(wish.work, Work::Completion { stream: true, .. });
+                checker.check(
+                    Invariant::WholeOwnAnswer,
+                    !streams || streamed == whole,
+                    now,
+                    || format!("request {request}: the streamed text is not the whole one"),
+                );
+                self.fulfil(sent.wish);
+            }
+            Answer::Response(response) => {
+                self.check_response(checker, request, &wish, response, now);
+                self.fulfil(sent.wish);
+            }
+            Answer::Refused(refusal) => {
+                self.refused(checker, request, &sent, &wish, refusal, now);
+            }
+        }
+    }
+
+    fn fulfil(&mut self, wish: usize) {
+        self.wishes[wish].fulfilled = true;
+        self.counts.whole += 1;
+    }
+
+    fn check_text(
+        &self,
+        checker: &mut Checker,
+        request: RequestId,
+        wish: &Wish,
+        text: &str,
+        now: Millis,
+    ) {
+        let Work::Completion {
+            prompt, max_tokens, ..
+        } = &wish.work
+        else {
+            checker.check(Invariant::WholeOwnAnswer, false, now, || {
+                format!("request {request} of an application got a text")
+            });
+            return;
+        };
+        let right = text == expected_text(prompt, *max_tokens);
+        checker.check(Invariant::WholeOwnAnswer, right, now, || {
+            format!("request {request} got {text:?}")
+        });
+        if let Some(key) = &wish.key {
+            checker.answered_key(key.as_str(), text.as_bytes(), now);
+        }
+    }
+
+    fn check_response(
+        &self,
+        checker: &mut Checker,
+        request: RequestId,
+        wish: &Wish,
+        response: &RecordedResponse,
+        now: Millis,
+    ) {
+        let Work::Application { path, body, .. } = &wish.work else {
+            // A recorded text.
+            let text = openai::recorded_text(&response.body).map(|(text, _)| text);
+            self.check_text(checker, request, wish, &text.unwrap_or_default(), now);
+            return;
+        };
+        let parsed: Option<ApplicationAnswer> = serde_json::from_slice(&response.body).ok();
+        let right = parsed.is_some_and(|answer| {
+            answer.path == *path && answer.echo.as_bytes() == body.as_slice()
+        });
+        checker.check(Invariant::WholeOwnAnswer, right, now, || {
+            format!("request {request} got another one's answer")
+        });
+        if let Some(key) = &wish.key {
+            checker.answered_key(key.as_str(), &response.body, now);
+        }
+    }
+
+    fn refused(
+        &mut self,
+        checker: &mut Checker,
+        request: RequestId,
+        sent: &Sent,
+        wish: &Wish,
+        refusal: &Refusal,
+        now: Millis,
+    ) {
+        *self.counts.refused.entry(refusal.code).or_default() += 1;
+        let reason = refusal.message.clone();
+        *self.counts.reasons.entry(reason).or_default() += 1;
+        if refusal.ran == Execution::No {
+            checker.told_not_run(request, now);
+        }
+        let accepted_before = wish
+            .session
+            .as_ref()
+            .and_then(|session| self.sessions.get(session))
+            .is_some_and(|accepted_at| *accepted_at <= sent.sent_at);
+        let dropped = refusal.code == OutcomeCode::NotFound && accepted_before;
+        checker.check(Invariant::SessionsStay, !dropped, now, || {
+            format!("request {request}: {}", refusal.message)
+        });
+        let cut = refusal.ran != Execution::No && wish.sends == 1 && !wish.raced;
+        if self.planned_only {
+            checker.check(Invariant::PlannedChangeCutsNothing, !cut, now, || {
+                format!(
+                    "request {request}: {} {}",
+                    refusal.code.as_str(),
+                    refusal.message
+                )
+            });
+        }
+        if let Some(wait) = refusal.retry_after {
+            self.send_again(sent.wish, now + wait);
+        }
+    }
+
+    /// A connection ended without an answer.
+    pub(crate) fn disconnected(&mut self, request: RequestId, now: Millis) {
+        let Some(sent) = self.sent.remove(&request) else {
+            return;
+        };
+        self.counts.disconnected += 1;
+        let wish = &self.wishes[sent.wish];
+        // Without a key it may have run: the caller can't know.
+        if wish.key.is_some() {
+            self.send_again(sent.wish, now + Millis(300));
+        }
+    }
+
+    /// A gateway could not be reached at all.
+    pub(crate) fn unreachable(&mut self, request: RequestId, now: Millis) {
+        if let Some(sent) = self.sent.remove(&request) {
+            self.counts.disconnected += 1;
+            self.send_again(sent.wish, now + Millis(200));
+        }
+    }
+
+    fn send_again(&mut self, wish: usize, at: Millis) {
+        if self.wishes[wish].sends < MOST_SENDS {
+            self.again.push((at, wish));
+        }
+    }
+
+    /// Key of a sending, as its caller gave it.
+    pub(crate) fn key_of(&self, request: RequestId) -> Option<String> {
+        let wish = *self.wish_of.get(&request)?;
+        self.wishes[wish].key.as_ref().map(|key| key.0.clone())
+    }
+
+    /// The gateway that a sending went to and when.
+    pub(crate) fn sent_to(&self, request: RequestId) -> Option<(usize, Millis)> {
+        let sent = self.sent.get(&request)?;
+        Some((sent.gateway, sent.sent_at))
+    }
+}
+
+fn application(method: &str, number: usize) -> Work {
+    Work::Application {
+        service: ServiceId::new(APPLICATION_SERVICE),
+        method: method.to_owned(),
+        path: format!("/orders/{number}"),
+        content_type: "text/plain".to_owned(),
+        body: format!("order {number}").into_bytes(),
+    }
+}
