Hollow fleets: what each role costs as the fleet grows

Cause: docs/CAPACITY.md needs slopes that were measured, and the target (420 gateways, 600 engines, 25,000 tenants) does not fit on one machine. Change: `garnet-bench hollow` drives three real replicas and one real gateway, with their real codecs, before gateways and engines that are only their messages; virtual time, one thread, processor time of the thread, bytes and heap counted. Left out: sockets, HTTP heads, the disk.

--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `garnet-bench`: load, experiments, hollow fleets and reports.
 
 mod call;
+mod hollow;
 mod options;
 mod parallel;
 mod simulate;
@@ -15,6 +16,7 @@
 
   call completion   one completion through a gateway, checked word by word
   call service      one application call through a gateway
+  hollow            what each role costs as the fleet grows
   simulate          the whole system in virtual time, with faults and checkers
 
 `garnet-bench VERB --help` lists a verb's options.
@@ -28,6 +30,7 @@
     };
     let outcome = match options.verb() {
         Some("call") => call::run(&options),
+        Some("hollow") => hollow::run(&options),
         Some("simulate") => simulate::run(&options),
         Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
         None => {
