The index of prefix caches is bounded over all engines

Cause: up to 16,384 blocks were believed of each engine, whatever their number: 9.8 million blocks before 600 engines. Excluded: tenants' buckets (slope 185 bytes a tenant) and sessions. Change: at most 393,216 blocks over all engines, shared evenly, and still at most 16,384 of one, so that nothing changes for today's five engines. Memory of shrunk sets is given back. Buckets of tenants that are full again are forgotten, since a new one would be no different: names that callers make up can't fill the memory. At 600 engines 655 blocks of each are left; subsets of engines for each gateway would give them back (docs/CAPACITY.md).

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -25,6 +25,9 @@
 const URGENT_WATCH_INTERVAL: Millis = Millis(50);
 /// How long an unknown name waits for a fresh configuration.
 const REFRESH_PATIENCE: Millis = Millis(1500);
+/// Buckets of tenants are looked through for full ones each time that so many
+/// more are kept.
+const BUCKETS_STEP: usize = 8192;
 /// Tenant of callers that name none.
 const ANONYMOUS: &str = "anonymous";
 
@@ -67,6 +70,7 @@
     pub(crate) now: Millis,
     deadlines: BTreeSet<(Millis, RequestId)>,
     buckets: BTreeMap<TenantId, TokenBucket>,
+    buckets_limit: usize,
     offered: BTreeMap<Pool, PoolMix>,
     effects: Vec<Effect>,
     next_attempt: u64,
@@ -90,6 +94,7 @@
             now: Millis::ZERO,
             deadlines: BTreeSet::new(),
             buckets: BTreeMap::new(),
+            buckets_limit: BUCKETS_STEP,
             offered: BTreeMap::new(),
             effects: Vec::new(),
             next_attempt: 0,
@@ -333,6 +338,7 @@
         let tokens = (request.prompt_tokens + request.max_tokens()) as f64;
         let rate = request.verdict.tenant_tokens_per_second;
         self.note_offered(id);
+        self.forget_full_buckets();
         let bucket = self
             .buckets
             .entry(tenant)
@@ -346,6 +352,17 @@
         self.after_limits(id);
     }
 
+    /// Tenants that were quiet cost nothing: names that callers make up do not
+    /// fill the memory.
+    fn forget_full_buckets(&mut self) {
+        if self.buckets.len() < self.buckets_limit {
+            return;
+        }
+        let now = self.now;
+        self.buckets.retain(|_, bucket| !bucket.is_full(now));
+        self.buckets_limit = self.buckets.len() + BUCKETS_STEP;
+    }
+
     fn after_limits(&mut self, id: RequestId) {
         let keyed = self
             .requests
--- /dev/null
+++ b/components/planner/tests/planner.rs
@@ -0,0 +1,151 @@
+//! When the planner changes a role, and when it leaves the fleet alone.
+
+use garnet_planner::{Engine, Mix, Planner, PlannerSettings, PoolCapacity, RoleChange, Split};
+use garnet_types::{BackendId, EngineRole, Millis};
+use rstest::rstest;
+
+use EngineRole::{Decode, Prefill};
+
+const CAPACITY: PoolCapacity = PoolCapacity {
+    prefill_tokens_per_second: 10_000.0,
+    decode_tokens_per_second: 600.0,
+    mixed_efficiency: 0.6,
+};
+
+/// Long prompts, short answers: three engines are needed to read.
+const PROMPT_HEAVY: Mix = Mix {
+    requests: 10.0,
+    prompt_tokens: 28_000.0,
+    output_tokens: 300.0,
+};
+
+/// Short prompts, long answers.
+const OUTPUT_HEAVY: Mix = Mix {
+    requests: 10.0,
+    prompt_tokens: 3000.0,
+    output_tokens: 1900.0,
+};
+
+fn engines(roles: &[EngineRole]) -> Vec<Engine> {
+    let engine = |(number, role): (usize, &EngineRole)| Engine {
+        id: BackendId::new(format!("engine-{number}")),
+        role: *role,
+        serving: true,
+        load: number as u64,
+    };
+    roles.iter().enumerate().map(engine).collect()
+}
+
+fn decide_after(
+    planner: &mut Planner,
+    mix: Mix,
+    engines: &[Engine],
+    from: u64,
+    until: u64,
+) -> Option<RoleChange> {
+    for second in from..until {
+        planner.observe(mix, Millis::from_secs(second));
+    }
+    planner.decide(engines, &CAPACITY, Millis::from_secs(until - 1))
+}
+
+fn settings(role_change_price: f64) -> PlannerSettings {
+    PlannerSettings {
+        role_change_price,
+        ..PlannerSettings::default()
+    }
+}
+
+#[rstest]
+#[case::more_to_read(PROMPT_HEAVY, &[Prefill, Decode, Decode, Decode, Decode], Some(Prefill))]
+#[case::more_to_generate(OUTPUT_HEAVY, &[Prefill, Prefill, Prefill, Decode, Decode], Some(Decode))]
+#[case::fits_already(OUTPUT_HEAVY, &[Prefill, Decode, Decode, Decode, Decode], None)]
+fn the_split_follows_a_lasting_mix(
+    #[case] mix: Mix,
+    #[case] roles: &[EngineRole],
+    #[case] to: Option<EngineRole>,
+) {
+    let mut planner = Planner::new(settings(5.0));
+    let change = decide_after(&mut planner, mix, &engines(roles), 0, 120);
+    assert_eq!(change.map(|change| change.to), to);
+}
+
+#[test]
+fn the_least_loaded_engine_changes() {
+    let mut planner = Planner::new(settings(5.0));
+    let fleet = engines(&[Prefill, Decode, Decode, Decode, Decode]);
+    let change = decide_after(&mut planner, PROMPT_HEAVY, &fleet, 0, 120);
+    assert_eq!(change.map(|one| one.engine.0), Some("engine-1".to_owned()));
+}
+
+#[rstest]
+#[case(&[Prefill, Decode])]
+#[case(&[Prefill])]
+#[case(&[])]
+fn never_the_last_engine_of_a_role(#[case] roles: &[EngineRole]) {
+    let mut planner = Planner::new(settings(0.0));
+    let change = decide_after(&mut planner, PROMPT_HEAVY, &engines(roles), 0, 120);
+    assert_eq!(change, None);
+}
+
+#[test]
+fn nothing_changes_while_an_engine_is_out() {
+    let mut planner = Planner::new(settings(5.0));
+    let mut fleet = engines(&[Prefill, Decode, Decode, Decode, Decode]);
+    fleet[4].serving = false;
+    assert_eq!(
+        decide_after(&mut planner, PROMPT_HEAVY, &fleet, 0, 120),
+        None
+    );
+}
+
+#[test]
+fn without_fresh_figures_nothing_changes() {
+    let mut planner = Planner::new(settings(5.0));
+    let fleet = engines(&[Prefill, Decode, Decode, Decode, Decode]);
+    assert_eq!(planner.decide(&fleet, &CAPACITY, Millis(0)), None);
+    for second in 0..120 {
+        planner.observe(PROMPT_HEAVY, Millis::from_secs(second));
+    }
+    let later = Millis::from_secs(130);
+    assert_eq!(planner.decide(&fleet, &CAPACITY, later), None);
+}
+
+/// A swing that turns back at once moves a planner with a low price, and not
+/// one for which changes are dear.
+#[test]
+fn a_short_swing_is_not_followed_where_changes_are_dear() {
+    let fleet = engines(&[Prefill, Decode, Decode, Decode, Decode]);
+    let mut cheap = Planner::new(settings(2.0));
+    let mut dear = Planner::new(settings(400.0));
+    for planner in [&mut cheap, &mut dear] {
+        decide_after(planner, OUTPUT_HEAVY, &fleet, 0, 120);
+    }
+    let swing = |planner: &mut Planner| decide_after(planner, PROMPT_HEAVY, &fleet, 120, 128);
+    assert!(swing(&mut cheap).is_some());
+    assert_eq!(swing(&mut dear), None);
+}
+
+#[test]
+fn two_changes_keep_a_minimum_distance() {
+    let mut planner = Planner::new(settings(2.0));
+    let fleet = engines(&[Prefill, Decode, Decode, Decode, Decode]);
+    assert!(decide_after(&mut planner, PROMPT_HEAVY, &fleet, 0, 60).is_some());
+    assert_eq!(
+        decide_after(&mut planner, PROMPT_HEAVY, &fleet, 60, 62),
+        None
+    );
+    assert!(decide_after(&mut planner, PROMPT_HEAVY, &fleet, 62, 80).is_some());
+}
+
+#[test]
+fn a_split_never_leaves_a_phase_without_an_engine() {
+    let split = Split {
+        prefill: 1,
+        decode: 1,
+        mixed: 0,
+    };
+    assert_eq!(split.after(Prefill, Decode), None);
+    let with_mixed = Split { mixed: 1, ..split };
+    assert!(with_mixed.after(Prefill, Decode).is_some());
+}
--- a/components/routing/src/prefix_index.rs
+++ b/components/routing/src/prefix_index.rs
@@ -13,7 +13,10 @@
 /// Words of one block. One word counts as one token throughout.
 pub const BLOCK_TOKENS: usize = 64;
 /// Most blocks believed of one engine; the oldest are forgotten first.
-const MOST_BLOCKS_PER_ENGINE: usize = 16 * 1024;
+pub const MOST_BLOCKS_PER_ENGINE: usize = 16 * 1024;
+/// Most blocks believed of all engines together, which share it evenly: what
+/// keeps the index of a large fleet within some 15 MB.
+pub const MOST_BLOCKS: usize = 384 * 1024;
 
 /// One change of an engine's prefix cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +68,25 @@
             known.next_sequence = Some(event.sequence + 1);
             known.apply(event);
         }
+        let share = self.blocks_per_engine();
+        if let Some(known) = self.engines.get_mut(engine) {
+            known.shrink_to(share);
+        }
+    }
+
+    /// Blocks that are believed of all engines.
+    pub fn len(&self) -> usize {
+        self.engines.values().map(|known| known.blocks.len()).sum()
+    }
+
+    /// Whether nothing is believed of any engine.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn blocks_per_engine(&self) -> usize {
+        let share = MOST_BLOCKS / self.engines.len().max(1);
+        share.min(MOST_BLOCKS_PER_ENGINE)
     }
 
     /// Drops everything believed of an engine.
@@ -94,11 +116,20 @@
         if self.blocks.insert(event.block) {
             self.order.push_back(event.block);
         }
-        while self.order.len() > MOST_BLOCKS_PER_ENGINE {
+    }
+
+    /// Forgets the oldest blocks beyond a count, and gives their memory back
+    /// when they were many.
+    fn shrink_to(&mut self, most: usize) {
+        while self.order.len() > most {
             if let Some(oldest) = self.order.pop_front() {
                 self.blocks.remove(&oldest);
             }
         }
+        if self.order.capacity() > 4 * most {
+            self.order.shrink_to(2 * most);
+            self.blocks.shrink_to(2 * most);
+        }
     }
 }
 
--- a/components/routing/src/token_bucket.rs
+++ b/components/routing/src/token_bucket.rs
@@ -44,8 +44,17 @@
         self.available = (self.available + tokens).min(self.rate * BURST_SECONDS);
     }
 
+    /// Whether the bucket is full: a new one would be no different.
+    pub fn is_full(&self, now: Millis) -> bool {
+        self.available + self.gained(now) >= self.rate * BURST_SECONDS
+    }
+
+    fn gained(&self, now: Millis) -> f64 {
+        now.since(self.refilled_at).as_secs_f64() * self.rate
+    }
+
     fn refill(&mut self, rate: f64, now: Millis) {
-        let gained = now.since(self.refilled_at).as_secs_f64() * self.rate;
+        let gained = self.gained(now);
         self.rate = rate;
         self.available = (self.available + gained).min(rate * BURST_SECONDS);
         self.refilled_at = now.max(self.refilled_at);
--- /dev/null
+++ b/components/routing/tests/parts/main.rs
@@ -0,0 +1,7 @@
+//! Each part of routing by itself.
+
+mod admission;
+mod choice;
+mod limits;
+mod prefix_index;
+mod waiting;
