Experiments on a shifting token mix, in the simulator's world

Change: the world is split into eleven files, one job each, and its callers are exchangeable: those who try everything, or the measured mix of an experiment. Every rule of the simulator is checked in these runs too. Counting the heap moved behind a feature: the counting allocator cost a tenth of the processor time of all other verbs.

--- a/bin/garnet-bench/src/hollow/control.rs
+++ b/bin/garnet-bench/src/hollow/control.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use super::group::{Group, Leaving, REPLICAS, encode};
-use super::meter::heap_bytes;
+use super::meter::{heap_bytes, heap_mb_since};
 use super::size::Size;
 
 /// How often the daemons look at the clock.
@@ -58,11 +58,11 @@
     let mut fleet = HollowFleet::new(size)?;
     fleet.set_up()?;
     fleet.run_for(Millis::from_secs(2));
-    let heap = heap_bytes().saturating_sub(heap_before);
+    let heap_mb = heap_mb_since(heap_before);
     fleet.group.reset_usage();
     fleet.gateway_bytes = 0;
     fleet.run_for(Millis::from_secs(seconds));
-    fleet.figures(heap, seconds)
+    fleet.figures(heap_mb, seconds)
 }
 
 /// Gateways and engines that are only their messages.
@@ -281,7 +281,7 @@
         }
     }
 
-    fn figures(&self, heap: usize, seconds: u64) -> Result<ControlFigures, String> {
+    fn figures(&self, heap_mb: f64, seconds: u64) -> Result<ControlFigures, String> {
         if self.group.leader() != Some(self.leader) {
             return Err("the leader changed while it was measured".to_owned());
         }
@@ -302,7 +302,7 @@
             leader_cpu_percent: percent(&leader),
             follower_cpu_percent: percent(&follower),
             leader_longest_ms: leader.longest.as_secs_f64() * 1000.0,
-            replica_heap_mb: heap as f64 / REPLICAS as f64 / 1e6,
+            replica_heap_mb: heap_mb / REPLICAS as f64,
             state_mb: state.encode().len() as f64 / 1e6,
             leader_messages_per_s: leader.messages as f64 / time,
             leader_gateway_kb_per_s: kb_per_s(leader.gateway_bytes),
--- a/bin/garnet-bench/src/hollow/gateway.rs
+++ b/bin/garnet-bench/src/hollow/gateway.rs
@@ -11,7 +11,7 @@
 use garnet_types::{EngineAssignment, EngineCapacity, GatewayId, MachineState, Millis, RequestId};
 use serde::Serialize;
 
-use super::meter::{Meter, heap_bytes};
+use super::meter::{Meter, heap_bytes, heap_mb_since};
 use super::size::Size;
 
 /// How often the daemon looks at the clock.
@@ -57,7 +57,7 @@
     let heap_before = heap_bytes();
     let mut run = GatewayRun::new(size);
     run.advance(FILL);
-    let heap = heap_bytes().saturating_sub(heap_before);
+    let heap_mb = heap_mb_since(heap_before);
     run.reset();
     run.advance(Millis::from_secs(seconds));
     let idle = run.meter;
@@ -76,7 +76,7 @@
         idle_cpu_percent: idle.spent.as_secs_f64() / time * 100.0,
         cpu_percent: busy / time * 100.0,
         request_us: (busy - idle.spent.as_secs_f64()) / sent * 1e6,
-        heap_mb: heap as f64 / 1e6,
+        heap_mb,
         reports_per_s: reports as f64 / time,
         report_kb_per_s: report_bytes as f64 / time / 1000.0,
         answers: run.answers,
--- a/bin/garnet-bench/src/hollow/meter.rs
+++ b/bin/garnet-bench/src/hollow/meter.rs
@@ -2,15 +2,25 @@
 
 use std::time::Duration;
 
-use peak_alloc::PeakAlloc;
 use rustix::time::{ClockId, clock_gettime};
 
+#[cfg(feature = "count-heap")]
 #[global_allocator]
-static HEAP: PeakAlloc = PeakAlloc;
+static HEAP: peak_alloc::PeakAlloc = peak_alloc::PeakAlloc;
 
-/// Bytes of the heap that are in use now.
-pub(crate) fn heap_bytes() -> usize {
-    HEAP.current_usage()
+/// Bytes of the heap that are in use now; `None` when they are not counted.
+pub(crate) fn heap_bytes() -> Option<usize> {
+    #[cfg(feature = "count-heap")]
+    return Some(HEAP.current_usage());
+    #[cfg(not(feature = "count-heap"))]
+    return None;
+}
+
+/// Megabytes of the heap that were taken since `before`; zero when the heap
+/// is not counted.
+pub(crate) fn heap_mb_since(before: Option<usize>) -> f64 {
+    let taken = heap_bytes().zip(before);
+    taken.map_or(0.0, |(now, before)| now.saturating_sub(before) as f64 / 1e6)
 }
 
 /// Processor time that this thread has used so far.
--- a/bin/garnet-bench/src/hollow/mod.rs
+++ b/bin/garnet-bench/src/hollow/mod.rs
@@ -34,6 +34,7 @@
   --seconds N    seconds of virtual time that are measured (default 10)
   --json         one JSON object
 
+The heap is counted only in a build with `--features count-heap`.
 Exit codes: 0 measured, 1 the fleet was not ready, 2 wrong usage.
 ";
 
--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod hollow;
+mod mix_shift;
 mod options;
 mod parallel;
 mod simulate;
@@ -17,6 +18,7 @@
   call completion   one completion through a gateway, checked word by word
   call service      one application call through a gateway
   hollow            what each role costs as the fleet grows
+  mix-shift         goodput and role changes while the token mix shifts
   simulate          the whole system in virtual time, with faults and checkers
 
 `garnet-bench VERB --help` lists a verb's options.
@@ -31,6 +33,7 @@
     let outcome = match options.verb() {
         Some("call") => call::run(&options),
         Some("hollow") => hollow::run(&options),
+        Some("mix-shift") => mix_shift::run(&options),
         Some("simulate") => simulate::run(&options),
         Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
         None => {
--- a/bin/garnet-control/src/settings.rs
+++ b/bin/garnet-control/src/settings.rs
@@ -4,10 +4,11 @@
 use std::path::PathBuf;
 
 use garnet_consensus::{Member, Membership};
+use garnet_control::planner_settings;
 use garnet_planner::PlannerSettings;
 use garnet_runtime::command_line::read_file;
 use garnet_settings::{Document, Findings, TableReader};
-use garnet_types::{Millis, ReplicaId};
+use garnet_types::ReplicaId;
 use lexopt::prelude::{Long, Short};
 
 pub(crate) const HELP: &str = "\
@@ -24,8 +25,6 @@
 Exit codes: 0 planned stop, 1 failure, 2 wrong usage or settings.
 ";
 
-const MAX_INTERVAL_MS: u64 = 600_000;
-
 #[derive(Debug, Default)]
 pub(crate) struct CommandLine {
     settings: PathBuf,
@@ -93,7 +92,7 @@
         let platform = table.string("platform");
         let snapshot_every = table.integer("snapshot_every", 10..=1_000_000);
         let members = table.tables("member", read_member);
-        let planner = table.table("planner", read_planner).flatten();
+        let planner = table.table("planner", planner_settings).flatten();
         Some(Settings {
             name: name?,
             initial_id,
@@ -137,25 +136,3 @@
     };
     Some((ReplicaId(id?), member))
 }
-
-fn read_planner(table: &mut TableReader<'_>) -> Option<PlannerSettings> {
-    let enabled = table.boolean("enabled").unwrap_or(true);
-    let defaults = PlannerSettings::default();
-    let price = table.float("role_change_price", 0.0..=1_000_000.0);
-    let mut interval = |key, default: Millis| {
-        table
-            .integer(key, 1..=MAX_INTERVAL_MS)
-            .map_or(default, Millis)
-    };
-    let settings = PlannerSettings {
-        role_change_price: price.unwrap_or(defaults.role_change_price),
-        horizon: interval("horizon_ms", defaults.horizon),
-        minimum_dwell: interval("minimum_dwell_ms", defaults.minimum_dwell),
-        change_duration: interval("change_duration_ms", defaults.change_duration),
-        fast_window: interval("fast_window_ms", defaults.fast_window),
-        slow_window: interval("slow_window_ms", defaults.slow_window),
-        stale_after: interval("stale_after_ms", defaults.stale_after),
-        allow_mixed: table.boolean("allow_mixed").unwrap_or(defaults.allow_mixed),
-    };
-    enabled.then_some(settings)
-}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateways;
 mod messages;
 mod operator;
+mod planner_settings;
 mod planning;
 mod reconciler;
 mod replica;
@@ -33,5 +34,6 @@
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
 };
+pub use planner_settings::planner_settings;
 pub use replica::{Replica, ReplicaSettings, RestoreError};
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError};
--- a/components/simulator/src/lib.rs
+++ b/components/simulator/src/lib.rs
@@ -5,13 +5,16 @@
 //! simulator is only another driver of them. After each step the checkers
 //! compare what callers heard, what back ends did and what was accepted.
 
+mod callers;
 pub mod checker;
 mod control_host;
 pub mod faults;
 mod gateway_host;
 mod message;
+pub mod mix;
 mod network;
 mod operators;
+mod scenario;
 mod service_hosts;
 mod shrink;
 mod workload;
@@ -19,5 +22,8 @@
 
 pub use checker::{Invariant, Violation};
 pub use faults::{Fault, FaultKind, plan_faults};
+pub use message::Host;
+pub use mix::{Deployment, Experiment, MixReport, RequestKind, Strategy};
+pub use scenario::{Report, Scenario};
 pub use shrink::shrink;
-pub use world::{Report, Scenario, run};
+pub use world::run;
--- a/components/simulator/src/service_hosts.rs
+++ b/components/simulator/src/service_hosts.rs
@@ -27,7 +27,7 @@
     /// Highest fence on its disk.
     pub(crate) kept_fence: Fence,
     pub(crate) jobs: BTreeMap<JobId, JobOwner>,
-    role: EngineRole,
+    settings: EngineSettings,
     starts: u64,
     pub(crate) draining: bool,
     /// When the platform began to say that the machine is leaving.
@@ -35,12 +35,12 @@
 }
 
 impl EngineHost {
-    pub(crate) fn new(role: EngineRole) -> Self {
+    pub(crate) fn new(settings: EngineSettings) -> Self {
         EngineHost {
             engine: None,
             kept_fence: Fence::default(),
             jobs: BTreeMap::new(),
-            role,
+            settings,
             starts: 0,
             draining: false,
             leaving_since: None,
@@ -49,19 +49,7 @@
 
     pub(crate) fn start(&mut self) {
         self.starts += 1;
-        let settings = EngineSettings {
-            capacity: EngineCapacity {
-                prefill_tokens_per_second: 20_000.0,
-                decode_step_ms: 10.0,
-                ..EngineCapacity::default()
-            },
-            role_change: Millis(1200),
-            report_lag: Millis(300),
-            ..EngineSettings::new(EngineAssignment {
-                role: self.role,
-                model: ModelId::new(MODEL),
-            })
-        };
+        let settings = self.settings.clone();
         self.engine = Some(EngineStandIn::new(settings, self.starts, self.kept_fence));
         self.draining = false;
     }
@@ -116,3 +104,26 @@
         open.into_values().map(|call| call.owner).collect()
     }
 }
+
+/// Settings of an engine for the callers who try everything: fast, so that
+/// much happens in a run.
+pub(crate) fn fast_engine(role: EngineRole) -> EngineSettings {
+    EngineSettings {
+        capacity: EngineCapacity {
+            prefill_tokens_per_second: 20_000.0,
+            decode_step_ms: 10.0,
+            ..EngineCapacity::default()
+        },
+        role_change: Millis(1200),
+        report_lag: Millis(300),
+        ..ordinary_engine(role)
+    }
+}
+
+/// Settings of an engine of ordinary size.
+pub(crate) fn ordinary_engine(role: EngineRole) -> EngineSettings {
+    EngineSettings::new(EngineAssignment {
+        role,
+        model: ModelId::new(MODEL),
+    })
+}
--- a/components/simulator/src/shrink.rs
+++ b/components/simulator/src/shrink.rs
@@ -1,7 +1,8 @@
 //! The shortest list of faults that still breaks a rule.
 
 use crate::faults::Fault;
-use crate::world::{Report, Scenario, run};
+use crate::scenario::{Report, Scenario};
+use crate::world::run;
 
 /// Runs that the search may take.
 const MOST_RUNS: usize = 60;
--- a/components/simulator/src/workload.rs
+++ b/components/simulator/src/workload.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
+use crate::callers::{CallerCounts, Outgoing};
 use crate::checker::{Checker, Invariant};
 use crate::service_hosts::{APPLICATION_SERVICE, MODEL};
 
@@ -44,24 +45,6 @@
     tokens: Vec<String>,
 }
 
-/// A call that is to be sent now.
-#[derive(Debug, Clone)]
-pub(crate) struct Outgoing {
-    pub(crate) gateway: usize,
-    pub(crate) call: Call,
-}
-
-/// Counts of the callers.
-#[derive(Debug, Default, Clone)]
-pub(crate) struct WorkloadCounts {
-    pub(crate) sent: u64,
-    pub(crate) whole: u64,
-    pub(crate) refused: BTreeMap<OutcomeCode, u64>,
-    /// The same by the sentence that callers read.
-    pub(crate) reasons: BTreeMap<String, u64>,
-    pub(crate) disconnected: u64,
-}
-
 /// All callers.
 pub(crate) struct Workload {
     gateways: usize,
@@ -74,7 +57,7 @@
     next_request: u64,
     /// Sessions that were accepted, and when their operators heard it.
     pub(crate) sessions: BTreeMap<SessionId, Millis>,
-    pub(crate) counts: WorkloadCounts,
+    pub(crate) counts: CallerCounts,
 }
 
 impl Workload {
@@ -88,7 +71,7 @@
             wish_of: BTreeMap::new(),
             next_request: 0,
             sessions: BTreeMap::new(),
-            counts: WorkloadCounts::default(),
+            counts: CallerCounts::default(),
         }
     }
 
--- /dev/null
+++ b/components/simulator/src/world/control.rs
@@ -0,0 +1,137 @@
+//! Control replicas: their events and effects.
+
+use garnet_control::{Effect as ControlEffect, EngineRequest, Event as ControlEvent};
+use garnet_storage::PowerLoss;
+use garnet_types::{BackendId, Millis};
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::checker::Invariant;
+use crate::message::{Host, Message};
+
+use super::{Happening, LONGEST_ORDER_DELAY_MS, World, engine_id, place_of};
+
+impl World {
+    pub(super) fn deliver_control(&mut self, place: usize, from: Host, message: Message) {
+        let event = match (message, from) {
+            (Message::Peer(envelope), _) => ControlEvent::Peer(envelope),
+            (Message::FromGateway(request), Host::Gateway(gateway)) => ControlEvent::Gateway {
+                connection: gateway as u64,
+                request,
+            },
+            (Message::FromOperator(number, request), host) => {
+                self.next_ticket += 1;
+                self.questions.insert(self.next_ticket, (host, number));
+                ControlEvent::Operator {
+                    ticket: self.next_ticket,
+                    request,
+                }
+            }
+            (Message::EngineStatus(status), Host::Engine(engine)) => ControlEvent::EngineStatus {
+                engine: engine_id(engine),
+                status,
+            },
+            (Message::OrderAnswer(answer), Host::Engine(engine)) => ControlEvent::EngineOrder {
+                engine: engine_id(engine),
+                answer,
+            },
+            (Message::Machines(machines), _) => ControlEvent::Machines(machines),
+            _ => return,
+        };
+        self.control_event(place, event);
+    }
+
+    pub(super) fn control_event(&mut self, place: usize, event: ControlEvent) {
+        let host = Host::Control(place);
+        let clock = self.clock(host);
+        if self.controls[place].running.is_none() {
+            return;
+        }
+        let Some(effects) = self.controls[place].handle(event, clock) else {
+            let kept = self.random.random_range(0..60);
+            self.controls[place].crash(PowerLoss::KeepPrefix(kept));
+            self.disturbed_at = self.now;
+            self.schedule(self.now + Millis(1500), Happening::Start(host));
+            return;
+        };
+        self.compare_state(place);
+        for effect in effects {
+            self.control_effect(place, effect);
+        }
+    }
+
+    /// Replicas that applied the same index must have the same state.
+    pub(super) fn compare_state(&mut self, place: usize) {
+        let Some(running) = &self.controls[place].running else {
+            return;
+        };
+        let index = running.replica.node().status().applied_index;
+        let backends = running.replica.state().configuration.backends.values();
+        let out = backends.filter(|record| record.order.is_some()).count();
+        self.checker
+            .check(Invariant::OneChangeInAPool, out <= 1, self.now, || {
+                format!("{out} engines of one pool are out for orders")
+            });
+        if index % 8 == 0 && index > 0 {
+            let hash = xxh3_64(&running.replica.state().encode());
+            self.checker.applied(place, index, hash, self.now);
+        }
+    }
+
+    pub(super) fn control_effect(&mut self, place: usize, effect: ControlEffect) {
+        let host = Host::Control(place);
+        match effect {
+            ControlEffect::SendPeer(envelope) => {
+                if let Some(to) = self.places.get(&envelope.to).copied() {
+                    self.send(host, Host::Control(to), Message::Peer(envelope));
+                }
+            }
+            ControlEffect::ReplyGateway { connection, reply } => {
+                let to = Host::Gateway(connection as usize);
+                self.send(host, to, Message::ToGateway(reply));
+            }
+            ControlEffect::AnswerOperator { ticket, answer } => {
+                if let Some((to, number)) = self.questions.remove(&ticket) {
+                    self.send(host, to, Message::ToOperator(number, answer));
+                }
+            }
+            ControlEffect::AskEngine {
+                engine, request, ..
+            } => self.ask_engine(place, &engine, request),
+            ControlEffect::BecameLeader { .. } => {
+                self.elections += 1;
+                self.last_leader = Some(place);
+                if let Some(since) = self.leaderless_since.take() {
+                    self.leaderless_ms.push(self.now.since(since).0);
+                }
+            }
+            ControlEffect::LostLeadership { .. } => {
+                self.leaderless_since.get_or_insert(self.now);
+            }
+        }
+    }
+
+    pub(super) fn ask_engine(&mut self, place: usize, engine: &BackendId, request: EngineRequest) {
+        let host = Host::Control(place);
+        let Some(number) = place_of(engine, "engine-") else {
+            return;
+        };
+        let to = Host::Engine(number);
+        if let EngineRequest::Order(order) = &request {
+            let clock = self.clock(host);
+            let allowed = self.controls[place]
+                .running
+                .as_ref()
+                .is_some_and(|running| running.replica.may_send_order(order.fence, clock));
+            if !allowed {
+                return;
+            }
+            if self.delayed_orders.contains_key(&host) {
+                let delay = Millis(self.random.random_range(0..LONGEST_ORDER_DELAY_MS));
+                self.send_at(self.now + delay, host, to, Message::AskEngine(request));
+                return;
+            }
+        }
+        self.send(host, to, Message::AskEngine(request));
+    }
+}
--- /dev/null
+++ b/components/simulator/src/world/processes.rs
@@ -0,0 +1,112 @@
+//! Starts, planned stops and crashes of processes.
+
+use garnet_control::BackendRegistration;
+use garnet_gateway::AttemptEvent;
+use garnet_storage::PowerLoss;
+use garnet_types::{BackendKind, Millis, RequestId, ServiceId};
+
+use crate::checker::Invariant;
+use crate::message::{Host, Message};
+use crate::service_hosts::{APPLICATION_SERVICE, ENGINE_SERVICE, JobOwner};
+
+use super::{Happening, World, application_id, engine_id};
+
+impl World {
+    pub(super) fn start(&mut self, host: Host) {
+        match host {
+            Host::Control(place) => {
+                let clock = self.clock(host);
+                if self.controls[place].running.is_none() {
+                    self.controls[place].start(clock);
+                }
+                if self.controls[place].running.is_none() {
+                    self.schedule(self.now + Millis(500), Happening::Start(host));
+                }
+            }
+            Host::Gateway(place) if self.gateways[place].gateway.is_none() => {
+                self.gateways[place].start();
+                self.gateway_trouble[place] = self.now;
+            }
+            Host::Engine(place) if self.engines[place].engine.is_none() => {
+                self.engines[place].start();
+                self.register(place, BackendKind::Engine);
+            }
+            Host::Application(place) if !self.applications[place].up => {
+                self.applications[place].start();
+                self.register(place, BackendKind::Application);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn register(&mut self, place: usize, kind: BackendKind) {
+        let (id, service) = match kind {
+            BackendKind::Engine => (engine_id(place), ENGINE_SERVICE),
+            BackendKind::Application => (application_id(place), APPLICATION_SERVICE),
+        };
+        let registration = BackendRegistration {
+            address: id.0.clone(),
+            id,
+            kind,
+            service: ServiceId::new(service),
+            zone: format!("zone-{}", place % 3),
+        };
+        self.platform.register(registration, self.now);
+    }
+
+    /// Ends a process in good order: it has nothing left to do.
+    pub(super) fn stop(&mut self, host: Host) {
+        let cut = self.end_process(host);
+        self.checker.check(
+            Invariant::PlannedChangeCutsNothing,
+            cut == 0,
+            self.now,
+            || format!("{host:?} stopped with {cut} requests"),
+        );
+    }
+
+    /// Ends a process at once; gives how many requests were cut off.
+    pub(super) fn end_process(&mut self, host: Host) -> usize {
+        match host {
+            Host::Control(place) => {
+                self.controls[place].crash(PowerLoss::DropUnsynced);
+                self.disturbed_at = self.now;
+                0
+            }
+            Host::Gateway(place) => self.end_gateway(place),
+            Host::Engine(place) => {
+                let owners = self.engines[place].crash();
+                self.break_jobs(host, &owners);
+                owners.len()
+            }
+            Host::Application(place) => {
+                let owners = self.applications[place].crash();
+                self.break_jobs(host, &owners);
+                owners.len()
+            }
+            _ => 0,
+        }
+    }
+
+    pub(super) fn end_gateway(&mut self, place: usize) -> usize {
+        let host = Host::Gateway(place);
+        self.disturbed_at = self.now;
+        self.gateway_trouble[place] = self.now;
+        let calls: Vec<RequestId> = self.gateways[place].open_calls.iter().copied().collect();
+        let attempts = std::mem::take(&mut self.gateways[place].attempts);
+        for (attempt, to) in attempts {
+            self.send(host, to, Message::CancelJob(attempt));
+        }
+        for call in &calls {
+            self.send(host, Host::Callers, Message::Disconnected(*call));
+        }
+        self.gateways[place].crash();
+        calls.len()
+    }
+
+    pub(super) fn break_jobs(&mut self, host: Host, owners: &[JobOwner]) {
+        for owner in owners {
+            self.job_event(host, *owner, AttemptEvent::Broken);
+        }
+    }
+}
