Admitted work keeps the time it was promised

Cause: a fifth of Voorschrift's letters were begun and given up at their deadline, their slots used for nothing. Two reasons: a request was admitted when its predicted end met the deadline to the millisecond; and at the engine urgent work overtook what had been admitted on a prediction that counts only the work before it. Excluded: stale reports of the other gateway (0.5 s of arrivals, at most two sequences an engine). Change: the predicted generation gets a margin of 15% (a setting); work with a deadline has one priority at the engines, where only deferrable work yields. Urgency counts at admission. The expected time to come back in one admission test grew by the margin, and a case for the margin itself came with it.

--- a/bin/garnet-gateway/src/settings.rs
+++ b/bin/garnet-gateway/src/settings.rs
@@ -127,9 +127,11 @@
     let target = table.integer("first_token_target_ms", 1..=MAX_INTERVAL_MS);
     let longest = table.integer("longest_retry_after_ms", 1000..=MAX_INTERVAL_MS);
     let share = table.float("first_token_share", 0.01..=1.0);
+    let margin = table.float("generation_margin", 0.0..=10.0);
     AdmissionSettings {
         first_token_target: target.map_or(defaults.first_token_target, Millis),
         first_token_share: share.unwrap_or(defaults.first_token_share),
+        generation_margin: margin.unwrap_or(defaults.generation_margin),
         longest_retry_after: longest.map_or(defaults.longest_retry_after, Millis),
     }
 }
--- a/components/gateway/src/completion.rs
+++ b/components/gateway/src/completion.rs
@@ -3,7 +3,7 @@
 use garnet_routing::{
     Admission, Candidate, OwnWork, Waiting, WorkShape, admit, choose, predict_first_token,
 };
-use garnet_types::{BackendId, Millis, OutcomeCode, Refusal, RequestId};
+use garnet_types::{BackendId, Class, Millis, OutcomeCode, Refusal, RequestId};
 
 use crate::backends::{Eligible, SILENT_ENGINE};
 use crate::call::{Answer, CompletedText, Work};
@@ -215,7 +215,7 @@
         let job = Job::Prefill {
             model: model.clone(),
             prompt: prompt_so_far(prompt, &request.delivered),
-            class: request.verdict.class,
+            class: engine_class(request.verdict.class),
         };
         let attempt = self.start_attempt(id, backend, job, Phase::Prefill);
         self.set_stage(id, Stage::Prefilling { attempt });
@@ -245,7 +245,7 @@
             max_tokens: *max_tokens,
             from_token: request.delivered.len() as u64,
             kv,
-            class: request.verdict.class,
+            class: engine_class(request.verdict.class),
         };
         let attempt = self.start_attempt(id, backend, job, phase);
         self.set_stage(id, Stage::Generating { attempt });
@@ -486,7 +486,7 @@
         request.stage = Stage::Waiting;
         let waiting = Waiting {
             item: id,
-            class: request.verdict.class,
+            class: engine_class(request.verdict.class),
             since: now,
             latest_start: request.deadline - generation,
         };
@@ -533,6 +533,17 @@
     Decode,
 }
 
+/// Priority at the engine. What was admitted was promised a time that counts
+/// with the work before it: if urgent work overtook it there, the promise
+/// would be broken, and its slot used for nothing. So urgency counts when work
+/// is admitted, and at the engine only work that may wait yields.
+fn engine_class(class: Class) -> Class {
+    match class {
+        Class::Urgent | Class::Interactive => Class::Urgent,
+        Class::Deferrable => Class::Deferrable,
+    }
+}
+
 fn best_placement(
     single: Option<Candidate>,
     prefill: Option<Candidate>,
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -10,7 +10,10 @@
     pub first_token_target: Millis,
     /// Part of the deadline that the first token may take.
     pub first_token_share: f64,
-    /// Longest and shortest time to come back that is told.
+    /// Part of the predicted generation that is added for what can't be
+    /// foreseen: work that ends just too late has used its slot for nothing.
+    pub generation_margin: f64,
+    /// Longest time to come back that is told.
     pub longest_retry_after: Millis,
 }
 
@@ -19,6 +22,7 @@
         AdmissionSettings {
             first_token_target: Millis(900),
             first_token_share: 1.0,
+            generation_margin: 0.15,
             longest_retry_after: Millis::from_secs(30),
         }
     }
@@ -50,6 +54,7 @@
     verdict: &Verdict,
     settings: &AdmissionSettings,
 ) -> Admission {
+    let generation = with_margin(generation, settings);
     if verdict.may_wait {
         return admit_waiting(predicted, generation, remaining, settings);
     }
@@ -62,6 +67,11 @@
     refuse(excess, settings)
 }
 
+fn with_margin(generation: Millis, settings: &AdmissionSettings) -> Millis {
+    let margin = generation.0 as f64 * settings.generation_margin;
+    generation + Millis(margin as u64)
+}
+
 fn admit_waiting(
     predicted: Millis,
     generation: Millis,
--- a/components/routing/tests/parts/admission.rs
+++ b/components/routing/tests/parts/admission.rs
@@ -4,19 +4,20 @@
 use garnet_types::{Millis, Verdict};
 use rstest::rstest;
 
-fn refuse(seconds: u64) -> Admission {
+fn refuse(retry_after_ms: u64) -> Admission {
     Admission::Refuse {
-        retry_after: Millis::from_secs(seconds),
+        retry_after: Millis(retry_after_ms),
     }
 }
 
 #[rstest]
 #[case::room(500, 1000, 8000, Admission::Admit)]
 #[case::at_the_target(900, 1000, 8000, Admission::Admit)]
-#[case::first_token_late(5900, 1000, 60_000, refuse(5))]
-#[case::generation_alone_is_too_long(100, 9000, 8000, refuse(1))]
-#[case::too_little_time_left(500, 1000, 1200, refuse(1))]
-#[case::never_longer_than_the_bound(900_000, 0, 60_000, refuse(30))]
+#[case::first_token_late(5900, 1000, 60_000, refuse(5000))]
+#[case::margin_for_what_can_not_be_foreseen(500, 7000, 8000, refuse(1000))]
+#[case::generation_alone_is_too_long(100, 9000, 8000, refuse(1000))]
+#[case::too_little_time_left(500, 1000, 1200, refuse(1000))]
+#[case::never_longer_than_the_bound(900_000, 0, 60_000, refuse(30_000))]
 fn urgent_work_is_admitted_or_refused_at_once(
     #[case] predicted: u64,
     #[case] generation: u64,
@@ -36,7 +37,7 @@
 #[rstest]
 #[case::room(500, 1000, 60_000, Admission::Admit)]
 #[case::busy(5000, 1000, 60_000, Admission::Wait)]
-#[case::can_never_be_on_time(500, 61_000, 60_000, refuse(1))]
+#[case::can_never_be_on_time(500, 61_000, 60_000, refuse(10_150))]
 fn work_that_may_wait_stays_at_the_gateway(
     #[case] predicted: u64,
     #[case] generation: u64,
