--- /dev/null
+++ b/components/consensus/tests/voting.rs
@@ -0,0 +1,159 @@
+//! One vote a term, kept across a restart, and none against a live lease.
+
+use garnet_consensus::{
+    Config, Entry, EntryPayload, Envelope, HardState, Member, Membership, Message, Node, Restored,
+};
+use garnet_types::{Millis, ReplicaId};
+
+const VOTER: ReplicaId = ReplicaId(1);
+const FIRST: ReplicaId = ReplicaId(2);
+const SECOND: ReplicaId = ReplicaId(3);
+/// Long after the start: no lease of a former life can stand.
+const LATER: Millis = Millis(10_000);
+
+fn membership() -> Membership {
+    let member = || Member {
+        peer_address: String::new(),
+        admin_address: String::new(),
+        voter: true,
+    };
+    Membership {
+        members: [VOTER, FIRST, SECOND]
+            .into_iter()
+            .map(|id| (id, member()))
+            .collect(),
+    }
+}
+
+fn voter(hard_state: HardState, entries: Vec<Entry>) -> Node {
+    let restored = Restored {
+        hard_state,
+        entries,
+        initial_membership: membership(),
+        ..Restored::default()
+    };
+    Node::new(Config::new(VOTER, 1), restored, Millis(1000))
+}
+
+fn noop(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        payload: EntryPayload::Noop,
+    }
+}
+
+fn request(from: ReplicaId, term: u64, last_index: u64, last_term: u64) -> Envelope {
+    Envelope {
+        from,
+        to: VOTER,
+        term,
+        message: Message::RequestVote {
+            pre_vote: false,
+            transfer: false,
+            last_index,
+            last_term,
+        },
+    }
+}
+
+/// Whether the voter grants the request; what it wants on disk is returned.
+fn ask(node: &mut Node, envelope: Envelope, now: Millis) -> (bool, Option<HardState>) {
+    node.step(envelope, now);
+    let ready = node.ready();
+    let granted = ready
+        .messages
+        .iter()
+        .any(|sent| matches!(sent.message, Message::VoteReply { granted: true, .. }));
+    (granted, ready.hard_state)
+}
+
+#[test]
+fn a_second_candidate_of_the_term_gets_no_vote() {
+    let mut node = voter(HardState::default(), Vec::new());
+    assert!(ask(&mut node, request(FIRST, 5, 0, 0), LATER).0);
+    assert!(!ask(&mut node, request(SECOND, 5, 0, 0), LATER).0);
+    assert!(
+        ask(&mut node, request(FIRST, 5, 0, 0), LATER).0,
+        "the same one again"
+    );
+}
+
+#[test]
+fn a_vote_goes_to_the_disk_with_its_answer_and_binds_after_a_restart() {
+    let mut node = voter(HardState::default(), Vec::new());
+    let (granted, kept) = ask(&mut node, request(FIRST, 5, 0, 0), LATER);
+    assert!(granted);
+    let kept = kept.expect("the vote is durable before its answer leaves");
+    assert_eq!(kept.voted_for, Some(FIRST));
+    let mut restarted = voter(kept, Vec::new());
+    assert!(!ask(&mut restarted, request(SECOND, 5, 0, 0), LATER).0);
+}
+
+#[test]
+fn a_candidate_with_a_shorter_log_gets_no_vote() {
+    let mut node = voter(HardState::default(), vec![noop(1, 1), noop(2, 2)]);
+    assert!(!ask(&mut node, request(FIRST, 5, 1, 2), LATER).0);
+    assert!(
+        !ask(&mut node, request(FIRST, 6, 9, 1), LATER).0,
+        "an older term"
+    );
+    assert!(ask(&mut node, request(FIRST, 7, 2, 2), LATER).0);
+}
+
+#[test]
+fn a_voter_that_heard_a_leader_lately_votes_for_nobody() {
+    let mut node = voter(HardState::default(), Vec::new());
+    let heartbeat = Envelope {
+        from: FIRST,
+        to: VOTER,
+        term: 4,
+        message: Message::Append {
+            previous_index: 0,
+            previous_term: 0,
+            entries: Vec::new(),
+            commit_index: 0,
+            sent_at: LATER,
+        },
+    };
+    node.step(heartbeat, LATER);
+    let soon = LATER + Millis(900);
+    assert!(!ask(&mut node, request(SECOND, 5, 0, 0), soon).0);
+    let after = LATER + Millis(1000);
+    assert!(ask(&mut node, request(SECOND, 6, 0, 0), after).0);
+}
+
+/// Its former life may have answered a heartbeat just before it ended.
+#[test]
+fn a_restarted_voter_waits_a_lease_out() {
+    let mut node = voter(HardState::default(), Vec::new());
+    assert!(!ask(&mut node, request(FIRST, 5, 0, 0), Millis(1500)).0);
+    assert!(ask(&mut node, request(FIRST, 5, 0, 0), Millis(2000)).0);
+}
+
+#[test]
+fn entries_that_do_not_follow_on_the_own_log_are_not_accepted() {
+    let mut node = voter(HardState::default(), vec![noop(1, 1), noop(2, 1)]);
+    let append = |previous_index, previous_term| Envelope {
+        from: FIRST,
+        to: VOTER,
+        term: 4,
+        message: Message::Append {
+            previous_index,
+            previous_term,
+            entries: vec![noop(previous_index + 1, 4)],
+            commit_index: 0,
+            sent_at: LATER,
+        },
+    };
+    let mut accepted = |previous_index, previous_term| {
+        node.step(append(previous_index, previous_term), LATER);
+        let replies = node.ready().messages;
+        replies
+            .iter()
+            .any(|sent| matches!(sent.message, Message::AppendReply { accepted: true, .. }))
+    };
+    assert!(!accepted(5, 4), "a gap");
+    assert!(!accepted(2, 3), "another term at the index");
+    assert!(accepted(2, 1));
+}
--- /dev/null
+++ b/components/gateway/tests/core/harness.rs
@@ -0,0 +1,255 @@
+//! A gateway, a configuration for it, and short ways to say what happens.
+
+use garnet_control::{
+    BackendRecord, BackendRegistration, ClaimAnswer, ClaimRequest, Configuration, ControlReply,
+    EngineObservation, GatewayRequest, WatchUpdate,
+};
+use garnet_gateway::{
+    Answer, AttemptEvent, AttemptId, Call, Effect, Event, Gateway, GatewaySettings, Job, Work,
+};
+use garnet_types::{
+    BackendId, BackendKind, EngineAssignment, EngineRole, GatewayId, IdempotencyKey, MachineState,
+    Millis, ModelId, Refusal, RequestId, ServiceId,
+};
+
+pub const MODEL: &str = "model";
+pub const ENGINES: &str = "language";
+pub const APPLICATIONS: &str = "orders";
+
+/// A dispatch that the gateway wants.
+#[derive(Debug, Clone)]
+pub struct Dispatched {
+    pub attempt: AttemptId,
+    pub backend: BackendId,
+    pub job: Job,
+}
+
+/// A gateway and everything it wanted done since the last look.
+pub struct Harness {
+    pub gateway: Gateway,
+    pub now: Millis,
+    effects: Vec<Effect>,
+}
+
+impl Harness {
+    /// A gateway that takes work by [`configuration`].
+    pub fn ready() -> Self {
+        let mut harness = Harness::new(0);
+        harness.watch_answered(WatchUpdate::Snapshot(Box::new(configuration(10))));
+        harness.event(Event::IndexPersisted(10));
+        harness
+    }
+
+    /// A gateway that knows nothing yet, whose disk holds an index.
+    pub fn new(highest_index: u64) -> Self {
+        let settings = GatewaySettings {
+            highest_index,
+            ..GatewaySettings::new(GatewayId::new("gateway-1.1"), 1)
+        };
+        Harness {
+            gateway: Gateway::new(settings),
+            now: Millis(10_000),
+            effects: Vec::new(),
+        }
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.gateway.handle(event, self.now);
+        self.effects.extend(self.gateway.take_effects());
+    }
+
+    /// The leader answers a watch that was sent now.
+    pub fn watch_answered(&mut self, update: WatchUpdate) {
+        let sent_at = self.now;
+        self.event(Event::Control(ControlReply::Watch { sent_at, update }));
+    }
+
+    /// Lets time pass without anything else.
+    pub fn wait(&mut self, span: Millis) {
+        self.now = self.now + span;
+        self.event(Event::Tick);
+    }
+
+    /// Lets time pass while the leader answers every watch.
+    pub fn wait_with_lease(&mut self, span: Millis) {
+        let until = self.now + span;
+        while self.now < until {
+            self.wait(Millis(100));
+            self.watch_answered(WatchUpdate::Current);
+        }
+    }
+
+    pub fn attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        self.event(Event::Attempt(attempt, event));
+    }
+
+    pub fn tokens(&mut self, attempt: AttemptId, first: u64, tokens: &[&str]) {
+        let tokens = tokens.iter().map(|token| (*token).to_owned()).collect();
+        self.attempt(attempt, AttemptEvent::Tokens { first, tokens });
+    }
+
+    /// Every dispatch since the last call.
+    pub fn dispatches(&mut self) -> Vec<Dispatched> {
+        self.take(|effect| match effect {
+            Effect::Dispatch {
+                attempt,
+                backend,
+                job,
+                ..
+            } => Some(Dispatched {
+                attempt: *attempt,
+                backend: backend.clone(),
+                job: job.clone(),
+            }),
+            _ => None,
+        })
+    }
+
+    /// The one dispatch since the last call.
+    pub fn dispatch(&mut self) -> Dispatched {
+        let mut dispatches = self.dispatches();
+        assert_eq!(dispatches.len(), 1, "{dispatches:?}");
+        dispatches.remove(0)
+    }
+
+    /// Every final answer since the last call.
+    pub fn answers(&mut self) -> Vec<(RequestId, Answer)> {
+        self.take(|effect| match effect {
+            Effect::Answer { request, answer } => Some((*request, answer.clone())),
+            _ => None,
+        })
+    }
+
+    /// The one final answer since the last call.
+    pub fn answer(&mut self) -> Answer {
+        let mut answers = self.answers();
+        assert_eq!(answers.len(), 1, "{answers:?}");
+        answers.remove(0).1
+    }
+
+    /// The one final answer since the last call, which is a refusal.
+    pub fn refusal(&mut self) -> Refusal {
+        match self.answer() {
+            Answer::Refused(refusal) => refusal,
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    /// Tokens handed to callers since the last call.
+    pub fn handed_out(&mut self) -> Vec<(u64, Vec<String>)> {
+        self.take(|effect| match effect {
+            Effect::Tokens { first, tokens, .. } => Some((*first, tokens.clone())),
+            _ => None,
+        })
+    }
+
+    /// Requests about claims since the last call.
+    pub fn claim_requests(&mut self) -> Vec<ClaimRequest> {
+        self.take(|effect| match effect {
+            Effect::SendControl(GatewayRequest::Claim(request)) => Some(request.clone()),
+            _ => None,
+        })
+    }
+
+    /// Answers the one claim that was asked for.
+    pub fn answer_claim(&mut self, answer: ClaimAnswer) {
+        let mut requests = self.claim_requests();
+        assert_eq!(requests.len(), 1, "{requests:?}");
+        let claim = requests.remove(0).claim().clone();
+        self.event(Event::Control(ControlReply::Claim { claim, answer }));
+    }
+
+    fn take<T>(&mut self, pick: impl Fn(&Effect) -> Option<T>) -> Vec<T> {
+        let mut taken = Vec::new();
+        self.effects.retain(|effect| match pick(effect) {
+            Some(value) => {
+                taken.push(value);
+                false
+            }
+            None => true,
+        });
+        taken
+    }
+}
+
+/// Two engines that do both phases and two application instances.
+pub fn configuration(index: u64) -> Configuration {
+    let records = [
+        record("engine-1", BackendKind::Engine),
+        record("engine-2", BackendKind::Engine),
+        record("order-1", BackendKind::Application),
+        record("order-2", BackendKind::Application),
+    ];
+    Configuration {
+        index,
+        backends: records
+            .into_iter()
+            .map(|record| (record.registration.id.clone(), record))
+            .collect(),
+        ..Configuration::default()
+    }
+}
+
+fn record(id: &str, kind: BackendKind) -> BackendRecord {
+    let service = match kind {
+        BackendKind::Engine => ENGINES,
+        BackendKind::Application => APPLICATIONS,
+    };
+    let observed = (kind == BackendKind::Engine).then(|| EngineObservation {
+        incarnation: 1,
+        assignment: EngineAssignment {
+            role: EngineRole::Mixed,
+            model: ModelId::new(MODEL),
+        },
+    });
+    BackendRecord {
+        registration: BackendRegistration {
+            id: BackendId::new(id),
+            kind,
+            service: ServiceId::new(service),
+            address: id.to_owned(),
+            zone: "a".to_owned(),
+        },
+        machine: MachineState::Live,
+        desired: None,
+        observed,
+        order: None,
+        revision: 1,
+    }
+}
+
+/// A streamed completion.
+pub fn completion(id: u64, key: Option<&str>) -> Event {
+    Event::Call(Call {
+        id: RequestId(id),
+        tenant: None,
+        session: None,
+        key: key.map(IdempotencyKey::new),
+        deadline: Some(Millis(10_000)),
+        work: Work::Completion {
+            model: ModelId::new(MODEL),
+            prompt: "a short prompt".to_owned(),
+            max_tokens: 3,
+            stream: true,
+            chat: false,
+        },
+    })
+}
+
+/// A call of the application service.
+pub fn order(id: u64, method: &str, key: Option<&str>) -> Event {
+    Event::Call(Call {
+        id: RequestId(id),
+        tenant: None,
+        session: None,
+        key: key.map(IdempotencyKey::new),
+        deadline: Some(Millis(3000)),
+        work: Work::Application {
+            service: ServiceId::new(APPLICATIONS),
+            method: method.to_owned(),
+            path: "/orders".to_owned(),
+            content_type: "text/plain".to_owned(),
+            body: b"two boxes".to_vec(),
+        },
+    })
+}
--- /dev/null
+++ b/components/gateway/tests/core/main.rs
@@ -0,0 +1,8 @@
+//! The gateway's state machine before scripted replicas and back ends.
+
+mod claims;
+mod configuration;
+mod harness;
+mod limits;
+mod planned_stops;
+mod streams;
--- /dev/null
+++ b/components/gateway/tests/core/streams.rs
@@ -0,0 +1,125 @@
+//! Streams: whole, in order, each to its own caller.
+
+use garnet_gateway::{Answer, AttemptEvent, Job};
+use garnet_types::{Execution, Millis, OutcomeCode};
+
+use crate::harness::{Harness, completion};
+
+fn whole_text(answer: Answer) -> String {
+    match answer {
+        Answer::Text(text) => text.tokens.concat(),
+        other => panic!("no text: {other:?}"),
+    }
+}
+
+#[test]
+fn repeated_tokens_are_handed_out_once() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let attempt = harness.dispatch().attempt;
+    harness.tokens(attempt, 0, &["a", "b"]);
+    harness.tokens(attempt, 1, &["b", "c"]);
+    harness.attempt(attempt, AttemptEvent::Finished { total: 3 });
+    let handed_out: Vec<String> = harness
+        .handed_out()
+        .into_iter()
+        .flat_map(|(_, tokens)| tokens)
+        .collect();
+    assert_eq!(handed_out, ["a", "b", "c"]);
+    assert_eq!(whole_text(harness.answer()), "abc");
+}
+
+#[test]
+fn a_gap_breaks_the_attempt_and_another_engine_goes_on() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let first = harness.dispatch();
+    harness.tokens(first.attempt, 0, &["a"]);
+    harness.tokens(first.attempt, 2, &["c"]);
+    let second = harness.dispatch();
+    assert_ne!(first.backend, second.backend);
+    let Job::Generate { from_token, .. } = second.job else {
+        panic!("{:?}", second.job);
+    };
+    assert_eq!(from_token, 1, "it goes on after the last delivered token");
+    harness.tokens(second.attempt, 1, &["b", "c"]);
+    harness.attempt(second.attempt, AttemptEvent::Finished { total: 3 });
+    assert_eq!(whole_text(harness.answer()), "abc");
+}
+
+#[test]
+fn an_end_with_another_count_never_looks_whole() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let attempt = harness.dispatch().attempt;
+    harness.tokens(attempt, 0, &["a"]);
+    harness.attempt(attempt, AttemptEvent::Finished { total: 3 });
+    assert!(harness.answers().is_empty());
+    assert_eq!(harness.dispatches().len(), 1, "another engine goes on");
+}
+
+/// A late answer belongs to its attempt and is dropped when that is over.
+#[test]
+fn late_tokens_of_an_attempt_that_is_over_go_nowhere() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let first = harness.dispatch().attempt;
+    harness.tokens(first, 0, &["a"]);
+    harness.attempt(first, AttemptEvent::Broken);
+    let second = harness.dispatch().attempt;
+    harness.tokens(first, 1, &["late"]);
+    harness.attempt(first, AttemptEvent::Finished { total: 2 });
+    assert!(harness.answers().is_empty());
+    harness.tokens(second, 1, &["b", "c"]);
+    harness.attempt(second, AttemptEvent::Finished { total: 3 });
+    assert_eq!(whole_text(harness.answer()), "abc");
+}
+
+#[test]
+fn answers_of_two_requests_never_mix() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    harness.event(completion(2, None));
+    let dispatches = harness.dispatches();
+    let (one, two) = (dispatches[0].attempt, dispatches[1].attempt);
+    harness.tokens(two, 0, &["x", "y", "z"]);
+    harness.tokens(one, 0, &["a", "b", "c"]);
+    harness.attempt(two, AttemptEvent::Finished { total: 3 });
+    harness.attempt(one, AttemptEvent::Finished { total: 3 });
+    let answers: Vec<(u64, String)> = harness
+        .answers()
+        .into_iter()
+        .map(|(request, answer)| (request.0, whole_text(answer)))
+        .collect();
+    assert_eq!(answers, [(2, "xyz".to_owned()), (1, "abc".to_owned())]);
+}
+
+#[test]
+fn a_passed_deadline_is_answered_at_once_and_the_attempt_cancelled() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let attempt = harness.dispatch().attempt;
+    harness.tokens(attempt, 0, &["a"]);
+    harness.wait_with_lease(Millis(10_000));
+    let refusal = harness.refusal();
+    assert_eq!(refusal.code, OutcomeCode::Deadline);
+    assert_eq!(refusal.ran, Execution::Yes);
+    assert!(refusal.retry_after.is_some(), "it says when to come back");
+    harness.tokens(attempt, 1, &["b", "c"]);
+    harness.attempt(attempt, AttemptEvent::Finished { total: 3 });
+    assert!(harness.answers().is_empty());
+}
+
+#[test]
+fn without_any_engine_the_refusal_is_immediate_and_says_not_run() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    for _ in 0..2 {
+        let attempt = harness.dispatch().attempt;
+        harness.attempt(attempt, AttemptEvent::NotStarted { draining: true });
+    }
+    let refusal = harness.refusal();
+    assert_eq!(refusal.code, OutcomeCode::NotRun);
+    assert_eq!(refusal.ran, Execution::No);
+    assert!(refusal.retry_after.is_some());
+}
