--- a/bin/garnet-bench/src/mix_shift/losses.rs
+++ b/bin/garnet-bench/src/mix_shift/losses.rs
@@ -117,7 +117,9 @@
         "goodput_without_loss_per_s": goodput(undisturbed),
         "useful_answers_lost_per_run": lost_answers as f64 / disturbed.len().max(1) as f64,
         "recovery_ms_mean": recovery.iter().sum::<u64>() / recovery.len().max(1) as u64,
-        "recovery_ms_max": recovery.iter().max(),
+        "useful_by_part": parts(disturbed),
+        "useful_by_part_without_loss": parts(undisturbed),
+        "recovery_ms": recovery,
         "disconnected": disturbed.iter().map(|report| report.disconnected).sum::<u64>(),
     })
 }
@@ -126,6 +128,17 @@
     reports.iter().filter_map(|report| report.mix.as_ref())
 }
 
+/// Useful answers of each part of a run, over all runs.
+fn parts(reports: &[Report]) -> Vec<u64> {
+    let longest = mixes(reports).map(|mix| mix.useful_by_part.len()).max();
+    let sum = |part: usize| {
+        mixes(reports)
+            .filter_map(|mix| mix.useful_by_part.get(part))
+            .sum()
+    };
+    (0..longest.unwrap_or(0)).map(sum).collect()
+}
+
 fn useful(mix: &MixReport) -> i64 {
     mix.useful_by_part.iter().sum::<u64>() as i64
 }
