A pool that lost its last engine of a phase gets another one

Excluded: the queue of waiting requests and load reports (every engine reported and was idle). Change: an engine can be spared if the rest serves every phase that the pool serves now (Configuration::pool_can_spare); the planner gives a missing phase the least loaded engine of the other one at once, whatever the averages and the price say, and not again within 15 s. Tests, failing before: two cases in engine_orders, two in planner.

--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use garnet_types::{
-    BackendId, BackendKind, EngineAssignment, Fence, MachineState, ModelId, ServiceId, SessionId,
-    TenantId,
+    BackendId, BackendKind, EngineAssignment, EngineRole, Fence, MachineState, ModelId, ServiceId,
+    SessionId, TenantId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -169,10 +169,14 @@
 }
 
 impl Configuration {
-    /// Whether an engine may be taken out for an order: the rest of its pool
-    /// serves both phases, and no other engine of the pool is out.
-    pub fn pool_serves_without(&self, engine: &BackendId) -> bool {
-        let pool = self.backends.get(engine).and_then(BackendRecord::pool);
+    /// Whether an engine may be taken out for an order: no other engine of its
+    /// pool is out, and the rest serves every phase that the pool serves now.
+    /// A phase that nobody serves holds nothing up: it waits to be restored.
+    pub fn pool_can_spare(&self, engine: &BackendId) -> bool {
+        let Some(record) = self.backends.get(engine) else {
+            return false;
+        };
+        let pool = record.pool();
         if pool.is_none() {
             return false;
         }
@@ -183,13 +187,35 @@
             .map(|(_, other)| other)
             .collect();
         let none_out = others.iter().all(|other| other.order.is_none());
-        let serving: Vec<&EngineAssignment> = others
+        let rest = ServedPhases::of(&others);
+        let all = rest.with(record);
+        none_out && rest == all && rest != ServedPhases::default()
+    }
+}
+
+/// The phases of inference that some engine of a pool serves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct ServedPhases {
+    prefill: bool,
+    decode: bool,
+}
+
+impl ServedPhases {
+    fn of(engines: &[&BackendRecord]) -> Self {
+        let none = ServedPhases::default();
+        engines
             .iter()
-            .filter(|other| other.takes_work())
-            .filter_map(|other| other.assignment())
-            .collect();
-        let reads = serving.iter().any(|other| other.role.reads_prompts());
-        let generates = serving.iter().any(|other| other.role.generates());
-        none_out && reads && generates
+            .fold(none, |served, engine| served.with(engine))
+    }
+
+    fn with(self, engine: &BackendRecord) -> Self {
+        let role = engine
+            .assignment()
+            .filter(|_| engine.takes_work())
+            .map(|assignment| assignment.role);
+        ServedPhases {
+            prefill: self.prefill || role.is_some_and(EngineRole::reads_prompts),
+            decode: self.decode || role.is_some_and(EngineRole::generates),
+        }
     }
 }
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -136,7 +136,7 @@
         }
         let desired = record.desired.as_ref()?;
         let settled = *desired == observation.assignment;
-        let may_leave = present.configuration.pool_serves_without(engine);
+        let may_leave = present.configuration.pool_can_spare(engine);
         let live = record.machine == MachineState::Live;
         (!settled && may_leave && live).then(|| Step::Propose(Command::BeginOrder(engine.clone())))
     }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -267,8 +267,8 @@
     /// stand in one order: two that were proposed at once both looked right
     /// when they were proposed.
     fn begin_order(&self, fence: Fence, engine: &BackendId) -> Applied {
-        if !self.configuration.pool_serves_without(engine) {
-            let reason = "the rest of the pool would not serve both phases";
+        if !self.configuration.pool_can_spare(engine) {
+            let reason = "the rest of the pool would not serve what it serves now";
             return Applied::refused(CommandAnswer::Rejected(reason.into()));
         }
         self.edit(engine, fence.index, |record| {
--- a/components/control/tests/state/engine_orders.rs
+++ b/components/control/tests/state/engine_orders.rs
@@ -78,6 +78,27 @@
     assert!(log.state.configuration.backends[&engine(0)].takes_work());
 }
 
+/// The only engine of a phase crashed and came back with the role it starts
+/// with: the pool must not stay without the phase for good.
+#[rstest]
+#[case::no_prefill(&[Prefill, Decode, Decode], Decode)]
+#[case::no_decode(&[Decode, Prefill, Prefill], Prefill)]
+fn a_phase_that_is_gone_can_be_restored(
+    #[case] roles: &[EngineRole],
+    #[case] restarted: EngineRole,
+) {
+    let mut log = pool(roles);
+    log.apply(assign(0, roles[0]));
+    log.apply(Command::Observe {
+        engine: engine(0),
+        observation: observation(restarted),
+    });
+    let answer = log.apply(Command::BeginOrder(engine(0)));
+    assert!(is_accepted(&answer), "{answer:?}");
+    let second = log.apply(Command::BeginOrder(engine(1)));
+    assert!(!is_accepted(&second), "still one at a time");
+}
+
 #[test]
 fn a_second_order_of_an_engine_waits_for_the_first() {
     let mut log = pool(&[Prefill, Prefill, Decode]);
--- a/components/planner/src/planner.rs
+++ b/components/planner/src/planner.rs
@@ -33,6 +33,9 @@
 /// engine costs a long drain and gains next to nothing.
 const MOST_AFTER_GIVING: f64 = 0.95;
 
+/// A phase that was given an engine has it after so long, or gets another.
+const RESTORE_PAUSE: Millis = Millis::from_secs(15);
+
 impl Default for PlannerSettings {
     fn default() -> Self {
         PlannerSettings {
@@ -76,6 +79,7 @@
     settings: PlannerSettings,
     averages: FastSlowAverage,
     changed_at: Option<Millis>,
+    restored_at: Option<Millis>,
 }
 
 impl Planner {
@@ -85,6 +89,7 @@
             averages: FastSlowAverage::new(settings.fast_window, settings.slow_window),
             settings,
             changed_at: None,
+            restored_at: None,
         }
     }
 
@@ -110,6 +115,11 @@
         capacity: &PoolCapacity,
         now: Millis,
     ) -> Option<RoleChange> {
+        if let Some(change) = self.restore_phase(engines, now) {
+            self.changed_at = Some(now);
+            self.restored_at = Some(now);
+            return Some(change);
+        }
         if !self.may_change(engines, now) {
             return None;
         }
@@ -124,6 +134,34 @@
         })
     }
 
+    /// A phase that no engine serves gets one from the other phase at once,
+    /// whatever the averages and the price say: without it the pool answers
+    /// nothing.
+    fn restore_phase(&self, engines: &[Engine], now: Millis) -> Option<RoleChange> {
+        let under_way = self
+            .restored_at
+            .is_some_and(|at| now.since(at) < RESTORE_PAUSE);
+        let serving: Vec<Engine> = engines
+            .iter()
+            .filter(|engine| engine.serving)
+            .cloned()
+            .collect();
+        let missing = missing_phase(&serving)?;
+        let giver = match missing {
+            EngineRole::Prefill => EngineRole::Decode,
+            _ => EngineRole::Prefill,
+        };
+        let spare = serving.iter().filter(|engine| engine.role == giver).count() > 1;
+        if under_way || !spare {
+            return None;
+        }
+        let engine = least_loaded(&serving, giver)?.id.clone();
+        Some(RoleChange {
+            engine,
+            to: missing,
+        })
+    }
+
     /// One change at a time, not too soon after the last, on fresh figures.
     fn may_change(&self, engines: &[Engine], now: Millis) -> bool {
         let fresh = self
@@ -210,6 +248,18 @@
     }
 }
 
+/// The phase that no engine serves.
+fn missing_phase(serving: &[Engine]) -> Option<EngineRole> {
+    let served = Split::of(serving.iter().map(|engine| engine.role));
+    if served.prefill + served.mixed == 0 {
+        Some(EngineRole::Prefill)
+    } else if served.decode + served.mixed == 0 {
+        Some(EngineRole::Decode)
+    } else {
+        None
+    }
+}
+
 fn least_loaded(engines: &[Engine], role: EngineRole) -> Option<&Engine> {
     engines
         .iter()
--- a/components/planner/tests/planner.rs
+++ b/components/planner/tests/planner.rs
@@ -128,6 +128,44 @@
     assert_eq!(swing(&mut dear), None);
 }
 
+/// The only engine of a phase is lost: another takes its role at once, without
+/// waiting for averages, prices or the engine's return.
+#[test]
+fn a_phase_without_an_engine_is_restored_at_once() {
+    let mut planner = Planner::new(settings(400.0));
+    let mut fleet = engines(&[Prefill, Decode, Decode, Decode, Decode]);
+    fleet[0].serving = false;
+    planner.observe(OUTPUT_HEAVY, Millis(0));
+    let change = planner.decide(&fleet, &CAPACITY, Millis(0));
+    let expected = RoleChange {
+        engine: BackendId::new("engine-1"),
+        to: Prefill,
+    };
+    assert_eq!(change, Some(expected));
+    planner.observe(OUTPUT_HEAVY, Millis(1000));
+    let again = planner.decide(&fleet, &CAPACITY, Millis(1000));
+    assert_eq!(again, None, "the first change is under way");
+}
+
+/// The lost engine is back, with the role that it starts with.
+#[test]
+fn a_pool_with_one_phase_only_gets_the_other() {
+    let mut planner = Planner::new(settings(400.0));
+    let fleet = engines(&[Decode, Decode, Decode]);
+    planner.observe(OUTPUT_HEAVY, Millis(0));
+    let change = planner.decide(&fleet, &CAPACITY, Millis(0));
+    assert_eq!(change.map(|change| change.to), Some(Prefill));
+}
+
+#[test]
+fn the_last_engine_of_the_other_phase_is_not_taken_to_restore_one() {
+    let mut planner = Planner::new(settings(0.0));
+    let mut fleet = engines(&[Prefill, Decode]);
+    fleet[0].serving = false;
+    planner.observe(OUTPUT_HEAVY, Millis(0));
+    assert_eq!(planner.decide(&fleet, &CAPACITY, Millis(0)), None);
+}
+
 #[test]
 fn two_changes_keep_a_minimum_distance() {
     let mut planner = Planner::new(settings(2.0));
