Contract tests of frames, settings and the gateway as a process

Cause: bad input had no tests at the borders. One of them found that a port in use was reported without its address. The error of a port names the address. Help texts of metrics end with one full stop.

--- a/bin/garnet-control/src/start.rs
+++ b/bin/garnet-control/src/start.rs
@@ -5,10 +5,10 @@
 
 use garnet_consensus::{Config, Membership, Restored};
 use garnet_control::{Replica, ReplicaSettings};
+use garnet_runtime::server::bind_listener;
 use garnet_runtime::{HttpClient, Shell, bind};
 use garnet_storage::{DiskDirectory, DiskIdentity, ReplicaStorage};
 use garnet_types::ReplicaId;
-use smol::net::TcpListener;
 
 use crate::admin;
 use crate::connections::Connections;
@@ -20,7 +20,7 @@
 pub(crate) fn run(settings: Settings, bootstrap: bool) -> io::Result<()> {
     let shell = Shell::new();
     let (admin_server, _) = bind(settings.admin_listen)?;
-    let peer_listener = smol::block_on(TcpListener::bind(settings.peer_listen))?;
+    let peer_listener = smol::block_on(bind_listener(settings.peer_listen))?;
     let (id, replica, storage) = open(&settings, bootstrap, &shell)?;
     let (events_in, events) = smol::channel::unbounded();
     let connections = Connections::new(id, Rc::clone(&shell.executor), events_in.clone());
--- /dev/null
+++ b/bin/garnet-gateway/tests/process/main.rs
@@ -0,0 +1,5 @@
+//! The gateway as a process: bad input of callers, and starts that must fail.
+
+mod bad_requests;
+mod bad_starts;
+mod running;
--- a/components/runtime/src/metrics.rs
+++ b/components/runtime/src/metrics.rs
@@ -47,7 +47,7 @@
     while at < samples.len() {
         let name = samples[at].name;
         let family = Family::<Vec<(String, String)>, Gauge>::default();
-        registry.register(name, samples[at].help, family.clone());
+        registry.register(name, samples[at].help.trim_end_matches('.'), family.clone());
         while at < samples.len() && samples[at].name == name {
             family
                 .get_or_create(&samples[at].labels)
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -63,13 +63,25 @@
     limits: Limits,
 }
 
+/// Binds a port; the error names the address.
+///
+/// # Errors
+/// When the address can't be bound, such as a port that is in use.
+pub async fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let named = |error: std::io::Error| {
+        let message = format!("can't listen at {address}: {error}");
+        std::io::Error::new(error.kind(), message)
+    };
+    TcpListener::bind(address).await.map_err(named)
+}
+
 impl HttpServer {
     /// Listens at `address`; port 0 lets the system pick one.
     ///
     /// # Errors
     /// When the address can't be bound, such as a port that is in use.
     pub async fn bind(address: SocketAddr, limits: Limits) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = bind_listener(address).await?;
         Ok(HttpServer { listener, limits })
     }
 
--- /dev/null
+++ b/components/wire/tests/frames.rs
@@ -0,0 +1,106 @@
+//! Frames from strangers: another version, too long, cut off, random bytes.
+
+use asynchronous_codec::{BytesMut, Decoder, Encoder};
+use garnet_control::GatewayRequest;
+use garnet_types::{GatewayId, Millis};
+use garnet_wire::{
+    Frame, FrameCodec, MAX_FRAME_BYTES, PROTOCOL_VERSION, Sender, WireError, check_hello,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn watch(index: u64) -> Frame {
+    Frame::Gateway(GatewayRequest::Watch {
+        gateway: GatewayId::new("gateway-1"),
+        configuration_index: index,
+        sent_at: Millis(7),
+        mix: Vec::new(),
+    })
+}
+
+fn encoded(frame: Frame) -> BytesMut {
+    let mut bytes = BytesMut::new();
+    FrameCodec.encode(frame, &mut bytes).expect("a short frame");
+    bytes
+}
+
+fn decode(bytes: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+    FrameCodec.decode(bytes)
+}
+
+#[test]
+fn a_frame_that_comes_byte_by_byte_is_whole_at_its_last_byte() {
+    let bytes = encoded(watch(3));
+    let mut received = BytesMut::new();
+    for (position, byte) in bytes.iter().enumerate() {
+        received.extend_from_slice(&[*byte]);
+        let frame = decode(&mut received).expect("no mistake in it");
+        assert_eq!(frame.is_some(), position + 1 == bytes.len());
+    }
+}
+
+#[test]
+fn two_frames_in_one_piece_come_out_in_order() {
+    let mut bytes = encoded(watch(1));
+    bytes.extend_from_slice(&encoded(watch(2)));
+    assert_eq!(decode(&mut bytes).expect("sound"), Some(watch(1)));
+    assert_eq!(decode(&mut bytes).expect("sound"), Some(watch(2)));
+    assert_eq!(decode(&mut bytes).expect("sound"), None);
+}
+
+#[test]
+fn a_length_beyond_the_limit_is_refused_before_anything_is_stored() {
+    let mut bytes = BytesMut::new();
+    bytes.extend_from_slice(&(MAX_FRAME_BYTES as u32 + 1).to_le_bytes());
+    assert!(matches!(decode(&mut bytes), Err(WireError::TooLong(_))));
+}
+
+#[test]
+fn bytes_left_over_in_a_frame_are_refused() {
+    let mut payload = encoded(watch(1)).split_off(4);
+    payload.extend_from_slice(&[0]);
+    let mut bytes = BytesMut::new();
+    bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    assert!(matches!(decode(&mut bytes), Err(WireError::Malformed(_))));
+}
+
+#[test]
+fn only_a_hello_of_the_own_version_opens_a_connection() {
+    let sender = Sender::Gateway(GatewayId::new("gateway-1"));
+    let hello = |version| Frame::Hello {
+        version,
+        sender: sender.clone(),
+    };
+    assert_eq!(
+        check_hello(hello(PROTOCOL_VERSION)).ok(),
+        Some(sender.clone())
+    );
+    let other = check_hello(hello(PROTOCOL_VERSION + 1));
+    assert!(matches!(other, Err(WireError::Version { .. })));
+    assert!(matches!(check_hello(watch(1)), Err(WireError::NoHello)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(512)
+    })]
+
+    #[test]
+    fn random_bytes_are_an_error_or_incomplete_and_never_a_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let mut bytes = BytesMut::from(&bytes[..]);
+        while let Ok(Some(_)) = decode(&mut bytes) {}
+    }
+
+    #[test]
+    fn a_changed_byte_never_panics(position in 0..40_usize, value in any::<u8>()) {
+        let mut bytes = encoded(watch(3));
+        let position = position % bytes.len();
+        bytes[position] = value;
+        while let Ok(Some(_)) = decode(&mut bytes) {}
+    }
+}
