Kills, freezes and restarts of replicas as real processes

Cause: the simulator drives the state machines; sockets, files and signals of the daemons were only met by the demo. No verdict rests on time; a hang is given up after two minutes.

--- /dev/null
+++ b/bin/garnet-control/tests/process/group.rs
@@ -0,0 +1,178 @@
+//! Three replicas on ports that the system picked, and their operator.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_garnet-control");
+const REPLICAS: usize = 3;
+/// A group that does nothing for so long hangs: no verdict on its speed.
+const HANGS: Duration = Duration::from_secs(120);
+/// A replica that is stopped answers nothing.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// The group.
+pub struct Group {
+    folder: TempDir,
+    admin: Vec<String>,
+    children: Vec<Option<Child>>,
+}
+
+impl Group {
+    /// Starts three replicas for the first time.
+    pub fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let ports = free_ports(2 * REPLICAS);
+        let (peer, admin) = ports.split_at(REPLICAS);
+        let members: String = (0..REPLICAS)
+            .map(|place| {
+                let (peer, admin) = (&peer[place], &admin[place]);
+                format!(
+                    "[[member]]\nid = {}\npeer = \"{peer}\"\nadmin = \"{admin}\"\n",
+                    place + 1
+                )
+            })
+            .collect();
+        for place in 0..REPLICAS {
+            let data = folder.path().join(format!("data-{place}"));
+            let text = format!(
+                "name = \"control-{place}\"\ninitial_id = {}\ndata = \"{}\"\n\
+                 peer_listen = \"{}\"\nadmin_listen = \"{}\"\nsnapshot_every = 50\n{members}",
+                place + 1,
+                data.display(),
+                peer[place],
+                admin[place],
+            );
+            let file = folder.path().join(format!("settings-{place}.toml"));
+            std::fs::write(file, text).expect("written");
+        }
+        let mut group = Group {
+            folder,
+            admin: admin.to_vec(),
+            children: (0..REPLICAS).map(|_| None).collect(),
+        };
+        for place in 0..REPLICAS {
+            group.start_replica(place, &["--bootstrap"]);
+        }
+        group
+    }
+
+    /// Starts one replica from what its disk holds.
+    pub fn restart(&mut self, place: usize) {
+        self.start_replica(place, &[]);
+    }
+
+    /// Ends one replica at once.
+    pub fn kill(&mut self, place: usize) {
+        if let Some(mut child) = self.children[place].take() {
+            child.kill().expect("it runs");
+            child.wait().expect("it ended");
+        }
+    }
+
+    /// Stops one replica in place, or lets it go on with its old belief.
+    pub fn signal(&self, place: usize, signal: Signal) {
+        let child = self.children[place].as_ref().expect("it runs");
+        let pid = Pid::from_raw(child.id() as i32).expect("a process number");
+        kill_process(pid, signal).expect("it runs");
+    }
+
+    /// The place of the replica that leads under its lease.
+    pub fn leader(&self) -> usize {
+        self.until(|| {
+            (0..REPLICAS).find(|place| {
+                let status = self.request(*place, "GET", "status", "");
+                status.is_some_and(|status| status.contains("\"holds_lease\":true"))
+            })
+        })
+    }
+
+    /// Creates a session and returns when it is accepted. Sent again with the
+    /// same command id until then, as an operator does.
+    pub fn create_session(&self, name: &str) {
+        let body = "{\"tenant\": \"t\", \"service\": \"s\", \"model\": \"m\"}";
+        self.until(|| {
+            (0..REPLICAS).find(|place| {
+                let path = format!("sessions/{name}");
+                let answer = self.request(*place, "PUT", &path, body);
+                answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+            })
+        });
+    }
+
+    /// The configuration as the leader knows it.
+    pub fn configuration(&self) -> String {
+        self.until(|| {
+            (0..REPLICAS).find_map(|place| {
+                self.request(place, "GET", "configuration", "")
+                    .filter(|answer| answer.starts_with("HTTP/1.1 200"))
+            })
+        })
+    }
+
+    fn start_replica(&mut self, place: usize, arguments: &[&str]) {
+        let child = Command::new(PROGRAM)
+            .arg("--settings")
+            .arg(self.settings(place))
+            .args(arguments)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.children[place] = Some(child);
+    }
+
+    fn settings(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("settings-{place}.toml"))
+    }
+
+    fn until<T>(&self, mut attempt: impl FnMut() -> Option<T>) -> T {
+        let began = Instant::now();
+        loop {
+            if let Some(value) = attempt() {
+                return value;
+            }
+            assert!(began.elapsed() < HANGS, "the group hangs");
+            std::thread::yield_now();
+        }
+    }
+
+    /// One request to a replica; `None` when it does not answer.
+    fn request(&self, place: usize, method: &str, path: &str, body: &str) -> Option<String> {
+        let address = self.admin[place].parse().ok()?;
+        let mut stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        let length = body.len();
+        let head = format!(
+            "{method} /admin/v1/{path} HTTP/1.1\r\nhost: control\r\nconnection: close\r\n\
+             garnet-command-id: {path}\r\ncontent-length: {length}\r\n\r\n"
+        );
+        stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        for place in 0..REPLICAS {
+            self.kill(place);
+        }
+    }
+}
+
+/// Ports that were free a moment ago.
+fn free_ports(count: usize) -> Vec<String> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("its address").to_string())
+        .collect()
+}
