A gateway beside a bare relay, measured in turns

Cause: what the gateway's own work costs had no measurement. Change: `garnet-bench relay` runs a relay on the same loop and libraries that only passes on, and sends the same requests through it and through a gateway, round by round.

--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -5,6 +5,7 @@
 mod mix_shift;
 mod options;
 mod parallel;
+mod relay;
 mod simulate;
 
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
   call service      one application call through a gateway
   hollow            what each role costs as the fleet grows
   mix-shift         goodput and role changes while the token mix shifts
+  relay             a gateway beside a relay that only passes on
   simulate          the whole system in virtual time, with faults and checkers
 
 `garnet-bench VERB --help` lists a verb's options.
@@ -34,6 +36,7 @@
         Some("call") => call::run(&options),
         Some("hollow") => hollow::run(&options),
         Some("mix-shift") => mix_shift::run(&options),
+        Some("relay") => relay::run(&options),
         Some("simulate") => simulate::run(&options),
         Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
         None => {
