The simulator in the field's words

Cause: read as a newcomer, "wish", "happening" and "people" have to be explained, and one function of the operators did three jobs. Change: planned requests, world events, callers and operators; the operators' commands are made by one function each. No behaviour changes.

--- a/components/simulator/src/callers.rs
+++ b/components/simulator/src/callers.rs
@@ -47,7 +47,7 @@
     ) -> (Vec<Outgoing>, Option<Millis>) {
         match self {
             Callers::Checking(workload) => {
-                let outgoing = workload.wish(random, now);
+                let outgoing = workload.plan(random, now);
                 let pause = Millis(random.random_range(20..180));
                 (outgoing, Some(now + pause))
             }
--- a/components/simulator/src/operators.rs
+++ b/components/simulator/src/operators.rs
@@ -76,47 +76,53 @@
     /// A new command, which another operator may race.
     pub(crate) fn act(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Question> {
         let operator = random.random_range(0..self.operators);
-        let kind = random.random_range(0..100);
+        match random.random_range(0..100) {
+            0..35 => vec![self.create_session(random, operator, now)],
+            35..70 => self.race_for_policy(random, now),
+            _ => vec![self.assign_role(random, operator, now)],
+        }
+    }
+
+    fn create_session(&mut self, random: &mut Pcg64Mcg, operator: usize, now: Millis) -> Question {
+        let session = Session {
+            id: SessionId::new(format!("session-{}", self.next)),
+            tenant: TenantId::new("tenant"),
+            service: ServiceId::new(ENGINE_SERVICE),
+            model: Some(ModelId::new(MODEL)),
+        };
+        self.command(random, operator, Command::CreateSession(session), None, now)
+    }
+
+    /// One operator writes the shared policy, or all do with equal revisions.
+    fn race_for_policy(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Question> {
         let expected = self.known_revision;
-        match kind {
-            0..35 => {
-                let name = format!("session-{}", self.next);
-                let session = Session {
-                    id: SessionId::new(name),
-                    tenant: TenantId::new("tenant"),
-                    service: ServiceId::new(ENGINE_SERVICE),
-                    model: Some(ModelId::new(MODEL)),
-                };
-                vec![self.command(random, operator, Command::CreateSession(session), None, now)]
-            }
-            35..70 => {
-                let mut questions = Vec::new();
-                let racing = random.random_bool(0.6);
-                for operator in 0..if racing { self.operators } else { 1 } {
-                    let document = format!("# {}\n{DOCUMENT}", self.next);
-                    let name = SHARED_POLICY.to_owned();
-                    let command = Command::PutPolicy { name, document };
-                    questions.push(self.command(random, operator, command, Some(expected), now));
-                }
-                questions
-            }
-            _ => {
-                let engine = random.random_range(0..self.engines);
-                let role = if random.random_bool(0.5) {
-                    EngineRole::Prefill
-                } else {
-                    EngineRole::Decode
-                };
-                let command = Command::Assign {
-                    engine: BackendId::new(format!("engine-{engine}")),
-                    assignment: EngineAssignment {
-                        role,
-                        model: ModelId::new(MODEL),
-                    },
-                };
-                vec![self.command(random, operator, command, None, now)]
-            }
+        let racing = random.random_bool(0.6);
+        let writers = if racing { self.operators } else { 1 };
+        let mut questions = Vec::new();
+        for operator in 0..writers {
+            let document = format!("# {}\n{DOCUMENT}", self.next);
+            let name = SHARED_POLICY.to_owned();
+            let command = Command::PutPolicy { name, document };
+            questions.push(self.command(random, operator, command, Some(expected), now));
         }
+        questions
+    }
+
+    fn assign_role(&mut self, random: &mut Pcg64Mcg, operator: usize, now: Millis) -> Question {
+        let engine = random.random_range(0..self.engines);
+        let role = if random.random_bool(0.5) {
+            EngineRole::Prefill
+        } else {
+            EngineRole::Decode
+        };
+        let command = Command::Assign {
+            engine: BackendId::new(format!("engine-{engine}")),
+            assignment: EngineAssignment {
+                role,
+                model: ModelId::new(MODEL),
+            },
+        };
+        self.command(random, operator, command, None, now)
     }
 
     fn command(
--- a/components/simulator/src/workload.rs
+++ b/components/simulator/src/workload.rs
@@ -25,7 +25,7 @@
 
 /// What a caller wants.
 #[derive(Debug, Clone)]
-struct Wish {
+struct PlannedRequest {
     work: Work,
     key: Option<IdempotencyKey>,
     session: Option<SessionId>,
@@ -36,10 +36,10 @@
     fulfilled: bool,
 }
 
-/// One sending of a wish.
+/// One sending of a request.
 #[derive(Debug, Clone)]
 struct Sent {
-    wish: usize,
+    planned: usize,
     gateway: usize,
     sent_at: Millis,
     tokens: Vec<String>,
@@ -48,12 +48,12 @@
 /// All callers.
 pub(crate) struct Workload {
     gateways: usize,
-    planned_only: bool,
-    wishes: Vec<Wish>,
+    only_planned_faults: bool,
+    planned_requests: Vec<PlannedRequest>,
     sent: BTreeMap<RequestId, Sent>,
     again: Vec<(Millis, usize)>,
-    /// Wish of every sending, also of answered ones.
-    wish_of: BTreeMap<RequestId, usize>,
+    /// PlannedRequest of every sending, also of answered ones.
+    planned_of: BTreeMap<RequestId, usize>,
     next_request: u64,
     /// Sessions that were accepted, and when their operators heard it.
     pub(crate) sessions: BTreeMap<SessionId, Millis>,
@@ -61,27 +61,27 @@
 }
 
 impl Workload {
-    pub(crate) fn new(gateways: usize, planned_only: bool) -> Self {
+    pub(crate) fn new(gateways: usize, only_planned_faults: bool) -> Self {
         Workload {
             gateways,
-            planned_only,
-            wishes: Vec::new(),
+            only_planned_faults,
+            planned_requests: Vec::new(),
             sent: BTreeMap::new(),
             again: Vec::new(),
-            wish_of: BTreeMap::new(),
+            planned_of: BTreeMap::new(),
             next_request: 0,
             sessions: BTreeMap::new(),
             counts: CallerCounts::default(),
         }
     }
 
-    /// A new wish, sent once or, to race with itself, twice.
-    pub(crate) fn wish(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Outgoing> {
-        let number = self.wishes.len();
-        let mut wish = self.draw(random, number);
-        wish.raced = wish.key.is_some() && random.random_bool(0.15);
-        let raced = wish.raced;
-        self.wishes.push(wish);
+    /// A new request, sent once or, to race with itself, twice.
+    pub(crate) fn plan(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Outgoing> {
+        let number = self.planned_requests.len();
+        let mut planned = self.draw(random, number);
+        planned.raced = planned.key.is_some() && random.random_bool(0.15);
+        let raced = planned.raced;
+        self.planned_requests.push(planned);
         let gateway = random.random_range(0..self.gateways);
         let mut outgoing = vec![self.send(number, gateway, now)];
         if raced {
@@ -91,7 +91,7 @@
         outgoing
     }
 
-    fn draw(&self, random: &mut Pcg64Mcg, number: usize) -> Wish {
+    fn draw(&self, random: &mut Pcg64Mcg, number: usize) -> PlannedRequest {
         let kind = random.random_range(0..100);
         let key = IdempotencyKey::new(format!("key-{number}"));
         let (work, key, deadline) = match kind {
@@ -103,7 +103,7 @@
         };
         let is_text = matches!(work, Work::Completion { .. });
         let session = self.some_session(random).filter(|_| is_text);
-        Wish {
+        PlannedRequest {
             work,
             key,
             session,
@@ -138,17 +138,17 @@
         Some(by_age[count - 1 - back].0.clone())
     }
 
-    fn send(&mut self, wish_number: usize, gateway: usize, now: Millis) -> Outgoing {
+    fn send(&mut self, number: usize, gateway: usize, now: Millis) -> Outgoing {
         self.next_request += 1;
         let id = RequestId(self.next_request);
-        let wish = &mut self.wishes[wish_number];
-        wish.sends += 1;
+        let planned = &mut self.planned_requests[number];
+        planned.sends += 1;
         self.counts.sent += 1;
-        self.wish_of.insert(id, wish_number);
+        self.planned_of.insert(id, number);
         self.sent.insert(
             id,
             Sent {
-                wish: wish_number,
+                planned: number,
                 gateway,
                 sent_at: now,
                 tokens: Vec::new(),
@@ -160,26 +160,26 @@
                 id,
                 // The sessions of the operators are this tenant's.
                 tenant: Some(TenantId::new("tenant")),
-                session: wish.session.clone(),
-                key: wish.key.clone(),
-                deadline: Some(wish.deadline),
-                work: wish.work.clone(),
+                session: planned.session.clone(),
+                key: planned.key.clone(),
+                deadline: Some(planned.deadline),
+                work: planned.work.clone(),
             },
         }
     }
 
-    /// Wishes that are to be sent again now.
+    /// Requests that are to be sent again now.
     pub(crate) fn due_again(&mut self, random: &mut Pcg64Mcg, now: Millis) -> Vec<Outgoing> {
         let due: Vec<usize> = self
             .again
             .extract_if(.., |(at, _)| *at <= now)
-            .map(|(_, wish)| wish)
+            .map(|(_, planned)| planned)
             .collect();
         let mut outgoing = Vec::new();
-        for wish in due {
-            if !self.wishes[wish].fulfilled {
+        for planned in due {
+            if !self.planned_requests[planned].fulfilled {
                 let gateway = random.random_range(0..self.gateways);
-                outgoing.push(self.send(wish, gateway, now));
+                outgoing.push(self.send(planned, gateway, now));
             }
         }
         outgoing
@@ -190,7 +190,7 @@
         self.sent
             .iter()
             .filter(|(_, sent)| {
-                now.since(sent.sent_at) > self.wishes[sent.wish].deadline + PATIENCE
+                now.since(sent.sent_at) > self.planned_requests[sent.planned].deadline + PATIENCE
             })
             .map(|(id, _)| *id)
             .collect()
@@ -233,41 +233,41 @@
         let Some(sent) = self.sent.remove(&request) else {
             return;
         };
-        let wish = self.wishes[sent.wish].clone();
+        let planned = self.planned_requests[sent.planned].clone();
         let elapsed = now.since(sent.sent_at);
         if steady {
-            let prompt = elapsed <= wish.deadline + LATE_ALLOWANCE;
+            let prompt = elapsed <= planned.deadline + LATE_ALLOWANCE;
             checker.check(Invariant::AnsweredAtOnce, prompt, now, || {
-                let (took, allowed) = (elapsed.0, wish.deadline.0);
+                let (took, allowed) = (elapsed.0, planned.deadline.0);
                 format!("request {request} was answered after {took} ms of {allowed}")
             });
         }
         match answer {
             Answer::Text(text) => {
                 let whole = text.tokens.concat();
-                self.check_text(checker, request, &wish, &whole, now);
+                self.check_text(checker, request, &planned, &whole, now);
                 let streamed = sent.tokens.concat();
-                let streams = matches!(wish.work, Work::Completion { stream: true, .. });
+                let streams = matches!(planned.work, Work::Completion { stream: true, .. });
                 checker.check(
                     Invariant::WholeOwnAnswer,
                     !streams || streamed == whole,
                     now,
                     || format!("request {request}: the streamed text is not the whole one"),
                 );
-                self.fulfil(sent.wish);
+                self.fulfil(sent.planned);
             }
             Answer::Response(response) => {
-                self.check_response(checker, request, &wish, response, now);
-                self.fulfil(sent.wish);
+                self.check_response(checker, request, &planned, response, now);
+                self.fulfil(sent.planned);
             }
             Answer::Refused(refusal) => {
-                self.refused(checker, request, &sent, &wish, refusal, now);
+                self.refused(checker, request, &sent, &planned, refusal, now);
             }
         }
     }
 
-    fn fulfil(&mut self, wish: usize) {
-        self.wishes[wish].fulfilled = true;
+    fn fulfil(&mut self, planned: usize) {
+        self.planned_requests[planned].fulfilled = true;
         self.counts.whole += 1;
     }
 
@@ -275,13 +275,13 @@
         &self,
         checker: &mut Checker,
         request: RequestId,
-        wish: &Wish,
+        planned: &PlannedRequest,
         text: &str,
         now: Millis,
     ) {
         let Work::Completion {
             prompt, max_tokens, ..
-        } = &wish.work
+        } = &planned.work
         else {
             checker.check(Invariant::WholeOwnAnswer, false, now, || {
                 format!("request {request} of an application got a text")
@@ -292,7 +292,7 @@
         checker.check(Invariant::WholeOwnAnswer, right, now, || {
             format!("request {request} got {text:?}")
         });
-        if let Some(key) = &wish.key {
+        if let Some(key) = &planned.key {
             checker.answered_key(key.as_str(), text.as_bytes(), now);
         }
     }
@@ -301,14 +301,14 @@
         &self,
         checker: &mut Checker,
         request: RequestId,
-        wish: &Wish,
+        planned: &PlannedRequest,
         response: &RecordedResponse,
         now: Millis,
     ) {
-        let Work::Application { path, body, .. } = &wish.work else {
+        let Work::Application { path, body, .. } = &planned.work else {
             // A recorded text.
             let text = openai::recorded_text(&response.body).map(|(text, _)| text);
-            self.check_text(checker, request, wish, &text.unwrap_or_default(), now);
+            self.check_text(checker, request, planned, &text.unwrap_or_default(), now);
             return;
         };
         let parsed: Option<ApplicationAnswer> = serde_json::from_slice(&response.body).ok();
@@ -318,7 +318,7 @@
         checker.check(Invariant::WholeOwnAnswer, right, now, || {
             format!("request {request} got another one's answer")
         });
-        if let Some(key) = &wish.key {
+        if let Some(key) = &planned.key {
             checker.answered_key(key.as_str(), &response.body, now);
         }
     }
@@ -328,7 +328,7 @@
         checker: &mut Checker,
         request: RequestId,
         sent: &Sent,
-        wish: &Wish,
+        planned: &PlannedRequest,
         refusal: &Refusal,
         now: Millis,
     ) {
@@ -338,7 +338,7 @@
         if refusal.ran == Execution::No {
             checker.told_not_run(request, now);
         }
-        let accepted_before = wish
+        let accepted_before = planned
             .session
             .as_ref()
             .and_then(|session| self.sessions.get(session))
@@ -347,8 +347,8 @@
         checker.check(Invariant::SessionsStay, !dropped, now, || {
             format!("request {request}: {}", refusal.message)
         });
-        let cut = refusal.ran != Execution::No && wish.sends == 1 && !wish.raced;
-        if self.planned_only {
+        let cut = refusal.ran != Execution::No && planned.sends == 1 && !planned.raced;
+        if self.only_planned_faults {
             checker.check(Invariant::PlannedChangeCutsNothing, !cut, now, || {
                 format!(
                     "request {request}: {} {}",
@@ -358,7 +358,7 @@
             });
         }
         if let Some(wait) = refusal.retry_after {
-            self.send_again(sent.wish, now + wait);
+            self.send_again(sent.planned, now + wait);
         }
     }
 
@@ -368,10 +368,10 @@
             return;
         };
         self.counts.disconnected += 1;
-        let wish = &self.wishes[sent.wish];
+        let planned = &self.planned_requests[sent.planned];
         // Without a key it may have run: the caller can't know.
-        if wish.key.is_some() {
-            self.send_again(sent.wish, now + Millis(300));
+        if planned.key.is_some() {
+            self.send_again(sent.planned, now + Millis(300));
         }
     }
 
@@ -379,20 +379,23 @@
     pub(crate) fn unreachable(&mut self, request: RequestId, now: Millis) {
         if let Some(sent) = self.sent.remove(&request) {
             self.counts.disconnected += 1;
-            self.send_again(sent.wish, now + Millis(200));
+            self.send_again(sent.planned, now + Millis(200));
         }
     }
 
-    fn send_again(&mut self, wish: usize, at: Millis) {
-        if self.wishes[wish].sends < MOST_SENDS {
-            self.again.push((at, wish));
+    fn send_again(&mut self, planned: usize, at: Millis) {
+        if self.planned_requests[planned].sends < MOST_SENDS {
+            self.again.push((at, planned));
         }
     }
 
     /// Key of a sending, as its caller gave it.
     pub(crate) fn key_of(&self, request: RequestId) -> Option<String> {
-        let wish = *self.wish_of.get(&request)?;
-        self.wishes[wish].key.as_ref().map(|key| key.0.clone())
+        let planned = *self.planned_of.get(&request)?;
+        self.planned_requests[planned]
+            .key
+            .as_ref()
+            .map(|key| key.0.clone())
     }
 
     /// The gateway that a sending went to and when.
--- a/components/simulator/src/world/people.rs
+++ b/components/simulator/src/world/callers_and_operators.rs
@@ -8,16 +8,16 @@
 use crate::message::{Host, Message};
 use crate::operators::Question;
 
-use super::{Happening, SETTLE, World};
+use super::{SETTLE, World, WorldEvent};
 
 impl World {
-    pub(super) fn new_wish(&mut self) {
+    pub(super) fn next_arrival(&mut self) {
         let (outgoing, next) = self.callers.arrive(&mut self.random, self.now);
         self.send_calls(outgoing);
         if let Some(next) = next
             && self.now < self.end_of_load()
         {
-            self.schedule(next, Happening::NewWish);
+            self.schedule(next, WorldEvent::NextArrival);
         }
     }
 
@@ -60,7 +60,7 @@
             .answer(&mut self.checker, request, answer, steady, self.now);
     }
 
-    pub(super) fn new_command(&mut self) {
+    pub(super) fn next_command(&mut self) {
         if self.scenario.experiment.is_some() {
             self.set_up_experiment();
             return;
@@ -69,7 +69,7 @@
         self.send_questions(questions);
         if self.now < self.end_of_load() {
             let pause = Millis(self.random.random_range(200..1500));
-            self.schedule(self.now + pause, Happening::NewCommand);
+            self.schedule(self.now + pause, WorldEvent::NextCommand);
         }
     }
 
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -9,7 +9,7 @@
 use crate::checker::Invariant;
 use crate::message::{Host, Message};
 
-use super::{Happening, LONGEST_ORDER_DELAY_MS, World, engine_id, place_of};
+use super::{LONGEST_ORDER_DELAY_MS, World, WorldEvent, engine_id, place_of};
 
 impl World {
     pub(super) fn deliver_control(&mut self, place: usize, from: Host, message: Message) {
@@ -51,7 +51,7 @@
             let kept = self.random.random_range(0..60);
             self.controls[place].crash(PowerLoss::KeepPrefix(kept));
             self.disturbed_at = self.now;
-            self.schedule(self.now + Millis(1500), Happening::Start(host));
+            self.schedule(self.now + Millis(1500), WorldEvent::Start(host));
             return;
         };
         self.compare_state(place);
--- a/components/simulator/src/world/experimenting.rs
+++ b/components/simulator/src/world/experimenting.rs
@@ -9,7 +9,7 @@
 use crate::mix::{REACTIVE_WINDOW, SESSIONS_OF_A_KIND};
 use crate::service_hosts::{ENGINE_SERVICE, MODEL};
 
-use super::{Happening, World, place_of};
+use super::{World, WorldEvent, place_of};
 
 /// Pause before the set-up is tried again, while there is no leader.
 const SET_UP_PAUSE: Millis = Millis(200);
@@ -18,7 +18,7 @@
     /// Creates the sessions and the policy that the deployment's callers need.
     pub(super) fn set_up_experiment(&mut self) {
         let Some(leader) = self.leader() else {
-            self.schedule(self.now + SET_UP_PAUSE, Happening::NewCommand);
+            self.schedule(self.now + SET_UP_PAUSE, WorldEvent::NextCommand);
             return;
         };
         let Some(experiment) = self.scenario.experiment.clone() else {
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -9,7 +9,7 @@
 use crate::faults::FaultKind;
 use crate::message::Host;
 
-use super::{Happening, PLANNED_HAND_OVER, World, application_id, engine_id};
+use super::{PLANNED_HAND_OVER, World, WorldEvent, application_id, engine_id};
 
 impl World {
     pub(super) fn begin_fault(&mut self, number: usize) {
@@ -20,7 +20,7 @@
         match fault.kind {
             FaultKind::Kill => {
                 self.end_process(fault.host);
-                self.schedule(end, Happening::Start(fault.host));
+                self.schedule(end, WorldEvent::Start(fault.host));
             }
             FaultKind::LoseDisk => self.lose_disk(fault.host, end),
             FaultKind::TornWrite => {
@@ -46,7 +46,7 @@
             FaultKind::PlannedStop => self.planned_stop(fault.host),
             FaultKind::Leaving => self.set_leaving(fault.host, true),
         }
-        self.schedule(end, Happening::FaultEnds(number));
+        self.schedule(end, WorldEvent::FaultEnds(number));
     }
 
     pub(super) fn end_fault(&mut self, number: usize) {
@@ -91,7 +91,7 @@
         self.places.remove(&former);
         self.places.insert(id, place);
         self.operators.repairs.push((former, id, place));
-        self.schedule(end, Happening::Start(host));
+        self.schedule(end, WorldEvent::Start(host));
     }
 
     pub(super) fn planned_stop(&mut self, host: Host) {
@@ -148,9 +148,9 @@
             _ => false,
         };
         if still_draining {
-            self.schedule(self.now + Millis(200), Happening::FaultEnds(number));
+            self.schedule(self.now + Millis(200), WorldEvent::FaultEnds(number));
         } else {
-            self.schedule(self.now + Millis(100), Happening::Start(host));
+            self.schedule(self.now + Millis(100), WorldEvent::Start(host));
         }
     }
 
--- a/components/simulator/src/world/messages.rs
+++ b/components/simulator/src/world/messages.rs
@@ -5,7 +5,7 @@
 use crate::callers::Callers;
 use crate::message::{Host, Message};
 
-use super::{Happening, World};
+use super::{World, WorldEvent};
 
 impl World {
     pub(super) fn send(&mut self, from: Host, to: Host, message: Message) {
@@ -28,7 +28,7 @@
         let message = Box::new(message);
         self.schedule(
             at,
-            Happening::Deliver {
+            WorldEvent::Deliver {
                 from,
                 to,
                 start,
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop of a run and everything that hosts do to each other.
 
 mod applications;
+mod callers_and_operators;
 mod control;
 mod ending;
 mod engines;
@@ -8,7 +9,6 @@
 mod faulting;
 mod gateways;
 mod messages;
-mod people;
 mod processes;
 mod ticks;
 
@@ -56,11 +56,11 @@
 /// Longest delay of an order under [`FaultKind::DelayOrders`].
 const LONGEST_ORDER_DELAY_MS: u64 = 8000;
 /// When the first request is sent.
-const FIRST_WISH: Millis = Millis(4000);
+const FIRST_ARRIVAL: Millis = Millis(4000);
 const PLANNED_HAND_OVER: Millis = Millis(400);
 
 #[derive(Debug, Clone)]
-enum Happening {
+enum WorldEvent {
     Tick(Host),
     Deliver {
         from: Host,
@@ -72,8 +72,8 @@
     FaultBegins(usize),
     FaultEnds(usize),
     Start(Host),
-    NewWish,
-    NewCommand,
+    NextArrival,
+    NextCommand,
 }
 
 /// A run in progress.
@@ -82,8 +82,8 @@
     random: Pcg64Mcg,
     now: Millis,
     queue: BinaryHeap<Reverse<(Millis, u64)>>,
-    happenings: BTreeMap<u64, Happening>,
-    next_happening: u64,
+    events: BTreeMap<u64, WorldEvent>,
+    next_event: u64,
     network: Network,
     controls: Vec<ControlHost>,
     places: BTreeMap<ReplicaId, usize>,
@@ -130,8 +130,8 @@
             break;
         }
         world.now = at;
-        if let Some(happening) = world.happenings.remove(&number) {
-            world.happen(happening);
+        if let Some(event) = world.events.remove(&number) {
+            world.take_event(event);
         }
     }
     if world.checker.violations.is_empty() && steps <= scenario.most_steps {
@@ -156,14 +156,14 @@
         let demand = scenario
             .experiment
             .is_some()
-            .then(|| Demand::draw(scenario.seed, FIRST_WISH, scenario.span));
+            .then(|| Demand::draw(scenario.seed, FIRST_ARRIVAL, scenario.span));
         let controls: Vec<ControlHost> = (0..scenario.controls)
             .map(|place| ControlHost::new(place, initial.clone(), scenario.seed, planner))
             .collect();
         let places = (0..scenario.controls)
             .map(|place| (ReplicaId(place as u64 + 1), place))
             .collect();
-        let planned_only = scenario
+        let only_planned_faults = scenario
             .kinds
             .iter()
             .all(|kind| FaultKind::PLANNED.contains(kind));
@@ -177,8 +177,8 @@
         World {
             now: Millis(1000),
             queue: BinaryHeap::new(),
-            happenings: BTreeMap::new(),
-            next_happening: 0,
+            events: BTreeMap::new(),
+            next_event: 0,
             network: Network::default(),
             controls,
             places,
@@ -197,7 +197,7 @@
             delayed_orders: BTreeMap::new(),
             frozen_until: BTreeMap::new(),
             clocks,
-            callers: new_callers(&scenario, demand.as_ref(), planned_only),
+            callers: new_callers(&scenario, demand.as_ref(), only_planned_faults),
             steering: new_steering(&scenario, demand),
             operators: Operators::new(2, scenario.controls, scenario.engines),
             checker: Checker::default(),
@@ -224,13 +224,13 @@
         let hosts = self.all_hosts();
         for host in hosts {
             self.start(host);
-            self.schedule(self.now + TICK, Happening::Tick(host));
+            self.schedule(self.now + TICK, WorldEvent::Tick(host));
         }
         for number in 0..self.faults.len() {
-            self.schedule(self.faults[number].at, Happening::FaultBegins(number));
+            self.schedule(self.faults[number].at, WorldEvent::FaultBegins(number));
         }
-        self.schedule(FIRST_WISH, Happening::NewWish);
-        self.schedule(Millis(3000), Happening::NewCommand);
+        self.schedule(FIRST_ARRIVAL, WorldEvent::NextArrival);
+        self.schedule(Millis(3000), WorldEvent::NextCommand);
     }
 
     fn all_hosts(&self) -> Vec<Host> {
@@ -245,10 +245,10 @@
             .collect()
     }
 
-    fn schedule(&mut self, at: Millis, happening: Happening) {
-        self.next_happening += 1;
-        self.happenings.insert(self.next_happening, happening);
-        self.queue.push(Reverse((at, self.next_happening)));
+    fn schedule(&mut self, at: Millis, event: WorldEvent) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((at, self.next_event)));
     }
 
     /// The clock of a host: each runs at a speed of its own.
@@ -257,33 +257,33 @@
         Millis((self.now.0 as f64 * speed) as u64)
     }
 
-    fn happen(&mut self, happening: Happening) {
-        if let Some(until) = self.frozen(&happening) {
+    fn take_event(&mut self, event: WorldEvent) {
+        if let Some(until) = self.frozen(&event) {
             // A frozen process finds its messages when it goes on.
-            self.schedule(until, happening);
+            self.schedule(until, event);
             return;
         }
-        match happening {
-            Happening::Tick(host) => self.tick(host),
-            Happening::Deliver {
+        match event {
+            WorldEvent::Tick(host) => self.tick(host),
+            WorldEvent::Deliver {
                 from,
                 to,
                 start,
                 message,
             } => self.deliver(from, to, start, *message),
-            Happening::FaultBegins(number) => self.begin_fault(number),
-            Happening::FaultEnds(number) => self.end_fault(number),
-            Happening::Start(host) => self.start(host),
-            Happening::NewWish => self.new_wish(),
-            Happening::NewCommand => self.new_command(),
+            WorldEvent::FaultBegins(number) => self.begin_fault(number),
+            WorldEvent::FaultEnds(number) => self.end_fault(number),
+            WorldEvent::Start(host) => self.start(host),
+            WorldEvent::NextArrival => self.next_arrival(),
+            WorldEvent::NextCommand => self.next_command(),
         }
         self.check_leases();
     }
 
-    fn frozen(&self, happening: &Happening) -> Option<Millis> {
-        let host = match happening {
-            Happening::Tick(host) => host,
-            Happening::Deliver { to, .. } => to,
+    fn frozen(&self, event: &WorldEvent) -> Option<Millis> {
+        let host = match event {
+            WorldEvent::Tick(host) => host,
+            WorldEvent::Deliver { to, .. } => to,
             _ => return None,
         };
         let until = *self.frozen_until.get(host)?;
@@ -313,17 +313,20 @@
     }
 }
 
-fn new_callers(scenario: &Scenario, demand: Option<&Demand>, planned_only: bool) -> Callers {
+fn new_callers(scenario: &Scenario, demand: Option<&Demand>, only_planned_faults: bool) -> Callers {
     match (&scenario.experiment, demand) {
         (Some(experiment), Some(demand)) => Callers::Mix(Box::new(MixTraffic::new(
             &experiment.deployment,
             demand,
             scenario.seed,
             scenario.gateways,
-            FIRST_WISH,
+            FIRST_ARRIVAL,
             scenario.span,
         ))),
-        _ => Callers::Checking(Box::new(Workload::new(scenario.gateways, planned_only))),
+        _ => Callers::Checking(Box::new(Workload::new(
+            scenario.gateways,
+            only_planned_faults,
+        ))),
     }
 }
 
--- a/components/simulator/src/world/processes.rs
+++ b/components/simulator/src/world/processes.rs
@@ -9,7 +9,7 @@
 use crate::message::{Host, Message};
 use crate::service_hosts::{APPLICATION_SERVICE, ENGINE_SERVICE, JobOwner};
 
-use super::{Happening, World, application_id, engine_id};
+use super::{World, WorldEvent, application_id, engine_id};
 
 impl World {
     pub(super) fn start(&mut self, host: Host) {
@@ -20,7 +20,7 @@
                     self.controls[place].start(clock);
                 }
                 if self.controls[place].running.is_none() {
-                    self.schedule(self.now + Millis(500), Happening::Start(host));
+                    self.schedule(self.now + Millis(500), WorldEvent::Start(host));
                 }
             }
             Host::Gateway(place) if self.gateways[place].gateway.is_none() => {
--- a/components/simulator/src/world/ticks.rs
+++ b/components/simulator/src/world/ticks.rs
@@ -10,7 +10,7 @@
 use crate::checker::Invariant;
 use crate::message::{Host, Message};
 
-use super::{CONTROL_SILENCE, ENGINE_TICK, Happening, PLATFORM_INTERVAL, TICK, World};
+use super::{CONTROL_SILENCE, ENGINE_TICK, PLATFORM_INTERVAL, TICK, World, WorldEvent};
 
 impl World {
     pub(super) fn tick(&mut self, host: Host) {
@@ -28,7 +28,7 @@
             }
             _ => {}
         }
-        self.schedule(self.now + pause, Happening::Tick(host));
+        self.schedule(self.now + pause, WorldEvent::Tick(host));
     }
 
     pub(super) fn tick_control(&mut self, place: usize) {
