--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use garnet_types::{BackendId, MachineState, OrderAnswer};
+use garnet_types::{BackendId, MachineState, Millis, OrderAnswer};
 
 use crate::command::Command;
 use crate::configuration::BackendRegistration;
@@ -10,7 +10,10 @@
 use crate::planning::EngineFacts;
 use crate::reconciler::{Present, Step};
 
-use super::{MISSING_MACHINE, Replica};
+use super::Replica;
+
+/// A machine that is missing from the list for this long counts as leaving.
+const MISSING_MACHINE: Millis = Millis::from_secs(10);
 
 impl Replica {
     pub(super) fn reconcile(&mut self) {
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -2,6 +2,8 @@
 
 use garnet_consensus::{Entry, EntryPayload, ProposeError, Snapshot};
 
+use garnet_types::Millis;
+
 use crate::answer::{ClaimAnswer, CommandAnswer};
 use crate::command::{Command, CommandEnvelope};
 use crate::effects::Effect;
@@ -10,7 +12,14 @@
 use crate::state::ControlState;
 use crate::watch::RecentChanges;
 
-use super::{Asker, LONGEST_WAIT, Pending, Replica, SNAPSHOT_BYTES_PER_ENTRY, Waiter};
+use super::{Asker, Pending, Replica, Waiter};
+
+/// A large state is written anew only after so many entries that each of them
+/// pays for this many bytes of it.
+const SNAPSHOT_BYTES_PER_ENTRY: u64 = 2048;
+
+/// Longest wait of an operator for a change to be in force.
+const LONGEST_WAIT: Millis = Millis::from_secs(30);
 
 impl Replica {
     pub(super) fn propose(
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -25,13 +25,6 @@
 
 /// How often the leader looks at the engines.
 const RECONCILE_INTERVAL: Millis = Millis(100);
-/// A machine that is missing from the list for this long counts as leaving.
-const MISSING_MACHINE: Millis = Millis::from_secs(10);
-/// A large state is written anew only after so many entries that each of them
-/// pays for this many bytes of it.
-const SNAPSHOT_BYTES_PER_ENTRY: u64 = 2048;
-/// Longest wait of an operator for a change to be in force.
-const LONGEST_WAIT: Millis = Millis::from_secs(30);
 
 /// Settings of one replica.
 #[derive(Debug, Clone)]
--- a/components/gateway/src/gateway/arrival.rs
+++ b/components/gateway/src/gateway/arrival.rs
@@ -4,14 +4,20 @@
 use garnet_policy::RequestFacts;
 use garnet_routing::{TokenBucket, block_hashes};
 use garnet_types::{
-    ModelId, OutcomeCode, Refusal, RequestId, ServiceId, SessionId, TenantId, Verdict,
+    Millis, ModelId, OutcomeCode, Refusal, RequestId, ServiceId, SessionId, TenantId, Verdict,
 };
 
 use crate::call::{Answer, Call, Work, count_tokens};
 use crate::effects::Effect;
 use crate::request::{Request, Stage};
 
-use super::{ANONYMOUS, BUCKETS_STEP, Gateway, REFRESH_PATIENCE, SHORT_RETRY_AFTER};
+use super::{BUCKETS_STEP, Gateway, SHORT_RETRY_AFTER};
+
+/// How long an unknown name waits for a fresh configuration.
+const REFRESH_PATIENCE: Millis = Millis(1500);
+
+/// Tenant of callers that name none.
+const ANONYMOUS: &str = "anonymous";
 
 impl Gateway {
     pub(super) fn begin(&mut self, call: Call) {
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -6,7 +6,10 @@
 use crate::effects::Effect;
 use crate::request::Stage;
 
-use super::{Gateway, URGENT_WATCH_INTERVAL};
+use super::Gateway;
+
+/// A watch is sent at once for an unknown name, but not more often than this.
+const URGENT_WATCH_INTERVAL: Millis = Millis(50);
 
 impl Gateway {
     pub(super) fn watch_elapsed(&self) -> Millis {
--- a/components/gateway/src/gateway/mod.rs
+++ b/components/gateway/src/gateway/mod.rs
@@ -24,10 +24,6 @@
 
 /// Told to callers when the gateway itself can't take work.
 const SHORT_RETRY_AFTER: Millis = Millis::from_secs(1);
-/// A watch is sent at once for an unknown name, but not more often than this.
-const URGENT_WATCH_INTERVAL: Millis = Millis(50);
-/// How long an unknown name waits for a fresh configuration.
-const REFRESH_PATIENCE: Millis = Millis(1500);
 /// Buckets of tenants are looked through for full ones each time that so many
 /// more are kept.
 const BUCKETS_STEP: usize = 8192;
@@ -35,8 +31,6 @@
 const RESEND_WINDOW: Millis = Millis::from_secs(60);
 /// Most refused requests that are remembered in one window.
 const MOST_REFUSED: usize = 16 * 1024;
-/// Tenant of callers that name none.
-const ANONYMOUS: &str = "anonymous";
 
 /// What a gateway has counted since its start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -9,9 +9,11 @@
 mod average;
 mod loss;
 mod planner;
+mod settings;
 mod split;
 
 pub use average::{FastSlowAverage, Mix};
 pub use loss::{PoolCapacity, Utilisation, predicted_loss, utilisation};
-pub use planner::{Engine, Planner, PlannerSettings, RoleChange};
+pub use planner::{Engine, Planner, RoleChange};
+pub use settings::PlannerSettings;
 pub use split::Split;
--- a/components/planner/src/planner.rs
+++ b/components/planner/src/planner.rs
@@ -4,30 +4,9 @@
 
 use crate::average::{FastSlowAverage, Mix};
 use crate::loss::{PoolCapacity, predicted_loss, utilisation};
+use crate::settings::PlannerSettings;
 use crate::split::Split;
 
-/// Settings of one pool's planner.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlannerSettings {
-    /// Useful answers that one role change must gain to be worth it: low where
-    /// goodput counts most, high where role changes count most.
-    pub role_change_price: f64,
-    /// How long a mix is expected to last when it is priced.
-    pub horizon: Millis,
-    /// Shortest time between two changes of a pool.
-    pub minimum_dwell: Millis,
-    /// Time that a changing engine is out of service.
-    pub change_duration: Millis,
-    /// Window of the fast average.
-    pub fast_window: Millis,
-    /// Window of the slow average.
-    pub slow_window: Millis,
-    /// Figures older than this count as missing: nothing is changed then.
-    pub stale_after: Millis,
-    /// Whether engines may be given the mixed role.
-    pub allow_mixed: bool,
-}
-
 /// A phase gives an engine away only if it can do without: its utilisation
 /// afterwards stays below this. Taken from a phase that is short itself, an
 /// engine costs a long drain and gains next to nothing.
@@ -36,21 +15,6 @@
 /// A phase that was given an engine has it after so long, or gets another.
 const RESTORE_PAUSE: Millis = Millis::from_secs(15);
 
-impl Default for PlannerSettings {
-    fn default() -> Self {
-        PlannerSettings {
-            role_change_price: 20.0,
-            horizon: Millis::from_secs(60),
-            minimum_dwell: Millis::from_secs(10),
-            change_duration: Millis::from_secs(4),
-            fast_window: Millis::from_secs(6),
-            slow_window: Millis::from_secs(45),
-            stale_after: Millis::from_secs(5),
-            allow_mixed: false,
-        }
-    }
-}
-
 /// An engine of the pool as the planner sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Engine {
@@ -93,7 +57,7 @@
         }
     }
 
-    /// Replaces the settings, keeping the averages.
+    /// Replaces the price of a role change, keeping the averages.
     pub fn set_price(&mut self, role_change_price: f64) {
         self.settings.role_change_price = role_change_price;
     }
--- a/components/simulator/src/world/applications.rs
+++ b/components/simulator/src/world/applications.rs
@@ -8,7 +8,10 @@
 use crate::message::{Host, Message};
 use crate::service_hosts::{JobOwner, OpenCall};
 
-use super::{LEAVING_ALLOWANCE, PLATFORM_LAG, World};
+use super::{PLATFORM_LAG, World};
+
+/// A leaving back end may get new work for so long, when nothing else fails.
+const LEAVING_ALLOWANCE: Millis = Millis::from_secs(6);
 
 impl World {
     pub(super) fn deliver_application(&mut self, place: usize, from: Host, message: Message) {
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -9,7 +9,10 @@
 use crate::checker::Invariant;
 use crate::message::{Host, Message};
 
-use super::{LONGEST_ORDER_DELAY_MS, World, WorldEvent, engine_id, place_of};
+use super::{World, WorldEvent, engine_id, place_of};
+
+/// Longest delay of an order under [`FaultKind::DelayOrders`].
+const LONGEST_ORDER_DELAY_MS: u64 = 8000;
 
 impl World {
     pub(super) fn deliver_control(&mut self, place: usize, from: Host, message: Message) {
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -9,7 +9,9 @@
 use crate::faults::FaultKind;
 use crate::message::Host;
 
-use super::{PLANNED_HAND_OVER, World, WorldEvent, application_id, engine_id};
+use super::{World, WorldEvent, application_id, engine_id};
+
+const PLANNED_HAND_OVER: Millis = Millis(400);
 
 impl World {
     pub(super) fn begin_fault(&mut self, number: usize) {
--- a/components/simulator/src/world/gateways.rs
+++ b/components/simulator/src/world/gateways.rs
@@ -9,7 +9,13 @@
 use crate::message::{Host, Message};
 use crate::service_hosts::JobOwner;
 
-use super::{CONNECT_TIME, DEAD_CONNECTION, World, engine_id, place_of};
+use super::{World, engine_id, place_of};
+
+/// Connecting takes so long at most.
+const CONNECT_TIME: Millis = Millis(500);
+
+/// A connection that gets nothing through is given up after this time.
+const DEAD_CONNECTION: Millis = Millis::from_secs(30);
 
 impl World {
     pub(super) fn deliver_gateway(&mut self, place: usize, from: Host, message: Message) {
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -36,28 +36,13 @@
 
 /// How often daemons look at the clock.
 const TICK: Millis = Millis(20);
-/// How often engines hand out their tokens.
-const ENGINE_TICK: Millis = Millis(10);
 /// Lag of the platform's list.
 const PLATFORM_LAG: Millis = Millis(1000);
-/// How often replicas read the list.
-const PLATFORM_INTERVAL: Millis = Millis(500);
 /// After the last fault the system has this long to serve as if nothing had
 /// been.
 const SETTLE: Millis = Millis::from_secs(45);
-/// A leaving back end may get new work for so long, when nothing else fails.
-const LEAVING_ALLOWANCE: Millis = Millis::from_secs(6);
-/// Connecting takes so long at most.
-const CONNECT_TIME: Millis = Millis(500);
-/// A connection that gets nothing through is given up after this time.
-const DEAD_CONNECTION: Millis = Millis::from_secs(30);
-/// A gateway that hears nothing turns to another replica.
-const CONTROL_SILENCE: Millis = Millis(1200);
-/// Longest delay of an order under [`FaultKind::DelayOrders`].
-const LONGEST_ORDER_DELAY_MS: u64 = 8000;
 /// When the first request is sent.
 const FIRST_ARRIVAL: Millis = Millis(4000);
-const PLANNED_HAND_OVER: Millis = Millis(400);
 
 #[derive(Debug, Clone)]
 enum WorldEvent {
--- a/components/simulator/src/world/ticks.rs
+++ b/components/simulator/src/world/ticks.rs
@@ -4,13 +4,22 @@
 
 use garnet_control::Event as ControlEvent;
 use garnet_gateway::Event as GatewayEvent;
-use garnet_types::ReplicaId;
+use garnet_types::{Millis, ReplicaId};
 use rand::RngExt;
 
 use crate::checker::Invariant;
 use crate::message::{Host, Message};
 
-use super::{CONTROL_SILENCE, ENGINE_TICK, PLATFORM_INTERVAL, TICK, World, WorldEvent};
+use super::{TICK, World, WorldEvent};
+
+/// How often engines hand out their tokens.
+const ENGINE_TICK: Millis = Millis(10);
+
+/// How often replicas read the list.
+const PLATFORM_INTERVAL: Millis = Millis(500);
+
+/// A gateway that hears nothing turns to another replica.
+const CONTROL_SILENCE: Millis = Millis(1200);
 
 impl World {
     pub(super) fn tick(&mut self, host: Host) {
