A lost replica stops counting as reachable after two heartbeats

Cause: a test of the group as processes hung: a replica was removed right after another had been killed. The leader took the killed one as reachable for a second, accepted the change, which is in force from its proposal on, and the two that were left could never make a majority. Change: for membership changes, and for "survives one loss", a member counts as in touch for two heartbeats (300 ms) instead of the election timeout (1,000 ms). Bad bodies at the operators' interface have the code "invalid", as other mistakes have. Tests: a_removal_right_after_a_loss_is_refused failed before. Six more of the group as processes: 11 mistakes of operators, a follower that points to the leader, strangers at the peer port, a data folder of another replica, damage in the middle of the log, a removal that would lose the quorum.

--- a/bin/garnet-control/tests/process/group.rs
+++ b/bin/garnet-control/tests/process/group.rs
@@ -19,6 +19,7 @@
 /// The group.
 pub struct Group {
     folder: TempDir,
+    peer: Vec<String>,
     admin: Vec<String>,
     children: Vec<Option<Child>>,
 }
@@ -53,6 +54,7 @@
         }
         let mut group = Group {
             folder,
+            peer: peer.to_vec(),
             admin: admin.to_vec(),
             children: (0..REPLICAS).map(|_| None).collect(),
         };
@@ -105,6 +107,51 @@
         });
     }
 
+    /// What the leader answers to one request.
+    pub fn ask_leader(&self, method: &str, path: &str, body: &str) -> String {
+        self.until(|| self.request(self.leader(), method, path, body))
+    }
+
+    /// What a replica answers to one request.
+    pub fn ask(&self, place: usize, method: &str, path: &str, body: &str) -> String {
+        self.until(|| self.request(place, method, path, body))
+    }
+
+    /// Waits until a replica's status has a text in it.
+    pub fn wait_until_status(&self, place: usize, text: &str) {
+        self.until(|| {
+            let status = self.request(place, "GET", "status", "");
+            status.filter(|status| status.contains(text))
+        });
+    }
+
+    /// Sends bytes to a replica's port for replicas and gateways.
+    pub fn send_to_peer_port(&self, place: usize, bytes: &[u8]) {
+        let mut stream = TcpStream::connect(&self.peer[place]).expect("it listens");
+        // The replica may close before it has read everything.
+        let _cut = stream.write_all(bytes);
+        let _closed = stream.shutdown(std::net::Shutdown::Write);
+        let mut answer = Vec::new();
+        let _reset = stream.read_to_end(&mut answer);
+    }
+
+    /// Runs a replica's program to its end; gives its exit code and its errors.
+    pub fn run_to_end(&self, place: usize, arguments: &[&str]) -> (Option<i32>, String) {
+        let output = Command::new(PROGRAM)
+            .arg("--settings")
+            .arg(self.settings(place))
+            .args(arguments)
+            .output()
+            .expect("the program starts");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        (output.status.code(), text)
+    }
+
+    /// The data folder of a replica.
+    pub fn data_folder(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{place}"))
+    }
+
     /// The configuration as the leader knows it.
     pub fn configuration(&self) -> String {
         self.until(|| {
--- a/bin/garnet-control/tests/process/main.rs
+++ b/bin/garnet-control/tests/process/main.rs
@@ -1,4 +1,5 @@
 //! The control group as processes with real sockets and files.
 
+mod bad_input;
 mod failures;
 mod group;
--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -119,9 +119,13 @@
         next.voters().count() > 0 && next.has_quorum(|id| self.is_in_touch(id))
     }
 
+    /// Whether a member answered within the last heartbeats. One that died a
+    /// moment longer ago must not count: a change that then needs it could
+    /// never be committed, and the change is in force from its proposal on.
     fn is_in_touch(&self, id: ReplicaId) -> bool {
+        let heartbeat = self.config.heartbeat_interval;
         self.acknowledged_at(id)
-            .is_some_and(|at| self.now.since(at) < self.config.election_timeout)
+            .is_some_and(|at| self.now.since(at) < heartbeat + heartbeat)
     }
 
     fn is_current(&self, id: ReplicaId, last: u64) -> bool {
--- a/components/consensus/tests/group.rs
+++ b/components/consensus/tests/group.rs
@@ -173,6 +173,24 @@
     assert!(network.node_mut(leader).remove_member(others[0]).is_ok());
 }
 
+/// A replica that died a moment ago must not count as reachable: a removal
+/// that then needs it could never be committed.
+#[test]
+fn a_removal_right_after_a_loss_is_refused() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    network.run(Millis(500));
+    let others: Vec<ReplicaId> = network
+        .ids()
+        .into_iter()
+        .filter(|id| *id != leader)
+        .collect();
+    network.isolate(others[0]);
+    network.run(Millis(400));
+    let refused = network.node_mut(leader).remove_member(others[1]);
+    assert_eq!(refused, Err(ProposeError::WouldLoseQuorum));
+}
+
 #[test]
 fn a_replica_with_a_new_disk_can_not_vote_as_its_former_self() {
     // Five entries are committed by replicas 1 and 2 of three while 3 is cut
--- a/components/runtime/src/shell.rs
+++ b/components/runtime/src/shell.rs
@@ -112,7 +112,11 @@
     let limits = Limits::default();
     let bytes = read_body(request.into_body(), &limits)
         .await
-        .map_err(|error| json_response(400, &serde_json::json!({"error": format!("{error:?}")})))?;
-    serde_json::from_slice(&bytes)
-        .map_err(|error| json_response(400, &serde_json::json!({"error": error.to_string()})))
+        .map_err(|error| invalid(&format!("{error:?}")))?;
+    serde_json::from_slice(&bytes).map_err(|error| invalid(&error.to_string()))
+}
+
+fn invalid(message: &str) -> Response<Body> {
+    let body = serde_json::json!({"code": "invalid", "message": message});
+    json_response(400, &body)
 }
