One place for what a phase can give and what an engine can do

Cause: read once more as a whole: the planner and foresight each had the rule that a phase gives an engine only if it can do without, with its bound; the leader's planning and the experiment each turned an engine's speed into a pool's, with the same constant; four tests picked the other replicas by hand; a count of voters stood before a quorum that implies it.

--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -84,7 +84,7 @@
         let mut next = self.membership.clone();
         next.members.remove(&id);
         let answered = |voter| self.acknowledged_at(voter).is_some_and(|at| at >= since);
-        next.voters().count() > 0 && next.has_quorum(answered)
+        next.has_quorum(answered)
     }
 
     /// Whether one more voter could be lost now without losing the quorum:
--- a/components/consensus/tests/group.rs
+++ b/components/consensus/tests/group.rs
@@ -160,11 +160,7 @@
     let mut network = Network::new(3);
     let leader = network.elect();
     network.run(Millis(500));
-    let others: Vec<ReplicaId> = network
-        .ids()
-        .into_iter()
-        .filter(|id| *id != leader)
-        .collect();
+    let others = network.others(leader);
     network.isolate(others[0]);
     network.run(Millis(1500));
     assert!(!network.node(leader).survives_one_loss());
@@ -180,11 +176,7 @@
     let mut network = Network::new(3);
     let leader = network.elect();
     network.run(Millis(500));
-    let others: Vec<ReplicaId> = network
-        .ids()
-        .into_iter()
-        .filter(|id| *id != leader)
-        .collect();
+    let others = network.others(leader);
     network.isolate(others[0]);
     network.run(Millis(400));
     let refused = network.node_mut(leader).remove_member(others[1]);
@@ -196,11 +188,7 @@
     let mut network = Network::new(3);
     let leader = network.elect();
     network.run(Millis(500));
-    let others: Vec<ReplicaId> = network
-        .ids()
-        .into_iter()
-        .filter(|id| *id != leader)
-        .collect();
+    let others = network.others(leader);
     network.isolate(others[0]);
     let since = network.now();
     let confirms = |network: &Network, id| network.node(leader).confirms_quorum_without(id, since);
@@ -217,11 +205,7 @@
     // lose what was committed.
     let mut network = Network::new(3);
     let leader = network.elect();
-    let others: Vec<ReplicaId> = network
-        .ids()
-        .into_iter()
-        .filter(|id| *id != leader)
-        .collect();
+    let others = network.others(leader);
     network.isolate(others[1]);
     network.propose(leader, b"committed");
     network.run(Millis(1000));
--- a/components/consensus/tests/network/mod.rs
+++ b/components/consensus/tests/network/mod.rs
@@ -69,6 +69,12 @@
         self.start(new_id, Membership::default());
     }
 
+    /// Every replica but one, in order.
+    pub fn others(&self, than: ReplicaId) -> Vec<ReplicaId> {
+        let all = self.ids().into_iter();
+        all.filter(|id| *id != than).collect()
+    }
+
     pub fn ids(&self) -> Vec<ReplicaId> {
         self.nodes.keys().copied().collect()
     }
--- a/components/control/src/planning.rs
+++ b/components/control/src/planning.rs
@@ -11,8 +11,6 @@
 
 /// How often the planner looks at a pool.
 const PLANNING_INTERVAL: Millis = Millis::from_secs(1);
-/// Part of a mixed engine's speed that is left for each phase.
-const MIXED_EFFICIENCY: f64 = 0.6;
 
 /// A pool: engines of one service that hold one model.
 type Pool = (ServiceId, ModelId);
@@ -83,7 +81,7 @@
             }
             let mix = offered.get(&pool).copied().unwrap_or_default();
             planner.observe(per_second(mix, elapsed), now);
-            let capacity = pool_capacity(&members.capacity);
+            let capacity = PoolCapacity::of(&members.capacity);
             if let Some(change) = planner.decide(&members.engines, &capacity, now) {
                 let assignment = EngineAssignment {
                     role: change.to,
@@ -147,14 +145,6 @@
     pools
 }
 
-fn pool_capacity(capacity: &EngineCapacity) -> PoolCapacity {
-    PoolCapacity {
-        prefill_tokens_per_second: capacity.prefill_tokens_per_second,
-        decode_tokens_per_second: capacity.decode_tokens_per_second(),
-        mixed_efficiency: MIXED_EFFICIENCY,
-    }
-}
-
 fn per_second(mix: Mix, elapsed: Millis) -> Mix {
     let seconds = elapsed.as_secs_f64().max(0.001);
     Mix {
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -1,7 +1,6 @@
 //! Proposals, what becomes of them, and snapshots.
 
 use garnet_consensus::{Entry, EntryPayload, ProposeError, Snapshot};
-
 use garnet_types::Millis;
 
 use crate::answer::{ClaimAnswer, CommandAnswer};
--- a/components/gateway/src/gateway/arrival.rs
+++ b/components/gateway/src/gateway/arrival.rs
@@ -243,8 +243,8 @@
         let prompt_bound = capacity.is_prompt_bound(prompt as f64, output as f64);
         mix.requests += 1;
         mix.prompt_bound += u64::from(prompt_bound);
-        mix.prompt_tokens += request.prompt_tokens;
-        mix.output_tokens += request.max_tokens();
+        mix.prompt_tokens += prompt;
+        mix.output_tokens += output;
     }
 
     /// Sends a request that has all its rights to a back end.
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -13,7 +13,7 @@
 mod split;
 
 pub use average::{FastSlowAverage, Mix};
-pub use loss::{PoolCapacity, Utilisation, predicted_loss, utilisation};
+pub use loss::{PoolCapacity, Utilisation, can_give, predicted_loss, utilisation};
 pub use planner::{Engine, Planner, RoleChange};
 pub use settings::PlannerSettings;
 pub use split::Split;
--- a/components/planner/src/loss.rs
+++ b/components/planner/src/loss.rs
@@ -1,5 +1,7 @@
 //! Useful answers that a split is predicted to lose, in a second.
 
+use garnet_types::{EngineCapacity, EngineRole};
+
 use crate::average::Mix;
 use crate::split::Split;
 
@@ -15,6 +17,24 @@
     pub mixed_efficiency: f64,
 }
 
+/// Part of a mixed engine's speed that is left for each phase.
+const MIXED_EFFICIENCY: f64 = 0.6;
+/// A phase gives an engine away only if it can do without: its utilisation
+/// afterwards stays below this. Taken from a phase that is short itself, an
+/// engine costs a long drain and gains next to nothing.
+const MOST_AFTER_GIVING: f64 = 0.95;
+
+impl PoolCapacity {
+    /// What an engine of this speed can do in a pool.
+    pub fn of(engine: &EngineCapacity) -> Self {
+        PoolCapacity {
+            prefill_tokens_per_second: engine.prefill_tokens_per_second,
+            decode_tokens_per_second: engine.decode_tokens_per_second(),
+            mixed_efficiency: MIXED_EFFICIENCY,
+        }
+    }
+}
+
 /// Above this utilisation answers begin to be late.
 const COMFORTABLE_UTILISATION: f64 = 0.9;
 /// Part of the answers that is late at full utilisation.
@@ -62,6 +82,17 @@
     }
 }
 
+/// Whether the role that an engine was taken from can do without it: `next` is
+/// the split afterwards.
+pub fn can_give(from: EngineRole, next: &Split, mix: &Mix, capacity: &PoolCapacity) -> bool {
+    let after = utilisation(next, mix, capacity);
+    match from {
+        EngineRole::Prefill => after.prefill <= MOST_AFTER_GIVING,
+        EngineRole::Decode => after.decode <= MOST_AFTER_GIVING,
+        EngineRole::Mixed => true,
+    }
+}
+
 /// Mixed engines go where the need is, in proportion to what is missing.
 fn divide_shared(shared: f64, prefill_missing: f64, decode_missing: f64) -> (f64, f64) {
     let prefill = prefill_missing.max(0.01);
--- a/components/planner/src/planner.rs
+++ b/components/planner/src/planner.rs
@@ -3,15 +3,10 @@
 use garnet_types::{BackendId, EngineRole, Millis};
 
 use crate::average::{FastSlowAverage, Mix};
-use crate::loss::{PoolCapacity, predicted_loss, utilisation};
+use crate::loss::{PoolCapacity, can_give, predicted_loss};
 use crate::settings::PlannerSettings;
 use crate::split::Split;
 
-/// A phase gives an engine away only if it can do without: its utilisation
-/// afterwards stays below this. Taken from a phase that is short itself, an
-/// engine costs a long drain and gains next to nothing.
-const MOST_AFTER_GIVING: f64 = 0.95;
-
 /// A phase that was given an engine has it after so long, or gets another.
 const RESTORE_PAUSE: Millis = Millis::from_secs(15);
 
@@ -148,7 +143,7 @@
     ) -> Option<(EngineRole, EngineRole)> {
         self.steps(split)
             .into_iter()
-            .filter(|(from, _, next)| self.can_give(*from, next, capacity))
+            .filter(|(from, _, next)| can_give(*from, next, &self.averages.fast, capacity))
             .map(|(from, to, next)| (self.gain(split, &next, from, capacity), from, to))
             .filter(|(gain, _, _)| *gain > 0.0)
             .max_by(|left, right| left.0.total_cmp(&right.0))
@@ -175,15 +170,6 @@
         steps
     }
 
-    fn can_give(&self, from: EngineRole, next: &Split, capacity: &PoolCapacity) -> bool {
-        let after = utilisation(next, &self.averages.fast, capacity);
-        match from {
-            EngineRole::Prefill => after.prefill <= MOST_AFTER_GIVING,
-            EngineRole::Decode => after.decode <= MOST_AFTER_GIVING,
-            EngineRole::Mixed => true,
-        }
-    }
-
     /// Answers gained over the horizon, less those lost while the engine is
     /// out of service, less the price.
     fn gain(&self, split: &Split, next: &Split, from: EngineRole, capacity: &PoolCapacity) -> f64 {
--- a/components/simulator/src/mix/steering.rs
+++ b/components/simulator/src/mix/steering.rs
@@ -5,7 +5,9 @@
 //! compared with.
 
 use garnet_control::{BackendRecord, Command, Configuration};
-use garnet_planner::{Mix, PoolCapacity, Split, Utilisation, predicted_loss, utilisation};
+use garnet_planner::{
+    Mix, PoolCapacity, Split, Utilisation, can_give, predicted_loss, utilisation,
+};
 use garnet_types::{BackendId, EngineAssignment, EngineRole, Millis};
 
 use super::demand::Demand;
@@ -23,12 +25,8 @@
 const FORESIGHT_HORIZON: Millis = Millis::from_secs(45);
 /// Time out of service that foresight reckons with: drain and change.
 const FORESIGHT_CHANGE: Millis = Millis::from_secs(6);
-/// Utilisation up to which foresight leaves a phase that gives an engine.
-const MOST_AFTER_GIVING: f64 = 0.95;
 /// Answers that a change must gain under foresight.
 const FORESIGHT_PRICE: f64 = 2.0;
-/// Part of a mixed engine's speed that is left for each phase.
-const MIXED_EFFICIENCY: f64 = 0.6;
 
 /// Who decides the engines' roles.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -145,7 +143,8 @@
             .into_iter()
             .filter_map(|step| {
                 let next = split.after(step.0, step.1)?;
-                if !self.can_give(step.0, &next, now + FORESIGHT_CHANGE) {
+                let mix = self.demand.mix(&self.deployment, now + FORESIGHT_CHANGE);
+                if !can_give(step.0, &next, &mix, &self.capacity()) {
                     return None;
                 }
                 let gain = self.gain(split, &next, step.0, now);
@@ -155,16 +154,6 @@
             .map(|(_, step)| step)
     }
 
-    /// Whether the phase that gives an engine can do without it.
-    fn can_give(&self, from: EngineRole, next: &Split, at: Millis) -> bool {
-        let mix = self.demand.mix(&self.deployment, at);
-        let after = utilisation(next, &mix, &self.capacity());
-        match from {
-            EngineRole::Prefill => after.prefill <= MOST_AFTER_GIVING,
-            _ => after.decode <= MOST_AFTER_GIVING,
-        }
-    }
-
     fn gain(&self, split: &Split, next: &Split, from: EngineRole, now: Millis) -> f64 {
         let capacity = self.capacity();
         let away = split.without(from);
@@ -184,12 +173,7 @@
     }
 
     fn capacity(&self) -> PoolCapacity {
-        let capacity = &self.deployment.capacity;
-        PoolCapacity {
-            prefill_tokens_per_second: capacity.prefill_tokens_per_second,
-            decode_tokens_per_second: capacity.decode_tokens_per_second(),
-            mixed_efficiency: MIXED_EFFICIENCY,
-        }
+        PoolCapacity::of(&self.deployment.capacity)
     }
 }
 
