--- a/bin/garnet-bench/src/hollow/control.rs
+++ b/bin/garnet-bench/src/hollow/control.rs
@@ -87,6 +87,7 @@
             .map(|number| MachineEntry {
                 registration: Size::registration(number),
                 state: MachineState::Live,
+                observed: None,
             })
             .collect();
         Ok(HollowFleet {
@@ -185,6 +186,7 @@
                 gateway: GatewayId::new(format!("gateway-{number}.1")),
                 configuration_index: self.index,
                 sent_at: self.now,
+                group_index: 0,
                 mix: vec![hollow_mix(number)],
             });
             self.gateway_bytes += self.group.gateway_asks(self.leader, frame) as u64;
@@ -291,6 +293,8 @@
         let load = encode(Frame::Control(ControlReply::Watch {
             sent_at: Millis::ZERO,
             update: snapshot,
+            group: None,
+            gateways: 1,
         }));
         Ok(ControlFigures {
             size: self.size,
--- a/bin/garnet-bench/src/hollow/gateway.rs
+++ b/bin/garnet-bench/src/hollow/gateway.rs
@@ -123,8 +123,12 @@
         };
         let update = WatchUpdate::Snapshot(Box::new(configuration(size)));
         let sent_at = run.now;
-        run.pending
-            .push(Event::Control(ControlReply::Watch { sent_at, update }));
+        run.pending.push(Event::Control(ControlReply::Watch {
+            sent_at,
+            update,
+            group: None,
+            gateways: 1,
+        }));
         run
     }
 
@@ -192,8 +196,12 @@
         match effect {
             Effect::SendControl(GatewayRequest::Watch { sent_at, .. }) => {
                 let update = WatchUpdate::Current;
-                self.pending
-                    .push(Event::Control(ControlReply::Watch { sent_at, update }));
+                self.pending.push(Event::Control(ControlReply::Watch {
+                    sent_at,
+                    update,
+                    group: None,
+                    gateways: 1,
+                }));
             }
             Effect::PollLoad { backend, .. } => {
                 let number = backend.as_str().trim_start_matches("engine-").parse();
@@ -283,6 +291,7 @@
         (session.id.clone(), session)
     });
     Configuration {
+        routes: None,
         index: 1,
         sessions: sessions.collect(),
         policies: [("voorschrift".to_owned(), policy)].into(),
--- a/bin/garnet-bench/src/hollow/group.rs
+++ b/bin/garnet-bench/src/hollow/group.rs
@@ -78,9 +78,8 @@
         };
         let start = |place: usize| {
             let settings = ReplicaSettings {
-                consensus: Config::new(id(place), 1),
                 snapshot_every: SNAPSHOT_EVERY,
-                planner: None,
+                ..ReplicaSettings::new(Config::new(id(place), 1))
             };
             let restored = Restored {
                 initial_membership: initial_membership.clone(),
@@ -239,6 +238,8 @@
                     self.leaving.push(Leaving::Engine(engine, request));
                 }
                 Effect::AnswerOperator { .. }
+                | Effect::ForwardJoin { .. }
+                | Effect::GroupChanged { .. }
                 | Effect::BecameLeader { .. }
                 | Effect::LostLeadership { .. } => {}
             }
--- a/bin/garnet-control/src/admin.rs
+++ b/bin/garnet-control/src/admin.rs
@@ -1,5 +1,6 @@
 //! The operators' HTTP interface, under `/admin/v1/`.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use garnet_control::{
@@ -19,7 +20,7 @@
 use serde_json::json;
 use smol::Timer;
 
-use crate::connections::Connections;
+use garnet_control_shell::Connections;
 
 const PREFIX: &str = "/admin/v1/";
 /// Header that names a command, so that it can be sent again.
@@ -91,6 +92,8 @@
             let command = Command::WithdrawPolicy((*name).to_owned());
             submit(&admin, command, options).await
         }
+        (Method::GET, ["routes"]) => ask(&admin, OperatorRequest::Routes).await,
+        (Method::PUT, ["routes"]) => put_routes(&admin, request, options).await,
         (Method::PUT, ["engines", id, "assignment"]) => {
             put_assignment(&admin, id, request, options).await
         }
@@ -138,14 +141,34 @@
     request: Request<Incoming>,
     options: Options,
 ) -> Response<Body> {
-    let Ok(bytes) = read_body(request.into_body(), &Limits::default()).await else {
-        return bad_request("the body is not whole, or too large");
+    match read_text(request).await {
+        Ok(document) => {
+            let name = name.to_owned();
+            submit(admin, Command::PutPolicy { name, document }, options).await
+        }
+        Err(response) => response,
+    }
+}
+
+async fn put_routes(admin: &Admin, request: Request<Incoming>, options: Options) -> Response<Body> {
+    let document = match read_text(request).await {
+        Ok(document) => document,
+        Err(response) => return response,
     };
-    let Ok(document) = String::from_utf8(bytes.to_vec()) else {
-        return bad_request("the document is not UTF-8 text");
+    match garnet_routes::read_document(&document) {
+        Ok(table) => {
+            let table = Arc::new(table);
+            submit(admin, Command::PutRoutes { table, document }, options).await
+        }
+        Err(findings) => json_response(400, &json!({"code": "invalid", "findings": findings.0})),
+    }
+}
+
+async fn read_text(request: Request<Incoming>) -> Result<String, Response<Body>> {
+    let Ok(bytes) = read_body(request.into_body(), &Limits::default()).await else {
+        return Err(bad_request("the body is not whole, or too large"));
     };
-    let name = name.to_owned();
-    submit(admin, Command::PutPolicy { name, document }, options).await
+    String::from_utf8(bytes.to_vec()).map_err(|_| bad_request("the document is not UTF-8 text"))
 }
 
 async fn put_assignment(
@@ -218,6 +241,10 @@
     match answer {
         OperatorAnswer::Committed { answer, in_force } => committed_response(answer, in_force),
         OperatorAnswer::Configuration(configuration) => json_response(200, &configuration),
+        OperatorAnswer::Routes(Some(document)) => {
+            with_type(200, "application/json", document.into_bytes())
+        }
+        OperatorAnswer::Routes(None) => json_response(404, &json!({"code": "not_found"})),
         OperatorAnswer::Status(status) => json_response(200, &status),
         OperatorAnswer::Refused(message) => {
             json_response(400, &json!({"code": "refused", "message": message}))
--- a/bin/garnet-control/src/engines.rs
+++ b/bin/garnet-control/src/engines.rs
@@ -2,55 +2,55 @@
 
 use std::time::Duration;
 
-use garnet_control::{EngineRequest, Event, Replica};
+use garnet_control::{EngineRequest, Event};
+use garnet_control_shell::EnginePort;
 use garnet_engine_api::paths;
 use garnet_runtime::{HttpClient, client};
-use garnet_types::{BackendId, EngineStatus, Millis, OrderAnswer};
+use garnet_types::{BackendId, EngineStatus, OrderAnswer};
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
 use serde::de::DeserializeOwned;
-use smol::channel::Sender;
 
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// Whether a question may leave now: an order only under this leader's lease.
-pub(crate) fn may_ask(replica: &Replica, request: &EngineRequest, now: Millis) -> bool {
-    match request {
-        EngineRequest::Status => true,
-        EngineRequest::Order(order) => replica.may_send_order(order.fence, now),
+/// Engines that speak the product's own interface.
+#[derive(Clone)]
+pub(crate) struct EngineHttp {
+    http: HttpClient,
+}
+
+impl EngineHttp {
+    pub(crate) fn new(http: HttpClient) -> Self {
+        EngineHttp { http }
     }
 }
 
-/// Asks and reports the answer. Silence is no event: the status grows old.
-pub(crate) async fn ask(
-    http: HttpClient,
-    events: Sender<Event>,
-    engine: BackendId,
-    address: String,
-    request: EngineRequest,
-) {
-    let event = match request {
-        EngineRequest::Status => {
-            let request = client::get_request(paths::STATUS);
-            let status: Option<EngineStatus> = fetch(&http, &address, request).await;
-            status.map(|status| Event::EngineStatus { engine, status })
-        }
-        EngineRequest::Order(order) => {
-            log::info!(
-                engine = engine.as_str(),
-                fence = order.fence.to_string().as_str(),
-                role = order.assignment.role.as_str();
-                "order_sent"
-            );
-            let request = client::json_request("POST", paths::ORDERS, &order);
-            let answer: Option<OrderAnswer> = fetch(&http, &address, request).await;
-            answer.map(|answer| Event::EngineOrder { engine, answer })
+impl EnginePort for EngineHttp {
+    async fn ask(
+        &self,
+        engine: BackendId,
+        address: String,
+        request: EngineRequest,
+    ) -> Option<Event> {
+        match request {
+            EngineRequest::Status => {
+                let request = client::get_request(paths::STATUS);
+                let status: EngineStatus = fetch(&self.http, &address, request).await?;
+                Some(Event::EngineStatus { engine, status })
+            }
+            EngineRequest::Order(order) => {
+                log::info!(
+                    engine = engine.as_str(),
+                    fence = order.fence.to_string().as_str(),
+                    role = order.assignment.role.as_str();
+                    "order_sent"
+                );
+                let request = client::json_request("POST", paths::ORDERS, &order);
+                let answer: OrderAnswer = fetch(&self.http, &address, request).await?;
+                Some(Event::EngineOrder { engine, answer })
+            }
         }
-    };
-    if let Some(event) = event {
-        // The process may be stopping.
-        let _unheard = events.send(event).await;
     }
 }
 
--- /dev/null
+++ b/bin/garnet-control/src/machines.rs
@@ -0,0 +1,42 @@
+//! Reads the platform's list of machines, over HTTP.
+
+use std::time::Duration;
+
+use garnet_control::MachineEntry;
+use garnet_control_shell::{DirectoryError, DirectoryPort};
+use garnet_engine_api::paths;
+use garnet_runtime::{HttpClient, client};
+
+use crate::engines::fetch;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// The list at one address.
+pub(crate) struct MachineList {
+    address: String,
+    http: HttpClient,
+}
+
+impl MachineList {
+    pub(crate) fn new(address: String, http: HttpClient) -> Self {
+        MachineList { address, http }
+    }
+}
+
+impl DirectoryPort for MachineList {
+    async fn read(&self) -> Result<Vec<MachineEntry>, DirectoryError> {
+        let request = client::get_request(paths::MACHINES);
+        let unreachable = || DirectoryError::Unreachable(self.address.clone());
+        fetch(&self.http, &self.address, request)
+            .await
+            .ok_or_else(unreachable)
+    }
+
+    fn interval(&self) -> Duration {
+        INTERVAL
+    }
+
+    fn leader_only(&self) -> bool {
+        false
+    }
+}
--- a/bin/garnet-control/src/main.rs
+++ b/bin/garnet-control/src/main.rs
@@ -1,10 +1,8 @@
 //! `garnet-control`: one replica of the control group.
 
 mod admin;
-mod connections;
 mod engines;
-mod platform;
-mod replica_task;
+mod machines;
 mod settings;
 mod start;
 
--- a/bin/garnetctl/src/arguments.rs
+++ b/bin/garnetctl/src/arguments.rs
@@ -13,6 +13,10 @@
   policy check FILE                     all findings, without a server
   policy put NAME FILE [--expected-revision N]
   policy withdraw NAME [--expected-revision N]
+  routes check FILE                     all findings, without a server
+  routes get                            the document in force
+  routes put FILE                       replaces the route table; the highest
+                                        version wins
   engine list
   engine assign ID --role ROLE --model M [--expected-revision N]
   backend list
--- a/bin/garnetctl/src/commands.rs
+++ b/bin/garnetctl/src/commands.rs
@@ -43,6 +43,9 @@
             change(arguments, "PUT", format!("sessions/{id}"), Some(body))
         }
         ["session", "close", id] => change(arguments, "DELETE", format!("sessions/{id}"), None),
+        ["routes", "check", file] => check_routes(file),
+        ["routes", "get"] => get_routes(arguments),
+        ["routes", "put", file] => put_routes(arguments, file),
         ["policy", "put", name, file] => put_policy(arguments, name, file),
         ["policy", "withdraw", name] => {
             change(arguments, "DELETE", format!("policies/{name}"), None)
@@ -135,8 +138,37 @@
     }
 }
 
+fn check_routes(file: &str) -> Result<ExitCode, String> {
+    let document = read_file(Path::new(file)).map_err(|findings| findings.to_string())?;
+    match garnet_routes::read_document(&document) {
+        Ok(table) => {
+            println!("{file}: version {} is sound", table.version);
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(findings) => {
+            for finding in &findings.0 {
+                eprintln!("{file}: {}: {}", finding.place, finding.message);
+            }
+            Ok(ExitCode::from(REFUSED))
+        }
+    }
+}
+
 // ---- Reading ----
 
+fn get_routes(arguments: &Arguments) -> Result<ExitCode, String> {
+    check_controls(arguments)?;
+    let Some(answer) = client::send(&arguments.controls, &read_request("routes")) else {
+        return Ok(no_answer());
+    };
+    println!("{}", answer.body);
+    Ok(if answer.status < 300 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(REFUSED)
+    })
+}
+
 fn status(arguments: &Arguments) -> Result<ExitCode, String> {
     check_controls(arguments)?;
     let request = read_request("status");
@@ -212,6 +244,15 @@
     send_change(arguments, "PUT", &path, TOML, document.into_bytes())
 }
 
+fn put_routes(arguments: &Arguments, file: &str) -> Result<ExitCode, String> {
+    let checked = check_routes(file)?;
+    if checked != ExitCode::SUCCESS {
+        return Ok(checked);
+    }
+    let document = read_file(Path::new(file)).map_err(|findings| findings.to_string())?;
+    send_change(arguments, "PUT", "routes", JSON, document.into_bytes())
+}
+
 fn change(
     arguments: &Arguments,
     method: &'static str,
--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -12,7 +12,7 @@
 use crate::node::Node;
 
 /// How far a learner's log may lag when it is given a vote, in entries.
-const CAUGHT_UP_ENTRIES: u64 = 64;
+pub(crate) const CAUGHT_UP_ENTRIES: u64 = 64;
 
 impl Node {
     /// Adds a replica that receives the log and does not vote.
@@ -53,8 +53,7 @@
         if member.voter {
             return Err(ProposeError::AlreadyMember(id));
         }
-        let held = self.progress.get(&id).map_or(0, |p| p.match_index);
-        if held == 0 || held + CAUGHT_UP_ENTRIES < self.log.last_index() {
+        if !self.is_caught_up(id) {
             return Err(ProposeError::NotCaughtUp(id));
         }
         member.voter = true;
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -12,6 +12,7 @@
 use crate::entry::{Entry, EntryPayload, HardState, Membership, Snapshot};
 use crate::error::ProposeError;
 use crate::log::ReplicatedLog;
+use crate::membership::CAUGHT_UP_ENTRIES;
 use crate::message::{Envelope, Message};
 use crate::progress::Progress;
 use crate::ready::Ready;
@@ -155,6 +156,11 @@
         &self.membership
     }
 
+    /// Log index from which [`Node::membership`] stands.
+    pub fn membership_index(&self) -> u64 {
+        self.membership_index
+    }
+
     /// What the leader knows of its followers; empty on others.
     pub fn followers(&self) -> &BTreeMap<ReplicaId, Progress> {
         &self.progress
@@ -198,6 +204,25 @@
         self.lease_until().is_some_and(|until| now < until)
     }
 
+    /// Whether an entry of this replica's term is applied: the state machine
+    /// then holds everything that was committed before the term.
+    pub fn has_applied_own_term(&self) -> bool {
+        self.log.term_at(self.applied_index) == Some(self.hard_state.term)
+    }
+
+    /// How long a member has not been heard of, as this leader knows it. A
+    /// leader counts from when it began to lead.
+    pub fn silent_for(&self, id: ReplicaId) -> Millis {
+        let heard = self.acknowledged_at(id).unwrap_or(Millis::ZERO);
+        self.now.since(heard.max(self.leader_since))
+    }
+
+    /// Whether a member holds nearly all of the log, as this leader knows it.
+    pub fn is_caught_up(&self, id: ReplicaId) -> bool {
+        let held = self.progress.get(&id).map_or(0, |p| p.match_index);
+        held > 0 && held + CAUGHT_UP_ENTRIES >= self.log.last_index()
+    }
+
     /// Takes the time. Call it at least once in a heartbeat interval.
     pub fn tick(&mut self, now: Millis) {
         self.now = self.now.max(now);
--- a/bin/garnet-control/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use garnet_consensus::Envelope;
-use garnet_control::{ControlReply, Event, OperatorAnswer, OperatorRequest};
+use garnet_control::{ControlReply, Event, JoinRequest, OperatorAnswer, OperatorRequest};
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::ReplicaId;
@@ -32,7 +32,7 @@
 
 /// All connections of the process.
 #[derive(Clone)]
-pub(crate) struct Connections {
+pub struct Connections {
     id: ReplicaId,
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
@@ -65,6 +65,12 @@
         let _lost = sender.try_send(Frame::Peer(envelope));
     }
 
+    /// Queues a wish to join for a replica.
+    pub(crate) fn send_join(&self, address: &str, request: JoinRequest) {
+        let sender = self.peer_queue(address);
+        let _lost = sender.try_send(Frame::Join(request));
+    }
+
     fn peer_queue(&self, address: &str) -> Sender<Frame> {
         if let Some(sender) = self.open.borrow().peers.get(address) {
             return sender.clone();
@@ -135,6 +141,9 @@
                 Frame::Peer(envelope) if envelope.from == id => {
                     let _stopping = self.events.send(Event::Peer(envelope)).await;
                 }
+                Frame::Join(request) => {
+                    let _stopping = self.events.send(Event::Join(request)).await;
+                }
                 _ => return Err(WireError::Malformed("not a peer's frame".to_owned())),
             }
         }
@@ -177,7 +186,7 @@
     // ---- Operators ----
 
     /// Puts a question to the replica and waits for its answer.
-    pub(crate) async fn ask(&self, request: OperatorRequest) -> Option<OperatorAnswer> {
+    pub async fn ask(&self, request: OperatorRequest) -> Option<OperatorAnswer> {
         let (sender, answers) = bounded(1);
         let ticket = self.next_number();
         self.open.borrow_mut().operators.insert(ticket, sender);
--- /dev/null
+++ b/components/control-shell/src/lib.rs
@@ -0,0 +1,20 @@
+//! The I/O shell of a control replica.
+//!
+//! Contract: the shell owns the sockets, the disk and the clock of one
+//! [`garnet_control::Replica`]. What speaks to the outside is plugged in:
+//! a [`DirectoryPort`] reads the list of machines, an [`EnginePort`] asks
+//! engines, and operators reach the replica through [`Connections::ask`].
+
+mod connections;
+mod directory;
+mod engines;
+mod joining;
+mod opening;
+mod replica_task;
+
+pub use connections::Connections;
+pub use directory::{DirectoryError, DirectoryPort};
+pub use engines::EnginePort;
+pub use joining::{GroupAddresses, MemberAddress};
+pub use opening::{FirstGroup, OpenSettings, Opened, identity_of, open};
+pub use replica_task::{ControlShell, Ports};
--- a/bin/garnet-control/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -3,44 +3,126 @@
 //! While the disk syncs, events gather in the channel; all of them go into the
 //! next sync, which is what makes one sync serve many commands.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_control::{Effect, Event, Replica};
-use garnet_runtime::{Clock, HttpClient};
+use garnet_control::{Effect, Event, JoinRequest, Replica};
+use garnet_runtime::Clock;
 use garnet_storage::{DiskDirectory, ReplicaStorage, StorageError};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
-use garnet_types::Millis;
+use garnet_types::{Millis, ReplicaId};
 use smol::channel::{Receiver, Sender};
+use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 
 use crate::connections::Connections;
-use crate::engines;
+use crate::directory::{self, DirectoryPort};
+use crate::engines::{self, EnginePort};
+use crate::joining::{self, GroupAddresses, Standing};
+use crate::opening::Opened;
 
 const TICK: Millis = Millis(20);
 /// Events taken before the disk gets its turn.
 const EVENTS_PER_SYNC: usize = 1024;
 
-/// What was opened at the start of the process.
-pub(crate) struct Opened {
-    pub(crate) replica: Replica,
-    pub(crate) storage: ReplicaStorage<DiskDirectory>,
-    pub(crate) clock: Clock,
+/// What is plugged into the shell.
+pub struct Ports<D, E> {
+    /// The list of machines; `None` leaves back ends to the operators.
+    pub directory: Option<D>,
+    /// Engines.
+    pub engines: E,
+}
+
+/// The parts of a running replica.
+pub struct ControlShell {
+    /// Connections of the process; operators' adapters ask through them.
+    pub connections: Connections,
+    events: Receiver<Event>,
+    events_in: Sender<Event>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl ControlShell {
+    /// A shell for the replica `id` on `executor`.
+    pub fn new(id: ReplicaId, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let (events_in, events) = smol::channel::unbounded();
+        ControlShell {
+            connections: Connections::new(id, Rc::clone(&executor), events_in.clone()),
+            events,
+            events_in,
+            executor,
+        }
+    }
+
+    /// The children that run the replica. `join` is given where the group
+    /// keeps its members itself.
+    pub fn children<D, E>(
+        &self,
+        opened: Opened,
+        listener: TcpListener,
+        ports: Ports<D, E>,
+        join: Option<(JoinRequest, GroupAddresses)>,
+    ) -> Vec<ChildSpec>
+    where
+        D: DirectoryPort + 'static,
+        E: EnginePort + 'static,
+    {
+        let told = Told::default();
+        let outlets = Outlets {
+            connections: self.connections.clone(),
+            engines: ports.engines,
+            executor: Rc::clone(&self.executor),
+            events: self.events_in.clone(),
+            told: told.clone(),
+        };
+        let mut children = vec![
+            child(opened, self.events.clone(), outlets),
+            self.connections.listener_child(listener),
+        ];
+        if let Some(directory) = ports.directory {
+            let events = self.events_in.clone();
+            children.push(directory::child(Rc::new(directory), told.leads, events));
+        }
+        if let Some((request, addresses)) = join {
+            let connections = self.connections.clone();
+            children.push(joining::child(
+                request,
+                addresses,
+                told.standing,
+                connections,
+            ));
+        }
+        children
+    }
+}
+
+/// What the replica tells other children.
+#[derive(Clone, Default)]
+struct Told {
+    /// Whether it leads under its lease.
+    leads: Rc<Cell<bool>>,
+    /// Its place in the group.
+    standing: Rc<RefCell<Standing>>,
 }
 
 /// Where effects go.
 #[derive(Clone)]
-pub(crate) struct Outlets {
-    pub(crate) connections: Connections,
-    pub(crate) http: HttpClient,
-    pub(crate) executor: Rc<LocalExecutor<'static>>,
-    pub(crate) events: Sender<Event>,
+struct Outlets<E> {
+    connections: Connections,
+    engines: E,
+    executor: Rc<LocalExecutor<'static>>,
+    events: Sender<Event>,
+    told: Told,
 }
 
 /// The child. It is essential: a replica whose disk failed must not go on, and
 /// starting it again in the same process would trust the same disk.
-pub(crate) fn child(opened: Opened, events: Receiver<Event>, outlets: Outlets) -> ChildSpec {
+fn child<E: EnginePort + 'static>(
+    opened: Opened,
+    events: Receiver<Event>,
+    outlets: Outlets<E>,
+) -> ChildSpec {
     let opened = Rc::new(RefCell::new(Some(opened)));
     ChildSpec::new("replica", Restart::Essential, move |stop| {
         let opened = opened.borrow_mut().take();
@@ -55,16 +137,17 @@
     })
 }
 
-async fn run(
+async fn run<E: EnginePort + 'static>(
     opened: Opened,
     events: Receiver<Event>,
-    outlets: Outlets,
+    outlets: Outlets<E>,
     stop: StopSignal,
 ) -> Result<(), ChildError> {
     let Opened {
         mut replica,
         mut storage,
         clock,
+        ..
     } = opened;
     let mut ticked_at = Millis::ZERO;
     while !stop.is_stopped() {
@@ -84,6 +167,7 @@
             .await
             .map_err(ChildError::new)?;
         dispatch(&mut replica, &clock, &outlets);
+        tell(&replica, &clock, &outlets.told);
         if let Some(error) = replica.failure() {
             return Err(ChildError::new(error));
         }
@@ -128,7 +212,15 @@
     Ok(storage)
 }
 
-fn dispatch(replica: &mut Replica, clock: &Clock, outlets: &Outlets) {
+fn tell(replica: &Replica, clock: &Clock, told: &Told) {
+    let node = replica.node();
+    told.leads.set(node.holds_lease(clock.now()));
+    let hears_leader = node.status().leader.is_some();
+    let standing = Standing::of(node.membership(), node.id(), hears_leader);
+    *told.standing.borrow_mut() = standing;
+}
+
+fn dispatch<E: EnginePort + 'static>(replica: &mut Replica, clock: &Clock, outlets: &Outlets<E>) {
     for effect in replica.take_effects() {
         match effect {
             Effect::SendPeer(envelope) => {
@@ -154,16 +246,23 @@
                 // The clock is read anew: the process may have been paused
                 // between the decision and this line.
                 if engines::may_ask(replica, &request, clock.now()) {
-                    let ask = engines::ask(
-                        outlets.http.clone(),
-                        outlets.events.clone(),
-                        engine,
-                        address,
-                        request,
-                    );
+                    let engines = outlets.engines.clone();
+                    let events = outlets.events.clone();
+                    let ask = async move {
+                        if let Some(event) = engines.ask(engine, address, request).await {
+                            // The process may be stopping.
+                            let _unheard = events.send(event).await;
+                        }
+                    };
                     outlets.executor.spawn(ask).detach();
                 }
             }
+            Effect::ForwardJoin { address, request } => {
+                outlets.connections.send_join(&address, request);
+            }
+            Effect::GroupChanged { step } => {
+                log::info!(step = format!("{step:?}").as_str(); "group_changed");
+            }
             Effect::BecameLeader { term } => log::info!(term = term; "became_leader"),
             Effect::LostLeadership { term } => log::info!(term = term; "lost_leadership"),
         }
--- a/components/control/src/command.rs
+++ b/components/control/src/command.rs
@@ -1,5 +1,8 @@
 //! Commands of the replicated log.
 
+use std::sync::Arc;
+
+use garnet_routes::RouteTable;
 use garnet_types::{
     BackendId, ClaimId, CommandId, EngineAssignment, Fence, IdempotencyKey, MachineState, Millis,
     RecordedResponse, SessionId, TenantId,
@@ -50,6 +53,14 @@
     },
     /// Withdraws a policy.
     WithdrawPolicy(String),
+    /// Replaces the route table. It was checked before it was proposed. A
+    /// version that does not exceed the one held changes nothing.
+    PutRoutes {
+        /// The table.
+        table: Arc<RouteTable>,
+        /// The document as the operator wrote it, to be read back.
+        document: String,
+    },
     /// Makes a back end known, or notes its new address.
     PutBackend(BackendRegistration),
     /// Notes what the platform says of a back end's machine.
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -1,7 +1,9 @@
 //! What every gateway must know: sessions, policies and back ends.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
+use garnet_routes::RouteTable;
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, Fence, MachineState, ModelId, ServiceId,
     SessionId, TenantId,
@@ -112,6 +114,8 @@
     pub index: u64,
     /// Accepted sessions.
     pub sessions: BTreeMap<SessionId, Session>,
+    /// The route table in force, once there is one.
+    pub routes: Option<Arc<RouteTable>>,
     /// Policies in force.
     pub policies: BTreeMap<String, PolicyRecord>,
     /// Known back ends.
@@ -125,6 +129,8 @@
     SessionCreated(Session),
     /// A session was ended.
     SessionClosed(SessionId),
+    /// The route table was replaced.
+    RoutesPut(Arc<RouteTable>),
     /// A policy was written or replaced.
     PolicyPut {
         /// Its name.
@@ -152,6 +158,9 @@
             ConfigurationChange::SessionClosed(id) => {
                 self.sessions.remove(&id);
             }
+            ConfigurationChange::RoutesPut(table) => {
+                self.routes = Some(table);
+            }
             ConfigurationChange::PolicyPut { name, record } => {
                 self.policies.insert(name, record);
             }
--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -4,9 +4,10 @@
 use garnet_types::{BackendId, EngineOrder, EngineStatus, MachineState, OrderAnswer};
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::BackendRegistration;
-use crate::messages::{ControlReply, GatewayRequest};
+use crate::configuration::{BackendRegistration, EngineObservation};
+use crate::messages::{ControlReply, GatewayRequest, JoinRequest};
 use crate::operator::{OperatorAnswer, OperatorRequest};
+use crate::replica::GroupStep;
 
 /// One line of the platform's list of machines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +16,9 @@
     pub registration: BackendRegistration,
     /// What the platform believes of the machine.
     pub state: MachineState,
+    /// What the platform saw the engine to be, where it tells that.
+    #[serde(default)]
+    pub observed: Option<EngineObservation>,
 }
 
 /// A question to an engine.
@@ -63,6 +67,8 @@
     },
     /// The platform's list, which lags.
     Machines(Vec<MachineEntry>),
+    /// A replica asks to be a member.
+    Join(JoinRequest),
 }
 
 /// Something to be done.
@@ -94,6 +100,18 @@
         /// The question.
         request: EngineRequest,
     },
+    /// Pass a wish to join on to the leader.
+    ForwardJoin {
+        /// The leader's address for peers.
+        address: String,
+        /// The wish.
+        request: JoinRequest,
+    },
+    /// The leader changes the group.
+    GroupChanged {
+        /// The step that it takes.
+        step: GroupStep,
+    },
     /// The replica began to lead in this term.
     BecameLeader {
         /// The term.
--- a/components/control/src/gateways.rs
+++ b/components/control/src/gateways.rs
@@ -64,6 +64,12 @@
             .retain(|_, lease| now.since(lease.lease_end) < FORGET_AFTER);
     }
 
+    /// Gateways that hold a lease.
+    pub fn count(&self, now: Millis) -> u64 {
+        let held = self.leases.values().filter(|lease| lease.lease_end > now);
+        held.count() as u64
+    }
+
     /// The leases for a status page.
     pub fn view(&self, now: Millis) -> BTreeMap<GatewayId, GatewayView> {
         let view = |lease: &GatewayLease| GatewayView {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -30,10 +30,15 @@
 };
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
-pub use messages::{ClaimRequest, ControlReply, GatewayRequest, PoolMix, WatchUpdate};
+pub use messages::{
+    ClaimRequest, ControlReply, GatewayRequest, GroupView, JoinRequest, PoolMix, WatchUpdate,
+};
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
 };
 pub use planner_settings::planner_settings;
-pub use replica::{Replica, ReplicaSettings, RestoreError};
+pub use replica::{
+    DirectorySettings, EnginePolling, GroupSettings, GroupStep, MemberFacts, Replica,
+    ReplicaSettings, RestoreError, next_step,
+};
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError};
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,6 +1,6 @@
 //! What gateways and the leader say to each other.
 
-use garnet_types::{GatewayId, Millis, ModelId, RecordedResponse, ServiceId};
+use garnet_types::{GatewayId, Millis, ModelId, RecordedResponse, ReplicaId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 use crate::answer::ClaimAnswer;
@@ -61,6 +61,8 @@
         configuration_index: u64,
         /// Gateway's clock when it asked.
         sent_at: Millis,
+        /// Index of the group's membership that it knows.
+        group_index: u64,
         /// What it saw offered.
         mix: Vec<PoolMix>,
     },
@@ -68,6 +70,27 @@
     Claim(ClaimRequest),
 }
 
+/// A replica asks to be a member of the group. It repeats this until a leader
+/// sends it the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JoinRequest {
+    /// Its identity, bound to its disk.
+    pub id: ReplicaId,
+    /// Where peers and gateways reach it.
+    pub peer_address: String,
+    /// Where operators reach it.
+    pub admin_address: String,
+}
+
+/// Who the control group is, for gateways that must find it again.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupView {
+    /// Log index of the membership.
+    pub index: u64,
+    /// Peer addresses of all members.
+    pub addresses: Vec<String>,
+}
+
 /// Changes for a gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WatchUpdate {
@@ -96,6 +119,10 @@
         sent_at: Millis,
         /// What changed.
         update: WatchUpdate,
+        /// The group, when it is not the one that the gateway knows.
+        group: Option<GroupView>,
+        /// Gateways that hold a lease: budgets are shared among them.
+        gateways: u64,
     },
     /// Answer about a claim.
     Claim {
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -43,6 +43,8 @@
     Member(MemberChange),
     /// The configuration, as the leader under its lease knows it.
     Configuration,
+    /// The route table's document, as the leader under its lease knows it.
+    Routes,
     /// State of the replica; any replica answers.
     Status,
 }
@@ -114,6 +116,8 @@
     },
     /// The configuration.
     Configuration(Box<Configuration>),
+    /// The document of the route table in force, `None` before the first one.
+    Routes(Option<String>),
     /// The replica's state.
     Status(Box<StatusView>),
     /// Ask the leader; its address for operators, as far as known.
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -15,6 +15,7 @@
 use crate::configuration::{BackendRecord, Configuration, EngineObservation, OutstandingOrder};
 use crate::effects::EngineRequest;
 use crate::gateways::GatewayLeases;
+use crate::replica::EnginePolling;
 
 /// How often an engine is asked for its state.
 const POLL_INTERVAL: Millis = Millis(500);
@@ -53,12 +54,21 @@
 }
 
 /// What the leader remembers of the engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Reconciler {
+    polling: EnginePolling,
     tracks: BTreeMap<BackendId, EngineTrack>,
 }
 
 impl Reconciler {
+    /// Nothing is known of any engine.
+    pub(crate) fn new(polling: EnginePolling) -> Self {
+        Reconciler {
+            polling,
+            tracks: BTreeMap::new(),
+        }
+    }
+
     /// Notes the state that an engine told.
     pub(crate) fn observe(&mut self, engine: &BackendId, status: EngineStatus, now: Millis) {
         let track = self.tracks.entry(engine.clone()).or_default();
@@ -90,7 +100,8 @@
         }
         let mut steps = Vec::new();
         let track = self.tracks.entry(engine.clone()).or_default();
-        if elapsed(track.asked_at, present.now) >= POLL_INTERVAL {
+        let asks = self.polling == EnginePolling::Always || record.order.is_some();
+        if asks && elapsed(track.asked_at, present.now) >= POLL_INTERVAL {
             track.asked_at = Some(present.now);
             steps.push(Step::Ask(EngineRequest::Status));
         }
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -2,19 +2,15 @@
 
 use std::collections::BTreeSet;
 
-use garnet_types::{BackendId, MachineState, Millis, OrderAnswer};
+use garnet_types::{BackendId, MachineState, OrderAnswer};
 
 use crate::command::Command;
-use crate::configuration::BackendRegistration;
 use crate::effects::{Effect, EngineRequest, MachineEntry};
 use crate::planning::EngineFacts;
 use crate::reconciler::{Present, Step};
 
 use super::Replica;
 
-/// A machine that is missing from the list for this long counts as leaving.
-const MISSING_MACHINE: Millis = Millis::from_secs(10);
-
 impl Replica {
     pub(super) fn reconcile(&mut self) {
         let engines: Vec<BackendId> = self.state.configuration.backends.keys().cloned().collect();
@@ -90,7 +86,7 @@
             return;
         }
         for entry in machines {
-            self.compare_machine(&entry.registration, entry.state);
+            self.compare_machine(entry);
         }
         let listed: BTreeSet<&BackendId> = machines
             .iter()
@@ -106,33 +102,48 @@
         }
     }
 
-    pub(super) fn compare_machine(
-        &mut self,
-        registration: &BackendRegistration,
-        state: MachineState,
-    ) {
+    fn compare_machine(&mut self, entry: &MachineEntry) {
+        let registration = &entry.registration;
         let known = self.state.configuration.backends.get(&registration.id);
         let backend = registration.id.clone();
         let is_new = known.map(|record| &record.registration) != Some(registration);
         let machine = known.map_or(MachineState::Live, |record| record.machine);
+        let seen = known.and_then(|record| record.observed.as_ref());
+        let newly_observed = entry.observed.clone().filter(|now| seen != Some(now));
         if is_new {
             self.propose_own(Command::PutBackend(registration.clone()));
         }
-        if machine != state {
+        if machine != entry.state {
+            let state = entry.state;
+            let backend = backend.clone();
             self.propose_own(Command::SetMachine { backend, state });
         }
+        if let Some(observation) = newly_observed {
+            let engine = backend;
+            self.propose_own(Command::Observe {
+                engine,
+                observation,
+            });
+        }
     }
 
-    pub(super) fn note_missing(&mut self, backend: BackendId) {
+    fn note_missing(&mut self, backend: BackendId) {
         let since = *self
             .missing_since
             .entry(backend.clone())
             .or_insert(self.now);
+        let missing_for = self.now.since(since);
+        let settings = self.settings.directory;
         let record = self.state.configuration.backends.get(&backend);
         let live = record.is_some_and(|record| record.machine == MachineState::Live);
-        if live && self.now.since(since) >= MISSING_MACHINE {
+        let forgotten = settings
+            .forget_after
+            .is_some_and(|after| missing_for >= after);
+        if live && missing_for >= settings.leaving_after {
             let state = MachineState::Leaving;
             self.propose_own(Command::SetMachine { backend, state });
+        } else if !live && forgotten {
+            self.propose_own(Command::RemoveBackend(backend));
         }
     }
 }
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -1,11 +1,11 @@
 //! Watches and claims of gateways.
 
 use garnet_consensus::Member;
-use garnet_types::{GatewayId, Millis};
+use garnet_types::Millis;
 
 use crate::command::{Command, CommandEnvelope};
 use crate::effects::Effect;
-use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, PoolMix};
+use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, GroupView};
 
 use super::{Asker, Replica};
 
@@ -13,7 +13,7 @@
     pub(super) fn handle_gateway(&mut self, connection: u64, request: GatewayRequest) {
         // The lease is checked with the clock read for this very event, so a
         // leader that was paused does not speak for the group.
-        if !self.node.holds_lease(self.now) {
+        if !self.may_answer_reads() {
             self.reply_not_leader(connection);
             return;
         }
@@ -22,29 +22,39 @@
                 gateway,
                 configuration_index,
                 sent_at,
+                group_index,
                 mix,
-            } => self.handle_watch(connection, gateway, configuration_index, sent_at, &mix),
+            } => {
+                if let Some(planning) = &mut self.planning {
+                    planning.add(&mix);
+                }
+                self.gateways.grant(gateway, configuration_index, self.now);
+                let reply = self.watch_reply(configuration_index, group_index, sent_at);
+                self.effects
+                    .push(Effect::ReplyGateway { connection, reply });
+                self.serve_waiters();
+            }
             GatewayRequest::Claim(request) => self.handle_claim(connection, request),
         }
     }
 
-    pub(super) fn handle_watch(
-        &mut self,
-        connection: u64,
-        gateway: GatewayId,
-        index: u64,
-        sent_at: Millis,
-        mix: &[PoolMix],
-    ) {
-        if let Some(planning) = &mut self.planning {
-            planning.add(mix);
+    fn watch_reply(&self, index: u64, group_index: u64, sent_at: Millis) -> ControlReply {
+        let membership = self.node.membership();
+        let current = self.node.membership_index();
+        let group = (current != group_index).then(|| GroupView {
+            index: current,
+            addresses: membership
+                .members
+                .values()
+                .map(|member| member.peer_address.clone())
+                .collect(),
+        });
+        ControlReply::Watch {
+            sent_at,
+            update: self.recent.update_for(index, &self.state.configuration),
+            group,
+            gateways: self.gateways.count(self.now),
         }
-        self.gateways.grant(gateway, index, self.now);
-        let update = self.recent.update_for(index, &self.state.configuration);
-        let reply = ControlReply::Watch { sent_at, update };
-        self.effects
-            .push(Effect::ReplyGateway { connection, reply });
-        self.serve_waiters();
     }
 
     pub(super) fn handle_claim(&mut self, connection: u64, request: ClaimRequest) {
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -20,7 +20,8 @@
         }
         if let Some(term) = leads {
             self.gateways = GatewayLeases::at_start_of_term(self.now);
-            self.reconciler = Reconciler::default();
+            self.reconciler = Reconciler::new(self.settings.engine_polling);
+            self.candidates.clear();
             self.planning = self.settings.planner.map(Planning::new);
             self.missing_since.clear();
             self.effects.push(Effect::BecameLeader { term });
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod gateway_requests;
+mod group;
 mod leadership;
 mod log;
 mod operator_requests;
@@ -14,6 +15,10 @@
 use garnet_types::{BackendId, Fence, Millis, ReplicaId};
 use thiserror::Error;
 
+pub use group::{GroupSettings, GroupStep, MemberFacts, next_step};
+
+use group::Candidates;
+
 use crate::answer::CommandAnswer;
 use crate::command::ClaimCommand;
 use crate::effects::{Effect, Event};
@@ -26,6 +31,35 @@
 /// How often the leader looks at the engines.
 const RECONCILE_INTERVAL: Millis = Millis(100);
 
+/// When the leader asks engines for their state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EnginePolling {
+    /// Again and again.
+    #[default]
+    Always,
+    /// Only while an order is outstanding: the directory tells what they are.
+    WhileOrdered,
+}
+
+/// How the leader believes the platform's list of machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DirectorySettings {
+    /// A machine that is missing from the list for so long counts as leaving.
+    pub leaving_after: Millis,
+    /// A leaving machine that is missing for so long is forgotten; `None`
+    /// leaves that to the operators.
+    pub forget_after: Option<Millis>,
+}
+
+impl Default for DirectorySettings {
+    fn default() -> Self {
+        DirectorySettings {
+            leaving_after: Millis::from_secs(10),
+            forget_after: None,
+        }
+    }
+}
+
 /// Settings of one replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaSettings {
@@ -35,6 +69,27 @@
     pub snapshot_every: u64,
     /// The role planner; `None` leaves roles to the operators.
     pub planner: Option<PlannerSettings>,
+    /// How the leader keeps the group whole; `None` leaves the members to the
+    /// operators.
+    pub group: Option<GroupSettings>,
+    /// How the platform's list is believed.
+    pub directory: DirectorySettings,
+    /// When engines are asked for their state.
+    pub engine_polling: EnginePolling,
+}
+
+impl ReplicaSettings {
+    /// Settings without a planner, for members that the operators keep.
+    pub fn new(consensus: Config) -> Self {
+        ReplicaSettings {
+            consensus,
+            snapshot_every: 1000,
+            planner: None,
+            group: None,
+            directory: DirectorySettings::default(),
+            engine_polling: EnginePolling::Always,
+        }
+    }
 }
 
 /// A replica's disk holds a state that this program can't read.
@@ -96,6 +151,7 @@
     pending: BTreeMap<u64, Pending>,
     waiters: Vec<Waiter>,
     removals: Vec<Removal>,
+    candidates: Candidates,
     gateways: GatewayLeases,
     reconciler: Reconciler,
     planning: Option<Planning>,
@@ -130,6 +186,7 @@
             None => ControlState::default(),
         };
         let recent = RecentChanges::starting_at(state.configuration.index);
+        let reconciler = Reconciler::new(settings.engine_polling);
         Ok(Replica {
             node: Node::new(settings.consensus.clone(), restored, now),
             planning: settings.planner.map(Planning::new),
@@ -139,8 +196,9 @@
             pending: BTreeMap::new(),
             waiters: Vec::new(),
             removals: Vec::new(),
+            candidates: Candidates::default(),
             gateways: GatewayLeases::default(),
-            reconciler: Reconciler::default(),
+            reconciler,
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
             led_term: None,
@@ -175,6 +233,13 @@
         own_term && self.node.holds_lease(now)
     }
 
+    /// Whether this replica knows the newest committed state now: it holds the
+    /// lease, and it has applied an entry of its own term. A new leader may
+    /// hold its lease before it has applied what its predecessors committed.
+    fn may_answer_reads(&self) -> bool {
+        self.node.holds_lease(self.now) && self.node.has_applied_own_term()
+    }
+
     /// Takes what happened.
     pub fn handle(&mut self, event: Event, now: Millis) {
         self.now = self.now.max(now);
@@ -191,6 +256,7 @@
             }
             Event::EngineOrder { engine, answer } => self.handle_order_answer(engine, answer),
             Event::Machines(machines) => self.handle_machines(&machines),
+            Event::Join(request) => self.handle_join(request),
         }
         self.note_leadership();
     }
@@ -240,6 +306,7 @@
             self.reconciled_at = self.now;
             self.reconcile();
             self.plan();
+            self.mend_group();
             self.gateways.forget_silent(self.now);
         }
         self.serve_removals();
--- a/components/control/src/replica/operator_requests.rs
+++ b/components/control/src/replica/operator_requests.rs
@@ -23,7 +23,11 @@
                 let view = Box::new(self.status_view());
                 self.answer_operator(ticket, OperatorAnswer::Status(view));
             }
-            OperatorRequest::Configuration if self.node.holds_lease(self.now) => {
+            OperatorRequest::Routes if self.may_answer_reads() => {
+                let document = self.state.routes_document.clone();
+                self.answer_operator(ticket, OperatorAnswer::Routes(document));
+            }
+            OperatorRequest::Configuration if self.may_answer_reads() => {
                 let configuration = Box::new(self.state.configuration.clone());
                 self.answer_operator(ticket, OperatorAnswer::Configuration(configuration));
             }
@@ -32,7 +36,7 @@
                 self.handle_command(ticket, &envelope, wait);
             }
             OperatorRequest::Member(change) => self.handle_member(ticket, change),
-            OperatorRequest::Configuration => {
+            OperatorRequest::Configuration | OperatorRequest::Routes => {
                 let answer = OperatorAnswer::NotLeader(self.leader_admin_address());
                 self.answer_operator(ticket, answer);
             }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -1,8 +1,10 @@
 //! The replicated state and how each command changes it.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use displaydoc::Display;
+use garnet_routes::RouteTable;
 use garnet_types::{BackendId, BackendKind, CommandId, Fence, MachineState, Millis};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -16,7 +18,7 @@
 };
 
 /// Format of an encoded state.
-pub const STATE_FORMAT: u32 = 1;
+pub const STATE_FORMAT: u32 = 2;
 /// First answers that are kept for resent commands, the oldest dropped first.
 const KEPT_ANSWERS: usize = 10_000;
 
@@ -25,6 +27,8 @@
 pub struct ControlState {
     /// What gateways must know.
     pub configuration: Configuration,
+    /// The document of the route table in force, as its operator wrote it.
+    pub routes_document: Option<String>,
     /// Claims on keys.
     pub claims: Claims,
     /// Highest clock reading of any command: the clock of the log.
@@ -138,6 +142,7 @@
                 self.put_policy(fence.index, name, document, expected)
             }
             Command::WithdrawPolicy(name) => self.withdraw_policy(fence.index, name, expected),
+            Command::PutRoutes { table, document } => self.put_routes(fence.index, table, document),
             Command::PutBackend(registration) => self.put_backend(fence.index, registration),
             Command::SetMachine { backend, state } => {
                 let state = *state;
@@ -221,6 +226,24 @@
         change_if(exists, index, change)
     }
 
+    /// Invariant: the version only rises. A resent, an overtaken and an older
+    /// document are acknowledged alike and change nothing.
+    fn put_routes(&mut self, index: u64, table: &Arc<RouteTable>, document: &str) -> Applied {
+        let held = self.routes_version();
+        if held.is_some_and(|held| table.version <= held) {
+            return Applied::refused(CommandAnswer::Accepted {
+                revision: self.configuration.index,
+            });
+        }
+        self.routes_document = Some(document.to_owned());
+        Applied::changed(index, ConfigurationChange::RoutesPut(Arc::clone(table)))
+    }
+
+    /// Version of the route table in force.
+    pub fn routes_version(&self) -> Option<u64> {
+        Some(self.configuration.routes.as_ref()?.version)
+    }
+
     fn policy_conflict(&self, name: &str, expected: Option<u64>) -> Option<CommandAnswer> {
         let record = self.configuration.policies.get(name);
         conflict(record.map_or(0, |record| record.revision), expected)
@@ -252,9 +275,11 @@
 
     fn remove_backend(&self, index: u64, id: &BackendId) -> Applied {
         match self.configuration.backends.get(id) {
-            Some(record) if record.order.is_some() => Applied::refused(CommandAnswer::Rejected(
-                "an order of this engine is not settled".into(),
-            )),
+            // An order to an engine whose machine leaves can't be settled any more.
+            Some(record) if record.order.is_some() && record.machine == MachineState::Live => {
+                let reason = "an order of this engine is not settled";
+                Applied::refused(CommandAnswer::Rejected(reason.into()))
+            }
             found => {
                 let change = ConfigurationChange::BackendRemoved(id.clone());
                 change_if(found.is_some(), index, change)
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -48,7 +48,25 @@
         WatchUpdate::Changes {
             from,
             to: configuration.index,
-            changes: newer.cloned().collect(),
+            changes: without_replaced_tables(newer),
         }
     }
 }
+
+/// The changes, of the route tables among them only the newest: each one
+/// replaces the former as a whole.
+fn without_replaced_tables<'a>(
+    changes: impl Iterator<Item = &'a (u64, ConfigurationChange)> + Clone,
+) -> Vec<(u64, ConfigurationChange)> {
+    let is_table =
+        |change: &ConfigurationChange| matches!(change, ConfigurationChange::RoutesPut(_));
+    let newest = changes
+        .clone()
+        .filter(|(_, change)| is_table(change))
+        .map(|(index, _)| *index)
+        .last();
+    changes
+        .filter(|(index, change)| !is_table(change) || Some(*index) == newest)
+        .cloned()
+        .collect()
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -4,4 +4,6 @@
 mod determinism;
 mod engine_orders;
 mod fleet;
+mod group;
 mod operators;
+mod routes;
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -35,13 +35,17 @@
             gateway: self.settings.id.clone(),
             configuration_index,
             sent_at: self.now,
+            // Its settings name the replicas.
+            group_index: 0,
             mix,
         }));
     }
 
     pub(super) fn handle_control(&mut self, reply: ControlReply) {
         match reply {
-            ControlReply::Watch { sent_at, update } => {
+            ControlReply::Watch {
+                sent_at, update, ..
+            } => {
                 if let Some(index) = self.watched.take(sent_at, update) {
                     self.backends.keep_only(&self.watched.configuration);
                     self.emit(Effect::PersistIndex(index));
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -37,7 +37,12 @@
     let sent_at = harness.now;
     harness.now = sent_at + CONFIGURATION_LEASE - Millis(1);
     let update = snapshot(10);
-    harness.event(Event::Control(ControlReply::Watch { sent_at, update }));
+    harness.event(Event::Control(ControlReply::Watch {
+        sent_at,
+        update,
+        group: None,
+        gateways: 1,
+    }));
     assert!(harness.gateway.is_ready(harness.now));
     assert!(!harness.gateway.is_ready(sent_at + CONFIGURATION_LEASE));
 }
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -61,7 +61,12 @@
     /// The leader answers a watch that was sent now.
     pub fn watch_answered(&mut self, update: WatchUpdate) {
         let sent_at = self.now;
-        self.event(Event::Control(ControlReply::Watch { sent_at, update }));
+        self.event(Event::Control(ControlReply::Watch {
+            sent_at,
+            update,
+            group: None,
+            gateways: 1,
+        }));
     }
 
     /// Lets time pass without anything else.
--- /dev/null
+++ b/components/routes/src/check.rs
@@ -0,0 +1,117 @@
+//! Findings of a route table, all together.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use garnet_types::{Millis, ServiceId};
+use serde::{Deserialize, Serialize};
+
+use crate::table::{Route, RouteTable};
+
+/// One thing that is wrong with a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteFinding {
+    /// Where, such as `routes[2].timeout_ms`.
+    pub place: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// Everything that is wrong with a document.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteFindings(pub Vec<RouteFinding>);
+
+impl RouteFindings {
+    /// Adds a finding.
+    pub fn report(&mut self, place: impl Into<String>, message: impl Into<String>) {
+        self.0.push(RouteFinding {
+            place: place.into(),
+            message: message.into(),
+        });
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Display for RouteFindings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, finding) in self.0.iter().enumerate() {
+            if position > 0 {
+                formatter.write_str("\n")?;
+            }
+            write!(formatter, "{}: {}", finding.place, finding.message)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for RouteFindings {}
+
+impl RouteTable {
+    /// Checks the whole table.
+    ///
+    /// # Errors
+    /// Every finding, in the order of the document.
+    pub fn check(&self) -> Result<(), RouteFindings> {
+        let mut findings = RouteFindings::default();
+        let services = self.check_services(&mut findings);
+        let mut seen = BTreeSet::new();
+        for (position, route) in self.routes.iter().enumerate() {
+            let place = format!("routes[{position}]");
+            check_route(route, &place, &services, &mut findings);
+            if !seen.insert((route.host.as_str(), route.path_prefix.as_str())) {
+                let message = "another route has the same host and path prefix";
+                findings.report(format!("{place}.path_prefix"), message);
+            }
+        }
+        if findings.is_empty() {
+            Ok(())
+        } else {
+            Err(findings)
+        }
+    }
+
+    fn check_services(&self, findings: &mut RouteFindings) -> BTreeSet<&ServiceId> {
+        let mut known = BTreeSet::new();
+        for (position, service) in self.services.iter().enumerate() {
+            if !known.insert(&service.name) {
+                let place = format!("services[{position}].name");
+                findings.report(place, "another service has this name");
+            }
+        }
+        known
+    }
+}
+
+fn check_route(
+    route: &Route,
+    place: &str,
+    services: &BTreeSet<&ServiceId>,
+    findings: &mut RouteFindings,
+) {
+    let prefix = &route.path_prefix;
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        let message = "must begin and end with a slash";
+        findings.report(format!("{place}.path_prefix"), message);
+    }
+    if route.host.is_empty() {
+        findings.report(format!("{place}.host"), "must not be empty");
+    }
+    if route.timeout_ms == Millis::ZERO {
+        findings.report(format!("{place}.timeout_ms"), "must be more than 0");
+    }
+    let total: u64 = route.services.iter().map(|s| u64::from(s.weight)).sum();
+    if total == 0 {
+        let message = "the weights must sum to more than 0";
+        findings.report(format!("{place}.services"), message);
+    }
+    for (position, target) in route.services.iter().enumerate() {
+        if !services.contains(&target.service) {
+            let message = format!("service \"{}\" is not known", target.service);
+            findings.report(format!("{place}.services[{position}]"), message);
+        }
+    }
+}
--- /dev/null
+++ b/components/routes/src/lib.rs
@@ -0,0 +1,18 @@
+//! The route table: which service takes a request, and within which bounds.
+//!
+//! Contract: a [`RouteTable`] is a whole document under a version that only
+//! rises. [`RouteTable::check`] reports every finding together, each with its
+//! place; a table with findings never comes into force. [`RouteIndex`] finds
+//! the route of a request by host and longest path prefix.
+
+mod check;
+mod document;
+mod index;
+mod table;
+
+pub use check::{RouteFinding, RouteFindings};
+pub use document::read_document;
+pub use index::RouteIndex;
+pub use table::{
+    CallerLimits, EngineLimits, Route, RouteTable, ServiceSettings, WeightedService, WorkKind,
+};
--- /dev/null
+++ b/components/routes/src/table.rs
@@ -0,0 +1,154 @@
+//! What a route table holds.
+
+use garnet_types::{Millis, ServiceId};
+use serde::{Deserialize, Serialize};
+
+/// Whether a request may run more than once, and how it is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkKind {
+    /// May run any number of times.
+    Repeatable,
+    /// May run at most once for each request of a caller.
+    AtMostOnce,
+    /// A stream of events that can't be taken up again: at most once.
+    Stream,
+    /// A stream of events that another back end can go on with.
+    ResumableStream,
+}
+
+impl WorkKind {
+    /// Whether a second run does no harm.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, WorkKind::Repeatable | WorkKind::ResumableStream)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, WorkKind::Stream | WorkKind::ResumableStream)
+    }
+
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            WorkKind::Repeatable => "repeatable",
+            WorkKind::AtMostOnce => "at_most_once",
+            WorkKind::Stream => "stream",
+            WorkKind::ResumableStream => "resumable_stream",
+        }
+    }
+}
+
+/// A service and its share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceId,
+    /// Its share, relative to the other weights of the route.
+    pub weight: u32,
+}
+
+/// Where requests of one host and path prefix go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name in logs and metrics.
+    pub name: String,
+    /// Host of the requests, without a port.
+    pub host: String,
+    /// Beginning of their paths; it begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be done with them.
+    pub kind: WorkKind,
+    /// Longest time that one is worked on.
+    pub timeout_ms: Millis,
+    /// Time within which an answer, or the first piece of a stream, is useful.
+    pub objective_ms: Millis,
+    /// Longest useful pause between two pieces of a stream.
+    #[serde(default)]
+    pub pause_objective_ms: Option<Millis>,
+    /// Rank among routes of a service: 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u8,
+    /// Most back ends that one request may be sent to.
+    #[serde(default = "one_attempt")]
+    pub max_attempts: u32,
+    /// Services that share the requests.
+    pub services: Vec<WeightedService>,
+}
+
+fn one_attempt() -> u32 {
+    1
+}
+
+/// What the engines of a service can hold, as the operator states it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineLimits {
+    /// Sequences that run at once.
+    pub slots: u64,
+    /// Tokens of KV cache that fit in its memory.
+    pub cache_tokens: u64,
+    /// Bytes of KV cache of one token.
+    pub token_bytes: u64,
+    /// Bandwidth of one engine's link, in megabits a second.
+    pub link_mbps: u64,
+    /// How long an engine is out of service for a change of role.
+    pub role_change_ms: Millis,
+    /// How long a KV cache that was read for another engine is kept for it.
+    pub handover_ms: Millis,
+}
+
+/// One service that routes may name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSettings {
+    /// Its name.
+    pub name: ServiceId,
+    /// Connections that one back end takes from all gateways together.
+    pub max_connections: u64,
+    /// Limits of its engines; `None` for an application.
+    #[serde(default)]
+    pub engine: Option<EngineLimits>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_head_bytes: u64,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Longest time until a head is whole.
+    pub head_timeout_ms: Millis,
+    /// Longest time that a kept connection rests.
+    pub idle_timeout_ms: Millis,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        CallerLimits {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            head_timeout_ms: Millis(3000),
+            idle_timeout_ms: Millis(15_000),
+        }
+    }
+}
+
+/// All routes and services at one version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteTable {
+    /// Version of the document; the highest one is in force.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services that they name.
+    pub services: Vec<ServiceSettings>,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub limits: CallerLimits,
+}
--- a/components/runtime/src/frames.rs
+++ b/components/runtime/src/frames.rs
@@ -4,6 +4,14 @@
 use futures_lite::{AsyncWriteExt, StreamExt};
 use garnet_wire::{Frame, FrameCodec, PROTOCOL_VERSION, Sender, WireError, check_hello};
 use smol::net::TcpStream;
+use std::time::Duration;
+
+use crate::sockets::{connect_in_time, end_when_silent};
+
+/// Longest time to connect to another process of the system.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// A connection whose bytes are not acknowledged for so long is over.
+const SILENCE: Duration = Duration::from_millis(1500);
 
 /// Reads frames.
 pub struct FrameReader {
@@ -20,6 +28,7 @@
 pub fn split(stream: TcpStream) -> (FrameReader, FrameWriter) {
     // Latency matters more than the count of packets.
     let _unset = stream.set_nodelay(true);
+    end_when_silent(&stream, SILENCE);
     let reader = FrameReader {
         frames: FramedRead::new(stream.clone(), FrameCodec),
     };
@@ -38,7 +47,7 @@
     address: &str,
     sender: Sender,
 ) -> Result<(FrameReader, FrameWriter), WireError> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = connect_in_time(address, CONNECT_TIME).await?;
     let (reader, mut writer) = split(stream);
     let hello = Frame::Hello {
         version: PROTOCOL_VERSION,
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod server;
 pub mod shell;
 pub mod signal;
+pub mod sockets;
 
 pub use client::{HttpClient, HttpError, StreamedResponse};
 pub use clock::Clock;
--- a/components/simulator/src/control_host.rs
+++ b/components/simulator/src/control_host.rs
@@ -68,9 +68,9 @@
             return;
         };
         let settings = ReplicaSettings {
-            consensus: Config::new(self.id, self.seed),
             snapshot_every: SNAPSHOT_EVERY,
             planner: self.planner,
+            ..ReplicaSettings::new(Config::new(self.id, self.seed))
         };
         let restored = Restored {
             hard_state: recovered.hard_state,
--- a/components/simulator/src/operators.rs
+++ b/components/simulator/src/operators.rs
@@ -251,6 +251,7 @@
             }
             OperatorAnswer::Refused(_)
             | OperatorAnswer::Configuration(_)
+            | OperatorAnswer::Routes(_)
             | OperatorAnswer::Status(_) => {
                 self.open.remove(&number);
             }
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -108,6 +108,8 @@
                     self.leaderless_ms.push(self.now.since(since).0);
                 }
             }
+            // The simulated group has fixed members; see its own tests for joins.
+            ControlEffect::ForwardJoin { .. } | ControlEffect::GroupChanged { .. } => {}
             ControlEffect::LostLeadership { .. } => {
                 self.leaderless_since.get_or_insert(self.now);
             }
--- a/components/stand-in/src/platform.rs
+++ b/components/stand-in/src/platform.rs
@@ -28,6 +28,7 @@
         let entry = MachineEntry {
             registration,
             state: MachineState::Live,
+            observed: None,
         };
         self.present.insert(entry.registration.id.clone(), entry);
         self.note(now);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -1,14 +1,14 @@
 //! What is sent.
 
 use garnet_consensus::Envelope;
-use garnet_control::{ControlReply, GatewayRequest};
+use garnet_control::{ControlReply, GatewayRequest, JoinRequest};
 use garnet_types::{GatewayId, ReplicaId};
 use serde::{Deserialize, Serialize};
 
 use crate::error::WireError;
 
 /// Version of the protocol. It changes when a frame's encoding does.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// Who opened a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +31,8 @@
     },
     /// Between replicas.
     Peer(Envelope),
+    /// A replica asks to be a member.
+    Join(JoinRequest),
     /// From a gateway.
     Gateway(GatewayRequest),
     /// To a gateway.
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -14,6 +14,7 @@
         gateway: GatewayId::new("gateway-1"),
         configuration_index: index,
         sent_at: Millis(7),
+        group_index: 0,
         mix: Vec::new(),
     })
 }
