--- a/bin/garnet-control/src/admin.rs
+++ b/bin/garnet-control/src/admin.rs
@@ -1,7 +1,6 @@
 //! The operators' HTTP interface, under `/admin/v1/`.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use garnet_control::{
     Command, CommandAnswer, CommandEnvelope, MemberChange, OperatorAnswer, OperatorRequest,
@@ -18,7 +17,6 @@
 use hyper::{Method, Request, Response};
 use serde::Deserialize;
 use serde_json::json;
-use smol::Timer;
 
 use garnet_control_shell::Connections;
 
@@ -380,18 +378,3 @@
     let text = metrics::render(&samples);
     with_type(200, metrics::CONTENT_TYPE, text.into_bytes())
 }
-
-/// Before a planned stop: asks another replica to lead, so that nobody has to
-/// wait for an election.
-pub(crate) async fn hand_over(connections: Connections) {
-    let change = MemberChange::TransferLeadership;
-    let asked = connections.ask(OperatorRequest::Member(change));
-    let late = async {
-        Timer::after(Duration::from_secs(1)).await;
-        None
-    };
-    if let Some(OperatorAnswer::Committed { .. }) = smol::future::or(asked, late).await {
-        // Time for the message to leave and the new leader to begin.
-        Timer::after(Duration::from_millis(300)).await;
-    }
-}
--- a/bin/garnet-control/src/main.rs
+++ b/bin/garnet-control/src/main.rs
@@ -28,7 +28,7 @@
         println!("the settings are sound");
         return ExitCode::SUCCESS;
     }
-    logging::start(&settings.name);
+    let _lines = logging::start(&settings.name);
     match start::run(settings, command_line.bootstrap) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/bin/garnet-control/src/start.rs
+++ b/bin/garnet-control/src/start.rs
@@ -5,7 +5,7 @@
 
 use garnet_consensus::Config;
 use garnet_control::ReplicaSettings;
-use garnet_control_shell::{ControlShell, FirstGroup, OpenSettings, Ports, open};
+use garnet_control_shell::{ControlShell, FirstGroup, OpenSettings, Ports, hand_over, open};
 use garnet_runtime::server::bind_listener;
 use garnet_runtime::{HttpClient, Shell, bind};
 use garnet_types::ReplicaId;
@@ -36,7 +36,7 @@
     children.push(shell.http_child(admin_server, move |request| {
         admin::handle(admin.clone(), request)
     }));
-    let drain = admin::hand_over(connections);
+    let drain = hand_over(connections);
     shell.run(children, drain)
 }
 
--- a/bin/garnet-control/tests/process/group.rs
+++ b/bin/garnet-control/tests/process/group.rs
@@ -170,6 +170,7 @@
             .arg("--settings")
             .arg(self.settings(place))
             .args(arguments)
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
--- a/bin/garnet-gateway/src/main.rs
+++ b/bin/garnet-gateway/src/main.rs
@@ -3,7 +3,6 @@
 mod attempts;
 mod callers;
 mod context;
-mod control_link;
 mod parse;
 mod respond;
 mod settings;
@@ -31,7 +30,7 @@
         println!("the settings are sound");
         return ExitCode::SUCCESS;
     }
-    logging::start(&settings.name);
+    let _lines = logging::start(&settings.name);
     match start::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/bin/garnet-gateway/src/start.rs
+++ b/bin/garnet-gateway/src/start.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use garnet_control::ControlReply;
 use garnet_gateway::{Event, Gateway, GatewaySettings};
+use garnet_runtime::control_link::{self, ControlLinkOwner};
 use garnet_runtime::server::Limits;
 use garnet_runtime::{HttpServer, Shell};
 use garnet_storage::{DiskDirectory, DiskIdentity, StorageError, load_value, save_value};
@@ -15,7 +17,6 @@
 
 use crate::callers::{self, Callers};
 use crate::context::Context;
-use crate::control_link;
 use crate::settings::Settings;
 
 const TICK: Duration = Duration::from_millis(20);
@@ -32,6 +33,23 @@
     highest_index: u64,
 }
 
+/// The link to the leader belongs to the gateway's context.
+#[derive(Clone)]
+struct LinkOwner {
+    context: Context,
+    controls: Vec<String>,
+}
+
+impl ControlLinkOwner for LinkOwner {
+    fn replicas(&self) -> Vec<String> {
+        self.controls.clone()
+    }
+
+    fn heard(&self, reply: ControlReply) {
+        self.context.handle(Event::Control(reply));
+    }
+}
+
 /// Runs the gateway until a planned stop.
 pub(crate) fn run(settings: Settings) -> io::Result<()> {
     let shell = Shell::new();
@@ -62,7 +80,14 @@
     let children = vec![
         ticker_child(context.clone()),
         disk_child(context.clone(), opened.directory, indexes),
-        control_link::child(context.clone(), opened.id, settings.controls, requests),
+        control_link::child(
+            LinkOwner {
+                context: context.clone(),
+                controls: settings.controls,
+            },
+            opened.id,
+            requests,
+        ),
         shell.http_child(Rc::new(server), move |request| {
             callers::handle(callers.clone(), request)
         }),
--- a/bin/garnet-gateway/tests/process/running.rs
+++ b/bin/garnet-gateway/tests/process/running.rs
@@ -47,10 +47,10 @@
         let mut child = Command::new(PROGRAM)
             .arg("--settings")
             .arg(&file)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the program starts");
-        let log = child.stderr.take().expect("it is piped");
+        let log = child.stdout.take().expect("it is piped");
         let address = listening_address(BufReader::new(log));
         Running {
             child,
--- a/bin/garnet-standin/src/main.rs
+++ b/bin/garnet-standin/src/main.rs
@@ -21,7 +21,7 @@
         }
         Err(error) => return command_line::usage_error(error),
     };
-    logging::start(&arguments.name);
+    let _lines = logging::start(&arguments.name);
     let outcome = match arguments.kind {
         Kind::Engine => engine::run(arguments),
         Kind::Application => application::run(arguments),
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -11,6 +11,7 @@
 mod joining;
 mod opening;
 mod replica_task;
+mod stopping;
 
 pub use connections::Connections;
 pub use directory::{DirectoryError, DirectoryPort};
@@ -18,3 +19,4 @@
 pub use joining::{GroupAddresses, MemberAddress};
 pub use opening::{FirstGroup, OpenSettings, Opened, identity_of, open};
 pub use replica_task::{ControlShell, Ports};
+pub use stopping::hand_over;
--- /dev/null
+++ b/components/forwarding-shell/src/attempt.rs
@@ -0,0 +1,179 @@
+//! One attempt at one back end.
+
+use std::rc::Rc;
+
+use garnet_forwarding::{AttemptEnd, NotRunReason};
+use garnet_runtime::Exchange;
+use garnet_runtime::client::HttpError;
+use garnet_types::BackendId;
+
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase};
+
+/// Counts an attempt as under way until it is dropped.
+pub(crate) struct AttemptGuard<C: CallerPort, B: BackendPort> {
+    gateway: Rc<Gateway<C, B>>,
+    backend: BackendId,
+    unread: u64,
+    judged: bool,
+}
+
+impl<C: CallerPort, B: BackendPort> AttemptGuard<C, B> {
+    fn begin(gateway: &Rc<Gateway<C, B>>, call: &Call, job: &Job) -> Self {
+        let now = gateway.now();
+        let mut forwarder = gateway.forwarder.borrow_mut();
+        let backend = job.backend.clone();
+        let prompt = call.facts.prompt.as_ref();
+        let unread = match job.phase {
+            JobPhase::Whole | JobPhase::ReadPrompt => forwarder.sent(&backend, prompt, now),
+            JobPhase::Generate(_) => {
+                forwarder.sent(&backend, None, now);
+                if let Some(prompt) = prompt {
+                    forwarder.holds(&backend, prompt, now);
+                }
+                0
+            }
+        };
+        drop(forwarder);
+        AttemptGuard {
+            gateway: Rc::clone(gateway),
+            backend,
+            unread,
+            judged: false,
+        }
+    }
+
+    /// The prompt is read: the first piece is there.
+    pub(crate) fn prompt_was_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.read(&self.backend, unread);
+    }
+
+    /// The back end did well.
+    pub(crate) fn succeeded(&mut self) {
+        self.judged = true;
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.succeeded(&self.backend);
+    }
+
+    /// The back end failed.
+    pub(crate) fn failed(&mut self) {
+        self.judged = true;
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.failed(&self.backend, now);
+    }
+
+    /// The back end is not the one that was meant.
+    fn gone(&mut self) {
+        self.judged = true;
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.gone(&self.backend);
+    }
+}
+
+impl<C: CallerPort, B: BackendPort> Drop for AttemptGuard<C, B> {
+    fn drop(&mut self) {
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.read(&self.backend, self.unread);
+        forwarder.ended(&self.backend);
+        if !self.judged {
+            forwarder.released(&self.backend);
+        }
+    }
+}
+
+/// An answer whose head is there.
+pub(crate) struct OpenAnswer<C: CallerPort, B: BackendPort> {
+    pub(crate) exchange: Exchange,
+    pub(crate) guard: AttemptGuard<C, B>,
+}
+
+/// Sends the job and reads the head of the answer.
+///
+/// # Errors
+/// How the attempt ended, where it is no answer to this request.
+pub(crate) async fn attempt<C: CallerPort, B: BackendPort>(
+    gateway: &Rc<Gateway<C, B>>,
+    call: &Call,
+    job: &Job,
+) -> Result<OpenAnswer<C, B>, AttemptEnd> {
+    let address = {
+        let forwarder = gateway.forwarder.borrow();
+        let backend = forwarder.backend(&job.backend);
+        let address = backend.map(|backend| backend.registration.address.clone());
+        address.ok_or(AttemptEnd::Unsent)?
+    };
+    let mut guard = AttemptGuard::begin(gateway, call, job);
+    let request = gateway.backends.request(call, job);
+    let sent = gateway.pool.send(&address, request).await;
+    let result = match sent {
+        Ok(exchange) => read_head(gateway, call, job, exchange, guard).await,
+        Err(error) => {
+            guard.failed();
+            log_failure(call, job, &error.to_string());
+            Err(match error {
+                HttpError::NotSent(_) => AttemptEnd::Unsent,
+                HttpError::Broken(_) | HttpError::TimedOut => AttemptEnd::Broken,
+            })
+        }
+    };
+    let outcome = result.as_ref().err().map_or("answer", |end| end.as_str());
+    gateway.metrics.attempt(outcome);
+    result
+}
+
+async fn read_head<C: CallerPort, B: BackendPort>(
+    gateway: &Rc<Gateway<C, B>>,
+    call: &Call,
+    job: &Job,
+    mut exchange: Exchange,
+    mut guard: AttemptGuard<C, B>,
+) -> Result<OpenAnswer<C, B>, AttemptEnd> {
+    let read = gateway.backends.read_head(call, job, &exchange.head);
+    if let Some(load) = read.load {
+        let now = gateway.now();
+        let mut forwarder = gateway.forwarder.borrow_mut();
+        forwarder.told(&job.backend, load, now);
+    }
+    let end = match read.meaning {
+        HeadMeaning::Answer => return Ok(OpenAnswer { exchange, guard }),
+        HeadMeaning::NotRun(reason) => AttemptEnd::NotRun(reason),
+        HeadMeaning::AnotherBackend => {
+            guard.gone();
+            AttemptEnd::NotRun(NotRunReason::Misdirected)
+        }
+        HeadMeaning::Foreign => {
+            // Its own answer may still come on this connection, which is
+            // closed: what was asked may run.
+            log_failure(call, job, "the answer belongs to another request");
+            return Err(AttemptEnd::Broken);
+        }
+    };
+    log_failure(call, job, end.as_str());
+    // A short body; read to its end, the connection can be kept.
+    if exchange.read_whole(SHORT_BODY).await.is_ok() {
+        exchange.finish();
+    }
+    Err(end)
+}
+
+/// Longest body of an answer that tells why a request did not run.
+const SHORT_BODY: usize = 64 * 1024;
+
+fn log_failure(call: &Call, job: &Job, cause: &str) {
+    let phase = match job.phase {
+        JobPhase::Whole => "whole",
+        JobPhase::ReadPrompt => "read_prompt",
+        JobPhase::Generate(_) => "generate",
+    };
+    log::info!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        phase = phase,
+        remaining_ms = job.remaining.0,
+        cause = cause;
+        "attempt_failed"
+    );
+}
--- /dev/null
+++ b/components/forwarding-shell/src/gateway.rs
@@ -0,0 +1,38 @@
+//! What all requests of the process share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use garnet_forwarding::Forwarder;
+use garnet_runtime::{Clock, ConnectionPool};
+use garnet_types::Millis;
+use smol::LocalExecutor;
+
+use crate::metrics::GatewayMetrics;
+use crate::ports::{BackendPort, CallerPort};
+
+/// The process.
+pub(crate) struct Gateway<C, B> {
+    pub(crate) callers: C,
+    pub(crate) backends: B,
+    pub(crate) forwarder: RefCell<Forwarder>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: GatewayMetrics,
+    /// Set by a planned stop: callers are asked to leave.
+    pub(crate) stopping: Cell<bool>,
+    /// Requests without their final answer.
+    pub(crate) open_requests: Rc<Cell<usize>>,
+}
+
+impl<C: CallerPort, B: BackendPort> Gateway<C, B> {
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether new callers may come.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.forwarder.borrow().routes_version().is_some()
+    }
+}
--- /dev/null
+++ b/components/forwarding-shell/src/handover.rs
@@ -0,0 +1,99 @@
+//! A prompt that one engine reads for another.
+
+use std::rc::Rc;
+
+use garnet_forwarding::{AttemptEnd, NotRunReason};
+
+use crate::attempt::attempt;
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, Call, CallerPort, HandoverSource, Job};
+
+/// Longest body of the answer to a prompt that was read.
+const SHORT_BODY: usize = 64 * 1024;
+
+/// A KV cache that waits for its engine. It is freed when nobody takes it.
+pub(crate) struct WaitingCache<C: CallerPort + 'static, B: BackendPort + 'static> {
+    gateway: Rc<Gateway<C, B>>,
+    source: HandoverSource,
+    taken: bool,
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> WaitingCache<C, B> {
+    pub(crate) fn source(&self) -> HandoverSource {
+        self.source.clone()
+    }
+
+    /// An engine has taken it.
+    pub(crate) fn taken(mut self) {
+        self.taken = true;
+    }
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Drop for WaitingCache<C, B> {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let request = self.gateway.backends.release(&self.source.handle);
+        let pool = self.gateway.pool.clone();
+        let address = self.source.address.clone();
+        let release = async move {
+            // It lapses by itself when this does not arrive.
+            if let Ok(mut exchange) = pool.send(&address, request).await
+                && exchange.read_whole(SHORT_BODY).await.is_ok()
+            {
+                exchange.finish();
+            }
+        };
+        self.gateway.executor.spawn(release).detach();
+    }
+}
+
+/// Has the prompt read by the job's engine.
+///
+/// # Errors
+/// How the attempt ended. Reading runs nothing, so it is never in doubt.
+pub(crate) async fn read_prompt<C: CallerPort + 'static, B: BackendPort + 'static>(
+    gateway: &Rc<Gateway<C, B>>,
+    call: &Call,
+    job: &Job,
+) -> Result<WaitingCache<C, B>, AttemptEnd> {
+    let mut open = attempt(gateway, call, job).await.map_err(not_run)?;
+    let failed = |open: &mut crate::attempt::OpenAnswer<C, B>| {
+        open.guard.failed();
+        AttemptEnd::NotRun(NotRunReason::CacheGone)
+    };
+    if !open.exchange.head.status.is_success() {
+        return Err(failed(&mut open));
+    }
+    let Ok(body) = open.exchange.read_whole(SHORT_BODY).await else {
+        return Err(failed(&mut open));
+    };
+    let Some(read) = gateway.backends.read_prompt(&body) else {
+        return Err(failed(&mut open));
+    };
+    open.guard.prompt_was_read();
+    open.guard.succeeded();
+    let address = {
+        let forwarder = gateway.forwarder.borrow();
+        let backend = forwarder.backend(&job.backend);
+        backend.map(|backend| backend.registration.address.clone())
+    };
+    open.exchange.finish();
+    let source = HandoverSource {
+        address: address.unwrap_or_default(),
+        handle: read.handle,
+    };
+    Ok(WaitingCache {
+        gateway: Rc::clone(gateway),
+        source,
+        taken: false,
+    })
+}
+
+fn not_run(end: AttemptEnd) -> AttemptEnd {
+    match end {
+        AttemptEnd::Broken | AttemptEnd::Failed => AttemptEnd::NotRun(NotRunReason::CacheGone),
+        other => other,
+    }
+}
--- /dev/null
+++ b/components/forwarding-shell/src/lib.rs
@@ -0,0 +1,29 @@
+//! The I/O shell of a gateway that forwards work.
+//!
+//! Contract: the shell owns the sockets and the clock around one
+//! [`garnet_forwarding::Forwarder`]. What speaks to the outside is plugged in:
+//! a [`CallerPort`] reads the facts of a request and marks own answers, a
+//! [`BackendPort`] turns a [`Job`] into a request and reads what comes back.
+//! A gateway of this kind has no disk: it begins with no configuration and
+//! refuses work until the leader has sent one.
+
+mod answers;
+mod attempt;
+mod events;
+mod gateway;
+mod handover;
+mod headers;
+mod metrics;
+mod ports;
+mod request;
+mod start;
+mod stream;
+mod watch;
+mod whole;
+
+pub use events::EventSplitter;
+pub use ports::{
+    BackendPort, Call, CallFacts, CallerPort, HandoverSource, HeadMeaning, Job, JobPhase,
+    PromptRead, ReadHead,
+};
+pub use start::{GatewayOptions, Ports, Replicas, run};
--- /dev/null
+++ b/components/forwarding-shell/src/metrics.rs
@@ -0,0 +1,135 @@
+//! Counters and latency histograms of a gateway.
+
+use garnet_routes::WorkKind;
+use garnet_types::Millis;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+type Labels = Vec<(&'static str, String)>;
+
+/// Upper ends of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0,
+];
+
+fn latency() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+/// What is counted.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<Labels, Counter>,
+    refused: Family<Labels, Counter>,
+    attempts: Family<Labels, Counter>,
+    took: Family<Labels, Histogram>,
+    first_piece: Family<Labels, Histogram>,
+    watch_age_ms: Gauge,
+    routes_version: Gauge,
+    open_requests: Gauge,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("garnet_forwarding");
+        let requests = Family::<Labels, Counter>::default();
+        let refused = Family::<Labels, Counter>::default();
+        let attempts = Family::<Labels, Counter>::default();
+        let took = Family::<Labels, Histogram>::new_with_constructor(latency);
+        let first_piece = Family::<Labels, Histogram>::new_with_constructor(latency);
+        let watch_age_ms = Gauge::default();
+        let routes_version = Gauge::default();
+        let open_requests = Gauge::default();
+        registry.register(
+            "requests",
+            "Requests by route, kind and outcome",
+            requests.clone(),
+        );
+        registry.register(
+            "refused",
+            "Requests without a route, by reason",
+            refused.clone(),
+        );
+        registry.register("attempts", "Attempts by how they ended", attempts.clone());
+        registry.register(
+            "took_seconds",
+            "Time to the end of the answer",
+            took.clone(),
+        );
+        registry.register(
+            "first_piece_seconds",
+            "Time to the first piece of a stream",
+            first_piece.clone(),
+        );
+        registry.register(
+            "watch_age_ms",
+            "Time since the leader was heard",
+            watch_age_ms.clone(),
+        );
+        registry.register(
+            "routes_version",
+            "Version of the route table in force",
+            routes_version.clone(),
+        );
+        registry.register(
+            "open_requests",
+            "Requests without a final answer",
+            open_requests.clone(),
+        );
+        GatewayMetrics {
+            registry,
+            requests,
+            refused,
+            attempts,
+            took,
+            first_piece,
+            watch_age_ms,
+            routes_version,
+            open_requests,
+        }
+    }
+
+    pub(crate) fn request(&self, route: &str, kind: WorkKind, outcome: &str, took: Millis) {
+        let route = ("route", route.to_owned());
+        let labels = vec![
+            route.clone(),
+            ("kind", kind.as_str().to_owned()),
+            ("outcome", outcome.to_owned()),
+        ];
+        self.requests.get_or_create(&labels).inc();
+        let took_seconds = took.as_secs_f64();
+        self.took.get_or_create(&vec![route]).observe(took_seconds);
+    }
+
+    pub(crate) fn refused(&self, reason: &str) {
+        let labels = vec![("reason", reason.to_owned())];
+        self.refused.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn attempt(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn first_piece(&self, route: &str, took: Millis) {
+        let labels = vec![("route", route.to_owned())];
+        let histogram = self.first_piece.get_or_create(&labels);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// The text for the metrics address.
+    pub(crate) fn render(&self, watch_age: Millis, version: u64, open: usize) -> String {
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.watch_age_ms.set(gauge(watch_age.0));
+        self.routes_version.set(gauge(version));
+        self.open_requests.set(gauge(open as u64));
+        let mut text = String::new();
+        // Writing to a string has no way to fail.
+        let _written = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/components/forwarding-shell/src/request.rs
@@ -0,0 +1,264 @@
+//! One request, from its head to its final answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use garnet_forwarding::{Progress, Work};
+use garnet_routes::{CallerLimits, Route};
+use garnet_runtime::Body;
+use garnet_runtime::server::{BodyError, Limits, read_body};
+use garnet_types::{BackendId, Millis, ServiceId};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response};
+use smol::Timer;
+
+use crate::answers::OwnAnswer;
+use crate::gateway::Gateway;
+use crate::headers::remove_connection_headers;
+use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
+use crate::{stream, whole};
+
+/// Longest time to read a body when nothing else bounds it.
+const BODY_TIME: Duration = Duration::from_secs(20);
+
+/// A request under way and what became of it so far.
+pub(crate) struct Running {
+    pub(crate) call: Call,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceId,
+    pub(crate) work: Work,
+    pub(crate) arrived: Millis,
+    /// When its time is over.
+    pub(crate) due: Millis,
+    pub(crate) progress: Progress,
+    pub(crate) tried: Vec<BackendId>,
+    pub(crate) served_by: Option<BackendId>,
+    ended: Cell<bool>,
+    _open: OpenRequest,
+}
+
+impl Running {
+    pub(crate) fn remaining(&self, now: Millis) -> Millis {
+        self.due.since(now)
+    }
+}
+
+/// Counts a request as open until it is dropped.
+pub(crate) struct OpenRequest(Rc<Cell<usize>>);
+
+impl OpenRequest {
+    fn begin(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        OpenRequest(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A request that is dropped before its end was left by its caller.
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        let backend = self.served_by.as_ref().map_or("", BackendId::as_str);
+        log::info!(
+            request = self.call.facts.id.as_str(),
+            route = self.route.name.as_str(),
+            backend = backend,
+            ran = self.progress.ran,
+            outcome = "caller_left";
+            "request_ended"
+        );
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn handle<C, B>(
+    gateway: Rc<Gateway<C, B>>,
+    request: Request<Incoming>,
+) -> Response<Body>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let arrived = gateway.now();
+    let (head, body) = request.into_parts();
+    let facts = match gateway.callers.read(&head) {
+        Ok(facts) => facts,
+        Err(finding) => {
+            return refuse(
+                &gateway,
+                &CallFacts::default(),
+                OwnAnswer::BadRequest,
+                &finding,
+            );
+        }
+    };
+    let limits = gateway.forwarder.borrow().limits();
+    let body = match read_body(body, &body_limits(limits)).await {
+        Ok(body) => body,
+        Err(error) => return refuse(&gateway, &facts, body_answer(error), ""),
+    };
+    let running = match begin(&gateway, head, facts, body, arrived) {
+        Ok(running) => running,
+        Err(refused) => return refuse(&gateway, &refused.0, refused.1, ""),
+    };
+    let response = if running.work.kind.is_stream() {
+        stream::serve(&gateway, running).await
+    } else {
+        whole::serve(&gateway, running).await
+    };
+    with_leave(&gateway, response)
+}
+
+/// Finds the route and begins. The refusal where there is none.
+fn begin<C: CallerPort, B: BackendPort>(
+    gateway: &Rc<Gateway<C, B>>,
+    mut head: hyper::http::request::Parts,
+    facts: CallFacts,
+    body: Bytes,
+    arrived: Millis,
+) -> Result<Running, Box<(CallFacts, OwnAnswer)>> {
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    let Some(choice) = forwarder.route(&facts.host, head.uri.path()) else {
+        let answer = match forwarder.routes_version() {
+            Some(_) => OwnAnswer::NoRoute,
+            None => OwnAnswer::NotRun(Millis(200)),
+        };
+        return Err(Box::new((facts, answer)));
+    };
+    let route = choice.route;
+    forwarder.earn_repeats(&choice.service, arrived);
+    remove_connection_headers(&mut head.headers);
+    let time = facts
+        .deadline
+        .unwrap_or(route.timeout_ms)
+        .min(route.timeout_ms);
+    let work = Work {
+        kind: route.kind,
+        priority: route.priority,
+        objective: route.objective_ms,
+        max_attempts: route.max_attempts.max(1),
+        prompt: facts.prompt.clone(),
+    };
+    Ok(Running {
+        call: Call {
+            facts,
+            head: Rc::new(head),
+            body,
+        },
+        route,
+        service: choice.service,
+        work,
+        arrived,
+        due: arrived + time,
+        progress: Progress::default(),
+        tried: Vec::new(),
+        served_by: None,
+        ended: Cell::new(false),
+        _open: OpenRequest::begin(&gateway.open_requests),
+    })
+}
+
+fn body_limits(limits: CallerLimits) -> Limits {
+    Limits {
+        body_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
+        body_time: BODY_TIME,
+        ..Limits::default()
+    }
+}
+
+fn body_answer(error: BodyError) -> OwnAnswer {
+    match error {
+        BodyError::TooLarge => OwnAnswer::TooLarge,
+        BodyError::CutOff => OwnAnswer::BadRequest,
+        BodyError::TooSlow => OwnAnswer::TooSlow,
+    }
+}
+
+/// Ends at the moment `due`.
+pub(crate) async fn until<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>, due: Millis) {
+    let left = due.since(gateway.now());
+    Timer::after(Duration::from_millis(left.0)).await;
+}
+
+/// An answer of the gateway's own to a request that got no route.
+fn refuse<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    facts: &CallFacts,
+    answer: OwnAnswer,
+    detail: &str,
+) -> Response<Body> {
+    log::info!(
+        request = facts.id.as_str(),
+        host = facts.host.as_str(),
+        outcome = answer.as_str(),
+        detail = detail,
+        routes_version = gateway.forwarder.borrow().routes_version().unwrap_or_default();
+        "request_refused"
+    );
+    gateway.metrics.refused(answer.as_str());
+    let mut response = answer.response(detail);
+    gateway.callers.mark(&mut response, facts);
+    with_leave(gateway, response)
+}
+
+/// The final answer of the gateway's own to a request under way.
+pub(crate) fn own_answer<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    answer: OwnAnswer,
+) -> Response<Body> {
+    finished(gateway, running, answer.as_str(), 0);
+    let mut response = answer.response("");
+    gateway.callers.mark(&mut response, &running.call.facts);
+    response
+}
+
+/// Logs and counts the end of a request.
+pub(crate) fn finished<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    outcome: &str,
+    status: u16,
+) {
+    running.ended.set(true);
+    let took = gateway.now().since(running.arrived);
+    let backend = running.served_by.as_ref().map_or("", BackendId::as_str);
+    log::info!(
+        request = running.call.facts.id.as_str(),
+        route = running.route.name.as_str(),
+        kind = running.work.kind.as_str(),
+        service = running.service.as_str(),
+        backend = backend,
+        ran = running.progress.ran,
+        rejected = running.progress.rejected,
+        unreachable = running.progress.unreachable,
+        outcome = outcome,
+        status = status,
+        took_ms = took.0;
+        "request_ended"
+    );
+    gateway
+        .metrics
+        .request(&running.route.name, running.work.kind, outcome, took);
+}
+
+/// Asks the caller to leave during a planned stop.
+fn with_leave<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    mut response: Response<Body>,
+) -> Response<Body> {
+    if gateway.stopping.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
--- /dev/null
+++ b/components/forwarding-shell/src/start.rs
@@ -0,0 +1,190 @@
+//! Binds the ports and runs the supervisor tree of a forwarding gateway.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use garnet_control::GatewayRequest;
+use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings};
+use garnet_runtime::server::{Limits, with_type};
+use garnet_runtime::{
+    Body, ConnectionPool, HttpServer, PoolSettings, Shell, control_link, metrics, text_response,
+};
+use garnet_supervisor::ChildSpec;
+use garnet_types::GatewayId;
+use hyper::Response;
+use smol::Timer;
+use smol::channel::bounded;
+
+use crate::gateway::Gateway;
+use crate::metrics::GatewayMetrics;
+use crate::ports::{BackendPort, CallerPort};
+use crate::request;
+use crate::watch::{self, Watch, WatchOwner};
+
+/// Questions to the leader that wait for its connection.
+const QUEUED_REQUESTS: usize = 16;
+
+/// Addresses of the control replicas; settings that change are noted here.
+#[derive(Debug, Clone, Default)]
+pub struct Replicas(Rc<RefCell<Vec<String>>>);
+
+impl Replicas {
+    /// Starts from the settings.
+    pub fn new(addresses: Vec<String>) -> Self {
+        Replicas(Rc::new(RefCell::new(addresses)))
+    }
+
+    /// Replaces what the settings said.
+    pub fn replace(&self, addresses: Vec<String>) {
+        *self.0.borrow_mut() = addresses;
+    }
+
+    /// The addresses as they stand.
+    pub fn current(&self) -> Vec<String> {
+        self.0.borrow().clone()
+    }
+}
+
+/// Settings of a forwarding gateway.
+#[derive(Debug, Clone)]
+pub struct GatewayOptions {
+    /// Name of the process.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready_listen: SocketAddr,
+    /// Where metrics are told, if anywhere.
+    pub metrics_listen: Option<SocketAddr>,
+    /// The control replicas.
+    pub replicas: Replicas,
+    /// Repeats that all gateways together may send a service.
+    pub budget: BudgetShare,
+    /// How long a planned stop goes on serving, so that callers learn of it.
+    pub stop_notice: Duration,
+    /// How long a kept connection of a caller may rest.
+    pub idle_time: Duration,
+}
+
+/// What is plugged into the shell.
+pub struct Ports<C, B> {
+    /// Callers.
+    pub callers: C,
+    /// Back ends.
+    pub backends: B,
+}
+
+/// Runs the gateway, and `more` children beside it, until a planned stop.
+///
+/// # Errors
+/// When a port can't be bound, or a child failed too often.
+pub fn run<C, B>(
+    shell: &Shell,
+    options: GatewayOptions,
+    ports: Ports<C, B>,
+    more: Vec<ChildSpec>,
+) -> io::Result<()>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let limits = Limits {
+        // The library counts a connection's rest as time for the next head.
+        head_time: options.idle_time,
+        ..Limits::default()
+    };
+    let server = smol::block_on(HttpServer::bind(options.listen, limits))?;
+    let ready_server = smol::block_on(HttpServer::bind(options.ready_listen, Limits::default()))?;
+    let gateway = Rc::new(Gateway {
+        callers: ports.callers,
+        backends: ports.backends,
+        forwarder: RefCell::new(Forwarder::new(ForwarderSettings {
+            zone: options.zone.clone(),
+            budget: options.budget,
+            first_draw: rand::random(),
+        })),
+        pool: ConnectionPool::new(Rc::clone(&shell.executor), PoolSettings::default()),
+        executor: Rc::clone(&shell.executor),
+        clock: shell.clock,
+        metrics: GatewayMetrics::new(),
+        stopping: Cell::new(false),
+        open_requests: Rc::default(),
+    });
+    let id = GatewayId::new(format!("{}.{:016x}", options.name, rand::random::<u64>()));
+    log::info!(
+        gateway = id.as_str(),
+        zone = options.zone.as_str(),
+        listen = options.listen.to_string().as_str();
+        "gateway_started"
+    );
+    let (requests_in, requests) = bounded::<GatewayRequest>(QUEUED_REQUESTS);
+    let watch = Rc::new(Watch::new(
+        Rc::clone(&gateway),
+        id.clone(),
+        options.replicas.clone(),
+        requests_in,
+        requests.clone(),
+    ));
+    let mut children = more;
+    children.extend([
+        control_link::child(WatchOwner(Rc::clone(&watch)), id, requests),
+        watch::ticker(Rc::clone(&watch)),
+    ]);
+    if let Some(address) = options.metrics_listen {
+        let server = smol::block_on(HttpServer::bind(address, Limits::default()))?;
+        let gateway = Rc::clone(&gateway);
+        children.push(shell.http_child(Rc::new(server), move |_| {
+            let response = show_metrics(&gateway, &watch);
+            async move { response }
+        }));
+    }
+    let asked = Rc::clone(&gateway);
+    children.push(shell.http_child(Rc::new(ready_server), move |request| {
+        let response = show_readiness(&asked, request.uri().path());
+        async move { response }
+    }));
+    let serving = Rc::clone(&gateway);
+    children.push(shell.http_child(Rc::new(server), move |request| {
+        request::handle(Rc::clone(&serving), request)
+    }));
+    shell.run(children, give_notice(gateway, options.stop_notice))
+}
+
+fn show_readiness<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    path: &str,
+) -> Response<Body> {
+    if path != gateway.callers.ready_path() {
+        return text_response(404, "unknown page\n");
+    }
+    if gateway.is_ready() {
+        text_response(200, "ready\n")
+    } else {
+        text_response(503, "no route table yet, or stopping\n")
+    }
+}
+
+fn show_metrics<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    watch: &Watch<C, B>,
+) -> Response<Body> {
+    let version = gateway.forwarder.borrow().routes_version();
+    let open = gateway.open_requests.get();
+    let text = gateway
+        .metrics
+        .render(watch.age(), version.unwrap_or_default(), open);
+    with_type(200, metrics::CONTENT_TYPE, text.into_bytes())
+}
+
+/// A planned stop: not ready at once, and serving on until callers know.
+async fn give_notice<C: CallerPort, B: BackendPort>(gateway: Rc<Gateway<C, B>>, notice: Duration) {
+    gateway.stopping.set(true);
+    log::info!(open_requests = gateway.open_requests.get(); "stop_begun");
+    Timer::after(notice).await;
+    log::info!(open_requests = gateway.open_requests.get(); "stop_serving");
+}
--- /dev/null
+++ b/components/forwarding-shell/src/stream.rs
@@ -0,0 +1,358 @@
+//! Streams of events: passed on as they arrive, taken up by another engine
+//! where the route allows it.
+
+use std::rc::Rc;
+
+use futures_lite::stream::unfold;
+use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Placement, next_move};
+use garnet_routes::WorkKind;
+use garnet_runtime::Body;
+use garnet_runtime::server::{BodyCut, stream_body};
+use garnet_types::BackendId;
+use hyper::Response;
+use hyper::body::Bytes;
+
+use crate::answers::OwnAnswer;
+use crate::attempt::{OpenAnswer, attempt};
+use crate::events::EventSplitter;
+use crate::gateway::Gateway;
+use crate::handover::read_prompt;
+use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
+use crate::request::{Running, finished, own_answer, until};
+use crate::whole::copy_head;
+
+/// A stream under way.
+struct Stream<C: CallerPort + 'static, B: BackendPort + 'static> {
+    gateway: Rc<Gateway<C, B>>,
+    running: Running,
+    open: Option<OpenAnswer<C, B>>,
+    splitter: EventSplitter,
+    /// Whether one engine may read the prompt for another.
+    may_hand_over: bool,
+    ended: bool,
+}
+
+/// What comes next of a stream.
+enum Next {
+    Piece(Bytes),
+    End,
+    Cut,
+}
+
+/// Serves the request until its time is over.
+pub(crate) async fn serve<C, B>(gateway: &Rc<Gateway<C, B>>, running: Running) -> Response<Body>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let due = running.due;
+    let splitter = EventSplitter::after(running.call.facts.resume_after.clone());
+    let mut stream = Stream {
+        gateway: Rc::clone(gateway),
+        running,
+        open: None,
+        splitter,
+        may_hand_over: true,
+        ended: false,
+    };
+    let opening = async { Some(stream.open_with_first_piece().await) };
+    let late = async {
+        until(gateway, due).await;
+        None
+    };
+    match smol::future::or(opening, late).await {
+        Some(Ok((head, first))) => stream.answer(head, first),
+        Some(Err(Refused::GivenUp(given_up))) => {
+            let answer = OwnAnswer::given_up(given_up, stream.running.work.objective);
+            own_answer(gateway, &stream.running, answer)
+        }
+        Some(Err(Refused::Answered(response))) => {
+            finished(
+                gateway,
+                &stream.running,
+                "answered",
+                response.status().as_u16(),
+            );
+            *response
+        }
+        None => own_answer(gateway, &stream.running, OwnAnswer::TimedOut),
+    }
+}
+
+/// Why a stream did not begin.
+enum Refused {
+    GivenUp(GivenUp),
+    /// The engine's own answer, which is no stream.
+    Answered(Box<Response<Body>>),
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
+    /// Opens the stream and waits for its first piece: until then nothing was
+    /// promised to the caller, and another engine may begin anew.
+    async fn open_with_first_piece(
+        &mut self,
+    ) -> Result<(hyper::http::response::Parts, Bytes), Refused> {
+        loop {
+            self.open().await?;
+            let Some(open) = &self.open else {
+                return Err(Refused::GivenUp(self.doubt()));
+            };
+            let head = copy_head(&open.exchange.head);
+            if !head.status.is_success() {
+                return Err(self.pass_failure_on(head).await);
+            }
+            match self.next_from_engine().await {
+                Next::Piece(first) => return Ok((head, first)),
+                Next::End => {
+                    self.ended = true;
+                    return Ok((head, Bytes::new()));
+                }
+                Next::Cut => self.after(AttemptEnd::Broken)?,
+            }
+        }
+    }
+
+    /// The answer with its first piece and all that follow.
+    fn answer(self, head: hyper::http::response::Parts, first: Bytes) -> Response<Body> {
+        let took = self.gateway.now().since(self.running.arrived);
+        let route = &self.running.route.name;
+        self.gateway.metrics.first_piece(route, took);
+        let state = (self, Some(first));
+        let pieces = unfold(Some(state), |state| async move {
+            let (mut stream, first) = state?;
+            if let Some(first) = first {
+                return Some((Ok(first), Some((stream, None))));
+            }
+            match stream.next().await {
+                Next::Piece(piece) => Some((Ok(piece), Some((stream, None)))),
+                Next::End => {
+                    finished(&stream.gateway, &stream.running, "streamed", 200);
+                    None
+                }
+                Next::Cut => {
+                    finished(&stream.gateway, &stream.running, "cut", 200);
+                    Some((Err(BodyCut::BackendBroke), None))
+                }
+            }
+        });
+        Response::from_parts(head, stream_body(pieces))
+    }
+
+    /// The next whole events, from another engine where this one broke off.
+    async fn next(&mut self) -> Next {
+        let due = self.running.due;
+        let gateway = Rc::clone(&self.gateway);
+        let late = async {
+            until(&gateway, due).await;
+            Next::Cut
+        };
+        smol::future::or(self.next_or_resume(), late).await
+    }
+
+    async fn next_or_resume(&mut self) -> Next {
+        if self.ended {
+            return Next::End;
+        }
+        loop {
+            match self.next_from_engine().await {
+                Next::Cut if self.running.work.kind == WorkKind::ResumableStream => {
+                    self.splitter.drop_partial();
+                    let resumed = match self.after(AttemptEnd::Broken) {
+                        Ok(()) => self.open().await,
+                        Err(refused) => Err(refused),
+                    };
+                    let is_stream = self
+                        .open
+                        .as_ref()
+                        .is_some_and(|open| open.exchange.head.status.is_success());
+                    if resumed.is_err() || !is_stream {
+                        return Next::Cut;
+                    }
+                    log::info!(
+                        request = self.running.call.facts.id.as_str(),
+                        after = self.splitter.last_id().unwrap_or_default();
+                        "stream_resumed"
+                    );
+                }
+                next => return next,
+            }
+        }
+    }
+
+    async fn next_from_engine(&mut self) -> Next {
+        loop {
+            let Some(open) = &mut self.open else {
+                return Next::Cut;
+            };
+            match open.exchange.next().await {
+                Ok(Some(piece)) => {
+                    open.guard.prompt_was_read();
+                    if self.running.work.kind != WorkKind::ResumableStream {
+                        return Next::Piece(piece);
+                    }
+                    let whole = self.splitter.push(&piece);
+                    if !whole.is_empty() {
+                        return Next::Piece(whole);
+                    }
+                }
+                Ok(None) if self.splitter.is_at_boundary() => {
+                    open.guard.succeeded();
+                    if let Some(open) = self.open.take() {
+                        open.exchange.finish();
+                    }
+                    return Next::End;
+                }
+                Ok(None) => return self.broke("the last event is not whole"),
+                Err(error) => return self.broke(&error.to_string()),
+            }
+        }
+    }
+
+    /// The engine broke off. Its connection is closed, which ends its work.
+    fn broke(&mut self, cause: &str) -> Next {
+        if let Some(mut open) = self.open.take() {
+            open.guard.failed();
+        }
+        let backend = self.running.served_by.as_ref();
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            backend = backend.map_or("", BackendId::as_str),
+            after = self.splitter.last_id().unwrap_or_default(),
+            cause = cause;
+            "stream_broken"
+        );
+        Next::Cut
+    }
+
+    /// Places the request until an engine answers.
+    async fn open(&mut self) -> Result<(), Refused> {
+        loop {
+            let Some(placement) = self.place() else {
+                return Err(Refused::GivenUp(self.doubt()));
+            };
+            match self.open_at(placement).await {
+                Ok(open) => {
+                    self.open = Some(open);
+                    return Ok(());
+                }
+                Err(end) => self.after(end)?,
+            }
+        }
+    }
+
+    async fn open_at(&mut self, placement: Placement) -> Result<OpenAnswer<C, B>, AttemptEnd> {
+        match placement {
+            Placement::One(backend) => {
+                let job = self.job(JobPhase::Whole, backend);
+                self.send(&job).await
+            }
+            Placement::Handover { reader, generator } => {
+                let job = self.job(JobPhase::ReadPrompt, reader.clone());
+                let read = read_prompt(&self.gateway, &self.running.call, &job).await;
+                let cache = match read {
+                    Ok(cache) => cache,
+                    Err(end) => {
+                        self.may_hand_over = false;
+                        self.running.tried.push(reader);
+                        return Err(end);
+                    }
+                };
+                let phase = JobPhase::Generate(cache.source());
+                let job = self.job(phase, generator);
+                let answer = self.send(&job).await;
+                if answer.is_ok() {
+                    cache.taken();
+                } else {
+                    self.may_hand_over = false;
+                }
+                answer
+            }
+        }
+    }
+
+    async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
+        self.running.served_by = Some(job.backend.clone());
+        let answer = attempt(&self.gateway, &self.running.call, job).await;
+        if answer.is_err() {
+            self.running.tried.push(job.backend.clone());
+        }
+        answer
+    }
+
+    fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
+        let resumes = phase != JobPhase::ReadPrompt;
+        let last_id = self.splitter.last_id().filter(|_| resumes);
+        Job {
+            phase,
+            backend,
+            remaining: self.running.remaining(self.gateway.now()),
+            priority: self.running.work.priority,
+            resume_after: last_id.map(str::to_owned),
+        }
+    }
+
+    fn place(&self) -> Option<Placement> {
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let Running {
+            service,
+            work,
+            tried,
+            ..
+        } = &self.running;
+        forwarder.place(service, work, tried, self.may_hand_over, now)
+    }
+
+    /// Whether to go on after an attempt that ended with `end`.
+    fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
+        self.running.progress.note(end);
+        if let Some(backend) = &self.running.served_by
+            && !self.running.tried.contains(backend)
+        {
+            self.running.tried.push(backend.clone());
+        }
+        let given_up = match next_move(&self.running.work, &self.running.progress, end) {
+            NextMove::TryAnother { repeat } => {
+                let now = self.gateway.now();
+                let mut forwarder = self.gateway.forwarder.borrow_mut();
+                if !repeat || forwarder.spend_repeat(&self.running.service, now) {
+                    return Ok(());
+                }
+                self.doubt()
+            }
+            NextMove::PassOn => self.doubt(),
+            NextMove::GiveUp(given_up) => given_up,
+        };
+        Err(Refused::GivenUp(given_up))
+    }
+
+    fn doubt(&self) -> GivenUp {
+        if self.running.progress.surely_not_run() {
+            GivenUp::NotRun
+        } else {
+            GivenUp::InDoubt
+        }
+    }
+
+    /// The engine's own failure, passed on as it is.
+    async fn pass_failure_on(&mut self, head: hyper::http::response::Parts) -> Refused {
+        const LONGEST_FAILURE: usize = 1024 * 1024;
+        let Some(mut open) = self.open.take() else {
+            return Refused::GivenUp(self.doubt());
+        };
+        if head.status.is_server_error() {
+            open.guard.failed();
+        }
+        match open.exchange.read_whole(LONGEST_FAILURE).await {
+            Ok(body) => {
+                open.exchange.finish();
+                let body = garnet_runtime::bytes_body(body);
+                Refused::Answered(Box::new(Response::from_parts(head, body)))
+            }
+            Err(_) => {
+                self.running.progress.note(AttemptEnd::Broken);
+                Refused::GivenUp(GivenUp::InDoubt)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/forwarding-shell/src/watch.rs
@@ -0,0 +1,160 @@
+//! Keeps the gateway's configuration up to date from the leader.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use garnet_control::{ControlReply, GatewayRequest};
+use garnet_runtime::control_link::ControlLinkOwner;
+use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
+use garnet_types::{GatewayId, Millis};
+use smol::Timer;
+use smol::channel::{Receiver, Sender};
+
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, CallerPort};
+use crate::start::Replicas;
+
+/// How often the leader is asked.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// How often idle connections are looked at, in watches.
+const SWEEP_EVERY: u32 = 4;
+
+/// The watch of one gateway.
+pub(crate) struct Watch<C, B> {
+    gateway: Rc<Gateway<C, B>>,
+    id: GatewayId,
+    replicas: Replicas,
+    group: RefCell<Vec<String>>,
+    group_index: Cell<u64>,
+    heard_at: Cell<Millis>,
+    requests: Sender<GatewayRequest>,
+    /// Questions that were queued before a connection broke are stale.
+    queued: Receiver<GatewayRequest>,
+}
+
+impl<C: CallerPort, B: BackendPort> Watch<C, B> {
+    pub(crate) fn new(
+        gateway: Rc<Gateway<C, B>>,
+        id: GatewayId,
+        replicas: Replicas,
+        requests: Sender<GatewayRequest>,
+        queued: Receiver<GatewayRequest>,
+    ) -> Self {
+        Watch {
+            gateway,
+            id,
+            replicas,
+            group: RefCell::default(),
+            group_index: Cell::new(u64::MAX),
+            heard_at: Cell::new(Millis::ZERO),
+            requests,
+            queued,
+        }
+    }
+
+    /// Time since the leader was heard.
+    pub(crate) fn age(&self) -> Millis {
+        self.gateway.now().since(self.heard_at.get())
+    }
+
+    fn ask(&self) {
+        let request = GatewayRequest::Watch {
+            gateway: self.id.clone(),
+            configuration_index: self.gateway.forwarder.borrow().configuration_index(),
+            sent_at: self.gateway.now(),
+            group_index: self.group_index.get(),
+            mix: Vec::new(),
+        };
+        // What is lost is asked again.
+        let _lost = self.requests.try_send(request);
+    }
+
+    fn hear(&self, reply: ControlReply) {
+        let ControlReply::Watch {
+            update,
+            group,
+            gateways,
+            ..
+        } = reply
+        else {
+            return;
+        };
+        self.heard_at.set(self.gateway.now());
+        if let Some(group) = group {
+            self.group_index.set(group.index);
+            *self.group.borrow_mut() = group.addresses;
+        }
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let before = (forwarder.routes_version(), forwarder.configuration_index());
+        forwarder.update(update);
+        forwarder.set_gateways(gateways);
+        let after = (forwarder.routes_version(), forwarder.configuration_index());
+        if before != after {
+            let now = self.gateway.now();
+            let (open, known) = forwarder.open_backends(now);
+            log::info!(
+                routes_version = after.0.unwrap_or_default(),
+                index = after.1,
+                open_backends = open,
+                known_backends = known,
+                gateways = gateways;
+                "configuration_in_force"
+            );
+        }
+    }
+}
+
+/// The owner of the link to the leader.
+pub(crate) struct WatchOwner<C, B>(pub(crate) Rc<Watch<C, B>>);
+
+impl<C, B> Clone for WatchOwner<C, B> {
+    fn clone(&self) -> Self {
+        WatchOwner(Rc::clone(&self.0))
+    }
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> ControlLinkOwner for WatchOwner<C, B> {
+    fn replicas(&self) -> Vec<String> {
+        let mut known = self.0.group.borrow().clone();
+        for address in self.0.replicas.current() {
+            if !known.contains(&address) {
+                known.push(address);
+            }
+        }
+        known
+    }
+
+    fn connected(&self) {
+        while self.0.queued.try_recv().is_ok() {}
+        self.0.ask();
+    }
+
+    fn heard(&self, reply: ControlReply) {
+        self.0.hear(reply);
+    }
+}
+
+/// A child that asks the leader again and again.
+pub(crate) fn ticker<C: CallerPort + 'static, B: BackendPort + 'static>(
+    watch: Rc<Watch<C, B>>,
+) -> ChildSpec {
+    ChildSpec::new("watch", Restart::Permanent, move |stop: StopSignal| {
+        let watch = Rc::clone(&watch);
+        async move {
+            let asking = async {
+                let mut round: u32 = 0;
+                loop {
+                    Timer::after(WATCH_INTERVAL).await;
+                    watch.ask();
+                    round = round.wrapping_add(1);
+                    if round.is_multiple_of(SWEEP_EVERY) {
+                        watch.gateway.pool.sweep();
+                    }
+                }
+            };
+            smol::future::or(asking, stop.stopped()).await;
+            Ok::<(), ChildError>(())
+        }
+    })
+}
--- /dev/null
+++ b/components/forwarding-shell/src/whole.rs
@@ -0,0 +1,168 @@
+//! Requests whose answer is passed on as a whole.
+
+use std::rc::Rc;
+
+use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Placement, next_move};
+use garnet_runtime::{Body, bytes_body};
+use garnet_types::BackendId;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::http::response::Parts;
+
+use crate::answers::OwnAnswer;
+use crate::attempt::attempt;
+use crate::gateway::Gateway;
+use crate::headers::remove_connection_headers;
+use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
+use crate::request::{Running, finished, own_answer, until};
+
+/// Longest answer that is held while it is read.
+const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
+
+/// What is passed on.
+struct WholeAnswer {
+    head: Parts,
+    body: Bytes,
+}
+
+/// Serves the request until its time is over.
+pub(crate) async fn serve<C, B>(gateway: &Rc<Gateway<C, B>>, mut running: Running) -> Response<Body>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let due = running.due;
+    let working = async { Some(work(gateway, &mut running).await) };
+    let late = async {
+        until(gateway, due).await;
+        None
+    };
+    match smol::future::or(working, late).await {
+        Some(Ok(answer)) => pass_on(gateway, &running, answer),
+        Some(Err(given_up)) => {
+            let answer = OwnAnswer::given_up(given_up, running.work.objective);
+            own_answer(gateway, &running, answer)
+        }
+        None => own_answer(gateway, &running, OwnAnswer::TimedOut),
+    }
+}
+
+async fn work<C, B>(
+    gateway: &Rc<Gateway<C, B>>,
+    running: &mut Running,
+) -> Result<WholeAnswer, GivenUp>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let mut failure = None;
+    loop {
+        let Some(backend) = place(gateway, running) else {
+            return failure.ok_or(doubt(running));
+        };
+        let end = match try_once(gateway, running, &backend).await {
+            Ok(answer) if !is_failure(&answer) => return Ok(answer),
+            Ok(answer) => {
+                failure = Some(answer);
+                AttemptEnd::Failed
+            }
+            Err(end) => end,
+        };
+        running.progress.note(end);
+        running.tried.push(backend);
+        match next_move(&running.work, &running.progress, end) {
+            NextMove::TryAnother { repeat } => {
+                let now = gateway.now();
+                let mut forwarder = gateway.forwarder.borrow_mut();
+                if repeat && !forwarder.spend_repeat(&running.service, now) {
+                    return failure.ok_or(doubt(running));
+                }
+            }
+            NextMove::PassOn => return failure.ok_or(doubt(running)),
+            NextMove::GiveUp(given_up) => return failure.ok_or(given_up),
+        }
+    }
+}
+
+fn doubt(running: &Running) -> GivenUp {
+    if running.progress.surely_not_run() {
+        GivenUp::NotRun
+    } else {
+        GivenUp::InDoubt
+    }
+}
+
+fn place<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) -> Option<BackendId> {
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    match forwarder.place(&running.service, &running.work, &running.tried, false, now)? {
+        Placement::One(backend) => Some(backend),
+        Placement::Handover { generator, .. } => Some(generator),
+    }
+}
+
+async fn try_once<C, B>(
+    gateway: &Rc<Gateway<C, B>>,
+    running: &mut Running,
+    backend: &BackendId,
+) -> Result<WholeAnswer, AttemptEnd>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    running.served_by = Some(backend.clone());
+    let job = Job {
+        phase: JobPhase::Whole,
+        backend: backend.clone(),
+        remaining: running.remaining(gateway.now()),
+        priority: running.work.priority,
+        resume_after: None,
+    };
+    let mut open = attempt(gateway, &running.call, &job).await?;
+    match open.exchange.read_whole(LONGEST_ANSWER).await {
+        Ok(body) => {
+            if open.exchange.head.status.is_server_error() {
+                open.guard.failed();
+            } else {
+                open.guard.succeeded();
+            }
+            let head = copy_head(&open.exchange.head);
+            open.exchange.finish();
+            Ok(WholeAnswer { head, body })
+        }
+        Err(error) => {
+            open.guard.failed();
+            log::info!(
+                request = running.call.facts.id.as_str(),
+                backend = backend.as_str(),
+                cause = error.to_string().as_str();
+                "answer_broken"
+            );
+            Err(AttemptEnd::Broken)
+        }
+    }
+}
+
+fn is_failure(answer: &WholeAnswer) -> bool {
+    answer.head.status.is_server_error()
+}
+
+/// The head as it is passed on.
+pub(crate) fn copy_head(head: &Parts) -> Parts {
+    let mut copy = head.clone();
+    remove_connection_headers(&mut copy.headers);
+    copy
+}
+
+fn pass_on<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    answer: WholeAnswer,
+) -> Response<Body> {
+    let status = answer.head.status.as_u16();
+    finished(gateway, running, "answered", status);
+    Response::from_parts(answer.head, bytes_body(answer.body))
+}
--- /dev/null
+++ b/components/forwarding/src/backends.rs
@@ -0,0 +1,147 @@
+//! What a gateway believes of one back end.
+
+use garnet_control::{BackendRecord, BackendRegistration};
+use garnet_routing::CircuitBreaker;
+use garnet_types::{BackendKind, EngineRole, MachineState, Millis};
+
+/// A load report older than this is not believed any more.
+const REPORT_FRESH: Millis = Millis(2000);
+
+/// Load as a back end tells it with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u64,
+    /// Requests that wait.
+    pub waiting: u64,
+    /// Requests that may run at once.
+    pub slots: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    report: LoadReport,
+    at: Millis,
+    own_then: u64,
+}
+
+/// Load of a back end: what it told last, and own work since then.
+#[derive(Debug, Clone, Default)]
+pub struct BackendLoad {
+    own: u64,
+    own_unread_tokens: u64,
+    told: Option<Told>,
+}
+
+impl BackendLoad {
+    /// Requests that run or wait, as far as known.
+    pub fn requests(&self, now: Millis) -> u64 {
+        match self.fresh(now) {
+            Some(told) => {
+                let others =
+                    (told.report.running + told.report.waiting).saturating_sub(told.own_then);
+                others + self.own
+            }
+            None => self.own,
+        }
+    }
+
+    /// Slots, once it has told them.
+    pub fn slots(&self) -> Option<u64> {
+        Some(self.told?.report.slots)
+    }
+
+    /// Requests that waited for a slot when it last told.
+    pub fn waiting(&self, now: Millis) -> u64 {
+        self.fresh(now).map_or(0, |told| told.report.waiting)
+    }
+
+    /// Prompt tokens of own requests that it has yet to read.
+    pub fn own_unread_tokens(&self) -> u64 {
+        self.own_unread_tokens
+    }
+
+    /// Own requests under way.
+    pub fn own(&self) -> u64 {
+        self.own
+    }
+
+    /// Notes a request that is sent.
+    pub fn sent(&mut self, unread_tokens: u64) {
+        self.own += 1;
+        self.own_unread_tokens += unread_tokens;
+    }
+
+    /// Notes that the prompt of a request was read.
+    pub fn read(&mut self, unread_tokens: u64) {
+        self.own_unread_tokens = self.own_unread_tokens.saturating_sub(unread_tokens);
+    }
+
+    /// Notes that a request is over.
+    pub fn ended(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Takes a report.
+    pub fn told(&mut self, report: LoadReport, now: Millis) {
+        self.told = Some(Told {
+            report,
+            at: now,
+            own_then: self.own,
+        });
+    }
+
+    fn fresh(&self, now: Millis) -> Option<&Told> {
+        let fresh = |told: &&Told| now.since(told.at) <= REPORT_FRESH;
+        self.told.as_ref().filter(fresh)
+    }
+}
+
+/// One back end.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    /// How it introduced itself.
+    pub registration: BackendRegistration,
+    /// Phases that an engine serves; `None` for an application.
+    pub role: Option<EngineRole>,
+    /// Whether the configuration lets it take new work.
+    pub takes_work: bool,
+    /// Set when it told itself that it leaves or is not who it was.
+    pub gone: bool,
+    /// Its health, as own requests show it.
+    pub breaker: CircuitBreaker,
+    /// Its load.
+    pub load: BackendLoad,
+}
+
+impl Backend {
+    /// A back end of which only the record is known.
+    pub fn new(record: &BackendRecord) -> Self {
+        let mut backend = Backend {
+            registration: record.registration.clone(),
+            role: None,
+            takes_work: false,
+            gone: false,
+            breaker: CircuitBreaker::default(),
+            load: BackendLoad::default(),
+        };
+        backend.update(record);
+        backend
+    }
+
+    /// Takes a newer record.
+    pub fn update(&mut self, record: &BackendRecord) {
+        self.registration = record.registration.clone();
+        self.takes_work = record.takes_work() && record.machine == MachineState::Live;
+        self.role = match record.registration.kind {
+            BackendKind::Application => None,
+            BackendKind::Engine => record.assignment().map(|assignment| assignment.role),
+        };
+    }
+
+    /// Whether a new request may be sent to it.
+    pub fn is_open(&self, now: Millis, despite_failures: bool) -> bool {
+        let healthy = despite_failures || self.breaker.allows(now);
+        self.takes_work && !self.gone && healthy
+    }
+}
--- /dev/null
+++ b/components/forwarding/src/forwarder.rs
@@ -0,0 +1,313 @@
+//! What a gateway believes, and the decisions that rest on it.
+
+use std::collections::{BTreeMap, HashMap};
+
+use garnet_control::{Configuration, WatchUpdate};
+use garnet_routes::{CallerLimits, Route, RouteIndex};
+use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
+
+use crate::backends::{Backend, LoadReport};
+use crate::placement::{EngineView, Placement, Preference, place_application, place_engines};
+use crate::residency::Residency;
+use crate::share::{BudgetShare, ServiceBudget};
+use crate::work::{Prompt, Work};
+
+/// Draws that go on by this part of one are spread evenly at any count.
+const GOLDEN_PART: f64 = 0.618_033_988_749_894_9;
+
+/// Settings of a forwarder.
+#[derive(Debug, Clone)]
+pub struct ForwarderSettings {
+    /// Zone of the gateway.
+    pub zone: String,
+    /// Repeats that all gateways together may send a service.
+    pub budget: BudgetShare,
+    /// Where the draws of split routes begin, between 0 and 1.
+    pub first_draw: f64,
+}
+
+/// A route and the service that takes this request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteChoice {
+    /// The route.
+    pub route: Route,
+    /// The service.
+    pub service: ServiceId,
+}
+
+/// Beliefs and decisions of one gateway.
+#[derive(Debug)]
+pub struct Forwarder {
+    settings: ForwarderSettings,
+    configuration: Configuration,
+    routes: RouteIndex,
+    backends: BTreeMap<BackendId, Backend>,
+    residency: BTreeMap<BackendId, Residency>,
+    budgets: HashMap<ServiceId, ServiceBudget>,
+    draws: HashMap<String, f64>,
+    gateways: u64,
+    drawn: u64,
+}
+
+impl Forwarder {
+    /// A forwarder that knows nothing yet.
+    pub fn new(settings: ForwarderSettings) -> Self {
+        Forwarder {
+            settings,
+            configuration: Configuration::default(),
+            routes: RouteIndex::default(),
+            backends: BTreeMap::new(),
+            residency: BTreeMap::new(),
+            budgets: HashMap::new(),
+            draws: HashMap::new(),
+            gateways: 1,
+            drawn: 0,
+        }
+    }
+
+    // ---- Configuration ----
+
+    /// Takes what the leader says is new. An older configuration than the one
+    /// in force is left aside, so nothing reverts.
+    pub fn update(&mut self, update: WatchUpdate) {
+        match update {
+            WatchUpdate::Current => return,
+            WatchUpdate::Snapshot(configuration) => {
+                if configuration.index < self.configuration.index {
+                    return;
+                }
+                self.configuration = *configuration;
+            }
+            WatchUpdate::Changes { from, changes, to } => {
+                if from > self.configuration.index || to < self.configuration.index {
+                    return;
+                }
+                let known = self.configuration.index;
+                for (index, change) in changes.iter().filter(|(index, _)| *index > known) {
+                    self.configuration.change(*index, change);
+                }
+            }
+        }
+        self.apply_configuration();
+    }
+
+    /// Notes how many gateways share the budgets.
+    pub fn set_gateways(&mut self, gateways: u64) {
+        self.gateways = gateways.max(1);
+    }
+
+    /// Log index of the configuration in force here.
+    pub fn configuration_index(&self) -> u64 {
+        self.configuration.index
+    }
+
+    /// Version of the route table in force here.
+    pub fn routes_version(&self) -> Option<u64> {
+        Some(self.configuration.routes.as_ref()?.version)
+    }
+
+    /// Bounds on callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.routes.table().limits
+    }
+
+    fn apply_configuration(&mut self) {
+        if let Some(table) = &self.configuration.routes
+            && table.version != self.routes.table().version
+        {
+            self.routes = RouteIndex::new((**table).clone());
+        }
+        let records = &self.configuration.backends;
+        self.backends.retain(|id, _| records.contains_key(id));
+        self.residency.retain(|id, _| records.contains_key(id));
+        for (id, record) in records {
+            match self.backends.get_mut(id) {
+                Some(backend) => backend.update(record),
+                None => {
+                    self.backends.insert(id.clone(), Backend::new(record));
+                }
+            }
+        }
+    }
+
+    // ---- Routing ----
+
+    /// The route of a request and the service that takes it.
+    pub fn route(&mut self, host: &str, path: &str) -> Option<RouteChoice> {
+        let route = self.routes.find(host, path)?;
+        let first = self.settings.first_draw;
+        let draw = self.draws.entry(route.name.clone()).or_insert(first);
+        *draw = (*draw + GOLDEN_PART).fract();
+        let service = route.pick_service(*draw)?.clone();
+        let route = route.clone();
+        Some(RouteChoice { route, service })
+    }
+
+    /// Where the request goes now. `None` when no back end can take it.
+    pub fn place(
+        &mut self,
+        service: &ServiceId,
+        work: &Work,
+        tried: &[BackendId],
+        may_hand_over: bool,
+        now: Millis,
+    ) -> Option<Placement> {
+        self.drawn += 1;
+        let preference = Preference {
+            zone: &self.settings.zone,
+            now,
+            tried,
+            may_hand_over,
+            despite_failures: false,
+            draw: self.drawn,
+        };
+        // A back end that failed lately is better than none.
+        self.place_by(service, work, &preference).or_else(|| {
+            let preference = Preference {
+                despite_failures: true,
+                ..preference
+            };
+            self.place_by(service, work, &preference)
+        })
+    }
+
+    fn place_by(
+        &self,
+        service: &ServiceId,
+        work: &Work,
+        preference: &Preference<'_>,
+    ) -> Option<Placement> {
+        let of_service = self
+            .backends
+            .values()
+            .filter(|backend| backend.registration.service == *service);
+        let Some(prompt) = &work.prompt else {
+            return place_application(of_service, preference).map(Placement::One);
+        };
+        let engines: Vec<EngineView<'_>> = of_service
+            .filter(|backend| backend.registration.kind == BackendKind::Engine)
+            .map(|backend| EngineView {
+                backend,
+                residency: self.residency.get(&backend.registration.id),
+            })
+            .collect();
+        place_engines(&engines, prompt, preference)
+    }
+
+    /// A back end.
+    pub fn backend(&self, id: &BackendId) -> Option<&Backend> {
+        self.backends.get(id)
+    }
+
+    /// Back ends that take work now, of all that are known.
+    pub fn open_backends(&self, now: Millis) -> (usize, usize) {
+        let open = self.backends.values().filter(|b| b.is_open(now, false));
+        (open.count(), self.backends.len())
+    }
+
+    // ---- Budgets ----
+
+    /// Notes the first attempt of a request.
+    pub fn earn_repeats(&mut self, service: &ServiceId, now: Millis) {
+        let share = self.settings.budget;
+        let gateways = self.gateways;
+        self.budget(service, now).earn(&share, gateways);
+    }
+
+    /// Takes one repeat from the service's budget; `false` when none is left.
+    pub fn spend_repeat(&mut self, service: &ServiceId, now: Millis) -> bool {
+        let share = self.settings.budget;
+        let gateways = self.gateways;
+        self.budget(service, now).spend(&share, gateways, now)
+    }
+
+    fn budget(&mut self, service: &ServiceId, now: Millis) -> &mut ServiceBudget {
+        let share = self.settings.budget;
+        let gateways = self.gateways;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| ServiceBudget::full(&share, gateways, now))
+    }
+
+    // ---- What attempts show ----
+
+    /// Notes a request that is sent to a back end. Returns the prompt tokens
+    /// that it has yet to read for it.
+    pub fn sent(&mut self, id: &BackendId, prompt: Option<&Prompt>, now: Millis) -> u64 {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return 0;
+        };
+        backend.breaker.sent();
+        let Some(prompt) = prompt else {
+            backend.load.sent(0);
+            return 0;
+        };
+        let residency = self.residency.entry(id.clone()).or_default();
+        let unread = prompt
+            .tokens
+            .saturating_sub(residency.held_tokens(prompt, now));
+        residency.note(prompt, now);
+        backend.load.sent(unread);
+        unread
+    }
+
+    /// Notes that a prompt was read.
+    pub fn read(&mut self, id: &BackendId, unread: u64) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.load.read(unread);
+        }
+    }
+
+    /// Notes that an engine holds a prompt, such as after a hand-over.
+    pub fn holds(&mut self, id: &BackendId, prompt: &Prompt, now: Millis) {
+        if self.backends.contains_key(id) {
+            self.residency
+                .entry(id.clone())
+                .or_default()
+                .note(prompt, now);
+        }
+    }
+
+    /// Notes that a request is over at a back end, whatever its outcome.
+    pub fn ended(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.load.ended();
+        }
+    }
+
+    /// Takes a load report.
+    pub fn told(&mut self, id: &BackendId, report: LoadReport, now: Millis) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.load.told(report, now);
+        }
+    }
+
+    /// Notes a whole answer.
+    pub fn succeeded(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.breaker.succeeded();
+        }
+    }
+
+    /// Notes a request that ended without a verdict on the back end.
+    pub fn released(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.breaker.released();
+        }
+    }
+
+    /// Notes a failure to connect, or a broken or failed answer.
+    pub fn failed(&mut self, id: &BackendId, now: Millis) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.breaker.failed(now);
+        }
+    }
+
+    /// Notes that a back end said it leaves, or that another one stands at its
+    /// address.
+    pub fn gone(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.gone = true;
+        }
+    }
+}
--- /dev/null
+++ b/components/forwarding/src/lib.rs
@@ -0,0 +1,23 @@
+//! What a gateway decides about forwarded work: opaque requests with typed
+//! facts, which are passed on to the back ends of a route's service.
+//!
+//! Contract: no socket, file or clock. [`Forwarder`] holds what the gateway
+//! believes: the route table, the back ends, their load and their health. The
+//! choice of a back end is a pure function over that ([`placement`]); what an
+//! attempt's end means for the caller is a pure function too ([`next_move`]).
+
+mod attempts;
+mod backends;
+mod forwarder;
+pub mod placement;
+mod residency;
+mod share;
+mod work;
+
+pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
+pub use backends::{Backend, BackendLoad, LoadReport};
+pub use forwarder::{Forwarder, ForwarderSettings, RouteChoice};
+pub use placement::{Placement, Preference};
+pub use residency::Residency;
+pub use share::BudgetShare;
+pub use work::{Prompt, PromptPart, Work};
--- /dev/null
+++ b/components/forwarding/src/work.rs
@@ -0,0 +1,66 @@
+//! Typed facts of a request whose content stays opaque.
+
+use garnet_routes::WorkKind;
+use garnet_types::Millis;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// One part of a prompt. Parts are shared between requests; the last one
+/// belongs to the request or to its session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names its content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u64,
+}
+
+/// What is known of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Prompt {
+    /// Its parts in order.
+    pub parts: Vec<PromptPart>,
+    /// Tokens of the whole prompt.
+    pub tokens: u64,
+    /// Most tokens that are wanted.
+    pub output_tokens: u64,
+}
+
+impl Prompt {
+    /// One key for each beginning of the prompt that ends with a part: the
+    /// cache of a part counts only behind all parts before it. With each key
+    /// come the tokens up to there.
+    pub fn beginnings(&self) -> Vec<(u64, u64)> {
+        let mut key = 0;
+        let mut tokens = 0;
+        let mut beginnings = Vec::with_capacity(self.parts.len());
+        for part in &self.parts {
+            key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+            tokens += part.tokens;
+            beginnings.push((key, tokens));
+        }
+        beginnings
+    }
+
+    /// Key of the longest beginning that other requests may share, or of the
+    /// whole prompt where it has one part only.
+    pub fn shared_key(&self) -> u64 {
+        let beginnings = self.beginnings();
+        let shared = beginnings.len().saturating_sub(2);
+        beginnings.get(shared).map_or(0, |(key, _)| *key)
+    }
+}
+
+/// What is known of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Work {
+    /// What may be done with it.
+    pub kind: WorkKind,
+    /// Rank: 0 is the most urgent.
+    pub priority: u8,
+    /// Time within which its answer is useful.
+    pub objective: Millis,
+    /// Most back ends that it may be sent to.
+    pub max_attempts: u32,
+    /// Its prompt, for work of engines.
+    pub prompt: Option<Prompt>,
+}
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -7,9 +7,13 @@
 pub mod client;
 pub mod clock;
 pub mod command_line;
+pub mod control_link;
 pub mod frames;
+pub mod log_writer;
 pub mod logging;
 pub mod metrics;
+pub mod pool;
+pub mod reload;
 pub mod server;
 pub mod shell;
 pub mod signal;
@@ -17,5 +21,6 @@
 
 pub use client::{HttpClient, HttpError, StreamedResponse};
 pub use clock::Clock;
+pub use pool::{ConnectionPool, Exchange, PoolSettings};
 pub use server::{Body, HttpServer, Limits, bytes_body, json_response, text_response};
 pub use shell::{Shell, bind, read_json};
--- a/components/runtime/src/logging.rs
+++ b/components/runtime/src/logging.rs
@@ -2,17 +2,37 @@
 
 use std::fmt::Write as _;
 use std::io::Write as _;
+use std::time::Duration;
 
-use env_logger::{Builder, Env};
+use crate::log_writer::{LogCounts, LogWriter};
+use env_logger::{Builder, Env, Target};
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
 
-/// Starts logging to standard error. `GARNET_LOG` sets the level.
-pub fn start(process: &str) {
+/// Longest wait for the last lines of a process.
+const LAST_LINES: Duration = Duration::from_millis(300);
+
+/// The lines that wait, until the end of the process.
+#[derive(Debug)]
+pub struct LogGuard(LogCounts);
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.0.wait_until_written(LAST_LINES);
+    }
+}
+
+/// Starts logging to standard output, without ever holding up the loop.
+/// `GARNET_LOG` sets the level.
+#[must_use = "dropping it at once waits for nothing later"]
+pub fn start(process: &str) -> LogGuard {
     let process = process.to_owned();
     let clock = crate::Clock::default();
     let environment = Env::default().filter_or("GARNET_LOG", "info");
+    let output = LogWriter::start(std::io::stdout());
+    let counts = output.counts();
     let builder = Builder::from_env(environment)
+        .target(Target::Pipe(Box::new(output)))
         .format(move |output, record| {
             let line = format_line(clock.now().0, &process, record);
             writeln!(output, "{line}")
@@ -20,6 +40,7 @@
         .try_init();
     // A second start in one process keeps the first logger.
     drop(builder);
+    LogGuard(counts)
 }
 
 /// One line: time, level, process, event, and the event's own pairs.
--- /dev/null
+++ b/components/runtime/src/pool.rs
@@ -0,0 +1,262 @@
+//! Kept connections to back ends, each used for one request at a time.
+//!
+//! Contract: a connection is used again only when the answer before was read
+//! to its proper end and nothing came after it. An [`Exchange`] that is
+//! dropped before its end closes its connection, which cancels the work at
+//! the other end. Errors say whether any byte can have reached it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap};
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use smol::LocalExecutor;
+use smol_hyper::rt::FuturesIo;
+
+use crate::client::HttpError;
+use crate::sockets::{connect_in_time, end_when_silent};
+
+/// Header by which the other end tells how long it keeps an idle connection.
+const KEEP_ALIVE: &str = "keep-alive";
+/// An idle connection is left this much before the other end would close it.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// How connections are made and kept.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolSettings {
+    /// Longest time to connect.
+    pub connect_time: Duration,
+    /// A connection whose bytes are not acknowledged for so long is over.
+    pub silence: Duration,
+    /// How long an idle connection is kept where the other end tells nothing.
+    pub idle_time: Duration,
+    /// Idle connections kept for one address.
+    pub idle_per_address: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        PoolSettings {
+            connect_time: Duration::from_millis(400),
+            silence: Duration::from_millis(1200),
+            idle_time: Duration::from_secs(4),
+            idle_per_address: 64,
+        }
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    until: Instant,
+}
+
+/// Connections to any number of addresses.
+#[derive(Clone)]
+pub struct ConnectionPool {
+    executor: Rc<LocalExecutor<'static>>,
+    settings: PoolSettings,
+    idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
+}
+
+/// A request under way whose answer's head is there.
+pub struct Exchange {
+    /// Head of the answer.
+    pub head: Parts,
+    /// Whether the request went over a new connection.
+    pub fresh: bool,
+    body: Incoming,
+    sender: Sender,
+    address: String,
+    pool: ConnectionPool,
+}
+
+impl ConnectionPool {
+    /// A pool whose connections run on `executor`.
+    pub fn new(executor: Rc<LocalExecutor<'static>>, settings: PoolSettings) -> Self {
+        ConnectionPool {
+            executor,
+            settings,
+            idle: Rc::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer. A kept connection
+    /// that gives the request back unsent is left for the next one.
+    ///
+    /// # Errors
+    /// As [`HttpError`] says.
+    pub async fn send(
+        &self,
+        address: &str,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, HttpError> {
+        while let Some(mut sender) = self.take_idle(address) {
+            if sender.ready().await.is_err() {
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.exchange(address, sender, response, false)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(HttpError::Broken(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = self.connect(address).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(self.exchange(address, sender, response, true)),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = error.into_error().to_string();
+                Err(if unsent {
+                    HttpError::NotSent(cause)
+                } else {
+                    HttpError::Broken(cause)
+                })
+            }
+        }
+    }
+
+    /// Leaves all idle connections to an address.
+    pub fn forget(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
+    }
+
+    /// Leaves idle connections whose time is over.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    fn exchange(
+        &self,
+        address: &str,
+        sender: Sender,
+        response: Response<Incoming>,
+        fresh: bool,
+    ) -> Exchange {
+        let (head, body) = response.into_parts();
+        Exchange {
+            head,
+            fresh,
+            body,
+            sender,
+            address: address.to_owned(),
+            pool: self.clone(),
+        }
+    }
+
+    async fn connect(&self, address: &str) -> Result<Sender, HttpError> {
+        let unsent = |error: std::io::Error| HttpError::NotSent(error.to_string());
+        let connecting = connect_in_time(address, self.settings.connect_time);
+        let stream = connecting.await.map_err(unsent)?;
+        let _unset = stream.set_nodelay(true);
+        end_when_silent(&stream, self.settings.silence);
+        let (sender, connection) = Builder::new()
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|error| HttpError::NotSent(error.to_string()))?;
+        let drive = async move {
+            // Its faults reach the requests on it.
+            let _ended = connection.await;
+        };
+        self.executor.spawn(drive).detach();
+        Ok(sender)
+    }
+
+    fn take_idle(&self, address: &str) -> Option<Sender> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(address)?;
+        while let Some(candidate) = kept.pop() {
+            if candidate.until > now && !candidate.sender.is_closed() {
+                return Some(candidate.sender);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, address: &str, sender: Sender, idle_time: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address.to_owned()).or_default();
+        if kept.len() < self.settings.idle_per_address && !sender.is_closed() {
+            let until = Instant::now() + idle_time;
+            kept.push(Idle { sender, until });
+        }
+    }
+}
+
+impl Exchange {
+    /// The next piece of the body, `None` at its proper end.
+    ///
+    /// # Errors
+    /// When the connection ends before the body does.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(error)) => return Err(HttpError::Broken(error.to_string())),
+            }
+        }
+    }
+
+    /// Reads the whole body, up to `limit` bytes.
+    ///
+    /// # Errors
+    /// When it is longer, or the connection ends before it does.
+    pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, HttpError> {
+        let mut whole = Vec::new();
+        while let Some(piece) = self.next().await? {
+            if whole.len() + piece.len() > limit {
+                return Err(HttpError::Broken("the answer is too long".to_owned()));
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(Bytes::from(whole))
+    }
+
+    /// Gives the connection back after the body's proper end.
+    pub fn finish(self) {
+        if says_close(&self.head.headers) {
+            return;
+        }
+        let told = idle_time(&self.head.headers);
+        let idle_time = told.unwrap_or(self.pool.settings.idle_time);
+        self.pool.keep(&self.address, self.sender, idle_time);
+    }
+}
+
+/// Whether the other end closes the connection after this answer.
+fn says_close(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(CONNECTION)
+        .and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// How long an idle connection may be used, as the other end tells it.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let told = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = told.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -3,12 +3,12 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::StreamExt;
-use http_body_util::combinators::UnsyncBoxBody;
+use displaydoc::Display;
+use futures_lite::{Stream, StreamExt};
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::service::service_fn;
@@ -17,9 +17,18 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use thiserror::Error;
 
 /// Body of a response.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyCut>>>;
+
+/// The answer can't be brought to its end: its connection is closed, so that
+/// what was sent does not look whole.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum BodyCut {
+    /// the back end broke off
+    BackendBroke,
+}
 
 /// Bounds on what one connection may do.
 #[derive(Debug, Clone, Copy)]
@@ -188,13 +197,19 @@
 
 /// A body that is there as a whole.
 pub fn bytes_body(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed_unsync()
+    let whole = Full::new(bytes.into());
+    Box::pin(whole.map_err(|never| match never {}))
 }
 
 /// A body whose pieces come through a channel; it ends when the channel closes.
 pub fn channel_body(pieces: Receiver<Bytes>) -> Body {
     let frames = pieces.map(|piece| Ok(Frame::data(piece)));
-    StreamBody::new(frames).boxed_unsync()
+    Box::pin(StreamBody::new(frames))
+}
+
+/// A body whose pieces come from a stream, which may break off.
+pub fn stream_body(pieces: impl Stream<Item = Result<Bytes, BodyCut>> + 'static) -> Body {
+    Box::pin(StreamBody::new(pieces.map(|piece| piece.map(Frame::data))))
 }
 
 /// A response with a JSON body.
