A replica that joins is answered at the address it told

The group stayed at three voters; after two of them lost their disks there was no majority (RECOVER, and CONFIG at the read-back). The leader also counted a learner's silence from when it began to lead, so later learners were admitted and removed in turns.

Ruled out: lost appends (the learner's term rose), disk (its log stayed empty).

Change: each hello between replicas carries the sender's address; a learner's silence counts from when it was admitted.

--- a/bin/garnet-control/src/start.rs
+++ b/bin/garnet-control/src/start.rs
@@ -21,7 +21,11 @@
     let (admin_server, _) = bind(settings.admin_listen)?;
     let peer_listener = smol::block_on(bind_listener(settings.peer_listen))?;
     let opened = open(&open_settings(&settings, bootstrap), shell.clock)?;
-    let control = ControlShell::new(opened.id, Rc::clone(&shell.executor));
+    let control = ControlShell::new(
+        opened.id,
+        settings.peer_listen.to_string(),
+        Rc::clone(&shell.executor),
+    );
     let connections = control.connections.clone();
     let admin = admin::Admin::new(connections.clone());
     let http = HttpClient::new(Rc::clone(&shell.executor));
--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -155,12 +155,13 @@
     pub(crate) fn track_members(&mut self) {
         let next = self.log.last_index() + 1;
         let own = self.config.id;
+        let now = self.now;
         let members = &self.membership.members;
         self.progress.retain(|id, _| members.contains_key(id));
         for id in members.keys().filter(|id| **id != own) {
             self.progress
                 .entry(*id)
-                .or_insert_with(|| Progress::new(next));
+                .or_insert_with(|| Progress::new(next, now));
         }
     }
 
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -211,10 +211,11 @@
     }
 
     /// How long a member has not been heard of, as this leader knows it. A
-    /// leader counts from when it began to lead.
+    /// leader counts from when it began to lead, or admitted the member.
     pub fn silent_for(&self, id: ReplicaId) -> Millis {
         let heard = self.acknowledged_at(id).unwrap_or(Millis::ZERO);
-        self.now.since(heard.max(self.leader_since))
+        let tracked = self.progress.get(&id).map_or(Millis::ZERO, |p| p.since);
+        self.now.since(heard.max(tracked).max(self.leader_since))
     }
 
     /// Whether a member holds nearly all of the log, as this leader knows it.
--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -15,15 +15,18 @@
     pub acknowledged_at: Option<Millis>,
     /// Byte of the snapshot to send next, while one is under way.
     pub snapshot_offset: Option<u64>,
+    /// When the leader began to track it.
+    pub since: Millis,
     /// When something was last sent, for heartbeats and lost messages.
     pub last_sent: Millis,
 }
 
 impl Progress {
     /// A follower of which nothing is known yet.
-    pub fn new(next_index: u64) -> Self {
+    pub fn new(next_index: u64, now: Millis) -> Self {
         Progress {
             next_index,
+            since: now,
             ..Progress::default()
         }
     }
--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -25,6 +25,8 @@
 #[derive(Default)]
 struct Open {
     peers: HashMap<String, Sender<Frame>>,
+    /// Addresses that replicas told when they connected.
+    told: HashMap<ReplicaId, String>,
     gateways: HashMap<u64, Sender<Frame>>,
     operators: HashMap<u64, Sender<OperatorAnswer>>,
     next: u64,
@@ -34,6 +36,7 @@
 #[derive(Clone)]
 pub struct Connections {
     id: ReplicaId,
+    address: String,
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     open: Rc<RefCell<Open>>,
@@ -42,11 +45,13 @@
 impl Connections {
     pub(crate) fn new(
         id: ReplicaId,
+        address: String,
         executor: Rc<LocalExecutor<'static>>,
         events: Sender<Event>,
     ) -> Self {
         Connections {
             id,
+            address,
             executor,
             events,
             open: Rc::default(),
@@ -55,10 +60,12 @@
 
     // ---- Peers ----
 
-    /// Queues a message for a peer. Without an address, or when the queue is
-    /// full, it is lost.
+    /// Queues a message for a peer, at the address that the group knows or that
+    /// the peer told itself. Without an address, or when the queue is full, it
+    /// is lost.
     pub(crate) fn send_peer(&self, address: Option<String>, envelope: Envelope) {
-        let Some(address) = address else {
+        let told = || self.open.borrow().told.get(&envelope.to).cloned();
+        let Some(address) = address.or_else(told) else {
             return;
         };
         let sender = self.peer_queue(&address);
@@ -76,7 +83,10 @@
             return sender.clone();
         }
         let (sender, frames) = bounded(QUEUED_FRAMES);
-        let hello = FrameSender::Replica(self.id);
+        let hello = FrameSender::Replica {
+            id: self.id,
+            address: self.address.clone(),
+        };
         let task = run_peer(address.to_owned(), hello, frames);
         self.executor.spawn(task).detach();
         let mut open = self.open.borrow_mut();
@@ -125,7 +135,10 @@
     async fn serve(self, stream: TcpStream) {
         let (mut reader, writer) = frames::split(stream);
         let outcome = match reader.accept().await {
-            Ok(FrameSender::Replica(id)) => self.serve_peer(id, reader).await,
+            Ok(FrameSender::Replica { id, address }) => {
+                self.open.borrow_mut().told.insert(id, address);
+                self.serve_peer(id, reader).await
+            }
             Ok(FrameSender::Gateway(_)) => self.serve_gateway(reader, writer).await,
             Err(error) => Err(error),
         };
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -44,11 +44,12 @@
 }
 
 impl ControlShell {
-    /// A shell for the replica `id` on `executor`.
-    pub fn new(id: ReplicaId, executor: Rc<LocalExecutor<'static>>) -> Self {
+    /// A shell for the replica `id`, which others reach at `peer_address`.
+    pub fn new(id: ReplicaId, peer_address: String, executor: Rc<LocalExecutor<'static>>) -> Self {
         let (events_in, events) = smol::channel::unbounded();
+        let loop_of_process = Rc::clone(&executor);
         ControlShell {
-            connections: Connections::new(id, Rc::clone(&executor), events_in.clone()),
+            connections: Connections::new(id, peer_address, loop_of_process, events_in.clone()),
             events,
             events_in,
             executor,
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -8,13 +8,19 @@
 use crate::error::WireError;
 
 /// Version of the protocol. It changes when a frame's encoding does.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// Who opened a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Sender {
     /// Another replica.
-    Replica(ReplicaId),
+    Replica {
+        /// Its identity.
+        id: ReplicaId,
+        /// Where it is reached: one that just joins does not know the group,
+        /// and could not answer otherwise.
+        address: String,
+    },
     /// A gateway.
     Gateway(GatewayId),
 }
