Prompts are read by readers only, and the leader keeps both phases in balance

(2) Goodput: on mixed engines a prompt holds up every token in between. (3) Four readers of nine queue: read p90 1.2 s.

Change: the generator is chosen when the prompt is read. Gateways tell the leader what they have under way with each watch, and hear the others' sum. Readers win by the prompt tokens queued and unread; a second owner takes a beginning only where that pays for reading it twice. garnet-planner gets the balance of phases: occupancy of readers and generators decides how many read, two thirds before any load is known; a quarter of a pool at most is out for orders at once (one, in pools under eight, as before).

--- a/bin/garnet-bench/src/hollow/control.rs
+++ b/bin/garnet-bench/src/hollow/control.rs
@@ -188,6 +188,7 @@
                 sent_at: self.now,
                 group_index: 0,
                 mix: vec![hollow_mix(number)],
+                backlogs: Vec::new(),
             });
             self.gateway_bytes += self.group.gateway_asks(self.leader, frame) as u64;
         }
@@ -295,6 +296,7 @@
             update: snapshot,
             group: None,
             gateways: 1,
+            backlogs: Vec::new(),
         }));
         Ok(ControlFigures {
             size: self.size,
@@ -318,7 +320,7 @@
 fn hollow_status(number: usize) -> EngineStatus {
     EngineStatus {
         incarnation: 1,
-        highest_fence: Fence::default(),
+        highest_fence: Some(Fence::default()),
         assignment: EngineAssignment {
             role: Size::role(number),
             model: Size::model(number),
--- a/bin/garnet-bench/src/hollow/gateway.rs
+++ b/bin/garnet-bench/src/hollow/gateway.rs
@@ -128,6 +128,7 @@
             update,
             group: None,
             gateways: 1,
+            backlogs: Vec::new(),
         }));
         run
     }
@@ -201,6 +202,7 @@
                     update,
                     group: None,
                     gateways: 1,
+                    backlogs: Vec::new(),
                 }));
             }
             Effect::PollLoad { backend, .. } => {
--- a/bin/garnet-standin/src/engine.rs
+++ b/bin/garnet-standin/src/engine.rs
@@ -357,7 +357,7 @@
             return text_response(503, "another fence is being written\n");
         }
         let answer = engine.stand_in.order(&order, now);
-        let fence = answer.status().highest_fence;
+        let fence = answer.status().highest_fence.unwrap_or_default();
         let to_keep = (fence > engine.kept.highest_fence).then(|| {
             engine.kept.highest_fence = fence;
             (engine.directory.take(), engine.kept)
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -178,9 +178,10 @@
 }
 
 impl Configuration {
-    /// Whether an engine may be taken out for an order: no other engine of its
-    /// pool is out, and the rest serves every phase that the pool serves now.
-    /// A phase that nobody serves holds nothing up: it waits to be restored.
+    /// Whether an engine may be taken out for an order: few enough others of
+    /// its pool are out, and the rest serves every phase that the pool serves
+    /// now. A phase that nobody serves holds nothing up: it waits to be
+    /// restored.
     pub fn pool_can_spare(&self, engine: &BackendId) -> bool {
         let Some(record) = self.backends.get(engine) else {
             return false;
@@ -195,13 +196,23 @@
             .filter(|(id, other)| *id != engine && other.pool() == pool)
             .map(|(_, other)| other)
             .collect();
-        let none_out = others.iter().all(|other| other.order.is_none());
+        let out = others.iter().filter(|other| other.order.is_some()).count();
+        let few_out = out < most_out(others.len() + 1);
         let rest = ServedPhases::of(&others);
         let all = rest.with(record);
-        none_out && rest == all && rest != ServedPhases::default()
+        few_out && rest == all && rest != ServedPhases::default()
     }
 }
 
+/// Engines of a pool that may be out for orders at once: one of every
+/// [`ENGINES_FOR_EACH_OUT`], at least one.
+fn most_out(pool_size: usize) -> usize {
+    (pool_size / ENGINES_FOR_EACH_OUT).max(1)
+}
+
+/// See [`most_out`].
+const ENGINES_FOR_EACH_OUT: usize = 4;
+
 /// The phases of inference that some engine of a pool serves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct ServedPhases {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -7,6 +7,8 @@
 //! gives [`Effect`]s, with no socket, file or clock inside.
 
 mod answer;
+mod backlogs;
+mod balancing;
 mod claims;
 mod command;
 mod configuration;
@@ -31,7 +33,8 @@
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
 pub use messages::{
-    ClaimRequest, ControlReply, GatewayRequest, GroupView, JoinRequest, PoolMix, WatchUpdate,
+    Backlog, ClaimRequest, ControlReply, GatewayRequest, GroupView, JoinRequest, PoolMix,
+    WatchUpdate,
 };
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,6 +1,6 @@
 //! What gateways and the leader say to each other.
 
-use garnet_types::{GatewayId, Millis, ModelId, RecordedResponse, ReplicaId, ServiceId};
+use garnet_types::{BackendId, GatewayId, Millis, ModelId, RecordedResponse, ReplicaId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 use crate::answer::ClaimAnswer;
@@ -24,6 +24,17 @@
     pub output_tokens: u64,
 }
 
+/// Work of one gateway, or of several, that a back end has yet to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backlog {
+    /// The back end.
+    pub backend: BackendId,
+    /// Requests under way.
+    pub requests: u64,
+    /// Prompt tokens that it has yet to read.
+    pub unread_tokens: u64,
+}
+
 /// A claim, its release or its result.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimRequest {
@@ -65,6 +76,8 @@
         group_index: u64,
         /// What it saw offered.
         mix: Vec<PoolMix>,
+        /// What it has under way, for the other gateways to know.
+        backlogs: Vec<Backlog>,
     },
     /// About a claim.
     Claim(ClaimRequest),
@@ -123,6 +136,8 @@
         group: Option<GroupView>,
         /// Gateways that hold a lease: budgets are shared among them.
         gateways: u64,
+        /// What the other gateways have under way.
+        backlogs: Vec<Backlog>,
     },
     /// Answer about a claim.
     Claim {
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -22,7 +22,7 @@
 /// A state older than this is not acted upon.
 const STATUS_FRESH: Millis = Millis::from_secs(2);
 /// An unanswered order is sent again after this time.
-const ORDER_INTERVAL: Millis = Millis(500);
+const ORDER_INTERVAL: Millis = Millis(1500);
 
 #[derive(Debug, Default)]
 struct EngineTrack {
@@ -50,6 +50,9 @@
     pub(crate) gateways: &'a GatewayLeases,
     pub(crate) term: u64,
     pub(crate) applied_index: u64,
+    /// Whether engines without an order are asked for their state, so that
+    /// silence means something.
+    pub(crate) polls: bool,
     pub(crate) now: Millis,
 }
 
@@ -89,6 +92,12 @@
             .awaiting_index = index;
     }
 
+    /// Whether a command about the engine is under way.
+    pub(crate) fn awaits(&self, engine: &BackendId, applied_index: u64) -> bool {
+        let track = self.tracks.get(engine);
+        track.is_some_and(|track| track.awaiting_index > applied_index)
+    }
+
     /// The next steps for one engine.
     pub(crate) fn steps(&mut self, engine: &BackendId, present: &Present<'_>) -> Vec<Step> {
         let Some(record) = present.configuration.backends.get(engine) else {
@@ -133,20 +142,23 @@
     ) -> Option<Step> {
         self.confirmed_at = None;
         self.ordered_at = None;
-        let (status, _) = self.fresh(present.now)?;
-        let observation = EngineObservation {
-            incarnation: status.incarnation,
-            assignment: status.assignment.clone(),
-        };
-        if record.observed.as_ref() != Some(&observation) {
-            let engine = engine.clone();
-            return Some(Step::Propose(Command::Observe {
-                engine,
-                observation,
-            }));
+        if let Some((status, _)) = self.fresh(present.now) {
+            let observation = EngineObservation {
+                incarnation: status.incarnation,
+                assignment: status.assignment.clone(),
+            };
+            if record.observed.as_ref() != Some(&observation) {
+                let engine = engine.clone();
+                return Some(Step::Propose(Command::Observe {
+                    engine,
+                    observation,
+                }));
+            }
+        } else if present.polls {
+            return None;
         }
         let desired = record.desired.as_ref()?;
-        let settled = *desired == observation.assignment;
+        let settled = *desired == record.observed.as_ref()?.assignment;
         let may_leave = present.configuration.pool_can_spare(engine);
         let live = record.machine == MachineState::Live;
         (!settled && may_leave && live).then(|| Step::Propose(Command::BeginOrder(engine.clone())))
@@ -202,7 +214,9 @@
 }
 
 fn is_done(status: &EngineStatus, order: &OutstandingOrder) -> bool {
-    status.highest_fence == order.fence
+    status
+        .highest_fence
+        .is_none_or(|fence| fence == order.fence)
         && status.changing.is_none()
         && status.assignment == order.assignment
 }
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -9,7 +9,7 @@
 use crate::planning::EngineFacts;
 use crate::reconciler::{Present, Step};
 
-use super::Replica;
+use super::{EnginePolling, Replica};
 
 impl Replica {
     pub(super) fn reconcile(&mut self) {
@@ -21,6 +21,7 @@
                 gateways: &self.gateways,
                 term: status.term,
                 applied_index: status.applied_index,
+                polls: self.settings.engine_polling == EnginePolling::Always,
                 now: self.now,
             };
             for step in self.reconciler.steps(&engine, &present) {
@@ -79,6 +80,26 @@
         }
     }
 
+    /// Keeps readers and generators of each pool in balance.
+    pub(super) fn balance(&mut self) {
+        let Some(balancing) = &mut self.balancing else {
+            return;
+        };
+        let backlogs = self.backlogs.all(self.now);
+        let changes = balancing.decide(&self.state.configuration, &backlogs, self.now);
+        let applied = self.node.status().applied_index;
+        for (engine, assignment) in changes {
+            if self.reconciler.awaits(&engine, applied) {
+                continue;
+            }
+            let about = engine.clone();
+            let command = Command::Assign { engine, assignment };
+            if let Some(index) = self.propose_own(command) {
+                self.reconciler.proposed(&about, index);
+            }
+        }
+    }
+
     /// Takes the platform's list. It lags and may contradict itself, so a
     /// missing machine is only taken out of routing, and only after a while.
     pub(super) fn handle_machines(&mut self, machines: &[MachineEntry]) {
@@ -109,7 +130,11 @@
         let is_new = known.map(|record| &record.registration) != Some(registration);
         let machine = known.map_or(MachineState::Live, |record| record.machine);
         let seen = known.and_then(|record| record.observed.as_ref());
-        let newly_observed = entry.observed.clone().filter(|now| seen != Some(now));
+        let ordered = known.is_some_and(|record| record.order.is_some());
+        let newly_observed = entry
+            .observed
+            .clone()
+            .filter(|now| !ordered && seen != Some(now));
         if is_new {
             self.propose_own(Command::PutBackend(registration.clone()));
         }
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -1,7 +1,7 @@
 //! Watches and claims of gateways.
 
 use garnet_consensus::Member;
-use garnet_types::Millis;
+use garnet_types::{GatewayId, Millis};
 
 use crate::command::{Command, CommandEnvelope};
 use crate::effects::Effect;
@@ -24,12 +24,14 @@
                 sent_at,
                 group_index,
                 mix,
+                backlogs,
             } => {
                 if let Some(planning) = &mut self.planning {
                     planning.add(&mix);
                 }
+                let reply = self.watch_reply(&gateway, configuration_index, group_index, sent_at);
+                self.backlogs.note(gateway.clone(), backlogs, self.now);
                 self.gateways.grant(gateway, configuration_index, self.now);
-                let reply = self.watch_reply(configuration_index, group_index, sent_at);
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
                 self.serve_waiters();
@@ -38,7 +40,13 @@
         }
     }
 
-    fn watch_reply(&self, index: u64, group_index: u64, sent_at: Millis) -> ControlReply {
+    fn watch_reply(
+        &self,
+        gateway: &GatewayId,
+        index: u64,
+        group_index: u64,
+        sent_at: Millis,
+    ) -> ControlReply {
         let membership = self.node.membership();
         let current = self.node.membership_index();
         let group = (current != group_index).then(|| GroupView {
@@ -54,6 +62,7 @@
             update: self.recent.update_for(index, &self.state.configuration),
             group,
             gateways: self.gateways.count(self.now),
+            backlogs: self.backlogs.of_others(gateway),
         }
     }
 
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -1,5 +1,6 @@
 //! Gaining and losing the leadership.
 
+use crate::balancing::Balancing;
 use crate::effects::Effect;
 use crate::gateways::GatewayLeases;
 use crate::operator::OperatorAnswer;
@@ -22,7 +23,9 @@
             self.gateways = GatewayLeases::at_start_of_term(self.now);
             self.reconciler = Reconciler::new(self.settings.engine_polling);
             self.candidates.clear();
+            self.backlogs.clear();
             self.planning = self.settings.planner.map(Planning::new);
+            self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
             self.effects.push(Effect::BecameLeader { term });
         }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -11,7 +11,7 @@
 
 use displaydoc::Display;
 use garnet_consensus::{Config, Node, Ready, Restored, Snapshot};
-use garnet_planner::PlannerSettings;
+use garnet_planner::{BalanceSettings, PlannerSettings};
 use garnet_types::{BackendId, Fence, Millis, ReplicaId};
 use thiserror::Error;
 
@@ -20,6 +20,8 @@
 use group::Candidates;
 
 use crate::answer::CommandAnswer;
+use crate::backlogs::Backlogs;
+use crate::balancing::Balancing;
 use crate::command::ClaimCommand;
 use crate::effects::{Effect, Event};
 use crate::gateways::GatewayLeases;
@@ -69,6 +71,9 @@
     pub snapshot_every: u64,
     /// The role planner; `None` leaves roles to the operators.
     pub planner: Option<PlannerSettings>,
+    /// The balance of phases, for engines that do not state their speed; in
+    /// place of a planner.
+    pub balance: Option<BalanceSettings>,
     /// How the leader keeps the group whole; `None` leaves the members to the
     /// operators.
     pub group: Option<GroupSettings>,
@@ -85,6 +90,7 @@
             consensus,
             snapshot_every: 1000,
             planner: None,
+            balance: None,
             group: None,
             directory: DirectorySettings::default(),
             engine_polling: EnginePolling::Always,
@@ -153,8 +159,10 @@
     removals: Vec<Removal>,
     candidates: Candidates,
     gateways: GatewayLeases,
+    backlogs: Backlogs,
     reconciler: Reconciler,
     planning: Option<Planning>,
+    balancing: Option<Balancing>,
     reconciled_at: Millis,
     missing_since: BTreeMap<BackendId, Millis>,
     led_term: Option<u64>,
@@ -190,6 +198,7 @@
         Ok(Replica {
             node: Node::new(settings.consensus.clone(), restored, now),
             planning: settings.planner.map(Planning::new),
+            balancing: settings.balance.map(Balancing::new),
             state,
             recent,
             settings,
@@ -198,6 +207,7 @@
             removals: Vec::new(),
             candidates: Candidates::default(),
             gateways: GatewayLeases::default(),
+            backlogs: Backlogs::default(),
             reconciler,
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
@@ -306,6 +316,7 @@
             self.reconciled_at = self.now;
             self.reconcile();
             self.plan();
+            self.balance();
             self.mend_group();
             self.gateways.forget_silent(self.now);
         }
--- a/components/control/tests/state/routes.rs
+++ b/components/control/tests/state/routes.rs
@@ -131,6 +131,7 @@
         sent_at: now,
         group_index: u64::MAX,
         mix: Vec::new(),
+        backlogs: Vec::new(),
     };
     let connection = 1;
     let event = Event::Gateway {
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Prompt tokens that the back end was believed to have to read.
+    pub(crate) fn unread(&self) -> u64 {
+        self.unread
+    }
+
     /// The prompt is read: the first piece is there.
     pub(crate) fn prompt_was_read(&mut self) {
         let unread = std::mem::take(&mut self.unread);
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -58,7 +58,9 @@
     call: &Call,
     job: &Job,
 ) -> Result<WaitingCache<C, B>, AttemptEnd> {
+    let began = gateway.now();
     let mut open = attempt(gateway, call, job).await.map_err(not_run)?;
+    let unread = open.guard.unread();
     let failed = |open: &mut crate::attempt::OpenAnswer<C, B>| {
         open.guard.failed();
         AttemptEnd::NotRun(NotRunReason::CacheGone)
@@ -72,6 +74,13 @@
     let Some(read) = gateway.backends.read_prompt(&body) else {
         return Err(failed(&mut open));
     };
+    log::info!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        unread_tokens = unread,
+        took_ms = gateway.now().since(began).0;
+        "prompt_read"
+    );
     open.guard.prompt_was_read();
     open.guard.succeeded();
     let address = {
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use futures_lite::stream::unfold;
-use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Placement, next_move};
+use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, NotRunReason, Placement, next_move};
 use garnet_routes::WorkKind;
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyCut, stream_body};
@@ -117,6 +117,14 @@
         let took = self.gateway.now().since(self.running.arrived);
         let route = &self.running.route.name;
         self.gateway.metrics.first_piece(route, took);
+        let backend = self.running.served_by.as_ref();
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            route = route.as_str(),
+            backend = backend.map_or("", BackendId::as_str),
+            first_piece_ms = took.0;
+            "stream_begun"
+        );
         let state = (self, Some(first));
         let pieces = unfold(Some(state), |state| async move {
             let (mut stream, first) = state?;
@@ -246,7 +254,7 @@
                 let job = self.job(JobPhase::Whole, backend);
                 self.send(&job).await
             }
-            Placement::Handover { reader, generator } => {
+            Placement::Handover { reader } => {
                 let job = self.job(JobPhase::ReadPrompt, reader.clone());
                 let read = read_prompt(&self.gateway, &self.running.call, &job).await;
                 let cache = match read {
@@ -257,6 +265,11 @@
                         return Err(end);
                     }
                 };
+                // Reading takes its time: who generates is chosen after it.
+                let Some(generator) = self.place_generator(&reader) else {
+                    self.may_hand_over = false;
+                    return Err(AttemptEnd::NotRun(NotRunReason::Full));
+                };
                 let phase = JobPhase::Generate(cache.source());
                 let job = self.job(phase, generator);
                 let answer = self.send(&job).await;
@@ -303,6 +316,13 @@
         forwarder.place(service, work, tried, self.may_hand_over, now)
     }
 
+    fn place_generator(&self, reader: &BackendId) -> Option<BackendId> {
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let Running { service, tried, .. } = &self.running;
+        forwarder.place_generator(service, reader, tried, now)
+    }
+
     /// Whether to go on after an attempt that ended with `end`.
     fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
         self.running.progress.note(end);
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -65,6 +65,7 @@
             sent_at: self.gateway.now(),
             group_index: self.group_index.get(),
             mix: Vec::new(),
+            backlogs: self.gateway.forwarder.borrow().own_backlogs(),
         };
         // What is lost is asked again.
         let _lost = self.requests.try_send(request);
@@ -75,6 +76,7 @@
             update,
             group,
             gateways,
+            backlogs,
             ..
         } = reply
         else {
@@ -89,6 +91,7 @@
         let before = (forwarder.routes_version(), forwarder.configuration_index());
         forwarder.update(update);
         forwarder.set_gateways(gateways);
+        forwarder.heard_of_others(&backlogs, self.gateway.now());
         let after = (forwarder.routes_version(), forwarder.configuration_index());
         if before != after {
             let now = self.gateway.now();
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -100,7 +100,8 @@
     let mut forwarder = gateway.forwarder.borrow_mut();
     match forwarder.place(&running.service, &running.work, &running.tried, false, now)? {
         Placement::One(backend) => Some(backend),
-        Placement::Handover { generator, .. } => Some(generator),
+        // Without leave to hand over there is none.
+        Placement::Handover { .. } => None,
     }
 }
 
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -6,6 +6,8 @@
 
 /// A load report older than this is not believed any more.
 const REPORT_FRESH: Millis = Millis(2000);
+/// What was heard of other gateways longer ago than this is over by now.
+const OTHERS_FRESH: Millis = Millis(1500);
 
 /// Load as a back end tells it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,45 +27,43 @@
     own_then: u64,
 }
 
-/// Load of a back end: what it told last, and own work since then.
+/// What the other gateways have under way at a back end.
+#[derive(Debug, Clone, Copy, Default)]
+struct Others {
+    requests: u64,
+    unread_tokens: u64,
+    heard_at: Millis,
+}
+
+/// Load of a back end: own work, what the other gateways tell of theirs, and
+/// what the back end told last.
 #[derive(Debug, Clone, Default)]
 pub struct BackendLoad {
     own: u64,
     own_unread_tokens: u64,
+    others: Others,
     told: Option<Told>,
 }
 
 impl BackendLoad {
     /// Requests that run or wait, as far as known.
     pub fn requests(&self, now: Millis) -> u64 {
-        match self.fresh(now) {
-            Some(told) => {
-                let others =
-                    (told.report.running + told.report.waiting).saturating_sub(told.own_then);
-                others + self.own
-            }
-            None => self.own,
-        }
-    }
-
-    /// Slots, once it has told them.
-    pub fn slots(&self) -> Option<u64> {
-        Some(self.told?.report.slots)
-    }
-
-    /// Requests that waited for a slot when it last told.
-    pub fn waiting(&self, now: Millis) -> u64 {
-        self.fresh(now).map_or(0, |told| told.report.waiting)
+        let heard = self.own + self.fresh_others(now).requests;
+        let told = self.fresh(now).map_or(0, |told| {
+            let all_then = told.report.running + told.report.waiting;
+            all_then.saturating_sub(told.own_then) + self.own
+        });
+        heard.max(told)
     }
 
-    /// Prompt tokens of own requests that it has yet to read.
-    pub fn own_unread_tokens(&self) -> u64 {
-        self.own_unread_tokens
+    /// Prompt tokens that it has yet to read, as far as known.
+    pub fn unread_tokens(&self, now: Millis) -> u64 {
+        self.own_unread_tokens + self.fresh_others(now).unread_tokens
     }
 
-    /// Own requests under way.
-    pub fn own(&self) -> u64 {
-        self.own
+    /// Own work under way, to be told to the other gateways.
+    pub fn own(&self) -> (u64, u64) {
+        (self.own, self.own_unread_tokens)
     }
 
     /// Notes a request that is sent.
@@ -91,10 +91,27 @@
         });
     }
 
+    /// Takes what the other gateways have under way.
+    pub fn heard_of_others(&mut self, requests: u64, unread_tokens: u64, now: Millis) {
+        self.others = Others {
+            requests,
+            unread_tokens,
+            heard_at: now,
+        };
+    }
+
     fn fresh(&self, now: Millis) -> Option<&Told> {
         let fresh = |told: &&Told| now.since(told.at) <= REPORT_FRESH;
         self.told.as_ref().filter(fresh)
     }
+
+    fn fresh_others(&self, now: Millis) -> Others {
+        if now.since(self.others.heard_at) <= OTHERS_FRESH {
+            self.others
+        } else {
+            Others::default()
+        }
+    }
 }
 
 /// One back end.
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -2,12 +2,14 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use garnet_control::{Configuration, WatchUpdate};
+use garnet_control::{Backlog, Configuration, WatchUpdate};
 use garnet_routes::{CallerLimits, Route, RouteIndex};
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
 use crate::backends::{Backend, LoadReport};
-use crate::placement::{EngineView, Placement, Preference, place_application, place_engines};
+use crate::placement::{
+    EngineView, Placement, Preference, place_application, place_engines, place_generator,
+};
 use crate::residency::Residency;
 use crate::share::{BudgetShare, ServiceBudget};
 use crate::work::{Prompt, Work};
@@ -194,6 +196,34 @@
         place_engines(&engines, prompt, preference)
     }
 
+    /// Who generates from the KV cache that `reader` made, as things stand now.
+    pub fn place_generator(
+        &mut self,
+        service: &ServiceId,
+        reader: &BackendId,
+        tried: &[BackendId],
+        now: Millis,
+    ) -> Option<BackendId> {
+        self.drawn += 1;
+        let zone = &self.backends.get(reader)?.registration.zone;
+        let find = |despite_failures| {
+            let preference = Preference {
+                zone: &self.settings.zone,
+                now,
+                tried,
+                may_hand_over: true,
+                despite_failures,
+                draw: self.drawn,
+            };
+            let of_service = self
+                .backends
+                .values()
+                .filter(|backend| backend.registration.service == *service);
+            place_generator(of_service, zone, &preference)
+        };
+        find(false).or_else(|| find(true))
+    }
+
     /// A back end.
     pub fn backend(&self, id: &BackendId) -> Option<&Backend> {
         self.backends.get(id)
@@ -229,6 +259,35 @@
             .or_insert_with(|| ServiceBudget::full(&share, gateways, now))
     }
 
+    // ---- Other gateways ----
+
+    /// Own work under way, for the other gateways.
+    pub fn own_backlogs(&self) -> Vec<Backlog> {
+        let backlog = |(id, backend): (&BackendId, &Backend)| {
+            let (requests, unread_tokens) = backend.load.own();
+            let any = requests > 0 || unread_tokens > 0;
+            any.then(|| Backlog {
+                backend: id.clone(),
+                requests,
+                unread_tokens,
+            })
+        };
+        self.backends.iter().filter_map(backlog).collect()
+    }
+
+    /// Takes what the other gateways have under way.
+    pub fn heard_of_others(&mut self, backlogs: &[Backlog], now: Millis) {
+        for backend in self.backends.values_mut() {
+            backend.load.heard_of_others(0, 0, now);
+        }
+        for backlog in backlogs {
+            if let Some(backend) = self.backends.get_mut(&backlog.backend) {
+                let (requests, unread) = (backlog.requests, backlog.unread_tokens);
+                backend.load.heard_of_others(requests, unread, now);
+            }
+        }
+    }
+
     // ---- What attempts show ----
 
     /// Notes a request that is sent to a back end. Returns the prompt tokens
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -10,25 +10,35 @@
 /// Requests more than elsewhere that the own zone may have before work leaves
 /// it: another zone costs time and bytes.
 const ZONE_ADVANTAGE: u64 = 2;
-/// An engine that also generates reads prompts at half the pace.
-const MIXED_READING_COST: u64 = 2;
+/// An engine that generates reads prompts at half the pace, and all that it
+/// generates comes slower meanwhile: each token that it reads counts as so
+/// many that a reader reads.
+const MIXED_READING_COST: u64 = 200;
 /// What handing a KV cache over costs, in prompt tokens that could be read in
 /// that time.
 const HANDOVER_TOKENS: u64 = 1_500;
-/// Unread tokens of other gateways for each own one, roughly.
-const OTHERS_UNREAD: u64 = 2;
+/// Requests more than elsewhere that a generator in the zone of the reader may
+/// have before a KV cache leaves the zone.
+const MOVE_BETWEEN_ZONES: u64 = 16;
+/// Engines at which a shared beginning may be kept.
+const OWNERS: usize = 2;
+/// See [`spreading_cost`]: each token that is read at another owner counts so
+/// many times more.
+const SPREADING_COST: u64 = 2;
+/// A first owner that this gateway has not sent the beginning to lately holds
+/// it all the same, since the others send there too, but for this part.
+const DOUBT_PARTS: u64 = 4;
 
 /// Where a request goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Placement {
     /// One back end does all of it.
     One(BackendId),
-    /// One engine reads the prompt, another one generates from its KV cache.
+    /// One engine reads the prompt; another one, which is chosen when that is
+    /// done, generates from its KV cache.
     Handover {
         /// Reads the prompt.
         reader: BackendId,
-        /// Generates.
-        generator: BackendId,
     },
 }
 
@@ -84,17 +94,12 @@
     pub residency: Option<&'a Residency>,
 }
 
-impl EngineView<'_> {
-    fn unread(&self, prompt: &Prompt, now: Millis) -> u64 {
-        let held = self
-            .residency
-            .map_or(0, |residency| residency.held_tokens(prompt, now));
-        prompt.tokens.saturating_sub(held)
-    }
-
-    fn queue(&self) -> u64 {
-        self.backend.load.own_unread_tokens() * OTHERS_UNREAD
-    }
+/// An engine that may read the prompt, and what that costs there.
+#[derive(Debug, Clone, Copy)]
+struct Reading<'a, 'b> {
+    engine: &'a EngineView<'b>,
+    /// Prompt tokens to be read before this request's first piece.
+    tokens: u64,
 }
 
 /// One engine for both phases, or two, by the prompt tokens that are to be
@@ -108,60 +113,97 @@
         .iter()
         .filter(|engine| preference.may_take(engine.backend))
         .collect();
-    let with_role = |wanted: fn(EngineRole) -> bool| {
-        let matches = move |engine: &&&EngineView<'_>| engine.backend.role.is_some_and(wanted);
-        open.iter().filter(matches).copied().collect::<Vec<_>>()
+    let with_role = |wanted: EngineRole| -> Vec<&EngineView<'_>> {
+        let matches = |engine: &&&EngineView<'_>| engine.backend.role == Some(wanted);
+        open.iter().filter(matches).copied().collect()
+    };
+    let mixed = with_role(EngineRole::Mixed);
+    let may_hand_over = preference.may_hand_over
+        && open
+            .iter()
+            .any(|engine| engine.backend.role.is_some_and(EngineRole::generates));
+    let readers = if may_hand_over {
+        with_role(EngineRole::Prefill)
+    } else {
+        Vec::new()
     };
-    let generators = with_role(EngineRole::generates);
-    let mixed = with_role(|role| role == EngineRole::Mixed);
-    let readers = with_role(|role| role == EngineRole::Prefill);
-    let single = owner_of(&mixed, prompt);
-    let reader = owner_of(&readers, prompt);
     let now = preference.now;
-    let single_cost =
-        single.map(|engine| MIXED_READING_COST * (engine.unread(prompt, now) + engine.queue()));
-    let reader = reader.filter(|_| preference.may_hand_over);
-    let handover = reader.and_then(|reader| {
-        let generator = generator_for(reader, &generators, now)?;
-        let cost = reader.unread(prompt, now) + reader.queue() + HANDOVER_TOKENS;
-        Some((reader, generator, cost))
-    });
-    match (single, single_cost, handover) {
-        (Some(engine), Some(cost), Some((_, _, handed))) if cost <= handed => {
-            Some(Placement::One(engine.backend.registration.id.clone()))
+    let single = cheapest_reading(&mixed, prompt, now);
+    let handover = cheapest_reading(&readers, prompt, now);
+    let single_cost = |reading: &Reading<'_, '_>| reading.tokens * MIXED_READING_COST;
+    let handover_cost = |reading: &Reading<'_, '_>| reading.tokens + HANDOVER_TOKENS;
+    let id = |reading: Reading<'_, '_>| reading.engine.backend.registration.id.clone();
+    match (single, handover) {
+        (Some(single), Some(reader)) if handover_cost(&reader) < single_cost(&single) => {
+            Some(Placement::Handover { reader: id(reader) })
         }
-        (_, _, Some((reader, generator, _))) => Some(Placement::Handover {
-            reader: reader.backend.registration.id.clone(),
-            generator: generator.backend.registration.id.clone(),
-        }),
-        (Some(engine), _, None) => Some(Placement::One(engine.backend.registration.id.clone())),
-        _ => None,
+        (Some(single), _) => Some(Placement::One(id(single))),
+        (None, Some(reader)) => Some(Placement::Handover { reader: id(reader) }),
+        (None, None) => None,
     }
 }
 
-/// The engine to which the shared beginning of the prompt belongs, by
-/// rendezvous hashing: all gateways find the same one without a word between
-/// them, and an engine that leaves moves only what it held.
-fn owner_of<'a, 'b>(engines: &[&'a EngineView<'b>], prompt: &Prompt) -> Option<&'a EngineView<'b>> {
+/// Among the owners of the prompt's shared beginning, the engine that begins
+/// to generate first. Owners are found by rendezvous hashing: all gateways
+/// find the same ones without a word between them, and an engine that leaves
+/// moves only what it held.
+fn cheapest_reading<'a, 'b>(
+    engines: &[&'a EngineView<'b>],
+    prompt: &Prompt,
+    now: Millis,
+) -> Option<Reading<'a, 'b>> {
     let key = prompt.shared_key();
-    let weight = |engine: &&&EngineView<'_>| {
+    let mut ranked: Vec<&'a EngineView<'b>> = engines.to_vec();
+    ranked.sort_by_cached_key(|engine| {
         let id = engine.backend.registration.id.as_str().as_bytes();
-        xxh3_64_with_seed(id, key)
+        std::cmp::Reverse(xxh3_64_with_seed(id, key))
+    });
+    let owners = ranked.into_iter().take(OWNERS).enumerate();
+    let reading = |(rank, engine): (usize, &'a EngineView<'b>)| {
+        let queued = engine.backend.load.unread_tokens(now);
+        let unread = unread(engine, prompt, rank == 0, now);
+        let unread_shared = unread.min(prompt.shared_tokens());
+        let tokens = queued + unread + spreading_cost(rank, unread_shared);
+        Reading { engine, tokens }
+    };
+    owners.map(reading).min_by_key(|reading| reading.tokens)
+}
+
+/// What keeping a beginning at another engine as well costs all: memory that
+/// others lose, and what is read again for that.
+fn spreading_cost(rank: usize, unread_shared: u64) -> u64 {
+    if rank == 0 { 0 } else { unread_shared * SPREADING_COST }
+}
+
+fn unread(engine: &EngineView<'_>, prompt: &Prompt, first_owner: bool, now: Millis) -> u64 {
+    let held = engine
+        .residency
+        .map_or(0, |residency| residency.held_tokens(prompt, now));
+    let shared = prompt.shared_tokens();
+    let likely = if first_owner && held < shared {
+        shared - shared / DOUBT_PARTS
+    } else {
+        held
     };
-    engines.iter().max_by_key(weight).copied()
+    prompt.tokens.saturating_sub(likely.max(held))
 }
 
 /// Who goes on from the reader's KV cache: in its zone, since moves between
 /// zones take longer, and with the fewest requests.
-fn generator_for<'a, 'b>(
-    reader: &EngineView<'_>,
-    generators: &[&'a EngineView<'b>],
-    now: Millis,
-) -> Option<&'a EngineView<'b>> {
-    let zone = &reader.backend.registration.zone;
-    let cost = |engine: &&&EngineView<'_>| {
-        let away = engine.backend.registration.zone != *zone;
-        (away, engine.backend.load.requests(now))
+pub fn place_generator<'a>(
+    engines: impl Iterator<Item = &'a Backend>,
+    reader_zone: &str,
+    preference: &Preference<'_>,
+) -> Option<BackendId> {
+    let cost = |backend: &&Backend| {
+        let away = u64::from(backend.registration.zone != reader_zone);
+        let id = backend.registration.id.as_str().as_bytes();
+        let requests = backend.load.requests(preference.now);
+        let cost = requests + away * MOVE_BETWEEN_ZONES;
+        (cost, xxh3_64_with_seed(id, preference.draw))
     };
-    generators.iter().min_by_key(cost).copied()
+    let generators = engines
+        .filter(|backend| backend.role.is_some_and(EngineRole::generates))
+        .filter(|backend| preference.may_take(backend));
+    Some(generators.min_by_key(cost)?.registration.id.clone())
 }
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -41,6 +41,13 @@
         beginnings
     }
 
+    /// Tokens of the longest beginning that other requests may share.
+    pub fn shared_tokens(&self) -> u64 {
+        let last = self.parts.last().map_or(0, |part| part.tokens);
+        let all: u64 = self.parts.iter().map(|part| part.tokens).sum();
+        all - last
+    }
+
     /// Key of the longest beginning that other requests may share, or of the
     /// whole prompt where it has one part only.
     pub fn shared_key(&self) -> u64 {
--- /dev/null
+++ b/components/forwarding/tests/core/budgets.rs
@@ -0,0 +1,42 @@
+//! Repeats of all gateways together stay within what the operators allow.
+
+use garnet_types::{Millis, ServiceId};
+use proptest::prelude::*;
+
+use crate::fleet::{NOW, forwarder};
+
+/// Most repeats that `gateways` let through in any window of ten seconds,
+/// with `requests` a second at each of them and as many repeats as possible.
+fn most_in_a_window(gateways: u64, requests: u64, seconds: u64) -> u64 {
+    let service = ServiceId::new("till");
+    let mut spent = vec![0_u64; seconds as usize];
+    for gateway in 0..gateways {
+        let mut forwarder = forwarder(&[]);
+        forwarder.set_gateways(gateways);
+        for second in 0..seconds {
+            let now = NOW + Millis::from_secs(second) + Millis(gateway);
+            for _ in 0..requests {
+                forwarder.earn_repeats(&service, now);
+            }
+            while forwarder.spend_repeat(&service, now) {
+                spent[second as usize] += 1;
+            }
+        }
+    }
+    spent.windows(10).map(|w| w.iter().sum()).max().unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+    #[test]
+    fn the_sum_stays_within_the_budget(gateways in 1_u64..70, requests in 0_u64..20) {
+        let most = most_in_a_window(gateways, requests, 30);
+        let allowed = 50 + gateways * requests * 10 / 5;
+        prop_assert!(most <= allowed, "{most} of {allowed}");
+    }
+}
+
+#[test]
+fn a_service_with_traffic_gets_repeats() {
+    assert!(most_in_a_window(7, 5, 30) >= 50);
+}
--- /dev/null
+++ b/components/forwarding/tests/core/fleet.rs
@@ -0,0 +1,113 @@
+//! A configuration with engines and instances, and a forwarder that has it.
+
+use std::sync::Arc;
+
+use garnet_control::{
+    BackendRecord, BackendRegistration, Configuration, EngineObservation, WatchUpdate,
+};
+use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Prompt, PromptPart, Work};
+use garnet_routes::{Route, RouteTable, WeightedService, WorkKind};
+use garnet_types::{
+    BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
+};
+
+pub const NOW: Millis = Millis(10_000);
+
+pub fn record(id: &str, service: &str, zone: &str, role: Option<EngineRole>) -> BackendRecord {
+    let observed = role.map(|role| EngineObservation {
+        incarnation: 1,
+        assignment: EngineAssignment {
+            role,
+            model: ModelId::new("m"),
+        },
+    });
+    BackendRecord {
+        registration: BackendRegistration {
+            id: BackendId::new(id),
+            kind: match role {
+                Some(_) => BackendKind::Engine,
+                None => BackendKind::Application,
+            },
+            service: ServiceId::new(service),
+            address: format!("10.0.0.1:{}", 8000 + id.len()),
+            zone: zone.to_owned(),
+        },
+        machine: MachineState::Live,
+        desired: None,
+        observed,
+        order: None,
+        revision: 1,
+    }
+}
+
+pub fn route(split: &[(&str, u32)]) -> Route {
+    let share = |(service, weight): &(&str, u32)| WeightedService {
+        service: ServiceId::new(*service),
+        weight: *weight,
+    };
+    Route {
+        name: "offers".into(),
+        host: "shop.example".into(),
+        path_prefix: "/offers/".into(),
+        kind: WorkKind::Repeatable,
+        timeout_ms: Millis(1000),
+        objective_ms: Millis(100),
+        pause_objective_ms: None,
+        priority: 1,
+        max_attempts: 2,
+        services: split.iter().map(share).collect(),
+    }
+}
+
+pub fn table(version: u64, split: &[(&str, u32)]) -> RouteTable {
+    RouteTable {
+        version,
+        routes: vec![route(split)],
+        ..RouteTable::default()
+    }
+}
+
+pub fn configuration(index: u64, table: RouteTable, records: &[BackendRecord]) -> Configuration {
+    let by_id = |record: &BackendRecord| (record.registration.id.clone(), record.clone());
+    Configuration {
+        index,
+        routes: Some(Arc::new(table)),
+        backends: records.iter().map(by_id).collect(),
+        ..Configuration::default()
+    }
+}
+
+pub fn forwarder(records: &[BackendRecord]) -> Forwarder {
+    let mut forwarder = Forwarder::new(ForwarderSettings {
+        zone: "a".into(),
+        budget: BudgetShare {
+            per_request: 0.2,
+            extra: 50.0,
+            window: Millis::from_secs(10),
+        },
+        first_draw: 0.25,
+    });
+    let configuration = configuration(5, table(1, &[("till", 1)]), records);
+    forwarder.update(WatchUpdate::Snapshot(Box::new(configuration)));
+    forwarder
+}
+
+pub fn work(kind: WorkKind, prompt: Option<Prompt>) -> Work {
+    Work {
+        kind,
+        priority: 1,
+        objective: Millis(500),
+        max_attempts: 2,
+        prompt,
+    }
+}
+
+/// A prompt with a shared part and an own one.
+pub fn prompt(shared: u64, own: u64, tokens: u64) -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt {
+        parts: vec![part(shared, tokens), part(own, 100)],
+        tokens: tokens + 100,
+        output_tokens: 10,
+    }
+}
--- /dev/null
+++ b/components/forwarding/tests/core/main.rs
@@ -0,0 +1,7 @@
+//! What a gateway decides about forwarded work.
+
+mod attempts;
+mod budgets;
+mod configuration;
+mod fleet;
+mod placement;
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -38,6 +38,7 @@
             // Its settings name the replicas.
             group_index: 0,
             mix,
+            backlogs: Vec::new(),
         }));
     }
 
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -66,6 +66,7 @@
             update,
             group: None,
             gateways: 1,
+            backlogs: Vec::new(),
         }));
     }
 
--- /dev/null
+++ b/components/planner/src/balance.rs
@@ -0,0 +1,105 @@
+//! How many engines of a pool shall read prompts, from how occupied both
+//! phases are.
+//!
+//! For pools whose engines do not state their speed. Occupancy needs no speed:
+//! with one reader more, each reader is occupied by as much less. Waiting
+//! grows with occupancy as in a queue with one server, x / (1 - x).
+
+use garnet_types::Millis;
+
+/// Occupancy above this counts as this: the queue has no end there.
+const FULL: f64 = 0.95;
+
+/// How occupied the phases of a pool are.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PhaseOccupancy {
+    /// Engines that read prompts for others.
+    pub readers: usize,
+    /// Engines that generate.
+    pub generators: usize,
+    /// Part of the time in which a reader has a prompt to read.
+    pub reading: f64,
+    /// Part of a generator's slots that are taken.
+    pub generating: f64,
+}
+
+/// When a change is worth it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BalanceSettings {
+    /// Part of the engines that read while no load is known.
+    pub initial_share: f64,
+    /// What a taken slot counts against a reader's time: batches slow down
+    /// gradually, queues do not.
+    pub generating_weight: f64,
+    /// A change must bring the congestion below this part of what it is.
+    pub worthwhile: f64,
+    /// Congestion below this is left as it is.
+    pub tolerable: f64,
+    /// Shortest time between two changes of a pool.
+    pub dwell: Millis,
+}
+
+impl Default for BalanceSettings {
+    fn default() -> Self {
+        BalanceSettings {
+            initial_share: 2.0 / 3.0,
+            generating_weight: 0.7,
+            worthwhile: 0.75,
+            tolerable: 0.6,
+            dwell: Millis::from_secs(6),
+        }
+    }
+}
+
+impl PhaseOccupancy {
+    fn engines(&self) -> usize {
+        self.readers + self.generators
+    }
+
+    /// Congestion if `readers` engines read and the rest generates.
+    pub fn congestion(&self, readers: usize, settings: &BalanceSettings) -> f64 {
+        let generators = self.engines().saturating_sub(readers);
+        if readers == 0 || generators == 0 {
+            return f64::INFINITY;
+        }
+        let reading = self.reading * self.readers as f64 / readers as f64;
+        let generating = self.generating * self.generators as f64 / generators as f64;
+        waiting(reading) + settings.generating_weight * waiting(generating)
+    }
+}
+
+fn waiting(occupancy: f64) -> f64 {
+    let bounded = occupancy.clamp(0.0, FULL);
+    // Beyond the bound more is still worse, so that a step in the right
+    // direction shows.
+    bounded / (1.0 - bounded) + (occupancy - bounded) * 20.0
+}
+
+/// Readers while no load is known: the settings' share, with both phases
+/// served.
+pub fn initial_readers(engines: usize, settings: &BalanceSettings) -> usize {
+    if engines < 2 {
+        return 0;
+    }
+    let share = (engines as f64 * settings.initial_share).round() as usize;
+    share.clamp(1, engines - 1)
+}
+
+/// Readers that the pool should have under this load: one more, one less, or
+/// as many as there are.
+pub fn wanted_readers(occupancy: &PhaseOccupancy, settings: &BalanceSettings) -> usize {
+    let present = occupancy.readers;
+    let now = occupancy.congestion(present, settings);
+    if now <= settings.tolerable {
+        return present;
+    }
+    let steps = [present.saturating_sub(1), present + 1];
+    let best = steps
+        .into_iter()
+        .map(|readers| (readers, occupancy.congestion(readers, settings)))
+        .min_by(|left, right| left.1.total_cmp(&right.1));
+    match best {
+        Some((readers, congestion)) if congestion < now * settings.worthwhile => readers,
+        _ => present,
+    }
+}
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -7,12 +7,14 @@
 //! use it too. Without fresh figures the planner changes nothing.
 
 mod average;
+mod balance;
 mod loss;
 mod planner;
 mod settings;
 mod split;
 
 pub use average::{FastSlowAverage, Mix};
+pub use balance::{BalanceSettings, PhaseOccupancy, initial_readers, wanted_readers};
 pub use loss::{PoolCapacity, Utilisation, can_give, predicted_loss, utilisation};
 pub use planner::{Engine, Planner, RoleChange};
 pub use settings::PlannerSettings;
--- a/components/simulator/src/world/engines.rs
+++ b/components/simulator/src/world/engines.rs
@@ -90,7 +90,7 @@
         let after = engine.status();
         let began = before.changing.is_none() && after.changing.is_some();
         if let OrderAnswer::Accepted(status) = &answer {
-            self.engines[place].kept_fence = status.highest_fence;
+            self.engines[place].kept_fence = status.highest_fence.unwrap_or_default();
             let running = if began { before.running } else { 0 };
             self.checker
                 .accepted_order(place, order, before.changing.as_ref(), running, now);
--- a/components/stand-in/src/engine.rs
+++ b/components/stand-in/src/engine.rs
@@ -217,7 +217,7 @@
     pub fn status(&self) -> EngineStatus {
         EngineStatus {
             incarnation: self.incarnation,
-            highest_fence: self.highest_fence,
+            highest_fence: Some(self.highest_fence),
             assignment: self.assignment.clone(),
             changing: self.changing.as_ref().map(|(order, _)| order.clone()),
             running: self.jobs.len() as u64,
--- a/components/types/src/engine.rs
+++ b/components/types/src/engine.rs
@@ -69,8 +69,9 @@
 pub struct EngineStatus {
     /// Differs for each start of the engine.
     pub incarnation: u64,
-    /// Highest fence that it ever accepted; kept across restarts.
-    pub highest_fence: Fence,
+    /// Highest fence that it ever accepted; kept across restarts. `None` from
+    /// an engine that checks fences and does not tell them.
+    pub highest_fence: Option<Fence>,
     /// What it is set up for.
     pub assignment: EngineAssignment,
     /// The order that it is carrying out, if any.
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -16,6 +16,7 @@
         sent_at: Millis(7),
         group_index: 0,
         mix: Vec::new(),
+        backlogs: Vec::new(),
     })
 }
 
