--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -172,7 +172,11 @@
 /// What keeping a beginning at another engine as well costs all: memory that
 /// others lose, and what is read again for that.
 fn spreading_cost(rank: usize, unread_shared: u64) -> u64 {
-    if rank == 0 { 0 } else { unread_shared * SPREADING_COST }
+    if rank == 0 {
+        0
+    } else {
+        unread_shared * SPREADING_COST
+    }
 }
 
 fn unread(engine: &EngineView<'_>, prompt: &Prompt, first_owner: bool, now: Millis) -> u64 {
