Elections after a restart wait for the lease only; a new leader listens first

Ruled out: disks (data folders opened within 10 ms), the link to the leader (200 ms after its election).

Change: a replica that has just started refuses votes for one lease with an allowance for drift, not for a whole election timeout: nobody it may have promised anything can hold a longer lease. Its first election is due then. A gateway without configuration tells callers when it will probably have one. The balance listens for a second before it takes a pool for idle, averages over 6 s and rests 10 s between changes.

--- a/components/consensus/src/config.rs
+++ b/components/consensus/src/config.rs
@@ -2,6 +2,9 @@
 
 use garnet_types::{Millis, ReplicaId};
 
+/// Clocks drift apart by less than this part of a lease while it runs.
+const LEASE_PER_DRIFT: u64 = 10;
+
 /// Settings of one node. All replicas of a group must use the same timing.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -28,6 +31,11 @@
 }
 
 impl Config {
+    /// The lease with an allowance for clocks that run at different speeds.
+    pub(crate) fn lease_with_drift(&self) -> Millis {
+        self.lease_duration + Millis(self.lease_duration.0 / LEASE_PER_DRIFT)
+    }
+
     /// Timing for replicas a few milliseconds apart.
     pub fn new(id: ReplicaId, seed: u64) -> Self {
         Config {
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -118,7 +118,7 @@
             leader: None,
             // The former life may have answered a heartbeat just before it
             // ended, so the lease that rests on that answer is waited out.
-            no_vote_before: now + config.election_timeout,
+            no_vote_before: now + config.lease_with_drift(),
             election_due: Millis::ZERO,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -131,7 +131,7 @@
             config,
         };
         node.refresh_membership();
-        node.reset_election_timer();
+        node.set_first_election();
         node
     }
 
@@ -385,6 +385,14 @@
         self.reset_election_timer();
     }
 
+    /// A replica that has just started has heard nobody: it need not wait a
+    /// whole election timeout, but only until votes are free again.
+    fn set_first_election(&mut self) {
+        let spread = self.config.election_timeout.0 / 2;
+        let jitter = Millis(self.random.random_range(0..spread.max(1)));
+        self.election_due = self.no_vote_before + jitter;
+    }
+
     pub(crate) fn reset_election_timer(&mut self) {
         let base = self.config.election_timeout;
         let jitter = Millis(self.random.random_range(0..base.0));
--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -12,7 +12,9 @@
 use crate::messages::Backlog;
 
 /// Weight of the newest sample in the average; one is taken with each look.
-const NEWEST: f64 = 0.03;
+const NEWEST: f64 = 0.015;
+/// How long a leader listens before it takes a pool for one without load.
+const FIRST_LOOK: Millis = Millis(1000);
 /// Slots of an engine where the route table does not tell.
 const DEFAULT_SLOTS: u64 = 64;
 
@@ -23,6 +25,7 @@
     reading: f64,
     generating: f64,
     loaded: bool,
+    looked_since: Option<Millis>,
     changed_at: Option<Millis>,
 }
 
@@ -66,6 +69,11 @@
                 generating: balance.generating,
                 ..seen
             };
+            let since = *balance.looked_since.get_or_insert(now);
+            if !balance.loaded && now.since(since) < FIRST_LOOK {
+                // A new leader has yet to hear what is under way.
+                continue;
+            }
             let wanted = if balance.loaded {
                 wanted_readers(&occupancy, &self.settings)
             } else {
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -11,6 +11,12 @@
 use crate::metrics::GatewayMetrics;
 use crate::ports::{BackendPort, CallerPort};
 
+/// Time in which a group that starts together with its gateways elects a
+/// leader, which then sends them the configuration.
+const TIME_TO_CONFIGURATION: Millis = Millis(1200);
+/// Shortest wait that callers are told.
+const SHORTEST_WAIT: Millis = Millis(250);
+
 /// The process.
 pub(crate) struct Gateway<C, B> {
     pub(crate) callers: C,
@@ -19,6 +25,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) clock: Clock,
+    pub(crate) started_at: Millis,
     pub(crate) metrics: GatewayMetrics,
     /// Set by a planned stop: callers are asked to leave.
     pub(crate) stopping: Cell<bool>,
@@ -31,6 +38,13 @@
         self.clock.now()
     }
 
+    /// When a gateway that has just started will probably have its
+    /// configuration.
+    pub(crate) fn expected_configuration(&self, now: Millis) -> Millis {
+        let running_for = now.since(self.started_at);
+        (TIME_TO_CONFIGURATION - running_for).max(SHORTEST_WAIT)
+    }
+
     /// Whether new callers may come.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.forwarder.borrow().routes_version().is_some()
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -130,7 +130,7 @@
     let Some(choice) = forwarder.route(&facts.host, head.uri.path()) else {
         let answer = match forwarder.routes_version() {
             Some(_) => OwnAnswer::NoRoute,
-            None => OwnAnswer::NotRun(Millis(200)),
+            None => OwnAnswer::NotRun(gateway.expected_configuration(arrived)),
         };
         return Err(Box::new((facts, answer)));
     };
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -111,6 +111,7 @@
         pool: ConnectionPool::new(Rc::clone(&shell.executor), PoolSettings::default()),
         executor: Rc::clone(&shell.executor),
         clock: shell.clock,
+        started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
         stopping: Cell::new(false),
         open_requests: Rc::default(),
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -46,7 +46,7 @@
             generating_weight: 0.7,
             worthwhile: 0.75,
             tolerable: 0.6,
-            dwell: Millis::from_secs(6),
+            dwell: Millis::from_secs(10),
         }
     }
 }
