--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn every_rule_is_put_to_the_test() {
-    let reports = run_seeds(40..44, &FaultKind::ALL);
+    let reports = run_seeds(40..52, &FaultKind::ALL);
     let met: BTreeSet<Invariant> = reports
         .iter()
         .flat_map(|report| report.checks.keys().copied())
