Silence sends repeatable work elsewhere; generators are chosen by memory

Silence opens the breaker at once. Generators are taken by tokens held, the balance counts memory and slots, waits until the list has not changed for 1.2 s, counts engines that the list leaves out while they change, and keeps one of each kind in each zone. Each stated role is logged with what was seen.

--- a/bin/garnet-bench/src/hollow/group.rs
+++ b/bin/garnet-bench/src/hollow/group.rs
@@ -240,6 +240,7 @@
                 Effect::AnswerOperator { .. }
                 | Effect::ForwardJoin { .. }
                 | Effect::GroupChanged { .. }
+                | Effect::Balanced { .. }
                 | Effect::BecameLeader { .. }
                 | Effect::LostLeadership { .. } => {}
             }
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -261,6 +261,19 @@
             Effect::ForwardJoin { address, request } => {
                 outlets.connections.send_join(&address, request);
             }
+            Effect::Balanced {
+                engine,
+                assignment,
+                occupancy,
+            } => log::info!(
+                engine = engine.as_str(),
+                role = assignment.role.as_str(),
+                readers = occupancy.readers,
+                generators = occupancy.generators,
+                reading = format!("{:.2}", occupancy.reading).as_str(),
+                generating = format!("{:.2}", occupancy.generating).as_str();
+                "role_stated"
+            ),
             Effect::GroupChanged { step } => {
                 log::info!(step = format!("{step:?}").as_str(); "group_changed");
             }
--- a/components/control/src/backlogs.rs
+++ b/components/control/src/backlogs.rs
@@ -52,10 +52,12 @@
             .or_insert_with(|| Backlog {
                 requests: 0,
                 unread_tokens: 0,
+                held_tokens: 0,
                 ..backlog.clone()
             });
         total.requests += backlog.requests;
         total.unread_tokens += backlog.unread_tokens;
+        total.held_tokens += backlog.held_tokens;
     }
     sums
 }
--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -14,7 +14,7 @@
 /// Weight of the newest sample in the average; one is taken with each look.
 const NEWEST: f64 = 0.015;
 /// How long a leader listens before it takes a pool for one without load.
-const FIRST_LOOK: Millis = Millis(1000);
+const FIRST_LOOK: Millis = Millis(1200);
 /// Slots of an engine where the route table does not tell.
 const DEFAULT_SLOTS: u64 = 64;
 
@@ -25,7 +25,10 @@
     reading: f64,
     generating: f64,
     loaded: bool,
-    looked_since: Option<Millis>,
+    /// Engines at the last look, and since when there are so many: the list
+    /// of engines comes in parts when a group starts.
+    engines: usize,
+    unchanged_since: Option<Millis>,
     changed_at: Option<Millis>,
 }
 
@@ -36,6 +39,13 @@
     pools: BTreeMap<Pool, PoolBalance>,
 }
 
+/// An assignment that is to be made, and what was seen.
+pub(crate) struct BalanceChange {
+    pub(crate) engine: BackendId,
+    pub(crate) assignment: EngineAssignment,
+    pub(crate) occupancy: PhaseOccupancy,
+}
+
 /// An engine as the balance sees it.
 struct Member<'a> {
     id: &'a BackendId,
@@ -57,21 +67,21 @@
         configuration: &Configuration,
         backlogs: &BTreeMap<BackendId, Backlog>,
         now: Millis,
-    ) -> Vec<(BackendId, EngineAssignment)> {
+    ) -> Vec<BalanceChange> {
         let mut changes = Vec::new();
         for (pool, members) in pools(configuration) {
-            let slots = slots(configuration, &pool.0);
+            let room = room(configuration, &pool.0);
             let balance = self.pools.entry(pool.clone()).or_default();
-            let seen = sample(&members, backlogs, slots);
+            let seen = sample(&members, backlogs, room);
             balance.take(&seen);
             let occupancy = PhaseOccupancy {
                 reading: balance.reading,
                 generating: balance.generating,
                 ..seen
             };
-            let since = *balance.looked_since.get_or_insert(now);
+            let since = balance.note_engines(members.len(), now);
             if !balance.loaded && now.since(since) < FIRST_LOOK {
-                // A new leader has yet to hear what is under way.
+                // A new leader has yet to hear what is there and under way.
                 continue;
             }
             let wanted = if balance.loaded {
@@ -93,7 +103,11 @@
             if let Some(engine) = who_changes(&members, role) {
                 balance.changed_at = Some(now);
                 let model = pool.1;
-                changes.push((engine.clone(), EngineAssignment { role, model }));
+                changes.push(BalanceChange {
+                    engine: engine.clone(),
+                    assignment: EngineAssignment { role, model },
+                    occupancy,
+                });
             }
         }
         changes
@@ -101,6 +115,15 @@
 }
 
 impl PoolBalance {
+    /// Notes how many engines there are; gives since when.
+    fn note_engines(&mut self, engines: usize, now: Millis) -> Millis {
+        if self.engines != engines || self.unchanged_since.is_none() {
+            self.engines = engines;
+            self.unchanged_since = Some(now);
+        }
+        self.unchanged_since.unwrap_or(now)
+    }
+
     fn take(&mut self, seen: &PhaseOccupancy) {
         self.loaded |= seen.reading > 0.0 || seen.generating > 0.0;
         self.reading += NEWEST * (seen.reading - self.reading);
@@ -112,7 +135,8 @@
 fn pools(configuration: &Configuration) -> BTreeMap<Pool, Vec<Member<'_>>> {
     let mut pools: BTreeMap<Pool, Vec<Member<'_>>> = BTreeMap::new();
     for (id, record) in &configuration.backends {
-        if record.machine != MachineState::Live {
+        // The list may leave an engine out while it changes its role.
+        if record.machine != MachineState::Live && record.order.is_none() {
             continue;
         }
         if let Some(assignment) = shall_be(record) {
@@ -134,17 +158,36 @@
     record.desired.as_ref().or(record.assignment())
 }
 
-fn slots(configuration: &Configuration, service: &ServiceId) -> u64 {
+/// What one engine of a service can hold.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    slots: u64,
+    tokens: u64,
+}
+
+fn room(configuration: &Configuration, service: &ServiceId) -> Room {
     let table = configuration.routes.as_ref();
     let settings = table.and_then(|table| table.services.iter().find(|s| s.name == *service));
     let engine = settings.and_then(|settings| settings.engine);
-    engine.map_or(DEFAULT_SLOTS, |engine| engine.slots.max(1))
+    Room {
+        slots: engine.map_or(DEFAULT_SLOTS, |engine| engine.slots.max(1)),
+        tokens: engine.map_or(u64::MAX, |engine| engine.cache_tokens.max(1)),
+    }
+}
+
+impl Room {
+    /// Part of the engine that is taken: by its slots or by its memory.
+    fn taken(&self, backlog: &Backlog) -> f64 {
+        let slots = backlog.requests as f64 / self.slots as f64;
+        let memory = backlog.held_tokens as f64 / self.tokens as f64;
+        slots.max(memory)
+    }
 }
 
 fn sample(
     members: &[Member<'_>],
     backlogs: &BTreeMap<BackendId, Backlog>,
-    slots: u64,
+    room: Room,
 ) -> PhaseOccupancy {
     let mut occupancy = PhaseOccupancy {
         readers: 0,
@@ -160,8 +203,7 @@
             occupancy.reading += f64::from(u8::from(reads));
         } else {
             occupancy.generators += 1;
-            let requests = backlog.map_or(0, |backlog| backlog.requests);
-            occupancy.generating += requests as f64 / slots as f64;
+            occupancy.generating += backlog.map_or(0.0, |backlog| room.taken(backlog));
         }
     }
     occupancy.reading /= occupancy.readers.max(1) as f64;
@@ -182,5 +224,7 @@
             |other: &&Member<'_>| other.zone == member.zone && reads(other) == reads(member);
         members.iter().filter(alike).count()
     };
-    Some(candidates.max_by_key(alike_in_zone)?.id)
+    let most = candidates.max_by_key(alike_in_zone)?;
+    // The last of its kind stays in its zone: a KV cache would leave it.
+    (alike_in_zone(&most) > 1).then_some(most.id)
 }
--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -1,7 +1,10 @@
 //! What a replica takes and what it wants done.
 
 use garnet_consensus::Envelope;
-use garnet_types::{BackendId, EngineOrder, EngineStatus, MachineState, OrderAnswer};
+use garnet_planner::PhaseOccupancy;
+use garnet_types::{
+    BackendId, EngineAssignment, EngineOrder, EngineStatus, MachineState, OrderAnswer,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::{BackendRegistration, EngineObservation};
@@ -107,6 +110,15 @@
         /// The wish.
         request: JoinRequest,
     },
+    /// The leader states a role for an engine, to balance the phases.
+    Balanced {
+        /// The engine.
+        engine: BackendId,
+        /// What it shall become.
+        assignment: EngineAssignment,
+        /// What was seen.
+        occupancy: PhaseOccupancy,
+    },
     /// The leader changes the group.
     GroupChanged {
         /// The step that it takes.
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -33,6 +33,8 @@
     pub requests: u64,
     /// Prompt tokens that it has yet to read.
     pub unread_tokens: u64,
+    /// Tokens of KV cache that these requests hold, or will hold.
+    pub held_tokens: u64,
 }
 
 /// A claim, its release or its result.
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use garnet_types::{BackendId, MachineState, OrderAnswer};
+use garnet_types::{BackendId, MachineState, Millis, OrderAnswer};
 
 use crate::command::Command;
 use crate::effects::{Effect, EngineRequest, MachineEntry};
@@ -11,6 +11,10 @@
 
 use super::{EnginePolling, Replica};
 
+/// The list may leave an engine out while it changes its role: one with an
+/// order is forgotten only when it is missing for so long.
+const ORDERED_FORGOTTEN: Millis = Millis::from_secs(15);
+
 impl Replica {
     pub(super) fn reconcile(&mut self) {
         let engines: Vec<BackendId> = self.state.configuration.backends.keys().cloned().collect();
@@ -88,14 +92,21 @@
         let backlogs = self.backlogs.all(self.now);
         let changes = balancing.decide(&self.state.configuration, &backlogs, self.now);
         let applied = self.node.status().applied_index;
-        for (engine, assignment) in changes {
-            if self.reconciler.awaits(&engine, applied) {
+        for change in changes {
+            if self.reconciler.awaits(&change.engine, applied) {
                 continue;
             }
-            let about = engine.clone();
-            let command = Command::Assign { engine, assignment };
+            let command = Command::Assign {
+                engine: change.engine.clone(),
+                assignment: change.assignment.clone(),
+            };
             if let Some(index) = self.propose_own(command) {
-                self.reconciler.proposed(&about, index);
+                self.reconciler.proposed(&change.engine, index);
+                self.effects.push(Effect::Balanced {
+                    engine: change.engine,
+                    assignment: change.assignment,
+                    occupancy: change.occupancy,
+                });
             }
         }
     }
@@ -161,13 +172,14 @@
         let settings = self.settings.directory;
         let record = self.state.configuration.backends.get(&backend);
         let live = record.is_some_and(|record| record.machine == MachineState::Live);
+        let ordered = record.is_some_and(|record| record.order.is_some());
         let forgotten = settings
             .forget_after
             .is_some_and(|after| missing_for >= after);
         if live && missing_for >= settings.leaving_after {
             let state = MachineState::Leaving;
             self.propose_own(Command::SetMachine { backend, state });
-        } else if !live && forgotten {
+        } else if !live && forgotten && (!ordered || missing_for >= ORDERED_FORGOTTEN) {
             self.propose_own(Command::RemoveBackend(backend));
         }
     }
--- /dev/null
+++ b/components/control/tests/state/balancing.rs
@@ -0,0 +1,132 @@
+//! The leader states roles so that readers and generators are in balance.
+
+use crate::leader::Leader;
+use garnet_control::{
+    BackendRegistration, Backlog, Effect, EngineObservation, EnginePolling, Event, GatewayRequest,
+    MachineEntry, ReplicaSettings,
+};
+use garnet_planner::BalanceSettings;
+use garnet_types::{
+    BackendId, BackendKind, EngineAssignment, EngineRole, GatewayId, MachineState, Millis, ModelId,
+    ServiceId,
+};
+
+fn entry(number: usize, role: EngineRole) -> MachineEntry {
+    MachineEntry {
+        registration: BackendRegistration {
+            id: BackendId::new(format!("engine-{number}")),
+            kind: BackendKind::Engine,
+            service: ServiceId::new("words"),
+            address: format!("10.1.0.{number}:8080"),
+            zone: format!("zone-{}", number % 3),
+        },
+        state: MachineState::Live,
+        observed: Some(EngineObservation {
+            incarnation: number as u64,
+            assignment: EngineAssignment {
+                role,
+                model: ModelId::new("m"),
+            },
+        }),
+    }
+}
+
+/// Nine engines over three zones; the first `readers` read.
+fn list(readers: usize) -> Vec<MachineEntry> {
+    let role = |number| {
+        if number < readers {
+            EngineRole::Prefill
+        } else {
+            EngineRole::Mixed
+        }
+    };
+    (0..9).map(|number| entry(number, role(number))).collect()
+}
+
+fn leader() -> Leader {
+    let settings = ReplicaSettings {
+        balance: Some(BalanceSettings::default()),
+        engine_polling: EnginePolling::WhileOrdered,
+        ..Leader::settings()
+    };
+    let mut leader = Leader::elected(settings, Vec::new());
+    leader.persist();
+    leader
+}
+
+fn watch(unread: u64, engines: usize) -> Event {
+    let backlog = |number| Backlog {
+        backend: BackendId::new(format!("engine-{number}")),
+        requests: u64::from(unread > 0),
+        unread_tokens: unread,
+        held_tokens: unread,
+    };
+    let request = GatewayRequest::Watch {
+        gateway: GatewayId::new("gateway-1"),
+        configuration_index: 0,
+        sent_at: Millis(1),
+        group_index: 0,
+        mix: Vec::new(),
+        backlogs: (0..engines).map(backlog).collect(),
+    };
+    let connection = 1;
+    Event::Gateway {
+        connection,
+        request,
+    }
+}
+
+/// The roles stated while a list is read each second.
+fn stated(leader: &mut Leader, lists: &[Vec<MachineEntry>], watched: &Event) -> Vec<EngineRole> {
+    let mut roles = Vec::new();
+    for list in lists {
+        leader.take(Event::Machines(list.clone()));
+        for _ in 0..4 {
+            leader.take(watched.clone());
+            let happened = leader.run(Millis(250));
+            roles.extend(happened.into_iter().filter_map(|effect| match effect {
+                Effect::Balanced { assignment, .. } => Some(assignment.role),
+                _ => None,
+            }));
+        }
+    }
+    roles
+}
+
+#[test]
+fn before_any_load_two_thirds_read_and_nothing_is_taken_back() {
+    let mut leader = leader();
+    let parts = [
+        list(4)[..3].to_vec(),
+        list(4)[..7].to_vec(),
+        list(4),
+        list(4),
+        list(4),
+        list(4),
+    ];
+    let roles = stated(&mut leader, &parts, &watch(0, 0));
+    assert_eq!(roles, [EngineRole::Prefill, EngineRole::Prefill]);
+}
+
+#[test]
+fn a_new_leader_under_load_does_not_begin_anew() {
+    let mut leader = leader();
+    let light = watch(0, 5);
+    let lists = vec![list(4); 3];
+    let roles = stated(&mut leader, &lists, &light);
+    // Nobody reads, but requests run: the split that stands is kept.
+    let busy = watch(50, 2);
+    let mut other = self::leader();
+    let kept = stated(&mut other, &lists, &busy);
+    assert_eq!(roles.len(), 2);
+    assert_eq!(kept, []);
+}
+
+#[test]
+fn the_last_generator_of_a_zone_stays() {
+    let mut leader = leader();
+    let busy = watch(9000, 6);
+    // Engines 6, 7 and 8 generate, one in each zone; all readers are busy.
+    let roles = stated(&mut leader, &vec![list(6); 20], &busy);
+    assert_eq!(roles, []);
+}
--- /dev/null
+++ b/components/control/tests/state/leader.rs
@@ -0,0 +1,94 @@
+//! A replica that leads a group of its own, driven in virtual time.
+
+use garnet_consensus::{Config, Entry, EntryPayload, HardState, Member, Membership, Restored};
+use garnet_control::{Command, CommandEnvelope, Effect, Event, Replica, ReplicaSettings};
+use garnet_types::{Millis, ReplicaId};
+
+const STEP: Millis = Millis(50);
+
+pub struct Leader {
+    pub replica: Replica,
+    pub now: Millis,
+}
+
+fn only_member(id: ReplicaId) -> Membership {
+    let member = Member {
+        peer_address: "10.0.0.1:7380".into(),
+        admin_address: "10.0.0.1:8144".into(),
+        voter: true,
+    };
+    Membership {
+        members: [(id, member)].into(),
+    }
+}
+
+fn entry(index: u64, command: Command) -> Entry {
+    let envelope = CommandEnvelope::unnamed(command, Millis(5));
+    let bytes = bincode::serde::encode_to_vec(&envelope, bincode::config::standard());
+    Entry {
+        index,
+        term: 1,
+        payload: EntryPayload::Command(bytes.expect("plain data")),
+    }
+}
+
+impl Leader {
+    /// Starts again with these commands in its log, and leads from then on.
+    /// What it has committed is not applied yet.
+    pub fn elected(settings: ReplicaSettings, commands: Vec<Command>) -> Self {
+        let id = settings.consensus.id;
+        let entries = (1..).zip(commands).map(|(index, c)| entry(index, c));
+        let restored = Restored {
+            hard_state: HardState {
+                term: 1,
+                voted_for: Some(id),
+            },
+            entries: entries.collect(),
+            initial_membership: only_member(id),
+            ..Restored::default()
+        };
+        let mut now = Millis(1000);
+        let mut replica = Replica::new(settings, restored, now).expect("a sound disk");
+        while !replica.node().is_leader() {
+            now = now + STEP;
+            replica.handle(Event::Tick, now);
+        }
+        Leader { replica, now }
+    }
+
+    pub fn settings() -> ReplicaSettings {
+        ReplicaSettings::new(Config::new(ReplicaId(1), 1))
+    }
+
+    /// Makes one round of work durable.
+    pub fn persist_once(&mut self) {
+        let ready = self.replica.ready();
+        self.replica.persisted(ready, self.now);
+    }
+
+    /// Makes all work durable.
+    pub fn persist(&mut self) {
+        while self.replica.has_ready() {
+            self.persist_once();
+        }
+    }
+
+    /// Takes an event now and gives what follows from it at once.
+    pub fn take(&mut self, event: Event) -> Vec<Effect> {
+        self.replica.handle(event, self.now);
+        self.replica.take_effects()
+    }
+
+    /// Lets time pass and gives what happened.
+    pub fn run(&mut self, time: Millis) -> Vec<Effect> {
+        let until = self.now + time;
+        let mut effects = Vec::new();
+        while self.now < until {
+            self.now = self.now + STEP;
+            self.replica.handle(Event::Tick, self.now);
+            self.persist();
+            effects.extend(self.replica.take_effects());
+        }
+        effects
+    }
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -1,9 +1,11 @@
 //! The replicated state: what each command answers and changes.
 
+mod balancing;
 mod claims;
 mod determinism;
 mod engine_orders;
 mod fleet;
 mod group;
+mod leader;
 mod operators;
 mod routes;
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -1,19 +1,39 @@
 //! One attempt at one back end.
 
+use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason};
+use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
-use garnet_types::BackendId;
+use garnet_types::{BackendId, Millis};
+use smol::Timer;
 
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase};
 
+/// What comes within `patience`; all that comes where there is no limit.
+pub(crate) async fn within<T>(
+    patience: Option<Millis>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(patience) = patience else {
+        return Some(work.await);
+    };
+    let working = async { Some(work.await) };
+    let late = async {
+        Timer::after(Duration::from_millis(patience.0)).await;
+        None
+    };
+    smol::future::or(working, late).await
+}
+
 /// Counts an attempt as under way until it is dropped.
 pub(crate) struct AttemptGuard<C: CallerPort, B: BackendPort> {
     gateway: Rc<Gateway<C, B>>,
     backend: BackendId,
+    prompt: Option<Prompt>,
     unread: u64,
     judged: bool,
 }
@@ -27,9 +47,8 @@
         let unread = match job.phase {
             JobPhase::Whole | JobPhase::ReadPrompt => forwarder.sent(&backend, prompt, now),
             JobPhase::Generate(_) => {
-                forwarder.sent(&backend, None, now);
                 if let Some(prompt) = prompt {
-                    forwarder.holds(&backend, prompt, now);
+                    forwarder.handed_over(&backend, prompt, now);
                 }
                 0
             }
@@ -38,6 +57,7 @@
         AttemptGuard {
             gateway: Rc::clone(gateway),
             backend,
+            prompt: prompt.cloned(),
             unread,
             judged: false,
         }
@@ -70,6 +90,14 @@
         forwarder.failed(&self.backend, now);
     }
 
+    /// The back end was silent for too long.
+    pub(crate) fn silent(&mut self) {
+        self.judged = true;
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.silent(&self.backend, now);
+    }
+
     /// The back end is not the one that was meant.
     fn gone(&mut self) {
         self.judged = true;
@@ -82,7 +110,7 @@
     fn drop(&mut self) {
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.read(&self.backend, self.unread);
-        forwarder.ended(&self.backend);
+        forwarder.ended(&self.backend, self.prompt.as_ref());
         if !self.judged {
             forwarder.released(&self.backend);
         }
@@ -95,7 +123,8 @@
     pub(crate) guard: AttemptGuard<C, B>,
 }
 
-/// Sends the job and reads the head of the answer.
+/// Sends the job and reads the head of the answer, with `patience` where the
+/// work may go to another back end instead.
 ///
 /// # Errors
 /// How the attempt ended, where it is no answer to this request.
@@ -103,6 +132,7 @@
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
+    patience: Option<Millis>,
 ) -> Result<OpenAnswer<C, B>, AttemptEnd> {
     let address = {
         let forwarder = gateway.forwarder.borrow();
@@ -112,17 +142,26 @@
     };
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
-    let sent = gateway.pool.send(&address, request).await;
+    let sent = within(patience, gateway.pool.send(&address, request)).await;
     let result = match sent {
-        Ok(exchange) => read_head(gateway, call, job, exchange, guard).await,
-        Err(error) => {
-            guard.failed();
-            log_failure(call, job, &error.to_string());
-            Err(match error {
-                HttpError::NotSent(_) => AttemptEnd::Unsent,
-                HttpError::Broken(_) | HttpError::TimedOut => AttemptEnd::Broken,
-            })
+        None => {
+            // Dropping the exchange has closed its connection.
+            guard.silent();
+            gateway.pool.forget(&address);
+            log_failure(call, job, "silent");
+            Err(AttemptEnd::Broken)
         }
+        Some(sent) => match sent {
+            Ok(exchange) => read_head(gateway, call, job, exchange, guard).await,
+            Err(error) => {
+                guard.failed();
+                log_failure(call, job, &error.to_string());
+                Err(match error {
+                    HttpError::NotSent(_) => AttemptEnd::Unsent,
+                    HttpError::Broken(_) | HttpError::TimedOut => AttemptEnd::Broken,
+                })
+            }
+        },
     };
     let outcome = result.as_ref().err().map_or("answer", |end| end.as_str());
     gateway.metrics.attempt(outcome);
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -59,7 +59,14 @@
     job: &Job,
 ) -> Result<WaitingCache<C, B>, AttemptEnd> {
     let began = gateway.now();
-    let mut open = attempt(gateway, call, job).await.map_err(not_run)?;
+    // Reading runs nothing, so it may go to another reader at any time.
+    let patience = {
+        let forwarder = gateway.forwarder.borrow();
+        let unread = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+        forwarder.reading_patience(&job.backend, unread, began)
+    };
+    let sent = attempt(gateway, call, job, Some(patience)).await;
+    let mut open = sent.map_err(not_run)?;
     let unread = open.guard.unread();
     let failed = |open: &mut crate::attempt::OpenAnswer<C, B>| {
         open.guard.failed();
@@ -81,6 +88,8 @@
         took_ms = gateway.now().since(began).0;
         "prompt_read"
     );
+    let took = gateway.now().since(began);
+    gateway.forwarder.borrow_mut().note_pace(unread, took);
     open.guard.prompt_was_read();
     open.guard.succeeded();
     let address = {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{Progress, Work};
+use garnet_forwarding::{Patience, Progress, Work};
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, read_body};
@@ -29,6 +29,7 @@
     pub(crate) route: Route,
     pub(crate) service: ServiceId,
     pub(crate) work: Work,
+    pub(crate) patience: Patience,
     pub(crate) arrived: Millis,
     /// When its time is over.
     pub(crate) due: Millis,
@@ -40,6 +41,11 @@
 }
 
 impl Running {
+    /// Whether another back end may be tried after one that is silent now.
+    pub(crate) fn may_move_on(&self) -> bool {
+        self.work.kind.may_repeat() && self.progress.ran + 1 < self.work.max_attempts
+    }
+
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
         self.due.since(now)
     }
@@ -154,6 +160,7 @@
             head: Rc::new(head),
             body,
         },
+        patience: Patience::of(&route),
         route,
         service: choice.service,
         work,
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -8,12 +8,12 @@
 use garnet_routes::WorkKind;
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyCut, stream_body};
-use garnet_types::BackendId;
+use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::{OpenAnswer, attempt};
+use crate::attempt::{OpenAnswer, attempt, within};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::handover::read_prompt;
@@ -29,6 +29,8 @@
     splitter: EventSplitter,
     /// Whether one engine may read the prompt for another.
     may_hand_over: bool,
+    /// Whether the present engine has sent a piece.
+    begun: bool,
     ended: bool,
 }
 
@@ -53,6 +55,7 @@
         open: None,
         splitter,
         may_hand_over: true,
+        begun: false,
         ended: false,
     };
     let opening = async { Some(stream.open_with_first_piece().await) };
@@ -189,11 +192,17 @@
 
     async fn next_from_engine(&mut self) -> Next {
         loop {
+            let patience = self.piece_patience();
             let Some(open) = &mut self.open else {
                 return Next::Cut;
             };
-            match open.exchange.next().await {
+            let Some(next) = within(patience, open.exchange.next()).await else {
+                open.guard.silent();
+                return self.broke("silent");
+            };
+            match next {
                 Ok(Some(piece)) => {
+                    self.begun = true;
                     open.guard.prompt_was_read();
                     if self.running.work.kind != WorkKind::ResumableStream {
                         return Next::Piece(piece);
@@ -216,11 +225,18 @@
         }
     }
 
+    /// How long the next piece is waited for, where another engine may go on.
+    fn piece_patience(&self) -> Option<Millis> {
+        let may_move_on = self.begun && self.running.may_move_on();
+        may_move_on.then_some(self.running.patience.pause)
+    }
+
     /// The engine broke off. Its connection is closed, which ends its work.
     fn broke(&mut self, cause: &str) -> Next {
         if let Some(mut open) = self.open.take() {
             open.guard.failed();
         }
+        self.begun = false;
         let backend = self.running.served_by.as_ref();
         log::info!(
             request = self.running.call.facts.id.as_str(),
@@ -285,7 +301,9 @@
 
     async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
         self.running.served_by = Some(job.backend.clone());
-        let answer = attempt(&self.gateway, &self.running.call, job).await;
+        // A generator under load is slow with its first piece; one that is gone
+        // shows when the request's bytes are not acknowledged.
+        let answer = attempt(&self.gateway, &self.running.call, job, None).await;
         if answer.is_err() {
             self.running.tried.push(job.backend.clone());
         }
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -122,7 +122,8 @@
         priority: running.work.priority,
         resume_after: None,
     };
-    let mut open = attempt(gateway, &running.call, &job).await?;
+    let patience = running.may_move_on().then_some(running.patience.answer);
+    let mut open = attempt(gateway, &running.call, &job, patience).await?;
     match open.exchange.read_whole(LONGEST_ANSWER).await {
         Ok(body) => {
             if open.exchange.head.status.is_server_error() {
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -1,8 +1,8 @@
 //! What a gateway believes of one back end.
 
-use garnet_control::{BackendRecord, BackendRegistration};
+use garnet_control::{BackendRecord, BackendRegistration, Backlog};
 use garnet_routing::CircuitBreaker;
-use garnet_types::{BackendKind, EngineRole, MachineState, Millis};
+use garnet_types::{BackendId, BackendKind, EngineRole, MachineState, Millis};
 
 /// A load report older than this is not believed any more.
 const REPORT_FRESH: Millis = Millis(2000);
@@ -32,6 +32,7 @@
 struct Others {
     requests: u64,
     unread_tokens: u64,
+    held_tokens: u64,
     heard_at: Millis,
 }
 
@@ -41,6 +42,7 @@
 pub struct BackendLoad {
     own: u64,
     own_unread_tokens: u64,
+    own_held_tokens: u64,
     others: Others,
     told: Option<Told>,
 }
@@ -61,15 +63,27 @@
         self.own_unread_tokens + self.fresh_others(now).unread_tokens
     }
 
-    /// Own work under way, to be told to the other gateways.
-    pub fn own(&self) -> (u64, u64) {
-        (self.own, self.own_unread_tokens)
+    /// Tokens of KV cache that requests under way hold, as far as known.
+    pub fn held_tokens(&self, now: Millis) -> u64 {
+        self.own_held_tokens + self.fresh_others(now).held_tokens
+    }
+
+    /// Own work under way at `backend`, to be told to the other gateways.
+    pub fn own(&self, backend: &BackendId) -> Option<Backlog> {
+        let any = self.own > 0 || self.own_unread_tokens > 0;
+        any.then(|| Backlog {
+            backend: backend.clone(),
+            requests: self.own,
+            unread_tokens: self.own_unread_tokens,
+            held_tokens: self.own_held_tokens,
+        })
     }
 
     /// Notes a request that is sent.
-    pub fn sent(&mut self, unread_tokens: u64) {
+    pub fn sent(&mut self, unread_tokens: u64, held_tokens: u64) {
         self.own += 1;
         self.own_unread_tokens += unread_tokens;
+        self.own_held_tokens += held_tokens;
     }
 
     /// Notes that the prompt of a request was read.
@@ -78,8 +92,9 @@
     }
 
     /// Notes that a request is over.
-    pub fn ended(&mut self) {
+    pub fn ended(&mut self, held_tokens: u64) {
         self.own = self.own.saturating_sub(1);
+        self.own_held_tokens = self.own_held_tokens.saturating_sub(held_tokens);
     }
 
     /// Takes a report.
@@ -92,10 +107,11 @@
     }
 
     /// Takes what the other gateways have under way.
-    pub fn heard_of_others(&mut self, requests: u64, unread_tokens: u64, now: Millis) {
+    pub fn heard_of_others(&mut self, backlog: Option<&Backlog>, now: Millis) {
         self.others = Others {
-            requests,
-            unread_tokens,
+            requests: backlog.map_or(0, |backlog| backlog.requests),
+            unread_tokens: backlog.map_or(0, |backlog| backlog.unread_tokens),
+            held_tokens: backlog.map_or(0, |backlog| backlog.held_tokens),
             heard_at: now,
         };
     }
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -7,6 +7,7 @@
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
 use crate::backends::{Backend, LoadReport};
+use crate::patience::ReadingPace;
 use crate::placement::{
     EngineView, Placement, Preference, place_application, place_engines, place_generator,
 };
@@ -49,6 +50,7 @@
     draws: HashMap<String, f64>,
     gateways: u64,
     drawn: u64,
+    pace: ReadingPace,
 }
 
 impl Forwarder {
@@ -64,6 +66,7 @@
             draws: HashMap::new(),
             gateways: 1,
             drawn: 0,
+            pace: ReadingPace::default(),
         }
     }
 
@@ -263,28 +266,15 @@
 
     /// Own work under way, for the other gateways.
     pub fn own_backlogs(&self) -> Vec<Backlog> {
-        let backlog = |(id, backend): (&BackendId, &Backend)| {
-            let (requests, unread_tokens) = backend.load.own();
-            let any = requests > 0 || unread_tokens > 0;
-            any.then(|| Backlog {
-                backend: id.clone(),
-                requests,
-                unread_tokens,
-            })
-        };
+        let backlog = |(id, backend): (&BackendId, &Backend)| backend.load.own(id);
         self.backends.iter().filter_map(backlog).collect()
     }
 
     /// Takes what the other gateways have under way.
     pub fn heard_of_others(&mut self, backlogs: &[Backlog], now: Millis) {
-        for backend in self.backends.values_mut() {
-            backend.load.heard_of_others(0, 0, now);
-        }
-        for backlog in backlogs {
-            if let Some(backend) = self.backends.get_mut(&backlog.backend) {
-                let (requests, unread) = (backlog.requests, backlog.unread_tokens);
-                backend.load.heard_of_others(requests, unread, now);
-            }
+        for (id, backend) in &mut self.backends {
+            let backlog = backlogs.iter().find(|backlog| backlog.backend == *id);
+            backend.load.heard_of_others(backlog, now);
         }
     }
 
@@ -298,7 +288,7 @@
         };
         backend.breaker.sent();
         let Some(prompt) = prompt else {
-            backend.load.sent(0);
+            backend.load.sent(0, 0);
             return 0;
         };
         let residency = self.residency.entry(id.clone()).or_default();
@@ -306,10 +296,42 @@
             .tokens
             .saturating_sub(residency.held_tokens(prompt, now));
         residency.note(prompt, now);
-        backend.load.sent(unread);
+        backend.load.sent(unread, prompt.held_tokens());
         unread
     }
 
+    /// Notes a request that goes on from a KV cache at a back end.
+    pub fn handed_over(&mut self, id: &BackendId, prompt: &Prompt, now: Millis) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.breaker.sent();
+            backend.load.sent(0, prompt.held_tokens());
+            self.residency
+                .entry(id.clone())
+                .or_default()
+                .note(prompt, now);
+        }
+    }
+
+    /// Longest time that a reader should take for a prompt of which it has
+    /// `unread` tokens to read, with what is queued there.
+    pub fn reading_patience(&self, id: &BackendId, unread: u64, now: Millis) -> Millis {
+        let backend = self.backends.get(id);
+        let queued = backend.map_or(0, |backend| backend.load.unread_tokens(now));
+        self.pace.patience(queued.max(unread))
+    }
+
+    /// Notes how long the reading of a prompt took.
+    pub fn note_pace(&mut self, unread: u64, took: Millis) {
+        self.pace.note(unread, took);
+    }
+
+    /// Notes that a back end was silent for too long.
+    pub fn silent(&mut self, id: &BackendId, now: Millis) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.breaker.silent(now);
+        }
+    }
+
     /// Notes that a prompt was read.
     pub fn read(&mut self, id: &BackendId, unread: u64) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -328,9 +350,9 @@
     }
 
     /// Notes that a request is over at a back end, whatever its outcome.
-    pub fn ended(&mut self, id: &BackendId) {
+    pub fn ended(&mut self, id: &BackendId, prompt: Option<&Prompt>) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.load.ended();
+            backend.load.ended(prompt.map_or(0, Prompt::held_tokens));
         }
     }
 
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod backends;
 mod forwarder;
+mod patience;
 pub mod placement;
 mod residency;
 mod share;
@@ -17,6 +18,7 @@
 pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
 pub use backends::{Backend, BackendLoad, LoadReport};
 pub use forwarder::{Forwarder, ForwarderSettings, RouteChoice};
+pub use patience::{Patience, ReadingPace};
 pub use placement::{Placement, Preference};
 pub use residency::Residency;
 pub use share::BudgetShare;
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -17,9 +17,9 @@
 /// What handing a KV cache over costs, in prompt tokens that could be read in
 /// that time.
 const HANDOVER_TOKENS: u64 = 1_500;
-/// Requests more than elsewhere that a generator in the zone of the reader may
-/// have before a KV cache leaves the zone.
-const MOVE_BETWEEN_ZONES: u64 = 16;
+/// Tokens more than elsewhere that a generator in the zone of the reader may
+/// hold before a KV cache leaves the zone.
+const MOVE_BETWEEN_ZONES: u64 = 100_000;
 /// Engines at which a shared beginning may be kept.
 const OWNERS: usize = 2;
 /// See [`spreading_cost`]: each token that is read at another owner counts so
@@ -193,7 +193,8 @@
 }
 
 /// Who goes on from the reader's KV cache: in its zone, since moves between
-/// zones take longer, and with the fewest requests.
+/// zones take longer, and with the most memory left: what is scarce where
+/// prompts are long.
 pub fn place_generator<'a>(
     engines: impl Iterator<Item = &'a Backend>,
     reader_zone: &str,
@@ -202,8 +203,8 @@
     let cost = |backend: &&Backend| {
         let away = u64::from(backend.registration.zone != reader_zone);
         let id = backend.registration.id.as_str().as_bytes();
-        let requests = backend.load.requests(preference.now);
-        let cost = requests + away * MOVE_BETWEEN_ZONES;
+        let held = backend.load.held_tokens(preference.now);
+        let cost = held + away * MOVE_BETWEEN_ZONES;
         (cost, xxh3_64_with_seed(id, preference.draw))
     };
     let generators = engines
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -41,6 +41,11 @@
         beginnings
     }
 
+    /// Tokens of KV cache that the request holds at its end, at most.
+    pub fn held_tokens(&self) -> u64 {
+        self.tokens + self.output_tokens
+    }
+
     /// Tokens of the longest beginning that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
         let last = self.parts.last().map_or(0, |part| part.tokens);
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -130,6 +130,7 @@
         backend: reader.clone(),
         requests: 9,
         unread_tokens: 90_000,
+        held_tokens: 90_000,
     };
     gateway.heard_of_others(&[backlog], NOW);
     let placed = gateway.place(&words, &work, &[], true, NOW);
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -19,7 +19,8 @@
     pub generators: usize,
     /// Part of the time in which a reader has a prompt to read.
     pub reading: f64,
-    /// Part of a generator's slots that are taken.
+    /// Part of a generator's room that is taken: of its slots or its memory,
+    /// whichever is scarcer.
     pub generating: f64,
 }
 
--- a/components/routing/src/circuit_breaker.rs
+++ b/components/routing/src/circuit_breaker.rs
@@ -43,6 +43,13 @@
         self.probing = false;
     }
 
+    /// Notes that it was silent for so long that nobody else should wait for
+    /// it: a fault that needs no repetition to be believed.
+    pub fn silent(&mut self, now: Millis) {
+        self.failures = self.failures.max(FAILURES_TO_OPEN - 1);
+        self.failed(now);
+    }
+
     /// Notes a failure to connect or a broken answer.
     pub fn failed(&mut self, now: Millis) {
         self.failures += 1;
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -109,7 +109,9 @@
                 }
             }
             // The simulated group has fixed members; see its own tests for joins.
-            ControlEffect::ForwardJoin { .. } | ControlEffect::GroupChanged { .. } => {}
+            ControlEffect::ForwardJoin { .. }
+            | ControlEffect::Balanced { .. }
+            | ControlEffect::GroupChanged { .. } => {}
             ControlEffect::LostLeadership { .. } => {
                 self.leaderless_since.get_or_insert(self.now);
             }
