Short prompts rank before long ones of the same route; a shorter first wait

Change: the rank that engines are told is the route's priority, and within it the size of the prompt.

--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -13,7 +13,7 @@
 
 /// Time in which a group that starts together with its gateways elects a
 /// leader, which then sends them the configuration.
-const TIME_TO_CONFIGURATION: Millis = Millis(1200);
+const TIME_TO_CONFIGURATION: Millis = Millis(900);
 /// Shortest wait that callers are told.
 const SHORTEST_WAIT: Millis = Millis(250);
 
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -317,7 +317,7 @@
             phase,
             backend,
             remaining: self.running.remaining(self.gateway.now()),
-            priority: self.running.work.priority,
+            priority: self.running.work.rank(),
             resume_after: last_id.map(str::to_owned),
         }
     }
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -25,6 +25,31 @@
     pub output_tokens: u64,
 }
 
+/// Ranks of one route priority.
+const RANKS_PER_PRIORITY: u8 = 3;
+/// Prompts up to this many tokens are short, up to the second one middling.
+const SHORT_PROMPT: u64 = 4_000;
+const MIDDLING_PROMPT: u64 = 16_000;
+
+impl Work {
+    /// Rank among the work of its service, 0 first: by the route's priority,
+    /// and within it short prompts before long ones. A short one holds nobody
+    /// up, and a long one that waits for it is hardly later.
+    pub fn rank(&self) -> u8 {
+        let tokens = self.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+        let size = if tokens <= SHORT_PROMPT {
+            0
+        } else if tokens <= MIDDLING_PROMPT {
+            1
+        } else {
+            2
+        };
+        self.priority
+            .saturating_mul(RANKS_PER_PRIORITY)
+            .saturating_add(size)
+    }
+}
+
 impl Prompt {
     /// One key for each beginning of the prompt that ends with a part: the
     /// cache of a part counts only behind all parts before it. With each key
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -136,3 +136,16 @@
     let placed = gateway.place(&words, &work, &[], true, NOW);
     assert_ne!(placed, Some(Placement::Handover { reader }));
 }
+
+#[test]
+fn short_prompts_come_before_long_ones_of_the_same_route_only() {
+    let rank = |priority, tokens| {
+        let mut work = work(WorkKind::Stream, Some(prompt(1, 2, tokens)));
+        work.priority = priority;
+        work.rank()
+    };
+    assert!(rank(1, 500) < rank(1, 9_000));
+    assert!(rank(1, 9_000) < rank(1, 40_000));
+    assert!(rank(1, 40_000) < rank(2, 500));
+    assert_eq!(rank(255, 40_000), 255);
+}
