Processes before back ends that do ill; a silent body ends like a silent head

Cause: contract tests of the adapter on real processes were missing.

Change: the limit covers the body too; no_back_end tells what is known.

--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -258,6 +258,25 @@
         .request(&running.route.name, running.work.kind, outcome, took);
 }
 
+/// Tells that no back end can take a request, and what is known of them.
+pub(crate) fn log_no_back_end<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) {
+    let now = gateway.now();
+    let forwarder = gateway.forwarder.borrow();
+    let (open, known) = forwarder.open_backends(now);
+    log::info!(
+        request = running.call.facts.id.as_str(),
+        service = running.service.as_str(),
+        tried = running.tried.len(),
+        open_backends = open,
+        known_backends = known,
+        index = forwarder.configuration_index();
+        "no_back_end"
+    );
+}
+
 /// Asks the caller to leave during a planned stop.
 fn with_leave<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::handover::read_prompt;
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
-use crate::request::{Running, finished, own_answer, until};
+use crate::request::{Running, finished, log_no_back_end, own_answer, until};
 use crate::whole::copy_head;
 
 /// A stream under way.
@@ -252,6 +252,7 @@
     async fn open(&mut self) -> Result<(), Refused> {
         loop {
             let Some(placement) = self.place() else {
+                log_no_back_end(&self.gateway, &self.running);
                 return Err(Refused::GivenUp(self.doubt()));
             };
             match self.open_at(placement).await {
@@ -283,6 +284,7 @@
                 };
                 // Reading takes its time: who generates is chosen after it.
                 let Some(generator) = self.place_generator(&reader) else {
+                    log_no_back_end(&self.gateway, &self.running);
                     self.may_hand_over = false;
                     return Err(AttemptEnd::NotRun(NotRunReason::Full));
                 };
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Placement, next_move};
+use garnet_runtime::client::HttpError;
 use garnet_runtime::{Body, bytes_body};
 use garnet_types::BackendId;
 use hyper::Response;
@@ -10,11 +11,11 @@
 use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::attempt;
+use crate::attempt::{attempt, within};
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
-use crate::request::{Running, finished, own_answer, until};
+use crate::request::{Running, finished, log_no_back_end, own_answer, until};
 
 /// Longest answer that is held while it is read.
 const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
@@ -58,6 +59,7 @@
     let mut failure = None;
     loop {
         let Some(backend) = place(gateway, running) else {
+            log_no_back_end(gateway, running);
             return failure.ok_or(doubt(running));
         };
         let end = match try_once(gateway, running, &backend).await {
@@ -123,8 +125,12 @@
         resume_after: None,
     };
     let patience = running.may_move_on().then_some(running.patience.answer);
+    let began = gateway.now();
     let mut open = attempt(gateway, &running.call, &job, patience).await?;
-    match open.exchange.read_whole(LONGEST_ANSWER).await {
+    let left = patience.map(|patience| patience.since(gateway.now().since(began)));
+    let read = within(left, open.exchange.read_whole(LONGEST_ANSWER)).await;
+    let read = read.unwrap_or_else(|| Err(HttpError::Broken("silent".to_owned())));
+    match read {
         Ok(body) => {
             if open.exchange.head.status.is_server_error() {
                 open.guard.failed();
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod command_line;
 pub mod control_link;
 pub mod frames;
+pub mod log_limit;
 pub mod log_writer;
 pub mod logging;
 pub mod metrics;
--- a/components/runtime/src/logging.rs
+++ b/components/runtime/src/logging.rs
@@ -2,8 +2,10 @@
 
 use std::fmt::Write as _;
 use std::io::Write as _;
+use std::sync::Mutex;
 use std::time::Duration;
 
+use crate::log_limit::{LogLimit, Verdict};
 use crate::log_writer::{LogCounts, LogWriter};
 use env_logger::{Builder, Env, Target};
 use log::Record;
@@ -31,10 +33,19 @@
     let environment = Env::default().filter_or("GARNET_LOG", "info");
     let output = LogWriter::start(std::io::stdout());
     let counts = output.counts();
+    let limit = Mutex::new(LogLimit::default());
     let builder = Builder::from_env(environment)
         .target(Target::Pipe(Box::new(output)))
         .format(move |output, record| {
-            let line = format_line(clock.now().0, &process, record);
+            let now = clock.now().0;
+            let left_out = match judge(&limit, record, now) {
+                Verdict::LeaveOut => return Ok(()),
+                Verdict::Write { left_out } => left_out,
+            };
+            let line = format_line(now, &process, record);
+            if left_out > 0 {
+                return writeln!(output, "{line} lines_left_out={left_out}");
+            }
             writeln!(output, "{line}")
         })
         .try_init();
@@ -43,6 +54,14 @@
     LogGuard(counts)
 }
 
+/// Events without a fixed name are not limited.
+fn judge(limit: &Mutex<LogLimit>, record: &Record<'_>, now: u64) -> Verdict {
+    match (record.args().as_str(), limit.lock()) {
+        (Some(event), Ok(mut limit)) => limit.judge(event, now),
+        _ => Verdict::Write { left_out: 0 },
+    }
+}
+
 /// One line: time, level, process, event, and the event's own pairs.
 pub fn format_line(time_ms: u64, process: &str, record: &Record<'_>) -> String {
     let mut line = format!(
