Tests that draw ports have loopback addresses of their own; whole configurations are shared

Groups drew ports and released them before their replicas bound them, so two groups could draw the same ones; a replica then ended at its start. That this was the cause of the hang too is inferred: its logs were not kept then; they are printed now.

Ruled out: elections as such (six runs of the frozen leader alone passed).

Change: each group and each system of the tests has a loopback address of its own, so a drawn port can't be drawn again; the logs of a group are printed when it hangs. a_follower_points_to_the_leader now compares the whole address of the leader. Whole configurations are shared between replies; a connection keeps no large buffer; backlogs are told less often the more there are.

--- a/bin/garnet-bench/src/hollow/control.rs
+++ b/bin/garnet-bench/src/hollow/control.rs
@@ -290,13 +290,13 @@
         let kb_per_s = |bytes: u64| bytes as f64 / time / 1000.0;
         let percent = |usage: &super::group::Usage| usage.meter.spent.as_secs_f64() / time * 100.0;
         let state = self.group.replica(self.leader).state();
-        let snapshot = WatchUpdate::Snapshot(Box::new(state.configuration.clone()));
+        let snapshot = WatchUpdate::Snapshot(std::sync::Arc::new(state.configuration.clone()));
         let load = encode(Frame::Control(ControlReply::Watch {
             sent_at: Millis::ZERO,
             update: snapshot,
             group: None,
             gateways: 1,
-            backlogs: Vec::new(),
+            backlogs: None,
         }));
         Ok(ControlFigures {
             size: self.size,
--- a/bin/garnet-bench/src/hollow/gateway.rs
+++ b/bin/garnet-bench/src/hollow/gateway.rs
@@ -121,14 +121,14 @@
             pending: Vec::new(),
             next_event: vec![0; size.engines],
         };
-        let update = WatchUpdate::Snapshot(Box::new(configuration(size)));
+        let update = WatchUpdate::Snapshot(std::sync::Arc::new(configuration(size)));
         let sent_at = run.now;
         run.pending.push(Event::Control(ControlReply::Watch {
             sent_at,
             update,
             group: None,
             gateways: 1,
-            backlogs: Vec::new(),
+            backlogs: None,
         }));
         run
     }
@@ -202,7 +202,7 @@
                     update,
                     group: None,
                     gateways: 1,
-                    backlogs: Vec::new(),
+                    backlogs: None,
                 }));
             }
             Effect::PollLoad { backend, .. } => {
--- a/bin/garnet-control/tests/process/bad_input.rs
+++ b/bin/garnet-control/tests/process/bad_input.rs
@@ -93,10 +93,12 @@
 fn a_follower_points_to_the_leader() {
     let group = Group::start();
     group.create_session("first");
-    let follower = (group.leader() + 1) % 3;
+    let leader = group.leader();
+    let follower = (leader + 1) % 3;
     let answer = group.ask(follower, "PUT", "sessions/second", SESSION);
     assert!(answer.starts_with("HTTP/1.1 421"), "{answer}");
-    assert!(answer.contains("garnet-leader: 127.0.0.1:"), "{answer}");
+    let pointer = format!("garnet-leader: {}", group.admin_address(leader));
+    assert!(answer.contains(&pointer), "{answer}");
 }
 
 /// Also in the moment after the loss, which nobody has noticed yet.
--- a/bin/garnet-control/tests/process/group.rs
+++ b/bin/garnet-control/tests/process/group.rs
@@ -1,9 +1,11 @@
 //! Three replicas on ports that the system picked, and their operator.
 
+use std::fs::OpenOptions;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -28,7 +30,7 @@
     /// Starts three replicas for the first time.
     pub fn start() -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let ports = free_ports(2 * REPLICAS);
+        let ports = free_ports(&own_address(), 2 * REPLICAS);
         let (peer, admin) = ports.split_at(REPLICAS);
         let members: String = (0..REPLICAS)
             .map(|place| {
@@ -84,6 +86,11 @@
         kill_process(pid, signal).expect("it runs");
     }
 
+    /// Where operators reach a replica.
+    pub fn admin_address(&self, place: usize) -> &str {
+        &self.admin[place]
+    }
+
     /// The place of the replica that leads under its lease.
     pub fn leader(&self) -> usize {
         self.until(|| {
@@ -170,13 +177,33 @@
             .arg("--settings")
             .arg(self.settings(place))
             .args(arguments)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(self.log_of(place))
+            .stderr(self.log_of(place))
             .spawn()
             .expect("the program starts");
         self.children[place] = Some(child);
     }
 
+    fn log_path(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("log-{place}"))
+    }
+
+    /// The log of a replica, to be written on at its end.
+    fn log_of(&self, place: usize) -> Stdio {
+        let mut options = OpenOptions::new();
+        let log = options.create(true).append(true).open(self.log_path(place));
+        Stdio::from(log.expect("a log"))
+    }
+
+    /// What the replicas wrote, for a failure to be explained.
+    fn logs(&self) -> String {
+        let log = |place| {
+            let text = std::fs::read_to_string(self.log_path(place)).unwrap_or_default();
+            format!("== replica {place}\n{text}")
+        };
+        (0..REPLICAS).map(log).collect()
+    }
+
     fn settings(&self, place: usize) -> PathBuf {
         self.folder.path().join(format!("settings-{place}.toml"))
     }
@@ -187,7 +214,7 @@
             if let Some(value) = attempt() {
                 return value;
             }
-            assert!(began.elapsed() < HANGS, "the group hangs");
+            assert!(began.elapsed() < HANGS, "the group hangs\n{}", self.logs());
             std::thread::yield_now();
         }
     }
@@ -217,10 +244,22 @@
     }
 }
 
-/// Ports that were free a moment ago.
-fn free_ports(count: usize) -> Vec<String> {
+/// A loopback address of its own for each group: ports that are drawn there
+/// can't be drawn by another group before they are bound.
+fn own_address() -> String {
+    static DRAWN: AtomicU32 = AtomicU32::new(0);
+    let [_, low, middle, _] = std::process::id()
+        .to_le_bytes()
+        .map(u32::from)
+        .map(|b| b % 250);
+    let number = DRAWN.fetch_add(1, Ordering::Relaxed) % 250;
+    format!("127.{}.{}.{}", low + 1, middle + 1, number + 1)
+}
+
+/// Ports that are free at the address.
+fn free_ports(address: &str, count: usize) -> Vec<String> {
     let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .map(|_| TcpListener::bind((address, 0)).expect("a free port"))
         .collect();
     listeners
         .iter()
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,5 +1,7 @@
 //! What gateways and the leader say to each other.
 
+use std::sync::Arc;
+
 use garnet_types::{BackendId, GatewayId, Millis, ModelId, RecordedResponse, ReplicaId, ServiceId};
 use serde::{Deserialize, Serialize};
 
@@ -121,7 +123,7 @@
         changes: Vec<(u64, ConfigurationChange)>,
     },
     /// Everything anew.
-    Snapshot(Box<Configuration>),
+    Snapshot(Arc<Configuration>),
 }
 
 /// From a control replica to a gateway.
@@ -138,8 +140,9 @@
         group: Option<GroupView>,
         /// Gateways that hold a lease: budgets are shared among them.
         gateways: u64,
-        /// What the other gateways have under way.
-        backlogs: Vec<Backlog>,
+        /// What the other gateways have under way; `None` leaves what was told
+        /// before.
+        backlogs: Option<Vec<Backlog>>,
     },
     /// Answer about a claim.
     Claim {
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -41,7 +41,7 @@
     }
 
     fn watch_reply(
-        &self,
+        &mut self,
         gateway: &GatewayId,
         index: u64,
         group_index: u64,
@@ -62,7 +62,7 @@
             update: self.recent.update_for(index, &self.state.configuration),
             group,
             gateways: self.gateways.count(self.now),
-            backlogs: self.backlogs.of_others(gateway),
+            backlogs: self.backlogs.of_others(gateway, self.now),
         }
     }
 
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -1,6 +1,7 @@
 //! Recent changes, from which gateways are brought up to date.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::configuration::{Configuration, ConfigurationChange};
 use crate::messages::WatchUpdate;
@@ -14,6 +15,9 @@
     changes: VecDeque<(u64, ConfigurationChange)>,
     /// Every change after this index is kept.
     complete_after: u64,
+    /// The newest configuration that was handed out whole: many gateways ask
+    /// for it at once when they all start.
+    whole: Option<Arc<Configuration>>,
 }
 
 impl RecentChanges {
@@ -22,6 +26,7 @@
         RecentChanges {
             changes: VecDeque::new(),
             complete_after: index,
+            whole: None,
         }
     }
 
@@ -36,13 +41,13 @@
     }
 
     /// What brings a gateway that works by `from` up to date.
-    pub fn update_for(&self, from: u64, configuration: &Configuration) -> WatchUpdate {
+    pub fn update_for(&mut self, from: u64, configuration: &Configuration) -> WatchUpdate {
         if from == configuration.index {
             return WatchUpdate::Current;
         }
         let unknown = from < self.complete_after || from > configuration.index;
         if unknown || from == 0 {
-            return WatchUpdate::Snapshot(Box::new(configuration.clone()));
+            return WatchUpdate::Snapshot(self.whole(configuration));
         }
         let newer = self.changes.iter().filter(|(index, _)| *index > from);
         WatchUpdate::Changes {
@@ -53,6 +58,18 @@
     }
 }
 
+impl RecentChanges {
+    fn whole(&mut self, configuration: &Configuration) -> Arc<Configuration> {
+        let same = |whole: &&Arc<Configuration>| whole.index == configuration.index;
+        if let Some(whole) = self.whole.as_ref().filter(same) {
+            return Arc::clone(whole);
+        }
+        let whole = Arc::new(configuration.clone());
+        self.whole = Some(Arc::clone(&whole));
+        whole
+    }
+}
+
 /// The changes, of the route tables among them only the newest: each one
 /// replaces the former as a whole.
 fn without_replaced_tables<'a>(
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -91,7 +91,9 @@
         let before = (forwarder.routes_version(), forwarder.configuration_index());
         forwarder.update(update);
         forwarder.set_gateways(gateways);
-        forwarder.heard_of_others(&backlogs, self.gateway.now());
+        if let Some(backlogs) = backlogs {
+            forwarder.heard_of_others(&backlogs, self.gateway.now());
+        }
         let after = (forwarder.routes_version(), forwarder.configuration_index());
         if before != after {
             let now = self.gateway.now();
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -1,6 +1,7 @@
 //! What a gateway believes, and the decisions that rest on it.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use garnet_control::{Backlog, Configuration, WatchUpdate};
 use garnet_routes::{CallerLimits, Route, RouteIndex};
@@ -81,7 +82,7 @@
                 if configuration.index < self.configuration.index {
                     return;
                 }
-                self.configuration = *configuration;
+                self.configuration = Arc::unwrap_or_clone(configuration);
             }
             WatchUpdate::Changes { from, changes, to } => {
                 if from > self.configuration.index || to < self.configuration.index {
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -88,7 +88,7 @@
         first_draw: 0.25,
     });
     let configuration = configuration(5, table(1, &[("till", 1)]), records);
-    forwarder.update(WatchUpdate::Snapshot(Box::new(configuration)));
+    forwarder.update(WatchUpdate::Snapshot(std::sync::Arc::new(configuration)));
     forwarder
 }
 
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The configuration that the gateway works by, and its lease on it.
 
+use std::sync::Arc;
+
 use garnet_control::{CONFIGURATION_LEASE, Configuration, WatchUpdate};
 use garnet_policy::{Policy, PolicySet};
 use garnet_types::Millis;
@@ -69,7 +71,7 @@
                 if configuration.index < self.highest_index {
                     return false;
                 }
-                self.configuration = *configuration;
+                self.configuration = Arc::unwrap_or_clone(configuration);
                 self.compile_policies();
                 true
             }
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -8,7 +8,7 @@
 use crate::harness::{Harness, completion, configuration, order};
 
 fn snapshot(index: u64) -> WatchUpdate {
-    WatchUpdate::Snapshot(Box::new(configuration(index)))
+    WatchUpdate::Snapshot(std::sync::Arc::new(configuration(index)))
 }
 
 fn no_changes(from: u64, to: u64) -> WatchUpdate {
@@ -42,7 +42,7 @@
         update,
         group: None,
         gateways: 1,
-        backlogs: Vec::new(),
+        backlogs: None,
     }));
     assert!(harness.gateway.is_ready(harness.now));
     assert!(!harness.gateway.is_ready(sent_at + CONFIGURATION_LEASE));
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -35,7 +35,9 @@
     /// A gateway that takes work by [`configuration`].
     pub fn ready() -> Self {
         let mut harness = Harness::new(0);
-        harness.watch_answered(WatchUpdate::Snapshot(Box::new(configuration(10))));
+        harness.watch_answered(WatchUpdate::Snapshot(std::sync::Arc::new(configuration(
+            10,
+        ))));
         harness.event(Event::IndexPersisted(10));
         harness
     }
@@ -66,7 +68,7 @@
             update,
             group: None,
             gateways: 1,
-            backlogs: Vec::new(),
+            backlogs: None,
         }));
     }
 
--- a/components/runtime/src/frames.rs
+++ b/components/runtime/src/frames.rs
@@ -8,6 +8,8 @@
 
 use crate::sockets::{connect_in_time, end_when_silent};
 
+/// Largest buffer that a connection keeps between frames.
+const KEPT_BUFFER_BYTES: usize = 32 * 1024;
 /// Longest time to connect to another process of the system.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 /// A connection whose bytes are not acknowledged for so long is over.
@@ -87,6 +89,10 @@
         self.buffer.clear();
         FrameCodec.encode(frame, &mut self.buffer)?;
         self.stream.write_all(&self.buffer).await?;
+        if self.buffer.capacity() > KEPT_BUFFER_BYTES {
+            // One large frame must not keep its memory for each connection.
+            self.buffer = BytesMut::new();
+        }
         Ok(())
     }
 }
