One pool of connections under both HTTP clients; one kind of shared value

HttpClient is a thin layer over the pool now; Shared<T> serves both lists. A connection of HttpClient ends 5 s after bytes go unacknowledged, and idle ones are left after 60 s or as the other end tells.

Ruled out: joining the two clients into one type: callers of HttpClient want a whole answer within a patience, callers of the pool want the exchange.

--- a/components/control-shell/src/joining.rs
+++ b/components/control-shell/src/joining.rs
@@ -7,6 +7,7 @@
 
 use garnet_consensus::Membership;
 use garnet_control::JoinRequest;
+use garnet_runtime::Shared;
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::ReplicaId;
 use smol::Timer;
@@ -27,25 +28,7 @@
 
 /// Where members of the group may be found. Settings that change are noted
 /// here while the replica runs.
-#[derive(Debug, Clone, Default)]
-pub struct GroupAddresses(Rc<RefCell<Vec<MemberAddress>>>);
-
-impl GroupAddresses {
-    /// Starts from the settings.
-    pub fn new(addresses: Vec<MemberAddress>) -> Self {
-        GroupAddresses(Rc::new(RefCell::new(addresses)))
-    }
-
-    /// Replaces what the settings said.
-    pub fn replace(&self, addresses: Vec<MemberAddress>) {
-        *self.0.borrow_mut() = addresses;
-    }
-
-    /// The addresses as they stand.
-    pub fn current(&self) -> Vec<MemberAddress> {
-        self.0.borrow().clone()
-    }
-}
+pub type GroupAddresses = Shared<Vec<MemberAddress>>;
 
 /// What the replica task tells of its place in the group.
 #[derive(Debug, Clone, Default)]
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -10,7 +10,8 @@
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings};
 use garnet_runtime::server::{Limits, with_type};
 use garnet_runtime::{
-    Body, ConnectionPool, HttpServer, PoolSettings, Shell, control_link, metrics, text_response,
+    Body, ConnectionPool, HttpServer, PoolSettings, Shared, Shell, control_link, metrics,
+    text_response,
 };
 use garnet_supervisor::ChildSpec;
 use garnet_types::GatewayId;
@@ -28,25 +29,7 @@
 const QUEUED_REQUESTS: usize = 16;
 
 /// Addresses of the control replicas; settings that change are noted here.
-#[derive(Debug, Clone, Default)]
-pub struct Replicas(Rc<RefCell<Vec<String>>>);
-
-impl Replicas {
-    /// Starts from the settings.
-    pub fn new(addresses: Vec<String>) -> Self {
-        Replicas(Rc::new(RefCell::new(addresses)))
-    }
-
-    /// Replaces what the settings said.
-    pub fn replace(&self, addresses: Vec<String>) {
-        *self.0.borrow_mut() = addresses;
-    }
-
-    /// The addresses as they stand.
-    pub fn current(&self) -> Vec<String> {
-        self.0.borrow().clone()
-    }
-}
+pub type Replicas = Shared<Vec<String>>;
 
 /// Settings of a forwarding gateway.
 #[derive(Debug, Clone)]
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -3,28 +3,28 @@
 //! Its errors keep apart what the rest of the system builds on: whether any
 //! byte of the request can have reached the other end.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use displaydoc::Display;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use http_body_util::Full;
+use hyper::body::Bytes;
 use hyper::{Request, Response};
-use smol::net::TcpStream;
 use smol::{LocalExecutor, Timer};
-use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use crate::pool::{ConnectionPool, Exchange, PoolSettings};
+
 /// Idle connections kept for one address.
 const IDLE_PER_ADDRESS: usize = 32;
+/// How long an idle connection is kept where the other end tells nothing.
+const IDLE_TIME: Duration = Duration::from_secs(60);
 /// Largest response that is read as a whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 /// Longest time to connect.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// A connection whose bytes are not acknowledged for so long is over.
+const SILENCE: Duration = Duration::from_secs(5);
 
 /// A request without its answer.
 #[derive(Debug, Display, Error)]
@@ -37,15 +37,12 @@
     TimedOut,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
 /// A response whose body is read piece by piece. Dropping it closes the
 /// connection, which cancels what the other end does for it.
-#[derive(Debug)]
 pub struct StreamedResponse {
     /// Head.
     pub response: Response<()>,
-    body: Incoming,
+    exchange: Exchange,
 }
 
 impl StreamedResponse {
@@ -54,33 +51,27 @@
     /// # Errors
     /// When the connection ends before the body does.
     pub async fn next(&mut self) -> Result<Option<Bytes>, HttpError> {
-        loop {
-            match self.body.frame().await {
-                None => return Ok(None),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-                Some(Err(error)) => return Err(HttpError::Broken(error.to_string())),
-            }
-        }
+        self.exchange.next().await
     }
 }
 
 /// A client for any number of addresses.
 #[derive(Clone)]
 pub struct HttpClient {
-    executor: Rc<LocalExecutor<'static>>,
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Sender>>>>,
+    pool: ConnectionPool,
 }
 
 impl HttpClient {
     /// A client whose connections run on `executor`.
     pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
+        let settings = PoolSettings {
+            connect_time: CONNECT_TIME,
+            silence: SILENCE,
+            idle_time: IDLE_TIME,
+            idle_per_address: IDLE_PER_ADDRESS,
+        };
         HttpClient {
-            executor,
-            idle: Rc::default(),
+            pool: ConnectionPool::new(executor, settings),
         }
     }
 
@@ -94,21 +85,18 @@
         request: Request<Full<Bytes>>,
         patience: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
-        let exchange = async {
-            let (sender, response) = self.exchange(address, request).await?;
-            let (head, body) = response.into_parts();
-            let collected = Limited::new(body, MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|error| HttpError::Broken(error.to_string()))?;
-            self.keep(address, sender);
-            Ok(Response::from_parts(head, collected.to_bytes()))
+        let whole = async {
+            let mut exchange = self.exchange(address, request).await?;
+            let body = exchange.read_whole(MAX_RESPONSE_BYTES).await?;
+            let head = exchange.head.clone();
+            exchange.finish();
+            Ok(Response::from_parts(head, body))
         };
         let late = async {
             Timer::after(patience).await;
             Err(HttpError::TimedOut)
         };
-        smol::future::or(exchange, late).await
+        smol::future::or(whole, late).await
     }
 
     /// Sends a request whose answer is read piece by piece.
@@ -120,90 +108,20 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<StreamedResponse, HttpError> {
-        let (_, response) = self.exchange(address, request).await?;
-        let (head, body) = response.into_parts();
-        Ok(StreamedResponse {
-            response: Response::from_parts(head, ()),
-            body,
-        })
+        let exchange = self.exchange(address, request).await?;
+        let response = Response::from_parts(exchange.head.clone(), ());
+        Ok(StreamedResponse { response, exchange })
     }
 
-    /// Tries a kept connection first. One that the other end closed meanwhile
-    /// gives the request back unsent, and a new one is made.
     async fn exchange(
         &self,
         address: &str,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Sender, Response<Incoming>), HttpError> {
+    ) -> Result<Exchange, HttpError> {
         if let Ok(host) = address.parse() {
             request.headers_mut().entry("host").or_insert(host);
         }
-        while let Some(mut sender) = self.take_idle(address) {
-            if sender.ready().await.is_err() {
-                continue;
-            }
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((sender, response)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(HttpError::Broken(error.into_error().to_string())),
-                },
-            }
-        }
-        let mut sender = self.connect(address).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok((sender, response)),
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                let cause = error.into_error().to_string();
-                Err(if unsent {
-                    HttpError::NotSent(cause)
-                } else {
-                    HttpError::Broken(cause)
-                })
-            }
-        }
-    }
-
-    async fn connect(&self, address: &str) -> Result<Sender, HttpError> {
-        let target: SocketAddr = address
-            .parse()
-            .map_err(|_| HttpError::NotSent(format!("{address} is no IP address and port")))?;
-        let connecting = async {
-            let stream = TcpStream::connect(target).await;
-            stream.map_err(|error| HttpError::NotSent(error.to_string()))
-        };
-        let late = async {
-            Timer::after(CONNECT_TIME).await;
-            Err(HttpError::NotSent("no connection in time".to_owned()))
-        };
-        let stream = smol::future::or(connecting, late).await?;
-        let _unset = stream.set_nodelay(true);
-        let (sender, connection) = handshake(FuturesIo::new(stream))
-            .await
-            .map_err(|error| HttpError::NotSent(error.to_string()))?;
-        let drive = async move {
-            // Its faults reach the requests on it.
-            let _ended = connection.await;
-        };
-        self.executor.spawn(drive).detach();
-        Ok(sender)
-    }
-
-    fn take_idle(&self, address: &str) -> Option<Sender> {
-        let address: SocketAddr = address.parse().ok()?;
-        self.idle.borrow_mut().get_mut(&address)?.pop()
-    }
-
-    fn keep(&self, address: &str, sender: Sender) {
-        let Ok(address) = address.parse() else {
-            return;
-        };
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(address).or_default();
-        if kept.len() < IDLE_PER_ADDRESS && !sender.is_closed() {
-            kept.push(sender);
-        }
+        self.pool.send(address, request).await
     }
 }
 
