Changes since an index are shared between gateways

At the start of 300 machines the list of 3,000 back ends comes in hundreds of changes, and each of 289 gateways got a list of its own.

Change: what was handed out since an index is kept until the next change.

--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -120,7 +120,7 @@
         /// Index that they lead to.
         to: u64,
         /// The changes, each with its index.
-        changes: Vec<(u64, ConfigurationChange)>,
+        changes: Arc<Vec<(u64, ConfigurationChange)>>,
     },
     /// Everything anew.
     Snapshot(Arc<Configuration>),
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -1,6 +1,6 @@
 //! Recent changes, from which gateways are brought up to date.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use crate::configuration::{Configuration, ConfigurationChange};
@@ -18,6 +18,9 @@
     /// The newest configuration that was handed out whole: many gateways ask
     /// for it at once when they all start.
     whole: Option<Arc<Configuration>>,
+    /// Changes since an index, as they were handed out since the last change:
+    /// most gateways stand at the same index.
+    handed_out: BTreeMap<u64, Arc<Vec<(u64, ConfigurationChange)>>>,
 }
 
 impl RecentChanges {
@@ -27,11 +30,13 @@
             changes: VecDeque::new(),
             complete_after: index,
             whole: None,
+            handed_out: BTreeMap::new(),
         }
     }
 
     /// Notes a change.
     pub fn push(&mut self, index: u64, change: ConfigurationChange) {
+        self.handed_out.clear();
         self.changes.push_back((index, change));
         while self.changes.len() > KEPT_CHANGES {
             if let Some((dropped, _)) = self.changes.pop_front() {
@@ -49,16 +54,25 @@
         if unknown || from == 0 {
             return WatchUpdate::Snapshot(self.whole(configuration));
         }
-        let newer = self.changes.iter().filter(|(index, _)| *index > from);
         WatchUpdate::Changes {
             from,
             to: configuration.index,
-            changes: without_replaced_tables(newer),
+            changes: self.since(from),
         }
     }
 }
 
 impl RecentChanges {
+    fn since(&mut self, from: u64) -> Arc<Vec<(u64, ConfigurationChange)>> {
+        if let Some(changes) = self.handed_out.get(&from) {
+            return Arc::clone(changes);
+        }
+        let newer = self.changes.iter().filter(|(index, _)| *index > from);
+        let changes = Arc::new(without_replaced_tables(newer));
+        self.handed_out.insert(from, Arc::clone(&changes));
+        changes
+    }
+
     fn whole(&mut self, configuration: &Configuration) -> Arc<Configuration> {
         let same = |whole: &&Arc<Configuration>| whole.index == configuration.index;
         if let Some(whole) = self.whole.as_ref().filter(same) {
--- a/components/forwarding/tests/core/configuration.rs
+++ b/components/forwarding/tests/core/configuration.rs
@@ -23,14 +23,14 @@
     let gap = WatchUpdate::Changes {
         from: 7,
         to: 8,
-        changes: vec![(8, change.clone())],
+        changes: vec![(8, change.clone())].into(),
     };
     forwarder.update(gap);
     assert_eq!(forwarder.routes_version(), Some(1));
     let next = WatchUpdate::Changes {
         from: 5,
         to: 6,
-        changes: vec![(6, change)],
+        changes: vec![(6, change)].into(),
     };
     forwarder.update(next);
     assert_eq!(forwarder.routes_version(), Some(3));
@@ -45,7 +45,7 @@
     forwarder.update(WatchUpdate::Changes {
         from: 5,
         to: 6,
-        changes: vec![(6, change)],
+        changes: vec![(6, change)].into(),
     });
     let backend = forwarder.backend(&BackendId::new("i-1")).expect("known");
     assert!(!backend.is_open(NOW, true));
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -15,7 +15,7 @@
     WatchUpdate::Changes {
         from,
         to,
-        changes: Vec::new(),
+        changes: Vec::new().into(),
     }
 }
 
@@ -87,7 +87,7 @@
     harness.watch_answered(WatchUpdate::Changes {
         from: 10,
         to: 11,
-        changes: vec![(11, ConfigurationChange::BackendPut(record))],
+        changes: vec![(11, ConfigurationChange::BackendPut(record))].into(),
     });
     for id in 0..20 {
         harness.event(order(id, "GET", None));
