--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -151,23 +151,25 @@
             log_failure(call, job, "silent");
             Err(AttemptEnd::Broken)
         }
-        Some(sent) => match sent {
-            Ok(exchange) => read_head(gateway, call, job, exchange, guard).await,
-            Err(error) => {
-                guard.failed();
-                log_failure(call, job, &error.to_string());
-                Err(match error {
-                    HttpError::NotSent(_) => AttemptEnd::Unsent,
-                    HttpError::Broken(_) | HttpError::TimedOut => AttemptEnd::Broken,
-                })
-            }
-        },
+        Some(Ok(exchange)) => read_head(gateway, call, job, exchange, guard).await,
+        Some(Err(error)) => {
+            guard.failed();
+            log_failure(call, job, &error.to_string());
+            Err(end_of(&error))
+        }
     };
     let outcome = result.as_ref().err().map_or("answer", |end| end.as_str());
     gateway.metrics.attempt(outcome);
     result
 }
 
+fn end_of(error: &HttpError) -> AttemptEnd {
+    match error {
+        HttpError::NotSent(_) => AttemptEnd::Unsent,
+        HttpError::Broken(_) | HttpError::TimedOut => AttemptEnd::Broken,
+    }
+}
+
 async fn read_head<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
