--- a/bin/garnet-control/tests/process/main.rs
+++ b/bin/garnet-control/tests/process/main.rs
@@ -3,3 +3,4 @@
 mod bad_input;
 mod failures;
 mod group;
+mod routes;
