--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{Patience, Progress, Work};
+use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Patience, Progress, Work, next_move};
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, read_body};
@@ -190,6 +190,30 @@
     }
 }
 
+/// Notes the end of an attempt, and whether another one may follow it.
+///
+/// # Errors
+/// What giving the request up means, where none may.
+pub(crate) fn go_on<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &mut Running,
+    end: AttemptEnd,
+) -> Result<(), GivenUp> {
+    running.progress.note(end);
+    let given_up = running.progress.given_up();
+    match next_move(&running.work, &running.progress, end) {
+        NextMove::TryAnother { repeat: false } => Ok(()),
+        NextMove::TryAnother { repeat: true } => {
+            let now = gateway.now();
+            let mut forwarder = gateway.forwarder.borrow_mut();
+            let allowed = forwarder.spend_repeat(&running.service, now);
+            if allowed { Ok(()) } else { Err(given_up) }
+        }
+        NextMove::PassOn => Err(given_up),
+        NextMove::GiveUp(given_up) => Err(given_up),
+    }
+}
+
 /// Ends at the moment `due`.
 pub(crate) async fn until<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>, due: Millis) {
     let left = due.since(gateway.now());
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use futures_lite::stream::unfold;
-use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, NotRunReason, Placement, next_move};
+use garnet_forwarding::{AttemptEnd, GivenUp, NotRunReason, Placement};
 use garnet_routes::WorkKind;
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyCut, stream_body};
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::handover::read_prompt;
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
-use crate::request::{Running, finished, log_no_back_end, own_answer, until};
+use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
 use crate::whole::copy_head;
 
 /// A stream under way.
@@ -98,7 +98,7 @@
         loop {
             self.open().await?;
             let Some(open) = &self.open else {
-                return Err(Refused::GivenUp(self.doubt()));
+                return Err(Refused::GivenUp(self.running.progress.given_up()));
             };
             let head = copy_head(&open.exchange.head);
             if !head.status.is_success() {
@@ -253,7 +253,7 @@
         loop {
             let Some(placement) = self.place() else {
                 log_no_back_end(&self.gateway, &self.running);
-                return Err(Refused::GivenUp(self.doubt()));
+                return Err(Refused::GivenUp(self.running.progress.given_up()));
             };
             match self.open_at(placement).await {
                 Ok(open) => {
@@ -345,40 +345,19 @@
 
     /// Whether to go on after an attempt that ended with `end`.
     fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
-        self.running.progress.note(end);
         if let Some(backend) = &self.running.served_by
             && !self.running.tried.contains(backend)
         {
             self.running.tried.push(backend.clone());
         }
-        let given_up = match next_move(&self.running.work, &self.running.progress, end) {
-            NextMove::TryAnother { repeat } => {
-                let now = self.gateway.now();
-                let mut forwarder = self.gateway.forwarder.borrow_mut();
-                if !repeat || forwarder.spend_repeat(&self.running.service, now) {
-                    return Ok(());
-                }
-                self.doubt()
-            }
-            NextMove::PassOn => self.doubt(),
-            NextMove::GiveUp(given_up) => given_up,
-        };
-        Err(Refused::GivenUp(given_up))
-    }
-
-    fn doubt(&self) -> GivenUp {
-        if self.running.progress.surely_not_run() {
-            GivenUp::NotRun
-        } else {
-            GivenUp::InDoubt
-        }
+        go_on(&self.gateway, &mut self.running, end).map_err(Refused::GivenUp)
     }
 
     /// The engine's own failure, passed on as it is.
     async fn pass_failure_on(&mut self, head: hyper::http::response::Parts) -> Refused {
         const LONGEST_FAILURE: usize = 1024 * 1024;
         let Some(mut open) = self.open.take() else {
-            return Refused::GivenUp(self.doubt());
+            return Refused::GivenUp(self.running.progress.given_up());
         };
         if head.status.is_server_error() {
             open.guard.failed();
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Placement, next_move};
+use garnet_forwarding::{AttemptEnd, GivenUp, Placement};
 use garnet_runtime::client::HttpError;
 use garnet_runtime::{Body, bytes_body};
 use garnet_types::BackendId;
@@ -15,7 +15,7 @@
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
-use crate::request::{Running, finished, log_no_back_end, own_answer, until};
+use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
 
 /// Longest answer that is held while it is read.
 const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
@@ -60,7 +60,7 @@
     loop {
         let Some(backend) = place(gateway, running) else {
             log_no_back_end(gateway, running);
-            return failure.ok_or(doubt(running));
+            return failure.ok_or(running.progress.given_up());
         };
         let end = match try_once(gateway, running, &backend).await {
             Ok(answer) if !is_failure(&answer) => return Ok(answer),
@@ -70,30 +70,13 @@
             }
             Err(end) => end,
         };
-        running.progress.note(end);
         running.tried.push(backend);
-        match next_move(&running.work, &running.progress, end) {
-            NextMove::TryAnother { repeat } => {
-                let now = gateway.now();
-                let mut forwarder = gateway.forwarder.borrow_mut();
-                if repeat && !forwarder.spend_repeat(&running.service, now) {
-                    return failure.ok_or(doubt(running));
-                }
-            }
-            NextMove::PassOn => return failure.ok_or(doubt(running)),
-            NextMove::GiveUp(given_up) => return failure.ok_or(given_up),
+        if let Err(given_up) = go_on(gateway, running, end) {
+            return failure.ok_or(given_up);
         }
     }
 }
 
-fn doubt(running: &Running) -> GivenUp {
-    if running.progress.surely_not_run() {
-        GivenUp::NotRun
-    } else {
-        GivenUp::InDoubt
-    }
-}
-
 fn place<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &Running,
--- a/components/forwarding/src/attempts.rs
+++ b/components/forwarding/src/attempts.rs
@@ -83,6 +83,15 @@
         self.ran == 0
     }
 
+    /// What giving the request up means now.
+    pub fn given_up(&self) -> GivenUp {
+        if self.surely_not_run() {
+            GivenUp::NotRun
+        } else {
+            GivenUp::InDoubt
+        }
+    }
+
     /// Whether another arrival would be a repeat.
     pub fn has_arrived(&self) -> bool {
         self.ran + self.rejected > 0
@@ -118,11 +127,6 @@
 /// attempt before surely did not run.
 pub fn next_move(work: &Work, progress: &Progress, end: AttemptEnd) -> NextMove {
     let repeat = progress.has_arrived();
-    let given_up = if progress.surely_not_run() {
-        GivenUp::NotRun
-    } else {
-        GivenUp::InDoubt
-    };
     let may_go_on = progress.surely_not_run() || work.kind.may_repeat();
     let bounded = progress.ran < work.max_attempts
         && progress.rejected < MOST_REJECTIONS
@@ -133,5 +137,5 @@
     if end == AttemptEnd::Failed {
         return NextMove::PassOn;
     }
-    NextMove::GiveUp(given_up)
+    NextMove::GiveUp(progress.given_up())
 }
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{BackendRecord, BackendRegistration, Backlog};
 use garnet_routing::CircuitBreaker;
-use garnet_types::{BackendId, BackendKind, EngineRole, MachineState, Millis};
+use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
 
 /// A load report older than this is not believed any more.
 const REPORT_FRESH: Millis = Millis(2000);
@@ -165,7 +165,7 @@
     /// Takes a newer record.
     pub fn update(&mut self, record: &BackendRecord) {
         self.registration = record.registration.clone();
-        self.takes_work = record.takes_work() && record.machine == MachineState::Live;
+        self.takes_work = record.takes_work();
         self.role = match record.registration.kind {
             BackendKind::Application => None,
             BackendKind::Engine => record.assignment().map(|assignment| assignment.role),
