Process tests reserve an address; ports are no longer drawn ahead

Ports were drawn by binding port 0 and closing the socket; a process that another test of the binary starts in that moment inherits the listening socket until it has executed its program, so the port is still in use when the replica binds it. A second weakness beside it: the address came from bits 8..24 of the process id only, so neighbouring test processes shared addresses.

Ruled out: outgoing connections (their source is 127.0.0.1 on this machine, seen with getsockname), TIME_WAIT (SO_REUSEADDR is set by std), slowness. Shown by a scratch program (draw, close, bind again, 5 s) beside threads that start processes: 0 spawners 0 of 352,644 draws in use; 4 spawners 816 of 151,320, 30 of them still 2 ms later; 16 spawners 1,170 of 123,149, 354 still 2 ms later.

--- a/bin/garnet-control/tests/process/group.rs
+++ b/bin/garnet-control/tests/process/group.rs
@@ -1,13 +1,13 @@
-//! Three replicas on ports that the system picked, and their operator.
+//! Three replicas at an address of their own, and their operator.
 
 use std::fs::OpenOptions;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use garnet_test_support::ReservedAddress;
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 
@@ -24,14 +24,21 @@
     peer: Vec<String>,
     admin: Vec<String>,
     children: Vec<Option<Child>>,
+    _address: ReservedAddress,
 }
 
 impl Group {
     /// Starts three replicas for the first time.
     pub fn start() -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let ports = free_ports(&own_address(), 2 * REPLICAS);
-        let (peer, admin) = ports.split_at(REPLICAS);
+        let mut address = ReservedAddress::reserve();
+        let mut sockets = || {
+            (0..REPLICAS)
+                .map(|_| address.socket().to_string())
+                .collect()
+        };
+        let peer: Vec<String> = sockets();
+        let admin: Vec<String> = sockets();
         let members: String = (0..REPLICAS)
             .map(|place| {
                 let (peer, admin) = (&peer[place], &admin[place]);
@@ -56,9 +63,10 @@
         }
         let mut group = Group {
             folder,
-            peer: peer.to_vec(),
-            admin: admin.to_vec(),
+            peer,
+            admin,
             children: (0..REPLICAS).map(|_| None).collect(),
+            _address: address,
         };
         for place in 0..REPLICAS {
             group.start_replica(place, &["--bootstrap"]);
@@ -243,26 +251,3 @@
         }
     }
 }
-
-/// A loopback address of its own for each group: ports that are drawn there
-/// can't be drawn by another group before they are bound.
-fn own_address() -> String {
-    static DRAWN: AtomicU32 = AtomicU32::new(0);
-    let [_, low, middle, _] = std::process::id()
-        .to_le_bytes()
-        .map(u32::from)
-        .map(|b| b % 250);
-    let number = DRAWN.fetch_add(1, Ordering::Relaxed) % 250;
-    format!("127.{}.{}.{}", low + 1, middle + 1, number + 1)
-}
-
-/// Ports that are free at the address.
-fn free_ports(address: &str, count: usize) -> Vec<String> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((address, 0)).expect("a free port"))
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("its address").to_string())
-        .collect()
-}
