A failed reading goes to another reader; a cache waits for another generator

Cause: after any failure of a reader or a generator the whole prompt went to one generator ("may not hand over"). A generator reads at half the pace, and all that it generates, and whoever waits for its first piece, waits with it.

Change: a failed reading is repeated at another reader; a cache that a generator has not taken (no connection, full, misdirected) goes to another generator; one that is gone is read anew elsewhere. One engine does all only where that is the placement. The flag is gone.

--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -4,6 +4,8 @@
 
 use garnet_forwarding::{AttemptEnd, NotRunReason};
 
+use garnet_types::BackendId;
+
 use crate::attempt::attempt;
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HandoverSource, Job};
@@ -14,6 +16,7 @@
 /// A KV cache that waits for its engine. It is freed when nobody takes it.
 pub(crate) struct WaitingCache<C: CallerPort + 'static, B: BackendPort + 'static> {
     gateway: Rc<Gateway<C, B>>,
+    reader: BackendId,
     source: HandoverSource,
     taken: bool,
 }
@@ -23,6 +26,11 @@
         self.source.clone()
     }
 
+    /// The engine that read the prompt.
+    pub(crate) fn reader(&self) -> &BackendId {
+        &self.reader
+    }
+
     /// An engine has taken it.
     pub(crate) fn taken(mut self) {
         self.taken = true;
@@ -104,6 +112,7 @@
     };
     Ok(WaitingCache {
         gateway: Rc::clone(gateway),
+        reader: job.backend.clone(),
         source,
         taken: false,
     })
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -16,7 +16,7 @@
 use crate::attempt::{OpenAnswer, attempt, within};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
-use crate::handover::read_prompt;
+use crate::handover::{WaitingCache, read_prompt};
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
 use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
 use crate::whole::copy_head;
@@ -27,13 +27,17 @@
     running: Running,
     open: Option<OpenAnswer<C, B>>,
     splitter: EventSplitter,
-    /// Whether one engine may read the prompt for another.
-    may_hand_over: bool,
+    /// The prompt as one engine read it, for another to go on from.
+    cache: Option<WaitingCache<C, B>>,
     /// Whether the present engine has sent a piece.
     begun: bool,
     ended: bool,
 }
 
+/// An engine's answer, or none yet where the prompt was read; or how the attempt
+/// ended.
+type Opened<C, B> = Result<Option<OpenAnswer<C, B>>, AttemptEnd>;
+
 /// What comes next of a stream.
 enum Next {
     Piece(Bytes),
@@ -54,7 +58,7 @@
         running,
         open: None,
         splitter,
-        may_hand_over: true,
+        cache: None,
         begun: false,
         ended: false,
     };
@@ -251,52 +255,77 @@
     /// Places the request until an engine answers.
     async fn open(&mut self) -> Result<(), Refused> {
         loop {
-            let Some(placement) = self.place() else {
-                log_no_back_end(&self.gateway, &self.running);
-                return Err(Refused::GivenUp(self.running.progress.given_up()));
+            let opened = match self.cache.take() {
+                Some(cache) => self.generate(cache).await,
+                None => self.begin().await?,
             };
-            match self.open_at(placement).await {
+            match opened {
                 Ok(open) => {
-                    self.open = Some(open);
-                    return Ok(());
+                    self.open = open;
+                    if self.open.is_some() {
+                        return Ok(());
+                    }
                 }
                 Err(end) => self.after(end)?,
             }
         }
     }
 
-    async fn open_at(&mut self, placement: Placement) -> Result<OpenAnswer<C, B>, AttemptEnd> {
-        match placement {
-            Placement::One(backend) => {
+    /// Has one engine do all of it, or one engine read the prompt for another.
+    /// Gives no answer where a prompt was read that waits for its generator.
+    async fn begin(&mut self) -> Result<Opened<C, B>, Refused> {
+        match self.place() {
+            None => {
+                log_no_back_end(&self.gateway, &self.running);
+                Err(Refused::GivenUp(self.running.progress.given_up()))
+            }
+            Some(Placement::One(backend)) => {
                 let job = self.job(JobPhase::Whole, backend);
-                self.send(&job).await
+                Ok(self.send(&job).await.map(Some))
+            }
+            Some(Placement::Handover { reader }) => Ok(self.read_at(reader).await),
+        }
+    }
+
+    async fn read_at(&mut self, reader: BackendId) -> Opened<C, B> {
+        let job = self.job(JobPhase::ReadPrompt, reader.clone());
+        match read_prompt(&self.gateway, &self.running.call, &job).await {
+            Ok(cache) => {
+                self.cache = Some(cache);
+                Ok(None)
+            }
+            Err(end) => {
+                // Another reader takes it: a generator that reads a prompt
+                // holds up all that it generates.
+                self.running.tried.push(reader);
+                Err(end)
+            }
+        }
+    }
+
+    /// Reading takes its time: who generates is chosen after it. The cache is
+    /// kept for another generator where this one has not taken it.
+    async fn generate(&mut self, cache: WaitingCache<C, B>) -> Opened<C, B> {
+        let Some(generator) = self.place_generator(cache.reader()) else {
+            log_no_back_end(&self.gateway, &self.running);
+            return Err(AttemptEnd::NotRun(NotRunReason::Full));
+        };
+        let job = self.job(JobPhase::Generate(cache.source()), generator);
+        match self.send(&job).await {
+            Ok(answer) => {
+                cache.taken();
+                Ok(Some(answer))
             }
-            Placement::Handover { reader } => {
-                let job = self.job(JobPhase::ReadPrompt, reader.clone());
-                let read = read_prompt(&self.gateway, &self.running.call, &job).await;
-                let cache = match read {
-                    Ok(cache) => cache,
-                    Err(end) => {
-                        self.may_hand_over = false;
-                        self.running.tried.push(reader);
-                        return Err(end);
+            Err(end) => {
+                match end {
+                    AttemptEnd::Unsent
+                    | AttemptEnd::NotRun(NotRunReason::Full | NotRunReason::Misdirected) => {
+                        self.cache = Some(cache);
                     }
-                };
-                // Reading takes its time: who generates is chosen after it.
-                let Some(generator) = self.place_generator(&reader) else {
-                    log_no_back_end(&self.gateway, &self.running);
-                    self.may_hand_over = false;
-                    return Err(AttemptEnd::NotRun(NotRunReason::Full));
-                };
-                let phase = JobPhase::Generate(cache.source());
-                let job = self.job(phase, generator);
-                let answer = self.send(&job).await;
-                if answer.is_ok() {
-                    cache.taken();
-                } else {
-                    self.may_hand_over = false;
+                    // Its reader lost it, and would lose it again.
+                    _ => self.running.tried.push(cache.reader().clone()),
                 }
-                answer
+                Err(end)
             }
         }
     }
@@ -333,7 +362,7 @@
             tried,
             ..
         } = &self.running;
-        forwarder.place(service, work, tried, self.may_hand_over, now)
+        forwarder.place(service, work, tried, true, now)
     }
 
     fn place_generator(&self, reader: &BackendId) -> Option<BackendId> {
