An owner that lacks a beginning copies it from an engine that holds it

Change: gateways tell the leader which engine holds which beginning and hear it from the others (copies.rs: a belief, bounded, never logged); an owner that lacks one is told an engine to copy it from (a header of the platform's wire). Besides: 150 ms to connect in place of 400; short beginnings go to any reader; the leader is asked every 15 ms a gateway, within 100 to 250 ms; prompt_read tells beginning, tokens and source.

Open: what a copy from an engine that has gone dark costs is not measured on its own.

--- a/bin/garnet-bench/src/hollow/control.rs
+++ b/bin/garnet-bench/src/hollow/control.rs
@@ -189,6 +189,7 @@
                 group_index: 0,
                 mix: vec![hollow_mix(number)],
                 backlogs: Vec::new(),
+                copies: Vec::new(),
             });
             self.gateway_bytes += self.group.gateway_asks(self.leader, frame) as u64;
         }
@@ -297,6 +298,7 @@
             group: None,
             gateways: 1,
             backlogs: None,
+            copies: Vec::new(),
         }));
         Ok(ControlFigures {
             size: self.size,
--- a/bin/garnet-bench/src/hollow/gateway.rs
+++ b/bin/garnet-bench/src/hollow/gateway.rs
@@ -129,6 +129,7 @@
             group: None,
             gateways: 1,
             backlogs: None,
+            copies: Vec::new(),
         }));
         run
     }
@@ -203,6 +204,7 @@
                     group: None,
                     gateways: 1,
                     backlogs: None,
+                    copies: Vec::new(),
                 }));
             }
             Effect::PollLoad { backend, .. } => {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod claims;
 mod command;
 mod configuration;
+mod copies;
 mod effects;
 mod gateways;
 mod messages;
@@ -34,7 +35,7 @@
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
 pub use messages::{
     Backlog, ClaimRequest, ControlReply, GatewayRequest, GroupView, JoinRequest, PoolMix,
-    WatchUpdate,
+    PromptCopy, WatchUpdate,
 };
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -39,6 +39,15 @@
     pub held_tokens: u64,
 }
 
+/// An engine holds a prompt's beginning.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptCopy {
+    /// Key of the beginning.
+    pub beginning: u64,
+    /// The engine.
+    pub backend: BackendId,
+}
+
 /// A claim, its release or its result.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimRequest {
@@ -82,6 +91,8 @@
         mix: Vec<PoolMix>,
         /// What it has under way, for the other gateways to know.
         backlogs: Vec<Backlog>,
+        /// Copies that it learned of since it told last.
+        copies: Vec<PromptCopy>,
     },
     /// About a claim.
     Claim(ClaimRequest),
@@ -143,6 +154,8 @@
         /// What the other gateways have under way; `None` leaves what was told
         /// before.
         backlogs: Option<Vec<Backlog>>,
+        /// Copies that other gateways told of since this one heard last.
+        copies: Vec<PromptCopy>,
     },
     /// Answer about a claim.
     Claim {
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -25,10 +25,12 @@
                 group_index,
                 mix,
                 backlogs,
+                copies,
             } => {
                 if let Some(planning) = &mut self.planning {
                     planning.add(&mix);
                 }
+                self.copies.note(&gateway, copies, self.now);
                 let reply = self.watch_reply(&gateway, configuration_index, group_index, sent_at);
                 self.backlogs.note(gateway.clone(), backlogs, self.now);
                 self.gateways.grant(gateway, configuration_index, self.now);
@@ -63,6 +65,7 @@
             group,
             gateways: self.gateways.count(self.now),
             backlogs: self.backlogs.of_others(gateway, self.now),
+            copies: self.copies.news_for(gateway),
         }
     }
 
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -24,6 +24,7 @@
             self.reconciler = Reconciler::new(self.settings.engine_polling);
             self.candidates.clear();
             self.backlogs.clear();
+            self.copies.clear();
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -23,6 +23,7 @@
 use crate::backlogs::Backlogs;
 use crate::balancing::Balancing;
 use crate::command::ClaimCommand;
+use crate::copies::Copies;
 use crate::effects::{Effect, Event};
 use crate::gateways::GatewayLeases;
 use crate::planning::Planning;
@@ -160,6 +161,7 @@
     candidates: Candidates,
     gateways: GatewayLeases,
     backlogs: Backlogs,
+    copies: Copies,
     reconciler: Reconciler,
     planning: Option<Planning>,
     balancing: Option<Balancing>,
@@ -208,6 +210,7 @@
             candidates: Candidates::default(),
             gateways: GatewayLeases::default(),
             backlogs: Backlogs::default(),
+            copies: Copies::default(),
             reconciler,
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -68,6 +68,7 @@
         group_index: 0,
         mix: Vec::new(),
         backlogs: (0..engines).map(backlog).collect(),
+        copies: Vec::new(),
     };
     let connection = 1;
     Event::Gateway {
--- /dev/null
+++ b/components/control/tests/state/copies.rs
@@ -0,0 +1,81 @@
+//! Copies of prompt beginnings, as the leader passes them on.
+
+use garnet_control::{ControlReply, Effect, Event, GatewayRequest, PromptCopy};
+use garnet_types::{BackendId, GatewayId, Millis};
+
+use crate::leader::Leader;
+
+/// Copies that one answer carries at most.
+const MOST_IN_ANSWER: usize = 64;
+
+fn copies(beginnings: std::ops::Range<u64>) -> Vec<PromptCopy> {
+    let copy = |beginning| PromptCopy {
+        beginning,
+        backend: BackendId::new("engine-1"),
+    };
+    beginnings.map(copy).collect()
+}
+
+/// A watch of a gateway that tells `told`; gives what it hears.
+fn watch(leader: &mut Leader, gateway: &str, told: Vec<PromptCopy>) -> Vec<PromptCopy> {
+    let request = GatewayRequest::Watch {
+        gateway: GatewayId::new(gateway),
+        configuration_index: 1,
+        sent_at: leader.now,
+        group_index: u64::MAX,
+        mix: Vec::new(),
+        backlogs: Vec::new(),
+        copies: told,
+    };
+    let effects = leader.take(Event::Gateway {
+        connection: 1,
+        request,
+    });
+    let heard = effects.into_iter().find_map(|effect| match effect {
+        Effect::ReplyGateway {
+            reply: ControlReply::Watch { copies, .. },
+            ..
+        } => Some(copies),
+        _ => None,
+    });
+    heard.expect("an answer")
+}
+
+fn leader() -> Leader {
+    let mut leader = Leader::elected(Leader::settings(), Vec::new());
+    leader.persist();
+    let _answers = leader.replica.take_effects();
+    leader
+}
+
+#[test]
+fn each_gateway_hears_once_what_the_others_told() {
+    let mut leader = leader();
+    assert_eq!(watch(&mut leader, "a", copies(0..2)), []);
+    assert_eq!(watch(&mut leader, "b", copies(2..3)), copies(0..2));
+    assert_eq!(watch(&mut leader, "b", Vec::new()), []);
+    assert_eq!(watch(&mut leader, "a", Vec::new()), copies(2..3));
+    // One that comes later hears of all.
+    assert_eq!(watch(&mut leader, "c", Vec::new()), copies(0..3));
+}
+
+#[test]
+fn an_answer_is_bounded_and_the_rest_follows() {
+    let mut leader = leader();
+    let all = copies(0..MOST_IN_ANSWER as u64 + 10);
+    watch(&mut leader, "a", all.clone());
+    let mut heard = watch(&mut leader, "b", Vec::new());
+    assert_eq!(heard.len(), MOST_IN_ANSWER);
+    heard.extend(watch(&mut leader, "b", Vec::new()));
+    assert_eq!(heard, all);
+}
+
+#[test]
+fn what_was_told_long_ago_is_forgotten() {
+    let mut leader = leader();
+    watch(&mut leader, "a", copies(0..2));
+    leader.now = leader.now + Millis(20_001);
+    leader.take(Event::Tick);
+    assert_eq!(watch(&mut leader, "b", copies(2..3)), []);
+    assert_eq!(watch(&mut leader, "a", Vec::new()), copies(2..3));
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -2,6 +2,7 @@
 
 mod balancing;
 mod claims;
+mod copies;
 mod determinism;
 mod engine_orders;
 mod fleet;
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -35,6 +35,8 @@
     backend: BackendId,
     prompt: Option<Prompt>,
     unread: u64,
+    /// Whether the prompt was read.
+    read: bool,
     judged: bool,
 }
 
@@ -44,8 +46,12 @@
         let mut forwarder = gateway.forwarder.borrow_mut();
         let backend = job.backend.clone();
         let prompt = call.facts.prompt.as_ref();
-        let unread = match job.phase {
-            JobPhase::Whole | JobPhase::ReadPrompt => forwarder.sent(&backend, prompt, now),
+        let unread = match &job.phase {
+            JobPhase::Whole => forwarder.sent(&backend, prompt, None, now),
+            JobPhase::ReadPrompt(source) => {
+                let source = source.as_ref().map(|source| &source.backend);
+                forwarder.sent(&backend, prompt, source, now)
+            }
             JobPhase::Generate(_) => {
                 if let Some(prompt) = prompt {
                     forwarder.handed_over(&backend, prompt, now);
@@ -59,6 +65,7 @@
             backend,
             prompt: prompt.cloned(),
             unread,
+            read: false,
             judged: false,
         }
     }
@@ -70,9 +77,16 @@
 
     /// The prompt is read: the first piece is there.
     pub(crate) fn prompt_was_read(&mut self) {
+        if std::mem::replace(&mut self.read, true) {
+            return;
+        }
+        let now = self.gateway.now();
         let unread = std::mem::take(&mut self.unread);
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.read(&self.backend, unread);
+        if let Some(prompt) = &self.prompt {
+            forwarder.holds(&self.backend, prompt, now);
+        }
     }
 
     /// The back end did well.
@@ -211,7 +225,7 @@
 fn log_failure(call: &Call, job: &Job, cause: &str) {
     let phase = match job.phase {
         JobPhase::Whole => "whole",
-        JobPhase::ReadPrompt => "read_prompt",
+        JobPhase::ReadPrompt(_) => "read_prompt",
         JobPhase::Generate(_) => "generate",
     };
     log::info!(
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -2,13 +2,12 @@
 
 use std::rc::Rc;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason};
-
-use garnet_types::BackendId;
+use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt};
+use garnet_types::{BackendId, Millis};
 
 use crate::attempt::attempt;
 use crate::gateway::Gateway;
-use crate::ports::{BackendPort, Call, CallerPort, HandoverSource, Job};
+use crate::ports::{BackendPort, Call, CallerPort, HandoverSource, Job, JobPhase};
 
 /// Longest body of the answer to a prompt that was read.
 const SHORT_BODY: usize = 64 * 1024;
@@ -89,14 +88,8 @@
     let Some(read) = gateway.backends.read_prompt(&body) else {
         return Err(failed(&mut open));
     };
-    log::info!(
-        request = call.facts.id.as_str(),
-        backend = job.backend.as_str(),
-        unread_tokens = unread,
-        took_ms = gateway.now().since(began).0;
-        "prompt_read"
-    );
     let took = gateway.now().since(began);
+    log_read(call, job, unread, took);
     gateway.forwarder.borrow_mut().note_pace(unread, took);
     open.guard.prompt_was_read();
     open.guard.succeeded();
@@ -118,6 +111,25 @@
     })
 }
 
+fn log_read(call: &Call, job: &Job, unread: u64, took: Millis) {
+    let copied_from = match &job.phase {
+        JobPhase::ReadPrompt(Some(source)) => source.backend.as_str(),
+        _ => "",
+    };
+    let prompt = call.facts.prompt.as_ref();
+    log::info!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        beginning = prompt.map_or(0, Prompt::shared_key),
+        prompt_tokens = prompt.map_or(0, |prompt| prompt.tokens),
+        shared_tokens = prompt.map_or(0, Prompt::shared_tokens),
+        unread_tokens = unread,
+        copied_from = copied_from,
+        took_ms = took.0;
+        "prompt_read"
+    );
+}
+
 fn not_run(end: AttemptEnd) -> AttemptEnd {
     match end {
         AttemptEnd::Broken | AttemptEnd::Failed => AttemptEnd::NotRun(NotRunReason::CacheGone),
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use events::EventSplitter;
 pub use ports::{
-    BackendPort, Call, CallFacts, CallerPort, HandoverSource, HeadMeaning, Job, JobPhase,
-    PromptRead, ReadHead,
+    BackendPort, Call, CallFacts, CallerPort, CopySource, HandoverSource, HeadMeaning, Job,
+    JobPhase, PromptRead, ReadHead,
 };
 pub use start::{GatewayOptions, Ports, Replicas, run};
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -46,13 +46,23 @@
     pub handle: String,
 }
 
+/// An engine that holds a prompt's beginning.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopySource {
+    /// The engine.
+    pub backend: BackendId,
+    /// Its address.
+    pub address: String,
+}
+
 /// Part of a request that a back end is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobPhase {
     /// All of it.
     Whole,
-    /// Read the prompt and keep its KV cache for another engine.
-    ReadPrompt,
+    /// Read the prompt and keep its KV cache for another engine; what the
+    /// reader lacks of its beginning is copied first.
+    ReadPrompt(Option<CopySource>),
     /// Go on from a KV cache.
     Generate(HandoverSource),
 }
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::handover::{WaitingCache, read_prompt};
-use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
+use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
 use crate::whole::copy_head;
 
@@ -283,12 +283,15 @@
                 let job = self.job(JobPhase::Whole, backend);
                 Ok(self.send(&job).await.map(Some))
             }
-            Some(Placement::Handover { reader }) => Ok(self.read_at(reader).await),
+            Some(Placement::Handover { reader, copy_from }) => {
+                let source = copy_from.and_then(|holder| self.copy_source(holder));
+                Ok(self.read_at(reader, source).await)
+            }
         }
     }
 
-    async fn read_at(&mut self, reader: BackendId) -> Opened<C, B> {
-        let job = self.job(JobPhase::ReadPrompt, reader.clone());
+    async fn read_at(&mut self, reader: BackendId, source: Option<CopySource>) -> Opened<C, B> {
+        let job = self.job(JobPhase::ReadPrompt(source), reader.clone());
         match read_prompt(&self.gateway, &self.running.call, &job).await {
             Ok(cache) => {
                 self.cache = Some(cache);
@@ -330,6 +333,15 @@
         }
     }
 
+    fn copy_source(&self, holder: BackendId) -> Option<CopySource> {
+        let forwarder = self.gateway.forwarder.borrow();
+        let address = forwarder.backend(&holder)?.registration.address.clone();
+        Some(CopySource {
+            backend: holder,
+            address,
+        })
+    }
+
     async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
         self.running.served_by = Some(job.backend.clone());
         // A generator under load is slow with its first piece; one that is gone
@@ -342,7 +354,7 @@
     }
 
     fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
-        let resumes = phase != JobPhase::ReadPrompt;
+        let resumes = !matches!(phase, JobPhase::ReadPrompt(_));
         let last_id = self.splitter.last_id().filter(|_| resumes);
         Job {
             phase,
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -15,10 +15,13 @@
 use crate::ports::{BackendPort, CallerPort};
 use crate::start::Replicas;
 
-/// How often the leader is asked.
-const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the leader is asked: the more gateways there are, the less often
+/// each one asks, within bounds.
+const INTERVAL_PER_GATEWAY_MS: u64 = 15;
+const SHORTEST_INTERVAL_MS: u64 = 100;
+const LONGEST_INTERVAL_MS: u64 = 250;
 /// How often idle connections are looked at, in watches.
-const SWEEP_EVERY: u32 = 4;
+const SWEEP_EVERY: u32 = 6;
 
 /// The watch of one gateway.
 pub(crate) struct Watch<C, B> {
@@ -58,7 +61,16 @@
         self.gateway.now().since(self.heard_at.get())
     }
 
+    /// Time until the leader is asked again. The work of the other gateways is
+    /// the older the longer it is; the leader has all of them to answer.
+    fn interval(&self) -> Duration {
+        let gateways = self.gateway.forwarder.borrow().gateways();
+        let interval = gateways.saturating_mul(INTERVAL_PER_GATEWAY_MS);
+        Duration::from_millis(interval.clamp(SHORTEST_INTERVAL_MS, LONGEST_INTERVAL_MS))
+    }
+
     fn ask(&self) {
+        let copies = self.gateway.forwarder.borrow_mut().take_copies();
         let request = GatewayRequest::Watch {
             gateway: self.id.clone(),
             configuration_index: self.gateway.forwarder.borrow().configuration_index(),
@@ -66,6 +78,7 @@
             group_index: self.group_index.get(),
             mix: Vec::new(),
             backlogs: self.gateway.forwarder.borrow().own_backlogs(),
+            copies,
         };
         // What is lost is asked again.
         let _lost = self.requests.try_send(request);
@@ -77,6 +90,7 @@
             group,
             gateways,
             backlogs,
+            copies,
             ..
         } = reply
         else {
@@ -94,6 +108,7 @@
         if let Some(backlogs) = backlogs {
             forwarder.heard_of_others(&backlogs, self.gateway.now());
         }
+        forwarder.heard_of_copies(&copies, self.gateway.now());
         let after = (forwarder.routes_version(), forwarder.configuration_index());
         if before != after {
             let now = self.gateway.now();
@@ -150,7 +165,7 @@
             let asking = async {
                 let mut round: u32 = 0;
                 loop {
-                    Timer::after(WATCH_INTERVAL).await;
+                    Timer::after(watch.interval()).await;
                     watch.ask();
                     round = round.wrapping_add(1);
                     if round.is_multiple_of(SWEEP_EVERY) {
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use garnet_control::{Backlog, Configuration, WatchUpdate};
+use garnet_control::{Backlog, Configuration, PromptCopy, WatchUpdate};
 use garnet_routes::{CallerLimits, Route, RouteIndex};
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
@@ -19,6 +19,10 @@
 /// Draws that go on by this part of one are spread evenly at any count.
 const GOLDEN_PART: f64 = 0.618_033_988_749_894_9;
 
+/// Copies that wait to be told at most; what is left out is told of when it is
+/// used again.
+const MOST_NEWS: usize = 64;
+
 /// Settings of a forwarder.
 #[derive(Debug, Clone)]
 pub struct ForwarderSettings {
@@ -52,6 +56,8 @@
     gateways: u64,
     drawn: u64,
     pace: ReadingPace,
+    /// Copies that the other gateways should hear of.
+    news: Vec<PromptCopy>,
 }
 
 impl Forwarder {
@@ -68,6 +74,7 @@
             gateways: 1,
             drawn: 0,
             pace: ReadingPace::default(),
+            news: Vec::new(),
         }
     }
 
@@ -102,6 +109,11 @@
         self.gateways = gateways.max(1);
     }
 
+    /// Gateways that share the budgets, as far as known.
+    pub fn gateways(&self) -> u64 {
+        self.gateways
+    }
+
     /// Log index of the configuration in force here.
     pub fn configuration_index(&self) -> u64 {
         self.configuration.index
@@ -279,11 +291,33 @@
         }
     }
 
+    /// Copies to tell the other gateways of.
+    pub fn take_copies(&mut self) -> Vec<PromptCopy> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes what the other gateways know of copies.
+    pub fn heard_of_copies(&mut self, copies: &[PromptCopy], now: Millis) {
+        for copy in copies {
+            // One that is not known yet is told of again later.
+            if self.backends.contains_key(&copy.backend) {
+                let residency = self.residency.entry(copy.backend.clone()).or_default();
+                residency.note_told(copy.beginning, now);
+            }
+        }
+    }
+
     // ---- What attempts show ----
 
-    /// Notes a request that is sent to a back end. Returns the prompt tokens
-    /// that it has yet to read for it.
-    pub fn sent(&mut self, id: &BackendId, prompt: Option<&Prompt>, now: Millis) -> u64 {
+    /// Notes a request that is sent to a back end, which copies what it lacks
+    /// from `source`. Returns the prompt tokens that it has yet to read for it.
+    pub fn sent(
+        &mut self,
+        id: &BackendId,
+        prompt: Option<&Prompt>,
+        source: Option<&BackendId>,
+        now: Millis,
+    ) -> u64 {
         let Some(backend) = self.backends.get_mut(id) else {
             return 0;
         };
@@ -292,11 +326,12 @@
             backend.load.sent(0, 0);
             return 0;
         };
+        let copied = source.and_then(|source| self.residency.get(source));
+        let copied = copied.map_or(0, |residency| residency.copyable_tokens(prompt, now));
         let residency = self.residency.entry(id.clone()).or_default();
-        let unread = prompt
-            .tokens
-            .saturating_sub(residency.held_tokens(prompt, now));
-        residency.note(prompt, now);
+        let held = residency.held_tokens(prompt, now).max(copied);
+        let unread = prompt.tokens.saturating_sub(held);
+        residency.note_sent(prompt, now);
         backend.load.sent(unread, prompt.held_tokens());
         unread
     }
@@ -309,7 +344,7 @@
             self.residency
                 .entry(id.clone())
                 .or_default()
-                .note(prompt, now);
+                .note_sent(prompt, now);
         }
     }
 
@@ -340,14 +375,19 @@
         }
     }
 
-    /// Notes that an engine holds a prompt, such as after a hand-over.
+    /// Notes that an engine holds a prompt: it has read it, or took it over.
     pub fn holds(&mut self, id: &BackendId, prompt: &Prompt, now: Millis) {
-        if self.backends.contains_key(id) {
-            self.residency
-                .entry(id.clone())
-                .or_default()
-                .note(prompt, now);
+        if !self.backends.contains_key(id) {
+            return;
         }
+        let residency = self.residency.entry(id.clone()).or_default();
+        let news = residency.note_read(prompt, now);
+        let room = MOST_NEWS.saturating_sub(self.news.len());
+        let copy = |beginning| PromptCopy {
+            beginning,
+            backend: id.clone(),
+        };
+        self.news.extend(news.into_iter().take(room).map(copy));
     }
 
     /// Notes that a request is over at a back end, whatever its outcome.
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -11,6 +11,7 @@
 mod forwarder;
 mod patience;
 pub mod placement;
+mod reading;
 mod residency;
 mod share;
 mod work;
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::backends::Backend;
+use crate::reading::{Reading, cheapest_reading};
 use crate::residency::Residency;
 use crate::work::Prompt;
 
@@ -20,15 +21,6 @@
 /// Tokens more than elsewhere that a generator in the zone of the reader may
 /// hold before a KV cache leaves the zone.
 const MOVE_BETWEEN_ZONES: u64 = 100_000;
-/// Engines at which a shared beginning may be kept.
-const OWNERS: usize = 2;
-/// See [`spreading_cost`]: each token that is read at another owner counts so
-/// many times more.
-const SPREADING_COST: u64 = 2;
-/// A first owner that this gateway has not sent the beginning to lately holds
-/// it all the same, since the others send there too, but for this part.
-const DOUBT_PARTS: u64 = 4;
-
 /// Where a request goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Placement {
@@ -39,6 +31,8 @@
     Handover {
         /// Reads the prompt.
         reader: BackendId,
+        /// Holds more of its beginning, for the reader to copy first.
+        copy_from: Option<BackendId>,
     },
 }
 
@@ -94,12 +88,11 @@
     pub residency: Option<&'a Residency>,
 }
 
-/// An engine that may read the prompt, and what that costs there.
-#[derive(Debug, Clone, Copy)]
-struct Reading<'a, 'b> {
-    engine: &'a EngineView<'b>,
-    /// Prompt tokens to be read before this request's first piece.
-    tokens: u64,
+impl EngineView<'_> {
+    /// Its name.
+    pub fn id(&self) -> &BackendId {
+        &self.backend.registration.id
+    }
 }
 
 /// One engine for both phases, or two, by the prompt tokens that are to be
@@ -128,70 +121,24 @@
         Vec::new()
     };
     let now = preference.now;
-    let single = cheapest_reading(&mixed, prompt, now);
-    let handover = cheapest_reading(&readers, prompt, now);
+    let single = cheapest_reading(&mixed, &[], prompt, now);
+    let handover = cheapest_reading(&readers, &open, prompt, now);
     let single_cost = |reading: &Reading<'_, '_>| reading.tokens * MIXED_READING_COST;
     let handover_cost = |reading: &Reading<'_, '_>| reading.tokens + HANDOVER_TOKENS;
-    let id = |reading: Reading<'_, '_>| reading.engine.backend.registration.id.clone();
+    let by_two = |reading: &Reading<'_, '_>| Placement::Handover {
+        reader: reading.engine.id().clone(),
+        copy_from: reading.source.map(|source| source.id().clone()),
+    };
     match (single, handover) {
         (Some(single), Some(reader)) if handover_cost(&reader) < single_cost(&single) => {
-            Some(Placement::Handover { reader: id(reader) })
+            Some(by_two(&reader))
         }
-        (Some(single), _) => Some(Placement::One(id(single))),
-        (None, Some(reader)) => Some(Placement::Handover { reader: id(reader) }),
+        (Some(single), _) => Some(Placement::One(single.engine.id().clone())),
+        (None, Some(reader)) => Some(by_two(&reader)),
         (None, None) => None,
     }
 }
 
-/// Among the owners of the prompt's shared beginning, the engine that begins
-/// to generate first. Owners are found by rendezvous hashing: all gateways
-/// find the same ones without a word between them, and an engine that leaves
-/// moves only what it held.
-fn cheapest_reading<'a, 'b>(
-    engines: &[&'a EngineView<'b>],
-    prompt: &Prompt,
-    now: Millis,
-) -> Option<Reading<'a, 'b>> {
-    let key = prompt.shared_key();
-    let mut ranked: Vec<&'a EngineView<'b>> = engines.to_vec();
-    ranked.sort_by_cached_key(|engine| {
-        let id = engine.backend.registration.id.as_str().as_bytes();
-        std::cmp::Reverse(xxh3_64_with_seed(id, key))
-    });
-    let owners = ranked.into_iter().take(OWNERS).enumerate();
-    let reading = |(rank, engine): (usize, &'a EngineView<'b>)| {
-        let queued = engine.backend.load.unread_tokens(now);
-        let unread = unread(engine, prompt, rank == 0, now);
-        let unread_shared = unread.min(prompt.shared_tokens());
-        let tokens = queued + unread + spreading_cost(rank, unread_shared);
-        Reading { engine, tokens }
-    };
-    owners.map(reading).min_by_key(|reading| reading.tokens)
-}
-
-/// What keeping a beginning at another engine as well costs all: memory that
-/// others lose, and what is read again for that.
-fn spreading_cost(rank: usize, unread_shared: u64) -> u64 {
-    if rank == 0 {
-        0
-    } else {
-        unread_shared * SPREADING_COST
-    }
-}
-
-fn unread(engine: &EngineView<'_>, prompt: &Prompt, first_owner: bool, now: Millis) -> u64 {
-    let held = engine
-        .residency
-        .map_or(0, |residency| residency.held_tokens(prompt, now));
-    let shared = prompt.shared_tokens();
-    let likely = if first_owner && held < shared {
-        shared - shared / DOUBT_PARTS
-    } else {
-        held
-    };
-    prompt.tokens.saturating_sub(likely.max(held))
-}
-
 /// Who goes on from the reader's KV cache: in its zone, since moves between
 /// zones take longer, and with the most memory left: what is scarce where
 /// prompts are long.
--- /dev/null
+++ b/components/forwarding/src/reading.rs
@@ -0,0 +1,160 @@
+//! Which engine reads a prompt, and where it copies the beginning from that it
+//! lacks: a pure function over what is believed.
+//!
+//! Each shared beginning has two owners, found by rendezvous hashing: all
+//! gateways find the same ones without a word between them, and an engine that
+//! leaves moves only what it owned. An owner that lacks the beginning copies it
+//! from whoever was seen to hold it, in a small part of the time that reading
+//! takes.
+
+use std::cmp::Reverse;
+
+use garnet_types::Millis;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::placement::EngineView;
+use crate::work::Prompt;
+
+/// Engines at which a shared beginning may be kept.
+const OWNERS: usize = 2;
+/// Shared beginnings up to this many tokens are not worth a place of their own:
+/// any reader takes them.
+const WORTHLESS_SHARED: u64 = 1_000;
+/// See [`spreading_cost`]: each token that another owner lacks counts so many
+/// times more.
+const SPREADING_COST: u64 = 2;
+/// A first owner that this gateway has not sent the beginning to lately holds
+/// it all the same, since the others send there too, but for this part.
+const DOUBT_PARTS: u64 = 4;
+/// What beginning to copy costs, in prompt tokens that could be read in that
+/// time.
+const COPY_SETUP_TOKENS: u64 = 400;
+/// One token is read in the time in which so many are copied.
+const COPIED_TOKENS_PER_READ_TOKEN: u64 = 16;
+/// Copies between zones take so many times longer.
+const COPY_BETWEEN_ZONES: u64 = 2;
+
+/// An engine that may read the prompt, and what that costs there.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reading<'a, 'b> {
+    pub(crate) engine: &'a EngineView<'b>,
+    /// Holds more of the beginning.
+    pub(crate) source: Option<&'a EngineView<'b>>,
+    /// Prompt tokens to be read before this request's first piece.
+    pub(crate) tokens: u64,
+}
+
+/// Among the owners of the prompt's shared beginning, the engine that begins
+/// to generate first; what it lacks is copied from one of `holders`.
+pub(crate) fn cheapest_reading<'a, 'b>(
+    readers: &[&'a EngineView<'b>],
+    holders: &[&'a EngineView<'b>],
+    prompt: &Prompt,
+    now: Millis,
+) -> Option<Reading<'a, 'b>> {
+    let sources = sources(holders, prompt, now);
+    let candidates = if prompt.shared_tokens() <= WORTHLESS_SHARED {
+        readers.len()
+    } else {
+        OWNERS
+    };
+    let reading = |(rank, engine): (usize, &'a EngineView<'b>)| {
+        let queued = engine.backend.load.unread_tokens(now);
+        let held = held_tokens(engine, prompt, rank == 0, now);
+        let spread = spreading_cost(rank, prompt.tokens - held, prompt);
+        let (unread, source) = cheapest_copy(engine, held, &sources, prompt);
+        Reading {
+            engine,
+            source,
+            tokens: queued + unread + spread,
+        }
+    };
+    let owners = ranked(readers, prompt).into_iter().take(candidates);
+    owners
+        .enumerate()
+        .map(reading)
+        .min_by_key(|reading| reading.tokens)
+}
+
+fn ranked<'a, 'b>(readers: &[&'a EngineView<'b>], prompt: &Prompt) -> Vec<&'a EngineView<'b>> {
+    let key = prompt.shared_key();
+    let mut ranked = readers.to_vec();
+    ranked.sort_by_cached_key(|engine| {
+        let id = engine.id().as_str().as_bytes();
+        Reverse(xxh3_64_with_seed(id, key))
+    });
+    ranked
+}
+
+/// What keeping a beginning at another engine as well costs all: memory that
+/// others lose, and what is read again for that.
+fn spreading_cost(rank: usize, lacking: u64, prompt: &Prompt) -> u64 {
+    if rank == 0 {
+        0
+    } else {
+        lacking.min(prompt.shared_tokens()) * SPREADING_COST
+    }
+}
+
+fn held_tokens(engine: &EngineView<'_>, prompt: &Prompt, first_owner: bool, now: Millis) -> u64 {
+    let known = engine
+        .residency
+        .map_or(0, |residency| residency.held_tokens(prompt, now));
+    let shared = prompt.shared_tokens();
+    let likely = if first_owner {
+        shared - shared / DOUBT_PARTS
+    } else {
+        0
+    };
+    known.max(likely).min(prompt.tokens)
+}
+
+/// An engine that the beginning can be copied from.
+#[derive(Clone, Copy)]
+struct Source<'a, 'b> {
+    engine: &'a EngineView<'b>,
+    tokens: u64,
+}
+
+fn sources<'a, 'b>(
+    holders: &[&'a EngineView<'b>],
+    prompt: &Prompt,
+    now: Millis,
+) -> Vec<Source<'a, 'b>> {
+    let source = |engine: &&'a EngineView<'b>| {
+        let residency = engine.residency?;
+        let tokens = residency.copyable_tokens(prompt, now);
+        (tokens > 0).then_some(Source { engine, tokens })
+    };
+    holders.iter().filter_map(source).collect()
+}
+
+/// Tokens to be read at an engine that holds `held`, the time to copy the rest
+/// of the beginning counted in tokens, and the engine that it is copied from.
+fn cheapest_copy<'a, 'b>(
+    engine: &EngineView<'b>,
+    held: u64,
+    sources: &[Source<'a, 'b>],
+    prompt: &Prompt,
+) -> (u64, Option<&'a EngineView<'b>>) {
+    let unread = prompt.tokens - held;
+    let copying = |source: &Source<'a, 'b>| {
+        let copied = source.tokens.saturating_sub(held);
+        let left = prompt.tokens.saturating_sub(source.tokens.max(held));
+        let cost = left + copy_cost(engine, source.engine, copied);
+        (cost, source.engine)
+    };
+    let others = sources
+        .iter()
+        .filter(|source| source.engine.id() != engine.id());
+    match others.map(copying).min_by_key(|(cost, _)| *cost) {
+        Some((cost, source)) if cost < unread => (cost, Some(source)),
+        _ => (unread, None),
+    }
+}
+
+fn copy_cost(to: &EngineView<'_>, from: &EngineView<'_>, tokens: u64) -> u64 {
+    let near = to.backend.registration.zone == from.backend.registration.zone;
+    let times = if near { 1 } else { COPY_BETWEEN_ZONES };
+    COPY_SETUP_TOKENS + times * tokens / COPIED_TOKENS_PER_READ_TOKEN
+}
--- a/components/forwarding/src/residency.rs
+++ b/components/forwarding/src/residency.rs
@@ -1,4 +1,4 @@
-//! Which prompt beginnings an engine was sent lately, by this gateway.
+//! Which prompt beginnings an engine holds, as far as this gateway knows.
 
 use std::collections::HashMap;
 
@@ -10,39 +10,101 @@
 const MOST_BEGINNINGS: usize = 512;
 /// A beginning that was not used for so long may have given way.
 const BELIEVED_FOR: Millis = Millis::from_secs(30);
+/// A beginning that was not used for so long is not worth asking for a copy.
+const COPYABLE_FOR: Millis = Millis::from_secs(10);
+/// The other gateways are told again of a beginning after so long.
+const TOLD_FOR: Millis = Millis::from_secs(5);
+
+/// What is believed of one beginning.
+#[derive(Debug, Clone, Copy)]
+struct Belief {
+    used_at: Millis,
+    /// Whether it was read to its end; until then it can't be copied.
+    is_read: bool,
+    /// When a gateway told the others, this one or another.
+    told_at: Option<Millis>,
+}
 
 /// Beliefs about the prefix cache of one engine.
 #[derive(Debug, Clone, Default)]
 pub struct Residency {
-    used_at: HashMap<u64, Millis>,
+    beliefs: HashMap<u64, Belief>,
 }
 
 impl Residency {
-    /// Notes that the engine reads or has read the prompt.
-    pub fn note(&mut self, prompt: &Prompt, now: Millis) {
+    /// Notes that the engine is sent the prompt.
+    pub fn note_sent(&mut self, prompt: &Prompt, now: Millis) {
         for (key, _) in prompt.beginnings() {
-            self.used_at.insert(key, now);
+            self.note(key, now);
         }
-        if self.used_at.len() > MOST_BEGINNINGS {
-            self.forget_old(now);
+        self.forget_old(now);
+    }
+
+    /// Notes that the engine holds the whole prompt now. Gives the shared
+    /// beginnings that the other gateways should hear of.
+    pub fn note_read(&mut self, prompt: &Prompt, now: Millis) -> Vec<u64> {
+        let beginnings = prompt.beginnings();
+        let shared = beginnings.len().saturating_sub(1);
+        let mut news = Vec::new();
+        for (place, (key, _)) in beginnings.into_iter().enumerate() {
+            let belief = self.note(key, now);
+            belief.is_read = true;
+            let known = belief.told_at.is_some_and(|at| now.since(at) <= TOLD_FOR);
+            if place < shared && !known {
+                belief.told_at = Some(now);
+                news.push(key);
+            }
         }
+        self.forget_old(now);
+        news
+    }
+
+    /// Notes what another gateway told.
+    pub fn note_told(&mut self, key: u64, now: Millis) {
+        let belief = self.note(key, now);
+        belief.is_read = true;
+        belief.told_at = Some(now);
+        self.forget_old(now);
     }
 
-    /// Tokens of the prompt that the engine is believed to hold.
+    /// Tokens of the prompt that the engine is believed to hold, or to have
+    /// read before this prompt's turn comes.
     pub fn held_tokens(&self, prompt: &Prompt, now: Millis) -> u64 {
-        let believed = |key: &u64| {
-            let used_at = self.used_at.get(key);
-            used_at.is_some_and(|at| now.since(*at) <= BELIEVED_FOR)
-        };
+        self.tokens(prompt, |belief| now.since(belief.used_at) <= BELIEVED_FOR)
+    }
+
+    /// Tokens of the prompt that can be copied from the engine.
+    pub fn copyable_tokens(&self, prompt: &Prompt, now: Millis) -> u64 {
+        self.tokens(prompt, |belief| {
+            belief.is_read && now.since(belief.used_at) < COPYABLE_FOR
+        })
+    }
+
+    fn tokens(&self, prompt: &Prompt, counts: impl Fn(&Belief) -> bool) -> u64 {
+        let believed = |key: &u64| self.beliefs.get(key).is_some_and(&counts);
         let beginnings = prompt.beginnings();
         let held = beginnings.iter().take_while(|(key, _)| believed(key));
         held.last().map_or(0, |(_, tokens)| *tokens)
     }
 
+    fn note(&mut self, key: u64, now: Millis) -> &mut Belief {
+        let belief = self.beliefs.entry(key).or_insert(Belief {
+            used_at: now,
+            is_read: false,
+            told_at: None,
+        });
+        belief.used_at = now;
+        belief
+    }
+
     fn forget_old(&mut self, now: Millis) {
-        let mut ages: Vec<Millis> = self.used_at.values().map(|at| now.since(*at)).collect();
+        if self.beliefs.len() <= MOST_BEGINNINGS {
+            return;
+        }
+        let age = |belief: &Belief| now.since(belief.used_at);
+        let mut ages: Vec<Millis> = self.beliefs.values().map(age).collect();
         ages.sort_unstable();
         let limit = ages[MOST_BEGINNINGS / 2];
-        self.used_at.retain(|_, at| now.since(*at) <= limit);
+        self.beliefs.retain(|_, belief| age(belief) <= limit);
     }
 }
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -1,9 +1,9 @@
 //! Where work goes.
 
-use garnet_control::BackendRecord;
-use garnet_forwarding::{LoadReport, Placement};
+use garnet_control::{BackendRecord, Backlog, PromptCopy};
+use garnet_forwarding::{Forwarder, LoadReport, Placement, Prompt};
 use garnet_routes::WorkKind;
-use garnet_types::{BackendId, EngineRole, ServiceId};
+use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 
 use crate::fleet::{NOW, forwarder, prompt, record, work};
 
@@ -32,6 +32,103 @@
     Some(Placement::One(BackendId::new(id)))
 }
 
+fn reader_of(placement: Option<Placement>) -> BackendId {
+    match placement {
+        Some(Placement::Handover { reader, .. }) => reader,
+        other => panic!("a long prompt is handed over: {other:?}"),
+    }
+}
+
+fn copy(beginning: u64, backend: &BackendId) -> PromptCopy {
+    PromptCopy {
+        beginning,
+        backend: backend.clone(),
+    }
+}
+
+/// The reader and the engine that it copies from.
+fn reading(
+    gateway: &mut Forwarder,
+    prompt: Prompt,
+    tried: &[BackendId],
+) -> (BackendId, Option<BackendId>) {
+    let work = work(WorkKind::Stream, Some(prompt));
+    match gateway.place(&ServiceId::new("words"), &work, tried, true, NOW) {
+        Some(Placement::Handover { reader, copy_from }) => (reader, copy_from),
+        other => panic!("a long prompt is handed over: {other:?}"),
+    }
+}
+
+#[test]
+fn an_owner_that_lacks_a_beginning_copies_it_from_who_was_told_to_hold_it() {
+    let mut gateway = forwarder(&engines());
+    let asked = prompt(7, 1, 20_000);
+    let (owner, nowhere) = reading(&mut gateway, asked.clone(), &[]);
+    assert_eq!(nowhere, None);
+    let holder = BackendId::new("g-b");
+    gateway.heard_of_copies(&[copy(asked.shared_key(), &holder)], NOW);
+    let (reader, from) = reading(&mut gateway, asked.clone(), &[]);
+    assert_eq!((reader, from.as_ref()), (owner.clone(), Some(&holder)));
+    // The other owner copies it as well, when the first one failed.
+    let (second, from) = reading(&mut gateway, asked.clone(), std::slice::from_ref(&owner));
+    assert_ne!(second, owner);
+    assert_eq!(from, Some(holder.clone()));
+    // What the owner is known to hold itself is not copied.
+    gateway.holds(&owner, &asked, NOW);
+    assert_eq!(reading(&mut gateway, asked, &[]), (owner, None));
+}
+
+#[test]
+fn a_beginning_is_not_copied_before_it_is_read_nor_long_after() {
+    let mut gateway = forwarder(&engines());
+    let asked = prompt(7, 1, 20_000);
+    let holder = BackendId::new("g-b");
+    gateway.sent(&holder, Some(&asked), None, NOW);
+    assert_eq!(reading(&mut gateway, asked.clone(), &[]).1, None);
+    let told = [copy(asked.shared_key(), &BackendId::new("g-a1"))];
+    let long_ago = Millis::ZERO;
+    assert!(NOW.since(long_ago) >= Millis(10_000));
+    gateway.heard_of_copies(&told, long_ago);
+    assert_eq!(reading(&mut gateway, asked, &[]).1, None);
+}
+
+#[test]
+fn others_are_told_of_a_copy_once() {
+    let mut gateway = forwarder(&engines());
+    let asked = prompt(7, 1, 20_000);
+    let reader = BackendId::new("r-a");
+    gateway.holds(&reader, &asked, NOW);
+    gateway.holds(&reader, &prompt(7, 2, 20_000), NOW);
+    assert_eq!(gateway.take_copies(), [copy(asked.shared_key(), &reader)]);
+    assert_eq!(gateway.take_copies(), []);
+    // What another gateway told is known to all.
+    gateway.heard_of_copies(&[copy(asked.shared_key(), &BackendId::new("r-b"))], NOW);
+    gateway.holds(&BackendId::new("r-b"), &asked, NOW);
+    assert_eq!(gateway.take_copies(), []);
+}
+
+#[test]
+fn a_short_beginning_is_read_wherever_least_waits() {
+    let mut all = engines();
+    all.push(record("r-c", "words", "c", Some(EngineRole::Prefill)));
+    let mut gateway = forwarder(&all);
+    let short = prompt(7, 1, 500);
+    let busy = |id: &str| Backlog {
+        backend: BackendId::new(id),
+        requests: 9,
+        unread_tokens: 90_000,
+        held_tokens: 90_000,
+    };
+    for (idle, others) in [
+        ("r-a", ["r-b", "r-c"]),
+        ("r-b", ["r-a", "r-c"]),
+        ("r-c", ["r-a", "r-b"]),
+    ] {
+        gateway.heard_of_others(&others.map(busy), NOW);
+        assert_eq!(reading(&mut gateway, short.clone(), &[]).0.as_str(), idle);
+    }
+}
+
 #[test]
 fn the_own_zone_takes_application_work_until_it_is_busier() {
     let till = ServiceId::new("till");
@@ -123,10 +220,8 @@
     let words = ServiceId::new("words");
     let work = work(WorkKind::Stream, Some(prompt(7, 1, 20_000)));
     let mut gateway = forwarder(&engines());
-    let Some(Placement::Handover { reader }) = gateway.place(&words, &work, &[], true, NOW) else {
-        panic!("a long prompt is handed over");
-    };
-    let backlog = garnet_control::Backlog {
+    let reader = reader_of(gateway.place(&words, &work, &[], true, NOW));
+    let backlog = Backlog {
         backend: reader.clone(),
         requests: 9,
         unread_tokens: 90_000,
@@ -134,7 +229,7 @@
     };
     gateway.heard_of_others(&[backlog], NOW);
     let placed = gateway.place(&words, &work, &[], true, NOW);
-    assert_ne!(placed, Some(Placement::Handover { reader }));
+    assert_ne!(reader_of(placed), reader);
 }
 
 #[test]
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -43,6 +43,7 @@
         group: None,
         gateways: 1,
         backlogs: None,
+        copies: Vec::new(),
     }));
     assert!(harness.gateway.is_ready(harness.now));
     assert!(!harness.gateway.is_ready(sent_at + CONFIGURATION_LEASE));
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -69,6 +69,7 @@
             group: None,
             gateways: 1,
             backlogs: None,
+            copies: Vec::new(),
         }));
     }
 
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -43,7 +43,7 @@
 impl Default for PoolSettings {
     fn default() -> Self {
         PoolSettings {
-            connect_time: Duration::from_millis(400),
+            connect_time: Duration::from_millis(150),
             silence: Duration::from_millis(1200),
             idle_time: Duration::from_secs(4),
             idle_per_address: 64,
