Budgets of repeats count sliding windows; a failed resumable stream begins anew

Change: share.rs counts requests and repeats in slots of a sliding window, 0.75 of what the operators allow; a gateway that starts has 0.4 of its fixed part at once, the rest over a window. A failure of an engine's own is kept and the work tried elsewhere where it may be repeated; it is passed on when no engine is left.

--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -6,11 +6,12 @@
 use futures_lite::stream::unfold;
 use garnet_forwarding::{AttemptEnd, GivenUp, NotRunReason, Placement};
 use garnet_routes::WorkKind;
-use garnet_runtime::Body;
 use garnet_runtime::server::{BodyCut, stream_body};
+use garnet_runtime::{Body, bytes_body};
 use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
+use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
 use crate::attempt::{OpenAnswer, attempt, within};
@@ -21,6 +22,9 @@
 use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
 use crate::whole::copy_head;
 
+/// Longest failure of an engine's own that is passed on.
+const LONGEST_FAILURE: usize = 1024 * 1024;
+
 /// A stream under way.
 struct Stream<C: CallerPort + 'static, B: BackendPort + 'static> {
     gateway: Rc<Gateway<C, B>>,
@@ -29,6 +33,8 @@
     splitter: EventSplitter,
     /// The prompt as one engine read it, for another to go on from.
     cache: Option<WaitingCache<C, B>>,
+    /// An engine's failure, to be passed on where no other engine answers.
+    failure: Option<Box<Response<Body>>>,
     /// Whether the present engine has sent a piece.
     begun: bool,
     ended: bool,
@@ -59,6 +65,7 @@
         open: None,
         splitter,
         cache: None,
+        failure: None,
         begun: false,
         ended: false,
     };
@@ -67,7 +74,10 @@
         until(gateway, due).await;
         None
     };
-    match smol::future::or(opening, late).await {
+    let opened = smol::future::or(opening, late).await;
+    let failure = stream.failure.take();
+    let opened = opened.map(|opened| opened.map_err(|refused| refused.or_answered(failure)));
+    match opened {
         Some(Ok((head, first))) => stream.answer(head, first),
         Some(Err(Refused::GivenUp(given_up))) => {
             let answer = OwnAnswer::given_up(given_up, stream.running.work.objective);
@@ -93,12 +103,20 @@
     Answered(Box<Response<Body>>),
 }
 
+impl Refused {
+    /// An engine's own failure tells more than that the request was given up.
+    fn or_answered(self, failure: Option<Box<Response<Body>>>) -> Self {
+        match (self, failure) {
+            (Refused::GivenUp(_), Some(failure)) => Refused::Answered(failure),
+            (refused, _) => refused,
+        }
+    }
+}
+
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
     /// Opens the stream and waits for its first piece: until then nothing was
     /// promised to the caller, and another engine may begin anew.
-    async fn open_with_first_piece(
-        &mut self,
-    ) -> Result<(hyper::http::response::Parts, Bytes), Refused> {
+    async fn open_with_first_piece(&mut self) -> Result<(Parts, Bytes), Refused> {
         loop {
             self.open().await?;
             let Some(open) = &self.open else {
@@ -106,7 +124,8 @@
             };
             let head = copy_head(&open.exchange.head);
             if !head.status.is_success() {
-                return Err(self.pass_failure_on(head).await);
+                self.after_failure(head).await?;
+                continue;
             }
             match self.next_from_engine().await {
                 Next::Piece(first) => return Ok((head, first)),
@@ -120,7 +139,7 @@
     }
 
     /// The answer with its first piece and all that follow.
-    fn answer(self, head: hyper::http::response::Parts, first: Bytes) -> Response<Body> {
+    fn answer(self, head: Parts, first: Bytes) -> Response<Body> {
         let took = self.gateway.now().since(self.running.arrived);
         let route = &self.running.route.name;
         self.gateway.metrics.first_piece(route, took);
@@ -394,25 +413,25 @@
         go_on(&self.gateway, &mut self.running, end).map_err(Refused::GivenUp)
     }
 
-    /// The engine's own failure, passed on as it is.
-    async fn pass_failure_on(&mut self, head: hyper::http::response::Parts) -> Refused {
-        const LONGEST_FAILURE: usize = 1024 * 1024;
+    /// The engine answered with a failure of its own. Another engine may begin
+    /// anew where the work may be repeated; else the failure is passed on.
+    async fn after_failure(&mut self, head: Parts) -> Result<(), Refused> {
         let Some(mut open) = self.open.take() else {
-            return Refused::GivenUp(self.running.progress.given_up());
+            return Err(Refused::GivenUp(self.running.progress.given_up()));
         };
-        if head.status.is_server_error() {
+        let is_fault = head.status.is_server_error();
+        if is_fault {
             open.guard.failed();
         }
-        match open.exchange.read_whole(LONGEST_FAILURE).await {
-            Ok(body) => {
-                open.exchange.finish();
-                let body = garnet_runtime::bytes_body(body);
-                Refused::Answered(Box::new(Response::from_parts(head, body)))
-            }
-            Err(_) => {
-                self.running.progress.note(AttemptEnd::Broken);
-                Refused::GivenUp(GivenUp::InDoubt)
-            }
+        let Ok(body) = open.exchange.read_whole(LONGEST_FAILURE).await else {
+            return self.after(AttemptEnd::Broken);
+        };
+        open.exchange.finish();
+        let answer = Box::new(Response::from_parts(head, bytes_body(body)));
+        if is_fault && self.after(AttemptEnd::Failed).is_ok() {
+            self.failure = Some(answer);
+            return Ok(());
         }
+        Err(Refused::Answered(answer))
     }
 }
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -256,8 +256,7 @@
     /// Notes the first attempt of a request.
     pub fn earn_repeats(&mut self, service: &ServiceId, now: Millis) {
         let share = self.settings.budget;
-        let gateways = self.gateways;
-        self.budget(service, now).earn(&share, gateways);
+        self.budget(service, now).earn(&share, now);
     }
 
     /// Takes one repeat from the service's budget; `false` when none is left.
@@ -268,11 +267,9 @@
     }
 
     fn budget(&mut self, service: &ServiceId, now: Millis) -> &mut ServiceBudget {
-        let share = self.settings.budget;
-        let gateways = self.gateways;
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| ServiceBudget::full(&share, gateways, now))
+            .or_insert_with(|| ServiceBudget::beginning_at(now))
     }
 
     // ---- Other gateways ----
--- a/components/forwarding/src/share.rs
+++ b/components/forwarding/src/share.rs
@@ -1,9 +1,14 @@
 //! This gateway's share of a service's budget of repeated attempts.
 //!
-//! All gateways together may send a service only so many repeats in a window:
+//! All gateways together may send a service only so many repeats in any window:
 //! a part of its requests, and a fixed number on top. The part is each
 //! gateway's own; the fixed number is divided among the gateways that the
 //! leader counts.
+//!
+//! Invariant: a gateway's repeats in a window stay within its share of what its
+//! requests in that same window allow, so the sum over gateways does too.
+
+use std::collections::VecDeque;
 
 use garnet_types::Millis;
 
@@ -20,45 +25,88 @@
 
 /// Part of the allowance that is used: gateways come and go, and a count that
 /// is a moment old must not lead past it.
-const SAFE_PART: f64 = 0.6;
+const SAFE_PART: f64 = 0.75;
+/// Part of the fixed number that a gateway may use as soon as it starts.
+const FIRST_PART: f64 = 0.4;
+/// Slots that a window is counted in.
+const SLOTS: u64 = 20;
 
-/// The repeats that one gateway may still send to one service.
+/// What happened in one slot.
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    number: u64,
+    requests: u64,
+    repeats: u64,
+}
+
+/// Requests and repeats that one gateway sent to one service lately.
 #[derive(Debug, Clone)]
 pub(crate) struct ServiceBudget {
-    available: f64,
-    filled_at: Millis,
+    began_at: Millis,
+    slots: VecDeque<Slot>,
 }
 
 impl ServiceBudget {
-    pub(crate) fn full(share: &BudgetShare, gateways: u64, now: Millis) -> Self {
+    /// A budget that begins now. What a former life of the gateway spent is not
+    /// known, so a part of the fixed number comes in over one window.
+    pub(crate) fn beginning_at(now: Millis) -> Self {
         ServiceBudget {
-            available: most(share, gateways),
-            filled_at: now,
+            began_at: now,
+            slots: VecDeque::new(),
         }
     }
 
     /// Notes a first attempt.
-    pub(crate) fn earn(&mut self, share: &BudgetShare, gateways: u64) {
-        let earned = self.available + share.per_request * SAFE_PART;
-        self.available = earned.min(most(share, gateways));
+    pub(crate) fn earn(&mut self, share: &BudgetShare, now: Millis) {
+        self.present_slot(share, now).requests += 1;
     }
 
     /// Takes one repeat; `false` when none is left.
     pub(crate) fn spend(&mut self, share: &BudgetShare, gateways: u64, now: Millis) -> bool {
-        let most = most(share, gateways);
-        let elapsed = now.since(self.filled_at).0 as f64 / share.window.0.max(1) as f64;
-        self.filled_at = now;
-        // What was saved is spread over a window, so that no two bursts of
-        // repeats fall into one.
-        self.available = (self.available + most * elapsed / 2.0).min(most);
-        let allowed = self.available >= 1.0;
+        self.present_slot(share, now);
+        let spent: u64 = self.slots.iter().map(|slot| slot.repeats).sum();
+        let allowed = spent as f64 + 1.0 <= self.allowance(share, gateways, now);
         if allowed {
-            self.available -= 1.0;
+            self.present_slot(share, now).repeats += 1;
         }
         allowed
     }
+
+    fn allowance(&self, share: &BudgetShare, gateways: u64, now: Millis) -> f64 {
+        let present = slot_number(share, now);
+        // The oldest slot lies in the window in part: its repeats count, its
+        // requests do not.
+        let whole = |slot: &&Slot| slot.number + SLOTS > present;
+        let requests: u64 = self
+            .slots
+            .iter()
+            .filter(whole)
+            .map(|slot| slot.requests)
+            .sum();
+        let known_for = now.since(self.began_at).0 as f64 / share.window.0.max(1) as f64;
+        let extra = share.extra / gateways.max(1) as f64 * known_for.clamp(FIRST_PART, 1.0);
+        SAFE_PART * (share.per_request * requests as f64 + extra)
+    }
+
+    fn present_slot(&mut self, share: &BudgetShare, now: Millis) -> &mut Slot {
+        let number = slot_number(share, now);
+        let is_over = |slot: &Slot| slot.number + SLOTS < number;
+        while self.slots.front().is_some_and(is_over) {
+            self.slots.pop_front();
+        }
+        let is_present = self.slots.back().is_some_and(|slot| slot.number == number);
+        if !is_present {
+            self.slots.push_back(Slot {
+                number,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        let last = self.slots.len() - 1;
+        &mut self.slots[last]
+    }
 }
 
-fn most(share: &BudgetShare, gateways: u64) -> f64 {
-    share.extra * SAFE_PART / 2.0 / gateways.max(1) as f64
+fn slot_number(share: &BudgetShare, now: Millis) -> u64 {
+    now.0 * SLOTS / share.window.0.max(1)
 }
--- a/components/forwarding/tests/core/budgets.rs
+++ b/components/forwarding/tests/core/budgets.rs
@@ -5,15 +5,25 @@
 
 use crate::fleet::{NOW, forwarder};
 
+/// As [`most_with_restarts`], with gateways that run all the time.
+fn most_in_a_window(gateways: u64, requests: u64, seconds: u64) -> u64 {
+    most_with_restarts(gateways, requests, seconds, None)
+}
+
 /// Most repeats that `gateways` let through in any window of ten seconds,
 /// with `requests` a second at each of them and as many repeats as possible.
-fn most_in_a_window(gateways: u64, requests: u64, seconds: u64) -> u64 {
+/// All of them may start anew at one moment, with no memory.
+fn most_with_restarts(gateways: u64, requests: u64, seconds: u64, restart: Option<u64>) -> u64 {
     let service = ServiceId::new("till");
     let mut spent = vec![0_u64; seconds as usize];
     for gateway in 0..gateways {
         let mut forwarder = forwarder(&[]);
         forwarder.set_gateways(gateways);
         for second in 0..seconds {
+            if restart == Some(second) {
+                forwarder = crate::fleet::forwarder(&[]);
+                forwarder.set_gateways(gateways);
+            }
             let now = NOW + Millis::from_secs(second) + Millis(gateway);
             for _ in 0..requests {
                 forwarder.earn_repeats(&service, now);
@@ -36,6 +46,32 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+    #[test]
+    fn gateways_that_all_start_anew_stay_near_it(gateways in 1_u64..20, requests in 1_u64..20, restart in 1_u64..30) {
+        let most = most_with_restarts(gateways, requests, 30, Some(restart));
+        // What the former lives spent in the window is not known.
+        let allowed = 50 + gateways * requests * 10 / 5;
+        let slack_twice = 50 * 3 / 4;
+        prop_assert!(most <= allowed + slack_twice, "{most} of {allowed}");
+    }
+}
+
+#[test]
+fn repeats_come_in_a_burst_when_requests_went_well_before() {
+    let service = ServiceId::new("till");
+    let mut forwarder = forwarder(&[]);
+    forwarder.set_gateways(7);
+    let mut allowed = 0;
+    for tenth in 0..100 {
+        let now = NOW + Millis(tenth * 100);
+        forwarder.earn_repeats(&service, now);
+        allowed += u64::from(tenth >= 80 && forwarder.spend_repeat(&service, now));
+    }
+    assert!(allowed >= 15, "{allowed} of 20");
+}
+
 #[test]
 fn a_service_with_traffic_gets_repeats() {
     assert!(most_in_a_window(7, 5, 30) >= 50);
