Head and rest of a caller's connection end by the limits in force

Ruled out: two limits in the library (it has none for rest).

Change: connection_clock.rs tells resting, head and serving apart per connection and closes by limits that may change while it is open; gateways take them from the route table. Other servers keep 5 s for both.

--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -2,9 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use garnet_forwarding::Forwarder;
-use garnet_runtime::{Clock, ConnectionPool};
+use garnet_routes::CallerLimits;
+use garnet_runtime::{Clock, ConnectionPool, ConnectionTimes, Shared};
 use garnet_types::Millis;
 use smol::LocalExecutor;
 
@@ -27,12 +29,22 @@
     pub(crate) clock: Clock,
     pub(crate) started_at: Millis,
     pub(crate) metrics: GatewayMetrics,
+    /// Bounds on the time of callers' connections, by the route table in force.
+    pub(crate) connection_times: Shared<ConnectionTimes>,
     /// Set by a planned stop: callers are asked to leave.
     pub(crate) stopping: Cell<bool>,
     /// Requests without their final answer.
     pub(crate) open_requests: Rc<Cell<usize>>,
 }
 
+/// Bounds on the time of a caller's connection.
+pub(crate) fn connection_times(limits: CallerLimits) -> ConnectionTimes {
+    ConnectionTimes {
+        head: Duration::from_millis(limits.head_timeout_ms.0),
+        rest: Duration::from_millis(limits.idle_timeout_ms.0),
+    }
+}
+
 impl<C: CallerPort, B: BackendPort> Gateway<C, B> {
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -8,6 +8,7 @@
 
 use garnet_control::GatewayRequest;
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings};
+use garnet_routes::CallerLimits;
 use garnet_runtime::server::{Limits, with_type};
 use garnet_runtime::{
     Body, ConnectionPool, HttpServer, PoolSettings, Shared, Shell, control_link, metrics,
@@ -19,7 +20,7 @@
 use smol::Timer;
 use smol::channel::bounded;
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, connection_times};
 use crate::metrics::GatewayMetrics;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request;
@@ -50,8 +51,6 @@
     pub budget: BudgetShare,
     /// How long a planned stop goes on serving, so that callers learn of it.
     pub stop_notice: Duration,
-    /// How long a kept connection of a caller may rest.
-    pub idle_time: Duration,
 }
 
 /// What is plugged into the shell.
@@ -76,12 +75,9 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let limits = Limits {
-        // The library counts a connection's rest as time for the next head.
-        head_time: options.idle_time,
-        ..Limits::default()
-    };
-    let server = smol::block_on(HttpServer::bind(options.listen, limits))?;
+    let times = Shared::new(connection_times(CallerLimits::default()));
+    let server = smol::block_on(HttpServer::bind(options.listen, Limits::default()))?;
+    let server = server.with_times(times.clone());
     let ready_server = smol::block_on(HttpServer::bind(options.ready_listen, Limits::default()))?;
     let gateway = Rc::new(Gateway {
         callers: ports.callers,
@@ -96,6 +92,7 @@
         clock: shell.clock,
         started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
+        connection_times: times,
         stopping: Cell::new(false),
         open_requests: Rc::default(),
     });
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 use smol::channel::{Receiver, Sender};
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, connection_times};
 use crate::ports::{BackendPort, CallerPort};
 use crate::start::Replicas;
 
@@ -111,6 +111,8 @@
         forwarder.heard_of_copies(&copies, self.gateway.now());
         let after = (forwarder.routes_version(), forwarder.configuration_index());
         if before != after {
+            let times = connection_times(forwarder.limits());
+            self.gateway.connection_times.replace(times);
             let now = self.gateway.now();
             let (open, known) = forwarder.open_backends(now);
             log::info!(
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -19,6 +19,9 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use crate::connection_clock::{ClockedBody, ClockedStream, ConnectionClock, ConnectionTimes};
+use crate::shared::Shared;
+
 /// Body of a response.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyCut>>>;
 
@@ -37,8 +40,6 @@
     pub body_bytes: usize,
     /// Largest head, in bytes.
     pub head_bytes: usize,
-    /// Longest time until the head is whole.
-    pub head_time: Duration,
     /// Longest time until the body is whole.
     pub body_time: Duration,
 }
@@ -48,7 +49,6 @@
         Limits {
             body_bytes: 4 * 1024 * 1024,
             head_bytes: 32 * 1024,
-            head_time: Duration::from_secs(5),
             body_time: Duration::from_secs(20),
         }
     }
@@ -65,11 +65,18 @@
     TooSlow,
 }
 
+/// Bounds on the time of a connection where nothing else is told.
+pub const DEFAULT_TIMES: ConnectionTimes = ConnectionTimes {
+    head: Duration::from_secs(5),
+    rest: Duration::from_secs(5),
+};
+
 /// A listening server.
 #[derive(Debug)]
 pub struct HttpServer {
     listener: TcpListener,
     limits: Limits,
+    times: Shared<ConnectionTimes>,
 }
 
 /// Binds a port; the error names the address.
@@ -91,7 +98,18 @@
     /// When the address can't be bound, such as a port that is in use.
     pub async fn bind(address: SocketAddr, limits: Limits) -> std::io::Result<Self> {
         let listener = bind_listener(address).await?;
-        Ok(HttpServer { listener, limits })
+        Ok(HttpServer {
+            listener,
+            limits,
+            times: Shared::new(DEFAULT_TIMES),
+        })
+    }
+
+    /// The same with bounds on time that the caller may change meanwhile.
+    #[must_use]
+    pub fn with_times(mut self, times: Shared<ConnectionTimes>) -> Self {
+        self.times = times;
+        self
     }
 
     /// The address that it listens at.
@@ -124,7 +142,9 @@
                 None => break,
                 Some(Ok((stream, _))) => {
                     let signal = open.clone();
-                    let connection = serve_connection(stream, self.limits, handler.clone(), signal);
+                    let times = self.times.clone();
+                    let connection =
+                        serve_connection(stream, self.limits, times, handler.clone(), signal);
                     executor.spawn(connection).detach();
                 }
                 // Out of file handles, for example: give the others time.
@@ -141,20 +161,36 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, limits: Limits, handler: H, stop: Receiver<()>)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: Limits,
+    times: Shared<ConnectionTimes>,
+    handler: H,
+    stop: Receiver<()>,
+) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     // Latency matters more than the count of packets.
     let _unset = stream.set_nodelay(true);
+    let clock = ConnectionClock::start();
+    let serving = Rc::clone(&clock);
     let service = service_fn(move |request| {
+        serving.request_began();
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let clock = Rc::clone(&serving);
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| ClockedBody { body, clock }))
+        }
     });
+    let stream = ClockedStream {
+        stream,
+        clock: Rc::clone(&clock),
+    };
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(limits.head_time)
+        .header_read_timeout(None)
         .max_buf_size(limits.head_bytes)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
@@ -167,6 +203,11 @@
         let _ended = connection.as_mut().await;
         false
     };
+    let overdue = async {
+        clock.overdue(&times).await;
+        false
+    };
+    let finished = smol::future::or(finished, overdue);
     if smol::future::or(finished, asked_to_stop).await {
         connection.as_mut().graceful_shutdown();
         let _ended = connection.await;
