--- a/bin/garnet-control/src/admin.rs
+++ b/bin/garnet-control/src/admin.rs
@@ -1,5 +1,6 @@
 //! The operators' HTTP interface, under `/admin/v1/`.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use garnet_control::{
@@ -18,7 +19,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use garnet_control_shell::Connections;
+use garnet_control_shell::{Connections, ReplicaMetrics};
 
 const PREFIX: &str = "/admin/v1/";
 /// Header that names a command, so that it can be sent again.
@@ -28,11 +29,15 @@
 #[derive(Clone)]
 pub(crate) struct Admin {
     connections: Connections,
+    metrics: Rc<ReplicaMetrics>,
 }
 
 impl Admin {
-    pub(crate) fn new(connections: Connections) -> Self {
-        Admin { connections }
+    pub(crate) fn new(connections: Connections, metrics: Rc<ReplicaMetrics>) -> Self {
+        Admin {
+            connections,
+            metrics,
+        }
     }
 }
 
@@ -375,6 +380,6 @@
             status.orders.len() as u64,
         ),
     ];
-    let text = metrics::render(&samples);
+    let text = metrics::joined(&metrics::render(&samples), &admin.metrics.render());
     with_type(200, metrics::CONTENT_TYPE, text.into_bytes())
 }
--- a/bin/garnet-control/src/start.rs
+++ b/bin/garnet-control/src/start.rs
@@ -27,7 +27,7 @@
         Rc::clone(&shell.executor),
     );
     let connections = control.connections.clone();
-    let admin = admin::Admin::new(connections.clone());
+    let admin = admin::Admin::new(connections.clone(), Rc::clone(&control.metrics));
     let http = HttpClient::new(Rc::clone(&shell.executor));
     let ports = Ports {
         directory: settings
--- /dev/null
+++ b/components/control-shell/src/metrics.rs
@@ -0,0 +1,133 @@
+//! Counters and latency histograms of a replica.
+
+use std::time::Duration;
+
+use garnet_control::{EngineRequest, Replica};
+use garnet_types::Millis;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Metric, Registry};
+
+type Labels = Vec<(&'static str, &'static str)>;
+
+/// Upper ends of the buckets for syncs, in seconds.
+const SYNC_BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0];
+
+/// What is counted.
+pub struct ReplicaMetrics {
+    registry: Registry,
+    syncs: Histogram,
+    snapshots: Counter,
+    asked: Family<Labels, Counter>,
+    roles_stated: Counter,
+    terms_led: Counter,
+    term: Gauge,
+    leads: Gauge,
+    commit_index: Gauge,
+}
+
+fn registered<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+impl Default for ReplicaMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("garnet_replica");
+        let all = &mut registry;
+        let syncs = Histogram::new(SYNC_BUCKETS);
+        let syncs = registered(
+            all,
+            "sync_seconds",
+            "Writes to the log and their sync",
+            syncs,
+        );
+        let snapshots = Counter::default();
+        let snapshots = registered(all, "snapshots", "Snapshots written", snapshots);
+        let asked = Family::default();
+        let asked = registered(
+            all,
+            "engine_requests",
+            "Questions and orders to engines",
+            asked,
+        );
+        let roles_stated = Counter::default();
+        let roles_stated = registered(
+            all,
+            "roles_stated",
+            "Roles stated for engines",
+            roles_stated,
+        );
+        let terms_led = Counter::default();
+        let terms_led = registered(all, "terms_led", "Elections won", terms_led);
+        let term = registered(all, "term", "Term", Gauge::default());
+        let leads = registered(
+            all,
+            "leads",
+            "Whether it leads under its lease",
+            Gauge::default(),
+        );
+        let commit_index = Gauge::default();
+        let commit_index = registered(all, "commit_index", "Highest committed index", commit_index);
+        ReplicaMetrics {
+            registry,
+            syncs,
+            snapshots,
+            asked,
+            roles_stated,
+            terms_led,
+            term,
+            leads,
+            commit_index,
+        }
+    }
+}
+
+impl ReplicaMetrics {
+    pub(crate) fn synced(&self, took: Duration) {
+        self.syncs.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn saved_snapshot(&self) {
+        self.snapshots.inc();
+    }
+
+    pub(crate) fn asked_engine(&self, request: &EngineRequest) {
+        let kind = match request {
+            EngineRequest::Status => "status",
+            EngineRequest::Order(_) => "order",
+        };
+        self.asked.get_or_create(&vec![("kind", kind)]).inc();
+    }
+
+    pub(crate) fn stated_role(&self) {
+        self.roles_stated.inc();
+    }
+
+    pub(crate) fn became_leader(&self) {
+        self.terms_led.inc();
+    }
+
+    pub(crate) fn look(&self, replica: &Replica, now: Millis) {
+        let node = replica.node();
+        let status = node.status();
+        self.term.set(gauge(status.term));
+        self.commit_index.set(gauge(status.commit_index));
+        self.leads.set(i64::from(node.holds_lease(now)));
+    }
+
+    /// The text for the metrics address.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string has no way to fail.
+        let _written = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use garnet_control::{Effect, Event, JoinRequest, Replica};
 use garnet_runtime::Clock;
@@ -20,6 +20,7 @@
 use crate::directory::{self, DirectoryPort};
 use crate::engines::{self, EnginePort};
 use crate::joining::{self, GroupAddresses, Standing};
+use crate::metrics::ReplicaMetrics;
 use crate::opening::Opened;
 
 const TICK: Millis = Millis(20);
@@ -38,6 +39,8 @@
 pub struct ControlShell {
     /// Connections of the process; operators' adapters ask through them.
     pub connections: Connections,
+    /// What is counted.
+    pub metrics: Rc<ReplicaMetrics>,
     events: Receiver<Event>,
     events_in: Sender<Event>,
     executor: Rc<LocalExecutor<'static>>,
@@ -50,6 +53,7 @@
         let loop_of_process = Rc::clone(&executor);
         ControlShell {
             connections: Connections::new(id, peer_address, loop_of_process, events_in.clone()),
+            metrics: Rc::default(),
             events,
             events_in,
             executor,
@@ -76,6 +80,7 @@
             executor: Rc::clone(&self.executor),
             events: self.events_in.clone(),
             told: told.clone(),
+            metrics: Rc::clone(&self.metrics),
         };
         let mut children = vec![
             child(opened, self.events.clone(), outlets),
@@ -115,6 +120,7 @@
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     told: Told,
+    metrics: Rc<ReplicaMetrics>,
 }
 
 /// The child. It is essential: a replica whose disk failed must not go on, and
@@ -164,11 +170,12 @@
             ticked_at = clock.now();
             replica.handle(Event::Tick, ticked_at);
         }
-        storage = persist(&mut replica, storage, &clock)
+        storage = persist(&mut replica, storage, &clock, &outlets.metrics)
             .await
             .map_err(ChildError::new)?;
         dispatch(&mut replica, &clock, &outlets);
         tell(&replica, &clock, &outlets.told);
+        outlets.metrics.look(&replica, clock.now());
         if let Some(error) = replica.failure() {
             return Err(ChildError::new(error));
         }
@@ -190,15 +197,18 @@
     replica: &mut Replica,
     mut storage: ReplicaStorage<DiskDirectory>,
     clock: &Clock,
+    metrics: &ReplicaMetrics,
 ) -> Result<ReplicaStorage<DiskDirectory>, StorageError> {
     while replica.has_ready() {
         let mut ready = replica.ready();
         if ready.needs_sync() {
+            let began = Instant::now();
             (storage, ready) = smol::unblock(move || {
                 storage.write(&ready)?;
                 Ok::<_, StorageError>((storage, ready))
             })
             .await?;
+            metrics.synced(began.elapsed());
         }
         replica.persisted(ready, clock.now());
     }
@@ -209,6 +219,7 @@
             Ok::<_, StorageError>(storage)
         })
         .await?;
+        metrics.saved_snapshot();
     }
     Ok(storage)
 }
@@ -247,6 +258,7 @@
                 // The clock is read anew: the process may have been paused
                 // between the decision and this line.
                 if engines::may_ask(replica, &request, clock.now()) {
+                    outlets.metrics.asked_engine(&request);
                     let engines = outlets.engines.clone();
                     let events = outlets.events.clone();
                     let ask = async move {
@@ -265,19 +277,25 @@
                 engine,
                 assignment,
                 occupancy,
-            } => log::info!(
-                engine = engine.as_str(),
-                role = assignment.role.as_str(),
-                readers = occupancy.readers,
-                generators = occupancy.generators,
-                reading = format!("{:.2}", occupancy.reading).as_str(),
-                generating = format!("{:.2}", occupancy.generating).as_str();
-                "role_stated"
-            ),
+            } => {
+                outlets.metrics.stated_role();
+                log::info!(
+                    engine = engine.as_str(),
+                    role = assignment.role.as_str(),
+                    readers = occupancy.readers,
+                    generators = occupancy.generators,
+                    reading = format!("{:.2}", occupancy.reading).as_str(),
+                    generating = format!("{:.2}", occupancy.generating).as_str();
+                    "role_stated"
+                );
+            }
             Effect::GroupChanged { step } => {
                 log::info!(step = format!("{step:?}").as_str(); "group_changed");
             }
-            Effect::BecameLeader { term } => log::info!(term = term; "became_leader"),
+            Effect::BecameLeader { term } => {
+                outlets.metrics.became_leader();
+                log::info!(term = term; "became_leader");
+            }
             Effect::LostLeadership { term } => log::info!(term = term; "lost_leadership"),
         }
     }
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -9,7 +9,7 @@
 use garnet_control::GatewayRequest;
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings};
 use garnet_routes::CallerLimits;
-use garnet_runtime::server::{Limits, with_type};
+use garnet_runtime::server::{Limits, bind_metrics, with_type};
 use garnet_runtime::{
     Body, ConnectionPool, HttpServer, PoolSettings, Shared, Shell, control_link, metrics,
     text_response,
@@ -116,10 +116,9 @@
         control_link::child(WatchOwner(Rc::clone(&watch)), id, requests),
         watch::ticker(Rc::clone(&watch)),
     ]);
-    if let Some(address) = options.metrics_listen {
-        let server = smol::block_on(HttpServer::bind(address, Limits::default()))?;
+    if let Some(server) = options.metrics_listen.and_then(bind_metrics) {
         let gateway = Rc::clone(&gateway);
-        children.push(shell.http_child(Rc::new(server), move |_| {
+        children.push(shell.http_child(server, move |_| {
             let response = show_metrics(&gateway, &watch);
             async move { response }
         }));
--- a/components/runtime/src/metrics.rs
+++ b/components/runtime/src/metrics.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// Last line of the text format.
+const END_OF_TEXT: &str = "# EOF\n";
+
+/// Two pages as one.
+pub fn joined(first: &str, second: &str) -> String {
+    let first = first.strip_suffix(END_OF_TEXT).unwrap_or(first);
+    format!("{first}{second}")
+}
+
 /// The samples as text; samples of one name must stand together.
 pub fn render(samples: &[Sample]) -> String {
     let mut registry = Registry::with_prefix("garnet");
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -91,6 +91,18 @@
     TcpListener::bind(address).await.map_err(named)
 }
 
+/// A server for figures. Where its port can't be had, the process goes on
+/// without them and says so.
+pub fn bind_metrics(address: SocketAddr) -> Option<Rc<HttpServer>> {
+    match smol::block_on(HttpServer::bind(address, Limits::default())) {
+        Ok(server) => Some(Rc::new(server)),
+        Err(error) => {
+            log::warn!(cause = error.to_string().as_str(); "no_metrics");
+            None
+        }
+    }
+}
+
 impl HttpServer {
     /// Listens at `address`; port 0 lets the system pick one.
     ///
--- a/components/settings/src/reader.rs
+++ b/components/settings/src/reader.rs
@@ -71,6 +71,7 @@
             offset: 0,
             path: String::new(),
             known: Vec::new(),
+            leaves_unknown: false,
         };
         let value = read(&mut reader);
         reader.finish();
@@ -87,9 +88,16 @@
     offset: usize,
     path: String,
     known: Vec<&'static str>,
+    leaves_unknown: bool,
 }
 
 impl<'a> TableReader<'a> {
+    /// Leaves keys aside that were never asked for, here and in the tables that
+    /// are read from here on: for documents that others extend.
+    pub fn leave_unknown(&mut self) {
+        self.leaves_unknown = true;
+    }
+
     /// Text at `key`.
     pub fn string(&mut self, key: &'static str) -> Option<String> {
         let value = self.value(key)?;
@@ -182,6 +190,39 @@
         texts
     }
 
+    /// Whole numbers of a list at `key`, each within `range`.
+    pub fn integers(&mut self, key: &'static str, range: RangeInclusive<u64>) -> Vec<u64> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let DeValue::Array(items) = value.get_ref() else {
+            return self
+                .wrong_type(value, key, "a list of whole numbers")
+                .unwrap_or_default();
+        };
+        let mut numbers = Vec::new();
+        for item in items.iter() {
+            let number = match item.get_ref() {
+                DeValue::Integer(number) => {
+                    u64::from_str_radix(number.as_str(), number.radix()).ok()
+                }
+                _ => None,
+            };
+            match number.filter(|number| range.contains(number)) {
+                Some(number) => numbers.push(number),
+                None => {
+                    let message = format!(
+                        "must hold whole numbers from {} to {}",
+                        range.start(),
+                        range.end()
+                    );
+                    self.report_at(item.span().start, key, message);
+                }
+            }
+        }
+        numbers
+    }
+
     /// The table at `key`, read with `read`.
     pub fn table<T>(
         &mut self,
@@ -252,6 +293,7 @@
             offset,
             path,
             known: Vec::new(),
+            leaves_unknown: self.leaves_unknown,
         };
         let value = read(&mut child);
         child.finish();
@@ -259,6 +301,9 @@
     }
 
     fn finish(&self) {
+        if self.leaves_unknown {
+            return;
+        }
         for key in self.table.keys() {
             let name = key.get_ref().as_ref();
             if self.known.contains(&name) {
