Prompt prefixes by the field's name, as a type of their own

The code said "beginning" for what the field calls a prefix, and passed it as a bare u64 or a pair. PrefixId (Display, FromStr) and Prefix {id, tokens} now; the log field `beginning` of prompt_read is `prefix`. No behaviour changes: workspace tests pass.

--- a/components/control/src/copies.rs
+++ b/components/control/src/copies.rs
@@ -1,7 +1,7 @@
-//! Which engines hold which beginnings of prompts, as gateways tell it.
+//! Which engines hold which prefixes of prompts, as gateways tell it.
 //!
 //! A gateway sees only what it had read itself. Told of the others' copies, it
-//! has a beginning copied from an engine that holds it, in place of having it
+//! has a prefix copied from an engine that holds it, in place of having it
 //! read again. This is a belief: it is never logged, bounded, and a new leader
 //! starts without it.
 
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use garnet_types::{BackendId, GatewayId, Millis, ModelId, RecordedResponse, ReplicaId, ServiceId};
+use garnet_types::{
+    BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::answer::ClaimAnswer;
@@ -39,11 +41,11 @@
     pub held_tokens: u64,
 }
 
-/// An engine holds a prompt's beginning.
+/// An engine holds a prompt's prefix.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptCopy {
-    /// Key of the beginning.
-    pub beginning: u64,
+    /// The prefix.
+    pub prefix: PrefixId,
     /// The engine.
     pub backend: BackendId,
 }
--- a/components/control/tests/state/copies.rs
+++ b/components/control/tests/state/copies.rs
@@ -1,19 +1,19 @@
-//! Copies of prompt beginnings, as the leader passes them on.
+//! Copies of prompt prefixes, as the leader passes them on.
 
 use garnet_control::{ControlReply, Effect, Event, GatewayRequest, PromptCopy};
-use garnet_types::{BackendId, GatewayId, Millis};
+use garnet_types::{BackendId, GatewayId, Millis, PrefixId};
 
 use crate::leader::Leader;
 
 /// Copies that one answer carries at most.
 const MOST_IN_ANSWER: usize = 64;
 
-fn copies(beginnings: std::ops::Range<u64>) -> Vec<PromptCopy> {
-    let copy = |beginning| PromptCopy {
-        beginning,
+fn copies(prefixes: std::ops::Range<u64>) -> Vec<PromptCopy> {
+    let copy = |prefix| PromptCopy {
+        prefix: PrefixId(prefix),
         backend: BackendId::new("engine-1"),
     };
-    beginnings.map(copy).collect()
+    prefixes.map(copy).collect()
 }
 
 /// A watch of a gateway that tells `told`; gives what it hears.
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -117,10 +117,11 @@
         _ => "",
     };
     let prompt = call.facts.prompt.as_ref();
+    let prefix = prompt.map_or(String::new(), |prompt| prompt.shared_prefix().to_string());
     log::info!(
         request = call.facts.id.as_str(),
         backend = job.backend.as_str(),
-        beginning = prompt.map_or(0, Prompt::shared_key),
+        prefix = prefix.as_str(),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.tokens),
         shared_tokens = prompt.map_or(0, Prompt::shared_tokens),
         unread_tokens = unread,
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -46,7 +46,7 @@
     pub handle: String,
 }
 
-/// An engine that holds a prompt's beginning.
+/// An engine that holds a prompt's prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CopySource {
     /// The engine.
@@ -61,7 +61,7 @@
     /// All of it.
     Whole,
     /// Read the prompt and keep its KV cache for another engine; what the
-    /// reader lacks of its beginning is copied first.
+    /// reader lacks of its prefix is copied first.
     ReadPrompt(Option<CopySource>),
     /// Go on from a KV cache.
     Generate(HandoverSource),
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -299,7 +299,7 @@
             // One that is not known yet is told of again later.
             if self.backends.contains_key(&copy.backend) {
                 let residency = self.residency.entry(copy.backend.clone()).or_default();
-                residency.note_told(copy.beginning, now);
+                residency.note_told(copy.prefix, now);
             }
         }
     }
@@ -380,8 +380,8 @@
         let residency = self.residency.entry(id.clone()).or_default();
         let news = residency.note_read(prompt, now);
         let room = MOST_NEWS.saturating_sub(self.news.len());
-        let copy = |beginning| PromptCopy {
-            beginning,
+        let copy = |prefix| PromptCopy {
+            prefix,
             backend: id.clone(),
         };
         self.news.extend(news.into_iter().take(room).map(copy));
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -23,4 +23,4 @@
 pub use placement::{Placement, Preference};
 pub use residency::Residency;
 pub use share::BudgetShare;
-pub use work::{Prompt, PromptPart, Work};
+pub use work::{Prefix, Prompt, PromptPart, Work};
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -31,7 +31,7 @@
     Handover {
         /// Reads the prompt.
         reader: BackendId,
-        /// Holds more of its beginning, for the reader to copy first.
+        /// Holds more of its prefix, for the reader to copy first.
         copy_from: Option<BackendId>,
     },
 }
--- a/components/forwarding/src/reading.rs
+++ b/components/forwarding/src/reading.rs
@@ -1,9 +1,9 @@
-//! Which engine reads a prompt, and where it copies the beginning from that it
+//! Which engine reads a prompt, and where it copies the prefix from that it
 //! lacks: a pure function over what is believed.
 //!
-//! Each shared beginning has two owners, found by rendezvous hashing: all
+//! Each shared prefix has two owners, found by rendezvous hashing: all
 //! gateways find the same ones without a word between them, and an engine that
-//! leaves moves only what it owned. An owner that lacks the beginning copies it
+//! leaves moves only what it owned. An owner that lacks the prefix copies it
 //! from whoever was seen to hold it, in a small part of the time that reading
 //! takes.
 
@@ -15,18 +15,18 @@
 use crate::placement::EngineView;
 use crate::work::Prompt;
 
-/// Engines at which a shared beginning may be kept.
+/// Engines at which a shared prefix may be kept.
 const OWNERS: usize = 2;
-/// Shared beginnings up to this many tokens are not worth a place of their own:
+/// Shared prefixes up to this many tokens are not worth a place of their own:
 /// any reader takes them.
 const WORTHLESS_SHARED: u64 = 1_000;
 /// See [`spreading_cost`]: each token that another owner lacks counts so many
 /// times more.
 const SPREADING_COST: u64 = 2;
-/// A first owner that this gateway has not sent the beginning to lately holds
+/// A first owner that this gateway has not sent the prefix to lately holds
 /// it all the same, since the others send there too, but for this part.
 const DOUBT_PARTS: u64 = 4;
-/// What beginning to copy costs, in prompt tokens that could be read in that
+/// What prefix to copy costs, in prompt tokens that could be read in that
 /// time.
 const COPY_SETUP_TOKENS: u64 = 400;
 /// One token is read in the time in which so many are copied.
@@ -38,13 +38,13 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reading<'a, 'b> {
     pub(crate) engine: &'a EngineView<'b>,
-    /// Holds more of the beginning.
+    /// Holds more of the prefix.
     pub(crate) source: Option<&'a EngineView<'b>>,
     /// Prompt tokens to be read before this request's first piece.
     pub(crate) tokens: u64,
 }
 
-/// Among the owners of the prompt's shared beginning, the engine that begins
+/// Among the owners of the prompt's shared prefix, the engine that begins
 /// to generate first; what it lacks is copied from one of `holders`.
 pub(crate) fn cheapest_reading<'a, 'b>(
     readers: &[&'a EngineView<'b>],
@@ -77,16 +77,16 @@
 }
 
 fn ranked<'a, 'b>(readers: &[&'a EngineView<'b>], prompt: &Prompt) -> Vec<&'a EngineView<'b>> {
-    let key = prompt.shared_key();
+    let prefix = prompt.shared_prefix();
     let mut ranked = readers.to_vec();
     ranked.sort_by_cached_key(|engine| {
         let id = engine.id().as_str().as_bytes();
-        Reverse(xxh3_64_with_seed(id, key))
+        Reverse(xxh3_64_with_seed(id, prefix.0))
     });
     ranked
 }
 
-/// What keeping a beginning at another engine as well costs all: memory that
+/// What keeping a prefix at another engine as well costs all: memory that
 /// others lose, and what is read again for that.
 fn spreading_cost(rank: usize, lacking: u64, prompt: &Prompt) -> u64 {
     if rank == 0 {
@@ -109,7 +109,7 @@
     known.max(likely).min(prompt.tokens)
 }
 
-/// An engine that the beginning can be copied from.
+/// An engine that the prefix can be copied from.
 #[derive(Clone, Copy)]
 struct Source<'a, 'b> {
     engine: &'a EngineView<'b>,
@@ -130,7 +130,7 @@
 }
 
 /// Tokens to be read at an engine that holds `held`, the time to copy the rest
-/// of the beginning counted in tokens, and the engine that it is copied from.
+/// of the prefix counted in tokens, and the engine that it is copied from.
 fn cheapest_copy<'a, 'b>(
     engine: &EngineView<'b>,
     held: u64,
--- a/components/forwarding/src/residency.rs
+++ b/components/forwarding/src/residency.rs
@@ -1,21 +1,21 @@
-//! Which prompt beginnings an engine holds, as far as this gateway knows.
+//! Which prompt prefixes an engine holds, as far as this gateway knows.
 
 use std::collections::HashMap;
 
-use garnet_types::Millis;
+use garnet_types::{Millis, PrefixId};
 
-use crate::work::Prompt;
+use crate::work::{Prefix, Prompt};
 
 /// Beginnings that are remembered of one engine; the oldest go first.
-const MOST_BEGINNINGS: usize = 512;
-/// A beginning that was not used for so long may have given way.
+const MOST_PREFIXES: usize = 512;
+/// A prefix that was not used for so long may have given way.
 const BELIEVED_FOR: Millis = Millis::from_secs(30);
-/// A beginning that was not used for so long is not worth asking for a copy.
+/// A prefix that was not used for so long is not worth asking for a copy.
 const COPYABLE_FOR: Millis = Millis::from_secs(10);
-/// The other gateways are told again of a beginning after so long.
+/// The other gateways are told again of a prefix after so long.
 const TOLD_FOR: Millis = Millis::from_secs(5);
 
-/// What is believed of one beginning.
+/// What is believed of one prefix.
 #[derive(Debug, Clone, Copy)]
 struct Belief {
     used_at: Millis,
@@ -28,31 +28,31 @@
 /// Beliefs about the prefix cache of one engine.
 #[derive(Debug, Clone, Default)]
 pub struct Residency {
-    beliefs: HashMap<u64, Belief>,
+    beliefs: HashMap<PrefixId, Belief>,
 }
 
 impl Residency {
     /// Notes that the engine is sent the prompt.
     pub fn note_sent(&mut self, prompt: &Prompt, now: Millis) {
-        for (key, _) in prompt.beginnings() {
-            self.note(key, now);
+        for prefix in prompt.prefixes() {
+            self.note(prefix.id, now);
         }
         self.forget_old(now);
     }
 
     /// Notes that the engine holds the whole prompt now. Gives the shared
-    /// beginnings that the other gateways should hear of.
-    pub fn note_read(&mut self, prompt: &Prompt, now: Millis) -> Vec<u64> {
-        let beginnings = prompt.beginnings();
-        let shared = beginnings.len().saturating_sub(1);
+    /// prefixes that the other gateways should hear of.
+    pub fn note_read(&mut self, prompt: &Prompt, now: Millis) -> Vec<PrefixId> {
+        let prefixes = prompt.prefixes();
+        let shared = prefixes.len().saturating_sub(1);
         let mut news = Vec::new();
-        for (place, (key, _)) in beginnings.into_iter().enumerate() {
-            let belief = self.note(key, now);
+        for (place, prefix) in prefixes.into_iter().enumerate() {
+            let belief = self.note(prefix.id, now);
             belief.is_read = true;
             let known = belief.told_at.is_some_and(|at| now.since(at) <= TOLD_FOR);
             if place < shared && !known {
                 belief.told_at = Some(now);
-                news.push(key);
+                news.push(prefix.id);
             }
         }
         self.forget_old(now);
@@ -60,8 +60,8 @@
     }
 
     /// Notes what another gateway told.
-    pub fn note_told(&mut self, key: u64, now: Millis) {
-        let belief = self.note(key, now);
+    pub fn note_told(&mut self, prefix: PrefixId, now: Millis) {
+        let belief = self.note(prefix, now);
         belief.is_read = true;
         belief.told_at = Some(now);
         self.forget_old(now);
@@ -81,14 +81,14 @@
     }
 
     fn tokens(&self, prompt: &Prompt, counts: impl Fn(&Belief) -> bool) -> u64 {
-        let believed = |key: &u64| self.beliefs.get(key).is_some_and(&counts);
-        let beginnings = prompt.beginnings();
-        let held = beginnings.iter().take_while(|(key, _)| believed(key));
-        held.last().map_or(0, |(_, tokens)| *tokens)
+        let believed = |prefix: &&Prefix| self.beliefs.get(&prefix.id).is_some_and(&counts);
+        let prefixes = prompt.prefixes();
+        let held = prefixes.iter().take_while(believed);
+        held.last().map_or(0, |prefix| prefix.tokens)
     }
 
-    fn note(&mut self, key: u64, now: Millis) -> &mut Belief {
-        let belief = self.beliefs.entry(key).or_insert(Belief {
+    fn note(&mut self, prefix: PrefixId, now: Millis) -> &mut Belief {
+        let belief = self.beliefs.entry(prefix).or_insert(Belief {
             used_at: now,
             is_read: false,
             told_at: None,
@@ -98,13 +98,13 @@
     }
 
     fn forget_old(&mut self, now: Millis) {
-        if self.beliefs.len() <= MOST_BEGINNINGS {
+        if self.beliefs.len() <= MOST_PREFIXES {
             return;
         }
         let age = |belief: &Belief| now.since(belief.used_at);
         let mut ages: Vec<Millis> = self.beliefs.values().map(age).collect();
         ages.sort_unstable();
-        let limit = ages[MOST_BEGINNINGS / 2];
+        let limit = ages[MOST_PREFIXES / 2];
         self.beliefs.retain(|_, belief| age(belief) <= limit);
     }
 }
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -1,7 +1,7 @@
 //! Typed facts of a request whose content stays opaque.
 
 use garnet_routes::WorkKind;
-use garnet_types::Millis;
+use garnet_types::{Millis, PrefixId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One part of a prompt. Parts are shared between requests; the last one
@@ -14,6 +14,15 @@
     pub tokens: u64,
 }
 
+/// A prompt up to the end of one of its parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Prefix {
+    /// Names its content.
+    pub id: PrefixId,
+    /// Its length.
+    pub tokens: u64,
+}
+
 /// What is known of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Prompt {
@@ -51,19 +60,19 @@
 }
 
 impl Prompt {
-    /// One key for each beginning of the prompt that ends with a part: the
-    /// cache of a part counts only behind all parts before it. With each key
-    /// come the tokens up to there.
-    pub fn beginnings(&self) -> Vec<(u64, u64)> {
+    /// The prefixes that end with a part: the cache of a part counts only
+    /// behind all parts before it.
+    pub fn prefixes(&self) -> Vec<Prefix> {
         let mut key = 0;
         let mut tokens = 0;
-        let mut beginnings = Vec::with_capacity(self.parts.len());
+        let mut prefixes = Vec::with_capacity(self.parts.len());
         for part in &self.parts {
             key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
             tokens += part.tokens;
-            beginnings.push((key, tokens));
+            let id = PrefixId(key);
+            prefixes.push(Prefix { id, tokens });
         }
-        beginnings
+        prefixes
     }
 
     /// Tokens of KV cache that the request holds at its end, at most.
@@ -71,19 +80,21 @@
         self.tokens + self.output_tokens
     }
 
-    /// Tokens of the longest beginning that other requests may share.
+    /// Tokens of the longest prefix that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
         let last = self.parts.last().map_or(0, |part| part.tokens);
         let all: u64 = self.parts.iter().map(|part| part.tokens).sum();
         all - last
     }
 
-    /// Key of the longest beginning that other requests may share, or of the
-    /// whole prompt where it has one part only.
-    pub fn shared_key(&self) -> u64 {
-        let beginnings = self.beginnings();
-        let shared = beginnings.len().saturating_sub(2);
-        beginnings.get(shared).map_or(0, |(key, _)| *key)
+    /// The longest prefix that other requests may share, or the whole prompt
+    /// where it has one part only.
+    pub fn shared_prefix(&self) -> PrefixId {
+        let prefixes = self.prefixes();
+        let shared = prefixes.len().saturating_sub(2);
+        prefixes
+            .get(shared)
+            .map_or(PrefixId::default(), |prefix| prefix.id)
     }
 }
 
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -3,7 +3,7 @@
 use garnet_control::{BackendRecord, Backlog, PromptCopy};
 use garnet_forwarding::{Forwarder, LoadReport, Placement, Prompt};
 use garnet_routes::WorkKind;
-use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use garnet_types::{BackendId, EngineRole, Millis, PrefixId, ServiceId};
 
 use crate::fleet::{NOW, forwarder, prompt, record, work};
 
@@ -39,9 +39,9 @@
     }
 }
 
-fn copy(beginning: u64, backend: &BackendId) -> PromptCopy {
+fn copy(prefix: PrefixId, backend: &BackendId) -> PromptCopy {
     PromptCopy {
-        beginning,
+        prefix,
         backend: backend.clone(),
     }
 }
@@ -60,13 +60,13 @@
 }
 
 #[test]
-fn an_owner_that_lacks_a_beginning_copies_it_from_who_was_told_to_hold_it() {
+fn an_owner_that_lacks_a_prefix_copies_it_from_who_was_told_to_hold_it() {
     let mut gateway = forwarder(&engines());
     let asked = prompt(7, 1, 20_000);
     let (owner, nowhere) = reading(&mut gateway, asked.clone(), &[]);
     assert_eq!(nowhere, None);
     let holder = BackendId::new("g-b");
-    gateway.heard_of_copies(&[copy(asked.shared_key(), &holder)], NOW);
+    gateway.heard_of_copies(&[copy(asked.shared_prefix(), &holder)], NOW);
     let (reader, from) = reading(&mut gateway, asked.clone(), &[]);
     assert_eq!((reader, from.as_ref()), (owner.clone(), Some(&holder)));
     // The other owner copies it as well, when the first one failed.
@@ -79,13 +79,13 @@
 }
 
 #[test]
-fn a_beginning_is_not_copied_before_it_is_read_nor_long_after() {
+fn a_prefix_is_not_copied_before_it_is_read_nor_long_after() {
     let mut gateway = forwarder(&engines());
     let asked = prompt(7, 1, 20_000);
     let holder = BackendId::new("g-b");
     gateway.sent(&holder, Some(&asked), None, NOW);
     assert_eq!(reading(&mut gateway, asked.clone(), &[]).1, None);
-    let told = [copy(asked.shared_key(), &BackendId::new("g-a1"))];
+    let told = [copy(asked.shared_prefix(), &BackendId::new("g-a1"))];
     let long_ago = Millis::ZERO;
     assert!(NOW.since(long_ago) >= Millis(10_000));
     gateway.heard_of_copies(&told, long_ago);
@@ -99,16 +99,19 @@
     let reader = BackendId::new("r-a");
     gateway.holds(&reader, &asked, NOW);
     gateway.holds(&reader, &prompt(7, 2, 20_000), NOW);
-    assert_eq!(gateway.take_copies(), [copy(asked.shared_key(), &reader)]);
+    assert_eq!(
+        gateway.take_copies(),
+        [copy(asked.shared_prefix(), &reader)]
+    );
     assert_eq!(gateway.take_copies(), []);
     // What another gateway told is known to all.
-    gateway.heard_of_copies(&[copy(asked.shared_key(), &BackendId::new("r-b"))], NOW);
+    gateway.heard_of_copies(&[copy(asked.shared_prefix(), &BackendId::new("r-b"))], NOW);
     gateway.holds(&BackendId::new("r-b"), &asked, NOW);
     assert_eq!(gateway.take_copies(), []);
 }
 
 #[test]
-fn a_short_beginning_is_read_wherever_least_waits() {
+fn a_short_prefix_is_read_wherever_least_waits() {
     let mut all = engines();
     all.push(record("r-c", "words", "c", Some(EngineRole::Prefill)));
     let mut gateway = forwarder(&all);
@@ -166,7 +169,7 @@
 }
 
 #[test]
-fn a_shared_beginning_is_read_by_one_engine_for_all_gateways() {
+fn a_shared_prefix_is_read_by_one_engine_for_all_gateways() {
     let words = ServiceId::new("words");
     let mut first = forwarder(&engines());
     let mut second = forwarder(&engines());
@@ -216,7 +219,7 @@
 }
 
 #[test]
-fn a_queue_elsewhere_sends_a_beginning_to_its_second_owner() {
+fn a_queue_elsewhere_sends_a_prefix_to_its_second_owner() {
     let words = ServiceId::new("words");
     let work = work(WorkKind::Stream, Some(prompt(7, 1, 20_000)));
     let mut gateway = forwarder(&engines());
@@ -244,3 +247,10 @@
     assert!(rank(1, 40_000) < rank(2, 500));
     assert_eq!(rank(255, 40_000), 255);
 }
+
+#[test]
+fn the_name_of_a_prefix_is_read_as_it_is_written() {
+    let prefix = prompt(7, 1, 20_000).shared_prefix();
+    assert_eq!(prefix.to_string().parse(), Ok(prefix));
+    assert!("no prefix".parse::<PrefixId>().is_err());
+}
--- a/components/types/src/identity.rs
+++ b/components/types/src/identity.rs
@@ -1,6 +1,8 @@
 //! Names of the things the system keeps apart.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -84,3 +86,25 @@
     /// The request it asked for.
     pub request: RequestId,
 }
+
+/// A prompt's prefix that ends with one of its parts: equal ones have equal
+/// content.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct PrefixId(pub u64);
+
+impl fmt::Display for PrefixId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for PrefixId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(PrefixId)
+    }
+}
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -14,8 +14,8 @@
 pub use engine::{EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, OrderAnswer};
 pub use fence::Fence;
 pub use identity::{
-    BackendId, ClaimId, CommandId, GatewayId, IdempotencyKey, ModelId, ReplicaId, RequestId,
-    ServiceId, SessionId, TenantId,
+    BackendId, ClaimId, CommandId, GatewayId, IdempotencyKey, ModelId, PrefixId, ReplicaId,
+    RequestId, ServiceId, SessionId, TenantId,
 };
 pub use outcome::{Execution, Outcome, OutcomeCode, RecordedResponse, Refusal};
 pub use time::Millis;
