A prompt that is read again is a repeat like any other

Cause: a stream that fails at its generator is read anew and generated anew: two arrivals, of which one was counted. Only the first reading of a request is free.

Ruled out: gateways' shares (7 were counted all the time), the slots of the window (requests of the oldest slot are left out, its repeats are in).

--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -33,6 +33,8 @@
     splitter: EventSplitter,
     /// The prompt as one engine read it, for another to go on from.
     cache: Option<WaitingCache<C, B>>,
+    /// Whether an engine has read the prompt for this request before.
+    was_read: bool,
     /// An engine's failure, to be passed on where no other engine answers.
     failure: Option<Box<Response<Body>>>,
     /// Whether the present engine has sent a piece.
@@ -65,6 +67,7 @@
         open: None,
         splitter,
         cache: None,
+        was_read: false,
         failure: None,
         begun: false,
         ended: false,
@@ -303,6 +306,11 @@
                 Ok(self.send(&job).await.map(Some))
             }
             Some(Placement::Handover { reader, copy_from }) => {
+                // The first reading is none of the service's repeats; each later
+                // one is, beside the repeat that goes on from it.
+                if self.was_read && !self.may_repeat() {
+                    return Err(Refused::GivenUp(self.running.progress.given_up()));
+                }
                 let source = copy_from.and_then(|holder| self.copy_source(holder));
                 Ok(self.read_at(reader, source).await)
             }
@@ -313,6 +321,7 @@
         let job = self.job(JobPhase::ReadPrompt(source), reader.clone());
         match read_prompt(&self.gateway, &self.running.call, &job).await {
             Ok(cache) => {
+                self.was_read = true;
                 self.cache = Some(cache);
                 Ok(None)
             }
@@ -352,6 +361,13 @@
         }
     }
 
+    /// Takes one more repeat from the service's budget.
+    fn may_repeat(&self) -> bool {
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.spend_repeat(&self.running.service, now)
+    }
+
     fn copy_source(&self, holder: BackendId) -> Option<CopySource> {
         let forwarder = self.gateway.forwarder.borrow();
         let address = forwarder.backend(&holder)?.registration.address.clone();
