--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -203,17 +203,32 @@
     let given_up = running.progress.given_up();
     match next_move(&running.work, &running.progress, end) {
         NextMove::TryAnother { repeat: false } => Ok(()),
-        NextMove::TryAnother { repeat: true } => {
-            let now = gateway.now();
-            let mut forwarder = gateway.forwarder.borrow_mut();
-            let allowed = forwarder.spend_repeat(&running.service, now);
-            if allowed { Ok(()) } else { Err(given_up) }
-        }
+        NextMove::TryAnother { repeat: true } if may_repeat(gateway, running) => Ok(()),
+        NextMove::TryAnother { repeat: true } => Err(given_up),
         NextMove::PassOn => Err(given_up),
         NextMove::GiveUp(given_up) => Err(given_up),
     }
 }
 
+/// Takes one repeat from the service's budget, and tells when none is left.
+pub(crate) fn may_repeat<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) -> bool {
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    let allowed = forwarder.spend_repeat(&running.service, now);
+    if !allowed {
+        log::info!(
+            request = running.call.facts.id.as_str(),
+            service = running.service.as_str(),
+            gateways = forwarder.gateways();
+            "no_repeat_left"
+        );
+    }
+    allowed
+}
+
 /// Ends at the moment `due`.
 pub(crate) async fn until<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>, due: Millis) {
     let left = due.since(gateway.now());
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::gateway::Gateway;
 use crate::handover::{WaitingCache, read_prompt};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
-use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
+use crate::request::{Running, finished, go_on, log_no_back_end, may_repeat, own_answer, until};
 use crate::whole::copy_head;
 
 /// Longest failure of an engine's own that is passed on.
@@ -308,7 +308,7 @@
             Some(Placement::Handover { reader, copy_from }) => {
                 // The first reading is none of the service's repeats; each later
                 // one is, beside the repeat that goes on from it.
-                if self.was_read && !self.may_repeat() {
+                if self.was_read && !may_repeat(&self.gateway, &self.running) {
                     return Err(Refused::GivenUp(self.running.progress.given_up()));
                 }
                 let source = copy_from.and_then(|holder| self.copy_source(holder));
@@ -361,13 +361,6 @@
         }
     }
 
-    /// Takes one more repeat from the service's budget.
-    fn may_repeat(&self) -> bool {
-        let now = self.gateway.now();
-        let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.spend_repeat(&self.running.service, now)
-    }
-
     fn copy_source(&self, holder: BackendId) -> Option<CopySource> {
         let forwarder = self.gateway.forwarder.borrow();
         let address = forwarder.backend(&holder)?.registration.address.clone();
