--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use garnet_control::{EngineRequest, Replica};
+use garnet_runtime::metrics::{gauge_value, registered, text_of};
 use garnet_types::Millis;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::{Metric, Registry};
+use prometheus_client::registry::Registry;
 
 type Labels = Vec<(&'static str, &'static str)>;
 
@@ -29,15 +29,6 @@
     commit_index: Gauge,
 }
 
-fn registered<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
-    registry.register(name, help, metric.clone());
-    metric
-}
-
-fn gauge(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
-
 impl Default for ReplicaMetrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("garnet_replica");
@@ -118,16 +109,13 @@
     pub(crate) fn look(&self, replica: &Replica, now: Millis) {
         let node = replica.node();
         let status = node.status();
-        self.term.set(gauge(status.term));
-        self.commit_index.set(gauge(status.commit_index));
+        self.term.set(gauge_value(status.term));
+        self.commit_index.set(gauge_value(status.commit_index));
         self.leads.set(i64::from(node.holds_lease(now)));
     }
 
     /// The text for the metrics address.
     pub fn render(&self) -> String {
-        let mut text = String::new();
-        // Writing to a string has no way to fail.
-        let _written = encode(&mut text, &self.registry);
-        text
+        text_of(&self.registry)
     }
 }
--- a/components/control/src/copies.rs
+++ b/components/control/src/copies.rs
@@ -20,7 +20,6 @@
 
 #[derive(Debug)]
 struct Note {
-    number: u64,
     noted_at: Millis,
     by: GatewayId,
     copy: PromptCopy,
@@ -28,7 +27,7 @@
 
 /// The latest notes, and how far each gateway has heard them.
 ///
-/// Invariant: the numbers of `notes` rise by one.
+/// Notes are numbered in the order in which they came, without a gap.
 #[derive(Debug, Default)]
 pub(crate) struct Copies {
     notes: VecDeque<Note>,
@@ -41,7 +40,6 @@
     pub(crate) fn note(&mut self, by: &GatewayId, copies: Vec<PromptCopy>, now: Millis) {
         for copy in copies {
             self.notes.push_back(Note {
-                number: self.next_number,
                 noted_at: now,
                 by: by.clone(),
                 copy,
@@ -53,10 +51,7 @@
 
     /// What others told since `gateway` heard of it last, the oldest first.
     pub(crate) fn news_for(&mut self, gateway: &GatewayId) -> Vec<PromptCopy> {
-        let first = self
-            .notes
-            .front()
-            .map_or(self.next_number, |note| note.number);
+        let first = self.first_number();
         let from = self
             .heard_before
             .get(gateway)
@@ -69,7 +64,7 @@
             if news.len() == MOST_IN_ANSWER {
                 break;
             }
-            heard = note.number + 1;
+            heard += 1;
             if note.by != *gateway {
                 news.push(note.copy.clone());
             }
@@ -82,15 +77,17 @@
         *self = Copies::default();
     }
 
+    /// Number of the oldest note that is kept.
+    fn first_number(&self) -> u64 {
+        self.next_number - self.notes.len() as u64
+    }
+
     fn forget_old(&mut self, now: Millis) {
         let is_old = |note: &Note| now.since(note.noted_at) > FRESH;
         while self.notes.len() > MOST_NOTES || self.notes.front().is_some_and(is_old) {
             self.notes.pop_front();
         }
-        let first = self
-            .notes
-            .front()
-            .map_or(self.next_number, |note| note.number);
+        let first = self.first_number();
         // A gateway that is gone leaves its mark until all notes of then are.
         self.heard_before.retain(|_, heard| *heard >= first);
     }
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -150,9 +150,8 @@
 ) -> Result<OpenAnswer<C, B>, AttemptEnd> {
     let address = {
         let forwarder = gateway.forwarder.borrow();
-        let backend = forwarder.backend(&job.backend);
-        let address = backend.map(|backend| backend.registration.address.clone());
-        address.ok_or(AttemptEnd::Unsent)?
+        let address = forwarder.address(&job.backend);
+        address.ok_or(AttemptEnd::Unsent)?.to_owned()
     };
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -95,8 +95,7 @@
     open.guard.succeeded();
     let address = {
         let forwarder = gateway.forwarder.borrow();
-        let backend = forwarder.backend(&job.backend);
-        backend.map(|backend| backend.registration.address.clone())
+        forwarder.address(&job.backend).map(str::to_owned)
     };
     open.exchange.finish();
     let source = HandoverSource {
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms of a gateway.
 
 use garnet_routes::WorkKind;
+use garnet_runtime::metrics::{gauge_value, registered, text_of};
 use garnet_types::Millis;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -36,50 +36,25 @@
 impl GatewayMetrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("garnet_forwarding");
-        let requests = Family::<Labels, Counter>::default();
-        let refused = Family::<Labels, Counter>::default();
-        let attempts = Family::<Labels, Counter>::default();
-        let took = Family::<Labels, Histogram>::new_with_constructor(latency);
-        let first_piece = Family::<Labels, Histogram>::new_with_constructor(latency);
-        let watch_age_ms = Gauge::default();
-        let routes_version = Gauge::default();
-        let open_requests = Gauge::default();
-        registry.register(
-            "requests",
-            "Requests by route, kind and outcome",
-            requests.clone(),
-        );
-        registry.register(
-            "refused",
-            "Requests without a route, by reason",
-            refused.clone(),
-        );
-        registry.register("attempts", "Attempts by how they ended", attempts.clone());
-        registry.register(
-            "took_seconds",
-            "Time to the end of the answer",
-            took.clone(),
-        );
-        registry.register(
-            "first_piece_seconds",
-            "Time to the first piece of a stream",
-            first_piece.clone(),
-        );
-        registry.register(
-            "watch_age_ms",
-            "Time since the leader was heard",
-            watch_age_ms.clone(),
-        );
-        registry.register(
-            "routes_version",
-            "Version of the route table in force",
-            routes_version.clone(),
-        );
-        registry.register(
-            "open_requests",
-            "Requests without a final answer",
-            open_requests.clone(),
-        );
+        let all = &mut registry;
+        let counters = Family::<Labels, Counter>::default;
+        let latencies = || Family::<Labels, Histogram>::new_with_constructor(latency);
+        let help = "Requests by route, kind and outcome";
+        let requests = registered(all, "requests", help, counters());
+        let help = "Requests without a route, by reason";
+        let refused = registered(all, "refused", help, counters());
+        let help = "Attempts by how they ended";
+        let attempts = registered(all, "attempts", help, counters());
+        let help = "Time to the end of the answer";
+        let took = registered(all, "took_seconds", help, latencies());
+        let help = "Time to the first piece of a stream";
+        let first_piece = registered(all, "first_piece_seconds", help, latencies());
+        let help = "Time since the leader was heard";
+        let watch_age_ms = registered(all, "watch_age_ms", help, Gauge::default());
+        let help = "Version of the route table in force";
+        let routes_version = registered(all, "routes_version", help, Gauge::default());
+        let help = "Requests without a final answer";
+        let open_requests = registered(all, "open_requests", help, Gauge::default());
         GatewayMetrics {
             registry,
             requests,
@@ -123,13 +98,9 @@
 
     /// The text for the metrics address.
     pub(crate) fn render(&self, watch_age: Millis, version: u64, open: usize) -> String {
-        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
-        self.watch_age_ms.set(gauge(watch_age.0));
-        self.routes_version.set(gauge(version));
-        self.open_requests.set(gauge(open as u64));
-        let mut text = String::new();
-        // Writing to a string has no way to fail.
-        let _written = encode(&mut text, &self.registry);
-        text
+        self.watch_age_ms.set(gauge_value(watch_age.0));
+        self.routes_version.set(gauge_value(version));
+        self.open_requests.set(gauge_value(open as u64));
+        text_of(&self.registry)
     }
 }
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -363,7 +363,7 @@
 
     fn copy_source(&self, holder: BackendId) -> Option<CopySource> {
         let forwarder = self.gateway.forwarder.borrow();
-        let address = forwarder.backend(&holder)?.registration.address.clone();
+        let address = forwarder.address(&holder)?.to_owned();
         Some(CopySource {
             backend: holder,
             address,
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -245,6 +245,11 @@
         self.backends.get(id)
     }
 
+    /// The address of a back end.
+    pub fn address(&self, id: &BackendId) -> Option<&str> {
+        Some(&self.backend(id)?.registration.address)
+    }
+
     /// Back ends that take work now, of all that are known.
     pub fn open_backends(&self, now: Millis) -> (usize, usize) {
         let open = self.backends.values().filter(|b| b.is_open(now, false));
@@ -323,10 +328,11 @@
             backend.load.sent(0, 0);
             return 0;
         };
+        let prefixes = prompt.prefixes();
         let copied = source.and_then(|source| self.residency.get(source));
-        let copied = copied.map_or(0, |residency| residency.copyable_tokens(prompt, now));
+        let copied = copied.map_or(0, |residency| residency.copyable_tokens(&prefixes, now));
         let residency = self.residency.entry(id.clone()).or_default();
-        let held = residency.held_tokens(prompt, now).max(copied);
+        let held = residency.held_tokens(&prefixes, now).max(copied);
         let unread = prompt.tokens.saturating_sub(held);
         residency.note_sent(prompt, now);
         backend.load.sent(unread, prompt.held_tokens());
--- a/components/forwarding/src/reading.rs
+++ b/components/forwarding/src/reading.rs
@@ -13,7 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::placement::EngineView;
-use crate::work::Prompt;
+use crate::residency::Residency;
+use crate::work::{Prefix, Prompt};
 
 /// Engines at which a shared prefix may be kept.
 const OWNERS: usize = 2;
@@ -52,7 +53,8 @@
     prompt: &Prompt,
     now: Millis,
 ) -> Option<Reading<'a, 'b>> {
-    let sources = sources(holders, prompt, now);
+    let prefixes = prompt.prefixes();
+    let sources = sources(holders, &prefixes, now);
     let candidates = if prompt.shared_tokens() <= WORTHLESS_SHARED {
         readers.len()
     } else {
@@ -60,7 +62,10 @@
     };
     let reading = |(rank, engine): (usize, &'a EngineView<'b>)| {
         let queued = engine.backend.load.unread_tokens(now);
-        let held = held_tokens(engine, prompt, rank == 0, now);
+        let known = known_tokens(engine, &prefixes, now);
+        let held = known
+            .max(likely_tokens(prompt, rank == 0))
+            .min(prompt.tokens);
         let spread = spreading_cost(rank, prompt.tokens - held, prompt);
         let (unread, source) = cheapest_copy(engine, held, &sources, prompt);
         Reading {
@@ -96,17 +101,18 @@
     }
 }
 
-fn held_tokens(engine: &EngineView<'_>, prompt: &Prompt, first_owner: bool, now: Millis) -> u64 {
-    let known = engine
-        .residency
-        .map_or(0, |residency| residency.held_tokens(prompt, now));
+fn known_tokens(engine: &EngineView<'_>, prefixes: &[Prefix], now: Millis) -> u64 {
+    let held = |residency: &Residency| residency.held_tokens(prefixes, now);
+    engine.residency.map_or(0, held)
+}
+
+/// See [`DOUBT_PARTS`].
+fn likely_tokens(prompt: &Prompt, first_owner: bool) -> u64 {
+    if !first_owner {
+        return 0;
+    }
     let shared = prompt.shared_tokens();
-    let likely = if first_owner {
-        shared - shared / DOUBT_PARTS
-    } else {
-        0
-    };
-    known.max(likely).min(prompt.tokens)
+    shared - shared / DOUBT_PARTS
 }
 
 /// An engine that the prefix can be copied from.
@@ -118,12 +124,12 @@
 
 fn sources<'a, 'b>(
     holders: &[&'a EngineView<'b>],
-    prompt: &Prompt,
+    prefixes: &[Prefix],
     now: Millis,
 ) -> Vec<Source<'a, 'b>> {
     let source = |engine: &&'a EngineView<'b>| {
         let residency = engine.residency?;
-        let tokens = residency.copyable_tokens(prompt, now);
+        let tokens = residency.copyable_tokens(prefixes, now);
         (tokens > 0).then_some(Source { engine, tokens })
     };
     holders.iter().filter_map(source).collect()
--- a/components/forwarding/src/residency.rs
+++ b/components/forwarding/src/residency.rs
@@ -67,22 +67,22 @@
         self.forget_old(now);
     }
 
-    /// Tokens of the prompt that the engine is believed to hold, or to have
-    /// read before this prompt's turn comes.
-    pub fn held_tokens(&self, prompt: &Prompt, now: Millis) -> u64 {
-        self.tokens(prompt, |belief| now.since(belief.used_at) <= BELIEVED_FOR)
+    /// Tokens of the prompt with these prefixes that the engine is believed to
+    /// hold, or to have read before this prompt's turn comes.
+    pub fn held_tokens(&self, prefixes: &[Prefix], now: Millis) -> u64 {
+        self.tokens(prefixes, |belief| now.since(belief.used_at) <= BELIEVED_FOR)
     }
 
-    /// Tokens of the prompt that can be copied from the engine.
-    pub fn copyable_tokens(&self, prompt: &Prompt, now: Millis) -> u64 {
-        self.tokens(prompt, |belief| {
+    /// Tokens of the prompt with these prefixes that can be copied from the
+    /// engine.
+    pub fn copyable_tokens(&self, prefixes: &[Prefix], now: Millis) -> u64 {
+        self.tokens(prefixes, |belief| {
             belief.is_read && now.since(belief.used_at) < COPYABLE_FOR
         })
     }
 
-    fn tokens(&self, prompt: &Prompt, counts: impl Fn(&Belief) -> bool) -> u64 {
+    fn tokens(&self, prefixes: &[Prefix], counts: impl Fn(&Belief) -> bool) -> u64 {
         let believed = |prefix: &&Prefix| self.beliefs.get(&prefix.id).is_some_and(&counts);
-        let prefixes = prompt.prefixes();
         let held = prefixes.iter().take_while(believed);
         held.last().map_or(0, |prefix| prefix.tokens)
     }
--- a/components/runtime/src/metrics.rs
+++ b/components/runtime/src/metrics.rs
@@ -3,7 +3,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 /// Content type of the text format.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -28,7 +28,7 @@
             name,
             help,
             labels: Vec::new(),
-            value: i64::try_from(value).unwrap_or(i64::MAX),
+            value: gauge_value(value),
         }
     }
 
@@ -43,6 +43,30 @@
 /// Last line of the text format.
 const END_OF_TEXT: &str = "# EOF\n";
 
+/// The metrics of a registry as text.
+pub fn text_of(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to a string has no way to fail.
+    let _written = encode(&mut text, registry);
+    text
+}
+
+/// Registers a metric and gives it back, to be counted with.
+pub fn registered<M: Metric + Clone>(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    metric: M,
+) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+/// A count as the value of a gauge.
+pub fn gauge_value(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 /// Two pages as one.
 pub fn joined(first: &str, second: &str) -> String {
     let first = first.strip_suffix(END_OF_TEXT).unwrap_or(first);
@@ -64,8 +88,5 @@
             at += 1;
         }
     }
-    let mut text = String::new();
-    // Writing to a string has no way to fail.
-    let _written = encode(&mut text, &registry);
-    text
+    text_of(&registry)
 }
