What an engine sent of a first event that broke off is void

A resumable stream's engine broke off within its first event; the half stayed in the splitter and was joined to the first event of the engine that began anew. Between later events the half was dropped already.

Change: the half is dropped where the stream breaks, for every way that leads on.

--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -193,7 +193,6 @@
         loop {
             match self.next_from_engine().await {
                 Next::Cut if self.running.work.kind == WorkKind::ResumableStream => {
-                    self.splitter.drop_partial();
                     let resumed = match self.after(AttemptEnd::Broken) {
                         Ok(()) => self.open().await,
                         Err(refused) => Err(refused),
@@ -257,12 +256,15 @@
         may_move_on.then_some(self.running.patience.pause)
     }
 
-    /// The engine broke off. Its connection is closed, which ends its work.
+    /// The engine broke off. Its connection is closed, which ends its work, and
+    /// what it sent of an event that is not whole is void: the next engine
+    /// begins that event anew.
     fn broke(&mut self, cause: &str) -> Next {
         if let Some(mut open) = self.open.take() {
             open.guard.failed();
         }
         self.begun = false;
+        self.splitter.drop_partial();
         let backend = self.running.served_by.as_ref();
         log::info!(
             request = self.running.call.facts.id.as_str(),
