A new gateway works by what a replica knew last until there is a leader

Then: the first visit of a gateway met a replica without power, whose silence was waited for 0.5 s.

Ruled out: a shorter lease (it bounds what a paused leader may do, and only 0.33 s of the 0.9 are its); the replicas' own start (they come back 0.02 to 0.47 s after the power, spread by the platform).

Change: that entries are committed is written and synced with the log, so a replica that starts again applies them before it hears anybody. While it knows no leader, it answers a gateway that knows nothing with the configuration that results, if all of its log is committed, for 5 s after it knew a leader last. The gateway takes it as unconfirmed: routes that it does not know are refused with a time to come back and never denied, the fixed part of the budgets is left alone since nobody knows who shares it, and it is given up after 10 s. Reads of operators are as before: a leader under its lease. First waits for connections between processes are 125 ms and double up to the 500 ms of before.

--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -39,6 +39,9 @@
     pub snapshot: Option<Snapshot>,
     /// Entries after the snapshot.
     pub entries: Vec<Entry>,
+    /// Highest index that the former life knew to be committed; 0 where that
+    /// is not known. What is committed stays so, and is applied at once.
+    pub commit_index: u64,
     /// The group before any membership entry: given at the very first start
     /// of a group, empty for a replica that joins later.
     pub initial_membership: Membership,
@@ -100,6 +103,7 @@
             .as_ref()
             .map_or((0, 0), |snapshot| (snapshot.index, snapshot.term));
         let log = ReplicatedLog::restored(snapshot_index, snapshot_term, restored.entries);
+        let commit_index = restored.commit_index.min(log.last_index());
         let random = Pcg64Mcg::seed_from_u64(config.seed ^ config.id.0);
         let mut node = Node {
             role: PeerRole::Follower,
@@ -113,7 +117,7 @@
             initial_membership: restored.initial_membership,
             membership: Membership::default(),
             membership_index: 0,
-            commit_index: snapshot_index,
+            commit_index: commit_index.max(snapshot_index),
             applied_index: snapshot_index,
             leader: None,
             // The former life may have answered a heartbeat just before it
@@ -210,6 +214,11 @@
         self.log.term_at(self.applied_index) == Some(self.hard_state.term)
     }
 
+    /// Whether every entry of the log is known to be committed, and applied.
+    pub fn is_wholly_committed(&self) -> bool {
+        self.applied_index == self.log.last_index()
+    }
+
     /// How long a member has not been heard of, as this leader knows it. A
     /// leader counts from when it began to lead, or admitted the member.
     pub fn silent_for(&self, id: ReplicaId) -> Millis {
--- a/components/consensus/src/ready.rs
+++ b/components/consensus/src/ready.rs
@@ -15,18 +15,27 @@
     pub entries: Vec<Entry>,
     /// To be sent once the above is synced.
     pub messages: Vec<Envelope>,
-    /// To be applied, in order, once the above is synced.
+    /// To be applied, in order, once the above is synced. That they are
+    /// committed is made durable too: a replica that starts again applies them
+    /// before it hears anybody.
     pub committed: Vec<Entry>,
 }
 
 impl Ready {
     /// Whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
-        !self.needs_sync() && self.messages.is_empty() && self.committed.is_empty()
+        !self.needs_sync() && self.messages.is_empty()
     }
 
     /// Whether anything has to be synced before the messages may go.
     pub fn needs_sync(&self) -> bool {
-        self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
+        let log_changes =
+            self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty();
+        log_changes || !self.committed.is_empty()
+    }
+
+    /// Highest index that is handed out for applying.
+    pub fn commit_index(&self) -> Option<u64> {
+        self.committed.last().map(|entry| entry.index)
     }
 }
--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -7,6 +7,7 @@
 
 use garnet_consensus::Envelope;
 use garnet_control::{ControlReply, Event, JoinRequest, OperatorAnswer, OperatorRequest};
+use garnet_runtime::ConnectTime;
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::ReplicaId;
@@ -229,8 +230,10 @@
 
 /// Keeps a connection to a peer and sends what is queued.
 async fn run_peer(address: String, hello: FrameSender, frames: Receiver<Frame>) {
+    let mut connect_time = ConnectTime::default();
     while !frames.is_closed() {
-        if let Ok((_, writer)) = frames::connect(&address, hello.clone()).await {
+        let connected = frames::connect(&address, hello.clone(), &mut connect_time).await;
+        if let Ok((_, writer)) = connected {
             write_all(writer, frames.clone()).await;
         }
         Timer::after(RECONNECT_PAUSE).await;
--- a/components/control-shell/src/opening.rs
+++ b/components/control-shell/src/opening.rs
@@ -77,6 +77,7 @@
         new_disk = created,
         term = recovered.hard_state.term,
         entries = recovered.entries.len(),
+        commit_index = recovered.commit_index,
         cut_bytes = recovered.cut_bytes;
         "data_folder_opened"
     );
@@ -84,6 +85,7 @@
         hard_state: recovered.hard_state,
         snapshot: recovered.snapshot,
         entries: recovered.entries,
+        commit_index: recovered.commit_index,
         initial_membership: group,
     };
     let mut replica_settings = settings.replica.clone();
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -170,5 +170,8 @@
     NotLeader {
         /// Address of the leader for gateways.
         leader: Option<String>,
+        /// For a gateway that knows nothing yet, while no leader is known: the
+        /// newest configuration that this replica surely knows of.
+        last_known: Option<Arc<Configuration>>,
     },
 }
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -1,20 +1,28 @@
 //! Watches and claims of gateways.
 
+use std::sync::Arc;
+
 use garnet_consensus::Member;
 use garnet_types::{GatewayId, Millis};
 
 use crate::command::{Command, CommandEnvelope};
+use crate::configuration::Configuration;
 use crate::effects::Effect;
 use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, GroupView};
 
 use super::{Asker, Replica};
 
+/// What a replica knows is told for so long after it knew a leader last. One
+/// that is cut off from the others must not go on telling it.
+const LAST_KNOWN_FOR: Millis = Millis::from_secs(5);
+
 impl Replica {
     pub(super) fn handle_gateway(&mut self, connection: u64, request: GatewayRequest) {
         // The lease is checked with the clock read for this very event, so a
         // leader that was paused does not speak for the group.
         if !self.may_answer_reads() {
-            self.reply_not_leader(connection);
+            let last_known = self.last_known_for(&request);
+            self.refer_to_leader(connection, last_known);
             return;
         }
         match request {
@@ -83,9 +91,35 @@
         }
     }
 
+    /// What a gateway without any configuration may go by until there is a
+    /// leader again.
+    ///
+    /// Invariant: all of the log is committed, so nothing that was accepted
+    /// and that this replica holds is missing, and nothing that was not
+    /// accepted is in it. Other replicas may hold more.
+    fn last_known_for(&mut self, request: &GatewayRequest) -> Option<Arc<Configuration>> {
+        let knows_nothing = matches!(
+            request,
+            GatewayRequest::Watch {
+                configuration_index: 0,
+                ..
+            }
+        );
+        let knows_leader = self.node.status().leader.is_some();
+        let is_recent = self.now.since(self.knew_leader_at) <= LAST_KNOWN_FOR;
+        let is_sure = self.node.is_wholly_committed() && self.state.configuration.index > 0;
+        (knows_nothing && !knows_leader && is_recent && is_sure)
+            .then(|| self.recent.whole(&self.state.configuration))
+    }
+
     pub(super) fn reply_not_leader(&mut self, connection: u64) {
+        self.refer_to_leader(connection, None);
+    }
+
+    fn refer_to_leader(&mut self, connection: u64, last_known: Option<Arc<Configuration>>) {
         let reply = ControlReply::NotLeader {
             leader: self.leader().map(|member| member.peer_address.clone()),
+            last_known,
         };
         self.effects
             .push(Effect::ReplyGateway { connection, reply });
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -168,6 +168,8 @@
     reconciled_at: Millis,
     missing_since: BTreeMap<BackendId, Millis>,
     led_term: Option<u64>,
+    /// When a leader was known last; the start counts as such a moment.
+    knew_leader_at: Millis,
     effects: Vec<Effect>,
     snapshot_due: Option<Snapshot>,
     /// Size of the latest snapshot.
@@ -215,6 +217,7 @@
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
             led_term: None,
+            knew_leader_at: now,
             effects: Vec::new(),
             snapshot_due: None,
             snapshot_bytes: 0,
@@ -313,6 +316,9 @@
 
     fn tick(&mut self) {
         self.node.tick(self.now);
+        if self.node.status().leader.is_some() {
+            self.knew_leader_at = self.now;
+        }
         self.note_leadership();
         let leads = self.node.holds_lease(self.now);
         if leads && self.now.since(self.reconciled_at) >= RECONCILE_INTERVAL {
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -73,7 +73,8 @@
         changes
     }
 
-    fn whole(&mut self, configuration: &Configuration) -> Arc<Configuration> {
+    /// The configuration as a whole.
+    pub fn whole(&mut self, configuration: &Configuration) -> Arc<Configuration> {
         let same = |whole: &&Arc<Configuration>| whole.index == configuration.index;
         if let Some(whole) = self.whole.as_ref().filter(same) {
             return Arc::clone(whole);
--- a/components/control/tests/mending/machines.rs
+++ b/components/control/tests/mending/machines.rs
@@ -106,6 +106,7 @@
             hard_state: recovered.hard_state,
             snapshot: recovered.snapshot,
             entries: recovered.entries,
+            commit_index: recovered.commit_index,
             initial_membership: self.first_group.clone(),
         };
         let replica = Replica::new(settings, restored, now).expect("a sound disk");
--- /dev/null
+++ b/components/control/tests/state/last_known.rs
@@ -0,0 +1,79 @@
+//! What a replica that has just started tells gateways before there is a leader.
+
+use std::sync::Arc;
+
+use garnet_control::{Command, Configuration, ControlReply, Effect, Event, GatewayRequest};
+use garnet_routes::RouteTable;
+use garnet_types::{GatewayId, Millis};
+use rstest::rstest;
+
+use crate::leader::Leader;
+
+fn put(version: u64) -> Command {
+    let table = RouteTable {
+        version,
+        ..RouteTable::default()
+    };
+    Command::PutRoutes {
+        table: Arc::new(table),
+        document: format!("version {version}"),
+    }
+}
+
+/// What a gateway that works by `configuration_index` hears.
+fn ask(replica: &mut Leader, configuration_index: u64) -> Option<Arc<Configuration>> {
+    let request = GatewayRequest::Watch {
+        gateway: GatewayId::new("g"),
+        configuration_index,
+        sent_at: replica.now,
+        group_index: u64::MAX,
+        mix: Vec::new(),
+        backlogs: Vec::new(),
+        copies: Vec::new(),
+    };
+    let effects = replica.take(Event::Gateway {
+        connection: 1,
+        request,
+    });
+    let heard = effects.into_iter().find_map(|effect| match effect {
+        Effect::ReplyGateway {
+            reply: ControlReply::NotLeader { last_known, .. },
+            ..
+        } => Some(last_known),
+        _ => None,
+    });
+    heard.expect("it is no leader")
+}
+
+fn restarted(commit_index: u64) -> Leader {
+    let commands = vec![put(7), put(9)];
+    let mut replica = Leader::restarted(Leader::settings(), commands, commit_index);
+    replica.persist();
+    replica
+}
+
+#[test]
+fn a_gateway_that_knows_nothing_hears_what_was_committed() {
+    let heard = ask(&mut restarted(2), 0).expect("all of the log is committed");
+    assert_eq!(heard.routes.as_ref().map(|table| table.version), Some(9));
+    assert_eq!(heard.index, 2);
+}
+
+/// Two voters of three are missing: no leader is elected.
+#[test]
+fn a_replica_that_finds_no_leader_falls_silent() {
+    let commands = vec![put(7)];
+    let mut replica = Leader::restarted(Leader::settings(), commands, 1);
+    replica.persist();
+    assert!(ask(&mut replica, 0).is_some());
+    replica.run(Millis::from_secs(6));
+    assert_eq!(ask(&mut replica, 0), None);
+}
+
+#[rstest]
+#[case::the_newest_entry_may_have_been_accepted(1, 0)]
+#[case::nothing_is_known_of_commits(0, 0)]
+#[case::the_gateway_knows_a_configuration(2, 1)]
+fn otherwise_it_hears_nothing(#[case] commit_index: u64, #[case] configuration_index: u64) {
+    assert_eq!(ask(&mut restarted(commit_index), configuration_index), None);
+}
--- a/components/control/tests/state/leader.rs
+++ b/components/control/tests/state/leader.rs
@@ -11,14 +11,16 @@
     pub now: Millis,
 }
 
-fn only_member(id: ReplicaId) -> Membership {
-    let member = Member {
+/// A group of the replica and `others` that never start.
+fn group(id: ReplicaId, others: u64) -> Membership {
+    let member = || Member {
         peer_address: "10.0.0.1:7380".into(),
         admin_address: "10.0.0.1:8144".into(),
         voter: true,
     };
+    let members = (0..=others).map(|other| (ReplicaId(id.0 + other), member()));
     Membership {
-        members: [(id, member)].into(),
+        members: members.collect(),
     }
 }
 
@@ -36,6 +38,26 @@
     /// Starts again with these commands in its log, and leads from then on.
     /// What it has committed is not applied yet.
     pub fn elected(settings: ReplicaSettings, commands: Vec<Command>) -> Self {
+        let mut leader = Leader::start(settings, commands, 0, 0);
+        while !leader.replica.node().is_leader() {
+            leader.now = leader.now + STEP;
+            leader.replica.handle(Event::Tick, leader.now);
+        }
+        leader
+    }
+
+    /// Starts again with these commands in its log, of which it knows
+    /// `commit_index` to be committed. The two others of its group never start.
+    pub fn restarted(settings: ReplicaSettings, commands: Vec<Command>, commit_index: u64) -> Self {
+        Leader::start(settings, commands, commit_index, 2)
+    }
+
+    fn start(
+        settings: ReplicaSettings,
+        commands: Vec<Command>,
+        commit_index: u64,
+        others: u64,
+    ) -> Self {
         let id = settings.consensus.id;
         let entries = (1..).zip(commands).map(|(index, c)| entry(index, c));
         let restored = Restored {
@@ -44,15 +66,12 @@
                 voted_for: Some(id),
             },
             entries: entries.collect(),
-            initial_membership: only_member(id),
+            commit_index,
+            initial_membership: group(id, others),
             ..Restored::default()
         };
-        let mut now = Millis(1000);
-        let mut replica = Replica::new(settings, restored, now).expect("a sound disk");
-        while !replica.node().is_leader() {
-            now = now + STEP;
-            replica.handle(Event::Tick, now);
-        }
+        let now = Millis(1000);
+        let replica = Replica::new(settings, restored, now).expect("a sound disk");
         Leader { replica, now }
     }
 
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -7,6 +7,7 @@
 mod engine_orders;
 mod fleet;
 mod group;
+mod last_known;
 mod leader;
 mod operators;
 mod routes;
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -134,9 +134,10 @@
 ) -> Result<Running, Box<(CallFacts, OwnAnswer)>> {
     let mut forwarder = gateway.forwarder.borrow_mut();
     let Some(choice) = forwarder.route(&facts.host, head.uri.path()) else {
-        let answer = match forwarder.routes_version() {
-            Some(_) => OwnAnswer::NoRoute,
-            None => OwnAnswer::NotRun(gateway.expected_configuration(arrived)),
+        let answer = if forwarder.is_confirmed() && forwarder.routes_version().is_some() {
+            OwnAnswer::NoRoute
+        } else {
+            OwnAnswer::NotRun(gateway.expected_configuration(arrived))
         };
         return Err(Box::new((facts, answer)));
     };
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -2,9 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use garnet_control::{ControlReply, GatewayRequest};
+use garnet_control::{Configuration, ControlReply, GatewayRequest};
+use garnet_forwarding::Forwarder;
 use garnet_runtime::control_link::ControlLinkOwner;
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::{GatewayId, Millis};
@@ -70,11 +72,13 @@
     }
 
     fn ask(&self) {
+        let now = self.gateway.now();
+        self.gateway.forwarder.borrow_mut().forget_unconfirmed(now);
         let copies = self.gateway.forwarder.borrow_mut().take_copies();
         let request = GatewayRequest::Watch {
             gateway: self.id.clone(),
             configuration_index: self.gateway.forwarder.borrow().configuration_index(),
-            sent_at: self.gateway.now(),
+            sent_at: now,
             group_index: self.group_index.get(),
             mix: Vec::new(),
             backlogs: self.gateway.forwarder.borrow().own_backlogs(),
@@ -102,27 +106,61 @@
             *self.group.borrow_mut() = group.addresses;
         }
         let mut forwarder = self.gateway.forwarder.borrow_mut();
-        let before = (forwarder.routes_version(), forwarder.configuration_index());
+        let before = InForce::of(&forwarder);
         forwarder.update(update);
         forwarder.set_gateways(gateways);
         if let Some(backlogs) = backlogs {
             forwarder.heard_of_others(&backlogs, self.gateway.now());
         }
         forwarder.heard_of_copies(&copies, self.gateway.now());
-        let after = (forwarder.routes_version(), forwarder.configuration_index());
-        if before != after {
-            let times = connection_times(forwarder.limits());
-            self.gateway.connection_times.replace(times);
-            let now = self.gateway.now();
-            let (open, known) = forwarder.open_backends(now);
-            log::info!(
-                routes_version = after.0.unwrap_or_default(),
-                index = after.1,
-                open_backends = open,
-                known_backends = known,
-                gateways = gateways;
-                "configuration_in_force"
-            );
+        drop(forwarder);
+        self.note_change(before);
+    }
+
+    fn hear_last_known(&self, configuration: Arc<Configuration>) {
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let before = InForce::of(&forwarder);
+        forwarder.take_unconfirmed(configuration, self.gateway.now());
+        drop(forwarder);
+        self.note_change(before);
+    }
+
+    /// What follows where another configuration is in force than `before`.
+    fn note_change(&self, before: InForce) {
+        let forwarder = self.gateway.forwarder.borrow();
+        let after = InForce::of(&forwarder);
+        if before == after {
+            return;
+        }
+        let times = connection_times(forwarder.limits());
+        self.gateway.connection_times.replace(times);
+        let (open, known) = forwarder.open_backends(self.gateway.now());
+        log::info!(
+            routes_version = after.routes_version.unwrap_or_default(),
+            index = after.index,
+            confirmed = after.is_confirmed,
+            open_backends = open,
+            known_backends = known,
+            gateways = forwarder.gateways();
+            "configuration_in_force"
+        );
+    }
+}
+
+/// Which configuration a gateway works by.
+#[derive(PartialEq, Eq)]
+struct InForce {
+    routes_version: Option<u64>,
+    index: u64,
+    is_confirmed: bool,
+}
+
+impl InForce {
+    fn of(forwarder: &Forwarder) -> Self {
+        InForce {
+            routes_version: forwarder.routes_version(),
+            index: forwarder.configuration_index(),
+            is_confirmed: forwarder.is_confirmed(),
         }
     }
 }
@@ -155,6 +193,10 @@
     fn heard(&self, reply: ControlReply) {
         self.0.hear(reply);
     }
+
+    fn heard_last_known(&self, configuration: Arc<Configuration>) {
+        self.0.hear_last_known(configuration);
+    }
 }
 
 /// A child that asks the leader again and again.
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -19,6 +19,13 @@
 /// Draws that go on by this part of one are spread evenly at any count.
 const GOLDEN_PART: f64 = 0.618_033_988_749_894_9;
 
+/// An unconfirmed configuration is given up when no leader has confirmed it for
+/// so long.
+const LONGEST_UNCONFIRMED: Millis = Millis::from_secs(10);
+/// Gateways that share the budgets while that is not known: none of the fixed
+/// part may be used.
+const UNKNOWN_GATEWAYS: u64 = u64::MAX;
+
 /// Copies that wait to be told at most; what is left out is told of when it is
 /// used again.
 const MOST_NEWS: usize = 64;
@@ -48,6 +55,8 @@
 pub struct Forwarder {
     settings: ForwarderSettings,
     configuration: Configuration,
+    /// Since when the configuration is one that no leader has confirmed yet.
+    unconfirmed_since: Option<Millis>,
     routes: RouteIndex,
     backends: BTreeMap<BackendId, Backend>,
     residency: BTreeMap<BackendId, Residency>,
@@ -66,6 +75,7 @@
         Forwarder {
             settings,
             configuration: Configuration::default(),
+            unconfirmed_since: None,
             routes: RouteIndex::default(),
             backends: BTreeMap::new(),
             residency: BTreeMap::new(),
@@ -83,6 +93,7 @@
     /// Takes what the leader says is new. An older configuration than the one
     /// in force is left aside, so nothing reverts.
     pub fn update(&mut self, update: WatchUpdate) {
+        self.unconfirmed_since = None;
         match update {
             WatchUpdate::Current => return,
             WatchUpdate::Snapshot(configuration) => {
@@ -104,6 +115,34 @@
         self.apply_configuration();
     }
 
+    /// Takes what a replica knew last while there is no leader, where nothing
+    /// is known here: a gateway that has just started need not wait for the
+    /// group. Until a leader confirms it, unknown routes are not denied and
+    /// the budgets' fixed part is left alone.
+    pub fn take_unconfirmed(&mut self, configuration: Arc<Configuration>, now: Millis) {
+        if self.configuration.index == 0 {
+            self.unconfirmed_since = Some(now);
+            self.configuration = Arc::unwrap_or_clone(configuration);
+            self.apply_configuration();
+        }
+    }
+
+    /// Forgets an unconfirmed configuration that has grown too old.
+    pub fn forget_unconfirmed(&mut self, now: Millis) {
+        let is_old = |since| now.since(since) > LONGEST_UNCONFIRMED;
+        if self.unconfirmed_since.is_some_and(is_old) {
+            self.unconfirmed_since = None;
+            self.configuration = Configuration::default();
+            self.routes = RouteIndex::default();
+            self.apply_configuration();
+        }
+    }
+
+    /// Whether a leader has confirmed the configuration in force here.
+    pub fn is_confirmed(&self) -> bool {
+        self.configuration.index > 0 && self.unconfirmed_since.is_none()
+    }
+
     /// Notes how many gateways share the budgets.
     pub fn set_gateways(&mut self, gateways: u64) {
         self.gateways = gateways.max(1);
@@ -267,7 +306,10 @@
     /// Takes one repeat from the service's budget; `false` when none is left.
     pub fn spend_repeat(&mut self, service: &ServiceId, now: Millis) -> bool {
         let share = self.settings.budget;
-        let gateways = self.gateways;
+        let gateways = match self.unconfirmed_since {
+            Some(_) => UNKNOWN_GATEWAYS,
+            None => self.gateways,
+        };
         self.budget(service, now).spend(&share, gateways, now)
     }
 
--- a/components/forwarding/tests/core/configuration.rs
+++ b/components/forwarding/tests/core/configuration.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use garnet_control::{ConfigurationChange, WatchUpdate};
-use garnet_types::{BackendId, MachineState};
+use garnet_forwarding::Forwarder;
+use garnet_types::{BackendId, MachineState, Millis, ServiceId};
 
-use crate::fleet::{NOW, configuration, forwarder, record, table};
+use crate::fleet::{NOW, configuration, empty_forwarder, forwarder, record, table};
 
 #[test]
 fn an_older_snapshot_is_left_aside() {
@@ -62,3 +63,58 @@
         .count();
     assert!((28..=32).contains(&words), "{words}");
 }
+
+/// A forwarder that has just started and heard from a replica without a leader.
+fn with_unconfirmed() -> Forwarder {
+    let mut forwarder = empty_forwarder();
+    let known = configuration(5, table(1, &[("till", 1)]), &[]);
+    forwarder.take_unconfirmed(Arc::new(known), NOW);
+    forwarder
+}
+
+#[test]
+fn an_unconfirmed_configuration_serves_until_a_leader_confirms_it() {
+    let mut forwarder = with_unconfirmed();
+    assert!(forwarder.route("shop.example", "/offers/1").is_some());
+    assert!(
+        !forwarder.is_confirmed(),
+        "an unknown route may be a newer one"
+    );
+    forwarder.update(WatchUpdate::Current);
+    assert!(forwarder.is_confirmed());
+    forwarder.forget_unconfirmed(NOW + Millis::from_secs(60));
+    assert_eq!(forwarder.routes_version(), Some(1));
+}
+
+#[test]
+fn an_unconfirmed_configuration_replaces_none_that_is_known() {
+    let mut forwarder = forwarder(&[]);
+    let other = configuration(9, table(3, &[("till", 1)]), &[]);
+    forwarder.take_unconfirmed(Arc::new(other), NOW);
+    assert_eq!(forwarder.routes_version(), Some(1));
+    assert!(forwarder.is_confirmed());
+}
+
+#[test]
+fn an_unconfirmed_configuration_is_given_up_in_time() {
+    let mut forwarder = with_unconfirmed();
+    forwarder.forget_unconfirmed(NOW + Millis::from_secs(10));
+    assert_eq!(forwarder.routes_version(), Some(1));
+    forwarder.forget_unconfirmed(NOW + Millis::from_secs(11));
+    assert_eq!(forwarder.routes_version(), None);
+    assert_eq!(
+        forwarder.configuration_index(),
+        0,
+        "a replica tells it again"
+    );
+    assert!(forwarder.route("shop.example", "/offers/1").is_none());
+}
+
+#[test]
+fn the_fixed_part_of_the_budgets_is_left_alone_until_it_is_known_who_shares_it() {
+    let service = ServiceId::new("till");
+    let mut forwarder = with_unconfirmed();
+    assert!(!forwarder.spend_repeat(&service, NOW));
+    forwarder.update(WatchUpdate::Current);
+    assert!(forwarder.spend_repeat(&service, NOW));
+}
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -77,8 +77,9 @@
     }
 }
 
-pub fn forwarder(records: &[BackendRecord]) -> Forwarder {
-    let mut forwarder = Forwarder::new(ForwarderSettings {
+/// A forwarder that knows nothing yet.
+pub fn empty_forwarder() -> Forwarder {
+    Forwarder::new(ForwarderSettings {
         zone: "a".into(),
         budget: BudgetShare {
             per_request: 0.2,
@@ -86,7 +87,11 @@
             window: Millis::from_secs(10),
         },
         first_draw: 0.25,
-    });
+    })
+}
+
+pub fn forwarder(records: &[BackendRecord]) -> Forwarder {
+    let mut forwarder = empty_forwarder();
     let configuration = configuration(5, table(1, &[("till", 1)]), records);
     forwarder.update(WatchUpdate::Snapshot(std::sync::Arc::new(configuration)));
     forwarder
--- a/components/runtime/src/control_link.rs
+++ b/components/runtime/src/control_link.rs
@@ -1,14 +1,16 @@
 //! A gateway's connection to the leader of the control group.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use garnet_control::{ControlReply, GatewayRequest};
+use garnet_control::{Configuration, ControlReply, GatewayRequest};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::GatewayId;
 use garnet_wire::{Frame, Sender as FrameSender, WireError};
 use smol::Timer;
 use smol::channel::Receiver;
 
+use crate::connect_time::ConnectTime;
 use crate::frames::{self, FrameReader, FrameWriter};
 
 /// A replica that answers nothing for so long is left for the next one.
@@ -23,6 +25,8 @@
     fn connected(&self) {}
     /// Takes a reply of the leader.
     fn heard(&self, reply: ControlReply);
+    /// Takes what a replica knew last while there is no leader.
+    fn heard_last_known(&self, _configuration: Arc<Configuration>) {}
 }
 
 /// Why a connection was left.
@@ -49,6 +53,7 @@
                 requests: requests.clone(),
                 position: 0,
                 in_touch: false,
+                connect_time: ConnectTime::default(),
             };
             async move {
                 smol::future::or(link.run(), stop.stopped()).await;
@@ -64,6 +69,7 @@
     requests: Receiver<GatewayRequest>,
     position: usize,
     in_touch: bool,
+    connect_time: ConnectTime,
 }
 
 impl<O: ControlLinkOwner> Link<O> {
@@ -90,7 +96,7 @@
 
     async fn visit(&mut self, address: &str) -> Left {
         let hello = FrameSender::Gateway(self.id.clone());
-        match frames::connect(address, hello).await {
+        match frames::connect(address, hello, &mut self.connect_time).await {
             Ok((reader, writer)) => self.exchange(address, reader, writer).await,
             Err(_) => Left::Lost,
         }
@@ -124,7 +130,10 @@
                 None
             };
             match smol::future::or(next, silence).await {
-                Some(Ok(Some(Frame::Control(ControlReply::NotLeader { leader })))) => {
+                Some(Ok(Some(Frame::Control(ControlReply::NotLeader { leader, last_known })))) => {
+                    if let Some(configuration) = last_known {
+                        self.owner.heard_last_known(configuration);
+                    }
                     return Ok(Left::NotLeader(leader));
                 }
                 Some(Ok(Some(Frame::Control(reply)))) => {
--- a/components/runtime/src/frames.rs
+++ b/components/runtime/src/frames.rs
@@ -6,12 +6,11 @@
 use smol::net::TcpStream;
 use std::time::Duration;
 
+use crate::connect_time::ConnectTime;
 use crate::sockets::{connect_in_time, end_when_silent};
 
 /// Largest buffer that a connection keeps between frames.
 const KEPT_BUFFER_BYTES: usize = 32 * 1024;
-/// Longest time to connect to another process of the system.
-const CONNECT_TIME: Duration = Duration::from_millis(500);
 /// A connection whose bytes are not acknowledged for so long is over.
 const SILENCE: Duration = Duration::from_millis(1500);
 
@@ -44,12 +43,18 @@
 /// Opens a connection and says hello.
 ///
 /// # Errors
-/// When the address can't be reached.
+/// When the address can't be reached in `time`.
 pub async fn connect(
     address: &str,
     sender: Sender,
+    time: &mut ConnectTime,
 ) -> Result<(FrameReader, FrameWriter), WireError> {
-    let stream = connect_in_time(address, CONNECT_TIME).await?;
+    let connected = connect_in_time(address, time.next()).await;
+    match &connected {
+        Ok(_) => time.succeeded(),
+        Err(_) => time.failed(),
+    }
+    let stream = connected?;
     let (reader, mut writer) = split(stream);
     let hello = Frame::Hello {
         version: PROTOCOL_VERSION,
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod clock;
 pub mod command_line;
+pub mod connect_time;
 pub mod connection_clock;
 pub mod control_link;
 pub mod frames;
@@ -24,6 +25,7 @@
 
 pub use client::{HttpClient, HttpError, StreamedResponse};
 pub use clock::Clock;
+pub use connect_time::ConnectTime;
 pub use connection_clock::ConnectionTimes;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
 pub use server::{Body, HttpServer, Limits, bytes_body, json_response, text_response};
--- a/components/simulator/src/control_host.rs
+++ b/components/simulator/src/control_host.rs
@@ -76,6 +76,7 @@
             hard_state: recovered.hard_state,
             snapshot: recovered.snapshot,
             entries: recovered.entries,
+            commit_index: recovered.commit_index,
             initial_membership: self.initial.clone(),
         };
         if let Ok(replica) = Replica::new(settings, restored, now) {
--- a/components/simulator/src/world/gateways.rs
+++ b/components/simulator/src/world/gateways.rs
@@ -22,7 +22,7 @@
         let event = match (message, from) {
             (Message::ToGateway(reply), _) => {
                 self.gateway_heard[place] = self.now;
-                if let ControlReply::NotLeader { leader } = &reply {
+                if let ControlReply::NotLeader { leader, .. } = &reply {
                     let hint = leader.as_ref().and_then(|address| address.parse().ok());
                     let next = (self.gateways[place].control + 1) % self.controls.len();
                     self.gateways[place].control = hint.unwrap_or(next);
--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -23,6 +23,8 @@
     Entry(Entry),
     /// The log was replaced by the snapshot at this index.
     Reset(u64),
+    /// Everything up to this index is committed.
+    Committed(u64),
 }
 
 #[derive(Debug)]
@@ -42,6 +44,8 @@
     pub snapshot: Option<Snapshot>,
     /// Entries after it.
     pub entries: Vec<Entry>,
+    /// Highest index that is known to be committed; 0 where none is.
+    pub commit_index: u64,
     /// Bytes of a torn last write that were cut off.
     pub cut_bytes: u64,
 }
@@ -152,6 +156,7 @@
             records.push(Record::Reset(snapshot.index));
         }
         records.extend(ready.entries.iter().cloned().map(Record::Entry));
+        records.extend(ready.commit_index().map(Record::Committed));
         self.append_frame(&records)?;
         if let Some(snapshot) = &ready.snapshot {
             self.drop_covered(snapshot.index)?;
@@ -353,6 +358,7 @@
     match record {
         Record::HardState(hard_state) => recovered.hard_state = hard_state,
         Record::Reset(_) => recovered.entries.clear(),
+        Record::Committed(index) => recovered.commit_index = recovered.commit_index.max(index),
         Record::Entry(entry) => {
             while recovered
                 .entries
--- a/components/storage/tests/recovery.rs
+++ b/components/storage/tests/recovery.rs
@@ -77,6 +77,25 @@
     assert_eq!(recovered.hard_state, vote);
 }
 
+/// What is committed stays so, and a replica that starts again may rely on it.
+#[test]
+fn what_is_known_to_be_committed_survives() {
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&entries(1..=5, 3)).expect("written");
+    let committed = Ready {
+        committed: (1..=4).map(|index| entry(index, 3)).collect(),
+        ..Ready::default()
+    };
+    storage.write(&committed).expect("written");
+    storage.write(&entries(6..=6, 3)).expect("written");
+    let after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    assert_eq!(recovered.commit_index, 4);
+    assert_eq!(recovered.entries.len(), 6);
+}
+
 #[test]
 fn a_later_entry_replaces_all_from_its_index_on() {
     let mut storage = open(MemoryDirectory::default());
