Readings are ranked by the tokens that are left to be read

Change: the rank counts doublings of the tokens that the chosen engine has yet to read, a copied prefix left out, one step of the route's priority each; at most 9.

--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -386,15 +386,30 @@
     fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
         let resumes = !matches!(phase, JobPhase::ReadPrompt(_));
         let last_id = self.splitter.last_id().filter(|_| resumes);
+        let unread = self.unread_tokens(&phase, &backend);
         Job {
             phase,
             backend,
             remaining: self.running.remaining(self.gateway.now()),
-            priority: self.running.work.rank(),
+            priority: self.running.work.rank(unread),
             resume_after: last_id.map(str::to_owned),
         }
     }
 
+    /// Prompt tokens that the back end has to read in this phase.
+    fn unread_tokens(&self, phase: &JobPhase, backend: &BackendId) -> u64 {
+        let source = match phase {
+            JobPhase::Whole => None,
+            JobPhase::ReadPrompt(source) => source.as_ref().map(|source| &source.backend),
+            JobPhase::Generate(_) => return 0,
+        };
+        let Some(prompt) = &self.running.work.prompt else {
+            return 0;
+        };
+        let forwarder = self.gateway.forwarder.borrow();
+        forwarder.unread_tokens(backend, prompt, source, self.gateway.now())
+    }
+
     fn place(&self) -> Option<Placement> {
         let now = self.gateway.now();
         let mut forwarder = self.gateway.forwarder.borrow_mut();
--- a/components/forwarding/src/forwarder.rs
+++ b/components/forwarding/src/forwarder.rs
@@ -370,17 +370,27 @@
             backend.load.sent(0, 0);
             return 0;
         };
-        let prefixes = prompt.prefixes();
-        let copied = source.and_then(|source| self.residency.get(source));
-        let copied = copied.map_or(0, |residency| residency.copyable_tokens(&prefixes, now));
-        let residency = self.residency.entry(id.clone()).or_default();
-        let held = residency.held_tokens(&prefixes, now).max(copied);
-        let unread = prompt.tokens.saturating_sub(held);
-        residency.note_sent(prompt, now);
+        let unread = unread_tokens(&self.residency, id, prompt, source, now);
         backend.load.sent(unread, prompt.held_tokens());
+        self.residency
+            .entry(id.clone())
+            .or_default()
+            .note_sent(prompt, now);
         unread
     }
 
+    /// Prompt tokens that a back end would have to read, with what it copies
+    /// from `source`.
+    pub fn unread_tokens(
+        &self,
+        id: &BackendId,
+        prompt: &Prompt,
+        source: Option<&BackendId>,
+        now: Millis,
+    ) -> u64 {
+        unread_tokens(&self.residency, id, prompt, source, now)
+    }
+
     /// Notes a request that goes on from a KV cache at a back end.
     pub fn handed_over(&mut self, id: &BackendId, prompt: &Prompt, now: Millis) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -478,3 +488,18 @@
         }
     }
 }
+
+fn unread_tokens(
+    residency: &BTreeMap<BackendId, Residency>,
+    id: &BackendId,
+    prompt: &Prompt,
+    source: Option<&BackendId>,
+    now: Millis,
+) -> u64 {
+    let prefixes = prompt.prefixes();
+    let held = residency.get(id);
+    let held = held.map_or(0, |residency| residency.held_tokens(&prefixes, now));
+    let copied = source.and_then(|source| residency.get(source));
+    let copied = copied.map_or(0, |residency| residency.copyable_tokens(&prefixes, now));
+    prompt.tokens.saturating_sub(held.max(copied))
+}
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -34,28 +34,21 @@
     pub output_tokens: u64,
 }
 
-/// Ranks of one route priority.
-const RANKS_PER_PRIORITY: u8 = 3;
-/// Prompts up to this many tokens are short, up to the second one middling.
-const SHORT_PROMPT: u64 = 4_000;
-const MIDDLING_PROMPT: u64 = 16_000;
+/// Prompts of which fewer tokens are left to be read hold nobody up.
+const SHORT_READING: u64 = 512;
+/// Least urgent rank.
+const LAST_RANK: u8 = 9;
 
 impl Work {
-    /// Rank among the work of its service, 0 first: by the route's priority,
-    /// and within it short prompts before long ones. A short one holds nobody
-    /// up, and a long one that waits for it is hardly later.
-    pub fn rank(&self) -> u8 {
-        let tokens = self.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-        let size = if tokens <= SHORT_PROMPT {
-            0
-        } else if tokens <= MIDDLING_PROMPT {
-            1
-        } else {
-            2
-        };
-        self.priority
-            .saturating_mul(RANKS_PER_PRIORITY)
-            .saturating_add(size)
+    /// Rank among the work of its service, 0 first: each doubling of the prompt
+    /// tokens that are left to be read counts as much as one step of the
+    /// route's priority. A short reading holds nobody up, and a long one that
+    /// waits for it is hardly later.
+    pub fn rank(&self, unread_tokens: u64) -> u8 {
+        let doublings = (unread_tokens / SHORT_READING)
+            .checked_ilog2()
+            .map_or(0, |doublings| doublings as u8 + 1);
+        self.priority.saturating_add(doublings).min(LAST_RANK)
     }
 }
 
