The soak has engines and streams: whole texts, in order, to their end

Change: three engines as processes, two kinds of faults (engine-kill, engine-pause), six callers of streamed texts that know each token that has to come. A stream may break off, and then lacks nothing but its end; one that says it is whole is, one that a planned stop of its gateway cuts is a finding. The processes' slots have a file of their own.

--- a/bin/garnet-bench/src/soak/checks.rs
+++ b/bin/garnet-bench/src/soak/checks.rs
@@ -107,6 +107,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Seen {
     pub(super) calls: Vec<Call>,
+    /// Streamed texts. They run at engines, which keep no journal.
+    pub(super) streams: Vec<Call>,
     pub(super) acknowledged: Vec<String>,
     pub(super) struck: BTreeMap<FaultKind, u64>,
     pub(super) stops: Vec<PlannedStop>,
@@ -156,7 +158,8 @@
                 "{unkeyed_sent} calls without a key ran {runs} times"
             ));
         }
-        for call in self.calls.iter().filter(|call| call.has(Outcome::Garbled)) {
+        let all = || self.calls.iter().chain(&self.streams);
+        for call in all().filter(|call| call.has(Outcome::Garbled)) {
             broken.push(format!("{}: an answer of another call, or none", call.key));
         }
         for name in &self.acknowledged {
@@ -167,17 +170,19 @@
         for kind in kinds.iter().filter(|kind| !self.struck.contains_key(kind)) {
             broken.push(format!("{kind} never struck: nothing is proved of it"));
         }
-        let mut outcomes = BTreeMap::new();
-        for sending in self.calls.iter().flat_map(|call| &call.sendings) {
-            *outcomes.entry(sending.outcome).or_default() += 1;
-        }
+        let outcomes = count_outcomes(&self.calls);
         if !outcomes.contains_key(&Outcome::Answered) {
             broken.push("no call was answered".to_owned());
         }
+        let stream_outcomes = count_outcomes(&self.streams);
+        if !stream_outcomes.contains_key(&Outcome::Answered) {
+            broken.push("no stream came to its end".to_owned());
+        }
         Verdict {
             seed,
             struck: self.struck.clone(),
             outcomes,
+            stream_outcomes,
             acknowledged: self.acknowledged.len(),
             reads: self.reads,
             broken,
@@ -196,11 +201,8 @@
                     && sending.sent_ms + SURELY_READ_MS < stop.from_ms
                     && (stop.from_ms..=stop.to_ms).contains(&sending.ended_ms)
             };
-            for call in self
-                .calls
-                .iter()
-                .filter(|call| call.sendings.iter().any(hit))
-            {
+            let all = self.calls.iter().chain(&self.streams);
+            for call in all.filter(|call| call.sendings.iter().any(hit)) {
                 cut.push(format!("{}: cut by the planned stop {stop:?}", call.key));
             }
         }
@@ -208,6 +210,14 @@
     }
 }
 
+fn count_outcomes(calls: &[Call]) -> BTreeMap<Outcome, u64> {
+    let mut outcomes = BTreeMap::new();
+    for sending in calls.iter().flat_map(|call| &call.sendings) {
+        *outcomes.entry(sending.outcome).or_default() += 1;
+    }
+    outcomes
+}
+
 fn judge(call: &Call, runs: u64) -> Option<String> {
     let key = &call.key;
     if runs > 1 {
@@ -266,6 +276,7 @@
     seed: u64,
     struck: BTreeMap<FaultKind, u64>,
     outcomes: BTreeMap<Outcome, u64>,
+    stream_outcomes: BTreeMap<Outcome, u64>,
     acknowledged: usize,
     reads: u64,
     broken: Vec<String>,
@@ -287,6 +298,9 @@
         for (outcome, times) in &self.outcomes {
             writeln!(formatter, "calls outcome={outcome:?} times={times}")?;
         }
+        for (outcome, times) in &self.stream_outcomes {
+            writeln!(formatter, "streams outcome={outcome:?} times={times}")?;
+        }
         writeln!(
             formatter,
             "operators acknowledged={} reads={}",
--- a/bin/garnet-bench/src/soak/fault.rs
+++ b/bin/garnet-bench/src/soak/fault.rs
@@ -34,10 +34,14 @@
     BackendPause,
     /// An application refuses calls.
     BackendRefuse,
+    /// SIGKILL to an engine, started again.
+    EngineKill,
+    /// SIGSTOP to an engine, then SIGCONT.
+    EnginePause,
 }
 
 /// All kinds and their names on the command line.
-pub(super) const ALL: [(FaultKind, &str); 14] = [
+pub(super) const ALL: [(FaultKind, &str); 16] = [
     (FaultKind::ReplicaKill, "replica-kill"),
     (FaultKind::ReplicaPause, "replica-pause"),
     (FaultKind::ReplicaStop, "replica-stop"),
@@ -52,6 +56,8 @@
     (FaultKind::AnswerLost, "answer-lost"),
     (FaultKind::BackendPause, "backend-pause"),
     (FaultKind::BackendRefuse, "backend-refuse"),
+    (FaultKind::EngineKill, "engine-kill"),
+    (FaultKind::EnginePause, "engine-pause"),
 ];
 
 impl FaultKind {
--- a/bin/garnet-bench/src/soak/fleet.rs
+++ b/bin/garnet-bench/src/soak/fleet.rs
@@ -1,36 +1,32 @@
 //! The processes of a soak, their settings and their links.
 
-use std::fs::{self, File};
+use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 
 use garnet_test_support::ReservedAddress;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use smol::LocalExecutor;
 
 use super::proxy::Link;
+use super::slot::Slot;
 
 pub(super) const REPLICAS: usize = 3;
 pub(super) const GATEWAYS: usize = 2;
 pub(super) const APPLICATIONS: usize = 3;
+pub(super) const ENGINES: usize = 3;
+/// The model of the engines.
+pub(super) const MODEL: &str = "words-model";
+const ENGINE_SERVICE: &str = "words";
+/// Engines generate this many times as fast as they are by themselves.
+const ENGINE_SPEED: &str = "4";
 /// The service of the applications.
 pub(super) const SERVICE: &str = "till";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// How far the platform's list of machines is behind.
 const LIST_LAG_MS: &str = "300";
 
-/// One program and the process that runs it.
-struct Slot {
-    name: String,
-    program: PathBuf,
-    arguments: Vec<String>,
-    /// Arguments of the very first start.
-    first_arguments: Vec<String>,
-    child: Option<Child>,
-}
-
 /// Which process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Process {
@@ -38,6 +34,8 @@
     Replica(usize),
     /// A gateway.
     Gateway(usize),
+    /// An engine.
+    Engine(usize),
 }
 
 /// All processes.
@@ -46,6 +44,7 @@
     keeps: bool,
     replicas: Vec<Slot>,
     gateways: Vec<Slot>,
+    engines: Vec<Slot>,
     others: Vec<Slot>,
     admin: Vec<SocketAddr>,
     gateway_addresses: Vec<SocketAddr>,
@@ -54,7 +53,8 @@
     _address: ReservedAddress,
 }
 
-fn text(error: std::io::Error) -> String {
+/// What an error of the system says.
+pub(super) fn text(error: std::io::Error) -> String {
     error.to_string()
 }
 
@@ -73,6 +73,7 @@
         let admin = sockets(REPLICAS);
         let gateway_addresses = sockets(GATEWAYS);
         let applications = sockets(APPLICATIONS);
+        let engines = sockets(ENGINES);
         let platform = sockets(1)[0];
         let keeps = keep.is_some();
         let folder = keep.unwrap_or_else(|| {
@@ -88,6 +89,7 @@
         let mut fleet = Fleet {
             replicas: Vec::new(),
             gateways: Vec::new(),
+            engines: Vec::new(),
             others: Vec::new(),
             keeps,
             admin,
@@ -99,12 +101,14 @@
         };
         fleet.add_platform(&programs, platform);
         fleet.add_applications(&programs, platform);
+        fleet.add_engines(&programs, platform, &engines);
         fleet.add_replicas(&programs, platform, &listens, &peers)?;
         fleet.add_gateways(&programs, &peers)?;
         let folder = fleet.folder.clone();
         let all = fleet
             .others
             .iter_mut()
+            .chain(&mut fleet.engines)
             .chain(&mut fleet.replicas)
             .chain(&mut fleet.gateways);
         for slot in all {
@@ -152,6 +156,36 @@
         }
     }
 
+    fn add_engines(&mut self, programs: &Path, platform: SocketAddr, listens: &[SocketAddr]) {
+        for (number, listen) in listens.iter().enumerate() {
+            let name = format!("engine-{number}");
+            let data = self.folder.join(format!("data-{name}"));
+            let (listen, platform) = (listen.to_string(), platform.to_string());
+            let data = data.display().to_string();
+            let words = [
+                "engine",
+                "--name",
+                &name,
+                "--listen",
+                &listen,
+                "--service",
+                ENGINE_SERVICE,
+                "--zone",
+                ZONES[number % ZONES.len()],
+                "--platform",
+                &platform,
+                "--model",
+                MODEL,
+                "--data",
+                &data,
+                "--speed",
+                ENGINE_SPEED,
+            ];
+            self.engines
+                .push(Slot::new(&name, programs.join("garnet-standin"), &words));
+        }
+    }
+
     fn add_replicas(
         &mut self,
         programs: &Path,
@@ -179,13 +213,9 @@
                 self.admin[place],
             );
             let file = self.write_settings(&name, &settings)?;
-            let mut slot = Slot::new(
-                &name,
-                programs.join("garnet-control"),
-                &["--settings", &file],
-            );
-            slot.first_arguments = vec!["--bootstrap".to_owned()];
-            self.replicas.push(slot);
+            let program = programs.join("garnet-control");
+            let slot = Slot::new(&name, program, &["--settings", &file]);
+            self.replicas.push(slot.with_first_argument("--bootstrap"));
         }
         Ok(())
     }
@@ -239,17 +269,12 @@
 
     /// Sends a signal to a process.
     pub(super) fn signal(&self, process: Process, signal: Signal) {
-        if let Some(child) = &self.slot(process).child {
-            let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
-            // One that has ended already needs no signal.
-            let _gone = pid.map(|pid| kill_process(pid, signal));
-        }
+        self.slot(process).signal(signal);
     }
 
     /// Whether a process has ended.
     pub(super) fn has_ended(&mut self, process: Process) -> bool {
-        let child = self.slot_mut(process).child.as_mut();
-        child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+        self.slot_mut(process).has_ended()
     }
 
     /// Starts a process again from what its disk holds.
@@ -264,6 +289,7 @@
             .gateways
             .iter_mut()
             .chain(&mut self.replicas)
+            .chain(&mut self.engines)
             .chain(&mut self.others);
         for slot in all {
             slot.kill();
@@ -277,6 +303,7 @@
         match process {
             Process::Replica(place) => &self.replicas[place],
             Process::Gateway(place) => &self.gateways[place],
+            Process::Engine(place) => &self.engines[place],
         }
     }
 
@@ -284,6 +311,7 @@
         match process {
             Process::Replica(place) => &mut self.replicas[place],
             Process::Gateway(place) => &mut self.gateways[place],
+            Process::Engine(place) => &mut self.engines[place],
         }
     }
 }
@@ -294,49 +322,6 @@
     }
 }
 
-impl Slot {
-    fn new(name: &str, program: PathBuf, arguments: &[&str]) -> Self {
-        Slot {
-            name: name.to_owned(),
-            program,
-            arguments: arguments.iter().map(ToString::to_string).collect(),
-            first_arguments: Vec::new(),
-            child: None,
-        }
-    }
-
-    fn start(&mut self, folder: &Path, first: bool) -> Result<(), String> {
-        let file = folder.join(format!("{}.log", self.name));
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(file)
-            .map_err(text)?;
-        let errors = log.try_clone().map_err(text)?;
-        let mut command = Command::new(&self.program);
-        command.args(&self.arguments);
-        if first {
-            command.args(&self.first_arguments);
-        }
-        let child = command
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn();
-        let named = |error| format!("can't start {}: {error}", self.program.display());
-        self.child = Some(child.map_err(named)?);
-        Ok(())
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // One that has ended already is only waited for.
-            let _ended = child.kill();
-            let _status = child.wait();
-        }
-    }
-}
-
 fn programs_folder() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(text)?;
     own.parent()
--- a/bin/garnet-bench/src/soak/mod.rs
+++ b/bin/garnet-bench/src/soak/mod.rs
@@ -8,6 +8,8 @@
 mod fleet;
 mod operators;
 mod proxy;
+mod slot;
+mod streams;
 mod striker;
 #[cfg(test)]
 mod tests;
@@ -40,6 +42,8 @@
 
 /// Calls under way at once.
 const CALLERS: usize = 12;
+/// Streams under way at once.
+const STREAMS: usize = 6;
 /// Longest time until the fleet serves, at first and after the last fault.
 const SETTLING_TIME: Duration = Duration::from_secs(60);
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
@@ -100,6 +104,10 @@
         let random = Pcg64::seed_from_u64(seed ^ (number as u64 + 1) << 32);
         tasks.push(executor.spawn(callers::call_until_over(Rc::clone(&soak), number, random)));
     }
+    for number in 0..STREAMS {
+        let random = Pcg64::seed_from_u64(!seed ^ (number as u64 + 1) << 32);
+        tasks.push(executor.spawn(streams::ask_until_over(Rc::clone(&soak), number, random)));
+    }
     tasks.push(executor.spawn(operators::write_until_over(
         Rc::clone(&soak),
         Pcg64::seed_from_u64(seed ^ 0xA),
--- a/bin/garnet-bench/src/soak/striker.rs
+++ b/bin/garnet-bench/src/soak/striker.rs
@@ -12,7 +12,7 @@
 
 use super::checks::PlannedStop;
 use super::fault::FaultKind;
-use super::fleet::{APPLICATIONS, GATEWAYS, Process, REPLICAS};
+use super::fleet::{APPLICATIONS, ENGINES, GATEWAYS, Process, REPLICAS};
 use super::proxy::LinkMode;
 use super::{LOOK_AGAIN, Soak};
 use garnet_runtime::client::build_request;
@@ -34,6 +34,7 @@
     Group,
     Gateway(usize),
     Application(usize),
+    Engine(usize),
 }
 
 impl Target {
@@ -100,6 +101,9 @@
         FaultKind::AnswerLost | FaultKind::BackendPause | FaultKind::BackendRefuse => {
             Target::Application(random.random_range(0..APPLICATIONS))
         }
+        FaultKind::EngineKill | FaultKind::EnginePause => {
+            Target::Engine(random.random_range(0..ENGINES))
+        }
         _ => Target::Replica(random.random_range(0..REPLICAS)),
     }
 }
@@ -119,6 +123,12 @@
         (FaultKind::GatewayKill, Target::Gateway(place)) => {
             kill(soak, Process::Gateway(place), lasts).await?;
         }
+        (FaultKind::EngineKill, Target::Engine(place)) => {
+            kill(soak, Process::Engine(place), lasts).await?;
+        }
+        (FaultKind::EnginePause, Target::Engine(place)) => {
+            pause(soak, Process::Engine(place), lasts).await;
+        }
         (FaultKind::ReplicaPause, Target::Replica(place)) => {
             pause(soak, Process::Replica(place), lasts).await;
         }
@@ -177,7 +187,8 @@
 async fn stop_gateway(soak: &Soak, place: usize, busy: &Busy) -> Result<(), String> {
     let gateway = soak.fleet.borrow().gateways()[place].clone();
     let others = || {
-        let is_back_end = |target: &Target| matches!(target, Target::Application(_));
+        let is_back_end =
+            |target: &Target| matches!(target, Target::Application(_) | Target::Engine(_));
         busy.borrow().iter().any(is_back_end)
     };
     let from_ms = soak.elapsed_ms();
--- a/bin/garnet-bench/src/soak/tests.rs
+++ b/bin/garnet-bench/src/soak/tests.rs
@@ -7,6 +7,7 @@
 use super::checks::{Call, Journals, Outcome, PlannedStop, Seen};
 use super::fault::FaultKind;
 use super::operators::ConfigurationRead;
+use super::streams::Heard;
 
 fn read(index: u64, sessions: &[&str]) -> ConfigurationRead {
     ConfigurationRead {
@@ -21,6 +22,7 @@
     seen.note_struck(FaultKind::ReplicaKill);
     seen.acknowledged.push("session-0".to_owned());
     seen.calls.push(call("good", &[Outcome::Answered]));
+    seen.streams.push(call("text", &[Outcome::Answered]));
     seen
 }
 
@@ -95,3 +97,43 @@
     });
     assert_eq!(holds(&seen, &runs(&[])), sound_so);
 }
+
+const EVENTS: &str = "data: {\"choices\":[{\"text\":\" one\"}]}\n\n\
+                      data: {\"choices\":[{\"text\":\" two\"}]}\n\n";
+
+#[rstest]
+#[case::whole("data: [DONE]\n\n", true, Outcome::Answered)]
+#[case::no_proper_end("data: [DONE]\n\n", false, Outcome::Broken)]
+#[case::broken_off("", false, Outcome::Broken)]
+#[case::half_an_event("data: {\"choices\":[{\"text\":\" th", false, Outcome::Broken)]
+#[case::a_token_twice(
+    "data: {\"choices\":[{\"text\":\" two\"}]}\n\n",
+    false,
+    Outcome::Garbled
+)]
+#[case::too_short("", true, Outcome::Broken)]
+fn a_stream(#[case] rest: &str, #[case] ended_well: bool, #[case] expected: Outcome) {
+    let heard = Heard::of(&format!("{EVENTS}{rest}"));
+    let whole = if heard.is_done {
+        " one two"
+    } else {
+        " one two three"
+    };
+    assert_eq!(heard.judge(whole, ended_well), expected);
+}
+
+#[test]
+fn an_end_mark_before_the_end_and_a_garbled_stream_are_findings() {
+    let early = Heard::of(&format!("{EVENTS}data: [DONE]\n\n"));
+    assert_eq!(early.judge(" one two three", true), Outcome::Garbled);
+    let mut seen = sound();
+    seen.streams.push(call("text-2", &[Outcome::Garbled]));
+    assert!(!holds(&seen, &runs(&[])));
+}
+
+#[test]
+fn a_soak_in_which_no_stream_came_to_its_end_does_not_pass() {
+    let mut seen = sound();
+    seen.streams.clear();
+    assert!(!holds(&seen, &runs(&[])));
+}
