A replica that starts on a full disk waits for room

A restart that fails twice a second tells nobody more than one line.

Ruled out: going on after the failed write (what lasted of it is not known, so the first end stays).

Change: opening waits while the disk is full, looking five times a second, and tells its begin and end; any other error ends the process as before.

--- /dev/null
+++ b/components/control-shell/src/disk_room.rs
@@ -0,0 +1,35 @@
+//! A full disk refuses every write, and it may be full for a while.
+//!
+//! A replica that found its disk full while it ran has ended: it can't know
+//! what lasted. When it starts again it waits here for room, in place of
+//! ending and being started again and again.
+
+use std::io;
+
+/// Opens the disk, and again after a `pause` for as long as it is full.
+///
+/// # Errors
+/// Any other error of `open`.
+pub fn wait_for_room<T>(
+    mut open: impl FnMut() -> io::Result<T>,
+    mut pause: impl FnMut(),
+) -> io::Result<T> {
+    let mut tries: u64 = 0;
+    loop {
+        match open() {
+            Err(error) if error.kind() == io::ErrorKind::StorageFull => {
+                if tries == 0 {
+                    log::warn!(cause = error.to_string().as_str(); "disk_full");
+                }
+                tries += 1;
+                pause();
+            }
+            other => {
+                if tries > 0 {
+                    log::info!(tries = tries; "disk_full_over");
+                }
+                return other;
+            }
+        }
+    }
+}
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod connections;
 mod directory;
+mod disk_room;
 mod engines;
 mod joining;
 mod metrics;
@@ -16,6 +17,7 @@
 
 pub use connections::Connections;
 pub use directory::{DirectoryError, DirectoryPort};
+pub use disk_room::wait_for_room;
 pub use engines::EnginePort;
 pub use joining::{GroupAddresses, MemberAddress};
 pub use metrics::ReplicaMetrics;
--- a/components/control-shell/src/opening.rs
+++ b/components/control-shell/src/opening.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
 
 use garnet_consensus::{Config, Member, Membership, Restored};
 use garnet_control::{Replica, ReplicaSettings};
@@ -12,10 +14,13 @@
 use garnet_types::ReplicaId;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::disk_room::wait_for_room;
 use crate::joining::MemberAddress;
 
 /// The group that a replica was born into, kept for later starts.
 const FIRST_GROUP_FILE: &str = "first-group";
+/// How often a full disk is looked at. Nothing else runs yet.
+const LOOK_FOR_ROOM: Duration = Duration::from_millis(200);
 
 /// The group at its very first start.
 #[derive(Debug, Clone)]
@@ -57,12 +62,15 @@
 }
 
 /// Opens the data folder. An identity is bound to the disk: an empty folder
-/// is a new replica unless this is the group's first start.
+/// is a new replica unless this is the group's first start. A full disk is
+/// waited for.
 ///
 /// # Errors
 /// When the folder can't be used, or holds what this program can't read.
 pub fn open(settings: &OpenSettings, clock: Clock) -> io::Result<Opened> {
-    let mut directory = DiskDirectory::open(&settings.data).map_err(|error| {
+    let open_disk = || DiskDirectory::open(&settings.data);
+    let opened = wait_for_room(open_disk, || thread::sleep(LOOK_FOR_ROOM));
+    let mut directory = opened.map_err(|error| {
         let folder = settings.data.display();
         io::Error::new(error.kind(), format!("data folder {folder}: {error}"))
     })?;
