Stand-in engine and consensus: a file for jobs, iterations and terms

No change of behaviour: engine.rs (593 lines) of the stand-ins and node.rs (519) are cut along their parts; the class of a job is a method of the job.

Measured: tests of both crates pass unchanged.

--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod ready;
 mod replication;
+mod terms;
 
 pub use config::Config;
 pub use entry::{Entry, EntryPayload, HardState, Member, Membership, Snapshot};
--- a/components/stand-in/src/engine.rs
+++ b/components/stand-in/src/engine/mod.rs
@@ -5,15 +5,20 @@
 //! does both, long prompts stretch the time between tokens: that is what the
 //! roles are for. Source: docs/engine-interface.md.
 
+mod iterations;
+mod jobs;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use garnet_routing::{LoadReport, block_hashes};
 use garnet_types::{
-    Class, EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, Fence, Millis, OrderAnswer,
+    EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, Fence, Millis, OrderAnswer,
 };
 
 use crate::prefix_cache::PrefixCache;
-use crate::text;
+
+use iterations::Iteration;
+pub use jobs::{JobId, JobOutput, JobRefusal, SubmittedJob};
 
 /// Microseconds in a millisecond: iterations are shorter than a millisecond.
 const MICROS: u64 = 1000;
@@ -54,91 +59,6 @@
     }
 }
 
-/// A job inside one engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct JobId(pub u64);
-
-/// A job as it is handed in.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum SubmittedJob {
-    /// Read a prompt and keep its KV cache for another engine.
-    Prefill {
-        /// Model that must be loaded.
-        model: String,
-        /// The prompt.
-        prompt: String,
-        /// Priority.
-        class: Class,
-    },
-    /// Generate tokens.
-    Generate {
-        /// Model that must be loaded.
-        model: String,
-        /// The prompt.
-        prompt: String,
-        /// Tokens of the whole text.
-        max_tokens: u64,
-        /// First token wanted.
-        from_token: u64,
-        /// Whether the KV cache was imported, so that no prompt is read.
-        imported: bool,
-        /// Priority.
-        class: Class,
-    },
-}
-
-impl SubmittedJob {
-    fn model(&self) -> &str {
-        match self {
-            SubmittedJob::Prefill { model, .. } | SubmittedJob::Generate { model, .. } => model,
-        }
-    }
-
-    fn needs_prompt_read(&self) -> bool {
-        match self {
-            SubmittedJob::Prefill { .. } => true,
-            SubmittedJob::Generate { imported, .. } => !imported,
-        }
-    }
-
-    fn generates(&self) -> bool {
-        matches!(self, SubmittedJob::Generate { .. })
-    }
-}
-
-/// Why a job was not begun.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum JobRefusal {
-    /// The engine takes no new work on purpose.
-    Draining,
-    /// Another model is loaded.
-    WrongModel,
-    /// The engine's role does not include the job.
-    WrongRole,
-}
-
-/// What became of a job.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum JobOutput {
-    /// The prompt is read; its KV cache can be fetched under this name.
-    Prefilled {
-        /// Name of the KV cache.
-        handle: u64,
-    },
-    /// One token.
-    Token {
-        /// Its number.
-        index: u64,
-        /// Its text.
-        text: String,
-    },
-    /// The explicit end.
-    Finished {
-        /// Tokens of the whole text.
-        total: u64,
-    },
-}
-
 #[derive(Debug, Clone)]
 struct ActiveJob {
     job: SubmittedJob,
@@ -150,13 +70,6 @@
     ready_at: u64,
 }
 
-#[derive(Debug, Clone)]
-struct Iteration {
-    ends_at: u64,
-    read: Vec<(JobId, u64)>,
-    decode: Vec<JobId>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct LoadSample {
     at: Millis,
@@ -422,151 +335,6 @@
         }
     }
 
-    // ---- Iterations ----
-
-    fn start_iteration(&mut self, at: u64) {
-        let read = self.choose_prompts();
-        let decode = self.choose_sequences(at);
-        if read.is_empty() && decode.is_empty() {
-            self.wait_for_import(at);
-            return;
-        }
-        let tokens: u64 = read.iter().map(|(_, tokens)| *tokens).sum();
-        let capacity = &self.settings.capacity;
-        let read_ms = tokens as f64 * 1000.0 / capacity.prefill_tokens_per_second;
-        let decode_ms = if decode.is_empty() {
-            0.0
-        } else {
-            capacity.decode_step_ms
-        };
-        let length = ((read_ms + decode_ms) * MICROS as f64).ceil() as u64;
-        self.iteration = Some(Iteration {
-            ends_at: at + length.max(1) * self.slowness,
-            read,
-            decode,
-        });
-    }
-
-    /// Nothing to do until an imported KV cache is there.
-    fn wait_for_import(&mut self, at: u64) {
-        let next = self
-            .generating
-            .iter()
-            .filter_map(|id| self.jobs.get(id))
-            .map(|job| job.ready_at)
-            .min();
-        self.iteration = next.map(|ready_at| Iteration {
-            ends_at: ready_at.max(at + 1),
-            read: Vec::new(),
-            decode: Vec::new(),
-        });
-    }
-
-    /// One chunk of prompts: urgent jobs first, then by arrival.
-    fn choose_prompts(&self) -> Vec<(JobId, u64)> {
-        let mut queue: Vec<JobId> = self.unread.iter().copied().collect();
-        queue.sort_by_key(|id| self.jobs.get(id).map(|job| class_of(&job.job)));
-        let mut left = self.settings.chunk_tokens;
-        let mut chunk = Vec::new();
-        for id in queue {
-            let unread = self.jobs.get(&id).map_or(0, |job| job.unread_tokens);
-            let tokens = unread.min(left);
-            if tokens == 0 && unread > 0 {
-                break;
-            }
-            left -= tokens;
-            chunk.push((id, tokens));
-        }
-        chunk
-    }
-
-    /// As many sequences as there are slots. Those that have begun keep theirs.
-    fn choose_sequences(&self, at: u64) -> Vec<JobId> {
-        let slots = self.settings.capacity.decode_slots as usize;
-        self.generating
-            .iter()
-            .filter(|id| self.jobs.get(id).is_some_and(|job| job.ready_at <= at))
-            .take(slots)
-            .copied()
-            .collect()
-    }
-
-    fn end_iteration(&mut self, iteration: Iteration) {
-        for (id, tokens) in iteration.read {
-            self.read_tokens(id, tokens, iteration.ends_at);
-        }
-        for id in iteration.decode {
-            self.generate_token(id);
-        }
-    }
-
-    fn read_tokens(&mut self, id: JobId, tokens: u64, at: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        job.unread_tokens = job.unread_tokens.saturating_sub(tokens);
-        if job.unread_tokens > 0 {
-            return;
-        }
-        self.unread.retain(|queued| *queued != id);
-        self.cache.store(&job.blocks);
-        if job.job.generates() {
-            job.ready_at = at;
-            self.insert_generating(id);
-        } else {
-            self.export_prompt(id, at);
-        }
-    }
-
-    /// Behind all jobs of the same or a more urgent class that have no token.
-    fn insert_generating(&mut self, id: JobId) {
-        let class = self.jobs.get(&id).map(|job| class_of(&job.job));
-        let slots = self.settings.capacity.decode_slots as usize;
-        let position = self
-            .generating
-            .iter()
-            .enumerate()
-            .skip(slots)
-            .find(|(_, other)| self.jobs.get(other).map(|job| class_of(&job.job)) > class)
-            .map_or(self.generating.len(), |(position, _)| position);
-        self.generating.insert(position, id);
-    }
-
-    fn export_prompt(&mut self, id: JobId, at: u64) {
-        let Some(job) = self.jobs.remove(&id) else {
-            return;
-        };
-        self.next_handle += 1;
-        let handle = self.next_handle;
-        let until = Millis(at / MICROS) + KV_KEPT;
-        self.exported.insert(handle, (job.prompt_tokens, until));
-        self.outputs.push((id, JobOutput::Prefilled { handle }));
-    }
-
-    fn generate_token(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let SubmittedJob::Generate {
-            prompt, max_tokens, ..
-        } = &job.job
-        else {
-            return;
-        };
-        if job.next_token < *max_tokens {
-            let index = job.next_token;
-            let text = text::token(prompt, index);
-            job.next_token += 1;
-            self.outputs.push((id, JobOutput::Token { index, text }));
-        }
-        if job.next_token >= *max_tokens {
-            let total = *max_tokens;
-            self.jobs.remove(&id);
-            self.generating.retain(|queued| *queued != id);
-            self.outputs.push((id, JobOutput::Finished { total }));
-        }
-    }
-
     // ---- Load ----
 
     fn sample(&mut self, now: Millis) {
@@ -585,9 +353,3 @@
         }
     }
 }
-
-fn class_of(job: &SubmittedJob) -> Class {
-    match job {
-        SubmittedJob::Prefill { class, .. } | SubmittedJob::Generate { class, .. } => *class,
-    }
-}
