garnet-bench load: a real fleet under load that arrives in an open loop

Change: arrivals at random by rate and mix, which wait for no answer; times begin when a request was due, so a late sender can't hide a late answer (no coordinated omission); histograms of first token, time between tokens, texts and calls; outcomes counted, those left out too; texts checked word by word on request. The reading of a streamed text stood three times and is one piece now.

--- a/bin/garnet-bench/src/call.rs
+++ b/bin/garnet-bench/src/call.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use garnet_engine_api::EventReader;
 use garnet_runtime::HttpClient;
 use garnet_runtime::client::{build_request, json_request};
 use garnet_stand_in::text::expected_text;
@@ -13,6 +12,7 @@
 use smol::LocalExecutor;
 
 use crate::options::Options;
+use crate::text_stream::TextStream;
 
 const HELP: &str = "\
 Usage: garnet-bench call completion --gateway IP:PORT --model M --prompt TEXT
@@ -154,20 +154,13 @@
         text: String::new(),
         whole: false,
     };
-    let mut reader = EventReader::default();
+    let mut stream = TextStream::default();
     while let Ok(Some(piece)) = response.next().await {
-        for event in reader.push(&piece) {
-            if event == b"[DONE]" {
-                seen.whole = true;
-                continue;
-            }
-            let chunk: Value = serde_json::from_slice(&event).unwrap_or(Value::Null);
-            seen.text += chunk["choices"][0]["text"].as_str().unwrap_or_default();
-            if let Some(engine) = chunk["garnet_served_by"].as_str() {
-                seen.served_by = engine.to_owned();
-            }
-        }
+        stream.push(&piece);
     }
+    seen.whole = stream.is_done;
+    seen.text = stream.text;
+    seen.served_by = stream.served_by.unwrap_or(seen.served_by);
     Ok(seen)
 }
 
--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -2,12 +2,14 @@
 
 mod call;
 mod hollow;
+mod load;
 mod mix_shift;
 mod options;
 mod parallel;
 mod relay;
 mod simulate;
 mod soak;
+mod text_stream;
 
 use std::process::ExitCode;
 
@@ -20,6 +22,7 @@
   call completion   one completion through a gateway, checked word by word
   call service      one application call through a gateway
   hollow            what each role costs as the fleet grows
+  load              a real fleet under load that arrives in an open loop
   mix-shift         goodput and role changes while the token mix shifts
   relay             a gateway beside a relay that only passes on
   simulate          the whole system in virtual time, with faults and checkers
@@ -37,6 +40,7 @@
     let outcome = match options.verb() {
         Some("call") => call::run(&options),
         Some("hollow") => hollow::run(&options),
+        Some("load") => load::run(&options),
         Some("mix-shift") => mix_shift::run(&options),
         Some("relay") => relay::run(&options),
         Some("simulate") => simulate::run(&options),
--- a/bin/garnet-bench/src/options.rs
+++ b/bin/garnet-bench/src/options.rs
@@ -7,7 +7,7 @@
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
 /// Options that take no value.
-const FLAGS: [&str; 3] = ["json", "stream", "help"];
+const FLAGS: [&str; 4] = ["check", "json", "stream", "help"];
 
 /// What the command line says.
 #[derive(Debug, Default)]
--- a/bin/garnet-bench/src/soak/streams.rs
+++ b/bin/garnet-bench/src/soak/streams.rs
@@ -13,6 +13,7 @@
 use super::Soak;
 use super::checks::{Call, Outcome};
 use super::fleet::{GATEWAYS, MODEL};
+use crate::text_stream::TextStream;
 
 /// Tokens of one text: some tenths of a second long, so that faults meet it.
 const TOKENS: u64 = 24;
@@ -20,7 +21,6 @@
 /// A stream that says nothing for so long is left.
 const PATIENCE: Duration = Duration::from_secs(15);
 const LONGEST_REST_MS: u64 = 60;
-const END_MARK: &str = "[DONE]";
 
 /// Asks for texts until the soak is over.
 pub(super) async fn ask_until_over(soak: Rc<Soak>, caller: usize, mut random: Pcg64) {
@@ -76,56 +76,30 @@
             Err(_) => break false,
         }
     };
-    let text = String::from_utf8_lossy(&bytes);
     if response.response.status().is_success() {
-        let heard = Heard::of(&text);
-        return heard.judge(&expected_text(prompt, TOKENS), ended_well);
+        let mut stream = TextStream::default();
+        stream.push(&bytes);
+        return judge(&stream, &expected_text(prompt, TOKENS), ended_well);
     }
-    let answer: Value = serde_json::from_str(&text).unwrap_or_default();
+    let answer: Value = serde_json::from_slice(&bytes).unwrap_or_default();
     match &answer["ran"] {
         Value::Bool(false) => Outcome::NotRun,
         _ => Outcome::InDoubt,
     }
 }
 
-/// What came of a stream.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub(super) struct Heard {
-    pub(super) text: String,
-    /// Whether the mark of its end came.
-    pub(super) is_done: bool,
-}
-
-impl Heard {
-    /// Reads the events of a body; half an event at its end is left out.
-    pub(super) fn of(body: &str) -> Self {
-        let mut heard = Heard::default();
-        let whole = body.rfind("\n\n").map_or("", |end| &body[..end]);
-        for data in whole.lines().filter_map(|line| line.strip_prefix("data: ")) {
-            if data == END_MARK {
-                heard.is_done = true;
-                continue;
-            }
-            let event: Value = serde_json::from_str(data).unwrap_or_default();
-            let text = event["choices"][0]["text"].as_str();
-            heard.text.push_str(text.unwrap_or_default());
-        }
-        heard
+/// What a stream means, where `expected` had to come. One that broke off may
+/// lack its end, and nothing else.
+pub(super) fn judge(stream: &TextStream, expected: &str, ended_well: bool) -> Outcome {
+    if stream.is_done && stream.text == expected {
+        return if ended_well {
+            Outcome::Answered
+        } else {
+            Outcome::Broken
+        };
     }
-
-    /// What it means, where `expected` had to come. A stream that broke off
-    /// may lack its end, and nothing else.
-    pub(super) fn judge(&self, expected: &str, ended_well: bool) -> Outcome {
-        if self.is_done && self.text == expected {
-            return if ended_well {
-                Outcome::Answered
-            } else {
-                Outcome::Broken
-            };
-        }
-        if self.is_done || !expected.starts_with(&self.text) {
-            return Outcome::Garbled;
-        }
-        Outcome::Broken
+    if stream.is_done || !expected.starts_with(&stream.text) {
+        return Outcome::Garbled;
     }
+    Outcome::Broken
 }
--- a/bin/garnet-bench/src/soak/tests.rs
+++ b/bin/garnet-bench/src/soak/tests.rs
@@ -7,7 +7,8 @@
 use super::checks::{Call, Journals, Outcome, PlannedStop, Seen};
 use super::fault::FaultKind;
 use super::operators::ConfigurationRead;
-use super::streams::Heard;
+use super::streams::judge;
+use crate::text_stream::TextStream;
 
 fn read(index: u64, sessions: &[&str]) -> ConfigurationRead {
     ConfigurationRead {
@@ -101,6 +102,12 @@
 const EVENTS: &str = "data: {\"choices\":[{\"text\":\" one\"}]}\n\n\
                       data: {\"choices\":[{\"text\":\" two\"}]}\n\n";
 
+fn heard(body: &str) -> TextStream {
+    let mut stream = TextStream::default();
+    stream.push(body.as_bytes());
+    stream
+}
+
 #[rstest]
 #[case::whole("data: [DONE]\n\n", true, Outcome::Answered)]
 #[case::no_proper_end("data: [DONE]\n\n", false, Outcome::Broken)]
@@ -113,19 +120,19 @@
 )]
 #[case::too_short("", true, Outcome::Broken)]
 fn a_stream(#[case] rest: &str, #[case] ended_well: bool, #[case] expected: Outcome) {
-    let heard = Heard::of(&format!("{EVENTS}{rest}"));
+    let heard = heard(&format!("{EVENTS}{rest}"));
     let whole = if heard.is_done {
         " one two"
     } else {
         " one two three"
     };
-    assert_eq!(heard.judge(whole, ended_well), expected);
+    assert_eq!(judge(&heard, whole, ended_well), expected);
 }
 
 #[test]
 fn an_end_mark_before_the_end_and_a_garbled_stream_are_findings() {
-    let early = Heard::of(&format!("{EVENTS}data: [DONE]\n\n"));
-    assert_eq!(early.judge(" one two three", true), Outcome::Garbled);
+    let early = heard(&format!("{EVENTS}data: [DONE]\n\n"));
+    assert_eq!(judge(&early, " one two three", true), Outcome::Garbled);
     let mut seen = sound();
     seen.streams.push(call("text-2", &[Outcome::Garbled]));
     assert!(!holds(&seen, &runs(&[])));
