--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -7,6 +7,7 @@
 mod options;
 mod parallel;
 mod relay;
+mod report;
 mod simulate;
 mod soak;
 mod text_stream;
@@ -25,6 +26,7 @@
   load              a real fleet under load that arrives in an open loop
   mix-shift         goodput and role changes while the token mix shifts
   relay             a gateway beside a relay that only passes on
+  report            a page with plots from what load, mix-shift and soak wrote
   simulate          the whole system in virtual time, with faults and checkers
   soak              the real programs as processes, with faults from outside
 
@@ -43,6 +45,7 @@
         Some("load") => load::run(&options),
         Some("mix-shift") => mix_shift::run(&options),
         Some("relay") => relay::run(&options),
+        Some("report") => report::run(&options),
         Some("simulate") => simulate::run(&options),
         Some("soak") => soak::run(&options),
         Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
--- a/bin/garnet-bench/src/options.rs
+++ b/bin/garnet-bench/src/options.rs
@@ -53,6 +53,11 @@
         self.words.get(position).map(String::as_str)
     }
 
+    /// The words that follow the verb.
+    pub(crate) fn words_after_verb(&self) -> &[String] {
+        self.words.get(1..).unwrap_or_default()
+    }
+
     /// Whether a flag is given.
     pub(crate) fn flag(&self, name: &str) -> bool {
         self.flags.contains(name)
--- a/bin/garnet-bench/src/soak/checks.rs
+++ b/bin/garnet-bench/src/soak/checks.rs
@@ -9,6 +9,7 @@
 use super::Soak;
 use super::fault::FaultKind;
 use super::operators::ConfigurationRead;
+use crate::report::measured::SoakReport;
 use garnet_runtime::client::build_request;
 
 /// A request that was sent this long ago has been read.
@@ -287,6 +288,26 @@
     pub(super) fn holds(&self) -> bool {
         self.broken.is_empty()
     }
+
+    /// The verdict as it is written for a report.
+    pub(super) fn report(&self) -> SoakReport {
+        let by_name = |outcomes: &BTreeMap<Outcome, u64>| {
+            let named = |(outcome, times): (&Outcome, &u64)| (format!("{outcome:?}"), *times);
+            outcomes.iter().map(named).collect()
+        };
+        let struck = self.struck.iter();
+        SoakReport {
+            soak_seed: self.seed,
+            struck: struck
+                .map(|(kind, times)| (kind.to_string(), *times))
+                .collect(),
+            calls: by_name(&self.outcomes),
+            streams: by_name(&self.stream_outcomes),
+            acknowledged: self.acknowledged,
+            reads: self.reads,
+            findings: self.broken.clone(),
+        }
+    }
 }
 
 impl fmt::Display for Verdict {
--- a/bin/garnet-bench/src/soak/mod.rs
+++ b/bin/garnet-bench/src/soak/mod.rs
@@ -35,6 +35,7 @@
   --seconds N   how long faults strike (default 30)
   --seed N      what strikes when and where (default: drawn)
   --faults K,.. the kinds that may strike (default: all); see docs/proof.md
+  --json        one JSON object, which `garnet-bench report` draws
   --keep DIR    keeps settings, data and logs there (default: none are kept)
 
 The programs are taken from the folder that garnet-bench itself lies in.
@@ -78,7 +79,12 @@
     let executor = Rc::new(LocalExecutor::new());
     let soaking = soak(Rc::clone(&executor), seconds, seed, kinds, keep);
     let verdict = smol::block_on(executor.run(soaking))?;
-    print!("{verdict}");
+    if options.flag("json") {
+        let report = serde_json::to_string_pretty(&verdict.report());
+        println!("{}", report.map_err(|error| error.to_string())?);
+    } else {
+        print!("{verdict}");
+    }
     Ok(verdict.holds())
 }
 
