Votes are not lost on resting connections, and asked for again

Nobody asked again before the next timeout.

Ruled out: refused votes (nobody had heard the leader for more than the timeout), slow syncs (the terms rose by one only), the frozen peer itself.

Change: the end of a resting connection to a peer is looked for, and the next frame goes over a new one; a (pre-)candidate asks those that have not answered again with each heartbeat interval.

Tests first: a_candidate_asks_again_who_has_not_answered failed; the end of a resting connection could not be seen at all before (its reading half was dropped).

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -32,8 +32,24 @@
 
     pub(crate) fn tick_election(&mut self) {
         let may_stand = self.membership.is_voter(self.config.id);
-        if may_stand && self.now >= self.election_due {
+        if !may_stand {
+            return;
+        }
+        if self.now >= self.election_due {
             self.campaign(true, false);
+        } else if self.now.since(self.asked_at) >= self.config.heartbeat_interval {
+            self.ask_again();
+        }
+    }
+
+    /// Asks again those that have not answered: a request may be lost, and an
+    /// election with it.
+    fn ask_again(&mut self) {
+        let term = self.hard_state.term;
+        match self.role {
+            PeerRole::PreCandidate => self.request_votes(term + 1, true),
+            PeerRole::Candidate => self.request_votes(term, false),
+            PeerRole::Follower | PeerRole::Leader => {}
         }
     }
 
@@ -114,19 +130,23 @@
             self.hard_state.voted_for = Some(self.config.id);
             self.hard_state_changed = true;
         }
-        self.request_votes(term, pre_vote, transfer);
+        self.asked_by_transfer = transfer;
+        self.request_votes(term, pre_vote);
         self.count_votes();
     }
 
-    fn request_votes(&mut self, term: u64, pre_vote: bool, transfer: bool) {
+    fn request_votes(&mut self, term: u64, pre_vote: bool) {
+        self.asked_at = self.now;
         let message = Message::RequestVote {
             pre_vote,
-            transfer,
+            transfer: self.asked_by_transfer,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
         };
         for voter in self.other_voters() {
-            self.send_in_term(voter, term, message.clone());
+            if !self.votes.contains(&voter) {
+                self.send_in_term(voter, term, message.clone());
+            }
         }
     }
 
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -86,6 +86,9 @@
     pub(crate) no_vote_before: Millis,
     pub(crate) election_due: Millis,
     pub(crate) votes: BTreeSet<ReplicaId>,
+    /// When votes were asked for last, and whether for a handed-over office.
+    pub(crate) asked_at: Millis,
+    pub(crate) asked_by_transfer: bool,
     pub(crate) progress: BTreeMap<ReplicaId, Progress>,
     pub(crate) leader_since: Millis,
     pub(crate) transfer_to: Option<ReplicaId>,
@@ -125,6 +128,8 @@
             no_vote_before: now + config.lease_with_drift(),
             election_due: Millis::ZERO,
             votes: BTreeSet::new(),
+            asked_at: Millis::ZERO,
+            asked_by_transfer: false,
             progress: BTreeMap::new(),
             leader_since: Millis::ZERO,
             transfer_to: None,
--- a/components/consensus/tests/voting.rs
+++ b/components/consensus/tests/voting.rs
@@ -157,3 +157,38 @@
     assert!(!accepted(2, 3), "another term at the index");
     assert!(accepted(2, 1));
 }
+
+/// To whom the replica sends requests for votes now, and whether for pre-votes.
+fn asked(node: &mut Node, now: Millis) -> Vec<(ReplicaId, bool)> {
+    node.tick(now);
+    let asks = |sent: Envelope| match sent.message {
+        Message::RequestVote { pre_vote, .. } => Some((sent.to, pre_vote)),
+        _ => None,
+    };
+    node.ready().messages.into_iter().filter_map(asks).collect()
+}
+
+/// A request may be lost, on a connection whose other end is gone for example:
+/// the candidate need not wait for another election.
+#[test]
+fn a_candidate_asks_again_who_has_not_answered() {
+    let mut node = voter(HardState::default(), Vec::new());
+    let interval = Config::new(VOTER, 1).heartbeat_interval;
+    assert_eq!(asked(&mut node, LATER), [(FIRST, true), (SECOND, true)]);
+    assert_eq!(asked(&mut node, LATER), [], "not at once");
+    let again = LATER + interval;
+    assert_eq!(asked(&mut node, again), [(FIRST, true), (SECOND, true)]);
+    let granted = Envelope {
+        from: SECOND,
+        to: VOTER,
+        term: 1,
+        message: Message::VoteReply {
+            pre_vote: true,
+            granted: true,
+        },
+    };
+    node.step(granted, again);
+    assert_eq!(asked(&mut node, again), [(FIRST, false), (SECOND, false)]);
+    let later = again + interval;
+    assert_eq!(asked(&mut node, later), [(FIRST, false), (SECOND, false)]);
+}
--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -7,7 +7,6 @@
 
 use garnet_consensus::Envelope;
 use garnet_control::{ControlReply, Event, JoinRequest, OperatorAnswer, OperatorRequest};
-use garnet_runtime::ConnectTime;
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::ReplicaId;
@@ -16,10 +15,13 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
+use crate::peer_link;
+
 /// Frames that wait for one connection; more are dropped, which the protocol
 /// bears like any loss.
 const QUEUED_FRAMES: usize = 1024;
-const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a connection that could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for an operator's answer: a change may wait for all gateways.
 const OPERATOR_PATIENCE: Duration = Duration::from_secs(40);
 
@@ -88,7 +90,7 @@
             id: self.id,
             address: self.address.clone(),
         };
-        let task = run_peer(address.to_owned(), hello, frames);
+        let task = peer_link::run(address.to_owned(), hello, frames);
         self.executor.spawn(task).detach();
         let mut open = self.open.borrow_mut();
         open.peers.insert(address.to_owned(), sender.clone());
@@ -127,7 +129,7 @@
                 }
                 // Out of file handles, for example: give the others time.
                 Err(_) => {
-                    Timer::after(RECONNECT_PAUSE).await;
+                    Timer::after(ACCEPT_PAUSE).await;
                 }
             }
         }
@@ -228,20 +230,6 @@
     }
 }
 
-/// Keeps a connection to a peer and sends what is queued.
-async fn run_peer(address: String, hello: FrameSender, frames: Receiver<Frame>) {
-    let mut connect_time = ConnectTime::default();
-    while !frames.is_closed() {
-        let connected = frames::connect(&address, hello.clone(), &mut connect_time).await;
-        if let Ok((_, writer)) = connected {
-            write_all(writer, frames.clone()).await;
-        }
-        Timer::after(RECONNECT_PAUSE).await;
-        // What waited meanwhile is old: heartbeats bring the present.
-        while frames.try_recv().is_ok() {}
-    }
-}
-
 async fn write_all(mut writer: FrameWriter, frames: Receiver<Frame>) {
     while let Ok(frame) = frames.recv().await {
         if writer.send(frame).await.is_err() {
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -12,6 +12,7 @@
 mod joining;
 mod metrics;
 mod opening;
+mod peer_link;
 mod replica_task;
 mod stopping;
 
@@ -22,5 +23,6 @@
 pub use joining::{GroupAddresses, MemberAddress};
 pub use metrics::ReplicaMetrics;
 pub use opening::{FirstGroup, OpenSettings, Opened, identity_of, open};
+pub use peer_link::{LinkEnd, carry};
 pub use replica_task::{ControlShell, Ports};
 pub use stopping::hand_over;
