--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -23,6 +23,6 @@
 pub use joining::{GroupAddresses, MemberAddress};
 pub use metrics::ReplicaMetrics;
 pub use opening::{FirstGroup, OpenSettings, Opened, identity_of, open};
-pub use peer_link::{LinkEnd, carry};
+pub use peer_link::{LinkEnd, carry_frames};
 pub use replica_task::{ControlShell, Ports};
 pub use stopping::hand_over;
--- a/components/control-shell/src/peer_link.rs
+++ b/components/control-shell/src/peer_link.rs
@@ -35,7 +35,7 @@
     while let Ok(first) = frames.recv().await {
         let connected = frames::connect(&address, hello.clone(), &mut connect_time).await;
         if let Ok((reader, writer)) = connected
-            && carry(reader, writer, first, &frames).await == LinkEnd::Closed
+            && carry_frames(reader, writer, first, &frames).await == LinkEnd::Closed
         {
             continue;
         }
@@ -46,7 +46,7 @@
 }
 
 /// Sends `first` and all that follows until the connection is over.
-pub async fn carry(
+pub async fn carry_frames(
     mut reader: FrameReader,
     mut writer: FrameWriter,
     first: Frame,
--- a/components/gateway/src/completion/choice.rs
+++ b/components/gateway/src/completion/choice.rs
@@ -26,13 +26,7 @@
 impl Gateway {
     pub(super) fn place(&mut self, id: RequestId) -> Option<Predicted> {
         let request = self.requests.get(&id)?;
-        let engines = self.backends.engines(
-            &self.watched.configuration,
-            &request.service,
-            request.model()?,
-            &request.tried,
-            self.now,
-        );
+        let engines = self.untried_engines(request)?;
         let mut single = Vec::new();
         let mut prefill = Vec::new();
         let mut decode = Vec::new();
@@ -53,6 +47,19 @@
         best_placement(single, prefill, decode)
     }
 
+    /// Engines that may take the request and have not failed it yet.
+    fn untried_engines(&self, request: &Request) -> Option<Vec<Eligible<'_>>> {
+        let model = request.model()?;
+        let engines = self.backends.engines(
+            &self.watched.configuration,
+            &request.service,
+            model,
+            &request.tried,
+            self.now,
+        );
+        Some(engines)
+    }
+
     pub(super) fn candidate(
         &self,
         request: &Request,
@@ -101,13 +108,7 @@
 
     pub(super) fn choose_decode(&mut self, id: RequestId) -> Option<BackendId> {
         let request = self.requests.get(&id)?;
-        let engines = self.backends.engines(
-            &self.watched.configuration,
-            &request.service,
-            request.model()?,
-            &request.tried,
-            self.now,
-        );
+        let engines = self.untried_engines(request)?;
         let candidates: Vec<Candidate> = engines
             .iter()
             .filter(|engine| engine.role.generates())
