--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -8,6 +8,7 @@
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
+use hyper::StatusCode;
 use smol::Timer;
 
 use crate::gateway::Gateway;
@@ -221,7 +222,13 @@
 /// Longest body of an answer that tells why a request did not run.
 const SHORT_BODY: usize = 64 * 1024;
 
-fn log_failure(call: &Call, job: &Job, cause: &str) {
+/// The cause in the log of a back end's own failure.
+pub(crate) fn failed_with(status: StatusCode) -> String {
+    format!("status {}", status.as_u16())
+}
+
+/// Tells of an attempt that ended without an answer that is passed on.
+pub(crate) fn log_failure(call: &Call, job: &Job, cause: &str) {
     let phase = match job.phase {
         JobPhase::Whole => "whole",
         JobPhase::ReadPrompt(_) => "read_prompt",
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -5,7 +5,7 @@
 use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt};
 use garnet_types::{BackendId, Millis};
 
-use crate::attempt::attempt;
+use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HandoverSource, Job, JobPhase};
 
@@ -75,18 +75,21 @@
     let sent = attempt(gateway, call, job, Some(patience)).await;
     let mut open = sent.map_err(not_run)?;
     let unread = open.guard.unread();
-    let failed = |open: &mut crate::attempt::OpenAnswer<C, B>| {
+    let failed = |open: &mut OpenAnswer<C, B>, cause: &str| {
         open.guard.failed();
+        log_failure(call, job, cause);
         AttemptEnd::NotRun(NotRunReason::CacheGone)
     };
-    if !open.exchange.head.status.is_success() {
-        return Err(failed(&mut open));
+    let status = open.exchange.head.status;
+    if !status.is_success() {
+        return Err(failed(&mut open, &failed_with(status)));
     }
-    let Ok(body) = open.exchange.read_whole(SHORT_BODY).await else {
-        return Err(failed(&mut open));
+    let body = match open.exchange.read_whole(SHORT_BODY).await {
+        Ok(body) => body,
+        Err(error) => return Err(failed(&mut open, &error.to_string())),
     };
     let Some(read) = gateway.backends.read_prompt(&body) else {
-        return Err(failed(&mut open));
+        return Err(failed(&mut open, "the answer tells no KV cache"));
     };
     let took = gateway.now().since(began);
     log_read(call, job, unread, took);
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -14,7 +14,7 @@
 use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::{OpenAnswer, attempt, within};
+use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure, within};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::handover::{WaitingCache, read_prompt};
@@ -377,8 +377,13 @@
         // A generator under load is slow with its first piece; one that is gone
         // shows when the request's bytes are not acknowledged.
         let answer = attempt(&self.gateway, &self.running.call, job, None).await;
-        if answer.is_err() {
-            self.running.tried.push(job.backend.clone());
+        match &answer {
+            Ok(open) if open.exchange.head.status.is_server_error() => {
+                let cause = failed_with(open.exchange.head.status);
+                log_failure(&self.running.call, job, &cause);
+            }
+            Ok(_) => {}
+            Err(_) => self.running.tried.push(job.backend.clone()),
         }
         answer
     }
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -11,7 +11,7 @@
 use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::{attempt, within};
+use crate::attempt::{attempt, failed_with, log_failure, within};
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
@@ -115,8 +115,10 @@
     let read = read.unwrap_or_else(|| Err(HttpError::Broken("silent".to_owned())));
     match read {
         Ok(body) => {
-            if open.exchange.head.status.is_server_error() {
+            let status = open.exchange.head.status;
+            if status.is_server_error() {
                 open.guard.failed();
+                log_failure(&running.call, &job, &failed_with(status));
             } else {
                 open.guard.succeeded();
             }
