Unread tokens are worked out by one method

No change of behaviour: sent() used a free function beside the method of the same name, to borrow two fields; it asks the method before it takes the back end. Found by reading the whole change once more.

--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -1,12 +1,9 @@
 //! What attempts and other gateways show of back ends.
 
-use std::collections::BTreeMap;
-
 use garnet_control::{Backlog, PromptCopy};
 use garnet_types::{BackendId, Millis};
 
 use crate::backends::{Backend, LoadReport};
-use crate::residency::Residency;
 use crate::work::Prompt;
 
 use super::Forwarder;
@@ -59,6 +56,7 @@
         source: Option<&BackendId>,
         now: Millis,
     ) -> u64 {
+        let unread = prompt.map_or(0, |prompt| self.unread_tokens(id, prompt, source, now));
         let Some(backend) = self.backends.get_mut(id) else {
             return 0;
         };
@@ -67,7 +65,6 @@
             backend.load.sent(0, 0);
             return 0;
         };
-        let unread = unread_tokens(&self.residency, id, prompt, source, now);
         backend.load.sent(unread, prompt.held_tokens());
         self.residency
             .entry(id.clone())
@@ -85,7 +82,12 @@
         source: Option<&BackendId>,
         now: Millis,
     ) -> u64 {
-        unread_tokens(&self.residency, id, prompt, source, now)
+        let prefixes = prompt.prefixes();
+        let held = self.residency.get(id);
+        let held = held.map_or(0, |residency| residency.held_tokens(&prefixes, now));
+        let copied = source.and_then(|source| self.residency.get(source));
+        let copied = copied.map_or(0, |residency| residency.copyable_tokens(&prefixes, now));
+        prompt.tokens.saturating_sub(held.max(copied))
     }
 
     /// Notes a request that goes on from a KV cache at a back end.
@@ -185,18 +187,3 @@
         }
     }
 }
-
-fn unread_tokens(
-    residency: &BTreeMap<BackendId, Residency>,
-    id: &BackendId,
-    prompt: &Prompt,
-    source: Option<&BackendId>,
-    now: Millis,
-) -> u64 {
-    let prefixes = prompt.prefixes();
-    let held = residency.get(id);
-    let held = held.map_or(0, |residency| residency.held_tokens(&prefixes, now));
-    let copied = source.and_then(|source| residency.get(source));
-    let copied = copied.map_or(0, |residency| residency.copyable_tokens(&prefixes, now));
-    prompt.tokens.saturating_sub(held.max(copied))
-}
