Memory held and the balance of phases go by what is likely

Change: the caller's guess at the length is read; where there is none, the part of the most that guesses make likely is learned. Waiting at generators is that of many servers (Sakasegawa), one server for readers. The balance goes by peaks that are forgotten slowly, and an engine is not taken from a phase whose usual peak was not seen yet.

--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -11,8 +11,15 @@
 use crate::configuration::{BackendRecord, Configuration};
 use crate::messages::Backlog;
 
-/// Weight of the newest sample in the average; one is taken with each look.
-const NEWEST: f64 = 0.015;
+/// A peak that does not come back is half forgotten after this time: longer
+/// than the swings of a mix within a minute, far shorter than its shifts over
+/// a day.
+const PEAK_HALVED: Millis = Millis::from_secs(120);
+/// Peak that is taken for granted before there was time to see one: the first
+/// swing of a mix must not take away what the next one needs.
+const UNSEEN_PEAK: f64 = 0.8;
+/// Time of a change of role where the route table does not tell.
+const DEFAULT_ROLE_CHANGE: Millis = Millis::from_secs(3);
 /// How long a leader listens before it takes a pool for one without load.
 const FIRST_LOOK: Millis = Millis(1200);
 /// Slots of an engine where the route table does not tell.
@@ -20,16 +27,68 @@
 
 type Pool = (ServiceId, ModelId);
 
+/// How occupied a phase is: an average, and what it was at its peaks lately.
+///
+/// What a phase needed a moment ago it may need again before an engine could
+/// change back, so the peak counts; it is forgotten slowly.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    average: f64,
+    peak: f64,
+    /// What may come that was not seen yet: it keeps engines where they are,
+    /// and calls for none.
+    unseen: f64,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Demand {
+            average: 0.0,
+            peak: 0.0,
+            unseen: UNSEEN_PEAK,
+        }
+    }
+}
+
+impl Demand {
+    fn take(&mut self, sample: f64, newest: f64, kept: f64) {
+        self.average += newest * (sample - self.average);
+        self.peak = (self.peak * kept).max(self.average);
+        self.unseen *= kept;
+    }
+
+    /// What must not be taken away.
+    fn guarded(&self) -> f64 {
+        self.peak.max(self.unseen)
+    }
+
+    /// The same demand, spread over other engines.
+    fn scaled(&self, part: f64) -> Self {
+        Demand {
+            average: self.average * part,
+            peak: self.peak * part,
+            unseen: self.unseen,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct PoolBalance {
-    reading: f64,
-    generating: f64,
+    reading: Demand,
+    generating: Demand,
     loaded: bool,
     /// Engines at the last look, and since when there are so many: the list
     /// of engines comes in parts when a group starts.
     engines: usize,
     unchanged_since: Option<Millis>,
-    changed_at: Option<Millis>,
+    last_change: Option<LastChange>,
+    looked_at: Option<Millis>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LastChange {
+    at: Millis,
+    role: EngineRole,
 }
 
 /// Averages of all pools.
@@ -73,26 +132,19 @@
             let room = room(configuration, &pool.0);
             let balance = self.pools.entry(pool.clone()).or_default();
             let seen = sample(&members, backlogs, room);
-            balance.take(&seen);
-            let occupancy = PhaseOccupancy {
-                reading: balance.reading,
-                generating: balance.generating,
-                ..seen
-            };
+            balance.take(&seen, room.role_change, now);
+            let occupancy = balance.occupancy(&seen);
             let since = balance.note_engines(members.len(), now);
             if !balance.loaded && now.since(since) < FIRST_LOOK {
                 // A new leader has yet to hear what is there and under way.
                 continue;
             }
             let wanted = if balance.loaded {
-                wanted_readers(&occupancy, &self.settings)
+                balance.wanted_readers(&occupancy, &self.settings)
             } else {
                 initial_readers(members.len(), &self.settings)
             };
-            let rests = balance
-                .changed_at
-                .is_some_and(|at| balance.loaded && now.since(at) < self.settings.dwell);
-            if rests || wanted == occupancy.readers {
+            if wanted == occupancy.readers {
                 continue;
             }
             let role = if wanted > occupancy.readers {
@@ -100,8 +152,12 @@
             } else {
                 EngineRole::Mixed
             };
+            if balance.rests(role, room.role_change, &self.settings, now) {
+                continue;
+            }
             if let Some(engine) = who_changes(&members, role) {
-                balance.changed_at = Some(now);
+                balance.last_change = Some(LastChange { at: now, role });
+                balance.spread(&occupancy, wanted);
                 let model = pool.1;
                 changes.push(BalanceChange {
                     engine: engine.clone(),
@@ -124,10 +180,76 @@
         self.unchanged_since.unwrap_or(now)
     }
 
-    fn take(&mut self, seen: &PhaseOccupancy) {
+    /// Takes a sample into the averages. They follow the load in the time that
+    /// a change takes: what passes sooner is over before a change helps. Peaks
+    /// are halved in [`PEAK_HALVED`].
+    fn take(&mut self, seen: &PhaseOccupancy, role_change: Millis, now: Millis) {
         self.loaded |= seen.reading > 0.0 || seen.generating > 0.0;
-        self.reading += NEWEST * (seen.reading - self.reading);
-        self.generating += NEWEST * (seen.generating - self.generating);
+        if !self.loaded {
+            return;
+        }
+        let since = self.looked_at.map_or(Millis::ZERO, |at| now.since(at));
+        self.looked_at = Some(now);
+        let newest = 1.0 - (-since.as_secs_f64() / role_change.as_secs_f64()).exp();
+        let kept = (-since.as_secs_f64() / PEAK_HALVED.as_secs_f64()).exp2();
+        self.reading.take(seen.reading, newest, kept);
+        self.generating.take(seen.generating, newest, kept);
+    }
+
+    /// What was seen, by its peaks.
+    fn occupancy(&self, seen: &PhaseOccupancy) -> PhaseOccupancy {
+        PhaseOccupancy {
+            reading: self.reading.peak,
+            generating: self.generating.peak,
+            ..*seen
+        }
+    }
+
+    /// Readers that the pool should have. The phase that would lose an engine
+    /// counts with what may still come.
+    fn wanted_readers(&self, occupancy: &PhaseOccupancy, settings: &BalanceSettings) -> usize {
+        let generating = self.generating.guarded();
+        let more = PhaseOccupancy {
+            generating,
+            ..*occupancy
+        };
+        let reading = self.reading.guarded();
+        let fewer = PhaseOccupancy {
+            reading,
+            ..*occupancy
+        };
+        let wanted = wanted_readers(&more, settings);
+        if wanted > occupancy.readers {
+            return wanted;
+        }
+        wanted_readers(&fewer, settings).min(occupancy.readers)
+    }
+
+    /// Whether it is too early for an engine to change to `role`.
+    fn rests(
+        &self,
+        role: EngineRole,
+        role_change: Millis,
+        settings: &BalanceSettings,
+        now: Millis,
+    ) -> bool {
+        let Some(last) = self.last_change.filter(|_| self.loaded) else {
+            return false;
+        };
+        let rest = if last.role == role {
+            settings.dwell
+        } else {
+            Millis(role_change.0 * settings.reversal_changes)
+        };
+        now.since(last.at) < rest
+    }
+
+    /// A change was stated: the averages become what they will be after it.
+    fn spread(&mut self, before: &PhaseOccupancy, readers: usize) {
+        let part = |before: usize, after: usize| before.max(1) as f64 / after.max(1) as f64;
+        let generators = before.engines() - readers;
+        self.reading = self.reading.scaled(part(before.readers, readers));
+        self.generating = self.generating.scaled(part(before.generators, generators));
     }
 }
 
@@ -163,6 +285,7 @@
 struct Room {
     slots: u64,
     tokens: u64,
+    role_change: Millis,
 }
 
 fn room(configuration: &Configuration, service: &ServiceId) -> Room {
@@ -172,6 +295,9 @@
     Room {
         slots: engine.map_or(DEFAULT_SLOTS, |engine| engine.slots.max(1)),
         tokens: engine.map_or(u64::MAX, |engine| engine.cache_tokens.max(1)),
+        role_change: engine.map_or(DEFAULT_ROLE_CHANGE, |engine| {
+            engine.role_change_ms.max(Millis(1))
+        }),
     }
 }
 
@@ -182,6 +308,12 @@
         let memory = backlog.held_tokens as f64 / self.tokens as f64;
         slots.max(memory)
     }
+
+    /// Requests like those of the backlog that fit in.
+    fn places(&self, backlog: &Backlog) -> f64 {
+        let request_tokens = backlog.held_tokens as f64 / backlog.requests.max(1) as f64;
+        (self.tokens as f64 / request_tokens.max(1.0)).min(self.slots as f64)
+    }
 }
 
 fn sample(
@@ -194,6 +326,7 @@
         generators: 0,
         reading: 0.0,
         generating: 0.0,
+        places: 0.0,
     };
     for member in members {
         let backlog = backlogs.get(member.id);
@@ -204,6 +337,7 @@
         } else {
             occupancy.generators += 1;
             occupancy.generating += backlog.map_or(0.0, |backlog| room.taken(backlog));
+            occupancy.places += backlog.map_or(room.slots as f64, |backlog| room.places(backlog));
         }
     }
     occupancy.reading /= occupancy.readers.max(1) as f64;
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -128,7 +128,7 @@
 fn begin<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     mut head: hyper::http::request::Parts,
-    facts: CallFacts,
+    mut facts: CallFacts,
     body: Bytes,
     arrived: Millis,
 ) -> Result<Running, Box<(CallFacts, OwnAnswer)>> {
@@ -144,6 +144,9 @@
     let route = choice.route;
     forwarder.earn_repeats(&choice.service, arrived);
     remove_connection_headers(&mut head.headers);
+    if let Some(prompt) = &mut facts.prompt {
+        forwarder.complete(&choice.service, prompt);
+    }
     let time = facts
         .deadline
         .unwrap_or(route.timeout_ms)
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -147,10 +147,14 @@
         let route = &self.running.route.name;
         self.gateway.metrics.first_piece(route, took);
         let backend = self.running.served_by.as_ref();
+        let prompt = self.running.work.prompt.as_ref();
+        let likely = prompt.and_then(|prompt| prompt.likely_output_tokens);
         log::info!(
             request = self.running.call.facts.id.as_str(),
             route = route.as_str(),
             backend = backend.map_or("", BackendId::as_str),
+            most_output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
+            likely_output_tokens = likely.unwrap_or_default(),
             first_piece_ms = took.0;
             "stream_begun"
         );
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -1,7 +1,7 @@
 //! What attempts and other gateways show of back ends.
 
 use garnet_control::{Backlog, PromptCopy};
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, Millis, ServiceId};
 
 use crate::backends::{Backend, LoadReport};
 use crate::work::Prompt;
@@ -47,6 +47,13 @@
 
     // ---- Own attempts ----
 
+    /// Fills in how much will probably come out, as the callers of the service
+    /// make it likely.
+    pub fn complete(&mut self, service: &ServiceId, prompt: &mut Prompt) {
+        let length = self.output_lengths.entry(service.clone()).or_default();
+        length.complete(prompt);
+    }
+
     /// Notes a request that is sent to a back end, which copies what it lacks
     /// from `source`. Returns the prompt tokens that it has yet to read for it.
     pub fn sent(
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -10,6 +10,7 @@
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
 use crate::backends::Backend;
+use crate::output_length::OutputLength;
 use crate::patience::ReadingPace;
 use crate::placement::{
     EngineView, Placement, Preference, place_application, place_engines, place_generator,
@@ -60,6 +61,7 @@
     gateways: u64,
     drawn: u64,
     pace: ReadingPace,
+    output_lengths: HashMap<ServiceId, OutputLength>,
     /// Copies that the other gateways should hear of.
     news: Vec<PromptCopy>,
 }
@@ -79,6 +81,7 @@
             gateways: 1,
             drawn: 0,
             pace: ReadingPace::default(),
+            output_lengths: HashMap::new(),
             news: Vec::new(),
         }
     }
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod backends;
 mod forwarder;
+mod output_length;
 mod patience;
 pub mod placement;
 mod reading;
--- /dev/null
+++ b/components/forwarding/src/output_length.rs
@@ -0,0 +1,43 @@
+//! How much of the output that callers allow for comes out.
+//!
+//! Callers state the most tokens that they want; most answers end long before.
+//! Some callers guess at the length as well. A single guess is often far off,
+//! but together they tell what part of the most is likely.
+
+use crate::work::Prompt;
+
+/// Weight of the newest guess: some hundred of them make the average.
+const NEWEST: f64 = 0.01;
+
+/// The part of the most that is likely, learned from guesses.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OutputLength {
+    likely_part: f64,
+}
+
+impl Default for OutputLength {
+    fn default() -> Self {
+        OutputLength { likely_part: 1.0 }
+    }
+}
+
+impl OutputLength {
+    /// Learns from the caller's guess. Where there is none, gives what is
+    /// likely.
+    pub(crate) fn complete(&mut self, prompt: &mut Prompt) {
+        let most = prompt.output_tokens;
+        if most == 0 {
+            return;
+        }
+        match prompt.likely_output_tokens {
+            Some(guess) => {
+                let part = guess.min(most) as f64 / most as f64;
+                self.likely_part += NEWEST * (part - self.likely_part);
+            }
+            None => {
+                let likely = most as f64 * self.likely_part;
+                prompt.likely_output_tokens = Some(likely.round() as u64);
+            }
+        }
+    }
+}
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -32,6 +32,8 @@
     pub tokens: u64,
     /// Most tokens that are wanted.
     pub output_tokens: u64,
+    /// Tokens that will probably come out, where anybody has an idea.
+    pub likely_output_tokens: Option<u64>,
 }
 
 /// Prompts of which fewer tokens are left to be read hold nobody up.
@@ -68,9 +70,10 @@
         prefixes
     }
 
-    /// Tokens of KV cache that the request holds at its end, at most.
+    /// Tokens of KV cache that the request will probably hold at its end.
     pub fn held_tokens(&self) -> u64 {
-        self.tokens + self.output_tokens
+        let likely = self.likely_output_tokens.unwrap_or(self.output_tokens);
+        self.tokens + likely.min(self.output_tokens)
     }
 
     /// Tokens of the longest prefix that other requests may share.
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -114,5 +114,6 @@
         parts: vec![part(shared, tokens), part(own, 100)],
         tokens: tokens + 100,
         output_tokens: 10,
+        likely_output_tokens: None,
     }
 }
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -2,8 +2,10 @@
 //! phases are.
 //!
 //! For pools whose engines do not state their speed. Occupancy needs no speed:
-//! with one reader more, each reader is occupied by as much less. Waiting
-//! grows with occupancy as in a queue with one server, x / (1 - x).
+//! with one reader more, each reader is occupied by as much less. A reader
+//! reads one prompt after the other: waiting grows with occupancy as in a queue
+//! with one server, x / (1 - x). Generators run many requests at once, and
+//! waiting for a place begins only when nearly all are taken.
 
 use garnet_types::Millis;
 
@@ -22,6 +24,8 @@
     /// Part of a generator's room that is taken: of its slots or its memory,
     /// whichever is scarcer.
     pub generating: f64,
+    /// Requests that fit into all generators together.
+    pub places: f64,
 }
 
 /// When a change is worth it.
@@ -36,8 +40,11 @@
     pub worthwhile: f64,
     /// Congestion below this is left as it is.
     pub tolerable: f64,
-    /// Shortest time between two changes of a pool.
+    /// Shortest time between two changes of a pool in the same direction.
     pub dwell: Millis,
+    /// A change is taken back after so many times the time that it takes, at
+    /// the earliest.
+    pub reversal_changes: u64,
 }
 
 impl Default for BalanceSettings {
@@ -47,13 +54,15 @@
             generating_weight: 0.7,
             worthwhile: 0.75,
             tolerable: 0.6,
-            dwell: Millis::from_secs(10),
+            dwell: Millis::from_secs(1),
+            reversal_changes: 2,
         }
     }
 }
 
 impl PhaseOccupancy {
-    fn engines(&self) -> usize {
+    /// Engines of both phases.
+    pub fn engines(&self) -> usize {
         self.readers + self.generators
     }
 
@@ -64,16 +73,21 @@
             return f64::INFINITY;
         }
         let reading = self.reading * self.readers as f64 / readers as f64;
-        let generating = self.generating * self.generators as f64 / generators as f64;
-        waiting(reading) + settings.generating_weight * waiting(generating)
+        let part = generators as f64 / self.generators.max(1) as f64;
+        let generating = self.generating / part;
+        let waiting_to_generate = waiting(generating, self.places * part);
+        waiting(reading, 1.0) + settings.generating_weight * waiting_to_generate
     }
 }
 
-fn waiting(occupancy: f64) -> f64 {
+/// Waiting in a queue with so many servers, in service times of one of them:
+/// Sakasegawa's approximation, which is x / (1 - x) for one server.
+fn waiting(occupancy: f64, servers: f64) -> f64 {
     let bounded = occupancy.clamp(0.0, FULL);
+    let exponent = (2.0 * (servers.max(1.0) + 1.0)).sqrt() - 1.0;
     // Beyond the bound more is still worse, so that a step in the right
     // direction shows.
-    bounded / (1.0 - bounded) + (occupancy - bounded) * 20.0
+    bounded.powf(exponent) / (1.0 - bounded) + (occupancy - bounded) * 20.0
 }
 
 /// Readers while no load is known: the settings' share, with both phases
--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -10,6 +10,7 @@
         generators,
         reading,
         generating,
+        places: 1.0,
     }
 }
 
