Prompts that can't be in time are read last; who finds no place is told when

Change: the time to the first piece is predicted from what is believed to be queued, by rank, and from a line fitted through what prefills took; what would be late gets the last rank, what would end before it begins is refused at once with the time to come back. Waiting for a place counts only requests of the same rank or before.

--- a/components/control/src/backlogs.rs
+++ b/components/control/src/backlogs.rs
@@ -8,12 +8,13 @@
 
 use garnet_types::{BackendId, GatewayId, Millis};
 
+use crate::by_rank::ByRank;
 use crate::messages::Backlog;
 
 /// What a gateway told longer ago than this is over by now.
 const FRESH: Millis = Millis(1000);
 /// Bytes of one back end's line, roughly.
-const BACKLOG_BYTES: u64 = 32;
+const BACKLOG_BYTES: u64 = 44;
 /// What all gateways together are told in a millisecond: it grows with the
 /// product of gateways and back ends, so the more there are the less often
 /// each one is told.
@@ -73,12 +74,12 @@
             .entry(backlog.backend.clone())
             .or_insert_with(|| Backlog {
                 requests: 0,
-                unread_tokens: 0,
+                unread: ByRank::default(),
                 held_tokens: 0,
                 ..backlog.clone()
             });
         total.requests += backlog.requests;
-        total.unread_tokens += backlog.unread_tokens;
+        total.unread += backlog.unread;
         total.held_tokens += backlog.held_tokens;
     }
     sums
--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -332,7 +332,7 @@
         let backlog = backlogs.get(member.id);
         if member.role == EngineRole::Prefill {
             occupancy.readers += 1;
-            let reads = backlog.is_some_and(|backlog| backlog.unread_tokens > 0);
+            let reads = backlog.is_some_and(|backlog| backlog.unread.total() > 0);
             occupancy.reading += f64::from(u8::from(reads));
         } else {
             occupancy.generators += 1;
--- /dev/null
+++ b/components/control/src/by_rank.rs
@@ -0,0 +1,55 @@
+//! A number for each rank of requests: tokens to be read, or requests.
+
+use std::ops::AddAssign;
+
+use serde::{Deserialize, Serialize};
+
+/// Ranks that engines tell apart, 0 the most urgent.
+pub const RANKS: usize = 10;
+
+/// Numbers by rank. Engines take the more urgent first, so a request waits for
+/// those of its own rank and of the ranks before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ByRank([u64; RANKS]);
+
+impl ByRank {
+    /// A number at one rank.
+    pub fn at(rank: u8, number: u64) -> Self {
+        let mut ranked = ByRank::default();
+        ranked.add(rank, number);
+        ranked
+    }
+
+    /// Adds at a rank.
+    pub fn add(&mut self, rank: u8, number: u64) {
+        self.0[index(rank)] += number;
+    }
+
+    /// Takes away at a rank.
+    pub fn remove(&mut self, rank: u8, number: u64) {
+        let ranked = &mut self.0[index(rank)];
+        *ranked = ranked.saturating_sub(number);
+    }
+
+    /// The sum over all ranks.
+    pub fn total(&self) -> u64 {
+        self.0.iter().sum()
+    }
+
+    /// The sum over the ranks that come before a new request of this rank.
+    pub fn ahead_of(&self, rank: u8) -> u64 {
+        self.0[..=index(rank)].iter().sum()
+    }
+}
+
+impl AddAssign for ByRank {
+    fn add_assign(&mut self, other: Self) {
+        for (sum, number) in self.0.iter_mut().zip(other.0) {
+            *sum += number;
+        }
+    }
+}
+
+fn index(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod backlogs;
 mod balancing;
+mod by_rank;
 mod claims;
 mod command;
 mod configuration;
@@ -25,6 +26,7 @@
 mod watch;
 
 pub use answer::{ClaimAnswer, CommandAnswer};
+pub use by_rank::{ByRank, RANKS};
 pub use claims::{CLAIM_RETENTION, ClaimState, Claims, MAX_CLAIMS, MAX_RECORDED_BYTES};
 pub use command::{ClaimCommand, Command, CommandEnvelope};
 pub use configuration::{
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::by_rank::ByRank;
 use garnet_types::{
     BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
 };
@@ -36,7 +37,7 @@
     /// Requests under way.
     pub requests: u64,
     /// Prompt tokens that it has yet to read.
-    pub unread_tokens: u64,
+    pub unread: ByRank,
     /// Tokens of KV cache that these requests hold, or will hold.
     pub held_tokens: u64,
 }
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -2,8 +2,8 @@
 
 use crate::leader::Leader;
 use garnet_control::{
-    BackendRegistration, Backlog, Effect, EngineObservation, EnginePolling, Event, GatewayRequest,
-    MachineEntry, ReplicaSettings,
+    BackendRegistration, Backlog, ByRank, Effect, EngineObservation, EnginePolling, Event,
+    GatewayRequest, MachineEntry, ReplicaSettings,
 };
 use garnet_planner::BalanceSettings;
 use garnet_types::{
@@ -58,7 +58,7 @@
     let backlog = |number| Backlog {
         backend: BackendId::new(format!("engine-{number}")),
         requests: u64::from(unread > 0),
-        unread_tokens: unread,
+        unread: ByRank::at(0, unread),
         held_tokens: unread,
     };
     let request = GatewayRequest::Watch {
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt};
+use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt, ToRead};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
@@ -35,7 +35,10 @@
     gateway: Rc<Gateway<C, B>>,
     backend: BackendId,
     prompt: Option<Prompt>,
-    unread: u64,
+    rank: u8,
+    to_read: ToRead,
+    /// Since when the request has its place there, where the engine generates.
+    generates_since: Option<Millis>,
     /// Whether the prompt was read.
     read: bool,
     judged: bool,
@@ -47,33 +50,36 @@
         let mut forwarder = gateway.forwarder.borrow_mut();
         let backend = job.backend.clone();
         let prompt = call.facts.prompt.as_ref();
-        let unread = match &job.phase {
-            JobPhase::Whole => forwarder.sent(&backend, prompt, None, now),
+        let to_read = match &job.phase {
+            JobPhase::Whole => forwarder.sent(&backend, prompt, None, job.priority, now),
             JobPhase::ReadPrompt(source) => {
                 let source = source.as_ref().map(|source| &source.backend);
-                forwarder.sent(&backend, prompt, source, now)
+                forwarder.sent(&backend, prompt, source, job.priority, now)
             }
             JobPhase::Generate(_) => {
                 if let Some(prompt) = prompt {
-                    forwarder.handed_over(&backend, prompt, now);
+                    forwarder.handed_over(&backend, prompt, job.priority, now);
                 }
-                0
+                ToRead::default()
             }
         };
+        let generates = prompt.is_some() && !matches!(job.phase, JobPhase::ReadPrompt(_));
         drop(forwarder);
         AttemptGuard {
             gateway: Rc::clone(gateway),
             backend,
             prompt: prompt.cloned(),
-            unread,
+            rank: job.priority,
+            to_read,
+            generates_since: generates.then_some(now),
             read: false,
             judged: false,
         }
     }
 
     /// Prompt tokens that the back end was believed to have to read.
-    pub(crate) fn unread(&self) -> u64 {
-        self.unread
+    pub(crate) fn to_read(&self) -> ToRead {
+        self.to_read
     }
 
     /// The prompt is read: the first piece is there.
@@ -82,9 +88,9 @@
             return;
         }
         let now = self.gateway.now();
-        let unread = std::mem::take(&mut self.unread);
+        let unread = std::mem::take(&mut self.to_read.unread);
         let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.read(&self.backend, unread);
+        forwarder.read(&self.backend, self.rank, unread);
         if let Some(prompt) = &self.prompt {
             forwarder.holds(&self.backend, prompt, now);
         }
@@ -93,8 +99,12 @@
     /// The back end did well.
     pub(crate) fn succeeded(&mut self) {
         self.judged = true;
+        let now = self.gateway.now();
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.succeeded(&self.backend);
+        if let (Some(since), Some(prompt)) = (self.generates_since, &self.prompt) {
+            forwarder.note_place(&self.backend, prompt, now.since(since));
+        }
     }
 
     /// The back end failed.
@@ -124,8 +134,8 @@
 impl<C: CallerPort, B: BackendPort> Drop for AttemptGuard<C, B> {
     fn drop(&mut self) {
         let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.read(&self.backend, self.unread);
-        forwarder.ended(&self.backend, self.prompt.as_ref());
+        forwarder.read(&self.backend, self.rank, self.to_read.unread);
+        forwarder.ended(&self.backend, self.rank, self.prompt.as_ref());
         if !self.judged {
             forwarder.released(&self.backend);
         }
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt};
+use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt, ToRead};
 use garnet_types::{BackendId, Millis};
 
 use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
@@ -70,11 +70,11 @@
     let patience = {
         let forwarder = gateway.forwarder.borrow();
         let unread = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-        forwarder.reading_patience(&job.backend, unread, began)
+        forwarder.prefill_patience(&job.backend, unread, job.priority, began)
     };
     let sent = attempt(gateway, call, job, Some(patience)).await;
     let mut open = sent.map_err(not_run)?;
-    let unread = open.guard.unread();
+    let to_read = open.guard.to_read();
     let failed = |open: &mut OpenAnswer<C, B>, cause: &str| {
         open.guard.failed();
         log_failure(call, job, cause);
@@ -92,8 +92,11 @@
         return Err(failed(&mut open, "the answer tells no KV cache"));
     };
     let took = gateway.now().since(began);
-    log_read(call, job, unread, took);
-    gateway.forwarder.borrow_mut().note_pace(unread, took);
+    log_read(call, job, to_read, took);
+    let tokens = to_read.unread + to_read.queued;
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    forwarder.note_prefill(&job.backend, tokens, took);
+    drop(forwarder);
     open.guard.prompt_was_read();
     open.guard.succeeded();
     let address = {
@@ -113,7 +116,7 @@
     })
 }
 
-fn log_read(call: &Call, job: &Job, unread: u64, took: Millis) {
+fn log_read(call: &Call, job: &Job, to_read: ToRead, took: Millis) {
     let copied_from = match &job.phase {
         JobPhase::ReadPrompt(Some(source)) => source.backend.as_str(),
         _ => "",
@@ -126,7 +129,8 @@
         prefix = prefix.as_str(),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.tokens),
         shared_tokens = prompt.map_or(0, Prompt::shared_tokens),
-        unread_tokens = unread,
+        unread_tokens = to_read.unread,
+        queued_tokens = to_read.queued,
         copied_from = copied_from,
         took_ms = took.0;
         "prompt_read"
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use garnet_forwarding::{LoadReport, NotRunReason, Prompt};
+use garnet_routes::Route;
 use garnet_runtime::Body;
 use garnet_types::{BackendId, Millis};
 use http_body_util::Full;
@@ -118,6 +119,9 @@
     /// # Errors
     /// What is wrong with it, for the caller to read.
     fn read(&self, head: &RequestParts) -> Result<CallFacts, String>;
+    /// How long callers of the route wait for the next piece of a stream, the
+    /// first one included.
+    fn longest_gap(&self, route: &Route) -> Millis;
     /// Marks an answer that the gateway gives itself as one to this request.
     fn mark(&self, response: &mut Response<Body>, facts: &CallFacts);
     /// Path of the readiness page.
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Patience, Progress, Work, next_move};
+use garnet_forwarding::{
+    Arrival, AttemptEnd, GivenUp, NextMove, Patience, Progress, Work, next_move,
+};
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, read_body};
@@ -23,6 +25,10 @@
 /// Longest time to read a body when nothing else bounds it.
 const BODY_TIME: Duration = Duration::from_secs(20);
 
+/// A caller that gives less than this part of the route's time has used the
+/// rest before: it was here already.
+const FIRST_CALL_TIME: f64 = 0.95;
+
 /// A request under way and what became of it so far.
 pub(crate) struct Running {
     pub(crate) call: Call,
@@ -33,6 +39,8 @@
     pub(crate) arrived: Millis,
     /// When its time is over.
     pub(crate) due: Millis,
+    /// How long its caller waits for the next piece.
+    pub(crate) longest_gap: Millis,
     pub(crate) progress: Progress,
     pub(crate) tried: Vec<BackendId>,
     pub(crate) served_by: Option<BackendId>,
@@ -49,6 +57,23 @@
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
         self.due.since(now)
     }
+
+    /// Whether no back end was sent it yet.
+    pub(crate) fn is_untried(&self) -> bool {
+        self.progress == Progress::default() && self.tried.is_empty()
+    }
+
+    /// As admission sees it.
+    pub(crate) fn arrival(&self, now: Millis) -> Arrival {
+        let given = self.due.since(self.arrived);
+        let whole = self.route.timeout_ms.0 as f64;
+        Arrival {
+            waited: now.since(self.arrived),
+            remaining: self.remaining(now).min(self.longest_gap),
+            deadline: self.remaining(now),
+            came_back: (given.0 as f64) < whole * FIRST_CALL_TIME,
+        }
+    }
 }
 
 /// Counts a request as open until it is dropped.
@@ -157,6 +182,7 @@
         objective: route.objective_ms,
         max_attempts: route.max_attempts.max(1),
         prompt: facts.prompt.clone(),
+        is_deferred: false,
     };
     Ok(Running {
         call: Call {
@@ -165,6 +191,7 @@
             body,
         },
         patience: Patience::of(&route),
+        longest_gap: gateway.callers.longest_gap(&route),
         route,
         service: choice.service,
         work,
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use futures_lite::stream::unfold;
-use garnet_forwarding::{AttemptEnd, GivenUp, NotRunReason, Placement};
+use garnet_forwarding::{Admission, AttemptEnd, GivenUp, NotRunReason, Placement};
 use garnet_routes::WorkKind;
 use garnet_runtime::server::{BodyCut, stream_body};
 use garnet_runtime::{Body, bytes_body};
@@ -86,6 +86,9 @@
             let answer = OwnAnswer::given_up(given_up, stream.running.work.objective);
             own_answer(gateway, &stream.running, answer)
         }
+        Some(Err(Refused::Busy(retry_after))) => {
+            own_answer(gateway, &stream.running, OwnAnswer::NotRun(retry_after))
+        }
         Some(Err(Refused::Answered(response))) => {
             finished(
                 gateway,
@@ -102,6 +105,8 @@
 /// Why a stream did not begin.
 enum Refused {
     GivenUp(GivenUp),
+    /// It would wait for too long: when to come back.
+    Busy(Millis),
     /// The engine's own answer, which is no stream.
     Answered(Box<Response<Body>>),
 }
@@ -302,7 +307,11 @@
     /// Has one engine do all of it, or one engine read the prompt for another.
     /// Gives no answer where a prompt was read that waits for its generator.
     async fn begin(&mut self) -> Result<Opened<C, B>, Refused> {
-        match self.place() {
+        let placement = self.place();
+        if let Some(placement) = &placement {
+            self.admit(placement)?;
+        }
+        match placement {
             None => {
                 log_no_back_end(&self.gateway, &self.running);
                 Err(Refused::GivenUp(self.running.progress.given_up()))
@@ -323,6 +332,41 @@
         }
     }
 
+    /// Turns a request away for which the engines have no time, before any of
+    /// them has seen it.
+    fn admit(&mut self, placement: &Placement) -> Result<(), Refused> {
+        let Running { service, work, .. } = &self.running;
+        if !self.running.is_untried() || self.was_read || self.splitter.last_id().is_some() {
+            return Ok(());
+        }
+        let now = self.gateway.now();
+        let arrival = self.running.arrival(now);
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let admission = forwarder.admit(service, work, placement, &arrival, now);
+        drop(forwarder);
+        let (retry_after, predicted) = match admission {
+            Admission::Admit => return Ok(()),
+            Admission::Defer => {
+                self.running.work.is_deferred = true;
+                return Ok(());
+            }
+            Admission::Refuse {
+                retry_after,
+                predicted,
+            } => (retry_after, predicted),
+        };
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            route = self.running.route.name.as_str(),
+            predicted_ms = predicted.0,
+            objective_ms = work.objective.0,
+            retry_after_ms = retry_after.0,
+            came_back = arrival.came_back;
+            "admission_refused"
+        );
+        Err(Refused::Busy(retry_after))
+    }
+
     async fn read_at(&mut self, reader: BackendId, source: Option<CopySource>) -> Opened<C, B> {
         let job = self.job(JobPhase::ReadPrompt(source), reader.clone());
         match read_prompt(&self.gateway, &self.running.call, &job).await {
@@ -395,12 +439,17 @@
     fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
         let resumes = !matches!(phase, JobPhase::ReadPrompt(_));
         let last_id = self.splitter.last_id().filter(|_| resumes);
-        let unread = self.unread_tokens(&phase, &backend);
+        let work = &self.running.work;
+        let priority = match &phase {
+            // Its prompt is read: it holds up nobody's first token.
+            JobPhase::Generate(_) => work.priority,
+            _ => work.rank(self.unread_tokens(&phase, &backend)),
+        };
         Job {
             phase,
             backend,
             remaining: self.running.remaining(self.gateway.now()),
-            priority: self.running.work.rank(unread),
+            priority,
             resume_after: last_id.map(str::to_owned),
         }
     }
--- /dev/null
+++ b/components/forwarding/src/admission.rs
@@ -0,0 +1,107 @@
+//! Whether a request is sent to an engine now, after all others, or not at all.
+//!
+//! An engine that has more to read than it can in the time in which answers
+//! are useful makes all of them late. What can't be in time is read after what
+//! can, so that it makes nobody else late; what would end before it begins is
+//! refused at once, with the time to come back. Where the places to generate
+//! are taken, waiting would be in vain: who has not been here before is told
+//! when one will be free.
+
+use garnet_types::Millis;
+
+/// What is predicted of a request at its best engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Prediction {
+    /// Time of the prefill alone.
+    pub(crate) alone_ms: f64,
+    /// Wait for prompts of its rank and of more urgent ones.
+    pub(crate) ahead_ms: f64,
+    /// Wait for all prompts that are queued.
+    pub(crate) all_queued_ms: f64,
+    /// Wait for a place to generate.
+    pub(crate) place_ms: f64,
+    /// Time in which the places are taken by callers who were told to come
+    /// back.
+    pub(crate) returns_ms: f64,
+}
+
+/// Callers who were told to come back, and when.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Returns {
+    due: Vec<Millis>,
+}
+
+impl Returns {
+    /// Notes a caller who comes back at `due`.
+    pub(crate) fn told(&mut self, due: Millis, now: Millis) {
+        self.due.retain(|due| *due > now);
+        self.due.push(due);
+    }
+
+    /// Callers who are still to come.
+    pub(crate) fn pending(&self, now: Millis) -> usize {
+        self.due.iter().filter(|due| **due > now).count()
+    }
+}
+
+/// A request that asks to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// Time since it came.
+    pub waited: Millis,
+    /// Time that its caller waits from now on for the first piece.
+    pub remaining: Millis,
+    /// Time that its caller waits from now on for the whole answer.
+    pub deadline: Millis,
+    /// Whether the caller's time was used in part when it came: it was here
+    /// before.
+    pub came_back: bool,
+}
+
+/// The decision on one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Send it.
+    Admit,
+    /// Send it to be read after all that may still be in time.
+    Defer,
+    /// Refuse it.
+    Refuse {
+        /// When to come back.
+        retry_after: Millis,
+        /// Predicted time to the first piece.
+        predicted: Millis,
+    },
+}
+
+/// A wait below this part of the objective is none: nothing is deferred or
+/// refused while engines are free.
+const SHORT_WAIT: f64 = 0.25;
+/// Callers come back within this part of the time that they have left.
+const LONGEST_RETRY: f64 = 0.3;
+/// Who comes back finds this part of the objective used by others.
+const LEFT_FOR_RETURN: f64 = 0.5;
+/// Shortest time to come back.
+const SHORTEST_RETRY: Millis = Millis(50);
+
+/// Decides on a request whose first piece is useful within `objective`.
+pub(crate) fn admit(prediction: &Prediction, objective: Millis, arrival: &Arrival) -> Admission {
+    let objective_ms = objective.0 as f64;
+    let wait_ms = prediction.ahead_ms + prediction.place_ms;
+    let in_time_ms = arrival.waited.0 as f64 + prediction.alone_ms + wait_ms;
+    if wait_ms <= objective_ms * SHORT_WAIT || in_time_ms <= objective_ms {
+        return Admission::Admit;
+    }
+    let deferred_ms = prediction.alone_ms + prediction.all_queued_ms + prediction.place_ms;
+    let is_hopeless = deferred_ms > arrival.remaining.0 as f64;
+    let waits_for_place = prediction.place_ms > objective_ms * SHORT_WAIT;
+    if !is_hopeless && (arrival.came_back || !waits_for_place) {
+        return Admission::Defer;
+    }
+    let excess_ms = in_time_ms + prediction.returns_ms - objective_ms * LEFT_FOR_RETURN;
+    let longest = Millis((arrival.deadline.0 as f64 * LONGEST_RETRY) as u64);
+    Admission::Refuse {
+        retry_after: Millis(excess_ms as u64).min(longest).max(SHORTEST_RETRY),
+        predicted: Millis(deferred_ms as u64),
+    }
+}
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -1,9 +1,11 @@
 //! What a gateway believes of one back end.
 
-use garnet_control::{BackendRecord, BackendRegistration, Backlog};
+use garnet_control::{BackendRecord, BackendRegistration, Backlog, ByRank};
 use garnet_routing::CircuitBreaker;
 use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
 
+use crate::work::Prompt;
+
 /// A load report older than this is not believed any more.
 const REPORT_FRESH: Millis = Millis(2000);
 /// What was heard of other gateways longer ago than this is over by now.
@@ -31,7 +33,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Others {
     requests: u64,
-    unread_tokens: u64,
+    unread: ByRank,
     held_tokens: u64,
     heard_at: Millis,
 }
@@ -40,9 +42,11 @@
 /// what the back end told last.
 #[derive(Debug, Clone, Default)]
 pub struct BackendLoad {
-    own: u64,
-    own_unread_tokens: u64,
+    own: ByRank,
+    own_unread: ByRank,
     own_held_tokens: u64,
+    /// Likely output of own requests.
+    own_output_tokens: u64,
     others: Others,
     told: Option<Told>,
 }
@@ -50,17 +54,23 @@
 impl BackendLoad {
     /// Requests that run or wait, as far as known.
     pub fn requests(&self, now: Millis) -> u64 {
-        let heard = self.own + self.fresh_others(now).requests;
+        let own = self.own.total();
+        let heard = own + self.fresh_others(now).requests;
         let told = self.fresh(now).map_or(0, |told| {
             let all_then = told.report.running + told.report.waiting;
-            all_then.saturating_sub(told.own_then) + self.own
+            all_then.saturating_sub(told.own_then) + own
         });
         heard.max(told)
     }
 
     /// Prompt tokens that it has yet to read, as far as known.
     pub fn unread_tokens(&self, now: Millis) -> u64 {
-        self.own_unread_tokens + self.fresh_others(now).unread_tokens
+        self.own_unread.total() + self.fresh_others(now).unread.total()
+    }
+
+    /// Of these, tokens that it reads before a new request of this rank.
+    pub fn tokens_ahead_of(&self, rank: u8, now: Millis) -> u64 {
+        self.own_unread.ahead_of(rank) + self.fresh_others(now).unread.ahead_of(rank)
     }
 
     /// Tokens of KV cache that requests under way hold, as far as known.
@@ -70,31 +80,47 @@
 
     /// Own work under way at `backend`, to be told to the other gateways.
     pub fn own(&self, backend: &BackendId) -> Option<Backlog> {
-        let any = self.own > 0 || self.own_unread_tokens > 0;
+        let any = self.own.total() > 0 || self.own_unread.total() > 0;
         any.then(|| Backlog {
             backend: backend.clone(),
-            requests: self.own,
-            unread_tokens: self.own_unread_tokens,
+            requests: self.own.total(),
+            unread: self.own_unread,
             held_tokens: self.own_held_tokens,
         })
     }
 
-    /// Notes a request that is sent.
-    pub fn sent(&mut self, unread_tokens: u64, held_tokens: u64) {
-        self.own += 1;
-        self.own_unread_tokens += unread_tokens;
-        self.own_held_tokens += held_tokens;
+    /// Notes a request of a rank that is sent.
+    pub fn sent(&mut self, rank: u8, unread_tokens: u64, prompt: Option<&Prompt>) {
+        self.own.add(rank, 1);
+        self.own_unread.add(rank, unread_tokens);
+        self.own_held_tokens += prompt.map_or(0, Prompt::held_tokens);
+        self.own_output_tokens += prompt.map_or(0, Prompt::likely_output);
     }
 
     /// Notes that the prompt of a request was read.
-    pub fn read(&mut self, unread_tokens: u64) {
-        self.own_unread_tokens = self.own_unread_tokens.saturating_sub(unread_tokens);
+    pub fn read(&mut self, rank: u8, unread_tokens: u64) {
+        self.own_unread.remove(rank, unread_tokens);
     }
 
     /// Notes that a request is over.
-    pub fn ended(&mut self, held_tokens: u64) {
-        self.own = self.own.saturating_sub(1);
-        self.own_held_tokens = self.own_held_tokens.saturating_sub(held_tokens);
+    pub fn ended(&mut self, rank: u8, prompt: Option<&Prompt>) {
+        let held = prompt.map_or(0, Prompt::held_tokens);
+        let output = prompt.map_or(0, Prompt::likely_output);
+        self.own.remove(rank, 1);
+        self.own_held_tokens = self.own_held_tokens.saturating_sub(held);
+        self.own_output_tokens = self.own_output_tokens.saturating_sub(output);
+    }
+
+    /// Mean output of the own requests under way; long ones are under way for
+    /// longer, and count as often.
+    pub fn mean_output_tokens(&self) -> Option<f64> {
+        let own = self.own.total();
+        (own > 0).then(|| self.own_output_tokens as f64 / own as f64)
+    }
+
+    /// Own requests under way, by rank.
+    pub fn own_by_rank(&self) -> ByRank {
+        self.own
     }
 
     /// Takes a report.
@@ -102,7 +128,7 @@
         self.told = Some(Told {
             report,
             at: now,
-            own_then: self.own,
+            own_then: self.own.total(),
         });
     }
 
@@ -110,7 +136,7 @@
     pub fn heard_of_others(&mut self, backlog: Option<&Backlog>, now: Millis) {
         self.others = Others {
             requests: backlog.map_or(0, |backlog| backlog.requests),
-            unread_tokens: backlog.map_or(0, |backlog| backlog.unread_tokens),
+            unread: backlog.map_or(ByRank::default(), |backlog| backlog.unread),
             held_tokens: backlog.map_or(0, |backlog| backlog.held_tokens),
             heard_at: now,
         };
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -12,6 +12,15 @@
 /// used again.
 const MOST_NEWS: usize = 64;
 
+/// Prompt tokens that an engine has to read for a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ToRead {
+    /// Of the request's own prompt.
+    pub unread: u64,
+    /// Of others, which were there before.
+    pub queued: u64,
+}
+
 impl Forwarder {
     // ---- Other gateways ----
 
@@ -54,30 +63,32 @@
         length.complete(prompt);
     }
 
-    /// Notes a request that is sent to a back end, which copies what it lacks
-    /// from `source`. Returns the prompt tokens that it has yet to read for it.
+    /// Notes a request of a rank that is sent to a back end, which copies what
+    /// it lacks from `source`. Returns what it has yet to read for it.
     pub fn sent(
         &mut self,
         id: &BackendId,
         prompt: Option<&Prompt>,
         source: Option<&BackendId>,
+        rank: u8,
         now: Millis,
-    ) -> u64 {
+    ) -> ToRead {
         let unread = prompt.map_or(0, |prompt| self.unread_tokens(id, prompt, source, now));
+        let queued = self.queued_tokens(id, rank, now);
         let Some(backend) = self.backends.get_mut(id) else {
-            return 0;
+            return ToRead::default();
         };
         backend.breaker.sent();
         let Some(prompt) = prompt else {
-            backend.load.sent(0, 0);
-            return 0;
+            backend.load.sent(rank, 0, None);
+            return ToRead::default();
         };
-        backend.load.sent(unread, prompt.held_tokens());
+        backend.load.sent(rank, unread, Some(prompt));
         self.residency
             .entry(id.clone())
             .or_default()
             .note_sent(prompt, now);
-        unread
+        ToRead { unread, queued }
     }
 
     /// Prompt tokens that a back end would have to read, with what it copies
@@ -98,10 +109,10 @@
     }
 
     /// Notes a request that goes on from a KV cache at a back end.
-    pub fn handed_over(&mut self, id: &BackendId, prompt: &Prompt, now: Millis) {
+    pub fn handed_over(&mut self, id: &BackendId, prompt: &Prompt, rank: u8, now: Millis) {
         if let Some(backend) = self.backends.get_mut(id) {
             backend.breaker.sent();
-            backend.load.sent(0, prompt.held_tokens());
+            backend.load.sent(rank, 0, Some(prompt));
             self.residency
                 .entry(id.clone())
                 .or_default()
@@ -109,19 +120,6 @@
         }
     }
 
-    /// Longest time that a reader should take for a prompt of which it has
-    /// `unread` tokens to read, with what is queued there.
-    pub fn reading_patience(&self, id: &BackendId, unread: u64, now: Millis) -> Millis {
-        let backend = self.backends.get(id);
-        let queued = backend.map_or(0, |backend| backend.load.unread_tokens(now));
-        self.pace.patience(queued.max(unread))
-    }
-
-    /// Notes how long the reading of a prompt took.
-    pub fn note_pace(&mut self, unread: u64, took: Millis) {
-        self.pace.note(unread, took);
-    }
-
     /// Notes that a back end was silent for too long.
     pub fn silent(&mut self, id: &BackendId, now: Millis) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -130,9 +128,9 @@
     }
 
     /// Notes that a prompt was read.
-    pub fn read(&mut self, id: &BackendId, unread: u64) {
+    pub fn read(&mut self, id: &BackendId, rank: u8, unread: u64) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.load.read(unread);
+            backend.load.read(rank, unread);
         }
     }
 
@@ -152,9 +150,9 @@
     }
 
     /// Notes that a request is over at a back end, whatever its outcome.
-    pub fn ended(&mut self, id: &BackendId, prompt: Option<&Prompt>) {
+    pub fn ended(&mut self, id: &BackendId, rank: u8, prompt: Option<&Prompt>) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.load.ended(prompt.map_or(0, Prompt::held_tokens));
+            backend.load.ended(rank, prompt);
         }
     }
 
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -1,17 +1,21 @@
 //! What a gateway believes, and the decisions that rest on it.
 
+mod admitting;
 mod beliefs;
 mod configuration;
 
+pub use beliefs::ToRead;
+
 use std::collections::{BTreeMap, HashMap};
 
 use garnet_control::{Configuration, PromptCopy};
 use garnet_routes::{Route, RouteIndex};
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
+use crate::admission::Returns;
 use crate::backends::Backend;
 use crate::output_length::OutputLength;
-use crate::patience::ReadingPace;
+use crate::pace::{PrefillPace, TokenTime};
 use crate::placement::{
     EngineView, Placement, Preference, place_application, place_engines, place_generator,
 };
@@ -60,7 +64,9 @@
     draws: HashMap<String, f64>,
     gateways: u64,
     drawn: u64,
-    pace: ReadingPace,
+    prefill: HashMap<ServiceId, PrefillPace>,
+    token_time: HashMap<ServiceId, TokenTime>,
+    returns: HashMap<ServiceId, Returns>,
     output_lengths: HashMap<ServiceId, OutputLength>,
     /// Copies that the other gateways should hear of.
     news: Vec<PromptCopy>,
@@ -80,7 +86,9 @@
             draws: HashMap::new(),
             gateways: 1,
             drawn: 0,
-            pace: ReadingPace::default(),
+            prefill: HashMap::new(),
+            token_time: HashMap::new(),
+            returns: HashMap::new(),
             output_lengths: HashMap::new(),
             news: Vec::new(),
         }
@@ -147,7 +155,7 @@
                 residency: self.residency.get(&backend.registration.id),
             })
             .collect();
-        place_engines(&engines, prompt, preference)
+        place_engines(&engines, work, prompt, preference)
     }
 
     /// Who generates from the KV cache that `reader` made, as things stand now.
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -6,10 +6,12 @@
 //! choice of a back end is a pure function over that ([`placement`]); what an
 //! attempt's end means for the caller is a pure function too ([`next_move`]).
 
+mod admission;
 mod attempts;
 mod backends;
 mod forwarder;
 mod output_length;
+mod pace;
 mod patience;
 pub mod placement;
 mod reading;
@@ -17,10 +19,12 @@
 mod share;
 mod work;
 
+pub use admission::{Admission, Arrival};
 pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
 pub use backends::{Backend, BackendLoad, LoadReport};
-pub use forwarder::{Forwarder, ForwarderSettings, RouteChoice};
-pub use patience::{Patience, ReadingPace};
+pub use forwarder::{Forwarder, ForwarderSettings, RouteChoice, ToRead};
+pub use pace::{PrefillPace, TokenTime};
+pub use patience::Patience;
 pub use placement::{Placement, Preference};
 pub use residency::Residency;
 pub use share::BudgetShare;
--- a/components/forwarding/src/reading.rs
+++ b/components/forwarding/src/reading.rs
@@ -14,7 +14,7 @@
 
 use crate::placement::EngineView;
 use crate::residency::Residency;
-use crate::work::{Prefix, Prompt};
+use crate::work::{Prefix, Prompt, Work};
 
 /// Engines at which a shared prefix may be kept.
 const OWNERS: usize = 2;
@@ -50,6 +50,7 @@
 pub(crate) fn cheapest_reading<'a, 'b>(
     readers: &[&'a EngineView<'b>],
     holders: &[&'a EngineView<'b>],
+    work: &Work,
     prompt: &Prompt,
     now: Millis,
 ) -> Option<Reading<'a, 'b>> {
@@ -61,13 +62,13 @@
         OWNERS
     };
     let reading = |(rank, engine): (usize, &'a EngineView<'b>)| {
-        let queued = engine.backend.load.unread_tokens(now);
         let known = known_tokens(engine, &prefixes, now);
         let held = known
             .max(likely_tokens(prompt, rank == 0))
             .min(prompt.tokens);
         let spread = spreading_cost(rank, prompt.tokens - held, prompt);
         let (unread, source) = cheapest_copy(engine, held, &sources, prompt);
+        let queued = engine.backend.load.tokens_ahead_of(work.rank(unread), now);
         Reading {
             engine,
             source,
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -39,14 +39,20 @@
 /// Prompts of which fewer tokens are left to be read hold nobody up.
 const SHORT_READING: u64 = 512;
 /// Least urgent rank.
-const LAST_RANK: u8 = 9;
+pub(crate) const LAST_RANK: u8 = 9;
 
 impl Work {
     /// Rank among the work of its service, 0 first: each doubling of the prompt
     /// tokens that are left to be read counts as much as one step of the
     /// route's priority. A short reading holds nobody up, and a long one that
     /// waits for it is hardly later.
+    ///
+    /// Deferred work comes last: it would be late anyway, and makes nobody else
+    /// late.
     pub fn rank(&self, unread_tokens: u64) -> u8 {
+        if self.is_deferred {
+            return LAST_RANK;
+        }
         let doublings = (unread_tokens / SHORT_READING)
             .checked_ilog2()
             .map_or(0, |doublings| doublings as u8 + 1);
@@ -70,10 +76,15 @@
         prefixes
     }
 
+    /// Tokens that will probably come out.
+    pub fn likely_output(&self) -> u64 {
+        let likely = self.likely_output_tokens.unwrap_or(self.output_tokens);
+        likely.min(self.output_tokens)
+    }
+
     /// Tokens of KV cache that the request will probably hold at its end.
     pub fn held_tokens(&self) -> u64 {
-        let likely = self.likely_output_tokens.unwrap_or(self.output_tokens);
-        self.tokens + likely.min(self.output_tokens)
+        self.tokens + self.likely_output()
     }
 
     /// Tokens of the longest prefix that other requests may share.
@@ -107,4 +118,6 @@
     pub max_attempts: u32,
     /// Its prompt, for work of engines.
     pub prompt: Option<Prompt>,
+    /// Set when its answer can't be in time any more.
+    pub is_deferred: bool,
 }
--- /dev/null
+++ b/components/forwarding/tests/core/admission.rs
@@ -0,0 +1,208 @@
+//! Requests are sent, deferred or refused by what is predicted of them.
+
+use std::sync::Arc;
+
+use garnet_control::{Backlog, ByRank, WatchUpdate};
+use garnet_forwarding::{Admission, Arrival, Forwarder, Placement, Prompt, Work};
+use garnet_routes::{EngineLimits, RouteTable, ServiceSettings, WorkKind};
+use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::fleet::{NOW, configuration, empty_forwarder, prompt, record, table, work};
+
+const SLOTS: u64 = 48;
+/// The pace that the gateway has learned.
+const TOKENS_PER_MS: u64 = 100;
+
+fn words() -> ServiceId {
+    ServiceId::new("words")
+}
+
+fn reader() -> BackendId {
+    BackendId::new("reader")
+}
+
+fn generator() -> BackendId {
+    BackendId::new("generator")
+}
+
+/// A gateway before one reader and one generator, which knows their pace.
+fn gateway() -> Forwarder {
+    let limits = EngineLimits {
+        slots: SLOTS,
+        cache_tokens: 1_000_000,
+        token_bytes: 1,
+        link_mbps: 1,
+        role_change_ms: Millis(3000),
+        handover_ms: Millis(5000),
+    };
+    let services = vec![ServiceSettings {
+        name: words(),
+        max_connections: 100,
+        engine: Some(limits),
+    }];
+    let table = RouteTable {
+        services,
+        ..table(1, &[("words", 1)])
+    };
+    let records = [
+        record("reader", "words", "a", Some(EngineRole::Prefill)),
+        record("generator", "words", "a", Some(EngineRole::Mixed)),
+    ];
+    let mut gateway = empty_forwarder();
+    let configuration = Arc::new(configuration(5, table, &records));
+    gateway.update(WatchUpdate::Snapshot(configuration));
+    for tokens in [1_000, 20_000].repeat(200) {
+        gateway.note_prefill(&reader(), tokens, Millis(tokens / TOKENS_PER_MS));
+    }
+    gateway
+}
+
+fn backlog(backend: BackendId, requests: u64, unread: ByRank) -> Backlog {
+    Backlog {
+        backend,
+        requests,
+        unread,
+        held_tokens: requests * 1_000,
+    }
+}
+
+fn handover() -> Placement {
+    Placement::Handover {
+        reader: reader(),
+        copy_from: None,
+    }
+}
+
+fn arrival(came_back: bool) -> Arrival {
+    Arrival {
+        waited: Millis::ZERO,
+        remaining: Millis(2_000),
+        deadline: Millis(2_000),
+        came_back,
+    }
+}
+
+fn stream(prompt: Prompt) -> Work {
+    work(WorkKind::Stream, Some(prompt))
+}
+
+fn decide(gateway: &mut Forwarder, work: &Work, came_back: bool) -> Admission {
+    gateway.admit(&words(), work, &handover(), &arrival(came_back), NOW)
+}
+
+#[test]
+fn nothing_is_turned_away_from_free_engines() {
+    let mut gateway = gateway();
+    // Ten seconds of prefill, with an objective of half a second.
+    let large = stream(prompt(1, 2, 1_000_000));
+    assert_eq!(decide(&mut gateway, &large, false), Admission::Admit);
+}
+
+/// The objective is 500 ms, and callers wait for 2 s.
+#[rstest]
+#[case::short_queue(30_000, Admission::Admit)]
+#[case::late(100_000, Admission::Defer)]
+fn what_would_be_late_is_read_after_the_rest(#[case] queued: u64, #[case] expected: Admission) {
+    let mut gateway = gateway();
+    let others = backlog(reader(), 9, ByRank::at(0, queued));
+    gateway.heard_of_others(&[others], NOW);
+    let work = stream(prompt(1, 2, 8_000));
+    assert_eq!(decide(&mut gateway, &work, false), expected);
+    assert_eq!(decide(&mut gateway, &work, true), expected);
+}
+
+#[test]
+fn what_is_queued_behind_makes_nobody_late() {
+    let mut gateway = gateway();
+    let others = backlog(reader(), 9, ByRank::at(9, 100_000));
+    gateway.heard_of_others(&[others], NOW);
+    let work = stream(prompt(1, 2, 8_000));
+    assert_eq!(decide(&mut gateway, &work, false), Admission::Admit);
+}
+
+#[test]
+fn what_would_end_before_it_begins_is_refused_with_a_time_to_come_back() {
+    let mut gateway = gateway();
+    let others = backlog(reader(), 99, ByRank::at(0, 300_000));
+    gateway.heard_of_others(&[others], NOW);
+    let work = stream(prompt(1, 2, 8_000));
+    let Admission::Refuse { retry_after, .. } = decide(&mut gateway, &work, true) else {
+        panic!("three seconds are queued");
+    };
+    assert_eq!(
+        retry_after,
+        Millis(600),
+        "a third of the time is not passed"
+    );
+}
+
+/// Places are taken by requests that need 4 s each.
+fn full_generator(requests: u64) -> Forwarder {
+    let mut gateway = gateway();
+    let chat = Prompt {
+        output_tokens: 4_000,
+        ..prompt(3, 4, 100)
+    };
+    gateway.note_place(&generator(), &chat, Millis(4_000));
+    gateway.handed_over(&generator(), &chat, 1, NOW);
+    let others = backlog(generator(), requests - 1, ByRank::default());
+    gateway.heard_of_others(&[others], NOW);
+    gateway
+}
+
+#[test]
+fn who_finds_no_place_is_told_when_one_is_free() {
+    let work = stream(prompt(1, 2, 100));
+    let mut free = full_generator(SLOTS - 1);
+    assert_eq!(decide(&mut free, &work, false), Admission::Admit);
+    let mut full = full_generator(SLOTS + 10);
+    let Admission::Refuse { retry_after, .. } = decide(&mut full, &work, false) else {
+        panic!("eleven requests wait before it");
+    };
+    // One place in 4000 / 48 ms: eleven in 917 ms, at most 0.3 of 2 s are told.
+    assert_eq!(retry_after, Millis(600));
+    // Who was here before waits for the place.
+    assert_eq!(decide(&mut full, &work, true), Admission::Defer);
+}
+
+#[test]
+fn more_urgent_work_does_not_wait_for_places_of_less_urgent() {
+    let mut full = full_generator(SLOTS + 10);
+    let mut urgent = stream(prompt(1, 2, 100));
+    urgent.priority = 0;
+    assert_eq!(decide(&mut full, &urgent, false), Admission::Admit);
+}
+
+proptest! {
+    /// Whatever is believed, a time to come back is one that callers keep.
+    #[test]
+    fn the_time_to_come_back_is_bounded(
+        queued in 0_u64..10_000_000,
+        requests in 0_u64..10_000,
+        tokens in 1_u64..1_000_000,
+        remaining in 1_u64..20_000,
+        came_back: bool,
+    ) {
+        let mut gateway = gateway();
+        let others = [
+            backlog(reader(), requests, ByRank::at(0, queued)),
+            backlog(generator(), requests, ByRank::default()),
+        ];
+        gateway.heard_of_others(&others, NOW);
+        let arrival = Arrival {
+            waited: Millis::ZERO,
+            remaining: Millis(remaining),
+            deadline: Millis(remaining),
+            came_back,
+        };
+        let work = stream(prompt(1, 2, tokens));
+        let admission = gateway.admit(&words(), &work, &handover(), &arrival, NOW);
+        if let Admission::Refuse { retry_after, .. } = admission {
+            prop_assert!(retry_after >= Millis(50));
+            prop_assert!(retry_after <= Millis(50).max(Millis(remaining / 3)));
+            prop_assert!(queued > 0 || requests > 0, "engines are free");
+        }
+    }
+}
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -104,6 +104,7 @@
         objective: Millis(500),
         max_attempts: 2,
         prompt,
+        is_deferred: false,
     }
 }
 
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! What a gateway decides about forwarded work.
 
+mod admission;
 mod attempts;
 mod budgets;
 mod configuration;
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -1,6 +1,6 @@
 //! Where work goes.
 
-use garnet_control::{BackendRecord, Backlog, PromptCopy};
+use garnet_control::{BackendRecord, Backlog, ByRank, PromptCopy};
 use garnet_forwarding::{Forwarder, LoadReport, Placement, Prompt};
 use garnet_routes::WorkKind;
 use garnet_types::{BackendId, EngineRole, Millis, PrefixId, ServiceId};
@@ -83,7 +83,7 @@
     let mut gateway = forwarder(&engines());
     let asked = prompt(7, 1, 20_000);
     let holder = BackendId::new("g-b");
-    gateway.sent(&holder, Some(&asked), None, NOW);
+    gateway.sent(&holder, Some(&asked), None, 0, NOW);
     assert_eq!(reading(&mut gateway, asked.clone(), &[]).1, None);
     let told = [copy(asked.shared_prefix(), &BackendId::new("g-a1"))];
     let long_ago = Millis::ZERO;
@@ -119,7 +119,7 @@
     let busy = |id: &str| Backlog {
         backend: BackendId::new(id),
         requests: 9,
-        unread_tokens: 90_000,
+        unread: ByRank::at(0, 90_000),
         held_tokens: 90_000,
     };
     for (idle, others) in [
@@ -227,7 +227,7 @@
     let backlog = Backlog {
         backend: reader.clone(),
         requests: 9,
-        unread_tokens: 90_000,
+        unread: ByRank::at(0, 90_000),
         held_tokens: 90_000,
     };
     gateway.heard_of_others(&[backlog], NOW);
