A prefill counts for all that wait for it

Cause: the reader was chosen by what is ahead of the request's own rank. Change: what is read at an engine counts once for each request that is there; the queue counts whole. Deferred only when surely late (1.5 objectives predicted).

--- a/components/forwarding/src/admission.rs
+++ b/components/forwarding/src/admission.rs
@@ -77,6 +77,10 @@
 /// A wait below this part of the objective is none: nothing is deferred or
 /// refused while engines are free.
 const SHORT_WAIT: f64 = 0.25;
+/// A request is taken for late when so many objectives are predicted: half of
+/// those that are predicted to be just late are in time, and deferring one of
+/// these costs more than reading one that is late.
+const SURELY_LATE: f64 = 1.5;
 /// Callers come back within this part of the time that they have left.
 const LONGEST_RETRY: f64 = 0.3;
 /// Who comes back finds this part of the objective used by others.
@@ -89,7 +93,7 @@
     let objective_ms = objective.0 as f64;
     let wait_ms = prediction.ahead_ms + prediction.place_ms;
     let in_time_ms = arrival.waited.0 as f64 + prediction.alone_ms + wait_ms;
-    if wait_ms <= objective_ms * SHORT_WAIT || in_time_ms <= objective_ms {
+    if wait_ms <= objective_ms * SHORT_WAIT || in_time_ms <= objective_ms * SURELY_LATE {
         return Admission::Admit;
     }
     let deferred_ms = prediction.alone_ms + prediction.all_queued_ms + prediction.place_ms;
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -155,7 +155,7 @@
                 residency: self.residency.get(&backend.registration.id),
             })
             .collect();
-        place_engines(&engines, work, prompt, preference)
+        place_engines(&engines, prompt, preference)
     }
 
     /// Who generates from the KV cache that `reader` made, as things stand now.
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -6,7 +6,7 @@
 use crate::backends::Backend;
 use crate::reading::{Reading, cheapest_reading};
 use crate::residency::Residency;
-use crate::work::{Prompt, Work};
+use crate::work::Prompt;
 
 /// Requests more than elsewhere that the own zone may have before work leaves
 /// it: another zone costs time and bytes.
@@ -99,7 +99,6 @@
 /// read before the first piece.
 pub fn place_engines(
     engines: &[EngineView<'_>],
-    work: &Work,
     prompt: &Prompt,
     preference: &Preference<'_>,
 ) -> Option<Placement> {
@@ -122,10 +121,10 @@
         Vec::new()
     };
     let now = preference.now;
-    let single = cheapest_reading(&mixed, &[], work, prompt, now);
-    let handover = cheapest_reading(&readers, &open, work, prompt, now);
-    let single_cost = |reading: &Reading<'_, '_>| reading.tokens * MIXED_READING_COST;
-    let handover_cost = |reading: &Reading<'_, '_>| reading.tokens + HANDOVER_TOKENS;
+    let single = cheapest_reading(&mixed, &[], prompt, now);
+    let handover = cheapest_reading(&readers, &open, prompt, now);
+    let single_cost = |reading: &Reading<'_, '_>| reading.cost * MIXED_READING_COST;
+    let handover_cost = |reading: &Reading<'_, '_>| reading.cost + HANDOVER_TOKENS;
     let by_two = |reading: &Reading<'_, '_>| Placement::Handover {
         reader: reading.engine.id().clone(),
         copy_from: reading.source.map(|source| source.id().clone()),
--- a/components/forwarding/src/reading.rs
+++ b/components/forwarding/src/reading.rs
@@ -14,7 +14,7 @@
 
 use crate::placement::EngineView;
 use crate::residency::Residency;
-use crate::work::{Prefix, Prompt, Work};
+use crate::work::{Prefix, Prompt};
 
 /// Engines at which a shared prefix may be kept.
 const OWNERS: usize = 2;
@@ -41,8 +41,9 @@
     pub(crate) engine: &'a EngineView<'b>,
     /// Holds more of the prefix.
     pub(crate) source: Option<&'a EngineView<'b>>,
-    /// Prompt tokens to be read before this request's first piece.
-    pub(crate) tokens: u64,
+    /// Prompt tokens that are read before this request's first piece, and those
+    /// that others wait for because of it.
+    pub(crate) cost: u64,
 }
 
 /// Among the owners of the prompt's shared prefix, the engine that begins
@@ -50,7 +51,6 @@
 pub(crate) fn cheapest_reading<'a, 'b>(
     readers: &[&'a EngineView<'b>],
     holders: &[&'a EngineView<'b>],
-    work: &Work,
     prompt: &Prompt,
     now: Millis,
 ) -> Option<Reading<'a, 'b>> {
@@ -68,18 +68,20 @@
             .min(prompt.tokens);
         let spread = spreading_cost(rank, prompt.tokens - held, prompt);
         let (unread, source) = cheapest_copy(engine, held, &sources, prompt);
-        let queued = engine.backend.load.tokens_ahead_of(work.rank(unread), now);
+        let queued = engine.backend.load.unread_tokens(now);
+        // What is read here is waited for by all who are here.
+        let waiting = 1 + engine.backend.load.requests(now);
         Reading {
             engine,
             source,
-            tokens: queued + unread + spread,
+            cost: queued + (unread + spread) * waiting,
         }
     };
     let owners = ranked(readers, prompt).into_iter().take(candidates);
     owners
         .enumerate()
         .map(reading)
-        .min_by_key(|reading| reading.tokens)
+        .min_by_key(|reading| reading.cost)
 }
 
 fn ranked<'a, 'b>(readers: &[&'a EngineView<'b>], prompt: &Prompt) -> Vec<&'a EngineView<'b>> {
