Before a prompt is deferred any engine with time reads it

Change: where the owners can't be in time, the cheapest of all engines is asked before a prompt is deferred or refused.

--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -307,10 +307,11 @@
     /// Has one engine do all of it, or one engine read the prompt for another.
     /// Gives no answer where a prompt was read that waits for its generator.
     async fn begin(&mut self) -> Result<Opened<C, B>, Refused> {
-        let placement = self.place();
-        if let Some(placement) = &placement {
-            self.admit(placement)?;
-        }
+        let placement = if self.is_new() {
+            self.place_new()?
+        } else {
+            self.place()
+        };
         match placement {
             None => {
                 log_no_back_end(&self.gateway, &self.running);
@@ -332,23 +333,28 @@
         }
     }
 
-    /// Turns a request away for which the engines have no time, before any of
-    /// them has seen it.
-    fn admit(&mut self, placement: &Placement) -> Result<(), Refused> {
+    /// Whether no engine has seen the request, here or before.
+    fn is_new(&self) -> bool {
+        self.running.is_untried() && !self.was_read && self.splitter.last_id().is_none()
+    }
+
+    /// Places a new request. One for which the engines have no time is turned
+    /// away before any of them has seen it, or sent to be read after the rest.
+    fn place_new(&mut self) -> Result<Option<Placement>, Refused> {
         let Running { service, work, .. } = &self.running;
-        if !self.running.is_untried() || self.was_read || self.splitter.last_id().is_some() {
-            return Ok(());
-        }
         let now = self.gateway.now();
         let arrival = self.running.arrival(now);
         let mut forwarder = self.gateway.forwarder.borrow_mut();
-        let admission = forwarder.admit(service, work, placement, &arrival, now);
+        let placed = forwarder.place_new(service, work, &arrival, now);
         drop(forwarder);
+        let Some((placement, admission)) = placed else {
+            return Ok(None);
+        };
         let (retry_after, predicted) = match admission {
-            Admission::Admit => return Ok(()),
+            Admission::Admit => return Ok(Some(placement)),
             Admission::Defer => {
                 self.running.work.is_deferred = true;
-                return Ok(());
+                return Ok(Some(placement));
             }
             Admission::Refuse {
                 retry_after,
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -6,33 +6,58 @@
 
 use crate::admission::{Admission, Arrival, Prediction, admit};
 use crate::backends::Backend;
-use crate::placement::Placement;
+use crate::placement::{Placement, Preference};
 use crate::work::{LAST_RANK, Prompt, Work};
 
 use super::Forwarder;
 
 impl Forwarder {
-    /// Whether the request may be sent where it was placed.
-    pub fn admit(
+    /// Where a new request goes, and whether it is sent now. Where the owners
+    /// of its prefix have no time, any engine that has takes it: reading a
+    /// prefix again costs less than a late answer.
+    pub fn place_new(
         &mut self,
         service: &ServiceId,
         work: &Work,
-        placement: &Placement,
         arrival: &Arrival,
         now: Millis,
-    ) -> Admission {
-        let Some(prompt) = &work.prompt else {
-            return Admission::Admit;
+    ) -> Option<(Placement, Admission)> {
+        let placement = self.place(service, work, &[], true, now)?;
+        let admission = self.admission(service, work, &placement, arrival, now);
+        if admission == Admission::Admit {
+            return Some((placement, admission));
+        }
+        let anywhere = Preference {
+            anywhere: true,
+            ..self.preference(&[], now)
         };
-        let prediction = self.predict(service, work, prompt, placement, now);
-        let admission = admit(&prediction, work.objective, arrival);
+        if let Some(other) = self.place_by(service, work, &anywhere)
+            && self.admission(service, work, &other, arrival, now) == Admission::Admit
+        {
+            return Some((other, Admission::Admit));
+        }
         if let Admission::Refuse { retry_after, .. } = admission
             && !arrival.came_back
         {
             let returns = self.returns.entry(service.clone()).or_default();
             returns.told(now + retry_after, now);
         }
-        admission
+        Some((placement, admission))
+    }
+
+    fn admission(
+        &self,
+        service: &ServiceId,
+        work: &Work,
+        placement: &Placement,
+        arrival: &Arrival,
+        now: Millis,
+    ) -> Admission {
+        let Some(prompt) = &work.prompt else {
+            return Admission::Admit;
+        };
+        let prediction = self.predict(service, work, prompt, placement, now);
+        admit(&prediction, work.objective, arrival)
     }
 
     fn predict(
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -118,12 +118,8 @@
     ) -> Option<Placement> {
         self.drawn += 1;
         let preference = Preference {
-            zone: &self.settings.zone,
-            now,
-            tried,
             may_hand_over,
-            despite_failures: false,
-            draw: self.drawn,
+            ..self.preference(tried, now)
         };
         // A back end that failed lately is better than none.
         self.place_by(service, work, &preference).or_else(|| {
@@ -135,6 +131,18 @@
         })
     }
 
+    fn preference<'a>(&'a self, tried: &'a [BackendId], now: Millis) -> Preference<'a> {
+        Preference {
+            zone: &self.settings.zone,
+            now,
+            tried,
+            may_hand_over: true,
+            despite_failures: false,
+            anywhere: false,
+            draw: self.drawn,
+        }
+    }
+
     fn place_by(
         &self,
         service: &ServiceId,
@@ -170,12 +178,8 @@
         let zone = &self.backends.get(reader)?.registration.zone;
         let find = |despite_failures| {
             let preference = Preference {
-                zone: &self.settings.zone,
-                now,
-                tried,
-                may_hand_over: true,
                 despite_failures,
-                draw: self.drawn,
+                ..self.preference(tried, now)
             };
             let of_service = self
                 .backends
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -49,6 +49,9 @@
     pub may_hand_over: bool,
     /// Whether back ends that failed lately are taken as well.
     pub despite_failures: bool,
+    /// Whether any engine may read a prompt, in place of the owners of its
+    /// prefix only.
+    pub anywhere: bool,
     /// A number that differs from request to request, to part equals.
     pub draw: u64,
 }
@@ -121,8 +124,9 @@
         Vec::new()
     };
     let now = preference.now;
-    let single = cheapest_reading(&mixed, &[], prompt, now);
-    let handover = cheapest_reading(&readers, &open, prompt, now);
+    let anywhere = preference.anywhere;
+    let single = cheapest_reading(&mixed, &[], prompt, anywhere, now);
+    let handover = cheapest_reading(&readers, &open, prompt, anywhere, now);
     let single_cost = |reading: &Reading<'_, '_>| reading.cost * MIXED_READING_COST;
     let handover_cost = |reading: &Reading<'_, '_>| reading.cost + HANDOVER_TOKENS;
     let by_two = |reading: &Reading<'_, '_>| Placement::Handover {
--- a/components/forwarding/src/reading.rs
+++ b/components/forwarding/src/reading.rs
@@ -46,17 +46,18 @@
     pub(crate) cost: u64,
 }
 
-/// Among the owners of the prompt's shared prefix, the engine that begins
-/// to generate first; what it lacks is copied from one of `holders`.
+/// Among the owners of the prompt's shared prefix, or `anywhere`, the engine
+/// that begins to generate first; what it lacks is copied from one of `holders`.
 pub(crate) fn cheapest_reading<'a, 'b>(
     readers: &[&'a EngineView<'b>],
     holders: &[&'a EngineView<'b>],
     prompt: &Prompt,
+    anywhere: bool,
     now: Millis,
 ) -> Option<Reading<'a, 'b>> {
     let prefixes = prompt.prefixes();
     let sources = sources(holders, &prefixes, now);
-    let candidates = if prompt.shared_tokens() <= WORTHLESS_SHARED {
+    let candidates = if anywhere || prompt.shared_tokens() <= WORTHLESS_SHARED {
         readers.len()
     } else {
         OWNERS
