--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use crate::by_rank::ByRank;
 use garnet_types::{
     BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::answer::ClaimAnswer;
+use crate::by_rank::ByRank;
 use crate::command::ClaimCommand;
 use crate::configuration::{Configuration, ConfigurationChange};
 
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -72,7 +72,7 @@
         let unread = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         forwarder.prefill_patience(&job.backend, unread, job.priority, began)
     };
-    let sent = attempt(gateway, call, job, Some(patience)).await;
+    let sent = attempt(gateway, call, job, patience).await;
     let mut open = sent.map_err(not_run)?;
     let to_read = open.guard.to_read();
     let failed = |open: &mut OpenAnswer<C, B>, cause: &str| {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -170,7 +170,7 @@
     forwarder.earn_repeats(&choice.service, arrived);
     remove_connection_headers(&mut head.headers);
     if let Some(prompt) = &mut facts.prompt {
-        forwarder.complete(&choice.service, prompt);
+        forwarder.fill_in_likely_output(&choice.service, prompt);
     }
     let time = facts
         .deadline
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -6,6 +6,7 @@
 
 use crate::admission::{Admission, Arrival, Prediction, admit};
 use crate::backends::Backend;
+use crate::pace::PrefillPace;
 use crate::placement::{Placement, Preference};
 use crate::work::{LAST_RANK, Prompt, Work};
 
@@ -75,7 +76,7 @@
         let unread = self.unread_tokens(engine, prompt, source, now);
         let ahead = self.queued_tokens(engine, work.rank(unread), now);
         let queued = self.queued_tokens(engine, LAST_RANK, now);
-        let pace = self.prefill.get(service).copied().unwrap_or_default();
+        let pace = self.pace_of(engine);
         let alone_ms = pace.expected_ms(unread);
         let place = self.place_queue(service, work.priority, placement, now);
         // The other gateways told as many to come back, roughly.
@@ -162,13 +163,24 @@
     }
 
     /// Longest time that a reader should take for a prompt of which it has
-    /// `unread` tokens to read, with what is queued there.
-    pub fn prefill_patience(&self, id: &BackendId, unread: u64, rank: u8, now: Millis) -> Millis {
+    /// `unread` tokens to read, with what is queued there. `None` for what is
+    /// read last: it waits for all that come after it, so its engine's silence
+    /// tells nothing.
+    pub fn prefill_patience(
+        &self,
+        id: &BackendId,
+        unread: u64,
+        rank: u8,
+        now: Millis,
+    ) -> Option<Millis> {
+        if rank >= LAST_RANK {
+            return None;
+        }
         let queued = self.queued_tokens(id, rank, now);
-        self.pace_of(id).patience(queued.max(unread))
+        Some(self.pace_of(id).patience(queued.max(unread)))
     }
 
-    fn pace_of(&self, id: &BackendId) -> crate::pace::PrefillPace {
+    fn pace_of(&self, id: &BackendId) -> PrefillPace {
         let service = self.backends.get(id).map(|b| &b.registration.service);
         let pace = service.and_then(|service| self.prefill.get(service));
         pace.copied().unwrap_or_default()
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -58,7 +58,7 @@
 
     /// Fills in how much will probably come out, as the callers of the service
     /// make it likely.
-    pub fn complete(&mut self, service: &ServiceId, prompt: &mut Prompt) {
+    pub fn fill_in_likely_output(&mut self, service: &ServiceId, prompt: &mut Prompt) {
         let length = self.output_lengths.entry(service.clone()).or_default();
         length.complete(prompt);
     }
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -132,6 +132,14 @@
     );
 }
 
+#[test]
+fn an_engine_is_not_blamed_for_what_it_reads_last() {
+    let gateway = gateway();
+    let patience = |rank| gateway.prefill_patience(&reader(), 8_000, rank, NOW);
+    assert!(patience(8).is_some());
+    assert_eq!(patience(9), None);
+}
+
 /// Places are taken by requests that need 4 s each.
 fn full_generator(requests: u64) -> Forwarder {
     let mut gateway = gateway();
