--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -131,3 +131,47 @@
     let roles = stated(&mut leader, &vec![list(6); 20], &busy);
     assert_eq!(roles, []);
 }
+
+/// Every third engine generates, and has so many requests of 2,000 tokens; the
+/// others read prompts or rest.
+fn mix(reading: bool, requests: u64) -> Event {
+    let backlog = |number: usize| {
+        let generates = number >= 6;
+        Backlog {
+            backend: BackendId::new(format!("engine-{number}")),
+            requests: if generates { requests } else { 1 },
+            unread: ByRank::at(0, u64::from(!generates && reading) * 9_000),
+            held_tokens: if generates { requests * 2_000 } else { 9_000 },
+        }
+    };
+    let request = GatewayRequest::Watch {
+        gateway: GatewayId::new("gateway-1"),
+        configuration_index: 0,
+        sent_at: Millis(1),
+        group_index: 0,
+        mix: Vec::new(),
+        backlogs: (0..9).map(backlog).collect(),
+        copies: Vec::new(),
+    };
+    Event::Gateway {
+        connection: 1,
+        request,
+    }
+}
+
+#[test]
+fn the_first_swing_of_a_mix_takes_no_engine_from_the_next() {
+    let mut leader = leader();
+    // 60 of 64 slots are taken, and nothing is read for ten seconds.
+    let swing = mix(false, 60);
+    assert_eq!(stated(&mut leader, &vec![list(6); 10], &swing), []);
+}
+
+#[test]
+fn a_load_that_stays_moves_engines() {
+    let mut leader = leader();
+    // Twice as many requests as slots, for six minutes.
+    let stays = mix(false, 128);
+    let roles = stated(&mut leader, &vec![list(6); 360], &stays);
+    assert_eq!(roles.first(), Some(&EngineRole::Mixed), "{roles:?}");
+}
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -209,3 +209,22 @@
         }
     }
 }
+
+#[test]
+fn what_callers_guess_tells_what_others_will_get() {
+    let mut gateway = gateway();
+    let mut likely = |guess: Option<u64>| {
+        let mut prompt = Prompt {
+            output_tokens: 1_000,
+            likely_output_tokens: guess,
+            ..prompt(1, 2, 100)
+        };
+        gateway.fill_in_likely_output(&words(), &mut prompt);
+        prompt.likely_output()
+    };
+    assert_eq!(likely(None), 1_000, "nobody has guessed yet");
+    for _ in 0..1_000 {
+        assert_eq!(likely(Some(300)), 300);
+    }
+    assert_eq!(likely(None), 300);
+}
--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -25,6 +25,20 @@
     assert_eq!(wanted_readers(&seen, &BalanceSettings::default()), wanted);
 }
 
+/// Decode engines run many requests at once: nobody waits for a place while one
+/// in ten is free.
+#[rstest]
+#[case::most_places_are_taken(0.8, 0.85, 8)]
+#[case::prefill_is_short(0.9, 0.5, 9)]
+#[case::all_places_are_taken(0.3, 1.2, 7)]
+fn a_full_batch_is_no_queue(#[case] reading: f64, #[case] generating: f64, #[case] wanted: usize) {
+    let seen = PhaseOccupancy {
+        places: 4.0 * 48.0,
+        ..occupancy(8, 4, reading, generating)
+    };
+    assert_eq!(wanted_readers(&seen, &BalanceSettings::default()), wanted);
+}
+
 #[rstest]
 #[case(9, 6)]
 #[case(2, 1)]
