--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -61,13 +61,18 @@
         unread: ByRank::at(0, unread),
         held_tokens: unread,
     };
+    told((0..engines).map(backlog).collect())
+}
+
+/// One gateway tells what it has under way.
+fn told(backlogs: Vec<Backlog>) -> Event {
     let request = GatewayRequest::Watch {
         gateway: GatewayId::new("gateway-1"),
         configuration_index: 0,
         sent_at: Millis(1),
         group_index: 0,
         mix: Vec::new(),
-        backlogs: (0..engines).map(backlog).collect(),
+        backlogs,
         copies: Vec::new(),
     };
     let connection = 1;
@@ -144,19 +149,7 @@
             held_tokens: if generates { requests * 2_000 } else { 9_000 },
         }
     };
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new("gateway-1"),
-        configuration_index: 0,
-        sent_at: Millis(1),
-        group_index: 0,
-        mix: Vec::new(),
-        backlogs: (0..9).map(backlog).collect(),
-        copies: Vec::new(),
-    };
-    Event::Gateway {
-        connection: 1,
-        request,
-    }
+    told((0..9).map(backlog).collect())
 }
 
 #[test]
