--- a/bin/garnet-bench/src/call.rs
+++ b/bin/garnet-bench/src/call.rs
@@ -155,8 +155,8 @@
         whole: false,
     };
     let mut stream = TextStream::default();
-    while let Ok(Some(piece)) = response.next().await {
-        stream.push(&piece);
+    while let Ok(Some(chunk)) = response.next().await {
+        stream.push(&chunk);
     }
     seen.whole = stream.is_done;
     seen.text = stream.text;
--- a/bin/garnet-bench/src/load/figures.rs
+++ b/bin/garnet-bench/src/load/figures.rs
@@ -69,9 +69,9 @@
 #[derive(Default)]
 pub(crate) struct Figures {
     pub(crate) outcomes: BTreeMap<Outcome, u64>,
-    /// To the first piece of a text.
+    /// To the first chunk of a text.
     pub(crate) first_token: Times,
-    /// Between two pieces of a text.
+    /// Between two chunks of a text.
     pub(crate) between_tokens: Times,
     /// To the end of a text.
     pub(crate) text: Times,
--- a/bin/garnet-bench/src/load/mod.rs
+++ b/bin/garnet-bench/src/load/mod.rs
@@ -197,8 +197,8 @@
             }
             Ok(mut answer) => {
                 let mut body = Vec::new();
-                while let Ok(Some(piece)) = answer.next().await {
-                    body.extend_from_slice(&piece);
+                while let Ok(Some(chunk)) = answer.next().await {
+                    body.extend_from_slice(&chunk);
                 }
                 refused(&body)
             }
@@ -210,12 +210,12 @@
         let mut stream = TextStream::default();
         let mut last_piece: Option<Instant> = None;
         loop {
-            let piece = match answer.next().await {
-                Ok(Some(piece)) => piece,
+            let chunk = match answer.next().await {
+                Ok(Some(chunk)) => chunk,
                 Ok(None) => break,
                 Err(error) => return of_error(&error),
             };
-            if !stream.push(&piece) {
+            if !stream.push(&chunk) {
                 continue;
             }
             let now = Instant::now();
--- a/bin/garnet-bench/src/soak/streams.rs
+++ b/bin/garnet-bench/src/soak/streams.rs
@@ -71,7 +71,7 @@
     let mut bytes = Vec::new();
     let ended_well = loop {
         match response.next().await {
-            Ok(Some(piece)) => bytes.extend_from_slice(&piece),
+            Ok(Some(chunk)) => bytes.extend_from_slice(&chunk),
             Ok(None) => break true,
             Err(_) => break false,
         }
--- a/bin/garnet-bench/src/text_stream.rs
+++ b/bin/garnet-bench/src/text_stream.rs
@@ -18,11 +18,11 @@
 }
 
 impl TextStream {
-    /// Takes a piece of the body; whether it held text. Half an event waits
+    /// Takes a chunk of the body; whether it held text. Half an event waits
     /// for the rest.
-    pub(crate) fn push(&mut self, piece: &[u8]) -> bool {
+    pub(crate) fn push(&mut self, chunk: &[u8]) -> bool {
         let before = self.text.len();
-        for event in self.reader.push(piece) {
+        for event in self.reader.push(chunk) {
             if event == END_MARK {
                 self.is_done = true;
                 continue;
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -146,8 +146,8 @@
         return AttemptEvent::Broken;
     }
     let mut reader = EventReader::default();
-    while let Ok(Some(piece)) = stream.next().await {
-        let events = reader.push(&piece);
+    while let Ok(Some(chunk)) = stream.next().await {
+        let events = reader.push(&chunk);
         if let Some(last) = take_events(context, attempt, &events) {
             return last;
         }
--- a/bin/garnet-gateway/src/callers.rs
+++ b/bin/garnet-gateway/src/callers.rs
@@ -18,8 +18,8 @@
 use crate::respond::{refusal_response, whole, with_request_id};
 
 const SERVICES: &str = "/services/";
-/// Pieces of a stream that wait for a slow caller.
-const QUEUED_PIECES: usize = 64;
+/// Chunks of a stream that wait for a slow caller.
+const QUEUED_CHUNKS: usize = 64;
 /// Ends a whole stream of the OpenAI interface.
 const DONE: &str = "[DONE]";
 
@@ -195,13 +195,13 @@
     messages: Receiver<CallerMessage>,
     guard: CallerGuard,
 ) -> Response<Body> {
-    let (pieces, body) = bounded(QUEUED_PIECES);
+    let (chunks, body) = bounded(QUEUED_CHUNKS);
     let id = call.id;
     let forward = async move {
         let mut next = Ok(first);
         while let Ok(message) = next {
             let ends = matches!(message, CallerMessage::Answer(_));
-            let sent = send_message(&call, message, &pieces).await;
+            let sent = send_message(&call, message, &chunks).await;
             if ends || !sent {
                 break;
             }
@@ -217,7 +217,7 @@
 }
 
 /// Sends one message of a stream. `false` when the caller has left.
-async fn send_message(call: &Call, message: CallerMessage, pieces: &Sender<Bytes>) -> bool {
+async fn send_message(call: &Call, message: CallerMessage, chunks: &Sender<Bytes>) -> bool {
     let mut bytes = Vec::new();
     let mut add = |data: &str| bytes.extend_from_slice(&event(data));
     match message {
@@ -236,10 +236,10 @@
             add(&openai::error_body(&refusal, call.id).to_string());
         }
     }
-    pieces.send(Bytes::from(bytes)).await.is_ok()
+    chunks.send(Bytes::from(bytes)).await.is_ok()
 }
 
-/// A recorded text, streamed again in one piece.
+/// A recorded text, streamed again in one chunk.
 fn add_recorded(call: &Call, body: &[u8], add: &mut impl FnMut(&str)) {
     let Some((text, usage)) = openai::recorded_text(body) else {
         let refusal = Refusal::failed("the recorded answer is no text");
--- a/bin/garnet-standin/src/application.rs
+++ b/bin/garnet-standin/src/application.rs
@@ -145,9 +145,9 @@
 
 /// A response that ends before the length that its head states.
 fn broken_response() -> Response<Body> {
-    let (sender, pieces) = smol::channel::bounded(1);
+    let (sender, chunks) = smol::channel::bounded(1);
     sender.close();
-    let mut response = Response::new(channel_body(pieces));
+    let mut response = Response::new(channel_body(chunks));
     set_header(&mut response, "content-length", "1000");
     response
 }
--- a/bin/garnet-standin/src/engine.rs
+++ b/bin/garnet-standin/src/engine.rs
@@ -298,15 +298,15 @@
         Ok(submitted) => submitted,
         Err(refusal) => return refused(refusal_reason(refusal)),
     };
-    let (pieces, body) = bounded(64);
-    let forward = forward(guard, outputs, pieces);
+    let (chunks, body) = bounded(64);
+    let forward = forward(guard, outputs, chunks);
     context.executor.spawn(forward).detach();
     let mut response = Response::new(channel_body(body));
     set_header(&mut response, "content-type", "text/event-stream");
     response
 }
 
-async fn forward(guard: JobGuard, outputs: Receiver<JobOutput>, pieces: Sender<Bytes>) {
+async fn forward(guard: JobGuard, outputs: Receiver<JobOutput>, chunks: Sender<Bytes>) {
     while let Ok(output) = outputs.recv().await {
         let (message, ends) = match output {
             JobOutput::Token { index, text } => (GenerateEvent::Token { index, text }, false),
@@ -314,7 +314,7 @@
             JobOutput::Prefilled { .. } => continue,
         };
         let line = serde_json::to_string(&message).unwrap_or_default();
-        let sent = pieces.send(Bytes::from(event(&line))).await;
+        let sent = chunks.send(Bytes::from(event(&line))).await;
         if sent.is_err() || ends {
             break;
         }
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -61,7 +61,7 @@
         /// Copied from the message that is answered.
         sent_at: Millis,
     },
-    /// A piece of a snapshot.
+    /// A chunk of a snapshot.
     SnapshotChunk {
         /// Last entry that the snapshot covers.
         index: u64,
@@ -69,9 +69,9 @@
         snapshot_term: u64,
         /// The group at that entry.
         membership: Membership,
-        /// Where in the snapshot the piece begins.
+        /// Where in the snapshot the chunk begins.
         offset: u64,
-        /// The piece.
+        /// The chunk.
         #[serde(with = "serde_bytes")]
         data: Vec<u8>,
         /// Whether it is the last one.
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -1,4 +1,4 @@
-//! Heartbeats, log replication, commitment and snapshots in pieces.
+//! Heartbeats, log replication, commitment and snapshots in chunks.
 
 use std::sync::Arc;
 
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -282,10 +282,10 @@
                 log::info!(
                     engine = engine.as_str(),
                     role = assignment.role.as_str(),
-                    readers = occupancy.readers,
-                    generators = occupancy.generators,
-                    reading = format!("{:.2}", occupancy.reading).as_str(),
-                    generating = format!("{:.2}", occupancy.generating).as_str();
+                    prefill_engines = occupancy.prefill_engines,
+                    decode_engines = occupancy.decode_engines,
+                    prefill = format!("{:.2}", occupancy.prefill).as_str(),
+                    decode = format!("{:.2}", occupancy.decode).as_str();
                     "role_stated"
                 );
             }
--- a/components/control/src/backlogs.rs
+++ b/components/control/src/backlogs.rs
@@ -74,12 +74,12 @@
             .entry(backlog.backend.clone())
             .or_insert_with(|| Backlog {
                 requests: 0,
-                unread: ByRank::default(),
+                uncached: ByRank::default(),
                 held_tokens: 0,
                 ..backlog.clone()
             });
         total.requests += backlog.requests;
-        total.unread += backlog.unread;
+        total.uncached += backlog.uncached;
         total.held_tokens += backlog.held_tokens;
     }
     sums
--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -1,9 +1,11 @@
 //! The leader's use of the balance of phases: what gateways have under way at
-//! each engine tells how occupied readers and generators are.
+//! each engine tells how occupied prefill engines and decode engines are.
 
 use std::collections::BTreeMap;
 
-use garnet_planner::{BalanceSettings, PhaseOccupancy, initial_readers, wanted_readers};
+use garnet_planner::{
+    BalanceSettings, PhaseOccupancy, initial_prefill_engines, wanted_prefill_engines,
+};
 use garnet_routes::EngineLimits;
 use garnet_types::{
     BackendId, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
@@ -80,8 +82,8 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct PoolBalance {
-    reading: Demand,
-    generating: Demand,
+    prefill: Demand,
+    decode: Demand,
     loaded: bool,
     /// Engines at the last look, and since when there are so many: the list
     /// of engines comes in parts when a group starts.
@@ -146,14 +148,14 @@
                 continue;
             }
             let wanted = if balance.loaded {
-                balance.wanted_readers(&occupancy, &self.settings)
+                balance.wanted_prefill_engines(&occupancy, &self.settings)
             } else {
-                initial_readers(members.len(), &self.settings)
+                initial_prefill_engines(members.len(), &self.settings)
             };
-            if wanted == occupancy.readers {
+            if wanted == occupancy.prefill_engines {
                 continue;
             }
-            let role = if wanted > occupancy.readers {
+            let role = if wanted > occupancy.prefill_engines {
                 EngineRole::Prefill
             } else {
                 EngineRole::Mixed
@@ -190,7 +192,7 @@
     /// a change takes: what passes sooner is over before a change helps. Peaks
     /// are halved in [`PEAK_HALVED`].
     fn take(&mut self, seen: &PhaseOccupancy, role_change: Millis, now: Millis) {
-        self.loaded |= seen.reading > 0.0 || seen.generating > 0.0;
+        self.loaded |= seen.prefill > 0.0 || seen.decode > 0.0;
         if !self.loaded {
             return;
         }
@@ -198,37 +200,41 @@
         self.looked_at = Some(now);
         let newest = 1.0 - (-since.as_secs_f64() / role_change.as_secs_f64()).exp();
         let kept = (-since.as_secs_f64() / PEAK_HALVED.as_secs_f64()).exp2();
-        self.reading.take(seen.reading, newest, kept);
-        self.generating.take(seen.generating, newest, kept);
+        self.prefill.take(seen.prefill, newest, kept);
+        self.decode.take(seen.decode, newest, kept);
     }
 
     /// What was seen, by its peaks.
     fn occupancy(&self, seen: &PhaseOccupancy) -> PhaseOccupancy {
         PhaseOccupancy {
-            reading: self.reading.peak,
-            generating: self.generating.peak,
+            prefill: self.prefill.peak,
+            decode: self.decode.peak,
             ..*seen
         }
     }
 
-    /// Readers that the pool should have. The phase that would lose an engine
+    /// Prefill engines that the pool should have. The phase that would lose an engine
     /// counts with what may still come.
-    fn wanted_readers(&self, occupancy: &PhaseOccupancy, settings: &BalanceSettings) -> usize {
-        let generating = self.generating.guarded();
+    fn wanted_prefill_engines(
+        &self,
+        occupancy: &PhaseOccupancy,
+        settings: &BalanceSettings,
+    ) -> usize {
+        let decode = self.decode.guarded();
         let more = PhaseOccupancy {
-            generating,
+            decode,
             ..*occupancy
         };
-        let reading = self.reading.guarded();
+        let prefill = self.prefill.guarded();
         let fewer = PhaseOccupancy {
-            reading,
+            prefill,
             ..*occupancy
         };
-        let wanted = wanted_readers(&more, settings);
-        if wanted > occupancy.readers {
+        let wanted = wanted_prefill_engines(&more, settings);
+        if wanted > occupancy.prefill_engines {
             return wanted;
         }
-        wanted_readers(&fewer, settings).min(occupancy.readers)
+        wanted_prefill_engines(&fewer, settings).min(occupancy.prefill_engines)
     }
 
     /// Whether it is too early for an engine to change to `role`.
@@ -251,11 +257,15 @@
     }
 
     /// A change was stated: the averages become what they will be after it.
-    fn spread(&mut self, before: &PhaseOccupancy, readers: usize) {
+    fn spread(&mut self, before: &PhaseOccupancy, prefill_engines: usize) {
         let part = |before: usize, after: usize| before.max(1) as f64 / after.max(1) as f64;
-        let generators = before.engines() - readers;
-        self.reading = self.reading.scaled(part(before.readers, readers));
-        self.generating = self.generating.scaled(part(before.generators, generators));
+        let decode_engines = before.engines() - prefill_engines;
+        self.prefill = self
+            .prefill
+            .scaled(part(before.prefill_engines, prefill_engines));
+        self.decode = self
+            .decode
+            .scaled(part(before.decode_engines, decode_engines));
     }
 }
 
@@ -312,28 +322,28 @@
     limits: &EngineLimits,
 ) -> PhaseOccupancy {
     let mut occupancy = PhaseOccupancy {
-        readers: 0,
-        generators: 0,
-        reading: 0.0,
-        generating: 0.0,
+        prefill_engines: 0,
+        decode_engines: 0,
+        prefill: 0.0,
+        decode: 0.0,
         places: 0.0,
     };
     for member in members {
         let backlog = backlogs.get(member.id);
         if member.role == EngineRole::Prefill {
-            occupancy.readers += 1;
-            let reads = backlog.is_some_and(|backlog| backlog.unread.total() > 0);
-            occupancy.reading += f64::from(u8::from(reads));
+            occupancy.prefill_engines += 1;
+            let reads = backlog.is_some_and(|backlog| backlog.uncached.total() > 0);
+            occupancy.prefill += f64::from(u8::from(reads));
         } else {
-            occupancy.generators += 1;
-            occupancy.generating += backlog.map_or(0.0, |backlog| taken(backlog, limits));
+            occupancy.decode_engines += 1;
+            occupancy.decode += backlog.map_or(0.0, |backlog| taken(backlog, limits));
             occupancy.places += backlog.map_or(limits.slots as f64, |backlog| {
                 limits.places(backlog.requests, backlog.held_tokens)
             });
         }
     }
-    occupancy.reading /= occupancy.readers.max(1) as f64;
-    occupancy.generating /= occupancy.generators.max(1) as f64;
+    occupancy.prefill /= occupancy.prefill_engines.max(1) as f64;
+    occupancy.decode /= occupancy.decode_engines.max(1) as f64;
     occupancy
 }
 
@@ -341,10 +351,10 @@
 /// other role, so that each zone keeps both.
 fn who_changes<'a>(members: &[Member<'a>], role: EngineRole) -> Option<&'a BackendId> {
     let reads = |member: &Member<'_>| member.role == EngineRole::Prefill;
-    let changes_to_reading = role == EngineRole::Prefill;
+    let changes_to_prefill = role == EngineRole::Prefill;
     let candidates = members
         .iter()
-        .filter(|member| reads(member) != changes_to_reading);
+        .filter(|member| reads(member) != changes_to_prefill);
     let alike_in_zone = |member: &&Member<'_>| {
         let alike =
             |other: &&Member<'_>| other.zone == member.zone && reads(other) == reads(member);
--- a/components/control/src/by_rank.rs
+++ b/components/control/src/by_rank.rs
@@ -1,4 +1,4 @@
-//! A number for each rank of requests: tokens to be read, or requests.
+//! A number for each rank of requests: tokens to be prefilled, or requests.
 
 use std::ops::AddAssign;
 
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -36,8 +36,8 @@
     pub backend: BackendId,
     /// Requests under way.
     pub requests: u64,
-    /// Prompt tokens that it has yet to read.
-    pub unread: ByRank,
+    /// Prompt tokens that it has yet to prefill.
+    pub uncached: ByRank,
     /// Tokens of KV cache that these requests hold, or will hold.
     pub held_tokens: u64,
 }
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Keeps readers and generators of each pool in balance.
+    /// Keeps prefill engines and decode engines of each pool in balance.
     pub(super) fn balance(&mut self) {
         let Some(balancing) = &mut self.balancing else {
             return;
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -1,4 +1,4 @@
-//! The leader states roles so that readers and generators are in balance.
+//! The leader states roles so that prefill engines and decode engines are in balance.
 
 use crate::leader::Leader;
 use garnet_control::{
@@ -31,10 +31,10 @@
     }
 }
 
-/// Nine engines over three zones; the first `readers` read.
-fn list(readers: usize) -> Vec<MachineEntry> {
+/// Nine engines over three zones; the first `prefill_engines` prefill.
+fn list(prefill_engines: usize) -> Vec<MachineEntry> {
     let role = |number| {
-        if number < readers {
+        if number < prefill_engines {
             EngineRole::Prefill
         } else {
             EngineRole::Mixed
@@ -54,12 +54,12 @@
     leader
 }
 
-fn watch(unread: u64, engines: usize) -> Event {
+fn watch(uncached: u64, engines: usize) -> Event {
     let backlog = |number| Backlog {
         backend: BackendId::new(format!("engine-{number}")),
-        requests: u64::from(unread > 0),
-        unread: ByRank::at(0, unread),
-        held_tokens: unread,
+        requests: u64::from(uncached > 0),
+        uncached: ByRank::at(0, uncached),
+        held_tokens: uncached,
     };
     told((0..engines).map(backlog).collect())
 }
@@ -120,7 +120,7 @@
     let light = watch(0, 5);
     let lists = vec![list(4); 3];
     let roles = stated(&mut leader, &lists, &light);
-    // Nobody reads, but requests run: the split that stands is kept.
+    // No prompt is prefilled, but requests run: the split that stands is kept.
     let busy = watch(50, 2);
     let mut other = self::leader();
     let kept = stated(&mut other, &lists, &busy);
@@ -132,20 +132,20 @@
 fn the_last_generator_of_a_zone_stays() {
     let mut leader = leader();
     let busy = watch(9000, 6);
-    // Engines 6, 7 and 8 generate, one in each zone; all readers are busy.
+    // Engines 6, 7 and 8 generate, one in each zone; all prefill engines are busy.
     let roles = stated(&mut leader, &vec![list(6); 20], &busy);
     assert_eq!(roles, []);
 }
 
 /// Every third engine generates, and has so many requests of 2,000 tokens; the
 /// others read prompts or rest.
-fn mix(reading: bool, requests: u64) -> Event {
+fn mix(prefill: bool, requests: u64) -> Event {
     let backlog = |number: usize| {
         let generates = number >= 6;
         Backlog {
             backend: BackendId::new(format!("engine-{number}")),
             requests: if generates { requests } else { 1 },
-            unread: ByRank::at(0, u64::from(!generates && reading) * 9_000),
+            uncached: ByRank::at(0, u64::from(!generates && prefill) * 9_000),
             held_tokens: if generates { requests * 2_000 } else { 9_000 },
         }
     };
@@ -155,7 +155,7 @@
 #[test]
 fn the_first_swing_of_a_mix_takes_no_engine_from_the_next() {
     let mut leader = leader();
-    // 60 of 64 slots are taken, and nothing is read for ten seconds.
+    // 60 of 64 slots are taken, and nothing is prefilled for ten seconds.
     let swing = mix(false, 60);
     assert_eq!(stated(&mut leader, &vec![list(6); 10], &swing), []);
 }
--- a/components/engine-api/src/events.rs
+++ b/components/engine-api/src/events.rs
@@ -1,4 +1,4 @@
-//! Server-sent events from a body that comes in pieces.
+//! Server-sent events from a body that comes in chunks.
 
 /// Cuts a stream of bytes into the `data:` lines of server-sent events.
 #[derive(Debug, Default)]
@@ -10,9 +10,9 @@
 const DATA: &[u8] = b"data: ";
 
 impl EventReader {
-    /// Takes a piece and gives the data of every line that is now whole.
-    pub fn push(&mut self, piece: &[u8]) -> Vec<Vec<u8>> {
-        self.buffer.extend_from_slice(piece);
+    /// Takes a chunk and gives the data of every line that is now whole.
+    pub fn push(&mut self, chunk: &[u8]) -> Vec<Vec<u8>> {
+        self.buffer.extend_from_slice(chunk);
         let mut events = Vec::new();
         while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = self.buffer.drain(..=end).collect();
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt, ToRead};
+use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Prompt};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
@@ -36,10 +36,10 @@
     backend: BackendId,
     prompt: Option<Prompt>,
     rank: u8,
-    to_read: ToRead,
+    prefill_work: PrefillWork,
     /// Since when the request has its place there, where the engine generates.
     generates_since: Option<Millis>,
-    /// Whether the prompt was read.
+    /// Whether the prompt was prefilled.
     read: bool,
     judged: bool,
 }
@@ -50,27 +50,27 @@
         let mut forwarder = gateway.forwarder.borrow_mut();
         let backend = job.backend.clone();
         let prompt = call.facts.prompt.as_ref();
-        let to_read = match &job.phase {
+        let prefill_work = match &job.phase {
             JobPhase::Whole => forwarder.sent(&backend, prompt, None, job.priority, now),
-            JobPhase::ReadPrompt(source) => {
+            JobPhase::Prefill(source) => {
                 let source = source.as_ref().map(|source| &source.backend);
                 forwarder.sent(&backend, prompt, source, job.priority, now)
             }
-            JobPhase::Generate(_) => {
+            JobPhase::Decode(_) => {
                 if let Some(prompt) = prompt {
                     forwarder.handed_over(&backend, prompt, job.priority, now);
                 }
-                ToRead::default()
+                PrefillWork::default()
             }
         };
-        let generates = prompt.is_some() && !matches!(job.phase, JobPhase::ReadPrompt(_));
+        let generates = prompt.is_some() && !matches!(job.phase, JobPhase::Prefill(_));
         drop(forwarder);
         AttemptGuard {
             gateway: Rc::clone(gateway),
             backend,
             prompt: prompt.cloned(),
             rank: job.priority,
-            to_read,
+            prefill_work,
             generates_since: generates.then_some(now),
             read: false,
             judged: false,
@@ -78,19 +78,19 @@
     }
 
     /// Prompt tokens that the back end was believed to have to read.
-    pub(crate) fn to_read(&self) -> ToRead {
-        self.to_read
+    pub(crate) fn prefill_work(&self) -> PrefillWork {
+        self.prefill_work
     }
 
-    /// The prompt is read: the first piece is there.
-    pub(crate) fn prompt_was_read(&mut self) {
+    /// The prompt is prefilled: the first event is there.
+    pub(crate) fn prefill_done(&mut self) {
         if std::mem::replace(&mut self.read, true) {
             return;
         }
         let now = self.gateway.now();
-        let unread = std::mem::take(&mut self.to_read.unread);
+        let uncached = std::mem::take(&mut self.prefill_work.uncached);
         let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.read(&self.backend, self.rank, unread);
+        forwarder.read(&self.backend, self.rank, uncached);
         if let Some(prompt) = &self.prompt {
             forwarder.holds(&self.backend, prompt, now);
         }
@@ -134,7 +134,7 @@
 impl<C: CallerPort, B: BackendPort> Drop for AttemptGuard<C, B> {
     fn drop(&mut self) {
         let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.read(&self.backend, self.rank, self.to_read.unread);
+        forwarder.read(&self.backend, self.rank, self.prefill_work.uncached);
         forwarder.ended(&self.backend, self.rank, self.prompt.as_ref());
         if !self.judged {
             forwarder.released(&self.backend);
@@ -241,8 +241,8 @@
 pub(crate) fn log_failure(call: &Call, job: &Job, cause: &str) {
     let phase = match job.phase {
         JobPhase::Whole => "whole",
-        JobPhase::ReadPrompt(_) => "read_prompt",
-        JobPhase::Generate(_) => "generate",
+        JobPhase::Prefill(_) => "prefill",
+        JobPhase::Decode(_) => "decode",
     };
     log::info!(
         request = call.facts.id.as_str(),
--- a/components/forwarding-shell/src/events.rs
+++ b/components/forwarding-shell/src/events.rs
@@ -5,7 +5,7 @@
 
 const ID_FIELD: &[u8] = b"id:";
 
-/// Gathers pieces and gives out whole events.
+/// Gathers chunks and gives out whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
@@ -21,10 +21,10 @@
         }
     }
 
-    /// Takes a piece and gives out all events that are whole now; empty when
+    /// Takes a chunk and gives out all events that are whole now; empty when
     /// none is.
-    pub fn push(&mut self, piece: &[u8]) -> Bytes {
-        self.pending.extend_from_slice(piece);
+    pub fn push(&mut self, chunk: &[u8]) -> Bytes {
+        self.pending.extend_from_slice(chunk);
         let Some(end) = end_of_last_event(&self.pending) else {
             return Bytes::new();
         };
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -1,21 +1,21 @@
-//! A prompt that one engine reads for another.
+//! A prompt that one engine prefills for another.
 
 use std::rc::Rc;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason, Prompt, ToRead};
+use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Prompt};
 use garnet_types::{BackendId, Millis};
 
 use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HandoverSource, Job, JobPhase};
 
-/// Longest body of the answer to a prompt that was read.
+/// Longest body of the answer to a prompt that was prefilled.
 const SHORT_BODY: usize = 64 * 1024;
 
 /// A KV cache that waits for its engine. It is freed when nobody takes it.
 pub(crate) struct WaitingCache<C: CallerPort + 'static, B: BackendPort + 'static> {
     gateway: Rc<Gateway<C, B>>,
-    reader: BackendId,
+    prefill_engine: BackendId,
     source: HandoverSource,
     taken: bool,
 }
@@ -26,8 +26,8 @@
     }
 
     /// The engine that read the prompt.
-    pub(crate) fn reader(&self) -> &BackendId {
-        &self.reader
+    pub(crate) fn prefill_engine(&self) -> &BackendId {
+        &self.prefill_engine
     }
 
     /// An engine has taken it.
@@ -59,22 +59,22 @@
 /// Has the prompt read by the job's engine.
 ///
 /// # Errors
-/// How the attempt ended. Reading runs nothing, so it is never in doubt.
-pub(crate) async fn read_prompt<C: CallerPort + 'static, B: BackendPort + 'static>(
+/// How the attempt ended. A prefill runs nothing, so it is never in doubt.
+pub(crate) async fn prefill<C: CallerPort + 'static, B: BackendPort + 'static>(
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
 ) -> Result<WaitingCache<C, B>, AttemptEnd> {
     let began = gateway.now();
-    // Reading runs nothing, so it may go to another reader at any time.
+    // A prefill runs nothing, so it may go to another prefill engine at any time.
     let patience = {
         let forwarder = gateway.forwarder.borrow();
-        let unread = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-        forwarder.prefill_patience(&job.backend, unread, job.priority, began)
+        let uncached = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+        forwarder.prefill_timeout(&job.backend, uncached, job.priority, began)
     };
     let sent = attempt(gateway, call, job, patience).await;
     let mut open = sent.map_err(not_run)?;
-    let to_read = open.guard.to_read();
+    let prefill_work = open.guard.prefill_work();
     let failed = |open: &mut OpenAnswer<C, B>, cause: &str| {
         open.guard.failed();
         log_failure(call, job, cause);
@@ -88,16 +88,16 @@
         Ok(body) => body,
         Err(error) => return Err(failed(&mut open, &error.to_string())),
     };
-    let Some(read) = gateway.backends.read_prompt(&body) else {
+    let Some(read) = gateway.backends.read_prefill_answer(&body) else {
         return Err(failed(&mut open, "the answer tells no KV cache"));
     };
     let took = gateway.now().since(began);
-    log_read(call, job, to_read, took);
-    let tokens = to_read.unread + to_read.queued;
+    log_read(call, job, prefill_work, took);
+    let tokens = prefill_work.uncached + prefill_work.queued;
     let mut forwarder = gateway.forwarder.borrow_mut();
     forwarder.note_prefill(&job.backend, tokens, took);
     drop(forwarder);
-    open.guard.prompt_was_read();
+    open.guard.prefill_done();
     open.guard.succeeded();
     let address = {
         let forwarder = gateway.forwarder.borrow();
@@ -110,15 +110,15 @@
     };
     Ok(WaitingCache {
         gateway: Rc::clone(gateway),
-        reader: job.backend.clone(),
+        prefill_engine: job.backend.clone(),
         source,
         taken: false,
     })
 }
 
-fn log_read(call: &Call, job: &Job, to_read: ToRead, took: Millis) {
+fn log_read(call: &Call, job: &Job, prefill_work: PrefillWork, took: Millis) {
     let copied_from = match &job.phase {
-        JobPhase::ReadPrompt(Some(source)) => source.backend.as_str(),
+        JobPhase::Prefill(Some(source)) => source.backend.as_str(),
         _ => "",
     };
     let prompt = call.facts.prompt.as_ref();
@@ -129,11 +129,11 @@
         prefix = prefix.as_str(),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.tokens),
         shared_tokens = prompt.map_or(0, Prompt::shared_tokens),
-        unread_tokens = to_read.unread,
-        queued_tokens = to_read.queued,
+        uncached_tokens = prefill_work.uncached,
+        queued_tokens = prefill_work.queued,
         copied_from = copied_from,
         took_ms = took.0;
-        "prompt_read"
+        "prefill_done"
     );
 }
 
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -24,6 +24,6 @@
 pub use events::EventSplitter;
 pub use ports::{
     BackendPort, Call, CallFacts, CallerPort, CopySource, HandoverSource, HeadMeaning, Job,
-    JobPhase, PromptRead, ReadHead,
+    JobPhase, PrefillAnswer, ReadHead,
 };
 pub use start::{GatewayOptions, Ports, Replicas, run};
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -27,7 +27,7 @@
     refused: Family<Labels, Counter>,
     attempts: Family<Labels, Counter>,
     took: Family<Labels, Histogram>,
-    first_piece: Family<Labels, Histogram>,
+    first_event: Family<Labels, Histogram>,
     watch_age_ms: Gauge,
     routes_version: Gauge,
     open_requests: Gauge,
@@ -47,8 +47,8 @@
         let attempts = registered(all, "attempts", help, counters());
         let help = "Time to the end of the answer";
         let took = registered(all, "took_seconds", help, latencies());
-        let help = "Time to the first piece of a stream";
-        let first_piece = registered(all, "first_piece_seconds", help, latencies());
+        let help = "Time to the first event of a stream";
+        let first_event = registered(all, "time_to_first_token_seconds", help, latencies());
         let help = "Time since the leader was heard";
         let watch_age_ms = registered(all, "watch_age_ms", help, Gauge::default());
         let help = "Version of the route table in force";
@@ -61,7 +61,7 @@
             refused,
             attempts,
             took,
-            first_piece,
+            first_event,
             watch_age_ms,
             routes_version,
             open_requests,
@@ -90,9 +90,9 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
-    pub(crate) fn first_piece(&self, route: &str, took: Millis) {
+    pub(crate) fn first_event(&self, route: &str, took: Millis) {
         let labels = vec![("route", route.to_owned())];
-        let histogram = self.first_piece.get_or_create(&labels);
+        let histogram = self.first_event.get_or_create(&labels);
         histogram.observe(took.as_secs_f64());
     }
 
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -62,10 +62,10 @@
     /// All of it.
     Whole,
     /// Read the prompt and keep its KV cache for another engine; what the
-    /// reader lacks of its prefix is copied first.
-    ReadPrompt(Option<CopySource>),
+    /// prefill engine lacks of its prefix is copied first.
+    Prefill(Option<CopySource>),
     /// Go on from a KV cache.
-    Generate(HandoverSource),
+    Decode(HandoverSource),
 }
 
 /// What a back end is asked to do.
@@ -107,7 +107,7 @@
 
 /// The answer to [`JobPhase::ReadPrompt`].
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PromptRead {
+pub struct PrefillAnswer {
     /// The engine's name for the KV cache.
     pub handle: String,
 }
@@ -119,7 +119,7 @@
     /// # Errors
     /// What is wrong with it, for the caller to read.
     fn read(&self, head: &RequestParts) -> Result<CallFacts, String>;
-    /// How long callers of the route wait for the next piece of a stream, the
+    /// How long callers of the route wait for the next event of a stream, the
     /// first one included.
     fn longest_gap(&self, route: &Route) -> Millis;
     /// Marks an answer that the gateway gives itself as one to this request.
@@ -135,7 +135,7 @@
     /// Reads the head of an answer.
     fn read_head(&self, call: &Call, job: &Job, head: &ResponseParts) -> ReadHead;
     /// Reads the body of the answer to [`JobPhase::ReadPrompt`].
-    fn read_prompt(&self, body: &[u8]) -> Option<PromptRead>;
+    fn read_prefill_answer(&self, body: &[u8]) -> Option<PrefillAnswer>;
     /// The request that frees a KV cache that nobody takes.
     fn release(&self, handle: &str) -> Request<Full<Bytes>>;
 }
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use garnet_forwarding::{
-    Arrival, AttemptEnd, GivenUp, NextMove, Patience, Progress, Work, next_move,
+    Arrival, AttemptEnd, GivenUp, NextMove, Progress, SilenceLimits, Work, next_move,
 };
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
@@ -35,7 +35,7 @@
     pub(crate) route: Route,
     pub(crate) service: ServiceId,
     pub(crate) work: Work,
-    pub(crate) patience: Patience,
+    pub(crate) patience: SilenceLimits,
     pub(crate) arrived: Millis,
     /// When its time is over.
     pub(crate) due: Millis,
@@ -61,7 +61,7 @@
         self.progress == Progress::default() && self.tried.is_empty()
     }
 
-    /// As admission sees it; its caller waits for `longest_gap` for a piece.
+    /// As admission sees it; its caller waits for `longest_gap` for an event.
     pub(crate) fn arrival(&self, longest_gap: Millis, now: Millis) -> Arrival {
         let given = self.due.since(self.arrived);
         let whole = self.route.timeout_ms.0 as f64;
@@ -188,7 +188,7 @@
             head: Rc::new(head),
             body,
         },
-        patience: Patience::of(&route),
+        patience: SilenceLimits::of(&route),
         route,
         service: choice.service,
         work,
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure, within};
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
-use crate::handover::{WaitingCache, read_prompt};
+use crate::handover::{WaitingCache, prefill};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::{Running, finished, go_on, log_no_back_end, may_repeat, own_answer, until};
 use crate::whole::copy_head;
@@ -37,18 +37,18 @@
     was_read: bool,
     /// An engine's failure, to be passed on where no other engine answers.
     failure: Option<Box<Response<Body>>>,
-    /// Whether the present engine has sent a piece.
+    /// Whether the present engine has sent an event.
     begun: bool,
     ended: bool,
 }
 
-/// An engine's answer, or none yet where the prompt was read; or how the attempt
+/// An engine's answer, or none yet where the prompt was prefilled; or how the attempt
 /// ended.
 type Opened<C, B> = Result<Option<OpenAnswer<C, B>>, AttemptEnd>;
 
 /// What comes next of a stream.
 enum Next {
-    Piece(Bytes),
+    Event(Bytes),
     End,
     Cut,
 }
@@ -72,7 +72,7 @@
         begun: false,
         ended: false,
     };
-    let opening = async { Some(stream.open_with_first_piece().await) };
+    let opening = async { Some(stream.open_with_first_event().await) };
     let late = async {
         until(gateway, due).await;
         None
@@ -122,9 +122,9 @@
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
-    /// Opens the stream and waits for its first piece: until then nothing was
+    /// Opens the stream and waits for its first event: until then nothing was
     /// promised to the caller, and another engine may begin anew.
-    async fn open_with_first_piece(&mut self) -> Result<(Parts, Bytes), Refused> {
+    async fn open_with_first_event(&mut self) -> Result<(Parts, Bytes), Refused> {
         loop {
             self.open().await?;
             let Some(open) = &self.open else {
@@ -136,7 +136,7 @@
                 continue;
             }
             match self.next_from_engine().await {
-                Next::Piece(first) => return Ok((head, first)),
+                Next::Event(first) => return Ok((head, first)),
                 Next::End => {
                     self.ended = true;
                     return Ok((head, Bytes::new()));
@@ -146,11 +146,11 @@
         }
     }
 
-    /// The answer with its first piece and all that follow.
+    /// The answer with its first event and all that follow.
     fn answer(self, head: Parts, first: Bytes) -> Response<Body> {
         let took = self.gateway.now().since(self.running.arrived);
         let route = &self.running.route.name;
-        self.gateway.metrics.first_piece(route, took);
+        self.gateway.metrics.first_event(route, took);
         let backend = self.running.served_by.as_ref();
         let prompt = self.running.work.prompt.as_ref();
         let likely = prompt.and_then(|prompt| prompt.likely_output_tokens);
@@ -160,17 +160,17 @@
             backend = backend.map_or("", BackendId::as_str),
             most_output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
             likely_output_tokens = likely.unwrap_or_default(),
-            first_piece_ms = took.0;
+            ttft_ms = took.0;
             "stream_begun"
         );
         let state = (self, Some(first));
-        let pieces = unfold(Some(state), |state| async move {
+        let events = unfold(Some(state), |state| async move {
             let (mut stream, first) = state?;
             if let Some(first) = first {
                 return Some((Ok(first), Some((stream, None))));
             }
             match stream.next().await {
-                Next::Piece(piece) => Some((Ok(piece), Some((stream, None)))),
+                Next::Event(event) => Some((Ok(event), Some((stream, None)))),
                 Next::End => {
                     finished(&stream.gateway, &stream.running, "streamed", 200);
                     None
@@ -181,7 +181,7 @@
                 }
             }
         });
-        Response::from_parts(head, stream_body(pieces))
+        Response::from_parts(head, stream_body(events))
     }
 
     /// The next whole events, from another engine where this one broke off.
@@ -226,7 +226,7 @@
 
     async fn next_from_engine(&mut self) -> Next {
         loop {
-            let patience = self.piece_patience();
+            let patience = self.event_timeout();
             let Some(open) = &mut self.open else {
                 return Next::Cut;
             };
@@ -235,15 +235,15 @@
                 return self.broke("silent");
             };
             match next {
-                Ok(Some(piece)) => {
+                Ok(Some(event)) => {
                     self.begun = true;
-                    open.guard.prompt_was_read();
+                    open.guard.prefill_done();
                     if self.running.work.kind != WorkKind::ResumableStream {
-                        return Next::Piece(piece);
+                        return Next::Event(event);
                     }
-                    let whole = self.splitter.push(&piece);
+                    let whole = self.splitter.push(&event);
                     if !whole.is_empty() {
-                        return Next::Piece(whole);
+                        return Next::Event(whole);
                     }
                 }
                 Ok(None) if self.splitter.is_at_boundary() => {
@@ -259,8 +259,8 @@
         }
     }
 
-    /// How long the next piece is waited for, where another engine may go on.
-    fn piece_patience(&self) -> Option<Millis> {
+    /// How long the next event is waited for, where another engine may go on.
+    fn event_timeout(&self) -> Option<Millis> {
         let may_move_on = self.begun && self.running.may_move_on();
         may_move_on.then_some(self.running.patience.pause)
     }
@@ -305,7 +305,7 @@
     }
 
     /// Has one engine do all of it, or one engine read the prompt for another.
-    /// Gives no answer where a prompt was read that waits for its generator.
+    /// Gives no answer where a prompt was prefilled that waits for its decode engine.
     async fn begin(&mut self) -> Result<Opened<C, B>, Refused> {
         let placement = if self.is_new() {
             self.place_new()?
@@ -321,14 +321,17 @@
                 let job = self.job(JobPhase::Whole, backend);
                 Ok(self.send(&job).await.map(Some))
             }
-            Some(Placement::Handover { reader, copy_from }) => {
-                // The first reading is none of the service's repeats; each later
+            Some(Placement::Handover {
+                prefill_engine,
+                copy_from,
+            }) => {
+                // The first prefill is none of the service's repeats; each later
                 // one is, beside the repeat that goes on from it.
                 if self.was_read && !may_repeat(&self.gateway, &self.running) {
                     return Err(Refused::GivenUp(self.running.progress.given_up()));
                 }
                 let source = copy_from.and_then(|holder| self.copy_source(holder));
-                Ok(self.read_at(reader, source).await)
+                Ok(self.read_at(prefill_engine, source).await)
             }
         }
     }
@@ -339,7 +342,7 @@
     }
 
     /// Places a new request. One for which the engines have no time is turned
-    /// away before any of them has seen it, or sent to be read after the rest.
+    /// away before any of them has seen it, or sent to be prefilled after the rest.
     fn place_new(&mut self) -> Result<Option<Placement>, Refused> {
         let Running { service, work, .. } = &self.running;
         let now = self.gateway.now();
@@ -374,31 +377,35 @@
         Err(Refused::Busy(retry_after))
     }
 
-    async fn read_at(&mut self, reader: BackendId, source: Option<CopySource>) -> Opened<C, B> {
-        let job = self.job(JobPhase::ReadPrompt(source), reader.clone());
-        match read_prompt(&self.gateway, &self.running.call, &job).await {
+    async fn read_at(
+        &mut self,
+        prefill_engine: BackendId,
+        source: Option<CopySource>,
+    ) -> Opened<C, B> {
+        let job = self.job(JobPhase::Prefill(source), prefill_engine.clone());
+        match prefill(&self.gateway, &self.running.call, &job).await {
             Ok(cache) => {
                 self.was_read = true;
                 self.cache = Some(cache);
                 Ok(None)
             }
             Err(end) => {
-                // Another reader takes it: a generator that reads a prompt
+                // Another prefill engine takes it: a decode engine that prefills a prompt
                 // holds up all that it generates.
-                self.running.tried.push(reader);
+                self.running.tried.push(prefill_engine);
                 Err(end)
             }
         }
     }
 
-    /// Reading takes its time: who generates is chosen after it. The cache is
-    /// kept for another generator where this one has not taken it.
+    /// A prefill takes its time: who generates is chosen after it. The cache is
+    /// kept for another decode engine where this one has not taken it.
     async fn generate(&mut self, cache: WaitingCache<C, B>) -> Opened<C, B> {
-        let Some(generator) = self.place_generator(cache.reader()) else {
+        let Some(decode_engine) = self.place_decode(cache.prefill_engine()) else {
             log_no_back_end(&self.gateway, &self.running);
             return Err(AttemptEnd::NotRun(NotRunReason::Full));
         };
-        let job = self.job(JobPhase::Generate(cache.source()), generator);
+        let job = self.job(JobPhase::Decode(cache.source()), decode_engine);
         match self.send(&job).await {
             Ok(answer) => {
                 cache.taken();
@@ -410,8 +417,8 @@
                     | AttemptEnd::NotRun(NotRunReason::Full | NotRunReason::Misdirected) => {
                         self.cache = Some(cache);
                     }
-                    // Its reader lost it, and would lose it again.
-                    _ => self.running.tried.push(cache.reader().clone()),
+                    // Its prefill engine lost it, and would lose it again.
+                    _ => self.running.tried.push(cache.prefill_engine().clone()),
                 }
                 Err(end)
             }
@@ -429,7 +436,7 @@
 
     async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
         self.running.served_by = Some(job.backend.clone());
-        // A generator under load is slow with its first piece; one that is gone
+        // A decode engine under load is slow with its first event; one that is gone
         // shows when the request's bytes are not acknowledged.
         let answer = attempt(&self.gateway, &self.running.call, job, None).await;
         match &answer {
@@ -444,13 +451,13 @@
     }
 
     fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
-        let resumes = !matches!(phase, JobPhase::ReadPrompt(_));
+        let resumes = !matches!(phase, JobPhase::Prefill(_));
         let last_id = self.splitter.last_id().filter(|_| resumes);
         let work = &self.running.work;
         let priority = match &phase {
-            // Its prompt is read: it holds up nobody's first token.
-            JobPhase::Generate(_) => work.priority,
-            _ => work.rank(self.unread_tokens(&phase, &backend)),
+            // Its prompt is prefilled: it holds up nobody's first token.
+            JobPhase::Decode(_) => work.priority,
+            _ => work.rank(self.uncached_tokens(&phase, &backend)),
         };
         Job {
             phase,
@@ -461,18 +468,18 @@
         }
     }
 
-    /// Prompt tokens that the back end has to read in this phase.
-    fn unread_tokens(&self, phase: &JobPhase, backend: &BackendId) -> u64 {
+    /// Prompt tokens that the back end has to prefill in this phase.
+    fn uncached_tokens(&self, phase: &JobPhase, backend: &BackendId) -> u64 {
         let source = match phase {
             JobPhase::Whole => None,
-            JobPhase::ReadPrompt(source) => source.as_ref().map(|source| &source.backend),
-            JobPhase::Generate(_) => return 0,
+            JobPhase::Prefill(source) => source.as_ref().map(|source| &source.backend),
+            JobPhase::Decode(_) => return 0,
         };
         let Some(prompt) = &self.running.work.prompt else {
             return 0;
         };
         let forwarder = self.gateway.forwarder.borrow();
-        forwarder.unread_tokens(backend, prompt, source, self.gateway.now())
+        forwarder.uncached_tokens(backend, prompt, source, self.gateway.now())
     }
 
     fn place(&self) -> Option<Placement> {
@@ -487,11 +494,11 @@
         forwarder.place(service, work, tried, true, now)
     }
 
-    fn place_generator(&self, reader: &BackendId) -> Option<BackendId> {
+    fn place_decode(&self, prefill_engine: &BackendId) -> Option<BackendId> {
         let now = self.gateway.now();
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         let Running { service, tried, .. } = &self.running;
-        forwarder.place_generator(service, reader, tried, now)
+        forwarder.place_decode(service, prefill_engine, tried, now)
     }
 
     /// Whether to go on after an attempt that ended with `end`.
--- a/components/forwarding-shell/tests/events.rs
+++ b/components/forwarding-shell/tests/events.rs
@@ -40,8 +40,8 @@
         let mut given = Vec::new();
         let mut rest = whole.as_bytes();
         for cut in cuts.iter().cycle() {
-            let (piece, later) = rest.split_at((*cut).min(rest.len()));
-            given.extend_from_slice(&splitter.push(piece));
+            let (chunk, later) = rest.split_at((*cut).min(rest.len()));
+            given.extend_from_slice(&splitter.push(chunk));
             rest = later;
             if rest.is_empty() {
                 break;
--- a/components/forwarding/src/admission.rs
+++ b/components/forwarding/src/admission.rs
@@ -1,7 +1,7 @@
 //! Whether a request is sent to an engine now, after all others, or not at all.
 //!
 //! An engine that has more to read than it can in the time in which answers
-//! are useful makes all of them late. What can't be in time is read after what
+//! are useful makes all of them late. What can't be in time is prefilled after what
 //! can, so that it makes nobody else late; what would end before it begins is
 //! refused at once, with the time to come back. Where the places to generate
 //! are taken, waiting would be in vain: who has not been here before is told
@@ -49,7 +49,7 @@
 pub struct Arrival {
     /// Time since it came.
     pub waited: Millis,
-    /// Time that its caller waits from now on for the first piece.
+    /// Time that its caller waits from now on for the first event.
     pub remaining: Millis,
     /// Time that its caller waits from now on for the whole answer.
     pub deadline: Millis,
@@ -63,13 +63,13 @@
 pub enum Admission {
     /// Send it.
     Admit,
-    /// Send it to be read after all that may still be in time.
+    /// Send it to be prefilled after all that may still be in time.
     Defer,
     /// Refuse it.
     Refuse {
         /// When to come back.
         retry_after: Millis,
-        /// Predicted time to the first piece.
+        /// Predicted time to the first event.
         predicted: Millis,
     },
 }
@@ -79,7 +79,7 @@
 const SHORT_WAIT: f64 = 0.25;
 /// A request is taken for late when so many objectives are predicted: half of
 /// those that are predicted to be just late are in time, and deferring one of
-/// these costs more than reading one that is late.
+/// these costs more than prefilling one that is late.
 const SURELY_LATE: f64 = 1.5;
 /// Callers come back within this part of the time that they have left.
 const LONGEST_RETRY: f64 = 0.3;
@@ -88,7 +88,7 @@
 /// Shortest time after which a caller may come again.
 pub const SHORTEST_RETRY: Millis = Millis(50);
 
-/// Decides on a request whose first piece is useful within `objective`.
+/// Decides on a request whose first event is useful within `objective`.
 pub(crate) fn admit(prediction: &Prediction, objective: Millis, arrival: &Arrival) -> Admission {
     let objective_ms = objective.0 as f64;
     let wait_ms = prediction.ahead_ms + prediction.place_ms;
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Others {
     requests: u64,
-    unread: ByRank,
+    uncached: ByRank,
     held_tokens: u64,
     heard_at: Millis,
 }
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct BackendLoad {
     own: ByRank,
-    own_unread: ByRank,
+    own_uncached: ByRank,
     own_held_tokens: u64,
     /// Likely output of own requests.
     own_output_tokens: u64,
@@ -63,14 +63,14 @@
         heard.max(told)
     }
 
-    /// Prompt tokens that it has yet to read, as far as known.
-    pub fn unread_tokens(&self, now: Millis) -> u64 {
-        self.own_unread.total() + self.fresh_others(now).unread.total()
+    /// Prompt tokens that it has yet to prefill, as far as known.
+    pub fn uncached_tokens(&self, now: Millis) -> u64 {
+        self.own_uncached.total() + self.fresh_others(now).uncached.total()
     }
 
-    /// Of these, tokens that it reads before a new request of this rank.
+    /// Of these, tokens that it prefills before a new request of this rank.
     pub fn tokens_ahead_of(&self, rank: u8, now: Millis) -> u64 {
-        self.own_unread.ahead_of(rank) + self.fresh_others(now).unread.ahead_of(rank)
+        self.own_uncached.ahead_of(rank) + self.fresh_others(now).uncached.ahead_of(rank)
     }
 
     /// Tokens of KV cache that requests under way hold, as far as known.
@@ -80,26 +80,26 @@
 
     /// Own work under way at `backend`, to be told to the other gateways.
     pub fn own(&self, backend: &BackendId) -> Option<Backlog> {
-        let any = self.own.total() > 0 || self.own_unread.total() > 0;
+        let any = self.own.total() > 0 || self.own_uncached.total() > 0;
         any.then(|| Backlog {
             backend: backend.clone(),
             requests: self.own.total(),
-            unread: self.own_unread,
+            uncached: self.own_uncached,
             held_tokens: self.own_held_tokens,
         })
     }
 
     /// Notes a request of a rank that is sent.
-    pub fn sent(&mut self, rank: u8, unread_tokens: u64, prompt: Option<&Prompt>) {
+    pub fn sent(&mut self, rank: u8, uncached_tokens: u64, prompt: Option<&Prompt>) {
         self.own.add(rank, 1);
-        self.own_unread.add(rank, unread_tokens);
+        self.own_uncached.add(rank, uncached_tokens);
         self.own_held_tokens += prompt.map_or(0, Prompt::held_tokens);
         self.own_output_tokens += prompt.map_or(0, Prompt::likely_output);
     }
 
-    /// Notes that the prompt of a request was read.
-    pub fn read(&mut self, rank: u8, unread_tokens: u64) {
-        self.own_unread.remove(rank, unread_tokens);
+    /// Notes that the prompt of a request was prefilled.
+    pub fn read(&mut self, rank: u8, uncached_tokens: u64) {
+        self.own_uncached.remove(rank, uncached_tokens);
     }
 
     /// Notes that a request is over.
@@ -135,7 +135,7 @@
     pub fn heard_of_others(&mut self, backlog: Option<&Backlog>, now: Millis) {
         self.others = Others {
             requests: backlog.map_or(0, |backlog| backlog.requests),
-            unread: backlog.map_or(ByRank::default(), |backlog| backlog.unread),
+            uncached: backlog.map_or(ByRank::default(), |backlog| backlog.uncached),
             held_tokens: backlog.map_or(0, |backlog| backlog.held_tokens),
             heard_at: now,
         };
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -13,7 +13,7 @@
 
 impl Forwarder {
     /// Where a new request goes, and whether it is sent now. Where the owners
-    /// of its prefix have no time, any engine that has takes it: reading a
+    /// of its prefix have no time, any engine that has takes it: prefilling a
     /// prefix again costs less than a late answer.
     pub fn place_new(
         &mut self,
@@ -70,13 +70,16 @@
     ) -> Prediction {
         let (engine, source) = match placement {
             Placement::One(engine) => (engine, None),
-            Placement::Handover { reader, copy_from } => (reader, copy_from.as_ref()),
+            Placement::Handover {
+                prefill_engine,
+                copy_from,
+            } => (prefill_engine, copy_from.as_ref()),
         };
-        let unread = self.unread_tokens(engine, prompt, source, now);
-        let ahead = self.queued_tokens(engine, work.rank(unread), now);
+        let uncached = self.uncached_tokens(engine, prompt, source, now);
+        let ahead = self.queued_tokens(engine, work.rank(uncached), now);
         let queued = self.queued_tokens(engine, LAST_RANK, now);
         let pace = self.pace_of(engine);
-        let alone_ms = pace.expected_ms(unread);
+        let alone_ms = pace.expected_ms(uncached);
         let place = self.place_queue(service, work.priority, placement, now);
         // The other gateways told as many to come back, roughly.
         let learned = self.learned.get(service);
@@ -84,14 +87,14 @@
         let returning = (told as u64 * self.gateways) as f64;
         Prediction {
             alone_ms,
-            ahead_ms: pace.expected_ms(ahead + unread) - alone_ms,
-            all_queued_ms: pace.expected_ms(queued + unread) - alone_ms,
+            ahead_ms: pace.expected_ms(ahead + uncached) - alone_ms,
+            all_queued_ms: pace.expected_ms(queued + uncached) - alone_ms,
             place_ms: place.wait_ms(),
             returns_ms: place.leave_every_ms * returning / place.engines.max(1) as f64,
         }
     }
 
-    /// Prompt tokens that the engine reads before a new request of this rank.
+    /// Prompt tokens that the engine prefills before a new request of this rank.
     pub(super) fn queued_tokens(&self, engine: &BackendId, rank: u8, now: Millis) -> u64 {
         let backend = self.backends.get(engine);
         backend.map_or(0, |backend| backend.load.tokens_ahead_of(rank, now))
@@ -126,8 +129,8 @@
         if let Placement::One(engine) = placement {
             return self.backends.get(engine).map(queue).unwrap_or_default();
         }
-        let generators = self.generators_of(service);
-        let open = generators.filter(|backend| backend.is_open(now, false));
+        let decode_engines = self.decode_engines_of(service);
+        let open = decode_engines.filter(|backend| backend.is_open(now, false));
         let queues: Vec<PlaceQueue> = open.map(queue).collect();
         let shortest = queues
             .iter()
@@ -142,7 +145,7 @@
     /// rank; own requests are taken for like all others.
     fn part_before(&self, service: &ServiceId, rank: u8) -> f64 {
         let mut own = ByRank::default();
-        for backend in self.generators_of(service) {
+        for backend in self.decode_engines_of(service) {
             own += backend.load.own_by_rank();
         }
         match own.total() {
@@ -151,19 +154,19 @@
         }
     }
 
-    fn generators_of(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
+    fn decode_engines_of(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
         self.backends_of(service)
             .filter(|backend| backend.role.is_some_and(EngineRole::generates))
     }
 
-    /// Longest time that a reader should take for a prompt of which it has
-    /// `unread` tokens to read, with what is queued there. `None` for what is
+    /// Longest time that a prefill engine should take for a prompt of which it has
+    /// `uncached` tokens to read, with what is queued there. `None` for what is
     /// read last: it waits for all that come after it, so its engine's silence
     /// tells nothing.
-    pub fn prefill_patience(
+    pub fn prefill_timeout(
         &self,
         id: &BackendId,
-        unread: u64,
+        uncached: u64,
         rank: u8,
         now: Millis,
     ) -> Option<Millis> {
@@ -171,7 +174,7 @@
             return None;
         }
         let queued = self.queued_tokens(id, rank, now);
-        Some(self.pace_of(id).patience(queued.max(unread)))
+        Some(self.pace_of(id).patience(queued.max(uncached)))
     }
 
     fn pace_of(&self, id: &BackendId) -> PrefillPace {
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -12,11 +12,11 @@
 /// used again.
 const MOST_NEWS: usize = 64;
 
-/// Prompt tokens that an engine has to read for a request.
+/// Prompt tokens that an engine has to prefill for a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ToRead {
+pub struct PrefillWork {
     /// Of the request's own prompt.
-    pub unread: u64,
+    pub uncached: u64,
     /// Of others, which were there before.
     pub queued: u64,
 }
@@ -64,7 +64,7 @@
     }
 
     /// Notes a request of a rank that is sent to a back end, which copies what
-    /// it lacks from `source`. Returns what it has yet to read for it.
+    /// it lacks from `source`. Returns what it has yet to prefill for it.
     pub fn sent(
         &mut self,
         id: &BackendId,
@@ -72,28 +72,28 @@
         source: Option<&BackendId>,
         rank: u8,
         now: Millis,
-    ) -> ToRead {
-        let unread = prompt.map_or(0, |prompt| self.unread_tokens(id, prompt, source, now));
+    ) -> PrefillWork {
+        let uncached = prompt.map_or(0, |prompt| self.uncached_tokens(id, prompt, source, now));
         let queued = self.queued_tokens(id, rank, now);
         let Some(backend) = self.backends.get_mut(id) else {
-            return ToRead::default();
+            return PrefillWork::default();
         };
         backend.breaker.sent();
         let Some(prompt) = prompt else {
             backend.load.sent(rank, 0, None);
-            return ToRead::default();
+            return PrefillWork::default();
         };
-        backend.load.sent(rank, unread, Some(prompt));
+        backend.load.sent(rank, uncached, Some(prompt));
         self.residency
             .entry(id.clone())
             .or_default()
             .note_sent(prompt, now);
-        ToRead { unread, queued }
+        PrefillWork { uncached, queued }
     }
 
     /// Prompt tokens that a back end would have to read, with what it copies
     /// from `source`.
-    pub fn unread_tokens(
+    pub fn uncached_tokens(
         &self,
         id: &BackendId,
         prompt: &Prompt,
@@ -127,10 +127,10 @@
         }
     }
 
-    /// Notes that a prompt was read.
-    pub fn read(&mut self, id: &BackendId, rank: u8, unread: u64) {
+    /// Notes that a prompt was prefilled.
+    pub fn read(&mut self, id: &BackendId, rank: u8, uncached: u64) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.load.read(rank, unread);
+            backend.load.read(rank, uncached);
         }
     }
 
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -4,7 +4,7 @@
 mod beliefs;
 mod configuration;
 
-pub use beliefs::ToRead;
+pub use beliefs::PrefillWork;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,7 +17,7 @@
 use crate::output_length::OutputLength;
 use crate::pace::{PrefillPace, TokenTime};
 use crate::placement::{
-    EngineView, Placement, Preference, place_application, place_engines, place_generator,
+    EngineView, Placement, Preference, place_application, place_decode, place_engines,
 };
 use crate::residency::Residency;
 use crate::share::{BudgetShare, ServiceBudget};
@@ -166,22 +166,22 @@
         place_engines(&engines, prompt, preference)
     }
 
-    /// Who generates from the KV cache that `reader` made, as things stand now.
-    pub fn place_generator(
+    /// Who generates from the KV cache that `prefill_engine` made, as things stand now.
+    pub fn place_decode(
         &mut self,
         service: &ServiceId,
-        reader: &BackendId,
+        prefill_engine: &BackendId,
         tried: &[BackendId],
         now: Millis,
     ) -> Option<BackendId> {
         self.drawn += 1;
-        let zone = &self.backends.get(reader)?.registration.zone;
+        let zone = &self.backends.get(prefill_engine)?.registration.zone;
         let find = |despite_failures| {
             let preference = Preference {
                 despite_failures,
                 ..self.preference(tried, now)
             };
-            place_generator(self.backends_of(service), zone, &preference)
+            place_decode(self.backends_of(service), zone, &preference)
         };
         find(false).or_else(|| find(true))
     }
--- a/components/forwarding/src/pace.rs
+++ b/components/forwarding/src/pace.rs
@@ -7,7 +7,7 @@
 
 use garnet_types::Millis;
 
-/// Pace that is believed before the first prompt was read, in tokens a
+/// Pace that is believed before the first prompt was prefilled, in tokens a
 /// millisecond: slower than any engine that is known, so that nobody is left
 /// for slow too soon.
 const FIRST_TOKENS_PER_MS: f64 = 20.0;
@@ -19,7 +19,7 @@
 const KEPT: f64 = 0.995;
 /// Prompts of which nothing is ahead say nothing of the pace.
 const TELLING_TOKENS: u64 = 100;
-/// Shortest limit for a prompt that is read.
+/// Shortest limit for a prompt that is prefilled.
 const SHORTEST_PATIENCE: Millis = Millis(1000);
 /// A prefill may take so many times what is expected.
 const PATIENCE_SLACK: f64 = 4.0;
@@ -48,7 +48,7 @@
 }
 
 impl PrefillPace {
-    /// Notes a prefill: `tokens` were believed to be read until its end, those
+    /// Notes a prefill: `tokens` were believed to be prefilled until its end, those
     /// queued before it included.
     pub fn note(&mut self, tokens: u64, took: Millis) {
         if tokens < TELLING_TOKENS {
@@ -65,7 +65,7 @@
         self.covariance = older * (self.covariance + newest * off_tokens * off_ms);
     }
 
-    /// Time until `tokens` are read.
+    /// Time until `tokens` are prefilled.
     pub fn expected_ms(&self, tokens: u64) -> f64 {
         let proportional = self.mean_ms / self.mean_tokens.max(1.0);
         let fitted = self.covariance / self.variance.max(1.0);
@@ -76,7 +76,7 @@
         fixed_ms + ms_per_token * tokens as f64
     }
 
-    /// Longest time that reading `tokens` should take, those queued before
+    /// Longest time that prefilling `tokens` should take, those queued before
     /// them included.
     pub fn patience(&self, tokens: u64) -> Millis {
         SHORTEST_PATIENCE + Millis((self.expected_ms(tokens) * PATIENCE_SLACK) as u64)
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -4,21 +4,21 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::backends::Backend;
-use crate::reading::{Reading, cheapest_reading};
+use crate::prefill_choice::{PrefillChoice, cheapest_prefill};
 use crate::residency::Residency;
 use crate::work::Prompt;
 
 /// Requests more than elsewhere that the own zone may have before work leaves
 /// it: another zone costs time and bytes.
 const ZONE_ADVANTAGE: u64 = 2;
-/// An engine that generates reads prompts at half the pace, and all that it
-/// generates comes slower meanwhile: each token that it reads counts as so
-/// many that a reader reads.
-const MIXED_READING_COST: u64 = 200;
+/// An engine that generates prefills prompts at half the pace, and all that it
+/// generates comes slower meanwhile: each token that it prefills counts as so
+/// many that a prefill engine prefills.
+const MIXED_PREFILL_COST: u64 = 200;
 /// What handing a KV cache over costs, in prompt tokens that could be read in
 /// that time.
 const HANDOVER_TOKENS: u64 = 1_500;
-/// Tokens more than elsewhere that a generator in the zone of the reader may
+/// Tokens more than elsewhere that a decode engine in the zone of the prefill engine may
 /// hold before a KV cache leaves the zone.
 const MOVE_BETWEEN_ZONES: u64 = 100_000;
 /// Where a request goes.
@@ -26,12 +26,12 @@
 pub enum Placement {
     /// One back end does all of it.
     One(BackendId),
-    /// One engine reads the prompt; another one, which is chosen when that is
+    /// One engine prefills the prompt; another one, which is chosen when that is
     /// done, generates from its KV cache.
     Handover {
         /// Reads the prompt.
-        reader: BackendId,
-        /// Holds more of its prefix, for the reader to copy first.
+        prefill_engine: BackendId,
+        /// Holds more of its prefix, for the prefill engine to copy first.
         copy_from: Option<BackendId>,
     },
 }
@@ -99,7 +99,7 @@
 }
 
 /// One engine for both phases, or two, by the prompt tokens that are to be
-/// read before the first piece.
+/// read before the first event.
 pub fn place_engines(
     engines: &[EngineView<'_>],
     prompt: &Prompt,
@@ -118,48 +118,50 @@
         && open
             .iter()
             .any(|engine| engine.backend.role.is_some_and(EngineRole::generates));
-    let readers = if may_hand_over {
+    let prefill_engines = if may_hand_over {
         with_role(EngineRole::Prefill)
     } else {
         Vec::new()
     };
     let now = preference.now;
     let anywhere = preference.anywhere;
-    let single = cheapest_reading(&mixed, &[], prompt, anywhere, now);
-    let handover = cheapest_reading(&readers, &open, prompt, anywhere, now);
-    let single_cost = |reading: &Reading<'_, '_>| reading.cost * MIXED_READING_COST;
-    let handover_cost = |reading: &Reading<'_, '_>| reading.cost + HANDOVER_TOKENS;
-    let by_two = |reading: &Reading<'_, '_>| Placement::Handover {
-        reader: reading.engine.id().clone(),
-        copy_from: reading.source.map(|source| source.id().clone()),
+    let single = cheapest_prefill(&mixed, &[], prompt, anywhere, now);
+    let handover = cheapest_prefill(&prefill_engines, &open, prompt, anywhere, now);
+    let single_cost = |prefill: &PrefillChoice<'_, '_>| prefill.cost * MIXED_PREFILL_COST;
+    let handover_cost = |prefill: &PrefillChoice<'_, '_>| prefill.cost + HANDOVER_TOKENS;
+    let by_two = |prefill: &PrefillChoice<'_, '_>| Placement::Handover {
+        prefill_engine: prefill.engine.id().clone(),
+        copy_from: prefill.source.map(|source| source.id().clone()),
     };
     match (single, handover) {
-        (Some(single), Some(reader)) if handover_cost(&reader) < single_cost(&single) => {
-            Some(by_two(&reader))
+        (Some(single), Some(prefill_engine))
+            if handover_cost(&prefill_engine) < single_cost(&single) =>
+        {
+            Some(by_two(&prefill_engine))
         }
         (Some(single), _) => Some(Placement::One(single.engine.id().clone())),
-        (None, Some(reader)) => Some(by_two(&reader)),
+        (None, Some(prefill_engine)) => Some(by_two(&prefill_engine)),
         (None, None) => None,
     }
 }
 
-/// Who goes on from the reader's KV cache: in its zone, since moves between
+/// Who goes on from the prefill engine's KV cache: in its zone, since moves between
 /// zones take longer, and with the most memory left: what is scarce where
 /// prompts are long.
-pub fn place_generator<'a>(
+pub fn place_decode<'a>(
     engines: impl Iterator<Item = &'a Backend>,
-    reader_zone: &str,
+    prefill_zone: &str,
     preference: &Preference<'_>,
 ) -> Option<BackendId> {
     let cost = |backend: &&Backend| {
-        let away = u64::from(backend.registration.zone != reader_zone);
+        let away = u64::from(backend.registration.zone != prefill_zone);
         let id = backend.registration.id.as_str().as_bytes();
         let held = backend.load.held_tokens(preference.now);
         let cost = held + away * MOVE_BETWEEN_ZONES;
         (cost, xxh3_64_with_seed(id, preference.draw))
     };
-    let generators = engines
+    let decode_engines = engines
         .filter(|backend| backend.role.is_some_and(EngineRole::generates))
         .filter(|backend| preference.may_take(backend));
-    Some(generators.min_by_key(cost)?.registration.id.clone())
+    Some(decode_engines.min_by_key(cost)?.registration.id.clone())
 }
--- a/components/forwarding/src/reading.rs
+++ b/components/forwarding/src/prefill_choice.rs
@@ -1,10 +1,10 @@
-//! Which engine reads a prompt, and where it copies the prefix from that it
+//! Which engine prefills a prompt, and where it copies the prefix from that it
 //! lacks: a pure function over what is believed.
 //!
 //! Each shared prefix has two owners, found by rendezvous hashing: all
 //! gateways find the same ones without a word between them, and an engine that
 //! leaves moves only what it owned. An owner that lacks the prefix copies it
-//! from whoever was seen to hold it, in a small part of the time that reading
+//! from whoever was seen to hold it, in a small part of the time that prefilling
 //! takes.
 
 use std::cmp::Reverse;
@@ -19,7 +19,7 @@
 /// Engines at which a shared prefix may be kept.
 const OWNERS: usize = 2;
 /// Shared prefixes up to this many tokens are not worth a place of their own:
-/// any reader takes them.
+/// any prefill engine takes them.
 const WORTHLESS_SHARED: u64 = 1_000;
 /// See [`spreading_cost`]: each token that another owner lacks counts so many
 /// times more.
@@ -30,64 +30,67 @@
 /// What prefix to copy costs, in prompt tokens that could be read in that
 /// time.
 const COPY_SETUP_TOKENS: u64 = 400;
-/// One token is read in the time in which so many are copied.
+/// One token is prefilled in the time in which so many are copied.
 const COPIED_TOKENS_PER_READ_TOKEN: u64 = 16;
 /// Copies between zones take so many times longer.
 const COPY_BETWEEN_ZONES: u64 = 2;
 
 /// An engine that may read the prompt, and what that costs there.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Reading<'a, 'b> {
+pub(crate) struct PrefillChoice<'a, 'b> {
     pub(crate) engine: &'a EngineView<'b>,
     /// Holds more of the prefix.
     pub(crate) source: Option<&'a EngineView<'b>>,
-    /// Prompt tokens that are read before this request's first piece, and those
+    /// Prompt tokens that are prefilled before this request's first event, and those
     /// that others wait for because of it.
     pub(crate) cost: u64,
 }
 
 /// Among the owners of the prompt's shared prefix, or `anywhere`, the engine
 /// that begins to generate first; what it lacks is copied from one of `holders`.
-pub(crate) fn cheapest_reading<'a, 'b>(
-    readers: &[&'a EngineView<'b>],
+pub(crate) fn cheapest_prefill<'a, 'b>(
+    prefill_engines: &[&'a EngineView<'b>],
     holders: &[&'a EngineView<'b>],
     prompt: &Prompt,
     anywhere: bool,
     now: Millis,
-) -> Option<Reading<'a, 'b>> {
+) -> Option<PrefillChoice<'a, 'b>> {
     let prefixes = prompt.prefixes();
     let sources = sources(holders, &prefixes, now);
     let candidates = if anywhere || prompt.shared_tokens() <= WORTHLESS_SHARED {
-        readers.len()
+        prefill_engines.len()
     } else {
         OWNERS
     };
-    let reading = |(rank, engine): (usize, &'a EngineView<'b>)| {
+    let prefill = |(rank, engine): (usize, &'a EngineView<'b>)| {
         let known = known_tokens(engine, &prefixes, now);
         let held = known
             .max(likely_tokens(prompt, rank == 0))
             .min(prompt.tokens);
         let spread = spreading_cost(rank, prompt.tokens - held, prompt);
-        let (unread, source) = cheapest_copy(engine, held, &sources, prompt);
-        let queued = engine.backend.load.unread_tokens(now);
-        // What is read here is waited for by all who are here.
+        let (uncached, source) = cheapest_copy(engine, held, &sources, prompt);
+        let queued = engine.backend.load.uncached_tokens(now);
+        // What is prefilled here is waited for by all who are here.
         let waiting = 1 + engine.backend.load.requests(now);
-        Reading {
+        PrefillChoice {
             engine,
             source,
-            cost: queued + (unread + spread) * waiting,
+            cost: queued + (uncached + spread) * waiting,
         }
     };
-    let owners = ranked(readers, prompt).into_iter().take(candidates);
+    let owners = ranked(prefill_engines, prompt).into_iter().take(candidates);
     owners
         .enumerate()
-        .map(reading)
-        .min_by_key(|reading| reading.cost)
+        .map(prefill)
+        .min_by_key(|prefill| prefill.cost)
 }
 
-fn ranked<'a, 'b>(readers: &[&'a EngineView<'b>], prompt: &Prompt) -> Vec<&'a EngineView<'b>> {
+fn ranked<'a, 'b>(
+    prefill_engines: &[&'a EngineView<'b>],
+    prompt: &Prompt,
+) -> Vec<&'a EngineView<'b>> {
     let prefix = prompt.shared_prefix();
-    let mut ranked = readers.to_vec();
+    let mut ranked = prefill_engines.to_vec();
     ranked.sort_by_cached_key(|engine| {
         let id = engine.id().as_str().as_bytes();
         Reverse(xxh3_64_with_seed(id, prefix.0))
@@ -96,7 +99,7 @@
 }
 
 /// What keeping a prefix at another engine as well costs all: memory that
-/// others lose, and what is read again for that.
+/// others lose, and what is prefilled again for that.
 fn spreading_cost(rank: usize, lacking: u64, prompt: &Prompt) -> u64 {
     if rank == 0 {
         0
@@ -139,7 +142,7 @@
     holders.iter().filter_map(source).collect()
 }
 
-/// Tokens to be read at an engine that holds `held`, the time to copy the rest
+/// Tokens to be prefilled at an engine that holds `held`, the time to copy the rest
 /// of the prefix counted in tokens, and the engine that it is copied from.
 fn cheapest_copy<'a, 'b>(
     engine: &EngineView<'b>,
@@ -147,7 +150,7 @@
     sources: &[Source<'a, 'b>],
     prompt: &Prompt,
 ) -> (u64, Option<&'a EngineView<'b>>) {
-    let unread = prompt.tokens - held;
+    let uncached = prompt.tokens - held;
     let copying = |source: &Source<'a, 'b>| {
         let copied = source.tokens.saturating_sub(held);
         let left = prompt.tokens.saturating_sub(source.tokens.max(held));
@@ -158,8 +161,8 @@
         .iter()
         .filter(|source| source.engine.id() != engine.id());
     match others.map(copying).min_by_key(|(cost, _)| *cost) {
-        Some((cost, source)) if cost < unread => (cost, Some(source)),
-        _ => (unread, None),
+        Some((cost, source)) if cost < uncached => (cost, Some(source)),
+        _ => (uncached, None),
     }
 }
 
--- a/components/forwarding/src/residency.rs
+++ b/components/forwarding/src/residency.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Belief {
     used_at: Millis,
-    /// Whether it was read to its end; until then it can't be copied.
+    /// Whether it was prefilled to its end; until then it can't be copied.
     is_read: bool,
     /// When a gateway told the others, this one or another.
     told_at: Option<Millis>,
--- a/components/forwarding/src/patience.rs
+++ b/components/forwarding/src/silence.rs
@@ -16,19 +16,19 @@
 
 /// Limits of one route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
+pub struct SilenceLimits {
     /// For the whole answer of a request that is no stream.
     pub answer: Millis,
-    /// For each piece of a stream after its first.
+    /// For each event of a stream after its first.
     pub pause: Millis,
 }
 
-impl Patience {
+impl SilenceLimits {
     /// The limits that a route's objectives give.
     pub fn of(route: &Route) -> Self {
         let part = |span: Millis, percent: u64| Millis(span.0 * percent / 100).max(SHORTEST);
         let pause = route.pause_objective_ms.unwrap_or(DEFAULT_PAUSE);
-        Patience {
+        SilenceLimits {
             answer: part(route.objective_ms, 90),
             pause: part(pause, 130),
         }
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -37,22 +37,22 @@
     pub likely_output_tokens: Option<u64>,
 }
 
-/// Prompts of which fewer tokens are left to be read hold nobody up.
-const SHORT_READING: u64 = 512;
+/// Prompts of which fewer tokens are left to be prefilled hold nobody up.
+const SHORT_PREFILL: u64 = 512;
 
 impl Work {
     /// Rank among the work of its service, 0 first: each doubling of the prompt
-    /// tokens that are left to be read counts as much as one step of the
-    /// route's priority. A short reading holds nobody up, and a long one that
+    /// tokens that are left to be prefilled counts as much as one step of the
+    /// route's priority. A short prefill holds nobody up, and a long one that
     /// waits for it is hardly later.
     ///
     /// Deferred work comes last: it would be late anyway, and makes nobody else
     /// late.
-    pub fn rank(&self, unread_tokens: u64) -> u8 {
+    pub fn rank(&self, uncached_tokens: u64) -> u8 {
         if self.is_deferred {
             return LAST_RANK;
         }
-        let doublings = (unread_tokens / SHORT_READING)
+        let doublings = (uncached_tokens / SHORT_PREFILL)
             .checked_ilog2()
             .map_or(0, |doublings| doublings as u8 + 1);
         self.priority.saturating_add(doublings).min(LAST_RANK)
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -19,15 +19,15 @@
     ServiceId::new("words")
 }
 
-fn reader() -> BackendId {
-    BackendId::new("reader")
+fn prefill_engine() -> BackendId {
+    BackendId::new("prefill_engine")
 }
 
-fn generator() -> BackendId {
-    BackendId::new("generator")
+fn decode_engine() -> BackendId {
+    BackendId::new("decode_engine")
 }
 
-/// A gateway before one reader and one generator, which knows their pace.
+/// A gateway before one prefill engine and one decode engine, which knows their pace.
 fn gateway() -> Forwarder {
     let limits = EngineLimits {
         slots: SLOTS,
@@ -47,23 +47,23 @@
         ..table(1, &[("words", 1)])
     };
     let records = [
-        record("reader", "words", "a", Some(EngineRole::Prefill)),
-        record("generator", "words", "a", Some(EngineRole::Mixed)),
+        record("prefill_engine", "words", "a", Some(EngineRole::Prefill)),
+        record("decode_engine", "words", "a", Some(EngineRole::Mixed)),
     ];
     let mut gateway = empty_forwarder();
     let configuration = Arc::new(configuration(5, table, &records));
     gateway.update(WatchUpdate::Snapshot(configuration));
     for tokens in [1_000, 20_000].repeat(200) {
-        gateway.note_prefill(&reader(), tokens, Millis(tokens / TOKENS_PER_MS));
+        gateway.note_prefill(&prefill_engine(), tokens, Millis(tokens / TOKENS_PER_MS));
     }
     gateway
 }
 
-fn backlog(backend: BackendId, requests: u64, unread: ByRank) -> Backlog {
+fn backlog(backend: BackendId, requests: u64, uncached: ByRank) -> Backlog {
     Backlog {
         backend,
         requests,
-        unread,
+        uncached,
         held_tokens: requests * 1_000,
     }
 }
@@ -100,7 +100,7 @@
 #[case::late(100_000, Admission::Defer)]
 fn what_would_be_late_is_read_after_the_rest(#[case] queued: u64, #[case] expected: Admission) {
     let mut gateway = gateway();
-    let others = backlog(reader(), 9, ByRank::at(0, queued));
+    let others = backlog(prefill_engine(), 9, ByRank::at(0, queued));
     gateway.heard_of_others(&[others], NOW);
     let work = stream(prompt(1, 2, 8_000));
     assert_eq!(decide(&mut gateway, &work, false), expected);
@@ -110,7 +110,7 @@
 #[test]
 fn what_is_queued_behind_makes_nobody_late() {
     let mut gateway = gateway();
-    let others = backlog(reader(), 9, ByRank::at(9, 100_000));
+    let others = backlog(prefill_engine(), 9, ByRank::at(9, 100_000));
     gateway.heard_of_others(&[others], NOW);
     let work = stream(prompt(1, 2, 8_000));
     assert_eq!(decide(&mut gateway, &work, false), Admission::Admit);
@@ -119,7 +119,7 @@
 #[test]
 fn what_would_end_before_it_begins_is_refused_with_a_time_to_come_back() {
     let mut gateway = gateway();
-    let others = backlog(reader(), 9, ByRank::at(0, 300_000));
+    let others = backlog(prefill_engine(), 9, ByRank::at(0, 300_000));
     gateway.heard_of_others(&[others], NOW);
     let work = stream(prompt(1, 2, 8_000));
     let Admission::Refuse { retry_after, .. } = decide(&mut gateway, &work, true) else {
@@ -135,21 +135,21 @@
 #[test]
 fn an_engine_is_not_blamed_for_what_it_reads_last() {
     let gateway = gateway();
-    let patience = |rank| gateway.prefill_patience(&reader(), 8_000, rank, NOW);
+    let patience = |rank| gateway.prefill_timeout(&prefill_engine(), 8_000, rank, NOW);
     assert!(patience(8).is_some());
     assert_eq!(patience(9), None);
 }
 
 /// Places are taken by requests that need 4 s each.
-fn full_generator(requests: u64) -> Forwarder {
+fn full_decode_engine(requests: u64) -> Forwarder {
     let mut gateway = gateway();
     let chat = Prompt {
         output_tokens: 4_000,
         ..prompt(3, 4, 100)
     };
-    gateway.note_place(&generator(), &chat, Millis(4_000));
-    gateway.handed_over(&generator(), &chat, 1, NOW);
-    let others = backlog(generator(), requests - 1, ByRank::default());
+    gateway.note_place(&decode_engine(), &chat, Millis(4_000));
+    gateway.handed_over(&decode_engine(), &chat, 1, NOW);
+    let others = backlog(decode_engine(), requests - 1, ByRank::default());
     gateway.heard_of_others(&[others], NOW);
     gateway
 }
@@ -157,9 +157,9 @@
 #[test]
 fn who_finds_no_place_is_told_when_one_is_free() {
     let work = stream(prompt(1, 2, 100));
-    let mut free = full_generator(SLOTS - 1);
+    let mut free = full_decode_engine(SLOTS - 1);
     assert_eq!(decide(&mut free, &work, false), Admission::Admit);
-    let mut full = full_generator(SLOTS + 10);
+    let mut full = full_decode_engine(SLOTS + 10);
     let Admission::Refuse { retry_after, .. } = decide(&mut full, &work, false) else {
         panic!("eleven requests wait before it");
     };
@@ -171,7 +171,7 @@
 
 #[test]
 fn more_urgent_work_does_not_wait_for_places_of_less_urgent() {
-    let mut full = full_generator(SLOTS + 10);
+    let mut full = full_decode_engine(SLOTS + 10);
     let mut urgent = stream(prompt(1, 2, 100));
     urgent.priority = 0;
     assert_eq!(decide(&mut full, &urgent, false), Admission::Admit);
@@ -189,8 +189,8 @@
     ) {
         let mut gateway = gateway();
         let others = [
-            backlog(reader(), requests, ByRank::at(0, queued)),
-            backlog(generator(), requests, ByRank::default()),
+            backlog(prefill_engine(), requests, ByRank::at(0, queued)),
+            backlog(decode_engine(), requests, ByRank::default()),
         ];
         gateway.heard_of_others(&others, NOW);
         let arrival = Arrival {
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -32,9 +32,9 @@
     Some(Placement::One(BackendId::new(id)))
 }
 
-fn reader_of(placement: Option<Placement>) -> BackendId {
+fn prefill_engine_of(placement: Option<Placement>) -> BackendId {
     match placement {
-        Some(Placement::Handover { reader, .. }) => reader,
+        Some(Placement::Handover { prefill_engine, .. }) => prefill_engine,
         other => panic!("a long prompt is handed over: {other:?}"),
     }
 }
@@ -46,15 +46,18 @@
     }
 }
 
-/// The reader and the engine that it copies from.
-fn reading(
+/// The prefill engine and the engine that it copies from.
+fn prefill(
     gateway: &mut Forwarder,
     prompt: Prompt,
     tried: &[BackendId],
 ) -> (BackendId, Option<BackendId>) {
     let work = work(WorkKind::Stream, Some(prompt));
     match gateway.place(&ServiceId::new("words"), &work, tried, true, NOW) {
-        Some(Placement::Handover { reader, copy_from }) => (reader, copy_from),
+        Some(Placement::Handover {
+            prefill_engine,
+            copy_from,
+        }) => (prefill_engine, copy_from),
         other => panic!("a long prompt is handed over: {other:?}"),
     }
 }
@@ -63,19 +66,22 @@
 fn an_owner_that_lacks_a_prefix_copies_it_from_who_was_told_to_hold_it() {
     let mut gateway = forwarder(&engines());
     let asked = prompt(7, 1, 20_000);
-    let (owner, nowhere) = reading(&mut gateway, asked.clone(), &[]);
+    let (owner, nowhere) = prefill(&mut gateway, asked.clone(), &[]);
     assert_eq!(nowhere, None);
     let holder = BackendId::new("g-b");
     gateway.heard_of_copies(&[copy(asked.shared_prefix(), &holder)], NOW);
-    let (reader, from) = reading(&mut gateway, asked.clone(), &[]);
-    assert_eq!((reader, from.as_ref()), (owner.clone(), Some(&holder)));
+    let (prefill_engine, from) = prefill(&mut gateway, asked.clone(), &[]);
+    assert_eq!(
+        (prefill_engine, from.as_ref()),
+        (owner.clone(), Some(&holder))
+    );
     // The other owner copies it as well, when the first one failed.
-    let (second, from) = reading(&mut gateway, asked.clone(), std::slice::from_ref(&owner));
+    let (second, from) = prefill(&mut gateway, asked.clone(), std::slice::from_ref(&owner));
     assert_ne!(second, owner);
     assert_eq!(from, Some(holder.clone()));
     // What the owner is known to hold itself is not copied.
     gateway.holds(&owner, &asked, NOW);
-    assert_eq!(reading(&mut gateway, asked, &[]), (owner, None));
+    assert_eq!(prefill(&mut gateway, asked, &[]), (owner, None));
 }
 
 #[test]
@@ -84,24 +90,24 @@
     let asked = prompt(7, 1, 20_000);
     let holder = BackendId::new("g-b");
     gateway.sent(&holder, Some(&asked), None, 0, NOW);
-    assert_eq!(reading(&mut gateway, asked.clone(), &[]).1, None);
+    assert_eq!(prefill(&mut gateway, asked.clone(), &[]).1, None);
     let told = [copy(asked.shared_prefix(), &BackendId::new("g-a1"))];
     let long_ago = Millis::ZERO;
     assert!(NOW.since(long_ago) >= Millis(10_000));
     gateway.heard_of_copies(&told, long_ago);
-    assert_eq!(reading(&mut gateway, asked, &[]).1, None);
+    assert_eq!(prefill(&mut gateway, asked, &[]).1, None);
 }
 
 #[test]
 fn others_are_told_of_a_copy_once() {
     let mut gateway = forwarder(&engines());
     let asked = prompt(7, 1, 20_000);
-    let reader = BackendId::new("r-a");
-    gateway.holds(&reader, &asked, NOW);
-    gateway.holds(&reader, &prompt(7, 2, 20_000), NOW);
+    let prefill_engine = BackendId::new("r-a");
+    gateway.holds(&prefill_engine, &asked, NOW);
+    gateway.holds(&prefill_engine, &prompt(7, 2, 20_000), NOW);
     assert_eq!(
         gateway.take_copies(),
-        [copy(asked.shared_prefix(), &reader)]
+        [copy(asked.shared_prefix(), &prefill_engine)]
     );
     assert_eq!(gateway.take_copies(), []);
     // What another gateway told is known to all.
@@ -119,7 +125,7 @@
     let busy = |id: &str| Backlog {
         backend: BackendId::new(id),
         requests: 9,
-        unread: ByRank::at(0, 90_000),
+        uncached: ByRank::at(0, 90_000),
         held_tokens: 90_000,
     };
     for (idle, others) in [
@@ -128,7 +134,7 @@
         ("r-c", ["r-a", "r-b"]),
     ] {
         gateway.heard_of_others(&others.map(busy), NOW);
-        assert_eq!(reading(&mut gateway, short.clone(), &[]).0.as_str(), idle);
+        assert_eq!(prefill(&mut gateway, short.clone(), &[]).0.as_str(), idle);
     }
 }
 
@@ -198,22 +204,22 @@
 }
 
 #[test]
-fn the_generator_is_chosen_when_the_prompt_is_read() {
+fn the_decode_engine_is_chosen_when_the_prompt_is_prefilled() {
     let words = ServiceId::new("words");
     let mut all = engines();
     let mut gateway = forwarder(&all);
-    let reader = BackendId::new("r-a");
-    let first = gateway.place_generator(&words, &reader, &[], NOW);
+    let prefill_engine = BackendId::new("r-a");
+    let first = gateway.place_decode(&words, &prefill_engine, &[], NOW);
     let first = first.expect("one in the zone");
     assert!(first.as_str().starts_with("g-a"), "{first}");
-    // It begins to leave while the prompt is read.
+    // It begins to leave while the prompt is prefilled.
     for record in &mut all {
         if record.registration.id == first {
             record.machine = garnet_types::MachineState::Leaving;
         }
     }
     let mut later = forwarder(&all);
-    let second = later.place_generator(&words, &reader, &[], NOW);
+    let second = later.place_decode(&words, &prefill_engine, &[], NOW);
     let second = second.expect("the other one in the zone");
     assert!(second.as_str().starts_with("g-a") && second != first);
 }
@@ -223,24 +229,24 @@
     let words = ServiceId::new("words");
     let work = work(WorkKind::Stream, Some(prompt(7, 1, 20_000)));
     let mut gateway = forwarder(&engines());
-    let reader = reader_of(gateway.place(&words, &work, &[], true, NOW));
+    let prefill_engine = prefill_engine_of(gateway.place(&words, &work, &[], true, NOW));
     let backlog = Backlog {
-        backend: reader.clone(),
+        backend: prefill_engine.clone(),
         requests: 9,
-        unread: ByRank::at(0, 90_000),
+        uncached: ByRank::at(0, 90_000),
         held_tokens: 90_000,
     };
     gateway.heard_of_others(&[backlog], NOW);
     let placed = gateway.place(&words, &work, &[], true, NOW);
-    assert_ne!(reader_of(placed), reader);
+    assert_ne!(prefill_engine_of(placed), prefill_engine);
 }
 
 #[test]
-fn short_readings_come_before_long_ones_and_urgent_routes_before_others() {
-    let rank = |priority, unread| {
+fn short_prefills_come_before_long_ones_and_urgent_routes_before_others() {
+    let rank = |priority, uncached| {
         let mut work = work(WorkKind::Stream, Some(prompt(1, 2, 40_000)));
         work.priority = priority;
-        work.rank(unread)
+        work.rank(uncached)
     };
     assert!(rank(1, 500) < rank(1, 9_000));
     assert!(rank(1, 9_000) < rank(1, 40_000));
@@ -256,12 +262,13 @@
     let holder = BackendId::new("r-a");
     let other = BackendId::new("r-b");
     let prompt = prompt(1, 2, 8_000);
-    let unread = |gateway: &Forwarder, id, source| gateway.unread_tokens(id, &prompt, source, NOW);
-    assert_eq!(unread(&gateway, &holder, None), 8_100);
+    let uncached =
+        |gateway: &Forwarder, id, source| gateway.uncached_tokens(id, &prompt, source, NOW);
+    assert_eq!(uncached(&gateway, &holder, None), 8_100);
     gateway.holds(&holder, &prompt, NOW);
-    assert_eq!(unread(&gateway, &holder, None), 0);
-    assert_eq!(unread(&gateway, &other, None), 8_100);
-    assert_eq!(unread(&gateway, &other, Some(&holder)), 0);
+    assert_eq!(uncached(&gateway, &holder, None), 0);
+    assert_eq!(uncached(&gateway, &other, None), 8_100);
+    assert_eq!(uncached(&gateway, &other, Some(&holder)), 0);
 }
 
 #[test]
--- a/components/gateway/src/openai.rs
+++ b/components/gateway/src/openai.rs
@@ -41,7 +41,7 @@
     })
 }
 
-/// One streamed piece of text.
+/// One streamed chunk of text.
 pub fn chunk_body(call: &Call, content: &str) -> Value {
     let choice = if is_chat(call) {
         json!({"index": 0, "delta": {"content": content}, "finish_reason": null})
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -2,9 +2,9 @@
 //! phases are.
 //!
 //! For pools whose engines do not state their speed. Occupancy needs no speed:
-//! with one reader more, each reader is occupied by as much less. A reader
-//! reads one prompt after the other: waiting grows with occupancy as in a queue
-//! with one server, x / (1 - x). Generators run many requests at once, and
+//! with one prefill engine more, each prefill engine is occupied by as much less. A prefill engine
+//! prefills one prompt after the other: waiting grows with occupancy as in a queue
+//! with one server, x / (1 - x). Decode engines run many requests at once, and
 //! waiting for a place begins only when nearly all are taken.
 
 use garnet_types::Millis;
@@ -16,15 +16,15 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PhaseOccupancy {
     /// Engines that read prompts for others.
-    pub readers: usize,
+    pub prefill_engines: usize,
     /// Engines that generate.
-    pub generators: usize,
-    /// Part of the time in which a reader has a prompt to read.
-    pub reading: f64,
-    /// Part of a generator's room that is taken: of its slots or its memory,
+    pub decode_engines: usize,
+    /// Part of the time in which a prefill engine has a prompt to read.
+    pub prefill: f64,
+    /// Part of a decode engine's room that is taken: of its slots or its memory,
     /// whichever is scarcer.
-    pub generating: f64,
-    /// Requests that fit into all generators together.
+    pub decode: f64,
+    /// Requests that fit into all decode engines together.
     pub places: f64,
 }
 
@@ -33,9 +33,9 @@
 pub struct BalanceSettings {
     /// Part of the engines that read while no load is known.
     pub initial_share: f64,
-    /// What a taken slot counts against a reader's time: batches slow down
+    /// What a taken slot counts against a prefill engine's time: batches slow down
     /// gradually, queues do not.
-    pub generating_weight: f64,
+    pub decode_weight: f64,
     /// A change must bring the congestion below this part of what it is.
     pub worthwhile: f64,
     /// Congestion below this is left as it is.
@@ -51,7 +51,7 @@
     fn default() -> Self {
         BalanceSettings {
             initial_share: 2.0 / 3.0,
-            generating_weight: 0.7,
+            decode_weight: 0.7,
             worthwhile: 0.75,
             tolerable: 0.6,
             dwell: Millis::from_secs(1),
@@ -63,20 +63,20 @@
 impl PhaseOccupancy {
     /// Engines of both phases.
     pub fn engines(&self) -> usize {
-        self.readers + self.generators
+        self.prefill_engines + self.decode_engines
     }
 
-    /// Congestion if `readers` engines read and the rest generates.
-    pub fn congestion(&self, readers: usize, settings: &BalanceSettings) -> f64 {
-        let generators = self.engines().saturating_sub(readers);
-        if readers == 0 || generators == 0 {
+    /// Congestion if `prefill_engines` engines prefill and the rest decode.
+    pub fn congestion(&self, prefill_engines: usize, settings: &BalanceSettings) -> f64 {
+        let decode_engines = self.engines().saturating_sub(prefill_engines);
+        if prefill_engines == 0 || decode_engines == 0 {
             return f64::INFINITY;
         }
-        let reading = self.reading * self.readers as f64 / readers as f64;
-        let part = generators as f64 / self.generators.max(1) as f64;
-        let generating = self.generating / part;
-        let waiting_to_generate = waiting(generating, self.places * part);
-        waiting(reading, 1.0) + settings.generating_weight * waiting_to_generate
+        let prefill = self.prefill * self.prefill_engines as f64 / prefill_engines as f64;
+        let part = decode_engines as f64 / self.decode_engines.max(1) as f64;
+        let decode = self.decode / part;
+        let waiting_to_decode = waiting(decode, self.places * part);
+        waiting(prefill, 1.0) + settings.decode_weight * waiting_to_decode
     }
 }
 
@@ -90,9 +90,9 @@
     bounded.powf(exponent) / (1.0 - bounded) + (occupancy - bounded) * 20.0
 }
 
-/// Readers while no load is known: the settings' share, with both phases
+/// Prefill engines while no load is known: the settings' share, with both phases
 /// served.
-pub fn initial_readers(engines: usize, settings: &BalanceSettings) -> usize {
+pub fn initial_prefill_engines(engines: usize, settings: &BalanceSettings) -> usize {
     if engines < 2 {
         return 0;
     }
@@ -100,10 +100,10 @@
     share.clamp(1, engines - 1)
 }
 
-/// Readers that the pool should have under this load: one more, one less, or
+/// Prefill engines that the pool should have under this load: one more, one less, or
 /// as many as there are.
-pub fn wanted_readers(occupancy: &PhaseOccupancy, settings: &BalanceSettings) -> usize {
-    let present = occupancy.readers;
+pub fn wanted_prefill_engines(occupancy: &PhaseOccupancy, settings: &BalanceSettings) -> usize {
+    let present = occupancy.prefill_engines;
     let now = occupancy.congestion(present, settings);
     if now <= settings.tolerable {
         return present;
@@ -111,10 +111,17 @@
     let steps = [present.saturating_sub(1), present + 1];
     let best = steps
         .into_iter()
-        .map(|readers| (readers, occupancy.congestion(readers, settings)))
+        .map(|prefill_engines| {
+            (
+                prefill_engines,
+                occupancy.congestion(prefill_engines, settings),
+            )
+        })
         .min_by(|left, right| left.1.total_cmp(&right.1));
     match best {
-        Some((readers, congestion)) if congestion < now * settings.worthwhile => readers,
+        Some((prefill_engines, congestion)) if congestion < now * settings.worthwhile => {
+            prefill_engines
+        }
         _ => present,
     }
 }
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -14,7 +14,9 @@
 mod split;
 
 pub use average::{FastSlowAverage, Mix};
-pub use balance::{BalanceSettings, PhaseOccupancy, initial_readers, wanted_readers};
+pub use balance::{
+    BalanceSettings, PhaseOccupancy, initial_prefill_engines, wanted_prefill_engines,
+};
 pub use loss::{PoolCapacity, Utilisation, can_give, predicted_loss, utilisation};
 pub use planner::{Engine, Planner, RoleChange};
 pub use settings::PlannerSettings;
--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -1,15 +1,22 @@
 //! How many engines read, from how occupied both phases are.
 
-use garnet_planner::{BalanceSettings, PhaseOccupancy, initial_readers, wanted_readers};
+use garnet_planner::{
+    BalanceSettings, PhaseOccupancy, initial_prefill_engines, wanted_prefill_engines,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 
-fn occupancy(readers: usize, generators: usize, reading: f64, generating: f64) -> PhaseOccupancy {
+fn occupancy(
+    prefill_engines: usize,
+    decode_engines: usize,
+    prefill: f64,
+    decode: f64,
+) -> PhaseOccupancy {
     PhaseOccupancy {
-        readers,
-        generators,
-        reading,
-        generating,
+        prefill_engines,
+        decode_engines,
+        prefill,
+        decode,
         places: 1.0,
     }
 }
@@ -22,7 +29,10 @@
 #[case::the_last_generator_stays(occupancy(8, 1, 0.9, 0.1), 8)]
 #[case::the_last_reader_stays(occupancy(1, 8, 0.1, 0.9), 1)]
 fn readers_that_are_wanted(#[case] seen: PhaseOccupancy, #[case] wanted: usize) {
-    assert_eq!(wanted_readers(&seen, &BalanceSettings::default()), wanted);
+    assert_eq!(
+        wanted_prefill_engines(&seen, &BalanceSettings::default()),
+        wanted
+    );
 }
 
 /// Decode engines run many requests at once: nobody waits for a place while one
@@ -31,12 +41,15 @@
 #[case::most_places_are_taken(0.8, 0.85, 8)]
 #[case::prefill_is_short(0.9, 0.5, 9)]
 #[case::all_places_are_taken(0.3, 1.2, 7)]
-fn a_full_batch_is_no_queue(#[case] reading: f64, #[case] generating: f64, #[case] wanted: usize) {
+fn a_full_batch_is_no_queue(#[case] prefill: f64, #[case] decode: f64, #[case] wanted: usize) {
     let seen = PhaseOccupancy {
         places: 4.0 * 48.0,
-        ..occupancy(8, 4, reading, generating)
+        ..occupancy(8, 4, prefill, decode)
     };
-    assert_eq!(wanted_readers(&seen, &BalanceSettings::default()), wanted);
+    assert_eq!(
+        wanted_prefill_engines(&seen, &BalanceSettings::default()),
+        wanted
+    );
 }
 
 #[rstest]
@@ -45,10 +58,10 @@
 #[case(1, 0)]
 #[case(0, 0)]
 #[case(90, 60)]
-fn readers_before_any_load(#[case] engines: usize, #[case] readers: usize) {
+fn readers_before_any_load(#[case] engines: usize, #[case] prefill_engines: usize) {
     assert_eq!(
-        initial_readers(engines, &BalanceSettings::default()),
-        readers
+        initial_prefill_engines(engines, &BalanceSettings::default()),
+        prefill_engines
     );
 }
 
@@ -56,23 +69,23 @@
     /// Both phases stay served, and a change that was worth it is not taken
     /// back under the same load.
     #[test]
-    fn no_flapping(readers in 1_usize..40, generators in 1_usize..40, reading in 0.0_f64..2.0, generating in 0.0_f64..2.0) {
+    fn no_flapping(prefill_engines in 1_usize..40, decode_engines in 1_usize..40, prefill in 0.0_f64..2.0, decode in 0.0_f64..2.0) {
         let settings = BalanceSettings::default();
-        let before = occupancy(readers, generators, reading, generating);
-        let wanted = wanted_readers(&before, &settings);
-        prop_assert!(wanted >= 1 && wanted < readers + generators);
-        let rest = readers + generators - wanted;
+        let before = occupancy(prefill_engines, decode_engines, prefill, decode);
+        let wanted = wanted_prefill_engines(&before, &settings);
+        prop_assert!(wanted >= 1 && wanted < prefill_engines + decode_engines);
+        let rest = prefill_engines + decode_engines - wanted;
         let after = occupancy(
             wanted,
             rest,
-            reading * readers as f64 / wanted as f64,
-            generating * generators as f64 / rest as f64,
+            prefill * prefill_engines as f64 / wanted as f64,
+            decode * decode_engines as f64 / rest as f64,
         );
-        let next = wanted_readers(&after, &settings);
-        if wanted > readers {
+        let next = wanted_prefill_engines(&after, &settings);
+        if wanted > prefill_engines {
             prop_assert!(next >= wanted);
         }
-        if wanted < readers {
+        if wanted < prefill_engines {
             prop_assert!(next <= wanted);
         }
     }
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -63,9 +63,9 @@
     pub kind: WorkKind,
     /// Longest time that one is worked on.
     pub timeout_ms: Millis,
-    /// Time within which an answer, or the first piece of a stream, is useful.
+    /// Time within which an answer, or the first event of a stream, is useful.
     pub objective_ms: Millis,
-    /// Longest useful pause between two pieces of a stream.
+    /// Longest useful pause between two events of a stream.
     #[serde(default)]
     pub pause_objective_ms: Option<Millis>,
     /// Rank among routes of a service: 0 is the most urgent.
@@ -96,7 +96,7 @@
     pub link_mbps: u64,
     /// How long an engine is out of service for a change of role.
     pub role_change_ms: Millis,
-    /// How long a KV cache that was read for another engine is kept for it.
+    /// How long a KV cache that was prefilled for another engine is kept for it.
     pub handover_ms: Millis,
 }
 
--- a/components/routing/src/estimate.rs
+++ b/components/routing/src/estimate.rs
@@ -24,7 +24,7 @@
     pub prompt_read: bool,
 }
 
-/// Belief about one engine. `K` names a piece of own work.
+/// Belief about one engine. `K` names a job of its own.
 #[derive(Debug, Clone)]
 pub struct EngineEstimate<K: Ord> {
     capacity: EngineCapacity,
@@ -66,14 +66,14 @@
         self.own.insert(key, work);
     }
 
-    /// Notes that the prompt of a piece of work is read.
+    /// Notes that the prompt of a job is read.
     pub fn prompt_read(&mut self, key: &K) {
         if let Some(work) = self.own.get_mut(key) {
             work.prompt_read = true;
         }
     }
 
-    /// Notes that a piece of work is over.
+    /// Notes that a job is over.
     pub fn ended(&mut self, key: &K) {
         self.own.remove(key);
     }
@@ -83,7 +83,7 @@
         self.capacity
     }
 
-    /// Pieces of own work that are not over.
+    /// Own jobs that are not over.
     pub fn in_flight(&self) -> usize {
         self.own.len()
     }
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -37,7 +37,7 @@
     TimedOut,
 }
 
-/// A response whose body is read piece by piece. Dropping it closes the
+/// A response whose body is read chunk by chunk. Dropping it closes the
 /// connection, which cancels what the other end does for it.
 pub struct StreamedResponse {
     /// Head.
@@ -46,7 +46,7 @@
 }
 
 impl StreamedResponse {
-    /// The next piece of the body, `None` at its proper end.
+    /// The next chunk of the body, `None` at its proper end.
     ///
     /// # Errors
     /// When the connection ends before the body does.
@@ -99,7 +99,7 @@
         smol::future::or(whole, late).await
     }
 
-    /// Sends a request whose answer is read piece by piece.
+    /// Sends a request whose answer is read chunk by chunk.
     ///
     /// # Errors
     /// As [`HttpError`] says.
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -199,7 +199,7 @@
 }
 
 impl Exchange {
-    /// The next piece of the body, `None` at its proper end.
+    /// The next chunk of the body, `None` at its proper end.
     ///
     /// # Errors
     /// When the connection ends before the body does.
@@ -223,11 +223,11 @@
     /// When it is longer, or the connection ends before it does.
     pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, HttpError> {
         let mut whole = Vec::new();
-        while let Some(piece) = self.next().await? {
-            if whole.len() + piece.len() > limit {
+        while let Some(chunk) = self.next().await? {
+            if whole.len() + chunk.len() > limit {
                 return Err(HttpError::Broken("the answer is too long".to_owned()));
             }
-            whole.extend_from_slice(&piece);
+            whole.extend_from_slice(&chunk);
         }
         Ok(Bytes::from(whole))
     }
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -254,15 +254,15 @@
     Box::pin(whole.map_err(|never| match never {}))
 }
 
-/// A body whose pieces come through a channel; it ends when the channel closes.
-pub fn channel_body(pieces: Receiver<Bytes>) -> Body {
-    let frames = pieces.map(|piece| Ok(Frame::data(piece)));
+/// A body whose chunks come through a channel; it ends when the channel closes.
+pub fn channel_body(chunks: Receiver<Bytes>) -> Body {
+    let frames = chunks.map(|chunk| Ok(Frame::data(chunk)));
     Box::pin(StreamBody::new(frames))
 }
 
-/// A body whose pieces come from a stream, which may break off.
-pub fn stream_body(pieces: impl Stream<Item = Result<Bytes, BodyCut>> + 'static) -> Body {
-    Box::pin(StreamBody::new(pieces.map(|piece| piece.map(Frame::data))))
+/// A body whose chunks come from a stream, which may break off.
+pub fn stream_body(chunks: impl Stream<Item = Result<Bytes, BodyCut>> + 'static) -> Body {
+    Box::pin(StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))))
 }
 
 /// A response with a JSON body.
--- a/components/stand-in/src/engine/iterations.rs
+++ b/components/stand-in/src/engine/iterations.rs
@@ -1,4 +1,4 @@
-//! Iterations: what is read and generated in each, and how long it lasts.
+//! Iterations: what is prefilled and generated in each, and how long it lasts.
 
 use garnet_types::Millis;
 
@@ -41,7 +41,7 @@
     /// Nothing to do until an imported KV cache is there.
     fn wait_for_import(&mut self, at: u64) {
         let next = self
-            .generating
+            .decode
             .iter()
             .filter_map(|id| self.jobs.get(id))
             .map(|job| job.ready_at)
@@ -55,14 +55,14 @@
 
     /// One chunk of prompts: urgent jobs first, then by arrival.
     fn choose_prompts(&self) -> Vec<(JobId, u64)> {
-        let mut queue: Vec<JobId> = self.unread.iter().copied().collect();
+        let mut queue: Vec<JobId> = self.uncached.iter().copied().collect();
         queue.sort_by_key(|id| self.jobs.get(id).map(|job| job.job.class()));
         let mut left = self.settings.chunk_tokens;
         let mut chunk = Vec::new();
         for id in queue {
-            let unread = self.jobs.get(&id).map_or(0, |job| job.unread_tokens);
-            let tokens = unread.min(left);
-            if tokens == 0 && unread > 0 {
+            let uncached = self.jobs.get(&id).map_or(0, |job| job.uncached_tokens);
+            let tokens = uncached.min(left);
+            if tokens == 0 && uncached > 0 {
                 break;
             }
             left -= tokens;
@@ -74,7 +74,7 @@
     /// As many sequences as there are slots. Those that have begun keep theirs.
     fn choose_sequences(&self, at: u64) -> Vec<JobId> {
         let slots = self.settings.capacity.decode_slots as usize;
-        self.generating
+        self.decode
             .iter()
             .filter(|id| self.jobs.get(id).is_some_and(|job| job.ready_at <= at))
             .take(slots)
@@ -95,11 +95,11 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.unread_tokens = job.unread_tokens.saturating_sub(tokens);
-        if job.unread_tokens > 0 {
+        job.uncached_tokens = job.uncached_tokens.saturating_sub(tokens);
+        if job.uncached_tokens > 0 {
             return;
         }
-        self.unread.retain(|queued| *queued != id);
+        self.uncached.retain(|queued| *queued != id);
         self.cache.store(&job.blocks);
         if job.job.generates() {
             job.ready_at = at;
@@ -114,13 +114,13 @@
         let class = self.jobs.get(&id).map(|job| job.job.class());
         let slots = self.settings.capacity.decode_slots as usize;
         let position = self
-            .generating
+            .decode
             .iter()
             .enumerate()
             .skip(slots)
             .find(|(_, other)| self.jobs.get(other).map(|job| job.job.class()) > class)
-            .map_or(self.generating.len(), |(position, _)| position);
-        self.generating.insert(position, id);
+            .map_or(self.decode.len(), |(position, _)| position);
+        self.decode.insert(position, id);
     }
 
     fn export_prompt(&mut self, id: JobId, at: u64) {
@@ -153,7 +153,7 @@
         if job.next_token >= *max_tokens {
             let total = *max_tokens;
             self.jobs.remove(&id);
-            self.generating.retain(|queued| *queued != id);
+            self.decode.retain(|queued| *queued != id);
             self.outputs.push((id, JobOutput::Finished { total }));
         }
     }
--- a/components/stand-in/src/engine/jobs.rs
+++ b/components/stand-in/src/engine/jobs.rs
@@ -28,7 +28,7 @@
         max_tokens: u64,
         /// First token wanted.
         from_token: u64,
-        /// Whether the KV cache was imported, so that no prompt is read.
+        /// Whether the KV cache was imported, so that no prompt is prefilled.
         imported: bool,
         /// Priority.
         class: Class,
@@ -75,7 +75,7 @@
 /// What became of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobOutput {
-    /// The prompt is read; its KV cache can be fetched under this name.
+    /// The prompt is prefilled; its KV cache can be fetched under this name.
     Prefilled {
         /// Name of the KV cache.
         handle: u64,
--- a/components/stand-in/src/engine/mod.rs
+++ b/components/stand-in/src/engine/mod.rs
@@ -1,6 +1,6 @@
 //! An engine: continuous batching in iterations.
 //!
-//! An iteration generates one token for each active sequence and reads at most
+//! An iteration generates one token for each active sequence and prefills at most
 //! one chunk of prompts. Its length is the sum of both, so on an engine that
 //! does both, long prompts stretch the time between tokens: that is what the
 //! roles are for. Source: docs/engine-interface.md.
@@ -22,7 +22,7 @@
 
 /// Microseconds in a millisecond: iterations are shorter than a millisecond.
 const MICROS: u64 = 1000;
-/// How long an exported KV cache is kept for its reader.
+/// How long an exported KV cache is kept for its prefill engine.
 const KV_KEPT: Millis = Millis::from_secs(30);
 
 /// Settings of one engine.
@@ -63,7 +63,7 @@
 struct ActiveJob {
     job: SubmittedJob,
     blocks: Vec<u64>,
-    unread_tokens: u64,
+    uncached_tokens: u64,
     prompt_tokens: u64,
     next_token: u64,
     /// Imported KV cache arrives at this moment, in microseconds.
@@ -89,10 +89,10 @@
     /// Factor on the length of iterations: a fault on command.
     slowness: u64,
     jobs: BTreeMap<JobId, ActiveJob>,
-    /// Jobs with unread prompts, in order of arrival.
-    unread: VecDeque<JobId>,
+    /// Jobs with uncached prompts, in order of arrival.
+    uncached: VecDeque<JobId>,
     /// Jobs that generate or wait for a slot, in order of readiness.
-    generating: VecDeque<JobId>,
+    decode: VecDeque<JobId>,
     iteration: Option<Iteration>,
     cache: PrefixCache,
     exported: BTreeMap<u64, (u64, Millis)>,
@@ -114,8 +114,8 @@
             draining: false,
             slowness: 1,
             jobs: BTreeMap::new(),
-            unread: VecDeque::new(),
-            generating: VecDeque::new(),
+            uncached: VecDeque::new(),
+            decode: VecDeque::new(),
             iteration: None,
             exported: BTreeMap::new(),
             next_job: 0,
@@ -183,13 +183,13 @@
         self.next_job += 1;
         let id = JobId(self.next_job);
         let active = self.activate(job, now);
-        if active.unread_tokens > 0 {
-            self.unread.push_back(id);
+        if active.uncached_tokens > 0 {
+            self.uncached.push_back(id);
         } else if active.job.generates() {
-            self.generating.push_back(id);
+            self.decode.push_back(id);
         } else {
             // Every block was cached: the prompt counts as read at once.
-            self.unread.push_back(id);
+            self.uncached.push_back(id);
         }
         self.jobs.insert(id, active);
         self.sample(now);
@@ -202,8 +202,8 @@
     /// Breaks a job off.
     pub fn cancel(&mut self, id: JobId, now: Millis) {
         self.jobs.remove(&id);
-        self.unread.retain(|queued| *queued != id);
-        self.generating.retain(|queued| *queued != id);
+        self.uncached.retain(|queued| *queued != id);
+        self.decode.retain(|queued| *queued != id);
         self.sample(now);
     }
 
@@ -315,7 +315,7 @@
         let prompt_tokens = prompt.split_whitespace().count() as u64 + next_token;
         let blocks = block_hashes(prompt);
         let imported = !job.needs_prompt_read();
-        let unread_tokens = if imported {
+        let uncached_tokens = if imported {
             0
         } else {
             prompt_tokens.saturating_sub(self.cache.cached_tokens(&blocks))
@@ -328,7 +328,7 @@
         ActiveJob {
             job,
             blocks,
-            unread_tokens,
+            uncached_tokens,
             prompt_tokens,
             next_token,
             ready_at: now.0 * MICROS + (transfer_ms * MICROS as f64) as u64,
@@ -338,8 +338,8 @@
     // ---- Load ----
 
     fn sample(&mut self, now: Millis) {
-        let queued = self.unread.iter().filter_map(|id| self.jobs.get(id));
-        let queued_prompt_tokens = queued.map(|job| job.unread_tokens).sum();
+        let queued = self.uncached.iter().filter_map(|id| self.jobs.get(id));
+        let queued_prompt_tokens = queued.map(|job| job.uncached_tokens).sum();
         let generates = |job: &&ActiveJob| job.job.generates();
         let active_sequences = self.jobs.values().filter(generates).count() as u64;
         self.samples.push_back(LoadSample {
--- a/components/types/src/engine.rs
+++ b/components/types/src/engine.rs
@@ -45,11 +45,11 @@
         self.decode_slots as f64 * MS_PER_SECOND / self.decode_step_ms
     }
 
-    /// Whether reading a prompt takes this engine longer than generating the
+    /// Whether prefilling a prompt takes this engine longer than generating the
     /// text with all slots in use.
     pub fn is_prompt_bound(&self, prompt_tokens: f64, output_tokens: f64) -> bool {
-        let reading = prompt_tokens / self.prefill_tokens_per_second;
-        reading > output_tokens / self.decode_tokens_per_second()
+        let prefill = prompt_tokens / self.prefill_tokens_per_second;
+        prefill > output_tokens / self.decode_tokens_per_second()
     }
 }
 
