A full disk ends no replica

Ruled out: our own files fill the disk (a few MB of 128 MB).

Change: a write without room changed nothing that counts; what it left is cut off, and it is made again each 200 ms. Meanwhile the replica refers gateways and operators to others and says nothing to peers, so its lease ends. Other failures stay final.

--- a/components/control-shell/src/disk_room.rs
+++ b/components/control-shell/src/disk_room.rs
@@ -1,8 +1,8 @@
 //! A full disk refuses every write, and it may be full for a while.
 //!
-//! A replica that found its disk full while it ran has ended: it can't know
-//! what lasted. When it starts again it waits here for room, in place of
-//! ending and being started again and again.
+//! A replica that starts on a full disk waits here for room, in place of ending
+//! and being started again and again. One that finds its disk full while it runs
+//! waits as well, see `replica_task`.
 
 use std::io;
 
--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -27,6 +27,7 @@
     term: Gauge,
     leads: Gauge,
     commit_index: Gauge,
+    disk_full: Gauge,
 }
 
 impl Default for ReplicaMetrics {
@@ -67,7 +68,10 @@
         );
         let commit_index = Gauge::default();
         let commit_index = registered(all, "commit_index", "Highest committed index", commit_index);
+        let help = "Whether its disk has no room, so that it acknowledges nothing";
+        let disk_full = registered(all, "disk_full", help, Gauge::default());
         ReplicaMetrics {
+            disk_full,
             registry,
             syncs,
             snapshots,
@@ -86,6 +90,10 @@
         self.syncs.observe(took.as_secs_f64());
     }
 
+    pub(crate) fn set_disk_full(&self, is_full: bool) {
+        self.disk_full.set(i64::from(is_full));
+    }
+
     pub(crate) fn saved_snapshot(&self) {
         self.snapshots.inc();
     }
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use garnet_control::{Effect, Event, JoinRequest, Replica};
+use garnet_consensus::{Ready, Snapshot};
+use garnet_control::{ControlReply, Effect, Event, JoinRequest, OperatorAnswer, Replica};
 use garnet_runtime::Clock;
 use garnet_storage::{DiskDirectory, ReplicaStorage, StorageError};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
@@ -24,6 +25,8 @@
 use crate::opening::Opened;
 
 const TICK: Millis = Millis(20);
+/// How often a full disk is tried again.
+const LOOK_FOR_ROOM: Duration = Duration::from_millis(200);
 /// Events taken before the disk gets its turn.
 const EVENTS_PER_SYNC: usize = 1024;
 
@@ -170,9 +173,17 @@
             ticked_at = clock.now();
             replica.handle(Event::Tick, ticked_at);
         }
-        storage = persist(&mut replica, storage, &clock, &outlets.metrics)
-            .await
-            .map_err(ChildError::new)?;
+        let disk = Disk {
+            storage,
+            events: &events,
+            outlets: &outlets,
+            stop: &stop,
+        };
+        storage = match disk.persist(&mut replica, &clock).await {
+            Ok(storage) => storage,
+            Err(PersistEnd::Stopped) => return Ok(()),
+            Err(PersistEnd::Failed(error)) => return Err(ChildError::new(error)),
+        };
         dispatch(&mut replica, &clock, &outlets);
         tell(&replica, &clock, &outlets.told);
         outlets.metrics.look(&replica, clock.now());
@@ -192,36 +203,134 @@
     smol::future::or(received, tick).await
 }
 
-/// Makes everything durable that the replica hands out, off the loop.
-async fn persist(
-    replica: &mut Replica,
-    mut storage: ReplicaStorage<DiskDirectory>,
-    clock: &Clock,
-    metrics: &ReplicaMetrics,
-) -> Result<ReplicaStorage<DiskDirectory>, StorageError> {
-    while replica.has_ready() {
-        let mut ready = replica.ready();
-        if ready.needs_sync() {
+/// Why nothing more is made durable.
+enum PersistEnd {
+    /// A planned stop came while the disk was full.
+    Stopped,
+    /// The disk failed: what lasted can't be known.
+    Failed(StorageError),
+}
+
+/// The disk of a replica, and who is turned away while it is full.
+struct Disk<'a, E> {
+    storage: ReplicaStorage<DiskDirectory>,
+    events: &'a Receiver<Event>,
+    outlets: &'a Outlets<E>,
+    stop: &'a StopSignal,
+}
+
+impl<E> Disk<'_, E> {
+    /// Makes everything durable that the replica hands out, off the loop.
+    async fn persist(
+        mut self,
+        replica: &mut Replica,
+        clock: &Clock,
+    ) -> Result<ReplicaStorage<DiskDirectory>, PersistEnd> {
+        while replica.has_ready() {
+            let mut ready = replica.ready();
+            if ready.needs_sync() {
+                (self, ready) = self.write(ready).await?;
+            }
+            replica.persisted(ready, clock.now());
+        }
+        if let Some(snapshot) = replica.take_snapshot() {
+            self = self.save_snapshot(snapshot).await?;
+        }
+        Ok(self.storage)
+    }
+
+    /// Writes until there is room. Until then the replica hears nothing and
+    /// says nothing: it acknowledges nothing that did not last, its lease ends,
+    /// and the others elect a leader, as for a replica whose disk stalls.
+    async fn write(mut self, mut ready: Ready) -> Result<(Self, Ready), PersistEnd> {
+        let mut refusals: u64 = 0;
+        loop {
             let began = Instant::now();
-            (storage, ready) = smol::unblock(move || {
-                storage.write(&ready)?;
-                Ok::<_, StorageError>((storage, ready))
+            let mut storage = self.storage;
+            let result;
+            (storage, ready, result) = smol::unblock(move || {
+                let result = storage.write(&ready);
+                (storage, ready, result)
             })
-            .await?;
-            metrics.synced(began.elapsed());
+            .await;
+            self.storage = storage;
+            match result {
+                Ok(()) => self.outlets.metrics.synced(began.elapsed()),
+                Err(error) if error.is_full() => {
+                    if refusals == 0 {
+                        log::warn!(cause = error.to_string().as_str(); "disk_full");
+                    }
+                    refusals += 1;
+                    self.turn_away_for(LOOK_FOR_ROOM).await?;
+                    continue;
+                }
+                Err(error) => return Err(PersistEnd::Failed(error)),
+            }
+            if refusals > 0 {
+                log::info!(tries = refusals; "disk_full_over");
+                self.outlets.metrics.set_disk_full(false);
+            }
+            return Ok((self, ready));
         }
-        replica.persisted(ready, clock.now());
     }
-    if let Some(snapshot) = replica.take_snapshot() {
+
+    /// A snapshot only shortens the log: where there is no room for it, the
+    /// next one does.
+    async fn save_snapshot(mut self, snapshot: Snapshot) -> Result<Self, PersistEnd> {
         log::info!(index = snapshot.index, bytes = snapshot.data.len(); "snapshot");
-        storage = smol::unblock(move || {
-            storage.save_snapshot(&snapshot)?;
-            Ok::<_, StorageError>(storage)
+        let mut storage = self.storage;
+        let result;
+        (storage, result) = smol::unblock(move || {
+            let result = storage.save_snapshot(&snapshot);
+            (storage, result)
         })
-        .await?;
-        metrics.saved_snapshot();
+        .await;
+        self.storage = storage;
+        match result {
+            Ok(()) => self.outlets.metrics.saved_snapshot(),
+            Err(error) if error.is_full() => {
+                log::warn!(cause = error.to_string().as_str(); "snapshot_left");
+            }
+            Err(error) => return Err(PersistEnd::Failed(error)),
+        }
+        Ok(self)
+    }
+
+    /// Refers gateways and operators to other replicas. What peers and engines
+    /// say is lost, as on a bad network.
+    async fn turn_away_for(&self, pause: Duration) -> Result<(), PersistEnd> {
+        self.outlets.metrics.set_disk_full(true);
+        self.outlets.told.leads.set(false);
+        let answering = async {
+            while let Ok(event) = self.events.recv().await {
+                turn_away(event, &self.outlets.connections);
+            }
+        };
+        let pause = async {
+            Timer::after(pause).await;
+        };
+        smol::future::or(smol::future::or(answering, pause), self.stop.stopped()).await;
+        if self.stop.is_stopped() {
+            return Err(PersistEnd::Stopped);
+        }
+        Ok(())
+    }
+}
+
+fn turn_away(event: Event, connections: &Connections) {
+    match event {
+        Event::Gateway { connection, .. } => {
+            let reply = ControlReply::NotLeader {
+                leader: None,
+                last_known: None,
+            };
+            connections.reply_gateway(connection, reply);
+        }
+        Event::Operator { ticket, .. } => {
+            connections.answer_operator(ticket, OperatorAnswer::NotLeader(None));
+        }
+        _ => {}
     }
-    Ok(storage)
 }
 
 fn tell(replica: &Replica, clock: &Clock, told: &Told) {
--- a/components/storage/src/error.rs
+++ b/components/storage/src/error.rs
@@ -5,7 +5,8 @@
 use displaydoc::Display;
 use thiserror::Error;
 
-/// A failure of the data folder. None of them is retried.
+/// A failure of the data folder. Only a full disk is waited for, see
+/// [`StorageError::is_full`]; nothing else is retried.
 #[derive(Debug, Display, Error)]
 pub enum StorageError {
     /// {operation} of {file}: {source}
@@ -47,6 +48,14 @@
 }
 
 impl StorageError {
+    /// Whether the disk had no room: the same call may be made again.
+    pub fn is_full(&self) -> bool {
+        match self {
+            StorageError::Io { source, .. } => source.kind() == io::ErrorKind::StorageFull,
+            _ => false,
+        }
+    }
+
     pub(crate) fn io(operation: &'static str, file: &str) -> impl FnOnce(io::Error) -> Self {
         let file = file.to_owned();
         move |source| StorageError::Io {
--- a/components/storage/src/memory.rs
+++ b/components/storage/src/memory.rs
@@ -31,6 +31,9 @@
     durable: BTreeMap<String, MemoryFile>,
     /// When set, each write or sync fails as on a full or broken disk.
     pub broken: bool,
+    /// When set, each write or sync is refused as on a full disk, and a write
+    /// leaves its first half behind.
+    pub full: bool,
     /// When set, so many more writes and syncs work, and then the disk breaks:
     /// a crash in the middle of a save.
     pub operations_left: Option<u32>,
@@ -50,6 +53,7 @@
             files: survived.clone(),
             durable: survived,
             broken: false,
+            full: false,
             operations_left: None,
             syncs: 0,
         }
@@ -78,6 +82,9 @@
         if self.broken {
             return Err(io::Error::other("the disk fails"));
         }
+        if self.full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         Ok(())
     }
 
@@ -121,10 +128,19 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.check()?;
+        let checked = self.check();
+        let is_full = self.full && !self.broken;
+        if checked.is_err() && !is_full {
+            return checked;
+        }
         let file = self.files.entry(name.to_owned()).or_default();
-        file.content.extend_from_slice(bytes);
-        Ok(())
+        let fits = if is_full {
+            bytes.len() / 2
+        } else {
+            bytes.len()
+        };
+        file.content.extend_from_slice(&bytes[..fits]);
+        checked
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -3,6 +3,10 @@
 //! Segments are append-only. A later record replaces what earlier ones said of
 //! its index and all after it, so a log that is cut back needs no rewriting.
 //! Each segment opens with the hard state, so that older ones can be removed.
+//!
+//! Contract: a call that fails for want of room ([`StorageError::is_full`])
+//! changed nothing that counts and may be made again; what it left behind is cut
+//! off first. Any other failure is final: what lasted can't be known.
 
 use garnet_consensus::{Entry, HardState, Ready, Snapshot};
 use serde::{Deserialize, Serialize};
@@ -58,6 +62,8 @@
     next_segment: u64,
     hard_state: HardState,
     poisoned: bool,
+    /// Whether a write that found no room may have left a part behind.
+    has_remains: bool,
 }
 
 impl<D: Directory> ReplicaStorage<D> {
@@ -97,6 +103,7 @@
             next_segment,
             hard_state: recovered.hard_state,
             poisoned: false,
+            has_remains: false,
         };
         Ok((storage, recovered))
     }
@@ -104,7 +111,8 @@
     /// Makes the durable part of `ready` last, with one sync of the log.
     ///
     /// # Errors
-    /// Any failure poisons the storage: see the module's contract.
+    /// Any failure but a full disk poisons the storage: see the module's
+    /// contract.
     pub fn write(&mut self, ready: &Ready) -> Result<(), StorageError> {
         if !ready.needs_sync() {
             return Ok(());
@@ -115,7 +123,8 @@
     /// Makes a snapshot last and drops the segments and snapshots it covers.
     ///
     /// # Errors
-    /// Any failure poisons the storage: see the module's contract.
+    /// Any failure but a full disk poisons the storage: see the module's
+    /// contract.
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
         self.guarded(|storage| {
             storage.write_snapshot(snapshot)?;
@@ -140,11 +149,40 @@
         if self.poisoned {
             return Err(StorageError::Poisoned);
         }
-        let result = work(self);
-        self.poisoned = result.is_err();
+        let result = self.cut_remains().and_then(|()| work(self));
+        match &result {
+            Ok(()) => {}
+            Err(error) if error.is_full() => self.has_remains = true,
+            Err(_) => self.poisoned = true,
+        }
         result
     }
 
+    /// Cuts off what a write left behind that found no room. Nobody was told
+    /// of it, and later records must not follow on half a record.
+    fn cut_remains(&mut self) -> Result<(), StorageError> {
+        if !self.has_remains {
+            return Ok(());
+        }
+        let unfinished = segment_name(self.next_segment);
+        let names = self
+            .directory
+            .list()
+            .map_err(StorageError::io("list", "."))?;
+        if names.contains(&unfinished) {
+            self.directory
+                .remove(&unfinished)
+                .map_err(StorageError::io("remove", &unfinished))?;
+        }
+        if let Some(segment) = self.segments.last() {
+            self.directory
+                .truncate(&segment.name, segment.bytes)
+                .map_err(StorageError::io("truncate", &segment.name))?;
+        }
+        self.has_remains = false;
+        Ok(())
+    }
+
     fn write_records(&mut self, ready: &Ready) -> Result<(), StorageError> {
         let mut records = Vec::new();
         if let Some(hard_state) = ready.hard_state {
@@ -192,8 +230,7 @@
     }
 
     fn start_segment(&mut self) -> Result<(), StorageError> {
-        let name = format!("{SEGMENT_PREFIX}{:016}", self.next_segment);
-        self.next_segment += 1;
+        let name = segment_name(self.next_segment);
         let opening = [Record::HardState(self.hard_state)];
         let bytes = frame::encode(&encode(&opening.as_slice())?);
         self.directory
@@ -205,6 +242,7 @@
         self.directory
             .sync_names()
             .map_err(StorageError::io("sync of the folder for", &name))?;
+        self.next_segment += 1;
         self.segments.push(Segment {
             name,
             highest_index: 0,
@@ -222,21 +260,25 @@
     }
 
     fn drop_covered(&mut self, index: u64) -> Result<(), StorageError> {
-        let mut obsolete = Vec::new();
         // The last segment stays open; earlier ones go while all before them go.
         while self.segments.len() > 1 && self.segments[0].highest_index <= index {
-            obsolete.push(self.segments.remove(0).name);
+            self.segments.remove(0);
         }
         let names = self
             .directory
             .list()
             .map_err(StorageError::io("list", "."))?;
         let kept = snapshot_name(index);
-        obsolete.extend(
-            with_prefix(&names, SNAPSHOT_PREFIX)
-                .into_iter()
-                .filter(|name| *name < kept),
-        );
+        // By the folder, not by what is forgotten here: a removal that found
+        // no room is made up for by the next one.
+        let old_snapshots = with_prefix(&names, SNAPSHOT_PREFIX);
+        let old_snapshots = old_snapshots.into_iter().filter(|name| *name < kept);
+        let first_kept = self.segments.first().map(|segment| segment.name.clone());
+        let old_segments = with_prefix(&names, SEGMENT_PREFIX);
+        let old_segments = old_segments
+            .into_iter()
+            .filter(|name| first_kept.as_ref().is_some_and(|kept| name < kept));
+        let obsolete: Vec<String> = old_segments.chain(old_snapshots).collect();
         for name in &obsolete {
             self.directory
                 .remove(name)
@@ -252,6 +294,10 @@
     format!("{SNAPSHOT_PREFIX}{index:016}")
 }
 
+fn segment_name(number: u64) -> String {
+    format!("{SEGMENT_PREFIX}{number:016}")
+}
+
 fn segment_number(name: &str) -> u64 {
     name[SEGMENT_PREFIX.len()..].parse().unwrap_or(0)
 }
--- a/components/storage/tests/recovery.rs
+++ b/components/storage/tests/recovery.rs
@@ -182,6 +182,67 @@
     assert!(matches!(again, Err(StorageError::Poisoned)), "{again:?}");
 }
 
+/// Entries that fill a segment, so that the next write begins another one.
+fn long_entries(indexes: std::ops::RangeInclusive<u64>) -> Ready {
+    let long = |index| Entry {
+        index,
+        term: 1,
+        payload: EntryPayload::Command(vec![index as u8; 600_000]),
+    };
+    Ready {
+        entries: indexes.map(long).collect(),
+        ..Ready::default()
+    }
+}
+
+#[rstest]
+#[case::within_a_segment(entries(1..=4, 1))]
+#[case::between_segments(long_entries(1..=4))]
+fn a_full_disk_loses_nothing_and_the_write_is_made_again(
+    #[case] before: Ready,
+    #[values(1, 3)] refusals: usize,
+    #[values(PowerLoss::DropUnsynced, PowerLoss::KeepPrefix(30))] loss: PowerLoss,
+) {
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&before).expect("written");
+    let late = entries(5..=6, 2);
+    storage.directory_mut().full = true;
+    for _ in 0..refusals {
+        let refused = storage.write(&late).expect_err("no room");
+        assert!(refused.is_full(), "{refused}");
+    }
+    // The power may go while the disk is full, and what was written is there.
+    let meanwhile = storage.directory().after_power_loss(loss);
+    let (_, recovered) = ReplicaStorage::open(meanwhile).expect("sound");
+    assert_eq!(recovered.entries.len(), 4);
+    storage.directory_mut().full = false;
+    storage.write(&late).expect("room again");
+    storage.write(&entries(7..=7, 2)).expect("written");
+    let after = storage.directory().after_power_loss(loss);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    assert_eq!(recovered.entries.len(), 7);
+    assert_eq!(recovered.hard_state.term, 2);
+}
+
+#[test]
+fn a_snapshot_that_found_no_room_is_saved_later() {
+    let mut storage = open(MemoryDirectory::default());
+    storage.write(&long_entries(1..=2)).expect("written");
+    storage.write(&long_entries(3..=4)).expect("written");
+    storage.directory_mut().full = true;
+    let refused = storage.save_snapshot(&snapshot(2, 1)).expect_err("no room");
+    assert!(refused.is_full(), "{refused}");
+    storage.directory_mut().full = false;
+    storage.save_snapshot(&snapshot(3, 1)).expect("room again");
+    storage.write(&entries(5..=5, 1)).expect("written");
+    let after = storage
+        .directory()
+        .after_power_loss(PowerLoss::DropUnsynced);
+    let (_, recovered) = ReplicaStorage::open(after).expect("sound");
+    assert_eq!(recovered.snapshot.map(|snapshot| snapshot.index), Some(3));
+    assert_eq!(recovered.entries.last().map(|entry| entry.index), Some(5));
+}
+
 #[rstest]
 #[case::drop(PowerLoss::DropUnsynced)]
 #[case::torn(PowerLoss::KeepPrefix(5))]
