--- a/components/control/src/by_rank.rs
+++ b/components/control/src/by_rank.rs
@@ -33,6 +33,16 @@
         *ranked = ranked.saturating_sub(number);
     }
 
+    /// All ranks, the most urgent first.
+    pub fn ranks() -> impl Iterator<Item = u8> {
+        0..=LAST_RANK
+    }
+
+    /// Each rank with its number.
+    pub fn iter(&self) -> impl Iterator<Item = (u8, u64)> {
+        Self::ranks().zip(self.0)
+    }
+
     /// The sum over all ranks.
     pub fn total(&self) -> u64 {
         self.0.iter().sum()
--- a/components/control/src/fleet_load.rs
+++ b/components/control/src/fleet_load.rs
@@ -1,4 +1,5 @@
-//! What gateways have under way at back ends, as the leader heard it last.
+//! What gateways have under way at back ends, as the leader heard it last, and
+//! the digest of it that they are told.
 //!
 //! Each gateway sees only its own work. Told of the others', it sends less
 //! where much is queued already. This is a belief: it is never logged, and a
@@ -9,78 +10,164 @@
 use garnet_types::{BackendId, GatewayId, Millis};
 
 use crate::by_rank::ByRank;
-use crate::messages::Backlog;
+use crate::configuration::Configuration;
+use crate::fleet_health::FleetHealth;
+use crate::load_digest::{BackendState, LoadDigest, MembersHash, ToldDigest};
+use crate::messages::{Backlog, Evidence};
 
 /// What a gateway told longer ago than this is over by now.
 const FRESH: Millis = Millis(1000);
-/// Bytes of one back end's line, roughly.
-const BACKLOG_BYTES: u64 = 44;
-/// What all gateways together are told in a millisecond: it grows with the
-/// product of gateways and back ends, so the more there are the less often
-/// each one is told.
-const BYTES_PER_MS: u64 = 600;
+/// Digests that one gateway is sent in a millisecond, in bytes: two thirds of
+/// the 24 KB a second that control may cost a node.
+const DIGEST_BYTES_PER_MS: u64 = 16;
+/// Shortest time between two digests: what changed in less is not worth a
+/// message.
+const SHORTEST_INTERVAL: Millis = Millis(25);
 
-/// The latest word of each gateway.
+/// The latest word of one gateway.
+#[derive(Debug)]
+struct Report {
+    heard_at: Millis,
+    /// By the gateway's clock.
+    sent_at: Millis,
+    backlogs: Vec<Backlog>,
+}
+
+/// A digest and what it was made of.
+#[derive(Debug)]
+struct Made {
+    digest: LoadDigest,
+    at: Millis,
+    /// Rises with each digest.
+    number: u64,
+    /// When each gateway sent the report that is counted.
+    counted: BTreeMap<GatewayId, Millis>,
+}
+
+/// Load and health of the fleet.
 #[derive(Debug, Default)]
-pub(crate) struct Backlogs {
-    told: BTreeMap<GatewayId, (Millis, Vec<Backlog>)>,
-    /// When each gateway was told of the others.
-    sent_at: BTreeMap<GatewayId, Millis>,
+pub(crate) struct FleetLoad {
+    reports: BTreeMap<GatewayId, Report>,
+    health: FleetHealth,
+    made: Option<Made>,
+    /// Number of the digest that each gateway was told last.
+    told: BTreeMap<GatewayId, u64>,
+    /// Hash of the back ends of the configuration at this index.
+    members: (u64, MembersHash),
 }
 
-impl Backlogs {
+impl FleetLoad {
     /// Takes the word of a gateway.
-    pub(crate) fn note(&mut self, gateway: GatewayId, backlogs: Vec<Backlog>, now: Millis) {
-        self.told.retain(|_, (at, _)| now.since(*at) <= FRESH);
-        let told = &self.told;
-        self.sent_at
-            .retain(|gateway, at| told.contains_key(gateway) || now.since(*at) <= FRESH);
-        self.told.insert(gateway, (now, backlogs));
+    pub(crate) fn note(
+        &mut self,
+        gateway: &GatewayId,
+        sent_at: Millis,
+        backlogs: Vec<Backlog>,
+        evidence: Vec<Evidence>,
+        now: Millis,
+    ) {
+        self.health.note(gateway, evidence, now);
+        let report = Report {
+            heard_at: now,
+            sent_at,
+            backlogs,
+        };
+        self.reports.insert(gateway.clone(), report);
     }
 
-    /// The sum over all gateways but one, when it is time to tell it: `None`
-    /// leaves what it was told before.
-    pub(crate) fn of_others(&mut self, than: &GatewayId, now: Millis) -> Option<Vec<Backlog>> {
-        let gateways = self.told.len();
-        let others = self.told.iter().filter(|(gateway, _)| *gateway != than);
-        let sums = sum(others.flat_map(|(_, (_, backlogs))| backlogs));
-        let due = self.sent_at.get(than).is_none_or(|at| {
-            let bytes = gateways as u64 * sums.len() as u64 * BACKLOG_BYTES;
-            now.since(*at).0 >= bytes / BYTES_PER_MS
+    /// The digest for a gateway, where there is one that it was not told yet.
+    pub(crate) fn digest_for(
+        &mut self,
+        gateway: &GatewayId,
+        configuration: &Configuration,
+        now: Millis,
+    ) -> Option<ToldDigest> {
+        if self.members.0 != configuration.index {
+            let members = MembersHash::of(configuration.backends.keys());
+            self.members = (configuration.index, members);
+        }
+        let members = self.members.1;
+        let is_due = self.made.as_ref().is_none_or(|made| {
+            let interval = made.digest.len_bytes() as u64 / DIGEST_BYTES_PER_MS;
+            let interval = Millis(interval).max(SHORTEST_INTERVAL);
+            !made.digest.is_of(members) || now.since(made.at) >= interval
         });
-        if !due {
-            return None;
+        if is_due {
+            self.make(members, configuration, now);
         }
-        self.sent_at.insert(than.clone(), now);
-        Some(sums.into_values().collect())
+        let made = self.made.as_ref()?;
+        let told = self.told.insert(gateway.clone(), made.number);
+        (told != Some(made.number)).then(|| ToldDigest {
+            digest: made.digest.clone(),
+            counted: made.counted.get(gateway).copied(),
+        })
+    }
+
+    fn make(&mut self, members: MembersHash, configuration: &Configuration, now: Millis) {
+        self.reports
+            .retain(|_, report| now.since(report.heard_at) <= FRESH);
+        let reports = &self.reports;
+        self.told.retain(|gateway, _| reports.contains_key(gateway));
+        let backends = &configuration.backends;
+        self.health.keep(|id| backends.contains_key(id));
+        let sums = self.sums(now);
+        let services = backends
+            .iter()
+            .map(|(id, record)| (id, &record.registration.service));
+        let failing = self.health.failing(services, self.reports.len(), now);
+        let state = |(id, is_failing): (&BackendId, bool)| {
+            let idle = BackendState {
+                is_failing,
+                ..BackendState::default()
+            };
+            sums.get(id).map_or(idle, |sum| BackendState {
+                requests: sum.requests,
+                uncached: sum.uncached,
+                held_tokens: sum.held_tokens,
+                is_failing,
+            })
+        };
+        let states: Vec<BackendState> = backends.keys().zip(failing).map(state).collect();
+        let number = self.made.as_ref().map_or(0, |made| made.number + 1);
+        let counted = self.reports.iter();
+        let counted = counted.map(|(gateway, report)| (gateway.clone(), report.sent_at));
+        self.made = Some(Made {
+            digest: LoadDigest::encode(members, &states),
+            at: now,
+            number,
+            counted: counted.collect(),
+        });
     }
 
     /// The sum over all gateways, by back end.
-    pub(crate) fn all(&self, now: Millis) -> BTreeMap<BackendId, Backlog> {
-        let fresh = self.told.values().filter(|(at, _)| now.since(*at) <= FRESH);
-        sum(fresh.flat_map(|(_, backlogs)| backlogs))
+    pub(crate) fn sums(&self, now: Millis) -> BTreeMap<BackendId, Backlog> {
+        let fresh = |report: &&Report| now.since(report.heard_at) <= FRESH;
+        let reports = self.reports.values().filter(fresh);
+        sum(reports.flat_map(|report| &report.backlogs))
     }
 
     pub(crate) fn clear(&mut self) {
-        self.told.clear();
-        self.sent_at.clear();
+        *self = FleetLoad::default();
     }
 }
 
 fn sum<'a>(backlogs: impl Iterator<Item = &'a Backlog>) -> BTreeMap<BackendId, Backlog> {
     let mut sums: BTreeMap<BackendId, Backlog> = BTreeMap::new();
     for backlog in backlogs {
-        let total = sums
-            .entry(backlog.backend.clone())
-            .or_insert_with(|| Backlog {
+        if !sums.contains_key(&backlog.backend) {
+            let none = Backlog {
+                backend: backlog.backend.clone(),
                 requests: 0,
                 uncached: ByRank::default(),
                 held_tokens: 0,
-                ..backlog.clone()
-            });
-        total.requests += backlog.requests;
-        total.uncached += backlog.uncached;
-        total.held_tokens += backlog.held_tokens;
+            };
+            sums.insert(backlog.backend.clone(), none);
+        }
+        if let Some(total) = sums.get_mut(&backlog.backend) {
+            total.requests += backlog.requests;
+            total.uncached += backlog.uncached;
+            total.held_tokens += backlog.held_tokens;
+        }
     }
     sums
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -7,7 +7,6 @@
 //! gives [`Effect`]s, with no socket, file or clock inside.
 
 mod answer;
-mod backlogs;
 mod balancing;
 mod by_rank;
 mod claims;
@@ -15,7 +14,10 @@
 mod configuration;
 mod copies;
 mod effects;
+mod fleet_health;
+mod fleet_load;
 mod gateways;
+mod load_digest;
 mod messages;
 mod operator;
 mod planner_settings;
@@ -35,8 +37,9 @@
 };
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
+pub use load_digest::{BackendState, LoadDigest, MembersHash, ToldDigest};
 pub use messages::{
-    Backlog, ClaimRequest, ControlReply, GatewayRequest, GroupView, JoinRequest, PoolMix,
+    Backlog, ClaimRequest, ControlReply, Evidence, GatewayRequest, GroupView, JoinRequest, PoolMix,
     PromptCopy, WatchUpdate,
 };
 pub use operator::{
--- /dev/null
+++ b/components/control/src/load_digest.rs
@@ -0,0 +1,150 @@
+//! Load and health of all back ends, as the leader tells it to every gateway.
+//!
+//! Contract: a digest is made and encoded once, and the same bytes go to all
+//! gateways; each takes its own part off, see [`LoadDigest::counted`]. Back ends
+//! are told by their place in the configuration, not by name: a digest can be
+//! read only by who knows the same back ends, and is left aside by others.
+//!
+//! An entry takes 4 to 12 bytes: tokens are told in steps of [`TOKENS_PER_UNIT`].
+
+use std::sync::Arc;
+
+use garnet_types::{BackendId, Millis};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::by_rank::ByRank;
+
+/// Tokens are told in steps of so many, which an engine prefills in less time than
+/// a digest is old. They are rounded down: a gateway takes its own work off, and
+/// what is left must not be taken for work of others.
+const TOKENS_PER_UNIT: u64 = 64;
+/// Set in [`Entry::marks`] where the back end is failing. The lower bits tell
+/// the ranks of [`Entry::uncached_units`].
+const FAILING: u16 = 1 << 15;
+
+/// Names a set of back ends in its order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembersHash(u64);
+
+impl MembersHash {
+    /// The hash of these back ends.
+    pub fn of<'a>(ids: impl Iterator<Item = &'a BackendId>) -> Self {
+        let mut hash = Xxh3::new();
+        for id in ids {
+            hash.update(id.as_str().as_bytes());
+            hash.update(&[0]);
+        }
+        MembersHash(hash.digest())
+    }
+}
+
+/// What is under way at one back end, and whether it is sound.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BackendState {
+    /// Requests under way.
+    pub requests: u64,
+    /// Prompt tokens that it has yet to prefill.
+    pub uncached: ByRank,
+    /// Tokens of KV cache that these requests hold, or will hold.
+    pub held_tokens: u64,
+    /// Whether requests of several gateways failed there.
+    pub is_failing: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    marks: u16,
+    requests: u64,
+    held_units: u64,
+    uncached_units: Vec<u64>,
+}
+
+impl From<&BackendState> for Entry {
+    fn from(state: &BackendState) -> Self {
+        let mut marks = if state.is_failing { FAILING } else { 0 };
+        let mut uncached_units = Vec::new();
+        for (rank, tokens) in state.uncached.iter() {
+            let units = tokens / TOKENS_PER_UNIT;
+            if units > 0 {
+                marks |= 1 << rank;
+                uncached_units.push(units);
+            }
+        }
+        Entry {
+            marks,
+            requests: state.requests,
+            held_units: state.held_tokens / TOKENS_PER_UNIT,
+            uncached_units,
+        }
+    }
+}
+
+impl From<Entry> for BackendState {
+    fn from(entry: Entry) -> Self {
+        let mut uncached = ByRank::default();
+        let ranks = ByRank::ranks().filter(|rank| entry.marks & (1 << rank) != 0);
+        for (rank, units) in ranks.zip(entry.uncached_units) {
+            uncached.add(rank, units * TOKENS_PER_UNIT);
+        }
+        BackendState {
+            requests: entry.requests,
+            uncached,
+            held_tokens: entry.held_units * TOKENS_PER_UNIT,
+            is_failing: entry.marks & FAILING != 0,
+        }
+    }
+}
+
+/// One digest, encoded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDigest {
+    members: MembersHash,
+    entries: Arc<ByteBuf>,
+}
+
+impl LoadDigest {
+    /// Encodes the states of back ends, in their order.
+    pub fn encode(members: MembersHash, states: &[BackendState]) -> Self {
+        let entries: Vec<Entry> = states.iter().map(Entry::from).collect();
+        let bytes = bincode::serde::encode_to_vec(&entries, bincode::config::standard());
+        LoadDigest {
+            members,
+            // Plain numbers can always be encoded.
+            entries: Arc::new(ByteBuf::from(bytes.unwrap_or_default())),
+        }
+    }
+
+    /// Length of the encoded entries.
+    pub fn len_bytes(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether this is a digest of these back ends.
+    pub(crate) fn is_of(&self, members: MembersHash) -> bool {
+        self.members == members
+    }
+
+    /// The states of the back ends in order; `None` where the digest is of
+    /// others, or can't be read.
+    pub fn states(&self, members: MembersHash) -> Option<Vec<BackendState>> {
+        if !self.is_of(members) {
+            return None;
+        }
+        let decoded: Result<(Vec<Entry>, usize), _> =
+            bincode::serde::decode_from_slice(&self.entries, bincode::config::standard());
+        let (entries, _) = decoded.ok()?;
+        Some(entries.into_iter().map(BackendState::from).collect())
+    }
+}
+
+/// A digest for one gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldDigest {
+    /// The same for all.
+    pub digest: LoadDigest,
+    /// When the gateway sent the report that is counted in it, by its own
+    /// clock; `None` where none is.
+    pub counted: Option<Millis>,
+}
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -11,6 +11,7 @@
 use crate::by_rank::ByRank;
 use crate::command::ClaimCommand;
 use crate::configuration::{Configuration, ConfigurationChange};
+use crate::load_digest::ToldDigest;
 
 /// What a gateway saw offered for one pool since its last report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -42,6 +43,19 @@
     pub held_tokens: u64,
 }
 
+/// How requests of one gateway ended at a back end since it told last.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The back end.
+    pub backend: BackendId,
+    /// Requests that it answered.
+    pub answered: u32,
+    /// Requests that it failed, broke off or was silent on.
+    pub failed: u32,
+    /// Requests that could not be sent: nothing listens there.
+    pub unreachable: u32,
+}
+
 /// An engine holds a prompt's prefix.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptCopy {
@@ -94,6 +108,8 @@
         mix: Vec<PoolMix>,
         /// What it has under way, for the other gateways to know.
         backlogs: Vec<Backlog>,
+        /// How its requests ended, for the other gateways to know.
+        evidence: Vec<Evidence>,
         /// Copies that it learned of since it told last.
         copies: Vec<PromptCopy>,
     },
@@ -154,9 +170,8 @@
         group: Option<GroupView>,
         /// Gateways that hold a lease: budgets are shared among them.
         gateways: u64,
-        /// What the other gateways have under way; `None` leaves what was told
-        /// before.
-        backlogs: Option<Vec<Backlog>>,
+        /// Load and health of all back ends; `None` leaves what was told before.
+        digest: Option<ToldDigest>,
         /// Copies that other gateways told of since this one heard last.
         copies: Vec<PromptCopy>,
     },
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -89,7 +89,7 @@
         let Some(balancing) = &mut self.balancing else {
             return;
         };
-        let backlogs = self.backlogs.all(self.now);
+        let backlogs = self.fleet_load.sums(self.now);
         let changes = balancing.decide(&self.state.configuration, &backlogs, self.now);
         let applied = self.node.status().applied_index;
         for change in changes {
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -33,14 +33,16 @@
                 group_index,
                 mix,
                 backlogs,
+                evidence,
                 copies,
             } => {
                 if let Some(planning) = &mut self.planning {
                     planning.add(&mix);
                 }
                 self.copies.note(&gateway, copies, self.now);
+                self.fleet_load
+                    .note(&gateway, sent_at, backlogs, evidence, self.now);
                 let reply = self.watch_reply(&gateway, configuration_index, group_index, sent_at);
-                self.backlogs.note(gateway.clone(), backlogs, self.now);
                 self.gateways.grant(gateway, configuration_index, self.now);
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
@@ -67,12 +69,14 @@
                 .map(|member| member.peer_address.clone())
                 .collect(),
         });
+        let configuration = &self.state.configuration;
+        let digest = self.fleet_load.digest_for(gateway, configuration, self.now);
         ControlReply::Watch {
             sent_at,
             update: self.recent.update_for(index, &self.state.configuration),
             group,
             gateways: self.gateways.count(self.now),
-            backlogs: self.backlogs.of_others(gateway, self.now),
+            digest,
             copies: self.copies.news_for(gateway),
         }
     }
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -23,7 +23,7 @@
             self.gateways = GatewayLeases::at_start_of_term(self.now);
             self.reconciler = Reconciler::new(self.settings.engine_polling);
             self.candidates.clear();
-            self.backlogs.clear();
+            self.fleet_load.clear();
             self.copies.clear();
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -20,11 +20,11 @@
 use group::Candidates;
 
 use crate::answer::CommandAnswer;
-use crate::backlogs::Backlogs;
 use crate::balancing::Balancing;
 use crate::command::ClaimCommand;
 use crate::copies::Copies;
 use crate::effects::{Effect, Event};
+use crate::fleet_load::FleetLoad;
 use crate::gateways::GatewayLeases;
 use crate::planning::Planning;
 use crate::reconciler::Reconciler;
@@ -160,7 +160,7 @@
     removals: Vec<Removal>,
     candidates: Candidates,
     gateways: GatewayLeases,
-    backlogs: Backlogs,
+    fleet_load: FleetLoad,
     copies: Copies,
     reconciler: Reconciler,
     planning: Option<Planning>,
@@ -211,7 +211,7 @@
             removals: Vec::new(),
             candidates: Candidates::default(),
             gateways: GatewayLeases::default(),
-            backlogs: Backlogs::default(),
+            fleet_load: FleetLoad::default(),
             copies: Copies::default(),
             reconciler,
             reconciled_at: Millis::ZERO,
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -73,6 +73,7 @@
         group_index: 0,
         mix: Vec::new(),
         backlogs,
+        evidence: Vec::new(),
         copies: Vec::new(),
     };
     let connection = 1;
--- a/components/control/tests/state/copies.rs
+++ b/components/control/tests/state/copies.rs
@@ -25,6 +25,7 @@
         group_index: u64::MAX,
         mix: Vec::new(),
         backlogs: Vec::new(),
+        evidence: Vec::new(),
         copies: told,
     };
     let effects = leader.take(Event::Gateway {
--- a/components/control/tests/state/last_known.rs
+++ b/components/control/tests/state/last_known.rs
@@ -29,6 +29,7 @@
         group_index: u64::MAX,
         mix: Vec::new(),
         backlogs: Vec::new(),
+        evidence: Vec::new(),
         copies: Vec::new(),
     };
     let effects = replica.take(Event::Gateway {
--- /dev/null
+++ b/components/control/tests/state/load_digest.rs
@@ -0,0 +1,240 @@
+//! The digest of load and health that the leader makes for all gateways.
+
+use garnet_control::{
+    BackendRegistration, BackendState, Backlog, ByRank, Command, ControlReply, Effect, Event,
+    Evidence, GatewayRequest, MembersHash, ToldDigest,
+};
+use garnet_types::{BackendId, BackendKind, GatewayId, Millis, ServiceId};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+use crate::leader::Leader;
+
+/// Time between two reports of a gateway.
+const INTERVAL: Millis = Millis(100);
+/// Back ends of the one service.
+const BACKENDS: usize = 6;
+const NOBODY: [usize; 0] = [];
+
+fn id(number: usize) -> BackendId {
+    BackendId::new(format!("b-{number}"))
+}
+
+fn ids() -> Vec<BackendId> {
+    (0..BACKENDS).map(id).collect()
+}
+
+fn leader() -> Leader {
+    let registration = |number| BackendRegistration {
+        id: id(number),
+        kind: BackendKind::Application,
+        service: ServiceId::new("till"),
+        address: format!("10.1.0.{number}:8080"),
+        zone: "a".to_owned(),
+    };
+    let put = |number| Command::PutBackend(registration(number));
+    let mut leader = Leader::elected(Leader::settings(), (0..BACKENDS).map(put).collect());
+    leader.persist();
+    let _answers = leader.replica.take_effects();
+    leader
+}
+
+fn backlog(number: usize, requests: u64, tokens: u64) -> Backlog {
+    Backlog {
+        backend: id(number),
+        requests,
+        uncached: ByRank::at(3, tokens),
+        held_tokens: tokens,
+    }
+}
+
+fn evidence(number: usize, answered: u32, failed: u32) -> Evidence {
+    Evidence {
+        backend: id(number),
+        answered,
+        failed,
+        unreachable: 0,
+    }
+}
+
+fn watch(
+    leader: &mut Leader,
+    gateway: &str,
+    backlogs: Vec<Backlog>,
+    evidence: Vec<Evidence>,
+) -> Option<ToldDigest> {
+    let request = GatewayRequest::Watch {
+        gateway: GatewayId::new(gateway),
+        configuration_index: 1,
+        sent_at: leader.now,
+        group_index: u64::MAX,
+        mix: Vec::new(),
+        backlogs,
+        evidence,
+        copies: Vec::new(),
+    };
+    let effects = leader.take(Event::Gateway {
+        connection: 1,
+        request,
+    });
+    effects
+        .into_iter()
+        .find_map(|effect| match effect {
+            Effect::ReplyGateway {
+                reply: ControlReply::Watch { digest, .. },
+                ..
+            } => Some(digest),
+            _ => None,
+        })
+        .expect("an answer")
+}
+
+fn states(told: &ToldDigest) -> Vec<BackendState> {
+    let members = MembersHash::of(ids().iter());
+    told.digest.states(members).expect("the same back ends")
+}
+
+/// Each of `gateways` reports this once more; gives who is failing then.
+fn failing_after(
+    leader: &mut Leader,
+    gateways: usize,
+    rounds: usize,
+    seen: impl Fn(usize) -> Vec<Evidence>,
+) -> Vec<usize> {
+    let mut last = None;
+    for _ in 0..rounds {
+        leader.run(INTERVAL);
+        for gateway in 0..gateways {
+            let name = format!("gateway-{gateway}");
+            last = watch(leader, &name, Vec::new(), seen(gateway)).or(last);
+        }
+    }
+    leader.run(INTERVAL);
+    let told = watch(leader, "asks", Vec::new(), Vec::new()).or(last);
+    let states = states(&told.expect("a digest"));
+    let failing = states.iter().enumerate().filter(|(_, s)| s.is_failing);
+    failing.map(|(number, _)| number).collect()
+}
+
+#[test]
+fn all_are_told_the_same_bytes_and_each_what_is_counted_of_its_own() {
+    let mut leader = leader();
+    let first_sent = leader.now;
+    watch(&mut leader, "a", vec![backlog(1, 2, 6_400)], Vec::new());
+    watch(&mut leader, "b", vec![backlog(1, 1, 640)], Vec::new());
+    leader.run(INTERVAL);
+    // The digest is made when it is asked for; it counts this very report.
+    let second_sent = leader.now;
+    let to_a = watch(&mut leader, "a", vec![backlog(1, 3, 64_000)], Vec::new()).expect("new");
+    let to_b = watch(&mut leader, "b", Vec::new(), Vec::new()).expect("new to b");
+    assert_eq!(to_a.digest, to_b.digest);
+    assert_eq!(to_a.counted, Some(second_sent));
+    assert_eq!(to_b.counted, Some(first_sent));
+    let state = states(&to_a)[1];
+    assert_eq!((state.requests, state.held_tokens), (4, 64_640));
+    assert_eq!(state.uncached, ByRank::at(3, 64_640));
+    // Nobody is told the same digest twice.
+    assert_eq!(watch(&mut leader, "a", Vec::new(), Vec::new()), None);
+}
+
+#[test]
+fn what_a_silent_gateway_had_under_way_is_over() {
+    let mut leader = leader();
+    watch(&mut leader, "a", vec![backlog(1, 2, 6_400)], Vec::new());
+    leader.run(Millis(1500));
+    let told = watch(&mut leader, "b", Vec::new(), Vec::new()).expect("new to b");
+    assert_eq!(states(&told)[1], BackendState::default());
+}
+
+#[test]
+fn a_back_end_that_fails_several_gateways_is_failing_for_all() {
+    let mut leader = leader();
+    let seen = |_| vec![evidence(2, 0, 1), evidence(3, 1, 0)];
+    assert_eq!(failing_after(&mut leader, 2, 1, seen), [2]);
+}
+
+#[test]
+fn one_gateways_own_broken_path_blames_nobody_for_all() {
+    let mut leader = leader();
+    let broken_path = |gateway| match gateway {
+        0 => (0..BACKENDS).map(|number| evidence(number, 0, 3)).collect(),
+        _ => Vec::new(),
+    };
+    assert_eq!(failing_after(&mut leader, 3, 5, broken_path), NOBODY);
+}
+
+#[test]
+fn what_befalls_all_back_ends_alike_blames_none() {
+    let mut leader = leader();
+    let seen = |_| (0..BACKENDS).map(|n| evidence(n, 3, 2)).collect();
+    assert_eq!(failing_after(&mut leader, 4, 5, seen), NOBODY);
+}
+
+#[rstest]
+#[case::few_failures(9, 1, false)]
+#[case::half(1, 1, true)]
+#[case::nearly_all(1, 9, true)]
+fn a_grey_back_end_is_failing_from_a_part_of_its_requests_on(
+    #[case] answered: u32,
+    #[case] failed: u32,
+    #[case] is_failing: bool,
+) {
+    let mut leader = leader();
+    let seen = |_| {
+        let sound = (1..BACKENDS).map(|number| evidence(number, 10, 0));
+        sound.chain([evidence(0, answered, failed)]).collect()
+    };
+    let failing = failing_after(&mut leader, 3, 5, seen);
+    assert_eq!(failing.contains(&0), is_failing, "{failing:?}");
+}
+
+#[test]
+fn a_failing_back_end_is_believed_again_when_it_answers() {
+    let mut leader = leader();
+    assert_eq!(
+        failing_after(&mut leader, 3, 5, |_| vec![evidence(0, 0, 1)]),
+        [0]
+    );
+    // One request a second tries it.
+    let tried = |gateway| match gateway {
+        0 => vec![evidence(0, 1, 0)],
+        _ => Vec::new(),
+    };
+    assert_eq!(failing_after(&mut leader, 3, 50, tried), NOBODY);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(22), ..ProptestConfig::default() })]
+
+    /// Tokens are rounded down by less than a step, and an entry stays small.
+    #[test]
+    fn a_digest_tells_what_was_reported(
+        requests in 0_u64..200,
+        tokens in proptest::collection::vec(0_u64..60_000, 3),
+        held in 0_u64..400_000,
+    ) {
+        let mut uncached = ByRank::default();
+        for (rank, tokens) in (0_u8..).zip(&tokens) {
+            uncached.add(rank * 4, *tokens);
+        }
+        let mut leader = leader();
+        let told = Backlog { backend: id(4), requests, uncached, held_tokens: held };
+        let told = watch(&mut leader, "a", vec![told], Vec::new()).expect("a digest");
+        let state = states(&told)[4];
+        prop_assert_eq!(state.requests, requests);
+        prop_assert!(state.held_tokens <= held && held - state.held_tokens < 64);
+        for ((_, kept), (_, sent)) in state.uncached.iter().zip(uncached.iter()) {
+            prop_assert!(kept <= sent && sent - kept < 64);
+        }
+        prop_assert!(told.digest.len_bytes() <= BACKENDS * 4 + 20);
+    }
+}
+
+#[test]
+fn a_digest_of_other_back_ends_is_not_read() {
+    let mut leader = leader();
+    let told = watch(&mut leader, "a", Vec::new(), Vec::new()).expect("a digest");
+    let others = MembersHash::of(ids().iter().skip(1));
+    assert_eq!(told.digest.states(others), None);
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -9,5 +9,6 @@
 mod group;
 mod last_known;
 mod leader;
+mod load_digest;
 mod operators;
 mod routes;
--- a/components/control/tests/state/routes.rs
+++ b/components/control/tests/state/routes.rs
@@ -87,6 +87,7 @@
         group_index: u64::MAX,
         mix: Vec::new(),
         backlogs: Vec::new(),
+        evidence: Vec::new(),
         copies: Vec::new(),
     };
     let connection = 1;
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -115,6 +115,14 @@
         forwarder.failed(&self.backend, now);
     }
 
+    /// Nothing of the request can have reached the back end.
+    fn unreachable(&mut self) {
+        self.judged = true;
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.unreachable(&self.backend, now);
+    }
+
     /// The back end was silent for too long.
     pub(crate) fn silent(&mut self) {
         self.judged = true;
@@ -177,7 +185,10 @@
         }
         Some(Ok(exchange)) => read_head(gateway, call, job, exchange, guard).await,
         Some(Err(error)) => {
-            guard.failed();
+            match error {
+                HttpError::NotSent(_) => guard.unreachable(),
+                HttpError::Broken(_) | HttpError::TimedOut => guard.failed(),
+            }
             log_failure(call, job, &error.to_string());
             Err(end_of(&error))
         }
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -75,15 +75,16 @@
     fn ask(&self) {
         let now = self.gateway.now();
         self.gateway.forwarder.borrow_mut().forget_unconfirmed(now);
-        let copies = self.gateway.forwarder.borrow_mut().take_copies();
+        let report = self.gateway.forwarder.borrow_mut().report(now);
         let request = GatewayRequest::Watch {
             gateway: self.id.clone(),
             configuration_index: self.gateway.forwarder.borrow().configuration_index(),
             sent_at: now,
             group_index: self.group_index.get(),
             mix: Vec::new(),
-            backlogs: self.gateway.forwarder.borrow().own_backlogs(),
-            copies,
+            backlogs: report.backlogs,
+            evidence: report.evidence,
+            copies: report.copies,
         };
         // What is lost is asked again.
         let _lost = self.requests.try_send(request);
@@ -94,7 +95,7 @@
             update,
             group,
             gateways,
-            backlogs,
+            digest,
             copies,
             ..
         } = reply
@@ -110,10 +111,10 @@
         let before = InForce::of(&forwarder);
         forwarder.update(update);
         forwarder.set_gateways(gateways);
-        if let Some(backlogs) = backlogs {
-            forwarder.heard_of_others(&backlogs, self.gateway.now());
+        if let Some(digest) = digest {
+            forwarder.take_digest(&digest, self.gateway.now());
         }
-        forwarder.heard_of_copies(&copies, self.gateway.now());
+        forwarder.note_copies(&copies, self.gateway.now());
         drop(forwarder);
         self.note_change(before);
     }
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -8,8 +8,11 @@
 
 /// A load report older than this is not believed any more.
 const REPORT_FRESH: Millis = Millis(2000);
-/// What was heard of other gateways longer ago than this is over by now.
-const OTHERS_FRESH: Millis = Millis(1500);
+/// What was heard of the others' work at one back end counts for half after this
+/// time: about the time that a prompt waits and is prefilled.
+const OTHERS_HALVED: Millis = Millis(400);
+/// How long the leader's word on a failing back end holds without another.
+const FAILING_FOR: Millis = Millis::from_secs(3);
 
 /// Load as a back end tells it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,15 +32,94 @@
     own_then: u64,
 }
 
-/// What the other gateways have under way at a back end.
+/// Work under way at a back end.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Underway {
+    pub(crate) requests: u64,
+    pub(crate) uncached: ByRank,
+    pub(crate) held_tokens: u64,
+}
+
+impl Underway {
+    /// What is left when `own` is taken off, as far as it is counted.
+    pub(crate) fn without(&self, own: &Backlog) -> Self {
+        let mut uncached = self.uncached;
+        for (rank, tokens) in own.uncached.iter() {
+            uncached.remove(rank, tokens);
+        }
+        Underway {
+            requests: self.requests.saturating_sub(own.requests),
+            uncached,
+            held_tokens: self.held_tokens.saturating_sub(own.held_tokens),
+        }
+    }
+
+    /// The mean of several.
+    pub(crate) fn mean_of<'a>(all: impl Iterator<Item = &'a Underway>) -> Self {
+        let mut sum = Underway::default();
+        let mut count = 0;
+        for underway in all {
+            sum.requests += underway.requests;
+            sum.uncached += underway.uncached;
+            sum.held_tokens += underway.held_tokens;
+            count += 1;
+        }
+        sum.map(|number| number / count.max(1))
+    }
+
+    fn map(&self, change: impl Fn(u64) -> u64) -> Self {
+        let mut uncached = ByRank::default();
+        for (rank, tokens) in self.uncached.iter() {
+            uncached.add(rank, change(tokens));
+        }
+        Underway {
+            requests: change(self.requests),
+            uncached,
+            held_tokens: change(self.held_tokens),
+        }
+    }
+
+    fn plus(&self, other: &Self) -> Self {
+        let mut sum = *self;
+        sum.requests += other.requests;
+        sum.uncached += other.uncached;
+        sum.held_tokens += other.held_tokens;
+        sum
+    }
+}
+
+impl From<&Backlog> for Underway {
+    fn from(backlog: &Backlog) -> Self {
+        Underway {
+            requests: backlog.requests,
+            uncached: backlog.uncached,
+            held_tokens: backlog.held_tokens,
+        }
+    }
+}
+
+/// What the other gateways have under way at a back end, and what they have at
+/// its like in the mean.
+///
+/// Invariant: what is believed of one back end loses weight with its age and
+/// turns into the mean; it doesn't turn into "idle".
 #[derive(Debug, Clone, Copy, Default)]
 struct Others {
-    requests: u64,
-    uncached: ByRank,
-    held_tokens: u64,
+    there: Underway,
+    mean: Underway,
     heard_at: Millis,
 }
 
+impl Others {
+    fn at(&self, now: Millis) -> Underway {
+        let age = now.since(self.heard_at);
+        let weight = (-age.as_secs_f64() / OTHERS_HALVED.as_secs_f64()).exp2();
+        let part = |weight: f64| move |number: u64| (number as f64 * weight).round() as u64;
+        let there = self.there.map(part(weight));
+        there.plus(&self.mean.map(part(1.0 - weight)))
+    }
+}
+
 /// Load of a back end: own work, what the other gateways tell of theirs, and
 /// what the back end told last.
 #[derive(Debug, Clone, Default)]
@@ -55,7 +137,7 @@
     /// Requests that run or wait, as far as known.
     pub fn requests(&self, now: Millis) -> u64 {
         let own = self.own.total();
-        let heard = own + self.fresh_others(now).requests;
+        let heard = own + self.others.at(now).requests;
         let told = self.fresh(now).map_or(0, |told| {
             let all_then = told.report.running + told.report.waiting;
             all_then.saturating_sub(told.own_then) + own
@@ -65,17 +147,17 @@
 
     /// Prompt tokens that it has yet to prefill, as far as known.
     pub fn uncached_tokens(&self, now: Millis) -> u64 {
-        self.own_uncached.total() + self.fresh_others(now).uncached.total()
+        self.own_uncached.total() + self.others.at(now).uncached.total()
     }
 
     /// Of these, tokens that it prefills before a new request of this rank.
     pub fn tokens_ahead_of(&self, rank: u8, now: Millis) -> u64 {
-        self.own_uncached.ahead_of(rank) + self.fresh_others(now).uncached.ahead_of(rank)
+        self.own_uncached.ahead_of(rank) + self.others.at(now).uncached.ahead_of(rank)
     }
 
     /// Tokens of KV cache that requests under way hold, as far as known.
     pub fn held_tokens(&self, now: Millis) -> u64 {
-        self.own_held_tokens + self.fresh_others(now).held_tokens
+        self.own_held_tokens + self.others.at(now).held_tokens
     }
 
     /// Own work under way at `backend`, to be told to the other gateways.
@@ -131,12 +213,12 @@
         });
     }
 
-    /// Takes what the other gateways have under way.
-    pub fn heard_of_others(&mut self, backlog: Option<&Backlog>, now: Millis) {
+    /// Takes what the other gateways have under way, here and in the mean at
+    /// the back ends like this one.
+    pub(crate) fn take_others(&mut self, there: Underway, mean: Underway, now: Millis) {
         self.others = Others {
-            requests: backlog.map_or(0, |backlog| backlog.requests),
-            uncached: backlog.map_or(ByRank::default(), |backlog| backlog.uncached),
-            held_tokens: backlog.map_or(0, |backlog| backlog.held_tokens),
+            there,
+            mean,
             heard_at: now,
         };
     }
@@ -145,14 +227,6 @@
         let fresh = |told: &&Told| now.since(told.at) <= REPORT_FRESH;
         self.told.as_ref().filter(fresh)
     }
-
-    fn fresh_others(&self, now: Millis) -> Others {
-        if now.since(self.others.heard_at) <= OTHERS_FRESH {
-            self.others
-        } else {
-            Others::default()
-        }
-    }
 }
 
 /// One back end.
@@ -168,6 +242,10 @@
     pub gone: bool,
     /// Its health, as own requests show it.
     pub breaker: CircuitBreaker,
+    /// Since when the leader says that requests of several gateways fail there.
+    pub(crate) failing_at: Option<Millis>,
+    /// Whether this gateway is the one to try a failing back end now.
+    pub(crate) may_probe: bool,
     /// Its load.
     pub load: BackendLoad,
 }
@@ -181,6 +259,8 @@
             takes_work: false,
             gone: false,
             breaker: CircuitBreaker::default(),
+            failing_at: None,
+            may_probe: false,
             load: BackendLoad::default(),
         };
         backend.update(record);
@@ -199,7 +279,13 @@
 
     /// Whether a new request may be sent to it.
     pub fn is_open(&self, now: Millis, despite_failures: bool) -> bool {
-        let healthy = despite_failures || self.breaker.allows(now);
-        self.takes_work && !self.gone && healthy
+        let healthy = self.breaker.allows(now) && !self.is_failing(now);
+        self.takes_work && !self.gone && (despite_failures || healthy)
+    }
+
+    /// Whether the fleet takes it for failing, and others try it.
+    fn is_failing(&self, now: Millis) -> bool {
+        let holds = |at: Millis| now.since(at) <= FAILING_FOR;
+        !self.may_probe && self.failing_at.is_some_and(holds)
     }
 }
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -1,9 +1,9 @@
 //! What attempts and other gateways show of back ends.
 
-use garnet_control::{Backlog, PromptCopy};
+use garnet_control::PromptCopy;
 use garnet_types::{BackendId, Millis, ServiceId};
 
-use crate::backends::{Backend, LoadReport};
+use crate::backends::LoadReport;
 use crate::work::Prompt;
 
 use super::Forwarder;
@@ -22,38 +22,6 @@
 }
 
 impl Forwarder {
-    // ---- Other gateways ----
-
-    /// Own work under way, for the other gateways.
-    pub fn own_backlogs(&self) -> Vec<Backlog> {
-        let backlog = |(id, backend): (&BackendId, &Backend)| backend.load.own(id);
-        self.backends.iter().filter_map(backlog).collect()
-    }
-
-    /// Takes what the other gateways have under way.
-    pub fn heard_of_others(&mut self, backlogs: &[Backlog], now: Millis) {
-        for (id, backend) in &mut self.backends {
-            let backlog = backlogs.iter().find(|backlog| backlog.backend == *id);
-            backend.load.heard_of_others(backlog, now);
-        }
-    }
-
-    /// Copies to tell the other gateways of.
-    pub fn take_copies(&mut self) -> Vec<PromptCopy> {
-        std::mem::take(&mut self.news)
-    }
-
-    /// Takes what the other gateways know of copies.
-    pub fn heard_of_copies(&mut self, copies: &[PromptCopy], now: Millis) {
-        for copy in copies {
-            // One that is not known yet is told of again later.
-            if self.backends.contains_key(&copy.backend) {
-                let residency = self.residency.entry(copy.backend.clone()).or_default();
-                residency.note_told(copy.prefix, now);
-            }
-        }
-    }
-
     // ---- Own attempts ----
 
     /// Fills in how much will probably come out, as the callers of the service
@@ -124,6 +92,17 @@
     pub fn silent(&mut self, id: &BackendId, now: Millis) {
         if let Some(backend) = self.backends.get_mut(id) {
             backend.breaker.silent(now);
+            self.evidence_of(id).failed += 1;
+        }
+    }
+
+    /// Notes that nothing listens at a back end's address.
+    pub fn unreachable(&mut self, id: &BackendId, now: Millis) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            // Nothing that runs refuses a connection: no second one is needed
+            // to believe it.
+            backend.breaker.silent(now);
+            self.evidence_of(id).unreachable += 1;
         }
     }
 
@@ -167,6 +146,7 @@
     pub fn succeeded(&mut self, id: &BackendId) {
         if let Some(backend) = self.backends.get_mut(id) {
             backend.breaker.succeeded();
+            self.evidence_of(id).answered += 1;
         }
     }
 
@@ -181,6 +161,7 @@
     pub fn failed(&mut self, id: &BackendId, now: Millis) {
         if let Some(backend) = self.backends.get_mut(id) {
             backend.breaker.failed(now);
+            self.evidence_of(id).failed += 1;
         }
     }
 
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -3,8 +3,12 @@
 mod admitting;
 mod beliefs;
 mod configuration;
+mod fleet;
 
 pub use beliefs::PrefillWork;
+pub use fleet::FleetReport;
+
+use fleet::Reporting;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -67,6 +71,9 @@
     learned: HashMap<ServiceId, Learned>,
     /// Copies that the other gateways should hear of.
     news: Vec<PromptCopy>,
+    reporting: Reporting,
+    /// Parts this gateway's draws from those of the others.
+    seed: u64,
 }
 
 /// What was learned of a service from its requests.
@@ -81,6 +88,7 @@
 impl Forwarder {
     /// A forwarder that knows nothing yet.
     pub fn new(settings: ForwarderSettings) -> Self {
+        let seed = settings.first_draw.to_bits();
         Forwarder {
             settings,
             configuration: Configuration::default(),
@@ -94,6 +102,8 @@
             drawn: 0,
             learned: HashMap::new(),
             news: Vec::new(),
+            reporting: Reporting::default(),
+            seed,
         }
     }
 
--- /dev/null
+++ b/components/forwarding/tests/core/fleet_view.rs
@@ -0,0 +1,190 @@
+//! What a gateway believes of the fleet from the leader's digest.
+
+use garnet_control::{BackendRecord, BackendState, ByRank, LoadDigest, MembersHash, ToldDigest};
+use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Placement};
+use garnet_routes::WorkKind;
+use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+
+use crate::fleet::{NOW, configuration, forwarder, prompt, record, table, work};
+
+fn id(number: usize) -> BackendId {
+    BackendId::new(format!("p-{number}"))
+}
+
+/// Prefill engines and one that decodes.
+fn engines(prefill: usize) -> Vec<BackendRecord> {
+    let prefill = (0..prefill).map(|number| {
+        let id = format!("p-{number}");
+        record(&id, "words", "a", Some(EngineRole::Prefill))
+    });
+    let decode = record("d-0", "words", "a", Some(EngineRole::Mixed));
+    prefill.chain([decode]).collect()
+}
+
+fn words() -> ServiceId {
+    ServiceId::new("words")
+}
+
+/// A digest of these records, in which each back end is as `state` says.
+fn digest(
+    records: &[BackendRecord],
+    counted: Option<Millis>,
+    state: impl Fn(&BackendId) -> BackendState,
+) -> ToldDigest {
+    let mut ids: Vec<BackendId> = records.iter().map(|r| r.registration.id.clone()).collect();
+    ids.sort();
+    let states: Vec<BackendState> = ids.iter().map(state).collect();
+    ToldDigest {
+        digest: LoadDigest::encode(MembersHash::of(ids.iter()), &states),
+        counted,
+    }
+}
+
+fn loaded(tokens: u64) -> BackendState {
+    BackendState {
+        requests: 1,
+        uncached: ByRank::at(0, tokens),
+        held_tokens: tokens,
+        is_failing: false,
+    }
+}
+
+fn failing(which: BackendId) -> impl Fn(&BackendId) -> BackendState {
+    move |id| BackendState {
+        is_failing: *id == which,
+        ..BackendState::default()
+    }
+}
+
+fn uncached(gateway: &Forwarder, id: &BackendId, now: Millis) -> u64 {
+    let backend = gateway.backend(id).expect("known");
+    backend.load.uncached_tokens(now)
+}
+
+#[test]
+fn own_work_is_counted_once() {
+    let records = engines(2);
+    let mut gateway = forwarder(&records);
+    gateway.sent(&id(0), Some(&prompt(1, 2, 6_300)), None, 0, NOW);
+    let own = uncached(&gateway, &id(0), NOW);
+    assert_eq!(own, 6_400);
+    let report = gateway.report(NOW);
+    assert_eq!(report.backlogs.len(), 1);
+    // The leader counts this gateway's report and 640 tokens of another one.
+    let all = |of: &BackendId| loaded(if *of == id(0) { 7_040 } else { 0 });
+    let later = NOW + Millis(50);
+    gateway.take_digest(&digest(&records, Some(NOW), all), later);
+    assert_eq!(uncached(&gateway, &id(0), later), 7_040);
+    // It is prefilled here; what others have there is left.
+    gateway.read(&id(0), 0, 6_400);
+    assert_eq!(uncached(&gateway, &id(0), later), 640);
+}
+
+#[test]
+fn an_old_belief_turns_into_the_mean_and_not_into_idle() {
+    let records = engines(4);
+    let mut gateway = forwarder(&records);
+    let all = |of: &BackendId| loaded(if *of == id(0) { 40_000 } else { 0 });
+    gateway.take_digest(&digest(&records, None, all), NOW);
+    assert_eq!(uncached(&gateway, &id(0), NOW), 40_000);
+    assert_eq!(uncached(&gateway, &id(1), NOW), 0);
+    let late = NOW + Millis::from_secs(20);
+    for number in 0..4 {
+        // A quarter of what is queued at the four of them.
+        assert_eq!(uncached(&gateway, &id(number), late), 10_000);
+    }
+    let between = uncached(&gateway, &id(0), NOW + Millis(400));
+    assert!((20_000..30_000).contains(&between), "{between}");
+}
+
+#[test]
+fn a_digest_of_other_back_ends_is_left_aside() {
+    let records = engines(4);
+    let mut gateway = forwarder(&records);
+    let told = digest(&engines(3), None, |_| loaded(40_000));
+    gateway.take_digest(&told, NOW);
+    assert_eq!(uncached(&gateway, &id(0), NOW), 0);
+}
+
+#[test]
+fn a_failing_engine_gets_nothing_while_others_are_sound() {
+    let records = engines(3);
+    let mut gateway = gateway_of(&records, 66, 1);
+    gateway.take_digest(&digest(&records, None, failing(id(1))), NOW);
+    for number in 0..20 {
+        let work = work(
+            WorkKind::ResumableStream,
+            Some(prompt(number, number, 9_000)),
+        );
+        let placed = gateway.place(&words(), &work, &[], true, NOW);
+        let Some(Placement::Handover { prefill_engine, .. }) = placed else {
+            panic!("not handed over: {placed:?}");
+        };
+        assert_ne!(prefill_engine, id(1));
+    }
+    // The word of a leader that is gone does not hold for ever.
+    let late = NOW + Millis::from_secs(4);
+    let backend = gateway.backend(&id(1)).expect("known");
+    assert!(!backend.is_open(NOW, false) && backend.is_open(late, false));
+}
+
+#[test]
+fn work_goes_to_failing_engines_where_there_is_no_other() {
+    let records = engines(1);
+    let mut gateway = gateway_of(&records, 66, 1);
+    gateway.take_digest(&digest(&records, None, failing(id(0))), NOW);
+    let work = work(WorkKind::ResumableStream, Some(prompt(1, 2, 9_000)));
+    assert!(gateway.place(&words(), &work, &[], true, NOW).is_some());
+}
+
+/// One of `gateways` gateways; `number` parts it from the others.
+fn gateway_of(records: &[BackendRecord], gateways: u64, number: u64) -> Forwarder {
+    let mut gateway = Forwarder::new(ForwarderSettings {
+        zone: "a".into(),
+        budget: BudgetShare {
+            per_request: 0.2,
+            extra: 50.0,
+            window: Millis::from_secs(10),
+        },
+        first_draw: number as f64 / gateways as f64,
+    });
+    let configuration = configuration(5, table(1, &[("till", 1)]), records);
+    gateway.update(garnet_control::WatchUpdate::Snapshot(std::sync::Arc::new(
+        configuration,
+    )));
+    gateway.set_gateways(gateways);
+    gateway
+}
+
+#[test]
+fn few_of_many_gateways_try_a_failing_engine() {
+    let records = engines(3);
+    for gateways in [8, 66, 295] {
+        let mut tries = 0;
+        let seconds = 20;
+        for number in 0..gateways {
+            let mut gateway = gateway_of(&records, gateways, number);
+            for second in 0..seconds {
+                let now = NOW + Millis::from_secs(second);
+                gateway.take_digest(&digest(&records, None, failing(id(1))), now);
+                let backend = gateway.backend(&id(1)).expect("known");
+                tries += u64::from(backend.is_open(now, false));
+            }
+        }
+        // One a second in the mean.
+        assert!((8..=40).contains(&tries), "{tries} of {gateways}");
+    }
+}
+
+#[test]
+fn what_refuses_connections_is_left_at_once_and_told() {
+    let records = engines(2);
+    let mut gateway = forwarder(&records);
+    gateway.sent(&id(0), Some(&prompt(1, 2, 6_300)), None, 0, NOW);
+    gateway.unreachable(&id(0), NOW);
+    assert!(!gateway.backend(&id(0)).expect("known").is_open(NOW, false));
+    let evidence = gateway.report(NOW).evidence;
+    assert_eq!(evidence.len(), 1);
+    assert_eq!((evidence[0].unreachable, evidence[0].failed), (1, 0));
+    assert_eq!(gateway.report(NOW).evidence, []);
+}
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -5,4 +5,5 @@
 mod budgets;
 mod configuration;
 mod fleet;
+mod fleet_view;
 mod placement;
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -69,7 +69,7 @@
     let (owner, nowhere) = prefill(&mut gateway, asked.clone(), &[]);
     assert_eq!(nowhere, None);
     let holder = BackendId::new("g-b");
-    gateway.heard_of_copies(&[copy(asked.shared_prefix(), &holder)], NOW);
+    gateway.note_copies(&[copy(asked.shared_prefix(), &holder)], NOW);
     let (prefill_engine, from) = prefill(&mut gateway, asked.clone(), &[]);
     assert_eq!(
         (prefill_engine, from.as_ref()),
@@ -94,7 +94,7 @@
     let told = [copy(asked.shared_prefix(), &BackendId::new("g-a1"))];
     let long_ago = Millis::ZERO;
     assert!(NOW.since(long_ago) >= Millis(10_000));
-    gateway.heard_of_copies(&told, long_ago);
+    gateway.note_copies(&told, long_ago);
     assert_eq!(prefill(&mut gateway, asked, &[]).1, None);
 }
 
@@ -106,14 +106,14 @@
     gateway.holds(&prefill_engine, &asked, NOW);
     gateway.holds(&prefill_engine, &prompt(7, 2, 20_000), NOW);
     assert_eq!(
-        gateway.take_copies(),
+        gateway.report(NOW).copies,
         [copy(asked.shared_prefix(), &prefill_engine)]
     );
-    assert_eq!(gateway.take_copies(), []);
+    assert_eq!(gateway.report(NOW).copies, []);
     // What another gateway told is known to all.
-    gateway.heard_of_copies(&[copy(asked.shared_prefix(), &BackendId::new("r-b"))], NOW);
+    gateway.note_copies(&[copy(asked.shared_prefix(), &BackendId::new("r-b"))], NOW);
     gateway.holds(&BackendId::new("r-b"), &asked, NOW);
-    assert_eq!(gateway.take_copies(), []);
+    assert_eq!(gateway.report(NOW).copies, []);
 }
 
 #[test]
@@ -133,7 +133,7 @@
         ("r-b", ["r-a", "r-c"]),
         ("r-c", ["r-a", "r-b"]),
     ] {
-        gateway.heard_of_others(&others.map(busy), NOW);
+        gateway.take_backlogs(&others.map(busy), NOW);
         assert_eq!(prefill(&mut gateway, short.clone(), &[]).0.as_str(), idle);
     }
 }
@@ -236,7 +236,7 @@
         uncached: ByRank::at(0, 90_000),
         held_tokens: 90_000,
     };
-    gateway.heard_of_others(&[backlog], NOW);
+    gateway.take_backlogs(&[backlog], NOW);
     let placed = gateway.place(&words, &work, &[], true, NOW);
     assert_ne!(prefill_engine_of(placed), prefill_engine);
 }
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -39,6 +39,7 @@
             group_index: 0,
             mix,
             backlogs: Vec::new(),
+            evidence: Vec::new(),
             copies: Vec::new(),
         }));
     }
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -42,7 +42,7 @@
         update,
         group: None,
         gateways: 1,
-        backlogs: None,
+        digest: None,
         copies: Vec::new(),
     }));
     assert!(harness.gateway.is_ready(harness.now));
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -68,7 +68,7 @@
             update,
             group: None,
             gateways: 1,
-            backlogs: None,
+            digest: None,
             copies: Vec::new(),
         }));
     }
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -17,6 +17,7 @@
         group_index: 0,
         mix: Vec::new(),
         backlogs: Vec::new(),
+        evidence: Vec::new(),
         copies: Vec::new(),
     })
 }
