The balance moves a part of the pool at a time

Cause: the balance weighed one engine more or less; in a pool of 160 that never changes the congestion by a quarter, so no engine moved after the start. And a peak of 0.8 that was taken for granted of decode engines for two minutes kept them where they were, at a tenth of their slots and a quarter of their memory.

Change: a step is one engine of twelve (one in pools under 24, as before); the engines of a step are stated at once. For decode engines, which slow down gradually, no more is taken for granted than twice the peak that was seen; prefill engines, which queue, keep the 0.8.

--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -21,6 +21,9 @@
 /// Peak that is taken for granted before there was time to see one: the first
 /// swing of a mix must not take away what the next one needs.
 const UNSEEN_PEAK: f64 = 0.8;
+/// Decode engines run many requests at once and slow down gradually: for them no
+/// more is taken for granted than so many times the peak that was seen.
+const DECODE_SWING: f64 = 2.0;
 /// How long a leader listens before it takes a pool for one without load.
 const FIRST_LOOK: Millis = Millis(1200);
 /// Limits of an engine where the route table does not tell.
@@ -70,6 +73,11 @@
         self.peak.max(self.unseen)
     }
 
+    /// The highest that a swing of the mix makes of what was seen.
+    fn swing(&self) -> f64 {
+        self.peak * DECODE_SWING
+    }
+
     /// The same demand, spread over other engines.
     fn scaled(&self, part: f64) -> Self {
         Demand {
@@ -163,16 +171,21 @@
             if balance.rests(role, limits.role_change_ms, &self.settings, now) {
                 continue;
             }
-            if let Some(engine) = who_changes(&members, role) {
-                balance.last_change = Some(LastChange { at: now, role });
-                balance.spread(&occupancy, wanted);
-                let model = pool.1;
-                changes.push(BalanceChange {
-                    engine: engine.clone(),
-                    assignment: EngineAssignment { role, model },
-                    occupancy,
-                });
+            let count = wanted.abs_diff(occupancy.prefill_engines);
+            let engines = who_change(members, role, count);
+            if engines.is_empty() {
+                continue;
             }
+            balance.last_change = Some(LastChange { at: now, role });
+            balance.spread(&occupancy, role, engines.len());
+            changes.extend(engines.into_iter().map(|engine| BalanceChange {
+                engine,
+                assignment: EngineAssignment {
+                    role,
+                    model: pool.1.clone(),
+                },
+                occupancy,
+            }));
         }
         changes
     }
@@ -220,7 +233,7 @@
         occupancy: &PhaseOccupancy,
         settings: &BalanceSettings,
     ) -> usize {
-        let decode = self.decode.guarded();
+        let decode = self.decode.guarded().min(self.decode.swing());
         let more = PhaseOccupancy {
             decode,
             ..*occupancy
@@ -257,8 +270,12 @@
     }
 
     /// A change was stated: the averages become what they will be after it.
-    fn spread(&mut self, before: &PhaseOccupancy, prefill_engines: usize) {
+    fn spread(&mut self, before: &PhaseOccupancy, role: EngineRole, changed: usize) {
         let part = |before: usize, after: usize| before.max(1) as f64 / after.max(1) as f64;
+        let prefill_engines = match role {
+            EngineRole::Prefill => before.prefill_engines + changed,
+            _ => before.prefill_engines.saturating_sub(changed),
+        };
         let decode_engines = before.engines() - prefill_engines;
         self.prefill = self
             .prefill
@@ -347,6 +364,21 @@
     occupancy
 }
 
+/// The engines that change to `role`, up to `count`.
+fn who_change(mut members: Vec<Member<'_>>, role: EngineRole, count: usize) -> Vec<BackendId> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        let Some(engine) = who_changes(&members, role).cloned() else {
+            break;
+        };
+        for member in members.iter_mut().filter(|member| *member.id == engine) {
+            member.role = role;
+        }
+        engines.push(engine);
+    }
+    engines
+}
+
 /// The engine that changes to `role`: from the zone that has the most of the
 /// other role, so that each zone keeps both.
 fn who_changes<'a>(members: &[Member<'a>], role: EngineRole) -> Option<&'a BackendId> {
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -169,3 +169,36 @@
     let roles = stated(&mut leader, &vec![list(6); 360], &stays);
     assert_eq!(roles.first(), Some(&EngineRole::Mixed), "{roles:?}");
 }
+
+/// Sixty engines in three zones, of which forty prefill.
+fn large_pool() -> Vec<MachineEntry> {
+    let role = |number| {
+        if number < 40 {
+            EngineRole::Prefill
+        } else {
+            EngineRole::Mixed
+        }
+    };
+    (0..60).map(|number| entry(number, role(number))).collect()
+}
+
+/// Every prefill engine is busy, and the others hold a few requests each.
+fn long_prompts() -> Event {
+    let backlog = |number: usize| Backlog {
+        backend: BackendId::new(format!("engine-{number}")),
+        requests: 3,
+        uncached: ByRank::at(0, if number < 40 { 9_000 } else { 0 }),
+        held_tokens: 9_000,
+    };
+    told((0..60).map(backlog).collect())
+}
+
+#[test]
+fn a_large_pool_follows_a_swing_within_seconds() {
+    let mut leader = leader();
+    let roles = stated(&mut leader, &vec![large_pool(); 8], &long_prompts());
+    // One engine in twelve at a time, and no decode engine but those of which a
+    // swing leaves enough.
+    assert!(roles.len() >= 5, "{roles:?}");
+    assert!(roles.iter().all(|role| *role == EngineRole::Prefill));
+}
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -9,6 +9,9 @@
 
 use garnet_types::Millis;
 
+/// A step is one engine of so many: with it the engines of a phase that has a
+/// third of the pool change by a quarter, which is about what is worth a change.
+const ENGINES_PER_STEP: usize = 12;
 /// Occupancy above this counts as this: the queue has no end there.
 const FULL: f64 = 0.95;
 
@@ -100,15 +103,22 @@
     share.clamp(1, engines - 1)
 }
 
-/// Prefill engines that the pool should have under this load: one more, one less, or
-/// as many as there are.
+/// Prefill engines that the pool should have under this load: as many as there
+/// are, or more or fewer by one or by a step. A step is a part of the pool: in a
+/// large one a single engine changes nothing that is worth it.
 pub fn wanted_prefill_engines(occupancy: &PhaseOccupancy, settings: &BalanceSettings) -> usize {
     let present = occupancy.prefill_engines;
     let now = occupancy.congestion(present, settings);
     if now <= settings.tolerable {
         return present;
     }
-    let steps = [present.saturating_sub(1), present + 1];
+    let step = (occupancy.engines() / ENGINES_PER_STEP).max(1);
+    let steps = [
+        present.saturating_sub(step),
+        present.saturating_sub(1),
+        present + 1,
+        present + step,
+    ];
     let best = steps
         .into_iter()
         .map(|prefill_engines| {
--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -52,6 +52,23 @@
     );
 }
 
+/// In a large pool one engine more changes nothing that is worth a change; a
+/// step does.
+#[rstest]
+#[case::prefill_is_short(0.7, 0.4, 120)]
+#[case::decode_is_short(0.3, 1.1, 94)]
+#[case::quiet(0.3, 0.3, 107)]
+fn a_large_pool_moves_by_steps(#[case] prefill: f64, #[case] decode: f64, #[case] wanted: usize) {
+    let seen = PhaseOccupancy {
+        places: 53.0 * 24.0,
+        ..occupancy(107, 53, prefill, decode)
+    };
+    assert_eq!(
+        wanted_prefill_engines(&seen, &BalanceSettings::default()),
+        wanted
+    );
+}
+
 #[rstest]
 #[case(9, 6)]
 #[case(2, 1)]
