Short prompts go to some engines, prefixes are told by place and believed as long as they last

Cause: on large fleets all gateways sent prompts that no engine owns to the one engine that all believed to be the emptiest; news of prefixes came at most 64 an answer, 23 bytes each, and lagged by seconds; what was believed of others' load was halved in 400 ms wherever prompts take 30 ms, and a prefix was believed to be held for 10 to 30 s on engines that fill their memory in 1.5 s. "Any engine before deferring" went by beliefs of any age.

Change: a prompt without an owner looks at up to four engines drawn anew, the fewer the older beliefs are against the time that a prompt is at an engine; all engines are compared before a prompt is deferred only where beliefs are that fresh. Beliefs about others fade in that same time. News of prefixes name engines by place (7 bytes), 256 an answer, none of short prefixes. A prefix is believed for as long as the memory of all engines takes to be filled anew by what comes in. prefill_done tells queued_by_others and heard_ago_ms; configuration_in_force is no longer logged by all gateways at each order.

--- a/components/control/src/copies.rs
+++ b/components/control/src/copies.rs
@@ -7,14 +7,16 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use garnet_types::{GatewayId, Millis};
+use garnet_types::{BackendId, GatewayId, Millis, PrefixId};
 
-use crate::messages::PromptCopy;
+use crate::configuration::Configuration;
+use crate::load_digest::MembersHash;
+use crate::messages::{CopyNews, PlacedCopy, PromptCopy};
 
 /// Notes that are kept for gateways that were not told of them yet.
 const MOST_NOTES: usize = 4096;
-/// Notes that one answer carries at most.
-const MOST_IN_ANSWER: usize = 64;
+/// Notes that one answer carries at most, at some 7 bytes each.
+const MOST_IN_ANSWER: usize = 256;
 /// A note older than this is hardly true any more.
 const FRESH: Millis = Millis::from_secs(20);
 
@@ -22,7 +24,10 @@
 struct Note {
     noted_at: Millis,
     by: GatewayId,
-    copy: PromptCopy,
+    prefix: PrefixId,
+    backend: BackendId,
+    /// Place of the back end in the configuration.
+    place: Option<u16>,
 }
 
 /// The latest notes, and how far each gateway has heard them.
@@ -33,6 +38,27 @@
     notes: VecDeque<Note>,
     next_number: u64,
     heard_before: BTreeMap<GatewayId, u64>,
+    places: Places,
+}
+
+/// Places of the back ends of a configuration.
+#[derive(Debug, Default)]
+struct Places {
+    index: u64,
+    members: MembersHash,
+    by_id: BTreeMap<BackendId, u16>,
+}
+
+impl Places {
+    fn of(configuration: &Configuration) -> Self {
+        let ids = configuration.backends.keys();
+        let by_id = ids.cloned().zip(0..).collect();
+        Places {
+            index: configuration.index,
+            members: MembersHash::of(configuration.backends.keys()),
+            by_id,
+        }
+    }
 }
 
 impl Copies {
@@ -42,7 +68,9 @@
             self.notes.push_back(Note {
                 noted_at: now,
                 by: by.clone(),
-                copy,
+                prefix: copy.prefix,
+                place: self.places.by_id.get(&copy.backend).copied(),
+                backend: copy.backend,
             });
             self.next_number += 1;
         }
@@ -50,7 +78,12 @@
     }
 
     /// What others told since `gateway` heard of it last, the oldest first.
-    pub(crate) fn news_for(&mut self, gateway: &GatewayId) -> Vec<PromptCopy> {
+    pub(crate) fn news_for(
+        &mut self,
+        gateway: &GatewayId,
+        configuration: &Configuration,
+    ) -> CopyNews {
+        self.place_all(configuration);
         let first = self.first_number();
         let from = self
             .heard_before
@@ -59,18 +92,33 @@
             .unwrap_or(0)
             .max(first);
         let mut heard = from;
-        let mut news = Vec::new();
+        let mut copies = Vec::new();
         for note in self.notes.iter().skip((from - first) as usize) {
-            if news.len() == MOST_IN_ANSWER {
+            if copies.len() == MOST_IN_ANSWER {
                 break;
             }
             heard += 1;
-            if note.by != *gateway {
-                news.push(note.copy.clone());
+            if let Some(place) = note.place.filter(|_| note.by != *gateway) {
+                let prefix = note.prefix;
+                copies.push(PlacedCopy { prefix, place });
             }
         }
         self.heard_before.insert(gateway.clone(), heard);
-        news
+        CopyNews {
+            members: self.places.members,
+            copies,
+        }
+    }
+
+    /// Places the notes by this configuration.
+    fn place_all(&mut self, configuration: &Configuration) {
+        if self.places.index == configuration.index {
+            return;
+        }
+        self.places = Places::of(configuration);
+        for note in &mut self.notes {
+            note.place = self.places.by_id.get(&note.backend).copied();
+        }
     }
 
     pub(crate) fn clear(&mut self) {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -39,8 +39,8 @@
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
 pub use load_digest::{BackendState, LoadDigest, MembersHash, ToldDigest};
 pub use messages::{
-    Backlog, ClaimRequest, ControlReply, Evidence, GatewayRequest, GroupView, JoinRequest, PoolMix,
-    PromptCopy, WatchUpdate,
+    Backlog, ClaimRequest, ControlReply, CopyNews, Evidence, GatewayRequest, GroupView,
+    JoinRequest, PlacedCopy, PoolMix, PromptCopy, WatchUpdate,
 };
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -11,7 +11,7 @@
 use crate::by_rank::ByRank;
 use crate::command::ClaimCommand;
 use crate::configuration::{Configuration, ConfigurationChange};
-use crate::load_digest::ToldDigest;
+use crate::load_digest::{MembersHash, ToldDigest};
 
 /// What a gateway saw offered for one pool since its last report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -65,6 +65,24 @@
     pub backend: BackendId,
 }
 
+/// A copy whose engine is told by its place in the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedCopy {
+    /// The prefix.
+    pub prefix: PrefixId,
+    /// Place of the engine.
+    pub place: u16,
+}
+
+/// Copies that other gateways told of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyNews {
+    /// The back ends whose places are named.
+    pub members: MembersHash,
+    /// The copies, the oldest first.
+    pub copies: Vec<PlacedCopy>,
+}
+
 /// A claim, its release or its result.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimRequest {
@@ -173,7 +191,7 @@
         /// Load and health of all back ends; `None` leaves what was told before.
         digest: Option<ToldDigest>,
         /// Copies that other gateways told of since this one heard last.
-        copies: Vec<PromptCopy>,
+        copies: CopyNews,
     },
     /// Answer about a claim.
     Claim {
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -77,7 +77,7 @@
             group,
             gateways: self.gateways.count(self.now),
             digest,
-            copies: self.copies.news_for(gateway),
+            copies: self.copies.news_for(gateway, configuration),
         }
     }
 
--- a/components/control/tests/state/copies.rs
+++ b/components/control/tests/state/copies.rs
@@ -1,12 +1,15 @@
 //! Copies of prompt prefixes, as the leader passes them on.
 
-use garnet_control::{ControlReply, Effect, Event, GatewayRequest, PromptCopy};
-use garnet_types::{BackendId, GatewayId, Millis, PrefixId};
+use garnet_control::{
+    BackendRegistration, Command, ControlReply, CopyNews, Effect, Event, GatewayRequest,
+    MembersHash, PromptCopy,
+};
+use garnet_types::{BackendId, BackendKind, GatewayId, Millis, PrefixId, ServiceId};
 
 use crate::leader::Leader;
 
 /// Copies that one answer carries at most.
-const MOST_IN_ANSWER: usize = 64;
+const MOST_IN_ANSWER: usize = 256;
 
 fn copies(prefixes: std::ops::Range<u64>) -> Vec<PromptCopy> {
     let copy = |prefix| PromptCopy {
@@ -39,11 +42,36 @@
         } => Some(copies),
         _ => None,
     });
-    heard.expect("an answer")
+    named(&heard.expect("an answer"))
+}
+
+/// The back ends of the configuration, in order.
+fn ids() -> Vec<BackendId> {
+    ["engine-0", "engine-1"].map(BackendId::new).to_vec()
+}
+
+/// News with the names of the engines.
+fn named(news: &CopyNews) -> Vec<PromptCopy> {
+    assert_eq!(news.members, MembersHash::of(ids().iter()));
+    let copy = |copy: &garnet_control::PlacedCopy| PromptCopy {
+        prefix: copy.prefix,
+        backend: ids()[usize::from(copy.place)].clone(),
+    };
+    news.copies.iter().map(copy).collect()
 }
 
 fn leader() -> Leader {
-    let mut leader = Leader::elected(Leader::settings(), Vec::new());
+    let put = |id: BackendId| {
+        Command::PutBackend(BackendRegistration {
+            id,
+            kind: BackendKind::Engine,
+            service: ServiceId::new("words"),
+            address: "10.1.0.1:8080".to_owned(),
+            zone: "a".to_owned(),
+        })
+    };
+    let commands = ids().into_iter().map(put).collect();
+    let mut leader = Leader::elected(Leader::settings(), commands);
     leader.persist();
     let _answers = leader.replica.take_effects();
     leader
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -131,6 +131,8 @@
         shared_tokens = prompt.map_or(0, Prompt::shared_tokens),
         uncached_tokens = prefill_work.uncached,
         queued_tokens = prefill_work.queued,
+        queued_by_others = prefill_work.queued_by_others,
+        heard_ago_ms = prefill_work.heard_ago.0,
         copied_from = copied_from,
         took_ms = took.0;
         "prefill_done"
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -169,6 +169,7 @@
     remove_connection_headers(&mut head.headers);
     if let Some(prompt) = &mut facts.prompt {
         forwarder.fill_in_likely_output(&choice.service, prompt);
+        forwarder.note_arrival(&choice.service, prompt, arrived);
     }
     let time = facts
         .deadline
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -114,7 +114,7 @@
         if let Some(digest) = digest {
             forwarder.take_digest(&digest, self.gateway.now());
         }
-        forwarder.note_copies(&copies, self.gateway.now());
+        forwarder.take_copy_news(&copies, self.gateway.now());
         drop(forwarder);
         self.note_change(before);
     }
@@ -137,7 +137,15 @@
         let times = connection_times(forwarder.limits());
         self.gateway.connection_times.replace(times);
         let (open, known) = forwarder.open_backends(self.gateway.now());
-        log::info!(
+        // Orders to engines raise the index again and again; hundreds of
+        // gateways need not tell that.
+        let level = if before.is_alike(&after) {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level,
             routes_version = after.routes_version.unwrap_or_default(),
             index = after.index,
             confirmed = after.is_confirmed,
@@ -155,14 +163,22 @@
     routes_version: Option<u64>,
     index: u64,
     is_confirmed: bool,
+    known_backends: usize,
 }
 
 impl InForce {
+    /// Whether both differ in the index only.
+    fn is_alike(&self, other: &Self) -> bool {
+        let index = self.index;
+        InForce { index, ..*other } == *self
+    }
+
     fn of(forwarder: &Forwarder) -> Self {
         InForce {
             routes_version: forwarder.routes_version(),
             index: forwarder.configuration_index(),
             is_confirmed: forwarder.is_confirmed(),
+            known_backends: forwarder.known_backends(),
         }
     }
 }
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -8,9 +8,6 @@
 
 /// A load report older than this is not believed any more.
 const REPORT_FRESH: Millis = Millis(2000);
-/// What was heard of the others' work at one back end counts for half after this
-/// time: about the time that a prompt waits and is prefilled.
-const OTHERS_HALVED: Millis = Millis(400);
 /// How long the leader's word on a failing back end holds without another.
 const FAILING_FOR: Millis = Millis::from_secs(3);
 
@@ -104,16 +101,29 @@
 /// Invariant: what is believed of one back end loses weight with its age and
 /// turns into the mean; it doesn't turn into "idle".
 #[derive(Debug, Clone, Copy, Default)]
-struct Others {
+pub(crate) struct Others {
     there: Underway,
     mean: Underway,
     heard_at: Millis,
+    /// What was heard counts for half after this time: about the time that a
+    /// request is there.
+    halved: Millis,
 }
 
 impl Others {
+    /// What was heard now.
+    pub(crate) fn heard(there: Underway, mean: Underway, halved: Millis, now: Millis) -> Self {
+        Others {
+            there,
+            mean,
+            heard_at: now,
+            halved: halved.max(Millis(1)),
+        }
+    }
+
     fn at(&self, now: Millis) -> Underway {
         let age = now.since(self.heard_at);
-        let weight = (-age.as_secs_f64() / OTHERS_HALVED.as_secs_f64()).exp2();
+        let weight = (-age.as_secs_f64() / self.halved.as_secs_f64().max(0.001)).exp2();
         let part = |weight: f64| move |number: u64| (number as f64 * weight).round() as u64;
         let there = self.there.map(part(weight));
         there.plus(&self.mean.map(part(1.0 - weight)))
@@ -155,6 +165,16 @@
         self.own_uncached.ahead_of(rank) + self.others.at(now).uncached.ahead_of(rank)
     }
 
+    /// Of these, what the leader told of other gateways.
+    pub(crate) fn others_ahead_of(&self, rank: u8, now: Millis) -> u64 {
+        self.others.at(now).uncached.ahead_of(rank)
+    }
+
+    /// Time since the leader told of other gateways.
+    pub(crate) fn heard_ago(&self, now: Millis) -> Millis {
+        now.since(self.others.heard_at)
+    }
+
     /// Tokens of KV cache that requests under way hold, as far as known.
     pub fn held_tokens(&self, now: Millis) -> u64 {
         self.own_held_tokens + self.others.at(now).held_tokens
@@ -215,12 +235,8 @@
 
     /// Takes what the other gateways have under way, here and in the mean at
     /// the back ends like this one.
-    pub(crate) fn take_others(&mut self, there: Underway, mean: Underway, now: Millis) {
-        self.others = Others {
-            there,
-            mean,
-            heard_at: now,
-        };
+    pub(crate) fn take_others(&mut self, others: Others) {
+        self.others = others;
     }
 
     fn fresh(&self, now: Millis) -> Option<&Told> {
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -13,8 +13,9 @@
 
 impl Forwarder {
     /// Where a new request goes, and whether it is sent now. Where the owners
-    /// of its prefix have no time, any engine that has takes it: prefilling a
-    /// prefix again costs less than a late answer.
+    /// of its prefix have no time, any engine that has takes it, if beliefs are
+    /// fresh enough to tell: prefilling a prefix again costs less than a late
+    /// answer.
     pub fn place_new(
         &mut self,
         service: &ServiceId,
@@ -31,7 +32,8 @@
             anywhere: true,
             ..self.preference(&[], now)
         };
-        if let Some(other) = self.place_by(service, work, &anywhere)
+        if self.may_compare_all(service)
+            && let Some(other) = self.place_by(service, work, &anywhere)
             && self.admission(service, work, &other, arrival, now) == Admission::Admit
         {
             return Some((other, Admission::Admit));
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -19,6 +19,10 @@
     pub uncached: u64,
     /// Of others, which were there before.
     pub queued: u64,
+    /// Of these, what the leader told of other gateways.
+    pub queued_by_others: u64,
+    /// Age of the leader's word then.
+    pub heard_ago: Millis,
 }
 
 impl Forwarder {
@@ -31,6 +35,12 @@
         learned.output_length.complete(prompt);
     }
 
+    /// Notes a prompt that comes for the first time.
+    pub fn note_arrival(&mut self, service: &ServiceId, prompt: &Prompt, now: Millis) {
+        let learned = self.learned.entry(service.clone()).or_default();
+        learned.prompt_rate.note(prompt.tokens, now);
+    }
+
     /// Notes a request of a rank that is sent to a back end, which copies what
     /// it lacks from `source`. Returns what it has yet to prefill for it.
     pub fn sent(
@@ -46,6 +56,8 @@
         let Some(backend) = self.backends.get_mut(id) else {
             return PrefillWork::default();
         };
+        let queued_by_others = backend.load.others_ahead_of(rank, now);
+        let heard_ago = backend.load.heard_ago(now);
         backend.breaker.sent();
         let Some(prompt) = prompt else {
             backend.load.sent(rank, 0, None);
@@ -56,7 +68,12 @@
             .entry(id.clone())
             .or_default()
             .note_sent(prompt, now);
-        PrefillWork { uncached, queued }
+        PrefillWork {
+            uncached,
+            queued,
+            queued_by_others,
+            heard_ago,
+        }
     }
 
     /// Prompt tokens that a back end would have to read, with what it copies
--- a/components/forwarding/src/forwarder/fleet.rs
+++ b/components/forwarding/src/forwarder/fleet.rs
@@ -3,17 +3,29 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use garnet_control::{Backlog, Evidence, MembersHash, PromptCopy, ToldDigest};
+use garnet_control::{
+    Backlog, CopyNews, Evidence, MembersHash, PlacedCopy, PromptCopy, ToldDigest,
+};
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::backends::{Backend, Underway};
+use crate::backends::{Backend, Others, Underway};
+use crate::cache_lifetime::lifetime;
+use crate::pace::PrefillPace;
 
 use super::Forwarder;
 
+/// What was heard of the others' work at one back end counts for half after this
+/// time, where nothing is known of the time that work is there.
+const OTHERS_HALVED: Millis = Millis(400);
 /// Own reports that are remembered, to be taken off a digest that counts them:
 /// more than are under way to the leader and back.
 const REMEMBERED_REPORTS: usize = 32;
+/// Weight of the newest interval between two digests.
+const NEWEST_INTERVAL: f64 = 0.1;
+/// Prefill engines that are looked at where beliefs are fresh: a few come close to
+/// the best of all.
+const MOST_SAMPLED: usize = 4;
 /// One gateway of all tries a failing back end for so long, then another one.
 const PROBE_SLOT: Millis = Millis(1000);
 
@@ -36,6 +48,23 @@
     evidence: BTreeMap<BackendId, Evidence>,
 }
 
+/// How old beliefs about the others' work are when they are used, in the mean:
+/// reports and digests come at the same pace.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct BeliefsAge {
+    heard_at: Option<Millis>,
+    mean_ms: f64,
+}
+
+impl BeliefsAge {
+    fn heard(&mut self, now: Millis) {
+        if let Some(before) = self.heard_at.replace(now) {
+            let interval = now.since(before).0 as f64;
+            self.mean_ms += NEWEST_INTERVAL * (interval - self.mean_ms);
+        }
+    }
+}
+
 /// Back ends that do the same work.
 type Likes = (ServiceId, Option<EngineRole>);
 
@@ -82,6 +111,53 @@
             self.note_failing(id, state.is_failing, now);
         }
         self.take_others(&others, now);
+        self.beliefs_age.heard(now);
+        self.note_cache_lifetimes(now);
+    }
+
+    /// Works out how long engines keep prefixes, from what comes in here and at
+    /// as many gateways.
+    fn note_cache_lifetimes(&mut self, now: Millis) {
+        let mut engines: BTreeMap<Likes, usize> = BTreeMap::new();
+        for backend in self.backends.values() {
+            *engines.entry(likes(backend)).or_default() += 1;
+        }
+        let table = self.configuration.routes.as_ref();
+        for (id, residency) in &mut self.residency {
+            let Some(backend) = self.backends.get(id) else {
+                continue;
+            };
+            let service = &backend.registration.service;
+            let limits = table.and_then(|table| table.engine_limits(service));
+            let learned = self.learned.get(service);
+            let (Some(limits), Some(learned)) = (limits, learned) else {
+                continue;
+            };
+            let alike = engines.get(&likes(backend)).copied().unwrap_or(1);
+            let rate = learned.prompt_rate.per_s(now) * self.gateways as f64;
+            residency.set_lifetime(lifetime(limits.cache_tokens, alike, rate));
+        }
+    }
+
+    /// Engines that are worth looking at for a prompt that none owns: the fewer
+    /// the older beliefs are against the time that a prompt is at an engine. What is older tells nothing of the present queue, and those who
+    /// go by it all go the same way.
+    pub(super) fn engines_to_sample(&self, service: &ServiceId) -> usize {
+        let prefill = self.turnover(service).0 as f64;
+        let fresh = prefill / self.beliefs_age.mean_ms.max(1.0);
+        (MOST_SAMPLED as f64 * fresh.min(1.0)).round() as usize
+    }
+
+    /// Whether beliefs are fresh enough to compare all engines.
+    pub(super) fn may_compare_all(&self, service: &ServiceId) -> bool {
+        self.engines_to_sample(service) >= MOST_SAMPLED
+    }
+
+    /// How long a prompt is at a prefill engine of the service, in the mean.
+    fn turnover(&self, service: &ServiceId) -> Millis {
+        let learned = self.learned.get(service);
+        let pace = learned.map_or(PrefillPace::default(), |learned| learned.prefill);
+        pace.mean()
     }
 
     /// Takes what the other gateways have under way; nothing where a back end
@@ -101,9 +177,18 @@
         let mean = |all: Vec<Underway>| Underway::mean_of(all.iter());
         let means: BTreeMap<Likes, Underway> =
             alike.into_iter().map(|(of, all)| (of, mean(all))).collect();
+        let services = self.learned.keys();
+        let turnover: BTreeMap<ServiceId, Millis> = services
+            .map(|service| (service.clone(), self.turnover(service)))
+            .collect();
         for (id, backend) in &mut self.backends {
             let mean = means.get(&likes(backend)).copied().unwrap_or_default();
-            backend.load.take_others(there(id), mean, now);
+            let halved = turnover.get(&backend.registration.service);
+            let halved = halved.copied().unwrap_or(OTHERS_HALVED);
+            let there = there(id);
+            backend
+                .load
+                .take_others(Others::heard(there, mean, halved, now));
         }
     }
 
@@ -138,6 +223,22 @@
         })
     }
 
+    /// Takes the leader's news of copies. Those about other back ends than are
+    /// known here are left aside.
+    pub fn take_copy_news(&mut self, news: &CopyNews, now: Millis) {
+        if news.copies.is_empty() || news.members != MembersHash::of(self.backends.keys()) {
+            return;
+        }
+        let ids: Vec<&BackendId> = self.backends.keys().collect();
+        let placed = |copy: &PlacedCopy| {
+            let backend = (*ids.get(usize::from(copy.place))?).clone();
+            let prefix = copy.prefix;
+            Some(PromptCopy { prefix, backend })
+        };
+        let copies: Vec<PromptCopy> = news.copies.iter().filter_map(placed).collect();
+        self.note_copies(&copies, now);
+    }
+
     /// Takes what the other gateways know of copies.
     pub fn note_copies(&mut self, copies: &[PromptCopy], now: Millis) {
         for copy in copies {
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -8,7 +8,7 @@
 pub use beliefs::PrefillWork;
 pub use fleet::FleetReport;
 
-use fleet::Reporting;
+use fleet::{BeliefsAge, Reporting};
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -18,6 +18,7 @@
 
 use crate::admission::Returns;
 use crate::backends::Backend;
+use crate::cache_lifetime::PromptRate;
 use crate::output_length::OutputLength;
 use crate::pace::{PrefillPace, TokenTime};
 use crate::placement::{
@@ -72,6 +73,7 @@
     /// Copies that the other gateways should hear of.
     news: Vec<PromptCopy>,
     reporting: Reporting,
+    beliefs_age: BeliefsAge,
     /// Parts this gateway's draws from those of the others.
     seed: u64,
 }
@@ -83,6 +85,7 @@
     token_time: TokenTime,
     output_length: OutputLength,
     returns: Returns,
+    prompt_rate: PromptRate,
 }
 
 impl Forwarder {
@@ -103,6 +106,7 @@
             learned: HashMap::new(),
             news: Vec::new(),
             reporting: Reporting::default(),
+            beliefs_age: BeliefsAge::default(),
             seed,
         }
     }
@@ -152,6 +156,7 @@
             may_hand_over: true,
             despite_failures: false,
             anywhere: false,
+            sampled: 0,
             draw: self.drawn,
         }
     }
@@ -173,7 +178,13 @@
                 residency: self.residency.get(&backend.registration.id),
             })
             .collect();
-        place_engines(&engines, prompt, preference)
+        let preference = Preference {
+            sampled: self.engines_to_sample(service),
+            // Gateways that start together count alike.
+            draw: preference.draw.wrapping_add(self.seed),
+            ..*preference
+        };
+        place_engines(&engines, prompt, &preference)
     }
 
     /// Who generates from the KV cache that `prefill_engine` made, as things stand now.
@@ -218,6 +229,11 @@
         (open.count(), self.backends.len())
     }
 
+    /// Back ends that are known.
+    pub fn known_backends(&self) -> usize {
+        self.backends.len()
+    }
+
     // ---- Budgets ----
 
     /// Notes the first attempt of a request.
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod attempts;
 mod backends;
+mod cache_lifetime;
 mod forwarder;
 mod output_length;
 mod pace;
--- a/components/forwarding/src/pace.rs
+++ b/components/forwarding/src/pace.rs
@@ -76,6 +76,11 @@
         fixed_ms + ms_per_token * tokens as f64
     }
 
+    /// How long prompts wait and are prefilled in the mean.
+    pub(crate) fn mean(&self) -> Millis {
+        Millis(self.mean_ms.max(1.0) as u64)
+    }
+
     /// Longest time that prefilling `tokens` should take, those queued before
     /// them included.
     pub fn patience(&self, tokens: u64) -> Millis {
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::backends::Backend;
-use crate::prefill_choice::{PrefillChoice, cheapest_prefill};
+use crate::prefill_choice::{PrefillChoice, Search, cheapest_prefill};
 use crate::residency::Residency;
 use crate::work::Prompt;
 
@@ -52,6 +52,8 @@
     /// Whether any engine may read a prompt, in place of the owners of its
     /// prefix only.
     pub anywhere: bool,
+    /// Prefill engines that are looked at for a prompt that none owns.
+    pub sampled: usize,
     /// A number that differs from request to request, to part equals.
     pub draw: u64,
 }
@@ -123,10 +125,14 @@
     } else {
         Vec::new()
     };
-    let now = preference.now;
-    let anywhere = preference.anywhere;
-    let single = cheapest_prefill(&mixed, &[], prompt, anywhere, now);
-    let handover = cheapest_prefill(&prefill_engines, &open, prompt, anywhere, now);
+    let search = Search {
+        anywhere: preference.anywhere,
+        sampled: preference.sampled,
+        draw: preference.draw,
+        now: preference.now,
+    };
+    let single = cheapest_prefill(&mixed, &[], prompt, search);
+    let handover = cheapest_prefill(&prefill_engines, &open, prompt, search);
     let single_cost = |prefill: &PrefillChoice<'_, '_>| prefill.cost * MIXED_PREFILL_COST;
     let handover_cost = |prefill: &PrefillChoice<'_, '_>| prefill.cost + HANDOVER_TOKENS;
     let by_two = |prefill: &PrefillChoice<'_, '_>| Placement::Handover {
--- a/components/forwarding/src/prefill_choice.rs
+++ b/components/forwarding/src/prefill_choice.rs
@@ -3,9 +3,8 @@
 //!
 //! Each shared prefix has two owners, found by rendezvous hashing: all
 //! gateways find the same ones without a word between them, and an engine that
-//! leaves moves only what it owned. An owner that lacks the prefix copies it
-//! from whoever was seen to hold it, in a small part of the time that prefilling
-//! takes.
+//! leaves moves only what it owned. An owner that lacks the prefix copies it from
+//! whoever was seen to hold it, in a small part of the time that prefilling takes.
 
 use std::cmp::Reverse;
 
@@ -14,15 +13,13 @@
 
 use crate::placement::EngineView;
 use crate::residency::Residency;
-use crate::work::{Prefix, Prompt};
+use crate::work::{Prefix, Prompt, WORTHLESS_SHARED};
 
 /// Engines at which a shared prefix may be kept.
 const OWNERS: usize = 2;
-/// Shared prefixes up to this many tokens are not worth a place of their own:
-/// any prefill engine takes them.
-const WORTHLESS_SHARED: u64 = 1_000;
-/// See [`spreading_cost`]: each token that another owner lacks counts so many
-/// times more.
+/// What keeping a prefix at another engine than its first owner costs all, also
+/// where it is copied: memory that others lose, and what is prefilled again for
+/// that. Each token that the engine lacks counts so many times more.
 const SPREADING_COST: u64 = 2;
 /// A first owner that this gateway has not sent the prefix to lately holds
 /// it all the same, since the others send there too, but for this part.
@@ -46,51 +43,89 @@
     pub(crate) cost: u64,
 }
 
-/// Among the owners of the prompt's shared prefix, or `anywhere`, the engine
-/// that begins to generate first; what it lacks is copied from one of `holders`.
+/// Who looks for a prefill engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Search {
+    /// Whether all engines are looked at.
+    pub(crate) anywhere: bool,
+    /// Engines that are looked at for a prompt that none owns.
+    pub(crate) sampled: usize,
+    /// Differs from request to request and from gateway to gateway.
+    pub(crate) draw: u64,
+    /// The present.
+    pub(crate) now: Millis,
+}
+
+/// Among the owners of the prompt's shared prefix, or some engines where it has
+/// none, the one that begins to decode first; what it lacks is copied from one of
+/// `holders`.
 pub(crate) fn cheapest_prefill<'a, 'b>(
-    prefill_engines: &[&'a EngineView<'b>],
+    engines: &[&'a EngineView<'b>],
     holders: &[&'a EngineView<'b>],
     prompt: &Prompt,
-    anywhere: bool,
-    now: Millis,
+    search: Search,
 ) -> Option<PrefillChoice<'a, 'b>> {
+    let now = search.now;
     let prefixes = prompt.prefixes();
+    let ranked = ranked(engines, prompt);
+    let first_owner = ranked.first().copied();
     let sources = sources(holders, &prefixes, now);
-    let candidates = if anywhere || prompt.shared_tokens() <= WORTHLESS_SHARED {
-        prefill_engines.len()
-    } else {
-        OWNERS
-    };
-    let prefill = |(rank, engine): (usize, &'a EngineView<'b>)| {
+    let choice = |engine: &'a EngineView<'b>| {
+        let is_first = first_owner.is_some_and(|first| first.id() == engine.id());
         let known = known_tokens(engine, &prefixes, now);
         let held = known
-            .max(likely_tokens(prompt, rank == 0))
+            .max(likely_tokens(prompt, is_first))
             .min(prompt.tokens);
-        let spread = spreading_cost(rank, prompt.tokens - held, prompt);
-        let (uncached, source) = cheapest_copy(engine, held, &sources, prompt);
+        let copy = cheapest_copy(engine, held, &sources, prompt);
+        let spread = if is_first {
+            0
+        } else {
+            let lacking = prompt.tokens - held;
+            lacking.min(prompt.shared_tokens()) * SPREADING_COST
+        };
         let queued = engine.backend.load.uncached_tokens(now);
         // What is prefilled here is waited for by all who are here.
         let waiting = 1 + engine.backend.load.requests(now);
         PrefillChoice {
             engine,
-            source,
-            cost: queued + (uncached + spread) * waiting,
+            source: copy.source,
+            cost: queued + (copy.left + copy.cost + spread) * waiting,
         }
     };
-    let owners = ranked(prefill_engines, prompt).into_iter().take(candidates);
-    owners
-        .enumerate()
-        .map(prefill)
-        .min_by_key(|prefill| prefill.cost)
+    let candidates = candidates(&ranked, prompt, search);
+    candidates
+        .into_iter()
+        .map(choice)
+        .min_by_key(|choice| choice.cost)
 }
 
-fn ranked<'a, 'b>(
-    prefill_engines: &[&'a EngineView<'b>],
+/// The engines that are compared: the owners of a shared prefix. A prompt without
+/// one may go anywhere; some engines are drawn anew for each request, since other
+/// gateways choose by the same beliefs meanwhile, and comparing all engines would
+/// send all of them to the same one.
+fn candidates<'a, 'b>(
+    ranked: &[&'a EngineView<'b>],
     prompt: &Prompt,
+    search: Search,
 ) -> Vec<&'a EngineView<'b>> {
+    if search.anywhere || ranked.len() <= OWNERS {
+        return ranked.to_vec();
+    }
+    if prompt.shared_tokens() <= WORTHLESS_SHARED {
+        let mut drawn = ranked.to_vec();
+        drawn.sort_by_cached_key(|engine| {
+            let id = engine.id().as_str().as_bytes();
+            xxh3_64_with_seed(id, search.draw)
+        });
+        drawn.truncate(search.sampled.max(OWNERS));
+        return drawn;
+    }
+    ranked[..OWNERS].to_vec()
+}
+
+fn ranked<'a, 'b>(engines: &[&'a EngineView<'b>], prompt: &Prompt) -> Vec<&'a EngineView<'b>> {
     let prefix = prompt.shared_prefix();
-    let mut ranked = prefill_engines.to_vec();
+    let mut ranked = engines.to_vec();
     ranked.sort_by_cached_key(|engine| {
         let id = engine.id().as_str().as_bytes();
         Reverse(xxh3_64_with_seed(id, prefix.0))
@@ -98,16 +133,6 @@
     ranked
 }
 
-/// What keeping a prefix at another engine as well costs all: memory that
-/// others lose, and what is prefilled again for that.
-fn spreading_cost(rank: usize, lacking: u64, prompt: &Prompt) -> u64 {
-    if rank == 0 {
-        0
-    } else {
-        lacking.min(prompt.shared_tokens()) * SPREADING_COST
-    }
-}
-
 fn known_tokens(engine: &EngineView<'_>, prefixes: &[Prefix], now: Millis) -> u64 {
     let held = |residency: &Residency| residency.held_tokens(prefixes, now);
     engine.residency.map_or(0, held)
@@ -129,6 +154,7 @@
     tokens: u64,
 }
 
+/// Engines that were seen to hold the prefix.
 fn sources<'a, 'b>(
     holders: &[&'a EngineView<'b>],
     prefixes: &[Prefix],
@@ -142,28 +168,42 @@
     holders.iter().filter_map(source).collect()
 }
 
-/// Tokens to be prefilled at an engine that holds `held`, the time to copy the rest
-/// of the prefix counted in tokens, and the engine that it is copied from.
+/// What an engine prefills, and what it copies before.
+struct Copy<'a, 'b> {
+    /// Tokens that it prefills.
+    left: u64,
+    /// Time of the copy, in tokens that could be prefilled in it.
+    cost: u64,
+    source: Option<&'a EngineView<'b>>,
+}
+
+/// What is cheapest for an engine that holds `held` tokens.
 fn cheapest_copy<'a, 'b>(
     engine: &EngineView<'b>,
     held: u64,
     sources: &[Source<'a, 'b>],
     prompt: &Prompt,
-) -> (u64, Option<&'a EngineView<'b>>) {
+) -> Copy<'a, 'b> {
     let uncached = prompt.tokens - held;
     let copying = |source: &Source<'a, 'b>| {
         let copied = source.tokens.saturating_sub(held);
-        let left = prompt.tokens.saturating_sub(source.tokens.max(held));
-        let cost = left + copy_cost(engine, source.engine, copied);
-        (cost, source.engine)
+        Copy {
+            left: prompt.tokens.saturating_sub(source.tokens.max(held)),
+            cost: copy_cost(engine, source.engine, copied),
+            source: Some(source.engine),
+        }
     };
     let others = sources
         .iter()
         .filter(|source| source.engine.id() != engine.id());
-    match others.map(copying).min_by_key(|(cost, _)| *cost) {
-        Some((cost, source)) if cost < uncached => (cost, Some(source)),
-        _ => (uncached, None),
-    }
+    let cheapest = others.map(copying).min_by_key(|copy| copy.left + copy.cost);
+    cheapest
+        .filter(|copy| copy.left + copy.cost < uncached)
+        .unwrap_or(Copy {
+            left: uncached,
+            cost: 0,
+            source: None,
+        })
 }
 
 fn copy_cost(to: &EngineView<'_>, from: &EngineView<'_>, tokens: u64) -> u64 {
--- a/components/forwarding/src/residency.rs
+++ b/components/forwarding/src/residency.rs
@@ -4,7 +4,7 @@
 
 use garnet_types::{Millis, PrefixId};
 
-use crate::work::{Prefix, Prompt};
+use crate::work::{Prefix, Prompt, WORTHLESS_SHARED};
 
 /// Beginnings that are remembered of one engine; the oldest go first.
 const MOST_PREFIXES: usize = 512;
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Residency {
     beliefs: HashMap<PrefixId, Belief>,
+    /// How long the engine keeps what nobody uses, where that is known.
+    lifetime: Option<Millis>,
 }
 
 impl Residency {
@@ -50,7 +52,8 @@
             let belief = self.note(prefix.id, now);
             belief.is_read = true;
             let known = belief.told_at.is_some_and(|at| now.since(at) <= TOLD_FOR);
-            if place < shared && !known {
+            let is_worth_it = prefix.tokens > WORTHLESS_SHARED;
+            if place < shared && is_worth_it && !known {
                 belief.told_at = Some(now);
                 news.push(prefix.id);
             }
@@ -70,17 +73,28 @@
     /// Tokens of the prompt with these prefixes that the engine is believed to
     /// hold, or to have read before this prompt's turn comes.
     pub fn held_tokens(&self, prefixes: &[Prefix], now: Millis) -> u64 {
-        self.tokens(prefixes, |belief| now.since(belief.used_at) <= BELIEVED_FOR)
+        let limit = self.at_most(BELIEVED_FOR);
+        self.tokens(prefixes, |belief| now.since(belief.used_at) <= limit)
     }
 
     /// Tokens of the prompt with these prefixes that can be copied from the
     /// engine.
     pub fn copyable_tokens(&self, prefixes: &[Prefix], now: Millis) -> u64 {
+        let limit = self.at_most(COPYABLE_FOR);
         self.tokens(prefixes, |belief| {
-            belief.is_read && now.since(belief.used_at) < COPYABLE_FOR
+            belief.is_read && now.since(belief.used_at) < limit
         })
     }
 
+    /// Notes how long the engine keeps what nobody uses.
+    pub(crate) fn set_lifetime(&mut self, lifetime: Millis) {
+        self.lifetime = Some(lifetime);
+    }
+
+    fn at_most(&self, limit: Millis) -> Millis {
+        self.lifetime.map_or(limit, |lifetime| lifetime.min(limit))
+    }
+
     fn tokens(&self, prefixes: &[Prefix], counts: impl Fn(&Belief) -> bool) -> u64 {
         let believed = |prefix: &&Prefix| self.beliefs.get(&prefix.id).is_some_and(&counts);
         let held = prefixes.iter().take_while(believed);
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -24,6 +24,10 @@
     pub tokens: u64,
 }
 
+/// Shared prefixes up to this many tokens are not worth a place of their own:
+/// any prefill engine takes them.
+pub(crate) const WORTHLESS_SHARED: u64 = 1_000;
+
 /// What is known of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Prompt {
@@ -69,7 +73,10 @@
         for part in &self.parts {
             key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
             tokens += part.tokens;
-            let id = PrefixId(key);
+            // Half of the hash is enough to tell the prefixes that are in use
+            // from one another, and costs half on the wire. A belief about the
+            // wrong prefix costs time only.
+            let id = PrefixId(key & u64::from(u32::MAX));
             prefixes.push(Prefix { id, tokens });
         }
         prefixes
--- a/components/forwarding/tests/core/fleet_view.rs
+++ b/components/forwarding/tests/core/fleet_view.rs
@@ -2,8 +2,9 @@
 
 use garnet_control::{BackendRecord, BackendState, ByRank, LoadDigest, MembersHash, ToldDigest};
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Placement};
-use garnet_routes::WorkKind;
+use garnet_routes::{EngineLimits, RouteTable, ServiceSettings, WorkKind};
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use rstest::rstest;
 
 use crate::fleet::{NOW, configuration, forwarder, prompt, record, table, work};
 
@@ -148,7 +149,23 @@
         },
         first_draw: number as f64 / gateways as f64,
     });
-    let configuration = configuration(5, table(1, &[("till", 1)]), records);
+    let services = vec![ServiceSettings {
+        name: words(),
+        max_connections: 100,
+        engine: Some(EngineLimits {
+            slots: 64,
+            cache_tokens: 400_000,
+            token_bytes: 1,
+            link_mbps: 1,
+            role_change_ms: Millis(3000),
+            handover_ms: Millis(5000),
+        }),
+    }];
+    let table = RouteTable {
+        services,
+        ..table(1, &[("till", 1)])
+    };
+    let configuration = configuration(5, table, records);
     gateway.update(garnet_control::WatchUpdate::Snapshot(std::sync::Arc::new(
         configuration,
     )));
@@ -188,3 +205,46 @@
     assert_eq!((evidence[0].unreachable, evidence[0].failed), (1, 0));
     assert_eq!(gateway.report(NOW).evidence, []);
 }
+
+/// Gateways with the same view, which is older than the time in which they all
+/// choose, don't send to the same engine.
+#[test]
+fn gateways_that_know_the_same_do_not_herd() {
+    let records = engines(60);
+    let idle = |of: &BackendId| loaded(if *of == id(7) { 0 } else { 6_400 });
+    let mut to_the_idle_one = 0;
+    for number in 0..60 {
+        let mut gateway = gateway_of(&records, 60, number);
+        gateway.take_digest(&digest(&records, None, idle), NOW);
+        let work = work(WorkKind::ResumableStream, Some(prompt(1, number, 350)));
+        let placed = gateway.place(&words(), &work, &[], true, NOW);
+        if let Some(Placement::Handover { prefill_engine, .. }) = placed {
+            to_the_idle_one += u32::from(prefill_engine == id(7));
+        }
+    }
+    assert!(to_the_idle_one <= 12, "{to_the_idle_one} of 60");
+}
+
+/// Gateways tell what all engines keep from what comes in at them.
+#[rstest]
+#[case::few_prompts(1, 20_000, true)]
+#[case::as_many_as_fill_the_memory(295, 20_000, false)]
+fn a_prefix_is_believed_as_long_as_an_engine_keeps_it(
+    #[case] gateways: u64,
+    #[case] tokens: u64,
+    #[case] is_held: bool,
+) {
+    let records = engines(2);
+    let mut gateway = gateway_of(&records, gateways, 0);
+    let asked = prompt(1, 2, tokens);
+    for second in 0..5 {
+        let now = NOW + Millis::from_secs(second);
+        gateway.note_arrival(&words(), &asked, now);
+    }
+    let now = NOW + Millis::from_secs(5);
+    gateway.holds(&id(0), &asked, now);
+    gateway.take_digest(&digest(&records, None, |_| BackendState::default()), now);
+    let later = now + Millis::from_secs(2);
+    let uncached = gateway.uncached_tokens(&id(0), &asked, None, later);
+    assert_eq!(uncached == 0, is_held, "{uncached}");
+}
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -7,3 +7,4 @@
 mod fleet;
 mod fleet_view;
 mod placement;
+mod split_fleet;
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -1,6 +1,8 @@
 //! The configuration lease and the rising index.
 
-use garnet_control::{CONFIGURATION_LEASE, ConfigurationChange, ControlReply, WatchUpdate};
+use garnet_control::{
+    CONFIGURATION_LEASE, ConfigurationChange, ControlReply, CopyNews, WatchUpdate,
+};
 use garnet_gateway::Event;
 use garnet_types::{BackendId, Execution, MachineState, Millis, OutcomeCode};
 use rstest::rstest;
@@ -43,7 +45,7 @@
         group: None,
         gateways: 1,
         digest: None,
-        copies: Vec::new(),
+        copies: CopyNews::default(),
     }));
     assert!(harness.gateway.is_ready(harness.now));
     assert!(!harness.gateway.is_ready(sent_at + CONFIGURATION_LEASE));
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{
     BackendRecord, BackendRegistration, ClaimAnswer, ClaimRequest, Configuration, ControlReply,
-    EngineObservation, GatewayRequest, WatchUpdate,
+    CopyNews, EngineObservation, GatewayRequest, WatchUpdate,
 };
 use garnet_gateway::{
     Answer, AttemptEvent, AttemptId, Call, Effect, Event, Gateway, GatewaySettings, Job, Work,
@@ -69,7 +69,7 @@
             group: None,
             gateways: 1,
             digest: None,
-            copies: Vec::new(),
+            copies: CopyNews::default(),
         }));
     }
 
