--- a/components/forwarding/src/forwarder/fleet.rs
+++ b/components/forwarding/src/forwarder/fleet.rs
@@ -9,8 +9,9 @@
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::backends::{Backend, Others, Underway};
+use crate::backends::Backend;
 use crate::cache_lifetime::lifetime;
+use crate::others::{Others, Underway};
 use crate::pace::PrefillPace;
 
 use super::Forwarder;
@@ -101,11 +102,7 @@
         let own = self.counted_report(told.counted);
         let mut others = BTreeMap::new();
         for (id, state) in ids.iter().zip(&states) {
-            let all = Underway {
-                requests: state.requests,
-                uncached: state.uncached,
-                held_tokens: state.held_tokens,
-            };
+            let all = Underway::from(state);
             let there = own.get(id).map_or(all, |own| all.without(own));
             others.insert(id.clone(), there);
             self.note_failing(id, state.is_failing, now);
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -11,6 +11,7 @@
 mod backends;
 mod cache_lifetime;
 mod forwarder;
+mod others;
 mod output_length;
 mod pace;
 pub mod placement;
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -6,7 +6,7 @@
     BackendRecord, BackendRegistration, Configuration, EngineObservation, WatchUpdate,
 };
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Prompt, PromptPart, Work};
-use garnet_routes::{Route, RouteTable, WeightedService, WorkKind};
+use garnet_routes::{EngineLimits, Route, RouteTable, ServiceSettings, WeightedService, WorkKind};
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
 };
@@ -118,3 +118,37 @@
         likely_output_tokens: None,
     }
 }
+
+/// One of `gateways` gateways, before engines that hold 400,000 tokens each;
+/// `number` parts it from the others.
+pub fn gateway_of(records: &[BackendRecord], gateways: u64, number: u64) -> Forwarder {
+    let mut gateway = Forwarder::new(ForwarderSettings {
+        zone: "a".into(),
+        budget: BudgetShare {
+            per_request: 0.2,
+            extra: 50.0,
+            window: Millis::from_secs(10),
+        },
+        first_draw: (number as f64 + 0.5) / gateways as f64,
+    });
+    let services = vec![ServiceSettings {
+        name: ServiceId::new("words"),
+        max_connections: 100,
+        engine: Some(EngineLimits {
+            slots: 64,
+            cache_tokens: 400_000,
+            token_bytes: 1,
+            link_mbps: 1,
+            role_change_ms: Millis(3000),
+            handover_ms: Millis(5000),
+        }),
+    }];
+    let table = RouteTable {
+        services,
+        ..table(1, &[("till", 1)])
+    };
+    let configuration = configuration(5, table, records);
+    gateway.update(WatchUpdate::Snapshot(Arc::new(configuration)));
+    gateway.set_gateways(gateways);
+    gateway
+}
--- a/components/forwarding/tests/core/fleet_view.rs
+++ b/components/forwarding/tests/core/fleet_view.rs
@@ -1,12 +1,12 @@
 //! What a gateway believes of the fleet from the leader's digest.
 
 use garnet_control::{BackendRecord, BackendState, ByRank, LoadDigest, MembersHash, ToldDigest};
-use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Placement};
-use garnet_routes::{EngineLimits, RouteTable, ServiceSettings, WorkKind};
+use garnet_forwarding::{Forwarder, Placement};
+use garnet_routes::WorkKind;
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 use rstest::rstest;
 
-use crate::fleet::{NOW, configuration, forwarder, prompt, record, table, work};
+use crate::fleet::{NOW, forwarder, gateway_of, prompt, record, work};
 
 fn id(number: usize) -> BackendId {
     BackendId::new(format!("p-{number}"))
@@ -138,41 +138,6 @@
     assert!(gateway.place(&words(), &work, &[], true, NOW).is_some());
 }
 
-/// One of `gateways` gateways; `number` parts it from the others.
-fn gateway_of(records: &[BackendRecord], gateways: u64, number: u64) -> Forwarder {
-    let mut gateway = Forwarder::new(ForwarderSettings {
-        zone: "a".into(),
-        budget: BudgetShare {
-            per_request: 0.2,
-            extra: 50.0,
-            window: Millis::from_secs(10),
-        },
-        first_draw: number as f64 / gateways as f64,
-    });
-    let services = vec![ServiceSettings {
-        name: words(),
-        max_connections: 100,
-        engine: Some(EngineLimits {
-            slots: 64,
-            cache_tokens: 400_000,
-            token_bytes: 1,
-            link_mbps: 1,
-            role_change_ms: Millis(3000),
-            handover_ms: Millis(5000),
-        }),
-    }];
-    let table = RouteTable {
-        services,
-        ..table(1, &[("till", 1)])
-    };
-    let configuration = configuration(5, table, records);
-    gateway.update(garnet_control::WatchUpdate::Snapshot(std::sync::Arc::new(
-        configuration,
-    )));
-    gateway.set_gateways(gateways);
-    gateway
-}
-
 #[test]
 fn few_of_many_gateways_try_a_failing_engine() {
     let records = engines(3);
--- a/components/forwarding/tests/core/split_fleet.rs
+++ b/components/forwarding/tests/core/split_fleet.rs
@@ -9,14 +9,14 @@
 use garnet_control::{
     BackendRecord, BackendState, Backlog, LoadDigest, MembersHash, PromptCopy, ToldDigest,
 };
-use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Placement, Prompt};
+use garnet_forwarding::{Forwarder, Placement, Prompt};
 use garnet_routes::WorkKind;
 use garnet_types::{BackendId, EngineRole, Millis, PrefixId, ServiceId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
-use crate::fleet::{NOW, configuration, prompt, record, table, work};
+use crate::fleet::{NOW, gateway_of, prompt, record, work};
 
 const ENGINES: usize = 60;
 /// Shared prefixes in use.
@@ -59,22 +59,7 @@
             .map(|number| record(&name(number), "words", "a", Some(EngineRole::Prefill)))
             .collect();
         records.push(record("q-decode", "words", "a", Some(EngineRole::Mixed)));
-        let gateway = |number: u64| {
-            let mut gateway = Forwarder::new(ForwarderSettings {
-                zone: "a".into(),
-                budget: BudgetShare {
-                    per_request: 0.2,
-                    extra: 50.0,
-                    window: Millis::from_secs(10),
-                },
-                first_draw: (number as f64 + 0.5) / gateways as f64,
-            });
-            let known = configuration(5, table(1, &[("till", 1)]), &records);
-            let update = garnet_control::WatchUpdate::Snapshot(std::sync::Arc::new(known));
-            gateway.update(update);
-            gateway.set_gateways(gateways);
-            gateway
-        };
+        let gateway = |number| gateway_of(&records, gateways, number);
         Fleet {
             gateways: (0..gateways).map(gateway).collect(),
             engines: (0..ENGINES).map(|_| Engine::default()).collect(),
