--- a/components/control-shell/src/disk_room.rs
+++ b/components/control-shell/src/disk_room.rs
@@ -2,7 +2,7 @@
 //!
 //! A replica that starts on a full disk waits here for room, in place of ending
 //! and being started again and again. One that finds its disk full while it runs
-//! waits as well, see `replica_task`.
+//! waits as well, see `disk`.
 
 use std::io;
 
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod connections;
 mod directory;
+mod disk;
 mod disk_room;
 mod engines;
 mod joining;
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -5,12 +5,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use garnet_consensus::{Ready, Snapshot};
-use garnet_control::{ControlReply, Effect, Event, JoinRequest, OperatorAnswer, Replica};
+use garnet_control::{Effect, Event, JoinRequest, Replica};
 use garnet_runtime::Clock;
-use garnet_storage::{DiskDirectory, ReplicaStorage, StorageError};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::{Millis, ReplicaId};
 use smol::channel::{Receiver, Sender};
@@ -19,14 +17,13 @@
 
 use crate::connections::Connections;
 use crate::directory::{self, DirectoryPort};
+use crate::disk::{Disk, PersistEnd};
 use crate::engines::{self, EnginePort};
 use crate::joining::{self, GroupAddresses, Standing};
 use crate::metrics::ReplicaMetrics;
 use crate::opening::Opened;
 
 const TICK: Millis = Millis(20);
-/// How often a full disk is tried again.
-const LOOK_FOR_ROOM: Duration = Duration::from_millis(200);
 /// Events taken before the disk gets its turn.
 const EVENTS_PER_SYNC: usize = 1024;
 
@@ -176,7 +173,9 @@
         let disk = Disk {
             storage,
             events: &events,
-            outlets: &outlets,
+            connections: &outlets.connections,
+            metrics: &outlets.metrics,
+            leads: &outlets.told.leads,
             stop: &stop,
         };
         storage = match disk.persist(&mut replica, &clock).await {
@@ -203,136 +202,6 @@
     smol::future::or(received, tick).await
 }
 
-/// Why nothing more is made durable.
-enum PersistEnd {
-    /// A planned stop came while the disk was full.
-    Stopped,
-    /// The disk failed: what lasted can't be known.
-    Failed(StorageError),
-}
-
-/// The disk of a replica, and who is turned away while it is full.
-struct Disk<'a, E> {
-    storage: ReplicaStorage<DiskDirectory>,
-    events: &'a Receiver<Event>,
-    outlets: &'a Outlets<E>,
-    stop: &'a StopSignal,
-}
-
-impl<E> Disk<'_, E> {
-    /// Makes everything durable that the replica hands out, off the loop.
-    async fn persist(
-        mut self,
-        replica: &mut Replica,
-        clock: &Clock,
-    ) -> Result<ReplicaStorage<DiskDirectory>, PersistEnd> {
-        while replica.has_ready() {
-            let mut ready = replica.ready();
-            if ready.needs_sync() {
-                (self, ready) = self.write(ready).await?;
-            }
-            replica.persisted(ready, clock.now());
-        }
-        if let Some(snapshot) = replica.take_snapshot() {
-            self = self.save_snapshot(snapshot).await?;
-        }
-        Ok(self.storage)
-    }
-
-    /// Writes until there is room. Until then the replica hears nothing and
-    /// says nothing: it acknowledges nothing that did not last, its lease ends,
-    /// and the others elect a leader, as for a replica whose disk stalls.
-    async fn write(mut self, mut ready: Ready) -> Result<(Self, Ready), PersistEnd> {
-        let mut refusals: u64 = 0;
-        loop {
-            let began = Instant::now();
-            let mut storage = self.storage;
-            let result;
-            (storage, ready, result) = smol::unblock(move || {
-                let result = storage.write(&ready);
-                (storage, ready, result)
-            })
-            .await;
-            self.storage = storage;
-            match result {
-                Ok(()) => self.outlets.metrics.synced(began.elapsed()),
-                Err(error) if error.is_full() => {
-                    if refusals == 0 {
-                        log::warn!(cause = error.to_string().as_str(); "disk_full");
-                    }
-                    refusals += 1;
-                    self.turn_away_for(LOOK_FOR_ROOM).await?;
-                    continue;
-                }
-                Err(error) => return Err(PersistEnd::Failed(error)),
-            }
-            if refusals > 0 {
-                log::info!(tries = refusals; "disk_full_over");
-                self.outlets.metrics.set_disk_full(false);
-            }
-            return Ok((self, ready));
-        }
-    }
-
-    /// A snapshot only shortens the log: where there is no room for it, the
-    /// next one does.
-    async fn save_snapshot(mut self, snapshot: Snapshot) -> Result<Self, PersistEnd> {
-        log::info!(index = snapshot.index, bytes = snapshot.data.len(); "snapshot");
-        let mut storage = self.storage;
-        let result;
-        (storage, result) = smol::unblock(move || {
-            let result = storage.save_snapshot(&snapshot);
-            (storage, result)
-        })
-        .await;
-        self.storage = storage;
-        match result {
-            Ok(()) => self.outlets.metrics.saved_snapshot(),
-            Err(error) if error.is_full() => {
-                log::warn!(cause = error.to_string().as_str(); "snapshot_left");
-            }
-            Err(error) => return Err(PersistEnd::Failed(error)),
-        }
-        Ok(self)
-    }
-
-    /// Refers gateways and operators to other replicas. What peers and engines
-    /// say is lost, as on a bad network.
-    async fn turn_away_for(&self, pause: Duration) -> Result<(), PersistEnd> {
-        self.outlets.metrics.set_disk_full(true);
-        self.outlets.told.leads.set(false);
-        let answering = async {
-            while let Ok(event) = self.events.recv().await {
-                turn_away(event, &self.outlets.connections);
-            }
-        };
-        let pause = async {
-            Timer::after(pause).await;
-        };
-        smol::future::or(smol::future::or(answering, pause), self.stop.stopped()).await;
-        if self.stop.is_stopped() {
-            return Err(PersistEnd::Stopped);
-        }
-        Ok(())
-    }
-}
-
-fn turn_away(event: Event, connections: &Connections) {
-    match event {
-        Event::Gateway { connection, .. } => {
-            let reply = ControlReply::NotLeader {
-                leader: None,
-                last_known: None,
-            };
-            connections.reply_gateway(connection, reply);
-        }
-        Event::Operator { ticket, .. } => {
-            connections.answer_operator(ticket, OperatorAnswer::NotLeader(None));
-        }
-        _ => {}
-    }
-}
-
 fn tell(replica: &Replica, clock: &Clock, told: &Told) {
     let node = replica.node();
     told.leads.set(node.holds_lease(clock.now()));
--- a/components/control/src/load_digest.rs
+++ b/components/control/src/load_digest.rs
@@ -7,6 +7,9 @@
 //!
 //! An entry takes 4 to 12 bytes: tokens are told in steps of [`TOKENS_PER_UNIT`].
 
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use garnet_types::{BackendId, Millis};
@@ -40,6 +43,20 @@
     }
 }
 
+impl fmt::Display for MembersHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for MembersHash {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(MembersHash)
+    }
+}
+
 /// What is under way at one back end, and whether it is sound.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BackendState {
--- a/components/control/tests/state/load_digest.rs
+++ b/components/control/tests/state/load_digest.rs
@@ -238,3 +238,10 @@
     let others = MembersHash::of(ids().iter().skip(1));
     assert_eq!(told.digest.states(others), None);
 }
+
+#[test]
+fn a_members_hash_is_read_back() {
+    let members = MembersHash::of(ids().iter());
+    assert_eq!(members.to_string().parse(), Ok(members));
+    assert!("no hash".parse::<MembersHash>().is_err());
+}
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -14,17 +14,17 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase};
 
-/// What comes within `patience`; all that comes where there is no limit.
+/// What comes within `time_limit`; all that comes where there is no limit.
 pub(crate) async fn within<T>(
-    patience: Option<Millis>,
+    time_limit: Option<Millis>,
     work: impl Future<Output = T>,
 ) -> Option<T> {
-    let Some(patience) = patience else {
+    let Some(time_limit) = time_limit else {
         return Some(work.await);
     };
     let working = async { Some(work.await) };
     let late = async {
-        Timer::after(Duration::from_millis(patience.0)).await;
+        Timer::after(Duration::from_millis(time_limit.0)).await;
         None
     };
     smol::future::or(working, late).await
@@ -156,7 +156,7 @@
     pub(crate) guard: AttemptGuard<C, B>,
 }
 
-/// Sends the job and reads the head of the answer, with `patience` where the
+/// Sends the job and reads the head of the answer, with `time_limit` where the
 /// work may go to another back end instead.
 ///
 /// # Errors
@@ -165,7 +165,7 @@
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
-    patience: Option<Millis>,
+    time_limit: Option<Millis>,
 ) -> Result<OpenAnswer<C, B>, AttemptEnd> {
     let address = {
         let forwarder = gateway.forwarder.borrow();
@@ -174,7 +174,7 @@
     };
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
-    let sent = within(patience, gateway.pool.send(&address, request)).await;
+    let sent = within(time_limit, gateway.pool.send(&address, request)).await;
     let result = match sent {
         None => {
             // Dropping the exchange has closed its connection.
@@ -216,7 +216,7 @@
     if let Some(load) = read.load {
         let now = gateway.now();
         let mut forwarder = gateway.forwarder.borrow_mut();
-        forwarder.told(&job.backend, load, now);
+        forwarder.note_load_report(&job.backend, load, now);
     }
     let end = match read.meaning {
         HeadMeaning::Answer => return Ok(OpenAnswer { exchange, guard }),
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -67,12 +67,12 @@
 ) -> Result<WaitingCache<C, B>, AttemptEnd> {
     let began = gateway.now();
     // A prefill runs nothing, so it may go to another prefill engine at any time.
-    let patience = {
+    let time_limit = {
         let forwarder = gateway.forwarder.borrow();
         let uncached = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         forwarder.prefill_timeout(&job.backend, uncached, job.priority, began)
     };
-    let sent = attempt(gateway, call, job, patience).await;
+    let sent = attempt(gateway, call, job, time_limit).await;
     let mut open = sent.map_err(not_run)?;
     let prefill_work = open.guard.prefill_work();
     let failed = |open: &mut OpenAnswer<C, B>, cause: &str| {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -35,7 +35,7 @@
     pub(crate) route: Route,
     pub(crate) service: ServiceId,
     pub(crate) work: Work,
-    pub(crate) patience: SilenceLimits,
+    pub(crate) silence: SilenceLimits,
     pub(crate) arrived: Millis,
     /// When its time is over.
     pub(crate) due: Millis,
@@ -189,7 +189,7 @@
             head: Rc::new(head),
             body,
         },
-        patience: SilenceLimits::of(&route),
+        silence: SilenceLimits::of(&route),
         route,
         service: choice.service,
         work,
--- a/components/forwarding-shell/src/stream.rs
+++ b/components/forwarding-shell/src/stream.rs
@@ -226,11 +226,11 @@
 
     async fn next_from_engine(&mut self) -> Next {
         loop {
-            let patience = self.event_timeout();
+            let time_limit = self.event_timeout();
             let Some(open) = &mut self.open else {
                 return Next::Cut;
             };
-            let Some(next) = within(patience, open.exchange.next()).await else {
+            let Some(next) = within(time_limit, open.exchange.next()).await else {
                 open.guard.silent();
                 return self.broke("silent");
             };
@@ -262,7 +262,7 @@
     /// How long the next event is waited for, where another engine may go on.
     fn event_timeout(&self) -> Option<Millis> {
         let may_move_on = self.begun && self.running.may_move_on();
-        may_move_on.then_some(self.running.patience.pause)
+        may_move_on.then_some(self.running.silence.pause)
     }
 
     /// The engine broke off. Its connection is closed, which ends its work, and
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -107,10 +107,10 @@
         priority: running.work.priority,
         resume_after: None,
     };
-    let patience = running.may_move_on().then_some(running.patience.answer);
+    let time_limit = running.may_move_on().then_some(running.silence.answer);
     let began = gateway.now();
-    let mut open = attempt(gateway, &running.call, &job, patience).await?;
-    let left = patience.map(|patience| patience.since(gateway.now().since(began)));
+    let mut open = attempt(gateway, &running.call, &job, time_limit).await?;
+    let left = time_limit.map(|time_limit| time_limit.since(gateway.now().since(began)));
     let read = within(left, open.exchange.read_whole(LONGEST_ANSWER)).await;
     let read = read.unwrap_or_else(|| Err(HttpError::Broken("silent".to_owned())));
     match read {
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -24,7 +24,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Told {
+struct TimedReport {
     report: LoadReport,
     at: Millis,
     own_then: u64,
@@ -40,7 +40,7 @@
     /// Likely output of own requests.
     own_output_tokens: u64,
     others: Others,
-    told: Option<Told>,
+    last_report: Option<TimedReport>,
 }
 
 impl BackendLoad {
@@ -125,8 +125,8 @@
     }
 
     /// Takes a report.
-    pub fn told(&mut self, report: LoadReport, now: Millis) {
-        self.told = Some(Told {
+    pub fn note_report(&mut self, report: LoadReport, now: Millis) {
+        self.last_report = Some(TimedReport {
             report,
             at: now,
             own_then: self.own.total(),
@@ -139,9 +139,9 @@
         self.others = others;
     }
 
-    fn fresh(&self, now: Millis) -> Option<&Told> {
-        let fresh = |told: &&Told| now.since(told.at) <= REPORT_FRESH;
-        self.told.as_ref().filter(fresh)
+    fn fresh(&self, now: Millis) -> Option<&TimedReport> {
+        let fresh = |told: &&TimedReport| now.since(told.at) <= REPORT_FRESH;
+        self.last_report.as_ref().filter(fresh)
     }
 }
 
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -176,7 +176,7 @@
             return None;
         }
         let queued = self.queued_tokens(id, rank, now);
-        Some(self.pace_of(id).patience(queued.max(uncached)))
+        Some(self.pace_of(id).time_limit(queued.max(uncached)))
     }
 
     fn pace_of(&self, id: &BackendId) -> PrefillPace {
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -153,9 +153,9 @@
     }
 
     /// Takes a load report.
-    pub fn told(&mut self, id: &BackendId, report: LoadReport, now: Millis) {
+    pub fn note_load_report(&mut self, id: &BackendId, report: LoadReport, now: Millis) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.load.told(report, now);
+            backend.load.note_report(report, now);
         }
     }
 
--- a/components/forwarding/src/pace.rs
+++ b/components/forwarding/src/pace.rs
@@ -20,9 +20,9 @@
 /// Prompts of which nothing is ahead say nothing of the pace.
 const TELLING_TOKENS: u64 = 100;
 /// Shortest limit for a prompt that is prefilled.
-const SHORTEST_PATIENCE: Millis = Millis(1000);
+const SHORTEST_TIME_LIMIT: Millis = Millis(1000);
 /// A prefill may take so many times what is expected.
-const PATIENCE_SLACK: f64 = 4.0;
+const TIME_LIMIT_SLACK: f64 = 4.0;
 
 /// Time of a prefill over the tokens ahead of its end: an exponentially
 /// weighted least-squares line.
@@ -83,8 +83,8 @@
 
     /// Longest time that prefilling `tokens` should take, those queued before
     /// them included.
-    pub fn patience(&self, tokens: u64) -> Millis {
-        SHORTEST_PATIENCE + Millis((self.expected_ms(tokens) * PATIENCE_SLACK) as u64)
+    pub fn time_limit(&self, tokens: u64) -> Millis {
+        SHORTEST_TIME_LIMIT + Millis((self.expected_ms(tokens) * TIME_LIMIT_SLACK) as u64)
     }
 }
 
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -135,9 +135,9 @@
 #[test]
 fn an_engine_is_not_blamed_for_what_it_reads_last() {
     let gateway = gateway();
-    let patience = |rank| gateway.prefill_timeout(&prefill_engine(), 8_000, rank, NOW);
-    assert!(patience(8).is_some());
-    assert_eq!(patience(9), None);
+    let time_limit = |rank| gateway.prefill_timeout(&prefill_engine(), 8_000, rank, NOW);
+    assert!(time_limit(8).is_some());
+    assert_eq!(time_limit(9), None);
 }
 
 /// Places are taken by requests that need 4 s each.
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -152,7 +152,7 @@
         waiting: 3,
         slots: 6,
     };
-    forwarder.told(&BackendId::new("till-a"), busy, NOW);
+    forwarder.note_load_report(&BackendId::new("till-a"), busy, NOW);
     assert_ne!(place(&mut forwarder), one("till-a"));
 }
 
--- a/components/forwarding/tests/pace.rs
+++ b/components/forwarding/tests/pace.rs
@@ -37,7 +37,7 @@
 fn before_the_first_prefill_a_slow_engine_is_taken_for_granted() {
     let pace = PrefillPace::default();
     assert!((pace.expected_ms(2_000) - 100.0).abs() < 1.0);
-    assert!(pace.patience(20_000) >= Millis(4_000));
+    assert!(pace.time_limit(20_000) >= Millis(4_000));
 }
 
 #[test]
