--- a/components/forwarding/src/prefill_choice.rs
+++ b/components/forwarding/src/prefill_choice.rs
@@ -24,15 +24,15 @@
 /// A first owner that this gateway has not sent the prefix to lately holds
 /// it all the same, since the others send there too, but for this part.
 const DOUBT_PARTS: u64 = 4;
-/// What prefix to copy costs, in prompt tokens that could be read in that
-/// time.
+/// What it costs to begin a copy, in prompt tokens that could be prefilled in
+/// that time.
 const COPY_SETUP_TOKENS: u64 = 400;
 /// One token is prefilled in the time in which so many are copied.
 const COPIED_TOKENS_PER_READ_TOKEN: u64 = 16;
 /// Copies between zones take so many times longer.
 const COPY_BETWEEN_ZONES: u64 = 2;
 
-/// An engine that may read the prompt, and what that costs there.
+/// An engine that may prefill the prompt, and what that costs there.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PrefillChoice<'a, 'b> {
     pub(crate) engine: &'a EngineView<'b>,
