Two circles of the control crate are gone

No behaviour changes. The decision on the group's next step stands in group_step.rs, below effects.rs and the replica; EnginePolling stands at the reconciler that goes by it. Left: replica/mod and its submodules, consensus membership and node, forwarding-shell request, stream and whole.

--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::{BackendRegistration, EngineObservation};
+use crate::group_step::GroupStep;
 use crate::messages::{ControlReply, GatewayRequest, JoinRequest};
 use crate::operator::{OperatorAnswer, OperatorRequest};
-use crate::replica::GroupStep;
 
 /// One line of the platform's list of machines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_health;
 mod fleet_load;
 mod gateways;
+mod group_step;
 mod load_digest;
 mod messages;
 mod operator;
@@ -37,6 +38,7 @@
 };
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
+pub use group_step::{GroupSettings, GroupStep, MemberFacts, next_step};
 pub use load_digest::{BackendState, LoadDigest, MembersHash, ToldDigest};
 pub use messages::{
     Backlog, ClaimRequest, ControlReply, CopyNews, Evidence, GatewayRequest, GroupView,
@@ -46,8 +48,6 @@
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
 };
 pub use planner_settings::planner_settings;
-pub use replica::{
-    DirectorySettings, EnginePolling, GroupSettings, GroupStep, MemberFacts, Replica,
-    ReplicaSettings, RestoreError, next_step,
-};
+pub use reconciler::EnginePolling;
+pub use replica::{DirectorySettings, Replica, ReplicaSettings, RestoreError};
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError};
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -15,7 +15,16 @@
 use crate::configuration::{BackendRecord, Configuration, EngineObservation, OutstandingOrder};
 use crate::effects::EngineRequest;
 use crate::gateways::GatewayLeases;
-use crate::replica::EnginePolling;
+
+/// When the leader asks engines for their state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EnginePolling {
+    /// Again and again.
+    #[default]
+    Always,
+    /// Only while an order is outstanding: the directory tells what they are.
+    WhileOrdered,
+}
 
 /// How often an engine is asked for its state.
 const POLL_INTERVAL: Millis = Millis(500);
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -9,7 +9,8 @@
 use crate::planning::EngineFacts;
 use crate::reconciler::{Present, Step};
 
-use super::{EnginePolling, Replica};
+use super::Replica;
+use crate::reconciler::EnginePolling;
 
 /// The list may leave an engine out while it changes its role: one with an
 /// order is forgotten only when it is missing for so long.
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -15,8 +15,6 @@
 use garnet_types::{BackendId, Fence, Millis, ReplicaId};
 use thiserror::Error;
 
-pub use group::{GroupSettings, GroupStep, MemberFacts, next_step};
-
 use group::Candidates;
 
 use crate::answer::CommandAnswer;
@@ -26,24 +24,15 @@
 use crate::effects::{Effect, Event};
 use crate::fleet_load::FleetLoad;
 use crate::gateways::GatewayLeases;
+use crate::group_step::GroupSettings;
 use crate::planning::Planning;
-use crate::reconciler::Reconciler;
+use crate::reconciler::{EnginePolling, Reconciler};
 use crate::state::{ControlState, StateDecodeError};
 use crate::watch::RecentChanges;
 
 /// How often the leader looks at the engines.
 const RECONCILE_INTERVAL: Millis = Millis(100);
 
-/// When the leader asks engines for their state.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum EnginePolling {
-    /// Again and again.
-    #[default]
-    Always,
-    /// Only while an order is outstanding: the directory tells what they are.
-    WhileOrdered,
-}
-
 /// How the leader believes the platform's list of machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DirectorySettings {
