--- /dev/null
+++ b/components/forwarding-shell/src/stream/opening.rs
@@ -0,0 +1,229 @@
+//! Which engines a stream is sent to, one after the other, until one answers.
+
+use garnet_forwarding::{Admission, AttemptEnd, NotRunReason, Placement};
+use garnet_types::BackendId;
+
+use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
+use crate::handover::{WaitingCache, prefill};
+use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
+use crate::request::{Running, log_no_back_end, may_repeat};
+
+use super::{Opened, Refused, Stream};
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
+    /// Places the request until an engine answers.
+    pub(super) async fn open(&mut self) -> Result<(), Refused> {
+        loop {
+            let opened = match self.cache.take() {
+                Some(cache) => self.generate(cache).await,
+                None => self.begin().await?,
+            };
+            match opened {
+                Ok(open) => {
+                    self.open = open;
+                    if self.open.is_some() {
+                        return Ok(());
+                    }
+                }
+                Err(end) => self.after(end)?,
+            }
+        }
+    }
+
+    /// Has one engine do all of it, or one engine read the prompt for another.
+    /// Gives no answer where a prompt was prefilled that waits for its decode engine.
+    async fn begin(&mut self) -> Result<Opened<C, B>, Refused> {
+        let placement = if self.is_new() {
+            self.place_new()?
+        } else {
+            self.place()
+        };
+        match placement {
+            None => {
+                log_no_back_end(&self.gateway, &self.running);
+                Err(Refused::GivenUp(self.running.progress.given_up()))
+            }
+            Some(Placement::One(backend)) => {
+                let job = self.job(JobPhase::Whole, backend);
+                Ok(self.send(&job).await.map(Some))
+            }
+            Some(Placement::Handover {
+                prefill_engine,
+                copy_from,
+            }) => {
+                // The first prefill is none of the service's repeats; each later
+                // one is, beside the repeat that goes on from it.
+                if self.was_read && !may_repeat(&self.gateway, &self.running) {
+                    return Err(Refused::GivenUp(self.running.progress.given_up()));
+                }
+                let source = copy_from.and_then(|holder| self.copy_source(holder));
+                Ok(self.read_at(prefill_engine, source).await)
+            }
+        }
+    }
+
+    /// Whether no engine has seen the request, here or before.
+    fn is_new(&self) -> bool {
+        self.running.is_untried() && !self.was_read && self.splitter.last_id().is_none()
+    }
+
+    /// Places a new request. One for which the engines have no time is turned
+    /// away before any of them has seen it, or sent to be prefilled after the rest.
+    fn place_new(&mut self) -> Result<Option<Placement>, Refused> {
+        let Running { service, work, .. } = &self.running;
+        let now = self.gateway.now();
+        let longest_gap = self.gateway.callers.longest_gap(&self.running.route);
+        let arrival = self.running.arrival(longest_gap, now);
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let placed = forwarder.place_new(service, work, &arrival, now);
+        drop(forwarder);
+        let Some((placement, admission)) = placed else {
+            return Ok(None);
+        };
+        let (retry_after, predicted) = match admission {
+            Admission::Admit => return Ok(Some(placement)),
+            Admission::Defer => {
+                self.running.work.is_deferred = true;
+                return Ok(Some(placement));
+            }
+            Admission::Refuse {
+                retry_after,
+                predicted,
+            } => (retry_after, predicted),
+        };
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            route = self.running.route.name.as_str(),
+            predicted_ms = predicted.0,
+            objective_ms = work.objective.0,
+            retry_after_ms = retry_after.0,
+            came_back = arrival.came_back;
+            "admission_refused"
+        );
+        Err(Refused::Busy(retry_after))
+    }
+
+    async fn read_at(
+        &mut self,
+        prefill_engine: BackendId,
+        source: Option<CopySource>,
+    ) -> Opened<C, B> {
+        let job = self.job(JobPhase::Prefill(source), prefill_engine.clone());
+        match prefill(&self.gateway, &self.running.call, &job).await {
+            Ok(cache) => {
+                self.was_read = true;
+                self.cache = Some(cache);
+                Ok(None)
+            }
+            Err(end) => {
+                // Another prefill engine takes it: a decode engine that prefills a prompt
+                // holds up all that it generates.
+                self.running.tried.push(prefill_engine);
+                Err(end)
+            }
+        }
+    }
+
+    /// A prefill takes its time: who generates is chosen after it. The cache is
+    /// kept for another decode engine where this one has not taken it.
+    async fn generate(&mut self, cache: WaitingCache<C, B>) -> Opened<C, B> {
+        let Some(decode_engine) = self.place_decode(cache.prefill_engine()) else {
+            log_no_back_end(&self.gateway, &self.running);
+            return Err(AttemptEnd::NotRun(NotRunReason::Full));
+        };
+        let job = self.job(JobPhase::Decode(cache.source()), decode_engine);
+        match self.send(&job).await {
+            Ok(answer) => {
+                cache.taken();
+                Ok(Some(answer))
+            }
+            Err(end) => {
+                match end {
+                    AttemptEnd::Unsent
+                    | AttemptEnd::NotRun(NotRunReason::Full | NotRunReason::Misdirected) => {
+                        self.cache = Some(cache);
+                    }
+                    // Its prefill engine lost it, and would lose it again.
+                    _ => self.running.tried.push(cache.prefill_engine().clone()),
+                }
+                Err(end)
+            }
+        }
+    }
+
+    fn copy_source(&self, holder: BackendId) -> Option<CopySource> {
+        let forwarder = self.gateway.forwarder.borrow();
+        let address = forwarder.address(&holder)?.to_owned();
+        Some(CopySource {
+            backend: holder,
+            address,
+        })
+    }
+
+    async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
+        self.running.served_by = Some(job.backend.clone());
+        // A decode engine under load is slow with its first event; one that is gone
+        // shows when the request's bytes are not acknowledged.
+        let answer = attempt(&self.gateway, &self.running.call, job, None).await;
+        match &answer {
+            Ok(open) if open.exchange.head.status.is_server_error() => {
+                let cause = failed_with(open.exchange.head.status);
+                log_failure(&self.running.call, job, &cause);
+            }
+            Ok(_) => {}
+            Err(_) => self.running.tried.push(job.backend.clone()),
+        }
+        answer
+    }
+
+    fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
+        let resumes = !matches!(phase, JobPhase::Prefill(_));
+        let last_id = self.splitter.last_id().filter(|_| resumes);
+        let work = &self.running.work;
+        let priority = match &phase {
+            // Its prompt is prefilled: it holds up nobody's first token.
+            JobPhase::Decode(_) => work.priority,
+            _ => work.rank(self.uncached_tokens(&phase, &backend)),
+        };
+        Job {
+            phase,
+            backend,
+            remaining: self.running.remaining(self.gateway.now()),
+            priority,
+            resume_after: last_id.map(str::to_owned),
+        }
+    }
+
+    /// Prompt tokens that the back end has to prefill in this phase.
+    fn uncached_tokens(&self, phase: &JobPhase, backend: &BackendId) -> u64 {
+        let source = match phase {
+            JobPhase::Whole => None,
+            JobPhase::Prefill(source) => source.as_ref().map(|source| &source.backend),
+            JobPhase::Decode(_) => return 0,
+        };
+        let Some(prompt) = &self.running.work.prompt else {
+            return 0;
+        };
+        let forwarder = self.gateway.forwarder.borrow();
+        forwarder.uncached_tokens(backend, prompt, source, self.gateway.now())
+    }
+
+    fn place(&self) -> Option<Placement> {
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let Running {
+            service,
+            work,
+            tried,
+            ..
+        } = &self.running;
+        forwarder.place(service, work, tried, true, now)
+    }
+
+    fn place_decode(&self, prefill_engine: &BackendId) -> Option<BackendId> {
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let Running { service, tried, .. } = &self.running;
+        forwarder.place_decode(service, prefill_engine, tried, now)
+    }
+}
