--- a/components/forwarding/src/forwarder/fleet.rs
+++ b/components/forwarding/src/forwarder/fleet.rs
@@ -157,14 +157,6 @@
         pace.mean()
     }
 
-    /// Takes what the other gateways have under way; nothing where a back end
-    /// is not named.
-    pub fn take_backlogs(&mut self, backlogs: &[Backlog], now: Millis) {
-        let underway = |backlog: &Backlog| (backlog.backend.clone(), Underway::from(backlog));
-        let others = backlogs.iter().map(underway).collect();
-        self.take_others(&others, now);
-    }
-
     fn take_others(&mut self, others: &BTreeMap<BackendId, Underway>, now: Millis) {
         let there = |id: &BackendId| others.get(id).copied().unwrap_or_default();
         let mut alike: BTreeMap<Likes, Vec<Underway>> = BTreeMap::new();
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -229,6 +229,11 @@
         (open.count(), self.backends.len())
     }
 
+    /// The back ends that are known, in their order.
+    pub fn backend_ids(&self) -> impl Iterator<Item = &BackendId> {
+        self.backends.keys()
+    }
+
     /// Back ends that are known.
     pub fn known_backends(&self) -> usize {
         self.backends.len()
--- a/components/forwarding/src/others.rs
+++ b/components/forwarding/src/others.rs
@@ -69,16 +69,6 @@
     }
 }
 
-impl From<&Backlog> for Underway {
-    fn from(backlog: &Backlog) -> Self {
-        Underway {
-            requests: backlog.requests,
-            uncached: backlog.uncached,
-            held_tokens: backlog.held_tokens,
-        }
-    }
-}
-
 /// What the other gateways have under way at a back end, and what they have at
 /// its like in the mean.
 ///
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use crate::fleet::{NOW, configuration, empty_forwarder, prompt, record, table, work};
+use crate::fleet::{NOW, configuration, empty_forwarder, hear, prompt, record, table, work};
 
 const SLOTS: u64 = 48;
 /// The pace that the gateway has learned.
@@ -101,7 +101,7 @@
 fn what_would_be_late_is_read_after_the_rest(#[case] queued: u64, #[case] expected: Admission) {
     let mut gateway = gateway();
     let others = backlog(prefill_engine(), 9, ByRank::at(0, queued));
-    gateway.take_backlogs(&[others], NOW);
+    hear(&mut gateway, &[others]);
     let work = stream(prompt(1, 2, 8_000));
     assert_eq!(decide(&mut gateway, &work, false), expected);
     assert_eq!(decide(&mut gateway, &work, true), expected);
@@ -111,7 +111,7 @@
 fn what_is_queued_behind_makes_nobody_late() {
     let mut gateway = gateway();
     let others = backlog(prefill_engine(), 9, ByRank::at(9, 100_000));
-    gateway.take_backlogs(&[others], NOW);
+    hear(&mut gateway, &[others]);
     let work = stream(prompt(1, 2, 8_000));
     assert_eq!(decide(&mut gateway, &work, false), Admission::Admit);
 }
@@ -120,7 +120,7 @@
 fn what_would_end_before_it_begins_is_refused_with_a_time_to_come_back() {
     let mut gateway = gateway();
     let others = backlog(prefill_engine(), 9, ByRank::at(0, 300_000));
-    gateway.take_backlogs(&[others], NOW);
+    hear(&mut gateway, &[others]);
     let work = stream(prompt(1, 2, 8_000));
     let Admission::Refuse { retry_after, .. } = decide(&mut gateway, &work, true) else {
         panic!("three seconds are queued");
@@ -150,7 +150,7 @@
     gateway.note_place(&decode_engine(), &chat, Millis(4_000));
     gateway.handed_over(&decode_engine(), &chat, 1, NOW);
     let others = backlog(decode_engine(), requests - 1, ByRank::default());
-    gateway.take_backlogs(&[others], NOW);
+    hear(&mut gateway, &[others]);
     gateway
 }
 
@@ -192,7 +192,7 @@
             backlog(prefill_engine(), requests, ByRank::at(0, queued)),
             backlog(decode_engine(), requests, ByRank::default()),
         ];
-        gateway.take_backlogs(&others, NOW);
+        hear(&mut gateway, &others);
         let arrival = Arrival {
             waited: Millis::ZERO,
             remaining: Millis(remaining),
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use garnet_control::{
-    BackendRecord, BackendRegistration, Configuration, EngineObservation, WatchUpdate,
+    BackendRecord, BackendRegistration, BackendState, Backlog, Configuration, EngineObservation,
+    LoadDigest, MembersHash, ToldDigest, WatchUpdate,
 };
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Prompt, PromptPart, Work};
 use garnet_routes::{EngineLimits, Route, RouteTable, ServiceSettings, WeightedService, WorkKind};
@@ -152,3 +153,24 @@
     gateway.set_gateways(gateways);
     gateway
 }
+
+/// The gateway hears from the leader what the others have under way; nothing
+/// where a back end is not named.
+pub fn hear(gateway: &mut Forwarder, backlogs: &[Backlog]) {
+    let ids: Vec<BackendId> = gateway.backend_ids().cloned().collect();
+    let state = |id: &BackendId| {
+        let backlog = backlogs.iter().find(|backlog| backlog.backend == *id);
+        backlog.map_or(BackendState::default(), |backlog| BackendState {
+            requests: backlog.requests,
+            uncached: backlog.uncached,
+            held_tokens: backlog.held_tokens,
+            is_failing: false,
+        })
+    };
+    let states: Vec<BackendState> = ids.iter().map(state).collect();
+    let told = ToldDigest {
+        digest: LoadDigest::encode(MembersHash::of(ids.iter()), &states),
+        counted: None,
+    };
+    gateway.take_digest(&told, NOW);
+}
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -5,7 +5,7 @@
 use garnet_routes::WorkKind;
 use garnet_types::{BackendId, EngineRole, Millis, PrefixId, ServiceId};
 
-use crate::fleet::{NOW, forwarder, prompt, record, work};
+use crate::fleet::{NOW, forwarder, hear, prompt, record, work};
 
 fn instances() -> Vec<BackendRecord> {
     ["a", "b", "c"]
@@ -133,7 +133,7 @@
         ("r-b", ["r-a", "r-c"]),
         ("r-c", ["r-a", "r-b"]),
     ] {
-        gateway.take_backlogs(&others.map(busy), NOW);
+        hear(&mut gateway, &others.map(busy));
         assert_eq!(prefill(&mut gateway, short.clone(), &[]).0.as_str(), idle);
     }
 }
@@ -236,7 +236,7 @@
         uncached: ByRank::at(0, 90_000),
         held_tokens: 90_000,
     };
-    gateway.take_backlogs(&[backlog], NOW);
+    hear(&mut gateway, &[backlog]);
     let placed = gateway.place(&words, &work, &[], true, NOW);
     assert_ne!(prefill_engine_of(placed), prefill_engine);
 }
