A phase loses a quarter of its engines at most in a step

Change: a step takes at most a quarter of the phase that loses; for decode engines three times the peak that was seen is taken for granted, not twice.

Test: a_small_phase_loses_a_quarter_at_most.

--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -23,7 +23,7 @@
 const UNSEEN_PEAK: f64 = 0.8;
 /// Decode engines run many requests at once and slow down gradually: for them no
 /// more is taken for granted than so many times the peak that was seen.
-const DECODE_SWING: f64 = 2.0;
+const DECODE_SWING: f64 = 3.0;
 /// How long a leader listens before it takes a pool for one without load.
 const FIRST_LOOK: Millis = Millis(1200);
 /// Limits of an engine where the route table does not tell.
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -12,6 +12,10 @@
 /// A step is one engine of so many: with it the engines of a phase that has a
 /// third of the pool change by a quarter, which is about what is worth a change.
 const ENGINES_PER_STEP: usize = 12;
+/// A phase loses at most one engine of so many in a step: what the rest then has
+/// to do is worked out in proportion, which holds for small changes only (batches
+/// slow down, and KV transfers share fewer links).
+const LOSING_PER_STEP: usize = 4;
 /// Occupancy above this counts as this: the queue has no end there.
 const FULL: f64 = 0.95;
 
@@ -112,12 +116,13 @@
     if now <= settings.tolerable {
         return present;
     }
-    let step = (occupancy.engines() / ENGINES_PER_STEP).max(1);
+    let step = occupancy.engines() / ENGINES_PER_STEP;
+    let bounded = |losing: usize| step.min(losing / LOSING_PER_STEP).max(1);
     let steps = [
-        present.saturating_sub(step),
+        present.saturating_sub(bounded(present)),
         present.saturating_sub(1),
         present + 1,
-        present + step,
+        present + bounded(occupancy.decode_engines),
     ];
     let best = steps
         .into_iter()
--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -69,6 +69,29 @@
     );
 }
 
+/// A phase that has become small is not taken apart in one step: what its rest has
+/// to do grows faster than in proportion.
+#[rstest]
+#[case::few_decode_engines(133, 27, 0.7, 0.42, 139)]
+#[case::few_prefill_engines(24, 136, 0.3, 1.1, 18)]
+fn a_small_phase_loses_a_quarter_at_most(
+    #[case] prefill_engines: usize,
+    #[case] decode_engines: usize,
+    #[case] prefill: f64,
+    #[case] decode: f64,
+    #[case] wanted: usize,
+) {
+    let seen = PhaseOccupancy {
+        places: decode_engines as f64 * 24.0,
+        ..occupancy(prefill_engines, decode_engines, prefill, decode)
+    };
+    let settings = BalanceSettings {
+        worthwhile: 1.0,
+        ..BalanceSettings::default()
+    };
+    assert_eq!(wanted_prefill_engines(&seen, &settings), wanted);
+}
+
 #[rstest]
 #[case(9, 6)]
 #[case(2, 1)]
