The pace of a service is looked up in one place

No behaviour changes: the time that a prompt is at an engine and the pace of an engine took the same steps to what was learned of the service; a comment that ran over its line is wrapped.

--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -180,8 +180,14 @@
     }
 
     fn pace_of(&self, id: &BackendId) -> PrefillPace {
-        let service = self.backends.get(id).map(|b| &b.registration.service);
-        let learned = service.and_then(|service| self.learned.get(service));
+        let backend = self.backends.get(id);
+        backend.map_or(PrefillPace::default(), |backend| {
+            self.pace_of_service(&backend.registration.service)
+        })
+    }
+
+    pub(super) fn pace_of_service(&self, service: &ServiceId) -> PrefillPace {
+        let learned = self.learned.get(service);
         learned.map_or(PrefillPace::default(), |learned| learned.prefill)
     }
 
--- a/components/forwarding/src/forwarder/fleet.rs
+++ b/components/forwarding/src/forwarder/fleet.rs
@@ -12,7 +12,6 @@
 use crate::backends::Backend;
 use crate::cache_lifetime::lifetime;
 use crate::others::{Others, Underway};
-use crate::pace::PrefillPace;
 
 use super::Forwarder;
 
@@ -137,8 +136,9 @@
     }
 
     /// Engines that are worth looking at for a prompt that none owns: the fewer
-    /// the older beliefs are against the time that a prompt is at an engine. What is older tells nothing of the present queue, and those who
-    /// go by it all go the same way.
+    /// the older beliefs are against the time that a prompt is at an engine. What
+    /// is older tells nothing of the present queue, and those who go by it all go
+    /// the same way.
     pub(super) fn engines_to_sample(&self, service: &ServiceId) -> usize {
         let prefill = self.turnover(service).0 as f64;
         let fresh = prefill / self.beliefs_age.mean_ms.max(1.0);
@@ -152,9 +152,7 @@
 
     /// How long a prompt is at a prefill engine of the service, in the mean.
     fn turnover(&self, service: &ServiceId) -> Millis {
-        let learned = self.learned.get(service);
-        let pace = learned.map_or(PrefillPace::default(), |learned| learned.prefill);
-        pace.mean()
+        self.pace_of_service(service).mean()
     }
 
     fn take_others(&mut self, others: &BTreeMap<BackendId, Underway>, now: Millis) {
