Tenants and keys: each request belongs to a tenant, or is turned away

Each request is decided by the table in force when it comes: 401 by a confirmed configuration, 503 with a time to come back by one that no leader has confirmed. The tenant's name goes to back ends in every call, whatever the caller sent; the key goes nowhere. Keys are types that print nothing; a document's findings repeat no values.

A tenant's priority comes ahead of the route's: the most common, least urgent tenants keep the ranks of their routes, the others stand before them.

--- a/components/forwarding-shell/src/answers.rs
+++ b/components/forwarding-shell/src/answers.rs
@@ -1,6 +1,6 @@
 //! Answers that the gateway gives itself.
 
-use garnet_forwarding::{GivenUp, SHORTEST_RETRY};
+use garnet_forwarding::{AccessDenied, GivenUp, SHORTEST_RETRY};
 use garnet_runtime::server::set_header;
 use garnet_runtime::{Body, text_response};
 use garnet_types::Millis;
@@ -13,6 +13,8 @@
     BadRequest,
     /// No route takes it.
     NoRoute,
+    /// Its caller does not prove who it is.
+    Unauthorized(AccessDenied),
     /// Its body is larger than allowed.
     TooLarge,
     /// Its body did not come in time; it has not run.
@@ -39,6 +41,7 @@
         match self {
             OwnAnswer::BadRequest => "bad_request",
             OwnAnswer::NoRoute => "no_route",
+            OwnAnswer::Unauthorized(denied) => denied.as_str(),
             OwnAnswer::TooLarge => "too_large",
             OwnAnswer::TooSlow => "too_slow",
             OwnAnswer::NotRun(_) => "not_run",
@@ -52,6 +55,7 @@
         let (status, text) = match self {
             OwnAnswer::BadRequest => (400, "the request is not in order"),
             OwnAnswer::NoRoute => (404, "no route takes this host and path"),
+            OwnAnswer::Unauthorized(_) => (401, "the key is missing or not known"),
             OwnAnswer::TooLarge => (413, "the body is too large"),
             OwnAnswer::TooSlow => (408, "the body did not come in time; not run"),
             OwnAnswer::NotRun(_) => (503, "not run; it may be sent again"),
@@ -64,9 +68,15 @@
             format!("{text}: {detail}\n")
         };
         let mut response = text_response(status, text);
-        if let OwnAnswer::NotRun(after) = self {
-            let seconds = format!("{:.3}", after.as_secs_f64());
-            set_header(&mut response, "retry-after", &seconds);
+        match self {
+            OwnAnswer::NotRun(after) => {
+                let seconds = format!("{:.3}", after.as_secs_f64());
+                set_header(&mut response, "retry-after", &seconds);
+            }
+            OwnAnswer::Unauthorized(_) => {
+                set_header(&mut response, "www-authenticate", "Bearer");
+            }
+            _ => {}
         }
         response
     }
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
-use garnet_forwarding::{LoadReport, NotRunReason, Prompt};
+use garnet_forwarding::{Credential, LoadReport, NotRunReason, Prompt};
 use garnet_routes::Route;
 use garnet_runtime::Body;
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, Millis, TenantId};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::http::request::Parts as RequestParts;
@@ -21,6 +21,8 @@
     pub host: String,
     /// How long the caller waits.
     pub deadline: Option<Millis>,
+    /// What it presents to prove who it is.
+    pub credential: Credential,
     /// Its prompt, for work of engines.
     pub prompt: Option<Prompt>,
     /// Last event of a stream that the caller has, to go on after it.
@@ -36,6 +38,8 @@
     pub head: Rc<RequestParts>,
     /// Its body.
     pub body: Bytes,
+    /// Whose it is; `None` where callers are not asked for keys.
+    pub tenant: Option<TenantId>,
 }
 
 /// Where a prompt's KV cache is to be had.
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -12,7 +12,7 @@
 use garnet_runtime::server::{BodyError, Limits, read_body};
 use garnet_types::{BackendId, Millis, ServiceId};
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 use smol::Timer;
 
@@ -147,7 +147,8 @@
     with_leave(&gateway, response)
 }
 
-/// Finds the route and begins. The refusal where there is none.
+/// Finds the route and the caller's tenant, and begins. The refusal where
+/// there is none.
 fn begin<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     mut head: hyper::http::request::Parts,
@@ -165,6 +166,21 @@
         return Err(Box::new((facts, answer)));
     };
     let route = choice.route;
+    let access = forwarder.authorize(&route, &facts.credential);
+    let tenant = match access {
+        Ok(tenant) => tenant.cloned(),
+        Err(denied) => {
+            let answer = if forwarder.is_confirmed() {
+                OwnAnswer::Unauthorized(denied)
+            } else {
+                OwnAnswer::NotRun(gateway.expected_configuration(arrived))
+            };
+            return Err(Box::new((facts, answer)));
+        }
+    };
+    if forwarder.asks_for_keys() {
+        head.headers.remove(AUTHORIZATION);
+    }
     forwarder.earn_repeats(&choice.service, arrived);
     remove_connection_headers(&mut head.headers);
     if let Some(prompt) = &mut facts.prompt {
@@ -177,7 +193,7 @@
         .min(route.timeout_ms);
     let work = Work {
         kind: route.kind,
-        priority: route.priority,
+        priority: forwarder.priority(&route, tenant.as_ref()),
         objective: route.objective_ms,
         max_attempts: route.max_attempts.max(1),
         prompt: facts.prompt.clone(),
@@ -188,6 +204,7 @@
             facts,
             head: Rc::new(head),
             body,
+            tenant: tenant.map(|tenant| tenant.name),
         },
         silence: SilenceLimits::of(&route),
         route,
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -13,9 +13,10 @@
 use std::collections::{BTreeMap, HashMap};
 
 use garnet_control::{Configuration, PromptCopy};
-use garnet_routes::{Route, RouteIndex};
+use garnet_routes::{Route, RouteIndex, Tenant};
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
+use crate::access::{AccessDenied, Credential, authorize};
 use crate::admission::Returns;
 use crate::backends::Backend;
 use crate::cache_lifetime::PromptRate;
@@ -124,6 +125,29 @@
         Some(RouteChoice { route, service })
     }
 
+    /// The tenant of a request on `route`, where callers are asked for keys.
+    ///
+    /// # Errors
+    /// Why the request is not let in, by the table in force.
+    pub fn authorize(
+        &self,
+        route: &Route,
+        credential: &Credential,
+    ) -> Result<Option<&Tenant>, AccessDenied> {
+        authorize(&self.routes, route, credential)
+    }
+
+    /// Rank of a request on `route`, 0 first.
+    pub fn priority(&self, route: &Route, tenant: Option<&Tenant>) -> u8 {
+        self.routes.priority(route, tenant)
+    }
+
+    /// Whether callers prove who they are to this gateway: what they present
+    /// is not passed on.
+    pub fn asks_for_keys(&self) -> bool {
+        self.routes.asks_for_keys()
+    }
+
     /// Where the request goes now. `None` when no back end can take it.
     pub fn place(
         &mut self,
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 //! choice of a back end is a pure function over that ([`placement`]); what an
 //! attempt's end means for the caller is a pure function too ([`next_move`]).
 
+mod access;
 mod admission;
 mod attempts;
 mod backends;
@@ -21,6 +22,7 @@
 mod silence;
 mod work;
 
+pub use access::{AccessDenied, Credential};
 pub use admission::{Admission, Arrival, SHORTEST_RETRY};
 pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
 pub use backends::{Backend, BackendLoad, LoadReport};
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -56,6 +56,7 @@
         pause_objective_ms: None,
         priority: 1,
         max_attempts: 2,
+        public: false,
         services: split.iter().map(share).collect(),
     }
 }
--- a/components/routes/src/check.rs
+++ b/components/routes/src/check.rs
@@ -1,12 +1,13 @@
 //! Findings of a route table, all together.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 
 use garnet_types::{Millis, ServiceId};
 use serde::{Deserialize, Serialize};
 
 use crate::table::{Route, RouteTable};
+use crate::tenant::{KeyDigest, Tenant};
 
 /// One thing that is wrong with a document.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +68,7 @@
                 findings.report(format!("{place}.path_prefix"), message);
             }
         }
+        check_tenants(self.tenants.as_deref().unwrap_or_default(), &mut findings);
         if findings.is_empty() {
             Ok(())
         } else {
@@ -115,3 +117,28 @@
         }
     }
 }
+
+/// A key leads to one tenant, and a name to one.
+fn check_tenants(tenants: &[Tenant], findings: &mut RouteFindings) {
+    let mut names = BTreeSet::new();
+    let mut holders: HashMap<KeyDigest, usize> = HashMap::new();
+    for (position, tenant) in tenants.iter().enumerate() {
+        let place = format!("tenants[{position}]");
+        let name = tenant.name.as_str();
+        if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+            // Back ends are told the name in a header.
+            let message = "must be printable ASCII without blanks";
+            findings.report(format!("{place}.name"), message);
+        }
+        if !names.insert(&tenant.name) {
+            findings.report(format!("{place}.name"), "another tenant has this name");
+        }
+        for (number, key) in tenant.keys.iter().enumerate() {
+            let holder = holders.insert(*key, position);
+            if holder.is_some_and(|holder| holder != position) {
+                let place = format!("{place}.keys[{number}]");
+                findings.report(place, "another tenant has this key");
+            }
+        }
+    }
+}
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -3,6 +3,8 @@
 use garnet_types::{Millis, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use crate::tenant::Tenant;
+
 /// Whether a request may run more than once, and how it is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -74,6 +76,9 @@
     /// Most back ends that one request may be sent to.
     #[serde(default = "one_attempt")]
     pub max_attempts: u32,
+    /// Whether callers need no key, where the table has tenants.
+    #[serde(default)]
+    pub public: bool,
     /// Services that share the requests.
     pub services: Vec<WeightedService>,
 }
@@ -161,6 +166,9 @@
     /// Bounds on callers.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// Who may send requests; `None` asks nobody for a key.
+    #[serde(default)]
+    pub tenants: Option<Vec<Tenant>>,
 }
 
 impl RouteTable {
