Usage is told once for each window, by the leader under a tenure of its own

Change: gateways count by tenant and window where a run begins (first event of a stream, start of a plain call; repeats count as one) and report totals again and again until they stand in the log (CountUsage, each half second). CloseUsage closes a window 3.5 s after its end by the median of all clocks; what is told of it is in the log from then on and never changes. The holder of the duty is the leader; BeginTenure gives it the fencing token, the command's index. A call that was refused is not repeated under its token. A new holder waits for its predecessor: not at all where fences are checked, a call's time where they are not, the time of turns where it held the duty itself before the other.

Ruled out: tokens by term (two calls of one term could not be told apart); counts kept by the leader alone (lost with it and its gateways); windows by each gateway's own clock (clocks jump by seconds).

The state's format is 3: a replica's disk of format 2 is refused with its name.

--- a/bin/garnet-control/src/start.rs
+++ b/bin/garnet-control/src/start.rs
@@ -5,7 +5,9 @@
 
 use garnet_consensus::Config;
 use garnet_control::ReplicaSettings;
-use garnet_control_shell::{ControlShell, FirstGroup, OpenSettings, Ports, hand_over, open};
+use garnet_control_shell::{
+    ControlShell, FirstGroup, NoDuties, OpenSettings, Ports, hand_over, open,
+};
 use garnet_runtime::server::bind_listener;
 use garnet_runtime::{HttpClient, Shell, bind};
 use garnet_types::ReplicaId;
@@ -35,6 +37,7 @@
             .clone()
             .map(|address| MachineList::new(address, http.clone())),
         engines: EngineHttp::new(http),
+        duties: NoDuties,
     };
     let mut children = control.children(opened, peer_listener, ports, None);
     children.push(shell.http_child(admin_server, move |request| {
--- /dev/null
+++ b/components/control-shell/src/duties.rs
@@ -0,0 +1,35 @@
+//! The port to the platform for duties that one replica does at a time.
+
+use std::future::Future;
+
+use garnet_control::{Duty, DutyAnswer, DutyCall};
+
+/// Calls the platform.
+pub trait DutyPort: Clone {
+    /// Makes the call; its connection is closed when no answer comes in time.
+    fn call(&self, call: DutyCall) -> impl Future<Output = DutyAnswer>;
+}
+
+/// A platform without such duties.
+#[derive(Debug, Clone, Copy)]
+pub struct NoDuties;
+
+impl DutyPort for NoDuties {
+    async fn call(&self, _call: DutyCall) -> DutyAnswer {
+        DutyAnswer::Refused
+    }
+}
+
+/// Notes the end of a call in the log.
+pub(crate) fn log_answer(call: &DutyCall, answer: DutyAnswer) {
+    match &call.duty {
+        Duty::Usage { window, counts } => log::info!(
+            token = call.token,
+            window = window.0,
+            tenants = counts.len(),
+            requests = counts.values().sum::<u64>(),
+            answer = answer.as_str();
+            "usage_told"
+        ),
+    }
+}
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -3,12 +3,13 @@
 //! Contract: the shell owns the sockets, the disk and the clock of one
 //! [`garnet_control::Replica`]. What speaks to the outside is plugged in:
 //! a [`DirectoryPort`] reads the list of machines, an [`EnginePort`] asks
-//! engines, and operators reach the replica through [`Connections::ask`].
+//! engines, a [`DutyPort`] calls the platform, and operators reach the replica through [`Connections::ask`].
 
 mod connections;
 mod directory;
 mod disk;
 mod disk_room;
+mod duties;
 mod engines;
 mod joining;
 mod metrics;
@@ -20,6 +21,7 @@
 pub use connections::Connections;
 pub use directory::{DirectoryError, DirectoryPort};
 pub use disk_room::wait_for_room;
+pub use duties::{DutyPort, NoDuties};
 pub use engines::EnginePort;
 pub use joining::{GroupAddresses, MemberAddress};
 pub use metrics::ReplicaMetrics;
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_control::{Effect, Event, JoinRequest, Replica};
+use garnet_control::{DutyCall, Effect, Event, JoinRequest, Replica};
 use garnet_runtime::Clock;
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::{Millis, ReplicaId};
@@ -18,6 +18,7 @@
 use crate::connections::Connections;
 use crate::directory::{self, DirectoryPort};
 use crate::disk::{Disk, PersistEnd};
+use crate::duties::{DutyPort, log_answer};
 use crate::engines::{self, EnginePort};
 use crate::joining::{self, GroupAddresses, Standing};
 use crate::metrics::ReplicaMetrics;
@@ -28,11 +29,13 @@
 const EVENTS_PER_SYNC: usize = 1024;
 
 /// What is plugged into the shell.
-pub struct Ports<D, E> {
+pub struct Ports<D, E, P> {
     /// The list of machines; `None` leaves back ends to the operators.
     pub directory: Option<D>,
     /// Engines.
     pub engines: E,
+    /// The platform's side of the duties.
+    pub duties: P,
 }
 
 /// The parts of a running replica.
@@ -62,21 +65,23 @@
 
     /// The children that run the replica. `join` is given where the group
     /// keeps its members itself.
-    pub fn children<D, E>(
+    pub fn children<D, E, P>(
         &self,
         opened: Opened,
         listener: TcpListener,
-        ports: Ports<D, E>,
+        ports: Ports<D, E, P>,
         join: Option<(JoinRequest, GroupAddresses)>,
     ) -> Vec<ChildSpec>
     where
         D: DirectoryPort + 'static,
         E: EnginePort + 'static,
+        P: DutyPort + 'static,
     {
         let told = Told::default();
         let outlets = Outlets {
             connections: self.connections.clone(),
             engines: ports.engines,
+            duties: ports.duties,
             executor: Rc::clone(&self.executor),
             events: self.events_in.clone(),
             told: told.clone(),
@@ -114,9 +119,10 @@
 
 /// Where effects go.
 #[derive(Clone)]
-struct Outlets<E> {
+struct Outlets<E, P> {
     connections: Connections,
     engines: E,
+    duties: P,
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     told: Told,
@@ -125,10 +131,10 @@
 
 /// The child. It is essential: a replica whose disk failed must not go on, and
 /// starting it again in the same process would trust the same disk.
-fn child<E: EnginePort + 'static>(
+fn child<E: EnginePort + 'static, P: DutyPort + 'static>(
     opened: Opened,
     events: Receiver<Event>,
-    outlets: Outlets<E>,
+    outlets: Outlets<E, P>,
 ) -> ChildSpec {
     let opened = Rc::new(RefCell::new(Some(opened)));
     ChildSpec::new("replica", Restart::Essential, move |stop| {
@@ -144,10 +150,10 @@
     })
 }
 
-async fn run<E: EnginePort + 'static>(
+async fn run<E: EnginePort + 'static, P: DutyPort + 'static>(
     opened: Opened,
     events: Receiver<Event>,
-    outlets: Outlets<E>,
+    outlets: Outlets<E, P>,
     stop: StopSignal,
 ) -> Result<(), ChildError> {
     let Opened {
@@ -210,7 +216,11 @@
     *told.standing.borrow_mut() = standing;
 }
 
-fn dispatch<E: EnginePort + 'static>(replica: &mut Replica, clock: &Clock, outlets: &Outlets<E>) {
+fn dispatch<E: EnginePort + 'static, P: DutyPort + 'static>(
+    replica: &mut Replica,
+    clock: &Clock,
+    outlets: &Outlets<E, P>,
+) {
     for effect in replica.take_effects() {
         match effect {
             Effect::SendPeer(envelope) => {
@@ -248,6 +258,7 @@
                     outlets.executor.spawn(ask).detach();
                 }
             }
+            Effect::CallPlatform(call) => call_platform(replica, clock, outlets, call),
             Effect::ForwardJoin { address, request } => {
                 outlets.connections.send_join(&address, request);
             }
@@ -278,3 +289,24 @@
         }
     }
 }
+
+/// Calls the platform. The clock is read anew, as for an order to an engine.
+fn call_platform<E, P: DutyPort + 'static>(
+    replica: &Replica,
+    clock: &Clock,
+    outlets: &Outlets<E, P>,
+    call: DutyCall,
+) {
+    if !replica.may_call(&call, clock.now()) {
+        return;
+    }
+    let duties = outlets.duties.clone();
+    let events = outlets.events.clone();
+    let calling = async move {
+        let answer = duties.call(call.clone()).await;
+        log_answer(&call, answer);
+        // The process may be stopping.
+        let _unheard = events.send(Event::DutyAnswered { call, answer }).await;
+    };
+    outlets.executor.spawn(calling).detach();
+}
--- a/components/control/src/command.rs
+++ b/components/control/src/command.rs
@@ -5,11 +5,12 @@
 use garnet_routes::RouteTable;
 use garnet_types::{
     BackendId, ClaimId, CommandId, EngineAssignment, Fence, IdempotencyKey, MachineState, Millis,
-    RecordedResponse, SessionId, TenantId,
+    RecordedResponse, ReplicaId, SessionId, TenantId, UsageWindow,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::{BackendRegistration, EngineObservation, Session};
+use crate::usage::UsageReport;
 
 /// A command with what is common to all.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -115,6 +116,16 @@
         /// The answer.
         response: RecordedResponse,
     },
+    /// A replica begins to hold the duties towards the platform; the index of
+    /// this command is the fencing token of its calls.
+    BeginTenure(ReplicaId),
+    /// Notes what gateways counted.
+    CountUsage(Vec<UsageReport>),
+    /// Closes a window of usage and all before it: what is told of them never
+    /// changes from now on.
+    CloseUsage(UsageWindow),
+    /// The platform has taken what was told of a window.
+    UsageTold(UsageWindow),
 }
 
 /// A key and who claims it.
--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::{BackendRegistration, EngineObservation};
+use crate::duties::{DutyAnswer, DutyCall};
 use crate::group_step::GroupStep;
 use crate::messages::{ControlReply, GatewayRequest, JoinRequest};
 use crate::operator::{OperatorAnswer, OperatorRequest};
@@ -72,6 +73,13 @@
     Machines(Vec<MachineEntry>),
     /// A replica asks to be a member.
     Join(JoinRequest),
+    /// A call to the platform ended.
+    DutyAnswered {
+        /// What was called.
+        call: DutyCall,
+        /// How it ended.
+        answer: DutyAnswer,
+    },
 }
 
 /// Something to be done.
@@ -103,6 +111,10 @@
         /// The question.
         request: EngineRequest,
     },
+    /// Call the platform. The driver reads the clock and asks
+    /// [`crate::Replica::may_call`] again just before it does, and answers with
+    /// [`Event::DutyAnswered`] in any case.
+    CallPlatform(DutyCall),
     /// Pass a wish to join on to the leader.
     ForwardJoin {
         /// The leader's address for peers.
--- a/components/control/src/fleet_load.rs
+++ b/components/control/src/fleet_load.rs
@@ -146,6 +146,17 @@
         sum(reports.flat_map(|report| &report.backlogs))
     }
 
+    /// How far the clocks of the gateways are ahead of this one, in the median
+    /// of all, this one among them. A few clocks that jump do not move it.
+    pub(crate) fn clocks_ahead_ms(&self, now: Millis) -> i64 {
+        let fresh = |report: &&Report| now.since(report.heard_at) <= FRESH;
+        let reports = self.reports.values().filter(fresh);
+        let ahead = |report: &Report| report.sent_at.0 as i64 - report.heard_at.0 as i64;
+        let mut all: Vec<i64> = reports.map(ahead).chain([0]).collect();
+        let middle = all.len() / 2;
+        *all.select_nth_unstable(middle).1
+    }
+
     pub(crate) fn clear(&mut self) {
         *self = FleetLoad::default();
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod command;
 mod configuration;
 mod copies;
+mod duties;
 mod effects;
 mod fleet_health;
 mod fleet_load;
@@ -26,6 +27,7 @@
 mod reconciler;
 mod replica;
 mod state;
+mod usage;
 mod watch;
 
 pub use answer::{ClaimAnswer, CommandAnswer};
@@ -36,6 +38,7 @@
     BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
     OutstandingOrder, PolicyRecord, Session,
 };
+pub use duties::{Duty, DutyAnswer, DutyCall, DutySettings, Tenure, Tenures};
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
 pub use gateways::{CONFIGURATION_LEASE, GatewayLeases};
 pub use group_step::{GroupSettings, GroupStep, MemberFacts, next_step};
@@ -51,3 +54,4 @@
 pub use reconciler::EnginePolling;
 pub use replica::{DirectorySettings, Replica, ReplicaSettings, RestoreError};
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError};
+pub use usage::{Usage, UsageCount, UsageReceipt, UsageReport, WindowCounts};
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -12,6 +12,7 @@
 use crate::command::ClaimCommand;
 use crate::configuration::{Configuration, ConfigurationChange};
 use crate::load_digest::{MembersHash, ToldDigest};
+use crate::usage::{UsageReceipt, UsageReport};
 
 /// What a gateway saw offered for one pool since its last report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -133,6 +134,8 @@
     },
     /// About a claim.
     Claim(ClaimRequest),
+    /// Requests that began to run, by tenant.
+    Usage(UsageReport),
 }
 
 /// A replica asks to be a member of the group. It repeats this until a leader
@@ -200,6 +203,8 @@
         /// The answer.
         answer: ClaimAnswer,
     },
+    /// Answer to a report of usage.
+    Usage(UsageReceipt),
     /// Ask the leader; its address, as far as known.
     NotLeader {
         /// Address of the leader for gateways.
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -49,6 +49,12 @@
                 self.serve_waiters();
             }
             GatewayRequest::Claim(request) => self.handle_claim(connection, request),
+            GatewayRequest::Usage(report) => {
+                let receipt = self.take_usage(report);
+                let reply = ControlReply::Usage(receipt);
+                self.effects
+                    .push(Effect::ReplyGateway { connection, reply });
+            }
         }
     }
 
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -7,7 +7,7 @@
 use crate::planning::Planning;
 use crate::reconciler::Reconciler;
 
-use super::{Asker, Replica};
+use super::{Asker, Desk, Replica};
 
 impl Replica {
     pub(super) fn note_leadership(&mut self) {
@@ -28,6 +28,7 @@
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
+            self.desk = Desk::at_start_of_term(self.now);
             self.effects.push(Effect::BecameLeader { term });
         }
         self.led_term = leads;
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -1,5 +1,6 @@
 //! One replica of the control group: consensus, state and the leader's duties.
 
+mod duties;
 mod engines;
 mod gateway_requests;
 mod group;
@@ -15,12 +16,14 @@
 use garnet_types::{BackendId, Fence, Millis, ReplicaId};
 use thiserror::Error;
 
+use duties::Desk;
 use group::Candidates;
 
 use crate::answer::CommandAnswer;
 use crate::balancing::Balancing;
 use crate::command::ClaimCommand;
 use crate::copies::Copies;
+use crate::duties::DutySettings;
 use crate::effects::{Effect, Event};
 use crate::fleet_load::FleetLoad;
 use crate::gateways::GatewayLeases;
@@ -71,6 +74,8 @@
     pub directory: DirectorySettings,
     /// When engines are asked for their state.
     pub engine_polling: EnginePolling,
+    /// Duties towards the platform, if there are any.
+    pub duties: Option<DutySettings>,
 }
 
 impl ReplicaSettings {
@@ -84,6 +89,7 @@
             group: None,
             directory: DirectorySettings::default(),
             engine_polling: EnginePolling::Always,
+            duties: None,
         }
     }
 }
@@ -156,6 +162,7 @@
     balancing: Option<Balancing>,
     reconciled_at: Millis,
     missing_since: BTreeMap<BackendId, Millis>,
+    desk: Desk,
     led_term: Option<u64>,
     /// When a leader was known last; the start counts as such a moment.
     knew_leader_at: Millis,
@@ -205,6 +212,7 @@
             reconciler,
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
+            desk: Desk::default(),
             led_term: None,
             knew_leader_at: now,
             effects: Vec::new(),
@@ -262,6 +270,7 @@
             Event::EngineOrder { engine, answer } => self.handle_order_answer(engine, answer),
             Event::Machines(machines) => self.handle_machines(&machines),
             Event::Join(request) => self.handle_join(request),
+            Event::DutyAnswered { call, answer } => self.handle_duty_answer(&call, answer),
         }
         self.note_leadership();
     }
@@ -316,6 +325,7 @@
             self.plan();
             self.balance();
             self.mend_group();
+            self.do_duties();
             self.gateways.forget_silent(self.now);
         }
         self.serve_removals();
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -17,8 +17,11 @@
     OutstandingOrder, PolicyRecord, Session,
 };
 
+use crate::duties::{Tenure, Tenures};
+use crate::usage::Usage;
+
 /// Format of an encoded state.
-pub const STATE_FORMAT: u32 = 2;
+pub const STATE_FORMAT: u32 = 3;
 /// First answers that are kept for resent commands, the oldest dropped first.
 const KEPT_ANSWERS: usize = 10_000;
 
@@ -31,6 +34,10 @@
     pub routes_document: Option<String>,
     /// Claims on keys.
     pub claims: Claims,
+    /// Requests by tenant, as they are told to the platform.
+    pub usage: Usage,
+    /// Who holds the duties towards the platform.
+    pub tenures: Tenures,
     /// Highest clock reading of any command: the clock of the log.
     clock: Millis,
     answers: BTreeMap<CommandId, CommandAnswer>,
@@ -190,9 +197,36 @@
                 let answer = self.claims.record(claim, response.clone());
                 Applied::refused(CommandAnswer::Claim(answer))
             }
+            Command::BeginTenure(holder) => {
+                self.tenures.begin(Tenure {
+                    holder: *holder,
+                    term: fence.term,
+                    token: fence.index,
+                });
+                self.noted()
+            }
+            Command::CountUsage(reports) => {
+                reports.iter().for_each(|report| self.usage.count(report));
+                self.noted()
+            }
+            Command::CloseUsage(window) => {
+                self.usage.close(*window);
+                self.noted()
+            }
+            Command::UsageTold(window) => {
+                self.usage.told(*window);
+                self.noted()
+            }
         }
     }
 
+    /// The answer to a command that changes nothing for gateways.
+    fn noted(&self) -> Applied {
+        Applied::refused(CommandAnswer::Accepted {
+            revision: self.configuration.index,
+        })
+    }
+
     fn create_session(&self, index: u64, session: &Session) -> Applied {
         match self.configuration.sessions.get(&session.id) {
             None => Applied::changed(index, ConfigurationChange::SessionCreated(session.clone())),
--- /dev/null
+++ b/components/control/tests/state/duties.rs
@@ -0,0 +1,186 @@
+//! The leader's duties towards the platform, in virtual time.
+
+use garnet_consensus::Config;
+use garnet_control::{
+    Command, Duty, DutyAnswer, DutyCall, DutySettings, Effect, Event, GatewayRequest, Replica,
+    ReplicaSettings, UsageReport, WindowCounts,
+};
+use garnet_types::{Millis, ReplicaId, TenantId, UsageWindow};
+use rstest::rstest;
+
+use crate::leader::Leader;
+use crate::usage::report;
+
+const WINDOW: Millis = Millis::from_secs(5);
+
+fn settings(fences_checked: bool) -> ReplicaSettings {
+    ReplicaSettings {
+        duties: Some(DutySettings {
+            fences_checked,
+            turns_within: Millis(3000),
+            call_time: Millis(1500),
+            usage_window: Some(WINDOW),
+        }),
+        ..ReplicaSettings::new(Config::new(ReplicaId(1), 1))
+    }
+}
+
+fn calls(effects: Vec<Effect>) -> Vec<DutyCall> {
+    let call = |effect| match effect {
+        Effect::CallPlatform(call) => Some(call),
+        _ => None,
+    };
+    effects.into_iter().filter_map(call).collect()
+}
+
+fn window_of(call: &DutyCall) -> (u64, &WindowCounts) {
+    let Duty::Usage { window, counts } = &call.duty;
+    (window.0, counts)
+}
+
+fn tell(leader: &mut Leader, report: UsageReport) {
+    let request = GatewayRequest::Usage(report);
+    leader.take(Event::Gateway {
+        connection: 1,
+        request,
+    });
+}
+
+fn answer(leader: &mut Leader, call: &DutyCall, answer: DutyAnswer) {
+    let call = call.clone();
+    leader.take(Event::DutyAnswered { call, answer });
+}
+
+/// Lets the leader run until it calls.
+fn next_call(leader: &mut Leader) -> DutyCall {
+    for _ in 0..2_000 {
+        let made = calls(leader.run(Millis(50)));
+        if let Some(call) = made.into_iter().next() {
+            return call;
+        }
+    }
+    panic!("it never calls");
+}
+
+/// The call that tells of `window`; all before it are answered.
+fn call_for(leader: &mut Leader, window: u64) -> DutyCall {
+    loop {
+        let call = next_call(leader);
+        if window_of(&call).0 >= window {
+            return call;
+        }
+        answer(leader, &call, DutyAnswer::Done);
+    }
+}
+
+/// A log in which this replica and others held the duties before.
+fn held_by(holders: &[u64]) -> Vec<Command> {
+    let begin = |id: &u64| Command::BeginTenure(ReplicaId(*id));
+    holders.iter().map(begin).collect()
+}
+
+#[test]
+fn a_window_is_told_after_its_end_with_what_was_counted() {
+    let mut leader = Leader::elected(settings(true), Vec::new());
+    leader.run(Millis(1000));
+    let window = leader.now.0 / WINDOW.0;
+    tell(&mut leader, report("g1", 1, &[(window, "one", 3)]));
+    let call = call_for(&mut leader, window);
+    let (told, counts) = window_of(&call);
+    assert_eq!(told, window);
+    assert_eq!(counts.get(&TenantId::new("one")), Some(&3));
+    let late = leader.now.since(UsageWindow(window).end(WINDOW));
+    assert!(
+        late < Millis::from_secs(5),
+        "told {} ms after its end",
+        late.0
+    );
+}
+
+/// An unanswered call is repeated with the same content, whatever gateways
+/// count meanwhile.
+#[rstest]
+#[case::unanswered(DutyAnswer::Unknown, true)]
+#[case::throttled(DutyAnswer::Throttled, true)]
+#[case::refused(DutyAnswer::Refused, false)]
+fn a_call_is_repeated_with_the_same_content(#[case] end: DutyAnswer, #[case] same_token: bool) {
+    let mut leader = Leader::elected(settings(true), Vec::new());
+    leader.run(Millis(1000));
+    let window = leader.now.0 / WINDOW.0;
+    tell(&mut leader, report("g1", 1, &[(window, "one", 3)]));
+    let first = call_for(&mut leader, window);
+    tell(&mut leader, report("g1", 2, &[(window, "one", 9)]));
+    answer(&mut leader, &first, end);
+    let second = next_call(&mut leader);
+    assert_eq!(first.duty, second.duty);
+    assert_eq!(first.token == second.token, same_token);
+    assert!(second.token >= first.token);
+    answer(&mut leader, &second, DutyAnswer::Done);
+    let third = next_call(&mut leader);
+    assert!(window_of(&third).0 > window, "it is told once more");
+}
+
+/// A call whose end nobody hears of holds nothing up.
+#[test]
+fn a_call_that_never_ends_is_repeated() {
+    let mut leader = Leader::elected(settings(true), Vec::new());
+    let first = next_call(&mut leader);
+    let second = next_call(&mut leader);
+    assert_eq!(first.duty, second.duty);
+}
+
+/// How long a new holder waits: `None` for no longer than one who never had a
+/// predecessor.
+#[rstest]
+#[case::nobody(true, &[], 0)]
+#[case::itself(false, &[1], 0)]
+#[case::another_checked(true, &[2], 0)]
+#[case::another_unchecked(false, &[2], 2_000)]
+#[case::turns_checked(true, &[1, 2], 3_500)]
+#[case::turns_unchecked(false, &[1, 2], 3_500)]
+#[case::turns_of_three(true, &[1, 2, 3], 3_500)]
+fn a_new_holder_waits_for_its_predecessor(
+    #[case] fences_checked: bool,
+    #[case] holders: &[u64],
+    #[case] wait_ms: u64,
+) {
+    let mut leader = Leader::elected(settings(fences_checked), held_by(holders));
+    let led_since = leader.now;
+    let begins = |leader: &Leader| {
+        let present = leader.replica.state().tenures.present();
+        present.is_some_and(|tenure| tenure.token > holders.len() as u64)
+    };
+    while !begins(&leader) {
+        leader.run(Millis(50));
+        assert!(
+            leader.now.since(led_since) < Millis::from_secs(10),
+            "it never begins"
+        );
+    }
+    let waited = leader.now.since(led_since);
+    assert!(waited >= Millis(wait_ms), "{} ms", waited.0);
+    assert!(waited < Millis(wait_ms + 500), "{} ms", waited.0);
+}
+
+#[test]
+fn a_call_leaves_only_under_the_present_token() {
+    let mut leader = Leader::elected(settings(true), Vec::new());
+    let call = next_call(&mut leader);
+    let may_call =
+        |leader: &Leader, call: &DutyCall| Replica::may_call(&leader.replica, call, leader.now);
+    assert!(may_call(&leader, &call));
+    answer(&mut leader, &call, DutyAnswer::Refused);
+    let again = next_call(&mut leader);
+    assert!(!may_call(&leader, &call), "the refused token is void");
+    assert!(may_call(&leader, &again));
+}
+
+#[test]
+fn without_duties_nothing_is_logged() {
+    let mut leader = Leader::elected(Leader::settings(), Vec::new());
+    // The entry that begins its term.
+    leader.run(Millis::from_secs(1));
+    let before = leader.replica.node().status().commit_index;
+    assert_eq!(calls(leader.run(Millis::from_secs(20))), []);
+    assert_eq!(leader.replica.node().status().commit_index, before);
+}
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::Forwarder;
+use garnet_forwarding::{Forwarder, UsageMeter};
 use garnet_routes::CallerLimits;
 use garnet_runtime::{Clock, ConnectionPool, ConnectionTimes, Shared};
-use garnet_types::Millis;
+use garnet_types::{Millis, TenantId};
 use smol::LocalExecutor;
 
 use crate::metrics::GatewayMetrics;
@@ -24,6 +24,8 @@
     pub(crate) callers: C,
     pub(crate) backends: B,
     pub(crate) forwarder: RefCell<Forwarder>,
+    /// Counts what begins to run, where usage is told.
+    pub(crate) usage: Option<RefCell<UsageMeter>>,
     pub(crate) pool: ConnectionPool,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) clock: Clock,
@@ -57,6 +59,13 @@
         (TIME_TO_CONFIGURATION - running_for).max(SHORTEST_WAIT)
     }
 
+    /// A request began to run at `began`.
+    pub(crate) fn note_begun(&self, tenant: Option<&TenantId>, began: Millis) {
+        if let (Some(usage), Some(tenant)) = (&self.usage, tenant) {
+            usage.borrow_mut().note(tenant, began);
+        }
+    }
+
     /// Whether new callers may come.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.forwarder.borrow().routes_version().is_some()
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -28,12 +28,17 @@
     attempts: Family<Labels, Counter>,
     took: Family<Labels, Histogram>,
     first_event: Family<Labels, Histogram>,
+    usage_lost: Counter,
     watch_age_ms: Gauge,
     routes_version: Gauge,
     open_requests: Gauge,
 }
 
 impl GatewayMetrics {
+    pub(crate) fn lost_usage(&self, requests: u64) {
+        self.usage_lost.inc_by(requests);
+    }
+
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("garnet_forwarding");
         let all = &mut registry;
@@ -49,6 +54,8 @@
         let took = registered(all, "took_seconds", help, latencies());
         let help = "Time to the first event of a stream";
         let first_event = registered(all, "time_to_first_token_seconds", help, latencies());
+        let help = "Requests that were counted too late for their window of usage";
+        let usage_lost = registered(all, "usage_lost", help, Counter::default());
         let help = "Time since the leader was heard";
         let watch_age_ms = registered(all, "watch_age_ms", help, Gauge::default());
         let help = "Version of the route table in force";
@@ -62,6 +69,7 @@
             attempts,
             took,
             first_event,
+            usage_lost,
             watch_age_ms,
             routes_version,
             open_requests,
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -42,6 +42,8 @@
     pub(crate) progress: Progress,
     pub(crate) tried: Vec<BackendId>,
     pub(crate) served_by: Option<BackendId>,
+    /// Set when it has been counted as begun.
+    begun: Cell<bool>,
     ended: Cell<bool>,
     _open: OpenRequest,
 }
@@ -215,6 +217,7 @@
         progress: Progress::default(),
         tried: Vec::new(),
         served_by: None,
+        begun: Cell::new(false),
         ended: Cell::new(false),
         _open: OpenRequest::begin(&gateway.open_requests),
     })
@@ -256,6 +259,17 @@
     }
 }
 
+/// A back end began to run the request at `began`; repeats count as one.
+pub(crate) fn note_begun<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    began: Millis,
+) {
+    if !running.begun.replace(true) {
+        gateway.note_begun(running.call.tenant.as_ref(), began);
+    }
+}
+
 /// Takes one repeat from the service's budget, and tells when none is left.
 pub(crate) fn may_repeat<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use garnet_control::GatewayRequest;
-use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings};
+use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, UsageMeter};
 use garnet_routes::CallerLimits;
 use garnet_runtime::server::{Limits, bind_metrics, with_type};
 use garnet_runtime::{
@@ -15,7 +15,7 @@
     text_response,
 };
 use garnet_supervisor::ChildSpec;
-use garnet_types::GatewayId;
+use garnet_types::{GatewayId, Millis};
 use hyper::Response;
 use smol::Timer;
 use smol::channel::bounded;
@@ -47,6 +47,8 @@
     pub metrics_listen: Option<SocketAddr>,
     /// The control replicas.
     pub replicas: Replicas,
+    /// Length of the windows over which usage is told; `None` counts none.
+    pub usage_window: Option<Millis>,
     /// Repeats that all gateways together may send a service.
     pub budget: BudgetShare,
     /// How long a planned stop goes on serving, so that callers learn of it.
@@ -79,7 +81,10 @@
     let server = smol::block_on(HttpServer::bind(options.listen, Limits::default()))?;
     let server = server.with_times(times.clone());
     let ready_server = smol::block_on(HttpServer::bind(options.ready_listen, Limits::default()))?;
+    let id = GatewayId::new(format!("{}.{:016x}", options.name, rand::random::<u64>()));
+    let meter = |length| RefCell::new(UsageMeter::new(id.clone(), length));
     let gateway = Rc::new(Gateway {
+        usage: options.usage_window.map(meter),
         callers: ports.callers,
         backends: ports.backends,
         forwarder: RefCell::new(Forwarder::new(ForwarderSettings {
@@ -96,7 +101,6 @@
         stopping: Cell::new(false),
         open_requests: Rc::default(),
     });
-    let id = GatewayId::new(format!("{}.{:016x}", options.name, rand::random::<u64>()));
     log::info!(
         gateway = id.as_str(),
         zone = options.zone.as_str(),
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -21,7 +21,7 @@
 use crate::gateway::Gateway;
 use crate::handover::WaitingCache;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{Running, finished, go_on, own_answer, until};
+use crate::request::{Running, finished, go_on, note_begun, own_answer, until};
 use crate::whole::copy_head;
 
 /// Longest failure of an engine's own that is passed on.
@@ -239,6 +239,7 @@
             match next {
                 Ok(Some(event)) => {
                     self.begun = true;
+                    note_begun(&self.gateway, &self.running, self.gateway.now());
                     open.guard.prefill_done();
                     if self.running.work.kind != WorkKind::ResumableStream {
                         return Next::Event(event);
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use garnet_control::{Configuration, ControlReply, GatewayRequest};
+use garnet_control::{Configuration, ControlReply, GatewayRequest, UsageReceipt};
 use garnet_forwarding::Forwarder;
 use garnet_runtime::control_link::ControlLinkOwner;
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
@@ -26,6 +26,11 @@
 /// How often idle connections are looked at, in watches.
 const SWEEP_EVERY: u32 = 6;
 
+/// How often usage is told: what a killed gateway takes with it.
+const USAGE_INTERVAL: Millis = Millis(250);
+/// How often the leader's time is asked for where there is nothing to tell.
+const TIME_INTERVAL: Millis = Millis::from_secs(2);
+
 /// The watch of one gateway.
 pub(crate) struct Watch<C, B> {
     gateway: Rc<Gateway<C, B>>,
@@ -35,6 +40,7 @@
     group_index: Cell<u64>,
     heard_at: Cell<Millis>,
     requests: Sender<GatewayRequest>,
+    usage_told_at: Cell<Millis>,
     /// Questions that were queued before a connection broke are stale.
     queued: Receiver<GatewayRequest>,
 }
@@ -55,6 +61,7 @@
             group_index: Cell::new(u64::MAX),
             heard_at: Cell::new(Millis::ZERO),
             requests,
+            usage_told_at: Cell::new(Millis::ZERO),
             queued,
         }
     }
@@ -90,7 +97,46 @@
         let _lost = self.requests.try_send(request);
     }
 
+    /// Reports usage where there is any, and else asks for the time now and
+    /// then.
+    fn tell_usage(&self) {
+        let Some(usage) = &self.gateway.usage else {
+            return;
+        };
+        let now = self.gateway.now();
+        let rested = now.since(self.usage_told_at.get());
+        let mut usage = usage.borrow_mut();
+        let rest = if usage.has_news() {
+            USAGE_INTERVAL
+        } else {
+            TIME_INTERVAL
+        };
+        if rested < rest {
+            return;
+        }
+        self.usage_told_at.set(now);
+        // What is lost is told again.
+        let _lost = self
+            .requests
+            .try_send(GatewayRequest::Usage(usage.report()));
+    }
+
+    fn hear_receipt(&self, receipt: &UsageReceipt) {
+        let Some(usage) = &self.gateway.usage else {
+            return;
+        };
+        let lost = usage.borrow_mut().take(receipt, self.gateway.now());
+        if lost > 0 {
+            self.gateway.metrics.lost_usage(lost);
+            log::warn!(requests = lost; "usage_lost");
+        }
+    }
+
     fn hear(&self, reply: ControlReply) {
+        if let ControlReply::Usage(receipt) = &reply {
+            self.hear_receipt(receipt);
+            return;
+        }
         let ControlReply::Watch {
             update,
             group,
@@ -229,6 +275,7 @@
                 loop {
                     Timer::after(watch.interval()).await;
                     watch.ask();
+                    watch.tell_usage();
                     round = round.wrapping_add(1);
                     if round.is_multiple_of(SWEEP_EVERY) {
                         watch.gateway.pool.sweep();
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -15,7 +15,7 @@
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
-use crate::request::{Running, finished, go_on, log_no_back_end, own_answer, until};
+use crate::request::{Running, finished, go_on, log_no_back_end, note_begun, own_answer, until};
 
 /// Longest answer that is held while it is read.
 const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
@@ -109,7 +109,11 @@
     };
     let time_limit = running.may_move_on().then_some(running.silence.answer);
     let began = gateway.now();
-    let mut open = attempt(gateway, &running.call, &job, time_limit).await?;
+    let opened = attempt(gateway, &running.call, &job, time_limit).await;
+    if !matches!(opened, Err(AttemptEnd::Unsent | AttemptEnd::NotRun(_))) {
+        note_begun(gateway, running, began);
+    }
+    let mut open = opened?;
     let left = time_limit.map(|time_limit| time_limit.since(gateway.now().since(began)));
     let read = within(left, open.exchange.read_whole(LONGEST_ANSWER)).await;
     let read = read.unwrap_or_else(|| Err(HttpError::Broken("silent".to_owned())));
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -20,6 +20,7 @@
 mod residency;
 mod share;
 mod silence;
+mod usage;
 mod work;
 
 pub use access::{AccessDenied, Credential};
@@ -32,4 +33,5 @@
 pub use residency::Residency;
 pub use share::BudgetShare;
 pub use silence::SilenceLimits;
+pub use usage::UsageMeter;
 pub use work::{Prefix, Prompt, PromptPart, Work};
--- /dev/null
+++ b/components/forwarding/src/usage.rs
@@ -0,0 +1,106 @@
+//! Counts the requests that began to run, by tenant and window of true time.
+//!
+//! What was counted is reported again and again until the leader says that it
+//! stands in the log. Windows go by the leader's time of day, which is the median
+//! of all clocks: this gateway's own may jump.
+
+use std::collections::BTreeMap;
+
+use garnet_control::{UsageCount, UsageReceipt, UsageReport};
+use garnet_types::{GatewayId, Millis, TenantId, UsageWindow};
+
+/// Requests of one tenant in one window.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    requests: u64,
+    /// As many of them as are known to stand in the log.
+    logged: u64,
+    /// Number of the first report that told the present count.
+    told_in: Option<u64>,
+}
+
+/// The meter of one gateway.
+#[derive(Debug)]
+pub struct UsageMeter {
+    gateway: GatewayId,
+    window_length: Millis,
+    /// The leader's time of day less this process's clock.
+    clock_behind_ms: i64,
+    counts: BTreeMap<(UsageWindow, TenantId), Count>,
+    /// Number of the last report.
+    number: u64,
+}
+
+impl UsageMeter {
+    /// A meter of a gateway for windows of this length.
+    pub fn new(gateway: GatewayId, window_length: Millis) -> Self {
+        UsageMeter {
+            gateway,
+            window_length,
+            clock_behind_ms: 0,
+            counts: BTreeMap::new(),
+            number: 0,
+        }
+    }
+
+    /// A request of `tenant` began to run at `began`, by this process's clock.
+    pub fn note(&mut self, tenant: &TenantId, began: Millis) {
+        let time = Millis(began.0.saturating_add_signed(self.clock_behind_ms));
+        let window = UsageWindow::at(time, self.window_length);
+        let count = self.counts.entry((window, tenant.clone())).or_default();
+        count.requests += 1;
+        count.told_in = None;
+    }
+
+    /// Whether there is anything that is not known to stand in the log.
+    pub fn has_news(&self) -> bool {
+        self.counts.values().any(Count::is_news)
+    }
+
+    /// The next report.
+    pub fn report(&mut self) -> UsageReport {
+        self.number += 1;
+        let number = self.number;
+        let news = self.counts.iter_mut().filter(|(_, count)| count.is_news());
+        let tell = |((window, tenant), count): (&(UsageWindow, TenantId), &mut Count)| {
+            count.told_in.get_or_insert(number);
+            UsageCount {
+                window: *window,
+                tenant: tenant.clone(),
+                requests: count.requests,
+            }
+        };
+        UsageReport {
+            gateway: self.gateway.clone(),
+            number,
+            counts: news.map(tell).collect(),
+        }
+    }
+
+    /// Takes the leader's answer, heard at `now`. Gives the requests that came
+    /// too late for their window and are told to nobody.
+    pub fn take(&mut self, receipt: &UsageReceipt, now: Millis) -> u64 {
+        self.clock_behind_ms = receipt.time.0 as i64 - now.0 as i64;
+        for count in self.counts.values_mut() {
+            if count.told_in.is_some_and(|number| number <= receipt.logged) {
+                count.logged = count.requests;
+            }
+        }
+        let Some(closed) = receipt.closed_through else {
+            return 0;
+        };
+        let open = self.counts.split_off(&(closed.next(), TenantId::default()));
+        let closed = std::mem::replace(&mut self.counts, open);
+        closed.values().map(Count::unlogged).sum()
+    }
+}
+
+impl Count {
+    fn unlogged(&self) -> u64 {
+        self.requests - self.logged
+    }
+
+    fn is_news(&self) -> bool {
+        self.unlogged() > 0
+    }
+}
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -8,3 +8,4 @@
 mod fleet_view;
 mod placement;
 mod split_fleet;
+mod usage;
--- /dev/null
+++ b/components/forwarding/tests/core/usage.rs
@@ -0,0 +1,107 @@
+//! A gateway's meter of usage: counts until they are in the log.
+
+use garnet_control::{UsageReceipt, UsageReport};
+use garnet_forwarding::UsageMeter;
+use garnet_types::{GatewayId, Millis, TenantId, UsageWindow};
+use rstest::rstest;
+
+const WINDOW: Millis = Millis::from_secs(5);
+const NOW: Millis = Millis(12_000);
+
+fn meter() -> UsageMeter {
+    UsageMeter::new(GatewayId::new("g1"), WINDOW)
+}
+
+fn begin(meter: &mut UsageMeter, tenant: &str, at: u64) {
+    meter.note(&TenantId::new(tenant), Millis(at));
+}
+
+fn receipt(logged: u64, closed_through: Option<u64>) -> UsageReceipt {
+    UsageReceipt {
+        logged,
+        closed_through: closed_through.map(UsageWindow),
+        time: NOW,
+    }
+}
+
+fn counts(report: &UsageReport) -> Vec<(u64, &str, u64)> {
+    let count = report.counts.iter();
+    count
+        .map(|count| (count.window.0, count.tenant.as_str(), count.requests))
+        .collect()
+}
+
+#[test]
+fn requests_are_counted_by_tenant_and_window() {
+    let mut meter = meter();
+    for (tenant, at) in [
+        ("one", 9_999),
+        ("one", 10_000),
+        ("two", 10_001),
+        ("one", 14_999),
+    ] {
+        begin(&mut meter, tenant, at);
+    }
+    let report = meter.report();
+    assert_eq!(
+        counts(&report),
+        [(1, "one", 1), (2, "one", 2), (2, "two", 1)]
+    );
+}
+
+#[test]
+fn counts_are_told_until_they_are_in_the_log() {
+    let mut meter = meter();
+    begin(&mut meter, "one", 10_000);
+    assert_eq!(meter.report().number, 1);
+    assert_eq!(meter.take(&receipt(0, None), NOW), 0);
+    assert!(meter.has_news());
+    begin(&mut meter, "two", 10_000);
+    let second = meter.report();
+    assert_eq!(counts(&second), [(2, "one", 1), (2, "two", 1)]);
+    meter.take(&receipt(1, None), NOW);
+    assert_eq!(counts(&meter.report()), [(2, "two", 1)]);
+    meter.take(&receipt(2, None), NOW);
+    assert!(!meter.has_news());
+}
+
+/// A count that grew after it was told is told again, as the whole.
+#[test]
+fn a_count_that_grew_is_told_again() {
+    let mut meter = meter();
+    begin(&mut meter, "one", 10_000);
+    let first = meter.report().number;
+    begin(&mut meter, "one", 10_000);
+    meter.take(&receipt(first, None), NOW);
+    assert_eq!(counts(&meter.report()), [(2, "one", 2)]);
+}
+
+#[rstest]
+#[case::logged_before(1, 0)]
+#[case::never_logged(0, 2)]
+fn what_was_not_logged_before_the_closing_is_lost(#[case] logged: u64, #[case] lost: u64) {
+    let mut meter = meter();
+    begin(&mut meter, "one", 10_000);
+    begin(&mut meter, "one", 10_000);
+    begin(&mut meter, "one", 15_000);
+    let told = meter.report().number;
+    assert_eq!(meter.take(&receipt(logged * told, Some(2)), NOW), lost);
+    let left = if logged == 1 {
+        vec![]
+    } else {
+        vec![(3, "one", 1)]
+    };
+    assert_eq!(counts(&meter.report()), left);
+}
+
+/// Windows go by the leader's time, not by this process's clock.
+#[rstest]
+#[case::ahead(3_000, 2)]
+#[case::behind(8_000, 3)]
+fn windows_go_by_the_leaders_time(#[case] at: u64, #[case] window: u64) {
+    let mut meter = meter();
+    // It is 12 s, and this process reads 4 s.
+    meter.take(&receipt(0, None), Millis(4_000));
+    begin(&mut meter, "one", at);
+    assert_eq!(counts(&meter.report())[0].0, window);
+}
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -59,6 +59,8 @@
             ControlReply::Claim { claim, answer } => self.handle_claim_answer(&claim, answer),
             // The driver follows the address; whatever matters is sent again.
             ControlReply::NotLeader { .. } => {}
+            // This gateway reports none.
+            ControlReply::Usage(_) => {}
         }
     }
 
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -108,8 +108,10 @@
                     self.leaderless_ms.push(self.now.since(since).0);
                 }
             }
-            // The simulated group has fixed members; see its own tests for joins.
+            // The simulated group has fixed members and no duties towards a
+            // platform; both have tests of their own.
             ControlEffect::ForwardJoin { .. }
+            | ControlEffect::CallPlatform(_)
             | ControlEffect::Balanced { .. }
             | ControlEffect::GroupChanged { .. } => {}
             ControlEffect::LostLeadership { .. } => {
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod identity;
 pub mod outcome;
 pub mod time;
+pub mod usage;
 pub mod verdict;
 
 pub use backend::{BackendKind, EngineRole, MachineState};
@@ -19,4 +20,5 @@
 };
 pub use outcome::{Execution, Outcome, OutcomeCode, RecordedResponse, Refusal};
 pub use time::Millis;
+pub use usage::UsageWindow;
 pub use verdict::{Class, Verdict};
