Engines are bought and given back: preemptible ones with a reserve for a zone

Change: planner::wanted_fleet, pure: as many preemptible engines as are needed after the loss of a zone, where that costs less than what is needed in dedicated ones; dedicated ones are given back once as many others serve as are needed. The leader keeps to it (fleet_sizing): what is needed is the largest number of dedicated engines seen and stands in the log; orders are given while the list fills, again when engines are missing for longer than a start takes, and each second under a new token when none are to be had. Engines that are given back get no role. A pool without work changes the roles of all its engines at once (BeginIdleOrder): the new engines were ordered in four rounds before, until 2 s after traffic had begun.

A deployment whose services state no terms stays as it is.

--- a/components/control-shell/src/duties.rs
+++ b/components/control-shell/src/duties.rs
@@ -31,5 +31,19 @@
             answer = answer.as_str();
             "usage_told"
         ),
+        Duty::Fleet {
+            service,
+            zone,
+            kind,
+            engines,
+        } => log::info!(
+            token = call.token,
+            service = service.as_str(),
+            zone = zone.as_str(),
+            kind = kind.as_str(),
+            engines = *engines,
+            answer = answer.as_str();
+            "engines_ordered"
+        ),
     }
 }
--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -1,7 +1,7 @@
 //! The leader's use of the balance of phases: what gateways have under way at
 //! each engine tells how occupied prefill engines and decode engines are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use garnet_planner::{
     BalanceSettings, PhaseOccupancy, initial_prefill_engines, wanted_prefill_engines,
@@ -93,6 +93,8 @@
     prefill: Demand,
     decode: Demand,
     loaded: bool,
+    /// Whether the leader has listened long enough to know that there is no load.
+    was_looked_at: bool,
     /// Engines at the last look, and since when there are so many: the list
     /// of engines comes in parts when a group starts.
     engines: usize,
@@ -136,15 +138,26 @@
         }
     }
 
+    /// Whether the pool of an engine is known to have no work.
+    pub(crate) fn is_idle(&self, configuration: &Configuration, engine: &BackendId) -> bool {
+        let record = configuration.backends.get(engine);
+        let Some((service, model)) = record.and_then(BackendRecord::pool) else {
+            return false;
+        };
+        let balance = self.pools.get(&(service.clone(), model.clone()));
+        balance.is_some_and(|balance| !balance.loaded && balance.was_looked_at)
+    }
+
     /// Takes a look, and gives the assignments that are to be made.
     pub(crate) fn decide(
         &mut self,
         configuration: &Configuration,
         backlogs: &BTreeMap<BackendId, Backlog>,
+        given_back: &BTreeSet<BackendId>,
         now: Millis,
     ) -> Vec<BalanceChange> {
         let mut changes = Vec::new();
-        for (pool, members) in pools(configuration) {
+        for (pool, members) in pools(configuration, given_back) {
             let limits = limits(configuration, &pool.0);
             let balance = self.pools.entry(pool.clone()).or_default();
             let seen = sample(&members, backlogs, &limits);
@@ -155,6 +168,7 @@
                 // A new leader has yet to hear what is there and under way.
                 continue;
             }
+            balance.was_looked_at = true;
             let wanted = if balance.loaded {
                 balance.wanted_prefill_engines(&occupancy, &self.settings)
             } else {
@@ -287,9 +301,16 @@
 }
 
 /// Engines that take part: an engine counts as what it shall be.
-fn pools(configuration: &Configuration) -> BTreeMap<Pool, Vec<Member<'_>>> {
+fn pools<'a>(
+    configuration: &'a Configuration,
+    given_back: &BTreeSet<BackendId>,
+) -> BTreeMap<Pool, Vec<Member<'a>>> {
     let mut pools: BTreeMap<Pool, Vec<Member<'_>>> = BTreeMap::new();
     for (id, record) in &configuration.backends {
+        // A change of role would not pay for one that leaves.
+        if given_back.contains(id) {
+            continue;
+        }
         // The list may leave an engine out while it changes its role.
         if record.machine != MachineState::Live && record.order.is_none() {
             continue;
--- a/components/control/src/command.rs
+++ b/components/control/src/command.rs
@@ -5,7 +5,7 @@
 use garnet_routes::RouteTable;
 use garnet_types::{
     BackendId, ClaimId, CommandId, EngineAssignment, Fence, IdempotencyKey, MachineState, Millis,
-    RecordedResponse, ReplicaId, SessionId, TenantId, UsageWindow,
+    RecordedResponse, ReplicaId, ServiceId, SessionId, TenantId, UsageWindow,
 };
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +82,9 @@
     },
     /// Takes the engine out of routing, to order it once it has drained.
     BeginOrder(BackendId),
+    /// The same for an engine of a pool that has no work: any number may be out
+    /// at once.
+    BeginIdleOrder(BackendId),
     /// Puts an outstanding order under the fence of a new leader.
     RenewOrder {
         /// The engine.
@@ -124,6 +127,13 @@
     /// Closes a window of usage and all before it: what is told of them never
     /// changes from now on.
     CloseUsage(UsageWindow),
+    /// Notes how many engines a service needs, where they are bought.
+    NoteNeeded {
+        /// The service.
+        service: ServiceId,
+        /// The engines.
+        engines: u32,
+    },
     /// The platform has taken what was told of a window.
     UsageTold(UsageWindow),
 }
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -183,27 +183,38 @@
     /// now. A phase that nobody serves holds nothing up: it waits to be
     /// restored.
     pub fn pool_can_spare(&self, engine: &BackendId) -> bool {
-        let Some(record) = self.backends.get(engine) else {
+        let Some((record, others)) = self.in_pool(engine) else {
             return false;
         };
-        let pool = record.pool();
-        if pool.is_none() {
-            return false;
-        }
-        let others: Vec<&BackendRecord> = self
+        let out = others.iter().filter(|other| other.order.is_some()).count();
+        out < most_out(others.len() + 1) && serves_without(record, &others)
+    }
+
+    /// The same for a pool without work: any number may be out.
+    pub fn idle_pool_can_spare(&self, engine: &BackendId) -> bool {
+        let pool = self.in_pool(engine);
+        pool.is_some_and(|(record, others)| serves_without(record, &others))
+    }
+
+    /// An engine and the others of its pool.
+    fn in_pool(&self, engine: &BackendId) -> Option<(&BackendRecord, Vec<&BackendRecord>)> {
+        let record = self.backends.get(engine)?;
+        let pool = Some(record.pool()?);
+        let others = self
             .backends
             .iter()
             .filter(|(id, other)| *id != engine && other.pool() == pool)
-            .map(|(_, other)| other)
-            .collect();
-        let out = others.iter().filter(|other| other.order.is_some()).count();
-        let few_out = out < most_out(others.len() + 1);
-        let rest = ServedPhases::of(&others);
-        let all = rest.with(record);
-        few_out && rest == all && rest != ServedPhases::default()
+            .map(|(_, other)| other);
+        Some((record, others.collect()))
     }
 }
 
+/// Whether the others serve every phase that they serve together with `engine`.
+fn serves_without(engine: &BackendRecord, others: &[&BackendRecord]) -> bool {
+    let rest = ServedPhases::of(others);
+    rest == rest.with(engine) && rest != ServedPhases::default()
+}
+
 /// Engines of a pool that may be out for orders at once: one of every
 /// [`ENGINES_FOR_EACH_OUT`], at least one.
 fn most_out(pool_size: usize) -> usize {
--- a/components/control/src/duties.rs
+++ b/components/control/src/duties.rs
@@ -6,9 +6,12 @@
 //! next. A holder whose call was refused, or may still be carried out, begins
 //! another tenure before it calls again: the former call is void from then on.
 
-use garnet_types::{Millis, ReplicaId};
+use garnet_planner::EngineKind;
+use garnet_types::{Millis, ReplicaId, ServiceId, UsageWindow};
 use serde::{Deserialize, Serialize};
 
+use crate::usage::WindowCounts;
+
 /// Tenures that are remembered, to know whether a holder comes back.
 const REMEMBERED: usize = 4;
 
@@ -82,6 +85,8 @@
     pub call_time: Millis,
     /// Length of the windows over which usage is told; `None` tells none.
     pub usage_window: Option<Millis>,
+    /// Whether engines are bought and given back.
+    pub buys_engines: bool,
 }
 
 /// On top of every wait: a clock that runs slow, a call that is on its way.
@@ -115,12 +120,51 @@
     /// Usage in a window, which never changes.
     Usage {
         /// The window.
-        window: garnet_types::UsageWindow,
+        window: UsageWindow,
         /// Requests by tenant.
-        counts: crate::usage::WindowCounts,
+        counts: WindowCounts,
+    },
+    /// How many engines of a kind a zone shall have.
+    Fleet {
+        /// Their service.
+        service: ServiceId,
+        /// The zone.
+        zone: String,
+        /// Their kind.
+        kind: EngineKind,
+        /// How many.
+        engines: u32,
     },
 }
 
+/// What calls are about: of those about one subject the platform takes none
+/// with a lower token than it has seen, and one at a time is under way.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Subject {
+    /// Usage in all windows.
+    Usage,
+    /// Engines of a service in a zone.
+    Fleet(ServiceId, String),
+}
+
+impl Duty {
+    pub(crate) fn subject(&self) -> Subject {
+        match self {
+            Duty::Usage { .. } => Subject::Usage,
+            Duty::Fleet { service, zone, .. } => Subject::Fleet(service.clone(), zone.clone()),
+        }
+    }
+
+    /// Whether a call that is carried out later than the next one does harm.
+    pub(crate) fn may_come_late(&self) -> bool {
+        match self {
+            // It says the same whenever it comes.
+            Duty::Usage { .. } => true,
+            Duty::Fleet { .. } => false,
+        }
+    }
+}
+
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DutyAnswer {
--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -23,6 +23,9 @@
     /// What the platform saw the engine to be, where it tells that.
     #[serde(default)]
     pub observed: Option<EngineObservation>,
+    /// Whether the provider may take the machine away.
+    #[serde(default)]
+    pub is_preemptible: bool,
 }
 
 /// A question to an engine.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod effects;
 mod fleet_health;
 mod fleet_load;
+mod fleet_sizing;
 mod gateways;
 mod group_step;
 mod load_digest;
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -57,6 +57,8 @@
 pub(crate) struct Present<'a> {
     pub(crate) configuration: &'a Configuration,
     pub(crate) gateways: &'a GatewayLeases,
+    /// Whether the pool of an engine is known to have no work.
+    pub(crate) idle: &'a dyn Fn(&BackendId) -> bool,
     pub(crate) term: u64,
     pub(crate) applied_index: u64,
     /// Whether engines without an order are asked for their state, so that
@@ -168,9 +170,16 @@
         }
         let desired = record.desired.as_ref()?;
         let settled = *desired == record.observed.as_ref()?.assignment;
-        let may_leave = present.configuration.pool_can_spare(engine);
-        let live = record.machine == MachineState::Live;
-        (!settled && may_leave && live).then(|| Step::Propose(Command::BeginOrder(engine.clone())))
+        if settled || record.machine != MachineState::Live {
+            return None;
+        }
+        let configuration = present.configuration;
+        if (present.idle)(engine) {
+            let may_leave = configuration.idle_pool_can_spare(engine);
+            return may_leave.then(|| Step::Propose(Command::BeginIdleOrder(engine.clone())));
+        }
+        let may_leave = configuration.pool_can_spare(engine);
+        may_leave.then(|| Step::Propose(Command::BeginOrder(engine.clone())))
     }
 
     /// With an order: put it under this leader's fence, drain, send, settle.
--- a/components/control/src/replica/duties.rs
+++ b/components/control/src/replica/duties.rs
@@ -1,12 +1,14 @@
-//! The leader's duties towards the platform: usage that is told once.
+//! The leader's duties towards the platform: usage that is told once, and
+//! engines that are bought and given back.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use garnet_types::{GatewayId, Millis, UsageWindow};
+use garnet_types::{GatewayId, Millis, ServiceId, UsageWindow};
 
 use crate::command::Command;
-use crate::duties::{Duty, DutyAnswer, DutyCall, DutySettings, Predecessor};
+use crate::duties::{Duty, DutyAnswer, DutyCall, DutySettings, Predecessor, Subject};
 use crate::effects::Effect;
+use crate::fleet_sizing::SizingStep;
 use crate::usage::{UsageReceipt, UsageReport};
 
 use super::Replica;
@@ -38,21 +40,62 @@
     before: Option<Predecessor>,
     /// Log index of the tenure that was proposed last.
     tenure_index: u64,
-    /// The present tenure's token must not be used any more.
-    is_void: bool,
-    /// The call under way, and since when.
-    calling: Option<(UsageWindow, Millis)>,
-    call_again_at: Millis,
-    pause: Millis,
+    /// Calls by subject.
+    lines: BTreeMap<Subject, Line>,
+    /// Log index of what was noted last of the engines that are needed.
+    needed_index: u64,
     /// Windows that the platform has taken; the log may not say so yet.
     taken: BTreeSet<UsageWindow>,
 }
 
+/// Calls about one subject: one at a time, with pauses after those that failed.
+#[derive(Debug)]
+struct Line {
+    /// Since when a call is under way.
+    calling_since: Option<Millis>,
+    again_at: Millis,
+    pause: Millis,
+    /// A token that must not be used any more.
+    void_token: Option<u64>,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Line {
+            calling_since: None,
+            again_at: Millis::ZERO,
+            pause: SHORTEST_PAUSE,
+            void_token: None,
+        }
+    }
+}
+
+impl Line {
+    fn is_free(&self, settings: &DutySettings, now: Millis) -> bool {
+        // A call whose end nobody tells of is over by then.
+        let lasts = settings.call_time + settings.call_time;
+        let is_calling = |since: Millis| now.since(since) < lasts;
+        !self.calling_since.is_some_and(is_calling) && now >= self.again_at
+    }
+
+    fn failed(&mut self, now: Millis) {
+        self.again_at = now + self.pause;
+        self.pause = (self.pause + self.pause).min(LONGEST_PAUSE);
+    }
+}
+
 impl Desk {
+    /// Whether a call about a subject had the token and failed in a way that
+    /// forbids it for that subject.
+    fn is_void(&self, token: u64) -> bool {
+        self.lines
+            .values()
+            .any(|line| line.void_token == Some(token))
+    }
+
     pub(super) fn at_start_of_term(now: Millis) -> Self {
         Desk {
             led_since: now,
-            pause: SHORTEST_PAUSE,
             ..Desk::default()
         }
     }
@@ -100,6 +143,9 @@
         }
         if let Some(token) = self.token(&settings) {
             self.tell_usage(token, &settings);
+            if settings.buys_engines {
+                self.size_fleet(token, &settings);
+            }
         }
     }
 
@@ -151,62 +197,96 @@
         if self.node.status().applied_index < self.desk.tenure_index {
             return None;
         }
-        let token = self.own_token().filter(|_| !self.desk.is_void);
+        let token = self.own_token().filter(|token| !self.desk.is_void(*token));
         if token.is_none()
             && let Some(index) = self.propose_own(Command::BeginTenure(own))
         {
             self.desk.tenure_index = index;
-            self.desk.is_void = false;
         }
         token
     }
 
     /// Tells the oldest window that is closed and not told.
     fn tell_usage(&mut self, token: u64, settings: &DutySettings) {
-        let lasts = settings.call_time + settings.call_time;
-        let is_calling = |(_, since): (UsageWindow, Millis)| self.now.since(since) < lasts;
-        if self.desk.calling.is_some_and(is_calling) || self.now < self.desk.call_again_at {
-            return;
-        }
         let taken = &self.desk.taken;
         let mut untold = self.state.usage.untold().iter();
-        let Some((window, counts)) = untold.find(|(window, _)| !taken.contains(window)) else {
-            return;
-        };
-        self.desk.calling = Some((*window, self.now));
-        self.effects.push(Effect::CallPlatform(DutyCall {
-            token,
-            duty: Duty::Usage {
+        let next = untold.find(|(window, _)| !taken.contains(window));
+        if let Some((window, counts)) = next {
+            let duty = Duty::Usage {
                 window: *window,
                 counts: counts.clone(),
-            },
-        }));
+            };
+            self.call(token, duty, settings);
+        }
     }
 
-    pub(super) fn handle_duty_answer(&mut self, call: &DutyCall, answer: DutyAnswer) {
-        let Duty::Usage { window, .. } = call.duty;
-        if self
-            .desk
-            .calling
-            .is_some_and(|(called, _)| called == window)
-        {
-            self.desk.calling = None;
+    /// Orders the engines that are wanted.
+    fn size_fleet(&mut self, token: u64, settings: &DutySettings) {
+        let Some(routes) = self.state.configuration.routes.clone() else {
+            return;
+        };
+        let needed = &self.state.needed_engines;
+        for step in self.sizing.steps(&routes, needed, self.now) {
+            match step {
+                SizingStep::NoteNeeded(service, engines) => self.note_needed(service, engines),
+                SizingStep::Order(duty) => {
+                    if self.call(token, duty.clone(), settings) {
+                        self.sizing.ordered(&duty, self.now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_needed(&mut self, service: ServiceId, engines: u32) {
+        if self.node.status().applied_index < self.desk.needed_index {
+            return;
+        }
+        let command = Command::NoteNeeded { service, engines };
+        if let Some(index) = self.propose_own(command) {
+            self.desk.needed_index = index;
+        }
+    }
+
+    /// Makes a call, unless one about the same subject is under way or failed a
+    /// moment ago.
+    fn call(&mut self, token: u64, duty: Duty, settings: &DutySettings) -> bool {
+        let line = self.desk.lines.entry(duty.subject()).or_default();
+        if !line.is_free(settings, self.now) {
+            return false;
         }
+        line.calling_since = Some(self.now);
+        self.effects
+            .push(Effect::CallPlatform(DutyCall { token, duty }));
+        true
+    }
+
+    pub(super) fn handle_duty_answer(&mut self, call: &DutyCall, answer: DutyAnswer) {
+        let line = self.desk.lines.entry(call.duty.subject()).or_default();
+        line.calling_since = None;
         match answer {
-            DutyAnswer::Done => {
-                self.desk.pause = SHORTEST_PAUSE;
-                let untold = self.state.usage.untold();
-                self.desk.taken.retain(|taken| untold.contains_key(taken));
-                self.desk.taken.insert(window);
-                // Where this is lost, the next leader tells the same once more.
-                self.propose_own(Command::UsageTold(window));
-                return;
+            DutyAnswer::Done => line.pause = SHORTEST_PAUSE,
+            DutyAnswer::Throttled => line.failed(self.now),
+            DutyAnswer::Unknown if call.duty.may_come_late() => line.failed(self.now),
+            // Never again under this token: it was refused, or what it ordered
+            // could come after what is ordered next.
+            DutyAnswer::Refused | DutyAnswer::Unknown => {
+                line.void_token = Some(call.token);
+                line.failed(self.now);
             }
-            // Never again under this token.
-            DutyAnswer::Refused => self.desk.is_void |= self.own_token() == Some(call.token),
-            DutyAnswer::Throttled | DutyAnswer::Unknown => {}
         }
-        self.desk.call_again_at = self.now + self.desk.pause;
-        self.desk.pause = (self.desk.pause + self.desk.pause).min(LONGEST_PAUSE);
+        match call.duty {
+            Duty::Usage { window, .. } if answer == DutyAnswer::Done => self.note_told(window),
+            Duty::Usage { .. } => {}
+            Duty::Fleet { .. } => self.sizing.answered(&call.duty, answer, self.now),
+        }
+    }
+
+    fn note_told(&mut self, window: UsageWindow) {
+        let untold = self.state.usage.untold();
+        self.desk.taken.retain(|taken| untold.contains_key(taken));
+        self.desk.taken.insert(window);
+        // Where this is lost, the next leader tells the same once more.
+        self.propose_own(Command::UsageTold(window));
     }
 }
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -26,6 +26,10 @@
                 gateways: &self.gateways,
                 term: status.term,
                 applied_index: status.applied_index,
+                idle: &|engine| {
+                    let balancing = self.balancing.as_ref();
+                    balancing.is_some_and(|b| b.is_idle(&self.state.configuration, engine))
+                },
                 polls: self.settings.engine_polling == EnginePolling::Always,
                 now: self.now,
             };
@@ -91,7 +95,13 @@
             return;
         };
         let backlogs = self.fleet_load.sums(self.now);
-        let changes = balancing.decide(&self.state.configuration, &backlogs, self.now);
+        let configuration = &self.state.configuration;
+        let given_back = configuration
+            .routes
+            .as_ref()
+            .map(|routes| self.sizing.given_back(routes, &self.state.needed_engines));
+        let given_back = given_back.unwrap_or_default();
+        let changes = balancing.decide(configuration, &backlogs, &given_back, self.now);
         let applied = self.node.status().applied_index;
         for change in changes {
             if self.reconciler.awaits(&change.engine, applied) {
@@ -118,6 +128,7 @@
         if !self.node.holds_lease(self.now) {
             return;
         }
+        self.sizing.see(machines, self.now);
         for entry in machines {
             self.compare_machine(entry);
         }
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -2,6 +2,7 @@
 
 use crate::balancing::Balancing;
 use crate::effects::Effect;
+use crate::fleet_sizing::FleetSizing;
 use crate::gateways::GatewayLeases;
 use crate::operator::OperatorAnswer;
 use crate::planning::Planning;
@@ -29,6 +30,7 @@
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
             self.desk = Desk::at_start_of_term(self.now);
+            self.sizing = FleetSizing::default();
             self.effects.push(Effect::BecameLeader { term });
         }
         self.led_term = leads;
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -26,6 +26,7 @@
 use crate::duties::DutySettings;
 use crate::effects::{Effect, Event};
 use crate::fleet_load::FleetLoad;
+use crate::fleet_sizing::FleetSizing;
 use crate::gateways::GatewayLeases;
 use crate::group_step::GroupSettings;
 use crate::planning::Planning;
@@ -163,6 +164,7 @@
     reconciled_at: Millis,
     missing_since: BTreeMap<BackendId, Millis>,
     desk: Desk,
+    sizing: FleetSizing,
     led_term: Option<u64>,
     /// When a leader was known last; the start counts as such a moment.
     knew_leader_at: Millis,
@@ -213,6 +215,7 @@
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
             desk: Desk::default(),
+            sizing: FleetSizing::default(),
             led_term: None,
             knew_leader_at: now,
             effects: Vec::new(),
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 use garnet_routes::RouteTable;
-use garnet_types::{BackendId, BackendKind, CommandId, Fence, MachineState, Millis};
+use garnet_types::{BackendId, BackendKind, CommandId, Fence, MachineState, Millis, ServiceId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -38,6 +38,8 @@
     pub usage: Usage,
     /// Who holds the duties towards the platform.
     pub tenures: Tenures,
+    /// Engines that services need, where they are bought.
+    pub needed_engines: BTreeMap<ServiceId, u32>,
     /// Highest clock reading of any command: the clock of the log.
     clock: Millis,
     answers: BTreeMap<CommandId, CommandAnswer>,
@@ -171,7 +173,14 @@
                     Ok(())
                 })
             }
-            Command::BeginOrder(engine) => self.begin_order(fence, engine),
+            Command::BeginOrder(engine) => {
+                let can_spare = self.configuration.pool_can_spare(engine);
+                self.begin_order(fence, engine, can_spare)
+            }
+            Command::BeginIdleOrder(engine) => {
+                let can_spare = self.configuration.idle_pool_can_spare(engine);
+                self.begin_order(fence, engine, can_spare)
+            }
             Command::RenewOrder { engine, replaces } => self.renew_order(fence, engine, *replaces),
             Command::SettleOrder {
                 engine,
@@ -213,6 +222,10 @@
                 self.usage.close(*window);
                 self.noted()
             }
+            Command::NoteNeeded { service, engines } => {
+                self.needed_engines.insert(service.clone(), *engines);
+                self.noted()
+            }
             Command::UsageTold(window) => {
                 self.usage.told(*window);
                 self.noted()
@@ -321,12 +334,12 @@
         }
     }
 
-    /// Invariant: an engine has at most one outstanding order, and a pool at
-    /// most one engine that is out for one. It is decided here, where commands
-    /// stand in one order: two that were proposed at once both looked right
-    /// when they were proposed.
-    fn begin_order(&self, fence: Fence, engine: &BackendId) -> Applied {
-        if !self.configuration.pool_can_spare(engine) {
+    /// Invariant: an engine has at most one outstanding order, and a pool no more
+    /// engines that are out for one than it can spare. It is decided where
+    /// commands stand in one order: two that were proposed at once both looked
+    /// right when they were proposed.
+    fn begin_order(&self, fence: Fence, engine: &BackendId, can_spare: bool) -> Applied {
+        if !can_spare {
             let reason = "the rest of the pool would not serve what it serves now";
             return Applied::refused(CommandAnswer::Rejected(reason.into()));
         }
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -13,6 +13,7 @@
 
 fn entry(number: usize, role: EngineRole) -> MachineEntry {
     MachineEntry {
+        is_preemptible: false,
         registration: BackendRegistration {
             id: BackendId::new(format!("engine-{number}")),
             kind: BackendKind::Engine,
@@ -170,6 +171,25 @@
     assert_eq!(roles.first(), Some(&EngineRole::Mixed), "{roles:?}");
 }
 
+/// The engines that are out for an order after a list of decode engines was
+/// read for some seconds.
+fn out_of_service(watched: &Event) -> usize {
+    let mut leader = leader();
+    let all_decode = || list(1);
+    let lists = vec![all_decode(); 5];
+    stated(&mut leader, &lists, watched);
+    let backends = &leader.replica.state().configuration.backends;
+    backends.values().filter(|r| r.order.is_some()).count()
+}
+
+/// Before any load five of eight decode engines change at once; under load no
+/// more than a quarter of the pool is out.
+#[test]
+fn an_idle_pool_changes_roles_at_once() {
+    assert_eq!(out_of_service(&watch(0, 0)), 5);
+    assert!(out_of_service(&watch(9_000, 9)) <= 2);
+}
+
 /// Sixty engines in three zones, of which forty prefill.
 fn large_pool() -> Vec<MachineEntry> {
     let role = |number| {
--- a/components/control/tests/state/duties.rs
+++ b/components/control/tests/state/duties.rs
@@ -20,6 +20,7 @@
             turns_within: Millis(3000),
             call_time: Millis(1500),
             usage_window: Some(WINDOW),
+            buys_engines: false,
         }),
         ..ReplicaSettings::new(Config::new(ReplicaId(1), 1))
     }
@@ -34,8 +35,10 @@
 }
 
 fn window_of(call: &DutyCall) -> (u64, &WindowCounts) {
-    let Duty::Usage { window, counts } = &call.duty;
-    (window.0, counts)
+    match &call.duty {
+        Duty::Usage { window, counts } => (window.0, counts),
+        other => panic!("{other:?} tells no usage"),
+    }
 }
 
 fn tell(leader: &mut Leader, report: UsageReport) {
--- a/components/control/tests/state/engine_orders.rs
+++ b/components/control/tests/state/engine_orders.rs
@@ -124,3 +124,16 @@
     assert!(is_accepted(&log.apply(renew(fence))));
     assert!(!is_accepted(&log.apply(renew(fence))), "it was replaced");
 }
+
+/// A pool without work changes all its engines at once, as long as others
+/// serve each phase.
+#[test]
+fn any_number_of_engines_of_an_idle_pool_are_out_at_once() {
+    let mut log = pool(&[Decode, Decode, Decode, Decode, Prefill]);
+    let orders = (0..4).map(|number| {
+        log.apply(assign(number, Prefill));
+        log.apply(Command::BeginIdleOrder(engine(number)))
+    });
+    let accepted: Vec<bool> = orders.map(|answer| is_accepted(&answer)).collect();
+    assert_eq!(accepted, [true, true, true, false], "the last that decodes");
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -7,6 +7,7 @@
 mod duties;
 mod engine_orders;
 mod fleet;
+mod fleet_size;
 mod group;
 mod last_known;
 mod leader;
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -40,6 +40,7 @@
     let services = vec![ServiceSettings {
         name: words(),
         max_connections: 100,
+        buying: None,
         engine: Some(limits),
     }];
     let table = RouteTable {
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -136,6 +136,7 @@
     let services = vec![ServiceSettings {
         name: ServiceId::new("words"),
         max_connections: 100,
+        buying: None,
         engine: Some(EngineLimits {
             slots: 64,
             cache_tokens: 400_000,
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod average;
 mod balance;
+mod fleet_size;
 mod loss;
 mod planner;
 mod settings;
@@ -17,6 +18,7 @@
 pub use balance::{
     BalanceSettings, PhaseOccupancy, initial_prefill_engines, wanted_prefill_engines,
 };
+pub use fleet_size::{EngineKind, FleetTerms, ZoneFleet, wanted_fleet};
 pub use loss::{PoolCapacity, Utilisation, can_give, predicted_loss, utilisation};
 pub use planner::{Engine, Planner, RoleChange};
 pub use settings::PlannerSettings;
--- a/components/routes/src/check.rs
+++ b/components/routes/src/check.rs
@@ -83,6 +83,11 @@
                 let place = format!("services[{position}].name");
                 findings.report(place, "another service has this name");
             }
+            let terms = service.buying.as_ref();
+            if terms.is_some_and(|terms| terms.least_in_zone > terms.most_in_zone) {
+                let place = format!("services[{position}].buying.least_in_zone");
+                findings.report(place, "must not be more than most_in_zone");
+            }
         }
         known
     }
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -16,6 +16,7 @@
 pub use document::read_document;
 pub use index::RouteIndex;
 pub use table::{
-    CallerLimits, EngineLimits, Route, RouteTable, ServiceSettings, WeightedService, WorkKind,
+    BuyingTerms, CallerLimits, EngineLimits, PriceMilli, Route, RouteTable, ServiceSettings,
+    WeightedService, WorkKind,
 };
 pub use tenant::{ApiKey, KeyDigest, KeyDigestError, Tenant};
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -1,5 +1,7 @@
 //! What a route table holds.
 
+use std::collections::BTreeMap;
+
 use garnet_types::{Millis, ServiceId};
 use serde::{Deserialize, Serialize};
 
@@ -115,6 +117,45 @@
     }
 }
 
+/// A price, in thousandths of that of a dedicated engine at the usual price of
+/// its zone.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct PriceMilli(pub u32);
+
+impl PriceMilli {
+    /// The price nearest to this part of the usual one; a negative one is none.
+    pub fn of_part(part: f64) -> Self {
+        PriceMilli((part * 1000.0).round() as u32)
+    }
+
+    /// As a part of the usual price.
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+/// On which terms engines of a service are bought and given back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BuyingTerms {
+    /// Fewest engines of a zone, of all kinds together.
+    pub least_in_zone: u32,
+    /// Most engines of a zone, of all kinds together.
+    pub most_in_zone: u32,
+    /// Time until an engine that was bought serves.
+    pub start_ms: Millis,
+    /// Price of engines that the provider may take away; `None` where there
+    /// are none.
+    #[serde(default)]
+    pub preemptible_price: Option<PriceMilli>,
+    /// Price of engines by zone, where it is not the usual one.
+    #[serde(default)]
+    pub zone_prices: BTreeMap<String, PriceMilli>,
+}
+
 /// One service that routes may name.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -126,6 +167,9 @@
     /// Limits of its engines; `None` for an application.
     #[serde(default)]
     pub engine: Option<EngineLimits>,
+    /// How its engines are bought; `None` leaves the fleet as it is.
+    #[serde(default)]
+    pub buying: Option<BuyingTerms>,
 }
 
 /// Bounds on what callers may send.
--- a/components/routes/tests/limits.rs
+++ b/components/routes/tests/limits.rs
@@ -31,6 +31,7 @@
     let service = |name: &str, engine| ServiceSettings {
         name: ServiceId::new(name),
         max_connections: 1,
+        buying: None,
         engine,
     };
     let table = RouteTable {
--- a/components/stand-in/src/platform.rs
+++ b/components/stand-in/src/platform.rs
@@ -26,6 +26,7 @@
     /// Adds a machine, or notes its new address.
     pub fn register(&mut self, registration: BackendRegistration, now: Millis) {
         let entry = MachineEntry {
+            is_preemptible: false,
             registration,
             state: MachineState::Live,
             observed: None,
