--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use garnet_control::{EngineRequest, Replica};
+use garnet_control::{Duty, DutyAnswer, DutyCall, EngineRequest, Replica};
 use garnet_runtime::metrics::{gauge_value, registered, text_of};
 use garnet_types::Millis;
 use prometheus_client::metrics::counter::Counter;
@@ -28,6 +28,10 @@
     leads: Gauge,
     commit_index: Gauge,
     disk_full: Gauge,
+    duty_calls: Family<Labels, Counter>,
+    usage_untold: Gauge,
+    usage_open: Gauge,
+    duty_token: Gauge,
 }
 
 impl Default for ReplicaMetrics {
@@ -70,7 +74,19 @@
         let commit_index = registered(all, "commit_index", "Highest committed index", commit_index);
         let help = "Whether its disk has no room, so that it acknowledges nothing";
         let disk_full = registered(all, "disk_full", help, Gauge::default());
+        let help = "Calls to the platform, by duty and how they ended";
+        let duty_calls = registered(all, "duty_calls", help, Family::default());
+        let help = "Windows of usage that are closed and that the platform has not taken";
+        let usage_untold = registered(all, "usage_windows_untold", help, Gauge::default());
+        let help = "Windows of usage that gateways counted in and that are not closed";
+        let usage_open = registered(all, "usage_windows_open", help, Gauge::default());
+        let help = "Fencing token of the present holder of the duties, 0 for none";
+        let duty_token = registered(all, "duty_token", help, Gauge::default());
         ReplicaMetrics {
+            duty_calls,
+            usage_untold,
+            usage_open,
+            duty_token,
             disk_full,
             registry,
             syncs,
@@ -110,6 +126,15 @@
         self.roles_stated.inc();
     }
 
+    pub(crate) fn called_platform(&self, call: &DutyCall, answer: DutyAnswer) {
+        let duty = match &call.duty {
+            Duty::Usage { .. } => "usage",
+            Duty::Fleet { .. } => "fleet",
+        };
+        let labels = vec![("duty", duty), ("answer", answer.as_str())];
+        self.duty_calls.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn became_leader(&self) {
         self.terms_led.inc();
     }
@@ -120,6 +145,12 @@
         self.term.set(gauge_value(status.term));
         self.commit_index.set(gauge_value(status.commit_index));
         self.leads.set(i64::from(node.holds_lease(now)));
+        let usage = &replica.state().usage;
+        self.usage_untold.set(usage.untold().len() as i64);
+        self.usage_open.set(usage.open_windows() as i64);
+        let tenure = replica.state().tenures.present();
+        let token = tenure.map_or(0, |tenure| tenure.token);
+        self.duty_token.set(gauge_value(token));
     }
 
     /// The text for the metrics address.
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -302,8 +302,10 @@
     }
     let duties = outlets.duties.clone();
     let events = outlets.events.clone();
+    let metrics = Rc::clone(&outlets.metrics);
     let calling = async move {
         let answer = duties.call(call.clone()).await;
+        metrics.called_platform(&call, answer);
         log_answer(&call, answer);
         // The process may be stopping.
         let _unheard = events.send(Event::DutyAnswered { call, answer }).await;
