An update of the configuration that is under way is not sent again

Cause: a gateway asks each quarter of a second by the index that it works by; an update that takes longer to arrive was sent once more with each question.

Change: the leader remembers for each gateway the index that it sent last on which connection; the next update builds on it, and where there is none the answer is UnderWay, which confirms nothing and gives no lease. After 3 s without effect all is sent again.

--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -175,6 +175,8 @@
     },
     /// Everything anew.
     Snapshot(Arc<Configuration>),
+    /// All that is new was sent on this connection already and is yet to arrive.
+    UnderWay,
 }
 
 /// From a control replica to a gateway.
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -8,7 +8,7 @@
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::Configuration;
 use crate::effects::Effect;
-use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, GroupView};
+use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, GroupView, WatchUpdate};
 
 use super::{Asker, Replica};
 
@@ -42,7 +42,8 @@
                 self.copies.note(&gateway, copies, self.now);
                 self.fleet_load
                     .note(&gateway, sent_at, backlogs, evidence, self.now);
-                let reply = self.watch_reply(&gateway, configuration_index, group_index, sent_at);
+                let update = self.update_for(&gateway, connection, configuration_index);
+                let reply = self.watch_reply(&gateway, update, group_index, sent_at);
                 self.gateways.grant(gateway, configuration_index, self.now);
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
@@ -58,10 +59,21 @@
         }
     }
 
+    fn update_for(&mut self, gateway: &GatewayId, connection: u64, asked: u64) -> WatchUpdate {
+        self.sent_updates.update_for(
+            gateway,
+            connection,
+            asked,
+            self.now,
+            &mut self.recent,
+            &self.state.configuration,
+        )
+    }
+
     fn watch_reply(
         &mut self,
         gateway: &GatewayId,
-        index: u64,
+        update: WatchUpdate,
         group_index: u64,
         sent_at: Millis,
     ) -> ControlReply {
@@ -79,7 +91,7 @@
         let digest = self.fleet_load.digest_for(gateway, configuration, self.now);
         ControlReply::Watch {
             sent_at,
-            update: self.recent.update_for(index, &self.state.configuration),
+            update,
             group,
             gateways: self.gateways.count(self.now),
             digest,
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -7,6 +7,7 @@
 use crate::operator::OperatorAnswer;
 use crate::planning::Planning;
 use crate::reconciler::Reconciler;
+use crate::watch::SentUpdates;
 
 use super::{Asker, Desk, Replica};
 
@@ -29,6 +30,7 @@
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
+            self.sent_updates = SentUpdates::default();
             self.desk = Desk::at_start_of_term(self.now);
             self.sizing = FleetSizing::default();
             self.effects.push(Effect::BecameLeader { term });
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -32,7 +32,7 @@
 use crate::planning::Planning;
 use crate::reconciler::{EnginePolling, Reconciler};
 use crate::state::{ControlState, StateDecodeError};
-use crate::watch::RecentChanges;
+use crate::watch::{RecentChanges, SentUpdates};
 
 /// How often the leader looks at the engines.
 const RECONCILE_INTERVAL: Millis = Millis(100);
@@ -150,6 +150,7 @@
     node: Node,
     state: ControlState,
     recent: RecentChanges,
+    sent_updates: SentUpdates,
     settings: ReplicaSettings,
     pending: BTreeMap<u64, Pending>,
     waiters: Vec<Waiter>,
@@ -203,6 +204,7 @@
             balancing: settings.balance.map(Balancing::new),
             state,
             recent,
+            sent_updates: SentUpdates::default(),
             settings,
             pending: BTreeMap::new(),
             waiters: Vec::new(),
@@ -330,6 +332,7 @@
             self.mend_group();
             self.do_duties();
             self.gateways.forget_silent(self.now);
+            self.sent_updates.forget(self.now);
         }
         self.serve_removals();
         self.serve_waiters();
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -3,12 +3,80 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use garnet_types::{GatewayId, Millis};
+
 use crate::configuration::{Configuration, ConfigurationChange};
 use crate::messages::WatchUpdate;
 
 /// Changes that are kept; a gateway farther behind gets everything anew.
 const KEPT_CHANGES: usize = 4096;
 
+/// What was sent to a gateway and has not shown in its questions for so long is
+/// taken as lost: some times the way of a whole configuration over a slow link.
+const LOST_AFTER: Millis = Millis::from_secs(3);
+
+/// What was sent to gateways last, so that an update that is under way is not
+/// sent again with each question.
+#[derive(Debug, Default)]
+pub(crate) struct SentUpdates {
+    sent: BTreeMap<GatewayId, Sent>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    /// Updates of one connection arrive in their order.
+    connection: u64,
+    /// Index that the gateway works by once all has arrived.
+    index: u64,
+    at: Millis,
+}
+
+impl SentUpdates {
+    /// The index that the next update for a gateway builds on, which asks with
+    /// `asked`.
+    fn base(&self, gateway: &GatewayId, connection: u64, asked: u64, now: Millis) -> u64 {
+        let under_way = |sent: &&Sent| {
+            sent.connection == connection && sent.index > asked && now.since(sent.at) < LOST_AFTER
+        };
+        let sent = self.sent.get(gateway).filter(under_way);
+        sent.map_or(asked, |sent| sent.index)
+    }
+
+    /// The update for a gateway that asks on a connection with the index that it
+    /// works by.
+    pub(crate) fn update_for(
+        &mut self,
+        gateway: &GatewayId,
+        connection: u64,
+        asked: u64,
+        now: Millis,
+        recent: &mut RecentChanges,
+        configuration: &Configuration,
+    ) -> WatchUpdate {
+        let base = self.base(gateway, connection, asked, now);
+        let update = recent.update_for(base, configuration);
+        if matches!(update, WatchUpdate::Current) {
+            return if base > asked {
+                WatchUpdate::UnderWay
+            } else {
+                update
+            };
+        }
+        let sent = Sent {
+            connection,
+            index: configuration.index,
+            at: now,
+        };
+        self.sent.insert(gateway.clone(), sent);
+        update
+    }
+
+    /// Forgets what has arrived or is lost.
+    pub(crate) fn forget(&mut self, now: Millis) {
+        self.sent.retain(|_, sent| now.since(sent.at) < LOST_AFTER);
+    }
+}
+
 /// The latest changes of the configuration.
 #[derive(Debug, Clone, Default)]
 pub struct RecentChanges {
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -15,3 +15,4 @@
 mod operators;
 mod routes;
 mod usage;
+mod watching;
--- /dev/null
+++ b/components/control/tests/state/watching.rs
@@ -0,0 +1,114 @@
+//! What a gateway is sent of the configuration: each change once.
+
+use std::sync::Arc;
+
+use garnet_control::{
+    Command, CommandEnvelope, ControlReply, Effect, Event, GatewayRequest, OperatorRequest,
+    WatchUpdate,
+};
+use garnet_routes::RouteTable;
+use garnet_types::{GatewayId, Millis};
+
+use crate::leader::Leader;
+
+fn put(version: u64) -> Command {
+    Command::PutRoutes {
+        table: Arc::new(RouteTable {
+            version,
+            ..RouteTable::default()
+        }),
+        document: String::new(),
+    }
+}
+
+fn change(leader: &mut Leader, version: u64) {
+    let envelope = CommandEnvelope::unnamed(put(version), leader.now);
+    let wait = false;
+    let request = OperatorRequest::Command { envelope, wait };
+    leader.take(Event::Operator { ticket: 1, request });
+    leader.persist();
+    let _answers = leader.replica.take_effects();
+}
+
+/// The update that a gateway is sent which asks with the index that it works by.
+fn update(leader: &mut Leader, connection: u64, index: u64) -> WatchUpdate {
+    let request = GatewayRequest::Watch {
+        gateway: GatewayId::new("gateway-1"),
+        configuration_index: index,
+        sent_at: leader.now,
+        group_index: u64::MAX,
+        mix: Vec::new(),
+        backlogs: Vec::new(),
+        evidence: Vec::new(),
+        copies: Vec::new(),
+    };
+    let event = Event::Gateway {
+        connection,
+        request,
+    };
+    let reply = |effect| match effect {
+        Effect::ReplyGateway { reply, .. } => Some(reply),
+        _ => None,
+    };
+    match leader.take(event).into_iter().find_map(reply) {
+        Some(ControlReply::Watch { update, .. }) => update,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn leader() -> Leader {
+    let mut leader = Leader::elected(Leader::settings(), vec![put(7)]);
+    leader.run(Millis(500));
+    leader
+}
+
+#[test]
+fn an_update_under_way_is_not_sent_again() {
+    let mut leader = leader();
+    let first = update(&mut leader, 1, 0);
+    let WatchUpdate::Snapshot(configuration) = first else {
+        panic!("{first:?}");
+    };
+    leader.run(Millis(500));
+    assert_eq!(update(&mut leader, 1, 0), WatchUpdate::UnderWay);
+    // It has arrived.
+    let arrived = update(&mut leader, 1, configuration.index);
+    assert_eq!(arrived, WatchUpdate::Current);
+}
+
+#[test]
+fn what_changes_meanwhile_builds_on_what_is_under_way() {
+    let mut leader = leader();
+    let WatchUpdate::Snapshot(sent) = update(&mut leader, 1, 0) else {
+        panic!("no snapshot");
+    };
+    change(&mut leader, 8);
+    let WatchUpdate::Changes { from, to, changes } = update(&mut leader, 1, 0) else {
+        panic!("no changes");
+    };
+    assert_eq!((from, changes.len()), (sent.index, 1));
+    assert_eq!(update(&mut leader, 1, sent.index), WatchUpdate::UnderWay);
+    assert_eq!(update(&mut leader, 1, to), WatchUpdate::Current);
+}
+
+/// What went out on a connection that broke may never arrive.
+#[test]
+fn another_connection_is_sent_all_of_it() {
+    let mut leader = leader();
+    update(&mut leader, 1, 0);
+    assert!(matches!(
+        update(&mut leader, 2, 0),
+        WatchUpdate::Snapshot(_)
+    ));
+}
+
+#[test]
+fn what_does_not_arrive_is_sent_again() {
+    let mut leader = leader();
+    update(&mut leader, 1, 0);
+    leader.run(Millis(3000));
+    assert!(matches!(
+        update(&mut leader, 1, 0),
+        WatchUpdate::Snapshot(_)
+    ));
+}
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -18,9 +18,12 @@
     /// Takes what the leader says is new. An older configuration than the one
     /// in force is left aside, so nothing reverts.
     pub fn update(&mut self, update: WatchUpdate) {
+        if matches!(update, WatchUpdate::UnderWay) {
+            return;
+        }
         self.unconfirmed_since = None;
         match update {
-            WatchUpdate::Current => return,
+            WatchUpdate::Current | WatchUpdate::UnderWay => return,
             WatchUpdate::Snapshot(configuration) => {
                 if configuration.index < self.configuration.index {
                     return;
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -52,6 +52,8 @@
         match update {
             // Only said of an index that this gateway named, and had on disk.
             WatchUpdate::Current => self.configuration.index >= self.highest_index,
+            // What it works by until then may not be in force any more.
+            WatchUpdate::UnderWay => false,
             WatchUpdate::Changes { from, to, changes } => {
                 let builds_on = from <= self.configuration.index && self.configuration.index > 0;
                 if !builds_on || to < self.highest_index {
