--- a/components/forwarding/src/usage.rs
+++ b/components/forwarding/src/usage.rs
@@ -57,6 +57,12 @@
         self.counts.values().any(Count::is_news)
     }
 
+    /// Requests that are not known to stand in the log: what is lost with this
+    /// process.
+    pub fn unlogged(&self) -> u64 {
+        self.counts.values().map(Count::unlogged).sum()
+    }
+
     /// The next report.
     pub fn report(&mut self) -> UsageReport {
         self.number += 1;
--- a/components/planner/src/fleet_size.rs
+++ b/components/planner/src/fleet_size.rs
@@ -61,10 +61,18 @@
     }
 }
 
+/// A fleet of preemptible engines is bought while it costs less than this part of
+/// what is needed in dedicated ones: the rest is for what their loss costs. Of the
+/// reserves that keep below it the largest is taken. Measured on the users' bench
+/// with a price of 0.18: docs/design/shifted-work.md.
+const WORTHWHILE: f64 = 0.5;
+
 /// What each zone shall have while the load needs `needed` engines. `present`
-/// are the engines of each zone that serve now; dedicated ones are given back
-/// when as many preemptible ones serve as are needed, so that the fleet never
-/// falls below it by a step of this plan.
+/// are the engines of each zone that serve now.
+///
+/// Dedicated engines are given back one for one as preemptible ones serve, so
+/// that no step of this plan leaves fewer than are needed. Where more was taken
+/// away than the reserve bears, dedicated ones are bought for what is missing.
 ///
 /// Gives `None` where the fleet is to stay as it is.
 pub fn wanted_fleet(
@@ -72,24 +80,52 @@
     terms: &FleetTerms,
     present: &[ZoneFleet],
 ) -> Option<Vec<ZoneFleet>> {
-    let price = terms.preemptible_price?;
-    let zones = u32::try_from(present.len()).ok()?;
-    // With one zone nothing is left after its loss.
-    let kept_zones = zones.checked_sub(1).filter(|kept| *kept > 0)?;
-    let in_zone = needed.div_ceil(kept_zones);
-    let costs = f64::from(in_zone * zones) * price;
-    if costs >= f64::from(needed) || in_zone > terms.most_in_zone {
-        return None;
-    }
-    let in_zone = in_zone.max(terms.least_in_zone);
+    let preemptible = preemptible_in_zone(needed, terms, present.len())?;
     let serving: u32 = present.iter().map(|zone| zone.preemptible).sum();
-    let gives_back = serving >= needed;
+    let dedicated: u32 = present.iter().map(|zone| zone.dedicated).sum();
+    let wanted_dedicated = needed.saturating_sub(serving);
+    let missing = wanted_dedicated.saturating_sub(dedicated);
+    let missing_in_zone = missing.div_ceil(present.len() as u32);
     let want = |zone: &ZoneFleet| {
-        let dedicated = if gives_back { 0 } else { zone.dedicated };
+        let dedicated = if missing > 0 {
+            let room = terms.most_in_zone.saturating_sub(zone.all());
+            zone.dedicated + missing_in_zone.min(room)
+        } else {
+            part_of(zone.dedicated, wanted_dedicated, dedicated)
+        };
         ZoneFleet {
             dedicated,
-            preemptible: in_zone.min(terms.most_in_zone.saturating_sub(zone.dedicated)),
+            preemptible: preemptible.min(terms.most_in_zone.saturating_sub(zone.dedicated)),
         }
     };
     Some(present.iter().map(want).collect())
 }
+
+/// `engines`, scaled down as `from` is to `to`, rounded up.
+fn part_of(engines: u32, to: u32, from: u32) -> u32 {
+    match from {
+        0 => 0,
+        from => (engines * to).div_ceil(from),
+    }
+}
+
+/// Preemptible engines for each of so many zones: as many as leave what is needed
+/// when some of the zones are lost; of the largest number of lost zones that is
+/// worth its price, as far as a zone has room.
+fn preemptible_in_zone(needed: u32, terms: &FleetTerms, zones: usize) -> Option<u32> {
+    let price = terms.preemptible_price?;
+    let zones = u32::try_from(zones).ok()?;
+    let in_zone = |lost: u32| {
+        let kept = needed.div_ceil(zones - lost);
+        kept.max(terms.least_in_zone).min(terms.most_in_zone)
+    };
+    let is_worthwhile = |engines: &u32| {
+        let costs = f64::from(engines * zones) * price;
+        costs < f64::from(needed) * WORTHWHILE
+    };
+    // Without a reserve for one zone the fleet stays dedicated.
+    let bears_one = |engines: &u32| engines * (zones - 1) >= needed;
+    let reserves = (1..zones).rev().map(in_zone);
+    let mut worthwhile = reserves.filter(is_worthwhile).filter(bears_one);
+    worthwhile.next()
+}
