--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -1,6 +1,7 @@
 //! The leader's use of the balance of phases: what gateways have under way at
 //! each engine tells how occupied prefill engines and decode engines are.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use garnet_planner::{
@@ -88,13 +89,19 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct PoolBalance {
     prefill: Demand,
     decode: Demand,
     loaded: bool,
-    /// Whether the leader has listened long enough to know that there is no load.
+    /// Since when this leader looks, and whether it has listened long enough to
+    /// know that there is no load.
+    looks_since: Option<Millis>,
     was_looked_at: bool,
+    /// Engines at the last look.
+    members: Option<BTreeSet<BackendId>>,
+    /// Part of the engines that shall prefill, as it was decided last.
+    share: Option<f64>,
     /// Engines at the last look, and since when there are so many: the list
     /// of engines comes in parts when a group starts.
     engines: usize,
@@ -163,39 +170,14 @@
             let seen = sample(&members, backlogs, &limits);
             balance.take(&seen, limits.role_change_ms, now);
             let occupancy = balance.occupancy(&seen);
-            let since = balance.note_engines(members.len(), now);
-            if !balance.loaded && now.since(since) < FIRST_LOOK {
-                // A new leader has yet to hear what is there and under way.
+            let step = balance.step(members, &occupancy, &limits, &self.settings, now);
+            let Some(step) = step else {
                 continue;
-            }
-            balance.was_looked_at = true;
-            let wanted = if balance.loaded {
-                balance.wanted_prefill_engines(&occupancy, &self.settings)
-            } else {
-                initial_prefill_engines(members.len(), &self.settings)
             };
-            if wanted == occupancy.prefill_engines {
-                continue;
-            }
-            let role = if wanted > occupancy.prefill_engines {
-                EngineRole::Prefill
-            } else {
-                EngineRole::Mixed
-            };
-            if balance.rests(role, limits.role_change_ms, &self.settings, now) {
-                continue;
-            }
-            let count = wanted.abs_diff(occupancy.prefill_engines);
-            let engines = who_change(members, role, count);
-            if engines.is_empty() {
-                continue;
-            }
-            balance.last_change = Some(LastChange { at: now, role });
-            balance.spread(&occupancy, role, engines.len());
-            changes.extend(engines.into_iter().map(|engine| BalanceChange {
+            changes.extend(step.engines.into_iter().map(|engine| BalanceChange {
                 engine,
                 assignment: EngineAssignment {
-                    role,
+                    role: step.role,
                     model: pool.1.clone(),
                 },
                 occupancy,
@@ -205,7 +187,74 @@
     }
 }
 
+/// Engines of a pool that change to one role.
+struct PoolStep {
+    role: EngineRole,
+    engines: Vec<BackendId>,
+}
+
 impl PoolBalance {
+    /// What changes now, if anything.
+    fn step(
+        &mut self,
+        members: Vec<Member<'_>>,
+        occupancy: &PhaseOccupancy,
+        limits: &EngineLimits,
+        settings: &BalanceSettings,
+        now: Millis,
+    ) -> Option<PoolStep> {
+        let unchanged_since = self.note_engines(members.len(), now);
+        let newcomers = self.note_members(&members);
+        let present = occupancy.prefill_engines;
+        if self.loaded {
+            let share = *self.share.get_or_insert(share_of(occupancy));
+            if let Some(step) = keep_share(&members, &newcomers, share, present) {
+                return Some(step);
+            }
+        } else if now.since(*self.looks_since.get_or_insert(now)) < FIRST_LOOK {
+            // A new leader has yet to hear what is there and under way.
+            return None;
+        }
+        self.was_looked_at = true;
+        let wanted = if self.loaded {
+            self.wanted_prefill_engines(occupancy, settings)
+        } else {
+            initial_prefill_engines(members.len(), settings)
+        };
+        let role = match wanted.cmp(&present) {
+            Ordering::Equal => return None,
+            Ordering::Greater => EngineRole::Prefill,
+            Ordering::Less => EngineRole::Mixed,
+        };
+        // The list of engines comes in parts: none is taken from prefill before
+        // it is whole.
+        let may_grow = !self.loaded && role == EngineRole::Mixed;
+        if may_grow && now.since(unchanged_since) < FIRST_LOOK {
+            return None;
+        }
+        if self.rests(role, limits.role_change_ms, settings, now) {
+            return None;
+        }
+        let engines = who_change(members, role, wanted.abs_diff(present));
+        if engines.is_empty() {
+            return None;
+        }
+        self.last_change = Some(LastChange { at: now, role });
+        self.spread(occupancy, role, engines.len());
+        self.share = Some(wanted as f64 / occupancy.engines().max(1) as f64);
+        Some(PoolStep { role, engines })
+    }
+
+    /// Notes who is there; gives the engines that came since the last look. At
+    /// the first look nobody has come.
+    fn note_members(&mut self, members: &[Member<'_>]) -> BTreeSet<BackendId> {
+        let present: BTreeSet<BackendId> = members.iter().map(|m| m.id.clone()).collect();
+        let before = self.members.replace(present.clone());
+        before.map_or(BTreeSet::new(), |before| {
+            present.difference(&before).cloned().collect()
+        })
+    }
+
     /// Notes how many engines there are; gives since when.
     fn note_engines(&mut self, engines: usize, now: Millis) -> Millis {
         if self.engines != engines || self.unchanged_since.is_none() {
@@ -300,6 +349,41 @@
     }
 }
 
+/// Part of the engines that prefill.
+fn share_of(occupancy: &PhaseOccupancy) -> f64 {
+    occupancy.prefill_engines as f64 / occupancy.engines().max(1) as f64
+}
+
+/// Engines that came bring a split of their own: some of them change role, so
+/// that the pool keeps its share. They have cold caches and little work.
+fn keep_share(
+    members: &[Member<'_>],
+    newcomers: &BTreeSet<BackendId>,
+    share: f64,
+    present: usize,
+) -> Option<PoolStep> {
+    if newcomers.is_empty() {
+        return None;
+    }
+    let wanted = (members.len() as f64 * share).round() as usize;
+    let role = match wanted.cmp(&present) {
+        Ordering::Equal => return None,
+        Ordering::Greater => EngineRole::Prefill,
+        Ordering::Less => EngineRole::Mixed,
+    };
+    let changes = |member: &&Member<'_>| {
+        let prefills = member.role == EngineRole::Prefill;
+        newcomers.contains(member.id) && prefills != (role == EngineRole::Prefill)
+    };
+    let engines: Vec<BackendId> = members
+        .iter()
+        .filter(changes)
+        .take(wanted.abs_diff(present))
+        .map(|member| member.id.clone())
+        .collect();
+    (!engines.is_empty()).then_some(PoolStep { role, engines })
+}
+
 /// Engines that take part: an engine counts as what it shall be.
 fn pools<'a>(
     configuration: &'a Configuration,
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -171,6 +171,39 @@
     assert_eq!(roles.first(), Some(&EngineRole::Mixed), "{roles:?}");
 }
 
+/// Twelve engines of which eight prefill, and six more that all decode.
+fn grown_list() -> Vec<MachineEntry> {
+    let role = |number| match number {
+        0..8 => EngineRole::Prefill,
+        _ => EngineRole::Mixed,
+    };
+    (0..18).map(|number| entry(number, role(number))).collect()
+}
+
+/// Engines that come under load bring a split of their own: so many of them
+/// change that the pool keeps its share.
+#[test]
+fn engines_that_come_keep_the_share_of_the_phases() {
+    let mut leader = leader();
+    let light = watch(50, 2);
+    let before = vec![grown_list()[..12].to_vec(); 3];
+    assert_eq!(stated(&mut leader, &before, &light), []);
+    let roles = stated(&mut leader, &vec![grown_list(); 3], &light);
+    assert_eq!(roles, [EngineRole::Prefill; 4]);
+}
+
+/// One that is replaced by another of the same role changes nothing.
+#[test]
+fn an_engine_that_is_replaced_changes_no_role() {
+    let mut leader = leader();
+    let light = watch(50, 2);
+    let all = grown_list();
+    stated(&mut leader, &vec![all[..12].to_vec(); 3], &light);
+    let mut replaced = all[1..12].to_vec();
+    replaced.push(entry(20, EngineRole::Prefill));
+    assert_eq!(stated(&mut leader, &vec![replaced; 3], &light), []);
+}
+
 /// The engines that are out for an order after a list of decode engines was
 /// read for some seconds.
 fn out_of_service(watched: &Event) -> usize {
