Updates for gateways: encoded once, the newest of each back end, sent again when lost

Each change of an engine went to each gateway as a whole record of 180 bytes, three or four times within a second, encoded anew for each gateway.

Change: of several changes to one back end only the newest is sent; changes and whole configurations are encoded once for all gateways (Shared).

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -27,6 +27,7 @@
 mod planning;
 mod reconciler;
 mod replica;
+mod shared;
 mod state;
 mod usage;
 mod watch;
@@ -54,5 +55,6 @@
 pub use planner_settings::planner_settings;
 pub use reconciler::EnginePolling;
 pub use replica::{DirectorySettings, Replica, ReplicaSettings, RestoreError};
+pub use shared::Shared;
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError};
 pub use usage::{Usage, UsageCount, UsageReceipt, UsageReport, WindowCounts};
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,7 +1,5 @@
 //! What gateways and the leader say to each other.
 
-use std::sync::Arc;
-
 use garnet_types::{
     BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
 };
@@ -12,6 +10,7 @@
 use crate::command::ClaimCommand;
 use crate::configuration::{Configuration, ConfigurationChange};
 use crate::load_digest::{MembersHash, ToldDigest};
+use crate::shared::Shared;
 use crate::usage::{UsageReceipt, UsageReport};
 
 /// What a gateway saw offered for one pool since its last report.
@@ -171,14 +170,28 @@
         /// Index that they lead to.
         to: u64,
         /// The changes, each with its index.
-        changes: Arc<Vec<(u64, ConfigurationChange)>>,
+        changes: Shared<Vec<(u64, ConfigurationChange)>>,
     },
     /// Everything anew.
-    Snapshot(Arc<Configuration>),
+    Snapshot(Shared<Configuration>),
     /// All that is new was sent on this connection already and is yet to arrive.
     UnderWay,
 }
 
+impl WatchUpdate {
+    /// About how many changes it brings.
+    pub fn changes(&self) -> u64 {
+        let changes = match self {
+            WatchUpdate::Current | WatchUpdate::UnderWay => 0,
+            WatchUpdate::Changes { changes, .. } => changes.len(),
+            WatchUpdate::Snapshot(whole) => {
+                whole.sessions.len() + whole.policies.len() + whole.backends.len()
+            }
+        };
+        changes as u64
+    }
+}
+
 /// From a control replica to a gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlReply {
@@ -213,6 +226,6 @@
         leader: Option<String>,
         /// For a gateway that knows nothing yet, while no leader is known: the
         /// newest configuration that this replica surely knows of.
-        last_known: Option<Arc<Configuration>>,
+        last_known: Option<Shared<Configuration>>,
     },
 }
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -1,7 +1,5 @@
 //! Watches and claims of gateways.
 
-use std::sync::Arc;
-
 use garnet_consensus::Member;
 use garnet_types::{GatewayId, Millis};
 
@@ -9,6 +7,7 @@
 use crate::configuration::Configuration;
 use crate::effects::Effect;
 use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, GroupView, WatchUpdate};
+use crate::shared::Shared;
 
 use super::{Asker, Replica};
 
@@ -119,7 +118,7 @@
     /// Invariant: all of the log is committed, so nothing that was accepted
     /// and that this replica holds is missing, and nothing that was not
     /// accepted is in it. Other replicas may hold more.
-    fn last_known_for(&mut self, request: &GatewayRequest) -> Option<Arc<Configuration>> {
+    fn last_known_for(&mut self, request: &GatewayRequest) -> Option<Shared<Configuration>> {
         let knows_nothing = matches!(
             request,
             GatewayRequest::Watch {
@@ -138,7 +137,7 @@
         self.refer_to_leader(connection, None);
     }
 
-    fn refer_to_leader(&mut self, connection: u64, last_known: Option<Arc<Configuration>>) {
+    fn refer_to_leader(&mut self, connection: u64, last_known: Option<Shared<Configuration>>) {
         let reply = ControlReply::NotLeader {
             leader: self.leader().map(|member| member.peer_address.clone()),
             last_known,
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -1,19 +1,21 @@
 //! Recent changes, from which gateways are brought up to date.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
-use garnet_types::{GatewayId, Millis};
+use garnet_types::{BackendId, GatewayId, Millis};
 
 use crate::configuration::{Configuration, ConfigurationChange};
 use crate::messages::WatchUpdate;
+use crate::shared::Shared;
 
 /// Changes that are kept; a gateway farther behind gets everything anew.
 const KEPT_CHANGES: usize = 4096;
 
 /// What was sent to a gateway and has not shown in its questions for so long is
-/// taken as lost: some times the way of a whole configuration over a slow link.
-const LOST_AFTER: Millis = Millis::from_secs(3);
+/// taken as lost: two questions, ...
+const LOST_AFTER: Millis = Millis(500);
+/// ... and what each change takes on a link of 100 KB a second.
+const LOST_AFTER_EACH_CHANGE: Millis = Millis(2);
 
 /// What was sent to gateways last, so that an update that is under way is not
 /// sent again with each question.
@@ -28,7 +30,8 @@
     connection: u64,
     /// Index that the gateway works by once all has arrived.
     index: u64,
-    at: Millis,
+    /// When it is taken as lost.
+    lost_at: Millis,
 }
 
 impl SentUpdates {
@@ -36,7 +39,7 @@
     /// `asked`.
     fn base(&self, gateway: &GatewayId, connection: u64, asked: u64, now: Millis) -> u64 {
         let under_way = |sent: &&Sent| {
-            sent.connection == connection && sent.index > asked && now.since(sent.at) < LOST_AFTER
+            sent.connection == connection && sent.index > asked && now < sent.lost_at
         };
         let sent = self.sent.get(gateway).filter(under_way);
         sent.map_or(asked, |sent| sent.index)
@@ -65,7 +68,7 @@
         let sent = Sent {
             connection,
             index: configuration.index,
-            at: now,
+            lost_at: now + LOST_AFTER + Millis(LOST_AFTER_EACH_CHANGE.0 * update.changes()),
         };
         self.sent.insert(gateway.clone(), sent);
         update
@@ -73,7 +76,7 @@
 
     /// Forgets what has arrived or is lost.
     pub(crate) fn forget(&mut self, now: Millis) {
-        self.sent.retain(|_, sent| now.since(sent.at) < LOST_AFTER);
+        self.sent.retain(|_, sent| now < sent.lost_at);
     }
 }
 
@@ -85,10 +88,10 @@
     complete_after: u64,
     /// The newest configuration that was handed out whole: many gateways ask
     /// for it at once when they all start.
-    whole: Option<Arc<Configuration>>,
+    whole: Option<Shared<Configuration>>,
     /// Changes since an index, as they were handed out since the last change:
     /// most gateways stand at the same index.
-    handed_out: BTreeMap<u64, Arc<Vec<(u64, ConfigurationChange)>>>,
+    handed_out: BTreeMap<u64, Shared<Vec<(u64, ConfigurationChange)>>>,
 }
 
 impl RecentChanges {
@@ -131,42 +134,61 @@
 }
 
 impl RecentChanges {
-    fn since(&mut self, from: u64) -> Arc<Vec<(u64, ConfigurationChange)>> {
+    fn since(&mut self, from: u64) -> Shared<Vec<(u64, ConfigurationChange)>> {
         if let Some(changes) = self.handed_out.get(&from) {
-            return Arc::clone(changes);
+            return changes.clone();
         }
         let newer = self.changes.iter().filter(|(index, _)| *index > from);
-        let changes = Arc::new(without_replaced_tables(newer));
-        self.handed_out.insert(from, Arc::clone(&changes));
+        let changes = Shared::from(without_replaced(newer));
+        self.handed_out.insert(from, changes.clone());
         changes
     }
 
     /// The configuration as a whole.
-    pub fn whole(&mut self, configuration: &Configuration) -> Arc<Configuration> {
-        let same = |whole: &&Arc<Configuration>| whole.index == configuration.index;
+    pub fn whole(&mut self, configuration: &Configuration) -> Shared<Configuration> {
+        let same = |whole: &&Shared<Configuration>| whole.index == configuration.index;
         if let Some(whole) = self.whole.as_ref().filter(same) {
-            return Arc::clone(whole);
+            return whole.clone();
         }
-        let whole = Arc::new(configuration.clone());
-        self.whole = Some(Arc::clone(&whole));
+        let whole = Shared::from(configuration.clone());
+        self.whole = Some(whole.clone());
         whole
     }
 }
 
-/// The changes, of the route tables among them only the newest: each one
-/// replaces the former as a whole.
-fn without_replaced_tables<'a>(
+/// What a change replaces as a whole.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Replaced<'a> {
+    Routes,
+    Backend(&'a BackendId),
+}
+
+fn replaced(change: &ConfigurationChange) -> Option<Replaced<'_>> {
+    match change {
+        ConfigurationChange::RoutesPut(_) => Some(Replaced::Routes),
+        ConfigurationChange::BackendPut(record) => Some(Replaced::Backend(&record.registration.id)),
+        ConfigurationChange::BackendRemoved(id) => Some(Replaced::Backend(id)),
+        _ => None,
+    }
+}
+
+/// The changes, of those to the route table and to one back end only the
+/// newest: each one replaces the former as a whole.
+fn without_replaced<'a>(
     changes: impl Iterator<Item = &'a (u64, ConfigurationChange)> + Clone,
 ) -> Vec<(u64, ConfigurationChange)> {
-    let is_table =
-        |change: &ConfigurationChange| matches!(change, ConfigurationChange::RoutesPut(_));
-    let newest = changes
-        .clone()
-        .filter(|(_, change)| is_table(change))
-        .map(|(index, _)| *index)
-        .last();
+    let mut newest = BTreeMap::new();
+    for (place, (_, change)) in changes.clone().enumerate() {
+        if let Some(replaced) = replaced(change) {
+            newest.insert(replaced, place);
+        }
+    }
+    let is_newest = |(place, (_, change)): &(usize, &(u64, ConfigurationChange))| {
+        replaced(change).is_none_or(|replaced| newest.get(&replaced) == Some(place))
+    };
     changes
-        .filter(|(index, change)| !is_table(change) || Some(*index) == newest)
-        .cloned()
+        .enumerate()
+        .filter(is_newest)
+        .map(|(_, change)| change.clone())
         .collect()
 }
--- a/components/control/tests/state/last_known.rs
+++ b/components/control/tests/state/last_known.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use garnet_control::{Command, Configuration, ControlReply, Effect, Event, GatewayRequest};
+use garnet_control::{Command, Configuration, ControlReply, Effect, Event, GatewayRequest, Shared};
 use garnet_routes::RouteTable;
 use garnet_types::{GatewayId, Millis};
 use rstest::rstest;
@@ -21,7 +21,7 @@
 }
 
 /// What a gateway that works by `configuration_index` hears.
-fn ask(replica: &mut Leader, configuration_index: u64) -> Option<Arc<Configuration>> {
+fn ask(replica: &mut Leader, configuration_index: u64) -> Option<Shared<Configuration>> {
     let request = GatewayRequest::Watch {
         gateway: GatewayId::new("g"),
         configuration_index,
--- a/components/control/tests/state/watching.rs
+++ b/components/control/tests/state/watching.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use garnet_control::{
-    Command, CommandEnvelope, ControlReply, Effect, Event, GatewayRequest, OperatorRequest,
-    WatchUpdate,
+    BackendRegistration, Command, CommandEnvelope, ConfigurationChange, ControlReply, Effect,
+    Event, GatewayRequest, OperatorRequest, Shared, WatchUpdate,
 };
 use garnet_routes::RouteTable;
-use garnet_types::{GatewayId, Millis};
+use garnet_types::{BackendId, BackendKind, GatewayId, Millis, ServiceId};
 
 use crate::leader::Leader;
 
@@ -69,7 +69,7 @@
     let WatchUpdate::Snapshot(configuration) = first else {
         panic!("{first:?}");
     };
-    leader.run(Millis(500));
+    leader.run(Millis(400));
     assert_eq!(update(&mut leader, 1, 0), WatchUpdate::UnderWay);
     // It has arrived.
     let arrived = update(&mut leader, 1, configuration.index);
@@ -106,9 +106,61 @@
 fn what_does_not_arrive_is_sent_again() {
     let mut leader = leader();
     update(&mut leader, 1, 0);
-    leader.run(Millis(3000));
+    leader.run(Millis(600));
     assert!(matches!(
         update(&mut leader, 1, 0),
         WatchUpdate::Snapshot(_)
     ));
 }
+
+/// Of several changes to one back end a gateway hears the newest.
+#[test]
+fn a_gateway_hears_only_the_newest_of_a_back_end() {
+    let mut leader = leader();
+    let WatchUpdate::Snapshot(sent) = update(&mut leader, 1, 0) else {
+        panic!("no snapshot");
+    };
+    for zone in ["a", "b", "c"] {
+        put_backend(&mut leader, zone);
+    }
+    let WatchUpdate::Changes { changes, .. } = update(&mut leader, 1, sent.index) else {
+        panic!("no changes");
+    };
+    let [(_, ConfigurationChange::BackendPut(record))] = changes.as_slice() else {
+        panic!("{changes:?}");
+    };
+    assert_eq!(record.registration.zone, "c");
+}
+
+fn put_backend(leader: &mut Leader, zone: &str) {
+    let registration = BackendRegistration {
+        id: BackendId::new("engine-1"),
+        kind: BackendKind::Engine,
+        service: ServiceId::new("words"),
+        address: "10.0.0.1:80".into(),
+        zone: zone.into(),
+    };
+    let envelope = CommandEnvelope::unnamed(Command::PutBackend(registration), leader.now);
+    let wait = false;
+    let request = OperatorRequest::Command { envelope, wait };
+    leader.take(Event::Operator { ticket: 1, request });
+    leader.persist();
+    let _answers = leader.replica.take_effects();
+}
+
+/// What is encoded once for many arrives as it was, and bytes that are cut are
+/// an error.
+#[test]
+fn a_shared_value_is_read_as_it_was_written() {
+    let value = Shared::from(vec![(3_u64, "a".to_owned()), (9, "b".to_owned())]);
+    let standard = bincode::config::standard();
+    let first = bincode::serde::encode_to_vec(&value, standard).expect("plain data");
+    let again = bincode::serde::encode_to_vec(&value, standard).expect("plain data");
+    assert_eq!(first, again);
+    let read = bincode::serde::decode_from_slice(&first, standard);
+    let (read, _): (Shared<Vec<(u64, String)>>, usize) = read.expect("own bytes");
+    assert_eq!(read, value);
+    type Read = Result<(Shared<Vec<(u64, String)>>, usize), bincode::error::DecodeError>;
+    let cut: Read = bincode::serde::decode_from_slice(&first[..first.len() - 1], standard);
+    assert!(cut.is_err(), "cut bytes are read");
+}
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -28,7 +28,7 @@
                 if configuration.index < self.configuration.index {
                     return;
                 }
-                self.configuration = Arc::unwrap_or_clone(configuration);
+                self.configuration = configuration.into_inner();
             }
             WatchUpdate::Changes { from, changes, to } => {
                 if from > self.configuration.index || to < self.configuration.index {
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -1,7 +1,5 @@
 //! Requests are sent, deferred or refused by what is predicted of them.
 
-use std::sync::Arc;
-
 use garnet_control::{Backlog, ByRank, WatchUpdate};
 use garnet_forwarding::{Admission, Arrival, Forwarder, Prompt, Work};
 use garnet_routes::{EngineLimits, RouteTable, ServiceSettings, WorkKind};
@@ -52,7 +50,7 @@
         record("decode_engine", "words", "a", Some(EngineRole::Mixed)),
     ];
     let mut gateway = empty_forwarder();
-    let configuration = Arc::new(configuration(5, table, &records));
+    let configuration = configuration(5, table, &records).into();
     gateway.update(WatchUpdate::Snapshot(configuration));
     for tokens in [1_000, 20_000].repeat(200) {
         gateway.note_prefill(&prefill_engine(), tokens, Millis(tokens / TOKENS_PER_MS));
--- a/components/forwarding/tests/core/configuration.rs
+++ b/components/forwarding/tests/core/configuration.rs
@@ -12,7 +12,7 @@
 fn an_older_snapshot_is_left_aside() {
     let mut forwarder = forwarder(&[]);
     let older = configuration(4, table(9, &[("other", 1)]), &[]);
-    forwarder.update(WatchUpdate::Snapshot(std::sync::Arc::new(older)));
+    forwarder.update(WatchUpdate::Snapshot(older.into()));
     assert_eq!(forwarder.routes_version(), Some(1));
     assert_eq!(forwarder.configuration_index(), 5);
 }
@@ -56,7 +56,7 @@
 fn a_split_route_gives_each_service_its_share() {
     let mut forwarder = forwarder(&[]);
     let split = configuration(6, table(2, &[("till", 90), ("words", 10)]), &[]);
-    forwarder.update(WatchUpdate::Snapshot(std::sync::Arc::new(split)));
+    forwarder.update(WatchUpdate::Snapshot(split.into()));
     let words = (0..300)
         .filter_map(|_| forwarder.route("shop.example", "/offers/1"))
         .filter(|choice| choice.service.as_str() == "words")
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -95,7 +95,7 @@
 pub fn forwarder(records: &[BackendRecord]) -> Forwarder {
     let mut forwarder = empty_forwarder();
     let configuration = configuration(5, table(1, &[("till", 1)]), records);
-    forwarder.update(WatchUpdate::Snapshot(std::sync::Arc::new(configuration)));
+    forwarder.update(WatchUpdate::Snapshot(configuration.into()));
     forwarder
 }
 
@@ -151,7 +151,7 @@
         ..table(1, &[("till", 1)])
     };
     let configuration = configuration(5, table, records);
-    gateway.update(WatchUpdate::Snapshot(Arc::new(configuration)));
+    gateway.update(WatchUpdate::Snapshot(configuration.into()));
     gateway.set_gateways(gateways);
     gateway
 }
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -1,7 +1,5 @@
 //! The configuration that the gateway works by, and its lease on it.
 
-use std::sync::Arc;
-
 use garnet_control::{CONFIGURATION_LEASE, Configuration, WatchUpdate};
 use garnet_policy::{Policy, PolicySet};
 use garnet_types::Millis;
@@ -73,7 +71,7 @@
                 if configuration.index < self.highest_index {
                     return false;
                 }
-                self.configuration = Arc::unwrap_or_clone(configuration);
+                self.configuration = configuration.into_inner();
                 self.compile_policies();
                 true
             }
--- a/components/gateway/tests/core/configuration.rs
+++ b/components/gateway/tests/core/configuration.rs
@@ -10,7 +10,7 @@
 use crate::harness::{Harness, completion, configuration, order};
 
 fn snapshot(index: u64) -> WatchUpdate {
-    WatchUpdate::Snapshot(std::sync::Arc::new(configuration(index)))
+    WatchUpdate::Snapshot(configuration(index).into())
 }
 
 fn no_changes(from: u64, to: u64) -> WatchUpdate {
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -35,9 +35,7 @@
     /// A gateway that takes work by [`configuration`].
     pub fn ready() -> Self {
         let mut harness = Harness::new(0);
-        harness.watch_answered(WatchUpdate::Snapshot(std::sync::Arc::new(configuration(
-            10,
-        ))));
+        harness.watch_answered(WatchUpdate::Snapshot(configuration(10).into()));
         harness.event(Event::IndexPersisted(10));
         harness
     }
--- a/components/runtime/src/control_link.rs
+++ b/components/runtime/src/control_link.rs
@@ -132,7 +132,7 @@
             match smol::future::or(next, silence).await {
                 Some(Ok(Some(Frame::Control(ControlReply::NotLeader { leader, last_known })))) => {
                     if let Some(configuration) = last_known {
-                        self.owner.heard_last_known(configuration);
+                        self.owner.heard_last_known(configuration.value());
                     }
                     return Ok(Left::NotLeader(leader));
                 }
