--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `garnet-bench`: load, experiments and reports.
 
 mod call;
+mod keys;
 mod load;
 mod mix_shift;
 mod options;
@@ -21,6 +22,7 @@
 
   call completion   one completion through a gateway, checked word by word
   call service      one application call through a gateway
+  keys              what tenants and their keys cost
   load              a real fleet under load that arrives in an open loop
   mix-shift         goodput and role changes while the token mix shifts
   relay             a gateway beside a relay that only passes on
@@ -39,6 +41,7 @@
     };
     let outcome = match options.verb() {
         Some("call") => call::run(&options),
+        Some("keys") => keys::run(&options),
         Some("load") => load::run(&options),
         Some("mix-shift") => mix_shift::run(&options),
         Some("relay") => relay::run(&options),
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -1,13 +1,14 @@
 //! Frames from strangers: another version, too long, cut off, random bytes.
 
 use asynchronous_codec::{BytesMut, Decoder, Encoder};
-use garnet_control::GatewayRequest;
-use garnet_types::{GatewayId, Millis};
+use garnet_control::{Configuration, ControlReply, GatewayRequest, UsageCount, UsageReport};
+use garnet_types::{GatewayId, Millis, TenantId, UsageWindow};
 use garnet_wire::{
     Frame, FrameCodec, MAX_FRAME_BYTES, PROTOCOL_VERSION, Sender, WireError, check_hello,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rstest::rstest;
 
 fn watch(index: u64) -> Frame {
     Frame::Gateway(GatewayRequest::Watch {
@@ -22,6 +23,34 @@
     })
 }
 
+fn usage() -> Frame {
+    Frame::Gateway(GatewayRequest::Usage(UsageReport {
+        gateway: GatewayId::new("gateway-1"),
+        number: 3,
+        counts: vec![UsageCount {
+            window: UsageWindow(7),
+            tenant: TenantId::new("one"),
+            requests: 5,
+        }],
+    }))
+}
+
+fn whole_configuration() -> Frame {
+    Frame::Control(ControlReply::NotLeader {
+        leader: None,
+        last_known: Some(Configuration::default().into()),
+    })
+}
+
+#[rstest]
+#[case::usage(usage())]
+#[case::whole_configuration(whole_configuration())]
+fn a_frame_comes_out_as_it_went_in(#[case] frame: Frame) {
+    let mut bytes = encoded(frame.clone());
+    assert_eq!(decode(&mut bytes).expect("sound"), Some(frame));
+    assert!(bytes.is_empty());
+}
+
 fn encoded(frame: Frame) -> BytesMut {
     let mut bytes = BytesMut::new();
     FrameCodec.encode(frame, &mut bytes).expect("a short frame");
