--- a/components/control/src/fleet_sizing.rs
+++ b/components/control/src/fleet_sizing.rs
@@ -21,18 +21,19 @@
 /// None were to be had: asked again after this time.
 const ASKED_AGAIN_AFTER: Millis = Millis::from_secs(1);
 
-/// An order for engines: a zone of a service and a kind.
+/// What an order for engines is about: a zone of a service, and a kind.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Line {
+struct OrderKey {
     service: ServiceId,
     zone: String,
     kind: EngineKind,
 }
 
-/// The last order of a line.
+/// The last order of its kind.
 #[derive(Debug, Clone, Copy)]
 struct Ordered {
-    engines: u32,
+    /// How many; `None` where it came to nothing.
+    engines: Option<u32>,
     at: Millis,
     /// When it may be given again.
     again_at: Millis,
@@ -59,7 +60,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetSizing {
     seen: BTreeMap<ServiceId, Seen>,
-    ordered: BTreeMap<Line, Ordered>,
+    ordered: BTreeMap<OrderKey, Ordered>,
 }
 
 /// What is to be done about the fleet's size.
@@ -171,14 +172,14 @@
                 if kind == EngineKind::Dedicated && !is_settled {
                     continue;
                 }
-                let line = Line {
+                let key = OrderKey {
                     service: service.name.clone(),
                     zone: zone.clone(),
                     kind,
                 };
                 let (present, wanted) = (present.of(kind), wanted.of(kind));
-                if self.is_due(&line, present, wanted, terms.start_ms, now) {
-                    steps.push(SizingStep::Order(line.order(wanted)));
+                if self.is_due(&key, present, wanted, terms.start_ms, now) {
+                    steps.push(SizingStep::Order(key.order(wanted)));
                 }
             }
         }
@@ -188,19 +189,19 @@
     /// Whether the order has to be given, for the first time or again.
     fn is_due(
         &self,
-        line: &Line,
+        key: &OrderKey,
         present: u32,
         wanted: u32,
         start_time: Millis,
         now: Millis,
     ) -> bool {
-        let Some(ordered) = self.ordered.get(line) else {
+        let Some(ordered) = self.ordered.get(key) else {
             return present != wanted;
         };
         if now < ordered.again_at {
             return false;
         }
-        if ordered.engines != wanted {
+        if ordered.engines != Some(wanted) {
             return true;
         }
         let takes = if present < wanted {
@@ -213,13 +214,13 @@
 
     /// An order leaves now.
     pub(crate) fn ordered(&mut self, duty: &Duty, now: Millis) {
-        if let Some((line, engines)) = Line::of(duty) {
+        if let Some((key, engines)) = OrderKey::of(duty) {
             let ordered = Ordered {
-                engines,
+                engines: Some(engines),
                 at: now,
                 again_at: now,
             };
-            self.ordered.insert(line, ordered);
+            self.ordered.insert(key, ordered);
         }
     }
 
@@ -230,17 +231,17 @@
         }
         // As if it had never been given; one whose answer was lost is void by
         // the next one's token.
-        if let Some((line, _)) = Line::of(duty)
-            && let Some(ordered) = self.ordered.get_mut(&line)
+        if let Some((key, _)) = OrderKey::of(duty)
+            && let Some(ordered) = self.ordered.get_mut(&key)
         {
-            ordered.engines = u32::MAX;
+            ordered.engines = None;
             ordered.again_at = now + ASKED_AGAIN_AFTER;
         }
     }
 }
 
-impl Line {
-    fn of(duty: &Duty) -> Option<(Line, u32)> {
+impl OrderKey {
+    fn of(duty: &Duty) -> Option<(OrderKey, u32)> {
         let Duty::Fleet {
             service,
             zone,
@@ -250,12 +251,12 @@
         else {
             return None;
         };
-        let line = Line {
+        let key = OrderKey {
             service: service.clone(),
             zone: zone.clone(),
             kind: *kind,
         };
-        Some((line, *engines))
+        Some((key, *engines))
     }
 
     fn order(self, engines: u32) -> Duty {
--- a/components/control/src/replica/duties.rs
+++ b/components/control/src/replica/duties.rs
@@ -29,7 +29,7 @@
 /// What the leader keeps of the duties. It can be lost at any time: what must
 /// survive stands in the log.
 #[derive(Debug, Default)]
-pub(super) struct Desk {
+pub(super) struct DutyTrack {
     led_since: Millis,
     /// Reports that are not in the log, the newest of each gateway.
     inbox: BTreeMap<GatewayId, UsageReport>,
@@ -41,7 +41,7 @@
     /// Log index of the tenure that was proposed last.
     tenure_index: u64,
     /// Calls by subject.
-    lines: BTreeMap<Subject, Line>,
+    tracks: BTreeMap<Subject, CallTrack>,
     /// Log index of what was noted last of the engines that are needed.
     needed_index: u64,
     /// Windows that the platform has taken; the log may not say so yet.
@@ -50,7 +50,7 @@
 
 /// Calls about one subject: one at a time, with pauses after those that failed.
 #[derive(Debug)]
-struct Line {
+struct CallTrack {
     /// Since when a call is under way.
     calling_since: Option<Millis>,
     again_at: Millis,
@@ -59,9 +59,9 @@
     void_token: Option<u64>,
 }
 
-impl Default for Line {
+impl Default for CallTrack {
     fn default() -> Self {
-        Line {
+        CallTrack {
             calling_since: None,
             again_at: Millis::ZERO,
             pause: SHORTEST_PAUSE,
@@ -70,7 +70,7 @@
     }
 }
 
-impl Line {
+impl CallTrack {
     fn is_free(&self, settings: &DutySettings, now: Millis) -> bool {
         // A call whose end nobody tells of is over by then.
         let lasts = settings.call_time + settings.call_time;
@@ -84,19 +84,19 @@
     }
 }
 
-impl Desk {
+impl DutyTrack {
     /// Whether a call about a subject had the token and failed in a way that
     /// forbids it for that subject.
     fn is_void(&self, token: u64) -> bool {
-        self.lines
+        self.tracks
             .values()
-            .any(|line| line.void_token == Some(token))
+            .any(|track| track.void_token == Some(token))
     }
 
     pub(super) fn at_start_of_term(now: Millis) -> Self {
-        Desk {
+        DutyTrack {
             led_since: now,
-            ..Desk::default()
+            ..DutyTrack::default()
         }
     }
 }
@@ -113,7 +113,7 @@
     pub(super) fn take_usage(&mut self, report: UsageReport) -> UsageReceipt {
         let logged = self.state.usage.logged(&report.gateway);
         if report.number > logged && !report.counts.is_empty() {
-            self.desk.inbox.insert(report.gateway.clone(), report);
+            self.duty_track.inbox.insert(report.gateway.clone(), report);
         }
         UsageReceipt {
             logged,
@@ -137,7 +137,7 @@
         }
         if let Some(window_length) = settings.usage_window {
             let interval = usage_interval(self.gateways.count(self.now));
-            if self.now.since(self.desk.counted_at) >= interval {
+            if self.now.since(self.duty_track.counted_at) >= interval {
                 self.log_usage();
             }
             self.close_usage(window_length);
@@ -151,9 +151,9 @@
     }
 
     fn log_usage(&mut self) {
-        self.desk.counted_at = self.now;
+        self.duty_track.counted_at = self.now;
         let usage = &self.state.usage;
-        let reports: Vec<UsageReport> = std::mem::take(&mut self.desk.inbox)
+        let reports: Vec<UsageReport> = std::mem::take(&mut self.duty_track.inbox)
             .into_values()
             .filter(|report| report.number > usage.logged(&report.gateway))
             .collect();
@@ -165,18 +165,22 @@
     /// Closes the windows that ended long enough ago. What was counted goes into
     /// the log before.
     fn close_usage(&mut self, window_length: Millis) {
-        if self.now.since(self.desk.led_since) < LISTEN {
+        if self.now.since(self.duty_track.led_since) < LISTEN {
             return;
         }
         let open = UsageWindow::at(self.time_of_day() - CLOSE_AFTER, window_length);
         let due = open.before(1);
-        let closed = self.state.usage.closed_through().max(self.desk.closing);
+        let closed = self
+            .state
+            .usage
+            .closed_through()
+            .max(self.duty_track.closing);
         if closed.is_some_and(|closed| closed >= due) {
             return;
         }
         self.log_usage();
         if self.propose_own(Command::CloseUsage(due)).is_some() {
-            self.desk.closing = Some(due);
+            self.duty_track.closing = Some(due);
         }
     }
 
@@ -191,25 +195,30 @@
     fn token(&mut self, settings: &DutySettings) -> Option<u64> {
         let own = self.node.id();
         let tenures = &self.state.tenures;
-        let before = *self.desk.before.get_or_insert_with(|| tenures.before(own));
-        if self.now.since(self.desk.led_since) < settings.wait_after(before) {
+        let before = *self
+            .duty_track
+            .before
+            .get_or_insert_with(|| tenures.before(own));
+        if self.now.since(self.duty_track.led_since) < settings.wait_after(before) {
             return None;
         }
-        if self.node.status().applied_index < self.desk.tenure_index {
+        if self.node.status().applied_index < self.duty_track.tenure_index {
             return None;
         }
-        let token = self.own_token().filter(|token| !self.desk.is_void(*token));
+        let token = self
+            .own_token()
+            .filter(|token| !self.duty_track.is_void(*token));
         if token.is_none()
             && let Some(index) = self.propose_own(Command::BeginTenure(own))
         {
-            self.desk.tenure_index = index;
+            self.duty_track.tenure_index = index;
         }
         token
     }
 
     /// Tells the oldest window that is closed and not told.
     fn tell_usage(&mut self, token: u64, settings: &DutySettings) {
-        let taken = &self.desk.taken;
+        let taken = &self.duty_track.taken;
         let mut untold = self.state.usage.untold().iter();
         let next = untold.find(|(window, _)| !taken.contains(window));
         if let Some((window, counts)) = next {
@@ -240,40 +249,44 @@
     }
 
     fn note_needed(&mut self, service: ServiceId, engines: u32) {
-        if self.node.status().applied_index < self.desk.needed_index {
+        if self.node.status().applied_index < self.duty_track.needed_index {
             return;
         }
         let command = Command::NoteNeeded { service, engines };
         if let Some(index) = self.propose_own(command) {
-            self.desk.needed_index = index;
+            self.duty_track.needed_index = index;
         }
     }
 
     /// Makes a call, unless one about the same subject is under way or failed a
     /// moment ago.
     fn call(&mut self, token: u64, duty: Duty, settings: &DutySettings) -> bool {
-        let line = self.desk.lines.entry(duty.subject()).or_default();
-        if !line.is_free(settings, self.now) {
+        let track = self.duty_track.tracks.entry(duty.subject()).or_default();
+        if !track.is_free(settings, self.now) {
             return false;
         }
-        line.calling_since = Some(self.now);
+        track.calling_since = Some(self.now);
         self.effects
             .push(Effect::CallPlatform(DutyCall { token, duty }));
         true
     }
 
     pub(super) fn handle_duty_answer(&mut self, call: &DutyCall, answer: DutyAnswer) {
-        let line = self.desk.lines.entry(call.duty.subject()).or_default();
-        line.calling_since = None;
+        let track = self
+            .duty_track
+            .tracks
+            .entry(call.duty.subject())
+            .or_default();
+        track.calling_since = None;
         match answer {
-            DutyAnswer::Done => line.pause = SHORTEST_PAUSE,
-            DutyAnswer::Throttled => line.failed(self.now),
-            DutyAnswer::Unknown if call.duty.may_come_late() => line.failed(self.now),
+            DutyAnswer::Done => track.pause = SHORTEST_PAUSE,
+            DutyAnswer::Throttled => track.failed(self.now),
+            DutyAnswer::Unknown if call.duty.may_come_late() => track.failed(self.now),
             // Never again under this token: it was refused, or what it ordered
             // could come after what is ordered next.
             DutyAnswer::Refused | DutyAnswer::Unknown => {
-                line.void_token = Some(call.token);
-                line.failed(self.now);
+                track.void_token = Some(call.token);
+                track.failed(self.now);
             }
         }
         match call.duty {
@@ -285,8 +298,10 @@
 
     fn note_told(&mut self, window: UsageWindow) {
         let untold = self.state.usage.untold();
-        self.desk.taken.retain(|taken| untold.contains_key(taken));
-        self.desk.taken.insert(window);
+        self.duty_track
+            .taken
+            .retain(|taken| untold.contains_key(taken));
+        self.duty_track.taken.insert(window);
         // Where this is lost, the next leader tells the same once more.
         self.propose_own(Command::UsageTold(window));
     }
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -9,7 +9,7 @@
 use crate::reconciler::Reconciler;
 use crate::watch::SentUpdates;
 
-use super::{Asker, Desk, Replica};
+use super::{Asker, DutyTrack, Replica};
 
 impl Replica {
     pub(super) fn note_leadership(&mut self) {
@@ -31,7 +31,7 @@
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
             self.sent_updates = SentUpdates::default();
-            self.desk = Desk::at_start_of_term(self.now);
+            self.duty_track = DutyTrack::at_start_of_term(self.now);
             self.sizing = FleetSizing::default();
             self.effects.push(Effect::BecameLeader { term });
         }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -16,7 +16,7 @@
 use garnet_types::{BackendId, Fence, Millis, ReplicaId};
 use thiserror::Error;
 
-use duties::Desk;
+use duties::DutyTrack;
 use group::Candidates;
 
 use crate::answer::CommandAnswer;
@@ -164,7 +164,7 @@
     balancing: Option<Balancing>,
     reconciled_at: Millis,
     missing_since: BTreeMap<BackendId, Millis>,
-    desk: Desk,
+    duty_track: DutyTrack,
     sizing: FleetSizing,
     led_term: Option<u64>,
     /// When a leader was known last; the start counts as such a moment.
@@ -216,7 +216,7 @@
             reconciler,
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
-            desk: Desk::default(),
+            duty_track: DutyTrack::default(),
             sizing: FleetSizing::default(),
             led_term: None,
             knew_leader_at: now,
