--- a/components/control/tests/state/fleet_size.rs
+++ b/components/control/tests/state/fleet_size.rs
@@ -47,6 +47,20 @@
     }
 }
 
+/// A replica that buys engines.
+fn settings() -> ReplicaSettings {
+    ReplicaSettings {
+        duties: Some(DutySettings {
+            fences_checked: true,
+            turns_within: Millis(3000),
+            call_time: Millis(1500),
+            usage_window: None,
+            buys_engines: true,
+        }),
+        ..ReplicaSettings::new(Config::new(ReplicaId(1), 1))
+    }
+}
+
 /// A provider that carries out orders, and its list.
 struct Provider {
     leader: Leader,
@@ -60,19 +74,9 @@
 impl Provider {
     /// `dedicated` engines in each zone, before a service with these terms.
     fn with(dedicated: u32, buying: Option<BuyingTerms>) -> Self {
-        let settings = ReplicaSettings {
-            duties: Some(DutySettings {
-                fences_checked: true,
-                turns_within: Millis(3000),
-                call_time: Millis(1500),
-                usage_window: None,
-                buys_engines: true,
-            }),
-            ..ReplicaSettings::new(Config::new(ReplicaId(1), 1))
-        };
         let in_zone = |zone| ((zone, EngineKind::Dedicated), dedicated);
         Provider {
-            leader: Leader::elected(settings, vec![table(buying)]),
+            leader: Leader::elected(settings(), vec![table(buying)]),
             engines: (0..ZONES.len()).map(in_zone).collect(),
             answer: DutyAnswer::Done,
             calls: Vec::new(),
@@ -233,17 +237,7 @@
         service: ServiceId::new("words"),
         engines: 30,
     };
-    let settings = ReplicaSettings {
-        duties: Some(DutySettings {
-            fences_checked: true,
-            turns_within: Millis(3000),
-            call_time: Millis(1500),
-            usage_window: None,
-            buys_engines: true,
-        }),
-        ..ReplicaSettings::new(Config::new(ReplicaId(1), 1))
-    };
-    let leader = Leader::elected(settings, vec![table(Some(terms())), note]);
+    let leader = Leader::elected(settings(), vec![table(Some(terms())), note]);
     provider.leader = leader;
     provider.calls.clear();
     provider.engines.insert((2, EngineKind::Preemptible), 4);
