--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -228,8 +228,8 @@
         };
         // The list of engines comes in parts: none is taken from prefill before
         // it is whole.
-        let may_grow = !self.loaded && role == EngineRole::Mixed;
-        if may_grow && now.since(unchanged_since) < FIRST_LOOK {
+        let list_may_grow = !self.loaded && role == EngineRole::Mixed;
+        if list_may_grow && now.since(unchanged_since) < FIRST_LOOK {
             return None;
         }
         if self.rests(role, limits.role_change_ms, settings, now) {
--- a/components/control/src/replica/duties.rs
+++ b/components/control/src/replica/duties.rs
@@ -13,7 +13,7 @@
 
 use super::Replica;
 
-/// A window is closed so long after its end: a gateway tells each quarter of a
+/// A window is closed so long after its end: a gateway tells several times a
 /// second, and within this time finds a new leader where it lost the former.
 const CLOSE_AFTER: Millis = Millis(3500);
 /// A new leader listens for so long before it closes a window: gateways find it
