--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -26,6 +26,9 @@
 use crate::request;
 use crate::watch::{self, Watch, WatchOwner};
 
+/// How often a stop says what it waits for.
+const STOP_TOLD_EVERY: Duration = Duration::from_secs(1);
+
 /// Questions to the leader that wait for its connection.
 const QUEUED_REQUESTS: usize = 16;
 
@@ -169,9 +172,25 @@
 }
 
 /// A planned stop: not ready at once, and serving on until callers know.
-async fn give_notice<C: CallerPort, B: BackendPort>(gateway: Rc<Gateway<C, B>>, notice: Duration) {
+async fn give_notice<C: CallerPort + 'static, B: BackendPort + 'static>(
+    gateway: Rc<Gateway<C, B>>,
+    notice: Duration,
+) {
     gateway.stopping.set(true);
     log::info!(open_requests = gateway.open_requests.get(); "stop_begun");
     Timer::after(notice).await;
     log::info!(open_requests = gateway.open_requests.get(); "stop_serving");
+    let executor = Rc::clone(&gateway.executor);
+    executor.spawn(tell_what_is_waited_for(gateway)).detach();
+}
+
+/// A stop that lasts says what for: a process that is killed at the end of its
+/// grace time leaves no other word.
+async fn tell_what_is_waited_for<C: CallerPort + 'static, B: BackendPort + 'static>(
+    gateway: Rc<Gateway<C, B>>,
+) {
+    loop {
+        Timer::after(STOP_TOLD_EVERY).await;
+        log::info!(open_requests = gateway.open_requests.get(); "stop_waits");
+    }
 }
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -165,11 +165,35 @@
                 }
             }
         }
+        let open_connections = open.receiver_count() - 1;
         ended.close();
         // Each open connection holds a receiver.
         while open.receiver_count() > 1 {
             Timer::after(Duration::from_millis(5)).await;
         }
+        self.tell_end(open_connections).await;
+    }
+
+    /// Tells how many connections the stop met, and how many the kernel still
+    /// held ready: their callers were never heard.
+    async fn tell_end(&self, open_connections: usize) {
+        let mut unheard: u64 = 0;
+        while let Some(Ok(_)) = smol::future::poll_once(self.listener.accept()).await {
+            unheard += 1;
+        }
+        let address = self.address().map(|address| address.to_string());
+        let level = if unheard > 0 {
+            log::Level::Warn
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level,
+            listen = address.unwrap_or_default().as_str(),
+            open_connections = open_connections,
+            unheard_connections = unheard;
+            "listener_ended"
+        );
     }
 }
 
