Failing: a planned stop leaves callers of the listener's queue without an answer

Cause: asked to stop, a server accepts nobody any more, and its listening socket stays until the last answer is over. The kernel goes on completing connections and taking requests in.

Ruled out: an artefact of the soak (its own loop came 1 to 2 ms late at most; the tests without processes show the same).

--- /dev/null
+++ b/components/runtime/tests/planned_stop.rs
@@ -0,0 +1,116 @@
+//! An operator saw requests end without an answer while gateways were stopped
+//! and started. The kernel completes a connection before the process accepts
+//! it, and takes its request in. A server that was asked to stop accepted
+//! nobody any more and yet kept its listening socket until the last answer
+//! under way was over: whoever connected meanwhile waited for nothing and was
+//! reset when the process ended. So was who had connected before, while the
+//! loop was busy with others.
+//!
+//! A soak on processes settled it: of 1,793 calls 99 ended so, each on a new
+//! connection, 2.4 s or more after SIGTERM, unknown to every engine, and the
+//! gateways said of their listeners at their ends
+//! `open_connections=9 unheard_connections=15`.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
+
+use garnet_runtime::{HttpServer, Limits, text_response};
+use hyper::Request;
+use hyper::body::Incoming;
+use smol::LocalExecutor;
+use smol::channel::bounded;
+
+/// An answer that takes so long never comes.
+const HANGS: Duration = Duration::from_secs(2);
+/// Callers that come at a bad moment.
+const CALLERS: usize = 3;
+
+fn bind() -> (HttpServer, SocketAddr) {
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    let server = smol::block_on(HttpServer::bind(any_port, Limits::default())).expect("a port");
+    let address = server.address().expect("an address");
+    (server, address)
+}
+
+fn ask(address: SocketAddr, path: &str) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(HANGS))?;
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")?;
+    Ok(stream)
+}
+
+/// Everything up to the end of the connection.
+fn answer(mut stream: TcpStream) -> io::Result<String> {
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+#[test]
+fn who_waits_in_the_queue_when_the_stop_comes_is_answered() {
+    let (server, address) = bind();
+    let waiting: Vec<TcpStream> = (0..CALLERS)
+        .map(|_| ask(address, "/work").expect("the kernel accepts"))
+        .collect();
+    let executor = Rc::new(LocalExecutor::new());
+    let handler = |_| async { text_response(200, "done") };
+    let serving = server.serve(Rc::clone(&executor), handler, std::future::ready(()));
+    smol::block_on(executor.run(serving));
+    drop(server);
+    for stream in waiting {
+        let text = answer(stream).expect("a proper end");
+        assert!(
+            text.starts_with("HTTP/1.1 200") && text.ends_with("done"),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn who_comes_while_the_last_answer_is_under_way_need_not_wait_for_its_end() {
+    let (server, address) = bind();
+    let executor = Rc::new(LocalExecutor::new());
+    let (begun_in, begun) = bounded::<()>(1);
+    let (release, released) = bounded::<()>(1);
+    let (stop, stopped) = bounded::<()>(1);
+    let (taken_in, taken) = bounded::<()>(1);
+    let handler = move |request: Request<Incoming>| {
+        let (begun, released) = (begun_in.clone(), released.clone());
+        async move {
+            if request.uri().path() == "/slow" {
+                let _first = begun.try_send(());
+                let _released = released.recv().await;
+            }
+            text_response(200, "done")
+        }
+    };
+    let caller = thread::spawn(move || {
+        let slow = ask(address, "/slow").expect("a connection");
+        begun
+            .recv_blocking()
+            .expect("the slow request is under way");
+        drop(stop);
+        taken.recv_blocking().expect("the stop is taken");
+        let later: Vec<io::Result<String>> = (0..CALLERS)
+            .map(|_| ask(address, "/work").and_then(answer))
+            .collect();
+        drop(release);
+        (later, answer(slow))
+    });
+    let stop = async move {
+        let _asked = stopped.recv().await;
+        let _heard = taken_in.try_send(());
+    };
+    let serving = server.serve(Rc::clone(&executor), handler, stop);
+    smol::block_on(executor.run(serving));
+    let (later, slow) = caller.join().expect("no panic");
+    for outcome in later {
+        let is_late = matches!(&outcome, Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        assert!(!is_late, "a caller was kept waiting: {outcome:?}");
+    }
+    let slow = slow.expect("a proper end");
+    assert!(slow.ends_with("done"), "what was under way is cut: {slow}");
+}
