A server that is asked to stop answers who has connected and closes its listener at once

Cause (class: a socket that outlives its reader): the process had stopped accepting and the kernel had not. The listener lived as long as the server, that is to the last answer under way; who connected meanwhile was kept and reset.

Ruled out on the way: resting connections (none of the findings was on a kept one; a connection is polled, which reads what the kernel holds, before a stop or a limit ends it); a reset that overtakes an answer (no answer was cut).

Change: at the stop the queue of the listener is emptied into the server, then the socket is closed, so that the system refuses whoever comes later and they go elsewhere at once. A connection that has just come, or has sent a part of a head, gets half a second to send it; the limits of connections go on during a stop (half a head held it up for ever). An error of accept is told.

--- a/components/runtime/src/connection_clock.rs
+++ b/components/runtime/src/connection_clock.rs
@@ -23,6 +23,9 @@
 /// Limits are looked at again after this time at the latest.
 const LOOK_AGAIN: Duration = Duration::from_secs(1);
 
+/// How often a stop looks whether a head is in.
+const LOOK_FOR_HEAD: Duration = Duration::from_millis(5);
+
 /// Bounds on the time of one connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionTimes {
@@ -48,6 +51,7 @@
 pub(crate) struct ConnectionClock {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    has_served: Cell<bool>,
 }
 
 impl ConnectionClock {
@@ -55,13 +59,32 @@
         Rc::new(ConnectionClock {
             phase: Cell::new(Phase::Resting),
             since: Cell::new(Instant::now()),
+            has_served: Cell::new(false),
         })
     }
 
     pub(crate) fn request_began(&self) {
+        self.has_served.set(true);
         self.enter(Phase::Serving);
     }
 
+    /// Ends when no head is on its way, or after `most`.
+    pub(crate) async fn head_is_in(&self, most: Duration) {
+        let began = Instant::now();
+        while self.expects_head() && began.elapsed() < most {
+            Timer::after(LOOK_FOR_HEAD).await;
+        }
+    }
+
+    /// Whether a caller has begun a head, or has just connected to send one.
+    fn expects_head(&self) -> bool {
+        match self.phase.get() {
+            Phase::Resting => !self.has_served.get(),
+            Phase::Head => true,
+            Phase::Serving => false,
+        }
+    }
+
     /// Ends when the connection has taken longer than it may.
     pub(crate) async fn overdue(&self, times: &Shared<ConnectionTimes>) {
         while let Some(left) = self.left(&times.current()) {
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server on the one loop.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -71,10 +72,18 @@
     rest: Duration::from_secs(5),
 };
 
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// A stop waits for so long, in all, for a head that is on its way: of a
+/// caller that has just connected, or of one that has sent a part. A round
+/// trip of the farthest callers and a lost packet fit into it.
+const LAST_HEAD_TIME: Duration = Duration::from_millis(500);
+
 /// A listening server.
 #[derive(Debug)]
 pub struct HttpServer {
-    listener: TcpListener,
+    /// `None` once a stop has closed it.
+    listener: RefCell<Option<TcpListener>>,
     limits: Limits,
     times: Shared<ConnectionTimes>,
 }
@@ -111,7 +120,7 @@
     pub async fn bind(address: SocketAddr, limits: Limits) -> std::io::Result<Self> {
         let listener = bind_listener(address).await?;
         Ok(HttpServer {
-            listener,
+            listener: RefCell::new(Some(listener)),
             limits,
             times: Shared::new(DEFAULT_TIMES),
         })
@@ -127,12 +136,16 @@
     /// The address that it listens at.
     ///
     /// # Errors
-    /// When the system does not tell.
+    /// When the system does not tell, or a stop has closed the listener.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.listener.local_addr()
+        match &*self.listener.borrow() {
+            Some(listener) => listener.local_addr(),
+            None => Err(std::io::ErrorKind::NotConnected.into()),
+        }
     }
 
-    /// Serves until `stop` ends, then lets open requests finish.
+    /// Serves until `stop` ends. Who has connected by then is answered, whoever
+    /// comes later is refused by the system; open requests finish.
     pub async fn serve<H, F>(
         &self,
         executor: Rc<LocalExecutor<'static>>,
@@ -142,59 +155,72 @@
         H: Fn(Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
+        let listener = self.listener.borrow().clone();
+        let Some(listener) = listener else {
+            log::error!("a server that was stopped can't serve again");
+            return;
+        };
         let (ended, open) = smol::channel::bounded::<()>(1);
-        let mut stop = pin!(stop);
-        loop {
-            let accepted = async { Some(self.listener.accept().await) };
-            let stopped = async {
-                stop.as_mut().await;
-                None
-            };
-            match smol::future::or(stopped, accepted).await {
-                None => break,
-                Some(Ok((stream, _))) => {
-                    let signal = open.clone();
-                    let times = self.times.clone();
-                    let connection =
-                        serve_connection(stream, self.limits, times, handler.clone(), signal);
-                    executor.spawn(connection).detach();
-                }
-                // Out of file handles, for example: give the others time.
-                Some(Err(_)) => {
-                    Timer::after(Duration::from_millis(20)).await;
-                }
-            }
-        }
+        let begin = |stream| {
+            let times = self.times.clone();
+            let connection =
+                serve_connection(stream, self.limits, times, handler.clone(), open.clone());
+            executor.spawn(connection).detach();
+        };
+        accept_until(&listener, &begin, stop).await;
         let open_connections = open.receiver_count() - 1;
+        let queued_connections = accept_queue(&listener, &begin).await;
+        log::info!(
+            listen = self.address().map(|a| a.to_string()).unwrap_or_default().as_str(),
+            open_connections = open_connections,
+            queued_connections = queued_connections;
+            "listener_closed"
+        );
+        // The kernel completes connections for as long as the socket exists;
+        // their callers would wait until the last answer here is over.
+        drop(listener);
+        self.listener.take();
         ended.close();
         // Each open connection holds a receiver.
         while open.receiver_count() > 1 {
             Timer::after(Duration::from_millis(5)).await;
         }
-        self.tell_end(open_connections).await;
     }
+}
 
-    /// Tells how many connections the stop met, and how many the kernel still
-    /// held ready: their callers were never heard.
-    async fn tell_end(&self, open_connections: usize) {
-        let mut unheard: u64 = 0;
-        while let Some(Ok(_)) = smol::future::poll_once(self.listener.accept()).await {
-            unheard += 1;
-        }
-        let address = self.address().map(|address| address.to_string());
-        let level = if unheard > 0 {
-            log::Level::Warn
-        } else {
-            log::Level::Info
+/// Begins each connection that comes until `stop` ends.
+async fn accept_until(
+    listener: &TcpListener,
+    begin: &impl Fn(TcpStream),
+    stop: impl Future<Output = ()>,
+) {
+    let mut stop = pin!(stop);
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let stopped = async {
+            stop.as_mut().await;
+            None
         };
-        log::log!(
-            level,
-            listen = address.unwrap_or_default().as_str(),
-            open_connections = open_connections,
-            unheard_connections = unheard;
-            "listener_ended"
-        );
+        match smol::future::or(stopped, accepted).await {
+            None => return,
+            Some(Ok((stream, _))) => begin(stream),
+            // Out of file handles, for example: give the others time.
+            Some(Err(error)) => {
+                log::warn!(cause = error.to_string().as_str(); "not_accepted");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Begins the connections that the kernel holds ready; gives their number.
+async fn accept_queue(listener: &TcpListener, begin: &impl Fn(TcpStream)) -> usize {
+    let mut count = 0;
+    while let Some(Ok((stream, _))) = smol::future::poll_once(listener.accept()).await {
+        begin(stream);
+        count += 1;
     }
+    count
 }
 
 async fn serve_connection<H, F>(
@@ -232,21 +258,30 @@
     let mut connection = pin!(connection);
     let asked_to_stop = async {
         let _closed = stop.recv().await;
+        clock.head_is_in(LAST_HEAD_TIME).await;
         true
     };
-    let finished = async {
-        // A fault of one connection concerns nobody else.
-        let _ended = connection.as_mut().await;
-        false
-    };
     let overdue = async {
         clock.overdue(&times).await;
         false
     };
-    let finished = smol::future::or(finished, overdue);
-    if smol::future::or(finished, asked_to_stop).await {
+    let asked = {
+        let finished = async {
+            // A fault of one connection concerns nobody else.
+            let _ended = connection.as_mut().await;
+            false
+        };
+        // The connection is polled first: it reads what the kernel holds for it
+        // before a limit or a stop ends it.
+        let finished = smol::future::or(finished, overdue);
+        smol::future::or(finished, asked_to_stop).await
+    };
+    if asked {
         connection.as_mut().graceful_shutdown();
-        let _ended = connection.await;
+        let finished = async {
+            let _ended = connection.await;
+        };
+        smol::future::or(finished, clock.overdue(&times)).await;
     }
 }
 
