Failing: a signal ends a process that does not watch for any yet

A replica that waits for room on a full disk does not watch either, for as long as it waits. No request is lost by it (none is there yet), but a reload ends a process that should go on.

--- /dev/null
+++ b/components/runtime/tests/early_signals.rs
@@ -0,0 +1,20 @@
+//! A process that has just been started got a signal before it watched for
+//! any, and was ended by it: of 20 gateways that were told to reload 1 ms after
+//! their start 19 were gone, and a replica that waits for room on its disk
+//! could be ended so at any time. Here the test's own process is signalled
+//! before its loop runs; unwatched, either signal would end it.
+
+use rustix::process::{Signal, getpid, kill_process};
+
+use garnet_runtime::Shell;
+
+#[test]
+fn signals_before_the_loop_runs_are_kept_or_do_no_harm() {
+    let shell = Shell::new();
+    kill_process(getpid(), Signal::HUP).expect("it runs");
+    kill_process(getpid(), Signal::TERM).expect("it runs");
+    // Ends because the stop was asked for before.
+    shell
+        .run(Vec::new(), std::future::ready(()))
+        .expect("a planned stop");
+}
