A planned stop refuses long streams that its end would probably cut

Cause: for 2.4 s after SIGTERM a gateway went on to begin streams with deadlines of 15 s, 8 s before it is killed.

Change: while a stop is under way, a stream that can't be taken up elsewhere is answered "not run, come again now" when the likely part of its most output, taken as the same part of its deadline, lies behind the end of the grace time.

What is cut at the end of the grace time goes on at its engine; a stream that was begun before the stop can't be helped.

--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -33,8 +33,9 @@
     pub(crate) metrics: GatewayMetrics,
     /// Bounds on the time of callers' connections, by the route table in force.
     pub(crate) connection_times: Shared<ConnectionTimes>,
-    /// Set by a planned stop: callers are asked to leave.
-    pub(crate) stopping: Cell<bool>,
+    /// Set by a planned stop, with the end of its grace time: callers are asked
+    /// to leave.
+    pub(crate) gone_by: Cell<Option<Millis>>,
     /// Requests without their final answer.
     pub(crate) open_requests: Rc<Cell<usize>>,
 }
@@ -66,8 +67,13 @@
         }
     }
 
+    /// Whether a planned stop is under way.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.gone_by.get().is_some()
+    }
+
     /// Whether new callers may come.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.forwarder.borrow().routes_version().is_some()
+        !self.is_stopping() && self.forwarder.borrow().routes_version().is_some()
     }
 }
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -17,6 +17,7 @@
 mod ports;
 mod request;
 mod start;
+mod stopping;
 mod stream;
 mod watch;
 mod whole;
@@ -27,3 +28,4 @@
     JobPhase, PrefillAnswer, ReadHead,
 };
 pub use start::{GatewayOptions, Ports, Replicas, run};
+pub use stopping::StopTimes;
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -381,7 +381,7 @@
     gateway: &Gateway<C, B>,
     mut response: Response<Body>,
 ) -> Response<Body> {
-    if gateway.stopping.get() {
+    if gateway.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use garnet_control::GatewayRequest;
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, UsageMeter};
@@ -17,18 +16,15 @@
 use garnet_supervisor::ChildSpec;
 use garnet_types::{GatewayId, Millis};
 use hyper::Response;
-use smol::Timer;
 use smol::channel::bounded;
 
 use crate::gateway::{Gateway, connection_times};
 use crate::metrics::GatewayMetrics;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request;
+use crate::stopping::{StopTimes, give_notice};
 use crate::watch::{self, Watch, WatchOwner};
 
-/// How often a stop says what it waits for.
-const STOP_TOLD_EVERY: Duration = Duration::from_secs(1);
-
 /// Questions to the leader that wait for its connection.
 const QUEUED_REQUESTS: usize = 16;
 
@@ -54,8 +50,8 @@
     pub usage_window: Option<Millis>,
     /// Repeats that all gateways together may send a service.
     pub budget: BudgetShare,
-    /// How long a planned stop goes on serving, so that callers learn of it.
-    pub stop_notice: Duration,
+    /// How a planned stop goes.
+    pub stop: StopTimes,
 }
 
 /// What is plugged into the shell.
@@ -101,7 +97,7 @@
         started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
         connection_times: times,
-        stopping: Cell::new(false),
+        gone_by: Cell::new(None),
         open_requests: Rc::default(),
     });
     log::info!(
@@ -142,7 +138,7 @@
     children.push(shell.http_child(Rc::new(server), move |request| {
         request::handle(Rc::clone(&serving), request)
     }));
-    shell.run(children, give_notice(gateway, options.stop_notice))
+    shell.run(children, give_notice(gateway, options.stop))
 }
 
 fn show_readiness<C: CallerPort, B: BackendPort>(
@@ -170,27 +166,3 @@
         .render(watch.age(), version.unwrap_or_default(), open);
     with_type(200, metrics::CONTENT_TYPE, text.into_bytes())
 }
-
-/// A planned stop: not ready at once, and serving on until callers know.
-async fn give_notice<C: CallerPort + 'static, B: BackendPort + 'static>(
-    gateway: Rc<Gateway<C, B>>,
-    notice: Duration,
-) {
-    gateway.stopping.set(true);
-    log::info!(open_requests = gateway.open_requests.get(); "stop_begun");
-    Timer::after(notice).await;
-    log::info!(open_requests = gateway.open_requests.get(); "stop_serving");
-    let executor = Rc::clone(&gateway.executor);
-    executor.spawn(tell_what_is_waited_for(gateway)).detach();
-}
-
-/// A stop that lasts says what for: a process that is killed at the end of its
-/// grace time leaves no other word.
-async fn tell_what_is_waited_for<C: CallerPort + 'static, B: BackendPort + 'static>(
-    gateway: Rc<Gateway<C, B>>,
-) {
-    loop {
-        Timer::after(STOP_TOLD_EVERY).await;
-        log::info!(open_requests = gateway.open_requests.get(); "stop_waits");
-    }
-}
--- a/components/forwarding-shell/src/stream/opening.rs
+++ b/components/forwarding-shell/src/stream/opening.rs
@@ -1,12 +1,13 @@
 //! Which engines a stream is sent to, one after the other, until one answers.
 
 use garnet_forwarding::{Admission, AttemptEnd, NotRunReason, Placement};
-use garnet_types::BackendId;
+use garnet_types::{BackendId, Millis};
 
 use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
 use crate::handover::{WaitingCache, prefill};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::{Running, log_no_back_end, may_repeat};
+use crate::stopping::outlasts_stop;
 
 use super::{Opened, Refused, Stream};
 
@@ -70,6 +71,10 @@
     /// Places a new request. One for which the engines have no time is turned
     /// away before any of them has seen it, or sent to be prefilled after the rest.
     fn place_new(&mut self) -> Result<Option<Placement>, Refused> {
+        if outlasts_stop(&self.gateway, &self.running) {
+            // Any other gateway may take it now.
+            return Err(Refused::Busy(Millis::ZERO));
+        }
         let Running { service, work, .. } = &self.running;
         let now = self.gateway.now();
         let longest_gap = self.gateway.callers.longest_gap(&self.running.route);
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -45,6 +45,17 @@
 const SHORT_PREFILL: u64 = 512;
 
 impl Work {
+    /// Whether a stream that can't be taken up elsewhere probably goes on for
+    /// longer than `left`. Its caller waits long enough for the most output;
+    /// the likely part of that takes the same part of the time.
+    pub fn outlasts(&self, remaining: Millis, left: Millis) -> bool {
+        if self.kind.may_repeat() {
+            return false;
+        }
+        let likely_part = self.prompt.as_ref().map_or(0.0, Prompt::likely_part);
+        remaining.0 as f64 * likely_part > left.0 as f64
+    }
+
     /// Rank among the work of its service, 0 first: each doubling of the prompt
     /// tokens that are left to be prefilled counts as much as one step of the
     /// route's priority. A short prefill holds nobody up, and a long one that
@@ -88,6 +99,11 @@
         likely.min(self.output_tokens)
     }
 
+    /// The part of the most output that will probably come.
+    pub fn likely_part(&self) -> f64 {
+        self.likely_output() as f64 / self.output_tokens.max(1) as f64
+    }
+
     /// Tokens of KV cache that the request will probably hold at its end.
     pub fn held_tokens(&self) -> u64 {
         self.tokens + self.likely_output()
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -227,3 +227,27 @@
     }
     assert_eq!(likely(None), 300);
 }
+
+/// A stream that can't be taken up elsewhere is cut where its process ends
+/// before it: none is begun that probably lasts longer.
+#[rstest]
+#[case::shorter(WorkKind::Stream, Some(300), 8_000, false)]
+#[case::longer(WorkKind::Stream, Some(700), 8_000, true)]
+#[case::nobody_has_an_idea(WorkKind::Stream, None, 8_000, true)]
+#[case::a_guess_beyond_the_most(WorkKind::Stream, Some(9_000), 16_000, false)]
+#[case::taken_up_elsewhere(WorkKind::ResumableStream, Some(700), 8_000, false)]
+#[case::no_prompt(WorkKind::AtMostOnce, None, 8_000, false)]
+fn a_stream_outlasts_what_is_left(
+    #[case] kind: WorkKind,
+    #[case] likely: Option<u64>,
+    #[case] left_ms: u64,
+    #[case] expected: bool,
+) {
+    let prompt = Prompt {
+        output_tokens: 1_000,
+        likely_output_tokens: likely,
+        ..Prompt::default()
+    };
+    let work = work(kind, (kind != WorkKind::AtMostOnce).then_some(prompt));
+    assert_eq!(work.outlasts(Millis(15_000), Millis(left_ms)), expected);
+}
