Signals are kept from the start of a process on

Cause: SIGHUP and SIGTERM end a process that does not watch for them yet. Signals were first watched when the loop ran.

Change: the shell watches from its making on, before ports are bound and the disk is opened. A replica that waits for room on its disk looks for a stop at each try and ends with 0. Signals that can't be watched are an error in the log; before, they were taken for a stop.

Test: signals_before_the_loop_runs_are_kept_or_do_no_harm, ended by signal 1 before, passes now.

--- a/bin/garnet-control/src/start.rs
+++ b/bin/garnet-control/src/start.rs
@@ -22,7 +22,11 @@
     let shell = Shell::new();
     let (admin_server, _) = bind(settings.admin_listen)?;
     let peer_listener = smol::block_on(bind_listener(settings.peer_listen))?;
-    let opened = open(&open_settings(&settings, bootstrap), shell.clock)?;
+    let settings_of_disk = open_settings(&settings, bootstrap);
+    let stop_requested = || shell.stop_was_requested();
+    let Some(opened) = open(&settings_of_disk, shell.clock, stop_requested)? else {
+        return Ok(());
+    };
     let control = ControlShell::new(
         opened.id,
         settings.peer_listen.to_string(),
--- a/components/control-shell/src/opening.rs
+++ b/components/control-shell/src/opening.rs
@@ -63,17 +63,29 @@
 
 /// Opens the data folder. An identity is bound to the disk: an empty folder
 /// is a new replica unless this is the group's first start. A full disk is
-/// waited for.
+/// waited for, until `stop_requested`: nothing is opened then.
 ///
 /// # Errors
 /// When the folder can't be used, or holds what this program can't read.
-pub fn open(settings: &OpenSettings, clock: Clock) -> io::Result<Opened> {
-    let open_disk = || DiskDirectory::open(&settings.data);
+pub fn open(
+    settings: &OpenSettings,
+    clock: Clock,
+    stop_requested: impl Fn() -> bool,
+) -> io::Result<Option<Opened>> {
+    let open_disk = || {
+        if stop_requested() {
+            return Ok(None);
+        }
+        DiskDirectory::open(&settings.data).map(Some)
+    };
     let opened = wait_for_room(open_disk, || thread::sleep(LOOK_FOR_ROOM));
-    let mut directory = opened.map_err(|error| {
+    let opened = opened.map_err(|error| {
         let folder = settings.data.display();
         io::Error::new(error.kind(), format!("data folder {folder}: {error}"))
     })?;
+    let Some(mut directory) = opened else {
+        return Ok(None);
+    };
     let fresh = settings.initial_id.map_or_else(rand::random, |id| id.0);
     let (identity, created) = DiskIdentity::open_or_create(&mut directory, &settings.name, fresh)
         .map_err(io::Error::other)?;
@@ -104,12 +116,12 @@
     };
     let replica =
         Replica::new(replica_settings, restored, clock.now()).map_err(io::Error::other)?;
-    Ok(Opened {
+    Ok(Some(Opened {
         id,
         replica,
         storage,
         clock,
-    })
+    }))
 }
 
 /// The group before any membership entry. A replica that joins later learns
--- a/components/runtime/src/shell.rs
+++ b/components/runtime/src/shell.rs
@@ -1,5 +1,6 @@
 //! A process: one loop, one supervisor tree, one planned stop.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -7,7 +8,7 @@
 
 use crate::clock::Clock;
 use crate::server::{Body, HttpServer, Limits, json_response, read_body};
-use crate::signal;
+use crate::signal::WatchedSignals;
 use garnet_supervisor::{
     ChildError, ChildSpec, Intensity, Restart, StopSignal, Strategy, Supervisor, stop_channel,
 };
@@ -23,6 +24,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// The clock.
     pub clock: Clock,
+    /// Signals, from the start of the process on, until the loop runs.
+    signals: Rc<RefCell<Option<WatchedSignals>>>,
 }
 
 impl Default for Shell {
@@ -32,14 +35,28 @@
 }
 
 impl Shell {
-    /// A loop that nothing runs on yet.
+    /// A loop that nothing runs on yet. From here on signals are kept for it;
+    /// make it before anything that may take long.
     pub fn new() -> Self {
+        let signals = WatchedSignals::watch();
+        if let Err(error) = &signals {
+            log::error!(cause = error.to_string().as_str(); "signals_unwatched");
+        }
         Shell {
             executor: Rc::new(LocalExecutor::new()),
             clock: Clock::default(),
+            signals: Rc::new(RefCell::new(signals.ok())),
         }
     }
 
+    /// Whether a planned stop was asked for before the loop runs.
+    pub fn stop_was_requested(&self) -> bool {
+        let mut signals = self.signals.borrow_mut();
+        signals
+            .as_mut()
+            .is_some_and(WatchedSignals::stop_was_requested)
+    }
+
     /// Runs `children` under one supervisor until a planned stop. `drain` is
     /// awaited before they are stopped.
     ///
@@ -59,8 +76,13 @@
         for child in children {
             supervisor = supervisor.child(child);
         }
+        let signals = self.signals.take();
         let waiter = self.executor.spawn(async move {
-            let _asked = signal::stop_requested().await;
+            match signals {
+                Some(mut signals) => signals.stop_requested().await,
+                // Nobody can ask.
+                None => std::future::pending().await,
+            }
             drain.await;
             stop.stop();
         });
--- a/components/runtime/tests/early_signals.rs
+++ b/components/runtime/tests/early_signals.rs
@@ -12,7 +12,9 @@
 fn signals_before_the_loop_runs_are_kept_or_do_no_harm() {
     let shell = Shell::new();
     kill_process(getpid(), Signal::HUP).expect("it runs");
+    assert!(!shell.stop_was_requested(), "nobody asked for a stop");
     kill_process(getpid(), Signal::TERM).expect("it runs");
+    assert!(shell.stop_was_requested());
     // Ends because the stop was asked for before.
     shell
         .run(Vec::new(), std::future::ready(()))
