--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -74,6 +74,8 @@
 
 /// Pause after a connection that could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Errors in a row of connections that were ready, before the rest is left.
+const MOST_ACCEPT_ERRORS: usize = 16;
 /// A stop waits for so long, in all, for a head that is on its way: of a
 /// caller that has just connected, or of one that has sent a part. A round
 /// trip of the farthest callers and a lost packet fit into it.
@@ -216,9 +218,20 @@
 /// Begins the connections that the kernel holds ready; gives their number.
 async fn accept_queue(listener: &TcpListener, begin: &impl Fn(TcpStream)) -> usize {
     let mut count = 0;
-    while let Some(Ok((stream, _))) = smol::future::poll_once(listener.accept()).await {
-        begin(stream);
-        count += 1;
+    let mut errors = 0;
+    while errors < MOST_ACCEPT_ERRORS {
+        match smol::future::poll_once(listener.accept()).await {
+            None => break,
+            Some(Ok((stream, _))) => {
+                begin(stream);
+                count += 1;
+            }
+            // One caller has gone meanwhile, for example: others wait behind it.
+            Some(Err(error)) => {
+                log::warn!(cause = error.to_string().as_str(); "not_accepted");
+                errors += 1;
+            }
+        }
     }
     count
 }
