A silent engine is left only where another one and a repeat are there to go on

Cause: after a pause of 1.3 useful pauses a gateway closed the stream of its engine, and looked for a repeat and another engine only then. Where either was missing it cut an answer that the engine would have ended. Class: the old is given up before the new is sure. On machines that stand still, pauses are long everywhere, and the budget of repeats runs out.

Change: both are looked for first; else the engine is waited for, and looked for again after each such pause, until the request's own time is over. An engine that broke off is left as before.

--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -233,7 +233,14 @@
                 return Next::Cut;
             };
             let Some(next) = within(time_limit, open.exchange.next()).await else {
-                open.guard.silent();
+                // Left without a successor, a sound engine that is slow would
+                // have its answer cut.
+                if !self.can_go_elsewhere() {
+                    continue;
+                }
+                if let Some(open) = &mut self.open {
+                    open.guard.silent();
+                }
                 return self.broke("silent");
             };
             match next {
@@ -268,6 +275,23 @@
         may_move_on.then_some(self.running.silence.pause)
     }
 
+    /// Whether another engine is there to go on, and a repeat for it.
+    fn can_go_elsewhere(&self) -> bool {
+        let Running {
+            service,
+            work,
+            tried,
+            served_by,
+            ..
+        } = &self.running;
+        let mut tried = tried.clone();
+        tried.extend(served_by.clone());
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.has_repeat(service, now)
+            && forwarder.place(service, work, &tried, true, now).is_some()
+    }
+
     /// The engine broke off. Its connection is closed, which ends its work, and
     /// what it sent of an event that is not whole is void: the next engine
     /// begins that event anew.
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -274,11 +274,22 @@
     /// Takes one repeat from the service's budget; `false` when none is left.
     pub fn spend_repeat(&mut self, service: &ServiceId, now: Millis) -> bool {
         let share = self.settings.budget;
-        let gateways = match self.unconfirmed_since {
+        let gateways = self.gateways_that_share();
+        self.budget(service, now).spend(&share, gateways, now)
+    }
+
+    /// Whether a repeat could be spent now.
+    pub fn has_repeat(&mut self, service: &ServiceId, now: Millis) -> bool {
+        let share = self.settings.budget;
+        let gateways = self.gateways_that_share();
+        self.budget(service, now).has_left(&share, gateways, now)
+    }
+
+    fn gateways_that_share(&self) -> u64 {
+        match self.unconfirmed_since {
             Some(_) => UNKNOWN_GATEWAYS,
             None => self.gateways,
-        };
-        self.budget(service, now).spend(&share, gateways, now)
+        }
     }
 
     fn budget(&mut self, service: &ServiceId, now: Millis) -> &mut ServiceBudget {
--- a/components/forwarding/src/share.rs
+++ b/components/forwarding/src/share.rs
@@ -63,15 +63,20 @@
 
     /// Takes one repeat; `false` when none is left.
     pub(crate) fn spend(&mut self, share: &BudgetShare, gateways: u64, now: Millis) -> bool {
-        self.present_slot(share, now);
-        let spent: u64 = self.slots.iter().map(|slot| slot.repeats).sum();
-        let allowed = spent as f64 + 1.0 <= self.allowance(share, gateways, now);
+        let allowed = self.has_left(share, gateways, now);
         if allowed {
             self.present_slot(share, now).repeats += 1;
         }
         allowed
     }
 
+    /// Whether a repeat is left.
+    pub(crate) fn has_left(&mut self, share: &BudgetShare, gateways: u64, now: Millis) -> bool {
+        self.present_slot(share, now);
+        let spent: u64 = self.slots.iter().map(|slot| slot.repeats).sum();
+        spent as f64 + 1.0 <= self.allowance(share, gateways, now)
+    }
+
     fn allowance(&self, share: &BudgetShare, gateways: u64, now: Millis) -> f64 {
         let present = slot_number(share, now);
         // The oldest slot lies in the window in part: its repeats count, its
