--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use garnet_planner::{
-    BalanceSettings, PhaseOccupancy, initial_prefill_engines, wanted_prefill_engines,
+    BalanceSettings, PhaseOccupancy, initial_prefill_engines, take_from_fullest_zones,
+    wanted_prefill_engines,
 };
 use garnet_routes::EngineLimits;
 use garnet_types::{
@@ -470,34 +471,16 @@
 }
 
 /// The engines that change to `role`, up to `count`.
-fn who_change(mut members: Vec<Member<'_>>, role: EngineRole, count: usize) -> Vec<BackendId> {
-    let mut engines = Vec::new();
-    for _ in 0..count {
-        let Some(engine) = who_changes(&members, role).cloned() else {
-            break;
-        };
-        for member in members.iter_mut().filter(|member| *member.id == engine) {
-            member.role = role;
-        }
-        engines.push(engine);
-    }
-    engines
-}
-
-/// The engine that changes to `role`: from the zone that has the most of the
-/// other role, so that each zone keeps both.
-fn who_changes<'a>(members: &[Member<'a>], role: EngineRole) -> Option<&'a BackendId> {
+fn who_change(members: Vec<Member<'_>>, role: EngineRole, count: usize) -> Vec<BackendId> {
     let reads = |member: &Member<'_>| member.role == EngineRole::Prefill;
     let changes_to_prefill = role == EngineRole::Prefill;
     let candidates = members
-        .iter()
-        .filter(|member| reads(member) != changes_to_prefill);
-    let alike_in_zone = |member: &&Member<'_>| {
-        let alike =
-            |other: &&Member<'_>| other.zone == member.zone && reads(other) == reads(member);
-        members.iter().filter(alike).count()
-    };
-    let most = candidates.max_by_key(alike_in_zone)?;
-    // The last of its kind stays in its zone: a KV cache would leave it.
-    (alike_in_zone(&most) > 1).then_some(most.id)
+        .into_iter()
+        .filter(|member| reads(member) != changes_to_prefill)
+        .collect();
+    let engines = take_from_fullest_zones(candidates, count, |member| member.zone);
+    engines
+        .into_iter()
+        .map(|member| member.id.clone())
+        .collect()
 }
--- a/components/planner/src/lib.rs
+++ b/components/planner/src/lib.rs
@@ -13,6 +13,7 @@
 mod planner;
 mod settings;
 mod split;
+mod zone_spread;
 
 pub use average::{FastSlowAverage, Mix};
 pub use balance::{
@@ -23,3 +24,4 @@
 pub use planner::{Engine, Planner, RoleChange};
 pub use settings::PlannerSettings;
 pub use split::Split;
+pub use zone_spread::take_from_fullest_zones;
