A guess takes no engine out of a pool whose phases are both large

Cause: before any load the leader gives a pool two thirds of prefill engines, by a guess. In a pool of 9,695 engines of which 0.41 prefill that is 2,500 changes of roles, each an engine out for seconds with what it has cached, while 428 requests a second need a few hundred engines.

Ruled out: no guess at all (small pools, where one engine is a large part of a phase, lose their start: the tests of nine engines stay as they are).

Change: a pool whose phases both have 64 engines keeps its split until load was measured. Test: the roles stated before any load for 30, 400, 800 engines are 8, 0, 0 (before: 8, 107, more).

--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -220,7 +220,7 @@
         let wanted = if self.loaded {
             self.wanted_prefill_engines(occupancy, settings)
         } else {
-            initial_prefill_engines(members.len(), settings)
+            initial_prefill_engines(members.len(), present, settings)
         };
         let role = match wanted.cmp(&present) {
             Ordering::Equal => return None,
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -116,6 +116,33 @@
     assert_eq!(roles, [EngineRole::Prefill, EngineRole::Prefill]);
 }
 
+/// A pool of which two fifths prefill.
+fn pool(engines: usize) -> Vec<MachineEntry> {
+    let role = |number| match number % 5 {
+        0 | 1 => EngineRole::Prefill,
+        _ => EngineRole::Mixed,
+    };
+    (0..engines)
+        .map(|number| entry(number, role(number)))
+        .collect()
+}
+
+/// The roles stated for such a pool before any load.
+fn stated_for(engines: usize) -> usize {
+    let lists: Vec<_> = (0..4).map(|_| pool(engines)).collect();
+    stated(&mut leader(), &lists, &watch(0, 0)).len()
+}
+
+/// Before any load is known, the share of prefill engines is a guess. In a pool
+/// of ten thousand engines the guess took 2,500 of them out of service, each for
+/// seconds and with its cache, while a few were needed in all.
+#[test]
+fn a_guess_changes_no_more_engines_in_a_larger_pool() {
+    assert_eq!(stated_for(30), 8);
+    assert_eq!(stated_for(400), 0);
+    assert_eq!(stated_for(800), 0);
+}
+
 #[test]
 fn a_new_leader_under_load_does_not_begin_anew() {
     let mut leader = leader();
--- a/components/planner/src/balance.rs
+++ b/components/planner/src/balance.rs
@@ -19,6 +19,11 @@
 /// Occupancy above this counts as this: the queue has no end there.
 const FULL: f64 = 0.95;
 
+/// Engines of a phase that serve what comes until the load is known. A change of
+/// roles takes an engine out for seconds, and what it has cached; the measured
+/// load, a second later, may move a twelfth of the pool at once.
+const ENOUGH_UNTIL_KNOWN: usize = 64;
+
 /// How occupied the phases of a pool are.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PhaseOccupancy {
@@ -97,12 +102,22 @@
     bounded.powf(exponent) / (1.0 - bounded) + (occupancy - bounded) * 20.0
 }
 
-/// Prefill engines while no load is known: the settings' share, with both phases
-/// served.
-pub fn initial_prefill_engines(engines: usize, settings: &BalanceSettings) -> usize {
+/// Prefill engines while no load is known, of a pool of which `present` prefill:
+/// the settings' share, with both phases served.
+///
+/// Only a pool with a small phase follows the share: a guess is worth no engine
+/// where both phases serve what comes until the load is known.
+pub fn initial_prefill_engines(
+    engines: usize,
+    present: usize,
+    settings: &BalanceSettings,
+) -> usize {
     if engines < 2 {
         return 0;
     }
+    if present.min(engines.saturating_sub(present)) >= ENOUGH_UNTIL_KNOWN {
+        return present;
+    }
     let share = (engines as f64 * settings.initial_share).round() as usize;
     share.clamp(1, engines - 1)
 }
--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -100,7 +100,7 @@
 #[case(90, 60)]
 fn readers_before_any_load(#[case] engines: usize, #[case] prefill_engines: usize) {
     assert_eq!(
-        initial_prefill_engines(engines, &BalanceSettings::default()),
+        initial_prefill_engines(engines, 0, &BalanceSettings::default()),
         prefill_engines
     );
 }
