What is new in the list of machines goes into the log in commands of many

Cause: each machine of the list made an entry of its own, an engine two: 20,000 entries at a start before 10,000 engines, and all that was not committed yet once more with each reading. Each reading also copied the names of all back ends.

Ruled out: one entry for all (1.5 MB in one message to a follower, above the 256 KB of a batch).

Change: commands of up to 256 machines; what would change nothing is no change for gateways; a list is left aside while the news of the former is under way. An engine is one change for gateways in place of two.

--- a/components/control/src/command.rs
+++ b/components/control/src/command.rs
@@ -148,6 +148,21 @@
     ReleaseRequest(RequestFingerprint),
     /// Notes requests that have come close to being refused.
     NoteSuspects(Vec<SuspectedRequest>),
+    /// Notes what the platform's list says of machines.
+    NoteMachines(Vec<MachineNote>),
+    /// Forgets back ends whose machines are gone.
+    ForgetMachines(Vec<BackendId>),
+}
+
+/// What the platform's list says of one machine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineNote {
+    /// How the back end on it introduces itself.
+    pub registration: BackendRegistration,
+    /// State of the machine.
+    pub state: MachineState,
+    /// What an engine is, where that is news.
+    pub observed: Option<EngineObservation>,
 }
 
 /// A key and who claims it.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -35,7 +35,7 @@
 pub use answer::{ClaimAnswer, CommandAnswer};
 pub use by_rank::{ByRank, LAST_RANK};
 pub use claims::{CLAIM_RETENTION, ClaimState, Claims, MAX_CLAIMS, MAX_RECORDED_BYTES};
-pub use command::{ClaimCommand, Command, CommandEnvelope};
+pub use command::{ClaimCommand, Command, CommandEnvelope, MachineNote};
 pub use configuration::{
     BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
     OutstandingOrder, PolicyRecord, QuarantineRecord, Session,
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -4,7 +4,7 @@
 
 use garnet_types::{BackendId, MachineState, Millis, OrderAnswer};
 
-use crate::command::Command;
+use crate::command::{Command, MachineNote};
 use crate::effects::{Effect, EngineRequest, MachineEntry};
 use crate::planning::EngineFacts;
 use crate::reconciler::{Present, Step};
@@ -12,6 +12,9 @@
 use super::Replica;
 use crate::reconciler::EnginePolling;
 
+/// Machines in one command: some 30 KB, a small part of what one message brings
+/// a follower.
+const MACHINES_PER_COMMAND: usize = 256;
 /// The list may leave an engine out while it changes its role: one with an
 /// order is forgotten only when it is missing for so long.
 const ORDERED_FORGOTTEN: Millis = Millis::from_secs(15);
@@ -124,75 +127,105 @@
 
     /// Takes the platform's list. It lags and may contradict itself, so a
     /// missing machine is only taken out of routing, and only after a while.
+    ///
+    /// What is new goes into the log in commands of many machines: the log of a
+    /// start grows with the machines by a few hundredths of an entry each. While
+    /// the news of an earlier list is under way, the next one waits its turn.
     pub(super) fn handle_machines(&mut self, machines: &[MachineEntry]) {
         if !self.node.holds_lease(self.now) {
             return;
         }
         self.sizing.see(machines, self.now);
-        for entry in machines {
-            self.compare_machine(entry);
+        if self.machines_noted_at > self.node.status().applied_index {
+            return;
         }
+        let mut notes: Vec<MachineNote> = machines
+            .iter()
+            .filter_map(|entry| self.compare_machine(entry))
+            .collect();
         let listed: BTreeSet<&BackendId> = machines
             .iter()
             .map(|entry| &entry.registration.id)
             .collect();
-        let known: Vec<BackendId> = self.state.configuration.backends.keys().cloned().collect();
-        for id in known {
-            if listed.contains(&id) {
-                self.missing_since.remove(&id);
+        let mut forgotten = Vec::new();
+        let mut missing = Vec::new();
+        for id in self.state.configuration.backends.keys() {
+            if listed.contains(id) {
+                self.missing_since.remove(id);
             } else {
-                self.note_missing(id);
+                missing.push(id.clone());
             }
         }
-    }
-
-    fn compare_machine(&mut self, entry: &MachineEntry) {
-        let registration = &entry.registration;
-        let known = self.state.configuration.backends.get(&registration.id);
-        let backend = registration.id.clone();
-        let is_new = known.map(|record| &record.registration) != Some(registration);
-        let machine = known.map_or(MachineState::Live, |record| record.machine);
-        let seen = known.and_then(|record| record.observed.as_ref());
-        let ordered = known.is_some_and(|record| record.order.is_some());
-        let newly_observed = entry
-            .observed
-            .clone()
-            .filter(|now| !ordered && seen != Some(now));
-        if is_new {
-            self.propose_own(Command::PutBackend(registration.clone()));
+        for id in missing {
+            match self.note_missing(&id) {
+                Some(Missing::Leaving(note)) => notes.push(note),
+                Some(Missing::Forgotten) => forgotten.push(id),
+                None => {}
+            }
         }
-        if machine != entry.state {
-            let state = entry.state;
-            let backend = backend.clone();
-            self.propose_own(Command::SetMachine { backend, state });
+        for part in notes.chunks(MACHINES_PER_COMMAND) {
+            self.propose_machines(Command::NoteMachines(part.to_vec()));
         }
-        if let Some(observation) = newly_observed {
-            let engine = backend;
-            self.propose_own(Command::Observe {
-                engine,
-                observation,
-            });
+        for part in forgotten.chunks(MACHINES_PER_COMMAND) {
+            self.propose_machines(Command::ForgetMachines(part.to_vec()));
+        }
+    }
+
+    fn propose_machines(&mut self, command: Command) {
+        if let Some(index) = self.propose_own(command) {
+            self.machines_noted_at = index;
         }
     }
 
-    fn note_missing(&mut self, backend: BackendId) {
-        let since = *self
-            .missing_since
-            .entry(backend.clone())
-            .or_insert(self.now);
-        let missing_for = self.now.since(since);
+    /// What is new of a machine, if anything.
+    fn compare_machine(&self, entry: &MachineEntry) -> Option<MachineNote> {
+        let known = self
+            .state
+            .configuration
+            .backends
+            .get(&entry.registration.id);
+        let observed = entry.observed.clone().filter(|now| {
+            known.is_none_or(|record| {
+                record.order.is_none() && record.observed.as_ref() != Some(now)
+            })
+        });
+        let is_known = known.is_some_and(|record| {
+            record.registration == entry.registration && record.machine == entry.state
+        });
+        (!is_known || observed.is_some()).then(|| MachineNote {
+            registration: entry.registration.clone(),
+            state: entry.state,
+            observed,
+        })
+    }
+
+    /// What follows from a back end's being missing from the list, if anything
+    /// does yet.
+    fn note_missing(&mut self, backend: &BackendId) -> Option<Missing> {
+        let record = self.state.configuration.backends.get(backend)?;
+        let since = self.missing_since.entry(backend.clone());
+        let missing_for = self.now.since(*since.or_insert(self.now));
         let settings = self.settings.directory;
-        let record = self.state.configuration.backends.get(&backend);
-        let live = record.is_some_and(|record| record.machine == MachineState::Live);
-        let ordered = record.is_some_and(|record| record.order.is_some());
-        let forgotten = settings
+        let is_live = record.machine == MachineState::Live;
+        if is_live && missing_for >= settings.leaving_after {
+            return Some(Missing::Leaving(MachineNote {
+                registration: record.registration.clone(),
+                state: MachineState::Leaving,
+                observed: None,
+            }));
+        }
+        let is_over = settings
             .forget_after
             .is_some_and(|after| missing_for >= after);
-        if live && missing_for >= settings.leaving_after {
-            let state = MachineState::Leaving;
-            self.propose_own(Command::SetMachine { backend, state });
-        } else if !live && forgotten && (!ordered || missing_for >= ORDERED_FORGOTTEN) {
-            self.propose_own(Command::RemoveBackend(backend));
-        }
+        let may_go = record.order.is_none() || missing_for >= ORDERED_FORGOTTEN;
+        (!is_live && is_over && may_go).then_some(Missing::Forgotten)
     }
 }
+
+/// What becomes of a back end that is missing from the list.
+enum Missing {
+    /// It is sent nothing new.
+    Leaving(MachineNote),
+    /// It is gone.
+    Forgotten,
+}
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -32,6 +32,7 @@
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
+            self.machines_noted_at = 0;
             self.sent_updates = SentUpdates::default();
             self.duty_track = DutyTrack::at_start_of_term(self.now);
             self.sizing = FleetSizing::default();
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -167,6 +167,8 @@
     balancing: Option<Balancing>,
     reconciled_at: Millis,
     missing_since: BTreeMap<BackendId, Millis>,
+    /// Log index of the newest command about machines.
+    machines_noted_at: u64,
     duty_track: DutyTrack,
     sizing: FleetSizing,
     led_term: Option<u64>,
@@ -220,6 +222,7 @@
             reconciler,
             reconciled_at: Millis::ZERO,
             missing_since: BTreeMap::new(),
+            machines_noted_at: 0,
             duty_track: DutyTrack::default(),
             sizing: FleetSizing::default(),
             led_term: None,
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -12,7 +12,7 @@
 
 use crate::answer::CommandAnswer;
 use crate::claims::Claims;
-use crate::command::{Command, CommandEnvelope};
+use crate::command::{Command, CommandEnvelope, MachineNote};
 use crate::configuration::{
     BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
     OutstandingOrder, PolicyRecord, QuarantineRecord, Session,
@@ -268,6 +268,8 @@
                 self.note_suspects(suspects);
                 self.noted()
             }
+            Command::NoteMachines(notes) => self.note_machines(fence.index, notes),
+            Command::ForgetMachines(ids) => self.forget_machines(fence.index, ids),
         }
     }
 
@@ -385,7 +387,13 @@
     }
 
     fn put_backend(&self, index: u64, registration: &BackendRegistration) -> Applied {
-        let record = match self.configuration.backends.get(&registration.id) {
+        let record = self.registered(index, registration);
+        Applied::changed(index, ConfigurationChange::BackendPut(record))
+    }
+
+    /// The record of a back end once it has introduced itself.
+    fn registered(&self, index: u64, registration: &BackendRegistration) -> BackendRecord {
+        match self.configuration.backends.get(&registration.id) {
             Some(existing) => BackendRecord {
                 registration: registration.clone(),
                 revision: index,
@@ -399,8 +407,45 @@
                 order: None,
                 revision: index,
             },
+        }
+    }
+
+    /// Notes that change nothing leave no trace, so that a list that was read
+    /// twice costs gateways nothing.
+    fn note_machines(&self, index: u64, notes: &[MachineNote]) -> Applied {
+        let put = |note: &MachineNote| {
+            let mut record = self.registered(index, &note.registration);
+            record.machine = note.state;
+            if note.observed.is_some() {
+                record.observed.clone_from(&note.observed);
+            }
+            let held = self.configuration.backends.get(&note.registration.id);
+            let is_news = held.is_none_or(|held| {
+                record.registration != held.registration
+                    || record.machine != held.machine
+                    || record.observed != held.observed
+            });
+            is_news.then_some(ConfigurationChange::BackendPut(record))
         };
-        Applied::changed(index, ConfigurationChange::BackendPut(record))
+        self.changed_by(index, notes.iter().filter_map(put).collect())
+    }
+
+    fn forget_machines(&self, index: u64, ids: &[BackendId]) -> Applied {
+        let forgotten = ids
+            .iter()
+            .flat_map(|id| self.remove_backend(index, id).changes);
+        self.changed_by(index, forgotten.collect())
+    }
+
+    /// The answer to a command that made these changes, or none.
+    fn changed_by(&self, index: u64, changes: Vec<ConfigurationChange>) -> Applied {
+        if changes.is_empty() {
+            return self.noted();
+        }
+        Applied {
+            answer: CommandAnswer::Accepted { revision: index },
+            changes,
+        }
     }
 
     fn remove_backend(&self, index: u64, id: &BackendId) -> Applied {
--- /dev/null
+++ b/components/control/tests/state/machine_list.rs
@@ -0,0 +1,121 @@
+//! Taking the platform's list of machines.
+//!
+//! A start before ten thousand engines put two entries for each of them into the
+//! log. Whoever read the list again before all were committed put them in once
+//! more; snapshots followed one another, leaders lost their lease, and changes of
+//! the operators waited behind.
+
+use crate::leader::Leader;
+use garnet_control::{
+    BackendRegistration, EngineObservation, EnginePolling, Event, MachineEntry, ReplicaSettings,
+};
+use garnet_types::{
+    BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
+};
+
+fn entry(number: usize, state: MachineState) -> MachineEntry {
+    MachineEntry {
+        is_preemptible: false,
+        registration: BackendRegistration {
+            id: BackendId::new(format!("engine-{number}")),
+            kind: BackendKind::Engine,
+            service: ServiceId::new("words"),
+            address: format!("10.1.{}.{}:8080", number / 250, number % 250),
+            zone: format!("zone-{}", number % 5),
+        },
+        state,
+        observed: Some(EngineObservation {
+            incarnation: number as u64,
+            assignment: EngineAssignment {
+                role: EngineRole::Prefill,
+                model: ModelId::new("m"),
+            },
+        }),
+    }
+}
+
+fn list(machines: usize) -> Vec<MachineEntry> {
+    (0..machines)
+        .map(|number| entry(number, MachineState::Live))
+        .collect()
+}
+
+fn leader() -> Leader {
+    let settings = ReplicaSettings {
+        engine_polling: EnginePolling::WhileOrdered,
+        ..Leader::settings()
+    };
+    let mut leader = Leader::elected(settings, Vec::new());
+    leader.persist();
+    leader
+}
+
+/// Entries that a reading of the list adds to the log.
+fn entries_of(leader: &mut Leader, list: Vec<MachineEntry>) -> u64 {
+    let before = leader.replica.node().status().last_index;
+    leader.take(Event::Machines(list));
+    leader.replica.node().status().last_index - before
+}
+
+fn backends(leader: &Leader) -> usize {
+    leader.replica.state().configuration.backends.len()
+}
+
+#[test]
+fn the_log_of_a_start_grows_by_a_small_part_of_the_machines() {
+    let small = entries_of(&mut leader(), list(1_000));
+    let large = entries_of(&mut leader(), list(2_000));
+    assert!(small <= 10, "{small} entries for 1,000 machines");
+    assert!(
+        large <= 2 * small,
+        "{large} entries for 2,000 machines, {small} for 1,000"
+    );
+}
+
+#[test]
+fn a_list_that_is_read_while_its_news_is_under_way_adds_nothing() {
+    let mut leader = leader();
+    entries_of(&mut leader, list(600));
+    assert_eq!(entries_of(&mut leader, list(600)), 0);
+    leader.persist();
+    assert_eq!(backends(&leader), 600);
+    assert_eq!(entries_of(&mut leader, list(600)), 0);
+}
+
+#[test]
+fn what_changed_in_a_list_is_all_that_is_noted() {
+    let mut leader = leader();
+    entries_of(&mut leader, list(600));
+    leader.persist();
+    let before = leader.replica.state().configuration.clone();
+    let mut next = list(600);
+    next[7].state = MachineState::Leaving;
+    assert_eq!(entries_of(&mut leader, next), 1);
+    leader.persist();
+    let after = &leader.replica.state().configuration;
+    let changed: Vec<&BackendId> = after
+        .backends
+        .iter()
+        .filter(|(id, record)| before.backends.get(*id) != Some(*record))
+        .map(|(id, _)| id)
+        .collect();
+    assert_eq!(changed, [&BackendId::new("engine-7")]);
+    let record = &after.backends[&BackendId::new("engine-7")];
+    assert_eq!(record.machine, MachineState::Leaving);
+}
+
+#[test]
+fn the_loss_of_a_zone_is_a_few_entries() {
+    let mut leader = leader();
+    entries_of(&mut leader, list(1_000));
+    leader.persist();
+    let rest: Vec<MachineEntry> = list(1_000)
+        .into_iter()
+        .filter(|entry| entry.registration.zone != "zone-0")
+        .collect();
+    entries_of(&mut leader, rest.clone());
+    leader.persist();
+    leader.now = leader.now + Millis::from_secs(11);
+    leader.run(Millis(500));
+    assert_eq!(entries_of(&mut leader, rest), 1);
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -12,6 +12,7 @@
 mod last_known;
 mod leader;
 mod load_digest;
+mod machine_list;
 mod operators;
 mod quarantine;
 mod routes;
