--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -33,6 +33,8 @@
     usage_open: Gauge,
     duty_token: Gauge,
     quarantined: Gauge,
+    looked_at: Gauge,
+    backends: Gauge,
 }
 
 impl Default for ReplicaMetrics {
@@ -85,8 +87,15 @@
         let duty_token = registered(all, "duty_token", help, Gauge::default());
         let help = "Requests that are refused since engines ended under them";
         let quarantined = registered(all, "quarantined_requests", help, Gauge::default());
+        let help = "Back ends that the regular work of a leader has looked at";
+        let looked_at = registered(all, "backends_looked_at", help, Gauge::default());
+        let help = "Back ends that are known";
+        let backends = registered(all, "backends", help, Gauge::default());
         ReplicaMetrics {
             quarantined,
+            looked_at,
+            backends,
+
             duty_calls,
             usage_untold,
             usage_open,
@@ -155,6 +164,9 @@
         let tenure = replica.state().tenures.present();
         let token = tenure.map_or(0, |tenure| tenure.token);
         self.duty_token.set(gauge_value(token));
+        self.looked_at.set(gauge_value(replica.looked_at()));
+        let backends = replica.state().configuration.backends.len();
+        self.backends.set(gauge_value(backends as u64));
         let quarantined = replica.state().configuration.quarantine.len();
         self.quarantined.set(gauge_value(quarantined as u64));
     }
--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -122,6 +122,8 @@
 pub(crate) struct Balancing {
     settings: BalanceSettings,
     pools: BTreeMap<Pool, PoolBalance>,
+    /// Engines that were looked at since that was asked last.
+    looked_at: u64,
 }
 
 /// An assignment that is to be made, and what was seen.
@@ -143,9 +145,15 @@
         Balancing {
             settings,
             pools: BTreeMap::new(),
+            looked_at: 0,
         }
     }
 
+    /// Engines that were looked at since this was asked last.
+    pub(crate) fn take_looked_at(&mut self) -> u64 {
+        std::mem::take(&mut self.looked_at)
+    }
+
     /// Whether the pool of an engine is known to have no work.
     pub(crate) fn is_idle(&self, configuration: &Configuration, engine: &BackendId) -> bool {
         let record = configuration.backends.get(engine);
@@ -166,6 +174,7 @@
     ) -> Vec<BalanceChange> {
         let mut changes = Vec::new();
         for (pool, members) in pools(configuration, given_back) {
+            self.looked_at += members.len() as u64;
             let limits = limits(configuration, &pool.0);
             let balance = self.pools.entry(pool.clone()).or_default();
             let seen = sample(&members, backlogs, &limits);
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -22,6 +22,7 @@
 impl Replica {
     pub(super) fn reconcile(&mut self) {
         let engines: Vec<BackendId> = self.state.configuration.backends.keys().cloned().collect();
+        self.looked_at += engines.len() as u64;
         let status = self.node.status();
         for engine in engines {
             let present = Present {
@@ -105,6 +106,7 @@
             .map(|routes| self.sizing.given_back(routes, &self.state.needed_engines));
         let given_back = given_back.unwrap_or_default();
         let changes = balancing.decide(configuration, &backlogs, &given_back, self.now);
+        self.looked_at += balancing.take_looked_at();
         let applied = self.node.status().applied_index;
         for change in changes {
             if self.reconciler.awaits(&change.engine, applied) {
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -166,6 +166,8 @@
     planning: Option<Planning>,
     balancing: Option<Balancing>,
     reconciled_at: Millis,
+    /// Back ends that the leader's regular work has looked at so far.
+    looked_at: u64,
     missing_since: BTreeMap<BackendId, Millis>,
     /// Log index of the newest command about machines.
     machines_noted_at: u64,
@@ -221,6 +223,7 @@
             quarantining: Quarantining::default(),
             reconciler,
             reconciled_at: Millis::ZERO,
+            looked_at: 0,
             missing_since: BTreeMap::new(),
             machines_noted_at: 0,
             duty_track: DutyTrack::default(),
@@ -265,6 +268,12 @@
         self.node.holds_lease(self.now) && self.node.has_applied_own_term()
     }
 
+    /// Back ends that the leader's regular work has looked at since the process
+    /// began: what it costs while nothing happens.
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at
+    }
+
     /// Takes what happened.
     pub fn handle(&mut self, event: Event, now: Millis) {
         self.now = self.now.max(now);
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -143,6 +143,23 @@
     assert_eq!(stated_for(800), 0);
 }
 
+/// Back ends that a leader looks at in five seconds in which nothing happens.
+fn looked_at(engines: usize) -> u64 {
+    let mut leader = leader();
+    let lists: Vec<_> = (0..4).map(|_| pool(engines)).collect();
+    stated(&mut leader, &lists, &watch(0, 0));
+    let before = leader.replica.looked_at();
+    leader.run(Millis::from_secs(5));
+    leader.replica.looked_at() - before
+}
+
+/// The leader of ten thousand engines looked at each of them twenty times a
+/// second, with a copy of its name each time, also while nothing happened.
+#[test]
+fn a_leader_looks_at_nothing_while_nothing_happens() {
+    assert_eq!(looked_at(400), looked_at(800));
+}
+
 #[test]
 fn a_new_leader_under_load_does_not_begin_anew() {
     let mut leader = leader();
