The leader's regular work looks at engines where something has changed

Cause: reconciling and balancing copied the names of all engines into new sets at each look, ten times a second each; whether an engine may be spared was worked out from the whole pool for each engine anew.

Ruled out: looking less often (a larger constant; an order would wait for it).

Change: the reconciler is given the engines that have an order, are asked for their state, or are not what they shall be, and forgets what it kept of others; a pool is counted once for all of a look (pool_census.rs); the balance keeps the count of each phase until the configuration changes, and samples engines that have work.

--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -39,6 +39,7 @@
 };
 
 type Pool = (ServiceId, ModelId);
+type PoolKey<'a> = (&'a ServiceId, &'a ModelId);
 
 /// How occupied a phase is: an average, and what it was at its peaks lately.
 ///
@@ -99,8 +100,12 @@
     /// know that there is no load.
     looks_since: Option<Millis>,
     was_looked_at: bool,
-    /// Engines at the last look.
+    /// Engines of each phase.
+    roles: RoleCount,
+    /// Engines when the configuration changed last.
     members: Option<BTreeSet<BackendId>>,
+    /// Engines that came since the last look.
+    newcomers: BTreeSet<BackendId>,
     /// Part of the engines that shall prefill, as it was decided last.
     share: Option<f64>,
     /// Engines at the last look, and since when there are so many: the list
@@ -122,6 +127,10 @@
 pub(crate) struct Balancing {
     settings: BalanceSettings,
     pools: BTreeMap<Pool, PoolBalance>,
+    /// Index of the configuration whose pools are known.
+    followed_index: Option<u64>,
+    /// Engines that are about to be given back.
+    given_back: BTreeSet<BackendId>,
     /// Engines that were looked at since that was asked last.
     looked_at: u64,
 }
@@ -140,11 +149,41 @@
     role: EngineRole,
 }
 
+/// An engine that has work.
+struct Busy<'a> {
+    role: EngineRole,
+    backlog: &'a Backlog,
+}
+
+/// Engines of a pool by their phase.
+#[derive(Debug, Clone, Copy, Default)]
+struct RoleCount {
+    prefill: usize,
+    decode: usize,
+}
+
+impl RoleCount {
+    fn of(members: &[Member<'_>]) -> Self {
+        let prefills = |member: &&Member<'_>| member.role == EngineRole::Prefill;
+        let prefill = members.iter().filter(prefills).count();
+        RoleCount {
+            prefill,
+            decode: members.len() - prefill,
+        }
+    }
+
+    fn engines(self) -> usize {
+        self.prefill + self.decode
+    }
+}
+
 impl Balancing {
     pub(crate) fn new(settings: BalanceSettings) -> Self {
         Balancing {
             settings,
             pools: BTreeMap::new(),
+            followed_index: None,
+            given_back: BTreeSet::new(),
             looked_at: 0,
         }
     }
@@ -164,22 +203,35 @@
         balance.is_some_and(|balance| !balance.loaded && balance.was_looked_at)
     }
 
-    /// Takes a look, and gives the assignments that are to be made.
+    /// Takes a look, and gives the assignments that are to be made. Engines are
+    /// looked at one by one only where the configuration has changed since, or a
+    /// change is to be made.
     pub(crate) fn decide(
         &mut self,
         configuration: &Configuration,
         backlogs: &BTreeMap<BackendId, Backlog>,
-        given_back: &BTreeSet<BackendId>,
+        given_back: BTreeSet<BackendId>,
         now: Millis,
     ) -> Vec<BalanceChange> {
+        self.follow(configuration, given_back);
+        let busy = busy_engines(configuration, backlogs, &self.given_back);
         let mut changes = Vec::new();
-        for (pool, members) in pools(configuration, given_back) {
-            self.looked_at += members.len() as u64;
+        for (pool, balance) in &mut self.pools {
+            if balance.roles.engines() == 0 {
+                continue;
+            }
             let limits = limits(configuration, &pool.0);
-            let balance = self.pools.entry(pool.clone()).or_default();
-            let seen = sample(&members, backlogs, &limits);
+            let busy = busy.get(&(&pool.0, &pool.1));
+            let busy = busy.map_or(&[][..], Vec::as_slice);
+            let seen = sample(balance.roles, busy, &limits);
             balance.take(&seen, limits.role_change_ms, now);
             let occupancy = balance.occupancy(&seen);
+            let looked_at = &mut self.looked_at;
+            let members = || {
+                let members = members(configuration, &self.given_back, pool);
+                *looked_at += members.len() as u64;
+                members
+            };
             let step = balance.step(members, &occupancy, &limits, &self.settings, now);
             let Some(step) = step else {
                 continue;
@@ -195,6 +247,25 @@
         }
         changes
     }
+
+    /// Notes who is in which pool, where that may have changed.
+    fn follow(&mut self, configuration: &Configuration, given_back: BTreeSet<BackendId>) {
+        let is_same = self.followed_index == Some(configuration.index);
+        if is_same && self.given_back == given_back {
+            return;
+        }
+        self.followed_index = Some(configuration.index);
+        self.given_back = given_back;
+        // A pool whose engines are all gone remembers them: they may come back.
+        for balance in self.pools.values_mut() {
+            balance.roles = RoleCount::default();
+        }
+        for ((service, model), members) in pools(configuration, &self.given_back) {
+            self.looked_at += members.len() as u64;
+            let pool = (service.clone(), model.clone());
+            self.pools.entry(pool).or_default().follow(&members);
+        }
+    }
 }
 
 /// Engines of a pool that change to one role.
@@ -205,31 +276,58 @@
 
 impl PoolBalance {
     /// What changes now, if anything.
-    fn step(
+    fn step<'a>(
         &mut self,
-        members: Vec<Member<'_>>,
+        members: impl FnOnce() -> Vec<Member<'a>>,
         occupancy: &PhaseOccupancy,
         limits: &EngineLimits,
         settings: &BalanceSettings,
         now: Millis,
     ) -> Option<PoolStep> {
-        let unchanged_since = self.note_engines(members.len(), now);
-        let newcomers = self.note_members(&members);
+        let engines = occupancy.engines();
+        let unchanged_since = self.note_engines(engines, now);
+        let newcomers = std::mem::take(&mut self.newcomers);
         let present = occupancy.prefill_engines;
         if self.loaded {
             let share = *self.share.get_or_insert(share_of(occupancy));
-            if let Some(step) = keep_share(&members, &newcomers, share, present) {
-                return Some(step);
+            if let Some(role) = role_that_lacks(engines, share, present, &newcomers) {
+                let members = members();
+                let step = keep_share(&members, &newcomers, role, share, present);
+                if step.is_some() {
+                    return step;
+                }
+                return self.step_by_load(
+                    || members,
+                    occupancy,
+                    limits,
+                    settings,
+                    unchanged_since,
+                    now,
+                );
             }
         } else if now.since(*self.looks_since.get_or_insert(now)) < FIRST_LOOK {
             // A new leader has yet to hear what is there and under way.
             return None;
         }
+        self.step_by_load(members, occupancy, limits, settings, unchanged_since, now)
+    }
+
+    /// What changes by what was measured, or guessed before there was any load.
+    fn step_by_load<'a>(
+        &mut self,
+        members: impl FnOnce() -> Vec<Member<'a>>,
+        occupancy: &PhaseOccupancy,
+        limits: &EngineLimits,
+        settings: &BalanceSettings,
+        unchanged_since: Millis,
+        now: Millis,
+    ) -> Option<PoolStep> {
+        let present = occupancy.prefill_engines;
         self.was_looked_at = true;
         let wanted = if self.loaded {
             self.wanted_prefill_engines(occupancy, settings)
         } else {
-            initial_prefill_engines(members.len(), present, settings)
+            initial_prefill_engines(occupancy.engines(), present, settings)
         };
         let role = match wanted.cmp(&present) {
             Ordering::Equal => return None,
@@ -245,7 +343,7 @@
         if self.rests(role, limits.role_change_ms, settings, now) {
             return None;
         }
-        let engines = who_change(members, role, wanted.abs_diff(present));
+        let engines = who_change(members(), role, wanted.abs_diff(present));
         if engines.is_empty() {
             return None;
         }
@@ -255,14 +353,16 @@
         Some(PoolStep { role, engines })
     }
 
-    /// Notes who is there; gives the engines that came since the last look. At
-    /// the first look nobody has come.
-    fn note_members(&mut self, members: &[Member<'_>]) -> BTreeSet<BackendId> {
+    /// Notes who is there, and who came since the last look. At the first look
+    /// nobody has come.
+    fn follow(&mut self, members: &[Member<'_>]) {
+        self.roles = RoleCount::of(members);
         let present: BTreeSet<BackendId> = members.iter().map(|m| m.id.clone()).collect();
-        let before = self.members.replace(present.clone());
-        before.map_or(BTreeSet::new(), |before| {
-            present.difference(&before).cloned().collect()
-        })
+        if let Some(before) = self.members.replace(present) {
+            let present = self.members.iter().flatten();
+            let came = present.filter(|id| !before.contains(*id));
+            self.newcomers.extend(came.cloned());
+        }
     }
 
     /// Notes how many engines there are; gives since when.
@@ -364,23 +464,38 @@
     occupancy.prefill_engines as f64 / occupancy.engines().max(1) as f64
 }
 
-/// Engines that came bring a split of their own: some of them change role, so
+/// The role that newcomers have too little of for the pool to keep its share.
+fn role_that_lacks(
+    engines: usize,
+    share: f64,
+    present: usize,
+    newcomers: &BTreeSet<BackendId>,
+) -> Option<EngineRole> {
+    if newcomers.is_empty() {
+        return None;
+    }
+    match kept_share(engines, share).cmp(&present) {
+        Ordering::Equal => None,
+        Ordering::Greater => Some(EngineRole::Prefill),
+        Ordering::Less => Some(EngineRole::Mixed),
+    }
+}
+
+/// Prefill engines of a pool that keeps its share.
+fn kept_share(engines: usize, share: f64) -> usize {
+    (engines as f64 * share).round() as usize
+}
+
+/// Engines that came bring a split of their own: some of them change to `role`, so
 /// that the pool keeps its share. They have cold caches and little work.
 fn keep_share(
     members: &[Member<'_>],
     newcomers: &BTreeSet<BackendId>,
+    role: EngineRole,
     share: f64,
     present: usize,
 ) -> Option<PoolStep> {
-    if newcomers.is_empty() {
-        return None;
-    }
-    let wanted = (members.len() as f64 * share).round() as usize;
-    let role = match wanted.cmp(&present) {
-        Ordering::Equal => return None,
-        Ordering::Greater => EngineRole::Prefill,
-        Ordering::Less => EngineRole::Mixed,
-    };
+    let wanted = kept_share(members.len(), share);
     let changes = |member: &&Member<'_>| {
         let prefills = member.role == EngineRole::Prefill;
         newcomers.contains(member.id) && prefills != (role == EngineRole::Prefill)
@@ -394,36 +509,73 @@
     (!engines.is_empty()).then_some(PoolStep { role, engines })
 }
 
+/// What an engine is to the balance; `None` for one that takes no part.
+fn member<'a>(
+    id: &'a BackendId,
+    record: &'a BackendRecord,
+    given_back: &BTreeSet<BackendId>,
+) -> Option<(PoolKey<'a>, Member<'a>)> {
+    // A change of role would not pay for one that leaves.
+    if given_back.contains(id) {
+        return None;
+    }
+    // The list may leave an engine out while it changes its role.
+    if record.machine != MachineState::Live && record.order.is_none() {
+        return None;
+    }
+    let assignment = shall_be(record)?;
+    let member = Member {
+        id,
+        zone: &record.registration.zone,
+        role: assignment.role,
+    };
+    Some(((&record.registration.service, &assignment.model), member))
+}
+
 /// Engines that take part: an engine counts as what it shall be.
 fn pools<'a>(
     configuration: &'a Configuration,
     given_back: &BTreeSet<BackendId>,
-) -> BTreeMap<Pool, Vec<Member<'a>>> {
-    let mut pools: BTreeMap<Pool, Vec<Member<'_>>> = BTreeMap::new();
-    for (id, record) in &configuration.backends {
-        // A change of role would not pay for one that leaves.
-        if given_back.contains(id) {
-            continue;
-        }
-        // The list may leave an engine out while it changes its role.
-        if record.machine != MachineState::Live && record.order.is_none() {
-            continue;
-        }
-        if let Some(assignment) = shall_be(record) {
-            let pool = (
-                record.registration.service.clone(),
-                assignment.model.clone(),
-            );
-            pools.entry(pool).or_default().push(Member {
-                id,
-                zone: &record.registration.zone,
-                role: assignment.role,
-            });
-        }
+) -> BTreeMap<PoolKey<'a>, Vec<Member<'a>>> {
+    let mut pools: BTreeMap<PoolKey<'_>, Vec<Member<'_>>> = BTreeMap::new();
+    let backends = configuration.backends.iter();
+    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, given_back)) {
+        pools.entry(pool).or_default().push(member);
     }
     pools
 }
 
+/// Engines of one pool.
+fn members<'a>(
+    configuration: &'a Configuration,
+    given_back: &BTreeSet<BackendId>,
+    (service, model): &Pool,
+) -> Vec<Member<'a>> {
+    let backends = configuration.backends.iter();
+    backends
+        .filter_map(|(id, record)| member(id, record, given_back))
+        .filter(|(pool, _)| *pool == (service, model))
+        .map(|(_, member)| member)
+        .collect()
+}
+
+/// Engines that have work, by pool.
+fn busy_engines<'a>(
+    configuration: &'a Configuration,
+    backlogs: &'a BTreeMap<BackendId, Backlog>,
+    given_back: &BTreeSet<BackendId>,
+) -> BTreeMap<PoolKey<'a>, Vec<Busy<'a>>> {
+    let mut busy: BTreeMap<PoolKey<'_>, Vec<Busy<'_>>> = BTreeMap::new();
+    for (id, backlog) in backlogs {
+        let record = configuration.backends.get(id);
+        if let Some((pool, member)) = record.and_then(|record| member(id, record, given_back)) {
+            let role = member.role;
+            busy.entry(pool).or_default().push(Busy { role, backlog });
+        }
+    }
+    busy
+}
+
 fn shall_be(record: &BackendRecord) -> Option<&EngineAssignment> {
     record.desired.as_ref().or(record.assignment())
 }
@@ -448,35 +600,29 @@
     slots.max(memory)
 }
 
-fn sample(
-    members: &[Member<'_>],
-    backlogs: &BTreeMap<BackendId, Backlog>,
-    limits: &EngineLimits,
-) -> PhaseOccupancy {
-    let mut occupancy = PhaseOccupancy {
-        prefill_engines: 0,
-        decode_engines: 0,
-        prefill: 0.0,
-        decode: 0.0,
-        places: 0.0,
-    };
-    for member in members {
-        let backlog = backlogs.get(member.id);
-        if member.role == EngineRole::Prefill {
-            occupancy.prefill_engines += 1;
-            let reads = backlog.is_some_and(|backlog| backlog.uncached.total() > 0);
-            occupancy.prefill += f64::from(u8::from(reads));
+/// How occupied a pool is: only engines that have work are looked at.
+fn sample(roles: RoleCount, busy: &[Busy<'_>], limits: &EngineLimits) -> PhaseOccupancy {
+    let mut prefilling = 0;
+    let mut decoding = 0;
+    let mut decode = 0.0;
+    let mut places = 0.0;
+    for Busy { role, backlog } in busy {
+        if *role == EngineRole::Prefill {
+            prefilling += usize::from(backlog.uncached.total() > 0);
         } else {
-            occupancy.decode_engines += 1;
-            occupancy.decode += backlog.map_or(0.0, |backlog| taken(backlog, limits));
-            occupancy.places += backlog.map_or(limits.slots as f64, |backlog| {
-                limits.places(backlog.requests, backlog.held_tokens)
-            });
+            decoding += 1;
+            decode += taken(backlog, limits);
+            places += limits.places(backlog.requests, backlog.held_tokens);
         }
     }
-    occupancy.prefill /= occupancy.prefill_engines.max(1) as f64;
-    occupancy.decode /= occupancy.decode_engines.max(1) as f64;
-    occupancy
+    let idle = roles.decode.saturating_sub(decoding);
+    PhaseOccupancy {
+        prefill_engines: roles.prefill,
+        decode_engines: roles.decode,
+        prefill: prefilling as f64 / roles.prefill.max(1) as f64,
+        decode: decode / roles.decode.max(1) as f64,
+        places: places + (idle as u64 * limits.slots) as f64,
+    }
 }
 
 /// The engines that change to `role`, up to `count`.
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -6,11 +6,13 @@
 use garnet_quarantine::RequestFingerprint;
 use garnet_routes::RouteTable;
 use garnet_types::{
-    BackendId, BackendKind, EngineAssignment, EngineRole, Fence, MachineState, Millis, ModelId,
-    ServiceId, SessionId, TenantId,
+    BackendId, BackendKind, EngineAssignment, Fence, MachineState, Millis, ModelId, ServiceId,
+    SessionId, TenantId,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::pool_census::PoolCensus;
+
 /// A long-lived session that carries many requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Session {
@@ -200,75 +202,28 @@
 }
 
 impl Configuration {
-    /// Whether an engine may be taken out for an order: few enough others of
-    /// its pool are out, and the rest serves every phase that the pool serves
-    /// now. A phase that nobody serves holds nothing up: it waits to be
-    /// restored.
+    /// Whether an engine may be taken out for an order, see
+    /// [`PoolCensus::can_spare`].
     pub fn pool_can_spare(&self, engine: &BackendId) -> bool {
-        let Some((record, others)) = self.in_pool(engine) else {
-            return false;
-        };
-        let out = others.iter().filter(|other| other.order.is_some()).count();
-        out < most_out(others.len() + 1) && serves_without(record, &others)
+        let record = self.backends.get(engine);
+        record.is_some_and(|record| self.pool_of(record).can_spare(record))
     }
 
     /// The same for a pool without work: any number may be out.
     pub fn idle_pool_can_spare(&self, engine: &BackendId) -> bool {
-        let pool = self.in_pool(engine);
-        pool.is_some_and(|(record, others)| serves_without(record, &others))
+        let record = self.backends.get(engine);
+        record.is_some_and(|record| self.pool_of(record).idle_can_spare(record))
     }
 
-    /// An engine and the others of its pool.
-    fn in_pool(&self, engine: &BackendId) -> Option<(&BackendRecord, Vec<&BackendRecord>)> {
-        let record = self.backends.get(engine)?;
-        let pool = Some(record.pool()?);
-        let others = self
-            .backends
-            .iter()
-            .filter(|(id, other)| *id != engine && other.pool() == pool)
-            .map(|(_, other)| other);
-        Some((record, others.collect()))
+    /// Counts of all pools.
+    pub(crate) fn pool_census(&self) -> PoolCensus<'_> {
+        PoolCensus::of(self.backends.values())
     }
-}
-
-/// Whether the others serve every phase that they serve together with `engine`.
-fn serves_without(engine: &BackendRecord, others: &[&BackendRecord]) -> bool {
-    let rest = ServedPhases::of(others);
-    rest == rest.with(engine) && rest != ServedPhases::default()
-}
-
-/// Engines of a pool that may be out for orders at once: one of every
-/// [`ENGINES_FOR_EACH_OUT`], at least one.
-fn most_out(pool_size: usize) -> usize {
-    (pool_size / ENGINES_FOR_EACH_OUT).max(1)
-}
 
-/// See [`most_out`].
-const ENGINES_FOR_EACH_OUT: usize = 4;
-
-/// The phases of inference that some engine of a pool serves.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct ServedPhases {
-    prefill: bool,
-    decode: bool,
-}
-
-impl ServedPhases {
-    fn of(engines: &[&BackendRecord]) -> Self {
-        let none = ServedPhases::default();
-        engines
-            .iter()
-            .fold(none, |served, engine| served.with(engine))
-    }
-
-    fn with(self, engine: &BackendRecord) -> Self {
-        let role = engine
-            .assignment()
-            .filter(|_| engine.takes_work())
-            .map(|assignment| assignment.role);
-        ServedPhases {
-            prefill: self.prefill || role.is_some_and(EngineRole::reads_prompts),
-            decode: self.decode || role.is_some_and(EngineRole::generates),
-        }
+    /// Counts of the pool of an engine.
+    fn pool_of<'a>(&'a self, engine: &'a BackendRecord) -> PoolCensus<'a> {
+        let pool = engine.pool();
+        let is_alike = |other: &&BackendRecord| other.pool() == pool;
+        PoolCensus::of(self.backends.values().filter(is_alike))
     }
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -25,6 +25,7 @@
 mod operator;
 mod planner_settings;
 mod planning;
+mod pool_census;
 mod reconciler;
 mod replica;
 mod shared;
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -15,6 +15,7 @@
 use crate::configuration::{BackendRecord, Configuration, EngineObservation, OutstandingOrder};
 use crate::effects::EngineRequest;
 use crate::gateways::GatewayLeases;
+use crate::pool_census::PoolCensus;
 
 /// When the leader asks engines for their state.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -56,6 +57,7 @@
 /// The present for one look at an engine.
 pub(crate) struct Present<'a> {
     pub(crate) configuration: &'a Configuration,
+    pub(crate) census: &'a PoolCensus<'a>,
     pub(crate) gateways: &'a GatewayLeases,
     /// Whether the pool of an engine is known to have no work.
     pub(crate) idle: &'a dyn Fn(&BackendId) -> bool,
@@ -109,6 +111,31 @@
         track.is_some_and(|track| track.awaiting_index > applied_index)
     }
 
+    /// Engines that something may have to be done about: those that are asked for
+    /// their state, are out for an order, or are not what they shall be. What is
+    /// remembered of all others is forgotten.
+    pub(crate) fn concerned(
+        &mut self,
+        configuration: &Configuration,
+        applied_index: u64,
+    ) -> Vec<BackendId> {
+        let asks_all = self.polling == EnginePolling::Always;
+        let is_concerned = |record: &BackendRecord| {
+            let is_engine = record.registration.kind == BackendKind::Engine;
+            is_engine && (asks_all || record.order.is_some() || !is_as_desired(record))
+        };
+        let backends = &configuration.backends;
+        self.tracks.retain(|engine, track| {
+            let record = backends.get(engine);
+            track.awaiting_index > applied_index || record.is_some_and(is_concerned)
+        });
+        backends
+            .iter()
+            .filter(|(_, record)| is_concerned(record))
+            .map(|(engine, _)| engine.clone())
+            .collect()
+    }
+
     /// The next steps for one engine.
     pub(crate) fn steps(&mut self, engine: &BackendId, present: &Present<'_>) -> Vec<Step> {
         let Some(record) = present.configuration.backends.get(engine) else {
@@ -173,12 +200,11 @@
         if settled || record.machine != MachineState::Live {
             return None;
         }
-        let configuration = present.configuration;
         if (present.idle)(engine) {
-            let may_leave = configuration.idle_pool_can_spare(engine);
+            let may_leave = present.census.idle_can_spare(record);
             return may_leave.then(|| Step::Propose(Command::BeginIdleOrder(engine.clone())));
         }
-        let may_leave = configuration.pool_can_spare(engine);
+        let may_leave = present.census.can_spare(record);
         may_leave.then(|| Step::Propose(Command::BeginOrder(engine.clone())))
     }
 
@@ -231,6 +257,13 @@
     }
 }
 
+/// Whether nothing else is desired of an engine than what it is.
+fn is_as_desired(record: &BackendRecord) -> bool {
+    let observed = record.observed.as_ref().map(|seen| &seen.assignment);
+    let desired = record.desired.as_ref();
+    desired.is_none() || desired == observed
+}
+
 fn is_done(status: &EngineStatus, order: &OutstandingOrder) -> bool {
     status
         .highest_fence
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -21,25 +21,37 @@
 
 impl Replica {
     pub(super) fn reconcile(&mut self) {
-        let engines: Vec<BackendId> = self.state.configuration.backends.keys().cloned().collect();
-        self.looked_at += engines.len() as u64;
         let status = self.node.status();
+        let configuration = &self.state.configuration;
+        let engines = self
+            .reconciler
+            .concerned(configuration, status.applied_index);
+        if engines.is_empty() {
+            return;
+        }
+        self.looked_at += engines.len() as u64;
+        let census = configuration.pool_census();
+        let balancing = self.balancing.as_ref();
+        let is_idle = |engine: &BackendId| {
+            balancing.is_some_and(|balancing| balancing.is_idle(configuration, engine))
+        };
+        let present = Present {
+            configuration,
+            census: &census,
+            gateways: &self.gateways,
+            term: status.term,
+            applied_index: status.applied_index,
+            idle: &is_idle,
+            polls: self.settings.engine_polling == EnginePolling::Always,
+            now: self.now,
+        };
+        let mut steps = Vec::new();
         for engine in engines {
-            let present = Present {
-                configuration: &self.state.configuration,
-                gateways: &self.gateways,
-                term: status.term,
-                applied_index: status.applied_index,
-                idle: &|engine| {
-                    let balancing = self.balancing.as_ref();
-                    balancing.is_some_and(|b| b.is_idle(&self.state.configuration, engine))
-                },
-                polls: self.settings.engine_polling == EnginePolling::Always,
-                now: self.now,
-            };
-            for step in self.reconciler.steps(&engine, &present) {
-                self.take_step(&engine, step);
-            }
+            let of_engine = self.reconciler.steps(&engine, &present);
+            steps.extend(of_engine.into_iter().map(|step| (engine.clone(), step)));
+        }
+        for (engine, step) in steps {
+            self.take_step(&engine, step);
         }
     }
 
@@ -105,7 +117,7 @@
             .as_ref()
             .map(|routes| self.sizing.given_back(routes, &self.state.needed_engines));
         let given_back = given_back.unwrap_or_default();
-        let changes = balancing.decide(configuration, &backlogs, &given_back, self.now);
+        let changes = balancing.decide(configuration, &backlogs, given_back, self.now);
         self.looked_at += balancing.take_looked_at();
         let applied = self.node.status().applied_index;
         for change in changes {
