--- a/bin/garnet-control/src/machines.rs
+++ b/bin/garnet-control/src/machines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use garnet_control::MachineEntry;
-use garnet_control_shell::{DirectoryError, DirectoryPort};
+use garnet_control_shell::{DirectoryError, DirectoryPort, Listing};
 use garnet_engine_api::paths;
 use garnet_runtime::{HttpClient, client};
 
@@ -24,12 +24,14 @@
 }
 
 impl DirectoryPort for MachineList {
-    async fn read(&self) -> Result<Vec<MachineEntry>, DirectoryError> {
+    async fn read(&self) -> Result<Listing, DirectoryError> {
         let request = client::get_request(paths::MACHINES);
         let unreachable = || DirectoryError::Unreachable(self.address.clone());
-        fetch(&self.http, &self.address, request)
-            .await
-            .ok_or_else(unreachable)
+        let machines: Option<Vec<MachineEntry>> = fetch(&self.http, &self.address, request).await;
+        Ok(Listing {
+            machines: machines.ok_or_else(unreachable)?,
+            left_aside: Vec::new(),
+        })
     }
 
     fn interval(&self) -> Duration {
--- a/components/control-shell/src/directory.rs
+++ b/components/control-shell/src/directory.rs
@@ -12,6 +12,8 @@
 use smol::channel::Sender;
 use thiserror::Error;
 
+use crate::metrics::ReplicaMetrics;
+
 /// How often a replica that does not lead looks whether it leads now.
 const LEADERSHIP_CHECK: Duration = Duration::from_millis(100);
 
@@ -26,10 +28,20 @@
     Malformed(String),
 }
 
+/// One reading of the list.
+#[derive(Debug, Default)]
+pub struct Listing {
+    /// The machines that it names.
+    pub machines: Vec<MachineEntry>,
+    /// Why entries were left aside, one reason for each: they name nothing that can
+    /// be used.
+    pub left_aside: Vec<String>,
+}
+
 /// Reads the list of machines.
 pub trait DirectoryPort {
     /// The whole list as it stands.
-    fn read(&self) -> impl Future<Output = Result<Vec<MachineEntry>, DirectoryError>>;
+    fn read(&self) -> impl Future<Output = Result<Listing, DirectoryError>>;
     /// Pause between two readings.
     fn interval(&self) -> Duration;
     /// Whether only the leader reads, where each question has a price.
@@ -41,33 +53,46 @@
     directory: Rc<D>,
     leads: Rc<Cell<bool>>,
     events: Sender<Event>,
+    metrics: Rc<ReplicaMetrics>,
 ) -> ChildSpec {
     ChildSpec::new("directory", Restart::Permanent, move |stop: StopSignal| {
         let directory = Rc::clone(&directory);
         let leads = Rc::clone(&leads);
         let events = events.clone();
+        let metrics = Rc::clone(&metrics);
         async move {
-            let reading = read_on(&*directory, &leads, &events);
+            let reading = read_on(&*directory, &leads, &events, &metrics);
             smol::future::or(reading, stop.stopped()).await;
             Ok::<(), ChildError>(())
         }
     })
 }
 
-async fn read_on(directory: &impl DirectoryPort, leads: &Cell<bool>, events: &Sender<Event>) {
+async fn read_on(
+    directory: &impl DirectoryPort,
+    leads: &Cell<bool>,
+    events: &Sender<Event>,
+    metrics: &ReplicaMetrics,
+) {
     let mut healthy = true;
+    let mut left_aside = 0;
     loop {
         if directory.leader_only() && !leads.get() {
             Timer::after(LEADERSHIP_CHECK).await;
             continue;
         }
         match directory.read().await {
-            Ok(machines) => {
+            Ok(listing) => {
                 if !healthy {
-                    log::info!(machines = machines.len(); "directory_regained");
+                    log::info!(machines = listing.machines.len(); "directory_regained");
                 }
                 healthy = true;
-                let _unheard = events.send(Event::Machines(machines)).await;
+                metrics.left_entries_aside(listing.left_aside.len());
+                if listing.left_aside.len() != left_aside {
+                    left_aside = listing.left_aside.len();
+                    note_left_aside(&listing.left_aside);
+                }
+                let _unheard = events.send(Event::Machines(listing.machines)).await;
             }
             Err(error) => {
                 if healthy {
@@ -79,3 +104,9 @@
         Timer::after(directory.interval()).await;
     }
 }
+
+/// One line, whatever the number of entries.
+fn note_left_aside(reasons: &[String]) {
+    let first = reasons.first().map_or("", String::as_str);
+    log::warn!(entries = reasons.len(), first = first; "list_entries_left_aside");
+}
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -19,7 +19,7 @@
 mod stopping;
 
 pub use connections::Connections;
-pub use directory::{DirectoryError, DirectoryPort};
+pub use directory::{DirectoryError, DirectoryPort, Listing};
 pub use disk_room::wait_for_room;
 pub use duties::{DutyPort, NoDuties};
 pub use engines::EnginePort;
--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -35,6 +35,7 @@
     quarantined: Gauge,
     looked_at: Gauge,
     backends: Gauge,
+    left_aside: Gauge,
 }
 
 impl Default for ReplicaMetrics {
@@ -91,7 +92,10 @@
         let looked_at = registered(all, "backends_looked_at", help, Gauge::default());
         let help = "Back ends that are known";
         let backends = registered(all, "backends", help, Gauge::default());
+        let help = "Entries of the list of machines that the newest reading left aside";
+        let left_aside = registered(all, "list_entries_left_aside", help, Gauge::default());
         ReplicaMetrics {
+            left_aside,
             quarantined,
             looked_at,
             backends,
@@ -148,6 +152,10 @@
         self.duty_calls.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn left_entries_aside(&self, entries: usize) {
+        self.left_aside.set(gauge_value(entries as u64));
+    }
+
     pub(crate) fn became_leader(&self) {
         self.terms_led.inc();
     }
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -93,7 +93,13 @@
         ];
         if let Some(directory) = ports.directory {
             let events = self.events_in.clone();
-            children.push(directory::child(Rc::new(directory), told.leads, events));
+            let metrics = Rc::clone(&self.metrics);
+            children.push(directory::child(
+                Rc::new(directory),
+                told.leads,
+                events,
+                metrics,
+            ));
         }
         if let Some((request, addresses)) = join {
             let connections = self.connections.clone();
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -50,15 +50,45 @@
     pub zone: String,
 }
 
+/// Incarnation of an engine that does not tell which of its starts it is.
+pub const UNTOLD_START: u64 = 0;
+
 /// What an engine was seen to be.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineObservation {
-    /// Start of the engine that was seen.
+    /// Start of the engine that was seen, or [`UNTOLD_START`].
     pub incarnation: u64,
     /// What it is set up for.
     pub assignment: EngineAssignment,
 }
 
+impl EngineObservation {
+    /// Whether another start of the engine was seen than `former` tells of: it
+    /// holds and knows nothing of before.
+    pub fn is_another_start(&self, former: &EngineObservation) -> bool {
+        let told = [self.incarnation, former.incarnation];
+        !told.contains(&UNTOLD_START) && self.incarnation != former.incarnation
+    }
+
+    /// What is known after `former`: one of several that speak of an engine may not
+    /// tell its start.
+    pub(crate) fn after(&self, former: Option<&EngineObservation>) -> EngineObservation {
+        let start = match self.incarnation {
+            UNTOLD_START => former.map_or(UNTOLD_START, |former| former.incarnation),
+            told => told,
+        };
+        EngineObservation {
+            incarnation: start,
+            assignment: self.assignment.clone(),
+        }
+    }
+
+    /// Whether it says anything that `former` does not.
+    pub(crate) fn is_news_after(&self, former: Option<&EngineObservation>) -> bool {
+        former != Some(&self.after(former))
+    }
+}
+
 /// An order that is not settled.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutstandingOrder {
--- a/components/control/src/copies.rs
+++ b/components/control/src/copies.rs
@@ -28,6 +28,8 @@
     backend: BackendId,
     /// Place of the back end in the configuration.
     place: Option<u16>,
+    /// Set where the back end has started again since.
+    is_void: bool,
 }
 
 /// The latest notes, and how far each gateway has heard them.
@@ -73,12 +75,22 @@
                 prefix: copy.prefix,
                 place: self.places.by_id.get(&copy.backend).copied(),
                 backend: copy.backend,
+                is_void: false,
             });
             self.next_number += 1;
         }
         self.forget_old(now);
     }
 
+    /// Forgets what an engine held that has started again since. Its notes stay
+    /// in their places and tell nothing.
+    pub(crate) fn started_again(&mut self, engine: &BackendId) {
+        let is_its = |note: &&mut Note| note.backend == *engine;
+        for note in self.notes.iter_mut().filter(is_its) {
+            note.is_void = true;
+        }
+    }
+
     /// What others told since `gateway` heard of it last, the oldest first.
     pub(crate) fn news_for(
         &mut self,
@@ -100,7 +112,7 @@
                 break;
             }
             heard += 1;
-            if let Some(place) = note.place.filter(|_| note.by != *gateway) {
+            if let Some(place) = note.place.filter(|_| note.by != *gateway && !note.is_void) {
                 let prefix = note.prefix;
                 copies.push(PlacedCopy { prefix, place });
             }
--- a/components/control/src/fleet_load.rs
+++ b/components/control/src/fleet_load.rs
@@ -155,6 +155,11 @@
         *all.select_nth_unstable(middle).1
     }
 
+    /// Forgets how requests ended at a back end that has started again since.
+    pub(crate) fn started_again(&mut self, backend: &BackendId) {
+        self.health.keep(|id| id != backend);
+    }
+
     pub(crate) fn clear(&mut self) {
         *self = FleetLoad::default();
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -40,7 +40,7 @@
 pub use command::{ClaimCommand, Command, CommandEnvelope, MachineNote};
 pub use configuration::{
     BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
-    OutstandingOrder, PolicyRecord, QuarantineRecord, Session,
+    OutstandingOrder, PolicyRecord, QuarantineRecord, Session, UNTOLD_START,
 };
 pub use duties::{Duty, DutyAnswer, DutyCall, DutySettings, Tenure, Tenures};
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
--- a/components/control/src/reconciler.rs
+++ b/components/control/src/reconciler.rs
@@ -97,6 +97,13 @@
         (now.since(*at) <= STATUS_FRESH).then_some(status)
     }
 
+    /// Forgets what an engine told of itself: it has started again since.
+    pub(crate) fn started_again(&mut self, engine: &BackendId) {
+        if let Some(track) = self.tracks.get_mut(engine) {
+            track.status = None;
+        }
+    }
+
     /// Notes that a command about the engine was proposed.
     pub(crate) fn proposed(&mut self, engine: &BackendId, index: u64) {
         self.tracks
@@ -185,7 +192,7 @@
                 incarnation: status.incarnation,
                 assignment: status.assignment.clone(),
             };
-            if record.observed.as_ref() != Some(&observation) {
+            if observation.is_news_after(record.observed.as_ref()) {
                 let engine = engine.clone();
                 return Some(Step::Propose(Command::Observe {
                     engine,
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -153,6 +153,9 @@
         if self.machines_noted_at > self.node.status().applied_index {
             return;
         }
+        for entry in machines {
+            self.note_start(entry);
+        }
         let mut notes: Vec<MachineNote> = machines
             .iter()
             .filter_map(|entry| self.compare_machine(entry))
@@ -185,6 +188,21 @@
         }
     }
 
+    /// Where an engine has started again under its name, what was believed of it
+    /// belongs to another one.
+    fn note_start(&mut self, entry: &MachineEntry) {
+        let id = &entry.registration.id;
+        let record = self.state.configuration.backends.get(id);
+        let former = record.and_then(|record| record.observed.as_ref());
+        if let (Some(now), Some(former)) = (&entry.observed, former)
+            && now.is_another_start(former)
+        {
+            self.reconciler.started_again(id);
+            self.copies.started_again(id);
+            self.fleet_load.started_again(id);
+        }
+    }
+
     fn propose_machines(&mut self, command: Command) {
         if let Some(index) = self.propose_own(command) {
             self.machines_noted_at = index;
@@ -200,7 +218,10 @@
             .get(&entry.registration.id);
         let observed = entry.observed.clone().filter(|now| {
             known.is_none_or(|record| {
-                record.order.is_none() && record.observed.as_ref() != Some(now)
+                let is_again = |former| now.is_another_start(former);
+                let may_tell =
+                    record.order.is_none() || record.observed.as_ref().is_some_and(is_again);
+                may_tell && now.is_news_after(record.observed.as_ref())
             })
         });
         let is_known = known.is_some_and(|record| {
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -216,7 +216,7 @@
                 engine,
                 observation,
             } => self.edit(engine, fence.index, |record| {
-                record.observed = Some(observation.clone());
+                record.observed = Some(observation.after(record.observed.as_ref()));
                 Ok(())
             }),
             Command::Claim(claim) => {
@@ -416,8 +416,8 @@
         let put = |note: &MachineNote| {
             let mut record = self.registered(index, &note.registration);
             record.machine = note.state;
-            if note.observed.is_some() {
-                record.observed.clone_from(&note.observed);
+            if let Some(observed) = &note.observed {
+                record.observed = Some(observed.after(record.observed.as_ref()));
             }
             let held = self.configuration.backends.get(&note.registration.id);
             let is_news = held.is_none_or(|held| {
@@ -507,7 +507,7 @@
                 return Err("the order is not outstanding".into());
             }
             record.order = None;
-            record.observed = Some(observation.clone());
+            record.observed = Some(observation.after(record.observed.as_ref()));
             Ok(())
         })
     }
--- a/components/control/tests/state/machine_list.rs
+++ b/components/control/tests/state/machine_list.rs
@@ -8,6 +8,7 @@
 use crate::leader::Leader;
 use garnet_control::{
     BackendRegistration, EngineObservation, EnginePolling, Event, MachineEntry, ReplicaSettings,
+    UNTOLD_START,
 };
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
@@ -119,3 +120,21 @@
     leader.run(Millis(500));
     assert_eq!(entries_of(&mut leader, rest), 1);
 }
+
+/// The list tells the start of an engine, its own report may not: what does not tell
+/// it changes nothing, and another start is news.
+#[test]
+fn another_start_of_an_engine_is_noted() {
+    let mut leader = leader();
+    entries_of(&mut leader, list(3));
+    leader.persist();
+    let mut next = list(3);
+    next[2].observed.as_mut().expect("an engine").incarnation = UNTOLD_START;
+    assert_eq!(entries_of(&mut leader, next.clone()), 0);
+    next[2].observed.as_mut().expect("an engine").incarnation = 77;
+    assert_eq!(entries_of(&mut leader, next), 1);
+    leader.persist();
+    let backends = &leader.replica.state().configuration.backends;
+    let seen = backends[&BackendId::new("engine-2")].observed.as_ref();
+    assert_eq!(seen.expect("an engine").incarnation, 77);
+}
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -1,6 +1,6 @@
 //! What a gateway believes of one back end.
 
-use garnet_control::{BackendRecord, BackendRegistration, Backlog, ByRank};
+use garnet_control::{BackendRecord, BackendRegistration, Backlog, ByRank, UNTOLD_START};
 use garnet_routing::CircuitBreaker;
 use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
 
@@ -138,6 +138,11 @@
         &mut self.others
     }
 
+    /// Forgets what the back end told itself.
+    fn forget_told(&mut self) {
+        self.last_report = None;
+    }
+
     fn fresh(&self, now: Millis) -> Option<&TimedReport> {
         let fresh = |told: &&TimedReport| now.since(told.at) <= REPORT_FRESH;
         self.last_report.as_ref().filter(fresh)
@@ -149,6 +154,8 @@
 pub struct Backend {
     /// How it introduced itself.
     pub registration: BackendRegistration,
+    /// Which start of an engine it is, where that is told.
+    pub start: u64,
     /// Phases that an engine serves; `None` for an application.
     pub role: Option<EngineRole>,
     /// Whether the configuration lets it take new work.
@@ -170,6 +177,7 @@
     pub fn new(record: &BackendRecord) -> Self {
         let mut backend = Backend {
             registration: record.registration.clone(),
+            start: UNTOLD_START,
             role: None,
             takes_work: false,
             gone: false,
@@ -182,14 +190,26 @@
         backend
     }
 
-    /// Takes a newer record.
-    pub fn update(&mut self, record: &BackendRecord) {
+    /// Takes a newer record. `true` where it is of another start of the engine, which
+    /// holds and knows nothing of before; own requests under way end by themselves.
+    pub fn update(&mut self, record: &BackendRecord) -> bool {
         self.registration = record.registration.clone();
         self.takes_work = record.takes_work();
         self.role = match record.registration.kind {
             BackendKind::Application => None,
             BackendKind::Engine => record.assignment().map(|assignment| assignment.role),
         };
+        let told = record.observed.as_ref().map(|seen| seen.incarnation);
+        let told = told.unwrap_or(UNTOLD_START);
+        let before = std::mem::replace(&mut self.start, told);
+        let is_another = before != told && before != UNTOLD_START && told != UNTOLD_START;
+        if is_another {
+            self.gone = false;
+            self.breaker = CircuitBreaker::default();
+            self.failing_at = None;
+            self.load.forget_told();
+        }
+        is_another
     }
 
     /// Whether a new request may be sent to it.
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -154,7 +154,9 @@
             match (record, self.backends.get_mut(id)) {
                 (Some(record), Some(backend)) => {
                     let did = likes(backend);
-                    backend.update(record);
+                    if backend.update(record) {
+                        self.residency.remove(id);
+                    }
                     self.likes.follow_change(&did, backend);
                 }
                 (Some(record), None) => {
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -1,6 +1,7 @@
 //! Requests under which engines end: what this gateway saw of them, and what
 //! the leader and the configuration say.
 
+use garnet_control::UNTOLD_START;
 use garnet_quarantine::{
     EngineStart, RequestFingerprint, RunReport, Standing, Suspects, own_backend,
 };
@@ -12,9 +13,6 @@
 /// log says until when it is refused.
 const UNTIL_LOGGED: Millis = Millis::from_secs(60);
 
-/// The name of an engine is that of one start of it.
-const ONLY_INCARNATION: u64 = 0;
-
 impl Forwarder {
     /// Whether nothing is known of any request, so that none need be looked up.
     pub fn suspects_nobody(&self) -> bool {
@@ -39,7 +37,7 @@
     pub fn run_crashed(&mut self, fingerprint: RequestFingerprint, id: &BackendId, now: Millis) {
         let engine = EngineStart {
             backend: id.clone(),
-            incarnation: ONLY_INCARNATION,
+            incarnation: self.backend(id).map_or(UNTOLD_START, |engine| engine.start),
         };
         self.crash_log.crashed(fingerprint, engine, now);
     }
--- a/components/forwarding/tests/core/configuration.rs
+++ b/components/forwarding/tests/core/configuration.rs
@@ -4,9 +4,9 @@
 
 use garnet_control::{ConfigurationChange, WatchUpdate};
 use garnet_forwarding::Forwarder;
-use garnet_types::{BackendId, MachineState, Millis, ServiceId};
+use garnet_types::{BackendId, EngineRole, MachineState, Millis, ServiceId};
 
-use crate::fleet::{NOW, configuration, empty_forwarder, forwarder, record, table};
+use crate::fleet::{NOW, configuration, empty_forwarder, forwarder, prompt, record, table};
 
 #[test]
 fn an_older_snapshot_is_left_aside() {
@@ -142,3 +142,30 @@
     assert_eq!(followed(300), 1);
     assert_eq!(followed(600), 1);
 }
+
+/// An engine starts again under its id: what it had read is gone, it does not leave,
+/// and its failures were another one's.
+#[test]
+fn an_engine_that_starts_again_is_another_one() {
+    let mut engine = record("i-1", "words", "a", Some(EngineRole::Prefill));
+    let mut forwarder = forwarder(std::slice::from_ref(&engine));
+    let id = BackendId::new("i-1");
+    let prompt = prompt(7, 8, 4_000);
+    forwarder.holds(&id, &prompt, NOW);
+    assert!(forwarder.uncached_tokens(&id, &prompt, None, NOW) < prompt.tokens);
+    forwarder.gone(&id);
+    (0..10).for_each(|_| forwarder.failed(&id, NOW));
+    assert!(!forwarder.backend(&id).expect("known").is_open(NOW, false));
+    engine.observed.as_mut().expect("an engine").incarnation = 2;
+    let put = ConfigurationChange::BackendPut(engine);
+    forwarder.update(WatchUpdate::Changes {
+        from: 5,
+        to: 6,
+        changes: vec![(6, put)].into(),
+    });
+    assert!(forwarder.backend(&id).expect("known").is_open(NOW, false));
+    assert_eq!(
+        forwarder.uncached_tokens(&id, &prompt, None, NOW),
+        prompt.tokens
+    );
+}
