What waits for a connection takes memory only while it waits

Cause: the queue of each connection was made for 1,024 frames of 200 bytes at once: 213 KB for each gateway that rests, 210 MB before 985 of them; with the whole configurations that waited in them it ended leaders at 512 MB.

Change: queues grow with what waits, within the same bound.

--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -11,7 +11,7 @@
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::ReplicaId;
 use garnet_wire::{Frame, Sender as FrameSender, WireError};
-use smol::channel::{Receiver, Sender, bounded};
+use smol::channel::{Receiver, Sender, bounded, unbounded};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
@@ -72,20 +72,20 @@
             return;
         };
         let sender = self.peer_queue(&address);
-        let _lost = sender.try_send(Frame::Peer(envelope));
+        queue(&sender, Frame::Peer(envelope));
     }
 
     /// Queues a wish to join for a replica.
     pub(crate) fn send_join(&self, address: &str, request: JoinRequest) {
         let sender = self.peer_queue(address);
-        let _lost = sender.try_send(Frame::Join(request));
+        queue(&sender, Frame::Join(request));
     }
 
     fn peer_queue(&self, address: &str) -> Sender<Frame> {
         if let Some(sender) = self.open.borrow().peers.get(address) {
             return sender.clone();
         }
-        let (sender, frames) = bounded(QUEUED_FRAMES);
+        let (sender, frames) = unbounded();
         let hello = FrameSender::Replica {
             id: self.id,
             address: self.address.clone(),
@@ -101,7 +101,7 @@
 
     pub(crate) fn reply_gateway(&self, connection: u64, reply: ControlReply) {
         if let Some(sender) = self.open.borrow().gateways.get(&connection) {
-            let _lost = sender.try_send(Frame::Control(reply));
+            queue(sender, Frame::Control(reply));
         }
     }
 
@@ -171,7 +171,7 @@
         mut reader: FrameReader,
         writer: FrameWriter,
     ) -> Result<(), WireError> {
-        let (sender, replies) = bounded(QUEUED_FRAMES);
+        let (sender, replies) = unbounded();
         let connection = self.next_number();
         self.open.borrow_mut().gateways.insert(connection, sender);
         let writing = self.executor.spawn(write_all(writer, replies));
@@ -230,6 +230,15 @@
     }
 }
 
+/// Queues a frame where fewer than [`QUEUED_FRAMES`] wait. The channel grows with what waits:
+/// one of a fixed size would take a quarter of a megabyte for each connection that
+/// rests, which is half of a replica's memory before a thousand gateways.
+fn queue(sender: &Sender<Frame>, frame: Frame) {
+    if sender.len() < QUEUED_FRAMES {
+        let _closed = sender.try_send(frame);
+    }
+}
+
 async fn write_all(mut writer: FrameWriter, frames: Receiver<Frame>) {
     while let Ok(frame) = frames.recv().await {
         if writer.send(frame).await.is_err() {
