--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -28,6 +28,10 @@
 const DECODE_SWING: f64 = 3.0;
 /// How long a leader listens before it takes a pool for one without load.
 const FIRST_LOOK: Millis = Millis(1200);
+/// A phase that lacks fewer than one engine of so many to the pool's share is left
+/// as it is: it changes the work of the others by as little, and a change of roles
+/// takes an engine out for seconds.
+const ENGINES_FOR_EACH_LACKING: usize = 100;
 /// Limits of an engine where the route table does not tell.
 const UNSTATED_LIMITS: EngineLimits = EngineLimits {
     slots: 64,
@@ -474,7 +478,11 @@
     if newcomers.is_empty() {
         return None;
     }
-    match kept_share(engines, share).cmp(&present) {
+    let wanted = kept_share(engines, share);
+    if wanted.abs_diff(present) * ENGINES_FOR_EACH_LACKING < engines {
+        return None;
+    }
+    match wanted.cmp(&present) {
         Ordering::Equal => None,
         Ordering::Greater => Some(EngineRole::Prefill),
         Ordering::Less => Some(EngineRole::Mixed),
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -160,6 +160,26 @@
     assert_eq!(looked_at(400), looked_at(800));
 }
 
+/// Roles stated when one engine of a loaded pool is replaced by one of another role.
+fn stated_for_a_newcomer(engines: usize) -> usize {
+    let mut leader = leader();
+    let before = pool(engines);
+    let loaded = watch(4_000, engines / 10);
+    stated(&mut leader, &vec![before.clone(); 3], &loaded);
+    let mut after = before;
+    after[0].state = MachineState::Leaving;
+    after.push(entry(engines + 1, EngineRole::Mixed));
+    stated(&mut leader, &vec![after; 3], &loaded).len()
+}
+
+/// While a pool's engines are replaced one after the other, each that came changed its
+/// role so that the share of prefill engines held to the last one of thousands.
+#[test]
+fn one_engine_of_hundreds_changes_no_role() {
+    assert_eq!(stated_for_a_newcomer(40), 1);
+    assert_eq!(stated_for_a_newcomer(400), 0);
+}
+
 #[test]
 fn a_new_leader_under_load_does_not_begin_anew() {
     let mut leader = leader();
