A gateway's decisions at a fleet's size: a benchmark, and numbers worked out once

garnet-bench fleet measures by hand what one gateway's decisions cost before so many engines. What is believed of the others' work is asked as one number where one number is needed, without a power where both are nothing; how long engines keep prefixes is one value for all that do the same work.

--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `garnet-bench`: load, experiments and reports.
 
 mod call;
+mod fleet;
 mod keys;
 mod load;
 mod mix_shift;
@@ -22,6 +23,7 @@
 
   call completion   one completion through a gateway, checked word by word
   call service      one application call through a gateway
+  fleet             what one gateway's decisions cost at a fleet's size
   keys              what tenants and their keys cost
   load              a real fleet under load that arrives in an open loop
   mix-shift         goodput and role changes while the token mix shifts
@@ -41,6 +43,7 @@
     };
     let outcome = match options.verb() {
         Some("call") => call::run(&options),
+        Some("fleet") => fleet::run(&options),
         Some("keys") => keys::run(&options),
         Some("load") => load::run(&options),
         Some("mix-shift") => mix_shift::run(&options),
--- a/components/control/src/by_rank.rs
+++ b/components/control/src/by_rank.rs
@@ -43,6 +43,11 @@
         Self::ranks().zip(self.0)
     }
 
+    /// The number at a rank.
+    pub fn of_rank(&self, rank: u8) -> u64 {
+        self.0[index(rank)]
+    }
+
     /// The sum over all ranks.
     pub fn total(&self) -> u64 {
         self.0.iter().sum()
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -47,7 +47,7 @@
     /// Requests that run or wait, as far as known.
     pub fn requests(&self, now: Millis) -> u64 {
         let own = self.own.total();
-        let heard = own + self.others.at(now).requests;
+        let heard = own + self.others.requests(now);
         let told = self.fresh(now).map_or(0, |told| {
             let all_then = told.report.running + told.report.waiting;
             all_then.saturating_sub(told.own_then) + own
@@ -57,17 +57,17 @@
 
     /// Prompt tokens that it has yet to prefill, as far as known.
     pub fn uncached_tokens(&self, now: Millis) -> u64 {
-        self.own_uncached.total() + self.others.at(now).uncached.total()
+        self.own_uncached.total() + self.others.uncached(now).total()
     }
 
     /// Of these, tokens that it prefills before a new request of this rank.
     pub fn tokens_ahead_of(&self, rank: u8, now: Millis) -> u64 {
-        self.own_uncached.ahead_of(rank) + self.others.at(now).uncached.ahead_of(rank)
+        self.own_uncached.ahead_of(rank) + self.others.uncached(now).ahead_of(rank)
     }
 
     /// Of these, what the leader told of other gateways.
     pub(crate) fn others_ahead_of(&self, rank: u8, now: Millis) -> u64 {
-        self.others.at(now).uncached.ahead_of(rank)
+        self.others.uncached(now).ahead_of(rank)
     }
 
     /// Time since the leader told of other gateways.
@@ -77,7 +77,7 @@
 
     /// Tokens of KV cache that requests under way hold, as far as known.
     pub fn held_tokens(&self, now: Millis) -> u64 {
-        self.own_held_tokens + self.others.at(now).held_tokens
+        self.own_held_tokens + self.others.held_tokens(now)
     }
 
     /// Own work under way at `backend`, to be told to the other gateways.
@@ -218,6 +218,11 @@
         self.takes_work && !self.gone && (despite_failures || healthy)
     }
 
+    /// Whether it is an engine that generates.
+    pub(crate) fn generates(&self) -> bool {
+        self.role.is_some_and(EngineRole::generates)
+    }
+
     /// Whether the fleet takes it for failing, and others try it.
     fn is_failing(&self, now: Millis) -> bool {
         let holds = |at: Millis| now.since(at) <= FAILING_FOR;
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -1,7 +1,7 @@
 //! Predictions from what is believed, and what is learned for them.
 
 use garnet_control::{ByRank, LAST_RANK};
-use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use garnet_types::{BackendId, Millis, ServiceId};
 
 use crate::admission::{Admission, Arrival, Prediction, admit};
 use crate::backends::Backend;
@@ -147,7 +147,10 @@
     /// rank; own requests are taken for like all others.
     fn part_before(&self, service: &ServiceId, rank: u8) -> f64 {
         let mut own = ByRank::default();
-        for backend in self.decode_engines_of(service) {
+        let with_work = self.with_own_work.iter();
+        let with_work = with_work.filter_map(|id| self.backends.get(id));
+        let of_service = with_work.filter(|backend| backend.registration.service == *service);
+        for backend in of_service.filter(|backend| backend.generates()) {
             own += backend.load.own_by_rank();
         }
         match own.total() {
@@ -158,7 +161,7 @@
 
     fn decode_engines_of(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
         self.backends_of(service)
-            .filter(|backend| backend.role.is_some_and(EngineRole::generates))
+            .filter(|backend| backend.generates())
     }
 
     /// Longest time that a prefill engine should take for a prompt of which it has
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -65,10 +65,9 @@
             return PrefillWork::default();
         };
         backend.load.sent(rank, uncached, Some(prompt));
-        self.residency
-            .entry(id.clone())
-            .or_default()
-            .note_sent(prompt, now);
+        if let Some(residency) = self.cache_of(id) {
+            residency.note_sent(prompt, now);
+        }
         PrefillWork {
             uncached,
             queued,
@@ -100,10 +99,9 @@
             backend.breaker.sent();
             backend.load.sent(rank, 0, Some(prompt));
             self.with_own_work.insert(id.clone());
-            self.residency
-                .entry(id.clone())
-                .or_default()
-                .note_sent(prompt, now);
+        }
+        if let Some(residency) = self.cache_of(id) {
+            residency.note_sent(prompt, now);
         }
     }
 
@@ -134,10 +132,9 @@
 
     /// Notes that an engine holds a prompt: it has read it, or took it over.
     pub fn holds(&mut self, id: &BackendId, prompt: &Prompt, now: Millis) {
-        if !self.backends.contains_key(id) {
+        let Some(residency) = self.cache_of(id) else {
             return;
-        }
-        let residency = self.residency.entry(id.clone()).or_default();
+        };
         let news = residency.note_read(prompt, now);
         let room = MOST_NEWS.saturating_sub(self.news.len());
         let copy = |prefix| PromptCopy {
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -158,6 +158,9 @@
                         self.residency.remove(id);
                     }
                     self.likes.follow_change(&did, backend);
+                    if let Some(residency) = self.residency.get_mut(id) {
+                        residency.share_lifetime(self.likes.cache_lifetime(backend));
+                    }
                 }
                 (Some(record), None) => {
                     members_changed = true;
--- a/components/forwarding/src/forwarder/fleet.rs
+++ b/components/forwarding/src/forwarder/fleet.rs
@@ -12,6 +12,7 @@
 use crate::cache_lifetime::lifetime;
 use crate::likes::{Likes, likes};
 use crate::others::{AlikeBelief, Underway};
+use crate::residency::Residency;
 
 use super::Forwarder;
 
@@ -132,7 +133,7 @@
         for (likes, alike) in self.likes.iter() {
             let sum = sums.get(likes).copied().unwrap_or_default();
             let pace = learned.get(&likes.0).map(|learned| learned.prefill.mean());
-            alike.belief.set(AlikeBelief {
+            alike.belief.replace(AlikeBelief {
                 mean: sum.mean(alike.count),
                 heard_at: now,
                 halved: pace.unwrap_or(OTHERS_HALVED).max(Millis(1)),
@@ -142,24 +143,27 @@
 
     /// Works out how long engines keep prefixes, from what comes in here and at
     /// as many gateways.
-    fn note_cache_lifetimes(&mut self, now: Millis) {
+    fn note_cache_lifetimes(&self, now: Millis) {
         let table = self.configuration.routes.as_ref();
-        for (id, residency) in &mut self.residency {
-            let Some(backend) = self.backends.get(id) else {
-                continue;
-            };
-            let service = &backend.registration.service;
+        for ((service, _), alike) in self.likes.iter() {
             let limits = table.and_then(|table| table.engine_limits(service));
             let learned = self.learned.get(service);
-            let (Some(limits), Some(learned)) = (limits, learned) else {
-                continue;
-            };
-            let alike = self.likes.count(&likes(backend));
-            let rate = learned.prompt_rate.per_s(now) * self.gateways as f64;
-            residency.set_lifetime(lifetime(limits.cache_tokens, alike, rate));
+            if let (Some(limits), Some(learned)) = (limits, learned) {
+                let rate = learned.prompt_rate.per_s(now) * self.gateways as f64;
+                let lifetime = lifetime(limits.cache_tokens, alike.count.max(1), rate);
+                alike.cache_lifetime.set(Some(lifetime));
+            }
         }
     }
 
+    /// What is believed of the cache of a back end that is known.
+    pub(super) fn cache_of(&mut self, id: &BackendId) -> Option<&mut Residency> {
+        let backend = self.backends.get(id)?;
+        let likes = &self.likes;
+        let unknown = || Residency::with_lifetime(likes.cache_lifetime(backend));
+        Some(self.residency.entry(id.clone()).or_insert_with(unknown))
+    }
+
     /// Engines that are worth looking at for a prompt that none owns: the fewer
     /// the older beliefs are against the time that a prompt is at an engine. What
     /// is older tells nothing of the present queue, and those who go by it all go
@@ -230,8 +234,7 @@
     pub fn note_copies(&mut self, copies: &[PromptCopy], now: Millis) {
         for copy in copies {
             // One that is not known yet is told of again later.
-            if self.backends.contains_key(&copy.backend) {
-                let residency = self.residency.entry(copy.backend.clone()).or_default();
+            if let Some(residency) = self.cache_of(&copy.backend) {
                 residency.note_told(copy.prefix, now);
             }
         }
--- a/components/forwarding/src/likes.rs
+++ b/components/forwarding/src/likes.rs
@@ -3,12 +3,12 @@
 //! Contract: made anew when back ends come or go, and kept while they only change,
 //! so that hearing of some of them costs nothing for the others.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use garnet_control::MembersHash;
-use garnet_types::{BackendId, EngineRole, ServiceId};
+use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 
 use crate::backends::Backend;
 use crate::others::AlikeBelief;
@@ -25,9 +25,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Alike {
     /// What is believed of all of them.
-    pub(crate) belief: Rc<Cell<AlikeBelief>>,
+    pub(crate) belief: Rc<RefCell<AlikeBelief>>,
     /// How many there are.
     pub(crate) count: usize,
+    /// How long they keep what nobody uses, where that is known.
+    pub(crate) cache_lifetime: Rc<Cell<Option<Millis>>>,
 }
 
 /// All back ends by their place and by the work that they do.
@@ -80,9 +82,10 @@
         self.places.get(place)
     }
 
-    /// How many back ends do this work.
-    pub(crate) fn count(&self, likes: &Likes) -> usize {
-        self.alike.get(likes).map_or(1, |alike| alike.count.max(1))
+    /// How long the like of a back end keep what nobody uses: one value for all.
+    pub(crate) fn cache_lifetime(&self, backend: &Backend) -> Rc<Cell<Option<Millis>>> {
+        let alike = self.alike.get(&likes(backend));
+        alike.map_or_else(Rc::default, |alike| Rc::clone(&alike.cache_lifetime))
     }
 
     /// All kinds of work.
--- a/components/forwarding/src/others.rs
+++ b/components/forwarding/src/others.rs
@@ -1,6 +1,6 @@
 //! What the other gateways have under way at a back end, as the leader told it.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use garnet_control::{BackendState, Backlog, ByRank};
@@ -51,14 +51,6 @@
             held_tokens: change(self.held_tokens),
         }
     }
-
-    fn plus(&self, other: &Self) -> Self {
-        let mut sum = *self;
-        sum.requests += other.requests;
-        sum.uncached += other.uncached;
-        sum.held_tokens += other.held_tokens;
-        sum
-    }
 }
 
 impl From<&BackendState> for Underway {
@@ -92,12 +84,12 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Others {
     there: Underway,
-    alike: Rc<Cell<AlikeBelief>>,
+    alike: Rc<RefCell<AlikeBelief>>,
 }
 
 impl Others {
     /// Joins the back ends that share this belief.
-    pub(crate) fn join(&mut self, alike: &Rc<Cell<AlikeBelief>>) {
+    pub(crate) fn join(&mut self, alike: &Rc<RefCell<AlikeBelief>>) {
         self.alike = Rc::clone(alike);
     }
 
@@ -108,24 +100,42 @@
 
     /// Time since the leader told it.
     pub(crate) fn heard_ago(&self, now: Millis) -> Millis {
-        now.since(self.alike.get().heard_at)
+        now.since(self.alike.borrow().heard_at)
+    }
+
+    /// Requests that they probably have there now.
+    pub(crate) fn requests(&self, now: Millis) -> u64 {
+        self.number_at(now, |underway| underway.requests)
+    }
+
+    /// Tokens of KV cache that these probably hold.
+    pub(crate) fn held_tokens(&self, now: Millis) -> u64 {
+        self.number_at(now, |underway| underway.held_tokens)
+    }
+
+    /// Prompt tokens that they probably have there to be prefilled.
+    pub(crate) fn uncached(&self, now: Millis) -> ByRank {
+        let mut uncached = ByRank::default();
+        for rank in ByRank::ranks() {
+            uncached.add(
+                rank,
+                self.number_at(now, |there| there.uncached.of_rank(rank)),
+            );
+        }
+        uncached
     }
 
-    /// What they probably have there now.
-    pub(crate) fn at(&self, now: Millis) -> Underway {
-        let AlikeBelief {
-            mean,
-            heard_at,
-            halved,
-        } = self.alike.get();
-        let nothing = Underway::default();
-        if self.there == nothing && mean == nothing {
-            return nothing;
+    /// What one number probably is now. Asked of thousands of engines for one choice,
+    /// of which nearly all have nothing.
+    fn number_at(&self, now: Millis, number: impl Fn(&Underway) -> u64) -> u64 {
+        let alike = self.alike.borrow();
+        let (there, mean) = (number(&self.there), number(&alike.mean));
+        if there == 0 && mean == 0 {
+            return 0;
         }
-        let age = now.since(heard_at);
-        let weight = (-age.as_secs_f64() / halved.as_secs_f64().max(0.001)).exp2();
-        let part = |weight: f64| move |number: u64| (number as f64 * weight).round() as u64;
-        let there = self.there.map(part(weight));
-        there.plus(&mean.map(part(1.0 - weight)))
+        let age = now.since(alike.heard_at);
+        let weight = (-age.as_secs_f64() / alike.halved.as_secs_f64().max(0.001)).exp2();
+        let part = |number: u64, weight: f64| (number as f64 * weight).round() as u64;
+        part(there, weight) + part(mean, 1.0 - weight)
     }
 }
--- a/components/forwarding/src/residency.rs
+++ b/components/forwarding/src/residency.rs
@@ -1,6 +1,8 @@
 //! Which prompt prefixes an engine holds, as far as this gateway knows.
 
+use std::cell::Cell;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 use garnet_types::{Millis, PrefixId};
 
@@ -29,8 +31,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Residency {
     beliefs: HashMap<PrefixId, Belief>,
-    /// How long the engine keeps what nobody uses, where that is known.
-    lifetime: Option<Millis>,
+    /// How long engines like this one keep what nobody uses, where that is known.
+    lifetime: Rc<Cell<Option<Millis>>>,
 }
 
 impl Residency {
@@ -86,13 +88,23 @@
         })
     }
 
-    /// Notes how long the engine keeps what nobody uses.
-    pub(crate) fn set_lifetime(&mut self, lifetime: Millis) {
-        self.lifetime = Some(lifetime);
+    /// Nothing is known of what the engine holds; `lifetime` is shared with its like.
+    pub(crate) fn with_lifetime(lifetime: Rc<Cell<Option<Millis>>>) -> Self {
+        Residency {
+            lifetime,
+            ..Residency::default()
+        }
+    }
+
+    /// The engine's work is that of others now.
+    pub(crate) fn share_lifetime(&mut self, lifetime: Rc<Cell<Option<Millis>>>) {
+        self.lifetime = lifetime;
     }
 
     fn at_most(&self, limit: Millis) -> Millis {
-        self.lifetime.map_or(limit, |lifetime| lifetime.min(limit))
+        self.lifetime
+            .get()
+            .map_or(limit, |lifetime| lifetime.min(limit))
     }
 
     fn tokens(&self, prefixes: &[Prefix], counts: impl Fn(&Belief) -> bool) -> u64 {
