--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -1,6 +1,8 @@
 //! The leader's use of the balance of phases: what gateways have under way at
 //! each engine tells how occupied prefill engines and decode engines are.
 
+mod members;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,13 +11,13 @@
     wanted_prefill_engines,
 };
 use garnet_routes::EngineLimits;
-use garnet_types::{
-    BackendId, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
-};
+use garnet_types::{BackendId, EngineAssignment, EngineRole, Millis, ServiceId};
 
 use crate::configuration::{BackendRecord, Configuration};
 use crate::messages::Backlog;
 
+use members::{Busy, Member, Pool, RoleCount, busy_engines, members, pools};
+
 /// A peak that does not come back is half forgotten after this time: longer
 /// than the swings of a mix within a minute, far shorter than its shifts over
 /// a day.
@@ -42,9 +44,6 @@
     handover_ms: Millis::ZERO,
 };
 
-type Pool = (ServiceId, ModelId);
-type PoolKey<'a> = (&'a ServiceId, &'a ModelId);
-
 /// How occupied a phase is: an average, and what it was at its peaks lately.
 ///
 /// What a phase needed a moment ago it may need again before an engine could
@@ -146,41 +145,6 @@
     pub(crate) occupancy: PhaseOccupancy,
 }
 
-/// An engine as the balance sees it.
-struct Member<'a> {
-    id: &'a BackendId,
-    zone: &'a str,
-    role: EngineRole,
-}
-
-/// An engine that has work.
-struct Busy<'a> {
-    role: EngineRole,
-    backlog: &'a Backlog,
-}
-
-/// Engines of a pool by their phase.
-#[derive(Debug, Clone, Copy, Default)]
-struct RoleCount {
-    prefill: usize,
-    decode: usize,
-}
-
-impl RoleCount {
-    fn of(members: &[Member<'_>]) -> Self {
-        let prefills = |member: &&Member<'_>| member.role == EngineRole::Prefill;
-        let prefill = members.iter().filter(prefills).count();
-        RoleCount {
-            prefill,
-            decode: members.len() - prefill,
-        }
-    }
-
-    fn engines(self) -> usize {
-        self.prefill + self.decode
-    }
-}
-
 impl Balancing {
     pub(crate) fn new(settings: BalanceSettings) -> Self {
         Balancing {
@@ -517,77 +481,6 @@
     (!engines.is_empty()).then_some(PoolStep { role, engines })
 }
 
-/// What an engine is to the balance; `None` for one that takes no part.
-fn member<'a>(
-    id: &'a BackendId,
-    record: &'a BackendRecord,
-    given_back: &BTreeSet<BackendId>,
-) -> Option<(PoolKey<'a>, Member<'a>)> {
-    // A change of role would not pay for one that leaves.
-    if given_back.contains(id) {
-        return None;
-    }
-    // The list may leave an engine out while it changes its role.
-    if record.machine != MachineState::Live && record.order.is_none() {
-        return None;
-    }
-    let assignment = shall_be(record)?;
-    let member = Member {
-        id,
-        zone: &record.registration.zone,
-        role: assignment.role,
-    };
-    Some(((&record.registration.service, &assignment.model), member))
-}
-
-/// Engines that take part: an engine counts as what it shall be.
-fn pools<'a>(
-    configuration: &'a Configuration,
-    given_back: &BTreeSet<BackendId>,
-) -> BTreeMap<PoolKey<'a>, Vec<Member<'a>>> {
-    let mut pools: BTreeMap<PoolKey<'_>, Vec<Member<'_>>> = BTreeMap::new();
-    let backends = configuration.backends.iter();
-    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, given_back)) {
-        pools.entry(pool).or_default().push(member);
-    }
-    pools
-}
-
-/// Engines of one pool.
-fn members<'a>(
-    configuration: &'a Configuration,
-    given_back: &BTreeSet<BackendId>,
-    (service, model): &Pool,
-) -> Vec<Member<'a>> {
-    let backends = configuration.backends.iter();
-    backends
-        .filter_map(|(id, record)| member(id, record, given_back))
-        .filter(|(pool, _)| *pool == (service, model))
-        .map(|(_, member)| member)
-        .collect()
-}
-
-/// Engines that have work, by pool.
-fn busy_engines<'a>(
-    configuration: &'a Configuration,
-    backlogs: &'a BTreeMap<BackendId, Backlog>,
-    given_back: &BTreeSet<BackendId>,
-) -> BTreeMap<PoolKey<'a>, Vec<Busy<'a>>> {
-    let mut busy: BTreeMap<PoolKey<'_>, Vec<Busy<'_>>> = BTreeMap::new();
-    for (id, backlog) in backlogs {
-        let record = configuration.backends.get(id);
-        if let Some((pool, member)) = record.and_then(|record| member(id, record, given_back)) {
-            let role = member.role;
-            busy.entry(pool).or_default().push(Busy { role, backlog });
-        }
-    }
-    busy
-}
-
-fn shall_be(record: &BackendRecord) -> Option<&EngineAssignment> {
-    record.desired.as_ref().or(record.assignment())
-}
-
 /// What one engine of a service can hold.
 fn limits(configuration: &Configuration, service: &ServiceId) -> EngineLimits {
     let table = configuration.routes.as_ref();
--- /dev/null
+++ b/components/control/src/balancing/members.rs
@@ -0,0 +1,117 @@
+//! Who is in which pool, as the balance of phases sees it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use garnet_types::{BackendId, EngineAssignment, EngineRole, MachineState, ModelId, ServiceId};
+
+use crate::configuration::{BackendRecord, Configuration};
+use crate::messages::Backlog;
+
+pub(super) type Pool = (ServiceId, ModelId);
+pub(super) type PoolKey<'a> = (&'a ServiceId, &'a ModelId);
+
+/// An engine as the balance sees it.
+pub(super) struct Member<'a> {
+    pub(super) id: &'a BackendId,
+    pub(super) zone: &'a str,
+    pub(super) role: EngineRole,
+}
+
+/// An engine that has work.
+pub(super) struct Busy<'a> {
+    pub(super) role: EngineRole,
+    pub(super) backlog: &'a Backlog,
+}
+
+/// Engines of a pool by their phase.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct RoleCount {
+    pub(super) prefill: usize,
+    pub(super) decode: usize,
+}
+
+impl RoleCount {
+    pub(super) fn of(members: &[Member<'_>]) -> Self {
+        let prefills = |member: &&Member<'_>| member.role == EngineRole::Prefill;
+        let prefill = members.iter().filter(prefills).count();
+        RoleCount {
+            prefill,
+            decode: members.len() - prefill,
+        }
+    }
+
+    pub(super) fn engines(self) -> usize {
+        self.prefill + self.decode
+    }
+}
+
+/// What an engine is to the balance; `None` for one that takes no part.
+fn member<'a>(
+    id: &'a BackendId,
+    record: &'a BackendRecord,
+    given_back: &BTreeSet<BackendId>,
+) -> Option<(PoolKey<'a>, Member<'a>)> {
+    // A change of role would not pay for one that leaves.
+    if given_back.contains(id) {
+        return None;
+    }
+    // The list may leave an engine out while it changes its role.
+    if record.machine != MachineState::Live && record.order.is_none() {
+        return None;
+    }
+    let assignment = shall_be(record)?;
+    let member = Member {
+        id,
+        zone: &record.registration.zone,
+        role: assignment.role,
+    };
+    Some(((&record.registration.service, &assignment.model), member))
+}
+
+/// Engines that take part: an engine counts as what it shall be.
+pub(super) fn pools<'a>(
+    configuration: &'a Configuration,
+    given_back: &BTreeSet<BackendId>,
+) -> BTreeMap<PoolKey<'a>, Vec<Member<'a>>> {
+    let mut pools: BTreeMap<PoolKey<'_>, Vec<Member<'_>>> = BTreeMap::new();
+    let backends = configuration.backends.iter();
+    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, given_back)) {
+        pools.entry(pool).or_default().push(member);
+    }
+    pools
+}
+
+/// Engines of one pool.
+pub(super) fn members<'a>(
+    configuration: &'a Configuration,
+    given_back: &BTreeSet<BackendId>,
+    (service, model): &Pool,
+) -> Vec<Member<'a>> {
+    let backends = configuration.backends.iter();
+    backends
+        .filter_map(|(id, record)| member(id, record, given_back))
+        .filter(|(pool, _)| *pool == (service, model))
+        .map(|(_, member)| member)
+        .collect()
+}
+
+/// Engines that have work, by pool.
+pub(super) fn busy_engines<'a>(
+    configuration: &'a Configuration,
+    backlogs: &'a BTreeMap<BackendId, Backlog>,
+    given_back: &BTreeSet<BackendId>,
+) -> BTreeMap<PoolKey<'a>, Vec<Busy<'a>>> {
+    let mut busy: BTreeMap<PoolKey<'_>, Vec<Busy<'_>>> = BTreeMap::new();
+    for (id, backlog) in backlogs {
+        let record = configuration.backends.get(id);
+        if let Some((pool, member)) = record.and_then(|record| member(id, record, given_back)) {
+            let role = member.role;
+            busy.entry(pool).or_default().push(Busy { role, backlog });
+        }
+    }
+    busy
+}
+
+fn shall_be(record: &BackendRecord) -> Option<&EngineAssignment> {
+    record.desired.as_ref().or(record.assignment())
+}
