Sight: what an answer that is cut can be traced by

Cause: a cut answer left one line that it was so.

Change: a line answer_cut with cause, the last engine's end, its quiet, the time given and left, attempts, repeats, open back ends, the table's version and how long it has been in force; a counter by cause; a line where a caller's connection fails while it is served or up to 1 s after its last answer was passed on (debug after that). No change of logic.

--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -34,6 +34,8 @@
     pub(crate) metrics: GatewayMetrics,
     /// Bounds on the time of callers' connections, by the route table in force.
     pub(crate) connection_times: Shared<ConnectionTimes>,
+    /// Since when the route table in force has been so.
+    pub(crate) routes_since: Cell<Millis>,
     /// Set by a planned stop, with the end of its grace time: callers are asked
     /// to leave.
     pub(crate) gone_by: Cell<Option<Millis>>,
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -26,6 +26,7 @@
     requests: Family<Labels, Counter>,
     refused: Family<Labels, Counter>,
     attempts: Family<Labels, Counter>,
+    cuts: Family<Labels, Counter>,
     took: Family<Labels, Histogram>,
     first_event: Family<Labels, Histogram>,
     usage_lost: Counter,
@@ -50,6 +51,8 @@
         let refused = registered(all, "refused", help, counters());
         let help = "Attempts by how they ended";
         let attempts = registered(all, "attempts", help, counters());
+        let help = "Streams that began and were not brought to their end, by cause";
+        let cuts = registered(all, "cuts", help, counters());
         let help = "Time to the end of the answer";
         let took = registered(all, "took_seconds", help, latencies());
         let help = "Time to the first event of a stream";
@@ -67,6 +70,7 @@
             requests,
             refused,
             attempts,
+            cuts,
             took,
             first_event,
             usage_lost,
@@ -98,6 +102,11 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn cut(&self, cause: &str) {
+        let labels = vec![("cause", cause.to_owned())];
+        self.cuts.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn first_event(&self, route: &str, took: Millis) {
         let labels = vec![("route", route.to_owned())];
         let histogram = self.first_event.get_or_create(&labels);
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -98,6 +98,7 @@
         started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
         connection_times: times,
+        routes_since: Cell::new(shell.clock.now()),
         gone_by: Cell::new(None),
         open_requests: Rc::default(),
     });
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -1,6 +1,7 @@
 //! Streams of events: passed on as they arrive, taken up by another engine
 //! where the route allows it.
 
+mod cut;
 mod opening;
 
 use std::rc::Rc;
@@ -24,6 +25,8 @@
 use crate::request::{Running, finished, go_on, note_begun, own_answer, until};
 use crate::whole::copy_head;
 
+use cut::CutCause;
+
 /// Longest failure of an engine's own that is passed on.
 const LONGEST_FAILURE: usize = 1024 * 1024;
 
@@ -41,6 +44,10 @@
     failure: Option<Box<Response<Body>>>,
     /// Whether the present engine has sent an event.
     begun: bool,
+    /// When the last event came, or the request where none has come.
+    last_event_at: Millis,
+    /// How the last engine that broke off or was left ended.
+    engine_end: String,
     ended: bool,
 }
 
@@ -52,7 +59,7 @@
 enum Next {
     Event(Bytes),
     End,
-    Cut,
+    Cut(CutCause),
 }
 
 /// Serves the request until its time is over.
@@ -63,6 +70,7 @@
 {
     let due = running.due;
     let splitter = EventSplitter::after(running.call.facts.resume_after.clone());
+    let last_event_at = running.arrived;
     let mut stream = Stream {
         gateway: Rc::clone(gateway),
         running,
@@ -72,6 +80,8 @@
         was_read: false,
         failure: None,
         begun: false,
+        last_event_at,
+        engine_end: String::new(),
         ended: false,
     };
     let opening = async { Some(stream.open_with_first_event().await) };
@@ -143,7 +153,7 @@
                     self.ended = true;
                     return Ok((head, Bytes::new()));
                 }
-                Next::Cut => self.after(AttemptEnd::Broken)?,
+                Next::Cut(_) => self.after(AttemptEnd::Broken)?,
             }
         }
     }
@@ -177,7 +187,8 @@
                     finished(&stream.gateway, &stream.running, "streamed", 200);
                     None
                 }
-                Next::Cut => {
+                Next::Cut(cause) => {
+                    stream.note_cut(cause);
                     finished(&stream.gateway, &stream.running, "cut", 200);
                     Some((Err(BodyCut::BackendBroke), None))
                 }
@@ -192,7 +203,7 @@
         let gateway = Rc::clone(&self.gateway);
         let late = async {
             until(&gateway, due).await;
-            Next::Cut
+            Next::Cut(CutCause::TimeOver)
         };
         smol::future::or(self.next_or_resume(), late).await
     }
@@ -203,7 +214,7 @@
         }
         loop {
             match self.next_from_engine().await {
-                Next::Cut if self.running.work.kind == WorkKind::ResumableStream => {
+                Next::Cut(_) if self.running.work.kind == WorkKind::ResumableStream => {
                     let resumed = match self.after(AttemptEnd::Broken) {
                         Ok(()) => self.open().await,
                         Err(refused) => Err(refused),
@@ -213,7 +224,7 @@
                         .as_ref()
                         .is_some_and(|open| open.exchange.head.status.is_success());
                     if resumed.is_err() || !is_stream {
-                        return Next::Cut;
+                        return Next::Cut(CutCause::NoSuccessor);
                     }
                     log::info!(
                         request = self.running.call.facts.id.as_str(),
@@ -230,7 +241,7 @@
         loop {
             let time_limit = self.event_timeout();
             let Some(open) = &mut self.open else {
-                return Next::Cut;
+                return Next::Cut(CutCause::NoSuccessor);
             };
             let Some(next) = within(time_limit, open.exchange.next()).await else {
                 // Left without a successor, a sound engine that is slow would
@@ -247,6 +258,7 @@
             match next {
                 Ok(Some(event)) => {
                     self.begun = true;
+                    self.last_event_at = self.gateway.now();
                     note_begun(&self.gateway, &self.running, self.gateway.now());
                     open.guard.prefill_done();
                     if self.running.work.kind != WorkKind::ResumableStream {
@@ -313,7 +325,8 @@
             cause = cause;
             "stream_broken"
         );
-        Next::Cut
+        cause.clone_into(&mut self.engine_end);
+        Next::Cut(CutCause::EngineBroke)
     }
 
     /// Whether to go on after an attempt that ended with `end`.
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -238,6 +238,9 @@
         if before == after {
             return;
         }
+        if before.routes_version != after.routes_version {
+            self.gateway.routes_since.set(self.gateway.now());
+        }
         let times = connection_times(forwarder.limits());
         self.gateway.connection_times.replace(times);
         let (open, known) = forwarder.open_backends(self.gateway.now());
--- a/components/runtime/src/connection_clock.rs
+++ b/components/runtime/src/connection_clock.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// What the connection is doing, and for how long.
+    pub(crate) fn phase(&self) -> (&'static str, Duration) {
+        let name = match self.phase.get() {
+            Phase::Resting => "resting",
+            Phase::Head => "head",
+            Phase::Serving => "serving",
+        };
+        (name, self.since.get().elapsed())
+    }
+
     /// Whether a caller has begun a head, or has just connected to send one.
     fn expects_head(&self) -> bool {
         match self.phase.get() {
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -81,6 +82,10 @@
 /// trip of the farthest callers and a lost packet fit into it.
 const LAST_HEAD_TIME: Duration = Duration::from_millis(500);
 
+/// An answer that was passed on no longer ago may still be on its way to its
+/// caller: a round trip of the farthest callers and two lost packets.
+const ON_ITS_WAY: Duration = Duration::from_secs(1);
+
 /// A listening server.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -280,8 +285,8 @@
     };
     let asked = {
         let finished = async {
-            // A fault of one connection concerns nobody else.
-            let _ended = connection.as_mut().await;
+            let ended = connection.as_mut().await;
+            note_fault(&clock, ended);
             false
         };
         // The connection is polled first: it reads what the kernel holds for it
@@ -292,12 +297,37 @@
     if asked {
         connection.as_mut().graceful_shutdown();
         let finished = async {
-            let _ended = connection.await;
+            let ended = connection.await;
+            note_fault(&clock, ended);
         };
         smol::future::or(finished, clock.overdue(&times)).await;
     }
 }
 
+/// A fault of one connection concerns nobody else. Its caller may miss an answer
+/// that was passed on whole, which no other line tells.
+fn note_fault(clock: &ConnectionClock, ended: hyper::Result<()>) {
+    let Err(error) = ended else {
+        return;
+    };
+    let (phase, lasted) = clock.phase();
+    let source = error.source().map(ToString::to_string).unwrap_or_default();
+    let may_miss = phase != "resting" || lasted < ON_ITS_WAY;
+    let level = if may_miss {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        level,
+        phase = phase,
+        for_ms = lasted.as_millis() as u64,
+        error = error.to_string().as_str(),
+        cause = source.as_str();
+        "caller_connection_failed"
+    );
+}
+
 /// Reads a whole body within the limits.
 ///
 /// # Errors
