A silent engine is kept until another one has delivered

Cause: the old was given up before the new had delivered. A gateway that found an engine silent closed its connection and only then had the prompt read anew and another engine asked; a refusal, a second repeat that was not left, an engine that was silent itself cut an answer whose engine was sound.

Ruled out for the cuts of the soak: roles and the list (no cut without a cause of its own, none at an engine that was ordered or listed as leaving and broke off), connections (no 'timed out' as a cause).

Change: a stream is made of a search for engines and of the run that answers. Where the run is silent the search begins beside it; whoever speaks first has the answer and the other one is closed, so that no piece comes twice. A search that fails leaves the silent engine to be waited for until the request's time is over. What is kept counts among the attempts. A stream whose successor fails goes on to the next one by the same search. An event without an id is not taken up elsewhere: the next engine would begin anew.

--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -266,6 +266,25 @@
     }
 }
 
+/// Whether another back end may be asked beside one that is silent and kept;
+/// takes a repeat for it and counts the silent one as kept.
+pub(crate) fn go_on_beside<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &mut Running,
+) -> bool {
+    // One more engine may end under a suspected request.
+    if !may_be_sent(gateway, running) || standing(gateway, &running.call) == Standing::Suspected {
+        return false;
+    }
+    running.progress.keep();
+    let next = next_move(&running.work, &running.progress, AttemptEnd::Broken);
+    let begins = matches!(next, NextMove::TryAnother { .. }) && may_repeat(gateway, running);
+    if !begins {
+        running.progress.resumed_kept();
+    }
+    begins
+}
+
 /// How a request stands; its body is hashed only where any is suspected.
 pub(crate) fn standing<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/stream/cut.rs
+++ b/components/forwarding-shell/src/stream/cut.rs
@@ -33,8 +33,9 @@
     /// connection ends, and `request_ended` tells only that it was so.
     pub(super) fn note_cut(&self, cause: CutCause) {
         let Stream {
-            gateway, running, ..
+            gateway, search, ..
         } = self;
+        let running = &search.running;
         let now = gateway.now();
         let mut forwarder = gateway.forwarder.borrow_mut();
         let (open, known) = forwarder.open_backends(now);
@@ -44,7 +45,7 @@
             backend = running.served_by.as_ref().map_or("", BackendId::as_str),
             cause = cause.as_str(),
             engine_end = self.engine_end.as_str(),
-            after = self.splitter.last_id().unwrap_or_default(),
+            after = search.resume_after.as_deref().unwrap_or_default(),
             quiet_ms = now.since(self.last_event_at).0,
             given_ms = running.due.since(running.arrived).0,
             remaining_ms = running.remaining(now).0,
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -2,59 +2,44 @@
 //! where the route allows it.
 
 mod cut;
+mod engine_run;
 mod opening;
+mod successor;
 
 use std::rc::Rc;
 
 use futures_lite::stream::unfold;
-use garnet_forwarding::{AttemptEnd, GivenUp};
 use garnet_routes::WorkKind;
+use garnet_runtime::Body;
 use garnet_runtime::server::{BodyCut, stream_body};
-use garnet_runtime::{Body, bytes_body};
 use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::{OpenAnswer, within};
-use crate::events::EventSplitter;
+use crate::attempt::within;
 use crate::gateway::Gateway;
-use crate::handover::WaitingCache;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{Running, finished, go_on, note_begun, own_answer, until};
+use crate::request::{Running, finished, note_begun, own_answer, until};
 use crate::whole::copy_head;
 
 use cut::CutCause;
-
-/// Longest failure of an engine's own that is passed on.
-const LONGEST_FAILURE: usize = 1024 * 1024;
+use engine_run::{EngineRun, Heard};
+use opening::{Found, Refused, Search};
 
 /// A stream under way.
 struct Stream<C: CallerPort + 'static, B: BackendPort + 'static> {
     gateway: Rc<Gateway<C, B>>,
-    running: Running,
-    open: Option<OpenAnswer<C, B>>,
-    splitter: EventSplitter,
-    /// The prompt as one engine read it, for another to go on from.
-    cache: Option<WaitingCache<C, B>>,
-    /// Whether an engine has read the prompt for this request before.
-    was_read: bool,
-    /// An engine's failure, to be passed on where no other engine answers.
-    failure: Option<Box<Response<Body>>>,
-    /// Whether the present engine has sent an event.
-    begun: bool,
-    /// When the last event came, or the request where none has come.
+    search: Search<C, B>,
+    /// The engine that answers; `None` when it has come to its end or is gone.
+    run: Option<EngineRun<C, B>>,
+    /// When the last event came.
     last_event_at: Millis,
     /// How the last engine that broke off or was left ended.
     engine_end: String,
     ended: bool,
 }
 
-/// An engine's answer, or none yet where the prompt was prefilled; or how the attempt
-/// ended.
-type Opened<C, B> = Result<Option<OpenAnswer<C, B>>, AttemptEnd>;
-
 /// What comes next of a stream.
 enum Next {
     Event(Bytes),
@@ -69,127 +54,67 @@
     B: BackendPort + 'static,
 {
     let due = running.due;
-    let splitter = EventSplitter::after(running.call.facts.resume_after.clone());
-    let last_event_at = running.arrived;
-    let mut stream = Stream {
-        gateway: Rc::clone(gateway),
-        running,
-        open: None,
-        splitter,
-        cache: None,
-        was_read: false,
-        failure: None,
-        begun: false,
-        last_event_at,
-        engine_end: String::new(),
-        ended: false,
-    };
-    let opening = async { Some(stream.open_with_first_event().await) };
+    let mut search = Search::new(gateway, running);
+    let opening = async { Some(search.find_run().await) };
     let late = async {
         until(gateway, due).await;
         None
     };
-    let opened = smol::future::or(opening, late).await;
-    let failure = stream.failure.take();
-    let opened = opened.map(|opened| opened.map_err(|refused| refused.or_answered(failure)));
-    match opened {
-        Some(Ok((head, first))) => stream.answer(head, first),
+    let found = smol::future::or(opening, late).await;
+    let failure = search.take_failure();
+    let found = found.map(|found| found.map_err(|refused| refused.or_answered(failure)));
+    match found {
+        Some(Ok(found)) => Stream::new(gateway, search).answer(found),
         Some(Err(Refused::GivenUp(given_up))) => {
-            let answer = OwnAnswer::given_up(given_up, stream.running.work.objective);
-            own_answer(gateway, &stream.running, answer)
+            let answer = OwnAnswer::given_up(given_up, search.running.work.objective);
+            own_answer(gateway, &search.running, answer)
         }
         Some(Err(Refused::Busy(retry_after))) => {
-            own_answer(gateway, &stream.running, OwnAnswer::NotRun(retry_after))
+            own_answer(gateway, &search.running, OwnAnswer::NotRun(retry_after))
         }
         Some(Err(Refused::Answered(response))) => {
-            finished(
-                gateway,
-                &stream.running,
-                "answered",
-                response.status().as_u16(),
-            );
+            let status = response.status().as_u16();
+            finished(gateway, &search.running, "answered", status);
             *response
         }
-        None => own_answer(gateway, &stream.running, OwnAnswer::TimedOut),
-    }
-}
-
-/// Why a stream did not begin.
-enum Refused {
-    GivenUp(GivenUp),
-    /// It would wait for too long: when to come back.
-    Busy(Millis),
-    /// The engine's own answer, which is no stream.
-    Answered(Box<Response<Body>>),
-}
-
-impl Refused {
-    /// An engine's own failure tells more than that the request was given up.
-    fn or_answered(self, failure: Option<Box<Response<Body>>>) -> Self {
-        match (self, failure) {
-            (Refused::GivenUp(_), Some(failure)) => Refused::Answered(failure),
-            (refused, _) => refused,
-        }
+        None => own_answer(gateway, &search.running, OwnAnswer::TimedOut),
     }
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
-    /// Opens the stream and waits for its first event: until then nothing was
-    /// promised to the caller, and another engine may begin anew.
-    async fn open_with_first_event(&mut self) -> Result<(Parts, Bytes), Refused> {
-        loop {
-            self.open().await?;
-            let Some(open) = &self.open else {
-                return Err(Refused::GivenUp(self.running.progress.given_up()));
-            };
-            let head = copy_head(&open.exchange.head);
-            if !head.status.is_success() {
-                self.after_failure(head).await?;
-                continue;
-            }
-            match self.next_from_engine().await {
-                Next::Event(first) => return Ok((head, first)),
-                Next::End => {
-                    self.ended = true;
-                    return Ok((head, Bytes::new()));
-                }
-                Next::Cut(_) => self.after(AttemptEnd::Broken)?,
-            }
+    fn new(gateway: &Rc<Gateway<C, B>>, search: Search<C, B>) -> Self {
+        Stream {
+            gateway: Rc::clone(gateway),
+            search,
+            run: None,
+            last_event_at: gateway.now(),
+            engine_end: String::new(),
+            ended: false,
         }
     }
 
     /// The answer with its first event and all that follow.
-    fn answer(self, head: Parts, first: Bytes) -> Response<Body> {
-        let took = self.gateway.now().since(self.running.arrived);
-        let route = &self.running.route.name;
-        self.gateway.metrics.first_event(route, took);
-        let backend = self.running.served_by.as_ref();
-        let prompt = self.running.work.prompt.as_ref();
-        let likely = prompt.and_then(|prompt| prompt.likely_output_tokens);
-        log::info!(
-            request = self.running.call.facts.id.as_str(),
-            route = route.as_str(),
-            backend = backend.map_or("", BackendId::as_str),
-            most_output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
-            likely_output_tokens = likely.unwrap_or_default(),
-            ttft_ms = took.0;
-            "stream_begun"
-        );
+    fn answer(mut self, found: Found<C, B>) -> Response<Body> {
+        let head = copy_head(found.run.head());
+        self.run = Some(found.run);
+        let first = self.take(found.first);
+        self.log_begun();
         let state = (self, Some(first));
         let events = unfold(Some(state), |state| async move {
             let (mut stream, first) = state?;
-            if let Some(first) = first {
-                return Some((Ok(first), Some((stream, None))));
-            }
-            match stream.next().await {
+            let next = match first {
+                Some(first) => first,
+                None => stream.next().await,
+            };
+            match next {
                 Next::Event(event) => Some((Ok(event), Some((stream, None)))),
                 Next::End => {
-                    finished(&stream.gateway, &stream.running, "streamed", 200);
+                    finished(&stream.gateway, &stream.search.running, "streamed", 200);
                     None
                 }
                 Next::Cut(cause) => {
                     stream.note_cut(cause);
-                    finished(&stream.gateway, &stream.running, "cut", 200);
+                    finished(&stream.gateway, &stream.search.running, "cut", 200);
                     Some((Err(BodyCut::BackendBroke), None))
                 }
             }
@@ -197,9 +122,33 @@
         Response::from_parts(head, stream_body(events))
     }
 
+    fn log_begun(&self) {
+        let Running {
+            call,
+            route,
+            work,
+            arrived,
+            served_by,
+            ..
+        } = &self.search.running;
+        let took = self.gateway.now().since(*arrived);
+        self.gateway.metrics.first_event(&route.name, took);
+        let prompt = work.prompt.as_ref();
+        let likely = prompt.and_then(|prompt| prompt.likely_output_tokens);
+        log::info!(
+            request = call.facts.id.as_str(),
+            route = route.name.as_str(),
+            backend = served_by.as_ref().map_or("", BackendId::as_str),
+            most_output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
+            likely_output_tokens = likely.unwrap_or_default(),
+            ttft_ms = took.0;
+            "stream_begun"
+        );
+    }
+
     /// The next whole events, from another engine where this one broke off.
     async fn next(&mut self) -> Next {
-        let due = self.running.due;
+        let due = self.search.running.due;
         let gateway = Rc::clone(&self.gateway);
         let late = async {
             until(&gateway, due).await;
@@ -212,152 +161,80 @@
         if self.ended {
             return Next::End;
         }
-        loop {
-            match self.next_from_engine().await {
-                Next::Cut(_) if self.running.work.kind == WorkKind::ResumableStream => {
-                    let resumed = match self.after(AttemptEnd::Broken) {
-                        Ok(()) => self.open().await,
-                        Err(refused) => Err(refused),
-                    };
-                    let is_stream = self
-                        .open
-                        .as_ref()
-                        .is_some_and(|open| open.exchange.head.status.is_success());
-                    if resumed.is_err() || !is_stream {
-                        return Next::Cut(CutCause::NoSuccessor);
-                    }
-                    log::info!(
-                        request = self.running.call.facts.id.as_str(),
-                        after = self.splitter.last_id().unwrap_or_default();
-                        "stream_resumed"
-                    );
-                }
-                next => return next,
-            }
-        }
-    }
-
-    async fn next_from_engine(&mut self) -> Next {
         loop {
             let time_limit = self.event_timeout();
-            let Some(open) = &mut self.open else {
+            let Some(run) = &mut self.run else {
                 return Next::Cut(CutCause::NoSuccessor);
             };
-            let Some(next) = within(time_limit, open.exchange.next()).await else {
-                // Left without a successor, a sound engine that is slow would
-                // have its answer cut.
-                if !self.can_go_elsewhere() {
-                    continue;
-                }
-                if let Some(mut open) = self.open.take() {
-                    open.guard.silent();
-                    open.guard.failed();
-                }
-                return self.broke("silent");
-            };
-            match next {
-                Ok(Some(event)) => {
-                    self.begun = true;
-                    self.last_event_at = self.gateway.now();
-                    note_begun(&self.gateway, &self.running, self.gateway.now());
-                    open.guard.prefill_done();
-                    if self.running.work.kind != WorkKind::ResumableStream {
-                        return Next::Event(event);
-                    }
-                    let whole = self.splitter.push(&event);
-                    if !whole.is_empty() {
-                        return Next::Event(whole);
+            match within(time_limit, run.next()).await {
+                Some(Heard::Broke(cause)) => {
+                    self.note_broken(&cause);
+                    if !self.may_be_taken_up() {
+                        return Next::Cut(CutCause::EngineBroke);
                     }
+                    return self.go_on_after_break().await;
                 }
-                Ok(None) if self.splitter.is_at_boundary() => {
-                    open.guard.succeeded();
-                    if self.begun && open.exchange.tells_end() {
-                        open.guard.completed(&self.running.call);
-                    }
-                    if let Some(open) = self.open.take() {
-                        open.exchange.finish();
+                Some(heard) => return self.take(heard),
+                None => {
+                    if let Some(next) = self.go_on_beside().await {
+                        return next;
                     }
-                    return Next::End;
                 }
-                Ok(None) => return self.broke("the last event is not whole"),
-                Err(error) => return self.broke(&error.to_string()),
             }
         }
     }
 
-    /// How long the next event is waited for, where another engine may go on.
-    fn event_timeout(&self) -> Option<Millis> {
-        let may_move_on = self.begun && self.running.may_move_on();
-        may_move_on.then_some(self.running.silence.pause)
+    /// Takes what the present engine said.
+    fn take(&mut self, heard: Heard) -> Next {
+        match heard {
+            Heard::Event(event) => {
+                let now = self.gateway.now();
+                self.last_event_at = now;
+                note_begun(&self.gateway, &self.search.running, now);
+                let last_id = self.run.as_ref().and_then(EngineRun::last_id);
+                self.search.resume_after = last_id.map(str::to_owned);
+                Next::Event(event)
+            }
+            Heard::End => {
+                if let Some(run) = self.run.take() {
+                    run.ended(&self.search.running.call);
+                }
+                self.ended = true;
+                Next::End
+            }
+            Heard::Broke(cause) => {
+                self.note_broken(&cause);
+                Next::Cut(CutCause::EngineBroke)
+            }
+        }
     }
 
-    /// Whether another engine is there to go on, and a repeat for it.
-    fn can_go_elsewhere(&self) -> bool {
-        let Running {
-            service,
-            work,
-            tried,
-            served_by,
-            ..
-        } = &self.running;
-        let mut tried = tried.clone();
-        tried.extend(served_by.clone());
-        let now = self.gateway.now();
-        let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.has_repeat(service, now)
-            && forwarder.place(service, work, &tried, true, now).is_some()
+    /// Whether another engine may go on after the last event: one that can't be
+    /// told which that was would begin anew.
+    fn may_be_taken_up(&self) -> bool {
+        let kind = self.search.running.work.kind;
+        kind == WorkKind::ResumableStream && self.search.resume_after.is_some()
+    }
+
+    /// How long the next event is waited for before another engine is asked.
+    fn event_timeout(&self) -> Option<Millis> {
+        let may_move_on = self.may_be_taken_up() && self.search.running.may_move_on();
+        may_move_on.then_some(self.search.running.silence.pause)
     }
 
     /// The engine broke off. Its connection is closed, which ends its work, and
     /// what it sent of an event that is not whole is void: the next engine
     /// begins that event anew.
-    fn broke(&mut self, cause: &str) -> Next {
-        if let Some(mut open) = self.open.take() {
-            open.guard.connection_lost(&self.running.call);
-        }
-        self.begun = false;
-        self.splitter.drop_partial();
-        let backend = self.running.served_by.as_ref();
-        log::info!(
-            request = self.running.call.facts.id.as_str(),
-            backend = backend.map_or("", BackendId::as_str),
-            after = self.splitter.last_id().unwrap_or_default(),
-            cause = cause;
-            "stream_broken"
-        );
-        cause.clone_into(&mut self.engine_end);
-        Next::Cut(CutCause::EngineBroke)
-    }
-
-    /// Whether to go on after an attempt that ended with `end`.
-    fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
-        if let Some(backend) = &self.running.served_by
-            && !self.running.tried.contains(backend)
-        {
-            self.running.tried.push(backend.clone());
+    fn note_broken(&mut self, cause: &str) {
+        if let Some(run) = self.run.take() {
+            run.broke_off(&self.search.running.call);
         }
-        go_on(&self.gateway, &mut self.running, end).map_err(Refused::GivenUp)
+        let backend = self.search.running.served_by.clone();
+        self.log_broken(backend.as_ref(), cause);
     }
 
-    /// The engine answered with a failure of its own. Another engine may begin
-    /// anew where the work may be repeated; else the failure is passed on.
-    async fn after_failure(&mut self, head: Parts) -> Result<(), Refused> {
-        let Some(mut open) = self.open.take() else {
-            return Err(Refused::GivenUp(self.running.progress.given_up()));
-        };
-        let is_fault = head.status.is_server_error();
-        if is_fault {
-            open.guard.failed();
-        }
-        let Ok(body) = open.exchange.read_whole(LONGEST_FAILURE).await else {
-            return self.after(AttemptEnd::Broken);
-        };
-        open.exchange.finish();
-        let answer = Box::new(Response::from_parts(head, bytes_body(body)));
-        if is_fault && self.after(AttemptEnd::Failed).is_ok() {
-            self.failure = Some(answer);
-            return Ok(());
-        }
-        Err(Refused::Answered(answer))
+    fn log_broken(&mut self, backend: Option<&BackendId>, cause: &str) {
+        self.search.log_broken(backend, cause);
+        cause.clone_into(&mut self.engine_end);
     }
 }
--- a/components/forwarding-shell/src/stream/opening.rs
+++ b/components/forwarding-shell/src/stream/opening.rs
@@ -1,32 +1,210 @@
 //! Which engines a stream is sent to, one after the other, until one answers.
 
-use garnet_forwarding::{Admission, AttemptEnd, NotRunReason, Placement};
+use std::rc::Rc;
+
+use garnet_forwarding::{Admission, AttemptEnd, GivenUp, NotRunReason, Placement};
 use garnet_quarantine::Standing;
+use garnet_runtime::{Body, bytes_body};
 use garnet_types::{BackendId, Millis};
+use hyper::Response;
 
 use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
+use crate::gateway::Gateway;
 use crate::handover::{WaitingCache, prefill};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
-use crate::request::{Running, apart, log_no_back_end, may_be_sent, may_repeat, standing};
+use crate::request::{
+    Running, apart, go_on, go_on_beside, log_no_back_end, may_be_sent, may_repeat, standing,
+};
 use crate::stopping::outlasts_stop;
+use crate::whole::copy_head;
+
+use super::engine_run::{EngineRun, Heard};
+
+/// Longest failure of an engine's own that is passed on, in bytes.
+const LONGEST_FAILURE: usize = 1024 * 1024;
+
+/// The search for engines that answer a request.
+pub(super) struct Search<C: CallerPort + 'static, B: BackendPort + 'static> {
+    gateway: Rc<Gateway<C, B>>,
+    pub(super) running: Running,
+    /// The last whole event that the caller has, for an engine to go on after.
+    pub(super) resume_after: Option<String>,
+    /// The prompt as one engine read it, for another to go on from.
+    cache: Option<WaitingCache<C, B>>,
+    /// Whether an engine has read the prompt for this request before.
+    was_read: bool,
+    /// An engine's failure, to be passed on where no other engine answers.
+    failure: Option<Box<Response<Body>>>,
+    /// Set while an engine was sent the request and its end is not noted: where
+    /// the search is dropped now, it may have run there.
+    may_run: bool,
+}
+
+/// An engine that answers, and the first that it said.
+pub(super) struct Found<C: CallerPort, B: BackendPort> {
+    pub(super) run: EngineRun<C, B>,
+    pub(super) first: Heard,
+}
 
-use super::{Opened, Refused, Stream};
+/// Why no engine answers.
+pub(super) enum Refused {
+    GivenUp(GivenUp),
+    /// It would wait for too long: when to come back.
+    Busy(Millis),
+    /// The engine's own answer, which is no stream.
+    Answered(Box<Response<Body>>),
+}
+
+impl Refused {
+    /// An engine's own failure tells more than that the request was given up.
+    pub(super) fn or_answered(self, failure: Option<Box<Response<Body>>>) -> Self {
+        match (self, failure) {
+            (Refused::GivenUp(_), Some(failure)) => Refused::Answered(failure),
+            (refused, _) => refused,
+        }
+    }
+}
+
+/// An engine's answer, or none yet where the prompt was prefilled; or how the attempt
+/// ended.
+type Opened<C, B> = Result<Option<OpenAnswer<C, B>>, AttemptEnd>;
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Search<C, B> {
+    pub(super) fn new(gateway: &Rc<Gateway<C, B>>, running: Running) -> Self {
+        Search {
+            gateway: Rc::clone(gateway),
+            resume_after: running.call.facts.resume_after.clone(),
+            running,
+            cache: None,
+            was_read: false,
+            failure: None,
+            may_run: false,
+        }
+    }
+
+    /// An engine's own failure, where one was met.
+    pub(super) fn take_failure(&mut self) -> Option<Box<Response<Body>>> {
+        self.failure.take()
+    }
+
+    /// Finds an engine that answers, and waits for its first event: until then
+    /// it has promised nothing, and another engine may begin in its place.
+    pub(super) async fn find_run(&mut self) -> Result<Found<C, B>, Refused> {
+        loop {
+            let open = self.open().await?;
+            if !open.exchange.head.status.is_success() {
+                self.after_failure(open).await?;
+                continue;
+            }
+            let kind = self.running.work.kind;
+            let mut run = EngineRun::new(open, self.resume_after.clone(), kind);
+            match run.next().await {
+                Heard::Broke(cause) => {
+                    run.broke_off(&self.running.call);
+                    self.log_broken(self.running.served_by.as_ref(), &cause);
+                    self.after(AttemptEnd::Broken)?;
+                }
+                first => {
+                    self.may_run = false;
+                    return Ok(Found { run, first });
+                }
+            }
+        }
+    }
+
+    /// Begins to look for an engine that goes on beside the present one, which
+    /// is silent; `false` where there is none, or no repeat for it.
+    pub(super) fn begin_beside(&mut self) -> bool {
+        self.note_tried();
+        let begins = self.can_go_elsewhere() && go_on_beside(&self.gateway, &mut self.running);
+        if begins {
+            log::info!(
+                request = self.running.call.facts.id.as_str(),
+                backend = self.running.served_by.as_ref().map_or("", BackendId::as_str),
+                after = self.resume_after.as_deref().unwrap_or_default();
+                "stream_silent"
+            );
+        }
+        begins
+    }
+
+    /// Ends a search that was dropped on its way.
+    pub(super) fn call_off(&mut self) {
+        self.cache = None;
+        if std::mem::take(&mut self.may_run) {
+            self.running.progress.note(AttemptEnd::Broken);
+        }
+    }
+
+    /// Whether another engine is there to go on, and a repeat for it.
+    fn can_go_elsewhere(&self) -> bool {
+        let Running {
+            service,
+            work,
+            tried,
+            ..
+        } = &self.running;
+        let now = self.gateway.now();
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        forwarder.has_repeat(service, now)
+            && forwarder.place(service, work, tried, true, now).is_some()
+    }
+
+    fn note_tried(&mut self) {
+        if let Some(backend) = &self.running.served_by
+            && !self.running.tried.contains(backend)
+        {
+            self.running.tried.push(backend.clone());
+        }
+    }
+
+    /// Whether to go on after an attempt that ended with `end`.
+    pub(super) fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
+        self.may_run = false;
+        self.note_tried();
+        go_on(&self.gateway, &mut self.running, end).map_err(Refused::GivenUp)
+    }
+
+    /// The engine answered with a failure of its own. Another engine may begin
+    /// anew where the work may be repeated; else the failure is passed on.
+    async fn after_failure(&mut self, mut open: OpenAnswer<C, B>) -> Result<(), Refused> {
+        let head = copy_head(&open.exchange.head);
+        let is_fault = head.status.is_server_error();
+        if is_fault {
+            open.guard.failed();
+        }
+        let Ok(body) = open.exchange.read_whole(LONGEST_FAILURE).await else {
+            return self.after(AttemptEnd::Broken);
+        };
+        open.exchange.finish();
+        let answer = Box::new(Response::from_parts(head, bytes_body(body)));
+        if is_fault && self.after(AttemptEnd::Failed).is_ok() {
+            self.failure = Some(answer);
+            return Ok(());
+        }
+        Err(Refused::Answered(answer))
+    }
+
+    pub(super) fn log_broken(&self, backend: Option<&BackendId>, cause: &str) {
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            backend = backend.map_or("", BackendId::as_str),
+            after = self.resume_after.as_deref().unwrap_or_default(),
+            cause = cause;
+            "stream_broken"
+        );
+    }
 
-impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
     /// Places the request until an engine answers.
-    pub(super) async fn open(&mut self) -> Result<(), Refused> {
+    async fn open(&mut self) -> Result<OpenAnswer<C, B>, Refused> {
         loop {
             let opened = match self.cache.take() {
                 Some(cache) => self.generate(cache).await,
                 None => self.begin().await?,
             };
             match opened {
-                Ok(open) => {
-                    self.open = open;
-                    if self.open.is_some() {
-                        return Ok(());
-                    }
-                }
+                Ok(Some(open)) => return Ok(open),
+                Ok(None) => {}
                 Err(end) => self.after(end)?,
             }
         }
@@ -69,7 +247,7 @@
 
     /// Whether no engine has seen the request, here or before.
     fn is_new(&self) -> bool {
-        self.running.is_untried() && !self.was_read && self.splitter.last_id().is_none()
+        self.running.is_untried() && !self.was_read && self.resume_after.is_none()
     }
 
     /// Places a new request. One for which the engines have no time is turned
@@ -180,6 +358,7 @@
 
     async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
         self.running.served_by = Some(job.backend.clone());
+        self.may_run = true;
         // A decode engine under load is slow with its first event; one that is gone
         // shows when the request's bytes are not acknowledged.
         let answer = attempt(&self.gateway, &self.running.call, job, None).await;
@@ -196,7 +375,7 @@
 
     fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
         let resumes = !matches!(phase, JobPhase::Prefill(_));
-        let last_id = self.splitter.last_id().filter(|_| resumes);
+        let resume_after = self.resume_after.clone().filter(|_| resumes);
         let work = &self.running.work;
         let priority = match &phase {
             // Its prompt is prefilled: it holds up nobody's first token.
@@ -208,7 +387,7 @@
             backend,
             remaining: self.running.remaining(self.gateway.now()),
             priority,
-            resume_after: last_id.map(str::to_owned),
+            resume_after,
         }
     }
 
--- /dev/null
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -0,0 +1,128 @@
+//! An engine that goes on where another one is silent or has broken off.
+
+use std::pin::pin;
+
+use garnet_forwarding::AttemptEnd;
+use garnet_types::BackendId;
+
+use crate::ports::{BackendPort, CallerPort};
+
+use super::cut::CutCause;
+use super::engine_run::Heard;
+use super::opening::{Found, Refused};
+use super::{Next, Stream};
+
+/// Who was heard first of a silent engine and its successor.
+enum First<C: CallerPort + 'static, B: BackendPort + 'static> {
+    Silent(Heard),
+    Successor {
+        found: Result<Box<Found<C, B>>, Refused>,
+        /// How the silent engine broke off meanwhile, where it did.
+        broke_off: Option<String>,
+    },
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
+    /// Has another engine go on beside the present one, which is silent: whoever
+    /// speaks first has the answer, and the other one is closed. `None` where
+    /// nobody spoke and the present engine is waited for on.
+    ///
+    /// Invariant: the silent engine is closed once another one has delivered, not
+    /// before. The other one may be full, silent or gone itself, while this one
+    /// is sound and goes on in a moment.
+    pub(super) async fn go_on_beside(&mut self) -> Option<Next> {
+        let silent = self.search.running.served_by.clone();
+        if !self.search.begin_beside() {
+            return None;
+        }
+        if let Some(run) = &mut self.run {
+            run.note_silent();
+        }
+        match self.first_heard().await {
+            First::Silent(heard) => {
+                self.search.call_off();
+                self.keep(silent);
+                Some(self.take(heard))
+            }
+            First::Successor {
+                found: Err(_),
+                broke_off: None,
+            } => {
+                self.keep(silent);
+                None
+            }
+            First::Successor { found, broke_off } => {
+                self.search.running.progress.left_kept();
+                self.leave(silent.as_ref(), broke_off);
+                let cut = Next::Cut(CutCause::NoSuccessor);
+                Some(found.map_or(cut, |found| self.adopt(*found)))
+            }
+        }
+    }
+
+    async fn first_heard(&mut self) -> First<C, B> {
+        let Stream { search, run, .. } = self;
+        let mut seeking = pin!(search.find_run());
+        let mut broke_off = None;
+        if let Some(run) = run {
+            let silent = async { First::Silent(run.next().await) };
+            let successor = async {
+                First::Successor {
+                    found: seeking.as_mut().await.map(Box::new),
+                    broke_off: None,
+                }
+            };
+            match smol::future::or(silent, successor).await {
+                First::Silent(Heard::Broke(cause)) => broke_off = Some(cause),
+                first => return first,
+            }
+        }
+        First::Successor {
+            found: seeking.await.map(Box::new),
+            broke_off,
+        }
+    }
+
+    /// The engine that was silent goes on to have the answer.
+    fn keep(&mut self, silent: Option<BackendId>) {
+        self.search.running.served_by = silent;
+        self.search.running.progress.resumed_kept();
+    }
+
+    /// The engine that was silent is out of it.
+    fn leave(&mut self, silent: Option<&BackendId>, broke_off: Option<String>) {
+        let Some(run) = self.run.take() else {
+            return;
+        };
+        match broke_off {
+            Some(cause) => {
+                run.broke_off(&self.search.running.call);
+                self.log_broken(silent, &cause);
+            }
+            None => {
+                run.leave();
+                self.log_broken(silent, "silent");
+            }
+        }
+    }
+
+    /// Goes on with another engine after the present one broke off.
+    pub(super) async fn go_on_after_break(&mut self) -> Next {
+        let found = match self.search.after(AttemptEnd::Broken) {
+            Ok(()) => self.search.find_run().await,
+            Err(refused) => Err(refused),
+        };
+        let cut = Next::Cut(CutCause::NoSuccessor);
+        found.map_or(cut, |found| self.adopt(found))
+    }
+
+    fn adopt(&mut self, found: Found<C, B>) -> Next {
+        log::info!(
+            request = self.search.running.call.facts.id.as_str(),
+            after = self.search.resume_after.as_deref().unwrap_or_default();
+            "stream_resumed"
+        );
+        self.run = Some(found.run);
+        self.take(found.first)
+    }
+}
--- a/components/forwarding/tests/core/attempts.rs
+++ b/components/forwarding/tests/core/attempts.rs
@@ -80,3 +80,25 @@
         }
     }
 }
+
+/// A back end that is silent and kept counts as one that may have run.
+#[rstest]
+#[case::repeatable(WorkKind::Repeatable, 0, AGAIN)]
+#[case::resumable(WorkKind::ResumableStream, 0, AGAIN)]
+#[case::one_has_run_already(WorkKind::ResumableStream, 1, NextMove::GiveUp(GivenUp::InDoubt))]
+#[case::at_most_once(WorkKind::AtMostOnce, 0, NextMove::GiveUp(GivenUp::InDoubt))]
+#[case::stream(WorkKind::Stream, 0, NextMove::GiveUp(GivenUp::InDoubt))]
+fn beside_one_that_is_kept(#[case] kind: WorkKind, #[case] ran: u32, #[case] expected: NextMove) {
+    let mut progress = Progress {
+        ran,
+        ..Progress::default()
+    };
+    progress.keep();
+    let next = next_move(&work(kind, None), &progress, AttemptEnd::Broken);
+    assert_eq!(next, expected);
+    progress.resumed_kept();
+    assert_eq!((progress.ran, progress.kept), (ran, 0));
+    progress.keep();
+    progress.left_kept();
+    assert_eq!((progress.ran, progress.kept), (ran + 1, 0));
+}
