--- a/components/runtime/src/connection_clock.rs
+++ b/components/runtime/src/connection_clock.rs
@@ -37,7 +37,7 @@
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     /// Nothing of the next head has arrived.
     Resting,
     /// A head arrives.
@@ -46,6 +46,17 @@
     Serving,
 }
 
+impl Phase {
+    /// Name in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Phase::Resting => "resting",
+            Phase::Head => "head",
+            Phase::Serving => "serving",
+        }
+    }
+}
+
 /// The phase of one connection and when it began.
 #[derive(Debug)]
 pub(crate) struct ConnectionClock {
@@ -77,13 +88,8 @@
     }
 
     /// What the connection is doing, and for how long.
-    pub(crate) fn phase(&self) -> (&'static str, Duration) {
-        let name = match self.phase.get() {
-            Phase::Resting => "resting",
-            Phase::Head => "head",
-            Phase::Serving => "serving",
-        };
-        (name, self.since.get().elapsed())
+    pub(crate) fn phase(&self) -> (Phase, Duration) {
+        (self.phase.get(), self.since.get().elapsed())
     }
 
     /// Whether a caller has begun a head, or has just connected to send one.
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -21,7 +21,9 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
-use crate::connection_clock::{ClockedBody, ClockedStream, ConnectionClock, ConnectionTimes};
+use crate::connection_clock::{
+    ClockedBody, ClockedStream, ConnectionClock, ConnectionTimes, Phase,
+};
 use crate::shared::Shared;
 
 /// Body of a response.
@@ -312,7 +314,8 @@
     };
     let (phase, lasted) = clock.phase();
     let source = error.source().map(ToString::to_string).unwrap_or_default();
-    let may_miss = phase != "resting" || lasted < ON_ITS_WAY;
+    // Whoever leaves or is cut while it is served has a line of its own.
+    let may_miss = phase == Phase::Resting && lasted < ON_ITS_WAY && !error.is_user();
     let level = if may_miss {
         log::Level::Info
     } else {
@@ -320,7 +323,7 @@
     };
     log::log!(
         level,
-        phase = phase,
+        phase = phase.as_str(),
         for_ms = lasted.as_millis() as u64,
         error = error.to_string().as_str(),
         cause = source.as_str();
