Whole answers and prefills: the slow one is kept until another one has delivered

Cause: the same as in streams, at two more places.

Change: the work goes on at others beside the slow one, and whoever delivers first has it. For whole answers: a success first, then a failure of the back ends' own, then giving up. A prefill runs nothing, so both may go on at once; what the slow engine read is used only where nobody else can have begun to generate, or the work may be repeated. Where there is no repeat or nobody to ask, the slow one is waited for to the end of the time (before: 502 or 503 at once). An engine that had no room for a whole prompt is asked once more for what was read, where no other one is left. The log has attempt_silent in place of attempt_failed cause=silent.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -181,8 +181,7 @@
     pub(crate) guard: AttemptGuard<C, B>,
 }
 
-/// Sends the job and reads the head of the answer, with `time_limit` where the
-/// work may go to another back end instead.
+/// Sends the job and reads the head of the answer.
 ///
 /// # Errors
 /// How the attempt ended, where it is no answer to this request.
@@ -190,7 +189,6 @@
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
-    time_limit: Option<Millis>,
 ) -> Result<OpenAnswer<C, B>, AttemptEnd> {
     let address = {
         let forwarder = gateway.forwarder.borrow();
@@ -199,17 +197,9 @@
     };
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
-    let sent = within(time_limit, gateway.pool.send(&address, request)).await;
-    let result = match sent {
-        None => {
-            // Dropping the exchange has closed its connection.
-            guard.silent();
-            gateway.pool.forget(&address);
-            log_failure(call, job, "silent");
-            Err(AttemptEnd::Broken)
-        }
-        Some(Ok(exchange)) => read_head(gateway, call, job, exchange, guard).await,
-        Some(Err(error)) => {
+    let result = match gateway.pool.send(&address, request).await {
+        Ok(exchange) => read_head(gateway, call, job, exchange, guard).await,
+        Err(error) => {
             match error {
                 HttpError::NotSent(_) => guard.unreachable(),
                 HttpError::Broken(_) => guard.connection_lost(call),
@@ -224,6 +214,28 @@
     result
 }
 
+/// Notes that a back end is silent for longer than is useful, while it is waited
+/// for: others should not come meanwhile.
+pub(crate) fn note_silent<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+) {
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    forwarder.silent(&job.backend, now);
+    if let Some(address) = forwarder.address(&job.backend) {
+        gateway.pool.forget(address);
+    }
+    log::info!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        phase = phase_name(job),
+        remaining_ms = job.remaining.0;
+        "attempt_silent"
+    );
+}
+
 fn end_of(error: &HttpError) -> AttemptEnd {
     match error {
         HttpError::NotSent(_) => AttemptEnd::Unsent,
@@ -274,17 +286,20 @@
     format!("status {}", status.as_u16())
 }
 
-/// Tells of an attempt that ended without an answer that is passed on.
-pub(crate) fn log_failure(call: &Call, job: &Job, cause: &str) {
-    let phase = match job.phase {
+fn phase_name(job: &Job) -> &'static str {
+    match job.phase {
         JobPhase::Whole => "whole",
         JobPhase::Prefill(_) => "prefill",
         JobPhase::Decode(_) => "decode",
-    };
+    }
+}
+
+/// Tells of an attempt that ended without an answer that is passed on.
+pub(crate) fn log_failure(call: &Call, job: &Job, cause: &str) {
     log::info!(
         request = call.facts.id.as_str(),
         backend = job.backend.as_str(),
-        phase = phase,
+        phase = phase_name(job),
         remaining_ms = job.remaining.0,
         cause = cause;
         "attempt_failed"
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -56,6 +56,17 @@
     }
 }
 
+/// How long the job's engine may take to read the prompt, where any limit is known.
+pub(crate) fn prefill_time_limit<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+) -> Option<Millis> {
+    let forwarder = gateway.forwarder.borrow();
+    let tokens = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+    forwarder.prefill_timeout(&job.backend, tokens, job.priority, gateway.now())
+}
+
 /// Has the prompt read by the job's engine.
 ///
 /// # Errors
@@ -66,13 +77,7 @@
     job: &Job,
 ) -> Result<WaitingCache<C, B>, AttemptEnd> {
     let began = gateway.now();
-    // A prefill runs nothing, so it may go to another prefill engine at any time.
-    let time_limit = {
-        let forwarder = gateway.forwarder.borrow();
-        let uncached = call.facts.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-        forwarder.prefill_timeout(&job.backend, uncached, job.priority, began)
-    };
-    let sent = attempt(gateway, call, job, time_limit).await;
+    let sent = attempt(gateway, call, job).await;
     let mut open = sent.map_err(not_run)?;
     let prefill_work = open.guard.prefill_work();
     let failed = |open: &mut OpenAnswer<C, B>, cause: &str| {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -31,7 +31,7 @@
 
 /// A request under way and what became of it so far.
 pub(crate) struct Running {
-    pub(crate) call: Call,
+    pub(crate) call: Rc<Call>,
     pub(crate) route: Route,
     pub(crate) service: ServiceId,
     pub(crate) work: Work,
@@ -43,7 +43,7 @@
     pub(crate) tried: Vec<BackendId>,
     pub(crate) served_by: Option<BackendId>,
     /// Set when it has been counted as begun.
-    begun: Cell<bool>,
+    pub(crate) begun: Rc<Cell<bool>>,
     ended: Cell<bool>,
     _open: OpenRequest,
 }
@@ -54,6 +54,13 @@
         self.work.kind.may_repeat() && self.progress.ran + 1 < self.work.max_attempts
     }
 
+    /// Whether a run now would break no promise.
+    pub(crate) fn may_run_again(&self) -> bool {
+        let Progress { ran, kept, .. } = self.progress;
+        let may_repeat = self.work.kind.may_repeat() && ran + kept < self.work.max_attempts;
+        may_repeat || self.progress.surely_not_run()
+    }
+
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
         self.due.since(now)
     }
@@ -206,7 +213,12 @@
         is_deferred: false,
     };
     Ok(Running {
-        call: Call::new(facts, head, body, tenant.map(|tenant| tenant.name)),
+        call: Rc::new(Call::new(
+            facts,
+            head,
+            body,
+            tenant.map(|tenant| tenant.name),
+        )),
         silence: SilenceLimits::of(&route),
         route,
         service: choice.service,
@@ -216,7 +228,7 @@
         progress: Progress::default(),
         tried: Vec::new(),
         served_by: None,
-        begun: Cell::new(false),
+        begun: Rc::default(),
         ended: Cell::new(false),
         _open: OpenRequest::begin(&gateway.open_requests),
     })
@@ -266,6 +278,26 @@
     }
 }
 
+/// Whether another back end is there to go on with, and a repeat for it.
+pub(crate) fn can_go_elsewhere<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    may_hand_over: bool,
+) -> bool {
+    let Running {
+        service,
+        work,
+        tried,
+        ..
+    } = running;
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    forwarder.has_repeat(service, now)
+        && forwarder
+            .place(service, work, tried, may_hand_over, now)
+            .is_some()
+}
+
 /// Whether another back end may be asked beside one that is silent and kept;
 /// takes a repeat for it and counts the silent one as kept.
 pub(crate) fn go_on_beside<C: CallerPort, B: BackendPort>(
@@ -354,14 +386,16 @@
     own_answer(gateway, running, OwnAnswer::Quarantined(refused_for))
 }
 
-/// A back end began to run the request at `began`; repeats count as one.
+/// A back end began to run the request at `began`; repeats count as one, which
+/// `begun` tells.
 pub(crate) fn note_begun<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
-    running: &Running,
+    call: &Call,
+    begun: &Cell<bool>,
     began: Millis,
 ) {
-    if !running.begun.replace(true) {
-        gateway.note_begun(running.call.tenant.as_ref(), began);
+    if !begun.replace(true) {
+        gateway.note_begun(call.tenant.as_ref(), began);
     }
 }
 
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -190,7 +190,8 @@
             Heard::Event(event) => {
                 let now = self.gateway.now();
                 self.last_event_at = now;
-                note_begun(&self.gateway, &self.search.running, now);
+                let Running { call, begun, .. } = &self.search.running;
+                note_begun(&self.gateway, call, begun, now);
                 let last_id = self.run.as_ref().and_then(EngineRun::last_id);
                 self.search.resume_after = last_id.map(str::to_owned);
                 Next::Event(event)
--- a/components/forwarding-shell/src/stream/opening.rs
+++ b/components/forwarding-shell/src/stream/opening.rs
@@ -1,5 +1,8 @@
 //! Which engines a stream is sent to, one after the other, until one answers.
 
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use garnet_forwarding::{Admission, AttemptEnd, GivenUp, NotRunReason, Placement};
@@ -8,12 +11,13 @@
 use garnet_types::{BackendId, Millis};
 use hyper::Response;
 
-use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
+use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure, note_silent, within};
 use crate::gateway::Gateway;
-use crate::handover::{WaitingCache, prefill};
+use crate::handover::{WaitingCache, prefill, prefill_time_limit};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::{
-    Running, apart, go_on, go_on_beside, log_no_back_end, may_be_sent, may_repeat, standing,
+    Running, apart, can_go_elsewhere, go_on, go_on_beside, log_no_back_end, may_be_sent,
+    may_repeat, standing,
 };
 use crate::stopping::outlasts_stop;
 use crate::whole::copy_head;
@@ -31,13 +35,15 @@
     pub(super) resume_after: Option<String>,
     /// The prompt as one engine read it, for another to go on from.
     cache: Option<WaitingCache<C, B>>,
+    /// Engines that had no room to read the prompt and to generate.
+    no_room_for_prompt: Vec<BackendId>,
     /// Whether an engine has read the prompt for this request before.
     was_read: bool,
     /// An engine's failure, to be passed on where no other engine answers.
     failure: Option<Box<Response<Body>>>,
     /// Set while an engine was sent the request and its end is not noted: where
     /// the search is dropped now, it may have run there.
-    may_run: bool,
+    may_run: Rc<Cell<bool>>,
 }
 
 /// An engine that answers, and the first that it said.
@@ -69,6 +75,20 @@
 /// ended.
 type Opened<C, B> = Result<Option<OpenAnswer<C, B>>, AttemptEnd>;
 
+/// What came of a prefill and of the engines that were asked beside it.
+enum Beside<C: CallerPort + 'static, B: BackendPort + 'static> {
+    /// How the prefill ended.
+    Read(Result<WaitingCache<C, B>, AttemptEnd>),
+    /// Another engine answers.
+    Answer(Box<OpenAnswer<C, B>>),
+}
+
+/// Which of the two came to an end first.
+enum First<C: CallerPort + 'static, B: BackendPort + 'static> {
+    Slow(Result<WaitingCache<C, B>, AttemptEnd>),
+    Others(Result<Box<OpenAnswer<C, B>>, Refused>),
+}
+
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Search<C, B> {
     pub(super) fn new(gateway: &Rc<Gateway<C, B>>, running: Running) -> Self {
         Search {
@@ -76,9 +96,10 @@
             resume_after: running.call.facts.resume_after.clone(),
             running,
             cache: None,
+            no_room_for_prompt: Vec::new(),
             was_read: false,
             failure: None,
-            may_run: false,
+            may_run: Rc::default(),
         }
     }
 
@@ -105,7 +126,7 @@
                     self.after(AttemptEnd::Broken)?;
                 }
                 first => {
-                    self.may_run = false;
+                    self.may_run.set(false);
                     return Ok(Found { run, first });
                 }
             }
@@ -116,7 +137,8 @@
     /// is silent; `false` where there is none, or no repeat for it.
     pub(super) fn begin_beside(&mut self) -> bool {
         self.note_tried();
-        let begins = self.can_go_elsewhere() && go_on_beside(&self.gateway, &mut self.running);
+        let begins = can_go_elsewhere(&self.gateway, &self.running, true)
+            && go_on_beside(&self.gateway, &mut self.running);
         if begins {
             log::info!(
                 request = self.running.call.facts.id.as_str(),
@@ -131,25 +153,11 @@
     /// Ends a search that was dropped on its way.
     pub(super) fn call_off(&mut self) {
         self.cache = None;
-        if std::mem::take(&mut self.may_run) {
+        if self.may_run.take() {
             self.running.progress.note(AttemptEnd::Broken);
         }
     }
 
-    /// Whether another engine is there to go on, and a repeat for it.
-    fn can_go_elsewhere(&self) -> bool {
-        let Running {
-            service,
-            work,
-            tried,
-            ..
-        } = &self.running;
-        let now = self.gateway.now();
-        let mut forwarder = self.gateway.forwarder.borrow_mut();
-        forwarder.has_repeat(service, now)
-            && forwarder.place(service, work, tried, true, now).is_some()
-    }
-
     fn note_tried(&mut self) {
         if let Some(backend) = &self.running.served_by
             && !self.running.tried.contains(backend)
@@ -160,7 +168,7 @@
 
     /// Whether to go on after an attempt that ended with `end`.
     pub(super) fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
-        self.may_run = false;
+        self.may_run.set(false);
         self.note_tried();
         go_on(&self.gateway, &mut self.running, end).map_err(Refused::GivenUp)
     }
@@ -227,8 +235,12 @@
                 Err(Refused::GivenUp(self.running.progress.given_up()))
             }
             Some(Placement::One(backend)) => {
-                let job = self.job(JobPhase::Whole, backend);
-                Ok(self.send(&job).await.map(Some))
+                let job = self.job(JobPhase::Whole, backend.clone());
+                let sent = self.send(&job).await;
+                if matches!(sent, Err(AttemptEnd::NotRun(NotRunReason::Full))) {
+                    self.no_room_for_prompt.push(backend);
+                }
+                Ok(sent.map(Some))
             }
             Some(Placement::Handover {
                 prefill_engine,
@@ -240,7 +252,7 @@
                     return Err(Refused::GivenUp(self.running.progress.given_up()));
                 }
                 let source = copy_from.and_then(|holder| self.copy_source(holder));
-                Ok(self.read_at(prefill_engine, source).await)
+                self.read_at(prefill_engine, source).await
             }
         }
     }
@@ -298,9 +310,20 @@
         &mut self,
         prefill_engine: BackendId,
         source: Option<CopySource>,
-    ) -> Opened<C, B> {
+    ) -> Result<Opened<C, B>, Refused> {
         let job = self.job(JobPhase::Prefill(source), prefill_engine.clone());
-        match prefill(&self.gateway, &self.running.call, &job).await {
+        let gateway = Rc::clone(&self.gateway);
+        let call = Rc::clone(&self.running.call);
+        let time_limit = prefill_time_limit(&gateway, &call, &job);
+        let mut reading = pin!(prefill(&gateway, &call, &job));
+        let read = match within(time_limit, reading.as_mut()).await {
+            Some(read) => read,
+            None => match self.read_beside(reading, &job).await? {
+                Beside::Read(read) => read,
+                Beside::Answer(open) => return Ok(Ok(Some(*open))),
+            },
+        };
+        Ok(match read {
             Ok(cache) => {
                 self.was_read = true;
                 self.cache = Some(cache);
@@ -312,7 +335,56 @@
                 self.running.tried.push(prefill_engine);
                 Err(end)
             }
+        })
+    }
+
+    /// Has other engines do the work beside a prefill engine that takes too long
+    /// and is kept: whoever has the prompt read first goes on, and the rest is
+    /// closed. A prefill runs nothing, so both may go on at once.
+    ///
+    /// Invariant: what the slow engine read is used only where no other engine
+    /// can have begun to generate, or the work may be repeated.
+    async fn read_beside(
+        &mut self,
+        mut reading: Pin<&mut impl Future<Output = Result<WaitingCache<C, B>, AttemptEnd>>>,
+        job: &Job,
+    ) -> Result<Beside<C, B>, Refused> {
+        note_silent(&self.gateway, &self.running.call, job);
+        self.running.tried.push(job.backend.clone());
+        let gone = AttemptEnd::NotRun(NotRunReason::CacheGone);
+        let begins = can_go_elsewhere(&self.gateway, &self.running, true)
+            && go_on(&self.gateway, &mut self.running, gone).is_ok();
+        if !begins {
+            return Ok(Beside::Read(reading.await));
+        }
+        let may_run = Rc::clone(&self.may_run);
+        let (read, others) = {
+            let mut others: Pin<Box<dyn Future<Output = _>>> = Box::pin(self.open());
+            let first = {
+                let slow = async { First::Slow(reading.as_mut().await) };
+                let others = async { First::Others(others.as_mut().await.map(Box::new)) };
+                smol::future::or(slow, others).await
+            };
+            match first {
+                First::Slow(Ok(cache)) if !may_run.get() => return Ok(Beside::Read(Ok(cache))),
+                First::Slow(read) => (Some(read), others.await.map(Box::new)),
+                First::Others(outcome) => (None, outcome),
+            }
+        };
+        let refused = match others {
+            Ok(open) => return Ok(Beside::Answer(open)),
+            Err(refused) => refused,
+        };
+        if !self.running.may_run_again() {
+            return Err(refused);
         }
+        let read = match read {
+            Some(read) => read,
+            None => reading.await,
+        };
+        // Who looked on has told more than that the slow engine failed as well.
+        read.map(|cache| Beside::Read(Ok(cache)))
+            .map_err(|_| refused)
     }
 
     /// A prefill takes its time: who generates is chosen after it. The cache is
@@ -358,10 +430,10 @@
 
     async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
         self.running.served_by = Some(job.backend.clone());
-        self.may_run = true;
+        self.may_run.set(true);
         // A decode engine under load is slow with its first event; one that is gone
         // shows when the request's bytes are not acknowledged.
-        let answer = attempt(&self.gateway, &self.running.call, job, None).await;
+        let answer = attempt(&self.gateway, &self.running.call, job).await;
         match &answer {
             Ok(open) if open.exchange.head.status.is_server_error() => {
                 let cause = failed_with(open.exchange.head.status);
@@ -419,7 +491,14 @@
         apart(&self.gateway, &self.running, |tried| {
             let now = self.gateway.now();
             let mut forwarder = self.gateway.forwarder.borrow_mut();
-            forwarder.place_decode(service, prefill_engine, tried, now)
+            let decode_engine = forwarder.place_decode(service, prefill_engine, tried, now);
+            // Who had no room for the prompt may have it for what is read: better
+            // than to refuse where nobody else is left.
+            decode_engine.or_else(|| {
+                let mut tried = tried.to_vec();
+                tried.retain(|engine| !self.no_room_for_prompt.contains(engine));
+                forwarder.place_decode(service, prefill_engine, &tried, now)
+            })
         })
     }
 }
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -1,5 +1,8 @@
 //! Requests whose answer is passed on as a whole.
 
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use garnet_forwarding::{AttemptEnd, GivenUp, Placement};
@@ -11,12 +14,13 @@
 use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::{attempt, failed_with, log_failure, within};
+use crate::attempt::{attempt, failed_with, log_failure, note_silent, within};
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
-use crate::ports::{BackendPort, CallerPort, Job, JobPhase};
+use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
 use crate::request::{
-    Running, apart, finished, go_on, log_no_back_end, note_begun, own_answer, until,
+    Running, apart, can_go_elsewhere, finished, go_on, go_on_beside, log_no_back_end, note_begun,
+    own_answer, until,
 };
 
 /// Longest answer that is held while it is read.
@@ -50,6 +54,7 @@
     }
 }
 
+/// Has one back end after the other do it, until one answers.
 async fn work<C, B>(
     gateway: &Rc<Gateway<C, B>>,
     running: &mut Running,
@@ -64,7 +69,17 @@
             log_no_back_end(gateway, running);
             return failure.ok_or(running.progress.given_up());
         };
-        let end = match try_once(gateway, running, &backend).await {
+        running.served_by = Some(backend.clone());
+        let job = whole_job(gateway, running, backend.clone());
+        let call = Rc::clone(&running.call);
+        let begun = Rc::clone(&running.begun);
+        let mut trying = pin!(try_once(gateway, &call, &begun, &job));
+        let time_limit = running.may_move_on().then_some(running.silence.answer);
+        let tried = match within(time_limit, trying.as_mut()).await {
+            Some(tried) => tried,
+            None => return work_beside(gateway, running, trying, &job).await,
+        };
+        let end = match tried {
             Ok(answer) if !is_failure(&answer) => return Ok(answer),
             Ok(answer) => {
                 failure = Some(answer);
@@ -79,6 +94,78 @@
     }
 }
 
+/// Has others do the work beside a back end that is silent: whoever answers first
+/// has done it, and the other one is closed.
+///
+/// Invariant: the silent one is closed once another one has answered, not before.
+/// The others may be full or silent themselves, while this one is about to answer.
+async fn work_beside<C, B>(
+    gateway: &Rc<Gateway<C, B>>,
+    running: &mut Running,
+    mut silent: Pin<&mut impl Future<Output = Result<WholeAnswer, AttemptEnd>>>,
+    job: &Job,
+) -> Result<WholeAnswer, GivenUp>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    note_silent(gateway, &running.call, job);
+    running.tried.push(job.backend.clone());
+    let begins = can_go_elsewhere(gateway, running, false) && go_on_beside(gateway, running);
+    if !begins {
+        let ended = silent.await;
+        return ended.map_err(|end| {
+            running.progress.note(end);
+            running.progress.given_up()
+        });
+    }
+    let (silent, others) = {
+        let mut others: Pin<Box<dyn Future<Output = _>>> = Box::pin(work(gateway, running));
+        let first = {
+            let silent = async { First::Silent(silent.as_mut().await) };
+            let others = async { First::Others(others.as_mut().await) };
+            smol::future::or(silent, others).await
+        };
+        match first {
+            First::Silent(Ok(answer)) if !is_failure(&answer) => (Ok(answer), None),
+            First::Silent(ended) => (ended, Some(others.await)),
+            First::Others(Ok(answer)) if !is_failure(&answer) => return Ok(answer),
+            First::Others(ended) => (silent.await, Some(ended)),
+        }
+    };
+    // A success first, then an answer of the back ends' own, then what giving up
+    // means.
+    let is_success = silent.as_ref().is_ok_and(|answer| !is_failure(answer));
+    match (silent, others) {
+        (Ok(answer), others) if is_success || !matches!(others, Some(Ok(_))) => {
+            running.served_by = Some(job.backend.clone());
+            Ok(answer)
+        }
+        (_, Some(others)) => others,
+        (_, None) => Err(running.progress.given_up()),
+    }
+}
+
+/// Who came to an end first.
+enum First {
+    Silent(Result<WholeAnswer, AttemptEnd>),
+    Others(Result<WholeAnswer, GivenUp>),
+}
+
+fn whole_job<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    backend: BackendId,
+) -> Job {
+    Job {
+        phase: JobPhase::Whole,
+        backend,
+        remaining: running.remaining(gateway.now()),
+        priority: running.work.priority,
+        resume_after: None,
+    }
+}
+
 fn place<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &Running,
@@ -97,40 +184,30 @@
 
 async fn try_once<C, B>(
     gateway: &Rc<Gateway<C, B>>,
-    running: &mut Running,
-    backend: &BackendId,
+    call: &Call,
+    begun: &Cell<bool>,
+    job: &Job,
 ) -> Result<WholeAnswer, AttemptEnd>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    running.served_by = Some(backend.clone());
-    let job = Job {
-        phase: JobPhase::Whole,
-        backend: backend.clone(),
-        remaining: running.remaining(gateway.now()),
-        priority: running.work.priority,
-        resume_after: None,
-    };
-    let time_limit = running.may_move_on().then_some(running.silence.answer);
     let began = gateway.now();
-    let opened = attempt(gateway, &running.call, &job, time_limit).await;
+    let opened = attempt(gateway, call, job).await;
     if !matches!(opened, Err(AttemptEnd::Unsent | AttemptEnd::NotRun(_))) {
-        note_begun(gateway, running, began);
+        note_begun(gateway, call, begun, began);
     }
     let mut open = opened?;
-    let left = time_limit.map(|time_limit| time_limit.since(gateway.now().since(began)));
-    let read = within(left, open.exchange.read_whole(LONGEST_ANSWER)).await;
-    let read = read.unwrap_or(Err(HttpError::TimedOut));
+    let read = open.exchange.read_whole(LONGEST_ANSWER).await;
     match read {
         Ok(body) => {
             if open.exchange.tells_end() {
-                open.guard.completed(&running.call);
+                open.guard.completed(call);
             }
             let status = open.exchange.head.status;
             if status.is_server_error() {
                 open.guard.failed();
-                log_failure(&running.call, &job, &failed_with(status));
+                log_failure(call, job, &failed_with(status));
             } else {
                 open.guard.succeeded();
             }
@@ -140,14 +217,14 @@
         }
         Err(error) => {
             match &error {
-                HttpError::Broken(_) => open.guard.connection_lost(&running.call),
+                HttpError::Broken(_) => open.guard.connection_lost(call),
                 HttpError::NotSent(_) | HttpError::TooLong(_) | HttpError::TimedOut => {
                     open.guard.failed();
                 }
             }
             log::info!(
-                request = running.call.facts.id.as_str(),
-                backend = backend.as_str(),
+                request = call.facts.id.as_str(),
+                backend = job.backend.as_str(),
                 cause = error.to_string().as_str();
                 "answer_broken"
             );
