A request's time is over when it surely is

Cause: the clock tells whole milliseconds, rounded down; the end of a request's time was counted from such a moment and came up to a millisecond early. Where an engine is slow the cut came then.

Ruled out: callers' own clocks (two processes of one machine, one monotonic clock).

Change: the time ends one step of the clock later; back ends are told what is left as before.

--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -25,6 +25,10 @@
 /// Longest time to read a body when nothing else bounds it.
 const BODY_TIME: Duration = Duration::from_secs(20);
 
+/// The clock tells whole milliseconds, rounded down: a span that is counted from
+/// such a moment is surely over one step later.
+const CLOCK_STEP: Millis = Millis(1);
+
 /// A caller that gives less than this part of the route's time has used the
 /// rest before: it was here already.
 const FIRST_CALL_TIME: f64 = 0.95;
@@ -37,7 +41,7 @@
     pub(crate) work: Work,
     pub(crate) silence: SilenceLimits,
     pub(crate) arrived: Millis,
-    /// When its time is over.
+    /// When its time is surely over.
     pub(crate) due: Millis,
     pub(crate) progress: Progress,
     pub(crate) tried: Vec<BackendId>,
@@ -62,7 +66,7 @@
     }
 
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
-        self.due.since(now)
+        self.due.since(now + CLOCK_STEP)
     }
 
     /// Whether no back end was sent it yet.
@@ -72,7 +76,7 @@
 
     /// As admission sees it; its caller waits for `longest_gap` for an event.
     pub(crate) fn arrival(&self, longest_gap: Millis, now: Millis) -> Arrival {
-        let given = self.due.since(self.arrived);
+        let given = self.remaining(self.arrived);
         let whole = self.route.timeout_ms.0 as f64;
         Arrival {
             waited: now.since(self.arrived),
@@ -224,7 +228,7 @@
         service: choice.service,
         work,
         arrived,
-        due: arrived + time,
+        due: arrived + time + CLOCK_STEP,
         progress: Progress::default(),
         tried: Vec::new(),
         served_by: None,
--- a/components/forwarding-shell/src/stream/cut.rs
+++ b/components/forwarding-shell/src/stream/cut.rs
@@ -47,7 +47,7 @@
             engine_end = self.engine_end.as_str(),
             after = search.resume_after.as_deref().unwrap_or_default(),
             quiet_ms = now.since(self.last_event_at).0,
-            given_ms = running.due.since(running.arrived).0,
+            given_ms = running.remaining(running.arrived).0,
             remaining_ms = running.remaining(now).0,
             ran = running.progress.ran,
             rejected = running.progress.rejected,
