--- a/components/gateway/tests/core/streams.rs
+++ b/components/gateway/tests/core/streams.rs
@@ -1,7 +1,9 @@
 //! Streams: whole, in order, each to its own caller.
 
+use garnet_control::ClaimAnswer;
 use garnet_gateway::{Answer, AttemptEvent, Job};
 use garnet_types::{Execution, Millis, OutcomeCode};
+use rstest::rstest;
 
 use crate::harness::{Harness, completion};
 
@@ -123,3 +125,40 @@
     assert_eq!(refusal.ran, Execution::No);
     assert!(refusal.retry_after.is_some());
 }
+
+/// An engine that gave neither tokens nor load for two seconds was left, also
+/// where nobody could go on: a request that may run once, or one for which no
+/// retry was left. With 7.5 s of 10 left its caller was told `InDoubt` ("an engine
+/// may have run the request"), or that "the text was broken off and no engine
+/// could take it over", while the engine went on a moment later.
+#[rstest]
+#[case::may_run_once(Some("key"), 0)]
+#[case::no_retry_is_left(None, 6)]
+fn a_silent_engine_without_a_substitute_is_waited_for(
+    #[case] key: Option<&str>,
+    #[case] retries_before: u64,
+) {
+    let mut harness = Harness::ready();
+    for id in 0..retries_before {
+        harness.event(completion(100 + id, None));
+        let first = harness.dispatch().attempt;
+        harness.attempt(first, AttemptEvent::Broken);
+        let second = harness.dispatch().attempt;
+        harness.tokens(second, 0, &["a"]);
+        harness.attempt(second, AttemptEvent::Finished { total: 1 });
+    }
+    harness.answers();
+    harness.event(completion(1, key));
+    if key.is_some() {
+        harness.answer_claim(ClaimAnswer::Granted);
+    }
+    let attempt = harness.dispatch().attempt;
+    harness.tokens(attempt, 0, &["a"]);
+    for _ in 0..10 {
+        harness.wait_with_lease(Millis(250));
+    }
+    assert_eq!(harness.answers(), [], "it is waited for");
+    harness.tokens(attempt, 1, &["b", "c"]);
+    harness.attempt(attempt, AttemptEvent::Finished { total: 3 });
+    assert_eq!(whole_text(harness.answer()), "abc");
+}
