A silent engine is set aside as long as before

A stream's silent engine counted as one failure while it was kept, and as the second only when it was left; before, both at once, so that nobody came to it for a second instead of half of one.

Change: both at once again.

--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -84,13 +84,10 @@
         self.open.guard.connection_lost(call);
     }
 
-    /// It is silent for longer than is useful: others should not come meanwhile.
+    /// It is silent for longer than is useful: others should not come meanwhile,
+    /// for twice the time that a first failure costs.
     pub(super) fn note_silent(&mut self) {
         self.open.guard.silent();
-    }
-
-    /// Another engine has gone on in its place.
-    pub(super) fn leave(mut self) {
         self.open.guard.failed();
     }
 }
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -100,7 +100,7 @@
                 self.log_broken(silent, &cause);
             }
             None => {
-                run.leave();
+                drop(run);
                 self.log_broken(silent, "silent");
             }
         }
