--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -302,21 +302,23 @@
             .is_some()
 }
 
-/// Whether another back end may be asked beside one that is silent and kept;
-/// takes a repeat for it and counts the silent one as kept.
+/// Whether another back end may be asked beside one that is silent and waited
+/// for, which `count` counts; takes a repeat for it.
 pub(crate) fn go_on_beside<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &mut Running,
+    count: impl FnOnce(&mut Progress),
 ) -> bool {
     // One more engine may end under a suspected request.
     if !may_be_sent(gateway, running) || standing(gateway, &running.call) == Standing::Suspected {
         return false;
     }
-    running.progress.keep();
+    let before = running.progress;
+    count(&mut running.progress);
     let next = next_move(&running.work, &running.progress, AttemptEnd::Broken);
     let begins = matches!(next, NextMove::TryAnother { .. }) && may_repeat(gateway, running);
     if !begins {
-        running.progress.resumed_kept();
+        running.progress = before;
     }
     begins
 }
--- a/components/forwarding-shell/src/stream/opening.rs
+++ b/components/forwarding-shell/src/stream/opening.rs
@@ -5,7 +5,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
-use garnet_forwarding::{Admission, AttemptEnd, GivenUp, NotRunReason, Placement};
+use garnet_forwarding::{Admission, AttemptEnd, GivenUp, NotRunReason, Placement, Progress};
 use garnet_quarantine::Standing;
 use garnet_runtime::{Body, bytes_body};
 use garnet_types::{BackendId, Millis};
@@ -138,7 +138,7 @@
     pub(super) fn begin_beside(&mut self) -> bool {
         self.note_tried();
         let begins = can_go_elsewhere(&self.gateway, &self.running, true)
-            && go_on_beside(&self.gateway, &mut self.running);
+            && go_on_beside(&self.gateway, &mut self.running, Progress::keep);
         if begins {
             log::info!(
                 request = self.running.call.facts.id.as_str(),
@@ -316,12 +316,16 @@
         let call = Rc::clone(&self.running.call);
         let time_limit = prefill_time_limit(&gateway, &call, &job);
         let mut reading = pin!(prefill(&gateway, &call, &job));
-        let read = match within(time_limit, reading.as_mut()).await {
-            Some(read) => read,
-            None => match self.read_beside(reading, &job).await? {
-                Beside::Read(read) => read,
-                Beside::Answer(open) => return Ok(Ok(Some(*open))),
-            },
+        let read = loop {
+            if let Some(read) = within(time_limit, reading.as_mut()).await {
+                break read;
+            }
+            if self.begin_reading_beside(&job) {
+                match self.read_beside(reading).await? {
+                    Beside::Read(read) => break read,
+                    Beside::Answer(open) => return Ok(Ok(Some(*open))),
+                }
+            }
         };
         Ok(match read {
             Ok(cache) => {
@@ -338,6 +342,21 @@
         })
     }
 
+    /// Whether other engines may do the work beside a prefill engine that takes
+    /// too long.
+    fn begin_reading_beside(&mut self, job: &Job) -> bool {
+        if !self.running.tried.contains(&job.backend) {
+            note_silent(&self.gateway, &self.running.call, job);
+            self.running.tried.push(job.backend.clone());
+        }
+        // It runs nothing: it counts as one that was turned away.
+        let count = |progress: &mut Progress| {
+            progress.note(AttemptEnd::NotRun(NotRunReason::CacheGone));
+        };
+        can_go_elsewhere(&self.gateway, &self.running, true)
+            && go_on_beside(&self.gateway, &mut self.running, count)
+    }
+
     /// Has other engines do the work beside a prefill engine that takes too long
     /// and is kept: whoever has the prompt read first goes on, and the rest is
     /// closed. A prefill runs nothing, so both may go on at once.
@@ -347,16 +366,7 @@
     async fn read_beside(
         &mut self,
         mut reading: Pin<&mut impl Future<Output = Result<WaitingCache<C, B>, AttemptEnd>>>,
-        job: &Job,
     ) -> Result<Beside<C, B>, Refused> {
-        note_silent(&self.gateway, &self.running.call, job);
-        self.running.tried.push(job.backend.clone());
-        let gone = AttemptEnd::NotRun(NotRunReason::CacheGone);
-        let begins = can_go_elsewhere(&self.gateway, &self.running, true)
-            && go_on(&self.gateway, &mut self.running, gone).is_ok();
-        if !begins {
-            return Ok(Beside::Read(reading.await));
-        }
         let may_run = Rc::clone(&self.may_run);
         let (read, others) = {
             let mut others: Pin<Box<dyn Future<Output = _>>> = Box::pin(self.open());
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -5,7 +5,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
-use garnet_forwarding::{AttemptEnd, GivenUp, Placement};
+use garnet_forwarding::{AttemptEnd, GivenUp, Placement, Progress};
 use garnet_runtime::client::HttpError;
 use garnet_runtime::{Body, bytes_body};
 use garnet_types::BackendId;
@@ -75,9 +75,13 @@
         let begun = Rc::clone(&running.begun);
         let mut trying = pin!(try_once(gateway, &call, &begun, &job));
         let time_limit = running.may_move_on().then_some(running.silence.answer);
-        let tried = match within(time_limit, trying.as_mut()).await {
-            Some(tried) => tried,
-            None => return work_beside(gateway, running, trying, &job).await,
+        let tried = loop {
+            if let Some(tried) = within(time_limit, trying.as_mut()).await {
+                break tried;
+            }
+            if begin_beside(gateway, running, &job) {
+                return work_beside(gateway, running, trying, &job).await;
+            }
         };
         let end = match tried {
             Ok(answer) if !is_failure(&answer) => return Ok(answer),
@@ -94,6 +98,19 @@
     }
 }
 
+/// Whether others may do the work beside a back end that is silent.
+fn begin_beside<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &mut Running,
+    job: &Job,
+) -> bool {
+    if !running.tried.contains(&job.backend) {
+        note_silent(gateway, &running.call, job);
+        running.tried.push(job.backend.clone());
+    }
+    can_go_elsewhere(gateway, running, false) && go_on_beside(gateway, running, Progress::keep)
+}
+
 /// Has others do the work beside a back end that is silent: whoever answers first
 /// has done it, and the other one is closed.
 ///
@@ -109,16 +126,6 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    note_silent(gateway, &running.call, job);
-    running.tried.push(job.backend.clone());
-    let begins = can_go_elsewhere(gateway, running, false) && go_on_beside(gateway, running);
-    if !begins {
-        let ended = silent.await;
-        return ended.map_err(|end| {
-            running.progress.note(end);
-            running.progress.given_up()
-        });
-    }
     let (silent, others) = {
         let mut others: Pin<Box<dyn Future<Output = _>>> = Box::pin(work(gateway, running));
         let first = {
