The search for engines in modules of one job each

The search, what is sent to whom, and the prefill have modules of their own now, and so has the question whether a request may go on.

--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod events;
 mod gateway;
+mod going_on;
 mod handover;
 mod headers;
 mod metrics;
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -4,10 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{
-    Arrival, AttemptEnd, GivenUp, NextMove, Progress, SilenceLimits, Work, next_move,
-};
-use garnet_quarantine::Standing;
+use garnet_forwarding::{Arrival, Progress, SilenceLimits, Work};
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, read_body};
@@ -18,6 +15,7 @@
 
 use crate::answers::OwnAnswer;
 use crate::gateway::Gateway;
+use crate::going_on::is_refused;
 use crate::headers::remove_connection_headers;
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
 use crate::{stream, whole};
@@ -254,125 +252,6 @@
     }
 }
 
-/// Notes the end of an attempt, and whether another one may follow it.
-///
-/// # Errors
-/// What giving the request up means, where none may.
-pub(crate) fn go_on<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &mut Running,
-    end: AttemptEnd,
-) -> Result<(), GivenUp> {
-    running.progress.note(end);
-    let given_up = running.progress.given_up();
-    if !may_be_sent(gateway, running) {
-        return Err(given_up);
-    }
-    // A suspected request whose run broke off has probably ended one more
-    // engine: its caller may come again, at whoever knows by then.
-    if end == AttemptEnd::Broken && standing(gateway, &running.call) == Standing::Suspected {
-        return Err(given_up);
-    }
-    match next_move(&running.work, &running.progress, end) {
-        NextMove::TryAnother { repeat: false } => Ok(()),
-        NextMove::TryAnother { repeat: true } if may_repeat(gateway, running) => Ok(()),
-        NextMove::TryAnother { repeat: true } => Err(given_up),
-        NextMove::PassOn => Err(given_up),
-        NextMove::GiveUp(given_up) => Err(given_up),
-    }
-}
-
-/// Whether another back end is there to go on with, and a repeat for it.
-pub(crate) fn can_go_elsewhere<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &Running,
-    may_hand_over: bool,
-) -> bool {
-    let Running {
-        service,
-        work,
-        tried,
-        ..
-    } = running;
-    let now = gateway.now();
-    let mut forwarder = gateway.forwarder.borrow_mut();
-    forwarder.has_repeat(service, now)
-        && forwarder
-            .place(service, work, tried, may_hand_over, now)
-            .is_some()
-}
-
-/// Whether another back end may be asked beside one that is silent and waited
-/// for, which `count` counts; takes a repeat for it.
-pub(crate) fn go_on_beside<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &mut Running,
-    count: impl FnOnce(&mut Progress),
-) -> bool {
-    // One more engine may end under a suspected request.
-    if !may_be_sent(gateway, running) || standing(gateway, &running.call) == Standing::Suspected {
-        return false;
-    }
-    let before = running.progress;
-    count(&mut running.progress);
-    let next = next_move(&running.work, &running.progress, AttemptEnd::Broken);
-    let begins = matches!(next, NextMove::TryAnother { .. }) && may_repeat(gateway, running);
-    if !begins {
-        running.progress = before;
-    }
-    begins
-}
-
-/// How a request stands; its body is hashed only where any is suspected.
-pub(crate) fn standing<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    call: &Call,
-) -> Standing {
-    let forwarder = gateway.forwarder.borrow();
-    if forwarder.suspects_nobody() {
-        return Standing::Clear;
-    }
-    forwarder.standing(call.fingerprint())
-}
-
-/// Whether the request may be sent to no engine, since engines ended under it.
-pub(crate) fn is_refused<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    call: &Call,
-) -> bool {
-    standing(gateway, call) == Standing::Refused
-}
-
-/// Places a request that is suspected apart from others like it, and any other
-/// one wherever `place` puts it, which is given the back ends to leave out.
-pub(crate) fn apart<C: CallerPort, B: BackendPort, T>(
-    gateway: &Gateway<C, B>,
-    running: &Running,
-    place: impl Fn(&[BackendId]) -> Option<T>,
-) -> Option<T> {
-    let Running { service, tried, .. } = running;
-    if standing(gateway, &running.call) != Standing::Suspected {
-        return place(tried);
-    }
-    let mut left_out = {
-        let forwarder = gateway.forwarder.borrow();
-        let fingerprint = running.call.fingerprint();
-        forwarder.not_its_own(service, fingerprint, tried, gateway.now())
-    };
-    left_out.extend(tried.iter().cloned());
-    place(&left_out).or_else(|| place(tried))
-}
-
-/// Whether the request may be sent to another back end. It may not where its
-/// time is over, which shows here first when the machine was suspended.
-pub(crate) fn may_be_sent<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &Running,
-) -> bool {
-    let is_in_time = running.remaining(gateway.now()) > Millis::ZERO;
-    is_in_time && !is_refused(gateway, &running.call)
-}
-
 /// Refuses a request that crashes engines, before any of them sees it.
 fn refuse_quarantined<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
@@ -405,25 +284,6 @@
     }
 }
 
-/// Takes one repeat from the service's budget, and tells when none is left.
-pub(crate) fn may_repeat<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &Running,
-) -> bool {
-    let now = gateway.now();
-    let mut forwarder = gateway.forwarder.borrow_mut();
-    let allowed = forwarder.spend_repeat(&running.service, now);
-    if !allowed {
-        log::info!(
-            request = running.call.facts.id.as_str(),
-            service = running.service.as_str(),
-            gateways = forwarder.gateways();
-            "no_repeat_left"
-        );
-    }
-    allowed
-}
-
 /// Ends at the moment `due`.
 pub(crate) async fn until<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>, due: Millis) {
     gateway.timers.sleep_until(due).await;
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -3,7 +3,9 @@
 
 mod cut;
 mod engine_run;
-mod opening;
+mod placing;
+mod reading;
+mod search;
 mod successor;
 
 use std::rc::Rc;
@@ -25,7 +27,7 @@
 
 use cut::CutCause;
 use engine_run::{EngineRun, Heard};
-use opening::{Found, Refused, Search};
+use search::{Found, Refused, Search};
 
 /// A stream under way.
 struct Stream<C: CallerPort + 'static, B: BackendPort + 'static> {
--- /dev/null
+++ b/components/forwarding-shell/src/stream/placing.rs
@@ -0,0 +1,147 @@
+//! Which engine a stream is sent to next, and with what.
+
+use garnet_forwarding::{Admission, AttemptEnd, Placement};
+use garnet_quarantine::Standing;
+use garnet_types::{BackendId, Millis};
+
+use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
+use crate::going_on::{apart, standing};
+use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
+use crate::request::Running;
+use crate::stopping::outlasts_stop;
+
+use super::search::{Refused, Search};
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Search<C, B> {
+    /// Whether no engine has seen the request, here or before.
+    pub(super) fn is_new(&self) -> bool {
+        self.running.is_untried() && !self.was_read && self.resume_after.is_none()
+    }
+
+    /// Places a new request. One for which the engines have no time is turned
+    /// away before any of them has seen it, or sent to be prefilled after the rest.
+    pub(super) fn place_new(&mut self) -> Result<Option<Placement>, Refused> {
+        if outlasts_stop(&self.gateway, &self.running) {
+            // Any other gateway may take it now.
+            return Err(Refused::Busy(Millis::ZERO));
+        }
+        if standing(&self.gateway, &self.running.call) != Standing::Clear {
+            // Where it runs is said already, whoever has time.
+            return Ok(self.place());
+        }
+        let Running { service, work, .. } = &self.running;
+        let now = self.gateway.now();
+        let longest_gap = self.gateway.callers.longest_gap(&self.running.route);
+        let arrival = self.running.arrival(longest_gap, now);
+        let mut forwarder = self.gateway.forwarder.borrow_mut();
+        let placed = forwarder.place_new(service, work, &arrival, now);
+        drop(forwarder);
+        let Some((placement, admission)) = placed else {
+            return Ok(None);
+        };
+        let (retry_after, predicted) = match admission {
+            Admission::Admit => return Ok(Some(placement)),
+            Admission::Defer => {
+                self.running.work.is_deferred = true;
+                return Ok(Some(placement));
+            }
+            Admission::Refuse {
+                retry_after,
+                predicted,
+            } => (retry_after, predicted),
+        };
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            route = self.running.route.name.as_str(),
+            predicted_ms = predicted.0,
+            objective_ms = work.objective.0,
+            retry_after_ms = retry_after.0,
+            came_back = arrival.came_back;
+            "admission_refused"
+        );
+        Err(Refused::Busy(retry_after))
+    }
+
+    pub(super) fn copy_source(&self, holder: BackendId) -> Option<CopySource> {
+        let forwarder = self.gateway.forwarder.borrow();
+        let address = forwarder.address(&holder)?.to_owned();
+        Some(CopySource {
+            backend: holder,
+            address,
+        })
+    }
+
+    pub(super) async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
+        self.running.served_by = Some(job.backend.clone());
+        self.may_run.set(true);
+        // A decode engine under load is slow with its first event; one that is gone
+        // shows when the request's bytes are not acknowledged.
+        let answer = attempt(&self.gateway, &self.running.call, job).await;
+        match &answer {
+            Ok(open) if open.exchange.head.status.is_server_error() => {
+                let cause = failed_with(open.exchange.head.status);
+                log_failure(&self.running.call, job, &cause);
+            }
+            Ok(_) => {}
+            Err(_) => self.running.tried.push(job.backend.clone()),
+        }
+        answer
+    }
+
+    pub(super) fn job(&self, phase: JobPhase, backend: BackendId) -> Job {
+        let resumes = !matches!(phase, JobPhase::Prefill(_));
+        let resume_after = self.resume_after.clone().filter(|_| resumes);
+        let work = &self.running.work;
+        let priority = match &phase {
+            // Its prompt is prefilled: it holds up nobody's first token.
+            JobPhase::Decode(_) => work.priority,
+            _ => work.rank(self.uncached_tokens(&phase, &backend)),
+        };
+        Job {
+            phase,
+            backend,
+            remaining: self.running.remaining(self.gateway.now()),
+            priority,
+            resume_after,
+        }
+    }
+
+    /// Prompt tokens that the back end has to prefill in this phase.
+    fn uncached_tokens(&self, phase: &JobPhase, backend: &BackendId) -> u64 {
+        let source = match phase {
+            JobPhase::Whole => None,
+            JobPhase::Prefill(source) => source.as_ref().map(|source| &source.backend),
+            JobPhase::Decode(_) => return 0,
+        };
+        let Some(prompt) = &self.running.work.prompt else {
+            return 0;
+        };
+        let forwarder = self.gateway.forwarder.borrow();
+        forwarder.uncached_tokens(backend, prompt, source, self.gateway.now())
+    }
+
+    pub(super) fn place(&self) -> Option<Placement> {
+        let Running { service, work, .. } = &self.running;
+        apart(&self.gateway, &self.running, |tried| {
+            let now = self.gateway.now();
+            let mut forwarder = self.gateway.forwarder.borrow_mut();
+            forwarder.place(service, work, tried, true, now)
+        })
+    }
+
+    pub(super) fn place_decode(&self, prefill_engine: &BackendId) -> Option<BackendId> {
+        let service = &self.running.service;
+        apart(&self.gateway, &self.running, |tried| {
+            let now = self.gateway.now();
+            let mut forwarder = self.gateway.forwarder.borrow_mut();
+            let decode_engine = forwarder.place_decode(service, prefill_engine, tried, now);
+            // Who had no room for the prompt may have it for what is read: better
+            // than to refuse where nobody else is left.
+            decode_engine.or_else(|| {
+                let mut tried = tried.to_vec();
+                tried.retain(|engine| !self.no_room_for_prompt.contains(engine));
+                forwarder.place_decode(service, prefill_engine, &tried, now)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/components/forwarding-shell/src/stream/reading.rs
@@ -0,0 +1,155 @@
+//! A prompt that one engine reads and another one generates from.
+
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+
+use garnet_forwarding::{AttemptEnd, NotRunReason, Progress};
+use garnet_types::BackendId;
+
+use crate::attempt::{OpenAnswer, note_silent, within};
+use crate::going_on::{can_go_elsewhere, go_on_beside, may_be_sent};
+use crate::handover::{WaitingCache, prefill, prefill_time_limit};
+use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
+use crate::request::log_no_back_end;
+
+use super::search::{Opened, Refused, Search};
+
+/// What came of a prefill and of the engines that were asked beside it.
+enum Beside<C: CallerPort + 'static, B: BackendPort + 'static> {
+    /// How the prefill ended.
+    Read(Result<WaitingCache<C, B>, AttemptEnd>),
+    /// Another engine answers.
+    Answer(Box<OpenAnswer<C, B>>),
+}
+
+/// Which of the two came to an end first.
+enum First<C: CallerPort + 'static, B: BackendPort + 'static> {
+    Slow(Result<WaitingCache<C, B>, AttemptEnd>),
+    Others(Result<Box<OpenAnswer<C, B>>, Refused>),
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Search<C, B> {
+    pub(super) async fn read_at(
+        &mut self,
+        prefill_engine: BackendId,
+        source: Option<CopySource>,
+    ) -> Result<Opened<C, B>, Refused> {
+        let job = self.job(JobPhase::Prefill(source), prefill_engine.clone());
+        let gateway = Rc::clone(&self.gateway);
+        let call = Rc::clone(&self.running.call);
+        let time_limit = prefill_time_limit(&gateway, &call, &job);
+        let mut reading = pin!(prefill(&gateway, &call, &job));
+        let read = loop {
+            if let Some(read) = within(time_limit, reading.as_mut()).await {
+                break read;
+            }
+            if self.begin_reading_beside(&job) {
+                match self.read_beside(reading).await? {
+                    Beside::Read(read) => break read,
+                    Beside::Answer(open) => return Ok(Ok(Some(*open))),
+                }
+            }
+        };
+        Ok(match read {
+            Ok(cache) => {
+                self.was_read = true;
+                self.cache = Some(cache);
+                Ok(None)
+            }
+            Err(end) => {
+                // Another prefill engine takes it: a decode engine that prefills a prompt
+                // holds up all that it generates.
+                self.running.tried.push(prefill_engine);
+                Err(end)
+            }
+        })
+    }
+
+    /// Whether other engines may do the work beside a prefill engine that takes
+    /// too long.
+    fn begin_reading_beside(&mut self, job: &Job) -> bool {
+        if !self.running.tried.contains(&job.backend) {
+            note_silent(&self.gateway, &self.running.call, job);
+            self.running.tried.push(job.backend.clone());
+        }
+        // It runs nothing: it counts as one that was turned away.
+        let count = |progress: &mut Progress| {
+            progress.note(AttemptEnd::NotRun(NotRunReason::CacheGone));
+        };
+        can_go_elsewhere(&self.gateway, &self.running, true)
+            && go_on_beside(&self.gateway, &mut self.running, count)
+    }
+
+    /// Has other engines do the work beside a prefill engine that takes too long
+    /// and is kept: whoever has the prompt read first goes on, and the rest is
+    /// closed. A prefill runs nothing, so both may go on at once.
+    ///
+    /// Invariant: what the slow engine read is used only where no other engine
+    /// can have begun to generate, or the work may be repeated.
+    async fn read_beside(
+        &mut self,
+        mut reading: Pin<&mut impl Future<Output = Result<WaitingCache<C, B>, AttemptEnd>>>,
+    ) -> Result<Beside<C, B>, Refused> {
+        let may_run = Rc::clone(&self.may_run);
+        let (read, others) = {
+            let mut others: Pin<Box<dyn Future<Output = _>>> = Box::pin(self.open());
+            let first = {
+                let slow = async { First::Slow(reading.as_mut().await) };
+                let others = async { First::Others(others.as_mut().await.map(Box::new)) };
+                smol::future::or(slow, others).await
+            };
+            match first {
+                First::Slow(Ok(cache)) if !may_run.get() => return Ok(Beside::Read(Ok(cache))),
+                First::Slow(read) => (Some(read), others.await.map(Box::new)),
+                First::Others(outcome) => (None, outcome),
+            }
+        };
+        let refused = match others {
+            Ok(open) => return Ok(Beside::Answer(open)),
+            Err(refused) => refused,
+        };
+        if !self.running.may_run_again() {
+            return Err(refused);
+        }
+        let read = match read {
+            Some(read) => read,
+            None => reading.await,
+        };
+        // Who looked on has told more than that the slow engine failed as well.
+        read.map(|cache| Beside::Read(Ok(cache)))
+            .map_err(|_| refused)
+    }
+
+    /// A prefill takes its time: who generates is chosen after it. The cache is
+    /// kept for another decode engine where this one has not taken it.
+    pub(super) async fn generate(&mut self, cache: WaitingCache<C, B>) -> Opened<C, B> {
+        // The verdict on a request may fall while its prompt is prefilled, and
+        // its time may pass.
+        if !may_be_sent(&self.gateway, &self.running) {
+            return Err(AttemptEnd::NotRun(NotRunReason::Refused));
+        }
+        let Some(decode_engine) = self.place_decode(cache.prefill_engine()) else {
+            log_no_back_end(&self.gateway, &self.running);
+            return Err(AttemptEnd::NotRun(NotRunReason::Full));
+        };
+        let job = self.job(JobPhase::Decode(cache.source()), decode_engine);
+        match self.send(&job).await {
+            Ok(answer) => {
+                cache.taken();
+                Ok(Some(answer))
+            }
+            Err(end) => {
+                match end {
+                    AttemptEnd::Unsent
+                    | AttemptEnd::NotRun(NotRunReason::Full | NotRunReason::Misdirected) => {
+                        self.cache = Some(cache);
+                    }
+                    // Its prefill engine lost it, and would lose it again.
+                    _ => self.running.tried.push(cache.prefill_engine().clone()),
+                }
+                Err(end)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -0,0 +1,240 @@
+//! The search for an engine that answers a stream: one after the other, until
+//! one does.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use garnet_forwarding::{AttemptEnd, GivenUp, NotRunReason, Placement, Progress};
+use garnet_runtime::{Body, bytes_body};
+use garnet_types::{BackendId, Millis};
+use hyper::Response;
+
+use crate::attempt::OpenAnswer;
+use crate::gateway::Gateway;
+use crate::going_on::{can_go_elsewhere, go_on, go_on_beside, may_be_sent, may_repeat};
+use crate::handover::WaitingCache;
+use crate::ports::{BackendPort, CallerPort, JobPhase};
+use crate::request::{Running, log_no_back_end};
+use crate::whole::copy_head;
+
+use super::engine_run::{EngineRun, Heard};
+
+/// Longest failure of an engine's own that is passed on, in bytes.
+const LONGEST_FAILURE: usize = 1024 * 1024;
+
+/// The search for engines that answer a request.
+pub(super) struct Search<C: CallerPort + 'static, B: BackendPort + 'static> {
+    pub(super) gateway: Rc<Gateway<C, B>>,
+    pub(super) running: Running,
+    /// The last whole event that the caller has, for an engine to go on after.
+    pub(super) resume_after: Option<String>,
+    /// The prompt as one engine read it, for another to go on from.
+    pub(super) cache: Option<WaitingCache<C, B>>,
+    /// Engines that had no room to read the prompt and to generate.
+    pub(super) no_room_for_prompt: Vec<BackendId>,
+    /// Whether an engine has read the prompt for this request before.
+    pub(super) was_read: bool,
+    /// An engine's failure, to be passed on where no other engine answers.
+    failure: Option<Box<Response<Body>>>,
+    /// Set while an engine was sent the request and its end is not noted: where
+    /// the search is dropped now, it may have run there.
+    pub(super) may_run: Rc<Cell<bool>>,
+}
+
+/// An engine that answers, and the first that it said.
+pub(super) struct Found<C: CallerPort, B: BackendPort> {
+    pub(super) run: EngineRun<C, B>,
+    pub(super) first: Heard,
+}
+
+/// Why no engine answers.
+pub(super) enum Refused {
+    GivenUp(GivenUp),
+    /// It would wait for too long: when to come back.
+    Busy(Millis),
+    /// The engine's own answer, which is no stream.
+    Answered(Box<Response<Body>>),
+}
+
+impl Refused {
+    /// An engine's own failure tells more than that the request was given up.
+    pub(super) fn or_answered(self, failure: Option<Box<Response<Body>>>) -> Self {
+        match (self, failure) {
+            (Refused::GivenUp(_), Some(failure)) => Refused::Answered(failure),
+            (refused, _) => refused,
+        }
+    }
+}
+
+/// An engine's answer, or none yet where the prompt was prefilled; or how the attempt
+/// ended.
+pub(super) type Opened<C, B> = Result<Option<OpenAnswer<C, B>>, AttemptEnd>;
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Search<C, B> {
+    pub(super) fn new(gateway: &Rc<Gateway<C, B>>, running: Running) -> Self {
+        Search {
+            gateway: Rc::clone(gateway),
+            resume_after: running.call.facts.resume_after.clone(),
+            running,
+            cache: None,
+            no_room_for_prompt: Vec::new(),
+            was_read: false,
+            failure: None,
+            may_run: Rc::default(),
+        }
+    }
+
+    /// An engine's own failure, where one was met.
+    pub(super) fn take_failure(&mut self) -> Option<Box<Response<Body>>> {
+        self.failure.take()
+    }
+
+    /// Finds an engine that answers, and waits for its first event: until then
+    /// it has promised nothing, and another engine may begin in its place.
+    pub(super) async fn find_run(&mut self) -> Result<Found<C, B>, Refused> {
+        loop {
+            let open = self.open().await?;
+            if !open.exchange.head.status.is_success() {
+                self.after_failure(open).await?;
+                continue;
+            }
+            let kind = self.running.work.kind;
+            let mut run = EngineRun::new(open, self.resume_after.clone(), kind);
+            match run.next().await {
+                Heard::Broke(cause) => {
+                    run.broke_off(&self.running.call);
+                    self.log_broken(self.running.served_by.as_ref(), &cause);
+                    self.after(AttemptEnd::Broken)?;
+                }
+                first => {
+                    self.may_run.set(false);
+                    return Ok(Found { run, first });
+                }
+            }
+        }
+    }
+
+    /// Begins to look for an engine that goes on beside the present one, which
+    /// is silent; `false` where there is none, or no repeat for it.
+    pub(super) fn begin_beside(&mut self) -> bool {
+        self.note_tried();
+        let begins = can_go_elsewhere(&self.gateway, &self.running, true)
+            && go_on_beside(&self.gateway, &mut self.running, Progress::keep);
+        if begins {
+            log::info!(
+                request = self.running.call.facts.id.as_str(),
+                backend = self.running.served_by.as_ref().map_or("", BackendId::as_str),
+                after = self.resume_after.as_deref().unwrap_or_default();
+                "stream_silent"
+            );
+        }
+        begins
+    }
+
+    /// Ends a search that was dropped on its way.
+    pub(super) fn call_off(&mut self) {
+        self.cache = None;
+        if self.may_run.take() {
+            self.running.progress.note(AttemptEnd::Broken);
+        }
+    }
+
+    fn note_tried(&mut self) {
+        if let Some(backend) = &self.running.served_by
+            && !self.running.tried.contains(backend)
+        {
+            self.running.tried.push(backend.clone());
+        }
+    }
+
+    /// Whether to go on after an attempt that ended with `end`.
+    pub(super) fn after(&mut self, end: AttemptEnd) -> Result<(), Refused> {
+        self.may_run.set(false);
+        self.note_tried();
+        go_on(&self.gateway, &mut self.running, end).map_err(Refused::GivenUp)
+    }
+
+    /// The engine answered with a failure of its own. Another engine may begin
+    /// anew where the work may be repeated; else the failure is passed on.
+    async fn after_failure(&mut self, mut open: OpenAnswer<C, B>) -> Result<(), Refused> {
+        let head = copy_head(&open.exchange.head);
+        let is_fault = head.status.is_server_error();
+        if is_fault {
+            open.guard.failed();
+        }
+        let Ok(body) = open.exchange.read_whole(LONGEST_FAILURE).await else {
+            return self.after(AttemptEnd::Broken);
+        };
+        open.exchange.finish();
+        let answer = Box::new(Response::from_parts(head, bytes_body(body)));
+        if is_fault && self.after(AttemptEnd::Failed).is_ok() {
+            self.failure = Some(answer);
+            return Ok(());
+        }
+        Err(Refused::Answered(answer))
+    }
+
+    pub(super) fn log_broken(&self, backend: Option<&BackendId>, cause: &str) {
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            backend = backend.map_or("", BackendId::as_str),
+            after = self.resume_after.as_deref().unwrap_or_default(),
+            cause = cause;
+            "stream_broken"
+        );
+    }
+
+    /// Places the request until an engine answers.
+    pub(super) async fn open(&mut self) -> Result<OpenAnswer<C, B>, Refused> {
+        loop {
+            let opened = match self.cache.take() {
+                Some(cache) => self.generate(cache).await,
+                None => self.begin().await?,
+            };
+            match opened {
+                Ok(Some(open)) => return Ok(open),
+                Ok(None) => {}
+                Err(end) => self.after(end)?,
+            }
+        }
+    }
+
+    /// Has one engine do all of it, or one engine read the prompt for another.
+    /// Gives no answer where a prompt was prefilled that waits for its decode engine.
+    async fn begin(&mut self) -> Result<Opened<C, B>, Refused> {
+        if !may_be_sent(&self.gateway, &self.running) {
+            return Err(Refused::GivenUp(self.running.progress.given_up()));
+        }
+        let placement = if self.is_new() {
+            self.place_new()?
+        } else {
+            self.place()
+        };
+        match placement {
+            None => {
+                log_no_back_end(&self.gateway, &self.running);
+                Err(Refused::GivenUp(self.running.progress.given_up()))
+            }
+            Some(Placement::One(backend)) => {
+                let job = self.job(JobPhase::Whole, backend.clone());
+                let sent = self.send(&job).await;
+                if matches!(sent, Err(AttemptEnd::NotRun(NotRunReason::Full))) {
+                    self.no_room_for_prompt.push(backend);
+                }
+                Ok(sent.map(Some))
+            }
+            Some(Placement::Handover {
+                prefill_engine,
+                copy_from,
+            }) => {
+                // The first prefill is none of the service's repeats; each later
+                // one is, beside the repeat that goes on from it.
+                if self.was_read && !may_repeat(&self.gateway, &self.running) {
+                    return Err(Refused::GivenUp(self.running.progress.given_up()));
+                }
+                let source = copy_from.and_then(|holder| self.copy_source(holder));
+                self.read_at(prefill_engine, source).await
+            }
+        }
+    }
+}
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -9,7 +9,7 @@
 
 use super::cut::CutCause;
 use super::engine_run::Heard;
-use super::opening::{Found, Refused};
+use super::search::{Found, Refused};
 use super::{Next, Stream};
 
 /// Who was heard first of a silent engine and its successor.
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -16,12 +16,10 @@
 use crate::answers::OwnAnswer;
 use crate::attempt::{attempt, failed_with, log_failure, note_silent, within};
 use crate::gateway::Gateway;
+use crate::going_on::{apart, can_go_elsewhere, go_on, go_on_beside};
 use crate::headers::remove_connection_headers;
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
-use crate::request::{
-    Running, apart, can_go_elsewhere, finished, go_on, go_on_beside, log_no_back_end, note_begun,
-    own_answer, until,
-};
+use crate::request::{Running, finished, log_no_back_end, note_begun, own_answer, until};
 
 /// Longest answer that is held while it is read.
 const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
