Who is refused before its body is read hears so

Cause: a connection that is closed with bytes unread is reset by the system, and the reset overtakes the answer: 413 for a body over the limit, 400 for a head that can't be read.

Change: what is still sent of a body that is not wanted is taken in, up to 16 MB and 2 s, before the answer; not where the caller waits to be told to go on.

--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -7,10 +7,10 @@
 use garnet_forwarding::{Arrival, Progress, SilenceLimits, Work};
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
-use garnet_runtime::server::{BodyError, Limits, read_body};
+use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
 use garnet_types::{BackendId, Millis, ServiceId};
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
 
 use crate::answers::OwnAnswer;
@@ -133,6 +133,10 @@
     let facts = match gateway.callers.read(&head) {
         Ok(facts) => facts,
         Err(finding) => {
+            // Who waits to be told to go on sends nothing yet.
+            if !head.headers.contains_key(EXPECT) {
+                discard_body(body).await;
+            }
             return refuse(
                 &gateway,
                 &CallFacts::default(),
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -11,7 +11,7 @@
 
 use displaydoc::Display;
 use futures_lite::{Stream, StreamExt};
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -88,6 +88,12 @@
 /// caller: a round trip of the farthest callers and two lost packets.
 const ON_ITS_WAY: Duration = Duration::from_secs(1);
 
+/// Most that is taken in of a body that is not wanted: four times the largest one
+/// that is allowed where nothing else is told.
+const MOST_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time to take it in: after it callers no longer wait for a first byte.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+
 /// A listening server.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -335,22 +341,52 @@
 ///
 /// # Errors
 /// As [`BodyError`] says.
-pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
-    let read = async {
-        let limited = Limited::new(body, limits.body_bytes);
-        match limited.collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(BodyError::TooLarge)
+pub async fn read_body(mut body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
+    let read = async { Some(collect(&mut body, limits.body_bytes).await) };
+    let late = async {
+        Timer::after(limits.body_time).await;
+        None
+    };
+    let read = smol::future::or(read, late).await;
+    if matches!(read, Some(Err(BodyError::TooLarge))) {
+        discard_body(body).await;
+    }
+    read.unwrap_or(Err(BodyError::TooSlow))
+}
+
+async fn collect(body: &mut Incoming, most_bytes: usize) -> Result<Bytes, BodyError> {
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::CutOff)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > most_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(Bytes::from(whole))
+}
+
+/// Takes in what a caller still sends of a body that is not wanted, within
+/// bounds. A connection that is closed with bytes unread is reset, and the reset
+/// overtakes the answer.
+pub async fn discard_body(mut body: Incoming) {
+    let discarding = async {
+        let mut left = MOST_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(bytes);
+            if left == 0 {
+                return;
             }
-            Err(_) => Err(BodyError::CutOff),
         }
     };
     let late = async {
-        Timer::after(limits.body_time).await;
-        Err(BodyError::TooSlow)
+        Timer::after(DISCARD_TIME).await;
     };
-    smol::future::or(read, late).await
+    smol::future::or(discarding, late).await;
 }
 
 /// A body that is there as a whole.
