The name of a data folder that is made is synced

What is synced inside a folder is gone with its name where power is lost before the name is on disk.

Change: folders are made one by one, and the one above each is synced. Two tests of a folder on a real disk; none takes power away, so the loss itself is not shown.

--- a/components/storage/src/directory.rs
+++ b/components/storage/src/directory.rs
@@ -39,7 +39,7 @@
     /// # Errors
     /// When the folder can't be made or written.
     pub fn open(path: &Path) -> io::Result<Self> {
-        fs::create_dir_all(path)?;
+        make_folder(path)?;
         let probe = path.join(".write-probe");
         File::create(&probe)?.sync_all()?;
         fs::remove_file(&probe)?;
@@ -65,6 +65,25 @@
     }
 }
 
+/// Makes a folder, and those above it, so that its name outlives a loss of
+/// power: what is synced inside is gone with a name that is not.
+fn make_folder(path: &Path) -> io::Result<()> {
+    if path.is_dir() {
+        return Ok(());
+    }
+    let above = match path.parent() {
+        Some(above) if !above.as_os_str().is_empty() => above,
+        _ => Path::new("."),
+    };
+    make_folder(above)?;
+    match fs::create_dir(path) {
+        // Another process was faster.
+        Err(error) if error.kind() == io::ErrorKind::AlreadyExists && path.is_dir() => {}
+        made => made?,
+    }
+    File::open(above)?.sync_all()
+}
+
 impl Directory for DiskDirectory {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
