--- a/components/gateway/tests/core/streams.rs
+++ b/components/gateway/tests/core/streams.rs
@@ -1,7 +1,7 @@
 //! Streams: whole, in order, each to its own caller.
 
 use garnet_control::ClaimAnswer;
-use garnet_gateway::{Answer, AttemptEvent, Job};
+use garnet_gateway::{Answer, AttemptEvent, Call, Event, Job};
 use garnet_types::{Execution, Millis, OutcomeCode};
 use rstest::rstest;
 
@@ -162,3 +162,24 @@
     harness.attempt(attempt, AttemptEvent::Finished { total: 3 });
     assert_eq!(whole_text(harness.answer()), "abc");
 }
+
+/// An engine broke off before its first token, so it may have run the request;
+/// no time was left for another one, and the caller was told that the request
+/// had not run ("the deadline can't be met at the present load", `ran: No`, while
+/// the request was noted as one that may have run).
+#[test]
+fn a_request_that_may_have_run_is_not_refused_as_one_that_has_not() {
+    let mut harness = Harness::ready();
+    let Event::Call(call) = completion(1, None) else {
+        panic!("a call");
+    };
+    harness.event(Event::Call(Call {
+        deadline: Some(Millis(300)),
+        ..call
+    }));
+    let attempt = harness.dispatch().attempt;
+    harness.wait_with_lease(Millis(200));
+    harness.attempt(attempt, AttemptEvent::Broken);
+    let refusal = harness.refusal();
+    assert_ne!(refusal.ran, Execution::No, "{refusal:?}");
+}
