A request that may have run is not refused as one that has not

Cause: where an engine broke off before its first token and no time was left for another one, admission refused the request as one that never ran.

Change: it ends by the one function that knows whether it may have run.

--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -40,10 +40,9 @@
             Admission::Wait => self.enqueue(id),
             Admission::Refuse { retry_after } => {
                 let message = "the deadline can't be met at the present load";
-                self.refuse(
-                    id,
-                    Refusal::not_run(OutcomeCode::Overloaded, retry_after, message),
-                );
+                let refusal = Refusal::not_run(OutcomeCode::Overloaded, retry_after, message);
+                // An engine that broke off before its first token may have run it.
+                self.end_without_answer(id, refusal);
             }
         }
     }
