--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -7,7 +7,7 @@
 use crate::effects::{AttemptEvent, AttemptId, Effect, KvSource};
 use crate::gateway::Gateway;
 use crate::openai;
-use crate::request::Stage;
+use crate::request::{Request, Stage};
 
 use super::NO_ENGINE_RETRY_AFTER;
 
@@ -135,9 +135,8 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let was_prefill = matches!(request.stage, Stage::Prefilling { .. });
         // Reading a prompt alone has no effect, so it may always be repeated.
-        if !was_prefill && !request.is_repeatable() {
+        if !request.is_prefilling() && !request.is_repeatable() {
             request.stage = Stage::Waiting;
             let message = "an engine may have run the request";
             let refusal = Refusal::in_doubt(NO_ENGINE_RETRY_AFTER, message);
@@ -159,7 +158,8 @@
     }
 
     /// Breaks attempts off whose engine neither gives tokens nor reports: a
-    /// frozen engine answers nothing and closes nothing.
+    /// frozen engine answers nothing and closes nothing. Where nobody can go on
+    /// the engine is waited for: it may be slow, and left it ends the answer.
     pub(crate) fn break_stalled(&mut self) {
         let now = self.now;
         let stalled: Vec<(RequestId, AttemptId, BackendId)> = self
@@ -167,6 +167,7 @@
             .iter()
             .filter(|(_, request)| now.since(request.progress_at) >= SILENT_ENGINE)
             .filter(|(_, request)| request.model().is_some())
+            .filter(|(_, request)| self.may_go_elsewhere(request))
             .filter_map(|(id, request)| {
                 let attempt = request.attempt()?;
                 let (_, backend) = self.attempts.get(&attempt)?;
@@ -179,6 +180,13 @@
         }
     }
 
+    /// Whether another engine may do the request's present work, as far as
+    /// promises and the budget go.
+    fn may_go_elsewhere(&self, request: &Request) -> bool {
+        let may_repeat = request.is_prefilling() || request.is_repeatable();
+        may_repeat && self.has_retry(&request.service)
+    }
+
     /// Goes on at another engine, under the retry budget.
     pub(super) fn try_elsewhere(&mut self, id: RequestId) {
         self.set_stage(id, Stage::Waiting);
--- a/components/gateway/src/gateway/attempts.rs
+++ b/components/gateway/src/gateway/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts: names for them, and whose answer is whose.
 
+use garnet_routing::RetryBudget;
 use garnet_types::{BackendId, RequestId, ServiceId};
 
 use crate::effects::{AttemptEvent, AttemptId};
@@ -40,6 +41,11 @@
         allowed
     }
 
+    pub(crate) fn has_retry(&self, service: &ServiceId) -> bool {
+        let budget = self.budgets.get(service);
+        budget.is_none_or(RetryBudget::has_left)
+    }
+
     pub(crate) fn earn_retry(&mut self, service: &ServiceId) {
         self.budgets.entry(service.clone()).or_default().earn();
     }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -115,6 +115,11 @@
             .saturating_sub(self.delivered.len() as u64)
     }
 
+    /// Whether an engine only reads its prompt now.
+    pub(crate) fn is_prefilling(&self) -> bool {
+        matches!(self.stage, Stage::Prefilling { .. })
+    }
+
     /// Whether it may go to a second back end after one may have begun it.
     pub(crate) fn is_repeatable(&self) -> bool {
         let safe = match &self.call.work {
--- a/components/routing/src/retry_budget.rs
+++ b/components/routing/src/retry_budget.rs
@@ -25,9 +25,14 @@
         self.available = (self.available + EARNED_PER_ATTEMPT).min(MOST_SAVED);
     }
 
+    /// Whether a retry is left.
+    pub fn has_left(&self) -> bool {
+        self.available >= 1.0
+    }
+
     /// Takes one retry; `false` when none is left.
     pub fn spend(&mut self) -> bool {
-        let allowed = self.available >= 1.0;
+        let allowed = self.has_left();
         if allowed {
             self.available -= 1.0;
         }
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -153,3 +153,12 @@
     let text = |report: &Report| serde_json::to_string(report).expect("plain data");
     assert_eq!(text(&one), text(&two));
 }
+
+/// A frozen engine, a gateway that was killed and a request that crashes engines:
+/// a request whose engine broke off before its first token had no time left for
+/// another one, and its caller was told that it had not run ("the deadline can't
+/// be met at the present load", `NotRunIsTrue` at 38,942 ms).
+#[test]
+fn seed_4035_what_may_have_run_is_never_told_not_to_have() {
+    run_seeds(4035..4036, &FaultKind::ALL);
+}
