Gateways tell of names in answers that nobody knows

Change: sight only. Each name is counted (garnet_forwarding_unknown_answer_names) and told once by a gateway (answer_name_unknown); 32 names are told apart at most. No logic changes.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -256,6 +256,7 @@
         let mut forwarder = gateway.forwarder.borrow_mut();
         forwarder.note_load_report(&job.backend, load, now);
     }
+    gateway.unknown_names.note(&gateway.metrics, job, &read);
     let end = match read.meaning {
         HeadMeaning::Answer => return Ok(OpenAnswer { exchange, guard }),
         HeadMeaning::NotRun(reason) => AttemptEnd::NotRun(reason),
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -12,6 +12,7 @@
 
 use crate::metrics::GatewayMetrics;
 use crate::ports::{BackendPort, CallerPort};
+use crate::unknown_names::UnknownNames;
 
 /// Time in which a group that starts together with its gateways elects a
 /// leader, which then sends them the configuration.
@@ -32,6 +33,8 @@
     pub(crate) timers: Timers,
     pub(crate) started_at: Millis,
     pub(crate) metrics: GatewayMetrics,
+    /// What back ends tell of themselves and nobody here knows.
+    pub(crate) unknown_names: UnknownNames,
     /// Bounds on the time of callers' connections, by the route table in force.
     pub(crate) connection_times: Shared<ConnectionTimes>,
     /// Since when the route table in force has been so.
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -20,6 +20,7 @@
 mod start;
 mod stopping;
 mod stream;
+mod unknown_names;
 mod watch;
 mod whole;
 
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -29,6 +29,7 @@
     cuts: Family<Labels, Counter>,
     took: Family<Labels, Histogram>,
     first_event: Family<Labels, Histogram>,
+    unknown_names: Family<Labels, Counter>,
     usage_lost: Counter,
     watch_age_ms: Gauge,
     routes_version: Gauge,
@@ -57,6 +58,8 @@
         let took = registered(all, "took_seconds", help, latencies());
         let help = "Time to the first event of a stream";
         let first_event = registered(all, "time_to_first_token_seconds", help, latencies());
+        let help = "Answers of back ends with a name that is not known, by name";
+        let unknown_names = registered(all, "unknown_answer_names", help, counters());
         let help = "Requests that were counted too late for their window of usage";
         let usage_lost = registered(all, "usage_lost", help, Counter::default());
         let help = "Time since the leader was heard";
@@ -73,6 +76,7 @@
             cuts,
             took,
             first_event,
+            unknown_names,
             usage_lost,
             watch_age_ms,
             routes_version,
@@ -107,6 +111,11 @@
         self.cuts.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn unknown_name(&self, name: &str) {
+        let labels = vec![("name", name.to_owned())];
+        self.unknown_names.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn first_event(&self, route: &str, took: Millis) {
         let labels = vec![("route", route.to_owned())];
         let histogram = self.first_event.get_or_create(&labels);
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -10,6 +10,7 @@
 use garnet_types::{BackendId, Millis, TenantId};
 use http_body_util::Full;
 use hyper::body::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ResponseParts;
 use hyper::{Request, Response};
@@ -138,12 +139,14 @@
 }
 
 /// The head of an answer, read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReadHead {
     /// What it means.
     pub meaning: HeadMeaning,
     /// Load that came with it.
     pub load: Option<LoadReport>,
+    /// Names in it that nobody here knows, each with its value.
+    pub unknown: Vec<(HeaderName, HeaderValue)>,
 }
 
 /// The answer to [`JobPhase::ReadPrompt`].
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -23,6 +23,7 @@
 use crate::ports::{BackendPort, CallerPort};
 use crate::request;
 use crate::stopping::{StopTimes, give_notice};
+use crate::unknown_names::UnknownNames;
 use crate::watch::{self, Watch, WatchOwner};
 
 /// Questions to the leader that wait for its connection.
@@ -97,6 +98,7 @@
         timers: Timers::new(shell.clock),
         started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
+        unknown_names: UnknownNames::default(),
         connection_times: times,
         routes_since: Cell::new(shell.clock.now()),
         gone_by: Cell::new(None),
--- /dev/null
+++ b/components/forwarding-shell/src/unknown_names.rs
@@ -0,0 +1,42 @@
+//! Names in the answers of back ends that nobody here knows.
+//!
+//! A back end that tells something new of itself is passed over without a trace
+//! otherwise: callers and operators see only what follows from that.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
+use crate::metrics::GatewayMetrics;
+use crate::ports::{Job, ReadHead};
+
+/// Names that are told apart at most; a back end may send any.
+const MOST_NAMES: usize = 32;
+/// Stands for all names beyond these.
+const OTHER_NAMES: &str = "other";
+
+/// Names that were met so far.
+#[derive(Debug, Default)]
+pub(crate) struct UnknownNames(RefCell<BTreeSet<String>>);
+
+impl UnknownNames {
+    /// Counts the names of an answer, and tells of each one when it is first met.
+    pub(crate) fn note(&self, metrics: &GatewayMetrics, job: &Job, read: &ReadHead) {
+        for (name, value) in &read.unknown {
+            let mut met = self.0.borrow_mut();
+            if met.contains(name.as_str()) {
+                metrics.unknown_name(name.as_str());
+            } else if met.len() < MOST_NAMES {
+                met.insert(name.as_str().to_owned());
+                metrics.unknown_name(name.as_str());
+                log::warn!(
+                    name = name.as_str(),
+                    value = value.to_str().unwrap_or_default(),
+                    backend = job.backend.as_str();
+                    "answer_name_unknown"
+                );
+            } else {
+                metrics.unknown_name(OTHER_NAMES);
+            }
+        }
+    }
+}
