Permits for back ends that name a limit: the library part, not yet in use

Cause: what an engine takes from all gateways together can't be held by each of them alone.

Ways weighed: equal parts (at 985 gateways a limit of 1.1 a second is one request in 15 minutes each, and a burst of one each is 985 at once); a few gateways that may use an engine (needs the same view of members everywhere, wastes the engine where they have no callers); parts by demand (rounding breaks parts below one request).

--- /dev/null
+++ b/components/limits/src/rate.rs
@@ -0,0 +1,93 @@
+//! Requests a second, as a back end names them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use displaydoc::Display;
+use garnet_types::Millis;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Digits behind the point that count; the rest is dropped, so that nobody gets more
+/// than was named.
+const FRACTION_DIGITS: usize = 6;
+/// Millionths in one.
+const MICROS: u64 = 1_000_000;
+/// Highest rate that is told apart, in requests a second: a thousand times what the
+/// fleet is designed for.
+const HIGHEST_PER_S: u64 = 2_700_000;
+
+/// A rate of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestRate {
+    micros_per_s: u64,
+}
+
+impl RequestRate {
+    /// A rate in millionths of a request a second.
+    pub const fn from_micros_per_s(micros_per_s: u64) -> Self {
+        RequestRate { micros_per_s }
+    }
+
+    /// Millionths of a request that come in so long a time.
+    pub(crate) fn micros_in(self, time: Millis) -> u64 {
+        let micros = u128::from(self.micros_per_s) * u128::from(time.0) / 1000;
+        u64::try_from(micros).unwrap_or(u64::MAX)
+    }
+
+    /// The time in which so many millionths of a request come, rounded up.
+    pub(crate) fn time_of(self, micros: u64) -> Millis {
+        let millis = u128::from(micros) * 1000;
+        let millis = millis.div_ceil(u128::from(self.micros_per_s.max(1)));
+        Millis(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        self.micros_per_s as f64 / MICROS as f64
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = self.micros_per_s / MICROS;
+        let fraction = format!("{:06}", self.micros_per_s % MICROS);
+        match fraction.trim_end_matches('0') {
+            "" => write!(formatter, "{whole}"),
+            digits => write!(formatter, "{whole}.{digits}"),
+        }
+    }
+}
+
+/// What is wrong with a rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum RateError {
+    /// it is no decimal number from 0 on
+    NotDecimal,
+}
+
+impl FromStr for RequestRate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, RateError> {
+        let text = text.trim_matches([' ', '\t']);
+        let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+        let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
+        let has_digits = !whole.is_empty() || !fraction.is_empty();
+        if !has_digits || !are_digits(whole) || !are_digits(fraction) {
+            return Err(RateError::NotDecimal);
+        }
+        // Digits only: what can't be held is larger than all that is told apart.
+        let whole = match whole {
+            "" => 0,
+            digits => digits.parse().unwrap_or(u64::MAX),
+        };
+        if whole >= HIGHEST_PER_S {
+            return Ok(RequestRate::from_micros_per_s(HIGHEST_PER_S * MICROS));
+        }
+        let digits = fraction.bytes().chain(std::iter::repeat(b'0'));
+        let micros = digits.take(FRACTION_DIGITS);
+        let micros = micros.fold(0, |sum, digit| sum * 10 + u64::from(digit - b'0'));
+        Ok(RequestRate::from_micros_per_s(whole * MICROS + micros))
+    }
+}
--- /dev/null
+++ b/components/limits/tests/rate.rs
@@ -0,0 +1,71 @@
+//! What back ends write as their limit.
+
+use garnet_limits::{RateError, RequestRate};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case("1.1", 1_100_000)]
+#[case("0", 0)]
+#[case("0.25", 250_000)]
+#[case(" 12\t", 12_000_000)]
+#[case("6.50", 6_500_000)]
+#[case("0.9000000001", 900_000)]
+#[case("0.0000009999", 0)]
+#[case("3.", 3_000_000)]
+#[case(".5", 500_000)]
+#[case("000012.000", 12_000_000)]
+#[case("99999999999999999999999999999999", 2_700_000_000_000)]
+fn a_decimal_number_is_read(#[case] text: &str, #[case] micros_per_s: u64) {
+    let rate: RequestRate = text.parse().expect("a rate");
+    assert_eq!(rate, RequestRate::from_micros_per_s(micros_per_s));
+}
+
+#[rstest]
+fn what_is_none_changes_nothing(
+    #[values(
+        "",
+        " ",
+        ".",
+        "-1",
+        "+1",
+        "1e3",
+        "1,5",
+        "one",
+        "NaN",
+        "inf",
+        "1.1.1",
+        "0x10",
+        "1.1 a second",
+        "1 1",
+        "\u{661}"
+    )]
+    text: &str,
+) {
+    assert_eq!(text.parse::<RequestRate>(), Err(RateError::NotDecimal));
+}
+
+proptest! {
+    /// A rate is told as it is read.
+    #[test]
+    fn a_rate_is_written_as_it_is_read(micros in 0..2_700_000_000_000_u64) {
+        let rate = RequestRate::from_micros_per_s(micros);
+        prop_assert_eq!(rate.to_string().parse(), Ok(rate));
+    }
+
+    /// Nobody gets more than was named.
+    #[test]
+    fn a_rate_is_never_rounded_up(whole in 0..100_000_u64, fraction in "[0-9]{1,30}") {
+        let text = format!("{whole}.{fraction}");
+        let rate: RequestRate = text.parse().expect("a rate");
+        let named: f64 = text.parse().expect("a number");
+        prop_assert!(rate.per_s() <= named + 1e-9);
+        prop_assert!(rate.per_s() > named - 1.1e-6);
+    }
+
+    /// Whatever comes is read or refused.
+    #[test]
+    fn any_text_is_borne(text in ".*") {
+        let _read = text.parse::<RequestRate>();
+    }
+}
