An engine that names a limit gets no more than that from all gateways together

What callers saw: nothing at first; engines in need got 3.9 and 4.2 requests a second where they had named 1.1 and 1.5, and whoever was sent there was served late.

Ruled out: a limit that each gateway keeps alone (one gateway alone broke it as well), and arrivals that nobody counts (the rate at the engine did not change when it was named).

Change: the adapter reads the name; a gateway that has heard it, itself or from the leader, sends there only with a permit (garnet-limits), which attempts of every kind take: first ones, repeats, hedges, prefills, handovers, resumptions. Engines with room elsewhere are taken first. Where none is left the leader is asked, and who gets no permit is refused at once with a time of its own to come back. No prompt is read for an engine that has a limit; it reads the prompt itself. One in so many requests asks for a spare permit, so that what an engine takes is used and the end of its limit is heard.

Why it holds: no part of a limit is a gateway's own, so their number, restarts, cuts and suspensions don't change the sum; a permit ends by the clock of who asked; a new leader begins with none; without a leader nothing is sent there.

--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -36,6 +36,7 @@
     looked_at: Gauge,
     backends: Gauge,
     left_aside: Gauge,
+    limited: Gauge,
 }
 
 impl Default for ReplicaMetrics {
@@ -94,7 +95,10 @@
         let backends = registered(all, "backends", help, Gauge::default());
         let help = "Entries of the list of machines that the newest reading left aside";
         let left_aside = registered(all, "list_entries_left_aside", help, Gauge::default());
+        let help = "Back ends that have named a limit, where this replica leads";
+        let limited = registered(all, "limited_backends", help, Gauge::default());
         ReplicaMetrics {
+            limited,
             left_aside,
             quarantined,
             looked_at,
@@ -175,6 +179,8 @@
         self.looked_at.set(gauge_value(replica.looked_at()));
         let backends = replica.state().configuration.backends.len();
         self.backends.set(gauge_value(backends as u64));
+        let limited = replica.limited_backends();
+        self.limited.set(gauge_value(limited as u64));
         let quarantined = replica.state().configuration.quarantine.len();
         self.quarantined.set(gauge_value(quarantined as u64));
     }
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,5 +1,6 @@
 //! What gateways and the leader say to each other.
 
+use garnet_limits::{LimitList, LimitWords, PermitAnswer, PermitAsk, ToldLimit};
 use garnet_quarantine::{RunReport, Suspects};
 use garnet_types::{
     BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
@@ -141,6 +142,15 @@
     Runs(RunReport),
     /// Asks for a part of the whole configuration.
     Part(PartRequest),
+    /// What back ends said of how much they take.
+    LimitWords {
+        /// Who heard it.
+        gateway: GatewayId,
+        /// What was heard.
+        words: LimitWords,
+    },
+    /// Asks for a permit to send a request to a back end that has a limit.
+    Permit(PermitAsk),
 }
 
 /// A replica asks to be a member of the group. It repeats this until a leader
@@ -203,6 +213,28 @@
     }
 }
 
+/// All back ends that have named how much they take, as a leader knows them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLimits {
+    /// Term of the leader.
+    pub term: u64,
+    /// Number of the last words of the gateway that it had taken.
+    pub words_noted: u64,
+    /// The limits.
+    pub limits: Shared<Vec<ToldLimit>>,
+}
+
+impl ToldLimits {
+    /// The list as gateways take it.
+    pub fn list(&self) -> LimitList<'_> {
+        LimitList {
+            term: self.term,
+            words_noted: self.words_noted,
+            limits: &self.limits,
+        }
+    }
+}
+
 /// From a control replica to a gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlReply {
@@ -241,6 +273,11 @@
     /// A part of the whole configuration; `None` where it is not to be had any
     /// more.
     Part(Option<ConfigurationPart>),
+    /// All back ends that have named how much they take; comes with the answer to a
+    /// watch where the gateway may not know it.
+    Limits(ToldLimits),
+    /// Answer to a question for a permit.
+    Permit(PermitAnswer),
     /// Ask the leader; its address, as far as known.
     NotLeader {
         /// Address of the leader for gateways.
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -198,6 +198,7 @@
             self.reconciler.started_again(id);
             self.copies.started_again(id);
             self.fleet_load.started_again(id);
+            self.limiting.started_again(id);
         }
     }
 
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -44,11 +44,20 @@
                     .note(&gateway, sent_at, backlogs, evidence, self.now);
                 let update = self.update_for(&gateway, connection, configuration_index);
                 let reply = self.watch_reply(&gateway, connection, update, group_index, sent_at);
-                self.gateways.grant(gateway, configuration_index, self.now);
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
+                self.tell_limits(&gateway, connection);
+                self.gateways.grant(gateway, configuration_index, self.now);
                 self.serve_waiters();
             }
+            GatewayRequest::LimitWords { gateway, words } => {
+                self.take_limit_words(&gateway, &words);
+            }
+            GatewayRequest::Permit(ask) => {
+                let reply = self.give_permit(&ask);
+                self.effects
+                    .push(Effect::ReplyGateway { connection, reply });
+            }
             GatewayRequest::Part(place) => {
                 let reply = ControlReply::Part(self.recent.part(place));
                 self.effects
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -9,6 +9,7 @@
 use crate::reconciler::Reconciler;
 use crate::watch::SentUpdates;
 
+use super::limiting::Limiting;
 use super::quarantining::Quarantining;
 use super::{Asker, DutyTrack, Replica};
 
@@ -22,6 +23,7 @@
             self.abandon_pending();
             self.effects.push(Effect::LostLeadership { term });
         }
+        self.limiting = Limiting::default();
         if let Some(term) = leads {
             self.gateways = GatewayLeases::at_start_of_term(self.now);
             let backends = self.state.configuration.backends.values();
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -5,6 +5,7 @@
 mod gateway_requests;
 mod group;
 mod leadership;
+mod limiting;
 mod log;
 mod operator_requests;
 mod quarantining;
@@ -19,6 +20,7 @@
 
 use duties::DutyTrack;
 use group::Candidates;
+use limiting::Limiting;
 use quarantining::Quarantining;
 
 use crate::answer::CommandAnswer;
@@ -162,6 +164,7 @@
     fleet_load: FleetLoad,
     copies: Copies,
     quarantining: Quarantining,
+    limiting: Limiting,
     reconciler: Reconciler,
     planning: Option<Planning>,
     balancing: Option<Balancing>,
@@ -224,6 +227,7 @@
             fleet_load: FleetLoad::default(),
             copies: Copies::default(),
             quarantining: Quarantining::default(),
+            limiting: Limiting::default(),
             reconciler,
             reconciled_at: Millis::ZERO,
             looked_at: 0,
@@ -351,6 +355,7 @@
             self.mend_group();
             self.do_duties();
             self.quarantine();
+            self.keep_limits();
             self.gateways.forget_silent(self.now);
             self.sent_updates.forget(self.now);
         }
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Prompt};
+use garnet_forwarding::{AttemptEnd, LimitSaid, NotRunReason, PrefillWork, Prompt};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
@@ -12,7 +12,7 @@
 use smol::Timer;
 
 use crate::gateway::Gateway;
-use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase};
+use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase, ReadHead};
 
 /// What comes within `time_limit`; all that comes where there is no limit.
 pub(crate) async fn within<T>(
@@ -195,10 +195,28 @@
         let address = forwarder.address(&job.backend);
         address.ok_or(AttemptEnd::Unsent)?.to_owned()
     };
+    // Whoever placed it had a permit or needed none, and nothing was waited for since.
+    if !gateway
+        .forwarder
+        .borrow()
+        .may_send(&job.backend, gateway.now())
+    {
+        log_failure(
+            call,
+            job,
+            "its back end has a limit, and there is no permit",
+        );
+        return Err(AttemptEnd::Unsent);
+    }
+    let sent_at = gateway.now();
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
     let result = match gateway.pool.send(&address, request).await {
-        Ok(exchange) => read_head(gateway, call, job, exchange, guard).await,
+        Ok(exchange) => {
+            let read = gateway.backends.read_head(call, job, &exchange.head);
+            note_limit(gateway, job, &read, exchange.head.status, sent_at);
+            take_head(gateway, call, job, read, exchange, guard).await
+        }
         Err(error) => {
             match error {
                 HttpError::NotSent(_) => guard.unreachable(),
@@ -243,14 +261,41 @@
     }
 }
 
-async fn read_head<C: CallerPort, B: BackendPort>(
+/// Notes what an answer says of how much its back end takes. One that says nothing
+/// counts where it is the back end's proper answer to the work.
+fn note_limit<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    job: &Job,
+    read: &ReadHead,
+    status: StatusCode,
+    sent_at: Millis,
+) {
+    let said = match (read.meaning, read.limit) {
+        (HeadMeaning::Answer | HeadMeaning::NotRun(_), LimitSaid::Named(rate)) => {
+            LimitSaid::Named(rate)
+        }
+        (HeadMeaning::Answer, LimitSaid::NamedNone) if status.is_success() => LimitSaid::NamedNone,
+        _ => LimitSaid::Nothing,
+    };
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    if let Some(rate) = forwarder.note_limit(&job.backend, said, sent_at, now) {
+        log::info!(
+            backend = job.backend.as_str(),
+            rate_per_s = rate.to_string().as_str();
+            "limit_named"
+        );
+    }
+}
+
+async fn take_head<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
+    read: ReadHead,
     mut exchange: Exchange,
     mut guard: AttemptGuard<C, B>,
 ) -> Result<OpenAnswer<C, B>, AttemptEnd> {
-    let read = gateway.backends.read_head(call, job, &exchange.head);
     if let Some(load) = read.load {
         let now = gateway.now();
         let mut forwarder = gateway.forwarder.borrow_mut();
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -11,6 +11,7 @@
 use smol::LocalExecutor;
 
 use crate::metrics::GatewayMetrics;
+use crate::permits::PermitDesk;
 use crate::ports::{BackendPort, CallerPort};
 use crate::unknown_names::UnknownNames;
 
@@ -33,6 +34,7 @@
     pub(crate) timers: Timers,
     pub(crate) started_at: Millis,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) permits: PermitDesk,
     /// What back ends tell of themselves and nobody here knows.
     pub(crate) unknown_names: UnknownNames,
     /// Bounds on the time of callers' connections, by the route table in force.
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -15,6 +15,7 @@
 mod handover;
 mod headers;
 mod metrics;
+mod permits;
 mod ports;
 mod request;
 mod start;
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -30,6 +30,8 @@
     took: Family<Labels, Histogram>,
     first_event: Family<Labels, Histogram>,
     unknown_names: Family<Labels, Counter>,
+    permits: Family<Labels, Counter>,
+    limited: Gauge,
     usage_lost: Counter,
     watch_age_ms: Gauge,
     routes_version: Gauge,
@@ -60,6 +62,10 @@
         let first_event = registered(all, "time_to_first_token_seconds", help, latencies());
         let help = "Answers of back ends with a name that is not known, by name";
         let unknown_names = registered(all, "unknown_answer_names", help, counters());
+        let help = "Questions for permits to send to back ends with a limit, by answer";
+        let permits = registered(all, "permits", help, counters());
+        let help = "Back ends that are known to have a limit";
+        let limited = registered(all, "limited_backends", help, Gauge::default());
         let help = "Requests that were counted too late for their window of usage";
         let usage_lost = registered(all, "usage_lost", help, Counter::default());
         let help = "Time since the leader was heard";
@@ -77,6 +83,8 @@
             took,
             first_event,
             unknown_names,
+            permits,
+            limited,
             usage_lost,
             watch_age_ms,
             routes_version,
@@ -116,6 +124,15 @@
         self.unknown_names.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn permit(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.permits.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn set_limited(&self, backends: usize) {
+        self.limited.set(gauge_value(backends as u64));
+    }
+
     pub(crate) fn first_event(&self, route: &str, took: Millis) {
         let labels = vec![("route", route.to_owned())];
         let histogram = self.first_event.get_or_create(&labels);
--- /dev/null
+++ b/components/forwarding-shell/src/permits.rs
@@ -0,0 +1,209 @@
+//! Questions to the leader for permits, where only back ends with a limit could take
+//! a request.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+use garnet_control::GatewayRequest;
+use garnet_forwarding::SHORTEST_RETRY;
+use garnet_limits::{Asking, PermitAnswer, PermitAsk, PermitOutcome};
+use garnet_types::{GatewayId, Millis};
+use smol::channel::{Sender, bounded};
+
+use crate::attempt::within;
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, CallerPort};
+use crate::request::Running;
+
+/// A leader that was not heard for so long is not asked: four times the longest
+/// pause between two answers to a gateway.
+const LEADER_SILENT: Millis = Millis(1000);
+/// Longest time that its answer is waited for: the way to another region and back.
+const LONGEST_WAIT: Millis = Millis(250);
+/// A caller who is refused within this part of its objective can still be served in
+/// time.
+const WAIT_PART: u64 = 4;
+/// What callers are told where nobody leads: a group has a leader again about then.
+const RETRY_WITHOUT_LEADER: Millis = Millis(1000);
+
+/// Why a request is not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotPlaced {
+    /// There is no back end that could take it.
+    Nobody,
+    /// Back ends that could take it have a limit: when to come back.
+    Limited(Millis),
+}
+
+/// What is asked of the leader.
+pub(crate) struct PermitDesk {
+    id: GatewayId,
+    requests: Sender<GatewayRequest>,
+    waiting: RefCell<BTreeMap<u64, Sender<PermitOutcome>>>,
+    leader_heard_at: Cell<Millis>,
+}
+
+impl PermitDesk {
+    pub(crate) fn new(id: GatewayId, requests: Sender<GatewayRequest>) -> Self {
+        PermitDesk {
+            id,
+            requests,
+            waiting: RefCell::default(),
+            leader_heard_at: Cell::new(Millis::ZERO),
+        }
+    }
+
+    /// The leader has answered.
+    pub(crate) fn heard_leader(&self, now: Millis) {
+        self.leader_heard_at.set(now);
+    }
+
+    fn send(&self, ask: PermitAsk) -> bool {
+        let request = GatewayRequest::Permit(ask);
+        self.requests.try_send(request).is_ok()
+    }
+
+    /// Wakes who waits for this answer.
+    fn answered(&self, answer: &PermitAnswer) {
+        if let Some(waiter) = self.waiting.borrow_mut().remove(&answer.number) {
+            // Who has gone does not hear it; the permit is there for another one.
+            let _gone = waiter.try_send(answer.outcome.clone());
+        }
+    }
+}
+
+/// Tells the leader what it has not heard yet of limits.
+pub(crate) fn tell_limit_words<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>) {
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    let Some(words) = forwarder.limit_words(now) else {
+        return;
+    };
+    let request = GatewayRequest::LimitWords {
+        gateway: gateway.permits.id.clone(),
+        words,
+    };
+    if gateway.permits.requests.try_send(request).is_err() {
+        forwarder.limit_words_lost();
+    }
+}
+
+/// Takes the leader's answer to a question.
+pub(crate) fn hear_permit<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    answer: &PermitAnswer,
+) {
+    let now = gateway.now();
+    gateway.forwarder.borrow_mut().permit_answered(answer, now);
+    let outcome = match answer.outcome {
+        PermitOutcome::Granted { .. } => "granted",
+        PermitOutcome::Refused { .. } => "refused",
+    };
+    gateway.metrics.permit(outcome);
+    gateway.permits.answered(answer);
+}
+
+/// Asks for a permit that another request may use, where it is this gateway's turn.
+pub(crate) fn ask_for_spare<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) {
+    let now = gateway.now();
+    if is_leader_silent(gateway, now) {
+        return;
+    }
+    let Running { service, work, .. } = running;
+    let ask = {
+        let mut forwarder = gateway.forwarder.borrow_mut();
+        forwarder.ask_for_spare_permit(service, work, now)
+    };
+    if let Some(ask) = ask {
+        tell_limit_words(gateway);
+        // What is lost was of no use to anybody yet.
+        let _lost = gateway.permits.send(ask);
+    }
+}
+
+/// Places a request. Where only back ends with a limit could take it, it is placed
+/// with a permit, or refused as soon as the leader has said that there is none.
+pub(crate) async fn place_within_limits<C, B, T>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    place: impl Fn() -> Option<T>,
+) -> Result<T, NotPlaced>
+where
+    C: CallerPort,
+    B: BackendPort,
+{
+    if let Some(placed) = place() {
+        return Ok(placed);
+    }
+    let now = gateway.now();
+    let asking = {
+        let Running {
+            service,
+            work,
+            tried,
+            ..
+        } = running;
+        let mut forwarder = gateway.forwarder.borrow_mut();
+        forwarder.ask_for_permit(service, work, tried, now)
+    };
+    let retry_after = match asking {
+        Asking::Unlimited => return Err(NotPlaced::Nobody),
+        Asking::Closed(retry_after) => retry_after,
+        Asking::Ask(ask) => match answer_to(gateway, running, ask).await {
+            Some(PermitOutcome::Granted { .. }) => match place() {
+                Some(placed) => return Ok(placed),
+                // Another request has used it.
+                None => SHORTEST_RETRY,
+            },
+            Some(PermitOutcome::Refused { retry_after, .. }) => retry_after,
+            None => RETRY_WITHOUT_LEADER,
+        },
+    };
+    let retry_after = retry_after.max(SHORTEST_RETRY);
+    log::info!(
+        request = running.call.facts.id.as_str(),
+        service = running.service.as_str(),
+        waited_ms = gateway.now().since(now).0,
+        retry_after_ms = retry_after.0;
+        "limit_refused"
+    );
+    Err(NotPlaced::Limited(retry_after))
+}
+
+fn is_leader_silent<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>, now: Millis) -> bool {
+    now.since(gateway.permits.leader_heard_at.get()) > LEADER_SILENT
+}
+
+async fn answer_to<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    ask: PermitAsk,
+) -> Option<PermitOutcome> {
+    if is_leader_silent(gateway, gateway.now()) {
+        gateway.metrics.permit("no_leader");
+        return None;
+    }
+    tell_limit_words(gateway);
+    let (answered, answer) = bounded(1);
+    let number = ask.number;
+    gateway
+        .permits
+        .waiting
+        .borrow_mut()
+        .insert(number, answered);
+    let answer = if gateway.permits.send(ask) {
+        let useful = Millis(running.work.objective.0 / WAIT_PART);
+        let longest = useful.clamp(SHORTEST_RETRY, LONGEST_WAIT);
+        within(Some(longest), answer.recv()).await
+    } else {
+        None
+    };
+    gateway.permits.waiting.borrow_mut().remove(&number);
+    if answer.is_none() {
+        gateway.metrics.permit("no_answer");
+    }
+    answer?.ok()
+}
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -3,7 +3,7 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
-use garnet_forwarding::{Credential, LoadReport, NotRunReason, Prompt};
+use garnet_forwarding::{Credential, LimitSaid, LoadReport, NotRunReason, Prompt};
 use garnet_quarantine::{RequestFingerprint, RequestIdentity};
 use garnet_routes::Route;
 use garnet_runtime::Body;
@@ -145,6 +145,8 @@
     pub meaning: HeadMeaning,
     /// Load that came with it.
     pub load: Option<LoadReport>,
+    /// What it says of how much its back end takes.
+    pub limit: LimitSaid,
     /// Names in it that nobody here knows, each with its value.
     pub unknown: Vec<(HeaderName, HeaderValue)>,
 }
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::going_on::is_refused;
 use crate::headers::remove_connection_headers;
+use crate::permits::ask_for_spare;
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
 use crate::{stream, whole};
 
@@ -158,6 +159,7 @@
         let answer = refuse_quarantined(&gateway, &running);
         return with_leave(&gateway, answer);
     }
+    ask_for_spare(&gateway, &running);
     let response = if running.work.kind.is_stream() {
         stream::serve(&gateway, running).await
     } else {
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -20,14 +20,16 @@
 
 use crate::gateway::{Gateway, connection_times};
 use crate::metrics::GatewayMetrics;
+use crate::permits::PermitDesk;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request;
 use crate::stopping::{StopTimes, give_notice};
 use crate::unknown_names::UnknownNames;
 use crate::watch::{self, Watch, WatchOwner};
 
-/// Questions to the leader that wait for its connection.
-const QUEUED_REQUESTS: usize = 16;
+/// Questions to the leader that wait for its connection: a watch with what goes with
+/// it, and a permit for each request of a moment's crowd.
+const QUEUED_REQUESTS: usize = 64;
 
 /// Addresses of the control replicas; settings that change are noted here.
 pub type Replicas = Shared<Vec<String>>;
@@ -82,6 +84,7 @@
     let server = server.with_times(times.clone());
     let ready_server = smol::block_on(HttpServer::bind(options.ready_listen, Limits::default()))?;
     let id = GatewayId::new(format!("{}.{:016x}", options.name, rand::random::<u64>()));
+    let (requests_in, requests) = bounded::<GatewayRequest>(QUEUED_REQUESTS);
     let meter = |length| RefCell::new(UsageMeter::new(id.clone(), length));
     let gateway = Rc::new(Gateway {
         usage: options.usage_window.map(meter),
@@ -98,6 +101,7 @@
         timers: Timers::new(shell.clock),
         started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
+        permits: PermitDesk::new(id.clone(), requests_in.clone()),
         unknown_names: UnknownNames::default(),
         connection_times: times,
         routes_since: Cell::new(shell.clock.now()),
@@ -110,7 +114,6 @@
         listen = options.listen.to_string().as_str();
         "gateway_started"
     );
-    let (requests_in, requests) = bounded::<GatewayRequest>(QUEUED_REQUESTS);
     let watch = Rc::new(Watch::new(
         Rc::clone(&gateway),
         id.clone(),
@@ -165,6 +168,8 @@
 ) -> Response<Body> {
     let version = gateway.forwarder.borrow().routes_version();
     let open = gateway.open_requests.get();
+    let limited = gateway.forwarder.borrow().limited_backends();
+    gateway.metrics.set_limited(limited);
     let text = gateway
         .metrics
         .render(watch.age(), version.unwrap_or_default(), open);
--- a/components/forwarding-shell/src/stream/placing.rs
+++ b/components/forwarding-shell/src/stream/placing.rs
@@ -6,8 +6,9 @@
 
 use crate::attempt::{OpenAnswer, attempt, failed_with, log_failure};
 use crate::going_on::{apart, standing};
+use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
-use crate::request::Running;
+use crate::request::{Running, log_no_back_end};
 use crate::stopping::outlasts_stop;
 
 use super::search::{Refused, Search};
@@ -129,6 +130,21 @@
         })
     }
 
+    /// Places the request at an engine with a limit, within a permit.
+    pub(super) async fn place_with_permit(&self) -> Result<Placement, Refused> {
+        let placed = place_within_limits(&self.gateway, &self.running, || self.place()).await;
+        placed.map_err(|not_placed| match not_placed {
+            NotPlaced::Limited(retry_after) if self.running.progress.surely_not_run() => {
+                Refused::Busy(retry_after)
+            }
+            NotPlaced::Limited(_) => Refused::GivenUp(self.running.progress.given_up()),
+            NotPlaced::Nobody => {
+                log_no_back_end(&self.gateway, &self.running);
+                Refused::GivenUp(self.running.progress.given_up())
+            }
+        })
+    }
+
     pub(super) fn place_decode(&self, prefill_engine: &BackendId) -> Option<BackendId> {
         let service = &self.running.service;
         apart(&self.gateway, &self.running, |tried| {
--- a/components/forwarding-shell/src/stream/reading.rs
+++ b/components/forwarding-shell/src/stream/reading.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{OpenAnswer, note_silent, within};
 use crate::going_on::{can_go_elsewhere, go_on_beside, may_be_sent};
 use crate::handover::{WaitingCache, prefill, prefill_time_limit};
+use crate::permits::place_within_limits;
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::log_no_back_end;
 
@@ -129,7 +130,10 @@
         if !may_be_sent(&self.gateway, &self.running) {
             return Err(AttemptEnd::NotRun(NotRunReason::Refused));
         }
-        let Some(decode_engine) = self.place_decode(cache.prefill_engine()) else {
+        // A limit may have been named while the prompt was prefilled.
+        let place = || self.place_decode(cache.prefill_engine());
+        let placed = place_within_limits(&self.gateway, &self.running, place).await;
+        let Ok(decode_engine) = placed else {
             log_no_back_end(&self.gateway, &self.running);
             return Err(AttemptEnd::NotRun(NotRunReason::Full));
         };
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -14,7 +14,7 @@
 use crate::going_on::{can_go_elsewhere, go_on, go_on_beside, may_be_sent, may_repeat};
 use crate::handover::WaitingCache;
 use crate::ports::{BackendPort, CallerPort, JobPhase};
-use crate::request::{Running, log_no_back_end};
+use crate::request::Running;
 use crate::whole::copy_head;
 
 use super::engine_run::{EngineRun, Heard};
@@ -210,12 +210,12 @@
         } else {
             self.place()
         };
+        let placement = match placement {
+            Some(placement) => placement,
+            None => self.place_with_permit().await?,
+        };
         match placement {
-            None => {
-                log_no_back_end(&self.gateway, &self.running);
-                Err(Refused::GivenUp(self.running.progress.given_up()))
-            }
-            Some(Placement::One(backend)) => {
+            Placement::One(backend) => {
                 let job = self.job(JobPhase::Whole, backend.clone());
                 let sent = self.send(&job).await;
                 if matches!(sent, Err(AttemptEnd::NotRun(NotRunReason::Full))) {
@@ -223,10 +223,10 @@
                 }
                 Ok(sent.map(Some))
             }
-            Some(Placement::Handover {
+            Placement::Handover {
                 prefill_engine,
                 copy_from,
-            }) => {
+            } => {
                 // The first prefill is none of the service's repeats; each later
                 // one is, beside the repeat that goes on from it.
                 if self.was_read && !may_repeat(&self.gateway, &self.running) {
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use garnet_control::{
-    Configuration, ConfigurationPart, ControlReply, GatewayRequest, PartRequest, UsageReceipt,
-    WatchUpdate, usage_interval,
+    Configuration, ConfigurationPart, ControlReply, GatewayRequest, PartRequest, ToldLimits,
+    UsageReceipt, WatchUpdate, usage_interval,
 };
 use garnet_forwarding::Forwarder;
 use garnet_runtime::control_link::ControlLinkOwner;
@@ -17,6 +17,7 @@
 use smol::channel::{Receiver, Sender};
 
 use crate::gateway::{Gateway, connection_times};
+use crate::permits::{hear_permit, tell_limit_words};
 use crate::ports::{BackendPort, CallerPort};
 use crate::start::Replicas;
 
@@ -99,6 +100,7 @@
         // What is lost is asked again.
         let _lost = self.requests.try_send(request);
         self.tell_runs(now);
+        tell_limit_words(&self.gateway);
     }
 
     /// Tells the leader of runs that ended with their engine.
@@ -156,6 +158,8 @@
         }
         let reply = match reply {
             ControlReply::Part(part) => return self.hear_part(part),
+            ControlReply::Limits(told) => return self.hear_limits(&told),
+            ControlReply::Permit(answer) => return hear_permit(&self.gateway, &answer),
             reply => reply,
         };
         let ControlReply::Watch {
@@ -171,6 +175,7 @@
             return;
         };
         self.heard_at.set(self.gateway.now());
+        self.gateway.permits.heard_leader(self.gateway.now());
         if let Some(group) = group {
             self.group_index.set(group.index);
             *self.group.borrow_mut() = group.addresses;
@@ -197,6 +202,14 @@
         self.note_change(before);
     }
 
+    fn hear_limits(&self, told: &ToldLimits) {
+        let now = self.gateway.now();
+        let over = self.gateway.forwarder.borrow_mut().take_limits(told, now);
+        for backend in over {
+            log::info!(backend = backend.as_str(); "limit_over");
+        }
+    }
+
     fn hear_part(&self, part: Option<ConfigurationPart>) {
         // One that is not to be had any more is offered under another index.
         let Some(part) = part else {
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -8,7 +8,7 @@
 use garnet_forwarding::{AttemptEnd, GivenUp, Placement, Progress};
 use garnet_runtime::client::HttpError;
 use garnet_runtime::{Body, bytes_body};
-use garnet_types::BackendId;
+use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::http::response::Parts;
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::going_on::{apart, can_go_elsewhere, go_on, go_on_beside};
 use crate::headers::remove_connection_headers;
+use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
 use crate::request::{Running, finished, log_no_back_end, note_begun, own_answer, until};
 
@@ -44,28 +45,39 @@
     };
     match smol::future::or(working, late).await {
         Some(Ok(answer)) => pass_on(gateway, &running, answer),
-        Some(Err(given_up)) => {
+        Some(Err(NotServed::GivenUp(given_up))) => {
             let answer = OwnAnswer::given_up(given_up, running.work.objective);
             own_answer(gateway, &running, answer)
         }
+        Some(Err(NotServed::Limited(retry_after))) => {
+            own_answer(gateway, &running, OwnAnswer::NotRun(retry_after))
+        }
         None => own_answer(gateway, &running, OwnAnswer::TimedOut),
     }
 }
 
+/// Why no back end answers.
+enum NotServed {
+    GivenUp(GivenUp),
+    /// It has not run, since those that could take it have a limit: when to come back.
+    Limited(Millis),
+}
+
 /// Has one back end after the other do it, until one answers.
 async fn work<C, B>(
     gateway: &Rc<Gateway<C, B>>,
     running: &mut Running,
-) -> Result<WholeAnswer, GivenUp>
+) -> Result<WholeAnswer, NotServed>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
     let mut failure = None;
     loop {
-        let Some(backend) = place(gateway, running) else {
-            log_no_back_end(gateway, running);
-            return failure.ok_or(running.progress.given_up());
+        let placed = place_within_limits(gateway, running, || place(gateway, running)).await;
+        let backend = match placed {
+            Ok(backend) => backend,
+            Err(not_placed) => return failure.ok_or(not_served(gateway, running, not_placed)),
         };
         running.served_by = Some(backend.clone());
         let job = whole_job(gateway, running, backend.clone());
@@ -91,7 +103,24 @@
         };
         running.tried.push(backend);
         if let Err(given_up) = go_on(gateway, running, end) {
-            return failure.ok_or(given_up);
+            return failure.ok_or(NotServed::GivenUp(given_up));
+        }
+    }
+}
+
+fn not_served<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    not_placed: NotPlaced,
+) -> NotServed {
+    match not_placed {
+        NotPlaced::Limited(retry_after) if running.progress.surely_not_run() => {
+            NotServed::Limited(retry_after)
+        }
+        NotPlaced::Limited(_) => NotServed::GivenUp(running.progress.given_up()),
+        NotPlaced::Nobody => {
+            log_no_back_end(gateway, running);
+            NotServed::GivenUp(running.progress.given_up())
         }
     }
 }
@@ -119,7 +148,7 @@
     running: &mut Running,
     mut silent: Pin<&mut impl Future<Output = Result<WholeAnswer, AttemptEnd>>>,
     job: &Job,
-) -> Result<WholeAnswer, GivenUp>
+) -> Result<WholeAnswer, NotServed>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
@@ -147,14 +176,14 @@
             Ok(answer)
         }
         (_, Some(others)) => others,
-        (_, None) => Err(running.progress.given_up()),
+        (_, None) => Err(NotServed::GivenUp(running.progress.given_up())),
     }
 }
 
 /// Who came to an end first.
 enum First {
     Silent(Result<WholeAnswer, AttemptEnd>),
-    Others(Result<WholeAnswer, GivenUp>),
+    Others(Result<WholeAnswer, NotServed>),
 }
 
 fn whole_job<C: CallerPort, B: BackendPort>(
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -132,7 +132,10 @@
             return self.backends.get(engine).map(queue).unwrap_or_default();
         }
         let decode_engines = self.decode_engines_of(service);
+        // What a limit leaves to others is no place to wait for.
+        let may_send = |backend: &&Backend| self.limits.may_send(&backend.registration.id, now);
         let open = decode_engines.filter(|backend| backend.is_open(now, false));
+        let open = open.filter(may_send);
         let queues: Vec<PlaceQueue> = open.map(queue).collect();
         let shortest = queues
             .iter()
--- a/components/forwarding/src/forwarder/beliefs.rs
+++ b/components/forwarding/src/forwarder/beliefs.rs
@@ -59,6 +59,7 @@
         let queued_by_others = backend.load.others_ahead_of(rank, now);
         let heard_ago = backend.load.heard_ago(now);
         backend.breaker.sent();
+        self.limits.sent(id, now);
         self.with_own_work.insert(id.clone());
         let Some(prompt) = prompt else {
             backend.load.sent(rank, 0, None);
@@ -98,6 +99,7 @@
         if let Some(backend) = self.backends.get_mut(id) {
             backend.breaker.sent();
             backend.load.sent(rank, 0, Some(prompt));
+            self.limits.sent(id, now);
             self.with_own_work.insert(id.clone());
         }
         if let Some(residency) = self.cache_of(id) {
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -39,6 +39,7 @@
     pub fn connected(&mut self) {
         self.loader.connected();
         self.tell_runs_anew();
+        self.limits.connected();
     }
 
     /// Takes what the leader says is new. An older configuration than the one
@@ -158,6 +159,7 @@
                     let did = likes(backend);
                     if backend.update(record) {
                         self.residency.remove(id);
+                        self.limits.forget(id);
                     }
                     self.likes.follow_change(&did, backend);
                     if let Some(residency) = self.residency.get_mut(id) {
@@ -172,6 +174,7 @@
                     members_changed = true;
                     self.backends.remove(id);
                     self.residency.remove(id);
+                    self.limits.forget(id);
                 }
                 (None, None) => {}
             }
--- /dev/null
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -0,0 +1,143 @@
+//! Back ends that named how many requests a second they take from all gateways
+//! together: what was heard, and permits to send to them.
+
+use garnet_control::ToldLimits;
+use garnet_limits::{Asking, LimitWords, PermitAnswer, PermitAsk, RequestRate};
+use garnet_types::{BackendId, Millis, ServiceId};
+
+use crate::backends::Backend;
+use crate::work::Work;
+
+use super::Forwarder;
+
+/// What an answer says of its back end's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitSaid {
+    /// It takes so many requests.
+    Named(RequestRate),
+    /// It names none, and would.
+    NamedNone,
+    /// Nothing that can be gone by.
+    Nothing,
+}
+
+impl Forwarder {
+    // ---- What back ends say ----
+
+    /// Takes what an answer says, to a request that was sent at `sent_at`. Gives the
+    /// limit where it is news.
+    pub fn note_limit(
+        &mut self,
+        id: &BackendId,
+        said: LimitSaid,
+        sent_at: Millis,
+        now: Millis,
+    ) -> Option<RequestRate> {
+        let start = self.backends.get(id)?.start;
+        match said {
+            LimitSaid::Named(rate) => {
+                let is_new = self.limits.named(id, start, rate, now);
+                is_new.then_some(rate)
+            }
+            LimitSaid::NamedNone => {
+                self.limits.named_none(id, start, sent_at);
+                None
+            }
+            LimitSaid::Nothing => None,
+        }
+    }
+
+    /// What the leader has not heard yet of limits.
+    pub fn limit_words(&mut self, now: Millis) -> Option<LimitWords> {
+        self.limits.words(now)
+    }
+
+    /// Words did not leave.
+    pub fn limit_words_lost(&mut self) {
+        self.limits.words_lost();
+    }
+
+    /// Takes the leader's list of limits. Gives the back ends whose limit is over.
+    pub fn take_limits(&mut self, told: &ToldLimits, now: Millis) -> Vec<BackendId> {
+        self.limits.take_list(told.list(), now)
+    }
+
+    /// Back ends that have a limit, as far as known.
+    pub fn limited_backends(&self) -> usize {
+        self.limits.len()
+    }
+
+    // ---- Permits ----
+
+    /// Whether a request may be sent to a back end now: it has no limit, or there is
+    /// a permit.
+    pub fn may_send(&self, id: &BackendId, now: Millis) -> bool {
+        self.limits.may_send(id, now)
+    }
+
+    /// What to do for a request that no back end may be sent as things stand: those
+    /// that have a limit and could do all of it may have a permit for one more.
+    pub fn ask_for_permit(
+        &mut self,
+        service: &ServiceId,
+        work: &Work,
+        tried: &[BackendId],
+        now: Millis,
+    ) -> Asking {
+        if self.limits.is_empty() {
+            return Asking::Unlimited;
+        }
+        let could_take = |backend: &&Backend| {
+            let id = &backend.registration.id;
+            let does_all = work.prompt.is_none() || backend.generates();
+            does_all && backend.is_open(now, true) && !tried.contains(id)
+        };
+        let of_service = self.backends.values();
+        let of_service = of_service.filter(|backend| backend.registration.service == *service);
+        let could_take = of_service.filter(could_take);
+        let ids = could_take.map(|backend| &backend.registration.id);
+        self.limits.ask(ids, work.priority, now)
+    }
+
+    /// Each gateway asks for a permit with one of so many requests as there are
+    /// gateways, whether it needs one or not: what an engine takes is used, and its
+    /// end is heard, also where others have room.
+    pub fn ask_for_spare_permit(
+        &mut self,
+        service: &ServiceId,
+        work: &Work,
+        now: Millis,
+    ) -> Option<PermitAsk> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        self.arrived = self.arrived.wrapping_add(1);
+        let turn = self.arrived.wrapping_add(self.seed);
+        if !turn.is_multiple_of(self.gateways.max(1)) {
+            return None;
+        }
+        let may_help = |backend: &&Backend| {
+            backend.registration.service == *service
+                && backend.is_open(now, false)
+                && !self.limits.may_send(&backend.registration.id, now)
+        };
+        let could_take: Vec<&BackendId> = self
+            .backends
+            .values()
+            .filter(may_help)
+            .map(|backend| &backend.registration.id)
+            .collect();
+        // One that nobody has sent to for long is as likely as any other.
+        let drawn = self.arrived as usize / self.gateways.max(1) as usize;
+        let one = could_take.get(drawn % could_take.len().max(1))?;
+        match self.limits.ask([*one].into_iter(), work.priority, now) {
+            Asking::Ask(ask) => Some(ask),
+            Asking::Closed(_) | Asking::Unlimited => None,
+        }
+    }
+
+    /// Takes the leader's answer to a question for a permit.
+    pub fn permit_answered(&mut self, answer: &PermitAnswer, now: Millis) {
+        self.limits.answered(answer, now);
+    }
+}
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -4,16 +4,19 @@
 mod beliefs;
 mod configuration;
 mod fleet;
+mod limits;
 mod quarantine;
 
 pub use beliefs::PrefillWork;
 pub use fleet::FleetReport;
+pub use limits::LimitSaid;
 
 use fleet::{BeliefsAge, Reporting};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use garnet_control::{Configuration, Loader, PromptCopy};
+use garnet_limits::KnownLimits;
 use garnet_quarantine::CrashLog;
 use garnet_routes::{Route, RouteIndex, Tenant};
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
@@ -89,6 +92,10 @@
     reporting: Reporting,
     beliefs_age: BeliefsAge,
     crash_log: CrashLog,
+    /// What back ends said of how much they take, and the permits for them.
+    limits: KnownLimits,
+    /// Requests that came so far, to share out who asks for a spare permit.
+    arrived: u64,
     /// Parts this gateway's draws from those of the others.
     seed: u64,
 }
@@ -128,6 +135,8 @@
             reporting: Reporting::default(),
             beliefs_age: BeliefsAge::default(),
             crash_log: CrashLog::default(),
+            limits: KnownLimits::default(),
+            arrived: 0,
             seed,
         }
     }
@@ -195,6 +204,7 @@
     fn preference<'a>(&'a self, tried: &'a [BackendId], now: Millis) -> Preference<'a> {
         Preference {
             zone: &self.settings.zone,
+            limits: &self.limits,
             now,
             tried,
             may_hand_over: true,
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -28,7 +28,9 @@
 pub use admission::{Admission, Arrival, SHORTEST_RETRY};
 pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
 pub use backends::{Backend, BackendLoad, LoadReport};
-pub use forwarder::{FleetReport, Forwarder, ForwarderSettings, PrefillWork, RouteChoice};
+pub use forwarder::{
+    FleetReport, Forwarder, ForwarderSettings, LimitSaid, PrefillWork, RouteChoice,
+};
 pub use pace::{PrefillPace, TokenTime};
 pub use placement::{Placement, Preference};
 pub use residency::Residency;
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -1,5 +1,6 @@
 //! Which back end takes a request: pure functions over what is believed.
 
+use garnet_limits::KnownLimits;
 use garnet_types::{BackendId, EngineRole, Millis};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -41,6 +42,8 @@
 pub struct Preference<'a> {
     /// Zone of the gateway.
     pub zone: &'a str,
+    /// What back ends take, and permits for them.
+    pub limits: &'a KnownLimits,
     /// The present.
     pub now: Millis,
     /// Back ends that this request was at before.
@@ -60,8 +63,21 @@
 
 impl Preference<'_> {
     fn may_take(&self, backend: &Backend) -> bool {
+        let id = &backend.registration.id;
         backend.is_open(self.now, self.despite_failures)
-            && !self.tried.contains(&backend.registration.id)
+            && !self.tried.contains(id)
+            && self.limits.may_send(id, self.now)
+    }
+
+    /// Whether it takes what comes. A permit for one that has a limit is over before
+    /// another engine has read a prompt for it.
+    fn is_unlimited(&self, backend: &Backend) -> bool {
+        self.limits.rate(&backend.registration.id).is_none()
+    }
+
+    /// Whether a request should go there, so that it is heard what it takes.
+    fn is_due(&self, backend: &Backend) -> bool {
+        self.limits.is_due(&backend.registration.id, self.now)
     }
 
     fn is_local(&self, backend: &Backend) -> bool {
@@ -78,7 +94,8 @@
         let requests = backend.load.requests(preference.now);
         let away = u64::from(!preference.is_local(backend)) * ZONE_ADVANTAGE;
         let id = backend.registration.id.as_str().as_bytes();
-        (requests + away, xxh3_64_with_seed(id, preference.draw))
+        let draw = xxh3_64_with_seed(id, preference.draw);
+        (!preference.is_due(backend), requests + away, draw)
     };
     let open = backends.filter(|backend| preference.may_take(backend));
     Some(open.min_by_key(cost)?.registration.id.clone())
@@ -113,13 +130,18 @@
         .collect();
     let with_role = |wanted: EngineRole| -> Vec<&EngineView<'_>> {
         let matches = |engine: &&&EngineView<'_>| engine.backend.role == Some(wanted);
-        open.iter().filter(matches).copied().collect()
+        let all: Vec<&EngineView<'_>> = open.iter().filter(matches).copied().collect();
+        let due = all
+            .iter()
+            .filter(|engine| preference.is_due(engine.backend));
+        let due: Vec<&EngineView<'_>> = due.copied().collect();
+        if due.is_empty() { all } else { due }
     };
     let mixed = with_role(EngineRole::Mixed);
     let may_hand_over = preference.may_hand_over
         && open
             .iter()
-            .any(|engine| engine.backend.role.is_some_and(EngineRole::generates));
+            .any(|engine| engine.backend.generates() && preference.is_unlimited(engine.backend));
     let prefill_engines = if may_hand_over {
         with_role(EngineRole::Prefill)
     } else {
@@ -164,10 +186,11 @@
         let id = backend.registration.id.as_str().as_bytes();
         let held = backend.load.held_tokens(preference.now);
         let cost = held + away * MOVE_BETWEEN_ZONES;
-        (cost, xxh3_64_with_seed(id, preference.draw))
+        let draw = xxh3_64_with_seed(id, preference.draw);
+        (!preference.is_due(backend), cost, draw)
     };
     let decode_engines = engines
-        .filter(|backend| backend.role.is_some_and(EngineRole::generates))
+        .filter(|backend| backend.generates())
         .filter(|backend| preference.may_take(backend));
     Some(decode_engines.min_by_key(cost)?.registration.id.clone())
 }
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -73,7 +73,7 @@
             // The driver follows the address; whatever matters is sent again.
             ControlReply::NotLeader { .. } => self.note_leader(Millis::NEVER),
             // This gateway reports none.
-            ControlReply::Usage(_) => {}
+            ControlReply::Usage(_) | ControlReply::Limits(_) | ControlReply::Permit(_) => {}
             ControlReply::RunsNoted { through } => self.runs_noted(through),
         }
     }
--- a/components/limits/src/known.rs
+++ b/components/limits/src/known.rs
@@ -104,6 +104,11 @@
         self.known.is_empty()
     }
 
+    /// Back ends that are known to have a limit.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
     /// The limit of a back end, where it has one.
     pub fn rate(&self, id: &BackendId) -> Option<RequestRate> {
         Some(self.known.get(id)?.rate)
