--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod fleet;
 mod fleet_view;
+mod limits;
 mod placement;
 mod quarantine;
 mod split_fleet;
