Engines with a limit are no capacity of their phase

What callers saw: where all engines that generate named a limit, six others went on reading prompts for nobody, no role was stated, and requests were refused.

Cause: the balance of phases counted them as if they took what comes.

Change: they take no part in the balance while their limit lasts, as engines that are about to be given back don't: they are counted in no phase and ordered into none.

Not changed: how many engines are bought, which the terms of the service fix.

--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -132,8 +132,9 @@
     pools: BTreeMap<Pool, PoolBalance>,
     /// Index of the configuration whose pools are known.
     followed_index: Option<u64>,
-    /// Engines that are about to be given back.
-    given_back: BTreeSet<BackendId>,
+    /// Engines that take no part: they are about to be given back, or take only a
+    /// few requests.
+    aside: BTreeSet<BackendId>,
     /// Engines that were looked at since that was asked last.
     looked_at: u64,
 }
@@ -151,7 +152,7 @@
             settings,
             pools: BTreeMap::new(),
             followed_index: None,
-            given_back: BTreeSet::new(),
+            aside: BTreeSet::new(),
             looked_at: 0,
         }
     }
@@ -178,11 +179,11 @@
         &mut self,
         configuration: &Configuration,
         backlogs: &BTreeMap<BackendId, Backlog>,
-        given_back: BTreeSet<BackendId>,
+        aside: BTreeSet<BackendId>,
         now: Millis,
     ) -> Vec<BalanceChange> {
-        self.follow(configuration, given_back);
-        let busy = busy_engines(configuration, backlogs, &self.given_back);
+        self.follow(configuration, aside);
+        let busy = busy_engines(configuration, backlogs, &self.aside);
         let mut changes = Vec::new();
         for (pool, balance) in &mut self.pools {
             if balance.roles.engines() == 0 {
@@ -196,7 +197,7 @@
             let occupancy = balance.occupancy(&seen);
             let looked_at = &mut self.looked_at;
             let members = || {
-                let members = members(configuration, &self.given_back, pool);
+                let members = members(configuration, &self.aside, pool);
                 *looked_at += members.len() as u64;
                 members
             };
@@ -217,18 +218,18 @@
     }
 
     /// Notes who is in which pool, where that may have changed.
-    fn follow(&mut self, configuration: &Configuration, given_back: BTreeSet<BackendId>) {
+    fn follow(&mut self, configuration: &Configuration, aside: BTreeSet<BackendId>) {
         let is_same = self.followed_index == Some(configuration.index);
-        if is_same && self.given_back == given_back {
+        if is_same && self.aside == aside {
             return;
         }
         self.followed_index = Some(configuration.index);
-        self.given_back = given_back;
+        self.aside = aside;
         // A pool whose engines are all gone remembers them: they may come back.
         for balance in self.pools.values_mut() {
             balance.roles = RoleCount::default();
         }
-        for ((service, model), members) in pools(configuration, &self.given_back) {
+        for ((service, model), members) in pools(configuration, &self.aside) {
             self.looked_at += members.len() as u64;
             let pool = (service.clone(), model.clone());
             self.pools.entry(pool).or_default().follow(&members);
--- a/components/control/src/balancing/members.rs
+++ b/components/control/src/balancing/members.rs
@@ -49,10 +49,9 @@
 fn member<'a>(
     id: &'a BackendId,
     record: &'a BackendRecord,
-    given_back: &BTreeSet<BackendId>,
+    aside: &BTreeSet<BackendId>,
 ) -> Option<(PoolKey<'a>, Member<'a>)> {
-    // A change of role would not pay for one that leaves.
-    if given_back.contains(id) {
+    if aside.contains(id) {
         return None;
     }
     // The list may leave an engine out while it changes its role.
@@ -71,11 +70,11 @@
 /// Engines that take part: an engine counts as what it shall be.
 pub(super) fn pools<'a>(
     configuration: &'a Configuration,
-    given_back: &BTreeSet<BackendId>,
+    aside: &BTreeSet<BackendId>,
 ) -> BTreeMap<PoolKey<'a>, Vec<Member<'a>>> {
     let mut pools: BTreeMap<PoolKey<'_>, Vec<Member<'_>>> = BTreeMap::new();
     let backends = configuration.backends.iter();
-    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, given_back)) {
+    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, aside)) {
         pools.entry(pool).or_default().push(member);
     }
     pools
@@ -84,12 +83,12 @@
 /// Engines of one pool.
 pub(super) fn members<'a>(
     configuration: &'a Configuration,
-    given_back: &BTreeSet<BackendId>,
+    aside: &BTreeSet<BackendId>,
     (service, model): &Pool,
 ) -> Vec<Member<'a>> {
     let backends = configuration.backends.iter();
     backends
-        .filter_map(|(id, record)| member(id, record, given_back))
+        .filter_map(|(id, record)| member(id, record, aside))
         .filter(|(pool, _)| *pool == (service, model))
         .map(|(_, member)| member)
         .collect()
@@ -99,12 +98,12 @@
 pub(super) fn busy_engines<'a>(
     configuration: &'a Configuration,
     backlogs: &'a BTreeMap<BackendId, Backlog>,
-    given_back: &BTreeSet<BackendId>,
+    aside: &BTreeSet<BackendId>,
 ) -> BTreeMap<PoolKey<'a>, Vec<Busy<'a>>> {
     let mut busy: BTreeMap<PoolKey<'_>, Vec<Busy<'_>>> = BTreeMap::new();
     for (id, backlog) in backlogs {
         let record = configuration.backends.get(id);
-        if let Some((pool, member)) = record.and_then(|record| member(id, record, given_back)) {
+        if let Some((pool, member)) = record.and_then(|record| member(id, record, aside)) {
             let role = member.role;
             busy.entry(pool).or_default().push(Busy { role, backlog });
         }
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -114,8 +114,11 @@
             .routes
             .as_ref()
             .map(|routes| self.sizing.given_back(routes, &self.state.needed_engines));
-        let given_back = given_back.unwrap_or_default();
-        let changes = balancing.decide(configuration, &backlogs, given_back, self.now);
+        let mut aside = given_back.unwrap_or_default();
+        // One that takes a few requests is no capacity of its phase, and a change of
+        // role would not help it.
+        aside.extend(self.limiting.backends().cloned());
+        let changes = balancing.decide(configuration, &backlogs, aside, self.now);
         self.looked_at += balancing.take_looked_at();
         let applied = self.node.status().applied_index;
         for change in changes {
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -5,6 +5,7 @@
     BackendRegistration, Backlog, ByRank, Effect, EngineObservation, EnginePolling, Event,
     GatewayRequest, MachineEntry, ReplicaSettings,
 };
+use garnet_limits::{LimitWord, LimitWords};
 use garnet_planner::BalanceSettings;
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, GatewayId, MachineState, Millis, ModelId,
@@ -319,3 +320,36 @@
     assert!(roles.len() >= 5, "{roles:?}");
     assert!(roles.iter().all(|role| *role == EngineRole::Prefill));
 }
+
+/// All engines that generate say that they take one request a second, and prompts
+/// are read by six others for nobody: a limit makes an engine no capacity of its
+/// phase. Before, no role was stated while callers were refused.
+#[test]
+fn engines_with_a_limit_are_no_capacity_of_their_phase() {
+    let mut leader = leader();
+    let lists: Vec<_> = (0..6).map(|_| list(6)).collect();
+    assert_eq!(stated(&mut leader, &lists, &watch(4_000, 6)), []);
+    for number in 6..9 {
+        leader.take(limited(number, Some("1")));
+    }
+    let roles = stated(&mut leader, &lists, &watch(4_000, 6));
+    assert_eq!(roles.first(), Some(&EngineRole::Mixed));
+}
+
+fn limited(number: u64, rate: Option<&str>) -> Event {
+    let word = LimitWord {
+        backend: BackendId::new(format!("engine-{number}")),
+        start: number,
+        rate: rate.map(|rate| rate.parse().expect("a rate")),
+        ago: Millis::ZERO,
+    };
+    let words = LimitWords {
+        number,
+        words: vec![word],
+    };
+    let gateway = GatewayId::new("gateway-1");
+    Event::Gateway {
+        connection: 1,
+        request: GatewayRequest::LimitWords { gateway, words },
+    }
+}
