Words about limits are told until the leader's list has them; lists are numbered

Cause: a gateway took its words as told once a later message was confirmed; where one is lost and the next is not, the leader never hears of the limit and the gateway forgets it.

Change: what the list lacks goes with each message until the list has it, or its leader has taken that very message; an older list than the newest is left aside. words_lost goes.

--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -218,6 +218,8 @@
 pub struct ToldLimits {
     /// Term of the leader.
     pub term: u64,
+    /// Rises with each change of the list in the term.
+    pub number: u64,
     /// Number of the last words of the gateway that it had taken.
     pub words_noted: u64,
     /// The limits.
@@ -229,6 +231,7 @@
     pub fn list(&self) -> LimitList<'_> {
         LimitList {
             term: self.term,
+            number: self.number,
             words_noted: self.words_noted,
             limits: &self.limits,
         }
--- a/components/control/src/replica/limiting.rs
+++ b/components/control/src/replica/limiting.rs
@@ -60,7 +60,7 @@
         gateway: &GatewayId,
         connection: u64,
         now: Millis,
-    ) -> Option<(Shared<Vec<ToldLimit>>, u64)> {
+    ) -> Option<(ToldList, Shared<Vec<ToldLimit>>)> {
         let number = self.ledger.number();
         let told = self.told.entry(gateway.clone()).or_default();
         let news = ToldList {
@@ -79,7 +79,7 @@
             }
         }
         told.list = Some(news);
-        Some((self.list(), news.words_noted))
+        Some((news, self.list()))
     }
 
     fn list(&mut self) -> Shared<Vec<ToldLimit>> {
@@ -141,10 +141,11 @@
     /// Tells a gateway that watches which limits there are, where it may not know.
     pub(super) fn tell_limits(&mut self, gateway: &GatewayId, connection: u64) {
         let news = self.limiting.news_for(gateway, connection, self.now);
-        if let Some((limits, words_noted)) = news {
+        if let Some((news, limits)) = news {
             let reply = ControlReply::Limits(ToldLimits {
                 term: self.node.status().term,
-                words_noted,
+                number: news.number,
+                words_noted: news.words_noted,
                 limits,
             });
             self.effects
--- a/components/forwarding-shell/src/permits.rs
+++ b/components/forwarding-shell/src/permits.rs
@@ -75,17 +75,16 @@
 /// Tells the leader what it has not heard yet of limits.
 pub(crate) fn tell_limit_words<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>) {
     let now = gateway.now();
-    let mut forwarder = gateway.forwarder.borrow_mut();
-    let Some(words) = forwarder.limit_words(now) else {
+    let words = gateway.forwarder.borrow_mut().limit_words(now);
+    let Some(words) = words else {
         return;
     };
     let request = GatewayRequest::LimitWords {
         gateway: gateway.permits.id.clone(),
         words,
     };
-    if gateway.permits.requests.try_send(request).is_err() {
-        forwarder.limit_words_lost();
-    }
+    // What is lost is told again.
+    let _lost = gateway.permits.requests.try_send(request);
 }
 
 /// Takes the leader's answer to a question.
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -52,11 +52,6 @@
         self.limits.words(now)
     }
 
-    /// Words did not leave.
-    pub fn limit_words_lost(&mut self) {
-        self.limits.words_lost();
-    }
-
     /// Takes the leader's list of limits. Gives the back ends whose limit is over.
     pub fn take_limits(&mut self, told: &ToldLimits, now: Millis) -> Vec<BackendId> {
         self.limits.take_list(told.list(), now)
--- a/components/forwarding/tests/core/limits.rs
+++ b/components/forwarding/tests/core/limits.rs
@@ -66,6 +66,16 @@
 }
 
 fn list(gateway: &mut Forwarder, term: u64, names: &[&str]) -> Vec<BackendId> {
+    list_after(gateway, term, 0, names)
+}
+
+/// The list of a leader that has taken the words of this number.
+fn list_after(
+    gateway: &mut Forwarder,
+    term: u64,
+    words_noted: u64,
+    names: &[&str],
+) -> Vec<BackendId> {
     let told = |name: &&str| ToldLimit {
         backend: id(name),
         rate: "2".parse().expect("a rate"),
@@ -73,7 +83,8 @@
     let limits: Vec<ToldLimit> = names.iter().map(told).collect();
     let told = ToldLimits {
         term,
-        words_noted: 0,
+        number: 0,
+        words_noted,
         limits: Shared::from(limits),
     };
     gateway.take_limits(&told, NOW)
@@ -248,16 +259,21 @@
     assert_eq!(gateway.limited_backends(), 2);
 }
 
-/// Words that did not leave are told anew.
+/// Words may be lost on their way, and later ones not: what the list lacks is told with
+/// all that follow, until the leader that has taken the newest ones says otherwise.
 #[test]
-fn words_are_not_lost_with_a_full_queue() {
+fn words_that_are_lost_are_told_again() {
     let mut gateway = forwarder(&instances());
     list(&mut gateway, 4, &[]);
     limit(&mut gateway, "till-a");
-    let _lost = gateway.limit_words(NOW).expect("it was heard");
-    gateway.limit_words_lost();
-    let again = gateway.limit_words(NOW).expect("it is told again");
-    assert_eq!(again.words[0].backend, id("till-a"));
+    let lost = gateway.limit_words(NOW).expect("it was heard");
+    limit(&mut gateway, "till-b");
+    let second = gateway.limit_words(NOW).expect("news");
+    assert_eq!(second.words.len(), 2);
+    assert_eq!(list_after(&mut gateway, 4, lost.number, &[]), []);
+    let both = ["till-a", "till-b"];
+    assert_eq!(list_after(&mut gateway, 4, second.number, &both), []);
+    assert_eq!(gateway.limit_words(NOW), None);
 }
 
 /// An engine that has started again under its name has said nothing yet.
--- a/components/limits/src/known.rs
+++ b/components/limits/src/known.rs
@@ -94,8 +94,8 @@
     questions: VecDeque<Question>,
     last_question: u64,
     last_words: u64,
-    /// The term of the leader whose list came on this connection.
-    list_term: Option<u64>,
+    /// The newest list that came on this connection: term of its leader, and number.
+    list: Option<(u64, u64)>,
 }
 
 impl KnownLimits {
@@ -204,7 +204,7 @@
 
     /// Another leader may have been found: what it knows is not known.
     pub fn connected(&mut self) {
-        self.list_term = None;
+        self.list = None;
         self.questions.clear();
         for known in self.known.values_mut() {
             known.told = Told::No;
@@ -212,13 +212,10 @@
         }
     }
 
-    /// Words did not leave: they are told anew.
-    pub fn words_lost(&mut self) {
-        for known in self.known.values_mut() {
-            if matches!(known.told, Told::In(_)) {
-                known.told = Told::No;
-            }
-        }
+    /// Forgets all back ends but these.
+    pub fn keep(&mut self, is_known: impl Fn(&BackendId) -> bool) {
+        self.known.retain(|id, _| is_known(id));
+        self.news.retain(|news| is_known(&news.backend));
     }
 
     /// Takes the list of the leader of a term, made when it had taken the words of
@@ -226,10 +223,14 @@
     ///
     /// Invariant: what that leader was not told in its term is kept.
     pub fn take_list(&mut self, list: LimitList<'_>, now: Millis) -> Vec<BackendId> {
-        if self.list_term != Some(list.term) {
+        let newest = self.list.unwrap_or_default();
+        if (list.term, list.number) < newest {
+            return Vec::new();
+        }
+        if list.term != newest.0 {
             self.connected();
-            self.list_term = Some(list.term);
         }
+        self.list = Some((list.term, list.number));
         for told in list.limits {
             let known = self.known.entry(told.backend.clone());
             let known = known.or_insert_with(|| Known {
@@ -268,7 +269,7 @@
         let number = self.last_words + 1;
         for news in self.news.drain(..) {
             if let Some(known) = self.known.get_mut(&news.backend)
-                && known.told == Told::No
+                && known.told != Told::Listed
                 && news.rate.is_some()
             {
                 known.told = Told::In(number);
@@ -280,10 +281,25 @@
                 ago: now.since(news.at),
             });
         }
-        let has_list = self.list_term.is_some();
+        if self.list.is_some() {
+            self.tell_again(number, &mut words, now);
+        }
+        if words.is_empty() {
+            return None;
+        }
+        self.last_words = number;
+        Some(LimitWords { number, words })
+    }
+
+    /// Adds what the leader's list does not have, until it has it: words may be lost
+    /// on their way. Those that were never told come first.
+    fn tell_again(&mut self, number: u64, words: &mut Vec<LimitWord>, now: Millis) {
+        let is_new = |known: &Known| matches!(known.told, Told::In(told) if told == number);
         let untold = self.known.iter_mut();
-        let untold = untold.filter(|(_, known)| has_list && known.told == Told::No);
-        for (id, known) in untold.take(MOST_WORDS) {
+        let untold = untold.filter(|(_, known)| known.told != Told::Listed && !is_new(known));
+        let mut untold: Vec<(&BackendId, &mut Known)> = untold.collect();
+        untold.sort_unstable_by_key(|(_, known)| known.told != Told::No);
+        for (id, known) in untold.into_iter().take(MOST_WORDS) {
             known.told = Told::In(number);
             words.push(LimitWord {
                 backend: id.clone(),
@@ -292,11 +308,6 @@
                 ago: now.since(known.since),
             });
         }
-        if words.is_empty() {
-            return None;
-        }
-        self.last_words = number;
-        Some(LimitWords { number, words })
     }
 
     // ---- Permits ----
--- a/components/limits/src/messages.rs
+++ b/components/limits/src/messages.rs
@@ -47,6 +47,8 @@
 pub struct LimitList<'a> {
     /// The term.
     pub term: u64,
+    /// Rises with each change of the list in the term.
+    pub number: u64,
     /// Number of the last words of the gateway that it had taken.
     pub words_noted: u64,
     /// The limits.
--- a/components/limits/tests/world/mod.rs
+++ b/components/limits/tests/world/mod.rs
@@ -86,7 +86,7 @@
     Words(usize, u64, Option<LimitWords>),
     Ask(usize, u64, PermitAsk),
     /// Its list reaches a gateway.
-    List(usize, u64, u64, u64, Vec<ToldLimit>),
+    List(usize, u64, ToldList),
     Permit(usize, u64, PermitAnswer),
     /// A gateway is weary of waiting for the leader.
     Weary(usize, u64, u64),
@@ -96,6 +96,14 @@
     NewLeader,
 }
 
+#[derive(Debug)]
+struct ToldList {
+    term: u64,
+    number: u64,
+    words_noted: u64,
+    limits: Vec<ToldLimit>,
+}
+
 #[derive(Default)]
 struct Gateway {
     limits: KnownLimits,
@@ -223,12 +231,13 @@
             Happening::Watch(gateway, life) => self.watch(gateway, life),
             Happening::Words(gateway, connection, words) => self.words(gateway, connection, words),
             Happening::Ask(gateway, connection, ask) => self.ask(gateway, connection, &ask),
-            Happening::List(gateway, connection, term, words_noted, limits) => {
+            Happening::List(gateway, connection, told) => {
                 if self.is_heard(gateway, connection) {
                     let list = LimitList {
-                        term,
-                        words_noted,
-                        limits: &limits,
+                        term: told.term,
+                        number: told.number,
+                        words_noted: told.words_noted,
+                        limits: &told.limits,
                     };
                     self.gateways[gateway].limits.take_list(list, self.now);
                 }
@@ -367,11 +376,9 @@
         if now < from.cut_until {
             return;
         }
-        let is_lost = now < from.loses_until;
-        if is_lost && words.is_some() {
-            from.limits.words_lost();
-            return;
-        }
+        // Those that are lost, and later ones that are not.
+        let is_lost = now < from.loses_until && self.random.random_bool(0.5);
+        let words = words.filter(|_| !is_lost);
         let connection = from.connection;
         self.after(LONGEST_WAY_MS, Happening::Words(gateway, connection, words));
     }
@@ -404,9 +411,13 @@
         let told = (leader.ledger.number(), noted);
         if before != Some(told) {
             leader.told.insert((gateway, connection), told);
-            let list = leader.ledger.list();
-            let list = Happening::List(gateway, connection, leader.term, noted, list);
-            self.after(LONGEST_WAY_MS, list);
+            let list = ToldList {
+                term: leader.term,
+                number: leader.ledger.number(),
+                words_noted: noted,
+                limits: leader.ledger.list(),
+            };
+            self.after(LONGEST_WAY_MS, Happening::List(gateway, connection, list));
         }
     }
 
