The completions gateway keeps to limits as well

Change: the head of an answer tells its limit; attempts of every kind take a permit (garnet-limits, shared with the forwarding gateway); a request that only back ends with a limit could take waits for the leader's answer, 250 ms at most, then it waits in the queue where it may, or is refused with a time. A prompt is read for an engine with a limit only where all that generate have one; another permit is asked for when it is read, as the most urgent.

--- a/components/gateway/src/application.rs
+++ b/components/gateway/src/application.rs
@@ -3,6 +3,7 @@
 use garnet_routing::OwnWork;
 use garnet_types::{BackendId, Millis, OutcomeCode, RecordedResponse, Refusal, RequestId};
 
+use crate::backends::Eligible;
 use crate::call::{Answer, Work};
 use crate::effects::{AttemptEvent, AttemptId, Effect, Job};
 use crate::gateway::Gateway;
@@ -17,6 +18,7 @@
     pub(crate) fn route_application(&mut self, id: RequestId) {
         match self.choose_instance(id) {
             Ok((backend, address)) => self.dispatch_application(id, backend, address),
+            Err(_) if self.wait_for_permit(id, None) => {}
             Err(refusal) => self.refuse(id, refusal),
         }
     }
@@ -42,9 +44,12 @@
                 .known(backend)
                 .map_or(0, |belief| belief.estimate.in_flight())
         };
-        instances
+        let may_take = |one: &Eligible<'_>| {
+            load(one.id) < self.settings.application_concurrency && self.may_send(one.id)
+        };
+        let instances = instances.into_iter().filter(may_take).collect();
+        self.due_first(instances, |one| one.id)
             .into_iter()
-            .filter(|one| load(one.id) < self.settings.application_concurrency)
             .min_by_key(|one| {
                 let far = one.record.registration.zone != self.settings.zone;
                 (load(one.id), far, one.id.clone())
--- a/components/gateway/src/completion/choice.rs
+++ b/components/gateway/src/completion/choice.rs
@@ -30,6 +30,7 @@
         let mut single = Vec::new();
         let mut prefill = Vec::new();
         let mut decode = Vec::new();
+        let mut limited = Vec::new();
         for engine in &engines {
             if engine.role.reads_prompts() && engine.role.generates() {
                 single.push(self.candidate(request, engine, Phase::Both));
@@ -38,9 +39,19 @@
                 prefill.push(self.candidate(request, engine, Phase::Prefill));
             }
             if engine.role.generates() {
-                decode.push(self.candidate(request, engine, Phase::Decode));
+                let candidate = self.candidate(request, engine, Phase::Decode);
+                let takes_all = self.is_unlimited(engine.id);
+                let decode = if takes_all { &mut decode } else { &mut limited };
+                decode.push(candidate);
             }
         }
+        // Where all of them have a limit another permit is asked for when the prompt
+        // is read.
+        if decode.is_empty() {
+            decode = limited;
+        }
+        let [single, prefill, decode] =
+            [single, prefill, decode].map(|all| self.due_first(all, |one| &one.backend));
         let single = choose(&single, &mut self.random);
         let prefill = choose(&prefill, &mut self.random);
         let decode = choose(&decode, &mut self.random);
@@ -57,7 +68,8 @@
             &request.tried,
             self.now,
         );
-        Some(self.keep_apart(request, engines))
+        let engines = engines.into_iter().filter(|one| self.may_send(one.id));
+        Some(self.keep_apart(request, engines.collect()))
     }
 
     pub(super) fn candidate(
@@ -106,7 +118,7 @@
         }
     }
 
-    pub(super) fn choose_decode(&mut self, id: RequestId) -> Option<BackendId> {
+    pub(crate) fn choose_decode(&mut self, id: RequestId) -> Option<BackendId> {
         let request = self.requests.get(&id)?;
         let engines = self.untried_engines(request)?;
         let candidates: Vec<Candidate> = engines
@@ -114,6 +126,7 @@
             .filter(|engine| engine.role.generates())
             .map(|engine| self.candidate(request, engine, Phase::Decode))
             .collect();
+        let candidates = self.due_first(candidates, |one| &one.backend);
         choose(&candidates, &mut self.random).map(|chosen| chosen.backend)
     }
 }
--- a/components/gateway/src/completion/dispatch.rs
+++ b/components/gateway/src/completion/dispatch.rs
@@ -40,7 +40,7 @@
         self.set_stage(id, Stage::Prefilling { attempt });
     }
 
-    pub(super) fn dispatch_generate(
+    pub(crate) fn dispatch_generate(
         &mut self,
         id: RequestId,
         backend: &BackendId,
@@ -120,7 +120,7 @@
             .unwrap_or_default()
     }
 
-    pub(super) fn set_stage(&mut self, id: RequestId, stage: Stage) {
+    pub(crate) fn set_stage(&mut self, id: RequestId, stage: Stage) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.stage = stage;
         }
--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -49,13 +49,13 @@
 
     /// No engine takes work: waits where it may, else ends at once.
     pub(super) fn no_engine(&mut self, id: RequestId) {
+        if self.wait_for_permit(id, None) {
+            return;
+        }
         let request = &self.requests[&id];
         let has_begun = !request.delivered.is_empty();
         if request.verdict.may_wait || has_begun {
-            if let Some(request) = self.requests.get_mut(&id) {
-                request.tried.clear();
-            }
-            self.enqueue(id);
+            self.wait_for_engine(id);
             return;
         }
         let message = "no engine of the pool takes work";
@@ -63,6 +63,14 @@
         self.end_without_answer(id, refusal);
     }
 
+    /// Lets a request wait until an engine takes it, also one that it failed at.
+    pub(crate) fn wait_for_engine(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.tried.clear();
+        }
+        self.enqueue(id);
+    }
+
     /// Ends a request: as not run where that is provable.
     pub(crate) fn end_without_answer(&mut self, id: RequestId, when_not_run: Refusal) {
         let Some(request) = self.requests.get(&id) else {
@@ -145,7 +153,10 @@
                 Some(predicted) if predicted.first_token <= target => {
                     self.dispatch_completion(waiting.item, &predicted.placement);
                 }
-                _ => {
+                placed => {
+                    if placed.is_none() {
+                        self.ask_for_any(waiting.item);
+                    }
                     self.waiting.put_back(waiting);
                     return;
                 }
--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -57,6 +57,7 @@
         // The decode engine is chosen now, with what is known now.
         match self.choose_decode(id) {
             Some(decode) => self.dispatch_generate(id, &decode, Some(kv)),
+            None if self.wait_for_permit(id, Some(kv)) => {}
             None => self.try_elsewhere(id),
         }
     }
@@ -188,7 +189,7 @@
     }
 
     /// Goes on at another engine, under the retry budget.
-    pub(super) fn try_elsewhere(&mut self, id: RequestId) {
+    pub(crate) fn try_elsewhere(&mut self, id: RequestId) {
         self.set_stage(id, Stage::Waiting);
         if self.refuse_if_quarantined(id) {
             return;
--- a/components/gateway/src/gateway/arrival.rs
+++ b/components/gateway/src/gateway/arrival.rs
@@ -71,6 +71,8 @@
             may_have_run_before: false,
             answered: false,
             resumed: 0,
+            asked_for_permit: false,
+            dispatched_at: self.now,
             progress_at: self.now,
             call,
         }
@@ -209,6 +211,7 @@
     }
 
     pub(super) fn after_limits(&mut self, id: RequestId) {
+        self.ask_for_spare_permit(id);
         let keyed = self
             .requests
             .get(&id)
--- a/components/gateway/src/gateway/attempts.rs
+++ b/components/gateway/src/gateway/attempts.rs
@@ -13,6 +13,7 @@
         self.next_attempt += 1;
         let attempt = AttemptId(self.next_attempt);
         self.attempts.insert(attempt, (id, backend.clone()));
+        self.limits.sent(backend, self.now);
         self.counters.attempts += 1;
         attempt
     }
@@ -26,6 +27,10 @@
         if current != Some(attempt) {
             return;
         }
+        if let AttemptEvent::Limit(said) = event {
+            self.take_limit(id, &backend, said);
+            return;
+        }
         let is_completion = self.requests[&id].model().is_some();
         if is_completion {
             self.completion_event(id, attempt, &backend, event);
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -45,6 +45,7 @@
             copies: Vec::new(),
         }));
         self.tell_runs();
+        self.tell_limits();
     }
 
     pub(super) fn handle_control(&mut self, reply: ControlReply) {
@@ -53,8 +54,10 @@
                 sent_at,
                 update,
                 suspects,
+                gateways,
                 ..
             } => {
+                self.gateways = gateways;
                 let before = self.watched.answered_watch_sent_at.unwrap_or_default();
                 self.note_leader(sent_at.since(before));
                 self.take_suspects(suspects);
@@ -73,7 +76,9 @@
             // The driver follows the address; whatever matters is sent again.
             ControlReply::NotLeader { .. } => self.note_leader(Millis::NEVER),
             // This gateway reports none.
-            ControlReply::Usage(_) | ControlReply::Limits(_) | ControlReply::Permit(_) => {}
+            ControlReply::Usage(_) => {}
+            ControlReply::Limits(told) => self.take_limits(&told),
+            ControlReply::Permit(answer) => self.hear_permit(&answer),
             ControlReply::RunsNoted { through } => self.runs_noted(through),
         }
     }
@@ -105,6 +110,7 @@
     fn follow_configuration(&mut self, index: u64) {
         self.backends.keep_only(&self.watched.configuration);
         self.follow_quarantine();
+        self.follow_limits();
         self.emit(Effect::PersistIndex(index));
     }
 
--- a/components/gateway/src/gateway/mod.rs
+++ b/components/gateway/src/gateway/mod.rs
@@ -4,12 +4,14 @@
 mod attempts;
 mod control;
 mod ending;
+mod limits;
 mod quarantine;
 mod ticks;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use garnet_control::{ClaimRequest, PoolMix};
+use garnet_limits::KnownLimits;
 use garnet_quarantine::CrashLog;
 use garnet_routing::{RecentSet, RetryBudget, TokenBucket, WaitingQueue};
 use garnet_types::{
@@ -24,6 +26,8 @@
 use crate::request::Request;
 use crate::settings::GatewaySettings;
 
+pub(crate) use limits::AwaitedPermit;
+
 /// Told to callers when the gateway itself can't take work.
 const SHORT_RETRY_AFTER: Millis = Millis::from_secs(1);
 /// Buckets of tenants are looked through for full ones each time that so many
@@ -72,6 +76,11 @@
     pub(crate) counters: Counters,
     pub(crate) now: Millis,
     crash_log: CrashLog,
+    limits: KnownLimits,
+    /// Gateways, as the leader counts them.
+    gateways: u64,
+    /// Requests that came so far.
+    arrived: u64,
     deadlines: BTreeSet<(Millis, RequestId)>,
     buckets: BTreeMap<TenantId, TokenBucket>,
     buckets_limit: usize,
@@ -99,6 +108,9 @@
             counters: Counters::default(),
             now: Millis::ZERO,
             crash_log: CrashLog::default(),
+            limits: KnownLimits::default(),
+            gateways: 1,
+            arrived: 0,
             deadlines: BTreeSet::new(),
             buckets: BTreeMap::new(),
             buckets_limit: BUCKETS_STEP,
@@ -122,6 +134,10 @@
             Event::Attempt(attempt, event) => self.handle_attempt(attempt, event),
             Event::Control(reply) => self.handle_control(reply),
             Event::Load(backend, report) => {
+                if self.incarnation_of(&backend) < report.incarnation {
+                    // One that has started again has named nothing.
+                    self.limits.forget(&backend);
+                }
                 self.backends.observe(&backend, &report, self.now);
                 self.counters.cache_event_gaps = self.backends.prefixes.gaps;
                 self.serve_waiting();
--- a/components/gateway/src/gateway/quarantine.rs
+++ b/components/gateway/src/gateway/quarantine.rs
@@ -30,6 +30,7 @@
     pub(super) fn note_leader(&mut self, heard_after: Millis) {
         if heard_after >= LEADER_MAY_HAVE_CHANGED {
             self.crash_log.tell_anew();
+            self.limits.connected();
         }
     }
 
@@ -65,7 +66,7 @@
     }
 
     /// The start of a back end that is known, as it told last.
-    fn incarnation_of(&self, backend: &BackendId) -> u64 {
+    pub(super) fn incarnation_of(&self, backend: &BackendId) -> u64 {
         let told = self
             .backends
             .known(backend)
--- a/components/gateway/src/gateway/ticks.rs
+++ b/components/gateway/src/gateway/ticks.rs
@@ -47,6 +47,11 @@
             return;
         }
         if self.now < request.deadline {
+            if let Stage::AwaitingPermit(awaited) = &request.stage
+                && awaited.until <= self.now
+            {
+                self.pass_permit_patience(id);
+            }
             return;
         }
         if request.claim.is_some() && request.attempt().is_some() {
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use crate::body_hash::body_hash;
 use crate::call::{Call, Work};
 use crate::effects::AttemptId;
+use crate::gateway::AwaitedPermit;
 
 /// Where a request stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     Claiming { sent_at: Millis },
     /// It waits for room.
     Waiting,
+    /// It waits for the leader's permit.
+    AwaitingPermit(AwaitedPermit),
     /// An engine reads its prompt for another one.
     Prefilling { attempt: AttemptId },
     /// An engine generates its text.
@@ -48,6 +51,10 @@
     /// Whether the caller has its answer: what goes on only serves a resend.
     pub(crate) answered: bool,
     pub(crate) resumed: u32,
+    /// Whether a permit was asked for since its last attempt.
+    pub(crate) asked_for_permit: bool,
+    /// When its attempt began.
+    pub(crate) dispatched_at: Millis,
     /// When its attempt began or last gave tokens.
     pub(crate) progress_at: Millis,
 }
@@ -133,6 +140,8 @@
     /// otherwise.
     pub(crate) fn note_dispatch(&mut self, now: Millis) {
         self.progress_at = now;
+        self.dispatched_at = now;
+        self.asked_for_permit = false;
         self.may_have_run_before = self.may_have_run;
         self.may_have_run = true;
     }
