--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 
 use garnet_engine_api::{
-    EventReader, GenerateEvent, GenerateRequest, KvLocation, NOT_STARTED, PrefillRequest,
-    PrefillResponse, STARTED_HEADER, paths,
+    EventReader, GenerateEvent, GenerateRequest, KvLocation, LIMIT_HEADER, NOT_STARTED,
+    PrefillRequest, PrefillResponse, STARTED_HEADER, paths,
 };
 use garnet_gateway::{AttemptEvent, AttemptId, Event, Job, KvSource};
+use garnet_limits::RequestRate;
 use garnet_routing::LoadReport;
 use garnet_runtime::{HttpError, client};
-use garnet_types::{BackendId, Class, Millis, ModelId, RecordedResponse};
-use hyper::HeaderMap;
+use garnet_types::{BackendId, Millis, RecordedResponse};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, StatusCode};
 
 use crate::context::Context;
 
@@ -35,7 +37,14 @@
             model,
             prompt,
             class,
-        } => prefill(&context, &address, model, prompt, class, patience).await,
+        } => {
+            let body = PrefillRequest {
+                model: model.0,
+                prompt,
+                class,
+            };
+            prefill(&context, attempt, &address, &body, patience).await
+        }
         Job::Generate {
             model,
             prompt,
@@ -68,6 +77,9 @@
                         request.headers_mut().insert("idempotency-key", key);
                     }
                     let answer = context.http.send(&address, request, patience).await;
+                    if let Ok(answer) = &answer {
+                        tell_limit(&context, attempt, answer.status(), answer.headers());
+                    }
                     application_event(answer, &backend)
                 }
                 Err(error) => failure(&error),
@@ -93,6 +105,18 @@
     }
 }
 
+/// Tells what an answer says of how much its back end takes. One that says nothing
+/// counts where it is the back end's proper answer to the work.
+fn tell_limit(context: &Context, attempt: AttemptId, status: StatusCode, headers: &HeaderMap) {
+    let values = headers.get_all(LIMIT_HEADER);
+    let said = RequestRate::named_in(values.iter().map(HeaderValue::as_bytes));
+    match said {
+        Ok(None) if !status.is_success() => {}
+        Ok(said) => context.handle(Event::Attempt(attempt, AttemptEvent::Limit(said))),
+        Err(error) => log::warn!(cause = error.to_string().as_str(); "limit_unreadable"),
+    }
+}
+
 fn says_not_started(headers: &HeaderMap) -> bool {
     headers
         .get(STARTED_HEADER)
@@ -101,22 +125,17 @@
 
 async fn prefill(
     context: &Context,
+    attempt: AttemptId,
     address: &str,
-    model: ModelId,
-    prompt: String,
-    class: Class,
+    body: &PrefillRequest,
     patience: Duration,
 ) -> AttemptEvent {
-    let body = PrefillRequest {
-        model: model.0,
-        prompt,
-        class,
-    };
-    let request = client::json_request("POST", paths::PREFILL, &body);
+    let request = client::json_request("POST", paths::PREFILL, body);
     let response = match context.http.send(address, request, patience).await {
         Ok(response) => response,
         Err(error) => return failure(&error),
     };
+    tell_limit(context, attempt, response.status(), response.headers());
     if says_not_started(response.headers()) {
         return AttemptEvent::NotStarted { draining: true };
     }
@@ -139,6 +158,8 @@
         Ok(stream) => stream,
         Err(error) => return failure(&error),
     };
+    let head = &stream.response;
+    tell_limit(context, attempt, head.status(), head.headers());
     if says_not_started(stream.response.headers()) {
         return AttemptEvent::NotStarted { draining: true };
     }
--- a/bin/garnet-standin/src/application.rs
+++ b/bin/garnet-standin/src/application.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use garnet_control::BackendRegistration;
-use garnet_engine_api::{Faults, NOT_STARTED, NotStarted, STARTED_HEADER, paths};
+use garnet_engine_api::{Faults, LIMIT_HEADER, NOT_STARTED, NotStarted, STARTED_HEADER, paths};
 use garnet_runtime::server::{channel_body, read_body, set_header};
 use garnet_runtime::{Body, Limits, json_response, text_response};
 use garnet_stand_in::ApplicationStandIn;
@@ -81,7 +81,14 @@
             Ok(faults) => take_faults(&instance, faults),
             Err(response) => response,
         },
-        _ => call(instance, request).await,
+        _ => {
+            let mut response = call(Rc::clone(&instance), request).await;
+            let limit = &instance.borrow().faults.limit_per_s;
+            if !limit.is_empty() {
+                set_header(&mut response, LIMIT_HEADER, limit);
+            }
+            response
+        }
     }
 }
 
--- a/bin/garnet-standin/src/engine.rs
+++ b/bin/garnet-standin/src/engine.rs
@@ -8,8 +8,8 @@
 
 use garnet_control::BackendRegistration;
 use garnet_engine_api::{
-    Faults, GenerateEvent, GenerateRequest, KvExport, KvLocation, NOT_STARTED, NotStarted,
-    PrefillRequest, PrefillResponse, REFUSED_STATUS, STARTED_HEADER, event, paths,
+    Faults, GenerateEvent, GenerateRequest, KvExport, KvLocation, LIMIT_HEADER, NOT_STARTED,
+    NotStarted, PrefillRequest, PrefillResponse, REFUSED_STATUS, STARTED_HEADER, event, paths,
 };
 use garnet_runtime::server::{channel_body, set_header};
 use garnet_runtime::{Body, Clock, HttpClient, client, json_response, text_response};
@@ -50,6 +50,8 @@
     directory: Option<DiskDirectory>,
     kept: Kept,
     crash_in_order: bool,
+    /// What it names as its limit; empty for none.
+    limit_per_s: String,
 }
 
 #[derive(Clone)]
@@ -124,6 +126,7 @@
         directory: Some(directory),
         kept,
         crash_in_order: false,
+        limit_per_s: String::new(),
     })
 }
 
@@ -178,6 +181,16 @@
 }
 
 async fn handle(context: Context, request: Request<Incoming>) -> Response<Body> {
+    let engine = Rc::clone(&context.engine);
+    let mut response = answer(context, request).await;
+    let limit = &engine.borrow().limit_per_s;
+    if !limit.is_empty() {
+        set_header(&mut response, LIMIT_HEADER, limit);
+    }
+    response
+}
+
+async fn answer(context: Context, request: Request<Incoming>) -> Response<Body> {
     Timer::after(context.link * 2).await;
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
@@ -412,6 +425,7 @@
         freeze(faults.freeze_ms);
     }
     let mut engine = context.engine.borrow_mut();
+    engine.limit_per_s.clone_from(&faults.limit_per_s);
     engine.crash_in_order = faults.crash_in_order;
     engine.stand_in.set_slowness(faults.slow);
     if faults.refuse {
--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -13,6 +13,9 @@
 
 /// Set to `no` on a response that says the request was not begun.
 pub const STARTED_HEADER: &str = "garnet-started";
+/// Requests a second that a back end takes from all gateways together, on each of its
+/// answers while it is in need: a decimal number.
+pub const LIMIT_HEADER: &str = "garnet-request-limit";
 /// Value of [`STARTED_HEADER`] that says so.
 pub const NOT_STARTED: &str = "no";
 /// Status of such a response from an engine.
@@ -137,6 +140,8 @@
     pub slow: u64,
     /// Refuses new work.
     pub refuse: bool,
+    /// Names this in [`LIMIT_HEADER`]; empty for none.
+    pub limit_per_s: String,
     /// An application waits so long before it runs a call.
     pub delay_ms: u64,
     /// An application closes the connection after it ran the next call.
--- a/components/limits/src/rate.rs
+++ b/components/limits/src/rate.rs
@@ -29,6 +29,19 @@
         RequestRate { micros_per_s }
     }
 
+    /// The limit that an answer names: of several values the lowest.
+    ///
+    /// # Errors
+    /// Where any of them is no rate.
+    pub fn named_in<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<Self>, RateError> {
+        let read = |value| -> Result<RequestRate, RateError> {
+            let text = std::str::from_utf8(value).map_err(|_| RateError::NotDecimal)?;
+            text.parse()
+        };
+        let rates: Result<Vec<RequestRate>, RateError> = values.map(read).collect();
+        Ok(rates?.into_iter().min())
+    }
+
     /// Millionths of a request that come in so long a time.
     pub(crate) fn micros_in(self, time: Millis) -> u64 {
         let micros = u128::from(self.micros_per_s) * u128::from(time.0) / 1000;
--- a/components/limits/tests/rate.rs
+++ b/components/limits/tests/rate.rs
@@ -45,6 +45,22 @@
     assert_eq!(text.parse::<RequestRate>(), Err(RateError::NotDecimal));
 }
 
+#[rstest]
+#[case::none(&[], Ok(None))]
+#[case::one(&["1.1"], Ok(Some("1.1")))]
+#[case::the_lowest_of_two(&["3", "1.5"], Ok(Some("1.5")))]
+#[case::one_of_two_is_none(&["3", "x"], Err(RateError::NotDecimal))]
+fn an_answer_names_the_lowest(
+    #[case] values: &[&str],
+    #[case] expected: Result<Option<&str>, RateError>,
+) {
+    let named = RequestRate::named_in(values.iter().map(|value| value.as_bytes()));
+    let expected = expected.map(|rate| rate.map(|rate| rate.parse().expect("a rate")));
+    assert_eq!(named, expected);
+    let no_text = [&[0xff_u8][..]];
+    assert!(RequestRate::named_in(no_text.into_iter()).is_err());
+}
+
 proptest! {
     /// A rate is told as it is read.
     #[test]
