--- a/bin/garnet-bench/src/fleet.rs
+++ b/bin/garnet-bench/src/fleet.rs
@@ -9,8 +9,9 @@
     EngineObservation, LoadDigest, MembersHash, PromptCopy, ToldDigest, WatchUpdate,
 };
 use garnet_forwarding::{
-    Arrival, BudgetShare, Forwarder, ForwarderSettings, Prompt, PromptPart, Work,
+    Arrival, BudgetShare, Forwarder, ForwarderSettings, LimitSaid, Prompt, PromptPart, Work,
 };
+use garnet_limits::{LimitLedger, LimitWord, PermitAsk, PermitOutcome, RateError, RequestRate};
 use garnet_routes::{EngineLimits, RouteTable, ServiceSettings, WorkKind};
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, PrefixId,
@@ -24,6 +25,7 @@
 
   --engines N   engines, of which two fifths prefill (default 10000)
   --busy N      engines that the others have work at (default 500)
+  --limited N   engines that have named a limit (default 0)
   --prefixes N  shared prefixes that are known, at two engines each (default 3000)
   --rounds N    times that each decision is made (default 200)
 
@@ -41,6 +43,7 @@
     }
     let engines: usize = options.value("engines", 10_000)?;
     let busy: usize = options.value("busy", 500)?;
+    let limited: usize = options.value("limited", 0)?;
     let prefixes: usize = options.value("prefixes", 3_000)?;
     let rounds: u64 = options.value("rounds", 200)?;
     options.check_all_asked()?;
@@ -48,7 +51,10 @@
     learn_copies(&mut gateway, engines, prefixes);
     let digest = digest(&gateway, busy);
     gateway.take_digest(&digest, NOW);
-    println!("engines {engines}, busy {busy}, prefixes {prefixes}; microseconds each:");
+    learn_limits(&mut gateway, limited)?;
+    println!(
+        "engines {engines}, busy {busy}, limited {limited}, prefixes {prefixes}; microseconds each:"
+    );
     let service = ServiceId::new(SERVICE);
     let work = work();
     let arrival = Arrival {
@@ -73,6 +79,16 @@
     each("report", rounds, |_| {
         gateway.report(NOW).backlogs.is_empty()
     });
+    let mut ledger = ledger(limited)?;
+    let ask = PermitAsk {
+        number: 1,
+        backends: (0..limited.min(ASKED)).map(id).collect(),
+        rank: 2,
+    };
+    each("give a permit", rounds, |round| {
+        let answer = ledger.ask(&ask, NOW + Millis(round * 100));
+        matches!(answer.outcome, PermitOutcome::Granted { .. })
+    });
     let changed = record(7, MachineState::Leaving);
     each("follow a change", rounds, |round| {
         let change = ConfigurationChange::BackendPut(changed.clone());
@@ -177,6 +193,38 @@
     gateway.note_copies(&copies, NOW);
 }
 
+/// Names of one question for a permit.
+const ASKED: usize = 16;
+/// What engines with a limit name, in requests a second.
+const LIMIT: &str = "1.1";
+
+fn learn_limits(gateway: &mut Forwarder, limited: usize) -> Result<(), String> {
+    let rate = limit_rate()?;
+    for number in 0..limited {
+        gateway.note_limit(&id(number), LimitSaid::Named(rate), NOW, NOW);
+    }
+    Ok(())
+}
+
+fn ledger(limited: usize) -> Result<LimitLedger, String> {
+    let rate = Some(limit_rate()?);
+    let mut ledger = LimitLedger::default();
+    for number in 0..limited {
+        let word = LimitWord {
+            backend: id(number),
+            start: 1,
+            rate,
+            ago: Millis::ZERO,
+        };
+        ledger.note(&word, NOW);
+    }
+    Ok(ledger)
+}
+
+fn limit_rate() -> Result<RequestRate, String> {
+    LIMIT.parse().map_err(|error: RateError| error.to_string())
+}
+
 fn digest(gateway: &Forwarder, busy: usize) -> ToldDigest {
     let members = MembersHash::of(gateway.backend_ids());
     let known = gateway.known_backends();
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -168,6 +168,9 @@
     pub(crate) failing_at: Option<Millis>,
     /// Whether this gateway is the one to try a failing back end now.
     pub(crate) may_probe: bool,
+    /// Whether it has named a limit, so that the others need not be looked up: of
+    /// thousands of engines a few have one.
+    pub(crate) has_limit: bool,
     /// Its load.
     pub load: BackendLoad,
 }
@@ -184,6 +187,7 @@
             breaker: CircuitBreaker::default(),
             failing_at: None,
             may_probe: false,
+            has_limit: false,
             load: BackendLoad::default(),
         };
         backend.update(record);
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -133,7 +133,9 @@
         }
         let decode_engines = self.decode_engines_of(service);
         // What a limit leaves to others is no place to wait for.
-        let may_send = |backend: &&Backend| self.limits.may_send(&backend.registration.id, now);
+        let may_send = |backend: &&Backend| {
+            !backend.has_limit || self.limits.may_send(&backend.registration.id, now)
+        };
         let open = decode_engines.filter(|backend| backend.is_open(now, false));
         let open = open.filter(may_send);
         let queues: Vec<PlaceQueue> = open.map(queue).collect();
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -160,6 +160,7 @@
                     if backend.update(record) {
                         self.residency.remove(id);
                         self.limits.forget(id);
+                        backend.has_limit = false;
                     }
                     self.likes.follow_change(&did, backend);
                     if let Some(residency) = self.residency.get_mut(id) {
@@ -169,6 +170,7 @@
                 (Some(record), None) => {
                     members_changed = true;
                     self.backends.insert(id.clone(), Backend::new(record));
+                    self.note_whether_limited(id);
                 }
                 (None, Some(_)) => {
                     members_changed = true;
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -33,9 +33,11 @@
         sent_at: Millis,
         now: Millis,
     ) -> Option<RequestRate> {
-        let start = self.backends.get(id)?.start;
+        let backend = self.backends.get_mut(id)?;
+        let start = backend.start;
         match said {
             LimitSaid::Named(rate) => {
+                backend.has_limit = true;
                 let is_new = self.limits.named(id, start, rate, now);
                 is_new.then_some(rate)
             }
@@ -54,7 +56,20 @@
 
     /// Takes the leader's list of limits. Gives the back ends whose limit is over.
     pub fn take_limits(&mut self, told: &ToldLimits, now: Millis) -> Vec<BackendId> {
-        self.limits.take_list(told.list(), now)
+        let over = self.limits.take_list(told.list(), now);
+        let listed = told.limits.iter().map(|told| &told.backend);
+        for id in listed.chain(&over) {
+            self.note_whether_limited(id);
+        }
+        over
+    }
+
+    /// Keeps [`Backend::has_limit`] as the limits say.
+    pub(super) fn note_whether_limited(&mut self, id: &BackendId) {
+        let has_limit = self.limits.rate(id).is_some();
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.has_limit = has_limit;
+        }
     }
 
     /// Back ends that have a limit, as far as known.
@@ -113,6 +128,7 @@
         }
         let may_help = |backend: &&Backend| {
             backend.registration.service == *service
+                && backend.has_limit
                 && backend.is_open(now, false)
                 && !self.limits.may_send(&backend.registration.id, now)
         };
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -66,18 +66,18 @@
         let id = &backend.registration.id;
         backend.is_open(self.now, self.despite_failures)
             && !self.tried.contains(id)
-            && self.limits.may_send(id, self.now)
+            && (!backend.has_limit || self.limits.may_send(id, self.now))
     }
 
     /// Whether it takes what comes. A permit for one that has a limit is over before
     /// another engine has read a prompt for it.
     fn is_unlimited(&self, backend: &Backend) -> bool {
-        self.limits.rate(&backend.registration.id).is_none()
+        !backend.has_limit
     }
 
     /// Whether a request should go there, so that it is heard what it takes.
     fn is_due(&self, backend: &Backend) -> bool {
-        self.limits.is_due(&backend.registration.id, self.now)
+        backend.has_limit && self.limits.is_due(&backend.registration.id, self.now)
     }
 
     fn is_local(&self, backend: &Backend) -> bool {
--- a/components/forwarding/tests/core/limits.rs
+++ b/components/forwarding/tests/core/limits.rs
@@ -307,3 +307,17 @@
     let words = gateway.limit_words(later).expect("news").words;
     assert_eq!(words[0].rate, None);
 }
+
+/// The list of limits may come before the engines that it names.
+#[test]
+fn a_limit_that_is_told_before_its_engine_is_kept() {
+    let mut gateway = forwarder(&instances()[..1]);
+    list(&mut gateway, 4, &["till-b"]);
+    let anew = configuration(6, table(1, &[("till", 1)]), &instances());
+    gateway.update(garnet_control::WatchUpdate::Snapshot(anew.into()));
+    for _ in 0..20 {
+        let placed = place(&mut gateway, "till", &call());
+        assert_eq!(placed, Some(Placement::One(id("till-a"))));
+        gateway.sent(&id("till-a"), None, None, 1, NOW);
+    }
+}
