A request that waits for a permit: nothing is kept of one that is dropped, verdicts are looked at again

Cause: a waiter whose caller left stayed in the table where the leader did not answer; a request could be sent after a verdict that fell while it waited; callers with an objective of 100 ms waited 50 ms for the leader, where 25 leave time to come back.

Change: the entry goes with its waiter; may_be_sent is asked after the wait; at least 20 ms are waited.

--- a/components/forwarding-shell/src/permits.rs
+++ b/components/forwarding-shell/src/permits.rs
@@ -8,10 +8,11 @@
 use garnet_forwarding::SHORTEST_RETRY;
 use garnet_limits::{Asking, PermitAnswer, PermitAsk, PermitOutcome};
 use garnet_types::{GatewayId, Millis};
-use smol::channel::{Sender, bounded};
+use smol::channel::{Receiver, Sender, bounded};
 
 use crate::attempt::within;
 use crate::gateway::Gateway;
+use crate::going_on::may_be_sent;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::Running;
 
@@ -20,6 +21,8 @@
 const LEADER_SILENT: Millis = Millis(1000);
 /// Longest time that its answer is waited for: the way to another region and back.
 const LONGEST_WAIT: Millis = Millis(250);
+/// Shortest time for which it is waited for: a round trip in a region under load.
+const SHORTEST_WAIT: Millis = Millis(20);
 /// A caller who is refused within this part of its objective can still be served in
 /// time.
 const WAIT_PART: u64 = 4;
@@ -72,6 +75,31 @@
     }
 }
 
+/// Who waits for an answer; dropped, it is waited for no longer.
+struct Waiter<'a> {
+    desk: &'a PermitDesk,
+    number: u64,
+    answer: Receiver<PermitOutcome>,
+}
+
+impl<'a> Waiter<'a> {
+    fn begin(desk: &'a PermitDesk, number: u64) -> Self {
+        let (answered, answer) = bounded(1);
+        desk.waiting.borrow_mut().insert(number, answered);
+        Waiter {
+            desk,
+            number,
+            answer,
+        }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.desk.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
 /// Tells the leader what it has not heard yet of limits.
 pub(crate) fn tell_limit_words<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>) {
     let now = gateway.now();
@@ -152,6 +180,8 @@
         Asking::Unlimited => return Err(NotPlaced::Nobody),
         Asking::Closed(retry_after) => retry_after,
         Asking::Ask(ask) => match answer_to(gateway, running, ask).await {
+            // The verdict on a request may fall while it waits, and its time may pass.
+            Some(_) if !may_be_sent(gateway, running) => return Err(NotPlaced::Nobody),
             Some(PermitOutcome::Granted { .. }) => match place() {
                 Some(placed) => return Ok(placed),
                 // Another request has used it.
@@ -186,21 +216,14 @@
         return None;
     }
     tell_limit_words(gateway);
-    let (answered, answer) = bounded(1);
-    let number = ask.number;
-    gateway
-        .permits
-        .waiting
-        .borrow_mut()
-        .insert(number, answered);
+    let waiter = Waiter::begin(&gateway.permits, ask.number);
     let answer = if gateway.permits.send(ask) {
         let useful = Millis(running.work.objective.0 / WAIT_PART);
-        let longest = useful.clamp(SHORTEST_RETRY, LONGEST_WAIT);
-        within(Some(longest), answer.recv()).await
+        let longest = useful.clamp(SHORTEST_WAIT, LONGEST_WAIT);
+        within(Some(longest), waiter.answer.recv()).await
     } else {
         None
     };
-    gateway.permits.waiting.borrow_mut().remove(&number);
     if answer.is_none() {
         gateway.metrics.permit("no_answer");
     }
