--- a/components/control/tests/state/last_known.rs
+++ b/components/control/tests/state/last_known.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use garnet_control::{Command, Configuration, ControlReply, Effect, Event, GatewayRequest, Shared};
+use garnet_control::{Command, Configuration, ControlReply, Effect, Event, Shared};
 use garnet_routes::RouteTable;
-use garnet_types::{GatewayId, Millis};
+use garnet_types::Millis;
 use rstest::rstest;
 
 use crate::leader::Leader;
@@ -22,16 +22,7 @@
 
 /// What a gateway that works by `configuration_index` hears.
 fn ask(replica: &mut Leader, configuration_index: u64) -> Option<Shared<Configuration>> {
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new("g"),
-        configuration_index,
-        sent_at: replica.now,
-        group_index: u64::MAX,
-        mix: Vec::new(),
-        backlogs: Vec::new(),
-        evidence: Vec::new(),
-        copies: Vec::new(),
-    };
+    let request = replica.watch_of("g", configuration_index);
     let effects = replica.take(Event::Gateway {
         connection: 1,
         request,
--- a/components/control/tests/state/leader.rs
+++ b/components/control/tests/state/leader.rs
@@ -1,8 +1,10 @@
 //! A replica that leads a group of its own, driven in virtual time.
 
 use garnet_consensus::{Config, Entry, EntryPayload, HardState, Member, Membership, Restored};
-use garnet_control::{Command, CommandEnvelope, Effect, Event, Replica, ReplicaSettings};
-use garnet_types::{Millis, ReplicaId};
+use garnet_control::{
+    Command, CommandEnvelope, Effect, Event, GatewayRequest, Replica, ReplicaSettings,
+};
+use garnet_types::{GatewayId, Millis, ReplicaId};
 
 const STEP: Millis = Millis(50);
 
@@ -79,6 +81,21 @@
         ReplicaSettings::new(Config::new(ReplicaId(1), 1))
     }
 
+    /// The question of a gateway that works by the configuration at this index and
+    /// has nothing to tell.
+    pub fn watch_of(&self, gateway: &str, configuration_index: u64) -> GatewayRequest {
+        GatewayRequest::Watch {
+            gateway: GatewayId::new(gateway),
+            configuration_index,
+            sent_at: self.now,
+            group_index: u64::MAX,
+            mix: Vec::new(),
+            backlogs: Vec::new(),
+            evidence: Vec::new(),
+            copies: Vec::new(),
+        }
+    }
+
     /// Makes one round of work durable.
     pub fn persist_once(&mut self) {
         let ready = self.replica.ready();
--- a/components/control/tests/state/limits.rs
+++ b/components/control/tests/state/limits.rs
@@ -33,16 +33,7 @@
 
 /// What a gateway hears of limits with the answer to its watch.
 fn watch(leader: &mut Leader, gateway: &str, connection: u64) -> Option<ToldLimits> {
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new(gateway),
-        configuration_index: 0,
-        sent_at: leader.now,
-        group_index: u64::MAX,
-        mix: Vec::new(),
-        backlogs: Vec::new(),
-        evidence: Vec::new(),
-        copies: Vec::new(),
-    };
+    let request = leader.watch_of(gateway, 0);
     let limits = |reply| match reply {
         ControlReply::Limits(limits) => Some(limits),
         _ => None,
--- a/components/control/tests/state/quarantine.rs
+++ b/components/control/tests/state/quarantine.rs
@@ -8,7 +8,7 @@
     EndedRun, EngineStart, RequestFingerprint, RequestIdentity, RunEnd, RunReport,
     SuspectedRequest, Suspects,
 };
-use garnet_types::{BackendId, GatewayId, Millis};
+use garnet_types::{BackendId, Millis};
 
 use crate::leader::Leader;
 
@@ -59,16 +59,7 @@
 
 /// What a gateway hears that works by no configuration yet.
 fn watch(leader: &mut Leader, gateway: &str, connection: u64) -> (Configuration, Option<Suspects>) {
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new(gateway),
-        configuration_index: 0,
-        sent_at: leader.now,
-        group_index: u64::MAX,
-        mix: Vec::new(),
-        backlogs: Vec::new(),
-        evidence: Vec::new(),
-        copies: Vec::new(),
-    };
+    let request = leader.watch_of(gateway, 0);
     match reply_to(leader, connection, request) {
         ControlReply::Watch {
             update, suspects, ..
--- a/components/control/tests/state/routes.rs
+++ b/components/control/tests/state/routes.rs
@@ -6,10 +6,9 @@
 use crate::leader::Leader;
 use garnet_control::{
     Command, CommandAnswer, CommandEnvelope, ControlReply, ControlState, Effect, Event,
-    GatewayRequest, OperatorAnswer, OperatorRequest, WatchUpdate,
+    OperatorAnswer, OperatorRequest, WatchUpdate,
 };
 use garnet_routes::RouteTable;
-use garnet_types::GatewayId;
 
 fn put(version: u64, document: &str) -> Command {
     let table = RouteTable {
@@ -80,16 +79,7 @@
     }
     leader.persist();
     let _answers = leader.replica.take_effects();
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new("gateway-1"),
-        configuration_index: 1,
-        sent_at: leader.now,
-        group_index: u64::MAX,
-        mix: Vec::new(),
-        backlogs: Vec::new(),
-        evidence: Vec::new(),
-        copies: Vec::new(),
-    };
+    let request = leader.watch_of("gateway-1", 1);
     let connection = 1;
     let effects = leader.take(Event::Gateway {
         connection,
--- a/components/control/tests/state/watching.rs
+++ b/components/control/tests/state/watching.rs
@@ -4,10 +4,10 @@
 
 use garnet_control::{
     BackendRegistration, Command, CommandEnvelope, ConfigurationChange, ControlReply, Effect,
-    Event, GatewayRequest, OperatorRequest, Shared, WatchUpdate,
+    Event, OperatorRequest, Shared, WatchUpdate,
 };
 use garnet_routes::RouteTable;
-use garnet_types::{BackendId, BackendKind, GatewayId, Millis, ServiceId};
+use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
 use crate::leader::Leader;
 
@@ -32,16 +32,7 @@
 
 /// The update that a gateway is sent which asks with the index that it works by.
 fn update(leader: &mut Leader, connection: u64, index: u64) -> WatchUpdate {
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new("gateway-1"),
-        configuration_index: index,
-        sent_at: leader.now,
-        group_index: u64::MAX,
-        mix: Vec::new(),
-        backlogs: Vec::new(),
-        evidence: Vec::new(),
-        copies: Vec::new(),
-    };
+    let request = leader.watch_of("gateway-1", index);
     let event = Event::Gateway {
         connection,
         request,
--- a/components/control/tests/state/whole.rs
+++ b/components/control/tests/state/whole.rs
@@ -35,16 +35,7 @@
 }
 
 fn watch(leader: &mut Leader, gateway: usize, index: u64) -> ControlReply {
-    let request = GatewayRequest::Watch {
-        gateway: GatewayId::new(format!("gateway-{gateway}")),
-        configuration_index: index,
-        sent_at: leader.now,
-        group_index: u64::MAX,
-        mix: Vec::new(),
-        backlogs: Vec::new(),
-        evidence: Vec::new(),
-        copies: Vec::new(),
-    };
+    let request = leader.watch_of(&format!("gateway-{gateway}"), index);
     reply(leader, request)
 }
 
