--- a/components/control/tests/state/whole.rs
+++ b/components/control/tests/state/whole.rs
@@ -10,7 +10,7 @@
     Configuration, ConfigurationPart, ControlReply, Effect, Event, GatewayRequest, Loader,
     MachineEntry, PartRequest, TakenPart, WatchUpdate,
 };
-use garnet_types::{GatewayId, MachineState, Millis};
+use garnet_types::{MachineState, Millis};
 
 use crate::leader::Leader;
 use crate::machine_list::{entry, leader, list};
