--- a/components/limits/tests/world/mod.rs
+++ b/components/limits/tests/world/mod.rs
@@ -79,7 +79,7 @@
 }
 
 #[derive(Debug)]
-enum Happening {
+enum Event {
     Request,
     Watch(usize, u64),
     /// Words and a watch reach the leader.
@@ -88,8 +88,8 @@
     /// Its list reaches a gateway.
     List(usize, u64, ToldList),
     Permit(usize, u64, PermitAnswer),
-    /// A gateway is weary of waiting for the leader.
-    Weary(usize, u64, u64),
+    /// A gateway has waited long enough for the leader.
+    TimedOut(usize, u64, u64),
     Arrives(usize, u64, Millis, u8),
     Answer(usize, u64, Millis, bool),
     Strike(Fault),
@@ -132,7 +132,7 @@
     random: Pcg64Mcg,
     now: Millis,
     queue: BinaryHeap<Reverse<(Millis, u64)>>,
-    happenings: BTreeMap<u64, Happening>,
+    events: BTreeMap<u64, Event>,
     gateways: Vec<Gateway>,
     leader: Option<Leader>,
     term: u64,
@@ -150,8 +150,8 @@
             break;
         }
         world.now = at;
-        if let Some(happening) = world.happenings.remove(&number) {
-            world.take(happening);
+        if let Some(event) = world.events.remove(&number) {
+            world.take(event);
         }
     }
     world.judge()
@@ -164,7 +164,7 @@
             random: Pcg64Mcg::seed_from_u64(plan.seed),
             now: Millis::ZERO,
             queue: BinaryHeap::new(),
-            happenings: BTreeMap::new(),
+            events: BTreeMap::new(),
             gateways: (0..plan.gateways).map(|_| Gateway::default()).collect(),
             leader: None,
             term: 0,
@@ -172,15 +172,15 @@
             arrivals: Vec::new(),
             outcome: Outcome::default(),
         };
-        world.schedule(Millis::ZERO, Happening::NewLeader);
-        world.schedule(Millis(500), Happening::Request);
+        world.schedule(Millis::ZERO, Event::NewLeader);
+        world.schedule(Millis(500), Event::Request);
         for gateway in 0..plan.gateways {
             let at = Millis(world.random.random_range(0..world.interval().0 + 1));
-            world.schedule(at, Happening::Watch(gateway, 0));
+            world.schedule(at, Event::Watch(gateway, 0));
         }
         for fault in &plan.faults {
             let at = Millis(world.random.random_range(1_000..plan.length.0 - 3_000));
-            world.schedule(at, Happening::Strike(*fault));
+            world.schedule(at, Event::Strike(*fault));
         }
         world
     }
@@ -190,15 +190,15 @@
         Millis((self.plan.gateways as u64 * 4).clamp(30, 250))
     }
 
-    fn schedule(&mut self, at: Millis, happening: Happening) {
-        let number = self.happenings.last_key_value().map_or(0, |(n, _)| n + 1);
-        self.happenings.insert(number, happening);
+    fn schedule(&mut self, at: Millis, event: Event) {
+        let number = self.events.last_key_value().map_or(0, |(n, _)| n + 1);
+        self.events.insert(number, event);
         self.queue.push(Reverse((at, number)));
     }
 
-    fn after(&mut self, longest_ms: u64, happening: Happening) {
+    fn after(&mut self, longest_ms: u64, event: Event) {
         let at = self.now + Millis(self.random.random_range(1..longest_ms + 1));
-        self.schedule(at, happening);
+        self.schedule(at, event);
     }
 
     fn names_limit(&self) -> bool {
@@ -207,31 +207,31 @@
     }
 
     /// A gateway that stands still finds what came when it goes on.
-    fn gateway_of(happening: &Happening) -> Option<usize> {
-        match happening {
-            Happening::Watch(gateway, ..)
-            | Happening::List(gateway, ..)
-            | Happening::Permit(gateway, ..)
-            | Happening::Weary(gateway, ..)
-            | Happening::Answer(gateway, ..) => Some(*gateway),
+    fn gateway_of(event: &Event) -> Option<usize> {
+        match event {
+            Event::Watch(gateway, ..)
+            | Event::List(gateway, ..)
+            | Event::Permit(gateway, ..)
+            | Event::TimedOut(gateway, ..)
+            | Event::Answer(gateway, ..) => Some(*gateway),
             _ => None,
         }
     }
 
-    fn take(&mut self, happening: Happening) {
-        if let Some(gateway) = Self::gateway_of(&happening) {
+    fn take(&mut self, event: Event) {
+        if let Some(gateway) = Self::gateway_of(&event) {
             let until = self.gateways[gateway].still_until;
             if until > self.now {
-                self.schedule(until, happening);
+                self.schedule(until, event);
                 return;
             }
         }
-        match happening {
-            Happening::Request => self.request(),
-            Happening::Watch(gateway, life) => self.watch(gateway, life),
-            Happening::Words(gateway, connection, words) => self.words(gateway, connection, words),
-            Happening::Ask(gateway, connection, ask) => self.ask(gateway, connection, &ask),
-            Happening::List(gateway, connection, told) => {
+        match event {
+            Event::Request => self.request(),
+            Event::Watch(gateway, life) => self.watch(gateway, life),
+            Event::Words(gateway, connection, words) => self.words(gateway, connection, words),
+            Event::Ask(gateway, connection, ask) => self.ask(gateway, connection, &ask),
+            Event::List(gateway, connection, told) => {
                 if self.is_heard(gateway, connection) {
                     let list = LimitList {
                         term: told.term,
@@ -242,24 +242,22 @@
                     self.gateways[gateway].limits.take_list(list, self.now);
                 }
             }
-            Happening::Permit(gateway, connection, answer) => {
+            Event::Permit(gateway, connection, answer) => {
                 if self.is_heard(gateway, connection) {
                     self.permit(gateway, &answer);
                 }
             }
-            Happening::Weary(gateway, life, number) => {
+            Event::TimedOut(gateway, life, number) => {
                 if self.gateways[gateway].life == life {
                     self.end_waiting(gateway, number);
                 }
             }
-            Happening::Arrives(gateway, life, sent, rank) => {
-                self.arrives(gateway, life, sent, rank)
-            }
-            Happening::Answer(gateway, life, sent, names) => {
+            Event::Arrives(gateway, life, sent, rank) => self.arrives(gateway, life, sent, rank),
+            Event::Answer(gateway, life, sent, names) => {
                 self.answer(gateway, life, sent, names);
             }
-            Happening::Strike(fault) => self.strike(fault),
-            Happening::NewLeader => self.new_leader(),
+            Event::Strike(fault) => self.strike(fault),
+            Event::NewLeader => self.new_leader(),
         }
     }
 
@@ -274,7 +272,7 @@
         let every_ms = 1000.0 / self.plan.requests_per_s;
         let pause = -every_ms * (1.0 - self.random.random::<f64>()).ln();
         let at = self.now + Millis(pause.max(1.0) as u64);
-        self.schedule(at, Happening::Request);
+        self.schedule(at, Event::Request);
         let gateway = self.random.random_range(0..self.plan.gateways);
         if self.gateways[gateway].still_until > self.now {
             return;
@@ -298,10 +296,10 @@
                 } = &mut self.gateways[gateway];
                 let (connection, life) = (*connection, *life);
                 waiting.insert(ask.number, (now, rank));
-                let weary = Happening::Weary(gateway, life, ask.number);
-                self.schedule(now + PATIENCE, weary);
+                let timed_out = Event::TimedOut(gateway, life, ask.number);
+                self.schedule(now + PATIENCE, timed_out);
                 if now >= self.gateways[gateway].cut_until {
-                    self.after(LONGEST_WAY_MS, Happening::Ask(gateway, connection, ask));
+                    self.after(LONGEST_WAY_MS, Event::Ask(gateway, connection, ask));
                 }
             }
             Asking::Closed(_) => self.outcome.refused += 1,
@@ -323,7 +321,7 @@
         } else {
             USUAL_TRANSIT_MS
         };
-        self.after(longest, Happening::Arrives(gateway, life, now, rank));
+        self.after(longest, Event::Arrives(gateway, life, now, rank));
         true
     }
 
@@ -349,7 +347,7 @@
         if names && self.now >= NAMED_FROM + CONTACT {
             self.outcome.served_by_rank[usize::from(rank)] += 1;
         }
-        let answer = Happening::Answer(gateway, life, sent, names);
+        let answer = Event::Answer(gateway, life, sent, names);
         self.schedule(self.now + WORK, answer);
     }
 
@@ -380,7 +378,7 @@
         let is_lost = now < from.loses_until && self.random.random_bool(0.5);
         let words = words.filter(|_| !is_lost);
         let connection = from.connection;
-        self.after(LONGEST_WAY_MS, Happening::Words(gateway, connection, words));
+        self.after(LONGEST_WAY_MS, Event::Words(gateway, connection, words));
     }
 
     fn watch(&mut self, gateway: usize, life: u64) {
@@ -389,7 +387,7 @@
         }
         self.send_words(gateway);
         let at = self.now + self.interval();
-        self.schedule(at, Happening::Watch(gateway, life));
+        self.schedule(at, Event::Watch(gateway, life));
     }
 
     fn words(&mut self, gateway: usize, connection: u64, words: Option<LimitWords>) {
@@ -417,14 +415,14 @@
                 words_noted: noted,
                 limits: leader.ledger.list(),
             };
-            self.after(LONGEST_WAY_MS, Happening::List(gateway, connection, list));
+            self.after(LONGEST_WAY_MS, Event::List(gateway, connection, list));
         }
     }
 
     fn ask(&mut self, gateway: usize, connection: u64, ask: &PermitAsk) {
         if let Some(leader) = &mut self.leader {
             let answer = leader.ledger.ask(ask, self.now);
-            let answer = Happening::Permit(gateway, connection, answer);
+            let answer = Event::Permit(gateway, connection, answer);
             self.after(LONGEST_WAY_MS, answer);
         }
     }
@@ -464,7 +462,7 @@
                     connection: struck.connection + 1,
                     ..Gateway::default()
                 };
-                self.after(1_000, Happening::Watch(gateway, life));
+                self.after(1_000, Event::Watch(gateway, life));
             }
             Fault::Cut => {
                 struck.cut_until = struck.cut_until.max(until);
@@ -475,7 +473,7 @@
             Fault::LostMessages => struck.loses_until = struck.loses_until.max(until),
             Fault::NoLeader => {
                 self.leader = None;
-                self.schedule(until, Happening::NewLeader);
+                self.schedule(until, Event::NewLeader);
             }
         }
     }
