--- a/components/control/src/balancing/members.rs
+++ b/components/control/src/balancing/members.rs
@@ -51,6 +51,7 @@
     record: &'a BackendRecord,
     aside: &BTreeSet<BackendId>,
 ) -> Option<(PoolKey<'a>, Member<'a>)> {
+    // A change of role would not pay for one that leaves or takes a few requests.
     if aside.contains(id) {
         return None;
     }
