--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -100,13 +100,14 @@
         let could_take = |backend: &&Backend| {
             let id = &backend.registration.id;
             let does_all = work.prompt.is_none() || backend.generates();
-            does_all && backend.is_open(now, true) && !tried.contains(id)
+            does_all && backend.has_limit && backend.is_open(now, true) && !tried.contains(id)
         };
-        let of_service = self.backends.values();
-        let of_service = of_service.filter(|backend| backend.registration.service == *service);
-        let could_take = of_service.filter(could_take);
-        let ids = could_take.map(|backend| &backend.registration.id);
-        self.limits.ask(ids, work.priority, now)
+        let limited: Vec<BackendId> = self
+            .backends_of(service)
+            .filter(could_take)
+            .map(|backend| backend.registration.id.clone())
+            .collect();
+        self.limits.ask(limited.iter(), work.priority, now)
     }
 
     /// Each gateway asks for a permit with one of so many requests as there are
@@ -127,21 +128,19 @@
             return None;
         }
         let may_help = |backend: &&Backend| {
-            backend.registration.service == *service
-                && backend.has_limit
+            backend.has_limit
                 && backend.is_open(now, false)
                 && !self.limits.may_send(&backend.registration.id, now)
         };
-        let could_take: Vec<&BackendId> = self
-            .backends
-            .values()
+        let could_take: Vec<BackendId> = self
+            .backends_of(service)
             .filter(may_help)
-            .map(|backend| &backend.registration.id)
+            .map(|backend| backend.registration.id.clone())
             .collect();
         // One that nobody has sent to for long is as likely as any other.
         let drawn = self.arrived as usize / self.gateways.max(1) as usize;
         let one = could_take.get(drawn % could_take.len().max(1))?;
-        match self.limits.ask([*one].into_iter(), work.priority, now) {
+        match self.limits.ask([one].into_iter(), work.priority, now) {
             Asking::Ask(ask) => Some(ask),
             Asking::Closed(_) | Asking::Unlimited => None,
         }
--- a/components/limits/src/known.rs
+++ b/components/limits/src/known.rs
@@ -18,6 +18,9 @@
 /// Questions that are remembered; older ones are answered or lost.
 const MOST_QUESTIONS: usize = 64;
 
+/// The start of a back end of which only the leader's list tells; it is no start's name.
+const UNTOLD_START: u64 = 0;
+
 /// A request that may be sent.
 #[derive(Debug, Clone, Copy)]
 struct Permit {
@@ -40,13 +43,27 @@
     start: u64,
     /// An answer tells of the end of the limit where its request was sent later.
     since: Millis,
-    /// When a back end itself was heard here to name it, where it was.
-    heard_at: Option<Millis>,
+    /// Whether the back end itself was heard here to name it.
+    was_heard: bool,
     told: Told,
     permits: VecDeque<Permit>,
     closed: Option<Closed>,
 }
 
+impl Known {
+    fn new(rate: RequestRate, start: u64, told: Told, now: Millis) -> Self {
+        Known {
+            rate,
+            start,
+            since: now,
+            was_heard: false,
+            told,
+            permits: VecDeque::new(),
+            closed: None,
+        }
+    }
+}
+
 /// What the leader is known to know of a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Told {
@@ -145,20 +162,13 @@
 
     /// Notes that a back end named a limit. `true` where it is new.
     pub fn named(&mut self, id: &BackendId, start: u64, rate: RequestRate, now: Millis) -> bool {
-        let known = self.known.entry(id.clone()).or_insert_with(|| Known {
-            rate,
-            start,
-            since: now,
-            heard_at: None,
-            told: Told::No,
-            permits: VecDeque::new(),
-            closed: None,
-        });
-        let is_new = known.rate != rate || known.heard_at.is_none();
+        let known = self.known.entry(id.clone());
+        let known = known.or_insert_with(|| Known::new(rate, start, Told::No, now));
+        let is_new = known.rate != rate || !known.was_heard;
         known.rate = rate;
         known.start = start;
         known.since = now;
-        known.heard_at = Some(now);
+        known.was_heard = true;
         self.push(News {
             backend: id.clone(),
             start,
@@ -233,15 +243,8 @@
         self.list = Some((list.term, list.number));
         for told in list.limits {
             let known = self.known.entry(told.backend.clone());
-            let known = known.or_insert_with(|| Known {
-                rate: told.rate,
-                start: 0,
-                since: now,
-                heard_at: None,
-                told: Told::Listed,
-                permits: VecDeque::new(),
-                closed: None,
-            });
+            let known =
+                known.or_insert_with(|| Known::new(told.rate, UNTOLD_START, Told::Listed, now));
             if known.told != Told::No {
                 known.rate = told.rate;
             }
@@ -366,11 +369,9 @@
     /// Takes the leader's answer. A permit counts from the moment of the question: the
     /// leader's own moment is later.
     pub fn answered(&mut self, answer: &PermitAnswer, now: Millis) {
-        let asked = self.questions.iter();
-        let Some(place) = asked.clone().position(|q| q.number == answer.number) else {
-            return;
-        };
-        let Some(question) = self.questions.remove(place) else {
+        let mut asked = self.questions.iter();
+        let place = asked.position(|question| question.number == answer.number);
+        let Some(question) = place.and_then(|place| self.questions.remove(place)) else {
             return;
         };
         match &answer.outcome {
