Gateways log requested backoffs and draining, and what is sent in spite of them

Cause: Retry-After of a rejected attempt and Server-Leaving left no trace: both were listed as known names and used by nobody, so the counter of unknown names missed them.

Change: no change of decisions. The adapter reads both headers (seconds with fractions, HTTP dates; of several the longest); unreadable values are logged and change nothing. Lines backoff_requested, draining_reported and sent_while_unavailable, with the time since the report; two counters by phase of the attempt.

Tests: values of the header with a property test, the adapter, the lines on processes.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, LimitSaid, NotRunReason, PrefillWork, Prompt};
+use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Prompt};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
@@ -13,6 +13,7 @@
 
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase, ReadHead};
+use crate::reported::{log_if_unavailable, note_reports};
 
 /// What comes within `time_limit`; all that comes where there is no limit.
 pub(crate) async fn within<T>(
@@ -208,13 +209,14 @@
         );
         return Err(AttemptEnd::Unsent);
     }
+    log_if_unavailable(gateway, call, job);
     let sent_at = gateway.now();
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
     let result = match gateway.pool.send(&address, request).await {
         Ok(exchange) => {
             let read = gateway.backends.read_head(call, job, &exchange.head);
-            note_limit(gateway, job, &read, exchange.head.status, sent_at);
+            note_reports(gateway, call, job, &read, exchange.head.status, sent_at);
             take_head(gateway, call, job, read, exchange, guard).await
         }
         Err(error) => {
@@ -261,33 +263,6 @@
     }
 }
 
-/// Notes what an answer says of how much its back end takes. One that says nothing
-/// counts where it is the back end's proper answer to the work.
-fn note_limit<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    job: &Job,
-    read: &ReadHead,
-    status: StatusCode,
-    sent_at: Millis,
-) {
-    let said = match (read.meaning, read.limit) {
-        (HeadMeaning::Answer | HeadMeaning::NotRun(_), LimitSaid::Named(rate)) => {
-            LimitSaid::Named(rate)
-        }
-        (HeadMeaning::Answer, LimitSaid::NamedNone) if status.is_success() => LimitSaid::NamedNone,
-        _ => LimitSaid::Nothing,
-    };
-    let now = gateway.now();
-    let mut forwarder = gateway.forwarder.borrow_mut();
-    if let Some(rate) = forwarder.note_limit(&job.backend, said, sent_at, now) {
-        log::info!(
-            backend = job.backend.as_str(),
-            rate_per_s = rate.to_string().as_str();
-            "limit_named"
-        );
-    }
-}
-
 async fn take_head<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
@@ -332,7 +307,7 @@
     format!("status {}", status.as_u16())
 }
 
-fn phase_name(job: &Job) -> &'static str {
+pub(crate) fn phase_name(job: &Job) -> &'static str {
     match job.phase {
         JobPhase::Whole => "whole",
         JobPhase::Prefill(_) => "prefill",
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod permits;
 mod ports;
+mod reported;
 mod request;
 mod start;
 mod stopping;
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -31,6 +31,8 @@
     first_event: Family<Labels, Histogram>,
     unknown_names: Family<Labels, Counter>,
     permits: Family<Labels, Counter>,
+    backoffs: Family<Labels, Counter>,
+    unavailable: Family<Labels, Counter>,
     limited: Gauge,
     usage_lost: Counter,
     watch_age_ms: Gauge,
@@ -64,6 +66,10 @@
         let unknown_names = registered(all, "unknown_answer_names", help, counters());
         let help = "Questions for permits to send to back ends with a limit, by answer";
         let permits = registered(all, "permits", help, counters());
+        let help = "Answers that request a backoff, by phase of the attempt";
+        let backoffs = registered(all, "backoffs", help, counters());
+        let help = "Attempts sent to back ends in backoff or draining, by phase";
+        let unavailable = registered(all, "sent_while_unavailable", help, counters());
         let help = "Back ends that are known to have a limit";
         let limited = registered(all, "limited_backends", help, Gauge::default());
         let help = "Requests that were counted too late for their window of usage";
@@ -84,6 +90,8 @@
             first_event,
             unknown_names,
             permits,
+            backoffs,
+            unavailable,
             limited,
             usage_lost,
             watch_age_ms,
@@ -129,6 +137,16 @@
         self.permits.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn backoff_requested(&self, phase: &str) {
+        let labels = vec![("phase", phase.to_owned())];
+        self.backoffs.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn sent_while_unavailable(&self, phase: &str) {
+        let labels = vec![("phase", phase.to_owned())];
+        self.unavailable.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn set_limited(&self, backends: usize) {
         self.limited.set(gauge_value(backends as u64));
     }
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -3,7 +3,7 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
-use garnet_forwarding::{Credential, LimitSaid, LoadReport, NotRunReason, Prompt};
+use garnet_forwarding::{Credential, LimitSaid, LoadReport, NotRunReason, Prompt, RetryAfter};
 use garnet_quarantine::{RequestFingerprint, RequestIdentity};
 use garnet_routes::Route;
 use garnet_runtime::Body;
@@ -147,6 +147,10 @@
     pub load: Option<LoadReport>,
     /// What it says of how much its back end takes.
     pub limit: LimitSaid,
+    /// Backoff that its back end requests.
+    pub retry_after: Option<RetryAfter>,
+    /// Whether its back end reports that it is draining.
+    pub draining: bool,
     /// Names in it that nobody here knows, each with its value.
     pub unknown: Vec<(HeaderName, HeaderValue)>,
 }
--- /dev/null
+++ b/components/forwarding-shell/src/reported.rs
@@ -0,0 +1,118 @@
+//! What the head of an answer reports of its back end.
+
+use garnet_forwarding::LimitSaid;
+use garnet_types::Millis;
+use hyper::StatusCode;
+
+use crate::attempt::phase_name;
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, ReadHead};
+
+/// Takes what an answer reports, to a job that was sent at `sent_at`.
+pub(crate) fn note_reports<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+    read: &ReadHead,
+    status: StatusCode,
+    sent_at: Millis,
+) {
+    note_limit(gateway, job, read, status, sent_at);
+    // Another back end at the address reports on itself.
+    if read.meaning != HeadMeaning::AnotherBackend {
+        note_backoff(gateway, call, job, read);
+        note_draining(gateway, job, read);
+    }
+}
+
+/// Notes what an answer says of how much its back end takes. One that says nothing
+/// counts where it is the back end's proper answer to the work.
+fn note_limit<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    job: &Job,
+    read: &ReadHead,
+    status: StatusCode,
+    sent_at: Millis,
+) {
+    let said = match (read.meaning, read.limit) {
+        (HeadMeaning::Answer | HeadMeaning::NotRun(_), LimitSaid::Named(rate)) => {
+            LimitSaid::Named(rate)
+        }
+        (HeadMeaning::Answer, LimitSaid::NamedNone) if status.is_success() => LimitSaid::NamedNone,
+        _ => LimitSaid::Nothing,
+    };
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    if let Some(rate) = forwarder.note_limit(&job.backend, said, sent_at, now) {
+        log::info!(
+            backend = job.backend.as_str(),
+            rate_per_s = rate.to_string().as_str();
+            "limit_named"
+        );
+    }
+}
+
+fn note_backoff<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+    read: &ReadHead,
+) {
+    let Some(retry_after) = read.retry_after else {
+        return;
+    };
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    forwarder.note_backoff(&job.backend, retry_after, now);
+    gateway.metrics.backoff_requested(phase_name(job));
+    log::info!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        phase = phase_name(job),
+        retry_after_ms = retry_after.span().0;
+        "backoff_requested"
+    );
+}
+
+fn note_draining<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    job: &Job,
+    read: &ReadHead,
+) {
+    if !read.draining {
+        return;
+    }
+    let now = gateway.now();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    if forwarder.note_draining(&job.backend, now) {
+        log::info!(backend = job.backend.as_str(); "draining_reported");
+    }
+}
+
+/// Logs a request that is sent to a back end which asked for none.
+pub(crate) fn log_if_unavailable<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+) {
+    let now = gateway.now();
+    let forwarder = gateway.forwarder.borrow();
+    let Some(backend) = forwarder.backend(&job.backend) else {
+        return;
+    };
+    let backoff = backend.backoff;
+    let draining_since = backend.draining_since;
+    if backoff.remaining(now).is_none() && draining_since.is_none() {
+        return;
+    }
+    gateway.metrics.sent_while_unavailable(phase_name(job));
+    log::warn!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        phase = phase_name(job),
+        backoff_requested_ago_ms = backoff.requested_ago(now).0,
+        backoff_remaining_ms = backoff.remaining(now).unwrap_or_default().0,
+        draining_for_ms = draining_since.map_or(0, |since| now.since(since).0);
+        "sent_while_unavailable"
+    );
+}
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -1,7 +1,7 @@
 //! What a gateway believes of one back end.
 
 use garnet_control::{BackendRecord, BackendRegistration, Backlog, ByRank, UNTOLD_START};
-use garnet_routing::CircuitBreaker;
+use garnet_routing::{Backoff, CircuitBreaker};
 use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
 
 use crate::others::Others;
@@ -164,6 +164,10 @@
     pub gone: bool,
     /// Its health, as own requests show it.
     pub breaker: CircuitBreaker,
+    /// Backoff that it requested.
+    pub backoff: Backoff,
+    /// Since when it reports that it is draining.
+    pub draining_since: Option<Millis>,
     /// Since when the leader says that requests of several gateways fail there.
     pub(crate) failing_at: Option<Millis>,
     /// Whether this gateway is the one to try a failing back end now.
@@ -185,6 +189,8 @@
             takes_work: false,
             gone: false,
             breaker: CircuitBreaker::default(),
+            backoff: Backoff::default(),
+            draining_since: None,
             failing_at: None,
             may_probe: false,
             has_limit: false,
@@ -210,6 +216,8 @@
         if is_another {
             self.gone = false;
             self.breaker = CircuitBreaker::default();
+            self.backoff = Backoff::default();
+            self.draining_since = None;
             self.failing_at = None;
             self.load.forget_told();
         }
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway believes, and the decisions that rest on it.
 
 mod admitting;
+mod availability;
 mod beliefs;
 mod configuration;
 mod fleet;
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,6 +7,7 @@
 //! numbers come from a seeded generator.
 
 pub mod admission;
+pub mod backoff;
 pub mod choice;
 pub mod circuit_breaker;
 pub mod cost;
@@ -14,11 +15,13 @@
 pub mod prefix_index;
 pub mod recent_set;
 pub mod report;
+pub mod retry_after;
 pub mod retry_budget;
 pub mod token_bucket;
 pub mod waiting;
 
 pub use admission::{Admission, AdmissionSettings, admit};
+pub use backoff::Backoff;
 pub use choice::{Candidate, choose};
 pub use circuit_breaker::CircuitBreaker;
 pub use cost::{EngineSnapshot, WorkShape, predict_first_token};
@@ -26,6 +29,7 @@
 pub use prefix_index::{CacheEvent, PrefixIndex, block_hashes};
 pub use recent_set::RecentSet;
 pub use report::LoadReport;
+pub use retry_after::{RetryAfter, RetryAfterError};
 pub use retry_budget::RetryBudget;
 pub use token_bucket::TokenBucket;
 pub use waiting::{Waiting, WaitingQueue};
--- a/components/routing/tests/parts/main.rs
+++ b/components/routing/tests/parts/main.rs
@@ -4,4 +4,5 @@
 mod choice;
 mod limits;
 mod prefix_index;
+mod retry_after;
 mod waiting;
