Nothing is sent to an engine in a backoff that it requested

What callers saw: refusals and slow answers while other engines had room.

Cause: the adapter read the status of a rejection and not Retry-After, and the rejection was forgotten with its request, so the next one was placed as if nothing had been said.

Change: a backoff belongs to the engine as the gateway knows it (garnet_routing::Backoff), and is asked for where a back end may be chosen (Backend::is_open: search, admission's places, sources of copies, probes of breakers and of limits, the last resort) and before a request leaves, once its connection is there. A later, shorter request does not end it; an answer in between does not; another start of the engine does. At its end one request is sent and each accepted one lets one more be under way; the ends of many gateways are spread by 2 ms a gateway, a fourth of the backoff at most. Where all who could take a request are in backoff its caller is refused at once with the first end, spread. A KV cache that nobody takes is freed after the backoff of its engine, where it is kept as long.

Why this works: whoever places a request or sends it asks the same value, so there is no kind of attempt that does not know; it is kept by gateway, as the engine asked the gateway.

--- a/bin/garnet-bench/src/load/mod.rs
+++ b/bin/garnet-bench/src/load/mod.rs
@@ -261,7 +261,10 @@
 
 fn of_error(error: &HttpError) -> Outcome {
     match error {
-        HttpError::NotSent(_) | HttpError::Broken(_) | HttpError::TooLong(_) => Outcome::Broken,
+        HttpError::NotSent(_)
+        | HttpError::Withheld
+        | HttpError::Broken(_)
+        | HttpError::TooLong(_) => Outcome::Broken,
         HttpError::TimedOut => Outcome::TimedOut,
     }
 }
--- a/bin/garnet-bench/src/soak/callers.rs
+++ b/bin/garnet-bench/src/soak/callers.rs
@@ -78,7 +78,7 @@
     let sent_ms = soak.elapsed_ms();
     let outcome = match soak.http.send(gateway, request, PATIENCE).await {
         Ok(response) => judge(call, response.status().as_u16(), response.body()),
-        Err(HttpError::NotSent(_)) => Outcome::NotSent,
+        Err(HttpError::NotSent(_) | HttpError::Withheld) => Outcome::NotSent,
         Err(HttpError::Broken(_) | HttpError::TooLong(_)) => Outcome::Broken,
         Err(HttpError::TimedOut) => Outcome::NoAnswer,
     };
--- a/bin/garnet-bench/src/soak/streams.rs
+++ b/bin/garnet-bench/src/soak/streams.rs
@@ -56,7 +56,7 @@
     let reading = async {
         match soak.http.stream(gateway, request).await {
             Ok(response) => read(response, prompt).await,
-            Err(HttpError::NotSent(_)) => Outcome::NotSent,
+            Err(HttpError::NotSent(_) | HttpError::Withheld) => Outcome::NotSent,
             Err(_) => Outcome::Broken,
         }
     };
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -100,7 +100,7 @@
 /// What a failure says about whether the request ran.
 fn failure(error: &HttpError) -> AttemptEvent {
     match error {
-        HttpError::NotSent(_) => AttemptEvent::NotStarted { draining: false },
+        HttpError::NotSent(_) | HttpError::Withheld => AttemptEvent::NotStarted { draining: false },
         HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::TimedOut => AttemptEvent::Broken,
     }
 }
--- a/components/forwarding-shell/src/answers.rs
+++ b/components/forwarding-shell/src/answers.rs
@@ -1,6 +1,6 @@
 //! Answers that the gateway gives itself.
 
-use garnet_forwarding::{AccessDenied, GivenUp, SHORTEST_RETRY};
+use garnet_forwarding::{AccessDenied, SHORTEST_RETRY};
 use garnet_runtime::server::set_header;
 use garnet_runtime::{Body, text_response};
 use garnet_types::Millis;
@@ -31,14 +31,6 @@
 }
 
 impl OwnAnswer {
-    /// The answer to a request that is given up.
-    pub(crate) fn given_up(given_up: GivenUp, objective: Millis) -> Self {
-        match given_up {
-            GivenUp::NotRun => OwnAnswer::NotRun(retry_after(objective)),
-            GivenUp::InDoubt => OwnAnswer::InDoubt,
-        }
-    }
-
     /// Name in logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -91,6 +83,6 @@
 
 /// When a caller that was refused may come again: late enough for a moment's
 /// crowd to pass, early enough for its answer to be useful.
-fn retry_after(objective: Millis) -> Millis {
+pub(crate) fn retry_after(objective: Millis) -> Millis {
     Millis(objective.0 / 4).max(SHORTEST_RETRY)
 }
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Prompt};
+use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
@@ -13,7 +13,7 @@
 
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase, ReadHead};
-use crate::reported::{log_if_unavailable, note_reports};
+use crate::reported::note_reports;
 
 /// What comes within `time_limit`; all that comes where there is no limit.
 pub(crate) async fn within<T>(
@@ -43,6 +43,8 @@
     /// Whether the prompt was prefilled.
     read: bool,
     judged: bool,
+    /// Set while the attempt probes a back end that recovers from a backoff.
+    probe: Option<Probe>,
 }
 
 impl<C: CallerPort, B: BackendPort> AttemptGuard<C, B> {
@@ -50,6 +52,7 @@
         let now = gateway.now();
         let mut forwarder = gateway.forwarder.borrow_mut();
         let backend = job.backend.clone();
+        let probe = forwarder.begin_probe(&backend, now);
         let prompt = call.facts.prompt.as_ref();
         let prefill_work = match &job.phase {
             JobPhase::Whole => forwarder.sent(&backend, prompt, None, job.priority, now),
@@ -75,6 +78,7 @@
             generates_since: generates.then_some(now),
             read: false,
             judged: false,
+            probe,
         }
     }
 
@@ -97,6 +101,14 @@
         }
     }
 
+    /// The back end took the request.
+    fn accepted(&mut self) {
+        if let Some(probe) = self.probe.take() {
+            let mut forwarder = self.gateway.forwarder.borrow_mut();
+            forwarder.probe_accepted(&self.backend, probe);
+        }
+    }
+
     /// The back end did well.
     pub(crate) fn succeeded(&mut self) {
         self.judged = true;
@@ -173,6 +185,9 @@
         if !self.judged {
             forwarder.released(&self.backend);
         }
+        if let Some(probe) = self.probe.take() {
+            forwarder.probe_released(&self.backend, probe);
+        }
     }
 }
 
@@ -196,31 +211,40 @@
         let address = forwarder.address(&job.backend);
         address.ok_or(AttemptEnd::Unsent)?.to_owned()
     };
-    // Whoever placed it had a permit or needed none, and nothing was waited for since.
+    // Whoever placed it found its back end to take requests, and nothing was waited for
+    // since.
     if !gateway
         .forwarder
         .borrow()
         .may_send(&job.backend, gateway.now())
     {
-        log_failure(
-            call,
-            job,
-            "its back end has a limit, and there is no permit",
-        );
+        gateway.metrics.withheld(phase_name(job));
+        log_failure(call, job, &HttpError::Withheld.to_string());
         return Err(AttemptEnd::Unsent);
     }
-    log_if_unavailable(gateway, call, job);
     let sent_at = gateway.now();
     let mut guard = AttemptGuard::begin(gateway, call, job);
     let request = gateway.backends.request(call, job);
-    let result = match gateway.pool.send(&address, request).await {
+    // Another answer may have reported on the back end while this one's connection was
+    // opened, which an overloaded back end delays.
+    let is_available = || {
+        let forwarder = gateway.forwarder.borrow();
+        forwarder.is_available(&job.backend, gateway.now())
+    };
+    let sent = gateway.pool.send_if(&address, request, is_available).await;
+    let result = match sent {
         Ok(exchange) => {
             let read = gateway.backends.read_head(call, job, &exchange.head);
-            note_reports(gateway, call, job, &read, exchange.head.status, sent_at);
+            let status = exchange.head.status;
+            note_reports(gateway, call, job, &read, status, sent_at);
+            if read.meaning == HeadMeaning::Answer && read.retry_after.is_none() {
+                guard.accepted();
+            }
             take_head(gateway, call, job, read, exchange, guard).await
         }
         Err(error) => {
             match error {
+                HttpError::Withheld => gateway.metrics.withheld(phase_name(job)),
                 HttpError::NotSent(_) => guard.unreachable(),
                 HttpError::Broken(_) => guard.connection_lost(call),
                 HttpError::TooLong(_) | HttpError::TimedOut => guard.failed(),
@@ -258,7 +282,7 @@
 
 fn end_of(error: &HttpError) -> AttemptEnd {
     match error {
-        HttpError::NotSent(_) => AttemptEnd::Unsent,
+        HttpError::NotSent(_) | HttpError::Withheld => AttemptEnd::Unsent,
         HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::TimedOut => AttemptEnd::Broken,
     }
 }
--- a/components/forwarding-shell/src/handover.rs
+++ b/components/forwarding-shell/src/handover.rs
@@ -30,6 +30,17 @@
         &self.prefill_engine
     }
 
+    /// When its engine may be asked to free it; `None` where the cache lapses before.
+    fn release_due(&self) -> Option<Millis> {
+        let now = self.gateway.now();
+        let forwarder = self.gateway.forwarder.borrow();
+        let Some(remaining) = forwarder.backoff_remaining(&self.prefill_engine, now) else {
+            return Some(now);
+        };
+        let is_kept = remaining < forwarder.cache_kept(&self.prefill_engine);
+        is_kept.then(|| now + remaining)
+    }
+
     /// An engine has taken it.
     pub(crate) fn taken(mut self) {
         self.taken = true;
@@ -43,8 +54,15 @@
         }
         let request = self.gateway.backends.release(&self.source.handle);
         let pool = self.gateway.pool.clone();
+        let timers = self.gateway.timers.clone();
         let address = self.source.address.clone();
+        let due = self.release_due();
         let release = async move {
+            // An engine in backoff is sent nothing, this included.
+            match due {
+                Some(due) => timers.sleep_until(due).await,
+                None => return,
+            }
             // It lapses by itself when this does not arrive.
             if let Ok(mut exchange) = pool.send(&address, request).await
                 && exchange.read_whole(SHORT_BODY).await.is_ok()
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -32,7 +32,7 @@
     unknown_names: Family<Labels, Counter>,
     permits: Family<Labels, Counter>,
     backoffs: Family<Labels, Counter>,
-    unavailable: Family<Labels, Counter>,
+    withheld: Family<Labels, Counter>,
     limited: Gauge,
     usage_lost: Counter,
     watch_age_ms: Gauge,
@@ -68,8 +68,8 @@
         let permits = registered(all, "permits", help, counters());
         let help = "Answers that request a backoff, by phase of the attempt";
         let backoffs = registered(all, "backoffs", help, counters());
-        let help = "Attempts sent to back ends in backoff or draining, by phase";
-        let unavailable = registered(all, "sent_while_unavailable", help, counters());
+        let help = "Attempts that were withheld: their back end took none any more";
+        let withheld = registered(all, "withheld", help, counters());
         let help = "Back ends that are known to have a limit";
         let limited = registered(all, "limited_backends", help, Gauge::default());
         let help = "Requests that were counted too late for their window of usage";
@@ -91,7 +91,7 @@
             unknown_names,
             permits,
             backoffs,
-            unavailable,
+            withheld,
             limited,
             usage_lost,
             watch_age_ms,
@@ -142,9 +142,9 @@
         self.backoffs.get_or_create(&labels).inc();
     }
 
-    pub(crate) fn sent_while_unavailable(&self, phase: &str) {
+    pub(crate) fn withheld(&self, phase: &str) {
         let labels = vec![("phase", phase.to_owned())];
-        self.unavailable.get_or_create(&labels).inc();
+        self.withheld.get_or_create(&labels).inc();
     }
 
     pub(crate) fn set_limited(&self, backends: usize) {
--- a/components/forwarding-shell/src/permits.rs
+++ b/components/forwarding-shell/src/permits.rs
@@ -1,5 +1,6 @@
-//! Questions to the leader for permits, where only back ends with a limit could take
-//! a request.
+//! Requests that no back end may be sent as things stand: questions to the leader for
+//! permits where those that could take one have a limit, and the time to come back
+//! where they are in backoff.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -34,8 +35,8 @@
 pub(crate) enum NotPlaced {
     /// There is no back end that could take it.
     Nobody,
-    /// Back ends that could take it have a limit: when to come back.
-    Limited(Millis),
+    /// Back ends that could take it have a limit or are in backoff: when to come back.
+    Unavailable(Millis),
 }
 
 /// What is asked of the leader.
@@ -177,7 +178,7 @@
         forwarder.ask_for_permit(service, work, tried, now)
     };
     let retry_after = match asking {
-        Asking::Unlimited => return Err(NotPlaced::Nobody),
+        Asking::Unlimited => return Err(not_placed(gateway, running)),
         Asking::Closed(retry_after) => retry_after,
         Asking::Ask(ask) => match answer_to(gateway, running, ask).await {
             // The verdict on a request may fall while it waits, and its time may pass.
@@ -199,7 +200,35 @@
         retry_after_ms = retry_after.0;
         "limit_refused"
     );
-    Err(NotPlaced::Limited(retry_after))
+    Err(NotPlaced::Unavailable(retry_after))
+}
+
+/// Why a request is not placed for which no back end has a limit.
+fn not_placed<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) -> NotPlaced {
+    let Some(retry_after) = all_in_backoff(gateway, running) else {
+        return NotPlaced::Nobody;
+    };
+    log::info!(
+        request = running.call.facts.id.as_str(),
+        service = running.service.as_str(),
+        retry_after_ms = retry_after.0;
+        "backoff_refused"
+    );
+    NotPlaced::Unavailable(retry_after)
+}
+
+/// When to come back with a request that nobody takes, where all who could are in
+/// backoff.
+pub(crate) fn all_in_backoff<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) -> Option<Millis> {
+    let Running { service, work, .. } = running;
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    forwarder.all_in_backoff(service, work, gateway.now())
 }
 
 fn is_leader_silent<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>, now: Millis) -> bool {
--- a/components/forwarding-shell/src/reported.rs
+++ b/components/forwarding-shell/src/reported.rs
@@ -61,6 +61,8 @@
     let Some(retry_after) = read.retry_after else {
         return;
     };
+    // It outlasts the request that met it: the next one would be rejected as well, and
+    // cost its caller a visit and the service a retry.
     let now = gateway.now();
     let mut forwarder = gateway.forwarder.borrow_mut();
     forwarder.note_backoff(&job.backend, retry_after, now);
@@ -82,37 +84,8 @@
     if !read.draining {
         return;
     }
-    let now = gateway.now();
     let mut forwarder = gateway.forwarder.borrow_mut();
-    if forwarder.note_draining(&job.backend, now) {
+    if forwarder.note_draining(&job.backend) {
         log::info!(backend = job.backend.as_str(); "draining_reported");
     }
 }
-
-/// Logs a request that is sent to a back end which asked for none.
-pub(crate) fn log_if_unavailable<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    call: &Call,
-    job: &Job,
-) {
-    let now = gateway.now();
-    let forwarder = gateway.forwarder.borrow();
-    let Some(backend) = forwarder.backend(&job.backend) else {
-        return;
-    };
-    let backoff = backend.backoff;
-    let draining_since = backend.draining_since;
-    if backoff.remaining(now).is_none() && draining_since.is_none() {
-        return;
-    }
-    gateway.metrics.sent_while_unavailable(phase_name(job));
-    log::warn!(
-        request = call.facts.id.as_str(),
-        backend = job.backend.as_str(),
-        phase = phase_name(job),
-        backoff_requested_ago_ms = backoff.requested_ago(now).0,
-        backoff_remaining_ms = backoff.remaining(now).unwrap_or_default().0,
-        draining_for_ms = draining_since.map_or(0, |since| now.since(since).0);
-        "sent_while_unavailable"
-    );
-}
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{Arrival, Progress, SilenceLimits, Work};
+use garnet_forwarding::{Arrival, GivenUp, Progress, SilenceLimits, Work};
 use garnet_routes::{CallerLimits, Route};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
@@ -13,11 +13,11 @@
 use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
 
-use crate::answers::OwnAnswer;
+use crate::answers::{OwnAnswer, retry_after};
 use crate::gateway::Gateway;
 use crate::going_on::is_refused;
 use crate::headers::remove_connection_headers;
-use crate::permits::ask_for_spare;
+use crate::permits::{all_in_backoff, ask_for_spare};
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
 use crate::{stream, whole};
 
@@ -316,6 +316,22 @@
     with_leave(gateway, response)
 }
 
+/// What the caller of a request that is given up is told.
+pub(crate) fn given_up_answer<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    given_up: GivenUp,
+) -> OwnAnswer {
+    match given_up {
+        GivenUp::NotRun => {
+            let all_in_backoff = all_in_backoff(gateway, running);
+            let crowd = retry_after(running.work.objective);
+            OwnAnswer::NotRun(all_in_backoff.unwrap_or(crowd))
+        }
+        GivenUp::InDoubt => OwnAnswer::InDoubt,
+    }
+}
+
 /// The final answer of the gateway's own to a request under way.
 pub(crate) fn own_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -22,7 +22,7 @@
 use crate::attempt::within;
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{Running, finished, note_begun, own_answer, until};
+use crate::request::{Running, finished, given_up_answer, note_begun, own_answer, until};
 use crate::whole::copy_head;
 
 use cut::CutCause;
@@ -68,7 +68,7 @@
     match found {
         Some(Ok(found)) => Stream::new(gateway, search).answer(found),
         Some(Err(Refused::GivenUp(given_up))) => {
-            let answer = OwnAnswer::given_up(given_up, search.running.work.objective);
+            let answer = given_up_answer(gateway, &search.running, given_up);
             own_answer(gateway, &search.running, answer)
         }
         Some(Err(Refused::Busy(retry_after))) => {
--- a/components/forwarding-shell/src/stream/placing.rs
+++ b/components/forwarding-shell/src/stream/placing.rs
@@ -134,10 +134,10 @@
     pub(super) async fn place_with_permit(&self) -> Result<Placement, Refused> {
         let placed = place_within_limits(&self.gateway, &self.running, || self.place()).await;
         placed.map_err(|not_placed| match not_placed {
-            NotPlaced::Limited(retry_after) if self.running.progress.surely_not_run() => {
+            NotPlaced::Unavailable(retry_after) if self.running.progress.surely_not_run() => {
                 Refused::Busy(retry_after)
             }
-            NotPlaced::Limited(_) => Refused::GivenUp(self.running.progress.given_up()),
+            NotPlaced::Unavailable(_) => Refused::GivenUp(self.running.progress.given_up()),
             NotPlaced::Nobody => {
                 log_no_back_end(&self.gateway, &self.running);
                 Refused::GivenUp(self.running.progress.given_up())
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -20,7 +20,9 @@
 use crate::headers::remove_connection_headers;
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
-use crate::request::{Running, finished, log_no_back_end, note_begun, own_answer, until};
+use crate::request::{
+    Running, finished, given_up_answer, log_no_back_end, note_begun, own_answer, until,
+};
 
 /// Longest answer that is held while it is read.
 const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
@@ -46,10 +48,10 @@
     match smol::future::or(working, late).await {
         Some(Ok(answer)) => pass_on(gateway, &running, answer),
         Some(Err(NotServed::GivenUp(given_up))) => {
-            let answer = OwnAnswer::given_up(given_up, running.work.objective);
+            let answer = given_up_answer(gateway, &running, given_up);
             own_answer(gateway, &running, answer)
         }
-        Some(Err(NotServed::Limited(retry_after))) => {
+        Some(Err(NotServed::Unavailable(retry_after))) => {
             own_answer(gateway, &running, OwnAnswer::NotRun(retry_after))
         }
         None => own_answer(gateway, &running, OwnAnswer::TimedOut),
@@ -59,8 +61,9 @@
 /// Why no back end answers.
 enum NotServed {
     GivenUp(GivenUp),
-    /// It has not run, since those that could take it have a limit: when to come back.
-    Limited(Millis),
+    /// It has not run, since those that could take it take nothing now: when to come
+    /// back.
+    Unavailable(Millis),
 }
 
 /// Has one back end after the other do it, until one answers.
@@ -114,10 +117,10 @@
     not_placed: NotPlaced,
 ) -> NotServed {
     match not_placed {
-        NotPlaced::Limited(retry_after) if running.progress.surely_not_run() => {
-            NotServed::Limited(retry_after)
+        NotPlaced::Unavailable(retry_after) if running.progress.surely_not_run() => {
+            NotServed::Unavailable(retry_after)
         }
-        NotPlaced::Limited(_) => NotServed::GivenUp(running.progress.given_up()),
+        NotPlaced::Unavailable(_) => NotServed::GivenUp(running.progress.given_up()),
         NotPlaced::Nobody => {
             log_no_back_end(gateway, running);
             NotServed::GivenUp(running.progress.given_up())
@@ -252,7 +255,10 @@
         Err(error) => {
             match &error {
                 HttpError::Broken(_) => open.guard.connection_lost(call),
-                HttpError::NotSent(_) | HttpError::TooLong(_) | HttpError::TimedOut => {
+                HttpError::NotSent(_)
+                | HttpError::Withheld
+                | HttpError::TooLong(_)
+                | HttpError::TimedOut => {
                     open.guard.failed();
                 }
             }
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -166,8 +166,9 @@
     pub breaker: CircuitBreaker,
     /// Backoff that it requested.
     pub backoff: Backoff,
-    /// Since when it reports that it is draining.
-    pub draining_since: Option<Millis>,
+    /// Set when it reported that it drains. It stays set until the engine starts anew:
+    /// the list lags behind the report, and answers may overtake one another.
+    pub draining: bool,
     /// Since when the leader says that requests of several gateways fail there.
     pub(crate) failing_at: Option<Millis>,
     /// Whether this gateway is the one to try a failing back end now.
@@ -190,7 +191,7 @@
             gone: false,
             breaker: CircuitBreaker::default(),
             backoff: Backoff::default(),
-            draining_since: None,
+            draining: false,
             failing_at: None,
             may_probe: false,
             has_limit: false,
@@ -216,8 +217,8 @@
         if is_another {
             self.gone = false;
             self.breaker = CircuitBreaker::default();
-            self.backoff = Backoff::default();
-            self.draining_since = None;
+            self.backoff.reset();
+            self.draining = false;
             self.failing_at = None;
             self.load.forget_told();
         }
@@ -227,7 +228,12 @@
     /// Whether a new request may be sent to it.
     pub fn is_open(&self, now: Millis, despite_failures: bool) -> bool {
         let healthy = self.breaker.allows(now) && !self.is_failing(now);
-        self.takes_work && !self.gone && (despite_failures || healthy)
+        self.is_in_service() && self.backoff.allows(now) && (despite_failures || healthy)
+    }
+
+    /// Whether it takes requests at all, now or after a backoff.
+    pub fn is_in_service(&self) -> bool {
+        self.takes_work && !self.gone
     }
 
     /// Whether it is an engine that generates.
--- a/components/forwarding/src/forwarder/availability.rs
+++ b/components/forwarding/src/forwarder/availability.rs
@@ -1,25 +1,112 @@
 //! What back ends report of whether they take requests.
 
-use garnet_routing::RetryAfter;
-use garnet_types::{BackendId, Millis};
+use garnet_routing::{Probe, RetryAfter};
+use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
 
-use super::Forwarder;
+use crate::backends::Backend;
+use crate::work::Work;
+
+use super::{Forwarder, GOLDEN_PART};
+
+/// Gateways that were asked for the same backoff come back so long after one another, in
+/// the mean.
+const RETURN_INTERVAL: Millis = Millis(2);
+/// Longest part of a backoff by which its end is spread.
+const SPREAD_PART: u64 = 4;
+/// Longest part of the time left by which the return of callers is spread.
+const CALLER_SPREAD_PART: u64 = 2;
 
 impl Forwarder {
     /// Takes the backoff that an answer requests.
     pub fn note_backoff(&mut self, id: &BackendId, retry_after: RetryAfter, now: Millis) {
+        let longest = Millis(retry_after.span().0 / SPREAD_PART);
+        let all = Millis(RETURN_INTERVAL.0.saturating_mul(self.gateways));
+        let spread = self.part_of(all.min(longest));
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.backoff.requested(retry_after, now);
+            backend.backoff.request(retry_after, spread, now);
         }
     }
 
     /// Notes that an answer reports draining. `true` where that is new.
-    pub fn note_draining(&mut self, id: &BackendId, now: Millis) -> bool {
-        let Some(backend) = self.backends.get_mut(id) else {
-            return false;
+    pub fn note_draining(&mut self, id: &BackendId) -> bool {
+        let backend = self.backends.get_mut(id);
+        backend.is_some_and(|backend| !std::mem::replace(&mut backend.draining, true))
+    }
+
+    /// Notes a request that is sent. Gives the probe that it is, where its back end
+    /// recovers from a backoff.
+    pub fn begin_probe(&mut self, id: &BackendId, now: Millis) -> Option<Probe> {
+        self.backends.get_mut(id)?.backoff.sent(now)
+    }
+
+    /// Notes that a back end accepted a probe.
+    pub fn probe_accepted(&mut self, id: &BackendId, probe: Probe) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.backoff.accepted(probe);
+        }
+    }
+
+    /// Notes a probe that ended without a verdict of its back end.
+    pub fn probe_released(&mut self, id: &BackendId, probe: Probe) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.backoff.released(probe);
+        }
+    }
+
+    /// Whether a request that has its place may still leave: its back end is in service
+    /// and in no backoff.
+    pub fn is_available(&self, id: &BackendId, now: Millis) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|b| b.is_in_service() && b.backoff.remaining(now).is_none())
+    }
+
+    /// Time until a back end's backoff is over; `None` where none is in force.
+    pub fn backoff_remaining(&self, id: &BackendId, now: Millis) -> Option<Millis> {
+        self.backends.get(id)?.backoff.remaining(now)
+    }
+
+    /// How long an engine keeps a KV cache that nobody takes.
+    pub fn cache_kept(&self, id: &BackendId) -> Millis {
+        let service = self.backends.get(id).map(|b| &b.registration.service);
+        let table = self.configuration.routes.as_ref();
+        let limits = service.and_then(|service| table?.engine_limits(service));
+        limits.map_or(Millis::ZERO, |limits| limits.handover_ms)
+    }
+
+    /// When the caller of a request should come back that nobody takes since all who
+    /// could are in backoff; `None` where one of them is not. Callers that are told so
+    /// in turn come back spread out.
+    pub fn all_in_backoff(
+        &mut self,
+        service: &ServiceId,
+        work: &Work,
+        now: Millis,
+    ) -> Option<Millis> {
+        let kind = match work.prompt {
+            Some(_) => BackendKind::Engine,
+            None => BackendKind::Application,
+        };
+        let could_take = |backend: &&Backend| {
+            let does_all = work.prompt.is_none() || backend.generates();
+            let is_of_kind = backend.registration.kind == kind;
+            does_all && is_of_kind && backend.is_in_service()
         };
-        let is_new = backend.draining_since.is_none();
-        backend.draining_since.get_or_insert(now);
-        is_new
+        let mut first = Millis::NEVER;
+        for backend in self.backends_of(service).filter(could_take) {
+            first = first.min(backend.backoff.remaining(now)?);
+        }
+        if first == Millis::NEVER {
+            return None;
+        }
+        let longest = Millis(first.0 / CALLER_SPREAD_PART).min(work.objective);
+        Some(first + self.part_of(longest))
+    }
+
+    /// A part of a span, evenly drawn.
+    fn part_of(&mut self, span: Millis) -> Millis {
+        self.drawn += 1;
+        let first = self.settings.first_draw;
+        let part = (first + self.drawn as f64 * GOLDEN_PART).fract();
+        Millis((span.0 as f64 * part) as u64)
     }
 }
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -79,10 +79,12 @@
 
     // ---- Permits ----
 
-    /// Whether a request may be sent to a back end now: it has no limit, or there is
-    /// a permit.
+    /// Whether a request may be sent to a back end now: it takes requests, and has no
+    /// limit or there is a permit.
     pub fn may_send(&self, id: &BackendId, now: Millis) -> bool {
-        self.limits.may_send(id, now)
+        let backend = self.backends.get(id);
+        let is_available = backend.is_some_and(|b| b.is_in_service() && b.backoff.allows(now));
+        is_available && self.limits.may_send(id, now)
     }
 
     /// What to do for a request that no back end may be sent as things stand: those
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -31,7 +31,7 @@
 pub use forwarder::{
     FleetReport, Forwarder, ForwarderSettings, LimitSaid, PrefillWork, RouteChoice,
 };
-pub use garnet_routing::{RetryAfter, RetryAfterError};
+pub use garnet_routing::{Probe, RetryAfter, RetryAfterError};
 pub use pace::{PrefillPace, TokenTime};
 pub use placement::{Placement, Preference};
 pub use residency::Residency;
--- /dev/null
+++ b/components/forwarding/tests/core/availability.rs
@@ -0,0 +1,269 @@
+//! Back ends that request a backoff or report draining: who is sent there, and who isn't.
+
+use garnet_control::{BackendRecord, EngineObservation, WatchUpdate};
+use garnet_forwarding::{
+    Admission, Arrival, Forwarder, LimitSaid, Placement, Probe, RetryAfter, Work,
+};
+use garnet_limits::Asking;
+use garnet_routes::WorkKind;
+use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use rstest::rstest;
+
+use crate::fleet::{NOW, configuration, forwarder, gateway_of, prompt, record, table, work};
+
+const BACKOFF: RetryAfter = RetryAfter::new(Millis(3_000));
+const END: Millis = Millis(NOW.0 + 3_000);
+
+fn id(name: &str) -> BackendId {
+    BackendId::new(name)
+}
+
+fn till() -> ServiceId {
+    ServiceId::new("till")
+}
+
+fn words() -> ServiceId {
+    ServiceId::new("words")
+}
+
+fn instances() -> Vec<BackendRecord> {
+    ["till-a", "till-b"]
+        .iter()
+        .map(|id| record(id, "till", "a", None))
+        .collect()
+}
+
+fn engines() -> Vec<BackendRecord> {
+    let roles = [
+        ("d-1", EngineRole::Mixed),
+        ("d-2", EngineRole::Mixed),
+        ("p-1", EngineRole::Prefill),
+        ("p-2", EngineRole::Prefill),
+    ];
+    let engine = |(id, role): &(&str, EngineRole)| record(id, "words", "a", Some(*role));
+    roles.iter().map(engine).collect()
+}
+
+fn call() -> Work {
+    work(WorkKind::Repeatable, None)
+}
+
+fn stream(number: u64) -> Work {
+    work(
+        WorkKind::Stream,
+        Some(prompt(number, 1_000 + number, 20_000)),
+    )
+}
+
+/// Whether any of many requests is placed at the back end, in whatever phase.
+fn is_used(gateway: &mut Forwarder, name: &str, now: Millis) -> bool {
+    let name = id(name);
+    (0..50).any(|number| {
+        let calls = gateway.place(&till(), &call(), &[], true, now);
+        let streams = gateway.place(&words(), &stream(number), &[], true, now);
+        let decode = gateway.place_decode(&words(), &id("p-2"), &[], now);
+        let named = |placement: Placement| match placement {
+            Placement::One(one) => one == name,
+            Placement::Handover {
+                prefill_engine,
+                copy_from,
+            } => prefill_engine == name || copy_from == Some(name.clone()),
+        };
+        calls.is_some_and(named) || streams.is_some_and(named) || decode == Some(name.clone())
+    })
+}
+
+fn all() -> Vec<BackendRecord> {
+    instances().into_iter().chain(engines()).collect()
+}
+
+#[rstest]
+fn a_back_end_in_backoff_gets_nothing_until_its_end(#[values("till-a", "d-1", "p-1")] name: &str) {
+    let mut gateway = forwarder(&all());
+    assert!(is_used(&mut gateway, name, NOW));
+    gateway.note_backoff(&id(name), BACKOFF, NOW);
+    let last = END - Millis(1);
+    assert!(!is_used(&mut gateway, name, NOW) && !is_used(&mut gateway, name, last));
+    assert!(!gateway.may_send(&id(name), last) && !gateway.is_available(&id(name), last));
+    // One gateway alone spreads the end by 2 ms at most.
+    let end = END + Millis(2);
+    assert!(gateway.may_send(&id(name), end) && is_used(&mut gateway, name, end));
+}
+
+/// Neither a success of a request that was sent before nor failures elsewhere end it.
+#[test]
+fn no_other_answer_ends_a_backoff() {
+    let mut gateway = forwarder(&instances());
+    gateway.note_backoff(&id("till-a"), BACKOFF, NOW);
+    gateway.succeeded(&id("till-a"));
+    for _ in 0..9 {
+        gateway.failed(&id("till-b"), NOW);
+    }
+    assert!(!gateway.may_send(&id("till-a"), NOW));
+    let placed = gateway.place(&till(), &call(), &[], false, NOW);
+    assert_eq!(
+        placed,
+        Some(Placement::One(id("till-b"))),
+        "the last resort"
+    );
+    assert_eq!(
+        gateway.place(&till(), &call(), &[id("till-b")], false, NOW),
+        None
+    );
+}
+
+/// An engine that has started again under its name has requested nothing yet.
+#[test]
+fn another_start_is_in_no_backoff() {
+    let records = engines();
+    let mut gateway = forwarder(&records);
+    gateway.note_backoff(&id("d-1"), BACKOFF, NOW);
+    let mut again = records.clone();
+    again[0].observed = again[0].observed.clone().map(|seen| EngineObservation {
+        incarnation: 2,
+        ..seen
+    });
+    let anew = configuration(6, table(1, &[("till", 1)]), &again);
+    gateway.update(WatchUpdate::Snapshot(anew.into()));
+    assert!(gateway.may_send(&id("d-1"), NOW));
+}
+
+/// A configuration that changes something else ends no backoff.
+#[test]
+fn a_configuration_ends_no_backoff() {
+    let records = instances();
+    let mut gateway = forwarder(&records);
+    gateway.note_backoff(&id("till-a"), BACKOFF, NOW);
+    let anew = configuration(6, table(2, &[("till", 1)]), &records);
+    gateway.update(WatchUpdate::Snapshot(anew.into()));
+    assert!(!gateway.may_send(&id("till-a"), NOW));
+}
+
+#[test]
+fn after_a_backoff_requests_come_back_one_after_the_other() {
+    let mut gateway = forwarder(&instances());
+    gateway.note_backoff(&id("till-a"), BACKOFF, NOW);
+    let end = END + Millis(2);
+    let send = |gateway: &mut Forwarder| -> Option<Probe> {
+        let may_send = gateway.may_send(&id("till-a"), end);
+        may_send.then(|| gateway.begin_probe(&id("till-a"), end))?
+    };
+    let first = send(&mut gateway).expect("the first one");
+    assert!(send(&mut gateway).is_none());
+    assert!(
+        gateway.is_available(&id("till-a"), end),
+        "the first one may leave"
+    );
+    gateway.probe_accepted(&id("till-a"), first);
+    let second = send(&mut gateway);
+    assert!(second.is_some() && send(&mut gateway).is_some() && send(&mut gateway).is_none());
+    gateway.probe_released(&id("till-a"), second.expect("it was sent"));
+    assert!(send(&mut gateway).is_some());
+}
+
+#[test]
+fn where_all_are_in_backoff_the_first_end_is_told() {
+    let mut gateway = forwarder(&instances());
+    gateway.note_backoff(&id("till-a"), BACKOFF, NOW);
+    assert_eq!(gateway.all_in_backoff(&till(), &call(), NOW), None);
+    let long = RetryAfter::new(Millis(9_000));
+    gateway.note_backoff(&id("till-b"), long, NOW);
+    let told: Vec<u64> = (0..100)
+        .filter_map(|_| gateway.all_in_backoff(&till(), &call(), NOW))
+        .map(|told| told.0)
+        .collect();
+    assert_eq!(told.len(), 100);
+    // Spread over the objective, half a second here.
+    assert!(told.iter().all(|told| (3_000..3_510).contains(told)));
+    let early = told.iter().filter(|told| **told < 3_250).count();
+    assert!(
+        (40..=60).contains(&early),
+        "{early} of 100 in the first half"
+    );
+}
+
+/// A stream can't be served where all that generate are in backoff, whoever reads
+/// prompts; none is read for it.
+#[test]
+fn no_prompt_is_read_where_nobody_can_generate() {
+    let mut gateway = forwarder(&engines());
+    gateway.note_backoff(&id("d-1"), BACKOFF, NOW);
+    gateway.note_backoff(&id("d-2"), BACKOFF, NOW);
+    assert_eq!(gateway.place(&words(), &stream(1), &[], true, NOW), None);
+    let told = gateway
+        .all_in_backoff(&words(), &stream(1), NOW)
+        .expect("a time");
+    assert!(told >= BACKOFF.span(), "{told:?}");
+    // Prefill engines in backoff leave the work to engines that do all of it.
+    let mut gateway = forwarder(&engines());
+    gateway.note_backoff(&id("p-1"), BACKOFF, NOW);
+    gateway.note_backoff(&id("p-2"), BACKOFF, NOW);
+    let placed = gateway.place(&words(), &stream(1), &[], true, NOW);
+    assert!(matches!(placed, Some(Placement::One(_))), "{placed:?}");
+    assert_eq!(gateway.all_in_backoff(&words(), &stream(1), NOW), None);
+}
+
+/// No permit is asked for, and none is used, while its back end is in backoff.
+#[test]
+fn a_backoff_comes_before_a_permit() {
+    let mut gateway = forwarder(&instances()[..1]);
+    let rate = "5".parse().expect("a rate");
+    gateway.note_limit(&id("till-a"), LimitSaid::Named(rate), NOW, NOW);
+    let ask = |gateway: &mut Forwarder| gateway.ask_for_permit(&till(), &call(), &[], NOW);
+    assert!(matches!(ask(&mut gateway), Asking::Ask(_)));
+    gateway.note_backoff(&id("till-a"), BACKOFF, NOW);
+    assert_eq!(ask(&mut gateway), Asking::Unlimited);
+    assert!(gateway.all_in_backoff(&till(), &call(), NOW).is_some());
+}
+
+/// Places at engines in backoff are none: admission counts on the others only.
+#[test]
+fn admission_counts_no_place_at_an_engine_in_backoff() {
+    let records = engines();
+    let admission = |rests: &[&str]| {
+        let mut gateway = gateway_of(&records, 1, 0);
+        for name in rests {
+            gateway.note_backoff(&id(name), BACKOFF, NOW);
+        }
+        let underway = prompt(1, 1_001, 20_000);
+        for _ in 0..200 {
+            gateway.handed_over(&id("d-1"), &underway, 1, NOW);
+            // Each place is kept for a second.
+            gateway.note_place(&id("d-1"), &underway, Millis(1_000));
+        }
+        let arrival = Arrival {
+            waited: Millis::ZERO,
+            remaining: Millis(2_000),
+            deadline: Millis(2_000),
+            came_back: false,
+        };
+        let placed = gateway.place_new(&words(), &stream(2), &arrival, NOW);
+        placed.map(|(_, admission)| admission)
+    };
+    assert_eq!(admission(&[]), Some(Admission::Admit));
+    let refused = admission(&["d-2"]);
+    assert!(
+        matches!(refused, Some(Admission::Refuse { .. })),
+        "{refused:?}"
+    );
+}
+
+/// Gateways that were asked at the same moment don't all come back at the same moment;
+/// the spread is a fourth of the backoff at most.
+#[test]
+fn the_ends_of_many_gateways_are_spread() {
+    let ends: Vec<u64> = (0..400)
+        .map(|number| {
+            let mut gateway = gateway_of(&engines(), 400, number);
+            gateway.note_backoff(&id("d-1"), BACKOFF, NOW);
+            let remaining = gateway.backoff_remaining(&id("d-1"), NOW);
+            remaining.expect("a backoff").0
+        })
+        .collect();
+    assert!(ends.iter().all(|end| (3_000..=3_750).contains(end)));
+    let in_any_50_ms = (3_000_u64..3_750).map(|from| {
+        let window = from..from + 50;
+        ends.iter().filter(|end| window.contains(*end)).count()
+    });
+    assert!(in_any_50_ms.max() <= Some(60));
+}
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempts;
+mod availability;
 mod budgets;
 mod configuration;
 mod fleet;
--- a/components/routing/tests/parts/main.rs
+++ b/components/routing/tests/parts/main.rs
@@ -1,6 +1,7 @@
 //! Each part of routing by itself.
 
 mod admission;
+mod backoff;
 mod choice;
 mod limits;
 mod prefix_index;
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -31,6 +31,8 @@
 pub enum HttpError {
     /// nothing was sent: {0}
     NotSent(String),
+    /// its sender withheld it
+    Withheld,
     /// no whole answer came: {0}
     Broken(String),
     /// the answer is longer than {0} bytes
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -108,14 +108,32 @@
     /// # Errors
     /// As [`HttpError`] says.
     pub async fn send(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, HttpError> {
+        self.send_if(address, request, || true).await
+    }
+
+    /// Sends a request as [`Self::send`] does, if `may_send` holds once its connection is
+    /// there: a connection may take longer than what its sender knew stays true.
+    ///
+    /// # Errors
+    /// [`HttpError::Withheld`] where it does not hold, and as [`HttpError`] says.
+    pub async fn send_if(
         &self,
         address: &str,
         mut request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, HttpError> {
         while let Some(mut sender) = self.take_idle(address) {
             if sender.ready().await.is_err() {
                 continue;
             }
+            if !may_send() {
+                self.keep(address, sender, self.settings.idle_time);
+                return Err(HttpError::Withheld);
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.exchange(address, sender, response, false)),
                 Err(mut error) => match error.take_message() {
@@ -125,6 +143,10 @@
             }
         }
         let mut sender = self.connect(address).await?;
+        if !may_send() {
+            self.keep(address, sender, self.settings.idle_time);
+            return Err(HttpError::Withheld);
+        }
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.exchange(address, sender, response, true)),
             Err(mut error) => {
