An application that starts again under its id is another back end

Cause: `born` of an application's entry was read and dropped, since only engines have an observation to keep it in.

Change: the registration of an application carries its start; an entry that does not tell one changes nothing. BackendRecord::start gives it for both kinds, in place of three readings of the observation. Internal protocol 16.

Before, the case of the application could not be written: its record had no start.

--- a/bin/garnet-bench/src/fleet.rs
+++ b/bin/garnet-bench/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use garnet_control::{
     BackendRecord, BackendRegistration, BackendState, ByRank, Configuration, ConfigurationChange,
-    EngineObservation, LoadDigest, MembersHash, PromptCopy, ToldDigest, WatchUpdate,
+    EngineObservation, LoadDigest, MembersHash, PromptCopy, ToldDigest, UNTOLD_START, WatchUpdate,
 };
 use garnet_forwarding::{
     Arrival, BudgetShare, Forwarder, ForwarderSettings, LimitSaid, Prompt, PromptPart, Work,
@@ -126,6 +126,7 @@
             service: ServiceId::new(SERVICE),
             address: format!("10.1.{}.{}:8080", number / 250, number % 250),
             zone: ZONES[number % ZONES.len()].to_owned(),
+            start: UNTOLD_START,
         },
         machine,
         desired: None,
--- a/bin/garnet-standin/src/application.rs
+++ b/bin/garnet-standin/src/application.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_control::BackendRegistration;
+use garnet_control::{BackendRegistration, UNTOLD_START};
 use garnet_engine_api::{Faults, LIMIT_HEADER, NOT_STARTED, NotStarted, STARTED_HEADER, paths};
 use garnet_runtime::server::{channel_body, read_body, set_header};
 use garnet_runtime::{Body, Limits, json_response, text_response};
@@ -50,6 +50,7 @@
             service: ServiceId::new(arguments.service.clone()),
             address,
             zone: arguments.zone.clone(),
+            start: UNTOLD_START,
         };
         let child = registration::child(&shell, platform.clone(), registration);
         children.push(child);
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -48,9 +48,27 @@
     pub address: String,
     /// Zone that it stands in.
     pub zone: String,
+    /// Start of the process of an application, or [`UNTOLD_START`]. That of an engine is
+    /// part of its [`EngineObservation`].
+    pub start: u64,
 }
 
-/// Incarnation of an engine that does not tell which of its starts it is.
+impl BackendRegistration {
+    /// What is known after `former`: one of several that speak of a back end may not tell
+    /// its start.
+    pub(crate) fn after(&self, former: &BackendRegistration) -> BackendRegistration {
+        let start = match self.start {
+            UNTOLD_START => former.start,
+            told => told,
+        };
+        BackendRegistration {
+            start,
+            ..self.clone()
+        }
+    }
+}
+
+/// Start of a back end that does not tell which of its starts it is.
 pub const UNTOLD_START: u64 = 0;
 
 /// What an engine was seen to be.
@@ -127,6 +145,12 @@
         ready && self.machine == MachineState::Live
     }
 
+    /// Start of the back end, or [`UNTOLD_START`].
+    pub fn start(&self) -> u64 {
+        let observed = self.observed.as_ref();
+        observed.map_or(self.registration.start, |seen| seen.incarnation)
+    }
+
     /// The pool of an engine: its service and the model that it holds.
     pub fn pool(&self) -> Option<(&ServiceId, &ModelId)> {
         let assignment = self.assignment()?;
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -227,7 +227,8 @@
             })
         });
         let is_known = known.is_some_and(|record| {
-            record.registration == entry.registration && record.machine == entry.state
+            let registration = entry.registration.after(&record.registration);
+            record.registration == registration && record.machine == entry.state
         });
         (!is_known || observed.is_some()).then(|| MachineNote {
             registration: entry.registration.clone(),
--- a/components/control/src/replica/limiting.rs
+++ b/components/control/src/replica/limiting.rs
@@ -112,8 +112,7 @@
         let Some(record) = self.configuration.backends.get(&word.backend) else {
             return false;
         };
-        let present = record.observed.as_ref().map(|seen| seen.incarnation);
-        let present = present.unwrap_or(UNTOLD_START);
+        let present = record.start();
         word.start == present || word.start == UNTOLD_START || present == UNTOLD_START
     }
 }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -395,7 +395,7 @@
     fn registered(&self, index: u64, registration: &BackendRegistration) -> BackendRecord {
         match self.configuration.backends.get(&registration.id) {
             Some(existing) => BackendRecord {
-                registration: registration.clone(),
+                registration: registration.after(&existing.registration),
                 revision: index,
                 ..existing.clone()
             },
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -3,7 +3,7 @@
 use crate::leader::Leader;
 use garnet_control::{
     BackendRegistration, Backlog, ByRank, Effect, EngineObservation, EnginePolling, Event,
-    GatewayRequest, MachineEntry, ReplicaSettings,
+    GatewayRequest, MachineEntry, ReplicaSettings, UNTOLD_START,
 };
 use garnet_limits::{LimitWord, LimitWords};
 use garnet_planner::BalanceSettings;
@@ -21,6 +21,7 @@
             service: ServiceId::new("words"),
             address: format!("10.1.0.{number}:8080"),
             zone: format!("zone-{}", number % 3),
+            start: UNTOLD_START,
         },
         state: MachineState::Live,
         observed: Some(EngineObservation {
--- a/components/control/tests/state/fleet_size.rs
+++ b/components/control/tests/state/fleet_size.rs
@@ -6,7 +6,7 @@
 use garnet_consensus::Config;
 use garnet_control::{
     BackendRegistration, Command, Duty, DutyAnswer, DutyCall, DutySettings, Effect,
-    EngineObservation, Event, MachineEntry, ReplicaSettings,
+    EngineObservation, Event, MachineEntry, ReplicaSettings, UNTOLD_START,
 };
 use garnet_planner::EngineKind;
 use garnet_routes::{BuyingTerms, PriceMilli, RouteTable, ServiceSettings};
@@ -140,6 +140,7 @@
             service: ServiceId::new("words"),
             address: format!("10.0.{zone}.1:{number}"),
             zone: ZONES[zone].to_owned(),
+            start: UNTOLD_START,
         },
         state: MachineState::Live,
         observed: Some(EngineObservation {
--- a/components/control/tests/state/load_digest.rs
+++ b/components/control/tests/state/load_digest.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{
     BackendRegistration, BackendState, Backlog, ByRank, Command, ControlReply, Effect, Event,
-    Evidence, GatewayRequest, LoadDigest, MembersHash, PlacedState, ToldDigest,
+    Evidence, GatewayRequest, LoadDigest, MembersHash, PlacedState, ToldDigest, UNTOLD_START,
 };
 use garnet_types::{BackendId, BackendKind, GatewayId, Millis, ServiceId};
 use proptest::prelude::*;
@@ -32,6 +32,7 @@
         service: ServiceId::new("till"),
         address: format!("10.1.0.{number}:8080"),
         zone: "a".to_owned(),
+        start: UNTOLD_START,
     };
     let put = |number| Command::PutBackend(registration(number));
     let mut leader = Leader::elected(Leader::settings(), (0..BACKENDS).map(put).collect());
--- a/components/control/tests/state/machine_list.rs
+++ b/components/control/tests/state/machine_list.rs
@@ -23,6 +23,7 @@
             service: ServiceId::new("words"),
             address: format!("10.1.{}.{}:8080", number / 250, number % 250),
             zone: format!("zone-{}", number % 5),
+            start: UNTOLD_START,
         },
         state,
         observed: Some(EngineObservation {
@@ -138,3 +139,23 @@
     let seen = backends[&BackendId::new("engine-2")].observed.as_ref();
     assert_eq!(seen.expect("an engine").incarnation, 77);
 }
+
+/// An entry of another writer may not tell the start: the one that is known stands, and
+/// nothing goes into the log.
+#[test]
+fn an_entry_without_a_start_changes_no_record() {
+    let mut leader = leader();
+    let application = |start| {
+        let mut entry = entry(1, MachineState::Live);
+        entry.observed = None;
+        entry.registration.kind = BackendKind::Application;
+        entry.registration.start = start;
+        vec![entry]
+    };
+    assert_eq!(entries_of(&mut leader, application(7)), 1);
+    leader.persist();
+    assert_eq!(entries_of(&mut leader, application(UNTOLD_START)), 0);
+    assert_eq!(entries_of(&mut leader, application(8)), 1);
+    leader.persist();
+    assert_eq!(entries_of(&mut leader, application(8)), 0);
+}
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -210,8 +210,7 @@
             BackendKind::Application => None,
             BackendKind::Engine => record.assignment().map(|assignment| assignment.role),
         };
-        let told = record.observed.as_ref().map(|seen| seen.incarnation);
-        let told = told.unwrap_or(UNTOLD_START);
+        let told = record.start();
         let before = std::mem::replace(&mut self.start, told);
         let is_another = before != told && before != UNTOLD_START && told != UNTOLD_START;
         if is_another {
--- a/components/forwarding/tests/core/availability.rs
+++ b/components/forwarding/tests/core/availability.rs
@@ -128,6 +128,44 @@
     assert!(gateway.may_send(&id("d-1"), NOW));
 }
 
+/// Records in which the first back end is at this start.
+fn at_start(records: &[BackendRecord], start: u64) -> Vec<BackendRecord> {
+    let mut records = records.to_vec();
+    let first = &mut records[0];
+    match &mut first.observed {
+        Some(seen) => seen.incarnation = start,
+        None => first.registration.start = start,
+    }
+    records
+}
+
+/// Whatever was learned of an engine or an application is of its start: in a backoff, or
+/// not the one that was meant at its address.
+#[rstest]
+#[case::application(instances(), "till-a")]
+#[case::engine(engines(), "d-1")]
+fn another_start_is_taken_for_another_back_end(
+    #[case] records: Vec<BackendRecord>,
+    #[case] name: &str,
+) {
+    let mut gateway = forwarder(&at_start(&records, 7));
+    gateway.note_backoff(&id(name), BACKOFF, NOW);
+    gateway.gone(&id(name));
+    let update = |gateway: &mut Forwarder, index, start| {
+        let records = at_start(&records, start);
+        let anew = configuration(index, table(1, &[("till", 1)]), &records);
+        gateway.update(WatchUpdate::Snapshot(anew.into()));
+        gateway.may_send(&id(name), NOW)
+    };
+    assert!(!update(&mut gateway, 6, 7));
+    assert!(
+        !update(&mut gateway, 7, garnet_control::UNTOLD_START),
+        "nothing is told"
+    );
+    assert!(!update(&mut gateway, 8, 7));
+    assert!(update(&mut gateway, 9, 8));
+}
+
 /// A configuration that changes something else ends no backoff.
 #[test]
 fn a_configuration_ends_no_backoff() {
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -4,7 +4,7 @@
 
 use garnet_control::{
     BackendRecord, BackendRegistration, BackendState, Backlog, Configuration, EngineObservation,
-    LoadDigest, MembersHash, ToldDigest, WatchUpdate,
+    LoadDigest, MembersHash, ToldDigest, UNTOLD_START, WatchUpdate,
 };
 use garnet_forwarding::{BudgetShare, Forwarder, ForwarderSettings, Prompt, PromptPart, Work};
 use garnet_routes::{EngineLimits, Route, RouteTable, ServiceSettings, WeightedService, WorkKind};
@@ -32,6 +32,7 @@
             service: ServiceId::new(service),
             address: format!("10.0.0.1:{}", 8000 + id.len()),
             zone: zone.to_owned(),
+            start: UNTOLD_START,
         },
         machine: MachineState::Live,
         desired: None,
--- a/components/gateway/src/gateway/quarantine.rs
+++ b/components/gateway/src/gateway/quarantine.rs
@@ -1,7 +1,7 @@
 //! Requests under which engines end: what this gateway saw of them, and which
 //! of them it sends to no engine.
 
-use garnet_control::GatewayRequest;
+use garnet_control::{BackendRecord, GatewayRequest};
 use garnet_quarantine::{EngineStart, RequestFingerprint, Standing, Suspects, own_backend};
 use garnet_types::{BackendId, Millis, OutcomeCode, Refusal, RequestId};
 
@@ -72,8 +72,7 @@
             .known(backend)
             .map(|belief| belief.incarnation);
         let record = self.watched.configuration.backends.get(backend);
-        let seen = record.and_then(|record| record.observed.as_ref());
-        told.max(seen.map(|seen| seen.incarnation))
+        told.max(record.map(BackendRecord::start))
             .unwrap_or_default()
     }
 
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{
     BackendRecord, BackendRegistration, ClaimAnswer, ClaimRequest, Configuration, ControlReply,
-    CopyNews, EngineObservation, GatewayRequest, WatchUpdate,
+    CopyNews, EngineObservation, GatewayRequest, UNTOLD_START, WatchUpdate,
 };
 use garnet_gateway::{
     Answer, AttemptEvent, AttemptId, Call, Effect, Event, Gateway, GatewaySettings, Job, Work,
@@ -217,6 +217,7 @@
             service: ServiceId::new(service),
             address: id.to_owned(),
             zone: "a".to_owned(),
+            start: UNTOLD_START,
         },
         machine: MachineState::Live,
         desired: None,
--- a/components/simulator/src/world/processes.rs
+++ b/components/simulator/src/world/processes.rs
@@ -1,6 +1,6 @@
 //! Starts, planned stops and crashes of processes.
 
-use garnet_control::BackendRegistration;
+use garnet_control::{BackendRegistration, UNTOLD_START};
 use garnet_gateway::AttemptEvent;
 use garnet_storage::PowerLoss;
 use garnet_types::{BackendKind, Millis, RequestId, ServiceId};
@@ -52,6 +52,7 @@
             kind,
             service: ServiceId::new(service),
             zone: format!("zone-{}", place % 3),
+            start: UNTOLD_START,
         };
         self.platform.register(registration, self.now);
     }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -8,7 +8,7 @@
 use crate::error::WireError;
 
 /// Version of the protocol. It changes when a frame's encoding does.
-pub const PROTOCOL_VERSION: u32 = 15;
+pub const PROTOCOL_VERSION: u32 = 16;
 
 /// Who opened a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
