Nothing is sent to an engine that reports draining

Cause: the state of the list alone decided whether an engine was in service. The list lags, its leader may be away, and Server-Leaving was passed on to callers and read by nobody.

Change: a report of draining takes the engine out of service at this gateway at once, for every kind of attempt, last resorts included. It ends with another start of the engine, and after 300 s where starts are not told; neither the list, nor another configuration, nor an answer without the header ends it. Streams under way go on, and a KV cache at a draining prefill engine is still handed over.

Why this works: Backend::is_in_service is what the search, admission and the last look before a request leaves ask for; no leader is needed for it.

--- a/components/forwarding-shell/src/reported.rs
+++ b/components/forwarding-shell/src/reported.rs
@@ -84,8 +84,9 @@
     if !read.draining {
         return;
     }
+    let now = gateway.now();
     let mut forwarder = gateway.forwarder.borrow_mut();
-    if forwarder.note_draining(&job.backend) {
+    if forwarder.note_draining(&job.backend, now) {
         log::info!(backend = job.backend.as_str(); "draining_reported");
     }
 }
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -12,6 +12,10 @@
 /// How long the leader's word on a failing back end holds without another.
 const FAILING_FOR: Millis = Millis::from_secs(3);
 
+/// A back end that is still there so long after it reported draining has started again, on
+/// a platform that does not tell its starts.
+const DRAINING_LASTS: Millis = Millis::from_secs(300);
+
 /// Load as a back end tells it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
@@ -166,9 +170,8 @@
     pub breaker: CircuitBreaker,
     /// Backoff that it requested.
     pub backoff: Backoff,
-    /// Set when it reported that it drains. It stays set until the engine starts anew:
-    /// the list lags behind the report, and answers may overtake one another.
-    pub draining: bool,
+    /// When it reported that it drains.
+    pub(crate) draining_since: Option<Millis>,
     /// Since when the leader says that requests of several gateways fail there.
     pub(crate) failing_at: Option<Millis>,
     /// Whether this gateway is the one to try a failing back end now.
@@ -191,7 +194,7 @@
             gone: false,
             breaker: CircuitBreaker::default(),
             backoff: Backoff::default(),
-            draining: false,
+            draining_since: None,
             failing_at: None,
             may_probe: false,
             has_limit: false,
@@ -217,7 +220,7 @@
             self.gone = false;
             self.breaker = CircuitBreaker::default();
             self.backoff.reset();
-            self.draining = false;
+            self.draining_since = None;
             self.failing_at = None;
             self.load.forget_told();
         }
@@ -227,12 +230,19 @@
     /// Whether a new request may be sent to it.
     pub fn is_open(&self, now: Millis, despite_failures: bool) -> bool {
         let healthy = self.breaker.allows(now) && !self.is_failing(now);
-        self.is_in_service() && self.backoff.allows(now) && (despite_failures || healthy)
+        self.is_in_service(now) && self.backoff.allows(now) && (despite_failures || healthy)
     }
 
     /// Whether it takes requests at all, now or after a backoff.
-    pub fn is_in_service(&self) -> bool {
-        self.takes_work && !self.gone
+    pub fn is_in_service(&self, now: Millis) -> bool {
+        self.takes_work && !self.gone && !self.is_draining(now)
+    }
+
+    /// Whether it reported draining in this start. The list lags behind the report and
+    /// answers overtake one another, so neither ends it.
+    pub fn is_draining(&self, now: Millis) -> bool {
+        let holds = |since: Millis| now.since(since) <= DRAINING_LASTS;
+        self.draining_since.is_some_and(holds)
     }
 
     /// Whether it is an engine that generates.
--- a/components/forwarding/src/forwarder/availability.rs
+++ b/components/forwarding/src/forwarder/availability.rs
@@ -28,9 +28,13 @@
     }
 
     /// Notes that an answer reports draining. `true` where that is new.
-    pub fn note_draining(&mut self, id: &BackendId) -> bool {
-        let backend = self.backends.get_mut(id);
-        backend.is_some_and(|backend| !std::mem::replace(&mut backend.draining, true))
+    pub fn note_draining(&mut self, id: &BackendId, now: Millis) -> bool {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return false;
+        };
+        let is_new = !backend.is_draining(now);
+        backend.draining_since = Some(now);
+        is_new
     }
 
     /// Notes a request that is sent. Gives the probe that it is, where its back end
@@ -57,7 +61,7 @@
     /// and in no backoff.
     pub fn is_available(&self, id: &BackendId, now: Millis) -> bool {
         let backend = self.backends.get(id);
-        backend.is_some_and(|b| b.is_in_service() && b.backoff.remaining(now).is_none())
+        backend.is_some_and(|b| b.is_in_service(now) && b.backoff.remaining(now).is_none())
     }
 
     /// Time until a back end's backoff is over; `None` where none is in force.
@@ -89,7 +93,7 @@
         let could_take = |backend: &&Backend| {
             let does_all = work.prompt.is_none() || backend.generates();
             let is_of_kind = backend.registration.kind == kind;
-            does_all && is_of_kind && backend.is_in_service()
+            does_all && is_of_kind && backend.is_in_service(now)
         };
         let mut first = Millis::NEVER;
         for backend in self.backends_of(service).filter(could_take) {
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -83,7 +83,7 @@
     /// limit or there is a permit.
     pub fn may_send(&self, id: &BackendId, now: Millis) -> bool {
         let backend = self.backends.get(id);
-        let is_available = backend.is_some_and(|b| b.is_in_service() && b.backoff.allows(now));
+        let is_available = backend.is_some_and(|b| b.is_in_service(now) && b.backoff.allows(now));
         is_available && self.limits.may_send(id, now)
     }
 
--- a/components/forwarding/tests/core/availability.rs
+++ b/components/forwarding/tests/core/availability.rs
@@ -151,6 +151,7 @@
     let mut gateway = forwarder(&at_start(&records, 7));
     gateway.note_backoff(&id(name), BACKOFF, NOW);
     gateway.gone(&id(name));
+    gateway.note_draining(&id(name), NOW);
     let update = |gateway: &mut Forwarder, index, start| {
         let records = at_start(&records, start);
         let anew = configuration(index, table(1, &[("till", 1)]), &records);
@@ -305,3 +306,39 @@
     });
     assert!(in_any_50_ms.max() <= Some(60));
 }
+
+/// The list may go on to have it in service, and other answers may say nothing.
+#[rstest]
+fn a_back_end_that_drains_gets_nothing(#[values("till-a", "d-1", "p-1")] name: &str) {
+    let records = all();
+    let mut gateway = forwarder(&records);
+    assert!(gateway.note_draining(&id(name), NOW));
+    assert!(!gateway.note_draining(&id(name), NOW), "no news");
+    gateway.succeeded(&id(name));
+    let anew = configuration(6, table(2, &[("till", 1)]), &records);
+    gateway.update(WatchUpdate::Snapshot(anew.into()));
+    for late in [Millis::ZERO, Millis(3_000), Millis(60_000)] {
+        assert!(!is_used(&mut gateway, name, NOW + late));
+        assert!(!gateway.may_send(&id(name), NOW + late));
+        assert!(!gateway.is_available(&id(name), NOW + late));
+    }
+}
+
+/// Nobody is told to wait for the end of a backoff of an engine that leaves.
+#[test]
+fn a_draining_back_end_is_not_waited_for() {
+    let mut gateway = forwarder(&instances());
+    for name in ["till-a", "till-b"] {
+        gateway.note_backoff(&id(name), BACKOFF, NOW);
+        gateway.note_draining(&id(name), NOW);
+    }
+    assert_eq!(gateway.all_in_backoff(&till(), &call(), NOW), None);
+}
+
+/// Where starts are not told, a back end that drained long ago has started again.
+#[test]
+fn draining_does_not_last_for_ever() {
+    let mut gateway = forwarder(&instances());
+    gateway.note_draining(&id("till-a"), NOW);
+    assert!(gateway.may_send(&id("till-a"), NOW + Millis::from_secs(301)));
+}
