Failing: the completions gateway does not heed a requested backoff or draining

Cause: not fixed yet. The interface of engines had no time to come back, and a refusal of an engine that drains set it aside for 1.5 s, at the request that met it only by that pause.

Added: Retry-After on refusals and garnet-draining on all answers, in the interface of engines, the daemons and the stand-ins (faults on command); applications of both stand-ins tell their start.

--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -3,15 +3,16 @@
 use std::time::Duration;
 
 use garnet_engine_api::{
-    EventReader, GenerateEvent, GenerateRequest, KvLocation, LIMIT_HEADER, NOT_STARTED,
-    PrefillRequest, PrefillResponse, STARTED_HEADER, paths,
+    DRAINING, DRAINING_HEADER, EventReader, GenerateEvent, GenerateRequest, KvLocation,
+    LIMIT_HEADER, NOT_STARTED, PrefillRequest, PrefillResponse, RETRY_AFTER_HEADER, STARTED_HEADER,
+    paths,
 };
 use garnet_gateway::{AttemptEvent, AttemptId, Event, Job, KvSource};
 use garnet_limits::RequestRate;
-use garnet_routing::LoadReport;
+use garnet_routing::{LoadReport, RetryAfter};
 use garnet_runtime::{HttpError, client};
 use garnet_types::{BackendId, Millis, RecordedResponse};
-use hyper::header::HeaderValue;
+use hyper::header::{DATE, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 
 use crate::context::Context;
@@ -78,7 +79,7 @@
                     }
                     let answer = context.http.send(&address, request, patience).await;
                     if let Ok(answer) = &answer {
-                        tell_limit(&context, attempt, answer.status(), answer.headers());
+                        tell_reports(&context, attempt, answer.status(), answer.headers());
                     }
                     application_event(answer, &backend)
                 }
@@ -105,6 +106,35 @@
     }
 }
 
+/// Hands on what the head of an answer reports of its back end.
+fn tell_reports(context: &Context, attempt: AttemptId, status: StatusCode, headers: &HeaderMap) {
+    tell_limit(context, attempt, status, headers);
+    if let Some(retry_after) = retry_after(headers) {
+        context.handle(Event::Attempt(attempt, AttemptEvent::Backoff(retry_after)));
+    }
+    let is_draining = |value: &HeaderValue| value == DRAINING;
+    if headers.get_all(DRAINING_HEADER).iter().any(is_draining) {
+        context.handle(Event::Attempt(attempt, AttemptEvent::Draining));
+    }
+}
+
+/// The longest backoff that a refusal requests.
+fn retry_after(headers: &HeaderMap) -> Option<RetryAfter> {
+    if !says_not_started(headers) {
+        return None;
+    }
+    let date = headers.get(DATE).map(HeaderValue::as_bytes);
+    let read = |value: &HeaderValue| match RetryAfter::parse(value.as_bytes(), date) {
+        Ok(retry_after) => Some(retry_after),
+        Err(error) => {
+            log::warn!(cause = error.to_string().as_str(); "retry_after_unreadable");
+            None
+        }
+    };
+    let values = headers.get_all(RETRY_AFTER_HEADER);
+    values.iter().filter_map(read).max()
+}
+
 /// Tells what an answer says of how much its back end takes. One that says nothing
 /// counts where it is the back end's proper answer to the work.
 fn tell_limit(context: &Context, attempt: AttemptId, status: StatusCode, headers: &HeaderMap) {
@@ -135,7 +165,7 @@
         Ok(response) => response,
         Err(error) => return failure(&error),
     };
-    tell_limit(context, attempt, response.status(), response.headers());
+    tell_reports(context, attempt, response.status(), response.headers());
     if says_not_started(response.headers()) {
         return AttemptEvent::NotStarted { draining: true };
     }
@@ -159,7 +189,7 @@
         Err(error) => return failure(&error),
     };
     let head = &stream.response;
-    tell_limit(context, attempt, head.status(), head.headers());
+    tell_reports(context, attempt, head.status(), head.headers());
     if says_not_started(stream.response.headers()) {
         return AttemptEvent::NotStarted { draining: true };
     }
--- a/bin/garnet-standin/src/application.rs
+++ b/bin/garnet-standin/src/application.rs
@@ -3,10 +3,13 @@
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use garnet_control::{BackendRegistration, UNTOLD_START};
-use garnet_engine_api::{Faults, LIMIT_HEADER, NOT_STARTED, NotStarted, STARTED_HEADER, paths};
+use garnet_control::BackendRegistration;
+use garnet_engine_api::{
+    DRAINING, DRAINING_HEADER, Faults, LIMIT_HEADER, NOT_STARTED, NotStarted, RETRY_AFTER_HEADER,
+    STARTED_HEADER, paths,
+};
 use garnet_runtime::server::{channel_body, read_body, set_header};
 use garnet_runtime::{Body, Limits, json_response, text_response};
 use garnet_stand_in::ApplicationStandIn;
@@ -50,7 +53,7 @@
             service: ServiceId::new(arguments.service.clone()),
             address,
             zone: arguments.zone.clone(),
-            start: UNTOLD_START,
+            start: unix_ms(),
         };
         let child = registration::child(&shell, platform.clone(), registration);
         children.push(child);
@@ -84,7 +87,11 @@
         },
         _ => {
             let mut response = call(Rc::clone(&instance), request).await;
-            let limit = &instance.borrow().faults.limit_per_s;
+            let state = instance.borrow();
+            if state.draining || state.faults.reports_draining {
+                set_header(&mut response, DRAINING_HEADER, DRAINING);
+            }
+            let limit = &state.faults.limit_per_s;
             if !limit.is_empty() {
                 set_header(&mut response, LIMIT_HEADER, limit);
             }
@@ -110,7 +117,13 @@
         state.draining || state.faults.refuse
     };
     if refuses {
-        return not_started();
+        return not_started("draining");
+    }
+    let retry_after = instance.borrow().faults.retry_after.clone();
+    if !retry_after.is_empty() {
+        let mut response = not_started("overloaded");
+        set_header(&mut response, RETRY_AFTER_HEADER, &retry_after);
+        return response;
     }
     instance.borrow_mut().open += 1;
     let response = run_call(&instance, request).await;
@@ -142,9 +155,15 @@
     json_response(200, &answer)
 }
 
-fn not_started() -> Response<Body> {
+/// When this process started, in Unix milliseconds.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn not_started(reason: &str) -> Response<Body> {
     let body = NotStarted {
-        reason: "draining".to_owned(),
+        reason: reason.to_owned(),
     };
     let mut response = json_response(UNAVAILABLE, &body);
     set_header(&mut response, STARTED_HEADER, NOT_STARTED);
--- a/bin/garnet-standin/src/engine.rs
+++ b/bin/garnet-standin/src/engine.rs
@@ -8,8 +8,9 @@
 
 use garnet_control::{BackendRegistration, UNTOLD_START};
 use garnet_engine_api::{
-    Faults, GenerateEvent, GenerateRequest, KvExport, KvLocation, LIMIT_HEADER, NOT_STARTED,
-    NotStarted, PrefillRequest, PrefillResponse, REFUSED_STATUS, STARTED_HEADER, event, paths,
+    DRAINING, DRAINING_HEADER, Faults, GenerateEvent, GenerateRequest, KvExport, KvLocation,
+    LIMIT_HEADER, NOT_STARTED, NotStarted, PrefillRequest, PrefillResponse, REFUSED_STATUS,
+    RETRY_AFTER_HEADER, STARTED_HEADER, event, paths,
 };
 use garnet_runtime::server::{channel_body, set_header};
 use garnet_runtime::{Body, Clock, HttpClient, client, json_response, text_response};
@@ -52,6 +53,9 @@
     crash_in_order: bool,
     /// What it names as its limit; empty for none.
     limit_per_s: String,
+    /// What it refuses new work with; empty for none.
+    retry_after: String,
+    reports_draining: bool,
 }
 
 #[derive(Clone)]
@@ -128,6 +132,8 @@
         kept,
         crash_in_order: false,
         limit_per_s: String::new(),
+        retry_after: String::new(),
+        reports_draining: false,
     })
 }
 
@@ -184,7 +190,11 @@
 async fn handle(context: Context, request: Request<Incoming>) -> Response<Body> {
     let engine = Rc::clone(&context.engine);
     let mut response = answer(context, request).await;
-    let limit = &engine.borrow().limit_per_s;
+    let state = engine.borrow();
+    if state.reports_draining || state.stand_in.is_draining() {
+        set_header(&mut response, DRAINING_HEADER, DRAINING);
+    }
+    let limit = &state.limit_per_s;
     if !limit.is_empty() {
         set_header(&mut response, LIMIT_HEADER, limit);
     }
@@ -280,7 +290,21 @@
     Ok((JobGuard { context, job }, receiver))
 }
 
+/// The refusal of an engine that is overloaded.
+fn refuse_overloaded(context: &Context) -> Option<Response<Body>> {
+    let engine = context.engine.borrow();
+    if engine.retry_after.is_empty() {
+        return None;
+    }
+    let mut response = refused("overloaded");
+    set_header(&mut response, RETRY_AFTER_HEADER, &engine.retry_after);
+    Some(response)
+}
+
 async fn prefill(context: Context, body: PrefillRequest) -> Response<Body> {
+    if let Some(refusal) = refuse_overloaded(&context) {
+        return refusal;
+    }
     let job = SubmittedJob::Prefill {
         model: body.model,
         prompt: body.prompt,
@@ -299,6 +323,9 @@
 }
 
 async fn generate(context: Context, body: GenerateRequest) -> Response<Body> {
+    if let Some(refusal) = refuse_overloaded(&context) {
+        return refusal;
+    }
     if let Some(kv) = &body.kv
         && !import(&context, kv).await
     {
@@ -427,6 +454,8 @@
     }
     let mut engine = context.engine.borrow_mut();
     engine.limit_per_s.clone_from(&faults.limit_per_s);
+    engine.retry_after.clone_from(&faults.retry_after);
+    engine.reports_draining = faults.reports_draining;
     engine.crash_in_order = faults.crash_in_order;
     engine.stand_in.set_slowness(faults.slow);
     if faults.refuse {
--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -16,6 +16,13 @@
 /// Requests a second that a back end takes from all gateways together, on each of its
 /// answers while it is in need: a decimal number.
 pub const LIMIT_HEADER: &str = "garnet-request-limit";
+/// Set to [`DRAINING`] by a back end that ends soon, on each of its answers.
+pub const DRAINING_HEADER: &str = "garnet-draining";
+/// Value of [`DRAINING_HEADER`].
+pub const DRAINING: &str = "1";
+/// On a response that says the request was not begun: the time for which the back end is
+/// to be sent nothing by this gateway.
+pub const RETRY_AFTER_HEADER: &str = "retry-after";
 /// Value of [`STARTED_HEADER`] that says so.
 pub const NOT_STARTED: &str = "no";
 /// Status of such a response from an engine.
@@ -140,6 +147,10 @@
     pub slow: u64,
     /// Refuses new work.
     pub refuse: bool,
+    /// Refuses new work with this in [`RETRY_AFTER_HEADER`]; empty for none.
+    pub retry_after: String,
+    /// Reports draining and takes work on.
+    pub reports_draining: bool,
     /// Names this in [`LIMIT_HEADER`]; empty for none.
     pub limit_per_s: String,
     /// An application waits so long before it runs a call.
--- a/components/gateway/src/application.rs
+++ b/components/gateway/src/application.rs
@@ -135,6 +135,8 @@
             }
             // Engines' answers make no sense here.
             AttemptEvent::Limit(_)
+            | AttemptEvent::Backoff(_)
+            | AttemptEvent::Draining
             | AttemptEvent::Prefilled { .. }
             | AttemptEvent::Tokens { .. }
             | AttemptEvent::Finished { .. } => {}
--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -34,7 +34,10 @@
                 self.broken(id, attempt, backend);
             }
             // Applications' answers make no sense here.
-            AttemptEvent::Limit(_) | AttemptEvent::Response(_) => {}
+            AttemptEvent::Limit(_)
+            | AttemptEvent::Backoff(_)
+            | AttemptEvent::Draining
+            | AttemptEvent::Response(_) => {}
         }
     }
 
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{ControlReply, GatewayRequest};
 use garnet_limits::RequestRate;
-use garnet_routing::LoadReport;
+use garnet_routing::{LoadReport, RetryAfter};
 use garnet_types::{BackendId, Class, Millis, ModelId, RecordedResponse, RequestId};
 use serde::{Deserialize, Serialize};
 
@@ -69,6 +69,10 @@
     /// What the head of the answer says of how many requests a second the back end
     /// takes from all gateways together; `None` where it names no limit.
     Limit(Option<RequestRate>),
+    /// The head of the answer requests a backoff.
+    Backoff(RetryAfter),
+    /// The head of the answer reports that the back end drains.
+    Draining,
     /// The prompt is read; its KV cache has this name.
     Prefilled {
         /// Name of the KV cache at the engine.
--- a/components/gateway/src/gateway/attempts.rs
+++ b/components/gateway/src/gateway/attempts.rs
@@ -27,9 +27,11 @@
         if current != Some(attempt) {
             return;
         }
-        if let AttemptEvent::Limit(said) = event {
-            self.take_limit(id, &backend, said);
-            return;
+        match event {
+            AttemptEvent::Limit(said) => return self.take_limit(id, &backend, said),
+            // Not heeded yet.
+            AttemptEvent::Backoff(_) | AttemptEvent::Draining => return,
+            _ => {}
         }
         let is_completion = self.requests[&id].model().is_some();
         if is_completion {
--- a/components/gateway/tests/core/main.rs
+++ b/components/gateway/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! The gateway's state machine before scripted replicas and back ends.
 
+mod availability;
 mod claims;
 mod configuration;
 mod crashes;
--- a/components/simulator/src/checker.rs
+++ b/components/simulator/src/checker.rs
@@ -44,13 +44,17 @@
     CrashesAreBounded,
     /// All gateways together send a back end no more than it says that it takes.
     LimitsAreKept,
+    /// A gateway sends a back end nothing in a backoff that it requested.
+    BackoffsAreKept,
+    /// A gateway sends a back end nothing long after it reported draining.
+    DrainingGetsNoWork,
     /// When all faults are over, the system serves again.
     Recovers,
 }
 
 impl Invariant {
     /// Every rule.
-    pub const ALL: [Invariant; 18] = [
+    pub const ALL: [Invariant; 20] = [
         Invariant::OneOrderAtATime,
         Invariant::OneChangeInAPool,
         Invariant::PlannedChangeCutsNothing,
@@ -68,6 +72,8 @@
         Invariant::OneLease,
         Invariant::CrashesAreBounded,
         Invariant::LimitsAreKept,
+        Invariant::BackoffsAreKept,
+        Invariant::DrainingGetsNoWork,
         Invariant::Recovers,
     ];
 }
--- a/components/simulator/src/faults.rs
+++ b/components/simulator/src/faults.rs
@@ -45,11 +45,13 @@
     /// The back end names a limit in its answers: it takes few requests from all
     /// gateways together.
     NameLimit,
+    /// The back end rejects all requests and requests a backoff.
+    Overload,
 }
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [FaultKind; 15] = [
+    pub const ALL: [FaultKind; 16] = [
         FaultKind::Kill,
         FaultKind::LoseDisk,
         FaultKind::TornWrite,
@@ -65,14 +67,16 @@
         FaultKind::CrashingRequest,
         FaultKind::Suspend,
         FaultKind::NameLimit,
+        FaultKind::Overload,
     ];
 
     /// Kinds that are drawn after the others, with draws of their own: what a
     /// seed draws of the others is the same with them and without.
-    pub const ADDED: [FaultKind; 3] = [
+    pub const ADDED: [FaultKind; 4] = [
         FaultKind::CrashingRequest,
         FaultKind::Suspend,
         FaultKind::NameLimit,
+        FaultKind::Overload,
     ];
 
     /// Kinds that are no failure: everything must end well under them.
@@ -96,6 +100,7 @@
             FaultKind::CrashingRequest => "crashing-request",
             FaultKind::Suspend => "suspend",
             FaultKind::NameLimit => "name-limit",
+            FaultKind::Overload => "overload",
         }
     }
 
@@ -238,8 +243,8 @@
         FaultKind::LoseDisk | FaultKind::TornWrite | FaultKind::DelayOrders => control,
         FaultKind::WrongMachineList => Host::Platform,
         FaultKind::CrashingRequest => Host::Callers,
-        FaultKind::Leaving | FaultKind::NameLimit if choice < 5 => engine,
-        FaultKind::Leaving | FaultKind::NameLimit => application,
+        FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload if choice < 5 => engine,
+        FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload => application,
         _ if choice < 4 => control,
         _ if choice < 6 => gateway,
         _ if choice < 8 => engine,
--- a/components/simulator/src/service_hosts.rs
+++ b/components/simulator/src/service_hosts.rs
@@ -84,6 +84,7 @@
     pub(crate) draining: bool,
     pub(crate) open: BTreeMap<u64, OpenCall>,
     pub(crate) leaving_since: Option<Millis>,
+    starts: u64,
 }
 
 impl ApplicationHost {
@@ -94,10 +95,17 @@
             draining: false,
             open: BTreeMap::new(),
             leaving_since: None,
+            starts: 0,
         }
     }
 
+    /// Number of this start.
+    pub(crate) fn starts(&self) -> u64 {
+        self.starts
+    }
+
     pub(crate) fn start(&mut self) {
+        self.starts += 1;
         self.up = true;
         self.draining = false;
     }
--- a/components/simulator/src/world/applications.rs
+++ b/components/simulator/src/world/applications.rs
@@ -43,9 +43,14 @@
         let application = &mut self.applications[place];
         if !application.up || application.draining {
             let draining = application.up;
+            self.report_draining(host, owner);
             self.job_event(host, owner, AttemptEvent::NotStarted { draining });
             return;
         }
+        if self.reject_overloaded(host, owner) {
+            return;
+        }
+        let application = &mut self.applications[place];
         self.next_call += 1;
         let call = OpenCall {
             owner,
@@ -85,6 +90,7 @@
                 served_by: answer.instance.clone(),
             };
             self.say_limit(host, call.owner);
+            self.report_draining(host, call.owner);
             self.job_event(host, call.owner, AttemptEvent::Response(response));
         }
     }
--- /dev/null
+++ b/components/simulator/src/world/availability.rs
@@ -0,0 +1,141 @@
+//! Back ends that reject all requests and request a backoff, and back ends that report
+//! draining: what gateways go on to send them.
+
+use std::collections::BTreeMap;
+
+use garnet_gateway::AttemptEvent;
+use garnet_routing::RetryAfter;
+use garnet_types::Millis;
+use rand::RngExt;
+
+use crate::checker::Invariant;
+use crate::message::Host;
+use crate::service_hosts::JobOwner;
+
+use super::World;
+
+/// What is requested, in milliseconds.
+const REQUESTED_MS: [u64; 5] = [300, 1_000, 3_000, 5_000, 8_000];
+/// Requests that were under way when a gateway heard of a backoff have come after this
+/// time, ...
+const UNDER_WAY: Millis = Millis(500);
+/// ... and so many more may come.
+const ALLOWED: usize = 2;
+/// A gateway that heard of draining sends nothing after this time.
+const DRAIN: Millis = Millis(3_000);
+
+/// An overload of a back end.
+#[derive(Debug)]
+pub(super) struct Overload {
+    retry_after: RetryAfter,
+    until: Millis,
+}
+
+/// A start of a gateway that heard a report.
+type Listener = (usize, u64);
+
+/// A backoff as one gateway heard it.
+#[derive(Debug)]
+struct Heard {
+    from: Millis,
+    until: Millis,
+    sent: usize,
+}
+
+/// What gateways heard of one start of a back end.
+#[derive(Debug, Default)]
+pub(super) struct Reports {
+    backoffs: BTreeMap<Listener, Vec<Heard>>,
+    draining: BTreeMap<Listener, Millis>,
+}
+
+impl World {
+    pub(super) fn begin_overload(&mut self, host: Host, until: Millis) {
+        let span_ms = REQUESTED_MS[self.random.random_range(0..REQUESTED_MS.len())];
+        let overload = Overload {
+            retry_after: RetryAfter::new(Millis(span_ms)),
+            until,
+        };
+        self.overloads.insert(host, overload);
+    }
+
+    /// A back end that starts again has reported nothing.
+    pub(super) fn forget_reports(&mut self, host: Host) {
+        self.overloads.remove(&host);
+        self.reports.remove(&host);
+    }
+
+    /// Rejects a job where its back end is overloaded.
+    pub(super) fn reject_overloaded(&mut self, host: Host, owner: JobOwner) -> bool {
+        let now = self.now;
+        let overload = self.overloads.get(&host);
+        let Some(overload) = overload.filter(|overload| now < overload.until) else {
+            return false;
+        };
+        let retry_after = overload.retry_after;
+        self.job_event(host, owner, AttemptEvent::Backoff(retry_after));
+        self.job_event(host, owner, AttemptEvent::NotStarted { draining: false });
+        true
+    }
+
+    /// A back end answers: that it drains goes before.
+    pub(super) fn report_draining(&mut self, host: Host, owner: JobOwner) {
+        let drains = match host {
+            Host::Engine(place) => self.engines[place].draining,
+            Host::Application(place) => self.applications[place].draining,
+            _ => false,
+        };
+        if drains {
+            self.job_event(host, owner, AttemptEvent::Draining);
+        }
+    }
+
+    /// A gateway has heard what a back end reports.
+    pub(super) fn note_report_heard(&mut self, gateway: usize, from: Host, event: &AttemptEvent) {
+        let listener = (gateway, self.gateways[gateway].starts());
+        let now = self.now;
+        let reports = self.reports.entry(from).or_default();
+        match event {
+            AttemptEvent::Backoff(retry_after) => {
+                let heard = Heard {
+                    from: now + UNDER_WAY,
+                    until: now + retry_after.span(),
+                    sent: 0,
+                };
+                reports.backoffs.entry(listener).or_default().push(heard);
+            }
+            AttemptEvent::Draining => {
+                reports.draining.entry(listener).or_insert(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// A gateway sends a request to a back end.
+    pub(super) fn check_reports(&mut self, gateway: usize, to: Host) {
+        let listener = (gateway, self.gateways[gateway].starts());
+        let now = self.now;
+        let Some(reports) = self.reports.get_mut(&to) else {
+            return;
+        };
+        let mut most = 0;
+        for heard in reports.backoffs.get_mut(&listener).into_iter().flatten() {
+            if heard.from <= now && now < heard.until {
+                heard.sent += 1;
+                most = most.max(heard.sent);
+            }
+        }
+        let drains_since = reports.draining.get(&listener).copied();
+        let drains_for = drains_since.map_or(Millis::ZERO, |since| now.since(since));
+        self.checker
+            .check(Invariant::BackoffsAreKept, most <= ALLOWED, now, || {
+                format!("{to:?} was sent {most} requests in a backoff that it had requested")
+            });
+        self.checker.check(
+            Invariant::DrainingGetsNoWork,
+            drains_for <= DRAIN,
+            now,
+            || format!("{to:?} reported draining {} ms before", drains_for.0),
+        );
+    }
+}
--- a/components/simulator/src/world/engines.rs
+++ b/components/simulator/src/world/engines.rs
@@ -122,6 +122,9 @@
         let host = Host::Engine(place);
         let now = self.now;
         self.note_reached(owner.gateway, &job);
+        if self.reject_overloaded(host, owner) {
+            return;
+        }
         let key = self.callers.key_of(request);
         let Some(submitted) = self.engine_job(&job) else {
             let event = AttemptEvent::NotStarted { draining: true };
@@ -138,6 +141,7 @@
             Ok(job) => {
                 self.engines[place].jobs.insert(job, owner);
                 self.say_limit(host, owner);
+                self.report_draining(host, owner);
                 self.checker.began(request, now);
                 if let (true, Some(key)) = (generates, key) {
                     self.checker.ran_once(request, Some(&key), now);
@@ -150,6 +154,7 @@
             }
             Err(refusal) => {
                 self.say_limit(host, owner);
+                self.report_draining(host, owner);
                 let draining = refusal == JobRefusal::Draining || refusal == JobRefusal::WrongRole;
                 self.job_event(host, owner, AttemptEvent::NotStarted { draining });
             }
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -26,6 +26,10 @@
             self.begin_limit(fault.host, end);
             return;
         }
+        if fault.kind == FaultKind::Overload {
+            self.begin_overload(fault.host, end);
+            return;
+        }
         self.open_faults += 1;
         self.note_trouble(fault.host);
         match fault.kind {
@@ -41,7 +45,7 @@
                 }
             }
             FaultKind::Freeze | FaultKind::Suspend => self.freeze(fault.host, end),
-            FaultKind::CrashingRequest | FaultKind::NameLimit => {}
+            FaultKind::CrashingRequest | FaultKind::NameLimit | FaultKind::Overload => {}
             FaultKind::Isolate => {
                 self.network.cut_inbound(fault.host);
                 self.network.cut_outbound(fault.host);
--- a/components/simulator/src/world/gateways.rs
+++ b/components/simulator/src/world/gateways.rs
@@ -33,7 +33,15 @@
                 if matches!(event, AttemptEvent::Limit(Some(_))) {
                     self.note_limit_heard(place, from);
                 }
-                if !matches!(event, AttemptEvent::Tokens { .. } | AttemptEvent::Limit(_)) {
+                self.note_report_heard(place, from, &event);
+                let goes_on = matches!(
+                    event,
+                    AttemptEvent::Tokens { .. }
+                        | AttemptEvent::Limit(_)
+                        | AttemptEvent::Backoff(_)
+                        | AttemptEvent::Draining
+                );
+                if !goes_on {
                     self.gateways[place].attempts.remove(&attempt);
                 }
                 GatewayEvent::Attempt(attempt, event)
@@ -155,6 +163,7 @@
             return;
         };
         self.note_sent(place, to);
+        self.check_reports(place, to);
         if self.network.is_cut(host, to) || self.network.is_cut(to, host) {
             let event = AttemptEvent::NotStarted { draining: false };
             let at = self.now + CONNECT_TIME;
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop of a run and everything that hosts do to each other.
 
 mod applications;
+mod availability;
 mod callers_and_operators;
 mod control;
 mod crashing;
@@ -36,6 +37,7 @@
 use crate::service_hosts::{ApplicationHost, EngineHost, fast_engine, ordinary_engine};
 use crate::workload::Workload;
 
+use availability::{Overload, Reports};
 use crashing::CrashingRequest;
 use limits::NamedLimit;
 
@@ -97,6 +99,8 @@
     crashing: Vec<CrashingRequest>,
     /// Back ends that name a limit now.
     limits: BTreeMap<Host, NamedLimit>,
+    overloads: BTreeMap<Host, Overload>,
+    reports: BTreeMap<Host, Reports>,
     /// Faults that go on.
     open_faults: u64,
     callers: Callers,
@@ -209,6 +213,8 @@
             suspended: BTreeMap::new(),
             crashing: Vec::new(),
             limits: BTreeMap::new(),
+            overloads: BTreeMap::new(),
+            reports: BTreeMap::new(),
             open_faults: 0,
             callers: new_callers(&scenario, demand.as_ref(), only_planned_faults),
             steering: new_steering(&scenario, demand),
--- a/components/simulator/src/world/processes.rs
+++ b/components/simulator/src/world/processes.rs
@@ -29,11 +29,13 @@
             }
             Host::Engine(place) if self.engines[place].engine.is_none() => {
                 self.forget_limit(host);
+                self.forget_reports(host);
                 self.engines[place].start();
                 self.register(place, BackendKind::Engine);
             }
             Host::Application(place) if !self.applications[place].up => {
                 self.forget_limit(host);
+                self.forget_reports(host);
                 self.applications[place].start();
                 self.register(place, BackendKind::Application);
             }
@@ -42,9 +44,12 @@
     }
 
     pub(super) fn register(&mut self, place: usize, kind: BackendKind) {
-        let (id, service) = match kind {
-            BackendKind::Engine => (engine_id(place), ENGINE_SERVICE),
-            BackendKind::Application => (application_id(place), APPLICATION_SERVICE),
+        let (id, service, start) = match kind {
+            BackendKind::Engine => (engine_id(place), ENGINE_SERVICE, UNTOLD_START),
+            BackendKind::Application => {
+                let start = self.applications[place].starts();
+                (application_id(place), APPLICATION_SERVICE, start)
+            }
         };
         let registration = BackendRegistration {
             address: id.0.clone(),
@@ -52,7 +57,7 @@
             kind,
             service: ServiceId::new(service),
             zone: format!("zone-{}", place % 3),
-            start: UNTOLD_START,
+            start,
         };
         self.platform.register(registration, self.now);
     }
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -22,8 +22,9 @@
 /// The kinds that were there before back ends named limits: seeds that showed a fault
 /// are played as they were.
 fn kinds_without_limits() -> Vec<FaultKind> {
+    let later = [FaultKind::NameLimit, FaultKind::Overload];
     let all = FaultKind::ALL.into_iter();
-    all.filter(|kind| *kind != FaultKind::NameLimit).collect()
+    all.filter(|kind| !later.contains(kind)).collect()
 }
 
 /// The kinds that were there before [`FaultKind::ADDED`].
@@ -79,6 +80,17 @@
     run_seeds(first..first + 6, &[FaultKind::NameLimit]);
 }
 
+/// Back ends reject all requests for a while and request a backoff of 0.3 to 8 s. The
+/// completions gateway did not hear of it: of thirty seeds eight sent one more than two
+/// requests meanwhile.
+#[rstest]
+#[case(366)]
+#[case(372)]
+#[case(381)]
+fn back_ends_in_backoff_get_nothing(#[case] first: u64) {
+    run_seeds(first..first + 6, &[FaultKind::Overload]);
+}
+
 /// What a seed draws of the other kinds is the same with the added ones.
 #[test]
 fn added_kinds_change_no_other_fault() {
@@ -140,6 +152,7 @@
     let mut reports = run_seeds(40..52, &other_kinds());
     reports.extend(run_seeds(320..322, &[FaultKind::CrashingRequest]));
     reports.extend(run_seeds(346..350, &[FaultKind::NameLimit]));
+    reports.extend(run_seeds(360..362, &[FaultKind::Overload]));
     let met: BTreeSet<Invariant> = reports
         .iter()
         .flat_map(|report| report.checks.keys().copied())
--- a/components/stand-in/src/engine/mod.rs
+++ b/components/stand-in/src/engine/mod.rs
@@ -164,6 +164,11 @@
         self.draining = true;
     }
 
+    /// Whether a planned stop is under way.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Jobs that it works on.
     pub fn running(&self) -> usize {
         self.jobs.len()
