--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -22,7 +22,7 @@
 use crate::usage::Usage;
 
 /// Format of an encoded state.
-pub const STATE_FORMAT: u32 = 4;
+pub const STATE_FORMAT: u32 = 5;
 /// First answers that are kept for resent commands, the oldest dropped first.
 const KEPT_ANSWERS: usize = 10_000;
 
