--- a/bin/garnet-bench/src/soak/fault.rs
+++ b/bin/garnet-bench/src/soak/fault.rs
@@ -34,6 +34,8 @@
     BackendPause,
     /// An application refuses calls.
     BackendRefuse,
+    /// An application refuses calls and requests a backoff.
+    BackendOverload,
     /// SIGKILL to an engine, started again.
     EngineKill,
     /// SIGSTOP to an engine, then SIGCONT.
@@ -43,7 +45,7 @@
 }
 
 /// All kinds and their names on the command line.
-pub(super) const ALL: [(FaultKind, &str); 17] = [
+pub(super) const ALL: [(FaultKind, &str); 18] = [
     (FaultKind::ReplicaKill, "replica-kill"),
     (FaultKind::ReplicaPause, "replica-pause"),
     (FaultKind::ReplicaStop, "replica-stop"),
@@ -58,6 +60,7 @@
     (FaultKind::AnswerLost, "answer-lost"),
     (FaultKind::BackendPause, "backend-pause"),
     (FaultKind::BackendRefuse, "backend-refuse"),
+    (FaultKind::BackendOverload, "backend-overload"),
     (FaultKind::EngineKill, "engine-kill"),
     (FaultKind::EnginePause, "engine-pause"),
     (FaultKind::CrashingRequest, "crashing-request"),
--- a/bin/garnet-bench/src/soak/striker.rs
+++ b/bin/garnet-bench/src/soak/striker.rs
@@ -21,6 +21,8 @@
 /// How long a fault lasts.
 const SHORTEST_MS: u64 = 200;
 const LONGEST_MS: u64 = 2_500;
+/// Backoff that an overloaded application requests, in seconds.
+const RETRY_AFTER_S: &str = "1.5";
 /// Pause before the next one strikes, while earlier ones may go on.
 const LONGEST_PAUSE_MS: u64 = 1_200;
 /// A process that has not ended this long after SIGTERM does not stop.
@@ -106,9 +108,10 @@
         FaultKind::GatewayKill | FaultKind::GatewayPause | FaultKind::GatewayStop => {
             Target::Gateway(random.random_range(0..GATEWAYS))
         }
-        FaultKind::AnswerLost | FaultKind::BackendPause | FaultKind::BackendRefuse => {
-            Target::Application(random.random_range(0..APPLICATIONS))
-        }
+        FaultKind::AnswerLost
+        | FaultKind::BackendPause
+        | FaultKind::BackendRefuse
+        | FaultKind::BackendOverload => Target::Application(random.random_range(0..APPLICATIONS)),
         FaultKind::EngineKill | FaultKind::EnginePause => {
             Target::Engine(random.random_range(0..ENGINES))
         }
@@ -266,6 +269,10 @@
             freeze_ms: u64::try_from(lasts.as_millis()).unwrap_or(LONGEST_MS),
             ..Faults::default()
         },
+        FaultKind::BackendOverload => Faults {
+            retry_after: RETRY_AFTER_S.to_owned(),
+            ..Faults::default()
+        },
         _ => Faults {
             refuse: true,
             ..Faults::default()
