--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -129,7 +129,7 @@
 /// Body of a response that says the request was not begun.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotStarted {
-    /// `draining`, `wrong_model`, `wrong_role` or `no_kv`.
+    /// `draining`, `wrong_model`, `wrong_role`, `no_kv` or `overloaded`.
     pub reason: String,
 }
 
--- a/components/routing/src/retry_after.rs
+++ b/components/routing/src/retry_after.rs
@@ -1,5 +1,7 @@
 //! Parsing of `Retry-After`.
 
+use std::fmt;
+use std::str::FromStr;
 use std::time::SystemTime;
 
 use displaydoc::Display;
@@ -7,7 +9,9 @@
 use thiserror::Error;
 
 /// Milliseconds in a second.
-const MILLIS_PER_S: f64 = 1000.0;
+const MILLIS_PER_S: u64 = 1000;
+/// Digits of a fraction of a second that are milliseconds.
+const MILLIS_DIGITS: usize = 3;
 
 /// How long a back end asks to be sent nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,15 +57,41 @@
     }
 }
 
-/// Rounded up to whole milliseconds. `f64` parses signs, exponents and names of
-/// numbers as well, which the header does not allow.
+impl fmt::Display for RetryAfter {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{:03}", self.0.0 / 1000, self.0.0 % 1000)
+    }
+}
+
+impl FromStr for RetryAfter {
+    type Err = RetryAfterError;
+
+    /// Reads a number of seconds; a date needs the answer that it came with.
+    fn from_str(text: &str) -> Result<Self, RetryAfterError> {
+        RetryAfter::parse(text.as_bytes(), None)
+    }
+}
+
+/// Rounded up to whole milliseconds. Digits only: the header allows no sign and no
+/// exponent, and what can't be held is longer than any time that matters.
 fn decimal_seconds(text: &str) -> Option<Millis> {
-    let is_decimal = |byte: u8| byte.is_ascii_digit() || byte == b'.';
-    if !text.bytes().all(is_decimal) {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+    let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
+    let has_digits = !whole.is_empty() || !fraction.is_empty();
+    if !has_digits || !are_digits(whole) || !are_digits(fraction) {
         return None;
     }
-    let seconds: f64 = text.parse().ok()?;
-    Some(Millis((seconds * MILLIS_PER_S).ceil() as u64))
+    let seconds: u64 = match whole {
+        "" => 0,
+        digits => digits.parse().unwrap_or(u64::MAX),
+    };
+    let digits = fraction.bytes().chain(std::iter::repeat(b'0'));
+    let digits = digits.take(MILLIS_DIGITS);
+    let millis = digits.fold(0, |sum, digit| sum * 10 + u64::from(digit - b'0'));
+    let rest = fraction.bytes().skip(MILLIS_DIGITS);
+    let rounded_up = u64::from(rest.into_iter().any(|digit| digit != b'0'));
+    let whole_ms = seconds.saturating_mul(MILLIS_PER_S);
+    Some(Millis(whole_ms.saturating_add(millis + rounded_up)))
 }
 
 fn http_date(value: &[u8]) -> Option<SystemTime> {
--- a/components/routing/tests/parts/retry_after.rs
+++ b/components/routing/tests/parts/retry_after.rs
@@ -63,6 +63,12 @@
         let _either = RetryAfter::parse(&value, Some(NOON));
     }
 
+    #[test]
+    fn what_is_written_is_read_again(span_ms in 0_u64..10_000_000_000) {
+        let written = RetryAfter::new(Millis(span_ms)).to_string();
+        prop_assert_eq!(written.parse(), Ok(RetryAfter::new(Millis(span_ms))));
+    }
+
     #[test]
     fn no_time_is_lost_to_rounding(span_ms in 0_u64..10_000_000_000) {
         let value = format!("{}.{:03}", span_ms / 1000, span_ms % 1000);
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -104,6 +104,14 @@
     run_seeds(3009..3010, &kinds);
 }
 
+/// One engine is stopped as planned, and a text that had its prompt read there ends with
+/// "the text was broken off and no engine could take it over" (`PlannedChangeCutsNothing`
+/// at 22,092 ms). Not traced to its cause.
+#[test]
+fn seed_18_a_planned_stop_of_an_engine_cuts_no_text() {
+    run_seeds(18..19, &[FaultKind::PlannedStop]);
+}
+
 /// What a seed draws of the other kinds is the same with the added ones.
 #[test]
 fn added_kinds_change_no_other_fault() {
