Failing: a call that may have run is refused as one that has not

Cause: not fixed yet. A safe call whose first attempt broke off and that finds no instance is told "not run" by the completions gateway.

--- a/components/gateway/tests/core/availability.rs
+++ b/components/gateway/tests/core/availability.rs
@@ -3,7 +3,7 @@
 use garnet_control::WatchUpdate;
 use garnet_gateway::{AttemptEvent, Event};
 use garnet_routing::RetryAfter;
-use garnet_types::{BackendId, Millis, OutcomeCode, RecordedResponse};
+use garnet_types::{BackendId, Execution, Millis, OutcomeCode, RecordedResponse};
 use rstest::rstest;
 
 use crate::harness::{Dispatched, Harness, completion, configuration, order};
@@ -157,3 +157,15 @@
     harness.event(Event::IndexPersisted(11));
     assert!(used_by_calls(&mut harness, 100).contains(&reporting.backend));
 }
+
+/// An attempt broke off before, so the call may have run, whoever is in backoff now.
+#[test]
+fn a_call_that_may_have_run_is_not_refused_as_one_that_has_not() {
+    let mut harness = Harness::ready();
+    harness.event(order(1, "GET", None));
+    let broken = harness.dispatch();
+    harness.attempt(broken.attempt, AttemptEvent::Broken);
+    let rejected = harness.dispatch();
+    reject(&mut harness, &rejected);
+    assert_ne!(harness.refusal().ran, Execution::No);
+}
