--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -88,7 +88,7 @@
             return;
         }
         let refusal = if request.is_repeatable() {
-            Refusal::failed("the text was broken off and no engine could take it over")
+            Refusal::failed("an attempt was broken off and nobody could take it over")
         } else {
             Refusal::in_doubt(NO_ENGINE_RETRY_AFTER, "an engine may have run the request")
         };
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -105,7 +105,7 @@
 }
 
 /// One engine is stopped as planned, and a text that had its prompt read there ends with
-/// "the text was broken off and no engine could take it over" (`PlannedChangeCutsNothing`
+/// "an attempt was broken off and nobody could take it over" (`PlannedChangeCutsNothing`
 /// at 22,092 ms). Not traced to its cause.
 #[test]
 fn seed_18_a_planned_stop_of_an_engine_cuts_no_text() {
