--- a/components/control/tests/state/copies.rs
+++ b/components/control/tests/state/copies.rs
@@ -1,8 +1,8 @@
 //! Copies of prompt prefixes, as the leader passes them on.
 
 use garnet_control::{
-    BackendRegistration, Command, ControlReply, CopyNews, Effect, Event, GatewayRequest,
-    MembersHash, PromptCopy, UNTOLD_START,
+    BackendRegistration, Command, ControlReply, CopyNews, Event, GatewayRequest, MembersHash,
+    PromptCopy, UNTOLD_START,
 };
 use garnet_types::{BackendId, BackendKind, GatewayId, Millis, PrefixId, ServiceId};
 
@@ -31,15 +31,9 @@
         evidence: Vec::new(),
         copies: told,
     };
-    let effects = leader.take(Event::Gateway {
-        connection: 1,
-        request,
-    });
-    let heard = effects.into_iter().find_map(|effect| match effect {
-        Effect::ReplyGateway {
-            reply: ControlReply::Watch { copies, .. },
-            ..
-        } => Some(copies),
+    let mut replies = leader.replies(1, request).into_iter();
+    let heard = replies.find_map(|reply| match reply {
+        ControlReply::Watch { copies, .. } => Some(copies),
         _ => None,
     });
     named(&heard.expect("an answer"))
--- a/components/control/tests/state/last_known.rs
+++ b/components/control/tests/state/last_known.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use garnet_control::{Command, Configuration, ControlReply, Effect, Event, Shared};
+use garnet_control::{Command, Configuration, ControlReply, Shared};
 use garnet_routes::RouteTable;
 use garnet_types::Millis;
 use rstest::rstest;
@@ -23,15 +23,9 @@
 /// What a gateway that works by `configuration_index` hears.
 fn ask(replica: &mut Leader, configuration_index: u64) -> Option<Shared<Configuration>> {
     let request = replica.watch_of("g", configuration_index);
-    let effects = replica.take(Event::Gateway {
-        connection: 1,
-        request,
-    });
-    let heard = effects.into_iter().find_map(|effect| match effect {
-        Effect::ReplyGateway {
-            reply: ControlReply::NotLeader { last_known, .. },
-            ..
-        } => Some(last_known),
+    let mut replies = replica.replies(1, request).into_iter();
+    let heard = replies.find_map(|reply| match reply {
+        ControlReply::NotLeader { last_known, .. } => Some(last_known),
         _ => None,
     });
     heard.expect("it is no leader")
--- a/components/control/tests/state/leader.rs
+++ b/components/control/tests/state/leader.rs
@@ -2,7 +2,7 @@
 
 use garnet_consensus::{Config, Entry, EntryPayload, HardState, Member, Membership, Restored};
 use garnet_control::{
-    Command, CommandEnvelope, Effect, Event, GatewayRequest, Replica, ReplicaSettings,
+    Command, CommandEnvelope, ControlReply, Effect, Event, GatewayRequest, Replica, ReplicaSettings,
 };
 use garnet_types::{GatewayId, Millis, ReplicaId};
 
@@ -115,6 +115,19 @@
         self.replica.take_effects()
     }
 
+    /// What a gateway's request on a connection is answered with, in its order.
+    pub fn replies(&mut self, connection: u64, request: GatewayRequest) -> Vec<ControlReply> {
+        let effects = self.take(Event::Gateway {
+            connection,
+            request,
+        });
+        let reply = |effect| match effect {
+            Effect::ReplyGateway { reply, .. } => Some(reply),
+            _ => None,
+        };
+        effects.into_iter().filter_map(reply).collect()
+    }
+
     /// Lets time pass and gives what happened.
     pub fn run(&mut self, time: Millis) -> Vec<Effect> {
         let until = self.now + time;
--- a/components/control/tests/state/limits.rs
+++ b/components/control/tests/state/limits.rs
@@ -1,6 +1,6 @@
 //! Engines that name a limit, as the leader hears and tells of it.
 
-use garnet_control::{ControlReply, Effect, Event, GatewayRequest, MachineEntry, ToldLimits};
+use garnet_control::{ControlReply, Event, GatewayRequest, MachineEntry, ToldLimits};
 use garnet_limits::{LimitWord, LimitWords, PermitAsk, PermitOutcome};
 use garnet_types::{BackendId, GatewayId, MachineState, Millis};
 
@@ -19,18 +19,6 @@
     BackendId::new(format!("engine-{number}"))
 }
 
-fn replies(leader: &mut Leader, connection: u64, request: GatewayRequest) -> Vec<ControlReply> {
-    let event = Event::Gateway {
-        connection,
-        request,
-    };
-    let reply = |effect| match effect {
-        Effect::ReplyGateway { reply, .. } => Some(reply),
-        _ => None,
-    };
-    leader.take(event).into_iter().filter_map(reply).collect()
-}
-
 /// What a gateway hears of limits with the answer to its watch.
 fn watch(leader: &mut Leader, gateway: &str, connection: u64) -> Option<ToldLimits> {
     let request = leader.watch_of(gateway, 0);
@@ -38,9 +26,8 @@
         ControlReply::Limits(limits) => Some(limits),
         _ => None,
     };
-    replies(leader, connection, request)
-        .into_iter()
-        .find_map(limits)
+    let mut replies = leader.replies(connection, request).into_iter();
+    replies.find_map(limits)
 }
 
 fn tell(leader: &mut Leader, gateway: &str, number: u64, of: u64, start: u64, rate: Option<&str>) {
@@ -56,7 +43,7 @@
     };
     let gateway = GatewayId::new(gateway);
     let request = GatewayRequest::LimitWords { gateway, words };
-    assert_eq!(replies(leader, 1, request), []);
+    assert_eq!(leader.replies(1, request), []);
 }
 
 fn is_granted(leader: &mut Leader, of: u64) -> bool {
@@ -65,7 +52,7 @@
         backends: vec![engine(of)],
         rank: 0,
     };
-    match replies(leader, 1, GatewayRequest::Permit(ask)).as_slice() {
+    match leader.replies(1, GatewayRequest::Permit(ask)).as_slice() {
         [ControlReply::Permit(answer)] => {
             assert_eq!(answer.number, 9);
             matches!(answer.outcome, PermitOutcome::Granted { .. })
--- a/components/control/tests/state/quarantine.rs
+++ b/components/control/tests/state/quarantine.rs
@@ -39,16 +39,8 @@
 }
 
 fn reply_to(leader: &mut Leader, connection: u64, request: GatewayRequest) -> ControlReply {
-    let event = Event::Gateway {
-        connection,
-        request,
-    };
-    let reply = |effect| match effect {
-        Effect::ReplyGateway { reply, .. } => Some(reply),
-        _ => None,
-    };
-    let reply = leader.take(event).into_iter().find_map(reply);
-    reply.expect("a reply")
+    let mut replies = leader.replies(connection, request).into_iter();
+    replies.next().expect("a reply")
 }
 
 fn tell(leader: &mut Leader, connection: u64, runs: Vec<EndedRun>) {
--- a/components/control/tests/state/watching.rs
+++ b/components/control/tests/state/watching.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use garnet_control::{
-    BackendRegistration, Command, CommandEnvelope, ConfigurationChange, ControlReply, Effect,
-    Event, OperatorRequest, Shared, UNTOLD_START, WatchUpdate,
+    BackendRegistration, Command, CommandEnvelope, ConfigurationChange, ControlReply, Event,
+    OperatorRequest, Shared, UNTOLD_START, WatchUpdate,
 };
 use garnet_routes::RouteTable;
 use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
@@ -33,15 +33,7 @@
 /// The update that a gateway is sent which asks with the index that it works by.
 fn update(leader: &mut Leader, connection: u64, index: u64) -> WatchUpdate {
     let request = leader.watch_of("gateway-1", index);
-    let event = Event::Gateway {
-        connection,
-        request,
-    };
-    let reply = |effect| match effect {
-        Effect::ReplyGateway { reply, .. } => Some(reply),
-        _ => None,
-    };
-    match leader.take(event).into_iter().find_map(reply) {
+    match leader.replies(connection, request).into_iter().next() {
         Some(ControlReply::Watch { update, .. }) => update,
         other => panic!("{other:?}"),
     }
--- a/components/control/tests/state/whole.rs
+++ b/components/control/tests/state/whole.rs
@@ -7,8 +7,8 @@
 //! ended by their memory or lost their lease.
 
 use garnet_control::{
-    Configuration, ConfigurationPart, ControlReply, Effect, Event, GatewayRequest, Loader,
-    MachineEntry, PartRequest, TakenPart, WatchUpdate,
+    Configuration, ConfigurationPart, ControlReply, Event, GatewayRequest, Loader, MachineEntry,
+    PartRequest, TakenPart, WatchUpdate,
 };
 use garnet_types::{MachineState, Millis};
 
@@ -22,16 +22,8 @@
 }
 
 fn reply(leader: &mut Leader, request: GatewayRequest) -> ControlReply {
-    let event = Event::Gateway {
-        connection: 1,
-        request,
-    };
-    let is_reply = |effect| match effect {
-        Effect::ReplyGateway { reply, .. } => Some(reply),
-        _ => None,
-    };
-    let replies = leader.take(event).into_iter().find_map(is_reply);
-    replies.expect("a leader answers")
+    let mut replies = leader.replies(1, request).into_iter();
+    replies.next().expect("a leader answers")
 }
 
 fn watch(leader: &mut Leader, gateway: usize, index: u64) -> ControlReply {
