--- a/components/forwarding/tests/core/availability.rs
+++ b/components/forwarding/tests/core/availability.rs
@@ -6,18 +6,16 @@
 };
 use garnet_limits::Asking;
 use garnet_routes::WorkKind;
-use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use garnet_types::{EngineRole, Millis, ServiceId};
 use rstest::rstest;
 
-use crate::fleet::{NOW, configuration, forwarder, gateway_of, prompt, record, table, work};
+use crate::fleet::{
+    NOW, configuration, engines_named, forwarder, gateway_of, id, instances, prompt, table, work,
+};
 
 const BACKOFF: RetryAfter = RetryAfter::new(Millis(3_000));
 const END: Millis = Millis(NOW.0 + 3_000);
 
-fn id(name: &str) -> BackendId {
-    BackendId::new(name)
-}
-
 fn till() -> ServiceId {
     ServiceId::new("till")
 }
@@ -26,22 +24,13 @@
     ServiceId::new("words")
 }
 
-fn instances() -> Vec<BackendRecord> {
-    ["till-a", "till-b"]
-        .iter()
-        .map(|id| record(id, "till", "a", None))
-        .collect()
-}
-
 fn engines() -> Vec<BackendRecord> {
-    let roles = [
+    engines_named(&[
         ("d-1", EngineRole::Mixed),
         ("d-2", EngineRole::Mixed),
         ("p-1", EngineRole::Prefill),
         ("p-2", EngineRole::Prefill),
-    ];
-    let engine = |(id, role): &(&str, EngineRole)| record(id, "words", "a", Some(*role));
-    roles.iter().map(engine).collect()
+    ])
 }
 
 fn call() -> Work {
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -42,6 +42,24 @@
     }
 }
 
+pub fn id(name: &str) -> BackendId {
+    BackendId::new(name)
+}
+
+/// Two instances of an application.
+pub fn instances() -> Vec<BackendRecord> {
+    ["till-a", "till-b"]
+        .iter()
+        .map(|id| record(id, "till", "a", None))
+        .collect()
+}
+
+/// Engines of one service with their roles.
+pub fn engines_named(roles: &[(&str, EngineRole)]) -> Vec<BackendRecord> {
+    let engine = |(id, role): &(&str, EngineRole)| record(id, "words", "a", Some(*role));
+    roles.iter().map(engine).collect()
+}
+
 pub fn route(split: &[(&str, u32)]) -> Route {
     let share = |(service, weight): &(&str, u32)| WeightedService {
         service: ServiceId::new(*service),
--- a/components/forwarding/tests/core/limits.rs
+++ b/components/forwarding/tests/core/limits.rs
@@ -8,28 +8,17 @@
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 use rstest::rstest;
 
-use crate::fleet::{NOW, configuration, forwarder, gateway_of, prompt, record, table, work};
-
-fn id(name: &str) -> BackendId {
-    BackendId::new(name)
-}
-
-fn instances() -> Vec<BackendRecord> {
-    ["till-a", "till-b"]
-        .iter()
-        .map(|id| record(id, "till", "a", None))
-        .collect()
-}
+use crate::fleet::{
+    NOW, configuration, engines_named, forwarder, gateway_of, id, instances, prompt, table, work,
+};
 
 fn engines() -> Vec<BackendRecord> {
-    let roles = [
+    engines_named(&[
         ("r-1", EngineRole::Prefill),
         ("r-2", EngineRole::Prefill),
         ("g-1", EngineRole::Mixed),
         ("g-2", EngineRole::Mixed),
-    ];
-    let engine = |(id, role): &(&str, EngineRole)| record(id, "words", "a", Some(*role));
-    roles.iter().map(engine).collect()
+    ])
 }
 
 fn limit(gateway: &mut Forwarder, name: &str) {
