One reading of decimal headers, one rule for several Retry-After

RequestRate and RetryAfter each read digits and a point by hand; garnet_types::Decimal does it for both.

--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -124,15 +124,10 @@
         return None;
     }
     let date = headers.get(DATE).map(HeaderValue::as_bytes);
-    let read = |value: &HeaderValue| match RetryAfter::parse(value.as_bytes(), date) {
-        Ok(retry_after) => Some(retry_after),
-        Err(error) => {
-            log::warn!(cause = error.to_string().as_str(); "retry_after_unreadable");
-            None
-        }
-    };
     let values = headers.get_all(RETRY_AFTER_HEADER);
-    values.iter().filter_map(read).max()
+    RetryAfter::longest(values, date, |_, error| {
+        log::warn!(cause = error.to_string().as_str(); "retry_after_unreadable");
+    })
 }
 
 /// Tells what an answer says of how much its back end takes. One that says nothing
--- a/components/limits/src/rate.rs
+++ b/components/limits/src/rate.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use displaydoc::Display;
-use garnet_types::Millis;
+use garnet_types::{Decimal, Millis};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -83,24 +83,8 @@
     type Err = RateError;
 
     fn from_str(text: &str) -> Result<Self, RateError> {
-        let text = text.trim_matches([' ', '\t']);
-        let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
-        let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
-        let has_digits = !whole.is_empty() || !fraction.is_empty();
-        if !has_digits || !are_digits(whole) || !are_digits(fraction) {
-            return Err(RateError::NotDecimal);
-        }
-        // Digits only: what can't be held is larger than all that is told apart.
-        let whole = match whole {
-            "" => 0,
-            digits => digits.parse().unwrap_or(u64::MAX),
-        };
-        if whole >= HIGHEST_PER_S {
-            return Ok(RequestRate::from_micros_per_s(HIGHEST_PER_S * MICROS));
-        }
-        let digits = fraction.bytes().chain(std::iter::repeat(b'0'));
-        let micros = digits.take(FRACTION_DIGITS);
-        let micros = micros.fold(0, |sum, digit| sum * 10 + u64::from(digit - b'0'));
-        Ok(RequestRate::from_micros_per_s(whole * MICROS + micros))
+        let decimal = Decimal::parse(text, FRACTION_DIGITS).ok_or(RateError::NotDecimal)?;
+        let highest = HIGHEST_PER_S * MICROS;
+        Ok(RequestRate::from_micros_per_s(decimal.parts.min(highest)))
     }
 }
--- a/components/routing/src/retry_after.rs
+++ b/components/routing/src/retry_after.rs
@@ -5,11 +5,9 @@
 use std::time::SystemTime;
 
 use displaydoc::Display;
-use garnet_types::Millis;
+use garnet_types::{Decimal, Millis};
 use thiserror::Error;
 
-/// Milliseconds in a second.
-const MILLIS_PER_S: u64 = 1000;
 /// Digits of a fraction of a second that are milliseconds.
 const MILLIS_DIGITS: usize = 3;
 
@@ -37,6 +35,23 @@
         self.0
     }
 
+    /// The longest of the values of one answer, whose `Date` is `date`. Those that can't
+    /// be read are handed to `unreadable` and count for nothing.
+    pub fn longest<V: AsRef<[u8]>>(
+        values: impl IntoIterator<Item = V>,
+        date: Option<&[u8]>,
+        mut unreadable: impl FnMut(V, RetryAfterError),
+    ) -> Option<Self> {
+        let read = |value: V| match RetryAfter::parse(value.as_ref(), date) {
+            Ok(retry_after) => Some(retry_after),
+            Err(error) => {
+                unreadable(value, error);
+                None
+            }
+        };
+        values.into_iter().filter_map(read).max()
+    }
+
     /// Reads one value of the header: seconds, with or without a fraction, or an
     /// HTTP date. A date counts from `date`, the `Date` of the same answer, since the
     /// clocks of two machines may differ by more than the span.
@@ -45,11 +60,11 @@
     /// As [`RetryAfterError`] says.
     pub fn parse(value: &[u8], date: Option<&[u8]>) -> Result<Self, RetryAfterError> {
         let text = std::str::from_utf8(value).map_err(|_| RetryAfterError::Malformed)?;
-        let text = text.trim_matches([' ', '\t']);
         if let Some(span) = decimal_seconds(text) {
             return Ok(RetryAfter(span));
         }
-        let until = httpdate::parse_http_date(text).map_err(|_| RetryAfterError::Malformed)?;
+        let until = httpdate::parse_http_date(text.trim_matches([' ', '\t']));
+        let until = until.map_err(|_| RetryAfterError::Malformed)?;
         let answered_at = date.and_then(http_date).ok_or(RetryAfterError::NoDate)?;
         let span = until.duration_since(answered_at).unwrap_or_default();
         let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
@@ -72,26 +87,10 @@
     }
 }
 
-/// Rounded up to whole milliseconds. Digits only: the header allows no sign and no
-/// exponent, and what can't be held is longer than any time that matters.
+/// Rounded up to whole milliseconds.
 fn decimal_seconds(text: &str) -> Option<Millis> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
-    let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
-    let has_digits = !whole.is_empty() || !fraction.is_empty();
-    if !has_digits || !are_digits(whole) || !are_digits(fraction) {
-        return None;
-    }
-    let seconds: u64 = match whole {
-        "" => 0,
-        digits => digits.parse().unwrap_or(u64::MAX),
-    };
-    let digits = fraction.bytes().chain(std::iter::repeat(b'0'));
-    let digits = digits.take(MILLIS_DIGITS);
-    let millis = digits.fold(0, |sum, digit| sum * 10 + u64::from(digit - b'0'));
-    let rest = fraction.bytes().skip(MILLIS_DIGITS);
-    let rounded_up = u64::from(rest.into_iter().any(|digit| digit != b'0'));
-    let whole_ms = seconds.saturating_mul(MILLIS_PER_S);
-    Some(Millis(whole_ms.saturating_add(millis + rounded_up)))
+    let decimal = Decimal::parse(text, MILLIS_DIGITS)?;
+    Some(Millis(decimal.parts) + Millis(u64::from(decimal.is_cut)))
 }
 
 fn http_date(value: &[u8]) -> Option<SystemTime> {
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Contract: plain data only. Nothing here reads a clock, a socket or a file.
 
 pub mod backend;
+pub mod decimal;
 pub mod engine;
 pub mod fence;
 pub mod identity;
@@ -12,6 +13,7 @@
 pub mod verdict;
 
 pub use backend::{BackendKind, EngineRole, MachineState};
+pub use decimal::Decimal;
 pub use engine::{EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, OrderAnswer};
 pub use fence::Fence;
 pub use identity::{
