Backoff and draining are one type, in both gateways

The report of draining, how long it holds and its reset stood in each gateway, beside the backoff that they shared; garnet_routing::Availability holds both. The completions gateway compared the start of a back end with the start of its reports at each question; it follows starts where it hears of them now, as the other gateway does.

--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -1,7 +1,7 @@
 //! What a gateway believes of one back end.
 
 use garnet_control::{BackendRecord, BackendRegistration, Backlog, ByRank, UNTOLD_START};
-use garnet_routing::{Backoff, CircuitBreaker};
+use garnet_routing::{Availability, CircuitBreaker};
 use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
 
 use crate::others::Others;
@@ -12,10 +12,6 @@
 /// How long the leader's word on a failing back end holds without another.
 const FAILING_FOR: Millis = Millis::from_secs(3);
 
-/// A back end that is still there so long after it reported draining has started again, on
-/// a platform that does not tell its starts.
-const DRAINING_LASTS: Millis = Millis::from_secs(300);
-
 /// Load as a back end tells it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
@@ -168,10 +164,8 @@
     pub gone: bool,
     /// Its health, as own requests show it.
     pub breaker: CircuitBreaker,
-    /// Backoff that it requested.
-    pub backoff: Backoff,
-    /// When it reported that it drains.
-    pub(crate) draining_since: Option<Millis>,
+    /// Whether it takes requests, by its own reports.
+    pub(crate) availability: Availability,
     /// Since when the leader says that requests of several gateways fail there.
     pub(crate) failing_at: Option<Millis>,
     /// Whether this gateway is the one to try a failing back end now.
@@ -193,8 +187,7 @@
             takes_work: false,
             gone: false,
             breaker: CircuitBreaker::default(),
-            backoff: Backoff::default(),
-            draining_since: None,
+            availability: Availability::default(),
             failing_at: None,
             may_probe: false,
             has_limit: false,
@@ -219,8 +212,7 @@
         if is_another {
             self.gone = false;
             self.breaker = CircuitBreaker::default();
-            self.backoff.reset();
-            self.draining_since = None;
+            self.availability.reset();
             self.failing_at = None;
             self.load.forget_told();
         }
@@ -230,19 +222,12 @@
     /// Whether a new request may be sent to it.
     pub fn is_open(&self, now: Millis, despite_failures: bool) -> bool {
         let healthy = self.breaker.allows(now) && !self.is_failing(now);
-        self.is_in_service(now) && self.backoff.allows(now) && (despite_failures || healthy)
+        self.is_in_service(now) && self.availability.allows(now) && (despite_failures || healthy)
     }
 
     /// Whether it takes requests at all, now or after a backoff.
     pub fn is_in_service(&self, now: Millis) -> bool {
-        self.takes_work && !self.gone && !self.is_draining(now)
-    }
-
-    /// Whether it reported draining in this start. The list lags behind the report and
-    /// answers overtake one another, so neither ends it.
-    pub fn is_draining(&self, now: Millis) -> bool {
-        let holds = |since: Millis| now.since(since) <= DRAINING_LASTS;
-        self.draining_since.is_some_and(holds)
+        self.takes_work && !self.gone && !self.availability.is_draining(now)
     }
 
     /// Whether it is an engine that generates.
--- a/components/forwarding/src/forwarder/availability.rs
+++ b/components/forwarding/src/forwarder/availability.rs
@@ -13,37 +13,35 @@
     pub fn note_backoff(&mut self, id: &BackendId, retry_after: RetryAfter, now: Millis) {
         let spread = end_spread(retry_after, self.gateways, self.next_draw());
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.backoff.request(retry_after, spread, now);
+            backend
+                .availability
+                .request_backoff(retry_after, spread, now);
         }
     }
 
     /// Notes that an answer reports draining. `true` where that is new.
     pub fn note_draining(&mut self, id: &BackendId, now: Millis) -> bool {
-        let Some(backend) = self.backends.get_mut(id) else {
-            return false;
-        };
-        let is_new = !backend.is_draining(now);
-        backend.draining_since = Some(now);
-        is_new
+        let backend = self.backends.get_mut(id);
+        backend.is_some_and(|backend| backend.availability.report_draining(now))
     }
 
     /// Notes a request that is sent. Gives the probe that it is, where its back end
     /// recovers from a backoff.
     pub fn begin_probe(&mut self, id: &BackendId, now: Millis) -> Option<Probe> {
-        self.backends.get_mut(id)?.backoff.sent(now)
+        self.backends.get_mut(id)?.availability.sent(now)
     }
 
     /// Notes that a back end accepted a probe.
     pub fn probe_accepted(&mut self, id: &BackendId, probe: Probe) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.backoff.accepted(probe);
+            backend.availability.accepted(probe);
         }
     }
 
     /// Notes a probe that ended without a verdict of its back end.
     pub fn probe_released(&mut self, id: &BackendId, probe: Probe) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.backoff.released(probe);
+            backend.availability.released(probe);
         }
     }
 
@@ -51,12 +49,15 @@
     /// and in no backoff.
     pub fn is_available(&self, id: &BackendId, now: Millis) -> bool {
         let backend = self.backends.get(id);
-        backend.is_some_and(|b| b.is_in_service(now) && b.backoff.remaining(now).is_none())
+        backend.is_some_and(|backend| {
+            let in_backoff = backend.availability.backoff_remaining(now).is_some();
+            backend.is_in_service(now) && !in_backoff
+        })
     }
 
     /// Time until a back end's backoff is over; `None` where none is in force.
     pub fn backoff_remaining(&self, id: &BackendId, now: Millis) -> Option<Millis> {
-        self.backends.get(id)?.backoff.remaining(now)
+        self.backends.get(id)?.availability.backoff_remaining(now)
     }
 
     /// How long an engine keeps a KV cache that nobody takes.
@@ -87,7 +88,7 @@
         };
         let mut first = Millis::NEVER;
         for backend in self.backends_of(service).filter(could_take) {
-            first = first.min(backend.backoff.remaining(now)?);
+            first = first.min(backend.availability.backoff_remaining(now)?);
         }
         if first == Millis::NEVER {
             return None;
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -83,8 +83,9 @@
     /// limit or there is a permit.
     pub fn may_send(&self, id: &BackendId, now: Millis) -> bool {
         let backend = self.backends.get(id);
-        let is_available = backend.is_some_and(|b| b.is_in_service(now) && b.backoff.allows(now));
-        is_available && self.limits.may_send(id, now)
+        let takes_requests = backend
+            .is_some_and(|backend| backend.is_in_service(now) && backend.availability.allows(now));
+        takes_requests && self.limits.may_send(id, now)
     }
 
     /// What to do for a request that no back end may be sent as things stand: those
--- a/components/gateway/src/application.rs
+++ b/components/gateway/src/application.rs
@@ -20,8 +20,9 @@
             Ok((backend, address)) => self.dispatch_application(id, backend, address),
             Err(_) if self.wait_for_permit(id, None) => {}
             Err(refusal) => {
+                let backoff = self.backoff_of(&self.requests[&id]);
+                let refusal = backoff.map_or(refusal, |first| self.backoff_refusal(first));
                 // An earlier attempt that broke off may have run it.
-                let refusal = self.backoff_refusal(id).unwrap_or(refusal);
                 self.end_without_answer(id, refusal);
             }
         }
--- a/components/gateway/src/backends.rs
+++ b/components/gateway/src/backends.rs
@@ -4,7 +4,7 @@
 
 use garnet_control::{BackendRecord, Configuration};
 use garnet_routing::{
-    Backoff, CircuitBreaker, EngineEstimate, LoadReport, OwnWork, PrefixIndex, Probe, RetryAfter,
+    Availability, CircuitBreaker, EngineEstimate, LoadReport, OwnWork, PrefixIndex, Probe,
 };
 use garnet_types::{
     BackendId, BackendKind, EngineCapacity, EngineRole, Millis, ModelId, ServiceId,
@@ -16,10 +16,6 @@
 /// unless the configuration says otherwise before.
 const DRAINING_PAUSE: Millis = Millis(1500);
 
-/// A back end that is still there so long after it reported draining has started again
-/// without telling so.
-const DRAINING_LASTS: Millis = Millis::from_secs(300);
-
 /// An engine that has not reported for so long is not given new work.
 pub(crate) const SILENT_ENGINE: Millis = Millis(2000);
 
@@ -34,12 +30,11 @@
     reported_at: Option<Millis>,
     /// The start that reported its load last.
     pub(crate) incarnation: u64,
-    backoff: Backoff,
+    availability: Availability,
     /// Attempts that probe it after a backoff.
     probes: BTreeMap<AttemptId, Probe>,
-    draining_since: Option<Millis>,
-    /// The start that requested the backoff or reported draining.
-    reporting_start: u64,
+    /// The start whose reports `availability` holds.
+    start: u64,
 }
 
 impl Belief {
@@ -49,58 +44,27 @@
         heard.map_or(Millis::ZERO, |at| now.since(at))
     }
 
-    /// Start of the back end, as its record and its own reports tell it.
-    fn start(&self, record: &BackendRecord) -> u64 {
-        self.incarnation.max(record.start())
-    }
-
-    /// Follows the start of the back end: another one has reported nothing.
+    /// Follows the start of the back end, as its record and its own reports tell it:
+    /// another one has reported nothing.
     fn follow_start(&mut self, record: &BackendRecord) {
-        let start = self.start(record);
-        if start != self.reporting_start {
-            self.reporting_start = start;
-            self.backoff.reset();
-            self.draining_since = None;
-        }
-    }
-
-    /// Whether what was reported is of the present start.
-    fn is_of_present(&self, record: &BackendRecord) -> bool {
-        self.start(record) == self.reporting_start
-    }
-
-    fn is_draining(&self, record: &BackendRecord, now: Millis) -> bool {
-        let holds = |since: Millis| now.since(since) <= DRAINING_LASTS;
-        self.is_of_present(record) && self.draining_since.is_some_and(holds)
-    }
-
-    /// Whether a request may be sent, as far as backoff and draining go.
-    fn takes_requests(&self, record: &BackendRecord, now: Millis) -> bool {
-        let in_backoff = self.is_of_present(record) && !self.backoff.allows(now);
-        !in_backoff && !self.is_draining(record, now)
-    }
-
-    /// Time until a backoff is over, zero where none is in force.
-    fn backoff_remaining(&self, record: &BackendRecord, now: Millis) -> Millis {
-        let remaining = self.backoff.remaining(now).unwrap_or_default();
-        if self.is_of_present(record) {
-            remaining
-        } else {
-            Millis::ZERO
+        let start = self.incarnation.max(record.start());
+        if start != self.start {
+            self.start = start;
+            self.availability.reset();
         }
     }
 
     /// The back end took an attempt.
     fn accepted(&mut self, attempt: AttemptId) {
         if let Some(probe) = self.probes.remove(&attempt) {
-            self.backoff.accepted(probe);
+            self.availability.accepted(probe);
         }
     }
 
     /// An attempt is over without a verdict of the back end.
     fn probe_released(&mut self, attempt: AttemptId) {
         if let Some(probe) = self.probes.remove(&attempt) {
-            self.backoff.released(probe);
+            self.availability.released(probe);
         }
     }
 }
@@ -129,11 +93,16 @@
         self.beliefs.get(id)
     }
 
-    /// Forgets back ends that left the configuration and have no work here.
-    pub(crate) fn keep_only(&mut self, configuration: &Configuration) {
+    /// Follows the starts of back ends, and forgets those that left the configuration
+    /// and have no work here.
+    pub(crate) fn follow(&mut self, configuration: &Configuration) {
         let prefixes = &mut self.prefixes;
         self.beliefs.retain(|id, belief| {
-            let keep = configuration.backends.contains_key(id) || belief.estimate.in_flight() > 0;
+            let record = configuration.backends.get(id);
+            if let Some(record) = record {
+                belief.follow_start(record);
+            }
+            let keep = record.is_some() || belief.estimate.in_flight() > 0;
             if !keep {
                 prefixes.forget(id);
             }
@@ -152,31 +121,23 @@
 
     pub(crate) fn sent(&mut self, id: &BackendId, attempt: AttemptId, work: OwnWork) {
         let belief = self.belief(id);
-        if let Some(probe) = belief.backoff.sent(work.sent_at) {
+        if let Some(probe) = belief.availability.sent(work.sent_at) {
             belief.probes.insert(attempt, probe);
         }
         belief.estimate.sent(attempt, work);
         belief.breaker.sent();
     }
 
-    /// Takes the backoff that an answer requests, which ends `spread` later here.
-    pub(crate) fn request_backoff(
-        &mut self,
-        record: &BackendRecord,
-        retry_after: RetryAfter,
-        spread: Millis,
-        now: Millis,
-    ) {
-        let belief = self.belief(&record.registration.id);
-        belief.follow_start(record);
-        belief.backoff.request(retry_after, spread, now);
+    /// Follows the start of a back end.
+    pub(crate) fn follow_start(&mut self, record: &BackendRecord) {
+        self.belief(&record.registration.id).follow_start(record);
     }
 
-    /// Notes that an answer reports draining.
-    pub(crate) fn report_draining(&mut self, record: &BackendRecord, now: Millis) {
+    /// What a back end reports goes here.
+    pub(crate) fn availability_of(&mut self, record: &BackendRecord) -> &mut Availability {
         let belief = self.belief(&record.registration.id);
         belief.follow_start(record);
-        belief.draining_since = Some(now);
+        &mut belief.availability
     }
 
     /// Notes that a back end took an attempt.
@@ -262,8 +223,11 @@
         now: Millis,
     ) -> Option<Millis> {
         let remaining = |one: &Eligible<'_>| match self.known(one.id) {
-            Some(belief) if belief.is_draining(one.record, now) => None,
-            Some(belief) => Some(belief.backoff_remaining(one.record, now)),
+            Some(belief) if belief.availability.is_draining(now) => None,
+            Some(belief) => belief
+                .availability
+                .backoff_remaining(now)
+                .or(Some(Millis::ZERO)),
             None => Some(Millis::ZERO),
         };
         let first = all.filter_map(remaining).min()?;
@@ -305,7 +269,7 @@
         let total = all.len();
         let usable: Vec<Eligible<'a>> = all
             .into_iter()
-            .filter(|one| !excluded.contains(one.id) && !self.is_avoided(one, now))
+            .filter(|one| !excluded.contains(one.id) && !self.is_avoided(one.id, now))
             .collect();
         let closed: Vec<Eligible<'a>> = usable
             .iter()
@@ -319,11 +283,11 @@
         }
     }
 
-    fn is_avoided(&self, one: &Eligible<'_>, now: Millis) -> bool {
+    fn is_avoided(&self, id: &BackendId, now: Millis) -> bool {
         // What was reported outlasts the request that met it.
         let takes_none =
-            |belief: &Belief| now < belief.avoid_until || !belief.takes_requests(one.record, now);
-        self.known(one.id).is_some_and(takes_none) || self.is_silent(one.id, now)
+            |belief: &Belief| now < belief.avoid_until || !belief.availability.allows(now);
+        self.known(id).is_some_and(takes_none) || self.is_silent(id, now)
     }
 
     /// Whether an engine stopped answering: frozen, lost or cut off.
--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -54,14 +54,18 @@
         }
         let request = &self.requests[&id];
         let has_begun = !request.delivered.is_empty();
-        let latest_start = request.deadline - self.generation_time(request);
-        let takes_none = self.backoff_of(request).unwrap_or_default();
-        let is_in_time = self.now + takes_none <= latest_start;
-        if is_in_time && (request.verdict.may_wait || has_begun) {
+        let may_wait = request.verdict.may_wait || has_begun;
+        let backoff = self.backoff_of(request);
+        let is_in_time = backoff.is_none_or(|first| {
+            let latest_start = request.deadline - self.generation_time(request);
+            self.now + first <= latest_start
+        });
+        if may_wait && is_in_time {
             self.wait_for_engine(id);
             return;
         }
-        if let Some(refusal) = self.backoff_refusal(id) {
+        if let Some(first) = backoff {
+            let refusal = self.backoff_refusal(first);
             self.end_without_answer(id, refusal);
             return;
         }
--- a/components/gateway/src/gateway/availability.rs
+++ b/components/gateway/src/gateway/availability.rs
@@ -2,7 +2,7 @@
 //! come back where nobody takes their requests.
 
 use garnet_routing::{RetryAfter, caller_return, end_spread};
-use garnet_types::{BackendId, Millis, OutcomeCode, Refusal, RequestId};
+use garnet_types::{BackendId, Millis, OutcomeCode, Refusal};
 use rand::RngExt;
 
 use crate::backends::{Eligible, engines_of, instances_of};
@@ -17,34 +17,26 @@
     /// Takes the backoff that an answer requests.
     pub(super) fn request_backoff(&mut self, backend: &BackendId, retry_after: RetryAfter) {
         let spread = end_spread(retry_after, self.gateways, self.random.random());
-        let record = self.watched.configuration.backends.get(backend);
-        if let Some(record) = record {
-            self.backends
-                .request_backoff(record, retry_after, spread, self.now);
+        if let Some(record) = self.watched.configuration.backends.get(backend) {
+            let availability = self.backends.availability_of(record);
+            availability.request_backoff(retry_after, spread, self.now);
         }
     }
 
     /// Takes a report of draining.
     pub(super) fn report_draining(&mut self, backend: &BackendId) {
         if let Some(record) = self.watched.configuration.backends.get(backend) {
-            self.backends.report_draining(record, self.now);
+            let availability = self.backends.availability_of(record);
+            availability.report_draining(self.now);
         }
     }
 
-    /// When the caller of a request that nobody takes should come back, where that is
-    /// since back ends are in backoff.
-    pub(crate) fn returns_after_backoff(&mut self, id: RequestId) -> Option<Millis> {
-        let first = self.backoff_of(self.requests.get(&id)?)?;
+    /// The refusal of a request that nobody takes for so long.
+    pub(crate) fn backoff_refusal(&mut self, first: Millis) -> Refusal {
         let draw = self.random.random();
-        Some(caller_return(first, LONGEST_CALLER_SPREAD, draw))
-    }
-
-    /// The refusal of a request that nobody takes since all who could are in backoff.
-    pub(crate) fn backoff_refusal(&mut self, id: RequestId) -> Option<Refusal> {
-        let retry_after = self.returns_after_backoff(id)?;
+        let retry_after = caller_return(first, LONGEST_CALLER_SPREAD, draw);
         let message = "all back ends of the service are in backoff";
-        let code = OutcomeCode::Overloaded;
-        Some(Refusal::not_run(code, retry_after, message))
+        Refusal::not_run(OutcomeCode::Overloaded, retry_after, message)
     }
 
     /// Time until some back end takes each part of a request again; `None` where that
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -108,7 +108,7 @@
 
     /// What follows from a configuration at a higher index.
     fn follow_configuration(&mut self, index: u64) {
-        self.backends.keep_only(&self.watched.configuration);
+        self.backends.follow(&self.watched.configuration);
         self.follow_quarantine();
         self.follow_limits();
         self.emit(Effect::PersistIndex(index));
--- a/components/gateway/src/gateway/mod.rs
+++ b/components/gateway/src/gateway/mod.rs
@@ -140,6 +140,9 @@
                     self.limits.forget(&backend);
                 }
                 self.backends.observe(&backend, &report, self.now);
+                if let Some(record) = self.watched.configuration.backends.get(&backend) {
+                    self.backends.follow_start(record);
+                }
                 self.counters.cache_event_gaps = self.backends.prefixes.gaps;
                 self.serve_waiting();
             }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,6 +7,7 @@
 //! numbers come from a seeded generator.
 
 pub mod admission;
+pub mod availability;
 pub mod backoff;
 pub mod choice;
 pub mod circuit_breaker;
@@ -21,6 +22,7 @@
 pub mod waiting;
 
 pub use admission::{Admission, AdmissionSettings, admit};
+pub use availability::Availability;
 pub use backoff::{Backoff, Probe, caller_return, end_spread};
 pub use choice::{Candidate, choose};
 pub use circuit_breaker::CircuitBreaker;
