--- a/bin/garnet-bench/src/fleet.rs
+++ b/bin/garnet-bench/src/fleet.rs
@@ -9,9 +9,9 @@
     EngineObservation, LoadDigest, MembersHash, PromptCopy, ToldDigest, UNTOLD_START, WatchUpdate,
 };
 use garnet_forwarding::{
-    Arrival, BudgetShare, Forwarder, ForwarderSettings, LimitSaid, Prompt, PromptPart, Work,
+    Arrival, BudgetShare, Forwarder, ForwarderSettings, Prompt, PromptPart, ReportedLimit, Work,
 };
-use garnet_limits::{LimitLedger, LimitWord, PermitAsk, PermitOutcome, RateError, RequestRate};
+use garnet_limits::{LimitLedger, LimitReport, PermitAsk, PermitOutcome, RateError, RequestRate};
 use garnet_routes::{EngineLimits, RouteTable, ServiceSettings, WorkKind};
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, PrefixId,
@@ -202,7 +202,7 @@
 fn learn_limits(gateway: &mut Forwarder, limited: usize) -> Result<(), String> {
     let rate = limit_rate()?;
     for number in 0..limited {
-        gateway.note_limit(&id(number), LimitSaid::Named(rate), NOW, NOW);
+        gateway.note_limit(&id(number), ReportedLimit::Limited(rate), NOW, NOW);
     }
     Ok(())
 }
@@ -211,13 +211,13 @@
     let rate = Some(limit_rate()?);
     let mut ledger = LimitLedger::default();
     for number in 0..limited {
-        let word = LimitWord {
+        let report = LimitReport {
             backend: id(number),
             start: 1,
             rate,
             ago: Millis::ZERO,
         };
-        ledger.note(&word, NOW);
+        ledger.note(&report, NOW);
     }
     Ok(ledger)
 }
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -130,8 +130,7 @@
     })
 }
 
-/// Tells what an answer says of how much its back end takes. One that says nothing
-/// counts where it is the back end's proper answer to the work.
+/// Hands on the limit in an answer. An answer without one counts if it is a success.
 fn tell_limit(context: &Context, attempt: AttemptId, status: StatusCode, headers: &HeaderMap) {
     let values = headers.get_all(LIMIT_HEADER);
     let said = RequestRate::named_in(values.iter().map(HeaderValue::as_bytes));
--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -54,8 +54,8 @@
 }
 
 impl BackendRegistration {
-    /// What is known after `former`: one of several that speak of a back end may not tell
-    /// its start.
+    /// This registration, with the start of `former` where it has none: a source of the list
+    /// may omit it.
     pub(crate) fn after(&self, former: &BackendRegistration) -> BackendRegistration {
         let start = match self.start {
             UNTOLD_START => former.start,
@@ -68,7 +68,7 @@
     }
 }
 
-/// Start of a back end that does not tell which of its starts it is.
+/// Start of a back end that does not report its starts.
 pub const UNTOLD_START: u64 = 0;
 
 /// What an engine was seen to be.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -49,7 +49,7 @@
 pub use load_digest::{BackendState, LoadDigest, MembersHash, PlacedState, ToldDigest};
 pub use messages::{
     Backlog, ClaimRequest, ControlReply, CopyNews, Evidence, GatewayRequest, GroupView,
-    JoinRequest, PlacedCopy, PoolMix, PromptCopy, ToldLimits, WatchUpdate,
+    JoinRequest, LimitUpdate, PlacedCopy, PoolMix, PromptCopy, WatchUpdate,
 };
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,6 +1,6 @@
 //! What gateways and the leader say to each other.
 
-use garnet_limits::{LimitList, LimitWords, PermitAnswer, PermitAsk, ToldLimit};
+use garnet_limits::{LimitEntry, LimitList, LimitReports, PermitAnswer, PermitAsk};
 use garnet_quarantine::{RunReport, Suspects};
 use garnet_types::{
     BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
@@ -142,12 +142,12 @@
     Runs(RunReport),
     /// Asks for a part of the whole configuration.
     Part(PartRequest),
-    /// What back ends said of how much they take.
-    LimitWords {
-        /// Who heard it.
+    /// Limits that answers of back ends named.
+    LimitReports {
+        /// The gateway that got the answers.
         gateway: GatewayId,
-        /// What was heard.
-        words: LimitWords,
+        /// The reports.
+        reports: LimitReports,
     },
     /// Asks for a permit to send a request to a back end that has a limit.
     Permit(PermitAsk),
@@ -213,26 +213,26 @@
     }
 }
 
-/// All back ends that have named how much they take, as a leader knows them.
+/// The limits of all back ends that have one, as the leader knows them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldLimits {
+pub struct LimitUpdate {
     /// Term of the leader.
     pub term: u64,
     /// Rises with each change of the list in the term.
     pub number: u64,
-    /// Number of the last words of the gateway that it had taken.
-    pub words_noted: u64,
+    /// Number of the last [`LimitReports`] of the gateway that is applied.
+    pub reports_taken: u64,
     /// The limits.
-    pub limits: Shared<Vec<ToldLimit>>,
+    pub limits: Shared<Vec<LimitEntry>>,
 }
 
-impl ToldLimits {
+impl LimitUpdate {
     /// The list as gateways take it.
     pub fn list(&self) -> LimitList<'_> {
         LimitList {
             term: self.term,
             number: self.number,
-            words_noted: self.words_noted,
+            reports_taken: self.reports_taken,
             limits: &self.limits,
         }
     }
@@ -276,9 +276,9 @@
     /// A part of the whole configuration; `None` where it is not to be had any
     /// more.
     Part(Option<ConfigurationPart>),
-    /// All back ends that have named how much they take; comes with the answer to a
-    /// watch where the gateway may not know it.
-    Limits(ToldLimits),
+    /// The limits of back ends; follows the answer to a watch if the gateway may not have
+    /// the newest list.
+    Limits(LimitUpdate),
     /// Answer to a question for a permit.
     Permit(PermitAnswer),
     /// Ask the leader; its address, as far as known.
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -46,12 +46,12 @@
                 let reply = self.watch_reply(&gateway, connection, update, group_index, sent_at);
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
-                self.tell_limits(&gateway, connection);
+                self.send_limits(&gateway, connection);
                 self.gateways.grant(gateway, configuration_index, self.now);
                 self.serve_waiters();
             }
-            GatewayRequest::LimitWords { gateway, words } => {
-                self.take_limit_words(&gateway, &words);
+            GatewayRequest::LimitReports { gateway, reports } => {
+                self.take_limit_reports(&gateway, &reports);
             }
             GatewayRequest::Permit(ask) => {
                 let reply = self.give_permit(&ask);
--- a/components/control/src/replica/limiting.rs
+++ b/components/control/src/replica/limiting.rs
@@ -1,45 +1,47 @@
-//! Back ends that name a limit: the leader hears of it from gateways, tells all of
-//! them, and hands out the permits.
+//! The leader's side of limits: collects them from the reports of gateways, sends the list
+//! to all gateways and grants permits.
 
 use std::collections::BTreeMap;
 
-use garnet_limits::{LimitLedger, LimitWord, LimitWords, PermitAsk, ToldLimit};
+use garnet_limits::{LimitEntry, LimitLedger, LimitReport, LimitReports, PermitAsk};
 use garnet_types::{BackendId, GatewayId, Millis};
 
 use crate::configuration::{Configuration, UNTOLD_START};
 use crate::effects::Effect;
-use crate::messages::{ControlReply, ToldLimits};
+use crate::messages::{ControlReply, LimitUpdate};
 use crate::shared::Shared;
 
 use super::Replica;
 
-/// Bytes of the list that one gateway is sent in a millisecond: a sixth of the 24 KB
-/// a second that control may cost a node. What changes faster is told together.
+/// Rate at which the list is sent to one gateway, in bytes a millisecond: a sixth of the
+/// 24 KB a second that control may cost a node. Faster changes are sent together.
 const LIST_BYTES_PER_MS: u64 = 4;
 /// Bytes of one limit in the list.
 const LIMIT_BYTES: u64 = 24;
 
-/// What the leader keeps of limits. It can be lost at any time.
+/// Limits as the leader knows them. None of it is in the log.
 #[derive(Debug, Default)]
 pub(super) struct Limiting {
     ledger: LimitLedger,
-    /// The list by its number, encoded once for all gateways.
-    list: Option<(u64, Shared<Vec<ToldLimit>>)>,
-    told: BTreeMap<GatewayId, Told>,
+    /// The list and its number, encoded once for all gateways.
+    list: Option<(u64, Shared<Vec<LimitEntry>>)>,
+    gateways: BTreeMap<GatewayId, GatewayState>,
 }
 
-/// What a gateway was told last, and what it told.
+/// What was exchanged with one gateway.
 #[derive(Debug, Clone, Copy, Default)]
-struct Told {
-    list: Option<ToldList>,
-    words_noted: u64,
+struct GatewayState {
+    /// The list that it was sent last.
+    sent: Option<SentList>,
+    /// Number of its last message that is applied.
+    reports_taken: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct ToldList {
+struct SentList {
     number: u64,
     connection: u64,
-    words_noted: u64,
+    reports_taken: u64,
     at: Millis,
 }
 
@@ -49,40 +51,40 @@
         self.ledger.backends()
     }
 
-    /// Forgets what a back end that has started again said before.
+    /// Forgets the limit of a back end that has started again.
     pub(super) fn started_again(&mut self, id: &BackendId) {
         self.ledger.forget(id);
     }
 
-    /// The list for a gateway, where it may not know it.
+    /// The list for a gateway, unless it has the newest one.
     fn news_for(
         &mut self,
         gateway: &GatewayId,
         connection: u64,
         now: Millis,
-    ) -> Option<(ToldList, Shared<Vec<ToldLimit>>)> {
+    ) -> Option<(SentList, Shared<Vec<LimitEntry>>)> {
         let number = self.ledger.number();
-        let told = self.told.entry(gateway.clone()).or_default();
-        let news = ToldList {
+        let state = self.gateways.entry(gateway.clone()).or_default();
+        let news = SentList {
             number,
             connection,
-            words_noted: told.words_noted,
+            reports_taken: state.reports_taken,
             at: now,
         };
-        let before = told.list.filter(|before| before.connection == connection);
+        let before = state.sent.filter(|before| before.connection == connection);
         if let Some(before) = before {
-            let is_known = ToldList { at: now, ..before } == news;
+            let is_known = SentList { at: now, ..before } == news;
             let length = self.list.as_ref().map_or(0, |(_, list)| list.len()) as u64;
             let interval = Millis(length * LIMIT_BYTES / LIST_BYTES_PER_MS);
             if is_known || now.since(before.at) < interval {
                 return None;
             }
         }
-        told.list = Some(news);
+        state.sent = Some(news);
         Some((news, self.list()))
     }
 
-    fn list(&mut self) -> Shared<Vec<ToldLimit>> {
+    fn list(&mut self) -> Shared<Vec<LimitEntry>> {
         let number = self.ledger.number();
         let held = self.list.take().filter(|(of, _)| *of == number);
         let (_, list) = self
@@ -91,60 +93,58 @@
         list.clone()
     }
 
-    fn take_words(&mut self, gateway: &GatewayId, words: &LimitWords, sound: &Sound<'_>) {
-        let told = self.told.entry(gateway.clone()).or_default();
-        told.words_noted = told.words_noted.max(words.number);
-        for word in words.words.iter().filter(|word| sound.is_of_present(word)) {
-            self.ledger.note(word, sound.now);
+    fn take_reports(
+        &mut self,
+        gateway: &GatewayId,
+        message: &LimitReports,
+        configuration: &Configuration,
+        now: Millis,
+    ) {
+        let state = self.gateways.entry(gateway.clone()).or_default();
+        state.reports_taken = state.reports_taken.max(message.number);
+        let is_of_present = |report: &&LimitReport| is_of_present(report, configuration);
+        for report in message.reports.iter().filter(is_of_present) {
+            self.ledger.note(report, now);
         }
     }
 }
 
-/// What words are held against.
-struct Sound<'a> {
-    configuration: &'a Configuration,
-    now: Millis,
-}
-
-impl Sound<'_> {
-    /// Whether a word is of the back end's present start, as far as that is told.
-    fn is_of_present(&self, word: &LimitWord) -> bool {
-        let Some(record) = self.configuration.backends.get(&word.backend) else {
-            return false;
-        };
-        let present = record.start();
-        word.start == present || word.start == UNTOLD_START || present == UNTOLD_START
-    }
+/// Whether a report is of the present start of a back end that is known; a start that is
+/// not told matches any.
+fn is_of_present(report: &LimitReport, configuration: &Configuration) -> bool {
+    let Some(record) = configuration.backends.get(&report.backend) else {
+        return false;
+    };
+    let present = record.start();
+    report.start == present || report.start == UNTOLD_START || present == UNTOLD_START
 }
 
 impl Replica {
-    /// Back ends that have named a limit, as far as this leader knows.
+    /// Back ends that have a limit, as far as this leader knows.
     pub fn limited_backends(&self) -> usize {
         self.limiting.backends().count()
     }
 
-    /// Takes what a gateway heard of limits.
-    pub(super) fn take_limit_words(&mut self, gateway: &GatewayId, words: &LimitWords) {
-        let sound = Sound {
-            configuration: &self.state.configuration,
-            now: self.now,
-        };
-        self.limiting.take_words(gateway, words, &sound);
+    /// Applies the reports of a gateway.
+    pub(super) fn take_limit_reports(&mut self, gateway: &GatewayId, reports: &LimitReports) {
+        let configuration = &self.state.configuration;
+        self.limiting
+            .take_reports(gateway, reports, configuration, self.now);
     }
 
-    /// Answers a question for a permit.
+    /// Answers a request for a permit.
     pub(super) fn give_permit(&mut self, ask: &PermitAsk) -> ControlReply {
         ControlReply::Permit(self.limiting.ledger.ask(ask, self.now))
     }
 
-    /// Tells a gateway that watches which limits there are, where it may not know.
-    pub(super) fn tell_limits(&mut self, gateway: &GatewayId, connection: u64) {
+    /// Sends the list of limits to a gateway that watches, unless it has the newest one.
+    pub(super) fn send_limits(&mut self, gateway: &GatewayId, connection: u64) {
         let news = self.limiting.news_for(gateway, connection, self.now);
         if let Some((news, limits)) = news {
-            let reply = ControlReply::Limits(ToldLimits {
+            let reply = ControlReply::Limits(LimitUpdate {
                 term: self.node.status().term,
                 number: news.number,
-                words_noted: news.words_noted,
+                reports_taken: news.reports_taken,
                 limits,
             });
             self.effects
@@ -156,8 +156,8 @@
     pub(super) fn keep_limits(&mut self) {
         let backends = &self.state.configuration.backends;
         self.limiting.ledger.keep(|id| backends.contains_key(id));
-        let gateways = &self.gateways;
-        let told = &mut self.limiting.told;
-        told.retain(|gateway, _| gateways.is_known(gateway));
+        let known = &self.gateways;
+        let states = &mut self.limiting.gateways;
+        states.retain(|gateway, _| known.is_known(gateway));
     }
 }
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -5,7 +5,7 @@
     BackendRegistration, Backlog, ByRank, Effect, EngineObservation, EnginePolling, Event,
     GatewayRequest, MachineEntry, ReplicaSettings, UNTOLD_START,
 };
-use garnet_limits::{LimitWord, LimitWords};
+use garnet_limits::{LimitReport, LimitReports};
 use garnet_planner::BalanceSettings;
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, EngineRole, GatewayId, MachineState, Millis, ModelId,
@@ -338,19 +338,19 @@
 }
 
 fn limited(number: u64, rate: Option<&str>) -> Event {
-    let word = LimitWord {
+    let report = LimitReport {
         backend: BackendId::new(format!("engine-{number}")),
         start: number,
         rate: rate.map(|rate| rate.parse().expect("a rate")),
         ago: Millis::ZERO,
     };
-    let words = LimitWords {
+    let reports = LimitReports {
         number,
-        words: vec![word],
+        reports: vec![report],
     };
     let gateway = GatewayId::new("gateway-1");
     Event::Gateway {
         connection: 1,
-        request: GatewayRequest::LimitWords { gateway, words },
+        request: GatewayRequest::LimitReports { gateway, reports },
     }
 }
--- a/components/control/tests/state/limits.rs
+++ b/components/control/tests/state/limits.rs
@@ -1,7 +1,7 @@
 //! Engines that name a limit, as the leader hears and tells of it.
 
-use garnet_control::{ControlReply, Event, GatewayRequest, MachineEntry, ToldLimits};
-use garnet_limits::{LimitWord, LimitWords, PermitAsk, PermitOutcome};
+use garnet_control::{ControlReply, Event, GatewayRequest, LimitUpdate, MachineEntry};
+use garnet_limits::{LimitReport, LimitReports, PermitAsk, PermitOutcome};
 use garnet_types::{BackendId, GatewayId, MachineState, Millis};
 
 use crate::leader::Leader;
@@ -20,7 +20,7 @@
 }
 
 /// What a gateway hears of limits with the answer to its watch.
-fn watch(leader: &mut Leader, gateway: &str, connection: u64) -> Option<ToldLimits> {
+fn watch(leader: &mut Leader, gateway: &str, connection: u64) -> Option<LimitUpdate> {
     let request = leader.watch_of(gateway, 0);
     let limits = |reply| match reply {
         ControlReply::Limits(limits) => Some(limits),
@@ -31,18 +31,18 @@
 }
 
 fn tell(leader: &mut Leader, gateway: &str, number: u64, of: u64, start: u64, rate: Option<&str>) {
-    let word = LimitWord {
+    let report = LimitReport {
         backend: engine(of),
         start,
         rate: rate.map(|rate| rate.parse().expect("a rate")),
         ago: Millis::ZERO,
     };
-    let words = LimitWords {
+    let reports = LimitReports {
         number,
-        words: vec![word],
+        reports: vec![report],
     };
     let gateway = GatewayId::new(gateway);
-    let request = GatewayRequest::LimitWords { gateway, words };
+    let request = GatewayRequest::LimitReports { gateway, reports };
     assert_eq!(leader.replies(1, request), []);
 }
 
@@ -61,7 +61,7 @@
     }
 }
 
-fn told(limits: Option<ToldLimits>) -> Vec<(String, String)> {
+fn told(limits: Option<LimitUpdate>) -> Vec<(String, String)> {
     let limits = limits.expect("news");
     let limits = limits.limits.iter();
     limits
@@ -80,7 +80,7 @@
     assert_eq!(told(watch(&mut leader, "g2", 2)), expected);
     assert_eq!(watch(&mut leader, "g2", 2), None);
     let own = watch(&mut leader, "g1", 1).expect("news");
-    assert_eq!(own.words_noted, 7);
+    assert_eq!(own.reports_taken, 7);
     // On another connection it may not know.
     assert_eq!(told(watch(&mut leader, "g2", 3)), expected);
     assert_eq!(leader.replica.limited_backends(), 1);
--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -14,14 +14,14 @@
 /// Set to `no` on a response that says the request was not begun.
 pub const STARTED_HEADER: &str = "garnet-started";
 /// Requests a second that a back end takes from all gateways together, on each of its
-/// answers while it is in need: a decimal number.
+/// answers while it is overloaded: a decimal number.
 pub const LIMIT_HEADER: &str = "garnet-request-limit";
 /// Set to [`DRAINING`] by a back end that ends soon, on each of its answers.
 pub const DRAINING_HEADER: &str = "garnet-draining";
 /// Value of [`DRAINING_HEADER`].
 pub const DRAINING: &str = "1";
-/// On a response that says the request was not begun: the time for which the back end is
-/// to be sent nothing by this gateway.
+/// On a response with [`STARTED_HEADER`]: the backoff that the back end requests of this
+/// gateway.
 pub const RETRY_AFTER_HEADER: &str = "retry-after";
 /// Value of [`STARTED_HEADER`] that says so.
 pub const NOT_STARTED: &str = "no";
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -35,7 +35,7 @@
     pub(crate) started_at: Millis,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) permits: PermitDesk,
-    /// What back ends tell of themselves and nobody here knows.
+    /// Unknown header names in answers of back ends.
     pub(crate) unknown_names: UnknownNames,
     /// Bounds on the time of callers' connections, by the route table in force.
     pub(crate) connection_times: Shared<ConnectionTimes>,
--- a/components/forwarding-shell/src/permits.rs
+++ b/components/forwarding-shell/src/permits.rs
@@ -17,7 +17,7 @@
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::Running;
 
-/// A leader that was not heard for so long is not asked: four times the longest
+/// A leader that has been silent for so long is not asked: four times the longest
 /// pause between two answers to a gateway.
 const LEADER_SILENT: Millis = Millis(1000);
 /// Longest time that its answer is waited for: the way to another region and back.
@@ -27,7 +27,7 @@
 /// A caller who is refused within this part of its objective can still be served in
 /// time.
 const WAIT_PART: u64 = 4;
-/// What callers are told where nobody leads: a group has a leader again about then.
+/// Retry time of callers while there is no leader: an election takes about as long.
 const RETRY_WITHOUT_LEADER: Millis = Millis(1000);
 
 /// Why a request is not placed.
@@ -70,7 +70,7 @@
     /// Wakes who waits for this answer.
     fn answered(&self, answer: &PermitAnswer) {
         if let Some(waiter) = self.waiting.borrow_mut().remove(&answer.number) {
-            // Who has gone does not hear it; the permit is there for another one.
+            // The waiter may be gone; the permit is left for another request.
             let _gone = waiter.try_send(answer.outcome.clone());
         }
     }
@@ -101,23 +101,23 @@
     }
 }
 
-/// Tells the leader what it has not heard yet of limits.
-pub(crate) fn tell_limit_words<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>) {
+/// Sends the leader the reports of limits that it does not have yet.
+pub(crate) fn send_limit_reports<C: CallerPort, B: BackendPort>(gateway: &Gateway<C, B>) {
     let now = gateway.now();
-    let words = gateway.forwarder.borrow_mut().limit_words(now);
-    let Some(words) = words else {
+    let reports = gateway.forwarder.borrow_mut().limit_reports(now);
+    let Some(reports) = reports else {
         return;
     };
-    let request = GatewayRequest::LimitWords {
+    let request = GatewayRequest::LimitReports {
         gateway: gateway.permits.id.clone(),
-        words,
+        reports,
     };
-    // What is lost is told again.
+    // A lost message is sent again.
     let _lost = gateway.permits.requests.try_send(request);
 }
 
 /// Takes the leader's answer to a question.
-pub(crate) fn hear_permit<C: CallerPort, B: BackendPort>(
+pub(crate) fn take_permit<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     answer: &PermitAnswer,
 ) {
@@ -146,14 +146,14 @@
         forwarder.ask_for_spare_permit(service, work, now)
     };
     if let Some(ask) = ask {
-        tell_limit_words(gateway);
+        send_limit_reports(gateway);
         // What is lost was of no use to anybody yet.
         let _lost = gateway.permits.send(ask);
     }
 }
 
 /// Places a request. Where only back ends with a limit could take it, it is placed
-/// with a permit, or refused as soon as the leader has said that there is none.
+/// with a permit, or refused as soon as the leader refuses one.
 pub(crate) async fn place_within_limits<C, B, T>(
     gateway: &Gateway<C, B>,
     running: &Running,
@@ -244,7 +244,7 @@
         gateway.metrics.permit("no_leader");
         return None;
     }
-    tell_limit_words(gateway);
+    send_limit_reports(gateway);
     let waiter = Waiter::begin(&gateway.permits, ask.number);
     let answer = if gateway.permits.send(ask) {
         let useful = Millis(running.work.objective.0 / WAIT_PART);
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -3,7 +3,7 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
-use garnet_forwarding::{Credential, LimitSaid, LoadReport, NotRunReason, Prompt, RetryAfter};
+use garnet_forwarding::{Credential, LoadReport, NotRunReason, Prompt, ReportedLimit, RetryAfter};
 use garnet_quarantine::{RequestFingerprint, RequestIdentity};
 use garnet_routes::Route;
 use garnet_runtime::Body;
@@ -145,8 +145,8 @@
     pub meaning: HeadMeaning,
     /// Load that came with it.
     pub load: Option<LoadReport>,
-    /// What it says of how much its back end takes.
-    pub limit: LimitSaid,
+    /// Limit of its back end.
+    pub limit: ReportedLimit,
     /// Backoff that its back end requests.
     pub retry_after: Option<RetryAfter>,
     /// Whether its back end reports that it is draining.
--- a/components/forwarding-shell/src/reported.rs
+++ b/components/forwarding-shell/src/reported.rs
@@ -1,6 +1,6 @@
 //! What the head of an answer reports of its back end.
 
-use garnet_forwarding::LimitSaid;
+use garnet_forwarding::ReportedLimit;
 use garnet_types::Millis;
 use hyper::StatusCode;
 
@@ -25,8 +25,7 @@
     }
 }
 
-/// Notes what an answer says of how much its back end takes. One that says nothing
-/// counts where it is the back end's proper answer to the work.
+/// Takes the limit in an answer. An answer without one counts if it is a success.
 fn note_limit<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     job: &Job,
@@ -35,11 +34,13 @@
     sent_at: Millis,
 ) {
     let said = match (read.meaning, read.limit) {
-        (HeadMeaning::Answer | HeadMeaning::NotRun(_), LimitSaid::Named(rate)) => {
-            LimitSaid::Named(rate)
+        (HeadMeaning::Answer | HeadMeaning::NotRun(_), ReportedLimit::Limited(rate)) => {
+            ReportedLimit::Limited(rate)
         }
-        (HeadMeaning::Answer, LimitSaid::NamedNone) if status.is_success() => LimitSaid::NamedNone,
-        _ => LimitSaid::Nothing,
+        (HeadMeaning::Answer, ReportedLimit::Unlimited) if status.is_success() => {
+            ReportedLimit::Unlimited
+        }
+        _ => ReportedLimit::Unknown,
     };
     let now = gateway.now();
     let mut forwarder = gateway.forwarder.borrow_mut();
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -316,7 +316,7 @@
     with_leave(gateway, response)
 }
 
-/// What the caller of a request that is given up is told.
+/// The answer to a request that is given up.
 pub(crate) fn given_up_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &Running,
--- a/components/forwarding-shell/src/unknown_names.rs
+++ b/components/forwarding-shell/src/unknown_names.rs
@@ -1,7 +1,6 @@
-//! Names in the answers of back ends that nobody here knows.
+//! Unknown header names in answers of back ends.
 //!
-//! A back end that tells something new of itself is passed over without a trace
-//! otherwise: callers and operators see only what follows from that.
+//! A header that the adapter does not know would be dropped without a trace otherwise.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -9,7 +8,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::ports::{Job, ReadHead};
 
-/// Names that are told apart at most; a back end may send any.
+/// Most distinct names that are counted; a back end may send any.
 const MOST_NAMES: usize = 32;
 /// Stands for all names beyond these.
 const OTHER_NAMES: &str = "other";
@@ -19,7 +18,7 @@
 pub(crate) struct UnknownNames(RefCell<BTreeSet<String>>);
 
 impl UnknownNames {
-    /// Counts the names of an answer, and tells of each one when it is first met.
+    /// Counts the names of an answer, and logs each one the first time.
     pub(crate) fn note(&self, metrics: &GatewayMetrics, job: &Job, read: &ReadHead) {
         for (name, value) in &read.unknown {
             let mut met = self.0.borrow_mut();
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use garnet_control::{
-    Configuration, ConfigurationPart, ControlReply, GatewayRequest, PartRequest, ToldLimits,
+    Configuration, ConfigurationPart, ControlReply, GatewayRequest, LimitUpdate, PartRequest,
     UsageReceipt, WatchUpdate, usage_interval,
 };
 use garnet_forwarding::Forwarder;
@@ -17,7 +17,7 @@
 use smol::channel::{Receiver, Sender};
 
 use crate::gateway::{Gateway, connection_times};
-use crate::permits::{hear_permit, tell_limit_words};
+use crate::permits::{send_limit_reports, take_permit};
 use crate::ports::{BackendPort, CallerPort};
 use crate::start::Replicas;
 
@@ -100,7 +100,7 @@
         // What is lost is asked again.
         let _lost = self.requests.try_send(request);
         self.tell_runs(now);
-        tell_limit_words(&self.gateway);
+        send_limit_reports(&self.gateway);
     }
 
     /// Tells the leader of runs that ended with their engine.
@@ -158,8 +158,8 @@
         }
         let reply = match reply {
             ControlReply::Part(part) => return self.hear_part(part),
-            ControlReply::Limits(told) => return self.hear_limits(&told),
-            ControlReply::Permit(answer) => return hear_permit(&self.gateway, &answer),
+            ControlReply::Limits(told) => return self.take_limits(&told),
+            ControlReply::Permit(answer) => return take_permit(&self.gateway, &answer),
             reply => reply,
         };
         let ControlReply::Watch {
@@ -202,7 +202,7 @@
         self.note_change(before);
     }
 
-    fn hear_limits(&self, told: &ToldLimits) {
+    fn take_limits(&self, told: &LimitUpdate) {
         let now = self.gateway.now();
         let over = self.gateway.forwarder.borrow_mut().take_limits(told, now);
         for backend in over {
--- a/components/forwarding/src/forwarder/availability.rs
+++ b/components/forwarding/src/forwarder/availability.rs
@@ -69,8 +69,8 @@
     }
 
     /// When the caller of a request should come back that nobody takes since all who
-    /// could are in backoff; `None` where one of them is not. Callers that are told so
-    /// in turn come back spread out.
+    /// could are in backoff; `None` where one of them is not. The times of successive
+    /// callers are spread out.
     pub fn all_in_backoff(
         &mut self,
         service: &ServiceId,
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -1,8 +1,8 @@
-//! Back ends that named how many requests a second they take from all gateways
-//! together: what was heard, and permits to send to them.
+//! Back ends with a limit on requests a second from all gateways together, and permits to
+//! send to them.
 
-use garnet_control::ToldLimits;
-use garnet_limits::{Asking, LimitWords, PermitAnswer, PermitAsk, RequestRate};
+use garnet_control::LimitUpdate;
+use garnet_limits::{Asking, LimitReports, PermitAnswer, PermitAsk, RequestRate};
 use garnet_types::{BackendId, Millis, ServiceId};
 
 use crate::backends::Backend;
@@ -10,52 +10,52 @@
 
 use super::Forwarder;
 
-/// What an answer says of its back end's limit.
+/// The limit in an answer of a back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LimitSaid {
-    /// It takes so many requests.
-    Named(RequestRate),
-    /// It names none, and would.
-    NamedNone,
-    /// Nothing that can be gone by.
-    Nothing,
+pub enum ReportedLimit {
+    /// Requests a second that it takes.
+    Limited(RequestRate),
+    /// A proper answer without a limit.
+    Unlimited,
+    /// The answer shows neither.
+    Unknown,
 }
 
 impl Forwarder {
-    // ---- What back ends say ----
+    // ---- Reports of back ends ----
 
-    /// Takes what an answer says, to a request that was sent at `sent_at`. Gives the
+    /// Takes the limit in an answer to a request that was sent at `sent_at`. Gives the
     /// limit where it is news.
     pub fn note_limit(
         &mut self,
         id: &BackendId,
-        said: LimitSaid,
+        reported: ReportedLimit,
         sent_at: Millis,
         now: Millis,
     ) -> Option<RequestRate> {
         let backend = self.backends.get_mut(id)?;
         let start = backend.start;
-        match said {
-            LimitSaid::Named(rate) => {
+        match reported {
+            ReportedLimit::Limited(rate) => {
                 backend.has_limit = true;
                 let is_new = self.limits.named(id, start, rate, now);
                 is_new.then_some(rate)
             }
-            LimitSaid::NamedNone => {
+            ReportedLimit::Unlimited => {
                 self.limits.named_none(id, start, sent_at);
                 None
             }
-            LimitSaid::Nothing => None,
+            ReportedLimit::Unknown => None,
         }
     }
 
-    /// What the leader has not heard yet of limits.
-    pub fn limit_words(&mut self, now: Millis) -> Option<LimitWords> {
-        self.limits.words(now)
+    /// Reports to send to the leader.
+    pub fn limit_reports(&mut self, now: Millis) -> Option<LimitReports> {
+        self.limits.reports(now)
     }
 
     /// Takes the leader's list of limits. Gives the back ends whose limit is over.
-    pub fn take_limits(&mut self, told: &ToldLimits, now: Millis) -> Vec<BackendId> {
+    pub fn take_limits(&mut self, told: &LimitUpdate, now: Millis) -> Vec<BackendId> {
         let over = self.limits.take_list(told.list(), now);
         let listed = told.limits.iter().map(|told| &told.backend);
         for id in listed.chain(&over) {
@@ -64,7 +64,7 @@
         over
     }
 
-    /// Keeps [`Backend::has_limit`] as the limits say.
+    /// Keeps [`Backend::has_limit`] in step with the limits.
     pub(super) fn note_whether_limited(&mut self, id: &BackendId) {
         let has_limit = self.limits.rate(id).is_some();
         if let Some(backend) = self.backends.get_mut(id) {
@@ -114,8 +114,8 @@
     }
 
     /// Each gateway asks for a permit with one of so many requests as there are
-    /// gateways, whether it needs one or not: what an engine takes is used, and its
-    /// end is heard, also where others have room.
+    /// gateways, whether it needs one or not: the engine's permits are used, and the end of
+    /// the limit is noticed, also while other engines have room.
     pub fn ask_for_spare_permit(
         &mut self,
         service: &ServiceId,
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -10,7 +10,7 @@
 
 pub use beliefs::PrefillWork;
 pub use fleet::FleetReport;
-pub use limits::LimitSaid;
+pub use limits::ReportedLimit;
 
 use fleet::{BeliefsAge, Reporting};
 
@@ -93,7 +93,7 @@
     reporting: Reporting,
     beliefs_age: BeliefsAge,
     crash_log: CrashLog,
-    /// What back ends said of how much they take, and the permits for them.
+    /// Limits of back ends, and permits for them.
     limits: KnownLimits,
     /// Requests that came so far, to share out who asks for a spare permit.
     arrived: u64,
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -29,7 +29,7 @@
 pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
 pub use backends::{Backend, BackendLoad, LoadReport};
 pub use forwarder::{
-    FleetReport, Forwarder, ForwarderSettings, LimitSaid, PrefillWork, RouteChoice,
+    FleetReport, Forwarder, ForwarderSettings, PrefillWork, ReportedLimit, RouteChoice,
 };
 pub use garnet_routing::{Probe, RetryAfter, RetryAfterError};
 pub use pace::{PrefillPace, TokenTime};
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -75,7 +75,7 @@
         !backend.has_limit
     }
 
-    /// Whether a request should go there, so that it is heard what it takes.
+    /// Whether the next request should go there, to refresh what is known of its limit.
     fn is_due(&self, backend: &Backend) -> bool {
         backend.has_limit && self.limits.is_due(&backend.registration.id, self.now)
     }
--- a/components/forwarding/tests/core/availability.rs
+++ b/components/forwarding/tests/core/availability.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{BackendRecord, EngineObservation, WatchUpdate};
 use garnet_forwarding::{
-    Admission, Arrival, Forwarder, LimitSaid, Placement, Probe, RetryAfter, Work,
+    Admission, Arrival, Forwarder, Placement, Probe, ReportedLimit, RetryAfter, Work,
 };
 use garnet_limits::Asking;
 use garnet_routes::WorkKind;
@@ -236,7 +236,7 @@
 fn a_backoff_comes_before_a_permit() {
     let mut gateway = forwarder(&instances()[..1]);
     let rate = "5".parse().expect("a rate");
-    gateway.note_limit(&id("till-a"), LimitSaid::Named(rate), NOW, NOW);
+    gateway.note_limit(&id("till-a"), ReportedLimit::Limited(rate), NOW, NOW);
     let ask = |gateway: &mut Forwarder| gateway.ask_for_permit(&till(), &call(), &[], NOW);
     assert!(matches!(ask(&mut gateway), Asking::Ask(_)));
     gateway.note_backoff(&id("till-a"), BACKOFF, NOW);
--- a/components/forwarding/tests/core/limits.rs
+++ b/components/forwarding/tests/core/limits.rs
@@ -1,9 +1,9 @@
 //! Back ends that named how much they take from all gateways together: who is sent
 //! there, and who isn't.
 
-use garnet_control::{BackendRecord, EngineObservation, Shared, ToldLimits};
-use garnet_forwarding::{Forwarder, LimitSaid, Placement, Work};
-use garnet_limits::{Asking, PERMIT_LASTS, PermitAnswer, PermitOutcome, ToldLimit};
+use garnet_control::{BackendRecord, EngineObservation, LimitUpdate, Shared};
+use garnet_forwarding::{Forwarder, Placement, ReportedLimit, Work};
+use garnet_limits::{Asking, LimitEntry, PERMIT_LASTS, PermitAnswer, PermitOutcome};
 use garnet_routes::WorkKind;
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 use rstest::rstest;
@@ -23,7 +23,7 @@
 
 fn limit(gateway: &mut Forwarder, name: &str) {
     let rate = "1.5".parse().expect("a rate");
-    gateway.note_limit(&id(name), LimitSaid::Named(rate), NOW, NOW);
+    gateway.note_limit(&id(name), ReportedLimit::Limited(rate), NOW, NOW);
 }
 
 fn call() -> Work {
@@ -58,22 +58,22 @@
     list_after(gateway, term, 0, names)
 }
 
-/// The list of a leader that has taken the words of this number.
+/// The list of a leader that has applied the reports of this number.
 fn list_after(
     gateway: &mut Forwarder,
     term: u64,
-    words_noted: u64,
+    reports_taken: u64,
     names: &[&str],
 ) -> Vec<BackendId> {
-    let told = |name: &&str| ToldLimit {
+    let told = |name: &&str| LimitEntry {
         backend: id(name),
         rate: "2".parse().expect("a rate"),
     };
-    let limits: Vec<ToldLimit> = names.iter().map(told).collect();
-    let told = ToldLimits {
+    let limits: Vec<LimitEntry> = names.iter().map(told).collect();
+    let told = LimitUpdate {
         term,
         number: 0,
-        words_noted,
+        reports_taken,
         limits: Shared::from(limits),
     };
     gateway.take_limits(&told, NOW)
@@ -224,9 +224,9 @@
 fn a_limit_ends_by_the_word_of_the_leader() {
     let mut gateway = forwarder(&instances());
     limit(&mut gateway, "till-a");
-    let heard = gateway.limit_words(NOW).expect("it was heard");
-    assert_eq!(heard.words.len(), 1);
-    // It has not taken the words yet.
+    let heard = gateway.limit_reports(NOW).expect("it was heard");
+    assert_eq!(heard.reports.len(), 1);
+    // It has not applied the reports yet.
     assert_eq!(list(&mut gateway, 4, &[]), []);
     assert_eq!(list(&mut gateway, 4, &["till-a", "till-b"]), []);
     assert_eq!(gateway.limited_backends(), 2);
@@ -239,12 +239,12 @@
 fn another_leader_is_told_anew() {
     let mut gateway = forwarder(&instances());
     limit(&mut gateway, "till-a");
-    let _told = gateway.limit_words(NOW);
+    let _told = gateway.limit_reports(NOW);
     list(&mut gateway, 4, &["till-a", "till-b"]);
-    assert_eq!(gateway.limit_words(NOW), None);
+    assert_eq!(gateway.limit_reports(NOW), None);
     assert_eq!(list(&mut gateway, 5, &[]), []);
-    let told = gateway.limit_words(NOW).expect("it is told anew");
-    assert_eq!(told.words.len(), 2);
+    let told = gateway.limit_reports(NOW).expect("it is told anew");
+    assert_eq!(told.reports.len(), 2);
     assert_eq!(gateway.limited_backends(), 2);
 }
 
@@ -255,14 +255,14 @@
     let mut gateway = forwarder(&instances());
     list(&mut gateway, 4, &[]);
     limit(&mut gateway, "till-a");
-    let lost = gateway.limit_words(NOW).expect("it was heard");
+    let lost = gateway.limit_reports(NOW).expect("it was heard");
     limit(&mut gateway, "till-b");
-    let second = gateway.limit_words(NOW).expect("news");
-    assert_eq!(second.words.len(), 2);
+    let second = gateway.limit_reports(NOW).expect("news");
+    assert_eq!(second.reports.len(), 2);
     assert_eq!(list_after(&mut gateway, 4, lost.number, &[]), []);
     let both = ["till-a", "till-b"];
     assert_eq!(list_after(&mut gateway, 4, second.number, &both), []);
-    assert_eq!(gateway.limit_words(NOW), None);
+    assert_eq!(gateway.limit_reports(NOW), None);
 }
 
 /// An engine that has started again under its name has said nothing yet.
@@ -279,7 +279,7 @@
     let anew = configuration(6, table(1, &[("till", 1)]), &again);
     gateway.update(garnet_control::WatchUpdate::Snapshot(anew.into()));
     assert!(gateway.may_send(&id("g-1"), NOW));
-    assert_eq!(gateway.limit_words(NOW), None);
+    assert_eq!(gateway.limit_reports(NOW), None);
 }
 
 /// An answer without a name ends nothing where its request was sent before the limit
@@ -288,13 +288,13 @@
 fn an_older_answer_tells_nothing() {
     let mut gateway = forwarder(&instances());
     limit(&mut gateway, "till-a");
-    let _told = gateway.limit_words(NOW);
+    let _told = gateway.limit_reports(NOW);
     let later = NOW + Millis(1);
-    gateway.note_limit(&id("till-a"), LimitSaid::NamedNone, NOW, later);
-    assert_eq!(gateway.limit_words(later), None);
-    gateway.note_limit(&id("till-a"), LimitSaid::NamedNone, later, later);
-    let words = gateway.limit_words(later).expect("news").words;
-    assert_eq!(words[0].rate, None);
+    gateway.note_limit(&id("till-a"), ReportedLimit::Unlimited, NOW, later);
+    assert_eq!(gateway.limit_reports(later), None);
+    gateway.note_limit(&id("till-a"), ReportedLimit::Unlimited, later, later);
+    let reports = gateway.limit_reports(later).expect("news").reports;
+    assert_eq!(reports[0].rate, None);
 }
 
 /// The list of limits may come before the engines that it names.
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -66,8 +66,8 @@
 /// What became of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AttemptEvent {
-    /// What the head of the answer says of how many requests a second the back end
-    /// takes from all gateways together; `None` where it names no limit.
+    /// The head of the answer: requests a second that the back end takes from all gateways
+    /// together; `None` where it names no limit.
     Limit(Option<RequestRate>),
     /// The head of the answer requests a backoff.
     Backoff(RetryAfter),
--- a/components/gateway/src/gateway/availability.rs
+++ b/components/gateway/src/gateway/availability.rs
@@ -1,5 +1,5 @@
-//! Back ends that request a backoff or report draining: what was heard, and when callers
-//! come back where nobody takes their requests.
+//! Back ends that request a backoff or report draining, and the retry time of callers
+//! whose requests no back end takes.
 
 use garnet_routing::{RetryAfter, caller_return, end_spread};
 use garnet_types::{BackendId, Millis, OutcomeCode, Refusal};
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -45,7 +45,7 @@
             copies: Vec::new(),
         }));
         self.tell_runs();
-        self.tell_limits();
+        self.send_limit_reports();
     }
 
     pub(super) fn handle_control(&mut self, reply: ControlReply) {
@@ -78,7 +78,7 @@
             // This gateway reports none.
             ControlReply::Usage(_) => {}
             ControlReply::Limits(told) => self.take_limits(&told),
-            ControlReply::Permit(answer) => self.hear_permit(&answer),
+            ControlReply::Permit(answer) => self.take_permit(&answer),
             ControlReply::RunsNoted { through } => self.runs_noted(through),
         }
     }
--- a/components/gateway/src/gateway/limits.rs
+++ b/components/gateway/src/gateway/limits.rs
@@ -1,7 +1,7 @@
-//! Back ends that name how many requests a second they take from all gateways
-//! together: what was heard, and permits to send to them.
+//! Back ends with a limit on requests a second from all gateways together, and permits to
+//! send to them.
 
-use garnet_control::{GatewayRequest, ToldLimits};
+use garnet_control::{GatewayRequest, LimitUpdate};
 use garnet_limits::{Asking, PermitAnswer, PermitAsk, PermitOutcome, RequestRate};
 use garnet_types::{BackendId, Class, Millis, OutcomeCode, Refusal, RequestId};
 
@@ -15,7 +15,7 @@
 /// A request waits so long for the leader's answer: the way to another region and
 /// back.
 const PERMIT_PATIENCE: Millis = Millis(250);
-/// What callers are told where the leader does not answer.
+/// Retry time of callers where the leader does not answer.
 const RETRY_WITHOUT_LEADER: Millis = Millis(1000);
 /// Permits that are asked for one after the other for one attempt: to read a prompt,
 /// and to generate.
@@ -33,7 +33,7 @@
 }
 
 impl Gateway {
-    // ---- What back ends say ----
+    // ---- Reports of back ends ----
 
     pub(crate) fn take_limit(
         &mut self,
@@ -54,17 +54,17 @@
         }
     }
 
-    pub(super) fn tell_limits(&mut self) {
-        if let Some(words) = self.limits.words(self.now) {
+    pub(super) fn send_limit_reports(&mut self) {
+        if let Some(reports) = self.limits.reports(self.now) {
             let gateway = self.settings.id.clone();
-            self.emit(Effect::SendControl(GatewayRequest::LimitWords {
+            self.emit(Effect::SendControl(GatewayRequest::LimitReports {
                 gateway,
-                words,
+                reports,
             }));
         }
     }
 
-    pub(super) fn take_limits(&mut self, told: &ToldLimits) {
+    pub(super) fn take_limits(&mut self, told: &LimitUpdate) {
         let over = self.limits.take_list(told.list(), self.now);
         if !over.is_empty() {
             self.serve_waiting();
@@ -84,8 +84,8 @@
         self.limits.may_send(id, self.now)
     }
 
-    /// Of these back ends those that should get the next request, so that it is heard
-    /// what they take; all where none should.
+    /// Of these back ends those that should get the next request, to refresh what is known of
+    /// their limits; all where none should.
     pub(crate) fn due_first<T>(&self, all: Vec<T>, id: impl Fn(&T) -> &BackendId) -> Vec<T> {
         let is_due = |one: &T| self.limits.is_due(id(one), self.now);
         if !all.iter().any(is_due) {
@@ -141,7 +141,7 @@
     }
 
     fn ask_leader(&mut self, ask: PermitAsk) {
-        self.tell_limits();
+        self.send_limit_reports();
         self.emit(Effect::SendControl(GatewayRequest::Permit(ask)));
     }
 
@@ -180,8 +180,8 @@
     }
 
     /// Each gateway asks for a permit with one of so many requests as there are
-    /// gateways, whether it needs one or not: the end of a limit is heard, also where
-    /// others have room.
+    /// gateways, whether it needs one or not: the end of a limit is noticed, also while
+    /// other back ends have room.
     pub(super) fn ask_for_spare_permit(&mut self, id: RequestId) {
         if self.limits.is_empty() {
             return;
@@ -193,7 +193,7 @@
         }
     }
 
-    /// Asks for a permit that whoever comes next may use.
+    /// Asks for a permit that the next request may use.
     pub(crate) fn ask_for_any(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -211,7 +211,7 @@
         }
     }
 
-    pub(super) fn hear_permit(&mut self, answer: &PermitAnswer) {
+    pub(super) fn take_permit(&mut self, answer: &PermitAnswer) {
         self.limits.answered(answer, self.now);
         let awaits = |request: &Request| match &request.stage {
             Stage::AwaitingPermit(awaited) => awaited.number == answer.number,
@@ -257,7 +257,7 @@
     }
 
     /// Ends a request that can't be served within the limits: it waits where it may,
-    /// else it hears at once when to come again.
+    /// else it is refused at once with a retry time.
     fn refuse_limited(&mut self, id: RequestId, retry_after: Millis) {
         self.set_stage(id, Stage::Waiting);
         let Some(request) = self.requests.get(&id) else {
--- a/components/gateway/tests/core/limited_back_ends.rs
+++ b/components/gateway/tests/core/limited_back_ends.rs
@@ -1,10 +1,10 @@
 //! Back ends that name how much they take from all gateways together.
 
 use garnet_control::{
-    BackendRecord, ControlReply, GatewayRequest, Shared, ToldLimits, WatchUpdate,
+    BackendRecord, ControlReply, GatewayRequest, LimitUpdate, Shared, WatchUpdate,
 };
 use garnet_gateway::{AttemptEvent, Effect, Event, Job};
-use garnet_limits::{PermitAnswer, PermitAsk, PermitOutcome, ToldLimit};
+use garnet_limits::{LimitEntry, PermitAnswer, PermitAsk, PermitOutcome};
 use garnet_types::{BackendId, EngineRole, Millis, OutcomeCode};
 
 use crate::harness::{Harness, completion, configuration, order};
@@ -14,15 +14,15 @@
     let ids = harness.gateway.configuration().backends.keys().cloned();
     let ids: Vec<BackendId> = ids.filter(|id| id.as_str().starts_with(prefix)).collect();
     assert!(!ids.is_empty());
-    let told = |id: &BackendId| ToldLimit {
+    let told = |id: &BackendId| LimitEntry {
         backend: id.clone(),
         rate: "1.5".parse().expect("a rate"),
     };
-    let limits: Vec<ToldLimit> = ids.iter().map(told).collect();
-    harness.event(Event::Control(ControlReply::Limits(ToldLimits {
+    let limits: Vec<LimitEntry> = ids.iter().map(told).collect();
+    harness.event(Event::Control(ControlReply::Limits(LimitUpdate {
         term: 1,
         number: 1,
-        words_noted: 0,
+        reports_taken: 0,
         limits: Shared::from(limits),
     })));
     ids
@@ -173,11 +173,11 @@
     let rate = "0.25".parse().expect("a rate");
     harness.attempt(running.attempt, AttemptEvent::Limit(Some(rate)));
     harness.wait(Millis(1_000));
-    let words = harness.take(|effect| match effect {
-        Effect::SendControl(GatewayRequest::LimitWords { words, .. }) => Some(words.clone()),
+    let sent = harness.take(|effect| match effect {
+        Effect::SendControl(GatewayRequest::LimitReports { reports, .. }) => Some(reports.clone()),
         _ => None,
     });
-    let told = &words[0].words[0];
+    let told = &sent[0].reports[0];
     assert_eq!((&told.backend, told.rate), (&running.backend, Some(rate)));
 }
 
--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -17,8 +17,8 @@
 const KEPT: u64 = 3;
 /// Permits of so long a time are kept besides: at high rates callers come in bunches.
 const KEPT_FOR: Millis = Millis(150);
-/// A back end that takes fewer is sent one request in 10 s: nobody would hear of its
-/// recovery otherwise.
+/// A back end with a lower limit is sent one request in 10 s, since its recovery shows
+/// only in answers.
 const SLOWEST: RequestRate = RequestRate::from_micros_per_s(100_000);
 
 /// Permits that may be handed out now.
--- a/components/limits/src/demand.rs
+++ b/components/limits/src/demand.rs
@@ -2,7 +2,7 @@
 
 use garnet_types::Millis;
 
-/// Ranks that are told apart.
+/// Distinct ranks.
 const RANKS: usize = 16;
 /// What was asked for counts for half after this time: long enough to see callers
 /// that come once a second, short enough to follow a swing of the mix.
--- a/components/limits/src/known.rs
+++ b/components/limits/src/known.rs
@@ -5,20 +5,20 @@
 use garnet_types::{BackendId, Millis};
 
 use crate::messages::{
-    LimitList, LimitWord, LimitWords, PERMIT_LASTS, PermitAnswer, PermitAsk, PermitOutcome,
+    LimitList, LimitReport, LimitReports, PERMIT_LASTS, PermitAnswer, PermitAsk, PermitOutcome,
 };
 use crate::rate::RequestRate;
 
-/// Words that wait to be told at most, some 30 bytes each. What is left out is heard
-/// again with the next answer.
-const MOST_WORDS: usize = 64;
+/// Reports that wait to be sent at most, some 30 bytes each. What is dropped comes again
+/// with the next answer.
+const MAX_REPORTS: usize = 64;
 /// Back ends that one question names at most: enough to find the one with a permit
 /// among a few, at some 300 bytes.
 const MOST_ASKED: usize = 16;
 /// Questions that are remembered; older ones are answered or lost.
 const MOST_QUESTIONS: usize = 64;
 
-/// The start of a back end of which only the leader's list tells; it is no start's name.
+/// Start of a back end that is known from the leader's list only.
 const UNTOLD_START: u64 = 0;
 
 /// A request that may be sent.
@@ -41,43 +41,43 @@
 struct Known {
     rate: RequestRate,
     start: u64,
-    /// An answer tells of the end of the limit where its request was sent later.
+    /// An answer without a limit counts only if its request was sent later.
     since: Millis,
-    /// Whether the back end itself was heard here to name it.
-    was_heard: bool,
-    told: Told,
+    /// Whether an answer to this gateway named it.
+    was_reported_here: bool,
+    leader_knows: LeaderKnows,
     permits: VecDeque<Permit>,
     closed: Option<Closed>,
 }
 
 impl Known {
-    fn new(rate: RequestRate, start: u64, told: Told, now: Millis) -> Self {
+    fn new(rate: RequestRate, start: u64, leader_knows: LeaderKnows, now: Millis) -> Self {
         Known {
             rate,
             start,
             since: now,
-            was_heard: false,
-            told,
+            was_reported_here: false,
+            leader_knows,
             permits: VecDeque::new(),
             closed: None,
         }
     }
 }
 
-/// What the leader is known to know of a limit.
+/// Whether the leader knows a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Told {
-    /// Nothing.
-    No,
-    /// It was told with the words of this number.
-    In(u64),
-    /// Its list says so.
+enum LeaderKnows {
+    /// It was not sent.
+    Nothing,
+    /// It was sent in the message of this number.
+    Sent(u64),
+    /// The leader lists it.
     Listed,
 }
 
-/// A word that the leader has not heard yet.
+/// A report that is not sent yet.
 #[derive(Debug)]
-struct News {
+struct PendingReport {
     backend: BackendId,
     start: u64,
     rate: Option<RequestRate>,
@@ -107,10 +107,10 @@
 #[derive(Debug, Default)]
 pub struct KnownLimits {
     known: HashMap<BackendId, Known>,
-    news: VecDeque<News>,
+    pending: VecDeque<PendingReport>,
     questions: VecDeque<Question>,
     last_question: u64,
-    last_words: u64,
+    last_reports: u64,
     /// The newest list that came on this connection: term of its leader, and number.
     list: Option<(u64, u64)>,
 }
@@ -140,8 +140,8 @@
         known.permits.iter().any(|permit| now <= permit.until)
     }
 
-    /// Whether a request should go to a back end, so that it is heard what that
-    /// takes; there is a permit for it.
+    /// Whether the next request should go to a back end, to refresh what is known of its
+    /// limit; there is a permit for it.
     pub fn is_due(&self, id: &BackendId, now: Millis) -> bool {
         let Some(known) = self.known.get(id) else {
             return false;
@@ -158,18 +158,18 @@
         }
     }
 
-    // ---- What back ends say ----
+    // ---- Reports of back ends ----
 
-    /// Notes that a back end named a limit. `true` where it is new.
+    /// Takes a limit that an answer named. `true` where it is new.
     pub fn named(&mut self, id: &BackendId, start: u64, rate: RequestRate, now: Millis) -> bool {
         let known = self.known.entry(id.clone());
-        let known = known.or_insert_with(|| Known::new(rate, start, Told::No, now));
-        let is_new = known.rate != rate || !known.was_heard;
+        let known = known.or_insert_with(|| Known::new(rate, start, LeaderKnows::Nothing, now));
+        let is_new = known.rate != rate || !known.was_reported_here;
         known.rate = rate;
         known.start = start;
         known.since = now;
-        known.was_heard = true;
-        self.push(News {
+        known.was_reported_here = true;
+        self.push(PendingReport {
             backend: id.clone(),
             start,
             rate: Some(rate),
@@ -178,12 +178,12 @@
         is_new
     }
 
-    /// Notes an answer that names no limit, to a request that was sent at `sent_at`.
-    /// Whether the limit is over is the leader's to say, who hears all gateways.
+    /// Takes an answer that names no limit, to a request that was sent at `sent_at`. The
+    /// leader decides whether the limit is over, from the reports of all gateways.
     pub fn named_none(&mut self, id: &BackendId, start: u64, sent_at: Millis) {
         let known = self.known.get(id);
         if known.is_some_and(|known| sent_at > known.since) {
-            self.push(News {
+            self.push(PendingReport {
                 backend: id.clone(),
                 start,
                 rate: None,
@@ -192,32 +192,33 @@
         }
     }
 
-    /// Of words that name a limit the newest of each back end is enough.
-    fn push(&mut self, news: News) {
-        if news.rate.is_some() {
-            let is_older = |old: &News| old.backend == news.backend && old.rate.is_some();
-            self.news.retain(|old| !is_older(old));
+    /// Only the newest report of a limit is kept for each back end.
+    fn push(&mut self, report: PendingReport) {
+        if report.rate.is_some() {
+            let is_older =
+                |old: &PendingReport| old.backend == report.backend && old.rate.is_some();
+            self.pending.retain(|old| !is_older(old));
         }
-        if self.news.len() == MOST_WORDS {
-            self.news.pop_front();
+        if self.pending.len() == MAX_REPORTS {
+            self.pending.pop_front();
         }
-        self.news.push_back(news);
+        self.pending.push_back(report);
     }
 
     /// Forgets a back end that is gone, or has started again.
     pub fn forget(&mut self, id: &BackendId) {
         self.known.remove(id);
-        self.news.retain(|news| news.backend != *id);
+        self.pending.retain(|report| report.backend != *id);
     }
 
-    // ---- What the leader says ----
+    // ---- Messages of the leader ----
 
-    /// Another leader may have been found: what it knows is not known.
+    /// Notes a new connection: it may be to another leader, which knows nothing yet.
     pub fn connected(&mut self) {
         self.list = None;
         self.questions.clear();
         for known in self.known.values_mut() {
-            known.told = Told::No;
+            known.leader_knows = LeaderKnows::Nothing;
             known.closed = None;
         }
     }
@@ -225,13 +226,12 @@
     /// Forgets all back ends but these.
     pub fn keep(&mut self, is_known: impl Fn(&BackendId) -> bool) {
         self.known.retain(|id, _| is_known(id));
-        self.news.retain(|news| is_known(&news.backend));
+        self.pending.retain(|report| is_known(&report.backend));
     }
 
-    /// Takes the list of the leader of a term, made when it had taken the words of
-    /// this number. Gives the back ends whose limit is over.
+    /// Applies the list of the leader of a term. Gives the back ends whose limit is over.
     ///
-    /// Invariant: what that leader was not told in its term is kept.
+    /// Invariant: a limit whose report that leader has not applied is kept.
     pub fn take_list(&mut self, list: LimitList<'_>, now: Millis) -> Vec<BackendId> {
         let newest = self.list.unwrap_or_default();
         if (list.term, list.number) < newest {
@@ -241,20 +241,20 @@
             self.connected();
         }
         self.list = Some((list.term, list.number));
-        for told in list.limits {
-            let known = self.known.entry(told.backend.clone());
-            let known =
-                known.or_insert_with(|| Known::new(told.rate, UNTOLD_START, Told::Listed, now));
-            if known.told != Told::No {
-                known.rate = told.rate;
+        for entry in list.limits {
+            let known = self.known.entry(entry.backend.clone());
+            let known = known
+                .or_insert_with(|| Known::new(entry.rate, UNTOLD_START, LeaderKnows::Listed, now));
+            if known.leader_knows != LeaderKnows::Nothing {
+                known.rate = entry.rate;
             }
-            known.told = Told::Listed;
+            known.leader_knows = LeaderKnows::Listed;
         }
-        let listed: BTreeSet<&BackendId> = list.limits.iter().map(|told| &told.backend).collect();
-        let is_over = |known: &Known| match known.told {
-            Told::No => false,
-            Told::In(number) => number <= list.words_noted,
-            Told::Listed => true,
+        let listed: BTreeSet<&BackendId> = list.limits.iter().map(|entry| &entry.backend).collect();
+        let is_over = |known: &Known| match known.leader_knows {
+            LeaderKnows::Nothing => false,
+            LeaderKnows::Sent(number) => number <= list.reports_taken,
+            LeaderKnows::Listed => true,
         };
         let over = self.known.iter();
         let over = over.filter(|(id, known)| is_over(known) && !listed.contains(id));
@@ -265,46 +265,48 @@
         over
     }
 
-    /// What the leader has not heard yet. What it does not list is told anew, once it
-    /// has told its list: a new leader knows nothing.
-    pub fn words(&mut self, now: Millis) -> Option<LimitWords> {
-        let mut words: Vec<LimitWord> = Vec::new();
-        let number = self.last_words + 1;
-        for news in self.news.drain(..) {
-            if let Some(known) = self.known.get_mut(&news.backend)
-                && known.told != Told::Listed
-                && news.rate.is_some()
+    /// Reports to send to the leader. Limits that are missing from its list are sent again,
+    /// since a new leader knows none.
+    pub fn reports(&mut self, now: Millis) -> Option<LimitReports> {
+        let mut reports: Vec<LimitReport> = Vec::new();
+        let number = self.last_reports + 1;
+        for report in self.pending.drain(..) {
+            if let Some(known) = self.known.get_mut(&report.backend)
+                && known.leader_knows != LeaderKnows::Listed
+                && report.rate.is_some()
             {
-                known.told = Told::In(number);
+                known.leader_knows = LeaderKnows::Sent(number);
             }
-            words.push(LimitWord {
-                backend: news.backend,
-                start: news.start,
-                rate: news.rate,
-                ago: now.since(news.at),
+            reports.push(LimitReport {
+                backend: report.backend,
+                start: report.start,
+                rate: report.rate,
+                ago: now.since(report.at),
             });
         }
         if self.list.is_some() {
-            self.tell_again(number, &mut words, now);
+            self.repeat_unlisted(number, &mut reports, now);
         }
-        if words.is_empty() {
+        if reports.is_empty() {
             return None;
         }
-        self.last_words = number;
-        Some(LimitWords { number, words })
+        self.last_reports = number;
+        Some(LimitReports { number, reports })
     }
 
-    /// Adds what the leader's list does not have, until it has it: words may be lost
-    /// on their way. Those that were never told come first.
-    fn tell_again(&mut self, number: u64, words: &mut Vec<LimitWord>, now: Millis) {
-        let is_new = |known: &Known| matches!(known.told, Told::In(told) if told == number);
-        let untold = self.known.iter_mut();
-        let untold = untold.filter(|(_, known)| known.told != Told::Listed && !is_new(known));
-        let mut untold: Vec<(&BackendId, &mut Known)> = untold.collect();
-        untold.sort_unstable_by_key(|(_, known)| known.told != Told::No);
-        for (id, known) in untold.into_iter().take(MOST_WORDS) {
-            known.told = Told::In(number);
-            words.push(LimitWord {
+    /// Adds the limits that are missing from the leader's list: messages may be lost. Those
+    /// that were never sent come first.
+    fn repeat_unlisted(&mut self, number: u64, reports: &mut Vec<LimitReport>, now: Millis) {
+        let is_new =
+            |known: &Known| matches!(known.leader_knows, LeaderKnows::Sent(sent) if sent == number);
+        let unlisted = self.known.iter_mut();
+        let unlisted = unlisted
+            .filter(|(_, known)| known.leader_knows != LeaderKnows::Listed && !is_new(known));
+        let mut unlisted: Vec<(&BackendId, &mut Known)> = unlisted.collect();
+        unlisted.sort_unstable_by_key(|(_, known)| known.leader_knows != LeaderKnows::Nothing);
+        for (id, known) in unlisted.into_iter().take(MAX_REPORTS) {
+            known.leader_knows = LeaderKnows::Sent(number);
+            reports.push(LimitReport {
                 backend: id.clone(),
                 start: known.start,
                 rate: Some(known.rate),
--- a/components/limits/src/ledger.rs
+++ b/components/limits/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The limits that the leader knows, and the permits that it hands out.
 //!
-//! It is a belief and never logged: a new leader is told by the gateways, and has
-//! no permit to give before it was told.
+//! It is never logged: a new leader collects it from the gateways, and grants no permit
+//! before it has.
 
 use std::collections::BTreeMap;
 
@@ -9,19 +9,19 @@
 
 use crate::bucket::{PERMIT_MICROS, PermitBucket};
 use crate::demand::Demand;
-use crate::messages::{LimitWord, PermitAnswer, PermitAsk, PermitOutcome, ToldLimit};
+use crate::messages::{LimitEntry, LimitReport, PermitAnswer, PermitAsk, PermitOutcome};
 use crate::rate::RequestRate;
 
 /// Answers in a row that name no limit before it is over: one may come from a part
 /// of the back end that does not name it.
 const NAMELESS_ANSWERS: u32 = 2;
-/// Words that were under way when a limit ended are left aside for so long.
+/// Reports that are older than the end of a limit are ignored for so long.
 const ENDED_FOR: Millis = Millis::from_secs(10);
-/// A limit that nobody heard of for so long is asked about with the next request.
+/// A limit that no gateway has reported for so long is probed with the next request.
 const DUE_AFTER: Millis = Millis::from_secs(2);
-/// Whoever asks for back ends without a known limit is about to hear of it.
+/// Retry time where none of the back ends has a known limit yet.
 const UNKNOWN_WAIT: Millis = Millis(100);
-/// Callers are told to come back within this time at most.
+/// Longest time after which a caller is to come back.
 const LONGEST_RETURN: Millis = Millis::from_secs(30);
 
 /// A back end that has named a limit.
@@ -30,7 +30,7 @@
     rate: RequestRate,
     /// When it last named it.
     named_at: Millis,
-    /// When it was last heard at all.
+    /// When it was last reported at all.
     heard_at: Millis,
     /// Answers in a row that named none since.
     nameless: u32,
@@ -77,12 +77,12 @@
     }
 
     /// Back ends that have a limit, and which.
-    pub fn list(&self) -> Vec<ToldLimit> {
-        let told = |(backend, limited): (&BackendId, &Limited)| ToldLimit {
+    pub fn list(&self) -> Vec<LimitEntry> {
+        let entry = |(backend, limited): (&BackendId, &Limited)| LimitEntry {
             backend: backend.clone(),
             rate: limited.rate,
         };
-        self.limited.iter().map(told).collect()
+        self.limited.iter().map(entry).collect()
     }
 
     /// Back ends that have a limit.
@@ -90,16 +90,20 @@
         self.limited.keys()
     }
 
-    /// Takes what a gateway heard of a back end.
-    pub fn note(&mut self, word: &LimitWord, now: Millis) {
-        let at = now - word.ago;
+    /// Applies a report of a gateway.
+    pub fn note(&mut self, report: &LimitReport, now: Millis) {
+        let at = now - report.ago;
         self.ended.retain(|_, ended| now.since(*ended) < ENDED_FOR);
-        if self.ended.get(&word.backend).is_some_and(|end| at <= *end) {
+        if self
+            .ended
+            .get(&report.backend)
+            .is_some_and(|end| at <= *end)
+        {
             return;
         }
-        match word.rate {
-            Some(rate) => self.named(&word.backend, rate, at, now),
-            None => self.named_none(&word.backend, at, now),
+        match report.rate {
+            Some(rate) => self.named(&report.backend, rate, at, now),
+            None => self.named_none(&report.backend, at, now),
         }
     }
 
@@ -163,7 +167,7 @@
         }
     }
 
-    /// Hands out a permit, or says when there will be one.
+    /// Grants a permit, or gives the time until there will be one.
     pub fn ask(&mut self, ask: &PermitAsk, now: Millis) -> PermitAnswer {
         let known = ask.backends.iter();
         let known = known.filter(|id| self.limited.contains_key(*id)).count();
@@ -201,8 +205,8 @@
         }
     }
 
-    /// Gives a caller who is refused the next time at which a permit is there that
-    /// nobody else was told.
+    /// Gives each refused caller a time of its own: the next one at which a permit is
+    /// there that no other caller was referred to.
     fn refuse(&mut self, ask: &PermitAsk, now: Millis) -> PermitOutcome {
         let mut wait = Millis::NEVER;
         let mut first: Option<(&BackendId, Millis)> = None;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -1,10 +1,9 @@
 //! Back ends that name how many requests a second they take from all gateways
 //! together.
 //!
-//! A back end in need says it in its answers, to whichever gateway asked. A gateway
-//! that has heard it sends there only with a permit of the leader
-//! ([`KnownLimits`]). The leader hands permits out at the rate that was named, the
-//! most urgent first ([`LimitLedger`]).
+//! An overloaded back end names the limit in its answers. A gateway that knows the limit
+//! sends there only with a permit of the leader ([`KnownLimits`]). The leader grants
+//! permits at that rate, the most urgent requests first ([`LimitLedger`]).
 //!
 //! Invariant: what all gateways together send a back end in any four seconds stays
 //! within one and a half times its limit and five more. No part of it is a gateway's
@@ -23,7 +22,7 @@
 pub use known::{Asking, KnownLimits};
 pub use ledger::LimitLedger;
 pub use messages::{
-    LimitList, LimitWord, LimitWords, PERMIT_LASTS, PermitAnswer, PermitAsk, PermitOutcome,
-    ToldLimit,
+    LimitEntry, LimitList, LimitReport, LimitReports, PERMIT_LASTS, PermitAnswer, PermitAsk,
+    PermitOutcome,
 };
 pub use rate::{RateError, RequestRate};
--- a/components/limits/src/messages.rs
+++ b/components/limits/src/messages.rs
@@ -1,4 +1,4 @@
-//! What gateways and the leader tell each other of limits.
+//! Messages of gateways and the leader about limits and permits.
 
 use garnet_types::{BackendId, Millis};
 use serde::{Deserialize, Serialize};
@@ -9,36 +9,35 @@
 /// gateway that asked: an answer of the leader and the request's own way out.
 pub const PERMIT_LASTS: Millis = Millis(500);
 
-/// What a back end said of its limit in an answer.
+/// The limit in an answer of a back end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitWord {
+pub struct LimitReport {
     /// The back end.
     pub backend: BackendId,
     /// Which start of it.
     pub start: u64,
     /// The limit; `None` where the answer names none.
     pub rate: Option<RequestRate>,
-    /// How long ago it surely had not said anything newer: since the answer came that
-    /// named a limit, and since the request was sent whose answer named none.
+    /// Age of the report: time since the answer came that named a limit, or since the
+    /// request was sent whose answer named none.
     pub ago: Millis,
 }
 
-/// Words of a gateway.
+/// Reports that a gateway sends to the leader in one message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitWords {
-    /// Rises with each message on a connection; the leader tells the last one that
-    /// it has taken.
+pub struct LimitReports {
+    /// Sequence number of the message on its connection, which the leader acknowledges.
     pub number: u64,
-    /// What was heard.
-    pub words: Vec<LimitWord>,
+    /// The reports.
+    pub reports: Vec<LimitReport>,
 }
 
-/// A limit that all gateways are told.
+/// A limit in the leader's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldLimit {
+pub struct LimitEntry {
     /// The back end.
     pub backend: BackendId,
-    /// What it takes from all gateways together.
+    /// Requests a second that it takes from all gateways together.
     pub rate: RequestRate,
 }
 
@@ -49,10 +48,10 @@
     pub term: u64,
     /// Rises with each change of the list in the term.
     pub number: u64,
-    /// Number of the last words of the gateway that it had taken.
-    pub words_noted: u64,
+    /// Number of the last [`LimitReports`] of the gateway that is applied.
+    pub reports_taken: u64,
     /// The limits.
-    pub limits: &'a [ToldLimit],
+    pub limits: &'a [LimitEntry],
 }
 
 /// A gateway has a request that one of these back ends could take.
@@ -82,15 +81,14 @@
     Granted {
         /// Where to.
         backend: BackendId,
-        /// Whether nobody has heard for a while what the back end takes.
+        /// Whether no gateway has reported the limit of the back end for a while.
         is_due: bool,
     },
     /// Send none.
     Refused {
         /// Until then none of the back ends has a permit for a request of this rank.
         wait: Millis,
-        /// When this request's caller may come again: each one is told a time of
-        /// its own.
+        /// Retry time of this request's caller; each caller gets its own.
         retry_after: Millis,
     },
 }
--- a/components/limits/src/rate.rs
+++ b/components/limits/src/rate.rs
@@ -13,7 +13,7 @@
 const FRACTION_DIGITS: usize = 6;
 /// Millionths in one.
 const MICROS: u64 = 1_000_000;
-/// Highest rate that is told apart, in requests a second: a thousand times what the
+/// Highest rate, in requests a second: a thousand times what the
 /// fleet is designed for.
 const HIGHEST_PER_S: u64 = 2_700_000;
 
--- a/components/limits/tests/ledger.rs
+++ b/components/limits/tests/ledger.rs
@@ -1,6 +1,8 @@
 //! The permits that one leader hands out.
 
-use garnet_limits::{LimitLedger, LimitWord, PERMIT_LASTS, PermitAsk, PermitOutcome, RequestRate};
+use garnet_limits::{
+    LimitLedger, LimitReport, PERMIT_LASTS, PermitAsk, PermitOutcome, RequestRate,
+};
 use garnet_types::{BackendId, Millis};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -13,8 +15,8 @@
     BackendId::new(format!("i-{number}"))
 }
 
-fn word(backend: BackendId, rate: Option<&str>, ago: Millis) -> LimitWord {
-    LimitWord {
+fn report(backend: BackendId, rate: Option<&str>, ago: Millis) -> LimitReport {
+    LimitReport {
         backend,
         start: 1,
         rate: rate.map(|rate| rate.parse().expect("a rate")),
@@ -40,7 +42,7 @@
 /// A ledger with one back end that names this at the start.
 fn ledger(rate: &str) -> LimitLedger {
     let mut ledger = LimitLedger::default();
-    ledger.note(&word(id(0), Some(rate), Millis::ZERO), Millis::ZERO);
+    ledger.note(&report(id(0), Some(rate), Millis::ZERO), Millis::ZERO);
     ledger
 }
 
@@ -88,7 +90,7 @@
 #[test]
 fn any_of_several_back_ends_will_do() {
     let mut ledger = ledger("0");
-    ledger.note(&word(id(1), Some("5"), Millis::ZERO), Millis::ZERO);
+    ledger.note(&report(id(1), Some("5"), Millis::ZERO), Millis::ZERO);
     let ask = ask(&[id(0), id(1), id(2)], 3);
     assert_eq!(granted(&mut ledger, &ask, Millis(1_000)), Some(id(1)));
 }
@@ -138,22 +140,22 @@
 }
 
 /// One answer without a name may come from a part of the back end that does not name
-/// it; two in a row end the limit, and words that were under way don't bring it back.
+/// it; two in a row end the limit, and reports that were under way don't bring it back.
 #[test]
 fn a_limit_ends_with_two_answers_that_name_none() {
     let mut ledger = ledger("1");
     let none = |ledger: &mut LimitLedger, now| {
-        ledger.note(&word(id(0), None, Millis(10)), Millis(now));
+        ledger.note(&report(id(0), None, Millis(10)), Millis(now));
     };
     let named = |ledger: &mut LimitLedger, ago, now| {
-        ledger.note(&word(id(0), Some("1"), Millis(ago)), Millis(now));
+        ledger.note(&report(id(0), Some("1"), Millis(ago)), Millis(now));
     };
     none(&mut ledger, 1_000);
     named(&mut ledger, 0, 1_100);
     none(&mut ledger, 1_200);
     assert_eq!(ledger.list().len(), 1);
     // Sent before it was named last: it tells nothing.
-    ledger.note(&word(id(0), None, Millis(300)), Millis(1_300));
+    ledger.note(&report(id(0), None, Millis(300)), Millis(1_300));
     assert_eq!(ledger.list().len(), 1);
     none(&mut ledger, 1_400);
     assert_eq!(ledger.list(), []);
@@ -163,11 +165,11 @@
     assert_eq!(ledger.list().len(), 1);
 }
 
-/// The newest word counts, whatever the order in which words come.
+/// The newest report counts, whatever the order in which reports come.
 #[test]
 fn an_older_word_does_not_replace_a_newer_one() {
     let mut ledger = ledger("1");
-    ledger.note(&word(id(0), Some("3"), Millis(100)), Millis(1_000));
-    ledger.note(&word(id(0), Some("9"), Millis(400)), Millis(1_010));
+    ledger.note(&report(id(0), Some("3"), Millis(100)), Millis(1_000));
+    ledger.note(&report(id(0), Some("9"), Millis(400)), Millis(1_010));
     assert_eq!(ledger.list()[0].rate.to_string(), "3");
 }
--- a/components/limits/tests/world/mod.rs
+++ b/components/limits/tests/world/mod.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use garnet_limits::{
-    Asking, KnownLimits, LimitLedger, LimitList, LimitWords, PermitAnswer, PermitAsk, RequestRate,
-    ToldLimit,
+    Asking, KnownLimits, LimitEntry, LimitLedger, LimitList, LimitReports, PermitAnswer, PermitAsk,
+    RequestRate,
 };
 use garnet_types::{BackendId, Millis};
 use rand::{RngExt, SeedableRng};
@@ -85,7 +85,7 @@
     Request,
     Watch(usize, u64),
     /// Words and a watch reach the leader.
-    Words(usize, u64, Option<LimitWords>),
+    Reports(usize, u64, Option<LimitReports>),
     Ask(usize, u64, PermitAsk),
     /// Its list reaches a gateway.
     List(usize, u64, ToldList),
@@ -102,8 +102,8 @@
 struct ToldList {
     term: u64,
     number: u64,
-    words_noted: u64,
-    limits: Vec<ToldLimit>,
+    reports_taken: u64,
+    limits: Vec<LimitEntry>,
 }
 
 #[derive(Default)]
@@ -125,7 +125,7 @@
 struct Leader {
     term: u64,
     ledger: LimitLedger,
-    /// Of each gateway's connection: the list it was told, and its last words.
+    /// Of each gateway's connection: the list it was told, and its last reports.
     told: BTreeMap<(usize, u64), (u64, u64)>,
 }
 
@@ -231,14 +231,16 @@
         match event {
             Event::Request => self.request(),
             Event::Watch(gateway, life) => self.watch(gateway, life),
-            Event::Words(gateway, connection, words) => self.words(gateway, connection, words),
+            Event::Reports(gateway, connection, reports) => {
+                self.reports(gateway, connection, reports)
+            }
             Event::Ask(gateway, connection, ask) => self.ask(gateway, connection, &ask),
             Event::List(gateway, connection, told) => {
                 if self.is_heard(gateway, connection) {
                     let list = LimitList {
                         term: told.term,
                         number: told.number,
-                        words_noted: told.words_noted,
+                        reports_taken: told.reports_taken,
                         limits: &told.limits,
                     };
                     self.gateways[gateway].limits.take_list(list, self.now);
@@ -372,15 +374,15 @@
     fn send_words(&mut self, gateway: usize) {
         let now = self.now;
         let from = &mut self.gateways[gateway];
-        let words = from.limits.words(now);
+        let reports = from.limits.reports(now);
         if now < from.cut_until {
             return;
         }
         // Those that are lost, and later ones that are not.
         let is_lost = now < from.loses_until && self.random.random_bool(0.5);
-        let words = words.filter(|_| !is_lost);
+        let reports = reports.filter(|_| !is_lost);
         let connection = from.connection;
-        self.after(LONGEST_WAY_MS, Event::Words(gateway, connection, words));
+        self.after(LONGEST_WAY_MS, Event::Reports(gateway, connection, reports));
     }
 
     fn watch(&mut self, gateway: usize, life: u64) {
@@ -392,7 +394,7 @@
         self.schedule(at, Event::Watch(gateway, life));
     }
 
-    fn words(&mut self, gateway: usize, connection: u64, words: Option<LimitWords>) {
+    fn reports(&mut self, gateway: usize, connection: u64, reports: Option<LimitReports>) {
         let now = self.now;
         let Some(leader) = &mut self.leader else {
             return;
@@ -402,11 +404,11 @@
         }
         let before = leader.told.get(&(gateway, connection)).copied();
         let mut noted = before.map_or(0, |(_, noted)| noted);
-        if let Some(words) = words {
-            for word in &words.words {
-                leader.ledger.note(word, now);
+        if let Some(message) = reports {
+            for report in &message.reports {
+                leader.ledger.note(report, now);
             }
-            noted = noted.max(words.number);
+            noted = noted.max(message.number);
         }
         let told = (leader.ledger.number(), noted);
         if before != Some(told) {
@@ -414,7 +416,7 @@
             let list = ToldList {
                 term: leader.term,
                 number: leader.ledger.number(),
-                words_noted: noted,
+                reports_taken: noted,
                 limits: leader.ledger.list(),
             };
             self.after(LONGEST_WAY_MS, Event::List(gateway, connection, list));
--- a/components/routing/src/availability.rs
+++ b/components/routing/src/availability.rs
@@ -2,16 +2,16 @@
 //! it requested, and that it drains.
 //!
 //! Contract: what was reported is of one start of the back end; [`Availability::reset`]
-//! forgets it at another one. Nothing else that a gateway hears ends it sooner: lists lag
-//! behind reports, and answers overtake one another.
+//! forgets it at another one. Neither the list of machines nor other answers end it sooner:
+//! the list lags behind reports, and answers overtake one another.
 
 use garnet_types::Millis;
 
 use crate::backoff::{Backoff, Probe};
 use crate::retry_after::RetryAfter;
 
-/// A back end that is still there so long after it reported draining has started again,
-/// where starts are not told.
+/// Longest time that a report of draining holds: a back end whose starts are not known and
+/// that is still there has started again.
 const DRAINING_LASTS: Millis = Millis::from_secs(300);
 
 /// What one back end reported.
--- a/components/routing/src/backoff.rs
+++ b/components/routing/src/backoff.rs
@@ -39,7 +39,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Backoff {
     phase: Phase,
-    /// Counts recoveries, to tell their requests apart.
+    /// Number of the recovery, to ignore probes of earlier ones.
     epoch: u32,
 }
 
--- a/components/simulator/src/checker.rs
+++ b/components/simulator/src/checker.rs
@@ -42,7 +42,7 @@
     OneLease,
     /// A request that crashes engines is sent to few of them.
     CrashesAreBounded,
-    /// All gateways together send a back end no more than it says that it takes.
+    /// All gateways together send a back end no more than its limit.
     LimitsAreKept,
     /// A gateway sends a back end nothing in a backoff that it requested.
     BackoffsAreKept,
--- a/components/simulator/src/world/availability.rs
+++ b/components/simulator/src/world/availability.rs
@@ -16,12 +16,12 @@
 
 /// What is requested, in milliseconds.
 const REQUESTED_MS: [u64; 5] = [300, 1_000, 3_000, 5_000, 8_000];
-/// Requests that were under way when a gateway heard of a backoff have come after this
+/// Requests that were under way when the request for a backoff came in are over after this
 /// time, ...
 const UNDER_WAY: Millis = Millis(500);
 /// ... and so many more may come.
 const ALLOWED: usize = 2;
-/// A gateway that heard of draining sends nothing after this time.
+/// Nothing is sent so long after a report of draining came in.
 const DRAIN: Millis = Millis(3_000);
 
 /// An overload of a back end.
@@ -31,10 +31,10 @@
     until: Millis,
 }
 
-/// A start of a gateway that heard a report.
+/// A start of a gateway.
 type Listener = (usize, u64);
 
-/// A backoff as one gateway heard it, by the clock of that gateway: clocks run at
+/// A backoff at one gateway, by the clock of that gateway: clocks run at
 /// different speeds here.
 #[derive(Debug)]
 struct Heard {
@@ -43,7 +43,7 @@
     sent: usize,
 }
 
-/// What gateways heard of one start of a back end.
+/// Reports of one start of a back end that came in at gateways.
 #[derive(Debug, Default)]
 pub(super) struct Reports {
     backoffs: BTreeMap<Listener, Vec<Heard>>,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// A gateway has heard what a back end reports.
+    /// Notes a report that came in at a gateway.
     pub(super) fn note_report_heard(&mut self, gateway: usize, from: Host, event: &AttemptEvent) {
         let listener = (gateway, self.gateways[gateway].starts());
         let now = self.now;
--- a/components/simulator/src/world/limits.rs
+++ b/components/simulator/src/world/limits.rs
@@ -18,7 +18,7 @@
 const NAMED: [&str; 6] = ["0", "0.25", "1.1", "1.5", "4", "12.5"];
 /// Time in which all gateways must know.
 const CONTACT: Millis = Millis(3000);
-/// A gateway is told from so long after its answer.
+/// A gateway must keep to the limit from so long after the answer that named it.
 const TOLD_AFTER: Millis = Millis(500);
 /// Requests are counted in windows of this length.
 const WINDOW: Millis = Millis(4000);
@@ -30,9 +30,9 @@
     until: Millis,
     /// When it was first named in an answer.
     first_named: Option<Millis>,
-    /// When each start of a gateway first heard it.
+    /// When it first came in at each start of a gateway.
     told: BTreeMap<(usize, u64), Millis>,
-    /// When requests were sent by gateways that had been told.
+    /// When requests were sent that count.
     sent: Vec<Millis>,
 }
 
@@ -59,7 +59,7 @@
         self.limits.get_mut(&host).filter(|limit| now < limit.until)
     }
 
-    /// A back end answers: what its head says goes before.
+    /// A back end answers: the limit in the head comes first.
     pub(super) fn say_limit(&mut self, from: Host, owner: JobOwner) {
         let now = self.now;
         let rate = self.limit_of(from).map(|limit| {
@@ -69,7 +69,7 @@
         self.job_event(from, owner, AttemptEvent::Limit(rate));
     }
 
-    /// A gateway has heard what a back end says.
+    /// Notes a limit that came in at a gateway.
     pub(super) fn note_limit_heard(&mut self, gateway: usize, from: Host) {
         let start = self.gateways[gateway].starts();
         let now = self.now;
