One constant for a start that is not reported

garnet-limits had its own 0 beside that of garnet-control, which it can't depend on; it stands in garnet-types now. Tests of limits, control and forwarding pass.

--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -7,7 +7,7 @@
 use garnet_routes::RouteTable;
 use garnet_types::{
     BackendId, BackendKind, EngineAssignment, Fence, MachineState, Millis, ModelId, ServiceId,
-    SessionId, TenantId,
+    SessionId, TenantId, UNTOLD_START,
 };
 use serde::{Deserialize, Serialize};
 
@@ -68,9 +68,6 @@
     }
 }
 
-/// Start of a back end that does not report its starts.
-pub const UNTOLD_START: u64 = 0;
-
 /// What an engine was seen to be.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineObservation {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -38,9 +38,11 @@
 pub use by_rank::{ByRank, LAST_RANK};
 pub use claims::{CLAIM_RETENTION, ClaimState, Claims, MAX_CLAIMS, MAX_RECORDED_BYTES};
 pub use command::{ClaimCommand, Command, CommandEnvelope, MachineNote};
+pub use garnet_types::UNTOLD_START;
+
 pub use configuration::{
     BackendRecord, BackendRegistration, Configuration, ConfigurationChange, EngineObservation,
-    OutstandingOrder, PolicyRecord, QuarantineRecord, Session, UNTOLD_START,
+    OutstandingOrder, PolicyRecord, QuarantineRecord, Session,
 };
 pub use duties::{Duty, DutyAnswer, DutyCall, DutySettings, Tenure, Tenures};
 pub use effects::{Effect, EngineRequest, Event, MachineEntry};
--- a/components/control/src/replica/limiting.rs
+++ b/components/control/src/replica/limiting.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 
 use garnet_limits::{LimitEntry, LimitLedger, LimitReport, LimitReports, PermitAsk};
-use garnet_types::{BackendId, GatewayId, Millis};
+use garnet_types::{BackendId, GatewayId, Millis, UNTOLD_START};
 
-use crate::configuration::{Configuration, UNTOLD_START};
+use crate::configuration::Configuration;
 use crate::effects::Effect;
 use crate::messages::{ControlReply, LimitUpdate};
 use crate::shared::Shared;
--- a/components/limits/src/known.rs
+++ b/components/limits/src/known.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, Millis, UNTOLD_START};
 
 use crate::messages::{
     LimitList, LimitReport, LimitReports, PERMIT_LASTS, PermitAnswer, PermitAsk, PermitOutcome,
@@ -18,9 +18,6 @@
 /// Questions that are remembered; older ones are answered or lost.
 const MOST_QUESTIONS: usize = 64;
 
-/// Start of a back end that is known from the leader's list only.
-const UNTOLD_START: u64 = 0;
-
 /// A request that may be sent.
 #[derive(Debug, Clone, Copy)]
 struct Permit {
--- a/components/types/src/backend.rs
+++ b/components/types/src/backend.rs
@@ -58,3 +58,6 @@
     /// Going out of service: takes no new work.
     Leaving,
 }
+
+/// Start of a back end that does not report its starts.
+pub const UNTOLD_START: u64 = 0;
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod usage;
 pub mod verdict;
 
-pub use backend::{BackendKind, EngineRole, MachineState};
+pub use backend::{BackendKind, EngineRole, MachineState, UNTOLD_START};
 pub use decimal::Decimal;
 pub use engine::{EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, OrderAnswer};
 pub use fence::Fence;
