Sight: each process says which protocol it speaks; a refused connection names its other end

The logs of the incident don't say which build a process is of, nor which machine was refused. `data_folder_opened` and `gateway_started` have `protocol` (and `state_format`, `snapshot_index`), `connection_ended` has `peer`.

--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -136,6 +136,8 @@
     }
 
     async fn serve(self, stream: TcpStream) {
+        let peer = stream.peer_addr().map(|address| address.to_string());
+        let peer = peer.unwrap_or_default();
         let (mut reader, writer) = frames::split(stream);
         let outcome = match reader.accept().await {
             Ok(FrameSender::Replica { id, address }) => {
@@ -146,7 +148,7 @@
             Err(error) => Err(error),
         };
         if let Err(error) = outcome {
-            log::warn!(cause = error.to_string().as_str(); "connection_ended");
+            log::warn!(peer = peer.as_str(), cause = error.to_string().as_str(); "connection_ended");
         }
     }
 
--- a/components/control-shell/src/opening.rs
+++ b/components/control-shell/src/opening.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use garnet_consensus::{Config, Member, Membership, Restored};
-use garnet_control::{Replica, ReplicaSettings};
+use garnet_control::{Replica, ReplicaSettings, STATE_FORMAT};
 use garnet_runtime::Clock;
 use garnet_storage::{
     DiskDirectory, DiskIdentity, ReplicaStorage, StorageError, load_value, save_value,
 };
 use garnet_types::ReplicaId;
+use garnet_wire::PROTOCOL_VERSION;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::disk_room::wait_for_room;
@@ -98,7 +99,10 @@
         term = recovered.hard_state.term,
         entries = recovered.entries.len(),
         commit_index = recovered.commit_index,
-        cut_bytes = recovered.cut_bytes;
+        cut_bytes = recovered.cut_bytes,
+        snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index),
+        protocol = PROTOCOL_VERSION,
+        state_format = STATE_FORMAT;
         "data_folder_opened"
     );
     let restored = Restored {
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -15,6 +15,7 @@
 };
 use garnet_supervisor::ChildSpec;
 use garnet_types::{GatewayId, Millis};
+use garnet_wire::PROTOCOL_VERSION;
 use hyper::Response;
 use smol::channel::bounded;
 
@@ -111,7 +112,8 @@
     log::info!(
         gateway = id.as_str(),
         zone = options.zone.as_str(),
-        listen = options.listen.to_string().as_str();
+        listen = options.listen.to_string().as_str(),
+        protocol = PROTOCOL_VERSION;
         "gateway_started"
     );
     let watch = Rc::new(Watch::new(
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -58,12 +58,12 @@
         queued: Receiver<GatewayRequest>,
     ) -> Self {
         Watch {
+            heard_at: Cell::new(gateway.started_at),
             gateway,
             id,
             replicas,
             group: RefCell::default(),
             group_index: Cell::new(u64::MAX),
-            heard_at: Cell::new(Millis::ZERO),
             requests,
             usage_told_at: Cell::new(Millis::ZERO),
             queued,
