--- /dev/null
+++ b/components/wire/tests/upgrade/recorded.rs
@@ -0,0 +1,36 @@
+//! Reads the recorded files.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use garnet_storage::{Directory, MemoryDirectory};
+
+/// The lines of a recorded file by their names.
+pub fn lines(protocol: u32, file: &str) -> BTreeMap<String, Vec<u8>> {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    let path = root.join(format!("tests/recorded/protocol-{protocol}/{file}"));
+    let text = std::fs::read_to_string(&path).expect("a recorded file");
+    let line = |line: &str| {
+        let (name, digits) = line.split_once(' ').expect("a name and digits");
+        (name.to_owned(), bytes_of(digits))
+    };
+    text.lines().map(line).collect()
+}
+
+fn bytes_of(digits: &str) -> Vec<u8> {
+    let pairs = (0..digits.len()).step_by(2);
+    pairs
+        .map(|at| u8::from_str_radix(&digits[at..at + 2], 16).expect("hexadecimal digits"))
+        .collect()
+}
+
+/// A recorded data folder as a disk.
+pub fn folder(protocol: u32, file: &str) -> MemoryDirectory {
+    let mut directory = MemoryDirectory::default();
+    for (name, bytes) in lines(protocol, file) {
+        directory.append(&name, &bytes).expect("a disk in memory");
+        directory.sync(&name).expect("a disk in memory");
+    }
+    directory.sync_names().expect("a disk in memory");
+    directory
+}
