Builds of two protocol versions talk to each other

Cause: a process took a hello of its own version only, 11 in production, 16 here. From the moment three of five replicas were new they elected a leader and acknowledged changes that no older gateway could hear of.

Now a process speaks 11 and 16 beside 17, as opener and as acceptor. It offers 17, which 17 and later answer with the lower version of both ends; an older acceptor closes the connection, and 11 and 16 are offered next. Frames of 11 are converted in one place; what has no counterpart there is not sent: parts (the configuration goes in one), limits and permits (requests go without, as in production), runs that ended with their engine, usage. A gateway of an earlier version that can't follow a table with keys is ended with an error. At a level above a replica's version its connections are refused with both named. A connection of an earlier version is opened anew after 60 s.

--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to peers, gateways and operators.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,13 +9,13 @@
 use garnet_control::{ControlReply, Event, JoinRequest, OperatorAnswer, OperatorRequest};
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
-use garnet_types::ReplicaId;
-use garnet_wire::{Frame, Sender as FrameSender, WireError};
+use garnet_types::{EncodingVersion, ReplicaId};
+use garnet_wire::{Accepted, Frame, Sender as FrameSender, WireError};
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
-use crate::peer_link;
+use crate::peer_link::{self, Peer};
 
 /// Frames that wait for one connection; more are dropped, which the protocol
 /// bears like any loss.
@@ -43,6 +43,8 @@
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     open: Rc<RefCell<Open>>,
+    /// Lowest version that may be spoken with other replicas: the level of the log.
+    lowest: Rc<Cell<EncodingVersion>>,
 }
 
 impl Connections {
@@ -58,11 +60,17 @@
             executor,
             events,
             open: Rc::default(),
+            lowest: Rc::default(),
         }
     }
 
     // ---- Peers ----
 
+    /// Notes the level of the log.
+    pub(crate) fn set_lowest_version(&self, version: EncodingVersion) {
+        self.lowest.set(version);
+    }
+
     /// Queues a message for a peer, at the address that the group knows or that
     /// the peer told itself. Without an address, or when the queue is full, it
     /// is lost.
@@ -90,7 +98,12 @@
             id: self.id,
             address: self.address.clone(),
         };
-        let task = peer_link::run(address.to_owned(), hello, frames);
+        let peer = Peer {
+            address: address.to_owned(),
+            hello,
+            lowest: Rc::clone(&self.lowest),
+        };
+        let task = peer_link::run(peer, frames);
         self.executor.spawn(task).detach();
         let mut open = self.open.borrow_mut();
         open.peers.insert(address.to_owned(), sender.clone());
@@ -140,11 +153,7 @@
         let peer = peer.unwrap_or_default();
         let (mut reader, writer) = frames::split(stream);
         let outcome = match reader.accept().await {
-            Ok(FrameSender::Replica { id, address }) => {
-                self.open.borrow_mut().told.insert(id, address);
-                self.serve_peer(id, reader).await
-            }
-            Ok(FrameSender::Gateway(_)) => self.serve_gateway(reader, writer).await,
+            Ok(accepted) => self.serve_accepted(accepted, reader, writer).await,
             Err(error) => Err(error),
         };
         if let Err(error) = outcome {
@@ -152,6 +161,29 @@
         }
     }
 
+    async fn serve_accepted(
+        &self,
+        accepted: Accepted,
+        reader: FrameReader,
+        mut writer: FrameWriter,
+    ) -> Result<(), WireError> {
+        let version = accepted.version;
+        let level = self.lowest.get();
+        if matches!(accepted.sender, FrameSender::Replica { .. }) && version < level {
+            let found = version;
+            return Err(WireError::BelowLevel { found, level });
+        }
+        writer.welcome(&accepted).await?;
+        match accepted.sender {
+            FrameSender::Replica { id, address } => {
+                self.open.borrow_mut().told.insert(id, address);
+                let _stopping = self.events.send(Event::MemberOpened { id, version }).await;
+                self.serve_peer(id, reader).await
+            }
+            FrameSender::Gateway(_) => self.serve_gateway(reader, writer).await,
+        }
+    }
+
     async fn serve_peer(&self, id: ReplicaId, mut reader: FrameReader) -> Result<(), WireError> {
         while let Some(frame) = reader.next().await? {
             match frame {
@@ -176,9 +208,16 @@
         let (sender, replies) = unbounded();
         let connection = self.next_number();
         self.open.borrow_mut().gateways.insert(connection, sender);
+        let version = writer.version();
+        let opened = Event::GatewayOpened {
+            connection,
+            version,
+        };
+        let _stopping = self.events.send(opened).await;
         let writing = self.executor.spawn(write_all(writer, replies));
         let outcome = self.read_gateway(connection, &mut reader).await;
         self.open.borrow_mut().gateways.remove(&connection);
+        let _stopping = self.events.send(Event::GatewayClosed { connection }).await;
         drop(writing);
         outcome
     }
@@ -243,7 +282,8 @@
 
 async fn write_all(mut writer: FrameWriter, frames: Receiver<Frame>) {
     while let Ok(frame) = frames.recv().await {
-        if writer.send(frame).await.is_err() {
+        if let Err(error) = writer.send(frame).await {
+            log::debug!(cause = error.to_string().as_str(); "reply_not_sent");
             return;
         }
     }
--- a/components/control-shell/src/opening.rs
+++ b/components/control-shell/src/opening.rs
@@ -11,8 +11,7 @@
 use garnet_storage::{
     DiskDirectory, DiskIdentity, ReplicaStorage, StorageError, load_value, save_value,
 };
-use garnet_types::ReplicaId;
-use garnet_wire::PROTOCOL_VERSION;
+use garnet_types::{EncodingVersion, ReplicaId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::disk_room::wait_for_room;
@@ -101,7 +100,7 @@
         commit_index = recovered.commit_index,
         cut_bytes = recovered.cut_bytes,
         snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index),
-        protocol = PROTOCOL_VERSION,
+        protocol = EncodingVersion::CURRENT.0,
         state_format = STATE_FORMAT;
         "data_folder_opened"
     );
--- a/components/control-shell/src/peer_link.rs
+++ b/components/control-shell/src/peer_link.rs
@@ -6,16 +6,25 @@
 //! closed its end. A frame written then would be lost, and an election with it:
 //! so the end is looked for while nothing is sent.
 
-use std::time::Duration;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use garnet_runtime::ConnectTime;
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
-use garnet_wire::{Frame, Sender as FrameSender};
+use garnet_runtime::{ConnectTime, Offers};
+use garnet_types::EncodingVersion;
+use garnet_wire::{Frame, Sender as FrameSender, WireError};
 use smol::Timer;
 use smol::channel::Receiver;
 
 /// Pause after a connection that did not come up.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// A peer that closes a connection of an earlier version within this time refuses the
+/// version: it answers nothing to a hello that it takes.
+const REFUSED_WITHIN: Duration = Duration::from_secs(1);
+/// A connection of an earlier version is opened anew after this time: the present version
+/// may be spoken there by then.
+const OFFER_AGAIN: Duration = Duration::from_secs(60);
 
 /// Why a connection is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,18 +35,41 @@
     Broke,
     /// No frames will come any more.
     NothingToSend,
+    /// The peer may speak a later version by now.
+    OfferAgain,
+}
+
+/// A peer to send to.
+pub(crate) struct Peer {
+    pub(crate) address: String,
+    /// How this replica introduces itself.
+    pub(crate) hello: FrameSender,
+    /// Lowest version that may be spoken with a peer.
+    pub(crate) lowest: Rc<Cell<EncodingVersion>>,
 }
 
 /// Sends what is queued for a peer, over a new connection where the last one
 /// is over.
-pub(crate) async fn run(address: String, hello: FrameSender, frames: Receiver<Frame>) {
+pub(crate) async fn run(peer: Peer, frames: Receiver<Frame>) {
     let mut connect_time = ConnectTime::default();
+    let mut offers = Offers::default();
     while let Ok(first) = frames.recv().await {
-        let connected = frames::connect(&address, hello.clone(), &mut connect_time).await;
-        if let Ok((reader, writer)) = connected
-            && carry_frames(reader, writer, first, &frames).await == LinkEnd::Closed
-        {
-            continue;
+        if let Some((reader, writer)) = open(&peer, &mut offers, &mut connect_time).await {
+            let version = writer.version();
+            let opened_at = Instant::now();
+            let end = carry_frames(reader, writer, first, &frames).await;
+            let is_early = opened_at.elapsed() < REFUSED_WITHIN;
+            match end {
+                LinkEnd::Closed if version < EncodingVersion::CURRENT && is_early => {
+                    offers.refused();
+                    continue;
+                }
+                LinkEnd::Closed | LinkEnd::OfferAgain => {
+                    offers.accepted();
+                    continue;
+                }
+                LinkEnd::Broke | LinkEnd::NothingToSend => offers.accepted(),
+            }
         }
         Timer::after(RECONNECT_PAUSE).await;
         // What waited meanwhile is old: heartbeats bring the present.
@@ -45,6 +77,28 @@
     }
 }
 
+/// Opens a connection in the first version that is not refused at once.
+async fn open(
+    peer: &Peer,
+    offers: &mut Offers,
+    connect_time: &mut ConnectTime,
+) -> Option<(FrameReader, FrameWriter)> {
+    for _ in 0..Offers::COUNT {
+        let offered = offers.next();
+        if offered < peer.lowest.get() {
+            offers.refused();
+            continue;
+        }
+        let hello = peer.hello.clone();
+        match frames::connect(&peer.address, hello, offered, connect_time).await {
+            Ok(opened) => return Some(opened),
+            Err(WireError::HelloRefused) => offers.refused(),
+            Err(_) => return None,
+        }
+    }
+    None
+}
+
 /// Sends `first` and all that follows until the connection is over.
 pub async fn carry_frames(
     mut reader: FrameReader,
@@ -52,6 +106,7 @@
     first: Frame,
     frames: &Receiver<Frame>,
 ) -> LinkEnd {
+    let version = writer.version();
     let writing = async {
         let mut next = Ok(first);
         while let Ok(frame) = next {
@@ -67,5 +122,12 @@
         while let Ok(Some(_)) = reader.next().await {}
         LinkEnd::Closed
     };
-    smol::future::or(writing, closed).await
+    let offer_again = async {
+        if version == EncodingVersion::CURRENT {
+            smol::future::pending::<()>().await;
+        }
+        Timer::after(OFFER_AGAIN).await;
+        LinkEnd::OfferAgain
+    };
+    smol::future::or(smol::future::or(writing, closed), offer_again).await
 }
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -197,6 +197,8 @@
         };
         dispatch(&mut replica, &clock, &outlets);
         tell(&replica, &clock, &outlets.told);
+        let level = replica.level().unwrap_or_default();
+        outlets.connections.set_lowest_version(level);
         outlets.metrics.look(&replica, clock.now());
         if let Some(error) = replica.failure() {
             return Err(ChildError::new(error));
--- a/components/control-shell/tests/peer_link.rs
+++ b/components/control-shell/tests/peer_link.rs
@@ -6,7 +6,7 @@
 use garnet_control_shell::{LinkEnd, carry_frames};
 use garnet_runtime::ConnectTime;
 use garnet_runtime::frames;
-use garnet_types::ReplicaId;
+use garnet_types::{EncodingVersion, ReplicaId};
 use garnet_wire::{Frame, Sender};
 use smol::Timer;
 use smol::channel::unbounded;
@@ -34,13 +34,20 @@
             address: address.clone(),
         };
         let mut time = ConnectTime::default();
-        let connected = frames::connect(&address, hello, &mut time).await;
+        let version = EncodingVersion::CURRENT;
+        let connecting = frames::connect(&address, hello, version, &mut time);
+        let accepting = async {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let (mut reader, mut writer) = frames::split(stream);
+            let accepted = reader.accept().await.expect("the hello");
+            writer.welcome(&accepted).await.expect("an open connection");
+            (reader, writer)
+        };
+        let (connected, accepted) = smol::future::zip(connecting, accepting).await;
         let (reader, writer) = connected.expect("it listens");
-        let (accepted, _) = listener.accept().await.expect("a connection");
         let (_sender, queued) = unbounded();
         let peer = async {
-            let (mut reader, writer) = frames::split(accepted);
-            reader.accept().await.expect("the hello");
+            let (mut reader, writer) = accepted;
             let heard = reader.next().await.expect("a sound frame");
             // The peer is started again: its end of the connection closes.
             drop((reader, writer));
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -14,8 +14,7 @@
     text_response,
 };
 use garnet_supervisor::ChildSpec;
-use garnet_types::{GatewayId, Millis};
-use garnet_wire::PROTOCOL_VERSION;
+use garnet_types::{EncodingVersion, GatewayId, Millis};
 use hyper::Response;
 use smol::channel::bounded;
 
@@ -113,7 +112,7 @@
         gateway = id.as_str(),
         zone = options.zone.as_str(),
         listen = options.listen.to_string().as_str(),
-        protocol = PROTOCOL_VERSION;
+        protocol = EncodingVersion::CURRENT.0;
         "gateway_started"
     );
     let watch = Rc::new(Watch::new(
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -12,7 +12,7 @@
 use garnet_forwarding::Forwarder;
 use garnet_runtime::control_link::ControlLinkOwner;
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
-use garnet_types::{GatewayId, Millis};
+use garnet_types::{EncodingVersion, GatewayId, Millis};
 use smol::Timer;
 use smol::channel::{Receiver, Sender};
 
@@ -323,9 +323,11 @@
         known
     }
 
-    fn connected(&self) {
+    fn connected(&self, version: EncodingVersion) {
         while self.0.queued.try_recv().is_ok() {}
-        self.0.gateway.forwarder.borrow_mut().connected();
+        let mut forwarder = self.0.gateway.forwarder.borrow_mut();
+        forwarder.connected(version);
+        drop(forwarder);
         self.0.ask();
     }
 
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -7,7 +7,7 @@
     Configuration, ConfigurationChange, ConfigurationPart, PartRequest, TakenPart, WatchUpdate,
 };
 use garnet_routes::{CallerLimits, RouteIndex};
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, EncodingVersion, Millis};
 
 use crate::backends::Backend;
 use crate::likes::likes;
@@ -35,11 +35,12 @@
         None
     }
 
-    /// Notes that the connection to the leader is another one.
-    pub fn connected(&mut self) {
+    /// Notes that the connection to the leader is another one, of this version.
+    pub fn connected(&mut self, version: EncodingVersion) {
         self.loader.connected();
         self.tell_runs_anew();
         self.limits.connected();
+        self.set_permits_given(version >= EncodingVersion::V16);
     }
 
     /// Takes what the leader says is new. An older configuration than the one
--- a/components/forwarding/src/forwarder/limits.rs
+++ b/components/forwarding/src/forwarder/limits.rs
@@ -2,7 +2,7 @@
 //! send to them.
 
 use garnet_control::LimitUpdate;
-use garnet_limits::{Asking, LimitReports, PermitAnswer, PermitAsk, RequestRate};
+use garnet_limits::{Asking, KnownLimits, LimitReports, PermitAnswer, PermitAsk, RequestRate};
 use garnet_types::{BackendId, Millis, ServiceId};
 
 use crate::backends::Backend;
@@ -22,6 +22,18 @@
 }
 
 impl Forwarder {
+    /// Notes whether the leader gives permits; one of an earlier version does not, and
+    /// requests are sent without any then, as before there were limits.
+    pub(super) fn set_permits_given(&mut self, are_given: bool) {
+        self.permits_are_given = are_given;
+        if !are_given {
+            self.limits = KnownLimits::default();
+            for backend in self.backends.values_mut() {
+                backend.has_limit = false;
+            }
+        }
+    }
+
     // ---- Reports of back ends ----
 
     /// Takes the limit in an answer to a request that was sent at `sent_at`. Gives the
@@ -33,6 +45,9 @@
         sent_at: Millis,
         now: Millis,
     ) -> Option<RequestRate> {
+        if !self.permits_are_given {
+            return None;
+        }
         let backend = self.backends.get_mut(id)?;
         let start = backend.start;
         match reported {
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -95,6 +95,7 @@
     crash_log: CrashLog,
     /// Limits of back ends, and permits for them.
     limits: KnownLimits,
+    permits_are_given: bool,
     /// Requests that came so far, to share out who asks for a spare permit.
     arrived: u64,
     /// Parts this gateway's draws from those of the others.
@@ -137,6 +138,7 @@
             beliefs_age: BeliefsAge::default(),
             crash_log: CrashLog::default(),
             limits: KnownLimits::default(),
+            permits_are_given: true,
             arrived: 0,
             seed,
         }
--- a/components/runtime/src/control_link.rs
+++ b/components/runtime/src/control_link.rs
@@ -5,24 +5,29 @@
 
 use garnet_control::{Configuration, ControlReply, GatewayRequest};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
-use garnet_types::GatewayId;
+use garnet_types::{EncodingVersion, GatewayId};
 use garnet_wire::{Frame, Sender as FrameSender, WireError};
 use smol::Timer;
 use smol::channel::Receiver;
 
 use crate::connect_time::ConnectTime;
 use crate::frames::{self, FrameReader, FrameWriter};
+use crate::offers::Offers;
 
 /// A replica that answers nothing for so long is left for the next one.
 const SILENCE: Duration = Duration::from_millis(1200);
 const PAUSE: Duration = Duration::from_millis(50);
+/// A connection of an earlier version is opened anew after this time: the present version
+/// may be spoken there by then.
+const OFFER_AGAIN: Duration = Duration::from_secs(60);
 
 /// Who keeps the connection.
 pub trait ControlLinkOwner: Clone + 'static {
     /// Addresses of the replicas as they are known now.
     fn replicas(&self) -> Vec<String>;
-    /// A connection is open; what is to be asked first may be queued.
-    fn connected(&self) {}
+    /// A connection is open and speaks this version; what is to be asked first may be
+    /// queued.
+    fn connected(&self, _version: EncodingVersion) {}
     /// Takes a reply of the leader.
     fn heard(&self, reply: ControlReply);
     /// Takes what a replica knew last while there is no leader.
@@ -35,6 +40,10 @@
     NotLeader(Option<String>),
     /// It broke, or nothing was heard.
     Lost,
+    /// It was closed before anything was heard.
+    Refused,
+    /// It speaks an earlier version, and a later one may be spoken there now.
+    OfferAgain,
 }
 
 /// A child that keeps a connection to the leader and sends what is queued.
@@ -54,6 +63,7 @@
                 position: 0,
                 in_touch: false,
                 connect_time: ConnectTime::default(),
+                offers: Offers::default(),
             };
             async move {
                 smol::future::or(link.run(), stop.stopped()).await;
@@ -70,6 +80,7 @@
     position: usize,
     in_touch: bool,
     connect_time: ConnectTime,
+    offers: Offers,
 }
 
 impl<O: ControlLinkOwner> Link<O> {
@@ -79,8 +90,10 @@
             if let Some(address) = hint.take().or_else(|| self.next_replica()) {
                 let left = self.visit(&address).await;
                 self.note_lost(&address, &left);
-                if let Left::NotLeader(leader) = left {
-                    hint = leader.filter(|leader| *leader != address);
+                match left {
+                    Left::NotLeader(leader) => hint = leader.filter(|leader| *leader != address),
+                    Left::OfferAgain => hint = Some(address),
+                    Left::Lost | Left::Refused => {}
                 }
             }
             Timer::after(PAUSE).await;
@@ -94,10 +107,24 @@
         replicas.get(position).cloned()
     }
 
+    /// Talks to a replica in the first version that it takes.
     async fn visit(&mut self, address: &str) -> Left {
+        for _ in 0..Offers::COUNT {
+            let left = self.try_version(address).await;
+            if !matches!(left, Left::Refused) {
+                return left;
+            }
+            self.offers.refused();
+        }
+        Left::Lost
+    }
+
+    async fn try_version(&mut self, address: &str) -> Left {
         let hello = FrameSender::Gateway(self.id.clone());
-        match frames::connect(address, hello, &mut self.connect_time).await {
+        let offered = self.offers.next();
+        match frames::connect(address, hello, offered, &mut self.connect_time).await {
             Ok((reader, writer)) => self.exchange(address, reader, writer).await,
+            Err(WireError::HelloRefused) => Left::Refused,
             Err(_) => Left::Lost,
         }
     }
@@ -108,7 +135,8 @@
         mut reader: FrameReader,
         mut writer: FrameWriter,
     ) -> Left {
-        self.owner.connected();
+        let version = writer.version();
+        self.owner.connected(version);
         let requests = self.requests.clone();
         let writing = async {
             while let Ok(request) = requests.recv().await {
@@ -118,30 +146,45 @@
             }
             Left::Lost
         };
-        let reading = async { self.read(address, &mut reader).await.unwrap_or(Left::Lost) };
-        smol::future::or(reading, writing).await
+        let reading = self.read(address, &mut reader);
+        let offer_again = async {
+            if version == EncodingVersion::CURRENT {
+                smol::future::pending::<()>().await;
+            }
+            Timer::after(OFFER_AGAIN).await;
+            Left::OfferAgain
+        };
+        smol::future::or(smol::future::or(reading, writing), offer_again).await
     }
 
-    async fn read(&mut self, address: &str, reader: &mut FrameReader) -> Result<Left, WireError> {
+    async fn read(&mut self, address: &str, reader: &mut FrameReader) -> Left {
+        let mut is_accepted = false;
         loop {
             let next = async { Some(reader.next().await) };
             let silence = async {
                 Timer::after(SILENCE).await;
                 None
             };
-            match smol::future::or(next, silence).await {
+            let next = smol::future::or(next, silence).await;
+            if let Some(Ok(Some(_))) = next
+                && !is_accepted
+            {
+                is_accepted = true;
+                self.offers.accepted();
+            }
+            match next {
                 Some(Ok(Some(Frame::Control(ControlReply::NotLeader { leader, last_known })))) => {
                     if let Some(configuration) = last_known {
                         self.owner.heard_last_known(configuration.value());
                     }
-                    return Ok(Left::NotLeader(leader));
+                    return Left::NotLeader(leader);
                 }
                 Some(Ok(Some(Frame::Control(reply)))) => {
                     self.note_regained(address);
                     self.owner.heard(reply);
                 }
-                Some(Err(error)) => return Err(error),
-                _ => return Ok(Left::Lost),
+                Some(Ok(None) | Err(_)) if !is_accepted => return Left::Refused,
+                _ => return Left::Lost,
             }
         }
     }
@@ -158,7 +201,8 @@
         if was_in_touch {
             let cause = match left {
                 Left::NotLeader(_) => "another replica leads",
-                Left::Lost => "the connection broke or was silent",
+                Left::Lost | Left::Refused => "the connection broke or was silent",
+                Left::OfferAgain => "a later version is offered",
             };
             log::warn!(leader = address, cause = cause; "leader_lost");
         }
--- a/components/runtime/src/frames.rs
+++ b/components/runtime/src/frames.rs
@@ -2,8 +2,11 @@
 
 use asynchronous_codec::{BytesMut, Encoder, FramedRead};
 use futures_lite::{AsyncWriteExt, StreamExt};
-use garnet_wire::{Frame, FrameCodec, PROTOCOL_VERSION, Sender, WireError, check_hello};
+use garnet_types::EncodingVersion;
+use garnet_wire::{Accepted, Frame, FrameCodec, Sender, WireError, check_hello};
+use smol::Timer;
 use smol::net::TcpStream;
+use std::io;
 use std::time::Duration;
 
 use crate::connect_time::ConnectTime;
@@ -22,31 +25,36 @@
 /// Writes frames.
 pub struct FrameWriter {
     stream: TcpStream,
+    version: EncodingVersion,
     buffer: BytesMut,
 }
 
-/// Both halves of a connection.
+/// Both halves of a connection that begins with a hello.
 pub fn split(stream: TcpStream) -> (FrameReader, FrameWriter) {
+    let version = EncodingVersion::CURRENT;
     // Latency matters more than the count of packets.
     let _unset = stream.set_nodelay(true);
     end_when_silent(&stream, SILENCE);
     let reader = FrameReader {
-        frames: FramedRead::new(stream.clone(), FrameCodec),
+        frames: FramedRead::new(stream.clone(), FrameCodec::new(version)),
     };
     let writer = FrameWriter {
         stream,
+        version,
         buffer: BytesMut::new(),
     };
     (reader, writer)
 }
 
-/// Opens a connection and says hello.
+/// Opens a connection and offers a version. From [`EncodingVersion::V17`] on, the version
+/// of the connection is the one that the other end answers with.
 ///
 /// # Errors
-/// When the address can't be reached in `time`.
+/// When the address can't be reached in `time`, or the other end refuses the version.
 pub async fn connect(
     address: &str,
     sender: Sender,
+    offered: EncodingVersion,
     time: &mut ConnectTime,
 ) -> Result<(FrameReader, FrameWriter), WireError> {
     let connected = connect_in_time(address, time.next()).await;
@@ -55,12 +63,19 @@
         Err(_) => time.failed(),
     }
     let stream = connected?;
-    let (reader, mut writer) = split(stream);
+    let (mut reader, mut writer) = split(stream);
     let hello = Frame::Hello {
-        version: PROTOCOL_VERSION,
+        version: offered,
         sender,
     };
     writer.send(hello).await?;
+    let version = if offered >= EncodingVersion::V17 {
+        reader.welcome().await?
+    } else {
+        offered
+    };
+    reader.set_version(version);
+    writer.set_version(version);
     Ok((reader, writer))
 }
 
@@ -73,26 +88,72 @@
         self.frames.next().await.transpose()
     }
 
-    /// Reads and checks the hello that opens a connection.
+    /// Reads and checks the hello that opens a connection, whose version holds from then
+    /// on.
     ///
     /// # Errors
-    /// When it is missing or of another version.
-    pub async fn accept(&mut self) -> Result<Sender, WireError> {
-        match self.next().await? {
-            Some(frame) => check_hello(frame),
-            None => Err(WireError::NoHello),
+    /// When it is missing or of a version that is not spoken.
+    pub async fn accept(&mut self) -> Result<Accepted, WireError> {
+        let Some(frame) = self.next().await? else {
+            return Err(WireError::NoHello);
+        };
+        let accepted = check_hello(frame)?;
+        self.set_version(accepted.version);
+        Ok(accepted)
+    }
+
+    /// Reads the answer to a hello.
+    async fn welcome(&mut self) -> Result<EncodingVersion, WireError> {
+        let answer = async { Some(self.next().await) };
+        let silence = async {
+            Timer::after(SILENCE).await;
+            None
+        };
+        match smol::future::or(answer, silence).await {
+            Some(Ok(Some(Frame::Welcome { version }))) => Ok(version),
+            Some(Ok(Some(_))) => Err(WireError::Malformed(
+                "a frame before the welcome".to_owned(),
+            )),
+            Some(Ok(None) | Err(_)) => Err(WireError::HelloRefused),
+            None => Err(WireError::Io(io::ErrorKind::TimedOut.into())),
         }
     }
+
+    fn set_version(&mut self, version: EncodingVersion) {
+        *self.frames.decoder_mut() = FrameCodec::new(version);
+    }
 }
 
 impl FrameWriter {
-    /// Sends a frame.
+    /// Answers the hello of an accepted connection, whose version holds from then on.
+    ///
+    /// # Errors
+    /// When the connection broke.
+    pub async fn welcome(&mut self, accepted: &Accepted) -> Result<(), WireError> {
+        let version = accepted.version;
+        if accepted.awaits_welcome {
+            self.send(Frame::Welcome { version }).await?;
+        }
+        self.set_version(version);
+        Ok(())
+    }
+
+    /// Version of the connection.
+    pub fn version(&self) -> EncodingVersion {
+        self.version
+    }
+
+    fn set_version(&mut self, version: EncodingVersion) {
+        self.version = version;
+    }
+
+    /// Sends a frame, unless the version has no place for it and does without.
     ///
     /// # Errors
     /// When it can't be encoded or the connection broke.
     pub async fn send(&mut self, frame: Frame) -> Result<(), WireError> {
         self.buffer.clear();
-        FrameCodec.encode(frame, &mut self.buffer)?;
+        FrameCodec::new(self.version).encode(frame, &mut self.buffer)?;
         self.stream.write_all(&self.buffer).await?;
         if self.buffer.capacity() > KEPT_BUFFER_BYTES {
             // One large frame must not keep its memory for each connection.
--- /dev/null
+++ b/components/runtime/src/offers.rs
@@ -0,0 +1,53 @@
+//! Which version is offered to another process.
+//!
+//! A process before [`EncodingVersion::V17`] closes a connection whose hello names any
+//! version but its own, and answers nothing to its own. So versions are offered one after
+//! the other until a connection stands. The present one is offered twice: a process that
+//! ends just then closes its connections as well.
+
+use garnet_types::EncodingVersion;
+
+/// The versions to offer, in their order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Offers {
+    order: [EncodingVersion; 4],
+    next: usize,
+}
+
+impl Default for Offers {
+    fn default() -> Self {
+        Offers {
+            order: [
+                EncodingVersion::CURRENT,
+                EncodingVersion::CURRENT,
+                EncodingVersion::V11,
+                EncodingVersion::V16,
+            ],
+            next: 0,
+        }
+    }
+}
+
+impl Offers {
+    /// How many there are.
+    pub const COUNT: usize = 4;
+
+    /// The version to offer now.
+    pub fn next(&self) -> EncodingVersion {
+        self.order[self.next]
+    }
+
+    /// Notes that the connection was closed and nothing was received.
+    pub fn refused(&mut self) {
+        self.next = (self.next + 1) % self.order.len();
+    }
+
+    /// Notes that the connection stood. The next one begins with the present version:
+    /// another build may run there by then.
+    pub fn accepted(&mut self) {
+        if self.next + 1 == self.order.len() {
+            self.order.swap(self.next - 1, self.next);
+        }
+        self.next = 0;
+    }
+}
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -1,29 +1,63 @@
 //! Frames to bytes and back.
 
 use asynchronous_codec::{BytesMut, Decoder, Encoder};
+use garnet_types::EncodingVersion;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::error::WireError;
 use crate::frame::Frame;
+use crate::v11;
 
 /// Longest frame, in bytes: a whole configuration of the target's size fits.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 const LENGTH_BYTES: usize = 4;
 
-/// Length-prefixed `bincode` frames.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct FrameCodec;
+/// Length-prefixed `bincode` frames of one version.
+#[derive(Debug, Clone, Copy)]
+pub struct FrameCodec {
+    version: EncodingVersion,
+}
+
+impl FrameCodec {
+    /// The codec of a connection of `version`.
+    pub fn new(version: EncodingVersion) -> Self {
+        FrameCodec { version }
+    }
+}
 
 fn encoding() -> impl bincode::config::Config {
     bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
 }
 
+fn encoded<T: Serialize>(value: &T) -> Result<Vec<u8>, WireError> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .map_err(|error| WireError::Malformed(error.to_string()))
+}
+
+fn decoded<T: DeserializeOwned>(payload: &[u8]) -> Result<T, WireError> {
+    let (value, read) = bincode::serde::decode_from_slice(payload, encoding())
+        .map_err(|error| WireError::Malformed(error.to_string()))?;
+    if read != payload.len() {
+        return Err(WireError::Malformed("bytes are left over".to_owned()));
+    }
+    Ok(value)
+}
+
 impl Encoder for FrameCodec {
     type Item<'a> = Frame;
     type Error = WireError;
 
+    /// Adds nothing for a frame that the version has no place for and does without.
     fn encode(&mut self, frame: Frame, target: &mut BytesMut) -> Result<(), WireError> {
-        let payload = bincode::serde::encode_to_vec(&frame, bincode::config::standard())
-            .map_err(|error| WireError::Malformed(error.to_string()))?;
+        let payload = if self.version > EncodingVersion::V11 {
+            encoded(&frame)?
+        } else {
+            match v11::Frame::of(frame)? {
+                Some(frame) => encoded(&frame)?,
+                None => return Ok(()),
+            }
+        };
         if payload.len() > MAX_FRAME_BYTES {
             return Err(WireError::TooLong(payload.len()));
         }
@@ -52,11 +86,10 @@
         }
         let bytes = source.split_to(LENGTH_BYTES + length);
         let payload = &bytes[LENGTH_BYTES..];
-        let (frame, read) = bincode::serde::decode_from_slice(payload, encoding())
-            .map_err(|error| WireError::Malformed(error.to_string()))?;
-        if read != payload.len() {
-            return Err(WireError::Malformed("bytes are left over".to_owned()));
+        if self.version > EncodingVersion::V11 {
+            decoded(payload).map(Some)
+        } else {
+            decoded::<v11::Frame>(payload).map(|frame| Some(frame.into()))
         }
-        Ok(Some(frame))
     }
 }
--- a/components/wire/src/error.rs
+++ b/components/wire/src/error.rs
@@ -3,6 +3,8 @@
 use std::io;
 
 use displaydoc::Display;
+use garnet_control::NotInVersion;
+use garnet_types::EncodingVersion;
 use thiserror::Error;
 
 /// Why a connection was ended.
@@ -17,10 +19,21 @@
     /// the other end speaks protocol version {found}, this one {known}
     Version {
         /// Version of the other end.
-        found: u32,
+        found: EncodingVersion,
         /// Version of this end.
-        known: u32,
+        known: EncodingVersion,
     },
+    /// {0}, which is what the other end speaks
+    NotInVersion(#[from] NotInVersion),
+    /// the other end speaks encoding version {found}, the group's log has {level}
+    BelowLevel {
+        /// Version of the other end.
+        found: EncodingVersion,
+        /// Level of the group.
+        level: EncodingVersion,
+    },
+    /// the other end closed the connection instead of answering the hello
+    HelloRefused,
     /// the connection did not open with a hello
     NoHello,
 }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -2,14 +2,11 @@
 
 use garnet_consensus::Envelope;
 use garnet_control::{ControlReply, GatewayRequest, JoinRequest};
-use garnet_types::{GatewayId, ReplicaId};
+use garnet_types::{EncodingVersion, GatewayId, ReplicaId};
 use serde::{Deserialize, Serialize};
 
 use crate::error::WireError;
 
-/// Version of the protocol. It changes when a frame's encoding does.
-pub const PROTOCOL_VERSION: u32 = 16;
-
 /// Who opened a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Sender {
@@ -25,13 +22,14 @@
     Gateway(GatewayId),
 }
 
-/// One frame.
+/// One frame. Variants are appended only; the encoding of the two that negotiate a
+/// version never changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// Opens each connection.
     Hello {
         /// Version that the sender speaks.
-        version: u32,
+        version: EncodingVersion,
         /// Who it is.
         sender: Sender,
     },
@@ -43,19 +41,43 @@
     Gateway(GatewayRequest),
     /// To a gateway.
     Control(ControlReply),
+    /// Answers a hello of [`EncodingVersion::V17`] or later.
+    Welcome {
+        /// Version of the connection: the lower one of both ends.
+        version: EncodingVersion,
+    },
+}
+
+/// A connection that was opened by another process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// Who opened it.
+    pub sender: Sender,
+    /// Version of the connection.
+    pub version: EncodingVersion,
+    /// Whether the opener waits for a [`Frame::Welcome`].
+    pub awaits_welcome: bool,
 }
 
 /// Checks the first frame of a connection.
 ///
 /// # Errors
-/// When it is no hello, or one of another version.
-pub fn check_hello(frame: Frame) -> Result<Sender, WireError> {
-    match frame {
-        Frame::Hello { version, sender } if version == PROTOCOL_VERSION => Ok(sender),
-        Frame::Hello { version, .. } => Err(WireError::Version {
+/// When it is no hello, or one of a version that is not spoken.
+pub fn check_hello(frame: Frame) -> Result<Accepted, WireError> {
+    let Frame::Hello { version, sender } = frame else {
+        return Err(WireError::NoHello);
+    };
+    let awaits_welcome = version >= EncodingVersion::V17;
+    let is_spoken = version == EncodingVersion::V11 || version >= EncodingVersion::V16;
+    if !is_spoken {
+        return Err(WireError::Version {
             found: version,
-            known: PROTOCOL_VERSION,
-        }),
-        _ => Err(WireError::NoHello),
+            known: EncodingVersion::CURRENT,
+        });
     }
+    Ok(Accepted {
+        sender,
+        version: version.min(EncodingVersion::CURRENT),
+        awaits_welcome,
+    })
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,15 +1,20 @@
 //! The protocol between garnetcourse processes, over TCP.
 //!
 //! Contract: each frame is a length of four bytes, little-endian, and a value
-//! encoded by `bincode`. The first frame of a connection is
-//! [`Frame::Hello`] with the protocol's version; another version ends the
-//! connection with a clear error. A frame that is too long, truncated or
+//! encoded by `bincode`. The first frame of a connection is [`Frame::Hello`] with the
+//! version that its sender speaks. A version of [`EncodingVersion::V17`] or later is
+//! answered with [`Frame::Welcome`] and the lower version of both ends; frames of version
+//! 16 are encoded as the present ones, those of version 11 are converted. Any other
+//! version ends the connection with a clear error. A frame that is too long, truncated or
 //! malformed ends its connection and nothing else.
+//!
+//! [`EncodingVersion::V17`]: garnet_types::EncodingVersion::V17
 
 mod codec;
 mod error;
 mod frame;
+mod v11;
 
 pub use codec::{FrameCodec, MAX_FRAME_BYTES};
 pub use error::WireError;
-pub use frame::{Frame, PROTOCOL_VERSION, Sender, check_hello};
+pub use frame::{Accepted, Frame, Sender, check_hello};
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -2,10 +2,8 @@
 
 use asynchronous_codec::{BytesMut, Decoder, Encoder};
 use garnet_control::{Configuration, ControlReply, GatewayRequest, UsageCount, UsageReport};
-use garnet_types::{GatewayId, Millis, TenantId, UsageWindow};
-use garnet_wire::{
-    Frame, FrameCodec, MAX_FRAME_BYTES, PROTOCOL_VERSION, Sender, WireError, check_hello,
-};
+use garnet_types::{EncodingVersion, GatewayId, Millis, TenantId, UsageWindow};
+use garnet_wire::{Frame, FrameCodec, MAX_FRAME_BYTES, Sender, WireError, check_hello};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -51,14 +49,18 @@
     assert!(bytes.is_empty());
 }
 
+fn codec() -> FrameCodec {
+    FrameCodec::new(EncodingVersion::CURRENT)
+}
+
 fn encoded(frame: Frame) -> BytesMut {
     let mut bytes = BytesMut::new();
-    FrameCodec.encode(frame, &mut bytes).expect("a short frame");
+    codec().encode(frame, &mut bytes).expect("a short frame");
     bytes
 }
 
 fn decode(bytes: &mut BytesMut) -> Result<Option<Frame>, WireError> {
-    FrameCodec.decode(bytes)
+    codec().decode(bytes)
 }
 
 #[test]
@@ -98,19 +100,41 @@
     assert!(matches!(decode(&mut bytes), Err(WireError::Malformed(_))));
 }
 
-#[test]
-fn only_a_hello_of_the_own_version_opens_a_connection() {
+/// The version of the connection and whether its opener waits for a welcome; `None` where
+/// the hello is refused.
+#[rstest]
+#[case(0, None)]
+#[case(10, None)]
+#[case(11, Some((11, false)))]
+#[case(12, None)]
+#[case(15, None)]
+#[case(16, Some((16, false)))]
+#[case(17, Some((17, true)))]
+#[case(18, Some((17, true)))]
+fn a_hello_opens_a_connection_of_a_version_that_both_ends_speak(
+    #[case] version: u32,
+    #[case] expected: Option<(u32, bool)>,
+) {
     let sender = Sender::Gateway(GatewayId::new("gateway-1"));
-    let hello = |version| Frame::Hello {
-        version,
+    let hello = Frame::Hello {
+        version: EncodingVersion(version),
         sender: sender.clone(),
     };
-    assert_eq!(
-        check_hello(hello(PROTOCOL_VERSION)).ok(),
-        Some(sender.clone())
-    );
-    let other = check_hello(hello(PROTOCOL_VERSION + 1));
-    assert!(matches!(other, Err(WireError::Version { .. })));
+    match (check_hello(hello), expected) {
+        (Ok(accepted), Some((version, awaits_welcome))) => {
+            assert_eq!(accepted.sender, sender);
+            assert_eq!(accepted.version, EncodingVersion(version));
+            assert_eq!(accepted.awaits_welcome, awaits_welcome);
+        }
+        (result, expected) => {
+            assert_eq!(expected, None);
+            assert!(matches!(result, Err(WireError::Version { .. })));
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_opens_without_a_hello_is_refused() {
     assert!(matches!(check_hello(watch(1)), Err(WireError::NoHello)));
 }
 
--- a/components/wire/tests/upgrade/hello.rs
+++ b/components/wire/tests/upgrade/hello.rs
@@ -1,6 +1,7 @@
 //! Connections of earlier builds.
 
 use asynchronous_codec::{BytesMut, Decoder};
+use garnet_types::EncodingVersion;
 use garnet_wire::{FrameCodec, Sender, check_hello};
 use rstest::rstest;
 
@@ -13,8 +14,12 @@
     #[values("hello_replica", "hello_gateway")] name: &str,
 ) {
     let mut bytes = BytesMut::from(lines(protocol, "frames.hex")[name].as_slice());
-    let frame = FrameCodec.decode(&mut bytes).expect("a frame");
-    let sender = check_hello(frame.expect("a whole frame")).expect("a known protocol");
-    let is_replica = matches!(sender, Sender::Replica { .. });
+    let frame = FrameCodec::new(EncodingVersion(protocol))
+        .decode(&mut bytes)
+        .expect("a frame");
+    let accepted = check_hello(frame.expect("a whole frame")).expect("a known protocol");
+    assert_eq!(accepted.version, EncodingVersion(protocol));
+    assert!(!accepted.awaits_welcome);
+    let is_replica = matches!(accepted.sender, Sender::Replica { .. });
     assert_eq!(is_replica, name == "hello_replica");
 }
