Tests of logs of several versions and of the level; a replica can stand for an earlier build

ReplicaSettings.upgrade names the version and how long a complete upgrade can be rolled back (600 s), so that simulations have replicas of earlier builds.

--- a/components/control/src/encoding/log.rs
+++ b/components/control/src/encoding/log.rs
@@ -66,16 +66,31 @@
     /// # Errors
     /// When it can't be decoded: the log must not be applied any further.
     pub fn decode(&mut self, bytes: &[u8]) -> Result<DecodedEntry, EntryError> {
+        self.decode_by(EncodingVersion::CURRENT, bytes)
+    }
+
+    /// The same by a replica that knows versions up to `known`.
+    pub(crate) fn decode_by(
+        &mut self,
+        known: EncodingVersion,
+        bytes: &[u8],
+    ) -> Result<DecodedEntry, EntryError> {
         match bytes.first() {
-            Some(&first) if first > LARGEST_OPTION_TAG => self.decode_versioned(first, bytes),
+            Some(&first) if first > LARGEST_OPTION_TAG => {
+                self.decode_versioned(known, first, bytes)
+            }
             _ => self.decode_unversioned(bytes),
         }
     }
 
-    fn decode_versioned(&mut self, first: u8, bytes: &[u8]) -> Result<DecodedEntry, EntryError> {
+    fn decode_versioned(
+        &mut self,
+        known: EncodingVersion,
+        first: u8,
+        bytes: &[u8],
+    ) -> Result<DecodedEntry, EntryError> {
         let version = EncodingVersion(u32::from(first));
-        let known = EncodingVersion::CURRENT;
-        if version != known {
+        if version < EncodingVersion::V17 || version > known {
             let found = version;
             return Err(EntryError::UnknownVersion { found, known });
         }
--- a/components/control/src/replica/level.rs
+++ b/components/control/src/replica/level.rs
@@ -16,8 +16,6 @@
 use crate::command::Command;
 use crate::encoding::{EntryError, LogEncoding, NotInVersion};
 
-/// How long an upgrade that is complete can be rolled back.
-const ROLLBACK_WINDOW: Millis = Millis::from_secs(600);
 /// A member that was silent for longer may have been replaced by another build.
 const MEMBER_FRESH: Millis = Millis(1000);
 
@@ -70,6 +68,11 @@
 }
 
 impl Replica {
+    /// The highest version that this replica reads and writes.
+    pub fn version(&self) -> EncodingVersion {
+        self.settings.upgrade.version
+    }
+
     /// The level, as far as the log shows it.
     pub fn level(&self) -> Option<EncodingVersion> {
         self.state.encoding.level()
@@ -78,7 +81,7 @@
     /// The version that a member spoke when it connected last.
     pub(super) fn member_version(&self, id: ReplicaId) -> Option<EncodingVersion> {
         if id == self.node.id() {
-            return Some(EncodingVersion::CURRENT);
+            return Some(self.version());
         }
         self.versions.members.get(&id).copied()
     }
@@ -88,7 +91,7 @@
     }
 
     pub(super) fn note_gateway_opened(&mut self, connection: u64, version: EncodingVersion) {
-        if version < EncodingVersion::CURRENT {
+        if version < self.version() {
             self.versions.earlier_gateways.insert(connection, version);
         }
     }
@@ -120,9 +123,9 @@
     fn version_after_log(&self) -> Result<EncodingVersion, ProposalError> {
         let mut encoding = self.state.encoding.clone();
         for command in self.node.unapplied_commands() {
-            encoding.decode(command)?;
+            encoding.decode_by(self.version(), command)?;
         }
-        let present = EncodingVersion::CURRENT;
+        let present = self.version();
         match encoding.level() {
             // No build of these versions can be a member beside this one.
             Some(EncodingVersion::V12) => Ok(present),
@@ -141,8 +144,8 @@
         let Some(level) = self.level() else {
             return;
         };
-        let is_raised = self.versions.of_entries >= Some(EncodingVersion::CURRENT);
-        if level >= EncodingVersion::CURRENT || is_raised {
+        let is_raised = self.versions.of_entries >= Some(self.version());
+        if level >= self.version() || is_raised {
             return;
         }
         if !self.all_read_present_version() {
@@ -150,7 +153,7 @@
             return;
         }
         let since = *self.versions.complete_since.get_or_insert(self.now);
-        let is_due = self.now.since(since) >= ROLLBACK_WINDOW;
+        let is_due = self.now.since(since) >= self.settings.upgrade.rollback_window;
         if is_due || self.versions.is_level_needed {
             self.raise_level();
         }
@@ -161,7 +164,7 @@
     /// # Errors
     /// When a member or a gateway does not read the present version, or has not shown it.
     pub(super) fn raise_level_now(&mut self) -> Result<(), String> {
-        if self.level() >= Some(EncodingVersion::CURRENT) {
+        if self.level() >= Some(self.version()) {
             return Ok(());
         }
         if !self.all_read_present_version() {
@@ -177,7 +180,7 @@
     }
 
     fn raise_level(&mut self) {
-        let version = EncodingVersion::CURRENT;
+        let version = self.version();
         let before = self.versions.of_entries.replace(version);
         if self.propose_own(Command::RaiseLevel(version)).is_none() {
             self.versions.of_entries = before;
@@ -190,7 +193,7 @@
 
     fn has_earlier_gateways(&self) -> bool {
         let versions = &self.versions;
-        let is_recent = |at: Millis| self.now.since(at) < ROLLBACK_WINDOW;
+        let is_recent = |at: Millis| self.now.since(at) < self.settings.upgrade.rollback_window;
         !versions.earlier_gateways.is_empty() || versions.earlier_gateway_at.is_some_and(is_recent)
     }
 
@@ -199,7 +202,7 @@
         let members = self.node.membership().members.keys();
         let has_shown = |id: &ReplicaId| {
             let version = self.versions.members.get(id);
-            version >= Some(&EncodingVersion::CURRENT) && self.node.silent_for(*id) <= MEMBER_FRESH
+            version >= Some(&self.version()) && self.node.silent_for(*id) <= MEMBER_FRESH
         };
         members
             .filter(|id| **id != own && !has_shown(id))
@@ -216,7 +219,7 @@
         let gateways = self.versions.earlier_gateways.len();
         format!(
             "encoding version {} is not shown by replicas [{}] and {gateways} connected gateways",
-            EncodingVersion::CURRENT,
+            self.version(),
             members.join(", ")
         )
     }
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -67,7 +67,10 @@
     }
 
     fn apply_command(&mut self, entry: &Entry, bytes: &[u8]) -> Result<CommandAnswer, EntryError> {
-        let DecodedEntry { envelope, version } = self.state.encoding.decode(bytes)?;
+        let DecodedEntry { envelope, version } = self
+            .state
+            .encoding
+            .decode_by(self.settings.upgrade.version, bytes)?;
         let applied = self
             .state
             .apply_by(version, entry.index, entry.term, &envelope);
@@ -143,7 +146,7 @@
     }
 
     pub(super) fn restore(&mut self, snapshot: &Snapshot) {
-        match ControlState::decode(&snapshot.data) {
+        match ControlState::decode_by(self.settings.upgrade.version, &snapshot.data) {
             Ok(state) => {
                 self.recent = RecentChanges::starting_at(state.configuration.index);
                 self.state = state;
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -16,7 +16,7 @@
 use displaydoc::Display;
 use garnet_consensus::{Config, Node, Ready, Restored, Snapshot};
 use garnet_planner::{BalanceSettings, PlannerSettings};
-use garnet_types::{BackendId, Fence, Millis, ReplicaId};
+use garnet_types::{BackendId, EncodingVersion, Fence, Millis, ReplicaId};
 use thiserror::Error;
 
 use duties::DutyTrack;
@@ -83,6 +83,27 @@
     pub engine_polling: EnginePolling,
     /// Duties towards the platform, if there are any.
     pub duties: Option<DutySettings>,
+    /// How it stands beside builds of other versions.
+    pub upgrade: UpgradeSettings,
+}
+
+/// How a replica stands beside builds of other versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpgradeSettings {
+    /// The highest version that it reads and writes. Simulations have replicas of earlier
+    /// ones.
+    pub version: EncodingVersion,
+    /// How long an upgrade that is complete can be rolled back.
+    pub rollback_window: Millis,
+}
+
+impl Default for UpgradeSettings {
+    fn default() -> Self {
+        UpgradeSettings {
+            version: EncodingVersion::CURRENT,
+            rollback_window: Millis::from_secs(600),
+        }
+    }
 }
 
 impl ReplicaSettings {
@@ -97,6 +118,7 @@
             directory: DirectorySettings::default(),
             engine_polling: EnginePolling::Always,
             duties: None,
+            upgrade: UpgradeSettings::default(),
         }
     }
 }
@@ -202,11 +224,14 @@
         restored: Restored,
         now: Millis,
     ) -> Result<Self, RestoreError> {
+        let version = settings.upgrade.version;
         let state = match &restored.snapshot {
             Some(snapshot) => {
-                ControlState::decode(&snapshot.data).map_err(|source| RestoreError::Snapshot {
-                    index: snapshot.index,
-                    source,
+                ControlState::decode_by(version, &snapshot.data).map_err(|source| {
+                    RestoreError::Snapshot {
+                        index: snapshot.index,
+                        source,
+                    }
                 })?
             }
             None => ControlState::default(),
--- a/components/control/src/replica/operator_requests.rs
+++ b/components/control/src/replica/operator_requests.rs
@@ -4,7 +4,7 @@
 
 use garnet_consensus::{Member, PeerRole, ProposeError};
 use garnet_policy::Policy;
-use garnet_types::{EncodingVersion, Millis, ReplicaId};
+use garnet_types::{Millis, ReplicaId};
 
 use crate::answer::CommandAnswer;
 use crate::command::{Command, CommandEnvelope};
@@ -190,7 +190,7 @@
             applied_index: status.applied_index,
             configuration_index: self.state.configuration.index,
             claims: self.state.claims.len(),
-            version: EncodingVersion::CURRENT,
+            version: self.version(),
             level: self.level(),
             halted: self.halted.as_ref().map(|halted| halted.cause.to_string()),
             survives_one_loss: self.node.survives_one_loss(),
--- a/components/control/src/state/formats.rs
+++ b/components/control/src/state/formats.rs
@@ -32,6 +32,16 @@
 /// Of version 17: states which versions the entries of the log are of.
 const FORMAT_6: u32 = 6;
 
+/// The newest format that a version knows.
+fn newest_format(version: EncodingVersion) -> u32 {
+    match version {
+        EncodingVersion::V11 => FORMAT_2,
+        EncodingVersion::V12 => FORMAT_4,
+        EncodingVersion::V16 => FORMAT_5,
+        _ => FORMAT_6,
+    }
+}
+
 /// A snapshot that can't be read.
 #[derive(Debug, Display, Error)]
 pub enum StateDecodeError {
@@ -59,11 +69,22 @@
     /// # Errors
     /// When the bytes are of a newer format or of another shape.
     pub fn decode(bytes: &[u8]) -> Result<Self, StateDecodeError> {
+        ControlState::decode_by(EncodingVersion::CURRENT, bytes)
+    }
+
+    /// The same by a replica that knows formats up to those of `version`.
+    pub(crate) fn decode_by(
+        version: EncodingVersion,
+        bytes: &[u8],
+    ) -> Result<Self, StateDecodeError> {
         let malformed = StateDecodeError::Malformed;
         let (format, read): (u32, usize) =
             bincode::serde::decode_from_slice(bytes, bincode::config::standard())
                 .map_err(|error| malformed(error.to_string()))?;
         let state = &bytes[read..];
+        if format > newest_format(version) {
+            return Err(StateDecodeError::Format(format));
+        }
         match format {
             FORMAT_2 => decoded::<v11::State>(state).map(Into::into),
             FORMAT_3 => decoded::<StateV12>(state).map(Into::into),
--- a/components/control/tests/state/leader.rs
+++ b/components/control/tests/state/leader.rs
@@ -2,9 +2,10 @@
 
 use garnet_consensus::{Config, Entry, EntryPayload, HardState, Member, Membership, Restored};
 use garnet_control::{
-    Command, CommandEnvelope, ControlReply, Effect, Event, GatewayRequest, Replica, ReplicaSettings,
+    Command, CommandEnvelope, ControlReply, Effect, Event, GatewayRequest, Replica,
+    ReplicaSettings, encode_entry,
 };
-use garnet_types::{GatewayId, Millis, ReplicaId};
+use garnet_types::{EncodingVersion, GatewayId, Millis, ReplicaId};
 
 const STEP: Millis = Millis(50);
 
@@ -26,21 +27,36 @@
     }
 }
 
-fn entry(index: u64, command: Command) -> Entry {
+/// A command as an entry of a version.
+pub fn encoded(command: Command, version: EncodingVersion) -> Vec<u8> {
     let envelope = CommandEnvelope::unnamed(command, Millis(5));
-    let bytes = bincode::serde::encode_to_vec(&envelope, bincode::config::standard());
+    encode_entry(&envelope, version).expect("a command of the version")
+}
+
+fn entry(index: u64, bytes: Vec<u8>) -> Entry {
     Entry {
         index,
         term: 1,
-        payload: EntryPayload::Command(bytes.expect("plain data")),
+        payload: EntryPayload::Command(bytes),
     }
 }
 
+fn in_present_version(commands: Vec<Command>) -> Vec<Vec<u8>> {
+    let version = EncodingVersion::CURRENT;
+    let entries = commands.into_iter();
+    entries.map(|command| encoded(command, version)).collect()
+}
+
 impl Leader {
     /// Starts again with these commands in its log, and leads from then on.
     /// What it has committed is not applied yet.
     pub fn elected(settings: ReplicaSettings, commands: Vec<Command>) -> Self {
-        let mut leader = Leader::start(settings, commands, 0, 0);
+        Leader::elected_after(settings, in_present_version(commands))
+    }
+
+    /// The same with these entries in its log.
+    pub fn elected_after(settings: ReplicaSettings, entries: Vec<Vec<u8>>) -> Self {
+        let mut leader = Leader::start(settings, entries, 0, 0);
         while !leader.replica.node().is_leader() {
             leader.now = leader.now + STEP;
             leader.replica.handle(Event::Tick, leader.now);
@@ -51,17 +67,17 @@
     /// Starts again with these commands in its log, of which it knows
     /// `commit_index` to be committed. The two others of its group never start.
     pub fn restarted(settings: ReplicaSettings, commands: Vec<Command>, commit_index: u64) -> Self {
-        Leader::start(settings, commands, commit_index, 2)
+        Leader::start(settings, in_present_version(commands), commit_index, 2)
     }
 
     fn start(
         settings: ReplicaSettings,
-        commands: Vec<Command>,
+        entries: Vec<Vec<u8>>,
         commit_index: u64,
         others: u64,
     ) -> Self {
         let id = settings.consensus.id;
-        let entries = (1..).zip(commands).map(|(index, c)| entry(index, c));
+        let entries = (1..).zip(entries).map(|(index, bytes)| entry(index, bytes));
         let restored = Restored {
             hard_state: HardState {
                 term: 1,
--- /dev/null
+++ b/components/control/tests/state/level.rs
@@ -0,0 +1,260 @@
+//! Logs of several versions, and when the level rises.
+
+use std::sync::Arc;
+
+use garnet_control::{
+    BackendRegistration, Command, CommandEnvelope, Effect, Event, MachineEntry, OperatorAnswer,
+    OperatorRequest, UpgradeSettings,
+};
+use garnet_routes::{RouteTable, Tenant};
+use garnet_types::{
+    BackendId, BackendKind, EncodingVersion, MachineState, Millis, ServiceId, TenantId,
+};
+use rstest::rstest;
+
+use crate::leader::{Leader, encoded};
+
+const TICKET: u64 = 7;
+const CONNECTION: u64 = 3;
+
+fn put(version: u64) -> Command {
+    Command::PutRoutes {
+        table: Arc::new(RouteTable {
+            version,
+            ..RouteTable::default()
+        }),
+        document: format!("version {version}"),
+    }
+}
+
+fn put_with_tenants(version: u64) -> Command {
+    let tenant = Tenant {
+        name: TenantId::new("one"),
+        priority: None,
+        keys: Vec::new(),
+    };
+    Command::PutRoutes {
+        table: Arc::new(RouteTable {
+            version,
+            tenants: Some(vec![tenant]),
+            ..RouteTable::default()
+        }),
+        document: format!("version {version}"),
+    }
+}
+
+/// The leader of a log that a build of version 11 began.
+fn leader_after_version_11() -> Leader {
+    let entries = vec![encoded(put(1), EncodingVersion::V11)];
+    let mut leader = Leader::elected_after(Leader::settings(), entries);
+    leader.persist();
+    let _started = leader.replica.take_effects();
+    leader
+}
+
+fn ask(leader: &mut Leader, request: OperatorRequest) -> Option<OperatorAnswer> {
+    let ticket = TICKET;
+    leader
+        .replica
+        .handle(Event::Operator { ticket, request }, leader.now);
+    leader.persist();
+    let effects = leader.replica.take_effects();
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::AnswerOperator { answer, .. } => Some(answer),
+        _ => None,
+    })
+}
+
+fn order(leader: &mut Leader, command: Command) -> Option<OperatorAnswer> {
+    let envelope = CommandEnvelope::unnamed(command, Millis::ZERO);
+    let wait = false;
+    ask(leader, OperatorRequest::Command { envelope, wait })
+}
+
+fn pass(leader: &mut Leader, time: Millis) {
+    let until = leader.now + time;
+    while leader.now < until {
+        leader.now = leader.now + Millis(100);
+        leader.replica.handle(Event::Tick, leader.now);
+        leader.persist();
+    }
+}
+
+fn open_gateway(leader: &mut Leader, version: EncodingVersion) {
+    let connection = CONNECTION;
+    leader.take(Event::GatewayOpened {
+        connection,
+        version,
+    });
+}
+
+/// A state without an entry that can't be read answers with what was replaced, and is kept in a snapshot.
+#[test]
+fn an_entry_of_a_later_build_is_not_skipped() {
+    let later = EncodingVersion(EncodingVersion::CURRENT.0 + 1);
+    let mut entry = encoded(put(2), EncodingVersion::CURRENT);
+    entry[0] = u8::try_from(later.0).expect("a byte");
+    let present = EncodingVersion::CURRENT;
+    let entries = vec![encoded(put(1), present), entry, encoded(put(3), present)];
+    let mut settings = Leader::settings();
+    settings.snapshot_every = 1;
+    let mut leader = Leader::elected_after(settings, entries);
+    leader.persist();
+    let halted = leader.replica.halted().expect("it halts");
+    assert_eq!(halted.index, 2);
+    assert!(
+        halted
+            .cause
+            .to_string()
+            .contains(&format!("version {later}"))
+    );
+    let effects = leader.replica.take_effects();
+    let is_reported = |effect: &Effect| matches!(effect, Effect::Halted(_));
+    assert!(effects.iter().any(is_reported));
+    assert_eq!(leader.replica.state().routes_version(), Some(1));
+    assert!(leader.replica.take_snapshot().is_none());
+    let answer = ask(&mut leader, OperatorRequest::Routes);
+    assert_eq!(answer, Some(OperatorAnswer::NotLeader(None)));
+    pass(&mut leader, Millis::from_secs(30));
+    assert!(!leader.replica.node().is_leader());
+    assert_eq!(leader.replica.state().routes_version(), Some(1));
+}
+
+/// Claims of an entry read in the wrong version are forgotten or given back.
+#[test]
+fn an_entry_that_two_versions_read_differently_is_not_guessed_at() {
+    let claim = garnet_control::ClaimCommand {
+        tenant: TenantId::new("one"),
+        key: garnet_types::IdempotencyKey::new("key"),
+        body_hash: 1,
+        claim: garnet_types::ClaimId {
+            gateway: garnet_types::GatewayId::new("gateway-1"),
+            request: garnet_types::RequestId(1),
+        },
+    };
+    // Version 11 reads the claim of version 16 as its release.
+    let entries = vec![encoded(Command::Claim(claim), EncodingVersion::V16)];
+    let mut leader = Leader::elected_after(Leader::settings(), entries);
+    leader.persist();
+    assert_eq!(leader.replica.halted().map(|halted| halted.index), Some(1));
+    assert!(leader.replica.state().claims.is_empty());
+}
+
+#[test]
+fn entries_go_on_in_the_version_of_the_log() {
+    let mut leader = leader_after_version_11();
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    order(&mut leader, put(2));
+    assert_eq!(leader.replica.state().routes_version(), Some(2));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+}
+
+#[test]
+fn a_group_that_begins_writes_in_the_present_version() {
+    let mut leader = Leader::elected(Leader::settings(), Vec::new());
+    leader.persist();
+    order(&mut leader, put(1));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+}
+
+/// A roll that is complete can be rolled back for a while; then the level rises.
+#[test]
+fn the_level_rises_after_the_time_to_roll_back() {
+    let mut leader = leader_after_version_11();
+    let window = UpgradeSettings::default().rollback_window;
+    pass(&mut leader, Millis(window.0 - 1_000));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    pass(&mut leader, Millis(2_000));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+    // What comes after is read as well.
+    order(&mut leader, put(2));
+    assert_eq!(leader.replica.state().routes_version(), Some(2));
+}
+
+/// A level that rises beside a gateway of an earlier build leaves it with an old configuration.
+#[rstest]
+#[case::connected(false)]
+#[case::gone_for_a_moment(true)]
+fn the_level_stays_beside_a_gateway_of_an_earlier_build(#[case] closes: bool) {
+    let mut leader = leader_after_version_11();
+    open_gateway(&mut leader, EncodingVersion::V11);
+    let window = UpgradeSettings::default().rollback_window;
+    pass(&mut leader, window);
+    if closes {
+        leader.take(Event::GatewayClosed {
+            connection: CONNECTION,
+        });
+    }
+    pass(&mut leader, Millis(window.0 - 1_000));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    let answer = ask(&mut leader, OperatorRequest::RaiseLevel);
+    assert!(
+        matches!(&answer, Some(OperatorAnswer::NotYet(reason)) if reason.contains("gateways")),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn an_operator_raises_the_level_at_once() {
+    let mut leader = leader_after_version_11();
+    let answer = ask(&mut leader, OperatorRequest::RaiseLevel);
+    assert!(matches!(answer, Some(OperatorAnswer::Committed { .. })));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+}
+
+/// A change that an earlier build can't follow is not lost in a conversion: it waits for the level.
+#[test]
+fn a_change_that_needs_the_level_raises_it_and_is_taken_then() {
+    let mut leader = leader_after_version_11();
+    open_gateway(&mut leader, EncodingVersion::V11);
+    let refused = order(&mut leader, put_with_tenants(2));
+    assert!(
+        matches!(refused, Some(OperatorAnswer::NotYet(_))),
+        "{refused:?}"
+    );
+    pass(&mut leader, Millis::from_secs(2));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    leader.take(Event::GatewayClosed {
+        connection: CONNECTION,
+    });
+    pass(&mut leader, UpgradeSettings::default().rollback_window);
+    let taken = order(&mut leader, put_with_tenants(2));
+    assert!(
+        matches!(taken, Some(OperatorAnswer::Committed { .. })),
+        "{taken:?}"
+    );
+    let routes = leader.replica.state().configuration.routes.as_ref();
+    assert!(routes.is_some_and(|table| table.tenants.is_some()));
+}
+
+/// A list with starts, which version 11 has no place for, is news with each reading.
+#[test]
+fn a_list_with_starts_does_not_grow_a_log_of_version_11() {
+    let mut leader = leader_after_version_11();
+    let entry = MachineEntry {
+        registration: BackendRegistration {
+            id: BackendId::new("app-1"),
+            kind: BackendKind::Application,
+            service: ServiceId::new("checkout"),
+            address: "10.0.0.9:8000".into(),
+            zone: "a".into(),
+            start: 31,
+        },
+        state: MachineState::Leaving,
+        observed: None,
+        is_preemptible: false,
+    };
+    let read = |leader: &mut Leader| {
+        let machines = vec![entry.clone()];
+        leader.replica.handle(Event::Machines(machines), leader.now);
+        leader.persist();
+        leader.replica.node().status().last_index
+    };
+    let first = read(&mut leader);
+    let record = &leader.replica.state().configuration.backends[&BackendId::new("app-1")];
+    assert_eq!(record.machine, MachineState::Leaving);
+    assert_eq!(read(&mut leader), first);
+    leader
+        .replica
+        .handle(Event::Machines(Vec::new()), leader.now);
+}
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -12,6 +12,7 @@
 mod group;
 mod last_known;
 mod leader;
+mod level;
 mod limits;
 mod load_digest;
 mod machine_list;
