--- a/bin/garnetctl/src/arguments.rs
+++ b/bin/garnetctl/src/arguments.rs
@@ -28,6 +28,7 @@
   member add ID --peer IP:PORT --admin IP:PORT
   member promote ID
   member remove ID
+  level raise                           ends the time in which an upgrade can be rolled back
   leader transfer
   ports N                               N free ports of this machine
   probe IP:PORT PATH                    prints what a process answers to GET PATH
--- a/bin/garnetctl/src/commands.rs
+++ b/bin/garnetctl/src/commands.rs
@@ -81,6 +81,7 @@
             change(arguments, "POST", format!("members/{id}/promote"), None)
         }
         ["member", "remove", id] => change(arguments, "DELETE", format!("members/{id}"), None),
+        ["level", "raise"] => change(arguments, "POST", "level".to_owned(), None),
         ["leader", "transfer"] => change(arguments, "POST", "leader/transfer".to_owned(), None),
         _ => Err(format!(
             "unknown command \"{}\"; see garnetctl --help",
--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use garnet_control::{Duty, DutyAnswer, DutyCall, EngineRequest, Replica};
 use garnet_runtime::metrics::{gauge_value, registered, text_of};
-use garnet_types::Millis;
+use garnet_types::{EncodingVersion, Millis};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -37,6 +37,9 @@
     backends: Gauge,
     left_aside: Gauge,
     limited: Gauge,
+    level: Gauge,
+    halted: Gauge,
+    earlier_processes: Gauge,
 }
 
 impl Default for ReplicaMetrics {
@@ -97,7 +100,19 @@
         let left_aside = registered(all, "list_entries_left_aside", help, Gauge::default());
         let help = "Back ends that have named a limit, where this replica leads";
         let limited = registered(all, "limited_backends", help, Gauge::default());
+        let help = "Encoding version of this build";
+        let version: Gauge = registered(all, "encoding_version", help, Gauge::default());
+        version.set(i64::from(EncodingVersion::CURRENT.0));
+        let help = "Encoding version of the log, 0 while it is not known";
+        let level = registered(all, "level", help, Gauge::default());
+        let help = "Whether the log holds an entry that this build can't read";
+        let halted = registered(all, "halted", help, Gauge::default());
+        let help = "Members and connected gateways of earlier builds, as far as known";
+        let earlier_processes = registered(all, "earlier_processes", help, Gauge::default());
         ReplicaMetrics {
+            level,
+            halted,
+            earlier_processes,
             limited,
             left_aside,
             quarantined,
@@ -170,6 +185,11 @@
         self.term.set(gauge_value(status.term));
         self.commit_index.set(gauge_value(status.commit_index));
         self.leads.set(i64::from(node.holds_lease(now)));
+        let level = replica.level().unwrap_or_default();
+        self.level.set(i64::from(level.0));
+        self.halted.set(i64::from(replica.halted().is_some()));
+        let earlier = replica.earlier_processes();
+        self.earlier_processes.set(gauge_value(earlier as u64));
         let usage = &replica.state().usage;
         self.usage_untold.set(usage.untold().len() as i64);
         self.usage_open.set(usage.open_windows() as i64);
--- a/components/control/src/gateways.rs
+++ b/components/control/src/gateways.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use garnet_types::{GatewayId, Millis};
+use garnet_types::{EncodingVersion, GatewayId, Millis};
 
 use crate::operator::GatewayView;
 
@@ -102,15 +102,20 @@
         self.looked_at
     }
 
-    /// The leases for a status page.
-    pub fn view(&self, now: Millis) -> BTreeMap<GatewayId, GatewayView> {
-        let view = |lease: &GatewayLease| GatewayView {
-            confirmed_index: lease.confirmed_index,
-            lease_left: lease.lease_end.since(now),
+    /// The leases for a status page, with the version of each gateway.
+    pub fn view(
+        &self,
+        now: Millis,
+        version: impl Fn(&GatewayId) -> EncodingVersion,
+    ) -> BTreeMap<GatewayId, GatewayView> {
+        let view = |(id, lease): (&GatewayId, &GatewayLease)| {
+            let view = GatewayView {
+                confirmed_index: lease.confirmed_index,
+                lease_left: lease.lease_end.since(now),
+                version: version(id),
+            };
+            (id.clone(), view)
         };
-        self.leases
-            .iter()
-            .map(|(id, lease)| (id.clone(), view(lease)))
-            .collect()
+        self.leases.iter().map(view).collect()
     }
 }
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -75,6 +75,8 @@
     pub confirmed_index: u64,
     /// Milliseconds that its lease has left.
     pub lease_left: Millis,
+    /// Encoding version of its build, as far as its connection shows it.
+    pub version: EncodingVersion,
 }
 
 /// State of a replica.
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -35,6 +35,7 @@
                 evidence,
                 copies,
             } => {
+                self.note_gateway_name(connection, &gateway);
                 if let Some(planning) = &mut self.planning {
                     planning.add(&mix);
                 }
--- a/components/control/src/replica/level.rs
+++ b/components/control/src/replica/level.rs
@@ -9,7 +9,7 @@
 
 use displaydoc::Display;
 use garnet_consensus::ProposeError;
-use garnet_types::{EncodingVersion, Millis, ReplicaId};
+use garnet_types::{EncodingVersion, GatewayId, Millis, ReplicaId};
 use thiserror::Error;
 
 use super::Replica;
@@ -38,6 +38,8 @@
     members: BTreeMap<ReplicaId, EncodingVersion>,
     /// By connection; only those of earlier versions.
     earlier_gateways: BTreeMap<u64, EncodingVersion>,
+    /// By name; only those of earlier versions.
+    earlier_gateway_names: BTreeMap<GatewayId, EncodingVersion>,
     /// When a gateway of an earlier version was connected last.
     earlier_gateway_at: Option<Millis>,
     /// Since when the level could rise.
@@ -98,6 +100,38 @@
         }
     }
 
+    /// Notes which gateway is at the other end of a connection.
+    pub(super) fn note_gateway_name(&mut self, connection: u64, gateway: &GatewayId) {
+        if let Some(version) = self.versions.earlier_gateways.get(&connection) {
+            let names = &mut self.versions.earlier_gateway_names;
+            names.insert(gateway.clone(), *version);
+        }
+    }
+
+    /// Version of a gateway that is known.
+    pub(super) fn gateway_version(&self, gateway: &GatewayId) -> EncodingVersion {
+        let earlier = self.versions.earlier_gateway_names.get(gateway);
+        earlier.copied().unwrap_or(self.version())
+    }
+
+    /// Forgets gateways that are gone.
+    pub(super) fn forget_gateway_names(&mut self) {
+        let gateways = &self.gateways;
+        let names = &mut self.versions.earlier_gateway_names;
+        names.retain(|gateway, _| gateways.is_known(gateway));
+    }
+
+    /// Members and connected gateways of earlier versions, as far as known.
+    pub fn earlier_processes(&self) -> usize {
+        let present = self.version();
+        let is_earlier = |version: &&EncodingVersion| **version < present;
+        let members = &self.node.membership().members;
+        let of_members = self.versions.members.iter();
+        let of_members = of_members.filter(|(id, _)| members.contains_key(id));
+        let members = of_members.map(|(_, version)| version).filter(is_earlier);
+        members.count() + self.versions.earlier_gateways.len()
+    }
+
     pub(super) fn note_gateway_closed(&mut self, connection: u64) {
         if self.versions.earlier_gateways.remove(&connection).is_some() {
             self.versions.earlier_gateway_at = Some(self.now);
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -402,6 +402,7 @@
             self.keep_limits();
             self.raise_level_if_due();
             self.gateways.forget_silent(self.now);
+            self.forget_gateway_names();
             self.sent_updates.forget(self.now);
         }
         self.serve_removals();
--- a/components/control/src/replica/operator_requests.rs
+++ b/components/control/src/replica/operator_requests.rs
@@ -195,7 +195,9 @@
             halted: self.halted.as_ref().map(|halted| halted.cause.to_string()),
             survives_one_loss: self.node.survives_one_loss(),
             members: self.member_views(),
-            gateways: self.gateways.view(self.now),
+            gateways: self
+                .gateways
+                .view(self.now, |gateway| self.gateway_version(gateway)),
             orders,
         }
     }
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use garnet_routes::WorkKind;
 use garnet_runtime::metrics::{gauge_value, registered, text_of};
-use garnet_types::Millis;
+use garnet_types::{EncodingVersion, Millis};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -74,6 +74,9 @@
         let limited = registered(all, "limited_backends", help, Gauge::default());
         let help = "Requests that were counted too late for their window of usage";
         let usage_lost = registered(all, "usage_lost", help, Counter::default());
+        let help = "Encoding version of this build";
+        let version: Gauge = registered(all, "encoding_version", help, Gauge::default());
+        version.set(i64::from(EncodingVersion::CURRENT.0));
         let help = "Time since the leader was heard";
         let watch_age_ms = registered(all, "watch_age_ms", help, Gauge::default());
         let help = "Version of the route table in force";
