A log that all versions read alike goes on in the earliest version that is seen

Found in reading: such a log (sessions only) was taken for an empty one, and gone on with in the present version where no earlier member had connected yet. A gateway that can't follow the table in force is named in a warning.

--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -282,9 +282,14 @@
 
 async fn write_all(mut writer: FrameWriter, frames: Receiver<Frame>) {
     while let Ok(frame) = frames.recv().await {
-        if let Err(error) = writer.send(frame).await {
-            log::debug!(cause = error.to_string().as_str(); "reply_not_sent");
-            return;
+        match writer.send(frame).await {
+            Ok(()) => {}
+            Err(error @ WireError::NotInVersion(_)) => {
+                log::warn!(cause = error.to_string().as_str(); "gateway_not_served");
+                return;
+            }
+            // The connection is over, which its reader logs.
+            Err(_) => return,
         }
     }
 }
--- a/components/control/src/replica/level.rs
+++ b/components/control/src/replica/level.rs
@@ -14,7 +14,8 @@
 
 use super::Replica;
 use crate::command::Command;
-use crate::encoding::{EntryError, LogEncoding, NotInVersion};
+use crate::encoding::{EntryError, NotInVersion};
+use crate::state::ControlState;
 
 /// A member that was silent for longer may have been replaced by another build.
 const MEMBER_FRESH: Millis = Millis(1000);
@@ -64,8 +65,10 @@
         earlier.copied().unwrap_or(EncodingVersion::CURRENT)
     }
 
-    fn earliest_member(&self) -> Option<EncodingVersion> {
-        self.members.values().min().copied()
+    /// The earliest version of any process that is known.
+    fn earliest(&self) -> Option<EncodingVersion> {
+        let gateways = self.earlier_gateways.values();
+        self.members.values().chain(gateways).min().copied()
     }
 }
 
@@ -158,20 +161,22 @@
     /// committed.
     fn version_after_log(&self) -> Result<EncodingVersion, ProposalError> {
         let mut encoding = self.state.encoding.clone();
+        let mut is_empty = self.state == ControlState::default();
         for command in self.node.unapplied_commands() {
             encoding.decode_by(self.version(), command)?;
+            is_empty = false;
         }
         let present = self.version();
         match encoding.level() {
             // No build of these versions can be a member beside this one.
             Some(EncodingVersion::V12) => Ok(present),
             Some(level) => Ok(level),
-            None if encoding == LogEncoding::default() => {
-                let earliest = self.versions.earliest_member();
-                Ok(earliest.map_or(present, |earliest| earliest.min(present)))
-            }
-            None if self.all_read_present_version() => Ok(present),
-            None => Err(ProposalError::LevelUnknown),
+            // Builds of one version wrote it, and some of them may still run.
+            None => match self.versions.earliest() {
+                Some(earliest) if earliest < present => Ok(earliest),
+                _ if is_empty || self.all_read_present_version() => Ok(present),
+                _ => Err(ProposalError::LevelUnknown),
+            },
         }
     }
 
--- a/components/control/tests/state/level.rs
+++ b/components/control/tests/state/level.rs
@@ -258,3 +258,25 @@
         .replica
         .handle(Event::Machines(Vec::new()), leader.now);
 }
+
+/// A log that all versions read alike is gone on with in a version that its members read.
+#[test]
+fn a_log_of_an_unknown_build_goes_on_in_the_earliest_version_that_is_seen() {
+    let session = garnet_control::Session {
+        id: garnet_types::SessionId::new("session-1"),
+        tenant: TenantId::new("one"),
+        service: ServiceId::new("chat"),
+        model: None,
+    };
+    let entries = vec![encoded(
+        Command::CreateSession(session),
+        EncodingVersion::V11,
+    )];
+    let mut leader = Leader::elected_after(Leader::settings(), entries);
+    leader.persist();
+    assert_eq!(leader.replica.level(), None);
+    open_gateway(&mut leader, EncodingVersion::V11);
+    order(&mut leader, put(1));
+    assert_eq!(leader.replica.state().routes_version(), Some(1));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+}
