--- a/components/control-shell/src/peer_link.rs
+++ b/components/control-shell/src/peer_link.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
+use garnet_runtime::offers::time_to_offer_again;
 use garnet_runtime::{ConnectTime, Offers};
 use garnet_types::EncodingVersion;
 use garnet_wire::{Frame, Sender as FrameSender, WireError};
@@ -22,9 +23,6 @@
 /// A peer that closes a connection of an earlier version within this time refuses the
 /// version: it answers nothing to a hello that it takes.
 const REFUSED_WITHIN: Duration = Duration::from_secs(1);
-/// A connection of an earlier version is opened anew after this time: the present version
-/// may be spoken there by then.
-const OFFER_AGAIN: Duration = Duration::from_secs(60);
 
 /// Why a connection is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -123,10 +121,7 @@
         LinkEnd::Closed
     };
     let offer_again = async {
-        if version == EncodingVersion::CURRENT {
-            smol::future::pending::<()>().await;
-        }
-        Timer::after(OFFER_AGAIN).await;
+        time_to_offer_again(version).await;
         LinkEnd::OfferAgain
     };
     smol::future::or(smol::future::or(writing, closed), offer_again).await
--- a/components/control/src/load_digest.rs
+++ b/components/control/src/load_digest.rs
@@ -137,7 +137,7 @@
 pub struct LoadDigest {
     members: MembersHash,
     entries: Arc<ByteBuf>,
-    /// Back ends after the last one that is told of; known where it was made.
+    /// Idle back ends after the last entry; known where the digest was made.
     #[serde(skip)]
     idle_at_end: u32,
 }
--- a/components/control/src/state/formats.rs
+++ b/components/control/src/state/formats.rs
@@ -123,89 +123,82 @@
     }
 }
 
-/// What formats 3 to 5 end with.
-#[derive(Debug, Serialize, Deserialize)]
-struct Ending {
-    clock: Millis,
-    answers: BTreeMap<CommandId, CommandAnswer>,
-    answer_order: VecDeque<CommandId>,
-}
+/// Requests that have come close to being refused.
+type Suspects = BTreeMap<RequestFingerprint, SuspectRecord>;
 
+/// The state in formats 3 to 5, which differ in the configuration and in the suspects.
 #[derive(Debug, Serialize, Deserialize)]
-struct StateV12 {
-    configuration: v12::Configuration,
+struct Stored<C, S> {
+    configuration: C,
     routes_document: Option<String>,
     claims: Claims,
     usage: Usage,
     tenures: Tenures,
     needed_engines: BTreeMap<ServiceId, u32>,
-    ending: Ending,
+    suspects: S,
+    clock: Millis,
+    answers: BTreeMap<CommandId, CommandAnswer>,
+    answer_order: VecDeque<CommandId>,
 }
 
-impl From<StateV12> for ControlState {
-    fn from(state: StateV12) -> Self {
+/// Format 3.
+type StateV12 = Stored<v12::Configuration, ()>;
+/// Format 4.
+type StateV13 = Stored<(v12::Configuration, v12::Quarantine), Suspects>;
+/// Format 5.
+type StateV16 = Stored<Configuration, Suspects>;
+
+impl<C, S> Stored<C, S> {
+    /// The state, whose log has entries of `version` without one.
+    fn restored(
+        self,
+        version: EncodingVersion,
+        configuration: impl FnOnce(C) -> Configuration,
+        suspects: impl FnOnce(S) -> Suspects,
+    ) -> ControlState {
         ControlState {
-            configuration: state.configuration.with_quarantine(BTreeMap::new()),
-            routes_document: state.routes_document,
-            claims: state.claims,
-            usage: state.usage,
-            tenures: state.tenures,
-            needed_engines: state.needed_engines,
-            suspects: BTreeMap::new(),
-            clock: state.ending.clock,
-            answers: state.ending.answers,
-            answer_order: state.ending.answer_order,
-            encoding: LogEncoding::unversioned(EncodingVersion::V12),
+            configuration: configuration(self.configuration),
+            routes_document: self.routes_document,
+            claims: self.claims,
+            usage: self.usage,
+            tenures: self.tenures,
+            needed_engines: self.needed_engines,
+            suspects: suspects(self.suspects),
+            clock: self.clock,
+            answers: self.answers,
+            answer_order: self.answer_order,
+            encoding: LogEncoding::unversioned(version),
         }
     }
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct StateV13 {
-    configuration: v12::Configuration,
-    quarantine: v12::Quarantine,
-    routes_document: Option<String>,
-    claims: Claims,
-    usage: Usage,
-    tenures: Tenures,
-    needed_engines: BTreeMap<ServiceId, u32>,
-    suspects: BTreeMap<RequestFingerprint, SuspectRecord>,
-    ending: Ending,
+impl From<StateV12> for ControlState {
+    fn from(state: StateV12) -> Self {
+        let configuration =
+            |stored: v12::Configuration| stored.with_quarantine(v12::Quarantine::new());
+        state.restored(EncodingVersion::V12, configuration, |()| Suspects::new())
+    }
 }
 
 impl From<StateV13> for ControlState {
     fn from(state: StateV13) -> Self {
-        ControlState {
-            configuration: state.configuration.with_quarantine(state.quarantine),
-            routes_document: state.routes_document,
-            claims: state.claims,
-            usage: state.usage,
-            tenures: state.tenures,
-            needed_engines: state.needed_engines,
-            suspects: state.suspects,
-            clock: state.ending.clock,
-            answers: state.ending.answers,
-            answer_order: state.ending.answer_order,
-            encoding: LogEncoding::unversioned(EncodingVersion::V12),
-        }
+        let configuration = |(stored, quarantine): (v12::Configuration, v12::Quarantine)| {
+            stored.with_quarantine(quarantine)
+        };
+        state.restored(EncodingVersion::V12, configuration, |suspects| suspects)
     }
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct StateV16 {
-    configuration: Configuration,
-    routes_document: Option<String>,
-    claims: Claims,
-    usage: Usage,
-    tenures: Tenures,
-    needed_engines: BTreeMap<ServiceId, u32>,
-    suspects: BTreeMap<RequestFingerprint, SuspectRecord>,
-    ending: Ending,
+impl From<StateV16> for ControlState {
+    fn from(state: StateV16) -> Self {
+        let configuration = |configuration| configuration;
+        state.restored(EncodingVersion::V16, configuration, |suspects| suspects)
+    }
 }
 
 impl From<&ControlState> for StateV16 {
     fn from(state: &ControlState) -> Self {
-        StateV16 {
+        Stored {
             configuration: state.configuration.clone(),
             routes_document: state.routes_document.clone(),
             claims: state.claims.clone(),
@@ -213,29 +206,9 @@
             tenures: state.tenures.clone(),
             needed_engines: state.needed_engines.clone(),
             suspects: state.suspects.clone(),
-            ending: Ending {
-                clock: state.clock,
-                answers: state.answers.clone(),
-                answer_order: state.answer_order.clone(),
-            },
-        }
-    }
-}
-
-impl From<StateV16> for ControlState {
-    fn from(state: StateV16) -> Self {
-        ControlState {
-            configuration: state.configuration,
-            routes_document: state.routes_document,
-            claims: state.claims,
-            usage: state.usage,
-            tenures: state.tenures,
-            needed_engines: state.needed_engines,
-            suspects: state.suspects,
-            clock: state.ending.clock,
-            answers: state.ending.answers,
-            answer_order: state.ending.answer_order,
-            encoding: LogEncoding::unversioned(EncodingVersion::V16),
+            clock: state.clock,
+            answers: state.answers.clone(),
+            answer_order: state.answer_order.clone(),
         }
     }
 }
--- a/components/runtime/src/control_link.rs
+++ b/components/runtime/src/control_link.rs
@@ -12,14 +12,11 @@
 
 use crate::connect_time::ConnectTime;
 use crate::frames::{self, FrameReader, FrameWriter};
-use crate::offers::Offers;
+use crate::offers::{Offers, time_to_offer_again};
 
 /// A replica that answers nothing for so long is left for the next one.
 const SILENCE: Duration = Duration::from_millis(1200);
 const PAUSE: Duration = Duration::from_millis(50);
-/// A connection of an earlier version is opened anew after this time: the present version
-/// may be spoken there by then.
-const OFFER_AGAIN: Duration = Duration::from_secs(60);
 
 /// Who keeps the connection.
 pub trait ControlLinkOwner: Clone + 'static {
@@ -40,7 +37,7 @@
     NotLeader(Option<String>),
     /// It broke, or nothing was heard.
     Lost,
-    /// It was closed before anything was heard.
+    /// It was closed before anything was received.
     Refused,
     /// It speaks an earlier version, and a later one may be spoken there now.
     OfferAgain,
@@ -148,10 +145,7 @@
         };
         let reading = self.read(address, &mut reader);
         let offer_again = async {
-            if version == EncodingVersion::CURRENT {
-                smol::future::pending::<()>().await;
-            }
-            Timer::after(OFFER_AGAIN).await;
+            time_to_offer_again(version).await;
             Left::OfferAgain
         };
         smol::future::or(smol::future::or(reading, writing), offer_again).await
--- a/components/runtime/src/offers.rs
+++ b/components/runtime/src/offers.rs
@@ -5,7 +5,23 @@
 //! the other until a connection stands. The present one is offered twice: a process that
 //! ends just then closes its connections as well.
 
+use std::time::Duration;
+
 use garnet_types::EncodingVersion;
+use smol::Timer;
+
+/// A connection of an earlier version is opened anew after this time: the present version
+/// may be spoken there by then.
+const OFFER_AGAIN: Duration = Duration::from_secs(60);
+
+/// Waits until a connection of this version is to be opened anew: never, where it is the
+/// present one.
+pub async fn time_to_offer_again(version: EncodingVersion) {
+    if version == EncodingVersion::CURRENT {
+        smol::future::pending::<()>().await;
+    }
+    Timer::after(OFFER_AGAIN).await;
+}
 
 /// The versions to offer, in their order.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/components/wire/tests/upgrade/samples.rs
+++ b/components/wire/tests/upgrade/samples/frames.rs
@@ -1,271 +1,18 @@
-//! The values whose encodings are recorded.
+//! Frames.
 
 use std::sync::Arc;
 
-use garnet_consensus::{Entry, EntryPayload, Envelope, Member, Membership, Message};
+use garnet_consensus::{Entry, EntryPayload, Envelope, Message};
 use garnet_control::*;
 use garnet_limits::{
     LimitEntry, LimitReport, LimitReports, PermitAnswer, PermitAsk, PermitOutcome,
 };
-use garnet_quarantine::{
-    EndedRun, EngineStart, RequestFingerprint, RunEnd, RunReport, SuspectedRequest, Suspects,
-};
-use garnet_routes::*;
+use garnet_quarantine::{EndedRun, RunEnd, RunReport, Suspects};
 use garnet_types::*;
 use garnet_wire::{Frame, Sender};
 
-fn assignment(role: EngineRole) -> EngineAssignment {
-    EngineAssignment {
-        role,
-        model: ModelId::new("m"),
-    }
-}
-fn observation(role: EngineRole) -> EngineObservation {
-    EngineObservation {
-        incarnation: 77,
-        assignment: assignment(role),
-    }
-}
-fn claim(key: &str) -> ClaimCommand {
-    ClaimCommand {
-        tenant: TenantId::new("pharmacy"),
-        key: IdempotencyKey::new(key),
-        body_hash: 9000,
-        claim: ClaimId {
-            gateway: GatewayId::new("gateway-1"),
-            request: RequestId(500),
-        },
-    }
-}
-fn response() -> RecordedResponse {
-    RecordedResponse {
-        status: 200,
-        content_type: "application/json".into(),
-        body: b"{\"held\":true}".to_vec(),
-        served_by: "app-1".into(),
-    }
-}
-fn session() -> Session {
-    Session {
-        id: SessionId::new("session-1"),
-        tenant: TenantId::new("pharmacy"),
-        service: ServiceId::new("chat"),
-        model: Some(ModelId::new("m")),
-    }
-}
-fn table(version: u64) -> RouteTable {
-    let mut t = RouteTable {
-        version,
-        routes: vec![Route {
-            name: "offers".into(),
-            host: "shop.example".into(),
-            path_prefix: "/offers/".into(),
-            kind: WorkKind::ResumableStream,
-            timeout_ms: Millis(5000),
-            objective_ms: Millis(600),
-            pause_objective_ms: Some(Millis(300)),
-            priority: 1,
-            max_attempts: 2,
-            services: vec![
-                WeightedService {
-                    service: ServiceId::new("chat"),
-                    weight: 90,
-                },
-                WeightedService {
-                    service: ServiceId::new("checkout"),
-                    weight: 10,
-                },
-            ],
-            public: false,
-        }],
-        services: vec![
-            ServiceSettings {
-                name: ServiceId::new("chat"),
-                max_connections: 360,
-                engine: Some(EngineLimits {
-                    slots: 64,
-                    cache_tokens: 433_612,
-                    token_bytes: 18_432,
-                    link_mbps: 370_000,
-                    role_change_ms: Millis(3600),
-                    handover_ms: Millis(5000),
-                }),
-                buying: None,
-            },
-            ServiceSettings {
-                name: ServiceId::new("checkout"),
-                max_connections: 100,
-                engine: None,
-                buying: None,
-            },
-        ],
-        limits: CallerLimits {
-            max_head_bytes: 16_384,
-            max_body_bytes: 4_194_304,
-            head_timeout_ms: Millis(3000),
-            idle_timeout_ms: Millis(15_000),
-        },
-        tenants: None,
-    };
-    t.routes.truncate(8);
-    t
-}
-fn registration(id: &str, kind: BackendKind) -> BackendRegistration {
-    BackendRegistration {
-        id: BackendId::new(id),
-        kind,
-        service: ServiceId::new(if kind == BackendKind::Engine {
-            "chat"
-        } else {
-            "checkout"
-        }),
-        address: format!("10.0.0.9:{}", 8000 + id.len()),
-        zone: "zone-a".into(),
-        start: if kind == BackendKind::Application {
-            31
-        } else {
-            0
-        },
-    }
-}
-fn document(version: u64) -> String {
-    format!("{{\"version\":{version},\"note\":\"as the operator wrote it\"}}")
-}
+use super::values::*;
 
-pub fn commands() -> Vec<(&'static str, Command)> {
-    let engine = || BackendId::new("engine-1");
-    let fence = Fence { term: 3, index: 44 };
-    vec![
-        ("create_session", Command::CreateSession(session())),
-        (
-            "close_session",
-            Command::CloseSession(SessionId::new("session-1")),
-        ),
-        (
-            "put_policy",
-            Command::PutPolicy {
-                name: "urgent".into(),
-                document: "class = 1".into(),
-            },
-        ),
-        ("withdraw_policy", Command::WithdrawPolicy("urgent".into())),
-        (
-            "put_routes",
-            Command::PutRoutes {
-                table: Arc::new(table(7)),
-                document: document(7),
-            },
-        ),
-        (
-            "put_backend",
-            Command::PutBackend(registration("app-1", BackendKind::Application)),
-        ),
-        (
-            "set_machine",
-            Command::SetMachine {
-                backend: engine(),
-                state: MachineState::Leaving,
-            },
-        ),
-        ("remove_backend", Command::RemoveBackend(engine())),
-        (
-            "assign",
-            Command::Assign {
-                engine: engine(),
-                assignment: assignment(EngineRole::Prefill),
-            },
-        ),
-        ("begin_order", Command::BeginOrder(engine())),
-        (
-            "renew_order",
-            Command::RenewOrder {
-                engine: engine(),
-                replaces: fence,
-            },
-        ),
-        (
-            "settle_order",
-            Command::SettleOrder {
-                engine: engine(),
-                fence,
-                observation: observation(EngineRole::Prefill),
-            },
-        ),
-        (
-            "observe",
-            Command::Observe {
-                engine: engine(),
-                observation: observation(EngineRole::Decode),
-            },
-        ),
-        ("claim", Command::Claim(claim("a"))),
-        ("release_claim", Command::ReleaseClaim(claim("a"))),
-        (
-            "record_result",
-            Command::RecordResult {
-                claim: claim("a"),
-                response: response(),
-            },
-        ),
-    ]
-}
-
-fn fingerprint() -> RequestFingerprint {
-    "000000000000000000000000000000aa".parse().unwrap()
-}
-pub fn later_commands() -> Vec<(&'static str, Command)> {
-    let note = MachineNote {
-        registration: registration("app-1", BackendKind::Application),
-        state: MachineState::Live,
-        observed: Some(observation(EngineRole::Decode)),
-    };
-    let report = UsageReport {
-        gateway: GatewayId::new("gateway-1"),
-        number: 3,
-        counts: vec![UsageCount {
-            window: UsageWindow(7),
-            tenant: TenantId::new("one"),
-            requests: 5,
-        }],
-    };
-    vec![
-        (
-            "begin_idle_order",
-            Command::BeginIdleOrder(BackendId::new("engine-1")),
-        ),
-        ("begin_tenure", Command::BeginTenure(ReplicaId(2))),
-        ("count_usage", Command::CountUsage(vec![report])),
-        ("close_usage", Command::CloseUsage(UsageWindow(7))),
-        (
-            "note_needed",
-            Command::NoteNeeded {
-                service: ServiceId::new("chat"),
-                engines: 12,
-            },
-        ),
-        ("usage_told", Command::UsageTold(UsageWindow(7))),
-        (
-            "quarantine_request",
-            Command::QuarantineRequest {
-                fingerprint: fingerprint(),
-                crashes: 3,
-            },
-        ),
-        ("release_request", Command::ReleaseRequest(fingerprint())),
-        (
-            "note_suspects",
-            Command::NoteSuspects(vec![SuspectedRequest {
-                fingerprint: fingerprint(),
-                engines: Vec::new(),
-            }]),
-        ),
-        ("note_machines", Command::NoteMachines(vec![note])),
-        (
-            "forget_machines",
-            Command::ForgetMachines(vec![BackendId::new("engine-1")]),
-        ),
-    ]
-}
 pub fn later_frames() -> Vec<(&'static str, Frame)> {
     let report = UsageReport {
         gateway: GatewayId::new("gateway-1"),
@@ -312,44 +59,6 @@
     ]
 }
 
-fn record(id: &str, machine: MachineState, order: bool) -> BackendRecord {
-    BackendRecord {
-        registration: registration(id, BackendKind::Engine),
-        machine,
-        desired: Some(assignment(EngineRole::Prefill)),
-        observed: Some(observation(EngineRole::Decode)),
-        order: order.then(|| OutstandingOrder {
-            fence: Fence { term: 3, index: 44 },
-            assignment: assignment(EngineRole::Prefill),
-            out_of_service_since: 44,
-        }),
-        revision: 45,
-    }
-}
-fn configuration() -> Configuration {
-    let mut c = Configuration::default();
-    c.change(40, &ConfigurationChange::SessionCreated(session()));
-    c.change(41, &ConfigurationChange::RoutesPut(Arc::new(table(7))));
-    c.change(
-        42,
-        &ConfigurationChange::PolicyPut {
-            name: "urgent".into(),
-            record: PolicyRecord {
-                document: "class = 1".into(),
-                revision: 42,
-            },
-        },
-    );
-    c.change(
-        43,
-        &ConfigurationChange::BackendPut(record("engine-1", MachineState::Live, true)),
-    );
-    c.change(
-        45,
-        &ConfigurationChange::BackendPut(record("engine-2", MachineState::Leaving, false)),
-    );
-    c
-}
 fn changes() -> Vec<(u64, ConfigurationChange)> {
     vec![
         (40, ConfigurationChange::SessionCreated(session())),
@@ -433,20 +142,6 @@
         message,
     })
 }
-fn membership() -> Membership {
-    Membership {
-        members: [(
-            ReplicaId(1),
-            Member {
-                peer_address: "10.0.0.1:7400".into(),
-                admin_address: "10.0.0.1:8100".into(),
-                voter: true,
-            },
-        )]
-        .into_iter()
-        .collect(),
-    }
-}
 pub fn frames(version: EncodingVersion) -> Vec<(&'static str, Frame)> {
     vec![
         (
@@ -665,33 +360,6 @@
     ]
 }
 
-/// A table with all that version 11 has no place for.
-fn whole_table() -> RouteTable {
-    let mut table = table(9);
-    table.routes[0].public = true;
-    table.services[0].buying = Some(BuyingTerms {
-        least_in_zone: 1,
-        most_in_zone: 5,
-        start_ms: Millis(9000),
-        preemptible_price: Some(PriceMilli(400)),
-        zone_prices: [("zone-a".to_owned(), PriceMilli(900))].into(),
-    });
-    let digest = "sha256:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
-    table.tenants = Some(vec![Tenant {
-        name: TenantId::new("pharmacy"),
-        priority: Some(1),
-        keys: vec![digest.parse().expect("a digest")],
-    }]);
-    table
-}
-
-fn engine_start() -> EngineStart {
-    EngineStart {
-        backend: BackendId::new("engine-1"),
-        incarnation: 77,
-    }
-}
-
 fn whole_changes() -> Vec<(u64, ConfigurationChange)> {
     let record = QuarantineRecord {
         crashes: 3,
@@ -707,25 +375,6 @@
     changes
 }
 
-/// Commands that were recorded from version 17 on.
-pub fn commands_since_17() -> Vec<(&'static str, Command)> {
-    let suspects = vec![SuspectedRequest {
-        fingerprint: fingerprint(),
-        engines: vec![engine_start()],
-    }];
-    vec![
-        (
-            "put_whole_routes",
-            Command::PutRoutes {
-                table: Arc::new(whole_table()),
-                document: document(9),
-            },
-        ),
-        ("note_suspect", Command::NoteSuspects(suspects)),
-        ("raise_level", Command::RaiseLevel(EncodingVersion::V17)),
-    ]
-}
-
 /// Frames that were recorded from version 17 on.
 pub fn frames_since_17() -> Vec<(&'static str, Frame)> {
     let runs = vec![
@@ -869,87 +518,3 @@
         ),
     ]
 }
-
-const POLICY: &str = r#"# How Reefline's work is treated. The first rule that matches decides.
-
-[[rule]]
-when = 'service == "tillside" && path.startsWith("/basket")'
-class = "urgent"
-deadline_ms = 3000
-repeatable = false
-
-[[rule]]
-when = 'service == "tillside" && path.startsWith("/receipt")'
-class = "interactive"
-deadline_ms = 5000
-
-[[rule]]
-when = 'service == "shopwords" && session.startsWith("summaries")'
-class = "deferrable"
-deadline_ms = 120000
-may_wait = true
-
-[[rule]]
-when = 'service == "shopwords"'
-class = "interactive"
-deadline_ms = 8000
-tenant_tokens_per_second = 20000
-
-[planner]
-role_change_price = 40.0
-"#;
-
-/// What the folders hold, in order.
-pub fn acknowledged_commands() -> Vec<Command> {
-    let mut all = Vec::new();
-    let e = |n: u32| BackendId::new(format!("engine-{n}"));
-    all.push(Command::PutRoutes {
-        table: Arc::new(table(6)),
-        document: document(6),
-    });
-    for n in 1..=4 {
-        all.push(Command::PutBackend(registration(
-            &format!("engine-{n}"),
-            BackendKind::Engine,
-        )));
-        all.push(Command::Observe {
-            engine: e(n),
-            observation: observation(if n <= 2 {
-                EngineRole::Prefill
-            } else {
-                EngineRole::Decode
-            }),
-        });
-    }
-    all.push(Command::PutBackend(registration(
-        "app-1",
-        BackendKind::Application,
-    )));
-    all.push(Command::SetMachine {
-        backend: e(4),
-        state: MachineState::Leaving,
-    });
-    all.push(Command::Assign {
-        engine: e(1),
-        assignment: assignment(EngineRole::Decode),
-    });
-    all.push(Command::BeginOrder(e(1)));
-    all.push(Command::CreateSession(session()));
-    all.push(Command::PutPolicy {
-        name: "urgent".into(),
-        document: POLICY.into(),
-    });
-    all.push(Command::Claim(claim("held")));
-    all.push(Command::Claim(claim("recorded")));
-    all.push(Command::RecordResult {
-        claim: claim("recorded"),
-        response: response(),
-    });
-    all.push(Command::Claim(claim("released")));
-    all.push(Command::ReleaseClaim(claim("released")));
-    all.push(Command::PutRoutes {
-        table: Arc::new(table(7)),
-        document: document(7),
-    });
-    all
-}
