A connection of an earlier version that breaks at once is refused, as one that is closed

One rule in Offers for every end of such a connection; the link to a peer had its own for one of them.

--- a/components/control-shell/src/peer_link.rs
+++ b/components/control-shell/src/peer_link.rs
@@ -20,9 +20,6 @@
 
 /// Pause after a connection that did not come up.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
-/// A peer that closes a connection of an earlier version within this time refuses the
-/// version: it answers nothing to a hello that it takes.
-const REFUSED_WITHIN: Duration = Duration::from_secs(1);
 
 /// Why a connection is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,17 +53,9 @@
             let version = writer.version();
             let opened_at = Instant::now();
             let end = carry_frames(reader, writer, first, &frames).await;
-            let is_early = opened_at.elapsed() < REFUSED_WITHIN;
-            match end {
-                LinkEnd::Closed if version < EncodingVersion::CURRENT && is_early => {
-                    offers.refused();
-                    continue;
-                }
-                LinkEnd::Closed | LinkEnd::OfferAgain => {
-                    offers.accepted();
-                    continue;
-                }
-                LinkEnd::Broke | LinkEnd::NothingToSend => offers.accepted(),
+            offers.ended(version, opened_at.elapsed());
+            if matches!(end, LinkEnd::Closed | LinkEnd::OfferAgain) {
+                continue;
             }
         }
         Timer::after(RECONNECT_PAUSE).await;
--- a/components/runtime/src/offers.rs
+++ b/components/runtime/src/offers.rs
@@ -14,6 +14,10 @@
 /// may be spoken there by then.
 const OFFER_AGAIN: Duration = Duration::from_secs(60);
 
+/// A connection of an earlier version that ends within this time was refused, where its
+/// acceptor answers nothing to a hello that it takes.
+const REFUSED_WITHIN: Duration = Duration::from_secs(1);
+
 /// Waits until a connection of this version is to be opened anew: never, where it is the
 /// present one.
 pub async fn time_to_offer_again(version: EncodingVersion) {
@@ -58,6 +62,16 @@
         self.next = (self.next + 1) % self.order.len();
     }
 
+    /// Notes that a connection on which nothing is received ended after this time, however
+    /// it did.
+    pub fn ended(&mut self, version: EncodingVersion, after: Duration) {
+        if version < EncodingVersion::CURRENT && after < REFUSED_WITHIN {
+            self.refused();
+        } else {
+            self.accepted();
+        }
+    }
+
     /// Notes that the connection stood. The next one begins with the present version:
     /// another build may run there by then.
     pub fn accepted(&mut self) {
--- /dev/null
+++ b/components/runtime/tests/offers.rs
@@ -0,0 +1,51 @@
+//! Which version is offered after a connection has ended.
+
+use std::time::Duration;
+
+use garnet_runtime::Offers;
+use garnet_types::EncodingVersion;
+use rstest::rstest;
+
+const AT_ONCE: Duration = Duration::from_millis(3);
+const LATER: Duration = Duration::from_secs(5);
+
+/// Offers whose next one is the first of an earlier version.
+fn at_earlier() -> Offers {
+    let mut offers = Offers::default();
+    offers.refused();
+    offers.refused();
+    assert_eq!(offers.next(), EncodingVersion::V11);
+    offers
+}
+
+/// A peer that refuses a version breaks the connection under a frame as often as it closes it in peace.
+#[rstest]
+#[case::refused(AT_ONCE, EncodingVersion::V16)]
+#[case::stood(LATER, EncodingVersion::CURRENT)]
+fn a_connection_that_ends_at_once_is_refused_however_it_ends(
+    #[case] after: Duration,
+    #[case] next: EncodingVersion,
+) {
+    let mut offers = at_earlier();
+    offers.ended(EncodingVersion::V11, after);
+    assert_eq!(offers.next(), next);
+}
+
+#[test]
+fn the_version_that_stood_comes_before_other_earlier_ones() {
+    let mut offers = at_earlier();
+    offers.refused();
+    offers.accepted();
+    offers.refused();
+    offers.refused();
+    assert_eq!(offers.next(), EncodingVersion::V16);
+}
+
+#[test]
+fn a_connection_of_the_present_version_is_never_refused_afterwards() {
+    let mut offers = Offers::default();
+    offers.ended(EncodingVersion::CURRENT, AT_ONCE);
+    assert_eq!(offers.next(), EncodingVersion::CURRENT);
+    offers.refused();
+    assert_eq!(offers.next(), EncodingVersion::CURRENT);
+}
