--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -69,6 +69,7 @@
     FaultEnds(usize),
     Start(Host),
     MoveOver(usize),
+    RollIsHalted,
     NextArrival,
     NextCommand,
     CrashingRequestComes(usize),
@@ -260,6 +261,10 @@
         for number in 0..self.faults.len() {
             self.schedule(self.faults[number].at, WorldEvent::FaultBegins(number));
         }
+        if self.scenario.build_before.is_some() {
+            let halted_until = upgrading::halted_until(&self.scenario);
+            self.schedule(halted_until, WorldEvent::RollIsHalted);
+        }
         for number in 0..self.moves.len() {
             self.schedule(self.moves[number].at, WorldEvent::MoveOver(number));
         }
@@ -315,6 +320,7 @@
             WorldEvent::FaultEnds(number) => self.end_fault(number),
             WorldEvent::Start(host) => self.start(host),
             WorldEvent::MoveOver(number) => self.move_over(number),
+            WorldEvent::RollIsHalted => self.check_halted(),
             WorldEvent::NextArrival => self.next_arrival(),
             WorldEvent::NextCommand => self.next_command(),
             WorldEvent::CrashingRequestComes(number) => self.crashing_request_comes(number),
--- a/components/simulator/src/world/upgrading.rs
+++ b/components/simulator/src/world/upgrading.rs
@@ -16,6 +16,12 @@
 const ROLLBACK_WINDOW: Millis = Millis::from_secs(4);
 /// The first process goes over then.
 const FIRST_MOVE: Millis = Millis::from_secs(6);
+/// A roll that is halted goes on so long after the last fault begins, ...
+const HALTED_FOR: Millis = Millis::from_secs(20);
+/// ... and all have gone over within this time.
+const REST_WITHIN: Millis = Millis::from_secs(10);
+/// Gateways serve so long after the last disturbance.
+const CALM: Millis = Millis::from_secs(10);
 /// One in so many goes back once before it stays.
 const BACK_PART: f64 = 0.3;
 /// Keeps the other random draws of a seed as they are without an upgrade.
@@ -37,7 +43,13 @@
     }
 }
 
-/// When which process goes over, in any order. All have gone over at the end.
+/// When a halted roll goes on: just before, all gateways serve.
+pub(super) fn halted_until(scenario: &Scenario) -> Millis {
+    scenario.span + HALTED_FOR
+}
+
+/// When which process goes over, in any order. Every other roll is halted at some
+/// process. All have gone over at the end.
 pub(super) fn plan(scenario: &Scenario) -> Vec<Move> {
     let Some(before) = scenario.build_before else {
         return Vec::new();
@@ -48,10 +60,20 @@
     let mut hosts: Vec<Host> = controls.chain(gateways).collect();
     hosts.shuffle(&mut random);
     let last = scenario.span.max(FIRST_MOVE + Millis(1));
+    let before_halt = match random.random_bool(0.5) {
+        true => random.random_range(1..hosts.len()),
+        false => hosts.len(),
+    };
+    let goes_on = halted_until(scenario);
     let mut moves = Vec::new();
-    for host in hosts {
-        let at = Millis(random.random_range(FIRST_MOVE.0..last.0));
+    for (number, host) in hosts.into_iter().enumerate() {
         let to = EncodingVersion::CURRENT;
+        if number >= before_halt {
+            let at = goes_on + Millis(random.random_range(1..REST_WITHIN.0));
+            moves.push(Move { at, host, to });
+            continue;
+        }
+        let at = Millis(random.random_range(FIRST_MOVE.0..last.0));
         moves.push(Move { at, host, to });
         if random.random_bool(BACK_PART) {
             let back_at = at + Millis(random.random_range(100..6_000));
@@ -165,6 +187,21 @@
         Some(converted.into())
     }
 
+    /// Gateways of either build serve while a roll is halted.
+    pub(super) fn check_halted(&mut self) {
+        let is_calm = self.open_faults == 0 && self.now.since(self.disturbed_at) >= CALM;
+        if !is_calm {
+            return;
+        }
+        let silent: Vec<usize> = (0..self.gateways.len())
+            .filter(|place| !self.is_gateway_ready(*place))
+            .collect();
+        self.checker
+            .check(Invariant::Recovers, silent.is_empty(), self.now, || {
+                format!("gateways {silent:?} take no work while a roll is halted")
+            });
+    }
+
     /// The level has risen by the end.
     pub(super) fn check_level(&mut self) {
         if self.scenario.build_before.is_none() {
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -215,8 +215,8 @@
 }
 
 /// Replicas and gateways begin on an earlier build and go over in any order, some back and
-/// forth, beside all other faults. With no conversion to version 11 the older ones have no
-/// leader, as in the incident of two builds.
+/// forth, some rolls halted, beside all other faults. Builds that refuse each other leave
+/// gateways without a leader while a roll is halted.
 #[rstest]
 fn every_rule_holds_while_builds_are_replaced(
     #[values(11, 16)] version: u32,
