--- a/components/control/src/encoding/mod.rs
+++ b/components/control/src/encoding/mod.rs
@@ -19,7 +19,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::command::CommandEnvelope;
+use crate::command::{Command, CommandEnvelope};
 
 pub use log::{DecodedEntry, LogEncoding};
 
@@ -49,22 +49,13 @@
     Ambiguous,
 }
 
-/// What an encoding of an earlier version has no place for.
+/// {item} can't be expressed in encoding version {version}
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-pub enum NotInVersion {
-    /// {item} can't be expressed in encoding version {version}
-    Item {
-        /// What it is.
-        item: &'static str,
-        /// The version.
-        version: EncodingVersion,
-    },
-}
-
-impl NotInVersion {
-    pub(crate) fn new(item: &'static str, version: EncodingVersion) -> Self {
-        NotInVersion::Item { item, version }
-    }
+pub struct NotInVersion {
+    /// What the version has no place for.
+    pub item: &'static str,
+    /// The version.
+    pub version: EncodingVersion,
 }
 
 /// A command as a log entry of `version`, which is one that is still written: 11, 16, or
@@ -96,10 +87,10 @@
 /// Raising the level has no place in a version before levels.
 fn check_v16(envelope: &CommandEnvelope) -> Result<(), NotInVersion> {
     match envelope.command {
-        crate::command::Command::RaiseLevel(_) => Err(NotInVersion::new(
-            "a raise of the level",
-            EncodingVersion::V16,
-        )),
+        Command::RaiseLevel(_) => Err(NotInVersion {
+            item: "a raise of the level",
+            version: EncodingVersion::V16,
+        }),
         _ => Ok(()),
     }
 }
--- a/components/control/src/encoding/v11/mod.rs
+++ b/components/control/src/encoding/v11/mod.rs
@@ -20,5 +20,6 @@
 pub(crate) use state::State;
 
 fn not_in_v11(item: &'static str) -> NotInVersion {
-    NotInVersion::new(item, EncodingVersion::V11)
+    let version = EncodingVersion::V11;
+    NotInVersion { item, version }
 }
--- a/components/wire/tests/upgrade/disks.rs
+++ b/components/wire/tests/upgrade/disks.rs
@@ -1,7 +1,5 @@
 //! What is on a disk of an earlier build stands after the upgrade.
 
-use std::fmt::Write as _;
-
 use garnet_consensus::{Config, Member, Membership, Restored};
 use garnet_control::{
     ClaimAnswer, ClaimCommand, Command, CommandAnswer, CommandEnvelope, ControlState, Effect,
@@ -14,7 +12,7 @@
 };
 use rstest::rstest;
 
-use crate::recorded::{folder, lines};
+use crate::recorded::{folder, lines, record};
 use crate::samples;
 
 const TICK: Millis = Millis(20);
@@ -179,26 +177,19 @@
 
 /// Writes the folders of the present version where they are missing and that is asked for.
 fn record_present() {
-    if std::env::var_os("RECORD_ENCODINGS").is_none() {
-        return;
-    }
     for (file, snapshot_every) in [("log.folder.hex", 1000), ("snapshot.folder.hex", 20)] {
-        let path = crate::recorded::path(EncodingVersion::CURRENT.0, file);
-        if path.exists() {
-            continue;
-        }
         let mut single = Single::start_with(MemoryDirectory::default(), snapshot_every);
         samples::acknowledged_commands()
             .into_iter()
             .for_each(|command| single.command(command));
         let directory = single.storage.directory();
-        let mut text = String::new();
-        for name in directory.list().expect("a disk in memory") {
+        let names = directory.list().expect("a disk in memory");
+        let read = |name: String| {
             let bytes = directory.read(&name).expect("a disk in memory");
-            let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-            writeln!(text, "{name} {digits}").expect("room for a line");
-        }
-        std::fs::write(path, text).expect("a new file");
+            (name, bytes)
+        };
+        let files: Vec<_> = names.into_iter().map(read).collect();
+        record(EncodingVersion::CURRENT.0, file, &files);
     }
 }
 
--- a/components/wire/tests/upgrade/encodings.rs
+++ b/components/wire/tests/upgrade/encodings.rs
@@ -5,15 +5,13 @@
 //! landed are never written anew; those of a new one are written by this test with
 //! `RECORD_ENCODINGS=1` where they are missing.
 
-use std::fmt::Write as _;
-
 use asynchronous_codec::{BytesMut, Decoder, Encoder};
 use garnet_control::{Command, CommandEnvelope, LogEncoding, encode_entry};
 use garnet_types::{CommandId, EncodingVersion, Millis};
 use garnet_wire::{Frame, FrameCodec};
 use rstest::rstest;
 
-use crate::recorded::{self, lines};
+use crate::recorded::{lines, record};
 use crate::samples;
 
 fn envelope(command: Command) -> CommandEnvelope {
@@ -54,35 +52,20 @@
     bytes.to_vec()
 }
 
-/// Writes a file that is not there yet, where that is asked for.
-fn record(version: EncodingVersion, file: &str, encodings: &[(&str, Vec<u8>)]) {
-    let path = recorded::path(version.0, file);
-    if path.exists() || std::env::var_os("RECORD_ENCODINGS").is_none() {
-        return;
-    }
-    let mut text = String::new();
-    for (name, bytes) in encodings {
-        let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-        writeln!(text, "{name} {digits}").expect("room for a line");
-    }
-    std::fs::create_dir_all(path.parent().expect("a folder")).expect("a folder");
-    std::fs::write(path, text).expect("a new file");
-}
-
 /// A log entry that is encoded otherwise than its version says is another command to the other members.
 #[rstest]
 fn an_entry_is_encoded_as_its_version_recorded_it(#[values(11, 16, 17)] version: u32) {
     let version = EncodingVersion(version);
     let entry = |(name, command): (&'static str, Command)| {
         let bytes = encode_entry(&envelope(command), version).expect("a command of the version");
-        (name, bytes)
+        (name.to_owned(), bytes)
     };
     let encodings: Vec<_> = commands(version).into_iter().map(entry).collect();
-    record(version, "commands.hex", &encodings);
+    record(version.0, "commands.hex", &encodings);
     let recorded = lines(version.0, "commands.hex");
     assert_eq!(encodings.len(), recorded.len());
     for (name, bytes) in encodings {
-        assert_eq!(bytes, recorded[name], "{name}");
+        assert_eq!(bytes, recorded[&name], "{name}");
     }
 }
 
@@ -116,13 +99,13 @@
 #[rstest]
 fn a_frame_is_encoded_as_its_version_recorded_it(#[values(11, 16, 17)] version: u32) {
     let version = EncodingVersion(version);
-    let frame = |(name, frame): (&'static str, Frame)| (name, encoded(frame, version));
+    let frame = |(name, frame): (&'static str, Frame)| (name.to_owned(), encoded(frame, version));
     let encodings: Vec<_> = frames(version).into_iter().map(frame).collect();
-    record(version, "frames.hex", &encodings);
+    record(version.0, "frames.hex", &encodings);
     let recorded = lines(version.0, "frames.hex");
     assert_eq!(encodings.len(), recorded.len());
     for (name, bytes) in encodings {
-        assert_eq!(bytes, recorded[name], "{name}");
+        assert_eq!(bytes, recorded[&name], "{name}");
     }
 }
 
--- a/components/wire/tests/upgrade/recorded.rs
+++ b/components/wire/tests/upgrade/recorded.rs
@@ -1,12 +1,13 @@
 //! Reads the recorded files.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::path::PathBuf;
 
 use garnet_storage::{Directory, MemoryDirectory};
 
 /// Where a recorded file stands.
-pub fn path(protocol: u32, file: &str) -> PathBuf {
+fn path(protocol: u32, file: &str) -> PathBuf {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
     root.join(format!("tests/recorded/protocol-{protocol}/{file}"))
 }
@@ -21,6 +22,21 @@
     text.lines().map(line).collect()
 }
 
+/// Writes a file that is not there yet, where that is asked for.
+pub fn record(protocol: u32, file: &str, lines: &[(String, Vec<u8>)]) {
+    let path = path(protocol, file);
+    if path.exists() || std::env::var_os("RECORD_ENCODINGS").is_none() {
+        return;
+    }
+    let mut text = String::new();
+    for (name, bytes) in lines {
+        let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        writeln!(text, "{name} {digits}").expect("room for a line");
+    }
+    std::fs::create_dir_all(path.parent().expect("a folder")).expect("a folder");
+    std::fs::write(path, text).expect("a new file");
+}
+
 fn bytes_of(digits: &str) -> Vec<u8> {
     let pairs = (0..digits.len()).step_by(2);
     pairs
--- a/components/wire/tests/upgrade/samples/frames.rs
+++ b/components/wire/tests/upgrade/samples/frames.rs
@@ -115,6 +115,10 @@
     }
 }
 fn watch_reply(update: WatchUpdate) -> Frame {
+    watch_reply_with(update, None)
+}
+
+fn watch_reply_with(update: WatchUpdate, suspects: Option<Suspects>) -> Frame {
     Frame::Control(ControlReply::Watch {
         sent_at: Millis(1000),
         update,
@@ -131,7 +135,7 @@
                 place: 1,
             }],
         },
-        suspects: None,
+        suspects,
     })
 }
 fn peer(message: Message) -> Frame {
@@ -437,26 +441,7 @@
         suspected: vec![fingerprint()],
         refused: vec![fingerprint()],
     };
-    let with_suspects = match watch_reply(WatchUpdate::Current) {
-        Frame::Control(ControlReply::Watch {
-            sent_at,
-            update,
-            group,
-            gateways,
-            digest,
-            copies,
-            ..
-        }) => Frame::Control(ControlReply::Watch {
-            sent_at,
-            update,
-            group,
-            gateways,
-            digest,
-            copies,
-            suspects: Some(suspects),
-        }),
-        other => other,
-    };
+    let with_suspects = watch_reply_with(WatchUpdate::Current, Some(suspects));
     let control = |reply: ControlReply| Frame::Control(reply);
     vec![
         (
