--- a/bin/garnet-bench/src/simulate.rs
+++ b/bin/garnet-bench/src/simulate.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use garnet_simulator::{Fault, FaultKind, Report, Scenario, run as run_scenario, shrink};
-use garnet_types::{EncodingVersion, Millis};
+use garnet_types::{EncodingVersion, Millis, RequestId};
 use serde_json::{Value, json};
 
 use crate::options::Options;
@@ -24,6 +24,7 @@
   --build-before N   encoding version of the build that replicas and gateways
                      begin on: 11 or 16; they go over to the present one
   --deployment NAME  reefline or voorschrift: their counts of processes
+  --request ID       prints the course of one request of a single seed
   --only LIST        numbers of the faults to keep, as a failure prints them
   --json             totals as one JSON object
 
@@ -41,6 +42,7 @@
     let span = Millis::from_secs(options.value("span-s", 40)?);
     let most_steps = options.value("steps", u64::MAX)?;
     let build_before = read_build_before(options)?;
+    let timeline_of = read_request(options, seeds.len())?;
     check_deployment(options.text("deployment"))?;
     let only = match options.text("only") {
         Some(_) => Some(options.numbers("only", "")?),
@@ -51,6 +53,7 @@
         span,
         most_steps,
         build_before,
+        timeline_of,
         ..Scenario::new(seed, &kinds)
     };
     let started = Instant::now();
@@ -67,6 +70,9 @@
     if let Some(first) = failed.first() {
         explain(&scenario(first.seed), first, kinds_text);
     }
+    for entry in reports.iter().flat_map(|report| &report.timeline) {
+        eprintln!("{entry}");
+    }
     let totals = totals(&reports, failed.len(), elapsed);
     if options.flag("json") {
         println!("{totals}");
@@ -76,6 +82,19 @@
     Ok(failed.is_empty())
 }
 
+/// The request whose course is printed. Each seed has requests of the same ids.
+fn read_request(options: &Options, seeds: usize) -> Result<Option<RequestId>, String> {
+    let Some(text) = options.text("request") else {
+        return Ok(None);
+    };
+    if seeds != 1 {
+        return Err("--request goes with a single seed".to_owned());
+    }
+    let id: Result<RequestId, _> = text.parse();
+    id.map(Some)
+        .map_err(|_| format!("--request takes a request id in hex, not \"{text}\""))
+}
+
 fn read_build_before(options: &Options) -> Result<Option<EncodingVersion>, String> {
     let spoken = [EncodingVersion::V11, EncodingVersion::V16];
     let Some(text) = options.text("build-before") else {
--- a/components/simulator/src/lib.rs
+++ b/components/simulator/src/lib.rs
@@ -17,6 +17,7 @@
 mod scenario;
 mod service_hosts;
 mod shrink;
+mod timeline;
 mod workload;
 mod world;
 
@@ -26,4 +27,5 @@
 pub use mix::{Deployment, Experiment, MixReport, RequestKind, Strategy};
 pub use scenario::{Report, Scenario};
 pub use shrink::shrink;
+pub use timeline::{TimelineEntry, TimelineEvent};
 pub use world::run;
--- a/components/simulator/src/scenario.rs
+++ b/components/simulator/src/scenario.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use garnet_types::{EncodingVersion, Millis};
+use garnet_types::{EncodingVersion, Millis, RequestId};
 use serde::Serialize;
 
 use crate::checker::{Invariant, Violation};
 use crate::faults::{Fault, FaultKind};
 use crate::mix::{Experiment, MixReport};
+use crate::timeline::TimelineEntry;
 
 /// What is run.
 #[derive(Debug, Clone)]
@@ -36,6 +37,8 @@
     /// The version of the build that all replicas and gateways begin on, where they go
     /// over to the present one.
     pub build_before: Option<EncodingVersion>,
+    /// The request whose course is recorded.
+    pub timeline_of: Option<RequestId>,
     /// Most steps; the final checks are left out when they are used up.
     pub most_steps: u64,
 }
@@ -55,6 +58,7 @@
             experiment: None,
             clocks_stop: false,
             build_before: None,
+            timeline_of: None,
             most_steps: u64::MAX,
         }
     }
@@ -74,6 +78,9 @@
     /// The faults of the run.
     #[serde(skip)]
     pub faults: Vec<Fault>,
+    /// The course of the request that the scenario names.
+    #[serde(skip)]
+    pub timeline: Vec<TimelineEntry>,
     /// Simulated milliseconds.
     pub simulated_ms: u64,
     /// Requests sent by callers.
--- a/components/simulator/src/world/ending.rs
+++ b/components/simulator/src/world/ending.rs
@@ -85,6 +85,7 @@
             checks: self.checker.checks,
             struck: self.struck,
             faults: self.faults,
+            timeline: self.timeline.into_entries(),
             simulated_ms: self.now.0,
             sent: counts.sent,
             whole: counts.whole,
--- a/components/simulator/src/world/gateways.rs
+++ b/components/simulator/src/world/gateways.rs
@@ -30,6 +30,8 @@
                 GatewayEvent::Control(reply)
             }
             (Message::JobEvent(attempt, event), from) => {
+                let receiver = (place, self.gateways[place].starts());
+                self.timeline.attempt(self.now, receiver, attempt, &event);
                 if matches!(event, AttemptEvent::Limit(Some(_))) {
                     self.note_limit_heard(place, from);
                 }
@@ -51,6 +53,7 @@
             }
             (Message::Call(call), _) => {
                 let id = call.id;
+                self.timeline.arrived(id, self.now, Host::Gateway(place));
                 if self.gateways[place].gateway.is_none() {
                     self.callers.unreachable(id, self.now);
                     return;
@@ -99,6 +102,7 @@
                 tokens,
             } => self.send_to_caller(place, request, Message::Tokens(request, first, tokens)),
             GatewayEffect::Answer { request, answer } => {
+                self.timeline.answered(request, self.now, &answer);
                 self.send_to_caller(place, request, Message::Answer(request, answer));
                 self.gateways[place].open_calls.remove(&request);
             }
@@ -162,6 +166,10 @@
         let Some(to) = engine.or(application) else {
             return;
         };
+        let sender = (place, self.gateways[place].starts());
+        let sent = (to, &job);
+        self.timeline
+            .dispatched(request, self.now, sender, attempt, sent);
         self.note_sent(place, to);
         self.check_reports(place, to);
         if self.network.is_cut(host, to) || self.network.is_cut(to, host) {
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -36,6 +36,7 @@
 use crate::operators::Operators;
 use crate::scenario::{Report, Scenario};
 use crate::service_hosts::{ApplicationHost, EngineHost, fast_engine, ordinary_engine};
+use crate::timeline::Timeline;
 use crate::workload::Workload;
 
 use availability::{Overload, Reports};
@@ -113,6 +114,7 @@
     steering: Option<Steering>,
     operators: Operators,
     checker: Checker,
+    timeline: Timeline,
     faults: Vec<Fault>,
     /// Processes that go over to another build.
     moves: Vec<Move>,
@@ -232,6 +234,7 @@
             steering: new_steering(&scenario, demand),
             operators: Operators::new(2, scenario.controls, scenario.engines),
             checker: Checker::default(),
+            timeline: Timeline::of(scenario.timeline_of),
             faults,
             moves: upgrading::plan(&scenario),
             struck: BTreeMap::new(),
--- a/components/types/src/identity.rs
+++ b/components/types/src/identity.rs
@@ -78,6 +78,14 @@
     }
 }
 
+impl FromStr for RequestId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(RequestId)
+    }
+}
+
 /// The one try to own a key: which gateway asked, and for which request.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClaimId {
