--- a/bin/garnet-bench/src/simulate.rs
+++ b/bin/garnet-bench/src/simulate.rs
@@ -67,6 +67,9 @@
         .iter()
         .filter(|report| !report.violations.is_empty())
         .collect();
+    for report in &failed {
+        list_violations(report);
+    }
     if let Some(first) = failed.first() {
         explain(&scenario(first.seed), first, kinds_text);
     }
@@ -142,6 +145,16 @@
         .collect()
 }
 
+fn list_violations(report: &Report) {
+    for violation in &report.violations {
+        let (rule, detail) = (violation.invariant, &violation.detail);
+        eprintln!(
+            "seed {}: {rule:?} at {} ms: {detail}",
+            report.seed, violation.at_ms
+        );
+    }
+}
+
 fn explain(scenario: &Scenario, report: &Report, kinds: &str) {
     let (faults, last) = shrink(scenario, report.clone());
     let numbers: Vec<String> = report
