Simulator: a report of draining belongs to the start that sent it, and a leaving machine stays leaving

Two checks judged by a state that the product could not see; each stays as strict for the case it is for.

Printed by a patch: the report left at 7,312 ms, its process ended, the next start began at 7,314 ms, and the report came in at 7,315 ms. The checker put it down to the next start, which took work as it should.

A crashing request ended the engine; its start at 19,618 ms put the machine on the platform's list as live, while the machine had been leaving since 18,172 ms. A restart of a process does not end that now.

--- a/components/simulator/src/world/availability.rs
+++ b/components/simulator/src/world/availability.rs
@@ -81,21 +81,38 @@
 
     /// A back end answers: that it drains goes before.
     pub(super) fn report_draining(&mut self, host: Host, owner: JobOwner) {
-        let drains = match host {
+        if self.is_draining(host) {
+            self.job_event(host, owner, AttemptEvent::Draining);
+        }
+    }
+
+    fn is_draining(&self, host: Host) -> bool {
+        match host {
             Host::Engine(place) => self.engines[place].draining,
             Host::Application(place) => self.applications[place].draining,
             _ => false,
-        };
-        if drains {
-            self.job_event(host, owner, AttemptEvent::Draining);
         }
     }
 
+    /// Whether a report of draining that comes in now is of an earlier start, which ended
+    /// while its report was in flight.
+    fn is_of_earlier_start(&self, from: Host) -> bool {
+        let is_up = match from {
+            Host::Engine(place) => self.engines[place].engine.is_some(),
+            Host::Application(place) => self.applications[place].up,
+            _ => false,
+        };
+        is_up && !self.is_draining(from)
+    }
+
     /// Notes a report that came in at a gateway.
     pub(super) fn note_report_heard(&mut self, gateway: usize, from: Host, event: &AttemptEvent) {
         let listener = (gateway, self.gateways[gateway].starts());
         let now = self.now;
         let clock = self.clock(Host::Gateway(gateway));
+        if matches!(event, AttemptEvent::Draining) && self.is_of_earlier_start(from) {
+            return;
+        }
         let reports = self.reports.entry(from).or_default();
         match event {
             AttemptEvent::Backoff(retry_after) => {
--- a/components/simulator/src/world/processes.rs
+++ b/components/simulator/src/world/processes.rs
@@ -3,7 +3,7 @@
 use garnet_control::{BackendRegistration, UNTOLD_START};
 use garnet_gateway::AttemptEvent;
 use garnet_storage::PowerLoss;
-use garnet_types::{BackendKind, Millis, RequestId, ServiceId};
+use garnet_types::{BackendKind, MachineState, Millis, RequestId, ServiceId};
 
 use crate::checker::Invariant;
 use crate::message::{Host, Message};
@@ -44,11 +44,25 @@
     }
 
     pub(super) fn register(&mut self, place: usize, kind: BackendKind) {
-        let (id, service, start) = match kind {
-            BackendKind::Engine => (engine_id(place), ENGINE_SERVICE, UNTOLD_START),
+        let (id, service, start, leaving_since) = match kind {
+            BackendKind::Engine => {
+                let leaving_since = self.engines[place].leaving_since;
+                (
+                    engine_id(place),
+                    ENGINE_SERVICE,
+                    UNTOLD_START,
+                    leaving_since,
+                )
+            }
             BackendKind::Application => {
                 let start = self.applications[place].starts();
-                (application_id(place), APPLICATION_SERVICE, start)
+                let leaving_since = self.applications[place].leaving_since;
+                (
+                    application_id(place),
+                    APPLICATION_SERVICE,
+                    start,
+                    leaving_since,
+                )
             }
         };
         let registration = BackendRegistration {
@@ -59,7 +73,13 @@
             zone: format!("zone-{}", place % 3),
             start,
         };
+        let id = registration.id.clone();
         self.platform.register(registration, self.now);
+        // A process that starts again does not keep its machine in the fleet.
+        if leaving_since.is_some() {
+            self.platform
+                .set_state(&id, MachineState::Leaving, self.now);
+        }
     }
 
     /// Ends a process in good order: it has nothing left to do.
