--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -326,6 +326,11 @@
             return;
         };
         self.note_leader(envelope.from);
+        if self.log.term_at(index) == Some(snapshot_term) {
+            // Equal terms at an index mean equal logs up to it. The entries that follow
+            // may be acknowledged and must stay.
+            self.commit_index = self.commit_index.max(index);
+        }
         if index <= self.commit_index {
             // Everything in the snapshot is here already.
             let reply = Message::AppendReply {
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -125,6 +125,13 @@
     run_seeds(3205..3206, &FaultKind::ALL);
 }
 
+/// A late snapshot dropped entries that a new replica had acknowledged, and the group
+/// committed nothing any more (`Recovers`: 75 requests without a final answer).
+#[test]
+fn seed_3069_a_late_snapshot_drops_no_acknowledged_entry() {
+    run_seeds(3069..3070, &FaultKind::ALL);
+}
+
 /// What a seed draws of the other kinds is the same with the added ones.
 #[test]
 fn added_kinds_change_no_other_fault() {
