Connections to a back end stay within the route table's bound, shared out among gateways

What callers saw: of 40 requests at once before a back end that takes 9 connections and resets the rest, 9 were served and 31 turned away within 0.3 s, with 2.7 s of their time left (/safe/ and /unsafe/ alike). A reset may count as run, costs a repeat and is held against the engine's health.

Cause: `max-conns` was read, replicated and asked for by nobody. A gateway opened as many connections as it had requests under way, and kept up to 64 idle ones for an address.

Fix: each gateway has an even share of the bound, less an eighth (two at least) for the control group and for connections that are being closed. A request under way has one connection, so a back end whose share is in use is not placed at; the request goes to another one, or waits, the most urgent first, until a connection is free or its objective is over. Then it is refused as not run. Idle connections count: at most the share is kept. A gateway that the leader ceases to count is counted on for 60 s. While the configuration is not confirmed by a leader, 64 gateways are assumed. A bound below one connection a gateway can't be shared out: one at a time, none kept. Admission still predicts with engines whose connections are all in use, and refuses at once where they have no time.

With the check of the share taken out, the old test and both new ones fail as they did before (40 connections, 9 served). The completions gateway has no such bound in its interface; its own is `application_concurrency`.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -1,36 +1,17 @@
 //! One attempt at one back end.
 
-use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
 
 use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Millis};
 use hyper::StatusCode;
-use smol::Timer;
 
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase, ReadHead};
 use crate::reported::note_reports;
 
-/// What comes within `time_limit`; all that comes where there is no limit.
-pub(crate) async fn within<T>(
-    time_limit: Option<Millis>,
-    work: impl Future<Output = T>,
-) -> Option<T> {
-    let Some(time_limit) = time_limit else {
-        return Some(work.await);
-    };
-    let working = async { Some(work.await) };
-    let late = async {
-        Timer::after(Duration::from_millis(time_limit.0)).await;
-        None
-    };
-    smol::future::or(working, late).await
-}
-
 /// Counts an attempt as under way until it is dropped.
 pub(crate) struct AttemptGuard<C: CallerPort, B: BackendPort> {
     gateway: Rc<Gateway<C, B>>,
@@ -188,6 +169,12 @@
         if let Some(probe) = self.probe.take() {
             forwarder.probe_released(&self.backend, probe);
         }
+        if !self.gateway.connections.is_empty()
+            && let Some(backend) = forwarder.backend(&self.backend)
+        {
+            let service = &backend.registration.service;
+            self.gateway.connections.freed(service);
+        }
     }
 }
 
@@ -231,7 +218,14 @@
         let forwarder = gateway.forwarder.borrow();
         forwarder.is_available(&job.backend, gateway.now())
     };
-    let sent = gateway.pool.send_if(&address, request, is_available).await;
+    let most_idle = {
+        let forwarder = gateway.forwarder.borrow();
+        forwarder.connection_share(&job.backend).idle
+    };
+    let sent = gateway
+        .pool
+        .send_if(&address, request, most_idle, is_available)
+        .await;
     let result = match sent {
         Ok(exchange) => {
             let read = gateway.backends.read_head(call, job, &exchange.head);
--- /dev/null
+++ b/components/forwarding-shell/src/connection_queue.rs
@@ -0,0 +1,196 @@
+//! Requests that wait for a connection: all that this gateway may have to the back ends that
+//! could take them are in use.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+use garnet_forwarding::SHORTEST_RETRY;
+use garnet_types::{Millis, ServiceId};
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::gateway::Gateway;
+use crate::going_on::may_be_sent;
+use crate::ports::{BackendPort, CallerPort};
+use crate::request::Running;
+use crate::waiting::within;
+
+/// A waiting request looks again after this time: another back end may have come.
+const LOOK_AGAIN: Millis = Millis(100);
+/// A request whose objective is over waits for this part of it for another attempt.
+const LATE_WAIT_PART: u64 = 4;
+
+/// Rank of a waiting request, and its number.
+type Place = (u8, u64);
+
+/// Waiting requests by service, the most urgent first.
+#[derive(Default)]
+pub(crate) struct ConnectionQueue {
+    waiting: RefCell<BTreeMap<ServiceId, BTreeMap<Place, Sender<()>>>>,
+    joined: Cell<u64>,
+}
+
+impl ConnectionQueue {
+    /// Whether nobody waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.borrow().is_empty()
+    }
+
+    /// A connection to a back end of the service is free.
+    pub(crate) fn freed(&self, service: &ServiceId) {
+        if let Some(waiting) = self.waiting.borrow().get(service)
+            && let Some(first) = waiting.values().next()
+        {
+            // One that is awake already looks again.
+            let _awake = first.try_send(());
+        }
+    }
+
+    /// Wakes the next request after one that could not use what became free.
+    fn pass_on(&self, service: &ServiceId, place: Place) {
+        let waiting = self.waiting.borrow();
+        let mut later = waiting.get(service).into_iter().flatten();
+        if let Some((_, next)) = later.find(|(other, _)| **other > place) {
+            let _awake = next.try_send(());
+        }
+    }
+
+    fn join(&self, service: &ServiceId, rank: u8) -> Waiter<'_> {
+        let number = self.joined.get() + 1;
+        self.joined.set(number);
+        let (wake, woken) = bounded(1);
+        let mut waiting = self.waiting.borrow_mut();
+        let of_service = waiting.entry(service.clone()).or_default();
+        of_service.insert((rank, number), wake);
+        Waiter {
+            queue: self,
+            service: service.clone(),
+            place: (rank, number),
+            woken,
+        }
+    }
+}
+
+/// A waiting request; dropped, it has left the queue.
+struct Waiter<'a> {
+    queue: &'a ConnectionQueue,
+    service: ServiceId,
+    place: Place,
+    woken: Receiver<()>,
+}
+
+impl Waiter<'_> {
+    fn pass_on(&self) {
+        self.queue.pass_on(&self.service, self.place);
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        if self.woken.try_recv().is_ok() {
+            self.pass_on();
+        }
+        let mut waiting = self.queue.waiting.borrow_mut();
+        if let Some(of_service) = waiting.get_mut(&self.service) {
+            of_service.remove(&self.place);
+            if of_service.is_empty() {
+                waiting.remove(&self.service);
+            }
+        }
+    }
+}
+
+/// What became of a request that waited.
+pub(crate) enum Waited<T> {
+    /// It is placed.
+    Placed(T),
+    /// Nothing that would become free could take it.
+    InVain,
+    /// It has waited for as long as is useful: when to come back.
+    TooLong(Millis),
+}
+
+/// Places a request as soon as a connection for it is free.
+pub(crate) async fn wait_for_connection<C, B, T>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    place: impl Fn() -> Option<T>,
+) -> Waited<T>
+where
+    C: CallerPort,
+    B: BackendPort,
+{
+    if !awaits_connection(gateway, running) {
+        return Waited::InVain;
+    }
+    let began = gateway.now();
+    let until = wait_until(running, began);
+    let waiter = gateway
+        .connections
+        .join(&running.service, running.work.priority);
+    let waited = loop {
+        let left = until.since(gateway.now());
+        if left == Millis::ZERO {
+            let waited = gateway.now().since(began);
+            break Waited::TooLong(waited.max(SHORTEST_RETRY));
+        }
+        let woken = within(Some(left.min(LOOK_AGAIN)), waiter.woken.recv()).await;
+        if !may_be_sent(gateway, running) {
+            break Waited::InVain;
+        }
+        if let Some(placed) = place() {
+            break Waited::Placed(placed);
+        }
+        if woken.is_some() {
+            waiter.pass_on();
+        }
+        if !awaits_connection(gateway, running) {
+            break Waited::InVain;
+        }
+    };
+    note_waited(gateway, running, &waited, began);
+    waited
+}
+
+fn awaits_connection<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+) -> bool {
+    let Running {
+        service,
+        work,
+        tried,
+        ..
+    } = running;
+    let forwarder = gateway.forwarder.borrow();
+    forwarder.awaits_connection(service, work, tried, gateway.now())
+}
+
+/// Until when waiting is of use: an answer within the objective, or soon after it for a
+/// request that was tried before.
+fn wait_until(running: &Running, now: Millis) -> Millis {
+    let objective = running.work.objective;
+    let in_time = running.arrived + objective;
+    let late = now + Millis(objective.0 / LATE_WAIT_PART);
+    in_time.max(late).min(running.due)
+}
+
+fn note_waited<C: CallerPort, B: BackendPort, T>(
+    gateway: &Gateway<C, B>,
+    running: &Running,
+    waited: &Waited<T>,
+    began: Millis,
+) {
+    let outcome = match waited {
+        Waited::Placed(_) => "placed",
+        Waited::InVain => "in_vain",
+        Waited::TooLong(_) => "too_long",
+    };
+    gateway.metrics.connection_wait(outcome);
+    log::info!(
+        request = running.call.facts.id.as_str(),
+        service = running.service.as_str(),
+        waited_ms = gateway.now().since(began).0,
+        outcome = outcome;
+        "connection_awaited"
+    );
+}
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -10,6 +10,7 @@
 use garnet_types::{Millis, TenantId};
 use smol::LocalExecutor;
 
+use crate::connection_queue::ConnectionQueue;
 use crate::metrics::GatewayMetrics;
 use crate::permits::PermitDesk;
 use crate::ports::{BackendPort, CallerPort};
@@ -35,6 +36,8 @@
     pub(crate) started_at: Millis,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) permits: PermitDesk,
+    /// Requests that wait for a connection to a back end.
+    pub(crate) connections: ConnectionQueue,
     /// Unknown header names in answers of back ends.
     pub(crate) unknown_names: UnknownNames,
     /// Bounds on the time of callers' connections, by the route table in force.
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod answers;
 mod attempt;
+mod connection_queue;
 mod events;
 mod gateway;
 mod going_on;
@@ -23,6 +24,7 @@
 mod stopping;
 mod stream;
 mod unknown_names;
+mod waiting;
 mod watch;
 mod whole;
 
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -33,6 +33,7 @@
     permits: Family<Labels, Counter>,
     backoffs: Family<Labels, Counter>,
     withheld: Family<Labels, Counter>,
+    connection_waits: Family<Labels, Counter>,
     limited: Gauge,
     usage_lost: Counter,
     watch_age_ms: Gauge,
@@ -70,6 +71,8 @@
         let backoffs = registered(all, "backoffs", help, counters());
         let help = "Attempts that were withheld: their back end took none any more";
         let withheld = registered(all, "withheld", help, counters());
+        let help = "Requests that waited for a connection to a back end, by outcome";
+        let connection_waits = registered(all, "connection_waits", help, counters());
         let help = "Back ends that are known to have a limit";
         let limited = registered(all, "limited_backends", help, Gauge::default());
         let help = "Requests that were counted too late for their window of usage";
@@ -95,6 +98,7 @@
             permits,
             backoffs,
             withheld,
+            connection_waits,
             limited,
             usage_lost,
             watch_age_ms,
@@ -150,6 +154,11 @@
         self.withheld.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn connection_wait(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.connection_waits.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn set_limited(&self, backends: usize) {
         self.limited.set(gauge_value(backends as u64));
     }
--- a/components/forwarding-shell/src/permits.rs
+++ b/components/forwarding-shell/src/permits.rs
@@ -1,6 +1,6 @@
 //! Requests that no back end may be sent as things stand: questions to the leader for
 //! permits where those that could take one have a limit, and the time to come back
-//! where they are in backoff.
+//! where they are in backoff or their connections stay in use.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,11 +11,12 @@
 use garnet_types::{GatewayId, Millis};
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::attempt::within;
+use crate::connection_queue::{Waited, wait_for_connection};
 use crate::gateway::Gateway;
 use crate::going_on::may_be_sent;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::Running;
+use crate::waiting::within;
 
 /// A leader that has been silent for so long is not asked: four times the longest
 /// pause between two answers to a gateway.
@@ -35,7 +36,8 @@
 pub(crate) enum NotPlaced {
     /// There is no back end that could take it.
     Nobody,
-    /// Back ends that could take it have a limit or are in backoff: when to come back.
+    /// Back ends that could take it have a limit, are in backoff or have no connection
+    /// left: when to come back.
     Unavailable(Millis),
 }
 
@@ -178,7 +180,13 @@
         forwarder.ask_for_permit(service, work, tried, now)
     };
     let retry_after = match asking {
-        Asking::Unlimited => return Err(not_placed(gateway, running)),
+        Asking::Unlimited => {
+            return match wait_for_connection(gateway, running, place).await {
+                Waited::Placed(placed) => Ok(placed),
+                Waited::InVain => Err(not_placed(gateway, running)),
+                Waited::TooLong(retry_after) => Err(NotPlaced::Unavailable(retry_after)),
+            };
+        }
         Asking::Closed(retry_after) => retry_after,
         Asking::Ask(ask) => match answer_to(gateway, running, ask).await {
             // The verdict on a request may fall while it waits, and its time may pass.
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -18,6 +18,7 @@
 use hyper::Response;
 use smol::channel::bounded;
 
+use crate::connection_queue::ConnectionQueue;
 use crate::gateway::{Gateway, connection_times};
 use crate::metrics::GatewayMetrics;
 use crate::permits::PermitDesk;
@@ -102,6 +103,7 @@
         started_at: shell.clock.now(),
         metrics: GatewayMetrics::new(),
         permits: PermitDesk::new(id.clone(), requests_in.clone()),
+        connections: ConnectionQueue::default(),
         unknown_names: UnknownNames::default(),
         connection_times: times,
         routes_since: Cell::new(shell.clock.now()),
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -19,10 +19,10 @@
 use hyper::body::Bytes;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::within;
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{Running, finished, given_up_answer, note_begun, own_answer, until};
+use crate::waiting::within;
 use crate::whole::copy_head;
 
 use cut::CutCause;
--- a/components/forwarding-shell/src/stream/reading.rs
+++ b/components/forwarding-shell/src/stream/reading.rs
@@ -7,12 +7,13 @@
 use garnet_forwarding::{AttemptEnd, NotRunReason, Progress};
 use garnet_types::BackendId;
 
-use crate::attempt::{OpenAnswer, note_silent, within};
+use crate::attempt::{OpenAnswer, note_silent};
 use crate::going_on::{can_go_elsewhere, go_on_beside, may_be_sent};
 use crate::handover::{WaitingCache, prefill, prefill_time_limit};
 use crate::permits::place_within_limits;
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::log_no_back_end;
+use crate::waiting::within;
 
 use super::search::{Opened, Refused, Search};
 
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -190,6 +190,7 @@
             }
         };
         forwarder.set_gateways(gateways);
+        forwarder.share_connections_among(gateways, self.gateway.now());
         if let Some(digest) = digest {
             forwarder.take_digest(&digest, self.gateway.now());
         }
--- a/components/forwarding-shell/src/whole.rs
+++ b/components/forwarding-shell/src/whole.rs
@@ -14,7 +14,7 @@
 use hyper::http::response::Parts;
 
 use crate::answers::OwnAnswer;
-use crate::attempt::{attempt, failed_with, log_failure, note_silent, within};
+use crate::attempt::{attempt, failed_with, log_failure, note_silent};
 use crate::gateway::Gateway;
 use crate::going_on::{apart, can_go_elsewhere, go_on, go_on_beside};
 use crate::headers::remove_connection_headers;
@@ -23,6 +23,7 @@
 use crate::request::{
     Running, finished, given_up_answer, log_no_back_end, note_begun, own_answer, until,
 };
+use crate::waiting::within;
 
 /// Longest answer that is held while it is read.
 const LONGEST_ANSWER: usize = 16 * 1024 * 1024;
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -4,6 +4,7 @@
 use garnet_routing::{Availability, CircuitBreaker};
 use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
 
+use crate::connections::ConnectionShare;
 use crate::others::Others;
 use crate::work::Prompt;
 
@@ -173,6 +174,8 @@
     /// Whether it has named a limit, so that the others need not be looked up: of
     /// thousands of engines a few have one.
     pub(crate) has_limit: bool,
+    /// Connections that this gateway may have to it.
+    pub(crate) connections: ConnectionShare,
     /// Its load.
     pub load: BackendLoad,
 }
@@ -191,6 +194,7 @@
             failing_at: None,
             may_probe: false,
             has_limit: false,
+            connections: ConnectionShare::unbounded(),
             load: BackendLoad::default(),
         };
         backend.update(record);
@@ -230,6 +234,11 @@
         self.takes_work && !self.gone && !self.availability.is_draining(now)
     }
 
+    /// Whether this gateway has a connection for one more request.
+    pub(crate) fn has_connection(&self) -> bool {
+        self.load.own_by_rank().total() < self.connections.in_use
+    }
+
     /// Whether it is an engine that generates.
     pub(crate) fn generates(&self) -> bool {
         self.role.is_some_and(EngineRole::generates)
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -23,7 +23,9 @@
         arrival: &Arrival,
         now: Millis,
     ) -> Option<(Placement, Admission)> {
-        let placement = self.place(service, work, &[], true, now)?;
+        let Some(placement) = self.place(service, work, &[], true, now) else {
+            return self.refuse_new(service, work, arrival, now);
+        };
         let admission = self.admission(service, work, &placement, arrival, now);
         if admission == Admission::Admit {
             return Some((placement, admission));
@@ -47,6 +49,24 @@
         Some((placement, admission))
     }
 
+    /// The refusal of a new request that waits for a connection in vain: the engines have
+    /// no time for it. `None` where they have, or nobody takes it.
+    fn refuse_new(
+        &self,
+        service: &ServiceId,
+        work: &Work,
+        arrival: &Arrival,
+        now: Millis,
+    ) -> Option<(Placement, Admission)> {
+        let preference = Preference {
+            despite_connections: true,
+            ..self.preference(&[], now)
+        };
+        let placement = self.place_by(service, work, &preference)?;
+        let admission = self.admission(service, work, &placement, arrival, now);
+        matches!(admission, Admission::Refuse { .. }).then_some((placement, admission))
+    }
+
     fn admission(
         &self,
         service: &ServiceId,
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -96,6 +96,7 @@
             self.unconfirmed_since = None;
             self.configuration = Configuration::default();
             self.routes = RouteIndex::default();
+            self.share_connections();
             self.apply_configuration();
         }
     }
@@ -144,6 +145,7 @@
             && table.version != self.routes.table().version
         {
             self.routes = RouteIndex::new((**table).clone());
+            self.share_connections();
         }
         let quarantined = self.configuration.quarantine.keys().copied();
         self.crash_log.follow(quarantined);
@@ -172,6 +174,7 @@
                     members_changed = true;
                     self.backends.insert(id.clone(), Backend::new(record));
                     self.note_whether_limited(id);
+                    self.share_connections_of(id);
                 }
                 (None, Some(_)) => {
                     members_changed = true;
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -4,6 +4,7 @@
 mod availability;
 mod beliefs;
 mod configuration;
+mod connections;
 mod fleet;
 mod limits;
 mod quarantine;
@@ -26,6 +27,7 @@
 use crate::admission::Returns;
 use crate::backends::Backend;
 use crate::cache_lifetime::PromptRate;
+use crate::connections::SharingGateways;
 use crate::likes::KnownLikes;
 use crate::output_length::OutputLength;
 use crate::pace::{PrefillPace, TokenTime};
@@ -86,6 +88,9 @@
     budgets: HashMap<ServiceId, ServiceBudget>,
     draws: HashMap<String, f64>,
     gateways: u64,
+    sharing: SharingGateways,
+    /// Gateways among which the connections are shared out now.
+    shared_among: u64,
     drawn: u64,
     learned: HashMap<ServiceId, Learned>,
     /// Copies that the other gateways should hear of.
@@ -131,6 +136,8 @@
             budgets: HashMap::new(),
             draws: HashMap::new(),
             gateways: 1,
+            sharing: SharingGateways::default(),
+            shared_among: 1,
             drawn: 0,
             learned: HashMap::new(),
             news: Vec::new(),
@@ -212,6 +219,7 @@
             tried,
             may_hand_over: true,
             despite_failures: false,
+            despite_connections: false,
             anywhere: false,
             sampled: 0,
             draw: self.drawn,
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempts;
 mod backends;
 mod cache_lifetime;
+mod connections;
 mod forwarder;
 mod likes;
 mod others;
@@ -28,6 +29,7 @@
 pub use admission::{Admission, Arrival, SHORTEST_RETRY};
 pub use attempts::{AttemptEnd, GivenUp, NextMove, NotRunReason, Progress, next_move};
 pub use backends::{Backend, BackendLoad, LoadReport};
+pub use connections::ConnectionShare;
 pub use forwarder::{
     FleetReport, Forwarder, ForwarderSettings, PrefillWork, ReportedLimit, RouteChoice,
 };
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -52,6 +52,8 @@
     pub may_hand_over: bool,
     /// Whether back ends that failed lately are taken as well.
     pub despite_failures: bool,
+    /// Whether back ends without a free connection are taken as well.
+    pub despite_connections: bool,
     /// Whether any engine may read a prompt, in place of the owners of its
     /// prefix only.
     pub anywhere: bool,
@@ -65,6 +67,7 @@
     fn may_take(&self, backend: &Backend) -> bool {
         let id = &backend.registration.id;
         backend.is_open(self.now, self.despite_failures)
+            && (self.despite_connections || backend.has_connection())
             && !self.tried.contains(id)
             && (!backend.has_limit || self.limits.may_send(id, self.now))
     }
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod budgets;
 mod configuration;
+mod connections;
 mod fleet;
 mod fleet_view;
 mod limits;
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -216,6 +216,13 @@
 }
 
 impl RouteTable {
+    /// Connections that one back end of a service takes from all gateways together, where
+    /// the table has the service.
+    pub fn connection_bound(&self, service: &ServiceId) -> Option<u64> {
+        let settings = self.services.iter().find(|s| s.name == *service)?;
+        Some(settings.max_connections)
+    }
+
     /// What the engines of a service can hold, where the table tells.
     pub fn engine_limits(&self, service: &ServiceId) -> Option<EngineLimits> {
         let settings = self.services.iter().find(|s| s.name == *service)?;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -79,6 +79,8 @@
     body: Incoming,
     sender: Sender,
     address: String,
+    /// Idle connections to the address that may be kept, with this one.
+    most_idle: usize,
     pool: ConnectionPool,
 }
 
@@ -112,11 +114,13 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, HttpError> {
-        self.send_if(address, request, || true).await
+        let most_idle = self.settings.idle_per_address;
+        self.send_if(address, request, most_idle, || true).await
     }
 
     /// Sends a request as [`Self::send`] does, if `may_send` holds once its connection is
-    /// there: a connection may take longer than what its sender knew stays true.
+    /// there: a connection may take longer than what its sender knew stays true. At most
+    /// `most_idle` idle connections to the address are kept afterwards.
     ///
     /// # Errors
     /// [`HttpError::Withheld`] where it does not hold, and as [`HttpError`] says.
@@ -124,6 +128,7 @@
         &self,
         address: &str,
         mut request: Request<Full<Bytes>>,
+        most_idle: usize,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, HttpError> {
         while let Some(mut sender) = self.take_idle(address) {
@@ -131,11 +136,13 @@
                 continue;
             }
             if !may_send() {
-                self.keep(address, sender, self.settings.idle_time);
+                self.keep(address, sender, self.settings.idle_time, most_idle);
                 return Err(HttpError::Withheld);
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.exchange(address, sender, response, false)),
+                Ok(response) => {
+                    return Ok(self.exchange(address, sender, response, false, most_idle));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(HttpError::Broken(error.into_error().to_string())),
@@ -144,11 +151,11 @@
         }
         let mut sender = self.connect(address).await?;
         if !may_send() {
-            self.keep(address, sender, self.settings.idle_time);
+            self.keep(address, sender, self.settings.idle_time, most_idle);
             return Err(HttpError::Withheld);
         }
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.exchange(address, sender, response, true)),
+            Ok(response) => Ok(self.exchange(address, sender, response, true, most_idle)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -182,6 +189,7 @@
         sender: Sender,
         response: Response<Incoming>,
         fresh: bool,
+        most_idle: usize,
     ) -> Exchange {
         let (head, body) = response.into_parts();
         Exchange {
@@ -190,6 +198,7 @@
             body,
             sender,
             address: address.to_owned(),
+            most_idle,
             pool: self.clone(),
         }
     }
@@ -224,10 +233,12 @@
         None
     }
 
-    fn keep(&self, address: &str, sender: Sender, idle_time: Duration) {
+    fn keep(&self, address: &str, sender: Sender, idle_time: Duration, most_idle: usize) {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(address.to_owned()).or_default();
-        if kept.len() < self.settings.idle_per_address && !sender.is_closed() {
+        let most_idle = most_idle.min(self.settings.idle_per_address);
+        kept.truncate(most_idle);
+        if kept.len() < most_idle && !sender.is_closed() {
             let until = self.clock.now() + Millis(idle_time.as_millis() as u64);
             kept.push(Idle { sender, until });
         }
@@ -282,7 +293,14 @@
         }
         let told = idle_time(&self.head.headers);
         let idle_time = told.unwrap_or(self.pool.settings.idle_time);
-        self.pool.keep(&self.address, self.sender, idle_time);
+        let Exchange {
+            pool,
+            address,
+            sender,
+            most_idle,
+            ..
+        } = self;
+        pool.keep(&address, sender, idle_time, most_idle);
     }
 }
 
