Soak: engines and applications reset connections beyond the route table's bound

They accepted any number, so no soak could show a bound that is not kept.

Part of it was that a restarted gateway counted twice for 60 s; 15 s now, after which requests under way at its start are over.

--- a/components/forwarding/src/connections.rs
+++ b/components/forwarding/src/connections.rs
@@ -14,7 +14,7 @@
 const LEAST_RESERVED: u64 = 2;
 /// A gateway counts for so long after the leader has ceased to count it: connections of a
 /// machine that is suspended or cut off stay open at their back ends.
-const GONE_GATEWAY_COUNTS: Millis = Millis::from_secs(60);
+const GONE_GATEWAY_COUNTS: Millis = Millis::from_secs(15);
 
 /// Connections that one gateway may have to one back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -21,6 +22,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use crate::connection_bound::{ConnectionBound, OpenConnection};
 use crate::connection_clock::{
     ClockedBody, ClockedStream, ConnectionClock, ConnectionTimes, Phase,
 };
@@ -101,6 +103,7 @@
     listener: RefCell<Option<TcpListener>>,
     limits: Limits,
     times: Shared<ConnectionTimes>,
+    bound: Option<Arc<ConnectionBound>>,
 }
 
 /// Binds a port; the error names the address.
@@ -138,6 +141,7 @@
             listener: RefCell::new(Some(listener)),
             limits,
             times: Shared::new(DEFAULT_TIMES),
+            bound: None,
         })
     }
 
@@ -148,6 +152,13 @@
         self
     }
 
+    /// The same, which resets connections beyond a bound.
+    #[must_use]
+    pub fn with_bound(mut self, bound: Arc<ConnectionBound>) -> Self {
+        self.bound = Some(bound);
+        self
+    }
+
     /// The address that it listens at.
     ///
     /// # Errors
@@ -177,9 +188,16 @@
         };
         let (ended, open) = smol::channel::bounded::<()>(1);
         let begin = |stream| {
+            let Some((stream, counted)) = self.admit(stream) else {
+                return;
+            };
             let times = self.times.clone();
             let connection =
                 serve_connection(stream, self.limits, times, handler.clone(), open.clone());
+            let connection = async move {
+                connection.await;
+                drop(counted);
+            };
             executor.spawn(connection).detach();
         };
         accept_until(&listener, &begin, stop).await;
@@ -203,6 +221,19 @@
     }
 }
 
+impl HttpServer {
+    /// Takes a connection where no bound is reached.
+    fn admit(&self, stream: TcpStream) -> Option<(TcpStream, Option<OpenConnection>)> {
+        match &self.bound {
+            Some(bound) => {
+                let (stream, counted) = bound.admit(stream)?;
+                Some((stream, Some(counted)))
+            }
+            None => Some((stream, None)),
+        }
+    }
+}
+
 /// Begins each connection that comes until `stop` ends.
 async fn accept_until(
     listener: &TcpListener,
