Simulator: the leaderless time is measured by leases, not by reports of replicas

The figure was wrong: a deposed leader's LostLeadership that came after the next one's BecameLeader started the count, which ran until the election after that. Now a time counts while no replica holds the lease, which each step looks at anyway.

--- a/components/simulator/src/scenario.rs
+++ b/components/simulator/src/scenario.rs
@@ -103,7 +103,7 @@
     pub last_leader: Option<usize>,
     /// Changes of role that engines carried out.
     pub role_changes: u64,
-    /// Milliseconds from each end of a leader to the next one.
+    /// Milliseconds of each time in which no replica held the leader's lease.
     pub leaderless_ms: Vec<u64>,
     /// What was measured, in an experiment.
     pub mix: Option<MixReport>,
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -118,9 +118,6 @@
             ControlEffect::BecameLeader { .. } => {
                 self.elections += 1;
                 self.last_leader = Some(place);
-                if let Some(since) = self.leaderless_since.take() {
-                    self.leaderless_ms.push(self.now.since(since).0);
-                }
             }
             // The simulated group has fixed members and no duties towards a
             // platform; both have tests of their own.
@@ -129,10 +126,8 @@
             | ControlEffect::Balanced { .. }
             | ControlEffect::Quarantined(_)
             | ControlEffect::Halted(_)
-            | ControlEffect::GroupChanged { .. } => {}
-            ControlEffect::LostLeadership { .. } => {
-                self.leaderless_since.get_or_insert(self.now);
-            }
+            | ControlEffect::GroupChanged { .. }
+            | ControlEffect::LostLeadership { .. } => {}
         }
     }
 
--- a/components/simulator/src/world/ticks.rs
+++ b/components/simulator/src/world/ticks.rs
@@ -96,6 +96,17 @@
             .check(Invariant::OneLease, holders <= 1, self.now, || {
                 format!("{holders} replicas hold a lease")
             });
+        self.note_leadership(holders > 0);
+    }
+
+    /// Measures the time in which no replica holds a lease. A deposed leader learns of its
+    /// end after the next one was elected, so that reports of replicas overlap.
+    fn note_leadership(&mut self, is_led: bool) {
+        if !is_led {
+            self.leaderless_since.get_or_insert(self.now);
+        } else if let Some(since) = self.leaderless_since.take() {
+            self.leaderless_ms.push(self.now.since(since).0);
+        }
     }
 
     pub(super) fn tick_gateway(&mut self, place: usize) {
