A reader that closes its end of standard output ends no program in a panic

`garnet-bench simulate ... | head` ended with "failed printing to stdout: Broken pipe" and a backtrace: `print!` panics where the other end is closed. All programs print through garnet_runtime::command_line now, which leaves the rest of the output.

--- a/bin/garnet-bench/src/call.rs
+++ b/bin/garnet-bench/src/call.rs
@@ -34,7 +34,7 @@
 
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let executor = Rc::new(LocalExecutor::new());
@@ -66,9 +66,11 @@
                 .map_err(|error| error.to_string())?;
             add_headers(options, &mut request)?;
             let seen = smol::block_on(executor.run(whole(&http, &gateway, request)))?;
-            println!(
+            garnet_runtime::print_line!(
                 "status={} served_by={} {}",
-                seen.status, seen.served_by, seen.text
+                seen.status,
+                seen.served_by,
+                seen.text
             );
             Ok(seen.status == 200)
         }
@@ -96,9 +98,13 @@
 
 fn report_completion(seen: &Seen, expected: &str) -> bool {
     let right = seen.whole && seen.text == expected;
-    println!(
+    garnet_runtime::print_line!(
         "status={} served_by={} whole={} as_expected={} text={:?}",
-        seen.status, seen.served_by, seen.whole, right, seen.text
+        seen.status,
+        seen.served_by,
+        seen.whole,
+        right,
+        seen.text
     );
     right
 }
--- a/bin/garnet-bench/src/fleet.rs
+++ b/bin/garnet-bench/src/fleet.rs
@@ -38,7 +38,7 @@
 
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let engines: usize = options.value("engines", 10_000)?;
@@ -52,7 +52,7 @@
     let digest = digest(&gateway, busy);
     gateway.take_digest(&digest, NOW);
     learn_limits(&mut gateway, limited)?;
-    println!(
+    garnet_runtime::print_line!(
         "engines {engines}, busy {busy}, limited {limited}, prefixes {prefixes}; microseconds each:"
     );
     let service = ServiceId::new(SERVICE);
@@ -107,7 +107,7 @@
     let began = Instant::now();
     let made = (0..rounds).filter(|round| decide(*round)).count();
     let mean = began.elapsed().as_secs_f64() * 1e6 / rounds.max(1) as f64;
-    println!("{name:<16} {mean:>10.1}   ({made} made)");
+    garnet_runtime::print_line!("{name:<16} {mean:>10.1}   ({made} made)");
 }
 
 fn id(number: usize) -> BackendId {
--- a/bin/garnet-bench/src/keys.rs
+++ b/bin/garnet-bench/src/keys.rs
@@ -23,7 +23,7 @@
 
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let tenants: usize = options.value("tenants", 25_000)?;
@@ -43,14 +43,14 @@
         let keys = presented.iter().cycle().take(look_ups);
         keys.filter(|key| index.tenant_of(key).is_some()).count()
     });
-    println!("tenants             {tenants}");
-    println!("keys                {}", tenants * keys);
-    println!("bytes of the table  {bytes}");
-    println!("check, ms           {:.1}", millis(check_time));
-    println!("make ready, ms      {:.1}", millis(build_time));
-    println!("look-ups            {look_ups}, {found} found");
+    garnet_runtime::print_line!("tenants             {tenants}");
+    garnet_runtime::print_line!("keys                {}", tenants * keys);
+    garnet_runtime::print_line!("bytes of the table  {bytes}");
+    garnet_runtime::print_line!("check, ms           {:.1}", millis(check_time));
+    garnet_runtime::print_line!("make ready, ms      {:.1}", millis(build_time));
+    garnet_runtime::print_line!("look-ups            {look_ups}, {found} found");
     let each = look_up_time.as_secs_f64() * 1e9 / look_ups.max(1) as f64;
-    println!("a look-up, ns       {each:.0}");
+    garnet_runtime::print_line!("a look-up, ns       {each:.0}");
     Ok(true)
 }
 
--- a/bin/garnet-bench/src/load/mod.rs
+++ b/bin/garnet-bench/src/load/mod.rs
@@ -64,7 +64,7 @@
 /// Runs the verb; `false` when nothing was answered.
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let rate_per_s = options.value("rate", 20.0_f64)?;
@@ -107,7 +107,7 @@
     let figures = load.figures.borrow();
     let report = figures.report(seed, rate_per_s, seconds);
     let text = serde_json::to_string_pretty(&report).map_err(|error| error.to_string())?;
-    println!("{text}");
+    garnet_runtime::print_line!("{text}");
     Ok(figures.outcomes.contains_key(&Outcome::Answered))
 }
 
--- a/bin/garnet-bench/src/main.rs
+++ b/bin/garnet-bench/src/main.rs
@@ -53,7 +53,7 @@
         Some("soak") => soak::run(&options),
         Some(other) => Err(format!("unknown verb \"{other}\"; see --help")),
         None => {
-            print!("{HELP}");
+            garnet_runtime::print_out!("{HELP}");
             return ExitCode::SUCCESS;
         }
     };
--- a/bin/garnet-bench/src/mix_shift/mod.rs
+++ b/bin/garnet-bench/src/mix_shift/mod.rs
@@ -28,7 +28,7 @@
 
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let mut deployment = deployments::by_name(options.needed("deployment")?)?;
@@ -100,13 +100,13 @@
 
 fn print(value: &Value, as_json: bool) {
     if as_json {
-        println!("{value}");
+        garnet_runtime::print_line!("{value}");
         return;
     }
     for strategy in Strategy::ALL {
         let name = strategy.as_str();
         let figures = &value[name];
-        println!(
+        garnet_runtime::print_line!(
             "strategy={name} goodput_per_s={} on_time_share={} role_changes={} ttft_p95_ms={} itl_p95_ms={}",
             figures["goodput_per_s"],
             figures["on_time_share"],
@@ -117,7 +117,7 @@
     }
     if let Some(losses) = value["losses"].as_object() {
         for (lost, figures) in losses {
-            println!("lost={lost} {figures}");
+            garnet_runtime::print_line!("lost={lost} {figures}");
         }
     }
 }
--- a/bin/garnet-bench/src/relay.rs
+++ b/bin/garnet-bench/src/relay.rs
@@ -42,7 +42,7 @@
 
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let gateway = options.needed("gateway")?.to_owned();
@@ -66,9 +66,9 @@
         "gateway": to_gateway.figures(),
     });
     if options.flag("json") {
-        println!("{result}");
+        garnet_runtime::print_line!("{result}");
     } else {
-        println!("relay={} gateway={}", result["relay"], result["gateway"]);
+        garnet_runtime::print_line!("relay={} gateway={}", result["relay"], result["gateway"]);
     }
     Ok(to_relay.failed + to_gateway.failed == 0)
 }
--- a/bin/garnet-bench/src/report/mod.rs
+++ b/bin/garnet-bench/src/report/mod.rs
@@ -21,7 +21,7 @@
 /// Runs the verb.
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let output = options.needed("output")?.to_owned();
@@ -43,7 +43,7 @@
     }
     let page = page::page(&files)?;
     fs::write(&output, page).map_err(|error| format!("{output}: {error}"))?;
-    println!("{output}");
+    garnet_runtime::print_line!("{output}");
     Ok(true)
 }
 
--- a/bin/garnet-bench/src/simulate.rs
+++ b/bin/garnet-bench/src/simulate.rs
@@ -33,7 +33,7 @@
 
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let seeds = options.numbers("seeds", "0..20")?;
@@ -78,7 +78,7 @@
     }
     let totals = totals(&reports, failed.len(), elapsed);
     if options.flag("json") {
-        println!("{totals}");
+        garnet_runtime::print_line!("{totals}");
     } else {
         print_totals(&totals);
     }
@@ -251,6 +251,6 @@
 fn print_totals(totals: &Value) {
     let empty = serde_json::Map::new();
     for (name, value) in totals.as_object().unwrap_or(&empty) {
-        println!("{name}={value}");
+        garnet_runtime::print_line!("{name}={value}");
     }
 }
--- a/bin/garnet-bench/src/soak/mod.rs
+++ b/bin/garnet-bench/src/soak/mod.rs
@@ -69,7 +69,7 @@
 /// Runs the verb; `false` when a promise was broken.
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
-        print!("{HELP}");
+        garnet_runtime::print_out!("{HELP}");
         return Ok(true);
     }
     let seconds = options.value("seconds", 30_u64)?;
@@ -82,9 +82,9 @@
     let verdict = smol::block_on(executor.run(soaking))?;
     if options.flag("json") {
         let report = serde_json::to_string_pretty(&verdict.report());
-        println!("{}", report.map_err(|error| error.to_string())?);
+        garnet_runtime::print_line!("{}", report.map_err(|error| error.to_string())?);
     } else {
-        print!("{verdict}");
+        garnet_runtime::print_out!("{verdict}");
     }
     Ok(verdict.holds())
 }
--- a/bin/garnet-control/src/main.rs
+++ b/bin/garnet-control/src/main.rs
@@ -15,7 +15,7 @@
     let command_line = match CommandLine::parse() {
         Ok(Some(command_line)) => command_line,
         Ok(None) => {
-            print!("{HELP}");
+            garnet_runtime::print_out!("{HELP}");
             return ExitCode::SUCCESS;
         }
         Err(error) => return command_line::usage_error(error),
@@ -25,7 +25,7 @@
         Err(findings) => return command_line::usage_error(findings),
     };
     if command_line.check {
-        println!("the settings are sound");
+        garnet_runtime::print_line!("the settings are sound");
         return ExitCode::SUCCESS;
     }
     let _lines = logging::start(&settings.name);
--- a/bin/garnet-standin/src/main.rs
+++ b/bin/garnet-standin/src/main.rs
@@ -16,7 +16,7 @@
     let arguments = match Arguments::parse() {
         Ok(Some(arguments)) => arguments,
         Ok(None) => {
-            print!("{}", arguments::HELP);
+            garnet_runtime::print_out!("{}", arguments::HELP);
             return ExitCode::SUCCESS;
         }
         Err(error) => return command_line::usage_error(error),
--- a/bin/garnetctl/src/commands.rs
+++ b/bin/garnetctl/src/commands.rs
@@ -105,7 +105,7 @@
     let listeners: Result<Vec<TcpListener>, _> = (0..count).map(bind).collect();
     for listener in listeners.map_err(|error| error.to_string())? {
         let address = listener.local_addr().map_err(|error| error.to_string())?;
-        println!("{}", address.port());
+        garnet_runtime::print_line!("{}", address.port());
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -120,8 +120,8 @@
         return ExitCode::from(NO_ANSWER);
     };
     match &answer.body {
-        Value::String(text) => print!("{text}"),
-        body => println!("{body}"),
+        Value::String(text) => garnet_runtime::print_out!("{text}"),
+        body => garnet_runtime::print_line!("{body}"),
     }
     if answer.status < 300 {
         ExitCode::SUCCESS
@@ -134,7 +134,7 @@
     let document = read_file(Path::new(file)).map_err(|findings| findings.to_string())?;
     match Policy::compile(file, &document) {
         Ok(_) => {
-            println!("{file}: the policy is sound");
+            garnet_runtime::print_line!("{file}: the policy is sound");
             Ok(ExitCode::SUCCESS)
         }
         Err(findings) => {
@@ -148,7 +148,7 @@
     let document = read_file(Path::new(file)).map_err(|findings| findings.to_string())?;
     match garnet_routes::read_document(&document) {
         Ok(table) => {
-            println!("{file}: version {} is sound", table.version);
+            garnet_runtime::print_line!("{file}: version {} is sound", table.version);
             Ok(ExitCode::SUCCESS)
         }
         Err(findings) => {
@@ -167,7 +167,7 @@
     let Some(answer) = client::send(&arguments.controls, &read_request("routes")) else {
         return Ok(no_answer());
     };
-    println!("{}", answer.body);
+    garnet_runtime::print_line!("{}", answer.body);
     Ok(if answer.status < 300 {
         ExitCode::SUCCESS
     } else {
@@ -223,7 +223,7 @@
     };
     output::print_map(&status[part], arguments.json, |_| true);
     if part == "members" && !arguments.json {
-        println!("survives_one_loss={}", status["survives_one_loss"]);
+        garnet_runtime::print_line!("survives_one_loss={}", status["survives_one_loss"]);
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/bin/garnetctl/src/main.rs
+++ b/bin/garnetctl/src/main.rs
@@ -13,7 +13,7 @@
 fn main() -> ExitCode {
     match arguments::parse() {
         Ok(Parsed::Help(text)) => {
-            print!("{text}");
+            garnet_runtime::print_out!("{text}");
             ExitCode::SUCCESS
         }
         Ok(Parsed::Run(arguments)) => run(&arguments),
--- a/bin/garnetctl/src/output.rs
+++ b/bin/garnetctl/src/output.rs
@@ -7,13 +7,13 @@
 /// Prints the answer to a change.
 pub(crate) fn print_answer(answer: &AdminAnswer, as_json: bool) {
     if as_json {
-        println!("{}", answer.body);
+        garnet_runtime::print_line!("{}", answer.body);
         return;
     }
     if let Some(message) = answer.body["message"].as_str() {
         eprintln!("{message}");
     }
-    println!("{}", pairs(&answer.body));
+    garnet_runtime::print_line!("{}", pairs(&answer.body));
 }
 
 /// Prints the things of a map that `keep` keeps, one on each line.
@@ -25,11 +25,11 @@
         let kept: Map<String, Value> = kept
             .map(|(name, thing)| (name.clone(), thing.clone()))
             .collect();
-        println!("{}", Value::Object(kept));
+        garnet_runtime::print_line!("{}", Value::Object(kept));
         return;
     }
     for (name, thing) in kept {
-        println!("{name} {}", pairs(thing));
+        garnet_runtime::print_line!("{name} {}", pairs(thing));
     }
 }
 
@@ -37,14 +37,14 @@
 pub(crate) fn print_status(all: &[(String, Value)], as_json: bool) {
     if as_json {
         let map: Map<String, Value> = all.iter().cloned().collect();
-        println!("{}", json!(map));
+        garnet_runtime::print_line!("{}", json!(map));
         return;
     }
     for (control, status) in all {
         if status.is_null() {
-            println!("{control} no answer");
+            garnet_runtime::print_line!("{control} no answer");
         } else {
-            println!("{control} {}", pairs(status));
+            garnet_runtime::print_line!("{control} {}", pairs(status));
         }
     }
 }
--- a/components/runtime/src/command_line.rs
+++ b/components/runtime/src/command_line.rs
@@ -1,5 +1,7 @@
 //! What the command lines of all programs have in common.
 
+use std::fmt;
+use std::io::{self, Write};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -28,3 +30,30 @@
     eprintln!("{message}");
     ExitCode::from(EXIT_USAGE)
 }
+
+/// Prints to standard output. A reader that has closed its end, as `head` does, ends the
+/// output and not the program.
+pub fn print_text(text: fmt::Arguments<'_>) {
+    let mut out = io::stdout().lock();
+    match out.write_fmt(text).and_then(|()| out.flush()) {
+        Ok(()) => {}
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => {}
+        Err(error) => log::error!(cause = error.to_string().as_str(); "output_lost"),
+    }
+}
+
+/// Prints to standard output as `print!` does, by [`print_text`].
+#[macro_export]
+macro_rules! print_out {
+    ($($argument:tt)*) => {
+        $crate::command_line::print_text(format_args!($($argument)*))
+    };
+}
+
+/// Prints a line to standard output as `println!` does, by [`print_text`].
+#[macro_export]
+macro_rules! print_line {
+    ($($argument:tt)*) => {
+        $crate::command_line::print_text(format_args!("{}\n", format_args!($($argument)*)))
+    };
+}
