Completions gateway: a waiting text is sent by a fresh configuration only

Found in reading, when more texts wait: new calls are refused once the lease on the configuration is over, but waiting ones were still dispatched by it, to engines that may have left the fleet since. They stay in the queue until a leader confirms the configuration, or end with their time.

--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -154,6 +154,10 @@
             let refusal = Refusal::not_run(OutcomeCode::Overloaded, retry_after, message);
             self.end_without_answer(expired.item, refusal);
         }
+        // An engine may have left the fleet since the configuration was confirmed.
+        if !self.watched.holds_lease(self.now) {
+            return;
+        }
         let target = self.settings.admission.first_token_target;
         for _ in 0..WAITING_PASS {
             let Some(waiting) = self.waiting.pop(self.now) else {
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -7,9 +7,10 @@
 use garnet_gateway::{
     Answer, AttemptEvent, AttemptId, Call, Effect, Event, Gateway, GatewaySettings, Job, Work,
 };
+use garnet_routing::LoadReport;
 use garnet_types::{
-    BackendId, BackendKind, EngineAssignment, EngineRole, GatewayId, IdempotencyKey, MachineState,
-    Millis, ModelId, Refusal, RequestId, ServiceId,
+    BackendId, BackendKind, EngineAssignment, EngineCapacity, EngineRole, GatewayId,
+    IdempotencyKey, MachineState, Millis, ModelId, Refusal, RequestId, ServiceId,
 };
 
 pub const MODEL: &str = "model";
@@ -95,6 +96,21 @@
         }
     }
 
+    /// An idle engine reports its load.
+    pub fn report_load(&mut self, id: &str) {
+        let report = LoadReport {
+            incarnation: 1,
+            role: EngineRole::Mixed,
+            accepting: true,
+            queued_prompt_tokens: 0,
+            active_sequences: 0,
+            age_ms: 0,
+            capacity: EngineCapacity::default(),
+            cache_events: Vec::new(),
+        };
+        self.event(Event::Load(BackendId::new(id), report));
+    }
+
     pub fn attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
         self.event(Event::Attempt(attempt, event));
     }
--- a/components/gateway/tests/core/planned_stops.rs
+++ b/components/gateway/tests/core/planned_stops.rs
@@ -126,3 +126,26 @@
     harness.attempt(decode.attempt, AttemptEvent::Broken);
     assert_eq!(harness.refusal().ran, Execution::Unknown);
 }
+
+/// A waiting request was sent by a configuration whose lease was over: the engine may have
+/// left the fleet since.
+#[test]
+fn a_waiting_text_is_sent_by_a_fresh_configuration_only() {
+    let mut harness = Harness::split();
+    harness.event(completion(1, None));
+    let decode = read_prompt(&mut harness);
+    // No watch is answered from now on.
+    let wait = |harness: &mut Harness, steps| {
+        for _ in 0..steps {
+            harness.wait(Millis(100));
+            harness.report_load("engine-1");
+            harness.report_load("engine-2");
+        }
+    };
+    wait(&mut harness, 20);
+    harness.attempt(decode.attempt, AttemptEvent::NotStarted { draining: true });
+    wait(&mut harness, 20);
+    assert_eq!(harness.dispatches().len(), 0);
+    harness.wait_with_lease(Millis(200));
+    assert_eq!(imported_handle(&harness.dispatch()), Some(HANDLE));
+}
