--- a/components/forwarding-shell/src/connection_queue.rs
+++ b/components/forwarding-shell/src/connection_queue.rs
@@ -30,7 +30,7 @@
 }
 
 impl ConnectionQueue {
-    /// Whether nobody waits.
+    /// Whether no request waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.waiting.borrow().is_empty()
     }
--- a/components/forwarding/src/forwarder/admitting.rs
+++ b/components/forwarding/src/forwarder/admitting.rs
@@ -50,7 +50,7 @@
     }
 
     /// The refusal of a new request that waits for a connection in vain: the engines have
-    /// no time for it. `None` where they have, or nobody takes it.
+    /// no time for it. `None` where they have, or no engine takes it.
     fn refuse_new(
         &self,
         service: &ServiceId,
