Quarantine: the list of the previous leader counts until the new one has caught up

What callers saw: after a change of leader below the level, a request that was refused already is sent to engines again, until the new leader has received the runs of all gateways and decided on them.

Cause: a verdict that the log does not hold is in the leader's memory and in the list at each gateway. The first answer of a new leader carries its own list, which is empty, and replaces that one.

Change: CrashLog::on_leader_change (was resend_all, called at the same places) keeps the list that was in force for 3 s, the time in which the users allow all gateways to learn of a verdict. A verdict that the leader repeats, or that the configuration releases, is not affected.

Test: the_list_of_the_previous_leader_counts_until_the_new_one_has_caught_up; a list that was replaced by an empty one left the request Clear at once before.

--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -335,7 +335,7 @@
     fn on_connected(&self, version: EncodingVersion) {
         while self.0.pending_requests.try_recv().is_ok() {}
         let mut forwarder = self.0.gateway.forwarder.borrow_mut();
-        forwarder.connected(version);
+        forwarder.connected(version, self.0.gateway.now());
         drop(forwarder);
         self.0.request_update();
     }
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -40,9 +40,9 @@
     }
 
     /// Records that a new connection to the leader was opened, with this encoding version.
-    pub fn connected(&mut self, version: EncodingVersion) {
+    pub fn connected(&mut self, version: EncodingVersion, now: Millis) {
         self.loader.on_connected();
-        self.resend_runs();
+        self.on_leader_change(now);
         self.limits.connected();
         self.set_permits_granted(version >= EncodingVersion::V16);
     }
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -60,9 +60,9 @@
         self.crash_log.confirmed(through);
     }
 
-    /// Reports all runs again, since there may be a new leader.
-    pub fn resend_runs(&mut self) {
-        self.crash_log.resend_all();
+    /// Handles a possible change of the leader; see [`garnet_quarantine::CrashLog::on_leader_change`].
+    pub fn on_leader_change(&mut self, now: Millis) {
+        self.crash_log.on_leader_change(now);
     }
 
     /// Takes the requests that the leader suspects or refuses.
--- a/components/forwarding/tests/core/quarantine.rs
+++ b/components/forwarding/tests/core/quarantine.rs
@@ -176,6 +176,6 @@
     assert_eq!(report.runs.len(), 1);
     forwarder.runs_confirmed(report.through);
     assert_eq!(forwarder.run_report(NOW), None);
-    forwarder.resend_runs();
+    forwarder.on_leader_change(NOW);
     assert!(forwarder.run_report(NOW).is_some());
 }
--- a/components/gateway/src/gateway/quarantine.rs
+++ b/components/gateway/src/gateway/quarantine.rs
@@ -31,7 +31,7 @@
     /// leader may have changed, so all reports are sent again.
     pub(super) fn on_leader_contact(&mut self, silence: Millis) {
         if silence >= LEADER_SILENCE_LIMIT {
-            self.crash_log.resend_all();
+            self.crash_log.on_leader_change(self.now);
             self.limits.connected();
         }
     }
--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -19,6 +19,9 @@
 /// How long a crash counts. A request that arrives less often than this causes less than one
 /// crash in this time.
 pub(crate) const CRASH_LIFETIME: Millis = Millis::from_secs(900);
+/// Time in which a new leader receives the runs of all gateways and decides on them again: the
+/// users allow 3 s until all gateways refuse a request.
+const LEADER_CATCH_UP_TIME: Millis = Millis::from_secs(3);
 
 /// Whether a request is suspected of crashing engines or refused for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +51,9 @@
     last_number: u64,
     confirmed: u64,
     leader_suspects: Suspects,
+    /// The list of the previous leader, which counts until the new one has caught up.
+    previous_suspects: Suspects,
+    previous_until: Millis,
     /// Requests that the configuration refuses.
     quarantined: BTreeSet<RequestFingerprint>,
 }
@@ -55,7 +61,9 @@
 impl CrashLog {
     /// Whether no request is suspected or refused, so that lookups can be skipped.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty() && self.leader_suspects.is_empty()
+        self.entries.is_empty()
+            && self.leader_suspects.is_empty()
+            && self.previous_suspects.is_empty()
     }
 
     /// Records a run that broke off as it does when its engine crashes.
@@ -89,12 +97,15 @@
     /// The status of a request, from the runs recorded here and the leader's suspects.
     pub fn status(&self, fingerprint: RequestFingerprint) -> QuarantineStatus {
         let engines = self.engines_of(fingerprint);
-        if self.leader_suspects.refused.contains(&fingerprint)
+        let lists = [&self.leader_suspects, &self.previous_suspects];
+        if lists.iter().any(|list| list.refused.contains(&fingerprint))
             || self.is_certain_cause(fingerprint, &engines)
         {
             QuarantineStatus::Refused
         } else if engines.len() + 1 >= CRASH_THRESHOLD
-            || self.leader_suspects.suspected.contains(&fingerprint)
+            || lists
+                .iter()
+                .any(|list| list.suspected.contains(&fingerprint))
         {
             QuarantineStatus::Suspected
         } else {
@@ -167,9 +178,14 @@
         self.confirmed = self.confirmed.max(through);
     }
 
-    /// Marks all runs as unconfirmed: the leader may be a new one, which has none of them.
-    pub fn resend_all(&mut self) {
+    /// Handles a possible change of the leader. A new leader has none of the runs, and its first
+    /// list lacks verdicts that the log does not hold.
+    pub fn on_leader_change(&mut self, now: Millis) {
         self.confirmed = 0;
+        if !self.leader_suspects.is_empty() {
+            self.previous_suspects = self.leader_suspects.clone();
+        }
+        self.previous_until = now + LEADER_CATCH_UP_TIME;
     }
 
     /// Sets the requests that the configuration refuses. The recorded runs of a request that it no
@@ -180,6 +196,8 @@
         let previous = std::mem::replace(&mut self.quarantined, current);
         for released in previous.difference(&self.quarantined) {
             self.entries.retain(|entry| entry.fingerprint != *released);
+            let previously_refused = &mut self.previous_suspects.refused;
+            previously_refused.retain(|refused| refused != released);
         }
     }
 
@@ -193,5 +211,8 @@
         while self.entries.front().is_some_and(is_old) {
             self.entries.pop_front();
         }
+        if now >= self.previous_until {
+            self.previous_suspects = Suspects::default();
+        }
     }
 }
--- a/components/quarantine/tests/crashes/log.rs
+++ b/components/quarantine/tests/crashes/log.rs
@@ -86,10 +86,44 @@
     let mut log = with_crashes(2);
     let through = log.report(NOW).expect("a report").through;
     log.confirmed(through);
-    log.resend_all();
+    log.on_leader_change(NOW);
     assert_eq!(log.report(NOW).expect("a report").runs.len(), 2);
 }
 
+/// A new leader starts without the verdicts that the log does not hold. Each time it is
+/// elected, the request would crash more engines.
+#[test]
+fn the_list_of_the_previous_leader_counts_until_the_new_one_has_caught_up() {
+    let mut log = CrashLog::default();
+    log.update_suspects(Suspects {
+        suspected: vec![request("near")],
+        refused: vec![request("bad")],
+    });
+    log.on_leader_change(NOW);
+    log.update_suspects(Suspects::default());
+    let _ = log.report(NOW + Millis(2900));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Refused);
+    assert_eq!(log.status(request("near")), QuarantineStatus::Suspected);
+    let _ = log.report(NOW + Millis(3000));
+    assert!(log.is_empty());
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Clear);
+}
+
+/// A leader that refuses a request keeps its list across a reconnection of the gateway.
+#[test]
+fn a_list_that_a_leader_repeats_stays() {
+    let mut log = CrashLog::default();
+    let list = Suspects {
+        suspected: Vec::new(),
+        refused: vec![request("bad")],
+    };
+    log.update_suspects(list.clone());
+    log.on_leader_change(NOW);
+    log.update_suspects(list);
+    let _ = log.report(NOW + Millis::from_secs(60));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Refused);
+}
+
 #[test]
 fn many_runs_are_reported_in_batches() {
     let mut log = CrashLog::default();
