Quarantine: below the level a leader decides and publishes verdicts

What callers saw: while builds are replaced one by one, and until 600 s after, a request that crashes each engine that runs it is refused by nobody but a gateway that saw three of its crashes itself.

Cause: Replica::quarantine returned before it decided anything if the log is of version 11, which has no command for a verdict. The leader acknowledged all reports of gateways and did nothing with them. The lead that a failed proposal clears the verdict was wrong: none was made.

Change: the leader decides and publishes at any level. What the log lacks is kept in `unlogged`, proposed once the log takes it, proposed again after 1 s if the log still lacks it (a proposal can fail: a log that does not show its version yet refuses it, and nobody tried again), released after the time of a quarantine, and bounded (256, the list goes to each gateway every second).

--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -80,6 +80,7 @@
             match &change {
                 ConfigurationChange::BackendPut(record) => self.reconciler.update(record),
                 ConfigurationChange::BackendRemoved(id) => self.reconciler.forget(id),
+                ConfigurationChange::RequestQuarantined(id, _) => self.quarantining.on_logged(id),
                 _ => {}
             }
             self.recent.push(entry.index, change, backends);
--- a/components/control/src/replica/quarantining.rs
+++ b/components/control/src/replica/quarantining.rs
@@ -1,8 +1,9 @@
 //! The leader's side of the quarantine: requests that crash engines are refused by all
 //! gateways.
 //!
-//! Gateways receive a verdict with the next answer to their watch, before it is in the log,
-//! so that a slow disk delays no verdict. What the log holds outlives the leader.
+//! Gateways receive a verdict with the next answer to their watch, whether or not the log can
+//! take it: neither a slow disk nor a log of version 11 delays one. What the log holds outlives
+//! the leader.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,6 +13,7 @@
 use crate::command::Command;
 use crate::effects::Effect;
 use crate::messages::{ControlReply, Evidence};
+use crate::state::QUARANTINE_DURATION;
 
 use super::Replica;
 
@@ -22,12 +24,19 @@
 /// Minimum time between two log entries about suspected requests.
 const MIN_LOG_INTERVAL: Millis = Millis(200);
 
+/// A verdict that the log still lacks is proposed again after this time.
+const PROPOSAL_RETRY_INTERVAL: Millis = Millis::from_secs(1);
+
+/// Maximum number of verdicts that the log lacks, 16 bytes each in the list that gateways
+/// receive every second. Beyond it the oldest one is released.
+const MAX_UNLOGGED: usize = 256;
+
 /// The leader's volatile state of suspected requests. It can be lost at any time.
 #[derive(Debug, Default)]
 pub(super) struct Quarantining {
     tracker: CrashTracker,
-    /// Verdicts of this term that the log may not hold yet.
-    proposed: BTreeSet<RequestFingerprint>,
+    /// Verdicts that the log does not hold yet.
+    unlogged: BTreeMap<RequestFingerprint, UnloggedVerdict>,
     /// The list that gateways receive.
     suspects: Suspects,
     /// Number of the list, which rises with each change.
@@ -41,6 +50,22 @@
     logged_at: Millis,
 }
 
+/// A verdict that the log does not hold yet.
+#[derive(Debug, Clone, Copy)]
+struct UnloggedVerdict {
+    /// Number of engines that crashed.
+    crashes: u32,
+    decided_at: Millis,
+    proposed_at: Option<Millis>,
+}
+
+impl UnloggedVerdict {
+    fn is_proposal_due(&self, now: Millis) -> bool {
+        self.proposed_at
+            .is_none_or(|at| now.since(at) >= PROPOSAL_RETRY_INTERVAL)
+    }
+}
+
 /// The list that a gateway was last sent.
 #[derive(Debug, Clone, Copy)]
 struct SentList {
@@ -76,11 +101,17 @@
         is_same && (self.suspects.is_empty() || !is_resend_due)
     }
 
+    /// Records that the log holds the verdict on a request. Afterwards the log alone decides when
+    /// it ends.
+    pub(super) fn on_logged(&mut self, fingerprint: &RequestFingerprint) {
+        self.unlogged.remove(fingerprint);
+    }
+
     /// Updates the list that gateways receive.
     fn update_list(&mut self) {
         let suspects = Suspects {
             suspected: self.tracker.suspected().to_vec(),
-            refused: self.proposed.iter().copied().collect(),
+            refused: self.unlogged.keys().copied().collect(),
         };
         if suspects != self.suspects {
             self.suspects = suspects;
@@ -112,22 +143,79 @@
         let gateways = &self.gateways;
         let sent = &mut self.quarantining.sent;
         sent.retain(|gateway, _| gateways.is_known(gateway));
-        if !self.node.has_applied_own_term() || !self.has_all_commands() {
+        if !self.node.has_applied_own_term() {
             return;
         }
         self.restore_suspects();
         self.sync_with_log();
+        self.decide_verdicts();
+        self.release_unlogged();
+        if self.has_all_commands() {
+            self.log_verdicts();
+            self.release_expired();
+            self.log_suspects();
+        }
+        self.quarantining.update_list();
+    }
+
+    fn decide_verdicts(&mut self) {
         for verdict in self.quarantining.tracker.decide(self.now) {
-            self.quarantining.proposed.insert(verdict.fingerprint);
-            self.effects.push(Effect::Quarantined(verdict));
-            self.propose_own(Command::QuarantineRequest {
-                fingerprint: verdict.fingerprint,
+            let unlogged = UnloggedVerdict {
                 crashes: u32::try_from(verdict.crashes).unwrap_or(u32::MAX),
-            });
+                decided_at: self.now,
+                proposed_at: None,
+            };
+            self.quarantining
+                .unlogged
+                .insert(verdict.fingerprint, unlogged);
+            self.effects.push(Effect::Quarantined(verdict));
+        }
+    }
+
+    /// Releases verdicts that the log has not taken in the time of a quarantine, and the oldest
+    /// ones above [`MAX_UNLOGGED`].
+    fn release_unlogged(&mut self) {
+        let now = self.now;
+        let Quarantining {
+            tracker, unlogged, ..
+        } = &mut self.quarantining;
+        let is_expired =
+            |verdict: &UnloggedVerdict| now.since(verdict.decided_at) >= QUARANTINE_DURATION;
+        for (fingerprint, _) in unlogged.extract_if(.., |_, verdict| is_expired(verdict)) {
+            tracker.release(&fingerprint);
+        }
+        while unlogged.len() > MAX_UNLOGGED {
+            let oldest = unlogged.iter().min_by_key(|(_, v)| v.decided_at);
+            let Some(oldest) = oldest.map(|(id, _)| *id) else {
+                return;
+            };
+            unlogged.remove(&oldest);
+            tracker.release(&oldest);
+        }
+    }
+
+    /// Proposes the verdicts that the log lacks. A proposal can fail, or be lost with the
+    /// entries of a term.
+    fn log_verdicts(&mut self) {
+        let now = self.now;
+        let unlogged = &self.quarantining.unlogged;
+        let due: Vec<(RequestFingerprint, u32)> = unlogged
+            .iter()
+            .filter(|(_, verdict)| verdict.is_proposal_due(now))
+            .map(|(id, verdict)| (*id, verdict.crashes))
+            .collect();
+        for (fingerprint, crashes) in due {
+            let command = Command::QuarantineRequest {
+                fingerprint,
+                crashes,
+            };
+            if self.propose_own(command).is_none() {
+                return;
+            }
+            if let Some(verdict) = self.quarantining.unlogged.get_mut(&fingerprint) {
+                verdict.proposed_at = Some(now);
+            }
         }
-        self.release_expired();
-        self.quarantining.update_list();
-        self.log_suspects();
     }
 
     /// Restores the previous leader's suspects from the log, once per term.
@@ -186,13 +274,10 @@
         self.quarantining.synced_index = index;
         let logged = &self.state.configuration.quarantine;
         let Quarantining {
-            tracker, proposed, ..
+            tracker, unlogged, ..
         } = &mut self.quarantining;
-        let now_logged = proposed.extract_if(.., |id| logged.contains_key(id));
-        // The entries are removed as the iterator is consumed.
-        let _count = now_logged.count();
         let is_released =
-            |id: &RequestFingerprint| !logged.contains_key(id) && !proposed.contains(id);
+            |id: &RequestFingerprint| !logged.contains_key(id) && !unlogged.contains_key(id);
         let to_release: Vec<RequestFingerprint> =
             tracker.refused().filter(|id| is_released(id)).collect();
         for fingerprint in to_release {
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -32,7 +32,7 @@
 /// How long a request is quarantined: by then its caller has given up, or an operator has
 /// looked at it. Afterwards it is served again, also if it was quarantined by mistake, and
 /// may again crash three engines.
-const QUARANTINE_DURATION: Millis = Millis::from_secs(4 * 3600);
+pub(crate) const QUARANTINE_DURATION: Millis = Millis::from_secs(4 * 3600);
 /// Maximum number of quarantined requests, about 30 bytes each; beyond it the one whose
 /// quarantine ends first is released.
 const MAX_QUARANTINED: usize = 1024;
--- a/components/control/tests/state/level.rs
+++ b/components/control/tests/state/level.rs
@@ -17,7 +17,7 @@
 const TICKET: u64 = 7;
 const CONNECTION: u64 = 3;
 
-fn put(version: u64) -> Command {
+pub fn put(version: u64) -> Command {
     Command::PutRoutes {
         table: Arc::new(RouteTable {
             version,
@@ -44,7 +44,7 @@
 }
 
 /// A leader whose log was started by a build of version 11.
-fn leader_after_version_11() -> Leader {
+pub fn leader_after_version_11() -> Leader {
     let entries = vec![encoded(put(1), EncodingVersion::V11)];
     let mut leader = Leader::elected_with_entries(Leader::settings(), entries);
     leader.persist();
@@ -52,7 +52,7 @@
     leader
 }
 
-fn answer_to(leader: &mut Leader, request: OperatorRequest) -> Option<OperatorAnswer> {
+pub fn answer_to(leader: &mut Leader, request: OperatorRequest) -> Option<OperatorAnswer> {
     let ticket = TICKET;
     leader
         .replica
@@ -65,7 +65,7 @@
     })
 }
 
-fn submit(leader: &mut Leader, command: Command) -> Option<OperatorAnswer> {
+pub fn submit(leader: &mut Leader, command: Command) -> Option<OperatorAnswer> {
     let envelope = CommandEnvelope::unnamed(command, Millis::ZERO);
     let wait = false;
     answer_to(leader, OperatorRequest::Command { envelope, wait })
--- a/components/control/tests/state/quarantine.rs
+++ b/components/control/tests/state/quarantine.rs
@@ -2,15 +2,17 @@
 
 use garnet_control::{
     Command, CommandEnvelope, Configuration, ControlReply, ControlState, Effect, Event,
-    GatewayRequest, OperatorRequest, WatchUpdate,
+    GatewayRequest, OperatorRequest, Session, UpgradeSettings, WatchUpdate,
 };
 use garnet_quarantine::{
     EndedRun, EngineStart, RequestFingerprint, RequestIdentity, RunEnd, RunReport,
     SuspectedRequest, Suspects,
 };
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, EncodingVersion, Millis, ServiceId, SessionId, TenantId};
+use rstest::rstest;
 
-use crate::leader::Leader;
+use crate::leader::{Leader, encoded};
+use crate::level::{answer_to, leader_after_version_11, put, submit};
 
 /// Time in which all gateways have reported a crash and the leader has acted on it.
 const SETTLE_TIME: Millis = Millis(500);
@@ -237,3 +239,154 @@
     leader.run(SETTLE_TIME);
     assert!(leader.replica.state().suspects.is_empty());
 }
+
+/// Connection of a gateway of version 11, which keeps the level there.
+const EARLIER_GATEWAY: u64 = 9;
+
+fn open_earlier_gateway(leader: &mut Leader) {
+    leader.handle_event(Event::GatewayOpened {
+        connection: EARLIER_GATEWAY,
+        version: EncodingVersion::V11,
+    });
+}
+
+fn close_earlier_gateway(leader: &mut Leader) {
+    leader.handle_event(Event::GatewayClosed {
+        connection: EARLIER_GATEWAY,
+    });
+}
+
+/// A leader of the present version with a log of version 11, while builds are replaced.
+fn leader_below_the_level() -> Leader {
+    let mut leader = leader_after_version_11();
+    open_earlier_gateway(&mut leader);
+    leader.run(Millis(500));
+    leader
+}
+
+/// Raises the level by an operator's request, as soon as the earlier gateway has been gone for
+/// long enough.
+fn raise_level(leader: &mut Leader) {
+    leader.run(UpgradeSettings::default().rollback_window + SETTLE_TIME);
+    answer_to(leader, OperatorRequest::RaiseLevel);
+    leader.run(SETTLE_TIME);
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+}
+
+fn report_three_crashes(leader: &mut Leader) {
+    let runs = ["e1", "e2", "e3"].map(|engine| run("bad", engine));
+    send_runs(leader, 1, runs.to_vec());
+}
+
+fn refused(leader: &mut Leader, gateway: &str, connection: u64) -> Vec<RequestFingerprint> {
+    let (_, suspects) = watch(leader, gateway, connection);
+    suspects.map_or(Vec::new(), |suspects| suspects.refused)
+}
+
+fn is_in_log(leader: &Leader) -> bool {
+    let quarantine = &leader.replica.state().configuration.quarantine;
+    quarantine.contains_key(&request("bad"))
+}
+
+/// A build that is replaced process by process: the log can't hold a verdict yet, but gateways
+/// can be sent one.
+#[test]
+fn below_the_level_three_crashes_refuse_a_request() {
+    let mut leader = leader_below_the_level();
+    report_three_crashes(&mut leader);
+    leader.run(SETTLE_TIME);
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    assert_eq!(refused(&mut leader, "g1", 1), [request("bad")]);
+}
+
+#[test]
+fn below_the_level_two_crashes_make_a_request_suspected() {
+    let mut leader = leader_below_the_level();
+    send_runs(&mut leader, 1, vec![run("bad", "e1"), run("bad", "e2")]);
+    leader.run(SETTLE_TIME);
+    let suspects = watch(&mut leader, "g1", 1).1.expect("a list");
+    assert_eq!(suspects.suspected, [request("bad")]);
+}
+
+#[test]
+fn a_verdict_from_below_the_level_reaches_the_log_when_the_level_rises() {
+    let mut leader = leader_after_version_11();
+    leader.run(Millis(500));
+    report_three_crashes(&mut leader);
+    leader.run(SETTLE_TIME);
+    assert!(!is_in_log(&leader));
+    raise_level(&mut leader);
+    let quarantine = &leader.replica.state().configuration.quarantine;
+    let record = quarantine.get(&request("bad")).expect("in the log");
+    assert_eq!(record.crashes, 3);
+    assert!(record.until > leader.now + Millis::from_secs(3 * 3600));
+}
+
+/// The crashes are older than their lifetime when the level rises; the verdict is not.
+#[rstest]
+#[case::short_roll(Millis::from_secs(5))]
+#[case::long_roll(Millis::from_secs(1000))]
+fn a_verdict_outlives_a_roll_longer_than_the_lifetime_of_a_crash(#[case] roll: Millis) {
+    let mut leader = leader_below_the_level();
+    report_three_crashes(&mut leader);
+    leader.run(roll);
+    close_earlier_gateway(&mut leader);
+    let window = UpgradeSettings::default().rollback_window;
+    leader.run(window + window + SETTLE_TIME);
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+    assert!(is_in_log(&leader));
+}
+
+/// A roll may be halted for longer than a quarantine lasts.
+#[test]
+fn below_the_level_a_verdict_has_an_end() {
+    let mut leader = leader_below_the_level();
+    report_three_crashes(&mut leader);
+    leader.run(SETTLE_TIME);
+    assert_eq!(refused(&mut leader, "g1", 1), [request("bad")]);
+    leader.run(Millis::from_secs(4 * 3600));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    assert_eq!(refused(&mut leader, "g1", 1), []);
+}
+
+/// A log that does not show its version yet: the leader decides, and learns from the refused
+/// proposal that the log is of version 11.
+#[test]
+fn a_verdict_that_could_not_be_proposed_is_proposed_again() {
+    let session = Session {
+        id: SessionId::new("session-1"),
+        tenant: TenantId::new("one"),
+        service: ServiceId::new("chat"),
+        model: None,
+    };
+    let entry = encoded(Command::CreateSession(session), EncodingVersion::V11);
+    let mut leader = Leader::elected_with_entries(Leader::settings(), vec![entry]);
+    leader.persist();
+    open_earlier_gateway(&mut leader);
+    assert_eq!(leader.replica.level(), None);
+    report_three_crashes(&mut leader);
+    // Without a pause the suspect is proposed first, which shows the version.
+    leader.now = leader.now + Millis(400);
+    leader.run(Millis(50));
+    assert_eq!(refused(&mut leader, "g1", 1), [request("bad")]);
+    submit(&mut leader, put(1));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    close_earlier_gateway(&mut leader);
+    raise_level(&mut leader);
+    assert!(is_in_log(&leader), "refused in memory only");
+}
+
+/// Longest time from a report until all gateways may ask for the verdict: the delay of reports
+/// and one interval of the leader's periodic work.
+const VERDICT_TIME: Millis = Millis(450);
+
+#[test]
+fn below_the_level_a_new_leader_refuses_a_request_that_is_reported_again() {
+    for _leader in 0..2 {
+        let mut leader = leader_below_the_level();
+        assert_eq!(refused(&mut leader, "g1", 1), []);
+        report_three_crashes(&mut leader);
+        leader.run(VERDICT_TIME);
+        assert_eq!(refused(&mut leader, "g1", 1), [request("bad")]);
+    }
+}
--- a/components/gateway/tests/core/crashes.rs
+++ b/components/gateway/tests/core/crashes.rs
@@ -134,3 +134,28 @@
     harness.wait(Millis(500));
     assert_eq!(reports(&mut harness).len(), 1);
 }
+
+/// While the log can't hold a verdict, a new leader has none until gateways have reported
+/// their crashes again; a request sent in between ends one more engine.
+#[test]
+fn a_refused_request_stays_refused_until_a_new_leader_has_all_reports() {
+    let mut harness = Harness::ready();
+    let refused = vec![fingerprint_of_one_crash(&mut harness)];
+    let _second_attempt = harness.dispatches();
+    send_suspects(
+        &mut harness,
+        Suspects {
+            refused,
+            suspected: Vec::new(),
+        },
+    );
+    harness.event(Event::Control(ControlReply::NotLeader {
+        leader: None,
+        last_known: None,
+    }));
+    send_suspects(&mut harness, Suspects::default());
+    harness.event(completion(2, None));
+    let dispatched = harness.dispatches();
+    assert!(dispatched.is_empty(), "{dispatched:?}");
+    assert_eq!(harness.refusal().code, OutcomeCode::Quarantined);
+}
