Control: the level rises one rollback window after the last earlier gateway

What callers saw: after a roll the log stays at version 11 for twice the stated 600 s if one leader saw the last earlier gateway go. Verdicts, usage and orders that the log can't hold wait as long.

Cause: has_earlier_gateways() holds for one window after the last connection closed, and only then did ready_since begin a second one.

Change: ready_since begins when the last earlier gateway has closed its connection. A raise on request waits for one window as before.

--- a/components/control/src/replica/level.rs
+++ b/components/control/src/replica/level.rs
@@ -44,7 +44,7 @@
     earlier_gateway_names: BTreeMap<GatewayId, EncodingVersion>,
     /// When the last connection of a gateway of an earlier version closed.
     earlier_gateway_closed_at: Option<Millis>,
-    /// Since when every process has supported a higher level.
+    /// Since when every connected process has supported a higher level.
     ready_since: Option<Millis>,
     /// Whether a requested change needs a higher level.
     is_level_requested: bool,
@@ -193,13 +193,15 @@
         if level >= self.version() || is_proposed {
             return;
         }
-        if !self.all_support_own_version() {
+        let is_ready =
+            self.unconfirmed_members().is_empty() && self.versions.earlier_gateways.is_empty();
+        if !is_ready {
             self.versions.ready_since = None;
             return;
         }
         let since = *self.versions.ready_since.get_or_insert(self.now);
         let is_due = self.now.since(since) >= self.settings.upgrade.rollback_window;
-        if is_due || self.versions.is_level_requested {
+        if is_due || (self.versions.is_level_requested && !self.has_earlier_gateways()) {
             self.raise_level();
         }
     }
--- a/components/control/tests/state/level.rs
+++ b/components/control/tests/state/level.rs
@@ -196,6 +196,21 @@
     );
 }
 
+/// The window after the last gateway of an earlier build is the rollback window; a second one
+/// after it only prolongs the time in which the log can't hold what the build knows.
+#[test]
+fn the_level_rises_one_rollback_window_after_the_last_earlier_gateway() {
+    let mut leader = leader_after_version_11();
+    open_gateway(&mut leader, EncodingVersion::V11);
+    advance(&mut leader, Millis::from_secs(5));
+    leader.handle_event(Event::GatewayClosed {
+        connection: CONNECTION,
+    });
+    let window = UpgradeSettings::default().rollback_window;
+    advance(&mut leader, window + Millis::from_secs(2));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+}
+
 #[test]
 fn an_operator_raises_the_level_at_once() {
     let mut leader = leader_after_version_11();
