--- a/components/control/tests/state/limits.rs
+++ b/components/control/tests/state/limits.rs
@@ -2,9 +2,10 @@
 
 use garnet_control::{ControlReply, Event, GatewayRequest, LimitUpdate, MachineEntry};
 use garnet_limits::{LimitReport, LimitReports, PermitOutcome, PermitRequest};
-use garnet_types::{BackendId, GatewayId, MachineState, Millis};
+use garnet_types::{BackendId, EncodingVersion, GatewayId, MachineState, Millis};
 
 use crate::leader::Leader;
+use crate::level::leader_after_version_11;
 use crate::machine_list::{entry, leader, list};
 
 /// A leader of engines 1 to 3, each with its number as its start.
@@ -168,3 +169,26 @@
     let allowed = 4 * 600 * 50 + 16 * 1024;
     assert!(bytes <= allowed, "{bytes} of {allowed} in 30 s");
 }
+
+/// Limits and permits are not in the log, so a log of version 11 does not hinder them.
+#[test]
+fn limits_and_permits_apply_below_the_level() {
+    let mut leader = leader_after_version_11();
+    leader.handle_event(Event::Machines(list(4)));
+    leader.run(Millis(500));
+    send_report(&mut leader, "g1", 1, 1, 1, Some("10"));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+    assert_eq!(listed(watch(&mut leader, "g2", 2)).len(), 1);
+    leader.run(Millis(500));
+    assert!(is_granted(&mut leader, 1));
+}
+
+/// A log of version 11 holds the starts of engines, if not those of applications.
+#[test]
+fn a_limit_of_an_earlier_start_is_not_taken_below_the_level() {
+    let mut leader = leader_after_version_11();
+    leader.handle_event(Event::Machines(list(4)));
+    leader.run(Millis(500));
+    send_report(&mut leader, "g1", 1, 1, 77, Some("1"));
+    assert_eq!(leader.replica.limited_backends(), 0);
+}
