Simulator: a gateway of version 11 records no crashes

The simulated gateway of version 11 was the current one with the messages of version 11, and refused a request after three crashes of its own. Production's build records nothing of a request whose run broke off: no code of its components or of platform/src does, and the caller's next attempt starts from nothing. The simulator understated what such processes do.

--- a/components/gateway/src/gateway/quarantine.rs
+++ b/components/gateway/src/gateway/quarantine.rs
@@ -54,6 +54,9 @@
 
     /// Records that the connection to a back end broke before the answer was complete.
     pub(crate) fn record_crash(&mut self, id: RequestId, backend: &BackendId) {
+        if !self.settings.records_crashes {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else {
             return;
         };
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -27,6 +27,9 @@
     pub application_concurrency: usize,
     /// Settings of admission control.
     pub admission: AdmissionSettings,
+    /// Whether the gateway records the runs during which an engine crashed. Simulations run
+    /// gateways of earlier builds, which do not.
+    pub records_crashes: bool,
 }
 
 impl GatewaySettings {
@@ -43,6 +46,7 @@
             waiting_capacity: 1024,
             application_concurrency: 64,
             admission: AdmissionSettings::default(),
+            records_crashes: true,
         }
     }
 }
--- a/components/simulator/src/gateway_host.rs
+++ b/components/simulator/src/gateway_host.rs
@@ -53,6 +53,7 @@
         let id = GatewayId::new(format!("gateway-{}.{}", self.place, self.starts));
         self.gateway = Some(Gateway::new(GatewaySettings {
             highest_index: self.persisted_index,
+            records_crashes: self.version > EncodingVersion::V11,
             ..GatewaySettings::new(id, self.seed + self.starts)
         }));
         self.draining = false;
