Quarantine: gateways before an earlier leader report to another replica

What callers saw: a gateway of this build before a leader of version 11 refuses a request only after three crashes that it saw itself. Each gateway, and each of its restarts, ends three engines more.

Cause: version 11 has neither run reports nor suspects, so nobody adds up the crashes. By force: three gateways before a leader of version 11 let nine crashes pass.

Change, without a new encoding: - While its leader is of a version without reports, a gateway reports to the first replica of this build that it reaches, on a connection of its own that begins with an empty report. The replica decides as a leader does, and answers with its suspects. On any other connection it names the leader, as before. A replica that begins to lead keeps its verdicts. - Where no replica has confirmed a run in 1 s, two crashes of its own suffice for a gateway, unless another request was at both.

Simulator: the same connections, and a second check, ReportedCrashesAreBounded: after three crashes that living gateways of this build saw, such gateways send the request at most three times more in touch, as CrashesAreBounded counts.

Tests: a_replica_that_does_not_lead_refuses_what_is_reported_to_it (answered NotLeader before), a_report_on_another_connection_is_referred_to_the_leader, another_replica_gets_the_reports_while_the_leader_takes_none, fewer_crashes_suffice_while_no_replica_takes_reports and three beside it.

--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -138,7 +138,9 @@
     Claim(ClaimRequest),
     /// Counts of requests that began to run, by tenant.
     Usage(UsageReport),
-    /// Runs during which the engine ended, and the outcome of such requests.
+    /// Runs during which the engine ended, and the outcome of such requests. On a connection
+    /// whose first request is an empty report, a replica that does not lead answers too; see
+    /// `docs/design/quarantine.md`.
     Runs(RunReport),
     /// Asks for a part of the full configuration.
     Part(PartRequest),
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -19,7 +19,8 @@
     pub(super) fn handle_gateway(&mut self, connection: u64, request: GatewayRequest) {
         // The lease is checked with the clock read for this very event, so that a leader
         // that was paused does not answer for the group.
-        if !self.may_answer_reads() {
+        let takes_report = self.takes_report_without_leading(connection, &request);
+        if !self.may_answer_reads() && !takes_report {
             let last_known = self.last_known_for(&request);
             self.refer_to_leader(connection, last_known);
             return;
@@ -72,9 +73,7 @@
                     .push(Effect::ReplyGateway { connection, reply });
             }
             GatewayRequest::Runs(report) => {
-                let reply = self.handle_run_report(&report);
-                self.effects
-                    .push(Effect::ReplyGateway { connection, reply });
+                self.handle_run_report(connection, &report);
             }
         }
     }
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -10,7 +10,6 @@
 use crate::watch::SentUpdates;
 
 use super::limiting::Limiting;
-use super::quarantining::Quarantining;
 use super::{DutyState, Replica, Requester};
 
 impl Replica {
@@ -32,7 +31,7 @@
             self.join_requests.clear();
             self.fleet_load.clear();
             self.copies.clear();
-            self.quarantining = Quarantining::default();
+            self.quarantining.begin_term();
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -343,7 +343,10 @@
                 connection,
                 version,
             } => self.on_gateway_opened(connection, version),
-            Event::GatewayClosed { connection } => self.on_gateway_closed(connection),
+            Event::GatewayClosed { connection } => {
+                self.on_gateway_closed(connection);
+                self.quarantining.on_connection_closed(connection);
+            }
         }
         self.update_leadership();
     }
@@ -406,6 +409,9 @@
             self.prune_gateway_names();
             self.sent_updates.forget(self.now);
         }
+        if !leads {
+            self.quarantine_without_leading();
+        }
         self.process_removals();
         self.answer_waiters();
     }
--- a/components/control/src/replica/quarantining.rs
+++ b/components/control/src/replica/quarantining.rs
@@ -5,14 +5,16 @@
 //! take it: neither a slow disk nor a log of version 11 delays one. What the log holds outlives
 //! the leader.
 
+mod report_connections;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use garnet_quarantine::{CrashTracker, RequestFingerprint, RunReport, SuspectedRequest, Suspects};
+use garnet_quarantine::{CrashTracker, RequestFingerprint, SuspectedRequest, Suspects};
 use garnet_types::{GatewayId, Millis};
 
 use crate::command::Command;
 use crate::effects::Effect;
-use crate::messages::{ControlReply, Evidence};
+use crate::messages::Evidence;
 use crate::state::QUARANTINE_DURATION;
 
 use super::Replica;
@@ -42,6 +44,10 @@
     /// Number of the list, which rises with each change.
     number: u64,
     sent: BTreeMap<GatewayId, SentList>,
+    /// The lists that were last sent on report connections.
+    report_connections: BTreeMap<u64, Option<SentList>>,
+    /// When verdicts were last decided while not leading.
+    decided_at: Millis,
     /// Log index of the configuration with which the tracker was last synchronized.
     synced_index: u64,
     /// Whether the previous leader's suspects were restored from the log.
@@ -75,6 +81,23 @@
 }
 
 impl Quarantining {
+    /// Starts a term as the leader. Gateways report their runs again, so that only verdicts are
+    /// kept.
+    pub(super) fn begin_term(&mut self) {
+        let previous = std::mem::take(self);
+        self.number = previous.number + 1;
+        self.report_connections = previous.report_connections;
+        for (fingerprint, verdict) in previous.unlogged {
+            self.tracker.refuse(fingerprint);
+            let proposed_at = None;
+            let verdict = UnloggedVerdict {
+                proposed_at,
+                ..verdict
+            };
+            self.unlogged.insert(fingerprint, verdict);
+        }
+    }
+
     /// The list for a gateway, unless it is known to have it.
     pub(super) fn suspects_for(
         &mut self,
@@ -121,14 +144,6 @@
 }
 
 impl Replica {
-    /// Applies a gateway's report of runs that ended with their engine.
-    pub(super) fn handle_run_report(&mut self, report: &RunReport) -> ControlReply {
-        self.quarantining.tracker.apply_report(report, self.now);
-        ControlReply::RunsNoted {
-            through: report.through,
-        }
-    }
-
     /// Records which back ends answered requests.
     pub(super) fn record_answering_backends(&mut self, evidence: &[Evidence]) {
         for evidence in evidence.iter().filter(|evidence| evidence.answered > 0) {
--- a/components/control/tests/state/quarantine.rs
+++ b/components/control/tests/state/quarantine.rs
@@ -390,3 +390,61 @@
         assert_eq!(refused(&mut leader, "g1", 1), [request("bad")]);
     }
 }
+
+/// A replica that does not lead, with a gateway's report connection.
+fn follower() -> Leader {
+    let mut follower = Leader::restarted(Leader::settings(), Vec::new(), 0);
+    send_report(&mut follower, REPORT_CONNECTION, Vec::new());
+    follower
+}
+
+const REPORT_CONNECTION: u64 = 21;
+
+fn send_report(replica: &mut Leader, connection: u64, runs: Vec<EndedRun>) -> Vec<ControlReply> {
+    let report = RunReport { runs, through: 7 };
+    replica.replies(connection, GatewayRequest::Runs(report))
+}
+
+fn refused_in(replies: &[ControlReply]) -> Vec<RequestFingerprint> {
+    let suspects = replies.iter().find_map(|reply| match reply {
+        ControlReply::Watch { suspects, .. } => suspects.clone(),
+        _ => None,
+    });
+    suspects.map_or(Vec::new(), |suspects| suspects.refused)
+}
+
+fn is_referred_to_leader(replies: &[ControlReply]) -> bool {
+    matches!(replies, [ControlReply::NotLeader { .. }])
+}
+
+/// While the leader is of a version without reports, a replica of this build adds up the crashes
+/// that the gateways saw.
+#[test]
+fn a_replica_that_does_not_lead_refuses_what_is_reported_to_it() {
+    let mut follower = follower();
+    let other_gateway = REPORT_CONNECTION + 1;
+    send_report(&mut follower, other_gateway, Vec::new());
+    send_report(&mut follower, other_gateway, vec![run("bad", "e1")]);
+    let runs = vec![run("bad", "e2"), run("bad", "e3")];
+    let replies = send_report(&mut follower, REPORT_CONNECTION, runs);
+    assert!(replies.contains(&ControlReply::RunsNoted { through: 7 }));
+    follower.run(SETTLE_TIME);
+    for connection in [REPORT_CONNECTION, other_gateway] {
+        let replies = send_report(&mut follower, connection, Vec::new());
+        assert_eq!(refused_in(&replies), [request("bad")]);
+    }
+}
+
+/// A gateway that takes this replica for the leader must be told that it is not.
+#[test]
+fn a_report_on_another_connection_is_referred_to_the_leader() {
+    let mut follower = follower();
+    let watch = follower.watch_request("g1", 0);
+    assert!(is_referred_to_leader(&follower.replies(1, watch)));
+    let replies = send_report(&mut follower, 1, vec![run("bad", "e1")]);
+    assert!(is_referred_to_leader(&replies));
+    let connection = REPORT_CONNECTION;
+    follower.handle_event(Event::GatewayClosed { connection });
+    let replies = send_report(&mut follower, connection, vec![run("bad", "e1")]);
+    assert!(is_referred_to_leader(&replies));
+}
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -3,7 +3,9 @@
 use garnet_control::{ControlReply, GatewayRequest};
 use garnet_limits::RequestRate;
 use garnet_routing::{LoadReport, RetryAfter};
-use garnet_types::{BackendId, Class, Millis, ModelId, RecordedResponse, RequestId};
+use garnet_types::{
+    BackendId, Class, EncodingVersion, Millis, ModelId, RecordedResponse, RequestId,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Answer, Call};
@@ -118,6 +120,13 @@
     Attempt(AttemptId, AttemptEvent),
     /// A control replica replied.
     Control(ControlReply),
+    /// A connection to a replica that may lead is open; it uses this version.
+    LeaderConnected(EncodingVersion),
+    /// A report connection is open, to a replica that may not have any of the runs; see
+    /// [`Gateway::next_run_report`](crate::Gateway::next_run_report).
+    ReportConnected,
+    /// A replica replied on the report connection.
+    ReportReply(ControlReply),
     /// An engine reported its load.
     Load(BackendId, LoadReport),
     /// This configuration index is now the highest on disk.
--- a/components/gateway/src/gateway/mod.rs
+++ b/components/gateway/src/gateway/mod.rs
@@ -133,6 +133,9 @@
             Event::CallerDisconnected(request) => self.on_caller_disconnected(request),
             Event::Attempt(attempt, event) => self.handle_attempt(attempt, event),
             Event::Control(reply) => self.handle_control(reply),
+            Event::LeaderConnected(version) => self.on_leader_connected(version),
+            Event::ReportConnected => self.crash_log.on_leader_change(self.now),
+            Event::ReportReply(reply) => self.handle_report_reply(reply),
             Event::Load(backend, report) => {
                 if self.incarnation_of(&backend) < report.incarnation {
                     // A restarted back end has not reported a limit yet.
--- a/components/gateway/src/gateway/quarantine.rs
+++ b/components/gateway/src/gateway/quarantine.rs
@@ -1,10 +1,10 @@
 //! Requests that crash engines: reports crashes to the leader and refuses quarantined requests.
 
-use garnet_control::{BackendRecord, GatewayRequest};
+use garnet_control::{BackendRecord, ControlReply, GatewayRequest};
 use garnet_quarantine::{
-    EngineStart, QuarantineStatus, RequestFingerprint, Suspects, isolation_backend,
+    EngineStart, QuarantineStatus, RequestFingerprint, RunReport, Suspects, isolation_backend,
 };
-use garnet_types::{BackendId, Millis, OutcomeCode, Refusal, RequestId};
+use garnet_types::{BackendId, EncodingVersion, Millis, OutcomeCode, Refusal, RequestId};
 
 use crate::backends::BackendRef;
 use crate::effects::Effect;
@@ -21,11 +21,44 @@
 impl Gateway {
     /// Reports requests to the leader whose engine crashed while running them.
     pub(super) fn send_run_report(&mut self) {
+        self.crash_log.update(self.now);
+        if self.crash_log.uses_report_connection() {
+            return;
+        }
         if let Some(report) = self.crash_log.report(self.now) {
             self.emit(Effect::SendControl(GatewayRequest::Runs(report)));
         }
     }
 
+    /// The report for another replica, or `None` while the leader takes the reports. It is
+    /// empty if there is nothing to report.
+    pub fn next_run_report(&mut self, now: Millis) -> Option<RunReport> {
+        self.now = self.now.max(now);
+        let report = self.crash_log.report(self.now).unwrap_or_default();
+        self.crash_log.uses_report_connection().then_some(report)
+    }
+
+    /// Handles a reply to such a report. Only the leader's replies say what is in force, so that
+    /// the rest of a watch answer is ignored.
+    pub(super) fn handle_report_reply(&mut self, reply: ControlReply) {
+        // A late reply must not confirm runs that the leader does not have.
+        if !self.crash_log.uses_report_connection() {
+            return;
+        }
+        match reply {
+            ControlReply::RunsNoted { through } => self.on_runs_acknowledged(through),
+            ControlReply::Watch { suspects, .. } => self.on_suspects(suspects),
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_leader_connected(&mut self, version: EncodingVersion) {
+        let uses_report_connection = version < EncodingVersion::V16;
+        self.crash_log
+            .set_uses_report_connection(uses_report_connection);
+        self.on_leader_contact(Millis::NEVER);
+    }
+
     /// Handles a reply of a control replica. `silence` is the time since the previous answer of
     /// the leader, or [`Millis::NEVER`] if the replica isn't the leader. After a long silence the
     /// leader may have changed, so all reports are sent again.
--- a/components/gateway/tests/core/crashes.rs
+++ b/components/gateway/tests/core/crashes.rs
@@ -5,7 +5,7 @@
 };
 use garnet_gateway::{AttemptEvent, Effect, Event};
 use garnet_quarantine::{RequestFingerprint, RunEnd, RunReport, Suspects};
-use garnet_types::{Execution, Millis, OutcomeCode};
+use garnet_types::{EncodingVersion, Execution, Millis, OutcomeCode};
 
 use crate::harness::{Harness, completion, configuration, order};
 
@@ -159,3 +159,48 @@
     assert!(dispatched.is_empty(), "{dispatched:?}");
     assert_eq!(harness.refusal().code, OutcomeCode::Quarantined);
 }
+
+/// The answer of a replica that does not lead. Only its suspects count.
+fn report_answer(refused: Vec<RequestFingerprint>) -> ControlReply {
+    ControlReply::Watch {
+        sent_at: Millis::ZERO,
+        update: WatchUpdate::Current,
+        group: None,
+        gateways: 0,
+        digest: None,
+        copies: CopyUpdates::default(),
+        suspects: Some(Suspects {
+            refused,
+            suspected: Vec::new(),
+        }),
+    }
+}
+
+/// A leader of version 11 takes no reports, so that the crashes of each gateway would be known
+/// to itself alone.
+#[test]
+fn another_replica_gets_the_reports_while_the_leader_takes_none() {
+    let mut harness = Harness::ready();
+    harness.event(Event::LeaderConnected(EncodingVersion::V11));
+    harness.event(completion(1, None));
+    let attempt = harness.dispatch().attempt;
+    harness.attempt(attempt, AttemptEvent::Broken);
+    let _second_attempt = harness.dispatches();
+    assert!(reports(&mut harness).is_empty());
+    harness.event(Event::ReportConnected);
+    let now = harness.now;
+    let report = harness.gateway.next_run_report(now).expect("a report");
+    assert_eq!(report.runs.len(), 1);
+    let through = report.through;
+    harness.event(Event::ReportReply(ControlReply::RunsNoted { through }));
+    let empty = harness.gateway.next_run_report(now).expect("a report");
+    assert!(empty.runs.is_empty());
+    let refused = vec![report.runs[0].fingerprint];
+    harness.event(Event::ReportReply(report_answer(refused)));
+    harness.event(completion(2, None));
+    assert_eq!(harness.refusal().code, OutcomeCode::Quarantined);
+    harness.event(Event::LeaderConnected(EncodingVersion::CURRENT));
+    assert_eq!(harness.gateway.next_run_report(now), None);
+    harness.wait(Millis(500));
+    assert_eq!(reports(&mut harness).len(), 1, "all runs again");
+}
--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -41,8 +41,9 @@
     pub ago: Millis,
 }
 
-/// A gateway's report to the leader.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// A gateway's report to the leader, or to another replica while the leader is of a version
+/// without reports. An empty report asks for the suspects.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
     /// The ended runs, oldest first.
     pub runs: Vec<EndedRun>,
--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -2,7 +2,8 @@
 //! leader published.
 //!
 //! Invariant: every recorded run is reported to the leader until the leader confirms it, and
-//! reported again to each new leader, which starts without any.
+//! reported again to each new leader, which starts without any. While the leader is of a version
+//! without reports, another replica receives them in its place.
 
 use std::collections::{BTreeSet, VecDeque};
 
@@ -16,6 +17,12 @@
 const MAX_ENTRIES: usize = 512;
 /// Maximum number of runs in one report, some 40 bytes each.
 const MAX_RUNS_PER_REPORT: usize = 128;
+/// Number of crashes after which this gateway refuses a request by itself while no replica adds
+/// up the crashes of all gateways: each of them would otherwise have to see
+/// [`CRASH_THRESHOLD`] of them.
+const UNCONFIRMED_CRASH_THRESHOLD: usize = 2;
+/// Time in which a replica confirms a run, if there is one that takes reports.
+const CONFIRMATION_TIMEOUT: Millis = Millis::from_secs(1);
 /// How long a crash counts. A request that arrives less often than this causes less than one
 /// crash in this time.
 pub(crate) const CRASH_LIFETIME: Millis = Millis::from_secs(900);
@@ -50,6 +57,12 @@
     entries: VecDeque<Entry>,
     last_number: u64,
     confirmed: u64,
+    /// When a replica last confirmed runs, or one was connected that may do so.
+    confirmed_at: Millis,
+    /// Whether the leader is of a version without reports, so that they are sent to another
+    /// replica.
+    uses_report_connection: bool,
+    now: Millis,
     leader_suspects: Suspects,
     /// The list of the previous leader, which counts until the new one has caught up.
     previous_suspects: Suspects,
@@ -82,6 +95,7 @@
     }
 
     fn record(&mut self, fingerprint: RequestFingerprint, end: RunEnd, now: Millis) {
+        self.update(now);
         self.last_number += 1;
         self.entries.push_back(Entry {
             number: self.last_number,
@@ -115,13 +129,18 @@
 
     /// Whether the runs recorded here suffice to refuse a request without the leader: no other
     /// request was running during every one of these crashes, or there was one crash more than
-    /// the threshold.
+    /// [`CRASH_THRESHOLD`].
     fn is_certain_cause(
         &self,
         fingerprint: RequestFingerprint,
         engines: &BTreeSet<&EngineStart>,
     ) -> bool {
-        if engines.len() < CRASH_THRESHOLD {
+        let threshold = if self.is_unconfirmed() {
+            UNCONFIRMED_CRASH_THRESHOLD
+        } else {
+            CRASH_THRESHOLD
+        };
+        if engines.len() < threshold {
             return false;
         }
         let other_requests: BTreeSet<RequestFingerprint> = self
@@ -135,6 +154,16 @@
         engines.len() > CRASH_THRESHOLD || !other_requests.iter().any(crashed_at_all)
     }
 
+    /// Whether no replica takes the reports: the leader is of a version without them, and no other
+    /// replica has confirmed a run in time.
+    fn is_unconfirmed(&self) -> bool {
+        let is_overdue = |entry: &Entry| {
+            let reported_at = entry.recorded_at.max(self.confirmed_at);
+            entry.number > self.confirmed && self.now.since(reported_at) >= CONFIRMATION_TIMEOUT
+        };
+        self.uses_report_connection && self.entries.iter().any(is_overdue)
+    }
+
     /// Engine starts that crashed during runs of a request, as recorded here.
     fn engines_of(&self, fingerprint: RequestFingerprint) -> BTreeSet<&EngineStart> {
         let entries = self.entries.iter();
@@ -155,7 +184,7 @@
 
     /// The runs that the leader has not confirmed, oldest first.
     pub fn report(&mut self, now: Millis) -> Option<RunReport> {
-        self.forget_old(now);
+        self.update(now);
         let unconfirmed = self
             .entries
             .iter()
@@ -173,19 +202,33 @@
         })
     }
 
-    /// Records that the leader has all runs up to number `through`.
+    /// Records that the receiver of the reports has all runs up to number `through`.
     pub fn confirmed(&mut self, through: u64) {
         self.confirmed = self.confirmed.max(through);
+        self.confirmed_at = self.now;
+    }
+
+    /// Sets whether reports are sent to a replica other than the leader, which is of a version
+    /// without them.
+    pub fn set_uses_report_connection(&mut self, uses_report_connection: bool) {
+        self.uses_report_connection = uses_report_connection;
+    }
+
+    /// Whether reports are sent to a replica other than the leader.
+    pub fn uses_report_connection(&self) -> bool {
+        self.uses_report_connection
     }
 
-    /// Handles a possible change of the leader. A new leader has none of the runs, and its first
-    /// list lacks verdicts that the log does not hold.
+    /// Handles a possible change of the leader, or of the replica that receives the reports in its
+    /// place. A new one has none of the runs, and its first list lacks verdicts that the log does
+    /// not hold.
     pub fn on_leader_change(&mut self, now: Millis) {
         self.confirmed = 0;
+        self.confirmed_at = now;
         if !self.leader_suspects.is_empty() {
             self.previous_suspects = self.leader_suspects.clone();
+            self.previous_until = now + LEADER_CATCH_UP_TIME;
         }
-        self.previous_until = now + LEADER_CATCH_UP_TIME;
     }
 
     /// Sets the requests that the configuration refuses. The recorded runs of a request that it no
@@ -206,7 +249,9 @@
         self.leader_suspects = suspects;
     }
 
-    fn forget_old(&mut self, now: Millis) {
+    /// Forgets what no longer counts.
+    pub fn update(&mut self, now: Millis) {
+        self.now = self.now.max(now);
         let is_old = |entry: &Entry| now.since(entry.recorded_at) > CRASH_LIFETIME;
         while self.entries.front().is_some_and(is_old) {
             self.entries.pop_front();
--- a/components/quarantine/tests/crashes/log.rs
+++ b/components/quarantine/tests/crashes/log.rs
@@ -124,6 +124,65 @@
     assert_eq!(log.status(request("bad")), QuarantineStatus::Refused);
 }
 
+/// A leader of version 11 takes no reports: while no other replica does either, each gateway
+/// has only its own crashes.
+#[test]
+fn fewer_crashes_suffice_while_no_replica_takes_reports() {
+    let mut log = with_crashes(2);
+    log.on_leader_change(NOW);
+    log.set_uses_report_connection(true);
+    log.update(NOW + Millis(999));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Suspected);
+    log.update(NOW + Millis(1000));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Refused);
+    let through = log.report(NOW + Millis(1000)).expect("a report").through;
+    log.confirmed(through);
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Suspected);
+}
+
+#[test]
+fn a_replica_has_time_to_confirm_runs_that_are_reported_again() {
+    let mut log = with_crashes(2);
+    log.set_uses_report_connection(true);
+    let later = NOW + Millis::from_secs(60);
+    log.on_leader_change(later);
+    log.update(later + Millis(999));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Suspected);
+    log.set_uses_report_connection(false);
+    log.update(later + Millis(1000));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Suspected);
+}
+
+/// Connections to another replica than the first one are replaced every few seconds.
+#[test]
+fn a_previous_list_ends_although_receivers_keep_changing() {
+    let mut log = CrashLog::default();
+    log.update_suspects(Suspects {
+        suspected: Vec::new(),
+        refused: vec![request("bad")],
+    });
+    for second in 0..5 {
+        let now = NOW + Millis::from_secs(second);
+        log.on_leader_change(now);
+        log.update_suspects(Suspects::default());
+        log.update(now);
+    }
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Clear);
+}
+
+#[test]
+fn a_request_beside_another_is_not_refused_while_no_replica_takes_reports() {
+    let mut log = with_crashes(2);
+    for number in 0..2 {
+        log.crashed(request("beside"), engine(&format!("e{number}")), NOW);
+    }
+    log.on_leader_change(NOW);
+    log.set_uses_report_connection(true);
+    log.update(NOW + Millis(1000));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Suspected);
+    assert_eq!(log.status(request("beside")), QuarantineStatus::Suspected);
+}
+
 #[test]
 fn many_runs_are_reported_in_batches() {
     let mut log = CrashLog::default();
--- a/components/simulator/src/checker.rs
+++ b/components/simulator/src/checker.rs
@@ -42,6 +42,9 @@
     OneLease,
     /// A request that crashes engines is sent to few of them.
     CrashesAreBounded,
+    /// While builds are replaced, gateways of the current build stop a request whose crashes
+    /// they can report.
+    ReportedCrashesAreBounded,
     /// All gateways together send a back end no more than its limit.
     LimitsAreKept,
     /// A gateway sends a back end nothing in a backoff that it requested.
@@ -54,7 +57,7 @@
 
 impl Invariant {
     /// Every rule.
-    pub const ALL: [Invariant; 20] = [
+    pub const ALL: [Invariant; 21] = [
         Invariant::OneOrderAtATime,
         Invariant::OneChangeInAPool,
         Invariant::PlannedChangeCutsNothing,
@@ -71,6 +74,7 @@
         Invariant::SameStateAtSameIndex,
         Invariant::OneLease,
         Invariant::CrashesAreBounded,
+        Invariant::ReportedCrashesAreBounded,
         Invariant::LimitsAreKept,
         Invariant::BackoffsAreKept,
         Invariant::DrainingGetsNoWork,
--- a/components/simulator/src/control_host.rs
+++ b/components/simulator/src/control_host.rs
@@ -29,6 +29,7 @@
     pub(crate) version: EncodingVersion,
     /// Saves of the disk until a planned crash, if one is planned.
     pub(crate) crash_after: Option<u32>,
+    starts: u64,
 }
 
 /// The group as it begins.
@@ -60,6 +61,7 @@
             planner,
             version: EncodingVersion::CURRENT,
             crash_after: None,
+            starts: 0,
         }
     }
 
@@ -70,6 +72,7 @@
 
     /// Starts the replica from its disk.
     pub(crate) fn start(&mut self, now: Millis) {
+        self.starts += 1;
         let mut disk = self.disk.clone();
         disk.operations_until_failure = self.crash_after.take();
         let opened = ReplicaStorage::open(disk);
@@ -95,6 +98,11 @@
         }
     }
 
+    /// Number of this start.
+    pub(crate) fn starts(&self) -> u64 {
+        self.starts
+    }
+
     /// Ends the process; what was not synced suffers `loss`.
     pub(crate) fn crash(&mut self, loss: PowerLoss) {
         if let Some(running) = self.running.take() {
--- a/components/simulator/src/gateway_host.rs
+++ b/components/simulator/src/gateway_host.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use garnet_gateway::{AttemptId, Gateway, GatewaySettings};
-use garnet_types::{EncodingVersion, GatewayId, RequestId};
+use garnet_types::{EncodingVersion, GatewayId, Millis, RequestId};
 
 use crate::message::Host;
+use crate::world::ReportTarget;
 
 /// One place for a gateway.
 pub(crate) struct GatewayHost {
@@ -22,6 +23,11 @@
     /// Attempts under way and where.
     pub(crate) attempts: BTreeMap<AttemptId, Host>,
     pub(crate) draining: bool,
+    /// Place, start and version of the replica that it was last told to be connected to.
+    pub(crate) leader_connection: Option<(usize, u64, EncodingVersion)>,
+    /// Replica that it reports ended runs to.
+    pub(crate) report_target: Option<ReportTarget>,
+    pub(crate) reported_at: Millis,
     /// Version of the build that its next start is of, or its present one.
     pub(crate) version: EncodingVersion,
 }
@@ -38,6 +44,9 @@
             open_calls: BTreeSet::new(),
             attempts: BTreeMap::new(),
             draining: false,
+            leader_connection: None,
+            report_target: None,
+            reported_at: Millis::ZERO,
             version: EncodingVersion::CURRENT,
         }
     }
@@ -57,6 +66,8 @@
             ..GatewaySettings::new(id, self.seed + self.starts)
         }));
         self.draining = false;
+        self.leader_connection = None;
+        self.report_target = None;
     }
 
     /// Ends the process.
--- a/components/simulator/src/message.rs
+++ b/components/simulator/src/message.rs
@@ -36,6 +36,15 @@
     FromGateway(GatewayRequest),
     /// From a replica to a gateway.
     ToGateway(ControlReply),
+    /// From a gateway to a replica, on a report connection.
+    FromReporter {
+        /// The connection.
+        connection: u64,
+        /// The request.
+        request: GatewayRequest,
+    },
+    /// From a replica to a gateway, on a report connection.
+    ToReporter(ControlReply),
     /// From an operator, with the number of its question.
     FromOperator(u64, OperatorRequest),
     /// To an operator.
@@ -90,6 +99,8 @@
             Message::Peer(_)
                 | Message::FromGateway(_)
                 | Message::ToGateway(_)
+                | Message::FromReporter { .. }
+                | Message::ToReporter(_)
                 | Message::FromOperator(..)
                 | Message::ToOperator(..)
                 | Message::AskEngine(_)
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -32,6 +32,13 @@
                     request,
                 }
             }
+            (
+                Message::FromReporter {
+                    connection,
+                    request,
+                },
+                _,
+            ) => return self.report_received(place, connection, request),
             (Message::FromOperator(number, request), host) => {
                 self.next_ticket += 1;
                 self.questions.insert(self.next_ticket, (host, number));
@@ -101,6 +108,10 @@
                 }
             }
             ControlEffect::ReplyGateway { connection, reply } => {
+                if let Some(gateway) = Self::reporter(connection) {
+                    self.send(host, Host::Gateway(gateway), Message::ToReporter(reply));
+                    return;
+                }
                 let gateway = connection as usize;
                 if let Some(reply) = self.reply_received(gateway, place, reply) {
                     let to = Host::Gateway(gateway);
--- a/components/simulator/src/world/crashing.rs
+++ b/components/simulator/src/world/crashing.rs
@@ -2,7 +2,7 @@
 //! again and again.
 
 use garnet_gateway::{Call, Job, Work};
-use garnet_types::{Millis, ModelId, RequestId};
+use garnet_types::{EncodingVersion, Millis, ModelId, RequestId};
 use rand::RngExt;
 
 use crate::callers::Outgoing;
@@ -42,6 +42,19 @@
     until: Millis,
     ended_at: Vec<Millis>,
     late_arrivals: u64,
+    /// Crashes during runs of gateways that can report them.
+    reportable: Vec<ReportableCrash>,
+    /// Late arrivals from gateways of the current build, counted from reportable crashes.
+    late_arrivals_after_reports: u64,
+}
+
+/// A crash during a run of a gateway of the current build.
+#[derive(Debug, Clone, Copy)]
+struct ReportableCrash {
+    at: Millis,
+    gateway: usize,
+    /// Number of the gateway's start: its record of the crash ends with its process.
+    gateway_start: u64,
 }
 
 /// Whether a sending is one of such a request.
@@ -56,6 +69,8 @@
             until,
             ended_at: Vec::new(),
             late_arrivals: 0,
+            reportable: Vec::new(),
+            late_arrivals_after_reports: 0,
         });
         self.schedule(self.now, WorldEvent::CrashingRequestComes(number));
     }
@@ -105,6 +120,7 @@
         };
         let calm_since = self.disturbed_at.max(self.gateway_trouble[gateway]);
         let is_in_touch = self.open_faults == 0 && self.now.since(calm_since) >= CONTACT;
+        self.check_reported_crashes(gateway, number, is_in_touch);
         let request = &mut self.crashing[number];
         let third = request.ended_at.get(BORNE - 1);
         let is_late = third.is_some_and(|third| self.now.since(*third) >= CONTACT);
@@ -122,7 +138,33 @@
         );
     }
 
-    pub(super) fn engine_will_crash(&mut self, engine: usize, request: usize) {
+    /// A replica of the current build adds up what gateways of that build report to it.
+    fn check_reported_crashes(&mut self, gateway: usize, number: usize, is_in_touch: bool) {
+        let is_current = |version| version == EncodingVersion::CURRENT;
+        let is_taken = self
+            .controls
+            .iter()
+            .any(|host| host.running.is_some() && is_current(host.version));
+        let is_bound = is_in_touch && is_taken && is_current(self.gateways[gateway].version);
+        let gateways = &self.gateways;
+        let is_known = |crash: &&ReportableCrash| {
+            let host = &gateways[crash.gateway];
+            host.gateway.is_some() && host.starts() == crash.gateway_start
+        };
+        let request = &mut self.crashing[number];
+        let third = request.reportable.iter().filter(is_known).nth(BORNE - 1);
+        let is_late = third.is_some_and(|third| self.now.since(third.at) >= CONTACT);
+        request.late_arrivals_after_reports += u64::from(is_late && is_bound);
+        let late = request.late_arrivals_after_reports;
+        self.checker.check(
+            Invariant::ReportedCrashesAreBounded,
+            late <= LATE_ARRIVALS,
+            self.now,
+            || format!("crashing request {number} came late {late} times from the current build"),
+        );
+    }
+
+    pub(super) fn engine_will_crash(&mut self, engine: usize, request: usize, gateway: usize) {
         let runs = self.random.random_range(SHORTEST_RUN_MS..LONGEST_RUN_MS);
         let start = self.engines[engine].starts();
         self.schedule(
@@ -131,16 +173,30 @@
                 engine,
                 start,
                 request,
+                gateway,
             },
         );
     }
 
-    pub(super) fn engine_crashes(&mut self, engine: usize, start: u64, request: usize) {
+    pub(super) fn engine_crashes(
+        &mut self,
+        engine: usize,
+        start: u64,
+        request: usize,
+        gateway: usize,
+    ) {
         let host = &self.engines[engine];
         if host.engine.is_none() || host.starts() != start {
             return;
         }
         self.crashing[request].ended_at.push(self.now);
+        if self.gateways[gateway].version == EncodingVersion::CURRENT {
+            self.crashing[request].reportable.push(ReportableCrash {
+                at: self.now,
+                gateway,
+                gateway_start: self.gateways[gateway].starts(),
+            });
+        }
         let host = Host::Engine(engine);
         self.end_process(host);
         self.schedule(self.now + BACK_AFTER, WorldEvent::Start(host));
--- a/components/simulator/src/world/engines.rs
+++ b/components/simulator/src/world/engines.rs
@@ -151,7 +151,7 @@
                 let leaving = self.engines[place].leaving_since;
                 self.check_leaving(host, leaving);
                 if let Some(request) = crashes {
-                    self.engine_will_crash(place, request);
+                    self.engine_will_crash(place, request, owner.gateway);
                 }
             }
             Err(refusal) => {
--- a/components/simulator/src/world/gateways.rs
+++ b/components/simulator/src/world/gateways.rs
@@ -29,6 +29,7 @@
                 }
                 GatewayEvent::Control(reply)
             }
+            (Message::ToReporter(reply), _) => return self.report_answered(place, reply),
             (Message::JobEvent(attempt, event), from) => {
                 let receiver = (place, self.gateways[place].starts());
                 self.timeline.attempt(self.now, receiver, attempt, &event);
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod messages;
 mod processes;
+mod reporting;
 mod ticks;
 mod upgrading;
 
@@ -44,6 +45,7 @@
 use limits::NamedLimit;
 use upgrading::Move;
 
+pub(crate) use reporting::ReportTarget;
 pub(crate) use upgrading::upgrade_settings;
 
 /// How often daemons look at the clock.
@@ -78,6 +80,8 @@
         engine: usize,
         start: u64,
         request: usize,
+        /// Gateway whose run crashes the engine.
+        gateway: usize,
     },
 }
 
@@ -331,7 +335,8 @@
                 engine,
                 start,
                 request,
-            } => self.engine_crashes(engine, start, request),
+                gateway,
+            } => self.engine_crashes(engine, start, request, gateway),
         }
         self.check_leases();
     }
--- a/components/simulator/src/world/ticks.rs
+++ b/components/simulator/src/world/ticks.rs
@@ -118,6 +118,7 @@
             self.gateways[place].control = (self.gateways[place].control + 1) % self.controls.len();
         }
         self.gateway_event(place, GatewayEvent::Tick);
+        self.report_runs(place);
         let host = &self.gateways[place];
         let drained = host.gateway.as_ref().is_some_and(|g| g.is_drained());
         if host.draining && drained {
--- a/components/simulator/src/world/upgrading.rs
+++ b/components/simulator/src/world/upgrading.rs
@@ -142,7 +142,7 @@
     }
 
     /// Version of the connection between a gateway and a replica.
-    fn connection_version(&self, gateway: usize, control: usize) -> EncodingVersion {
+    pub(super) fn connection_version(&self, gateway: usize, control: usize) -> EncodingVersion {
         let versions = [
             self.gateways[gateway].version,
             self.controls[control].version,
