Forwarder: runs are reported only where they are taken

Cause: a leader of encoding version 11 has no reports of ended runs. The forwarder returned them for such a leader all the same, and they were lost.

Change: the forwarder records whether the connected leader takes reports. While it does not, the runs are returned for the report connection instead, all of them for each new one; a leader that takes them receives all again.

--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -50,12 +50,43 @@
         self.crash_log.completed(fingerprint, now);
     }
 
-    /// Returns the runs to report to the leader, if any.
+    /// Sets whether the leader takes the reports of runs. A leader of an earlier version does
+    /// not, and they are then sent on the report connection.
+    pub(super) fn set_leader_takes_reports(&mut self, are_taken: bool) {
+        self.leader_takes_reports = are_taken;
+    }
+
+    /// Whether the runs are reported on the report connection, to a replica that does not lead.
+    /// They are not before the first connection to a leader.
+    pub fn uses_report_connection(&self) -> bool {
+        !self.leader_takes_reports
+    }
+
+    /// Returns the runs to report to the leader, if any. There are none while it does not take
+    /// them.
     pub fn run_report(&mut self, now: Millis) -> Option<RunReport> {
+        if self.uses_report_connection() {
+            return None;
+        }
         self.crash_log.report(now)
     }
 
-    /// Records that the leader has received the runs up to this number.
+    /// Records that a report connection was opened. Its replica may have none of the runs, so all
+    /// are reported again.
+    pub fn report_connected(&mut self) {
+        self.crash_log.resend_all();
+    }
+
+    /// Returns the next report for the report connection. It is empty if there are no runs to
+    /// report, or the leader takes them.
+    pub fn next_report(&mut self, now: Millis) -> RunReport {
+        if !self.uses_report_connection() {
+            return RunReport::default();
+        }
+        self.crash_log.report(now).unwrap_or_default()
+    }
+
+    /// Records that the receiver of the reports has the runs up to this number.
     pub fn runs_confirmed(&mut self, through: u64) {
         self.crash_log.confirmed(through);
     }
@@ -65,7 +96,7 @@
         self.crash_log.on_leader_change(now);
     }
 
-    /// Takes the requests that the leader suspects or refuses.
+    /// Takes the requests that the receiver of the reports suspects or refuses.
     pub fn take_suspects(&mut self, suspects: Suspects) {
         self.crash_log.update_suspects(suspects);
     }
--- a/components/forwarding/tests/core/quarantine.rs
+++ b/components/forwarding/tests/core/quarantine.rs
@@ -4,8 +4,11 @@
 
 use garnet_control::{ConfigurationChange, QuarantineRecord, WatchUpdate};
 use garnet_forwarding::Forwarder;
-use garnet_quarantine::{QuarantineStatus, RequestFingerprint, RequestIdentity, Suspects};
-use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
+use garnet_quarantine::{
+    QuarantineStatus, RequestFingerprint, RequestIdentity, RunReport, Suspects,
+};
+use garnet_types::{BackendId, EncodingVersion, EngineRole, Millis, ServiceId};
+use rstest::rstest;
 
 use crate::fleet::{NOW, configuration, forwarder, record, table};
 
@@ -179,3 +182,56 @@
     forwarder.on_leader_change(NOW);
     assert!(forwarder.run_report(NOW).is_some());
 }
+
+#[test]
+fn a_leader_takes_the_reports_until_one_of_an_earlier_version_is_connected() {
+    let mut forwarder = decode_engines(3);
+    crash(&mut forwarder, "/bad", "d0");
+    assert!(!forwarder.uses_report_connection());
+    assert_eq!(forwarder.next_report(NOW), RunReport::default());
+    assert!(forwarder.run_report(NOW).is_some());
+}
+
+/// A leader of version 11 cannot receive reports. Runs that count as sent to it would reach no
+/// replica.
+#[test]
+fn runs_are_reported_only_on_the_report_connection_while_the_leader_is_of_version_11() {
+    let mut forwarder = decode_engines(3);
+    forwarder.connected(EncodingVersion::V11, NOW);
+    crash(&mut forwarder, "/bad", "d0");
+    assert!(forwarder.uses_report_connection());
+    assert_eq!(forwarder.run_report(NOW), None);
+    let report = forwarder.next_report(NOW);
+    assert_eq!(report.runs.len(), 1);
+    assert_eq!(report.runs[0].fingerprint, request("/bad"));
+    forwarder.runs_confirmed(report.through);
+    assert_eq!(forwarder.next_report(NOW), RunReport::default());
+    assert_eq!(forwarder.run_report(NOW), None);
+}
+
+/// The replica of a new report connection may have been started since, or be another one.
+#[test]
+fn each_report_connection_receives_all_runs() {
+    let mut forwarder = decode_engines(3);
+    forwarder.connected(EncodingVersion::V11, NOW);
+    crash(&mut forwarder, "/bad", "d0");
+    let first = forwarder.next_report(NOW);
+    forwarder.runs_confirmed(first.through);
+    forwarder.report_connected();
+    assert_eq!(forwarder.next_report(NOW), first);
+}
+
+#[rstest]
+#[case(EncodingVersion::V16)]
+#[case(EncodingVersion::CURRENT)]
+fn a_leader_that_takes_reports_receives_all_runs(#[case] version: EncodingVersion) {
+    let mut forwarder = decode_engines(3);
+    forwarder.connected(EncodingVersion::V11, NOW);
+    crash(&mut forwarder, "/bad", "d0");
+    let reported = forwarder.next_report(NOW);
+    forwarder.runs_confirmed(reported.through);
+    forwarder.connected(version, NOW);
+    assert!(!forwarder.uses_report_connection());
+    assert_eq!(forwarder.next_report(NOW), RunReport::default());
+    assert_eq!(forwarder.run_report(NOW), Some(reported));
+}
