Runtime: the report connection

Cause: while the leader is of encoding version 11, a gateway has no receiver for the runs during which an engine crashed.

--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod pool;
 pub mod reload;
+pub mod report_link;
 pub mod server;
 pub mod shared;
 pub mod shell;
