--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod permits;
 mod ports;
+mod report_handler;
 mod request;
 mod start;
 mod stopping;
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -11,7 +11,7 @@
 use garnet_runtime::server::{Limits, bind_metrics, with_type};
 use garnet_runtime::{
     Body, ConnectionPool, HttpServer, PoolSettings, Shared, Shell, Timers, control_link, metrics,
-    text_response,
+    report_link, text_response,
 };
 use garnet_supervisor::ChildSpec;
 use garnet_types::{EncodingVersion, GatewayId, Millis};
@@ -23,6 +23,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::permits::PermitClient;
 use crate::ports::{BackendPort, CallerPort};
+use crate::report_handler::ReportHandler;
 use crate::request;
 use crate::stopping::{StopTimes, announce_stop};
 use crate::unknown_headers::UnknownHeaders;
@@ -124,9 +125,14 @@
         requests_in,
         requests.clone(),
     ));
+    let report_handler = ReportHandler {
+        gateway: Rc::clone(&gateway),
+        watch: Rc::clone(&watch),
+    };
     let mut children = extra_children;
     children.extend([
-        control_link::child(WatchHandler(Rc::clone(&watch)), id, requests),
+        control_link::child(WatchHandler(Rc::clone(&watch)), id.clone(), requests),
+        report_link::child(report_handler, id),
         watch::ticker(Rc::clone(&watch)),
     ]);
     if gateway.usage.is_some() {
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -73,6 +73,17 @@
         }
     }
 
+    /// Addresses of the control group, then those in the settings.
+    pub(crate) fn known_replicas(&self) -> Vec<String> {
+        let mut known = self.group.borrow().clone();
+        for address in self.replicas.current() {
+            if !known.contains(&address) {
+                known.push(address);
+            }
+        }
+        known
+    }
+
     /// Time since the leader's last answer.
     pub(crate) fn age(&self) -> Millis {
         self.gateway.now().since(self.received_at.get())
@@ -323,13 +334,7 @@
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> ControlLinkHandler for WatchHandler<C, B> {
     fn replicas(&self) -> Vec<String> {
-        let mut known = self.0.group.borrow().clone();
-        for address in self.0.replicas.current() {
-            if !known.contains(&address) {
-                known.push(address);
-            }
-        }
-        known
+        self.0.known_replicas()
     }
 
     fn on_connected(&self, version: EncodingVersion) {
