garnet-gateway: reports runs to another replica while the leader takes no reports

Cause: the gateway noticed a change of the leader only by an answer of a replica that does not lead, which the control link consumes, or by a silence of 1 s. Runs were not reported again after a quicker change. Nor had it a receiver for them while the leader was of version 11.

Change: it handles each opened connection as a possible change of the leader, and runs the report link with the replicas of its settings in sorted order.

--- a/bin/garnet-gateway/src/context.rs
+++ b/bin/garnet-gateway/src/context.rs
@@ -6,6 +6,7 @@
 
 use garnet_control::GatewayRequest;
 use garnet_gateway::{Answer, AttemptId, Effect, Event, Gateway};
+use garnet_quarantine::RunReport;
 use garnet_runtime::{Clock, HttpClient};
 use garnet_types::{Millis, RequestId};
 use smol::channel::Sender;
@@ -82,6 +83,13 @@
         look(&self.gateway.borrow(), self.clock.now())
     }
 
+    /// The runs to report on the report connection, or `None` while the leader takes the
+    /// reports.
+    pub(crate) fn next_run_report(&self) -> Option<RunReport> {
+        let now = self.clock.now();
+        self.gateway.borrow_mut().next_run_report(now)
+    }
+
     /// Registers a caller for its messages.
     pub(crate) fn open_caller(&self, request: RequestId, sender: Sender<CallerMessage>) {
         self.open.borrow_mut().callers.insert(request, sender);
--- a/bin/garnet-gateway/src/start.rs
+++ b/bin/garnet-gateway/src/start.rs
@@ -6,12 +6,14 @@
 
 use garnet_control::ControlReply;
 use garnet_gateway::{Event, Gateway, GatewaySettings};
+use garnet_quarantine::RunReport;
 use garnet_runtime::control_link::{self, ControlLinkHandler};
+use garnet_runtime::report_link::{self, ReportLinkHandler};
 use garnet_runtime::server::Limits;
 use garnet_runtime::{HttpServer, Shell};
 use garnet_storage::{DiskDirectory, DiskIdentity, StorageError, load_value, save_value};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
-use garnet_types::GatewayId;
+use garnet_types::{EncodingVersion, GatewayId};
 use smol::Timer;
 use smol::channel::{Receiver, bounded, unbounded};
 
@@ -45,11 +47,52 @@
         self.controls.clone()
     }
 
+    fn on_connected(&self, version: EncodingVersion) {
+        self.context.handle(Event::LeaderConnected(version));
+    }
+
     fn on_reply(&self, reply: ControlReply) {
         self.context.handle(Event::Control(reply));
     }
 }
 
+/// The report connection belongs to the gateway's context as well.
+#[derive(Clone)]
+struct ReportLinkOwner {
+    context: Context,
+    /// The control replicas, in the order that is the same at all gateways.
+    controls: Vec<String>,
+}
+
+impl ReportLinkOwner {
+    fn new(context: Context, mut controls: Vec<String>) -> Self {
+        controls.sort();
+        controls.dedup();
+        ReportLinkOwner { context, controls }
+    }
+}
+
+impl ReportLinkHandler for ReportLinkOwner {
+    fn replicas(&self) -> Vec<String> {
+        match self.context.next_run_report() {
+            Some(_) => self.controls.clone(),
+            None => Vec::new(),
+        }
+    }
+
+    fn on_connected(&self) {
+        self.context.handle(Event::ReportConnected);
+    }
+
+    fn next_report(&self) -> RunReport {
+        self.context.next_run_report().unwrap_or_default()
+    }
+
+    fn on_reply(&self, reply: ControlReply) {
+        self.context.handle(Event::ReportReply(reply));
+    }
+}
+
 /// Runs the gateway until a planned stop.
 pub(crate) fn run(settings: Settings) -> io::Result<()> {
     let shell = Shell::new();
@@ -77,6 +120,7 @@
         to_disk,
     );
     let callers = Callers::new(context.clone());
+    let report_owner = ReportLinkOwner::new(context.clone(), settings.controls.clone());
     let children = vec![
         ticker_child(context.clone()),
         disk_child(context.clone(), opened.directory, indexes),
@@ -85,9 +129,10 @@
                 context: context.clone(),
                 controls: settings.controls,
             },
-            opened.id,
+            opened.id.clone(),
             requests,
         ),
+        report_link::child(report_owner, opened.id),
         shell.http_child(Rc::new(server), move |request| {
             callers::handle(callers.clone(), request)
         }),
