Forwarder: the crash log knows where the runs are reported

Cause: the crash log lowers its threshold while no replica takes the reports, for which it has to know whether the leader does, and the time.

Change: the forwarder sets the crash log's flag in place of its own, and updates the crash log with each report to the leader, also while the leader takes none.

--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -45,7 +45,8 @@
         self.on_leader_change(now);
         self.limits.connected();
         self.set_permits_granted(version >= EncodingVersion::V16);
-        self.set_leader_takes_reports(version >= EncodingVersion::V16);
+        self.crash_log
+            .set_uses_report_connection(version < EncodingVersion::V16);
     }
 
     /// Applies an update of the leader. A configuration older than the one in force is
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -98,8 +98,6 @@
     reporting: Reporting,
     estimate_age: EstimateAge,
     crash_log: CrashLog,
-    /// Whether the leader takes the reports of runs.
-    leader_takes_reports: bool,
     /// Limits of back ends, and permits for them.
     limits: GatewayLimits,
     permits_are_granted: bool,
@@ -147,7 +145,6 @@
             reporting: Reporting::default(),
             estimate_age: EstimateAge::default(),
             crash_log: CrashLog::default(),
-            leader_takes_reports: true,
             limits: GatewayLimits::default(),
             permits_are_granted: true,
             arrival_count: 0,
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -50,21 +50,16 @@
         self.crash_log.completed(fingerprint, now);
     }
 
-    /// Sets whether the leader takes the reports of runs. A leader of an earlier version does
-    /// not, and they are then sent on the report connection.
-    pub(super) fn set_leader_takes_reports(&mut self, are_taken: bool) {
-        self.leader_takes_reports = are_taken;
-    }
-
     /// Whether the runs are reported on the report connection, to a replica that does not lead.
     /// They are not before the first connection to a leader.
     pub fn uses_report_connection(&self) -> bool {
-        !self.leader_takes_reports
+        self.crash_log.uses_report_connection()
     }
 
     /// Returns the runs to report to the leader, if any. There are none while it does not take
     /// them.
     pub fn run_report(&mut self, now: Millis) -> Option<RunReport> {
+        self.crash_log.update(now);
         if self.uses_report_connection() {
             return None;
         }
--- a/components/forwarding/tests/core/quarantine.rs
+++ b/components/forwarding/tests/core/quarantine.rs
@@ -235,3 +235,21 @@
     assert_eq!(forwarder.next_report(NOW), RunReport::default());
     assert_eq!(forwarder.run_report(NOW), Some(reported));
 }
+
+/// Each gateway would otherwise have to see three crashes before it refuses the request.
+#[test]
+fn two_crashes_suffice_while_no_replica_takes_the_reports() {
+    let mut forwarder = decode_engines(3);
+    forwarder.connected(EncodingVersion::V11, NOW);
+    crash(&mut forwarder, "/bad", "d0");
+    crash(&mut forwarder, "/bad", "d1");
+    assert_eq!(
+        forwarder.quarantine_status(request("/bad")),
+        QuarantineStatus::Suspected
+    );
+    assert_eq!(forwarder.run_report(NOW + Millis::from_secs(1)), None);
+    assert_eq!(
+        forwarder.quarantine_status(request("/bad")),
+        QuarantineStatus::Refused
+    );
+}
