--- a/bin/garnet-gateway/tests/process/main.rs
+++ b/bin/garnet-gateway/tests/process/main.rs
@@ -2,4 +2,5 @@
 
 mod bad_requests;
 mod bad_starts;
+mod report_link;
 mod running;
--- a/bin/garnet-gateway/tests/process/running.rs
+++ b/bin/garnet-gateway/tests/process/running.rs
@@ -11,9 +11,14 @@
 
 /// Settings of a gateway whose replicas nobody runs.
 pub fn settings(listen: &str, data: &Path) -> String {
+    settings_with(listen, data, &["127.0.0.1:1".to_owned()])
+}
+
+/// Settings of a gateway with these replicas.
+fn settings_with(listen: &str, data: &Path, controls: &[String]) -> String {
     format!(
         "name = \"gateway\"\nlisten = \"{listen}\"\ndata = \"{}\"\n\
-         controls = [\"127.0.0.1:1\"]\nmax_body_bytes = 2048\n",
+         controls = {controls:?}\nmax_body_bytes = 2048\n",
         data.display()
     )
 }
@@ -40,9 +45,14 @@
 
 impl Running {
     pub fn start() -> Self {
+        Self::start_with(&["127.0.0.1:1".to_owned()])
+    }
+
+    /// Starts a gateway with these replicas.
+    pub fn start_with(controls: &[String]) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let file = folder.path().join("settings.toml");
-        let text = settings("127.0.0.1:0", &folder.path().join("data"));
+        let text = settings_with("127.0.0.1:0", &folder.path().join("data"), controls);
         std::fs::write(&file, text).expect("written");
         let mut child = Command::new(PROGRAM)
             .arg("--settings")
