garnet-bench: print a command that repeats the failure

A failure found with `--only` printed the numbers of the faults among those kept: `--only 2` printed `--only 0`, which is another fault. A failure that needs no fault printed no `--only` and so ran with all; `--only none` keeps none.

--- a/bin/garnet-bench/src/simulate.rs
+++ b/bin/garnet-bench/src/simulate.rs
@@ -1,6 +1,9 @@
 //! `garnet-bench simulate`: many seeds of the simulator.
 
-use std::collections::BTreeMap;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use garnet_simulator::{Fault, FaultKind, Report, Scenario, run as run_scenario, shrink};
@@ -25,12 +28,15 @@
                      begin on: 11 or 16; they go over to the present one
   --deployment NAME  reefline or voorschrift: their counts of processes
   --request ID       prints the course of one request of a single seed
-  --only LIST        numbers of the faults to keep, as a failure prints them
+  --only LIST        numbers of the faults to keep, as a failure prints them, or none
   --json             totals as one JSON object
 
 Exit codes: 0 every rule held, 1 one did not, 2 wrong usage.
 ";
 
+/// Value of `--only` that keeps no fault.
+const NO_FAULTS: &str = "none";
+
 pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.flag("help") {
         garnet_runtime::print_out!("{HELP}");
@@ -45,6 +51,7 @@
     let timeline_of = read_request(options, seeds.len())?;
     check_deployment(options.text("deployment"))?;
     let only = match options.text("only") {
+        Some(NO_FAULTS) => Some(Vec::new()),
         Some(_) => Some(options.numbers("only", "")?),
         None => None,
     };
@@ -71,7 +78,7 @@
         list_violations(report);
     }
     if let Some(first) = failed.first() {
-        explain(&scenario(first.seed), first, kinds_text);
+        explain(&scenario(first.seed), first, kinds_text, only.as_deref());
     }
     for entry in reports.iter().flat_map(|report| &report.timeline) {
         eprintln!("{entry}");
@@ -155,15 +162,9 @@
     }
 }
 
-fn explain(scenario: &Scenario, report: &Report, kinds: &str) {
+fn explain(scenario: &Scenario, report: &Report, kinds: &str, only: Option<&[u64]>) {
     let (faults, last) = shrink(scenario, report.clone());
-    let numbers: Vec<String> = report
-        .faults
-        .iter()
-        .enumerate()
-        .filter(|(_, fault)| faults.contains(fault))
-        .map(|(number, _)| number.to_string())
-        .collect();
+    let numbers = fault_numbers(&report.faults, &faults, only);
     eprintln!("a rule did not hold at seed {}:", report.seed);
     for violation in &last.violations {
         let (rule, detail) = (violation.invariant, &violation.detail);
@@ -177,13 +178,40 @@
             fault.at.0, fault.lasts.0
         );
     }
+    eprintln!("again: {}", repeat_command(scenario, kinds, &numbers));
+}
+
+/// Numbers of the faults in `kept` among all that the seed draws. `played` has only those with
+/// the numbers in `only`, if it is given.
+fn fault_numbers(played: &[Fault], kept: &[Fault], only: Option<&[u64]>) -> Vec<u64> {
+    let drawn: Vec<u64> = match only {
+        Some(only) => BTreeSet::from_iter(only.iter().copied())
+            .into_iter()
+            .collect(),
+        None => (0..played.len() as u64).collect(),
+    };
+    let numbered = drawn.into_iter().zip(played);
+    let kept = numbered.filter(|(_, fault)| kept.contains(fault));
+    kept.map(|(number, _)| number).collect()
+}
+
+/// The command that plays a scenario again with the faults of these numbers.
+fn repeat_command(scenario: &Scenario, kinds: &str, fault_numbers: &[u64]) -> String {
+    let (seed, span) = (scenario.seed, scenario.span.0 / 1000);
+    let mut command =
+        format!("garnet-bench simulate --seeds {seed} --faults {kinds} --span-s {span}");
+    if let Some(version) = scenario.build_before {
+        command += &format!(" --build-before {version}");
+    }
+    let numbers: Vec<String> = fault_numbers.iter().map(u64::to_string).collect();
+    // The kinds stay: they decide what the seed draws after its faults.
     let only = if numbers.is_empty() {
-        String::new()
+        NO_FAULTS.to_owned()
     } else {
-        format!(" --only {}", numbers.join(","))
+        numbers.join(",")
     };
-    let (seed, span) = (report.seed, scenario.span.0 / 1000);
-    eprintln!("again: garnet-bench simulate --seeds {seed} --faults {kinds} --span-s {span}{only}");
+    command += &format!(" --only {only}");
+    command
 }
 
 fn totals(reports: &[Report], failed: usize, elapsed: f64) -> Value {
