Forwarder: a new replica at the report connection is a change of the receiver

Its first list replaced the one of the previous replica at once, and runs that were reported again counted as unconfirmed from their first report on, so that two crashes sufficed for a moment at each new connection. Found by reading and by a trial test (a request with two confirmed crashes was Refused).

--- a/components/forwarding-shell/src/report_handler.rs
+++ b/components/forwarding-shell/src/report_handler.rs
@@ -37,7 +37,8 @@
     }
 
     fn on_connected(&self) {
-        self.gateway.forwarder.borrow_mut().report_connected();
+        let now = self.gateway.now();
+        self.gateway.forwarder.borrow_mut().on_leader_change(now);
     }
 
     fn next_report(&self) -> RunReport {
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -66,12 +66,6 @@
         self.crash_log.report(now)
     }
 
-    /// Records that a report connection was opened. Its replica may have none of the runs, so all
-    /// are reported again.
-    pub fn report_connected(&mut self) {
-        self.crash_log.resend_all();
-    }
-
     /// Returns the next report for the report connection. It is empty if there are no runs to
     /// report, or the leader takes them.
     pub fn next_report(&mut self, now: Millis) -> RunReport {
@@ -86,7 +80,8 @@
         self.crash_log.confirmed(through);
     }
 
-    /// Handles a possible change of the leader; see [`garnet_quarantine::CrashLog::on_leader_change`].
+    /// Handles a possible change of the leader, or of the replica at the report connection; see
+    /// [`garnet_quarantine::CrashLog::on_leader_change`].
     pub fn on_leader_change(&mut self, now: Millis) {
         self.crash_log.on_leader_change(now);
     }
--- a/components/forwarding/tests/core/quarantine.rs
+++ b/components/forwarding/tests/core/quarantine.rs
@@ -217,7 +217,7 @@
     crash(&mut forwarder, "/bad", "d0");
     let first = forwarder.next_report(NOW);
     forwarder.runs_confirmed(first.through);
-    forwarder.report_connected();
+    forwarder.on_leader_change(NOW);
     assert_eq!(forwarder.next_report(NOW), first);
 }
 
