--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -24,6 +24,7 @@
         }
         self.limiting = Limiting::default();
         self.versions.begin_term();
+        self.quarantining.on_leadership_change();
         if let Some(term) = leads {
             self.gateways = GatewayLeases::at_start_of_term(self.now);
             let backends = self.state.configuration.backends.values();
@@ -31,7 +32,6 @@
             self.join_requests.clear();
             self.fleet_load.clear();
             self.copies.clear();
-            self.quarantining.begin_term();
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
--- a/components/control/src/replica/level.rs
+++ b/components/control/src/replica/level.rs
@@ -199,7 +199,9 @@
             self.versions.ready_since = None;
             return;
         }
-        let since = *self.versions.ready_since.get_or_insert(self.now);
+        let ready_since = *self.versions.ready_since.get_or_insert(self.now);
+        let closed_at = self.versions.earlier_gateway_closed_at;
+        let since = ready_since.max(closed_at.unwrap_or_default());
         let is_due = self.now.since(since) >= self.settings.upgrade.rollback_window;
         if is_due || (self.versions.is_level_requested && !self.has_earlier_gateways()) {
             self.raise_level();
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -153,6 +153,9 @@
                 self.recent = RecentChanges::starting_at(state.configuration.index);
                 self.state = state;
                 self.halted = None;
+                if self.has_all_commands() {
+                    self.quarantining.on_snapshot();
+                }
             }
             Err(error) => self.restore_error = Some(error),
         }
--- a/components/control/src/replica/quarantining.rs
+++ b/components/control/src/replica/quarantining.rs
@@ -1,7 +1,8 @@
-//! The leader's side of the quarantine: requests that crash engines are refused by all
+//! The replicas' side of the quarantine: requests that crash engines are refused by all
 //! gateways.
 //!
-//! Gateways receive a verdict with the next answer to their watch, whether or not the log can
+//! The leader decides, or a replica that receives the reports in its place. Gateways receive a
+//! verdict with the next answer to their watch, whether or not the log can
 //! take it: neither a slow disk nor a log of version 11 delays one. What the log holds outlives
 //! the leader.
 
@@ -33,7 +34,8 @@
 /// receive every second. Beyond it the oldest one is released.
 const MAX_UNLOGGED: usize = 256;
 
-/// The leader's volatile state of suspected requests. It can be lost at any time.
+/// Volatile state of suspected requests, of the leader or of a replica that receives reports in
+/// its place. It can be lost at any time.
 #[derive(Debug, Default)]
 pub(super) struct Quarantining {
     tracker: CrashTracker,
@@ -81,9 +83,9 @@
 }
 
 impl Quarantining {
-    /// Starts a term as the leader. Gateways report their runs again, so that only verdicts are
-    /// kept.
-    pub(super) fn begin_term(&mut self) {
+    /// Handles the start or the end of this replica's leadership. Gateways report their runs
+    /// again, and to another leader afterwards, so that only verdicts are kept.
+    pub(super) fn on_leadership_change(&mut self) {
         let previous = std::mem::take(self);
         self.number = previous.number + 1;
         self.report_connections = previous.report_connections;
@@ -96,6 +98,13 @@
             };
             self.unlogged.insert(fingerprint, verdict);
         }
+        self.update_list();
+    }
+
+    /// Handles a snapshot of a log that takes verdicts: it may have held each of these, and also
+    /// its release.
+    pub(super) fn on_snapshot(&mut self) {
+        self.unlogged.clear();
     }
 
     /// The list for a gateway, unless it is known to have it.
--- a/components/control/src/replica/quarantining/report_connections.rs
+++ b/components/control/src/replica/quarantining/report_connections.rs
@@ -88,8 +88,8 @@
     /// without reports.
     pub(in crate::replica) fn quarantine_without_leading(&mut self) {
         let is_due = self.now.since(self.quarantining.decided_at) >= RECONCILE_INTERVAL;
-        let has_reports = self.quarantining.tracker.tracked() > 0;
-        if !is_due || !has_reports || self.halted.is_some() {
+        let has_reporters = !self.quarantining.report_connections.is_empty();
+        if !is_due || !has_reporters || self.node.is_leader() || self.halted.is_some() {
             return;
         }
         self.quarantining.decided_at = self.now;
--- a/components/control/tests/state/level.rs
+++ b/components/control/tests/state/level.rs
@@ -299,3 +299,18 @@
     assert_eq!(leader.replica.state().routes_version(), Some(1));
     assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
 }
+
+/// A gateway of an earlier build that fails soon after each start is seen by no periodic check,
+/// and would read no log of the new level either.
+#[test]
+fn a_short_connection_of_an_earlier_gateway_restarts_the_rollback_window() {
+    let mut leader = leader_after_version_11();
+    let window = UpgradeSettings::default().rollback_window;
+    advance(&mut leader, Millis(window.0 - 10_000));
+    open_gateway(&mut leader, EncodingVersion::V11);
+    leader.handle_event(Event::GatewayClosed {
+        connection: CONNECTION,
+    });
+    advance(&mut leader, Millis::from_secs(20));
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::V11));
+}
--- a/components/control/tests/state/quarantine.rs
+++ b/components/control/tests/state/quarantine.rs
@@ -1,5 +1,6 @@
 //! Requests that crash engines: what gateways receive, and what outlives a leader.
 
+use garnet_consensus::{Entry, EntryPayload, Envelope, Member, Membership, Message};
 use garnet_control::{
     Command, CommandEnvelope, Configuration, ControlReply, ControlState, Effect, Event,
     GatewayRequest, OperatorRequest, Session, UpgradeSettings, WatchUpdate,
@@ -8,7 +9,7 @@
     EndedRun, EngineStart, RequestFingerprint, RequestIdentity, RunEnd, RunReport,
     SuspectedRequest, Suspects,
 };
-use garnet_types::{BackendId, EncodingVersion, Millis, ServiceId, SessionId, TenantId};
+use garnet_types::{BackendId, EncodingVersion, Millis, ReplicaId, ServiceId, SessionId, TenantId};
 use rstest::rstest;
 
 use crate::leader::{Leader, encoded};
@@ -448,3 +449,169 @@
     let replies = send_report(&mut follower, connection, vec![run("bad", "e1")]);
     assert!(is_referred_to_leader(&replies));
 }
+
+/// A member that votes for the replica and, unless it is cut off, stores its entries.
+const PEER: ReplicaId = ReplicaId(2);
+
+fn from_peer(replica: &mut Leader, term: u64, message: Message) {
+    let envelope = Envelope {
+        from: PEER,
+        to: ReplicaId(1),
+        term,
+        message,
+    };
+    replica.replica.handle(Event::Peer(envelope), replica.now);
+    replica.persist();
+}
+
+/// The peer's answer to a message, if it gives one.
+fn answer_of_peer(message: Message, stores: bool) -> Option<Message> {
+    match message {
+        Message::RequestVote { pre_vote, .. } => Some(Message::VoteReply {
+            pre_vote,
+            granted: true,
+        }),
+        Message::Append {
+            previous_index,
+            entries,
+            sent_at,
+            ..
+        } => stores.then(|| Message::AppendReply {
+            match_index: previous_index + entries.len() as u64,
+            accepted: true,
+            sent_at,
+        }),
+        _ => None,
+    }
+}
+
+/// One step of the time, in which the peer answers. Returns the other effects.
+fn step_with_peer(replica: &mut Leader, stores: bool) -> Vec<Effect> {
+    let mut others = Vec::new();
+    let mut effects = replica.run(Millis(50));
+    while !effects.is_empty() {
+        for effect in std::mem::take(&mut effects) {
+            match effect {
+                Effect::SendPeer(sent) if sent.to == PEER => {
+                    if let Some(answer) = answer_of_peer(sent.message, stores) {
+                        from_peer(replica, sent.term, answer);
+                    }
+                }
+                Effect::SendPeer(_) => {}
+                other => others.push(other),
+            }
+        }
+        effects = replica.replica.take_effects();
+    }
+    others
+}
+
+fn elect(replica: &mut Leader, stores: bool) {
+    for _ in 0..200 {
+        if replica.replica.node().is_leader() {
+            return;
+        }
+        step_with_peer(replica, stores);
+    }
+    panic!("not elected");
+}
+
+fn run_with_peer(replica: &mut Leader, time: Millis) -> Vec<Effect> {
+    let until = replica.now + time;
+    let mut effects = Vec::new();
+    while replica.now < until {
+        effects.extend(step_with_peer(replica, true));
+    }
+    effects
+}
+
+/// Another member leads from now on.
+fn append_from_new_leader(replica: &mut Leader, previous: (u64, u64), entries: Vec<Entry>) {
+    let term = replica.replica.node().status().term + 1;
+    let message = Message::Append {
+        previous_index: previous.0,
+        previous_term: previous.1,
+        commit_index: previous.0 + entries.len() as u64,
+        entries,
+        sent_at: replica.now,
+    };
+    from_peer(replica, term, message);
+    assert!(!replica.replica.node().is_leader());
+}
+
+/// A fleet of one build: after its term a replica no longer hears that runs completed or engines
+/// answered, so that it must decide nothing on the reports of that term.
+#[test]
+fn a_former_leader_decides_nothing_on_the_reports_of_its_term() {
+    let mut replica = Leader::restarted(Leader::settings(), Vec::new(), 0);
+    elect(&mut replica, true);
+    run_with_peer(&mut replica, SETTLE_TIME);
+    report_three_crashes(&mut replica);
+    append_from_new_leader(&mut replica, (0, 0), Vec::new());
+    let effects = replica.run(SETTLE_TIME);
+    let is_verdict = |effect: &Effect| matches!(effect, Effect::Quarantined(_));
+    assert!(!effects.iter().any(is_verdict), "{effects:?}");
+    elect(&mut replica, true);
+    run_with_peer(&mut replica, SETTLE_TIME);
+    assert!(!is_in_log(&replica), "refused without a report");
+}
+
+/// The log holds the verdict, but the replica receives it in a snapshot.
+#[test]
+fn a_verdict_that_came_in_a_snapshot_is_not_made_again_after_its_release() {
+    let mut follower = follower();
+    let runs = ["e1", "e2", "e3"].map(|engine| run("bad", engine));
+    send_report(&mut follower, REPORT_CONNECTION, runs.to_vec());
+    follower.run(SETTLE_TIME);
+    let state = with_verdict().replica.state().encode().expect("its own");
+    let member = || Member {
+        peer_address: "10.0.0.1:7380".into(),
+        admin_address: "10.0.0.1:8144".into(),
+        voter: true,
+    };
+    let members = (1..=3).map(|id| (ReplicaId(id), member())).collect();
+    let chunk = Message::SnapshotChunk {
+        index: 50,
+        snapshot_term: 2,
+        membership: Membership { members },
+        offset: 0,
+        data: state,
+        done: true,
+        sent_at: follower.now,
+    };
+    let term = follower.replica.node().status().term + 1;
+    from_peer(&mut follower, term, chunk);
+    assert!(is_in_log(&follower));
+    let release = Command::ReleaseRequest(request("bad"));
+    let entry = Entry {
+        index: 51,
+        term,
+        payload: EntryPayload::Command(encoded(release, EncodingVersion::CURRENT)),
+    };
+    append_from_new_leader(&mut follower, (50, 2), vec![entry]);
+    assert!(!is_in_log(&follower));
+    elect(&mut follower, true);
+    run_with_peer(&mut follower, SETTLE_TIME);
+    assert!(!is_in_log(&follower), "made again after its release");
+}
+
+/// The replica that took the reports is elected. Until it has committed an entry, its list must
+/// not lack the verdict that its gateways know from it.
+#[test]
+fn a_receiver_that_is_elected_still_sends_its_verdict() {
+    let mut follower = follower();
+    let runs = ["e1", "e2", "e3"].map(|engine| run("bad", engine));
+    send_report(&mut follower, REPORT_CONNECTION, runs.to_vec());
+    follower.run(SETTLE_TIME);
+    let replies = send_report(&mut follower, REPORT_CONNECTION, Vec::new());
+    assert_eq!(refused_in(&replies), [request("bad")]);
+    elect(&mut follower, false);
+    let replies = send_report(&mut follower, REPORT_CONNECTION, Vec::new());
+    let lists = replies.iter().filter_map(|reply| match reply {
+        ControlReply::Watch { suspects, .. } => suspects.clone(),
+        _ => None,
+    });
+    for list in lists {
+        assert_eq!(list.refused, [request("bad")]);
+    }
+}
--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -5,7 +5,7 @@
 //! reported again to each new leader, which starts without any. While the leader is of a version
 //! without reports, another replica receives them in its place.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use garnet_types::Millis;
 
@@ -42,6 +42,14 @@
     Refused,
 }
 
+/// The status of a request in the list of a previous leader.
+#[derive(Debug, Clone, Copy)]
+struct PreviousStatus {
+    status: QuarantineStatus,
+    /// Until when it counts.
+    until: Millis,
+}
+
 /// One ended run.
 #[derive(Debug)]
 struct Entry {
@@ -64,9 +72,10 @@
     uses_report_connection: bool,
     now: Millis,
     leader_suspects: Suspects,
-    /// The list of the previous leader, which counts until the new one has caught up.
-    previous_suspects: Suspects,
-    previous_until: Millis,
+    /// When that list was received.
+    suspects_at: Millis,
+    /// Requests in the lists of previous leaders, which count until the new one has caught up.
+    previous_suspects: BTreeMap<RequestFingerprint, PreviousStatus>,
     /// Requests that the configuration refuses.
     quarantined: BTreeSet<RequestFingerprint>,
 }
@@ -111,15 +120,16 @@
     /// The status of a request, from the runs recorded here and the leader's suspects.
     pub fn status(&self, fingerprint: RequestFingerprint) -> QuarantineStatus {
         let engines = self.engines_of(fingerprint);
-        let lists = [&self.leader_suspects, &self.previous_suspects];
-        if lists.iter().any(|list| list.refused.contains(&fingerprint))
+        let previous = self.previous_suspects.get(&fingerprint);
+        let previous = previous.map(|previous| previous.status);
+        if self.leader_suspects.refused.contains(&fingerprint)
+            || previous == Some(QuarantineStatus::Refused)
             || self.is_certain_cause(fingerprint, &engines)
         {
             QuarantineStatus::Refused
         } else if engines.len() + 1 >= CRASH_THRESHOLD
-            || lists
-                .iter()
-                .any(|list| list.suspected.contains(&fingerprint))
+            || self.leader_suspects.suspected.contains(&fingerprint)
+            || previous == Some(QuarantineStatus::Suspected)
         {
             QuarantineStatus::Suspected
         } else {
@@ -225,9 +235,15 @@
     pub fn on_leader_change(&mut self, now: Millis) {
         self.confirmed = 0;
         self.confirmed_at = now;
-        if !self.leader_suspects.is_empty() {
-            self.previous_suspects = self.leader_suspects.clone();
-            self.previous_until = now + LEADER_CATCH_UP_TIME;
+        let until = now + LEADER_CATCH_UP_TIME;
+        let Suspects { suspected, refused } = &self.leader_suspects;
+        for (requests, status) in [
+            (suspected, QuarantineStatus::Suspected),
+            (refused, QuarantineStatus::Refused),
+        ] {
+            let previous = PreviousStatus { status, until };
+            let requests = requests.iter().map(|request| (*request, previous));
+            self.previous_suspects.extend(requests);
         }
     }
 
@@ -239,14 +255,15 @@
         let previous = std::mem::replace(&mut self.quarantined, current);
         for released in previous.difference(&self.quarantined) {
             self.entries.retain(|entry| entry.fingerprint != *released);
-            let previously_refused = &mut self.previous_suspects.refused;
-            previously_refused.retain(|refused| refused != released);
+            self.previous_suspects.remove(released);
         }
     }
 
-    /// Sets the suspects that the leader published.
+    /// Sets the suspects that the leader published, or the replica that receives the reports in
+    /// its place.
     pub fn update_suspects(&mut self, suspects: Suspects) {
         self.leader_suspects = suspects;
+        self.suspects_at = self.now;
     }
 
     /// Forgets what no longer counts.
@@ -256,8 +273,11 @@
         while self.entries.front().is_some_and(is_old) {
             self.entries.pop_front();
         }
-        if now >= self.previous_until {
-            self.previous_suspects = Suspects::default();
+        self.previous_suspects
+            .retain(|_, previous| now < previous.until);
+        // A list that is not empty is sent again and again as long as its sender is there.
+        if now.since(self.suspects_at) > CRASH_LIFETIME {
+            self.leader_suspects = Suspects::default();
         }
     }
 }
--- a/components/quarantine/tests/crashes/log.rs
+++ b/components/quarantine/tests/crashes/log.rs
@@ -102,6 +102,7 @@
     log.on_leader_change(NOW);
     log.update_suspects(Suspects::default());
     let _ = log.report(NOW + Millis(2900));
+    assert!(!log.is_empty());
     assert_eq!(log.status(request("bad")), QuarantineStatus::Refused);
     assert_eq!(log.status(request("near")), QuarantineStatus::Suspected);
     let _ = log.report(NOW + Millis(3000));
@@ -221,3 +222,40 @@
     assert!(log.is_empty());
     assert_eq!(log.status(request("bad")), QuarantineStatus::Clear);
 }
+
+/// The replica that took the reports is gone, and none took its place: a fleet that went back to
+/// version 11.
+#[test]
+fn a_verdict_of_a_receiver_that_is_gone_has_an_end() {
+    let mut log = CrashLog::default();
+    log.set_uses_report_connection(true);
+    log.update_suspects(Suspects {
+        suspected: vec![request("near")],
+        refused: vec![request("bad")],
+    });
+    // The leader of version 11 is connected anew every 60 s, to offer a later version.
+    for minute in 0..=5 * 60 {
+        log.on_leader_change(NOW + Millis::from_secs(60 * minute));
+        log.update(NOW + Millis::from_secs(60 * minute + 59));
+    }
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Clear);
+    assert_eq!(log.status(request("near")), QuarantineStatus::Clear);
+}
+
+/// A second change within the time of the first one: the list between them lacks what neither
+/// receiver has decided on again.
+#[test]
+fn a_previous_list_outlives_a_second_change_of_the_leader() {
+    let refused = |path| Suspects {
+        suspected: Vec::new(),
+        refused: vec![request(path)],
+    };
+    let mut log = CrashLog::default();
+    log.update_suspects(refused("bad"));
+    log.on_leader_change(NOW);
+    log.update_suspects(refused("other"));
+    log.on_leader_change(NOW + Millis(500));
+    log.update_suspects(Suspects::default());
+    log.update(NOW + Millis(1000));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Refused);
+}
