Quarantine: gateways report the previous leader's verdicts to a new one

Cause: below the level a verdict is in the leader's memory alone, and a new leader is told only of crashes that living gateways saw themselves.

Change: the list of a previous leader is reported to the new one as well, as crashes of a back end that stands for the verdict. They count for no status at the gateway itself.

Test: a_verdict_is_reported_to_a_new_leader; without the change the report is empty.

--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use garnet_types::Millis;
+use garnet_types::{BackendId, Millis};
 
 use crate::crash::{CRASH_THRESHOLD, EndedRun, EngineStart, RunEnd, RunReport, Suspects};
 use crate::fingerprint::RequestFingerprint;
@@ -15,6 +15,9 @@
 /// Maximum number of recorded runs, some 100 bytes each: enough for the batches of several
 /// engines that crash together.
 const MAX_ENTRIES: usize = 512;
+/// Maximum number of verdicts of a previous leader that are reported to a new one, at
+/// [`CRASH_THRESHOLD`] entries each.
+const MAX_REPORTED_VERDICTS: usize = 64;
 /// Maximum number of runs in one report, some 40 bytes each.
 const MAX_RUNS_PER_REPORT: usize = 128;
 /// Number of crashes after which this gateway refuses a request by itself while no replica adds
@@ -57,6 +60,18 @@
     recorded_at: Millis,
     fingerprint: RequestFingerprint,
     end: RunEnd,
+    /// Whether this is not a run of this gateway but a part of a previous leader's verdict.
+    is_verdict: bool,
+}
+
+/// Crashes that stand for a verdict whose engines only the previous leader knew. They are the same
+/// at all gateways, and of no engine of another request.
+fn verdict_crashes(fingerprint: RequestFingerprint) -> impl Iterator<Item = EngineStart> {
+    let backend = BackendId::new(format!("verdict-{fingerprint}"));
+    (0..CRASH_THRESHOLD as u64).map(move |incarnation| EngineStart {
+        backend: backend.clone(),
+        incarnation,
+    })
 }
 
 /// The recorded runs and known suspects of one gateway.
@@ -83,7 +98,7 @@
 impl CrashLog {
     /// Whether no request is suspected or refused, so that lookups can be skipped.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.iter().all(|entry| entry.is_verdict)
             && self.leader_suspects.is_empty()
             && self.previous_suspects.is_empty()
     }
@@ -111,6 +126,7 @@
             recorded_at: now,
             fingerprint,
             end,
+            is_verdict: false,
         });
         if self.entries.len() > MAX_ENTRIES {
             self.entries.pop_front();
@@ -178,7 +194,7 @@
     fn engines_of(&self, fingerprint: RequestFingerprint) -> BTreeSet<&EngineStart> {
         let entries = self.entries.iter();
         entries
-            .filter(|entry| entry.fingerprint == fingerprint)
+            .filter(|entry| entry.fingerprint == fingerprint && !entry.is_verdict)
             .filter_map(|entry| match &entry.end {
                 RunEnd::Crashed(engine) => Some(engine),
                 RunEnd::Completed => None,
@@ -233,6 +249,7 @@
     /// place. A new one has none of the runs, and its first list lacks verdicts that the log does
     /// not hold.
     pub fn on_leader_change(&mut self, now: Millis) {
+        self.record_verdicts(now);
         self.confirmed = 0;
         self.confirmed_at = now;
         let until = now + LEADER_CATCH_UP_TIME;
@@ -247,6 +264,22 @@
         }
     }
 
+    /// Records the verdicts that the log may not hold, for the report to a new leader: the gateways
+    /// that saw the crashes may be gone.
+    fn record_verdicts(&mut self, now: Millis) {
+        self.entries.retain(|entry| !entry.is_verdict);
+        let verdicts = self.leader_suspects.refused.iter().copied();
+        let verdicts: Vec<_> = verdicts.take(MAX_REPORTED_VERDICTS).collect();
+        for fingerprint in verdicts {
+            for engine in verdict_crashes(fingerprint) {
+                self.record(fingerprint, RunEnd::Crashed(engine), now);
+                if let Some(recorded) = self.entries.back_mut() {
+                    recorded.is_verdict = true;
+                }
+            }
+        }
+    }
+
     /// Sets the requests that the configuration refuses. The recorded runs of a request that it no
     /// longer refuses are dropped; otherwise the request would be refused again as soon as an
     /// operator released it.
--- a/components/quarantine/tests/crashes/log.rs
+++ b/components/quarantine/tests/crashes/log.rs
@@ -1,6 +1,6 @@
 //! The crash log of one gateway.
 
-use garnet_quarantine::{CrashLog, QuarantineStatus, RunEnd, Suspects};
+use garnet_quarantine::{CrashLog, CrashTracker, QuarantineStatus, RunEnd, Suspects};
 use garnet_types::Millis;
 
 use crate::{engine, request};
@@ -110,6 +110,32 @@
     assert_eq!(log.status(request("bad")), QuarantineStatus::Clear);
 }
 
+/// The gateways that saw the crashes were replaced, and then the leader: only the list at the
+/// other gateways still holds the verdict.
+#[test]
+fn a_verdict_is_reported_to_a_new_leader() {
+    let mut log = CrashLog::default();
+    log.update_suspects(Suspects {
+        suspected: Vec::new(),
+        refused: vec![request("bad"), request("other")],
+    });
+    log.on_leader_change(NOW);
+    log.on_leader_change(NOW);
+    let mut tracker = CrashTracker::default();
+    for _gateway in 0..2 {
+        tracker.apply_report(&log.report(NOW).expect("a report"), NOW);
+    }
+    let refused = tracker.decide(NOW + Millis(350));
+    let mut refused: Vec<_> = refused.iter().map(|verdict| verdict.fingerprint).collect();
+    refused.sort();
+    let mut expected = [request("bad"), request("other")];
+    expected.sort();
+    assert_eq!(refused, expected);
+    log.update_suspects(Suspects::default());
+    log.update(NOW + Millis::from_secs(3));
+    assert_eq!(log.status(request("bad")), QuarantineStatus::Clear);
+}
+
 /// A leader that refuses a request keeps its list across a reconnection of the gateway.
 #[test]
 fn a_list_that_a_leader_repeats_stays() {
