--- a/components/control/tests/state/duties.rs
+++ b/components/control/tests/state/duties.rs
@@ -3,12 +3,13 @@
 use garnet_consensus::Config;
 use garnet_control::{
     Command, Duty, DutyAnswer, DutyCall, DutySettings, Effect, Event, GatewayRequest, Replica,
-    ReplicaSettings, UsageReport, WindowCounts,
+    ReplicaSettings, UpgradeSettings, UsageReport, WindowCounts,
 };
-use garnet_types::{Millis, ReplicaId, TenantId, UsageWindow};
+use garnet_types::{EncodingVersion, Millis, ReplicaId, TenantId, UsageWindow};
 use rstest::rstest;
 
-use crate::leader::Leader;
+use crate::leader::{Leader, encoded};
+use crate::level::put;
 use crate::usage::report;
 
 const WINDOW: Millis = Millis::from_secs(5);
@@ -186,3 +187,38 @@
     assert_eq!(calls(leader.run(Millis::from_secs(20))), []);
     assert_eq!(leader.replica.node().status().commit_index, before);
 }
+
+/// While builds are replaced the log can't hold counts; the leader has them from the gateways'
+/// reports, and gateways repeat them.
+#[rstest]
+#[case::short(Millis::from_secs(60))]
+#[case::default(UpgradeSettings::default().rollback_window)]
+fn counts_from_below_the_level_are_reported_when_it_rises(#[case] rollback_window: Millis) {
+    let entries = vec![encoded(put(1), EncodingVersion::V11)];
+    let mut settings = settings(true);
+    settings.upgrade.rollback_window = rollback_window;
+    let mut leader = Leader::elected_with_entries(settings, entries);
+    let connection = 9;
+    leader.handle_event(Event::GatewayOpened {
+        connection,
+        version: EncodingVersion::V11,
+    });
+    leader.run(Millis(1000));
+    let window = leader.now.0 / WINDOW.0;
+    send_usage(&mut leader, report("g1", 1, &[(window, "one", 3)]));
+    leader.handle_event(Event::GatewayClosed { connection });
+    leader.run(rollback_window);
+    let last = leader.now.0 / WINDOW.0;
+    let mut reported = 0;
+    loop {
+        let call = next_call(&mut leader);
+        let (window, counts) = window_of(&call);
+        reported += counts.get(&TenantId::new("one")).copied().unwrap_or(0);
+        if window >= last {
+            break;
+        }
+        answer(&mut leader, &call, DutyAnswer::Done);
+    }
+    assert_eq!(leader.replica.level(), Some(EncodingVersion::CURRENT));
+    assert_eq!(reported, 3);
+}
