Quarantine: a verdict is reported also after a second change of the leader

A leader that was soon followed by another one had not listed the verdict yet, and the second change dropped what the first one had recorded.

Test: a_verdict_is_reported_to_a_new_leader, with such a leader in between; failed before (no report).

--- a/components/control/src/replica/quarantining.rs
+++ b/components/control/src/replica/quarantining.rs
@@ -2,9 +2,8 @@
 //! gateways.
 //!
 //! The leader decides, or a replica that receives the reports in its place. Gateways receive a
-//! verdict with the next answer to their watch, whether or not the log can
-//! take it: neither a slow disk nor a log of version 11 delays one. What the log holds outlives
-//! the leader.
+//! verdict with the next answer to their watch, whether or not the log can take it: neither a slow
+//! disk nor a log of version 11 delays one. What the log holds outlives the leader.
 
 mod report_connections;
 
--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -267,9 +267,11 @@
     /// Records the verdicts that the log may not hold, for the report to a new leader: the gateways
     /// that saw the crashes may be gone.
     fn record_verdicts(&mut self, now: Millis) {
-        self.entries.retain(|entry| !entry.is_verdict);
         let verdicts = self.leader_suspects.refused.iter().copied();
-        let verdicts: Vec<_> = verdicts.take(MAX_REPORTED_VERDICTS).collect();
+        let verdicts: BTreeSet<_> = verdicts.take(MAX_REPORTED_VERDICTS).collect();
+        // Others are kept: a leader that was soon followed by another one may not have listed them.
+        self.entries
+            .retain(|entry| !entry.is_verdict || !verdicts.contains(&entry.fingerprint));
         for fingerprint in verdicts {
             for engine in verdict_crashes(fingerprint) {
                 self.record(fingerprint, RunEnd::Crashed(engine), now);
--- a/components/quarantine/tests/crashes/log.rs
+++ b/components/quarantine/tests/crashes/log.rs
@@ -121,6 +121,9 @@
     });
     log.on_leader_change(NOW);
     log.on_leader_change(NOW);
+    // A leader that is replaced before it has decided.
+    log.update_suspects(Suspects::default());
+    log.on_leader_change(NOW);
     let mut tracker = CrashTracker::default();
     for _gateway in 0..2 {
         tracker.apply_report(&log.report(NOW).expect("a report"), NOW);
