garnet-gateway: the report link asks whether it is needed without making a report

ReportLinkOwner::replicas() is called every 100 ms, also while the leader takes the reports, and built a report of up to 128 runs to learn whether there is one. It asks the crash log's state now, as the forwarding shell does. Two comments of tests are reworded. No behaviour changes.

--- a/bin/garnet-gateway/src/context.rs
+++ b/bin/garnet-gateway/src/context.rs
@@ -83,6 +83,11 @@
         look(&self.gateway.borrow(), self.clock.now())
     }
 
+    /// Whether runs are reported on the report connection.
+    pub(crate) fn uses_report_connection(&self) -> bool {
+        self.gateway.borrow().uses_report_connection()
+    }
+
     /// The runs to report on the report connection, or `None` while the leader takes the
     /// reports.
     pub(crate) fn next_run_report(&self) -> Option<RunReport> {
--- a/bin/garnet-gateway/src/start.rs
+++ b/bin/garnet-gateway/src/start.rs
@@ -74,10 +74,10 @@
 
 impl ReportLinkHandler for ReportLinkOwner {
     fn replicas(&self) -> Vec<String> {
-        match self.context.next_run_report() {
-            Some(_) => self.controls.clone(),
-            None => Vec::new(),
+        if !self.context.uses_report_connection() {
+            return Vec::new();
         }
+        self.controls.clone()
     }
 
     fn on_connected(&self) {
--- a/components/control/tests/state/quarantine.rs
+++ b/components/control/tests/state/quarantine.rs
@@ -436,7 +436,7 @@
     }
 }
 
-/// A gateway that takes this replica for the leader must be told that it is not.
+/// Without `NotLeader` the gateway would go on sending its requests to this replica.
 #[test]
 fn a_report_on_another_connection_is_referred_to_the_leader() {
     let mut follower = follower();
@@ -539,8 +539,8 @@
     assert!(!replica.replica.node().is_leader());
 }
 
-/// A fleet of one build: after its term a replica no longer hears that runs completed or engines
-/// answered, so that it must decide nothing on the reports of that term.
+/// After its term a replica receives no reports of completed runs or answers of engines, which
+/// would clear a request. This concerns a fleet of one build too.
 #[test]
 fn a_former_leader_decides_nothing_on_the_reports_of_its_term() {
     let mut replica = Leader::restarted(Leader::settings(), Vec::new(), 0);
--- a/components/gateway/src/gateway/quarantine.rs
+++ b/components/gateway/src/gateway/quarantine.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Whether runs are reported to a replica other than the leader.
+    pub fn uses_report_connection(&self) -> bool {
+        self.crash_log.uses_report_connection()
+    }
+
     /// The report for another replica, or `None` while the leader takes the reports. It is
     /// empty if there is nothing to report.
     pub fn next_run_report(&mut self, now: Millis) -> Option<RunReport> {
