Encoding version 18: gateways report whether they relay requests, and get a list of relays

Gateways need one another's addresses to hand requests on, and have none. Beliefs, as load reports are: not logged, empty at a new leader.

Version 18 is version 17 with one request and one reply more. Neither is sent on a connection of an earlier version (test). Bytes of 18 are recorded; those of 11, 16 and 17 are unchanged.

--- a/components/control/src/encoding/v11/messages.rs
+++ b/components/control/src/encoding/v11/messages.rs
@@ -62,7 +62,8 @@
             | CurrentRequest::Runs(_)
             | CurrentRequest::Part(_)
             | CurrentRequest::LimitReports { .. }
-            | CurrentRequest::Permit(_) => None,
+            | CurrentRequest::Permit(_)
+            | CurrentRequest::Relay(_) => None,
         }
     }
 }
@@ -223,7 +224,8 @@
             | CurrentReply::RunsNoted { .. }
             | CurrentReply::Part(_)
             | CurrentReply::Limits(_)
-            | CurrentReply::Permit(_) => return Ok(None),
+            | CurrentReply::Permit(_)
+            | CurrentReply::Relays(_) => return Ok(None),
         };
         Ok(Some(ControlReply(reply)))
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -29,6 +29,7 @@
 mod pool_census;
 mod priority_counts;
 mod reconciler;
+mod relays;
 mod replica;
 mod shared;
 mod state;
@@ -56,7 +57,7 @@
 pub use load_digest::{BackendListHash, BackendState, GatewayDigest, LoadDigest, PositionedState};
 pub use messages::{
     Backlog, ClaimRequest, ControlReply, CopyUpdates, Evidence, GatewayRequest, GroupView,
-    JoinRequest, LimitUpdate, PoolMix, PositionedCopy, PromptCopy, WatchUpdate,
+    JoinRequest, LimitUpdate, PoolMix, PositionedCopy, PromptCopy, Relay, RelayReport, WatchUpdate,
 };
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -1,9 +1,12 @@
 //! Messages between gateways and the leader.
 
+use std::net::SocketAddr;
+
 use garnet_limits::{LimitEntry, LimitList, LimitReports, PermitAnswer, PermitRequest};
 use garnet_quarantine::{RunReport, Suspects};
 use garnet_types::{
-    BackendId, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId, ServiceId,
+    BackendId, EncodingVersion, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId,
+    ServiceId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -153,6 +156,24 @@
     },
     /// Asks for a permit to send a request to a rate-limited back end.
     Permit(PermitRequest),
+    /// Whether the gateway relays requests of its peers. Answered with the relays that it
+    /// may use itself.
+    Relay(RelayReport),
+}
+
+impl GatewayRequest {
+    /// The first version that has this request.
+    pub fn since(&self) -> EncodingVersion {
+        match self {
+            GatewayRequest::Watch { .. } | GatewayRequest::Claim(_) => EncodingVersion::V11,
+            GatewayRequest::Usage(_)
+            | GatewayRequest::Runs(_)
+            | GatewayRequest::Part(_)
+            | GatewayRequest::LimitReports { .. }
+            | GatewayRequest::Permit(_) => EncodingVersion::V16,
+            GatewayRequest::Relay(_) => EncodingVersion::V18,
+        }
+    }
 }
 
 /// A replica's request to join the group, repeated until a leader sends it the log.
@@ -166,6 +187,30 @@
     pub admin_address: String,
 }
 
+/// What a gateway reports about relaying requests of peer gateways.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayReport {
+    /// The gateway.
+    pub gateway: GatewayId,
+    /// Its zone.
+    pub zone: String,
+    /// Where it takes requests of peer gateways; `None` if it takes none.
+    pub address: Option<SocketAddr>,
+    /// Services to whose back ends it has no path.
+    pub unreached: Vec<ServiceId>,
+}
+
+/// A gateway that relays requests of its peers to back ends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relay {
+    /// Where it takes requests of peer gateways.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Services to whose back ends it has no path.
+    pub unreached: Vec<ServiceId>,
+}
+
 /// Members of the control group, for gateways that have to reconnect.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupView {
@@ -289,4 +334,23 @@
         /// to a gateway without a configuration while no leader is known.
         last_known: Option<Shared<Configuration>>,
     },
+    /// Answer to a relay report: gateways that may relay requests, the nearest first.
+    Relays(Vec<Relay>),
+}
+
+impl ControlReply {
+    /// The first version that has this reply.
+    pub fn since(&self) -> EncodingVersion {
+        match self {
+            ControlReply::Watch { .. }
+            | ControlReply::Claim { .. }
+            | ControlReply::NotLeader { .. } => EncodingVersion::V11,
+            ControlReply::Usage(_)
+            | ControlReply::RunsNoted { .. }
+            | ControlReply::Part(_)
+            | ControlReply::Limits(_)
+            | ControlReply::Permit(_) => EncodingVersion::V16,
+            ControlReply::Relays(_) => EncodingVersion::V18,
+        }
+    }
 }
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -75,6 +75,11 @@
             GatewayRequest::Runs(report) => {
                 self.handle_run_report(connection, &report);
             }
+            GatewayRequest::Relay(report) => {
+                let reply = ControlReply::Relays(self.relays.report(report, self.now));
+                self.effects
+                    .push(Effect::ReplyGateway { connection, reply });
+            }
         }
     }
 
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -32,6 +32,7 @@
             self.join_requests.clear();
             self.fleet_load.clear();
             self.copies.clear();
+            self.relays.clear();
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -37,6 +37,7 @@
 use crate::group_step::GroupSettings;
 use crate::planning::Planning;
 use crate::reconciler::{EnginePolling, Reconciler};
+use crate::relays::Relays;
 use crate::state::{ControlState, StateDecodeError};
 use crate::watch::{RecentChanges, SentUpdates};
 
@@ -187,6 +188,7 @@
     gateways: GatewayLeases,
     fleet_load: FleetLoad,
     copies: Copies,
+    relays: Relays,
     quarantining: Quarantining,
     limiting: Limiting,
     reconciler: Reconciler,
@@ -257,6 +259,7 @@
             gateways: GatewayLeases::default(),
             fleet_load: FleetLoad::default(),
             copies: Copies::default(),
+            relays: Relays::default(),
             quarantining: Quarantining::default(),
             limiting: Limiting::default(),
             reconciler,
@@ -407,6 +410,7 @@
             self.raise_level_if_due();
             self.gateways.forget_silent(self.now);
             self.prune_gateway_names();
+            self.relays.prune(self.now);
             self.sent_updates.forget(self.now);
         }
         if !leads {
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -19,6 +19,7 @@
 mod machine_list;
 mod operators;
 mod quarantine;
+mod relays;
 mod routes;
 mod usage;
 mod watching;
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -77,8 +77,8 @@
             ControlReply::Claim { claim, answer } => self.handle_claim_answer(&claim, answer),
             // The driver connects to the named leader; unacknowledged messages are sent again.
             ControlReply::NotLeader { .. } => self.on_leader_contact(Millis::NEVER),
-            // This gateway sends no usage reports.
-            ControlReply::Usage(_) => {}
+            // This gateway sends neither usage reports nor relay reports.
+            ControlReply::Usage(_) | ControlReply::Relays(_) => {}
             ControlReply::Limits(limit_update) => self.on_limit_update(&limit_update),
             ControlReply::Permit(answer) => self.on_permit_answer(&answer),
             ControlReply::RunsNoted { through } => self.on_runs_acknowledged(through),
--- a/components/types/src/encoding_version.rs
+++ b/components/types/src/encoding_version.rs
@@ -25,8 +25,10 @@
     /// Log entries carry their version, and the process that accepts a connection replies
     /// with its own version.
     pub const V17: Self = EncodingVersion(17);
+    /// Gateways report whether they relay requests for peer gateways.
+    pub const V18: Self = EncodingVersion(18);
     /// The version of this build.
-    pub const CURRENT: Self = Self::V17;
+    pub const CURRENT: Self = Self::V18;
 }
 
 impl fmt::Display for EncodingVersion {
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -54,6 +54,9 @@
     /// Encodes a frame. Adds no bytes for one that the version lacks and that can be left
     /// out.
     fn encode(&mut self, frame: Frame, target: &mut BytesMut) -> Result<(), WireError> {
+        if frame.since() > self.version && self.version > EncodingVersion::V11 {
+            return Ok(());
+        }
         let payload = if self.version > EncodingVersion::V11 {
             encode_value(&frame)?
         } else {
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -48,6 +48,18 @@
     },
 }
 
+impl Frame {
+    /// The first version after [`EncodingVersion::V11`] that has this frame, or 11.
+    pub(crate) fn since(&self) -> EncodingVersion {
+        match self {
+            Frame::Hello { .. } | Frame::Peer(_) | Frame::Join(_) => EncodingVersion::V11,
+            Frame::Gateway(request) => request.since(),
+            Frame::Control(reply) => reply.since(),
+            Frame::Welcome { .. } => EncodingVersion::V17,
+        }
+    }
+}
+
 /// The checked hello of a connection that another process opened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AcceptedHello {
--- a/components/wire/tests/upgrade/coverage.rs
+++ b/components/wire/tests/upgrade/coverage.rs
@@ -80,6 +80,7 @@
         ControlReply::Limits(_) => 5,
         ControlReply::Permit(_) => 6,
         ControlReply::NotLeader { .. } => 7,
+        ControlReply::Relays(_) => 8,
     }
 }
 
@@ -92,6 +93,7 @@
         GatewayRequest::Part(_) => 4,
         GatewayRequest::LimitReports { .. } => 5,
         GatewayRequest::Permit(_) => 6,
+        GatewayRequest::Relay(_) => 7,
     }
 }
 
@@ -188,12 +190,13 @@
     let all = samples::frames(EncodingVersion::CURRENT)
         .into_iter()
         .chain(samples::frames_since_16())
-        .chain(samples::frames_since_17());
+        .chain(samples::frames_since_17())
+        .chain(samples::frames_since_18());
     all.for_each(|(_, frame)| covered.add_frame(&frame));
     assert_eq!(covered.changes, (0..9).collect());
     assert_eq!(covered.updates, (0..5).collect());
-    assert_eq!(covered.replies, (0..8).collect());
-    assert_eq!(covered.requests, (0..7).collect());
+    assert_eq!(covered.replies, (0..9).collect());
+    assert_eq!(covered.requests, (0..8).collect());
     assert_eq!(covered.messages, (0..7).collect());
     assert_eq!(covered.payloads, (0..3).collect());
     assert_eq!(covered.answers, (0..7).collect());
--- a/components/wire/tests/upgrade/encodings.rs
+++ b/components/wire/tests/upgrade/encodings.rs
@@ -42,6 +42,9 @@
     if version >= EncodingVersion::V17 {
         frames.extend(samples::frames_since_17());
     }
+    if version >= EncodingVersion::V18 {
+        frames.extend(samples::frames_since_18());
+    }
     frames
 }
 
@@ -55,7 +58,7 @@
 /// A log entry whose encoding differs from its version would be another command to the
 /// other members.
 #[rstest]
-fn an_entry_is_encoded_as_recorded_for_its_version(#[values(11, 16, 17)] version: u32) {
+fn an_entry_is_encoded_as_recorded_for_its_version(#[values(11, 16, 17, 18)] version: u32) {
     let version = EncodingVersion(version);
     let entry = |(name, command): (&'static str, Command)| {
         let bytes = encode_entry(&envelope(command), version).expect("a command of the version");
@@ -71,7 +74,7 @@
 }
 
 #[rstest]
-fn a_recorded_entry_decodes_to_its_sample(#[values(11, 16, 17)] version: u32) {
+fn a_recorded_entry_decodes_to_its_sample(#[values(11, 16, 17, 18)] version: u32) {
     let version = EncodingVersion(version);
     let recorded = lines(version.0, "commands.hex");
     // The first entry decoded tells the decoder the version: only that version can have
@@ -100,7 +103,7 @@
 /// A frame whose encoding differs from its version would end the connection to a process
 /// of another build.
 #[rstest]
-fn a_frame_is_encoded_as_recorded_for_its_version(#[values(11, 16, 17)] version: u32) {
+fn a_frame_is_encoded_as_recorded_for_its_version(#[values(11, 16, 17, 18)] version: u32) {
     let version = EncodingVersion(version);
     let frame = |(name, frame): (&'static str, Frame)| (name.to_owned(), encoded(frame, version));
     let encodings: Vec<_> = frames(version).into_iter().map(frame).collect();
@@ -113,7 +116,7 @@
 }
 
 #[rstest]
-fn a_recorded_frame_decodes_to_its_sample(#[values(11, 16, 17)] version: u32) {
+fn a_recorded_frame_decodes_to_its_sample(#[values(11, 16, 17, 18)] version: u32) {
     let version = EncodingVersion(version);
     let recorded = lines(version.0, "frames.hex");
     for (name, frame) in frames(version) {
@@ -129,7 +132,8 @@
 #[test]
 fn version_11_encodes_no_frame_that_it_cannot_decode() {
     let later = samples::frames_since_16().into_iter();
-    for (name, frame) in later.chain(samples::frames_since_17()) {
+    let later = later.chain(samples::frames_since_17());
+    for (name, frame) in later.chain(samples::frames_since_18()) {
         let mut bytes = BytesMut::new();
         let result = FrameCodec::new(EncodingVersion::V11).encode(frame, &mut bytes);
         match name {
@@ -150,3 +154,13 @@
         }
     }
 }
+
+/// A process of an earlier version ends a connection on which it receives a frame that it
+/// does not know.
+#[rstest]
+fn frames_since_version_18_are_not_sent_to_earlier_versions(#[values(11, 16, 17)] version: u32) {
+    for (name, frame) in samples::frames_since_18() {
+        let bytes = encoded(frame, EncodingVersion(version));
+        assert!(bytes.is_empty(), "{name}");
+    }
+}
--- a/components/wire/tests/upgrade/samples/frames.rs
+++ b/components/wire/tests/upgrade/samples/frames.rs
@@ -505,3 +505,34 @@
         ),
     ]
 }
+
+/// Frames that exist since version 18.
+pub fn frames_since_18() -> Vec<(&'static str, Frame)> {
+    let address = || "10.0.0.7:7400".parse().expect("an address");
+    let unreached = vec![ServiceId::new("checkout")];
+    let report = |address| RelayReport {
+        gateway: GatewayId::new("gateway-1"),
+        zone: "zone-a".to_owned(),
+        address,
+        unreached: unreached.clone(),
+    };
+    let relay = Relay {
+        address: address(),
+        zone: "zone-a".to_owned(),
+        unreached: unreached.clone(),
+    };
+    vec![
+        (
+            "gateway_relay",
+            Frame::Gateway(GatewayRequest::Relay(report(Some(address())))),
+        ),
+        (
+            "gateway_relay_none",
+            Frame::Gateway(GatewayRequest::Relay(report(None))),
+        ),
+        (
+            "control_relays",
+            Frame::Control(ControlReply::Relays(vec![relay])),
+        ),
+    ]
+}
