--- a/components/forwarding-shell/src/answers.rs
+++ b/components/forwarding-shell/src/answers.rs
@@ -21,6 +21,9 @@
     TooSlow,
     /// The request has not run and will not; it may be retried after this time.
     NotRun(Millis),
+    /// The request has not run and will not: neither this gateway nor a relay has a path to
+    /// the service. It may be retried after this time.
+    NoPath(Millis),
     /// The request has not run and will not, since engines crashed while running it. It
     /// is refused for this time.
     Quarantined(Millis),
@@ -40,12 +43,26 @@
             OwnAnswer::TooLarge => "too_large",
             OwnAnswer::TooSlow => "too_slow",
             OwnAnswer::NotRun(_) => "not_run",
+            OwnAnswer::NoPath(_) => "no_path",
             OwnAnswer::Quarantined(_) => "quarantined",
             OwnAnswer::InDoubt => "in_doubt",
             OwnAnswer::TimedOut => "timed_out",
         }
     }
 
+    /// The answer to a request in flight with this name; `after` is its retry time, if it has
+    /// one.
+    pub(crate) fn from_name(name: &str, after: Millis) -> Option<Self> {
+        let answers = [
+            OwnAnswer::NotRun(after),
+            OwnAnswer::NoPath(after),
+            OwnAnswer::Quarantined(after),
+            OwnAnswer::InDoubt,
+            OwnAnswer::TimedOut,
+        ];
+        answers.into_iter().find(|answer| answer.as_str() == name)
+    }
+
     /// Builds the response; `detail` is appended to its text.
     pub(crate) fn response(self, detail: &str) -> Response<Body> {
         let (status, text) = match self {
@@ -54,7 +71,9 @@
             OwnAnswer::Unauthorized(_) => (401, "the key is missing or unknown"),
             OwnAnswer::TooLarge => (413, "the body is too large"),
             OwnAnswer::TooSlow => (408, "the body did not arrive in time; not run"),
-            OwnAnswer::NotRun(_) => (503, "not run; the request may be retried"),
+            OwnAnswer::NotRun(_) | OwnAnswer::NoPath(_) => {
+                (503, "not run; the request may be retried")
+            }
             // 429 and 503 both mean "not run"; 429 blames the caller's requests rather
             // than the service.
             OwnAnswer::Quarantined(_) => {
@@ -70,7 +89,7 @@
         };
         let mut response = text_response(status, text);
         match self {
-            OwnAnswer::NotRun(after) | OwnAnswer::Quarantined(after) => {
+            OwnAnswer::NotRun(after) | OwnAnswer::NoPath(after) | OwnAnswer::Quarantined(after) => {
                 let seconds = format!("{:.3}", after.as_secs_f64());
                 set_header(&mut response, "retry-after", &seconds);
             }
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -113,6 +113,7 @@
     /// may have crashed.
     pub(crate) fn connection_lost(&mut self, call: &Call) {
         self.failed();
+        self.gateway.on_path_failed(&self.backend);
         let now = self.gateway.now();
         let fingerprint = call.fingerprint();
         log::info!(
@@ -140,6 +141,8 @@
         let now = self.gateway.now();
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.unreachable(&self.backend, now);
+        drop(forwarder);
+        self.gateway.on_path_failed(&self.backend);
     }
 
     /// Notes that the back end was silent for too long.
@@ -231,6 +234,7 @@
         .await;
     let result = match sent {
         Ok(exchange) => {
+            gateway.on_path_answered(&job.backend);
             let parsed = gateway.backends.read_head(call, job, &exchange.head);
             let status = exchange.head.status;
             note_reports(gateway, call, job, &parsed, status, sent_at);
--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -21,13 +21,12 @@
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
 use crate::request::{
-    RunningRequest, count_usage_once, given_up_answer, log_no_back_end, own_answer, record_end,
-    sleep_until_due,
+    RunningRequest, Unserved, count_usage_once, log_no_back_end, record_end, sleep_until_due,
 };
 use crate::timeout::with_timeout;
 
 /// Longest answer that is buffered.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+pub(crate) const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// A complete answer to pass on.
 struct BufferedAnswer {
@@ -36,10 +35,13 @@
 }
 
 /// Serves the request until it times out.
+///
+/// # Errors
+/// The request, if no back end answered it.
 pub(crate) async fn serve<C, B>(
     gateway: &Rc<Gateway<C, B>>,
     mut running: RunningRequest,
-) -> Response<Body>
+) -> Result<Response<Body>, Unserved>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
@@ -50,17 +52,15 @@
         sleep_until_due(gateway, due).await;
         None
     };
-    match smol::future::or(working, late).await {
-        Some(Ok(answer)) => pass_on(gateway, &running, answer),
+    let answer = match smol::future::or(working, late).await {
+        Some(Ok(answer)) => return Ok(pass_on(gateway, &running, answer)),
         Some(Err(NotServed::GivenUp(given_up))) => {
-            let answer = given_up_answer(gateway, &running, given_up);
-            own_answer(gateway, &running, answer)
-        }
-        Some(Err(NotServed::Unavailable(retry_after))) => {
-            own_answer(gateway, &running, OwnAnswer::NotRun(retry_after))
+            return Err(Unserved::given_up(gateway, running, given_up));
         }
-        None => own_answer(gateway, &running, OwnAnswer::TimedOut),
-    }
+        Some(Err(NotServed::Unavailable(retry_after))) => OwnAnswer::NotRun(retry_after),
+        None => OwnAnswer::TimedOut,
+    };
+    Err(Unserved { running, answer })
 }
 
 /// Why no back end answered.
--- a/components/forwarding-shell/src/failover.rs
+++ b/components/forwarding-shell/src/failover.rs
@@ -123,16 +123,33 @@
     place(&left_out).or_else(|| place(tried))
 }
 
-/// Whether the request may still be sent to a back end: it has time left and is not
-/// quarantined. After a suspension of the machine, an expired time is noticed here first.
+/// Whether the request may still be sent to a back end.
 pub(crate) fn may_be_sent<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
+) -> bool {
+    is_allowed(gateway, running) && has_path(gateway, running)
+}
+
+/// Whether the request may still run: it has time left and is not quarantined. After a
+/// suspension of the machine, an expired time is noticed here first.
+pub(crate) fn is_allowed<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
 ) -> bool {
     let is_in_time = running.remaining(gateway.now()) > Millis::ZERO;
     is_in_time && !is_quarantined(gateway, &running.call)
 }
 
+/// Whether this gateway reaches back ends that could serve the request.
+pub(crate) fn has_path<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+) -> bool {
+    let forwarder = gateway.forwarder.borrow();
+    forwarder.has_path(&running.service, &running.work)
+}
+
 /// Takes one retry from the service's retry budget; logs it if none is left.
 pub(crate) fn take_repeat<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_forwarding::{Forwarder, UsageMeter};
+use garnet_forwarding::{Forwarder, PathChange, RelayDirectory, UsageMeter};
 use garnet_routes::CallerLimits;
 use garnet_runtime::{Clock, ConnectionPool, ConnectionTimeouts, Shared, Timers};
-use garnet_types::{Millis, TenantId};
+use garnet_types::{BackendId, Millis, TenantId};
 use smol::LocalExecutor;
 
 use crate::connection_queue::ConnectionQueue;
@@ -49,6 +49,10 @@
     pub(crate) stop_deadline: Cell<Option<Millis>>,
     /// Number of requests without their final answer.
     pub(crate) open_requests: Rc<Cell<usize>>,
+    /// Number of these that peer gateways handed over.
+    pub(crate) relayed_requests: Rc<Cell<usize>>,
+    /// Peer gateways that relay requests for this one.
+    pub(crate) relays: RefCell<RelayDirectory>,
 }
 
 /// Timeouts of callers' connections under these limits.
@@ -77,6 +81,21 @@
         }
     }
 
+    /// Records that a back end has answered.
+    pub(crate) fn on_path_answered(&self, backend: &BackendId) {
+        let changes = self
+            .forwarder
+            .borrow_mut()
+            .path_answered(backend, self.now());
+        changes.iter().for_each(log_path_change);
+    }
+
+    /// Records that a connection to a back end failed before the back end answered.
+    pub(crate) fn on_path_failed(&self, backend: &BackendId) {
+        let changes = self.forwarder.borrow_mut().path_failed(backend, self.now());
+        changes.iter().for_each(log_path_change);
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_deadline.get().is_some()
@@ -87,3 +106,19 @@
         !self.is_stopping() && self.forwarder.borrow().routes_version().is_some()
     }
 }
+
+fn log_path_change(change: &PathChange) {
+    match change {
+        PathChange::Lost(path) => log::warn!(
+            service = path.service.as_str(),
+            phase = path.phase.as_str();
+            "path_lost"
+        ),
+        PathChange::Regained { path, lost_for } => log::info!(
+            service = path.service.as_str(),
+            phase = path.phase.as_str(),
+            lost_for_ms = lost_for.0;
+            "path_regained"
+        ),
+    }
+}
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -18,8 +18,11 @@
 mod headers;
 mod kv_transfer;
 mod metrics;
+mod path_probes;
 mod permits;
 mod ports;
+mod relay;
+mod relay_report;
 mod report_handler;
 mod request;
 mod start;
@@ -34,5 +37,6 @@
     BackendPort, Call, CallFacts, CallerPort, CopySource, HeadMeaning, Job, JobPhase, KvSource,
     ParsedHead, PrefillAnswer,
 };
+pub use relay::RelayedCall;
 pub use start::{GatewayOptions, Ports, Replicas, run};
 pub use stopping::StopTimes;
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -34,6 +34,8 @@
     backoffs: Family<Labels, Counter>,
     withheld: Family<Labels, Counter>,
     connection_waits: Family<Labels, Counter>,
+    relayed: Family<Labels, Counter>,
+    lost_paths: Gauge,
     limited: Gauge,
     usage_lost: Counter,
     watch_age_ms: Gauge,
@@ -73,6 +75,10 @@
         let withheld = registered(all, "withheld", help, counters());
         let help = "Requests that waited for a connection to a back end, by outcome";
         let connection_waits = registered(all, "connection_waits", help, counters());
+        let help = "Requests handed to peer gateways, by outcome";
+        let relayed = registered(all, "relayed", help, counters());
+        let help = "Services to whose back ends there is no path";
+        let lost_paths = registered(all, "lost_paths", help, Gauge::default());
         let help = "Back ends that are known to have a limit";
         let limited = registered(all, "limited_backends", help, Gauge::default());
         let help = "Requests that were counted too late for their window of usage";
@@ -99,6 +105,8 @@
             backoffs,
             withheld,
             connection_waits,
+            relayed,
+            lost_paths,
             limited,
             usage_lost,
             watch_age_ms,
@@ -159,6 +167,15 @@
         self.connection_waits.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn relayed(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.relayed.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn set_lost_paths(&self, services: usize) {
+        self.lost_paths.set(gauge_value(services as u64));
+    }
+
     pub(crate) fn set_limited(&self, backends: usize) {
         self.limited.set(gauge_value(backends as u64));
     }
--- /dev/null
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -0,0 +1,126 @@
+//! What gateways tell each other about a relayed request, in headers of the HTTP request and
+//! its answer. The request itself is passed on as its caller sent it.
+
+use std::fmt::Write as _;
+
+use garnet_types::{EncodingVersion, Millis, ServiceId, TenantId};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use serde::{Deserialize, Serialize};
+
+use crate::answers::OwnAnswer;
+
+/// Holds a [`RelayedCall`], encoded by `bincode` and written as hexadecimal digits.
+const CALL: HeaderName = HeaderName::from_static("garnet-relayed-call");
+/// Tells the sender what the answer is, see [`RelayOutcome`].
+const OUTCOME: HeaderName = HeaderName::from_static("garnet-relay-outcome");
+/// Value of [`OUTCOME`] for an answer of a back end.
+const ANSWERED: &str = "answered";
+/// Value of [`OUTCOME`] for a request that the relay does not take.
+const UNAVAILABLE: &str = "unavailable";
+
+/// What the first gateway decided about a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedCall {
+    /// Version of the sender. A relay of an earlier one takes no request of it.
+    pub version: EncodingVersion,
+    /// Version of the route table by which the sender works.
+    pub routes_version: u64,
+    /// The service that takes the request.
+    pub service: ServiceId,
+    /// The caller's tenant.
+    pub tenant: Option<TenantId>,
+    /// Time since the request arrived at the sender.
+    pub elapsed: Millis,
+    /// Time that remains for the request.
+    pub remaining: Millis,
+    /// Number of back ends to which the request may still be sent.
+    pub attempts_left: u32,
+    /// Id of the event after which the stream resumes.
+    pub resume_after: Option<String>,
+    /// Whether usage has counted the request.
+    pub is_counted: bool,
+}
+
+impl RelayedCall {
+    /// Adds the call to the headers of a request.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        let config = bincode::config::standard();
+        // Encoding plain data into memory can't fail.
+        let bytes = bincode::serde::encode_to_vec(self, config).unwrap_or_default();
+        if let Ok(value) = HeaderValue::from_str(&hex(&bytes)) {
+            headers.insert(CALL, value);
+        }
+    }
+
+    /// Takes the call out of the headers of a request. `None` if there is none or this build
+    /// can't read it.
+    pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let value = headers.remove(CALL)?;
+        let bytes = from_hex(value.to_str().ok()?)?;
+        let config = bincode::config::standard();
+        let (call, _): (RelayedCall, usize) =
+            bincode::serde::decode_from_slice(&bytes, config).ok()?;
+        (call.version <= EncodingVersion::CURRENT).then_some(call)
+    }
+}
+
+/// What a relay's answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RelayOutcome {
+    /// The answer of a back end.
+    Answered,
+    /// The relay does not take the request, which has not run.
+    Unavailable,
+    /// The relay's own final answer to the request.
+    Own(OwnAnswer),
+}
+
+impl RelayOutcome {
+    /// Adds the outcome to the headers of an answer.
+    pub(super) fn write(self, headers: &mut HeaderMap) {
+        let name = match self {
+            RelayOutcome::Answered => ANSWERED,
+            RelayOutcome::Unavailable => UNAVAILABLE,
+            RelayOutcome::Own(answer) => answer.as_str(),
+        };
+        headers.insert(OUTCOME, HeaderValue::from_static(name));
+    }
+
+    /// Takes the outcome out of the headers of an answer. `None` if it is not the answer of a
+    /// relay.
+    pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let value = headers.remove(OUTCOME)?;
+        match value.to_str().ok()? {
+            ANSWERED => Some(RelayOutcome::Answered),
+            UNAVAILABLE => Some(RelayOutcome::Unavailable),
+            name => OwnAnswer::from_name(name, retry_after(headers)).map(RelayOutcome::Own),
+        }
+    }
+}
+
+/// The time of `Retry-After`, which relays write as a fraction of seconds.
+fn retry_after(headers: &HeaderMap) -> Millis {
+    let value = headers.get(RETRY_AFTER);
+    let text = value.and_then(|value| value.to_str().ok());
+    let seconds: f64 = text.and_then(|text| text.parse().ok()).unwrap_or_default();
+    Millis((seconds.max(0.0) * 1000.0) as u64)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        // Writing to a string can't fail.
+        let _written = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    let value = |digit: u8| char::from(digit).to_digit(16);
+    let byte = |pair: &[u8]| match pair {
+        [high, low] => u8::try_from(value(*high)? * 16 + value(*low)?).ok(),
+        _ => None,
+    };
+    digits.chunks(2).map(byte).collect()
+}
--- /dev/null
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -0,0 +1,101 @@
+//! Requests that peer gateways hand to this one.
+
+use std::rc::Rc;
+
+use garnet_runtime::Body;
+use garnet_runtime::server::{read_body, text_response};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use crate::answers::OwnAnswer;
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, CallerPort};
+use crate::request::{
+    Handover, begin_relayed, body_limits, own_answer, quarantine_answer, serve_directly,
+    with_connection_close,
+};
+
+use super::message::{RelayOutcome, RelayedCall};
+
+/// Maximum number of peers' requests in flight. A gateway without a path hands over all of its
+/// requests at once, and their bodies take memory.
+const MAX_RELAYED_REQUESTS: usize = 256;
+
+/// Answers a request of a peer gateway.
+pub(crate) async fn handle<C, B>(
+    gateway: Rc<Gateway<C, B>>,
+    request: Request<Incoming>,
+) -> Response<Body>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let mut response = match answer(&gateway, request).await {
+        Ok(response) => {
+            let own = response.extensions().get::<OwnAnswer>().copied();
+            let outcome = own.map_or(RelayOutcome::Answered, RelayOutcome::Own);
+            with_outcome(response, outcome)
+        }
+        Err(NotTaken(cause)) => {
+            log::info!(cause = cause; "relayed_request_not_taken");
+            let response = text_response(503, "not run; this gateway does not take the request\n");
+            with_outcome(response, RelayOutcome::Unavailable)
+        }
+    };
+    response = with_connection_close(&gateway, response);
+    response
+}
+
+/// Why a request is not taken; it has not run.
+struct NotTaken(&'static str);
+
+async fn answer<C, B>(
+    gateway: &Rc<Gateway<C, B>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, NotTaken>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let arrived = gateway.now();
+    let (mut head, body) = request.into_parts();
+    let call = RelayedCall::take(&mut head.headers);
+    let limits = gateway.forwarder.borrow().limits();
+    let body = read_body(body, &body_limits(limits)).await;
+    let call = call.ok_or(NotTaken("malformed"))?;
+    let body = body.map_err(|_| NotTaken("body"))?;
+    let facts = gateway.callers.read(&head).map_err(|_| NotTaken("head"))?;
+    if gateway.is_stopping() {
+        return Err(NotTaken("stopping"));
+    }
+    if gateway.relayed_requests.get() >= MAX_RELAYED_REQUESTS {
+        return Err(NotTaken("too_many"));
+    }
+    let version = gateway.forwarder.borrow().routes_version();
+    if version.is_none_or(|version| version < call.routes_version) {
+        return Err(NotTaken("older_routes"));
+    }
+    let handover = Handover {
+        service: call.service,
+        tenant: call.tenant,
+        arrived: arrived.since(call.elapsed),
+        due: arrived + call.remaining,
+        attempts_left: call.attempts_left,
+        resume_after: call.resume_after,
+        is_counted: call.is_counted,
+    };
+    let running = begin_relayed(gateway, head, facts, body, handover);
+    let running = running.ok_or(NotTaken("no_route"))?;
+    if let Some(answer) = quarantine_answer(gateway, &running) {
+        return Ok(own_answer(gateway, &running, answer));
+    }
+    Ok(match serve_directly(gateway, running).await {
+        Ok(response) => response,
+        Err(unserved) => own_answer(gateway, &unserved.running, unserved.answer),
+    })
+}
+
+fn with_outcome(mut response: Response<Body>, outcome: RelayOutcome) -> Response<Body> {
+    outcome.write(response.headers_mut());
+    response
+}
--- /dev/null
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -0,0 +1,343 @@
+//! Hands requests to relays.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use garnet_forwarding::AttemptEnd;
+use garnet_runtime::client::HttpError;
+use garnet_runtime::{Body, Exchange, bytes_body};
+use garnet_types::EncodingVersion;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::HOST;
+use hyper::{Request, Response};
+
+use crate::answers::{OwnAnswer, retry_after};
+use crate::buffered::{MAX_ANSWER_BYTES, copy_head};
+use crate::failover::{is_allowed, take_repeat};
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, CallerPort};
+use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_due};
+
+use super::answer::RelayedAnswer;
+use super::message::{RelayOutcome, RelayedCall};
+use super::stream;
+
+/// Maximum number of relays that one request is handed to.
+const MAX_RELAYS: usize = 3;
+/// Longest body of a relay's own answer.
+const MAX_OWN_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Hands a request that this gateway could not serve to a relay, if another gateway may be
+/// able to serve it, and answers it otherwise.
+pub(crate) async fn serve<C, B>(gateway: &Rc<Gateway<C, B>>, unserved: Unserved) -> Response<Body>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let Unserved { running, answer } = unserved;
+    if !may_relay(gateway, &running, answer) {
+        return own_answer(gateway, &running, answer);
+    }
+    let due = running.due;
+    let mut relaying = Relaying::new(gateway, running);
+    let answering = async {
+        if relaying.running.work.kind.is_stream() {
+            relaying
+                .open()
+                .await
+                .map(|answer| Opened::Stream(Box::new(answer)))
+        } else {
+            relaying.read_whole().await.map(Opened::Whole)
+        }
+    };
+    let answering = async { Some(answering.await) };
+    let late = async {
+        sleep_until_due(gateway, due).await;
+        None
+    };
+    match smol::future::or(answering, late).await {
+        Some(Ok(Opened::Whole(response))) => {
+            let status = response.status().as_u16();
+            record_end(gateway, &relaying.running, "answered", status);
+            *response
+        }
+        Some(Ok(Opened::Stream(answer))) => stream::pass_on(relaying, *answer),
+        Some(Err(own)) => own_answer(gateway, &relaying.running, own),
+        None => own_answer(gateway, &relaying.running, OwnAnswer::TimedOut),
+    }
+}
+
+enum Opened<C: CallerPort + 'static, B: BackendPort + 'static> {
+    Whole(Box<Response<Body>>),
+    Stream(Box<RelayedAnswer<C, B>>),
+}
+
+/// Whether another gateway may be able to serve a request that this one answers with
+/// `answer`. A retry is taken from the budget if the request may have run.
+fn may_relay<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+    answer: OwnAnswer,
+) -> bool {
+    if running.is_relayed || !running.lacks_path(gateway) {
+        return false;
+    }
+    match answer {
+        OwnAnswer::NotRun(_) | OwnAnswer::NoPath(_) => true,
+        OwnAnswer::InDoubt => running.may_run_again() && take_repeat(gateway, running),
+        _ => false,
+    }
+}
+
+/// How a request at a relay ended without an answer to pass on.
+enum RelayEnd {
+    /// Nothing of the request can have arrived.
+    Unsent,
+    /// The relay does not take the request, which has not run.
+    Unavailable,
+    /// The relay has no path to the service either; the request has not run.
+    NoPath,
+    /// The relay's own final answer.
+    Own(OwnAnswer),
+    /// The request may have run, and there is no answer.
+    Broken,
+}
+
+impl RelayEnd {
+    fn as_str(&self) -> &'static str {
+        match self {
+            RelayEnd::Unsent => "unsent",
+            RelayEnd::Unavailable => "unavailable",
+            RelayEnd::NoPath => "no_path",
+            RelayEnd::Own(answer) => answer.as_str(),
+            RelayEnd::Broken => "broken",
+        }
+    }
+}
+
+/// A request that is handed to relays.
+pub(super) struct Relaying<C: CallerPort + 'static, B: BackendPort + 'static> {
+    pub(super) gateway: Rc<Gateway<C, B>>,
+    pub(super) running: RunningRequest,
+    /// Id of the last event that the caller has.
+    pub(super) resume_after: Option<String>,
+    tried: Vec<SocketAddr>,
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Relaying<C, B> {
+    fn new(gateway: &Rc<Gateway<C, B>>, running: RunningRequest) -> Self {
+        Relaying {
+            gateway: Rc::clone(gateway),
+            resume_after: running.call.facts.resume_after.clone(),
+            running,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Tries relays until a back end's answer begins.
+    ///
+    /// # Errors
+    /// The answer to the caller, if there is none.
+    pub(super) async fn open(&mut self) -> Result<RelayedAnswer<C, B>, OwnAnswer> {
+        while let Some(relay) = self.next_relay() {
+            self.tried.push(relay);
+            match self.send(relay).await {
+                Ok(answer) => return Ok(answer),
+                Err(RelayEnd::Own(answer)) => return Err(answer),
+                Err(RelayEnd::Broken) => self.on_broken()?,
+                Err(RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::NoPath) => {}
+            }
+        }
+        Err(self.given_up())
+    }
+
+    async fn read_whole(&mut self) -> Result<Box<Response<Body>>, OwnAnswer> {
+        loop {
+            let mut answer = self.open().await?;
+            let head = copy_head(&answer.exchange.head);
+            match answer.exchange.read_whole(MAX_ANSWER_BYTES).await {
+                Ok(body) => {
+                    answer.finish();
+                    return Ok(Box::new(Response::from_parts(head, bytes_body(body))));
+                }
+                Err(error) => {
+                    self.log_broken(&error.to_string());
+                    self.on_broken()?;
+                }
+            }
+        }
+    }
+
+    fn next_relay(&self) -> Option<SocketAddr> {
+        if self.tried.len() >= MAX_RELAYS || !is_allowed(&self.gateway, &self.running) {
+            return None;
+        }
+        let relays = self.gateway.relays.borrow();
+        relays.choose(&self.running.service, &self.tried, self.gateway.now())
+    }
+
+    /// Counts an attempt that may have run.
+    ///
+    /// # Errors
+    /// The answer to the caller, if the request may not run again.
+    pub(super) fn on_broken(&mut self) -> Result<(), OwnAnswer> {
+        self.running.progress.note(AttemptEnd::Broken);
+        self.running.usage_counted.set(true);
+        if self.running.may_run_again() && take_repeat(&self.gateway, &self.running) {
+            return Ok(());
+        }
+        Err(OwnAnswer::InDoubt)
+    }
+
+    fn given_up(&self) -> OwnAnswer {
+        if self.running.progress.surely_not_run() {
+            OwnAnswer::NoPath(retry_after(self.running.work.objective))
+        } else {
+            OwnAnswer::InDoubt
+        }
+    }
+
+    async fn send(&self, relay: SocketAddr) -> Result<RelayedAnswer<C, B>, RelayEnd> {
+        let sent = self.exchange(relay).await;
+        let outcome = match &sent {
+            Ok(_) => "answered",
+            Err(end) => end.as_str(),
+        };
+        self.gateway.metrics.relayed(outcome);
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            service = self.running.service.as_str(),
+            relay = relay.to_string().as_str(),
+            outcome = outcome,
+            remaining_ms = self.running.remaining(self.gateway.now()).0;
+            "request_relayed"
+        );
+        sent
+    }
+
+    async fn exchange(&self, relay: SocketAddr) -> Result<RelayedAnswer<C, B>, RelayEnd> {
+        let guard = RelayGuard::begin(&self.gateway, relay);
+        let address = relay.to_string();
+        let sent = self.gateway.pool.send(&address, self.request()).await;
+        let mut exchange = sent.map_err(|error| self.on_error(relay, &error))?;
+        let outcome = RelayOutcome::take(&mut exchange.head.headers);
+        match self.on_outcome(relay, outcome) {
+            Ok(()) => Ok(RelayedAnswer { exchange, guard }),
+            Err(end) => {
+                read_rest(exchange).await;
+                Err(end)
+            }
+        }
+    }
+
+    fn on_error(&self, relay: SocketAddr, error: &HttpError) -> RelayEnd {
+        let now = self.gateway.now();
+        self.gateway.relays.borrow_mut().unavailable(relay, now);
+        match error {
+            HttpError::NotSent(_) | HttpError::Withheld => RelayEnd::Unsent,
+            HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::TimedOut => RelayEnd::Broken,
+        }
+    }
+
+    fn on_outcome(&self, relay: SocketAddr, outcome: Option<RelayOutcome>) -> Result<(), RelayEnd> {
+        let mut relays = self.gateway.relays.borrow_mut();
+        match outcome {
+            Some(RelayOutcome::Answered) => {
+                relays.answered(relay);
+                Ok(())
+            }
+            Some(RelayOutcome::Unavailable) => {
+                relays.unavailable(relay, self.gateway.now());
+                Err(RelayEnd::Unavailable)
+            }
+            Some(RelayOutcome::Own(OwnAnswer::NoPath(_))) => {
+                relays.lacks_path(relay, &self.running.service);
+                Err(RelayEnd::NoPath)
+            }
+            Some(RelayOutcome::Own(answer)) => {
+                relays.answered(relay);
+                Err(RelayEnd::Own(answer))
+            }
+            // Whatever listens there now may have run the request.
+            None => Err(RelayEnd::Broken),
+        }
+    }
+
+    /// Builds the request for a relay.
+    fn request(&self) -> Request<Full<Bytes>> {
+        let RunningRequest { call, work, .. } = &self.running;
+        let progress = &self.running.progress;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.head.method.clone();
+        let path = call.head.uri.path_and_query();
+        let path = path.map_or("/", |path| path.as_str());
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        *request.headers_mut() = call.head.headers.clone();
+        if !request.headers().contains_key(HOST)
+            && let Ok(host) = call.facts.host.parse()
+        {
+            request.headers_mut().insert(HOST, host);
+        }
+        let now = self.gateway.now();
+        let relayed_call = RelayedCall {
+            version: EncodingVersion::CURRENT,
+            routes_version: self
+                .gateway
+                .forwarder
+                .borrow()
+                .routes_version()
+                .unwrap_or_default(),
+            service: self.running.service.clone(),
+            tenant: call.tenant.clone(),
+            elapsed: now.since(self.running.arrived),
+            remaining: self.running.remaining(now),
+            attempts_left: work
+                .max_attempts
+                .saturating_sub(progress.ran + progress.silent)
+                .max(1),
+            resume_after: self.resume_after.clone(),
+            is_counted: self.running.usage_counted.get(),
+        };
+        relayed_call.write(request.headers_mut());
+        request
+    }
+
+    pub(super) fn log_broken(&self, cause: &str) {
+        log::info!(
+            request = self.running.call.facts.id.as_str(),
+            after = self.resume_after.as_deref().unwrap_or_default(),
+            cause = cause;
+            "relay_broken"
+        );
+    }
+}
+
+/// Reads the rest of an own answer, so that its connection can be reused.
+async fn read_rest(mut exchange: Exchange) {
+    if exchange.read_whole(MAX_OWN_ANSWER_BYTES).await.is_ok() {
+        exchange.finish();
+    }
+}
+
+/// Counts a request as in flight at a relay until dropped.
+pub(super) struct RelayGuard<C, B> {
+    gateway: Rc<Gateway<C, B>>,
+    relay: SocketAddr,
+}
+
+impl<C, B> RelayGuard<C, B> {
+    fn begin(gateway: &Rc<Gateway<C, B>>, relay: SocketAddr) -> Self {
+        gateway.relays.borrow_mut().sent(relay);
+        RelayGuard {
+            gateway: Rc::clone(gateway),
+            relay,
+        }
+    }
+}
+
+impl<C, B> Drop for RelayGuard<C, B> {
+    fn drop(&mut self) {
+        self.gateway.relays.borrow_mut().ended(self.relay);
+    }
+}
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -5,21 +5,21 @@
 use std::time::Duration;
 
 use garnet_forwarding::{Arrival, GivenUp, Progress, SilenceLimits, Work};
-use garnet_routes::{CallerLimits, Route};
+use garnet_routes::{CallerLimits, Route, WeightedService};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
-use garnet_types::{BackendId, Millis, ServiceId};
+use garnet_types::{BackendId, Millis, ServiceId, TenantId};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
 
 use crate::answers::{OwnAnswer, retry_after};
-use crate::failover::is_quarantined;
+use crate::failover::{has_path, is_quarantined};
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::permits::{all_in_backoff, request_spare_permit};
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
-use crate::{buffered, stream};
+use crate::{buffered, relay, stream};
 
 /// Longest time to read the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -48,8 +48,45 @@
     pub(crate) served_by: Option<BackendId>,
     /// Whether usage has counted the request.
     pub(crate) usage_counted: Rc<Cell<bool>>,
+    /// Whether a peer gateway handed over the request; it is then not handed on.
+    pub(crate) is_relayed: bool,
     ended: Cell<bool>,
     _open: OpenRequestGuard,
+    _relayed: Option<OpenRequestGuard>,
+}
+
+/// A request that this gateway did not serve.
+pub(crate) struct Unserved {
+    pub(crate) running: RunningRequest,
+    /// What its caller is told if no other gateway serves it.
+    pub(crate) answer: OwnAnswer,
+}
+
+impl Unserved {
+    /// A request that was given up.
+    pub(crate) fn given_up<C: CallerPort, B: BackendPort>(
+        gateway: &Gateway<C, B>,
+        running: RunningRequest,
+        given_up: GivenUp,
+    ) -> Self {
+        let answer = given_up_answer(gateway, &running, given_up);
+        Unserved { running, answer }
+    }
+}
+
+/// A request that a peer gateway hands over.
+pub(crate) struct Handover {
+    pub(crate) service: ServiceId,
+    pub(crate) tenant: Option<TenantId>,
+    /// When it arrived at the peer, by this gateway's clock.
+    pub(crate) arrived: Millis,
+    /// When it times out.
+    pub(crate) due: Millis,
+    pub(crate) attempts_left: u32,
+    /// Id of the event after which the stream resumes.
+    pub(crate) resume_after: Option<String>,
+    /// Whether usage has counted it.
+    pub(crate) is_counted: bool,
 }
 
 impl RunningRequest {
@@ -70,6 +107,15 @@
         self.due.since(now + CLOCK_STEP)
     }
 
+    /// Whether the gateway lacks a path to the back ends that could serve the request: it is
+    /// known to be lost, or back ends were not reached.
+    pub(crate) fn lacks_path<C: CallerPort, B: BackendPort>(
+        &self,
+        gateway: &Gateway<C, B>,
+    ) -> bool {
+        self.progress.unreachable > 0 || !has_path(gateway, self)
+    }
+
     /// Whether the request has not been sent to any back end.
     pub(crate) fn is_untried(&self) -> bool {
         self.progress == Progress::default() && self.tried.is_empty()
@@ -158,25 +204,47 @@
         Ok(running) => running,
         Err(refused) => return refuse(&gateway, &refused.0, refused.1, ""),
     };
-    if is_quarantined(&gateway, &running.call) {
-        let answer = refuse_quarantined(&gateway, &running);
-        return with_connection_close(&gateway, answer);
+    if let Some(answer) = quarantine_answer(&gateway, &running) {
+        let response = own_answer(&gateway, &running, answer);
+        return with_connection_close(&gateway, response);
     }
-    request_spare_permit(&gateway, &running);
-    let response = if running.work.kind.is_stream() {
-        stream::serve(&gateway, running).await
-    } else {
-        buffered::serve(&gateway, running).await
+    let response = match serve_directly(&gateway, running).await {
+        Ok(response) => response,
+        Err(unserved) => relay::serve(&gateway, unserved).await,
     };
     with_connection_close(&gateway, response)
 }
 
+/// Serves the request by sending it to back ends.
+///
+/// # Errors
+/// The request, if no back end answered it.
+pub(crate) async fn serve_directly<C, B>(
+    gateway: &Rc<Gateway<C, B>>,
+    running: RunningRequest,
+) -> Result<Response<Body>, Unserved>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    if !has_path(gateway, &running) {
+        let answer = OwnAnswer::NoPath(retry_after(running.work.objective));
+        return Err(Unserved { running, answer });
+    }
+    request_spare_permit(gateway, &running);
+    if running.work.kind.is_stream() {
+        stream::serve(gateway, running).await
+    } else {
+        buffered::serve(gateway, running).await
+    }
+}
+
 /// Finds the route and the caller's tenant, and creates the running request. Returns the
 /// gateway's own answer if there is no route or the caller is not authenticated.
 fn begin<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     mut head: hyper::http::request::Parts,
-    mut facts: CallFacts,
+    facts: CallFacts,
     body: Bytes,
     arrived: Millis,
 ) -> Result<RunningRequest, Box<(CallFacts, OwnAnswer)>> {
@@ -192,7 +260,7 @@
     let route = choice.route;
     let access = forwarder.authorize(&route, &facts.credential);
     let tenant = match access {
-        Ok(tenant) => tenant.cloned(),
+        Ok(tenant) => tenant,
         Err(denied) => {
             let answer = if forwarder.is_confirmed() {
                 OwnAnswer::Unauthorized(denied)
@@ -202,50 +270,121 @@
             return Err(Box::new((facts, answer)));
         }
     };
+    let priority = forwarder.priority(&route, tenant);
+    let tenant = tenant.map(|tenant| tenant.name.clone());
     if forwarder.asks_for_keys() {
         head.headers.remove(AUTHORIZATION);
     }
     forwarder.earn_repeats(&choice.service, arrived);
-    remove_connection_headers(&mut head.headers);
-    if let Some(prompt) = &mut facts.prompt {
-        forwarder.fill_in_likely_output(&choice.service, prompt);
-        forwarder.note_arrival(&choice.service, prompt, arrived);
-    }
     let time = facts
         .deadline
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
+    drop(forwarder);
+    let routed = Routed {
+        priority,
+        route,
+        service: choice.service,
+        tenant,
+        due: arrived + time + CLOCK_STEP,
+    };
+    Ok(start(gateway, head, facts, body, arrived, routed))
+}
+
+/// Creates the running request for one that a peer gateway hands over. Returns `None` if the
+/// route table in force has no route for it.
+pub(crate) fn begin_relayed<C: CallerPort, B: BackendPort>(
+    gateway: &Rc<Gateway<C, B>>,
+    head: hyper::http::request::Parts,
+    mut facts: CallFacts,
+    body: Bytes,
+    handover: Handover,
+) -> Option<RunningRequest> {
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    let choice = forwarder.route(&facts.host, head.uri.path())?;
+    let is_offered = |offered: &WeightedService| offered.service == handover.service;
+    // The table may be newer than the peer's, and the newer one decides.
+    let service = if choice.route.services.iter().any(is_offered) {
+        handover.service
+    } else {
+        choice.service
+    };
+    let routed = Routed {
+        priority: forwarder.priority_of(&choice.route, handover.tenant.as_ref()),
+        route: choice.route,
+        service,
+        tenant: handover.tenant,
+        due: handover.due,
+    };
+    drop(forwarder);
+    facts.resume_after = handover.resume_after;
+    let arrived = handover.arrived;
+    let mut running = start(gateway, head, facts, body, arrived, routed);
+    running.work.max_attempts = running.work.max_attempts.min(handover.attempts_left);
+    running.usage_counted.set(handover.is_counted);
+    running.is_relayed = true;
+    running._relayed = Some(OpenRequestGuard::begin(&gateway.relayed_requests));
+    Some(running)
+}
+
+/// What the route table decides about a request.
+struct Routed {
+    route: Route,
+    service: ServiceId,
+    priority: u8,
+    tenant: Option<TenantId>,
+    due: Millis,
+}
+
+fn start<C: CallerPort, B: BackendPort>(
+    gateway: &Rc<Gateway<C, B>>,
+    mut head: hyper::http::request::Parts,
+    mut facts: CallFacts,
+    body: Bytes,
+    arrived: Millis,
+    routed: Routed,
+) -> RunningRequest {
+    let Routed {
+        route,
+        service,
+        priority,
+        tenant,
+        due,
+    } = routed;
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    remove_connection_headers(&mut head.headers);
+    if let Some(prompt) = &mut facts.prompt {
+        forwarder.fill_in_likely_output(&service, prompt);
+        forwarder.note_arrival(&service, prompt, arrived);
+    }
     let work = Work {
         kind: route.kind,
-        priority: forwarder.priority(&route, tenant.as_ref()),
+        priority,
         objective: route.objective_ms,
         max_attempts: route.max_attempts.max(1),
         prompt: facts.prompt.clone(),
         is_deferred: false,
     };
-    Ok(RunningRequest {
-        call: Rc::new(Call::new(
-            facts,
-            head,
-            body,
-            tenant.map(|tenant| tenant.name),
-        )),
+    RunningRequest {
+        call: Rc::new(Call::new(facts, head, body, tenant)),
         silence: SilenceLimits::of(&route),
         route,
-        service: choice.service,
+        service,
         work,
         arrived,
-        due: arrived + time + CLOCK_STEP,
+        due,
         progress: Progress::default(),
         tried: Vec::new(),
         served_by: None,
         usage_counted: Rc::default(),
+        is_relayed: false,
         ended: Cell::new(false),
         _open: OpenRequestGuard::begin(&gateway.open_requests),
-    })
+        _relayed: None,
+    }
 }
 
-fn body_limits(limits: CallerLimits) -> Limits {
+pub(crate) fn body_limits(limits: CallerLimits) -> Limits {
     Limits {
         body_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
         body_time: BODY_TIMEOUT,
@@ -261,11 +400,14 @@
     }
 }
 
-/// Refuses a quarantined request, before it reaches an engine.
-fn refuse_quarantined<C: CallerPort, B: BackendPort>(
+/// The answer to a request that is quarantined, which reaches no engine.
+pub(crate) fn quarantine_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
-) -> Response<Body> {
+) -> Option<OwnAnswer> {
+    if !is_quarantined(gateway, &running.call) {
+        return None;
+    }
     let fingerprint = running.call.fingerprint();
     let refused_for = {
         let forwarder = gateway.forwarder.borrow();
@@ -277,7 +419,7 @@
         refused_for_ms = refused_for.0;
         "request_quarantined"
     );
-    own_answer(gateway, running, OwnAnswer::Quarantined(refused_for))
+    Some(OwnAnswer::Quarantined(refused_for))
 }
 
 /// Counts in usage that a back end began to run the request at `began`. `usage_counted` is
@@ -323,7 +465,7 @@
 }
 
 /// The answer to a request that was given up.
-pub(crate) fn given_up_answer<C: CallerPort, B: BackendPort>(
+fn given_up_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
     given_up: GivenUp,
@@ -347,6 +489,7 @@
     record_end(gateway, running, answer.as_str(), 0);
     let mut response = answer.response("");
     gateway.callers.mark(&mut response, &running.call.facts);
+    response.extensions_mut().insert(answer);
     response
 }
 
@@ -399,7 +542,7 @@
 }
 
 /// Asks the caller to close its connection during a planned stop.
-fn with_connection_close<C: CallerPort, B: BackendPort>(
+pub(crate) fn with_connection_close<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     mut response: Response<Body>,
 ) -> Response<Body> {
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 
 use garnet_control::GatewayRequest;
-use garnet_forwarding::{Forwarder, ForwarderSettings, SharedRetryBudget, UsageMeter};
+use garnet_forwarding::{
+    Forwarder, ForwarderSettings, RelayDirectory, SharedRetryBudget, UsageMeter,
+};
 use garnet_routes::CallerLimits;
 use garnet_runtime::server::{Limits, bind_metrics, with_type};
 use garnet_runtime::{
@@ -23,16 +25,20 @@
 use crate::metrics::GatewayMetrics;
 use crate::permits::PermitClient;
 use crate::ports::{BackendPort, CallerPort};
+use crate::relay_report::RelayReports;
 use crate::report_handler::ReportHandler;
-use crate::request;
 use crate::stopping::{StopTimes, announce_stop};
 use crate::unknown_headers::UnknownHeaders;
 use crate::watch::{self, Watch, WatchHandler};
+use crate::{path_probes, relay, request};
 
 /// Maximum number of requests to the leader that are queued: a watch request, the
 /// reports sent with it, and a permit request for each request of a short burst.
 const QUEUED_REQUESTS: usize = 64;
 
+/// Maximum size of the head of a relayed request: that of the caller, and what the peer adds.
+const MAX_RELAYED_HEAD_BYTES: usize = 48 * 1024;
+
 /// Addresses of the control replicas, replaced when the settings change.
 pub type Replicas = Shared<Vec<String>>;
 
@@ -47,6 +53,8 @@
     pub listen: SocketAddr,
     /// Address of the readiness page.
     pub ready_listen: SocketAddr,
+    /// Where peer gateways hand over requests; `None` if this gateway takes none.
+    pub relay_listen: Option<SocketAddr>,
     /// Address of the metrics page, if there is one.
     pub metrics_listen: Option<SocketAddr>,
     /// The control replicas.
@@ -110,7 +118,10 @@
         routes_since: Cell::new(shell.clock.now()),
         stop_deadline: Cell::new(None),
         open_requests: Rc::default(),
+        relayed_requests: Rc::default(),
+        relays: RefCell::new(RelayDirectory::new(options.zone.clone())),
     });
+    let relay_server = options.relay_listen.and_then(bind_relay_server);
     log::info!(
         gateway = id.as_str(),
         zone = options.zone.as_str(),
@@ -122,6 +133,11 @@
         Rc::clone(&gateway),
         id.clone(),
         options.replicas.clone(),
+        RelayReports::new(
+            id.clone(),
+            options.zone.clone(),
+            relay_server.as_ref().and(options.relay_listen),
+        ),
         requests_in,
         requests.clone(),
     ));
@@ -134,7 +150,14 @@
         control_link::child(WatchHandler(Rc::clone(&watch)), id.clone(), requests),
         report_link::child(report_handler, id),
         watch::ticker(Rc::clone(&watch)),
+        path_probes::child(Rc::clone(&gateway)),
     ]);
+    if let Some(server) = relay_server {
+        let for_peers = Rc::clone(&gateway);
+        children.push(shell.http_child(server, move |request| {
+            relay::handle(Rc::clone(&for_peers), request)
+        }));
+    }
     if gateway.usage.is_some() {
         children.push(watch::usage_ticker(Rc::clone(&watch)));
     }
@@ -157,6 +180,22 @@
     shell.run(children, announce_stop(gateway, options.stop))
 }
 
+/// Binds the server for requests of peer gateways. If its port can't be bound, this is logged
+/// and the gateway takes no such requests.
+fn bind_relay_server(address: SocketAddr) -> Option<Rc<HttpServer>> {
+    let limits = Limits {
+        head_bytes: MAX_RELAYED_HEAD_BYTES,
+        ..Limits::default()
+    };
+    match smol::block_on(HttpServer::bind(address, limits)) {
+        Ok(server) => Some(Rc::new(server)),
+        Err(error) => {
+            log::warn!(cause = error.to_string().as_str(); "no_relay_server");
+            None
+        }
+    }
+}
+
 fn show_readiness<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     path: &str,
@@ -179,6 +218,8 @@
     let open = gateway.open_requests.get();
     let limited = gateway.forwarder.borrow().limited_backends();
     gateway.metrics.set_limited(limited);
+    let unreached = gateway.forwarder.borrow().unreached_services();
+    gateway.metrics.set_lost_paths(unreached.len());
     let text = gateway
         .metrics
         .render(watch.age(), version.unwrap_or_default(), open);
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -22,9 +22,7 @@
 use crate::buffered::copy_head;
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{
-    RunningRequest, count_usage_once, given_up_answer, own_answer, record_end, sleep_until_due,
-};
+use crate::request::{RunningRequest, Unserved, count_usage_once, record_end, sleep_until_due};
 use crate::timeout::with_timeout;
 
 use cut::CutCause;
@@ -52,10 +50,13 @@
 }
 
 /// Serves the request until it times out.
+///
+/// # Errors
+/// The request, if no engine answered it.
 pub(crate) async fn serve<C, B>(
     gateway: &Rc<Gateway<C, B>>,
     running: RunningRequest,
-) -> Response<Body>
+) -> Result<Response<Body>, Unserved>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
@@ -70,22 +71,21 @@
     let found = smol::future::or(opening, late).await;
     let failure = search.take_failure();
     let found = found.map(|found| found.map_err(|not_streamed| not_streamed.or_answered(failure)));
-    match found {
-        Some(Ok(found)) => Stream::new(gateway, search).answer(found),
-        Some(Err(NotStreamed::GivenUp(given_up))) => {
-            let answer = given_up_answer(gateway, &search.running, given_up);
-            own_answer(gateway, &search.running, answer)
-        }
-        Some(Err(NotStreamed::Busy(retry_after))) => {
-            own_answer(gateway, &search.running, OwnAnswer::NotRun(retry_after))
-        }
+    let answer = match found {
+        Some(Ok(found)) => return Ok(Stream::new(gateway, search).answer(found)),
         Some(Err(NotStreamed::Answered(response))) => {
             let status = response.status().as_u16();
             record_end(gateway, &search.running, "answered", status);
-            *response
+            return Ok(*response);
         }
-        None => own_answer(gateway, &search.running, OwnAnswer::TimedOut),
-    }
+        Some(Err(NotStreamed::GivenUp(given_up))) => {
+            return Err(Unserved::given_up(gateway, search.running, given_up));
+        }
+        Some(Err(NotStreamed::Busy(retry_after))) => OwnAnswer::NotRun(retry_after),
+        None => OwnAnswer::TimedOut,
+    };
+    let running = search.running;
+    Err(Unserved { running, answer })
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Stream<C, B> {
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -19,6 +19,7 @@
 use crate::gateway::{Gateway, connection_timeouts};
 use crate::permits::{handle_permit_answer, send_limit_reports};
 use crate::ports::{BackendPort, CallerPort};
+use crate::relay_report::RelayReports;
 use crate::start::Replicas;
 
 /// The interval between watch requests is this times the number of gateways, within the
@@ -47,6 +48,7 @@
     received_at: Cell<Millis>,
     requests: Sender<GatewayRequest>,
     usage_reported_at: Cell<Millis>,
+    relay_reports: RelayReports,
     /// Receiving end of `requests`, used to discard those that were queued for a previous
     /// connection.
     pending_requests: Receiver<GatewayRequest>,
@@ -57,6 +59,7 @@
         gateway: Rc<Gateway<C, B>>,
         id: GatewayId,
         replicas: Replicas,
+        relay_reports: RelayReports,
         requests: Sender<GatewayRequest>,
         pending_requests: Receiver<GatewayRequest>,
     ) -> Self {
@@ -69,6 +72,7 @@
             group_index: Cell::new(u64::MAX),
             requests,
             usage_reported_at: Cell::new(Millis::ZERO),
+            relay_reports,
             pending_requests,
         }
     }
@@ -115,6 +119,10 @@
         let _lost = self.requests.try_send(request);
         self.report_runs(now);
         send_limit_reports(&self.gateway);
+        if let Some(report) = self.relay_reports.next(&self.gateway) {
+            // A lost report is sent again.
+            let _lost = self.requests.try_send(GatewayRequest::Relay(report));
+        }
     }
 
     /// Reports to the leader the runs during which an engine crashed.
@@ -174,6 +182,10 @@
             ControlReply::Part(part) => return self.on_part(part),
             ControlReply::Limits(limit_update) => return self.take_limits(&limit_update),
             ControlReply::Permit(answer) => return handle_permit_answer(&self.gateway, &answer),
+            ControlReply::Relays(list) => {
+                let now = self.gateway.now();
+                return self.gateway.relays.borrow_mut().take_list(list, now);
+            }
             reply => reply,
         };
         let ControlReply::Watch {
@@ -339,6 +351,7 @@
 
     fn on_connected(&self, version: EncodingVersion) {
         while self.0.pending_requests.try_recv().is_ok() {}
+        self.0.relay_reports.on_connected();
         let mut forwarder = self.0.gateway.forwarder.borrow_mut();
         forwarder.connected(version, self.0.gateway.now());
         drop(forwarder);
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -7,6 +7,7 @@
 mod estimates;
 mod limits;
 mod load_exchange;
+mod paths;
 mod quarantine;
 
 pub use estimates::PrefillWork;
@@ -21,7 +22,7 @@
 use garnet_limits::GatewayLimits;
 use garnet_quarantine::CrashLog;
 use garnet_routes::{Route, RouteIndex, Tenant};
-use garnet_types::{BackendId, BackendKind, Millis, ServiceId};
+use garnet_types::{BackendId, BackendKind, Millis, ServiceId, TenantId};
 
 use crate::access::{AccessDenied, Credential, authorize};
 use crate::admission::PendingRetries;
@@ -31,6 +32,7 @@
 use crate::connections::SharingGateways;
 use crate::output_length::OutputLength;
 use crate::pace::{PrefillPace, TokenTime};
+use crate::paths::PathMonitor;
 use crate::placement::{
     EngineView, Placement, PlacementContext, place_application, place_decode, place_engines,
 };
@@ -104,6 +106,8 @@
     /// Number of requests so far; one in as many as there are gateways asks for a spare
     /// permit.
     arrival_count: u64,
+    /// Paths to back ends that failed lately.
+    paths: PathMonitor,
     /// Makes the draws of this gateway differ from those of its peers.
     seed: u64,
 }
@@ -148,6 +152,7 @@
             limits: GatewayLimits::default(),
             permits_are_granted: true,
             arrival_count: 0,
+            paths: PathMonitor::default(),
             seed,
         }
     }
@@ -183,6 +188,13 @@
         self.routes.priority(route, tenant)
     }
 
+    /// Priority of a request on `route` of the tenant with this name.
+    pub fn priority_of(&self, route: &Route, tenant: Option<&TenantId>) -> u8 {
+        let tenants = self.routes.table().tenants.as_deref().unwrap_or_default();
+        let named = tenant.and_then(|name| tenants.iter().find(|tenant| tenant.name == *name));
+        self.priority(route, named)
+    }
+
     /// Whether callers authenticate to this gateway; their credentials are then not
     /// passed on.
     pub fn asks_for_keys(&self) -> bool {
--- /dev/null
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -0,0 +1,104 @@
+//! Paths from this gateway to the back ends.
+
+use garnet_routing::CircuitBreaker;
+use garnet_types::{BackendId, Millis, ServiceId};
+
+use crate::paths::{PathChange, PathId, PathPhase};
+use crate::work::Work;
+
+use super::Forwarder;
+
+impl Forwarder {
+    /// Whether this gateway reaches back ends that can do the work.
+    pub fn has_path(&self, service: &ServiceId, work: &Work) -> bool {
+        if self.paths.is_empty() {
+            return true;
+        }
+        let is_lost = |phase| {
+            let service = service.clone();
+            self.paths.is_lost(&PathId { service, phase })
+        };
+        match work.prompt {
+            None => !is_lost(PathPhase::Application),
+            Some(_) => !is_lost(PathPhase::Prefill) && !is_lost(PathPhase::Decode),
+        }
+    }
+
+    /// Services to which a path is lost.
+    pub fn unreached_services(&self) -> Vec<ServiceId> {
+        let mut services: Vec<ServiceId> =
+            self.paths.lost().map(|path| path.service.clone()).collect();
+        services.dedup();
+        services
+    }
+
+    /// Records that a connection to a back end failed before the back end answered.
+    pub fn path_failed(&mut self, id: &BackendId, now: Millis) -> Vec<PathChange> {
+        let mut changes = Vec::new();
+        for path in self.paths_of(id) {
+            changes.extend(self.paths.on_failure(&path, id, now));
+        }
+        changes
+    }
+
+    /// Records that a back end answered. Back ends that failed while the path was lost get
+    /// requests again at once.
+    pub fn path_answered(&mut self, id: &BackendId, now: Millis) -> Vec<PathChange> {
+        if self.paths.is_empty() {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for path in self.paths_of(id) {
+            let members = self.members_of(&path, now);
+            let Some(change) = self.paths.on_answer(&path, id, &members, now) else {
+                continue;
+            };
+            for member in &members {
+                if let Some(backend) = self.backends.get_mut(member) {
+                    backend.breaker = CircuitBreaker::default();
+                }
+            }
+            changes.push(change);
+        }
+        changes
+    }
+
+    /// The back ends to probe now.
+    pub fn path_probes(&mut self, now: Millis) -> Vec<BackendId> {
+        if self.paths.is_empty() {
+            return Vec::new();
+        }
+        self.paths.forget_old(now);
+        let mut probes = Vec::new();
+        for path in self.paths.due(now) {
+            let members = self.members_of(&path, now);
+            probes.extend(self.paths.begin_probes(&path, &members, now));
+        }
+        probes.sort();
+        probes.dedup();
+        probes
+    }
+
+    fn paths_of(&self, id: &BackendId) -> Vec<PathId> {
+        let Some(backend) = self.backends.get(id) else {
+            return Vec::new();
+        };
+        let path = |phase| PathId {
+            service: backend.registration.service.clone(),
+            phase,
+        };
+        PathPhase::of(backend.role).map(path).collect()
+    }
+
+    /// The back ends of a path that are in service.
+    fn members_of(&self, path: &PathId, now: Millis) -> Vec<BackendId> {
+        let of_service = self.backends_of(&path.service);
+        let members = of_service.filter(|backend| {
+            backend.is_in_service(now)
+                && PathPhase::of(backend.role).any(|phase| phase == path.phase)
+        });
+        members
+            .map(|backend| backend.registration.id.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/components/forwarding/src/relays.rs
@@ -0,0 +1,148 @@
+//! Peer gateways that relay requests for this one.
+//!
+//! Contract: [`RelayDirectory::choose`] spreads requests over the nearest relays that are
+//! said to reach the service and that work. The list comes from the leader; while there is no
+//! leader, the last list stays in force.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use garnet_control::Relay;
+use garnet_routing::CircuitBreaker;
+use garnet_types::{Millis, ServiceId};
+
+/// A relay that is missing in the leader's lists for this time is forgotten: a new leader
+/// knows all gateways after about a second.
+const UNLISTED_LIFETIME: Millis = Millis::from_secs(3);
+
+/// A relay in another zone is chosen if the nearest one has more requests in flight by this
+/// number.
+const FAR_PENALTY: usize = 4;
+
+#[derive(Debug)]
+struct Known {
+    relay: Relay,
+    listed_at: Millis,
+    /// Requests of this gateway that it has in flight.
+    in_flight: usize,
+    /// Number of the last request that it was sent, in the order of all.
+    last_sent: u64,
+    breaker: CircuitBreaker,
+}
+
+/// The relays that this gateway may use.
+#[derive(Debug)]
+pub struct RelayDirectory {
+    zone: String,
+    relays: BTreeMap<SocketAddr, Known>,
+    sent: u64,
+}
+
+impl RelayDirectory {
+    /// Creates an empty directory of a gateway in `zone`.
+    pub fn new(zone: String) -> Self {
+        RelayDirectory {
+            zone,
+            relays: BTreeMap::new(),
+            sent: 0,
+        }
+    }
+
+    /// Takes the leader's list.
+    pub fn take_list(&mut self, list: Vec<Relay>, now: Millis) {
+        for relay in list {
+            match self.relays.get_mut(&relay.address) {
+                Some(known) => {
+                    known.relay = relay;
+                    known.listed_at = now;
+                }
+                None => {
+                    let known = Known {
+                        listed_at: now,
+                        in_flight: 0,
+                        last_sent: 0,
+                        breaker: CircuitBreaker::default(),
+                        relay,
+                    };
+                    self.relays.insert(known.relay.address, known);
+                }
+            }
+        }
+        self.relays.retain(|_, known| {
+            known.in_flight > 0 || now.since(known.listed_at) <= UNLISTED_LIFETIME
+        });
+    }
+
+    /// Number of known relays.
+    pub fn len(&self) -> usize {
+        self.relays.len()
+    }
+
+    /// Whether no relay is known.
+    pub fn is_empty(&self) -> bool {
+        self.relays.is_empty()
+    }
+
+    /// The relay for the next request to a service, none of those in `tried`: the one with the
+    /// fewest requests of this gateway, where one in another zone counts as busier.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        tried: &[SocketAddr],
+        now: Millis,
+    ) -> Option<SocketAddr> {
+        let may_take = |known: &&Known| {
+            known.breaker.allows(now)
+                && !known.relay.unreached.contains(service)
+                && !tried.contains(&known.relay.address)
+        };
+        let candidates = self.relays.values().filter(may_take);
+        let order = |known: &&Known| {
+            let is_far = known.relay.zone != self.zone;
+            let penalty = if is_far { FAR_PENALTY } else { 0 };
+            (known.in_flight + penalty, known.last_sent)
+        };
+        let chosen = candidates.min_by_key(order)?;
+        Some(chosen.relay.address)
+    }
+
+    /// Records that a request is sent to a relay.
+    pub fn sent(&mut self, address: SocketAddr) {
+        self.sent += 1;
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.in_flight += 1;
+            known.last_sent = self.sent;
+            known.breaker.sent();
+        }
+    }
+
+    /// Records that a request at a relay has ended.
+    pub fn ended(&mut self, address: SocketAddr) {
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+            known.breaker.released();
+        }
+    }
+
+    /// Records that a relay answered, whatever it said.
+    pub fn answered(&mut self, address: SocketAddr) {
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.breaker.succeeded();
+        }
+    }
+
+    /// Records that a relay has no path to a service itself. The leader's next list replaces
+    /// this.
+    pub fn lacks_path(&mut self, address: SocketAddr, service: &ServiceId) {
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.relay.unreached.push(service.clone());
+        }
+    }
+
+    /// Records that a relay is not reached, is stopping, or has no room.
+    pub fn unavailable(&mut self, address: SocketAddr, now: Millis) {
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.breaker.unresponsive(now);
+        }
+    }
+}
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod fleet_view;
 mod limits;
+mod paths;
 mod placement;
 mod quarantine;
 mod split_fleet;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -17,7 +17,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
-use smol::LocalExecutor;
+use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
 
 use crate::client::HttpError;
@@ -169,6 +169,26 @@
         }
     }
 
+    /// Opens a connection and checks that it stays open for `settling_time`. It is then kept for
+    /// requests, unless there are `max_idle` idle connections to the address.
+    ///
+    /// # Errors
+    /// When the connection can't be opened, or is closed before the time has passed.
+    pub async fn probe(
+        &self,
+        address: &str,
+        settling_time: Duration,
+        max_idle: usize,
+    ) -> Result<(), HttpError> {
+        let sender = self.connect(address).await?;
+        Timer::after(settling_time).await;
+        if sender.is_closed() {
+            return Err(HttpError::NotSent("closed after it was opened".to_owned()));
+        }
+        self.keep(address, sender, self.settings.idle_timeout, max_idle);
+        Ok(())
+    }
+
     /// Closes all idle connections to an address.
     pub fn close_idle(&self, address: &str) {
         self.idle.borrow_mut().remove(address);
