Quarantine: runs that a lost path breaks are no crashes

Cause: a connection that ends before its answer counts as a crash of its engine, whoever's fault it is.

Change: while it is open whether an engine crashed or the path is lost (no other back end of the path has answered since), the gateway does not report the crash, for 500 ms at most; when the path is lost, the crashes at its back ends of the last 2 s are withdrawn and none are recorded. Paths with fewer than three back ends are left out: one request may have crashed them all. A request that the gateway itself refuses meanwhile gets a Retry-After of 500 ms, not of a minute.

Left: a request that crashes all three engines of a pool of three within the probes' 50 ms is forgotten by the gateway that saw it.

--- a/components/forwarding/src/forwarder/paths.rs
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -1,13 +1,17 @@
 //! Paths from this gateway to the back ends.
 
+use garnet_quarantine::CRASH_THRESHOLD;
 use garnet_routing::CircuitBreaker;
 use garnet_types::{BackendId, Millis, ServiceId};
 
-use crate::paths::{PathChange, PathId, PathPhase};
+use crate::paths::{PathChange, PathId, PathPhase, SUSPICION_LIFETIME};
 use crate::work::Work;
 
 use super::Forwarder;
 
+/// Fewer back ends may all have been crashed by one request, which looks like a lost path.
+const MIN_MEMBERS_TO_WITHDRAW: usize = CRASH_THRESHOLD;
+
 impl Forwarder {
     /// Whether this gateway reaches back ends that can do the work.
     pub fn has_path(&self, service: &ServiceId, work: &Work) -> bool {
@@ -36,11 +40,28 @@
     pub fn path_failed(&mut self, id: &BackendId, now: Millis) -> Vec<PathChange> {
         let mut changes = Vec::new();
         for path in self.paths_of(id) {
-            changes.extend(self.paths.on_failure(&path, id, now));
+            let Some(change) = self.paths.on_failure(&path, id, now) else {
+                continue;
+            };
+            let members = self.members_of(&path, now);
+            if members.len() >= MIN_MEMBERS_TO_WITHDRAW {
+                let is_member = |id: &BackendId| members.contains(id);
+                self.crash_log
+                    .withdraw(is_member, now.since(SUSPICION_LIFETIME));
+            }
+            changes.push(change);
         }
         changes
     }
 
+    /// Whether a path with enough back ends to tell it from crashes is lost to this one.
+    pub(super) fn is_unreached(&self, id: &BackendId, now: Millis) -> bool {
+        let is_unreached = |path: &PathId| {
+            self.paths.is_lost(path) && self.members_of(path, now).len() >= MIN_MEMBERS_TO_WITHDRAW
+        };
+        !self.paths.is_empty() && self.paths_of(id).iter().any(is_unreached)
+    }
+
     /// Records that a back end answered. Back ends that failed while the path was lost get
     /// requests again at once.
     pub fn path_answered(&mut self, id: &BackendId, now: Millis) -> Vec<PathChange> {
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -13,6 +13,10 @@
 /// say until when the request is refused.
 const DEFAULT_RETRY_AFTER: Millis = Millis::from_secs(60);
 
+/// Longest time for which a crash is not reported, since the path may be lost instead: the
+/// connect timeouts of two back ends, and their probes.
+const MAX_CRASH_HOLD: Millis = Millis(500);
+
 impl Forwarder {
     /// Whether no suspected request is known, so that none need be looked up.
     pub fn has_no_suspects(&self) -> bool {
@@ -30,12 +34,20 @@
 
     /// For how long a refused request will still be refused.
     pub fn refused_for(&self, fingerprint: RequestFingerprint, now: Millis) -> Millis {
-        let record = self.configuration.quarantine.get(&fingerprint);
-        record.map_or(DEFAULT_RETRY_AFTER, |record| record.until.since(now))
+        match self.configuration.quarantine.get(&fingerprint) {
+            Some(record) => record.until.since(now),
+            // The crashes are withdrawn if the path turns out to be lost.
+            None if self.paths.is_suspected() => MAX_CRASH_HOLD,
+            None => DEFAULT_RETRY_AFTER,
+        }
     }
 
-    /// Records a run that broke off as it does when its back end crashes.
+    /// Records a run that broke off as it does when its back end crashes, unless the gateway
+    /// has no path to the back end.
     pub fn run_crashed(&mut self, fingerprint: RequestFingerprint, id: &BackendId, now: Millis) {
+        if self.is_unreached(id, now) {
+            return;
+        }
         let engine = EngineStart {
             backend: id.clone(),
             incarnation: self
@@ -63,7 +75,7 @@
         if self.uses_report_connection() {
             return None;
         }
-        self.crash_log.report(now)
+        self.report_crashes(now)
     }
 
     /// Returns the next report for the report connection. It is empty if there are no runs to
@@ -72,7 +84,17 @@
         if !self.uses_report_connection() {
             return RunReport::default();
         }
-        self.crash_log.report(now).unwrap_or_default()
+        self.report_crashes(now).unwrap_or_default()
+    }
+
+    /// The runs to report, without those that broke off while it is open whether their engine
+    /// crashed or the path to it was lost.
+    fn report_crashes(&mut self, now: Millis) -> Option<RunReport> {
+        let paths = &self.paths;
+        let is_held = |engine: &EngineStart, age: Millis| {
+            age < MAX_CRASH_HOLD && paths.is_undecided(&engine.backend)
+        };
+        self.crash_log.report_unless(now, is_held)
     }
 
     /// Records that the receiver of the reports has the runs up to this number.
--- a/components/forwarding/src/paths.rs
+++ b/components/forwarding/src/paths.rs
@@ -25,7 +25,7 @@
 const FAILURE_LIFETIME: Millis = Millis::from_secs(5);
 
 /// Longest time until the probes of a suspected path have ended: several connect timeouts.
-const SUSPICION_LIFETIME: Millis = Millis::from_secs(2);
+pub(crate) const SUSPICION_LIFETIME: Millis = Millis::from_secs(2);
 
 /// What a back end is needed for. Requests with a prompt need a path for both phases.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -131,6 +131,23 @@
         path.is_some_and(|path| matches!(path.state, State::Lost { .. }))
     }
 
+    /// Whether it is open if a back end has failed or a path to it is lost: no other back end
+    /// of the path has answered since.
+    pub(crate) fn is_undecided(&self, backend: &BackendId) -> bool {
+        let is_undecided = |path: &Path| match &path.state {
+            State::Reached => path.failed.contains_key(backend),
+            State::Suspected { .. } => true,
+            State::Lost { .. } => false,
+        };
+        self.paths.values().any(is_undecided)
+    }
+
+    /// Whether any path is suspected to be lost.
+    pub(crate) fn is_suspected(&self) -> bool {
+        let mut paths = self.paths.values();
+        paths.any(|path| matches!(path.state, State::Suspected { .. }))
+    }
+
     /// The lost paths.
     pub(crate) fn lost(&self) -> impl Iterator<Item = &PathId> {
         self.paths.keys().filter(|id| self.is_lost(id))
--- a/components/forwarding/tests/core/paths.rs
+++ b/components/forwarding/tests/core/paths.rs
@@ -4,6 +4,7 @@
 
 use garnet_control::{BackendRecord, Relay};
 use garnet_forwarding::{Forwarder, PathChange, PathPhase, RelayDirectory, Work};
+use garnet_quarantine::{QuarantineStatus, RequestFingerprint};
 use garnet_routes::WorkKind;
 use garnet_types::{EngineRole, Millis, ServiceId};
 
@@ -224,3 +225,51 @@
         Some(relay_address(1))
     );
 }
+
+fn fingerprint() -> RequestFingerprint {
+    "000000000000000000000000000000aa"
+        .parse()
+        .expect("a fingerprint")
+}
+
+/// A cut with resets broke one request at three engines, and the request was refused at all
+/// gateways for 60 s.
+#[test]
+fn runs_that_a_lost_path_breaks_are_no_crashes() {
+    let mut gateway = forwarder(&applications(5));
+    for broken in ["a-0", "a-1", "a-2"] {
+        gateway.path_failed(&id(broken), NOW);
+        gateway.run_crashed(fingerprint(), &id(broken), NOW);
+        assert_eq!(gateway.run_report(NOW), None);
+    }
+    fail_probes(&mut gateway, NOW);
+    gateway.run_crashed(fingerprint(), &id("a-3"), NOW);
+    let later = NOW + Millis(1_000);
+    assert_eq!(gateway.run_report(later), None);
+    assert_eq!(
+        gateway.quarantine_status(fingerprint()),
+        QuarantineStatus::Clear
+    );
+}
+
+/// Engines that crash while others answer are reported at once.
+#[test]
+fn crashes_are_reported_when_another_back_end_answers() {
+    let mut gateway = forwarder(&applications(5));
+    gateway.path_failed(&id("a-0"), NOW);
+    gateway.run_crashed(fingerprint(), &id("a-0"), NOW);
+    assert_eq!(gateway.run_report(NOW), None);
+    gateway.path_answered(&id("a-4"), NOW);
+    let report = gateway.run_report(NOW).expect("a report");
+    assert_eq!(report.runs.len(), 1);
+}
+
+/// A crash is reported after a moment even if nothing tells whether the path is lost.
+#[test]
+fn crashes_are_not_held_back_for_long() {
+    let mut gateway = forwarder(&applications(5));
+    gateway.path_failed(&id("a-0"), NOW);
+    gateway.run_crashed(fingerprint(), &id("a-0"), NOW);
+    assert_eq!(gateway.run_report(NOW + Millis(499)), None);
+    assert!(gateway.run_report(NOW + Millis(500)).is_some());
+}
--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -108,6 +108,17 @@
         self.record(fingerprint, RunEnd::Crashed(engine), now);
     }
 
+    /// Removes the crashes that were recorded at these engines since `since`: they did not
+    /// crash, the gateway lost its path to them.
+    pub fn withdraw(&mut self, is_concerned: impl Fn(&BackendId) -> bool, since: Millis) {
+        self.entries.retain(|entry| match &entry.end {
+            RunEnd::Crashed(engine) => {
+                entry.is_verdict || entry.recorded_at < since || !is_concerned(&engine.backend)
+            }
+            RunEnd::Completed => true,
+        });
+    }
+
     /// Records a run that completed, which clears its request.
     pub fn completed(&mut self, fingerprint: RequestFingerprint, now: Millis) {
         if self.status(fingerprint) == QuarantineStatus::Clear && !self.has_entries(fingerprint) {
@@ -210,11 +221,28 @@
 
     /// The runs that the leader has not confirmed, oldest first.
     pub fn report(&mut self, now: Millis) -> Option<RunReport> {
+        self.report_unless(now, |_, _| false)
+    }
+
+    /// The same up to the first crash that is held back: `is_held` is given its engine and its
+    /// age.
+    pub fn report_unless(
+        &mut self,
+        now: Millis,
+        is_held: impl Fn(&EngineStart, Millis) -> bool,
+    ) -> Option<RunReport> {
         self.update(now);
         let unconfirmed = self
             .entries
             .iter()
             .filter(|ended| ended.number > self.confirmed);
+        let may_report = |entry: &&Entry| match &entry.end {
+            RunEnd::Crashed(engine) if !entry.is_verdict => {
+                !is_held(engine, now.since(entry.recorded_at))
+            }
+            _ => true,
+        };
+        let unconfirmed = unconfirmed.take_while(may_report);
         let batch: Vec<&Entry> = unconfirmed.take(MAX_RUNS_PER_REPORT).collect();
         let through = batch.last()?.number;
         let run = |entry: &&Entry| EndedRun {
