Paths: probes are answered, and answers count from when their request was sent

Answers to requests that were sent before a connection failed ended the suspicion, so that broken runs were reported as crashes; and a connection that was accepted and reset a moment later counted as a path.

Change: an answer removes only failures that are older than its request. A broken run that nothing has answered after for 100 ms is verified by one probe of another back end. A probe is a request that any back end answers and does not run (a report of its state), not a bare connection. A request that only this gateway's crashes refuse waits for the decision, 500 ms at most.

Soak: cuts of gateways from engines, found by the owner of a connection in /proc; all connections are reset, or only new ones.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -113,7 +113,7 @@
     /// may have crashed.
     pub(crate) fn connection_lost(&mut self, call: &Call) {
         self.failed();
-        self.gateway.on_path_failed(&self.backend);
+        self.gateway.on_path_failed(&self.backend, true);
         let now = self.gateway.now();
         let fingerprint = call.fingerprint();
         log::info!(
@@ -142,7 +142,7 @@
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.unreachable(&self.backend, now);
         drop(forwarder);
-        self.gateway.on_path_failed(&self.backend);
+        self.gateway.on_path_failed(&self.backend, false);
     }
 
     /// Notes that the back end was silent for too long.
@@ -234,7 +234,7 @@
         .await;
     let result = match sent {
         Ok(exchange) => {
-            gateway.on_path_answered(&job.backend);
+            gateway.on_path_answered(&job.backend, sent_at);
             let parsed = gateway.backends.read_head(call, job, &exchange.head);
             let status = exchange.head.status;
             note_reports(gateway, call, job, &parsed, status, sent_at);
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -81,18 +81,22 @@
         }
     }
 
-    /// Records that a back end has answered.
-    pub(crate) fn on_path_answered(&self, backend: &BackendId) {
-        let changes = self
-            .forwarder
-            .borrow_mut()
-            .path_answered(backend, self.now());
+    /// Records that a back end has answered a request that was sent at `sent_at`.
+    pub(crate) fn on_path_answered(&self, backend: &BackendId, sent_at: Millis) {
+        let now = self.now();
+        let mut forwarder = self.forwarder.borrow_mut();
+        let changes = forwarder.path_answered(backend, sent_at, now);
+        drop(forwarder);
         changes.iter().for_each(log_path_change);
     }
 
-    /// Records that a connection to a back end failed before the back end answered.
-    pub(crate) fn on_path_failed(&self, backend: &BackendId) {
-        let changes = self.forwarder.borrow_mut().path_failed(backend, self.now());
+    /// Records that a connection to a back end failed; `may_be_crash` if a request was in flight
+    /// on it.
+    pub(crate) fn on_path_failed(&self, backend: &BackendId, may_be_crash: bool) {
+        let now = self.now();
+        let mut forwarder = self.forwarder.borrow_mut();
+        let changes = forwarder.path_failed(backend, may_be_crash, now);
+        drop(forwarder);
         changes.iter().for_each(log_path_change);
     }
 
--- a/components/forwarding-shell/src/path_probes.rs
+++ b/components/forwarding-shell/src/path_probes.rs
@@ -5,6 +5,7 @@
 
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::BackendId;
+use hyper::header::HOST;
 use smol::Timer;
 
 use crate::gateway::Gateway;
@@ -12,9 +13,8 @@
 
 /// How often a gateway checks whether probes are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// A connection that is still open after this time counts as a path. One that is refused late
-/// is closed within a round trip.
-const SETTLING_TIME: Duration = Duration::from_millis(50);
+/// Time in which a back end has to answer a probe, which needs no free slot there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A child that sends the probes that the forwarder asks for.
 pub(crate) fn child<C: CallerPort + 'static, B: BackendPort + 'static>(
@@ -47,7 +47,7 @@
     }
 }
 
-/// Opens a connection to a back end. If it stays open, it serves the next request.
+/// Sends a probe to a back end on a new connection, which then serves requests.
 async fn probe<C: CallerPort, B: BackendPort>(gateway: Rc<Gateway<C, B>>, backend: BackendId) {
     let (address, max_idle) = {
         let forwarder = gateway.forwarder.borrow();
@@ -59,15 +59,21 @@
             forwarder.connection_share(&backend).idle,
         )
     };
-    match gateway.pool.probe(&address, SETTLING_TIME, max_idle).await {
-        Ok(()) => gateway.on_path_answered(&backend),
+    let began = gateway.now();
+    let pool = &gateway.pool;
+    let mut request = gateway.backends.probe();
+    if let Ok(host) = address.parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    match pool.probe(&address, request, PROBE_TIMEOUT, max_idle).await {
+        Ok(()) => gateway.on_path_answered(&backend, began),
         Err(error) => {
             log::debug!(
                 backend = backend.as_str(),
                 cause = error.to_string().as_str();
                 "probe_failed"
             );
-            gateway.on_path_failed(&backend);
+            gateway.on_path_failed(&backend, false);
         }
     }
 }
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -186,6 +186,8 @@
     fn read_head(&self, call: &Call, job: &Job, head: &ResponseParts) -> ParsedHead;
     /// Parses the body of the answer to [`JobPhase::Prefill`].
     fn read_prefill_answer(&self, body: &[u8]) -> Option<PrefillAnswer>;
+    /// Builds a request that any back end answers at once and does not run.
+    fn probe(&self) -> Request<Full<Bytes>>;
     /// Builds the request that frees a KV cache that no decode engine takes.
     fn release(&self, handle: &str) -> Request<Full<Bytes>>;
 }
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -86,7 +86,7 @@
     };
     let running = begin_relayed(gateway, head, facts, body, handover);
     let running = running.ok_or(NotTaken("no_route"))?;
-    if let Some(answer) = quarantine_answer(gateway, &running) {
+    if let Some(answer) = quarantine_answer(gateway, &running).await {
         return Ok(own_answer(gateway, &running, answer));
     }
     Ok(match serve_directly(gateway, running).await {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
+use smol::Timer;
 
 use crate::answers::{OwnAnswer, retry_after};
 use crate::failover::{has_path, is_quarantined};
@@ -32,6 +33,12 @@
 /// the rest on an earlier try, so its request counts as a retry.
 const FIRST_CALL_MIN_FRACTION: f64 = 0.95;
 
+/// Longest time that a quarantined request waits until it is known whether a path is lost: the
+/// connect timeouts of two back ends, and their probes.
+const MAX_DECISION_WAIT: Millis = Millis(500);
+/// How often it checks that.
+const DECISION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A request in flight and its progress.
 pub(crate) struct RunningRequest {
     pub(crate) call: Rc<Call>,
@@ -204,7 +211,7 @@
         Ok(running) => running,
         Err(refused) => return refuse(&gateway, &refused.0, refused.1, ""),
     };
-    if let Some(answer) = quarantine_answer(&gateway, &running) {
+    if let Some(answer) = quarantine_answer(&gateway, &running).await {
         let response = own_answer(&gateway, &running, answer);
         return with_connection_close(&gateway, response);
     }
@@ -400,8 +407,23 @@
     }
 }
 
-/// The answer to a request that is quarantined, which reaches no engine.
-pub(crate) fn quarantine_answer<C: CallerPort, B: BackendPort>(
+/// The answer to a request that is quarantined, which reaches no engine. While it is open
+/// whether engines crashed or the path to them is lost, the request waits for the decision.
+pub(crate) async fn quarantine_answer<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+) -> Option<OwnAnswer> {
+    let until = gateway.now() + MAX_DECISION_WAIT;
+    while is_quarantined(gateway, &running.call)
+        && gateway.forwarder.borrow().has_suspected_path()
+        && gateway.now() < until
+    {
+        Timer::after(DECISION_CHECK_INTERVAL).await;
+    }
+    refusal_of_quarantined(gateway, running)
+}
+
+fn refusal_of_quarantined<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
 ) -> Option<OwnAnswer> {
--- a/components/forwarding/src/forwarder/paths.rs
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Whether any path is suspected to be lost.
+    pub fn has_suspected_path(&self) -> bool {
+        self.paths.is_suspected()
+    }
+
     /// Services to which a path is lost.
     pub fn unreached_services(&self) -> Vec<ServiceId> {
         let mut services: Vec<ServiceId> =
@@ -36,11 +41,17 @@
         services
     }
 
-    /// Records that a connection to a back end failed before the back end answered.
-    pub fn path_failed(&mut self, id: &BackendId, now: Millis) -> Vec<PathChange> {
+    /// Records that a connection to a back end failed; `may_be_crash` if a request was in flight
+    /// on it.
+    pub fn path_failed(
+        &mut self,
+        id: &BackendId,
+        may_be_crash: bool,
+        now: Millis,
+    ) -> Vec<PathChange> {
         let mut changes = Vec::new();
         for path in self.paths_of(id) {
-            let Some(change) = self.paths.on_failure(&path, id, now) else {
+            let Some(change) = self.paths.on_failure(&path, id, may_be_crash, now) else {
                 continue;
             };
             let members = self.members_of(&path, now);
@@ -62,16 +73,21 @@
         !self.paths.is_empty() && self.paths_of(id).iter().any(is_unreached)
     }
 
-    /// Records that a back end answered. Back ends that failed while the path was lost get
-    /// requests again at once.
-    pub fn path_answered(&mut self, id: &BackendId, now: Millis) -> Vec<PathChange> {
+    /// Records that a back end answered a request that was sent at `sent_at`. Back ends that
+    /// failed while the path was lost get requests again at once.
+    pub fn path_answered(
+        &mut self,
+        id: &BackendId,
+        sent_at: Millis,
+        now: Millis,
+    ) -> Vec<PathChange> {
         if self.paths.is_empty() {
             return Vec::new();
         }
         let mut changes = Vec::new();
         for path in self.paths_of(id) {
             let members = self.members_of(&path, now);
-            let Some(change) = self.paths.on_answer(&path, id, &members, now) else {
+            let Some(change) = self.paths.on_answer(&path, id, &members, sent_at, now) else {
                 continue;
             };
             for member in &members {
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -14,8 +14,8 @@
 const DEFAULT_RETRY_AFTER: Millis = Millis::from_secs(60);
 
 /// Longest time for which a crash is not reported, since the path may be lost instead: the
-/// connect timeouts of two back ends, and their probes.
-const MAX_CRASH_HOLD: Millis = Millis(500);
+/// connect timeouts of two back ends, and the probes of others.
+const MAX_CRASH_HOLD: Millis = Millis(1_000);
 
 impl Forwarder {
     /// Whether no suspected request is known, so that none need be looked up.
--- a/components/forwarding/src/paths.rs
+++ b/components/forwarding/src/paths.rs
@@ -24,6 +24,9 @@
 /// Failures that are further apart than this do not count together.
 const FAILURE_LIFETIME: Millis = Millis::from_secs(5);
 
+/// After this time without an answer, a connection that ended with a request in flight is
+/// verified by a probe of another back end.
+const VERIFICATION_DELAY: Millis = Millis(100);
 /// Longest time until the probes of a suspected path have ended: several connect timeouts.
 pub(crate) const SUSPICION_LIFETIME: Millis = Millis::from_secs(2);
 
@@ -108,8 +111,11 @@
 #[derive(Debug, Default)]
 struct Path {
     state: State,
-    /// Back ends that failed since one of the path last answered.
+    /// Back ends that failed, and when. An answer to a request that was sent later removes
+    /// them.
     failed: BTreeMap<BackendId, Millis>,
+    /// Since when it is open whether an engine crashed or the path is lost.
+    unverified_since: Option<Millis>,
     /// Number of probes so far, by which they are spread over the back ends.
     probes: usize,
 }
@@ -153,17 +159,22 @@
         self.paths.keys().filter(|id| self.is_lost(id))
     }
 
-    /// Records that a connection to a back end failed.
+    /// Records that a connection to a back end failed; `may_be_crash` if a request was in
+    /// flight on it.
     pub(crate) fn on_failure(
         &mut self,
         id: &PathId,
         backend: &BackendId,
+        may_be_crash: bool,
         now: Millis,
     ) -> Option<PathChange> {
         let path = self.paths.entry(id.clone()).or_default();
         path.failed
             .retain(|_, at| now.since(*at) <= FAILURE_LIFETIME);
         path.failed.insert(backend.clone(), now);
+        if may_be_crash {
+            path.unverified_since.get_or_insert(now);
+        }
         match &mut path.state {
             State::Reached => {
                 if path.failed.len() >= FAILURES_TO_SUSPECT {
@@ -194,41 +205,54 @@
         }
     }
 
-    /// Records that a back end answered. `members` are the back ends of the path that are in
+    /// Records that a back end answered a request that was sent at `sent_at`, which tells
+    /// nothing about what failed later. `members` are the back ends of the path that are in
     /// service.
     pub(crate) fn on_answer(
         &mut self,
         id: &PathId,
         backend: &BackendId,
         members: &[BackendId],
+        sent_at: Millis,
         now: Millis,
     ) -> Option<PathChange> {
         let path = self.paths.get_mut(id)?;
-        let mut lost_since = None;
-        if let State::Lost {
-            since,
-            next_probe_at,
-            answered,
-        } = &mut path.state
-        {
-            answered.insert(backend.clone());
-            if answered.len() < CONTACTS_TO_REGAIN.min(members.len()) {
-                *next_probe_at = now;
-                return None;
+        path.failed.retain(|_, at| *at > sent_at);
+        match &mut path.state {
+            State::Reached if !path.failed.is_empty() => None,
+            State::Suspected { since, .. } if *since > sent_at => None,
+            State::Lost { since, .. } if *since > sent_at => None,
+            State::Reached | State::Suspected { .. } => {
+                self.paths.remove(id);
+                None
+            }
+            State::Lost {
+                since,
+                next_probe_at,
+                answered,
+            } => {
+                answered.insert(backend.clone());
+                if answered.len() < CONTACTS_TO_REGAIN.min(members.len()) {
+                    *next_probe_at = now;
+                    return None;
+                }
+                let lost_for = now.since(*since);
+                self.paths.remove(id);
+                Some(PathChange::Regained {
+                    path: id.clone(),
+                    lost_for,
+                })
             }
-            lost_since = Some(*since);
         }
-        self.paths.remove(id);
-        lost_since.map(|since| PathChange::Regained {
-            path: id.clone(),
-            lost_for: now.since(since),
-        })
     }
 
     /// The paths for which probes are due.
     pub(crate) fn due(&self, now: Millis) -> Vec<PathId> {
         let is_due = |path: &Path| match &path.state {
-            State::Reached => false,
+            State::Reached => {
+                let is_due = |since| now.since(since) >= VERIFICATION_DELAY;
+                path.unverified_since.is_some_and(is_due)
+            }
             State::Suspected { probed, .. } => probed.is_empty(),
             State::Lost { next_probe_at, .. } => now >= *next_probe_at,
         };
@@ -255,7 +279,11 @@
         path.probes += 1;
         let in_turn = members[first..].iter().chain(&members[..first]);
         match &mut path.state {
-            State::Reached => Vec::new(),
+            State::Reached => {
+                path.unverified_since = None;
+                let mut others = in_turn.filter(|backend| !path.failed.contains_key(*backend));
+                others.next().cloned().into_iter().collect()
+            }
             State::Suspected { probed, .. } => {
                 let is_untried = |backend: &&BackendId| !path.failed.contains_key(*backend);
                 let (untried, failed): (Vec<_>, Vec<_>) = in_turn.partition(is_untried);
--- a/components/runtime/src/connection_limit.rs
+++ b/components/runtime/src/connection_limit.rs
@@ -74,7 +74,7 @@
 }
 
 /// Sets the linger time to zero, so that closing the socket resets the connection.
-fn reset(stream: &TcpStream) {
+pub(crate) fn reset(stream: &TcpStream) {
     if let Err(error) = sockopt::set_socket_linger(stream, Some(Duration::ZERO)) {
         log::warn!(cause = error.to_string().as_str(); "not_reset");
     }
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -33,7 +33,9 @@
 pub use connection_limit::ConnectionLimit;
 pub use connection_timer::ConnectionTimeouts;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
-pub use server::{Body, HttpServer, Limits, bytes_body, json_response, text_response};
+pub use server::{
+    Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
+};
 pub use shared::Shared;
 pub use shell::{Shell, bind, read_json};
 pub use timers::Timers;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -29,6 +29,9 @@
 /// An idle connection is closed this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Longest answer to a probe.
+const MAX_PROBE_ANSWER_BYTES: usize = 64 * 1024;
+
 /// Timeouts and limits of a connection pool.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSettings {
@@ -169,24 +172,33 @@
         }
     }
 
-    /// Opens a connection and checks that it stays open for `settling_time`. It is then kept for
-    /// requests, unless there are `max_idle` idle connections to the address.
+    /// Sends a request on a new connection and waits for any answer, for `time_limit` at most.
+    /// The connection is then kept for other requests, unless there are `max_idle` idle
+    /// connections to the address.
     ///
     /// # Errors
-    /// When the connection can't be opened, or is closed before the time has passed.
+    /// See [`HttpError`].
     pub async fn probe(
         &self,
         address: &str,
-        settling_time: Duration,
+        request: Request<Full<Bytes>>,
+        time_limit: Duration,
         max_idle: usize,
     ) -> Result<(), HttpError> {
-        let sender = self.connect(address).await?;
-        Timer::after(settling_time).await;
-        if sender.is_closed() {
-            return Err(HttpError::NotSent("closed after it was opened".to_owned()));
-        }
-        self.keep(address, sender, self.settings.idle_timeout, max_idle);
-        Ok(())
+        let answered = async {
+            let mut sender = self.connect(address).await?;
+            let response = sender.send_request(request).await;
+            let response = response.map_err(|error| HttpError::Broken(error.to_string()))?;
+            let mut exchange = self.exchange(address, sender, response, true, max_idle);
+            exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
+            exchange.finish();
+            Ok(())
+        };
+        let timed_out = async {
+            Timer::after(time_limit).await;
+            Err(HttpError::TimedOut)
+        };
+        smol::future::or(answered, timed_out).await
     }
 
     /// Closes all idle connections to an address.
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -22,7 +22,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
-use crate::connection_limit::{ConnectionLimit, OpenConnection};
+use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
 use crate::shared::Shared;
 
@@ -94,6 +94,15 @@
 /// byte of the answer.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Resets some of a server's connections.
+pub trait ConnectionFilter: std::fmt::Debug {
+    /// Whether a new connection is served; it is reset otherwise. Nothing is read from it
+    /// before.
+    fn admit(&self, stream: &TcpStream) -> Pin<Box<dyn Future<Output = bool>>>;
+    /// Completes when the connection, which is being served, is to be reset.
+    fn interrupted(&self, stream: &TcpStream) -> Pin<Box<dyn Future<Output = ()>>>;
+}
+
 /// A listening server.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -102,6 +111,7 @@
     limits: Limits,
     timeouts: Shared<ConnectionTimeouts>,
     connection_limit: Option<Arc<ConnectionLimit>>,
+    filter: Option<Rc<dyn ConnectionFilter>>,
 }
 
 /// Binds a listener; the error names the address.
@@ -140,6 +150,7 @@
             limits,
             timeouts: Shared::new(DEFAULT_TIMEOUTS),
             connection_limit: None,
+            filter: None,
         })
     }
 
@@ -157,6 +168,13 @@
         self
     }
 
+    /// Sets a filter for connections.
+    #[must_use]
+    pub fn with_filter(mut self, filter: Rc<dyn ConnectionFilter>) -> Self {
+        self.filter = Some(filter);
+        self
+    }
+
     /// The address of the listener.
     ///
     /// # Errors
@@ -190,8 +208,14 @@
                 return;
             };
             let timeouts = self.timeouts.clone();
-            let connection =
-                serve_connection(stream, self.limits, timeouts, handler.clone(), open.clone());
+            let connection = serve_connection(
+                stream.clone(),
+                self.limits,
+                timeouts,
+                handler.clone(),
+                open.clone(),
+            );
+            let connection = filtered(self.filter.clone(), stream, connection);
             let connection = async move {
                 connection.await;
                 drop(counted);
@@ -232,6 +256,25 @@
     }
 }
 
+/// Serves a connection as long as the filter, if there is one, lets it.
+async fn filtered(
+    filter: Option<Rc<dyn ConnectionFilter>>,
+    stream: TcpStream,
+    connection: impl Future<Output = ()>,
+) {
+    let Some(filter) = filter else {
+        return connection.await;
+    };
+    if !filter.admit(&stream).await {
+        return reset(&stream);
+    }
+    let interrupted = async {
+        filter.interrupted(&stream).await;
+        reset(&stream);
+    };
+    smol::future::or(connection, interrupted).await;
+}
+
 /// Accepts connections until `stop` completes.
 async fn accept_until(
     listener: &TcpListener,
--- a/components/test-support/src/lib.rs
+++ b/components/test-support/src/lib.rs
@@ -4,4 +4,4 @@
 mod sockets;
 
 pub use address::ReservedAddress;
-pub use sockets::{connected_process, process_between};
+pub use sockets::{connected_process, local_ports, process_between};
--- a/components/test-support/src/sockets.rs
+++ b/components/test-support/src/sockets.rs
@@ -1,8 +1,9 @@
 //! The process at the other end of a loopback connection.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
+use std::path::PathBuf;
 
 /// Column of `/proc/net/tcp` with the local address.
 const LOCAL_COLUMN: usize = 1;
@@ -20,21 +21,67 @@
 
 /// Returns which of `processes` has the socket that is connected from `local` to `remote`.
 pub fn process_between(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
-    let inode = socket_inode(local, remote)?;
-    let link = format!("socket:[{inode}]");
-    let has_socket = |process: &&u32| has_file(**process, &link);
+    let (local, remote) = (kernel_form(local)?, kernel_form(remote)?);
+    let sockets = connected_sockets();
+    let is_it = |socket: &&Socket| socket.local == local && socket.remote == remote;
+    let inode = &sockets.iter().find(is_it)?.inode;
+    let has_socket = |process: &&u32| open_sockets(**process).contains(inode);
     processes.iter().find(has_socket).copied()
 }
 
-fn socket_inode(local: SocketAddr, remote: SocketAddr) -> Option<String> {
-    let (local, remote) = (kernel_form(local)?, kernel_form(remote)?);
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().find_map(|line| {
+/// Local ports of all TCP sockets of a process.
+pub fn local_ports(process: u32) -> BTreeSet<u16> {
+    let own = open_sockets(process);
+    let sockets = connected_sockets().into_iter();
+    let of_process = sockets.filter(|socket| own.contains(&socket.inode));
+    of_process
+        .filter_map(|socket| socket.local_port())
+        .collect()
+}
+
+/// A line of `/proc/net/tcp`.
+struct Socket {
+    local: String,
+    remote: String,
+    inode: String,
+}
+
+impl Socket {
+    fn read(line: &str) -> Option<Self> {
         let columns: Vec<&str> = line.split_whitespace().collect();
-        let is_it = columns.get(LOCAL_COLUMN) == Some(&local.as_str())
-            && columns.get(REMOTE_COLUMN) == Some(&remote.as_str());
-        is_it.then(|| columns.get(INODE_COLUMN).map(|inode| (*inode).to_owned()))?
-    })
+        let column = |number: usize| columns.get(number).map(|text| (*text).to_owned());
+        Some(Socket {
+            local: column(LOCAL_COLUMN)?,
+            remote: column(REMOTE_COLUMN)?,
+            inode: column(INODE_COLUMN)?,
+        })
+    }
+
+    fn local_port(&self) -> Option<u16> {
+        let (_, port) = self.local.split_once(':')?;
+        u16::from_str_radix(port, 16).ok()
+    }
+}
+
+fn connected_sockets() -> Vec<Socket> {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    table.lines().filter_map(Socket::read).collect()
+}
+
+/// Inodes of the sockets that a process has open.
+fn open_sockets(process: u32) -> BTreeSet<String> {
+    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return BTreeSet::new();
+    };
+    let inode = |link: PathBuf| {
+        let link = link.to_str()?;
+        let inode = link.strip_prefix("socket:[")?.strip_suffix(']')?;
+        Some(inode.to_owned())
+    };
+    let links = files
+        .flatten()
+        .filter_map(|file| fs::read_link(file.path()).ok());
+    links.filter_map(inode).collect()
 }
 
 /// The address as `/proc/net/tcp` shows it: the bytes of the IP address in the order of the
@@ -46,13 +93,3 @@
     let ip = u32::from_ne_bytes(address.ip().octets());
     Some(format!("{ip:08X}:{:04X}", address.port()))
 }
-
-fn has_file(process: u32, link: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
-        return false;
-    };
-    let target = Path::new(link);
-    files
-        .flatten()
-        .any(|file| fs::read_link(file.path()).is_ok_and(|found| found == target))
-}
