Simulator: gateways that are cut off from all back ends, and a check from the callers' side

New fault cut-from-back-ends: no message passes between a gateway and engines or applications, while callers, replicas and the other gateway reach it. New rule CutGatewaysServe with the users' bound: from 3 s after the cut, two thirds of the others' share, above 10 + 1 in 50 failures.

--- a/components/simulator/src/checker.rs
+++ b/components/simulator/src/checker.rs
@@ -51,13 +51,16 @@
     BackoffsAreKept,
     /// A gateway sends a back end nothing long after it reported draining.
     DrainingGetsNoWork,
+    /// Gateways that are cut off from all back ends serve their callers about as well as the
+    /// others.
+    CutGatewaysServe,
     /// When all faults are over, the system serves again.
     Recovers,
 }
 
 impl Invariant {
     /// Every rule.
-    pub const ALL: [Invariant; 21] = [
+    pub const ALL: [Invariant; 22] = [
         Invariant::OneOrderAtATime,
         Invariant::OneChangeInAPool,
         Invariant::PlannedChangeCutsNothing,
@@ -78,6 +81,7 @@
         Invariant::LimitsAreKept,
         Invariant::BackoffsAreKept,
         Invariant::DrainingGetsNoWork,
+        Invariant::CutGatewaysServe,
         Invariant::Recovers,
     ];
 }
--- a/components/simulator/src/faults.rs
+++ b/components/simulator/src/faults.rs
@@ -47,10 +47,13 @@
     NameLimit,
     /// The back end rejects all requests and requests a backoff.
     Overload,
+    /// A gateway is cut off from all back ends, silently, while callers, replicas and the
+    /// other gateways still reach it.
+    CutFromBackEnds,
 }
 
 impl FaultKind {
-    /// Every kind.
+    /// Every kind but those of [`FaultKind::SEPARATE`].
     pub const ALL: [FaultKind; 16] = [
         FaultKind::Kill,
         FaultKind::LoseDisk,
@@ -79,6 +82,10 @@
         FaultKind::Overload,
     ];
 
+    /// Kinds that are planned only if they are named, like [`FaultKind::ADDED`]: the system
+    /// does not bear them yet.
+    pub const SEPARATE: [FaultKind; 1] = [FaultKind::CutFromBackEnds];
+
     /// Kinds that are no failure: everything must end well under them.
     pub const PLANNED: [FaultKind; 2] = [FaultKind::PlannedStop, FaultKind::Leaving];
 
@@ -101,6 +108,7 @@
             FaultKind::Suspend => "suspend",
             FaultKind::NameLimit => "name-limit",
             FaultKind::Overload => "overload",
+            FaultKind::CutFromBackEnds => "cut-from-back-ends",
         }
     }
 
@@ -108,6 +116,7 @@
     pub fn from_name(name: &str) -> Option<Self> {
         FaultKind::ALL
             .into_iter()
+            .chain(FaultKind::SEPARATE)
             .find(|kind| kind.as_str() == name)
     }
 }
@@ -153,7 +162,8 @@
     span: Millis,
     seed: u64,
 ) -> Vec<Fault> {
-    let is_added = |kind: &&FaultKind| FaultKind::ADDED.contains(kind);
+    let is_added =
+        |kind: &&FaultKind| FaultKind::ADDED.contains(kind) || FaultKind::SEPARATE.contains(kind);
     let (added, others): (Vec<FaultKind>, Vec<FaultKind>) = kinds.iter().partition(is_added);
     let mut faults = plan_others(random, &others, sizes, span);
     faults.extend(plan_added(&added, sizes, span, seed));
@@ -172,6 +182,7 @@
                 FaultKind::CrashingRequest | FaultKind::NameLimit => {
                     Millis(random.random_range(5000..25_000))
                 }
+                FaultKind::CutFromBackEnds => Millis(random.random_range(6000..12_000)),
                 _ => Millis(random.random_range(500..8000)),
             };
             faults.push(Fault { lasts, ..fault });
@@ -243,6 +254,7 @@
         FaultKind::LoseDisk | FaultKind::TornWrite | FaultKind::DelayOrders => control,
         FaultKind::WrongMachineList => Host::Platform,
         FaultKind::CrashingRequest => Host::Callers,
+        FaultKind::CutFromBackEnds => gateway,
         FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload if choice < 5 => engine,
         FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload => application,
         _ if choice < 4 => control,
--- a/components/simulator/src/network.rs
+++ b/components/simulator/src/network.rs
@@ -21,6 +21,8 @@
     no_inbound: BTreeMap<Host, u32>,
     no_outbound: BTreeMap<Host, u32>,
     bad: BTreeMap<Host, u32>,
+    /// Gateways that no message passes to or from back ends.
+    no_back_ends: BTreeMap<Host, u32>,
     last_delivery: BTreeMap<(Host, Host), Millis>,
 }
 
@@ -44,6 +46,14 @@
         release(&mut self.no_outbound, host);
     }
 
+    pub(crate) fn cut_from_back_ends(&mut self, gateway: Host) {
+        *self.no_back_ends.entry(gateway).or_default() += 1;
+    }
+
+    pub(crate) fn heal_to_back_ends(&mut self, gateway: Host) {
+        release(&mut self.no_back_ends, gateway);
+    }
+
     pub(crate) fn make_bad(&mut self, host: Host) {
         *self.bad.entry(host).or_default() += 1;
     }
@@ -54,7 +64,13 @@
 
     /// Whether nothing gets from one host to the other now.
     pub(crate) fn is_cut(&self, from: Host, to: Host) -> bool {
-        self.no_outbound.contains_key(&from) || self.no_inbound.contains_key(&to)
+        let is_back_end = |host| matches!(host, Host::Engine(_) | Host::Application(_));
+        let lacks_path =
+            |gateway, other| is_back_end(other) && self.no_back_ends.contains_key(&gateway);
+        self.no_outbound.contains_key(&from)
+            || self.no_inbound.contains_key(&to)
+            || lacks_path(from, to)
+            || lacks_path(to, from)
     }
 
     /// When a message that may be lost arrives.
@@ -99,7 +115,12 @@
 
     /// Hosts with any fault of their links.
     pub(crate) fn troubled(&self) -> BTreeSet<Host> {
-        let all = [&self.no_inbound, &self.no_outbound, &self.bad];
+        let all = [
+            &self.no_inbound,
+            &self.no_outbound,
+            &self.bad,
+            &self.no_back_ends,
+        ];
         all.into_iter()
             .flat_map(|map| map.keys().copied())
             .collect()
--- a/components/simulator/src/world/callers_and_operators.rs
+++ b/components/simulator/src/world/callers_and_operators.rs
@@ -47,7 +47,10 @@
                     .tokens(&mut self.checker, request, first, tokens, self.now);
             }
             Message::Answer(request, answer) => self.take_answer(request, &answer),
-            Message::Disconnected(request) => self.callers.disconnected(request, self.now),
+            Message::Disconnected(request) => {
+                self.note_call_end(request, None);
+                self.callers.disconnected(request, self.now);
+            }
             _ => {}
         }
     }
@@ -63,6 +66,7 @@
             .callers
             .sent_to(request)
             .is_some_and(|(gateway, sent_at)| self.gateway_trouble[gateway] < sent_at);
+        self.note_call_end(request, Some(answer));
         self.callers
             .answer(&mut self.checker, request, answer, steady, self.now);
     }
--- a/components/simulator/src/world/ending.rs
+++ b/components/simulator/src/world/ending.rs
@@ -21,6 +21,7 @@
                 "no leader at the end".to_owned()
             });
         self.check_level();
+        self.check_path_cuts();
         let open = self.callers.open();
         self.checker.check(Invariant::Recovers, open == 0, now, || {
             format!("{open} requests without a final answer")
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -52,6 +52,7 @@
             }
             FaultKind::CutInbound => self.network.cut_inbound(fault.host),
             FaultKind::CutOutbound => self.network.cut_outbound(fault.host),
+            FaultKind::CutFromBackEnds => self.begin_path_cut(fault.host, end),
             FaultKind::BadNetwork => self.network.make_bad(fault.host),
             FaultKind::DelayOrders => {
                 *self.delayed_orders.entry(fault.host).or_default() += 1;
@@ -83,6 +84,7 @@
             }
             FaultKind::CutInbound => self.network.heal_inbound(fault.host),
             FaultKind::CutOutbound => self.network.heal_outbound(fault.host),
+            FaultKind::CutFromBackEnds => self.network.heal_to_back_ends(fault.host),
             FaultKind::BadNetwork => self.network.make_good(fault.host),
             FaultKind::DelayOrders => {
                 self.delayed_orders.remove(&fault.host);
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -12,6 +12,7 @@
 mod gateways;
 mod limits;
 mod messages;
+mod path_cuts;
 mod processes;
 mod reporting;
 mod ticks;
@@ -43,6 +44,7 @@
 use availability::{Overload, Reports};
 use crashing::CrashingRequest;
 use limits::NamedLimit;
+use path_cuts::PathCuts;
 use upgrading::Move;
 
 pub(crate) use reporting::ReportTarget;
@@ -111,6 +113,7 @@
     /// Back ends that name a limit now.
     limits: BTreeMap<Host, NamedLimit>,
     overloads: BTreeMap<Host, Overload>,
+    path_cuts: PathCuts,
     reports: BTreeMap<Host, Reports>,
     /// Faults that go on.
     open_faults: u64,
@@ -236,6 +239,7 @@
             crashing: Vec::new(),
             limits: BTreeMap::new(),
             overloads: BTreeMap::new(),
+            path_cuts: PathCuts::default(),
             reports: BTreeMap::new(),
             open_faults: 0,
             callers: new_callers(&scenario, demand.as_ref(), only_planned_faults),
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -175,6 +175,15 @@
     assert_eq!(suspended(false), []);
 }
 
+/// The completions gateway knows no path of its own: cut off from all back ends, it refuses or
+/// fails what the other gateway serves.
+#[rstest]
+#[case(60_000)]
+#[case(60_006)]
+fn completions_gateways_that_are_cut_off_serve_their_callers(#[case] first: u64) {
+    run_seeds(first..first + 6, &[FaultKind::CutFromBackEnds]);
+}
+
 /// A run in which a fault never struck can't pass for a proof.
 #[test]
 fn each_fault_alone_strikes_and_breaks_nothing() {
