--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -9,6 +9,7 @@
 use garnet_runtime::{Clock, ConnectionPool, ConnectionTimeouts, Shared, Timers};
 use garnet_types::{BackendId, Millis, TenantId};
 use smol::LocalExecutor;
+use smol::channel::{Receiver, Sender};
 
 use crate::connection_queue::ConnectionQueue;
 use crate::metrics::GatewayMetrics;
@@ -51,6 +52,10 @@
     pub(crate) open_requests: Rc<Cell<usize>>,
     /// Number of these that peer gateways handed over.
     pub(crate) relayed_requests: Rc<Cell<usize>>,
+    /// Wakes the child that sends probes.
+    pub(crate) path_failed: Sender<()>,
+    /// Receives what `path_failed` sends.
+    pub(crate) path_failures: Receiver<()>,
     /// Peer gateways that relay requests for this one.
     pub(crate) relays: RefCell<RelayDirectory>,
 }
@@ -97,6 +102,8 @@
         let mut forwarder = self.forwarder.borrow_mut();
         let changes = forwarder.path_failed(backend, may_be_crash, now);
         drop(forwarder);
+        // A child that is already awake needs no second signal.
+        let _awake = self.path_failed.try_send(());
         changes.iter().for_each(log_path_change);
     }
 
--- a/components/forwarding-shell/src/path_probes.rs
+++ b/components/forwarding-shell/src/path_probes.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 
-/// How often a gateway checks whether probes are due.
+/// How often a gateway checks whether probes are due, while connections have failed lately.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which a back end has to answer a probe, which needs no free slot there.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,9 +27,11 @@
             let gateway = Rc::clone(&gateway);
             async move {
                 let probing = async {
-                    loop {
-                        Timer::after(CHECK_INTERVAL).await;
-                        begin_probes(&gateway);
+                    while gateway.path_failures.recv().await.is_ok() {
+                        while !gateway.forwarder.borrow().paths_are_in_order() {
+                            Timer::after(CHECK_INTERVAL).await;
+                            begin_probes(&gateway);
+                        }
                     }
                 };
                 smol::future::or(probing, stop.stopped()).await;
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -95,6 +95,7 @@
     let ready_server = smol::block_on(HttpServer::bind(options.ready_listen, Limits::default()))?;
     let id = GatewayId::new(format!("{}.{:016x}", options.name, rand::random::<u64>()));
     let (requests_in, requests) = bounded::<GatewayRequest>(QUEUED_REQUESTS);
+    let (path_failed, path_failures) = bounded(1);
     let meter = |length| RefCell::new(UsageMeter::new(id.clone(), length));
     let gateway = Rc::new(Gateway {
         usage: options.usage_window.map(meter),
@@ -119,6 +120,8 @@
         stop_deadline: Cell::new(None),
         open_requests: Rc::default(),
         relayed_requests: Rc::default(),
+        path_failed,
+        path_failures,
         relays: RefCell::new(RelayDirectory::new(options.zone.clone())),
     });
     let relay_server = options.relay_listen.and_then(bind_relay_server);
--- a/components/forwarding/src/forwarder/paths.rs
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Whether no connection to a back end has failed lately and no path is lost.
+    pub fn paths_are_in_order(&self) -> bool {
+        self.paths.is_empty()
+    }
+
     /// Whether any path is suspected to be lost.
     pub fn has_suspected_path(&self) -> bool {
         self.paths.is_suspected()
