--- a/components/test-support/src/sockets.rs
+++ b/components/test-support/src/sockets.rs
@@ -21,6 +21,9 @@
 
 /// Returns which of `processes` has the socket that is connected from `local` to `remote`.
 pub fn process_between(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
+    if processes.is_empty() {
+        return None;
+    }
     let (local, remote) = (kernel_form(local)?, kernel_form(remote)?);
     let sockets = connected_sockets();
     let is_it = |socket: &&Socket| socket.local == local && socket.remote == remote;
