--- a/components/forwarding-shell/src/relay/mod.rs
+++ b/components/forwarding-shell/src/relay/mod.rs
@@ -5,7 +5,7 @@
 //! its own, except that it never hands it on. The first gateway keeps the caller: it counts
 //! the request, checks its key and takes repeats from its own share of the retry budget.
 //!
-//! A request counts as not run only if each relay that received it said so; see
+//! A request counts as not run only if each relay that received it reports that; see
 //! `docs/design/relays.md`.
 
 mod answer;
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -65,7 +65,7 @@
 /// A request that this gateway did not serve.
 pub(crate) struct Unserved {
     pub(crate) running: RunningRequest,
-    /// What its caller is told if no other gateway serves it.
+    /// The answer to its caller if no other gateway serves it.
     pub(crate) answer: OwnAnswer,
 }
 
--- a/components/forwarding/src/relays.rs
+++ b/components/forwarding/src/relays.rs
@@ -1,7 +1,7 @@
 //! Peer gateways that relay requests for this one.
 //!
 //! Contract: [`RelayDirectory::choose`] spreads requests over the nearest relays that are
-//! said to reach the service and that work. The list comes from the leader; while there is no
+//! reported to reach the service and that work. The list comes from the leader; while there is no
 //! leader, the last list stays in force.
 
 use std::collections::BTreeMap;
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Records that a relay answered, whatever it said.
+    /// Records that a relay answered, whatever the answer.
     pub fn answered(&mut self, address: SocketAddr) {
         if let Some(known) = self.relays.get_mut(&address) {
             known.breaker.succeeded();
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -256,7 +256,7 @@
     }
 }
 
-/// Serves a connection as long as the filter, if there is one, lets it.
+/// Serves a connection until the filter, if there is one, interrupts it.
 async fn filtered(
     filter: Option<Rc<dyn ConnectionFilter>>,
     stream: TcpStream,
