Forwarding shell: one reader of events for engines and relays

relay/stream.rs had written the loop of engine_run.rs again: chunks into whole events, the end at a boundary, the cause of a break. Both read through EventReader now; no change of behaviour.

--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -12,6 +12,7 @@
 mod backend_reports;
 mod buffered;
 mod connection_queue;
+mod event_reader;
 mod events;
 mod failover;
 mod gateway;
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -1,16 +1,17 @@
 //! Streams of events that a relay passes on. If it breaks off, another relay resumes the
 //! stream after the last whole event that the caller has.
 
+use std::rc::Rc;
+
+use futures_lite::stream::unfold;
 use garnet_routes::WorkKind;
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyAborted, stream_body};
 use hyper::Response;
 use hyper::body::Bytes;
 
-use futures_lite::stream::unfold;
-
 use crate::buffered::copy_head;
-use crate::events::EventSplitter;
+use crate::event_reader::{EventReader, Received};
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{record_end, sleep_until_due};
 
@@ -21,7 +22,7 @@
     relaying: Relaying<C, B>,
     /// `None` after the answer has ended or broken off.
     answer: Option<RelayedAnswer<C, B>>,
-    splitter: EventSplitter,
+    reader: EventReader,
 }
 
 enum Next {
@@ -31,13 +32,6 @@
     Cut,
 }
 
-/// What was received from a relay.
-enum Received {
-    Event(Bytes),
-    End,
-    Broke(String),
-}
-
 /// Builds the answer to the caller.
 pub(super) fn pass_on<C, B>(relaying: Relaying<C, B>, answer: RelayedAnswer<C, B>) -> Response<Body>
 where
@@ -47,7 +41,7 @@
     let head = copy_head(&answer.exchange.head);
     let status = head.status.as_u16();
     let stream = RelayedStream {
-        splitter: EventSplitter::after(relaying.resume_after.clone()),
+        reader: EventReader::new(relaying.resume_after.clone(), relaying.running.work.kind),
         relaying,
         answer: Some(answer),
     };
@@ -78,7 +72,7 @@
 
     async fn next(&mut self) -> Next {
         let due = self.relaying.running.due;
-        let gateway = std::rc::Rc::clone(&self.relaying.gateway);
+        let gateway = Rc::clone(&self.relaying.gateway);
         let late = async {
             sleep_until_due(&gateway, due).await;
             Next::Cut
@@ -106,30 +100,16 @@
     }
 
     async fn receive(&mut self) -> Received {
-        let is_resumable = self.relaying.running.work.kind == WorkKind::ResumableStream;
-        let Some(answer) = &mut self.answer else {
-            return Received::End;
-        };
-        loop {
-            match answer.exchange.next().await {
-                Ok(Some(chunk)) if !is_resumable => return Received::Event(chunk),
-                Ok(Some(chunk)) => {
-                    let complete = self.splitter.push(&chunk);
-                    if !complete.is_empty() {
-                        return Received::Event(complete);
-                    }
-                }
-                Ok(None) if self.splitter.is_at_boundary() => return Received::End,
-                Ok(None) => return Received::Broke("the last event is incomplete".to_owned()),
-                Err(error) => return Received::Broke(error.to_string()),
-            }
+        match &mut self.answer {
+            Some(answer) => self.reader.next(&mut answer.exchange, || {}).await,
+            None => Received::End,
         }
     }
 
     /// Has another relay resume the stream. Returns `false` if none does.
     async fn resume(&mut self, cause: &str) -> bool {
         self.answer = None;
-        let last_id = self.splitter.last_id().map(str::to_owned);
+        let last_id = self.reader.last_id().map(str::to_owned);
         self.relaying.log_broken(cause);
         let kind = self.relaying.running.work.kind;
         if kind != WorkKind::ResumableStream || last_id.is_none() {
@@ -145,7 +125,7 @@
         if !answer.exchange.head.status.is_success() {
             return false;
         }
-        self.splitter = EventSplitter::after(last_id);
+        self.reader = EventReader::new(last_id, kind);
         self.answer = Some(answer);
         true
     }
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -1,28 +1,16 @@
 //! The events of an answer that one engine sends, from the head on.
 
 use garnet_routes::WorkKind;
-use hyper::body::Bytes;
 use hyper::http::response::Parts;
 
 use crate::attempt::OpenAnswer;
-use crate::events::EventSplitter;
+use crate::event_reader::{EventReader, Received};
 use crate::ports::{BackendPort, Call, CallerPort};
 
-/// What was received from an engine.
-pub(super) enum Received {
-    /// The next bytes of the answer; complete events if the stream may be resumed.
-    Event(Bytes),
-    /// The proper end of the answer.
-    End,
-    /// The answer broke off, for this cause.
-    Broke(String),
-}
-
 /// An engine that answers. Dropping it closes the connection, which ends its work.
 pub(super) struct EngineRun<C: CallerPort, B: BackendPort> {
     open: OpenAnswer<C, B>,
-    splitter: EventSplitter,
-    is_resumable: bool,
+    reader: EventReader,
     /// Whether the engine has sent any of its answer.
     has_begun: bool,
 }
@@ -32,8 +20,7 @@
     pub(super) fn new(open: OpenAnswer<C, B>, after: Option<String>, kind: WorkKind) -> Self {
         EngineRun {
             open,
-            splitter: EventSplitter::after(after),
-            is_resumable: kind == WorkKind::ResumableStream,
+            reader: EventReader::new(after, kind),
             has_begun: false,
         }
     }
@@ -44,30 +31,18 @@
 
     /// Id of the last complete event that the engine sent, or after which it resumed.
     pub(super) fn last_id(&self) -> Option<&str> {
-        self.splitter.last_id()
+        self.reader.last_id()
     }
 
-    /// Receives the next bytes. Dropping the future loses none: an incomplete event stays
-    /// buffered.
+    /// Receives the next bytes; see [`EventReader::next`].
     pub(super) async fn next(&mut self) -> Received {
-        loop {
-            match self.open.exchange.next().await {
-                Ok(Some(chunk)) => {
-                    self.has_begun = true;
-                    self.open.guard.prefill_done();
-                    if !self.is_resumable {
-                        return Received::Event(chunk);
-                    }
-                    let complete = self.splitter.push(&chunk);
-                    if !complete.is_empty() {
-                        return Received::Event(complete);
-                    }
-                }
-                Ok(None) if self.splitter.is_at_boundary() => return Received::End,
-                Ok(None) => return Received::Broke("the last event is incomplete".to_owned()),
-                Err(error) => return Received::Broke(error.to_string()),
-            }
-        }
+        let OpenAnswer { exchange, guard } = &mut self.open;
+        let has_begun = &mut self.has_begun;
+        let on_chunk = || {
+            *has_begun = true;
+            guard.prefill_done();
+        };
+        self.reader.next(exchange, on_chunk).await
     }
 
     /// Notes that the answer came to its proper end.
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -20,13 +20,14 @@
 
 use crate::answers::OwnAnswer;
 use crate::buffered::copy_head;
+use crate::event_reader::Received;
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{RunningRequest, Unserved, count_usage_once, record_end, sleep_until_due};
 use crate::timeout::with_timeout;
 
 use cut::CutCause;
-use engine_run::{EngineRun, Received};
+use engine_run::EngineRun;
 use search::{Found, NotStreamed, Search};
 
 /// A stream whose answer has begun.
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -10,13 +10,14 @@
 
 use crate::attempt::OpenAnswer;
 use crate::buffered::copy_head;
+use crate::event_reader::Received;
 use crate::failover::{admit_hedge, can_fail_over, may_be_sent, on_attempt_ended, take_repeat};
 use crate::gateway::Gateway;
 use crate::kv_transfer::WaitingCache;
 use crate::ports::{BackendPort, CallerPort, JobPhase};
 use crate::request::RunningRequest;
 
-use super::engine_run::{EngineRun, Received};
+use super::engine_run::EngineRun;
 
 /// Longest failure answer of an engine that is passed on.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -5,10 +5,10 @@
 use garnet_forwarding::AttemptEnd;
 use garnet_types::BackendId;
 
+use crate::event_reader::Received;
 use crate::ports::{BackendPort, CallerPort};
 
 use super::cut::CutCause;
-use super::engine_run::Received;
 use super::search::{Found, NotStreamed};
 use super::{Next, Stream};
 
--- a/components/simulator/src/gateway_host.rs
+++ b/components/simulator/src/gateway_host.rs
@@ -23,7 +23,7 @@
     /// Attempts under way and where.
     pub(crate) attempts: BTreeMap<AttemptId, Host>,
     pub(crate) draining: bool,
-    /// Place, start and version of the replica that it was last told to be connected to.
+    /// Place, start and version of the replica of its last connection to a leader.
     pub(crate) leader_connection: Option<(usize, u64, EncodingVersion)>,
     /// Replica that it reports ended runs to.
     pub(crate) report_target: Option<ReportTarget>,
