Relays: a request that may have run is never called not run

What callers saw: 503 with a Retry-After, "not run", for a repeatable request whose first relay had gone away with it in flight and whose second relay found all back ends full. It may have run at the first.

Cause: a relay's own answer was passed on as it was; the relay knows nothing of the attempts before its own.

Change: such an answer is in doubt (502) unless all earlier attempts have surely not run, in the one place that also answers when no relay is left.

The test a_request_that_may_have_run_is_never_called_not_run failed before (503) and passes; requests that run at most once were not concerned, as they end at the first broken relay.

--- a/components/forwarding-shell/src/answers.rs
+++ b/components/forwarding-shell/src/answers.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// Whether it promises that the request has not run and will not.
+    pub(crate) fn promises_not_run(self) -> bool {
+        matches!(
+            self,
+            OwnAnswer::NotRun(_) | OwnAnswer::NoPath(_) | OwnAnswer::Quarantined(_)
+        )
+    }
+
     /// The answer to a request in flight with this name; `after` is its retry time, if it has
     /// one.
     pub(crate) fn from_name(name: &str, after: Millis) -> Option<Self> {
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -144,7 +144,7 @@
             self.tried.push(relay);
             match self.send(relay).await {
                 Ok(answer) => return Ok(answer),
-                Err(RelayEnd::Own(answer)) => return Err(answer),
+                Err(RelayEnd::Own(answer)) => return Err(self.truthful(answer)),
                 Err(RelayEnd::Broken) => self.on_broken()?,
                 Err(RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::NoPath) => {}
             }
@@ -191,11 +191,16 @@
     }
 
     fn given_up(&self) -> OwnAnswer {
-        if self.running.progress.surely_not_run() {
-            OwnAnswer::NoPath(retry_after(self.running.work.objective))
-        } else {
-            OwnAnswer::InDoubt
+        self.truthful(OwnAnswer::NoPath(retry_after(self.running.work.objective)))
+    }
+
+    /// The answer, or that the request is in doubt: a relay knows nothing of the attempts
+    /// before its own.
+    fn truthful(&self, answer: OwnAnswer) -> OwnAnswer {
+        if answer.promises_not_run() && !self.running.progress.surely_not_run() {
+            return OwnAnswer::InDoubt;
         }
+        answer
     }
 
     async fn send(&self, relay: SocketAddr) -> Result<RelayedAnswer<C, B>, RelayEnd> {
