Forwarding shell: answers whose end is not marked are logged and counted

Log line answer_until_close, metric garnet_forwarding_until_close. The runtime's Exchange tells the framing of an answer by RFC 9112, 6.3: chunks mark an end only as the last transfer coding, and an answer that ends with its head needs no mark. No change of what callers get.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
-use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
+use garnet_runtime::{Exchange, Framing};
 use garnet_types::{BackendId, Millis};
 use hyper::StatusCode;
 
@@ -303,7 +303,12 @@
     }
     gateway.unknown_headers.note(&gateway.metrics, job, &parsed);
     let end = match parsed.meaning {
-        HeadMeaning::Answer => return Ok(OpenAnswer { exchange, guard }),
+        HeadMeaning::Answer => {
+            if exchange.framing() == Framing::UntilClose {
+                note_until_close(gateway, call, job);
+            }
+            return Ok(OpenAnswer { exchange, guard });
+        }
         HeadMeaning::NotRun(reason) => AttemptEnd::NotRun(reason),
         HeadMeaning::AnotherBackend => {
             guard.gone();
@@ -324,6 +329,21 @@
     Err(end)
 }
 
+/// Notes an answer whose end is not marked, so that a break can't be told from its end.
+fn note_until_close<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+) {
+    gateway.metrics.until_close(phase_name(job));
+    log::info!(
+        request = call.facts.id.as_str(),
+        backend = job.backend.as_str(),
+        phase = phase_name(job);
+        "answer_until_close"
+    );
+}
+
 /// Longest body of an answer that says that a request did not run.
 const MAX_NOT_RUN_BODY_BYTES: usize = 64 * 1024;
 
--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -7,7 +7,7 @@
 
 use garnet_forwarding::{AttemptEnd, GivenUp, Placement, Progress};
 use garnet_runtime::client::HttpError;
-use garnet_runtime::{Body, bytes_body};
+use garnet_runtime::{Body, Framing, bytes_body};
 use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
@@ -245,7 +245,7 @@
     let body_read = open.exchange.read_whole(MAX_ANSWER_BYTES).await;
     match body_read {
         Ok(body) => {
-            if open.exchange.has_explicit_end() {
+            if open.exchange.framing() == Framing::Delimited {
                 open.guard.completed(call);
             }
             let status = open.exchange.head.status;
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -35,6 +35,7 @@
     withheld: Family<Labels, Counter>,
     connection_waits: Family<Labels, Counter>,
     relayed: Family<Labels, Counter>,
+    until_close: Family<Labels, Counter>,
     lost_paths: Gauge,
     limited: Gauge,
     usage_lost: Counter,
@@ -77,6 +78,8 @@
         let connection_waits = registered(all, "connection_waits", help, counters());
         let help = "Requests handed to peer gateways, by outcome";
         let relayed = registered(all, "relayed", help, counters());
+        let help = "Answers that end with their connection, by phase of the attempt";
+        let until_close = registered(all, "until_close", help, counters());
         let help = "Services to whose back ends there is no path";
         let lost_paths = registered(all, "lost_paths", help, Gauge::default());
         let help = "Back ends that are known to have a limit";
@@ -106,6 +109,7 @@
             withheld,
             connection_waits,
             relayed,
+            until_close,
             lost_paths,
             limited,
             usage_lost,
@@ -172,6 +176,11 @@
         self.relayed.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn until_close(&self, phase: &'static str) {
+        let labels = vec![("phase", phase.to_owned())];
+        self.until_close.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn set_lost_paths(&self, services: usize) {
         self.lost_paths.set(gauge_value(services as u64));
     }
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -1,6 +1,7 @@
 //! The events of an answer that one engine sends, from the head on.
 
 use garnet_routes::WorkKind;
+use garnet_runtime::Framing;
 use hyper::http::response::Parts;
 
 use crate::attempt::OpenAnswer;
@@ -48,7 +49,7 @@
     /// Notes that the answer came to its proper end.
     pub(super) fn ended(mut self, call: &Call) {
         self.open.guard.succeeded();
-        if self.has_begun && self.open.exchange.has_explicit_end() {
+        if self.has_begun && self.open.exchange.framing() == Framing::Delimited {
             self.open.guard.completed(call);
         }
         self.open.exchange.finish();
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_timer;
 pub mod control_link;
 pub mod frames;
+pub mod framing;
 pub mod log_limit;
 pub mod log_writer;
 pub mod logging;
@@ -32,6 +33,7 @@
 pub use connect_timeout::ConnectTimeout;
 pub use connection_limit::ConnectionLimit;
 pub use connection_timer::ConnectionTimeouts;
+pub use framing::Framing;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
 pub use server::{
     Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -12,9 +12,9 @@
 
 use garnet_types::Millis;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use smol::{LocalExecutor, Timer};
@@ -22,6 +22,7 @@
 
 use crate::client::HttpError;
 use crate::clock::Clock;
+use crate::framing::Framing;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 
 /// Header in which the server announces its idle timeout.
@@ -80,6 +81,7 @@
     pub head: Parts,
     /// Whether the request was sent on a new connection.
     pub fresh: bool,
+    framing: Framing,
     body: Incoming,
     sender: Sender,
     address: String,
@@ -226,6 +228,7 @@
     ) -> Exchange {
         let (head, body) = response.into_parts();
         Exchange {
+            framing: Framing::of(&head.headers, body.is_end_stream()),
             head,
             fresh,
             body,
@@ -312,11 +315,9 @@
         Ok(Bytes::from(collected))
     }
 
-    /// Whether the headers define where the answer ends. Otherwise it ends with its
-    /// connection, and an answer cut short by a crash looks complete.
-    pub fn has_explicit_end(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    /// How the end of the answer is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Returns the connection to the pool after the end of the body.
