Gateways: an answer claims no more of its end than the back end's did

Cause: an answer with neither a length nor chunks ends with its connection (RFC 9112, 6.3). The end of the connection was passed on as the end of the answer in a framing of the gateway's own. Events were followed for resumable streams only, so that half an event at the end of any other stream was not noticed either.

The kill of a gateway or relay passed before by its chunks and passes now by the reset.

All streams are followed by lines; one that ends inside an event is broken off whatever its framing. Relays mark the end of their own answer and name the back end's. A stream that ends so before its first event is no answer.

Why it works: a complete framing now needs a complete framing of the back end, on each hop; nothing else writes one.

The lines of a stream may end with CR alone, and CR LF may be split over two chunks; a byte order mark and comments belong to no event.

--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -7,7 +7,7 @@
 
 use garnet_forwarding::{AttemptEnd, GivenUp, Placement, Progress};
 use garnet_runtime::client::HttpError;
-use garnet_runtime::{Body, Framing, bytes_body};
+use garnet_runtime::{Body, Exchange, Framing, bytes_body};
 use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
@@ -255,7 +255,7 @@
             } else {
                 open.guard.succeeded();
             }
-            let head = copy_head(&open.exchange.head);
+            let head = copy_head(&open.exchange);
             open.exchange.finish();
             Ok(BufferedAnswer { head, body })
         }
@@ -284,10 +284,12 @@
     answer.head.status.is_server_error()
 }
 
-/// Copies a head without its hop-by-hop headers, to be passed on.
-pub(crate) fn copy_head(head: &Parts) -> Parts {
-    let mut copy = head.clone();
+/// Copies the head of an answer without its hop-by-hop headers, to be passed on with the framing
+/// of the answer.
+pub(crate) fn copy_head(exchange: &Exchange) -> Parts {
+    let mut copy = exchange.head.clone();
     remove_connection_headers(&mut copy.headers);
+    copy.extensions.insert(exchange.framing());
     copy
 }
 
--- a/components/forwarding-shell/src/event_reader.rs
+++ b/components/forwarding-shell/src/event_reader.rs
@@ -1,39 +1,80 @@
 //! Reads the events of an answer, from an engine or from a relay that passes it on.
 
+use displaydoc::Display;
 use garnet_routes::WorkKind;
-use garnet_runtime::Exchange;
+use garnet_runtime::{Exchange, Framing};
 use hyper::body::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderMap};
 
-use crate::events::EventSplitter;
+use crate::events::{EventScanner, EventSplitter};
+
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// What was received.
 pub(crate) enum Received {
     /// The next bytes of the answer; complete events if the stream may be resumed.
     Event(Bytes),
-    /// The proper end of the answer.
-    End,
-    /// The answer broke off, for this cause.
-    Broke(String),
+    /// The end of the answer, marked in this way.
+    End(Framing),
+    /// The answer broke off.
+    Broke(BreakCause),
+}
+
+/// Why an answer is known to have been broken off.
+#[derive(Debug, Display)]
+pub(crate) enum BreakCause {
+    /// {0}
+    Connection(String),
+    /// the last event is incomplete
+    IncompleteEvent,
+    /// the connection ended before the first event
+    NoEvent,
 }
 
 /// The state of reading one answer.
 pub(crate) struct EventReader {
-    splitter: EventSplitter,
-    is_resumable: bool,
+    mode: Mode,
+    framing: Framing,
+    has_begun: bool,
+}
+
+enum Mode {
+    /// Returns complete events, as another engine may resume after any of them.
+    Split(EventSplitter),
+    /// Returns bytes as they arrive.
+    Pass(EventScanner),
+    /// Returns bytes as they arrive; they are not events.
+    Opaque,
 }
 
 impl EventReader {
     /// Reads an answer that resumes after the event `after`.
-    pub(crate) fn new(after: Option<String>, kind: WorkKind) -> Self {
+    pub(crate) fn new(after: Option<String>, kind: WorkKind, exchange: &Exchange) -> Self {
+        let head = &exchange.head;
+        let mode = match kind {
+            _ if !head.status.is_success() => Mode::Opaque,
+            WorkKind::ResumableStream => Mode::Split(EventSplitter::after(after)),
+            _ if is_event_stream(&head.headers) => Mode::Pass(EventScanner::default()),
+            _ => Mode::Opaque,
+        };
         EventReader {
-            splitter: EventSplitter::after(after),
-            is_resumable: kind == WorkKind::ResumableStream,
+            mode,
+            framing: exchange.framing(),
+            has_begun: false,
         }
     }
 
     /// Id of the last complete event that was received, or after which the answer resumed.
     pub(crate) fn last_id(&self) -> Option<&str> {
-        self.splitter.last_id()
+        match &self.mode {
+            Mode::Split(splitter) => splitter.last_id(),
+            Mode::Pass(_) | Mode::Opaque => None,
+        }
+    }
+
+    /// Whether any of the answer has arrived.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.has_begun
     }
 
     /// Receives the next bytes; `on_chunk` is called for each chunk that arrives. Dropping the
@@ -46,19 +87,60 @@
         loop {
             match exchange.next().await {
                 Ok(Some(chunk)) => {
+                    self.has_begun = true;
                     on_chunk();
-                    if !self.is_resumable {
-                        return Received::Event(chunk);
-                    }
-                    let complete = self.splitter.push(&chunk);
-                    if !complete.is_empty() {
-                        return Received::Event(complete);
+                    let ready = self.push(chunk);
+                    if !ready.is_empty() {
+                        return Received::Event(ready);
                     }
                 }
-                Ok(None) if self.splitter.is_at_boundary() => return Received::End,
-                Ok(None) => return Received::Broke("the last event is incomplete".to_owned()),
-                Err(error) => return Received::Broke(error.to_string()),
+                Ok(None) => return self.on_end(),
+                Err(error) => return Received::Broke(BreakCause::Connection(error.to_string())),
+            }
+        }
+    }
+
+    fn push(&mut self, chunk: Bytes) -> Bytes {
+        match &mut self.mode {
+            Mode::Split(splitter) => splitter.push(&chunk),
+            Mode::Pass(scanner) => {
+                scanner.scan(&chunk);
+                chunk
             }
+            Mode::Opaque => chunk,
+        }
+    }
+
+    fn on_end(&mut self) -> Received {
+        if !self.has_begun && self.framing == Framing::UntilClose {
+            return Received::Broke(BreakCause::NoEvent);
+        }
+        let is_at_boundary = match &self.mode {
+            Mode::Split(splitter) => splitter.is_at_boundary(),
+            Mode::Pass(scanner) => scanner.is_at_boundary(),
+            Mode::Opaque => true,
+        };
+        if !is_at_boundary {
+            return Received::Broke(BreakCause::IncompleteEvent);
+        }
+        // Comments after the last event.
+        let rest = match &mut self.mode {
+            Mode::Split(splitter) => splitter.take_pending(),
+            Mode::Pass(_) | Mode::Opaque => Bytes::new(),
+        };
+        if rest.is_empty() {
+            Received::End(self.framing)
+        } else {
+            Received::Event(rest)
         }
     }
 }
+
+/// Whether the answer consists of events. Engines may omit the type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).is_none_or(|content_type| {
+        let content_type = content_type.as_bytes();
+        let start = content_type.get(..EVENT_STREAM.len());
+        start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
--- a/components/forwarding-shell/src/events.rs
+++ b/components/forwarding-shell/src/events.rs
@@ -1,14 +1,17 @@
-//! Splits a stream of server-sent events at the ends of events, so that another back
-//! end can resume it between two events.
+//! Finds the ends of events in a stream of server-sent events, so that another back end can
+//! resume it between two events.
 
 use hyper::body::Bytes;
 
 const ID_FIELD: &[u8] = b"id:";
+/// May precede the first line of a stream.
+const BYTE_ORDER_MARK: &[u8] = &[0xef, 0xbb, 0xbf];
 
 /// Buffers chunks and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    scanner: EventScanner,
     last_id: Option<String>,
 }
 
@@ -16,20 +19,21 @@
     /// A splitter for a stream that resumes after the event `last_id`.
     pub fn after(last_id: Option<String>) -> Self {
         EventSplitter {
-            pending: Vec::new(),
             last_id,
+            ..EventSplitter::default()
         }
     }
 
     /// Takes a chunk and returns all events that are complete now; empty if there is
     /// none.
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
-        self.pending.extend_from_slice(chunk);
-        let Some(end) = end_of_last_event(&self.pending) else {
+        let Some(end) = self.scanner.scan(chunk) else {
+            self.pending.extend_from_slice(chunk);
             return Bytes::new();
         };
-        let rest = self.pending.split_off(end);
-        let complete = std::mem::replace(&mut self.pending, rest);
+        let (ended, rest) = chunk.split_at(end);
+        let mut complete = std::mem::replace(&mut self.pending, rest.to_vec());
+        complete.extend_from_slice(ended);
         if let Some(id) = last_id_in(&complete) {
             self.last_id = Some(id);
         }
@@ -38,7 +42,12 @@
 
     /// Whether no incomplete event is buffered.
     pub fn is_at_boundary(&self) -> bool {
-        self.pending.is_empty()
+        self.scanner.is_at_boundary()
+    }
+
+    /// Takes what is buffered.
+    pub fn take_pending(&mut self) -> Bytes {
+        Bytes::from(std::mem::take(&mut self.pending))
     }
 
     /// Id of the last event that was returned.
@@ -49,27 +58,110 @@
     /// Drops the incomplete event that is buffered.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
+        self.scanner = EventScanner::default();
     }
 }
 
-/// Position after the last empty line.
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let mut end = bytes.len();
-    while end > 1 {
-        let line_ends = bytes[end - 1] == b'\n';
-        let empty_line = line_ends
-            && (bytes[end - 2] == b'\n' || (end > 2 && bytes[end - 3..end - 1] == *b"\n\r"));
-        if empty_line {
-            return Some(end);
+/// Follows the lines of a stream. A line ends with CR, LF or both; an empty line ends an event;
+/// a line that begins with a colon is a comment and belongs to no event.
+#[derive(Debug, Default)]
+pub struct EventScanner {
+    line: Line,
+    /// Whether fields of an event have come that no empty line has ended.
+    is_in_event: bool,
+    /// The line that the last byte, a CR, has ended. A LF after it belongs to the same line end.
+    after_cr: Option<LineEnd>,
+    /// Number of bytes of the byte order mark that have come.
+    mark_len: usize,
+    /// Whether any other byte has come.
+    has_begun: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LineEnd {
+    OfEvent,
+    OfLine,
+}
+
+impl EventScanner {
+    /// Takes a chunk. Returns the position in it after the last event that it completes.
+    pub fn scan(&mut self, chunk: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (idx, byte) in chunk.iter().enumerate() {
+            if self.take(*byte) == Some(LineEnd::OfEvent) {
+                end = Some(idx + 1);
+            }
+        }
+        end
+    }
+
+    /// Whether no event and no line is incomplete.
+    pub fn is_at_boundary(&self) -> bool {
+        !self.is_in_event && self.line == Line::Empty
+    }
+
+    /// Takes a byte. Returns the end of a line if it completes one.
+    fn take(&mut self, byte: u8) -> Option<LineEnd> {
+        let after_cr = self.after_cr.take();
+        if byte == b'\n' && after_cr.is_some() {
+            return after_cr;
+        }
+        if self.is_of_mark(byte) {
+            return None;
+        }
+        match (byte, self.line) {
+            (b'\r' | b'\n', _) => {
+                let ended = self.end_line();
+                self.after_cr = (byte == b'\r').then_some(ended);
+                return Some(ended);
+            }
+            (b':', Line::Empty) => self.line = Line::Comment,
+            (_, Line::Empty) => self.line = Line::Field,
+            _ => {}
+        }
+        None
+    }
+
+    fn end_line(&mut self) -> LineEnd {
+        match std::mem::take(&mut self.line) {
+            Line::Empty => {
+                self.is_in_event = false;
+                LineEnd::OfEvent
+            }
+            Line::Comment => LineEnd::OfLine,
+            Line::Field => {
+                self.is_in_event = true;
+                LineEnd::OfLine
+            }
+        }
+    }
+
+    /// Whether a byte belongs to the byte order mark.
+    fn is_of_mark(&mut self, byte: u8) -> bool {
+        if self.has_begun {
+            return false;
+        }
+        if BYTE_ORDER_MARK.get(self.mark_len) == Some(&byte) {
+            self.mark_len += 1;
+            return true;
         }
-        end -= 1;
+        self.has_begun = true;
+        false
     }
-    None
 }
 
 fn last_id_in(events: &[u8]) -> Option<String> {
+    let events = events.strip_prefix(BYTE_ORDER_MARK).unwrap_or(events);
     let value = events
-        .split(|byte| *byte == b'\n')
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
         .filter_map(|line| line.strip_prefix(ID_FIELD))
         .next_back()?;
     Some(String::from_utf8_lossy(value).trim().to_owned())
--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -3,6 +3,7 @@
 
 use std::fmt::Write as _;
 
+use garnet_runtime::Framing;
 use garnet_types::{EncodingVersion, Millis, ServiceId, TenantId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,14 @@
 /// Value of [`OUTCOME`] for a request that the relay does not take.
 const UNAVAILABLE: &str = "unavailable";
 
+/// Tells the sender how the back end marked the end of its answer. Encoding version 18 has no such
+/// header.
+const FRAMING: HeaderName = HeaderName::from_static("garnet-relay-framing");
+/// Value of [`FRAMING`] for [`Framing::Delimited`].
+const DELIMITED: &str = "delimited";
+/// Value of [`FRAMING`] for [`Framing::UntilClose`].
+const UNTIL_CLOSE: &str = "until-close";
+
 /// What the first gateway decided about a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedCall {
@@ -98,6 +107,24 @@
     }
 }
 
+/// Adds the framing of a back end's answer to the headers of an answer.
+pub(super) fn write_framing(framing: Framing, headers: &mut HeaderMap) {
+    let name = match framing {
+        Framing::Delimited => DELIMITED,
+        Framing::UntilClose => UNTIL_CLOSE,
+    };
+    headers.insert(FRAMING, HeaderValue::from_static(name));
+}
+
+/// Takes the framing of a back end's answer out of the headers of an answer. A relay that does not
+/// report it may have marked an end that the back end has not.
+pub(super) fn take_framing(headers: &mut HeaderMap) -> Framing {
+    match headers.remove(FRAMING) {
+        Some(value) if value == DELIMITED => Framing::Delimited,
+        _ => Framing::UntilClose,
+    }
+}
+
 /// The time of `Retry-After`, which relays write as a fraction of seconds.
 fn retry_after(headers: &HeaderMap) -> Millis {
     let value = headers.get(RETRY_AFTER);
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use garnet_runtime::Body;
 use garnet_runtime::server::{read_body, text_response};
+use garnet_runtime::{Body, Framing};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -15,7 +15,7 @@
     with_connection_close,
 };
 
-use super::message::{RelayOutcome, RelayedCall};
+use super::message::{RelayOutcome, RelayedCall, write_framing};
 
 /// Maximum number of peers' requests in flight. A gateway without a path hands over all of its
 /// requests at once, and their bodies take memory.
@@ -95,7 +95,14 @@
     })
 }
 
+/// Adds the outcome, and how the back end marked the end of its answer. The answer to the peer
+/// always marks its end, as the peer could not distinguish the end of a relay otherwise.
 fn with_outcome(mut response: Response<Body>, outcome: RelayOutcome) -> Response<Body> {
+    let framing = response.extensions_mut().remove::<Framing>();
+    write_framing(
+        framing.unwrap_or(Framing::Delimited),
+        response.headers_mut(),
+    );
     outcome.write(response.headers_mut());
     response
 }
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -20,7 +20,7 @@
 use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_due};
 
 use super::answer::RelayedAnswer;
-use super::message::{RelayOutcome, RelayedCall};
+use super::message::{RelayOutcome, RelayedCall, take_framing};
 use super::stream;
 
 /// Maximum number of relays that one request is handed to.
@@ -155,7 +155,7 @@
     async fn read_whole(&mut self) -> Result<Box<Response<Body>>, OwnAnswer> {
         loop {
             let mut answer = self.open().await?;
-            let head = copy_head(&answer.exchange.head);
+            let head = copy_head(&answer.exchange);
             match answer.exchange.read_whole(MAX_ANSWER_BYTES).await {
                 Ok(body) => {
                     answer.finish();
@@ -227,6 +227,8 @@
         let sent = self.gateway.pool.send(&address, self.request()).await;
         let mut exchange = sent.map_err(|error| self.on_error(relay, &error))?;
         let outcome = RelayOutcome::take(&mut exchange.head.headers);
+        let framing = take_framing(&mut exchange.head.headers);
+        exchange.set_framing(framing);
         match self.on_outcome(relay, outcome) {
             Ok(()) => Ok(RelayedAnswer { exchange, guard }),
             Err(end) => {
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -5,8 +5,8 @@
 
 use futures_lite::stream::unfold;
 use garnet_routes::WorkKind;
-use garnet_runtime::Body;
 use garnet_runtime::server::{BodyAborted, stream_body};
+use garnet_runtime::{Body, Framing};
 use hyper::Response;
 use hyper::body::Bytes;
 
@@ -23,6 +23,8 @@
     /// `None` after the answer has ended or broken off.
     answer: Option<RelayedAnswer<C, B>>,
     reader: EventReader,
+    /// How the end of the answer to the caller is marked, which its head has fixed.
+    framing: Framing,
 }
 
 enum Next {
@@ -38,10 +40,11 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let head = copy_head(&answer.exchange.head);
+    let head = copy_head(&answer.exchange);
     let status = head.status.as_u16();
     let stream = RelayedStream {
-        reader: EventReader::new(relaying.resume_after.clone(), relaying.running.work.kind),
+        reader: event_reader(&relaying, &answer),
+        framing: answer.exchange.framing(),
         relaying,
         answer: Some(answer),
     };
@@ -62,6 +65,14 @@
     Response::from_parts(head, stream_body(events))
 }
 
+fn event_reader<C: CallerPort, B: BackendPort>(
+    relaying: &Relaying<C, B>,
+    answer: &RelayedAnswer<C, B>,
+) -> EventReader {
+    let after = relaying.resume_after.clone();
+    EventReader::new(after, relaying.running.work.kind, &answer.exchange)
+}
+
 impl<C: CallerPort + 'static, B: BackendPort + 'static> RelayedStream<C, B> {
     fn record_end(&self, outcome: &str, status: u16) {
         let Relaying {
@@ -84,14 +95,17 @@
         loop {
             match self.receive().await {
                 Received::Event(event) => return Next::Event(event),
-                Received::End => {
+                Received::End(framing) => {
                     if let Some(answer) = self.answer.take() {
                         answer.finish();
                     }
-                    return Next::End;
+                    return match self.framing.may_end_with(framing) {
+                        true => Next::End,
+                        false => Next::Cut,
+                    };
                 }
                 Received::Broke(cause) => {
-                    if !self.resume(&cause).await {
+                    if !self.resume(&cause.to_string()).await {
                         return Next::Cut;
                     }
                 }
@@ -102,7 +116,7 @@
     async fn receive(&mut self) -> Received {
         match &mut self.answer {
             Some(answer) => self.reader.next(&mut answer.exchange, || {}).await,
-            None => Received::End,
+            None => Received::End(self.framing),
         }
     }
 
@@ -115,7 +129,7 @@
         if kind != WorkKind::ResumableStream || last_id.is_none() {
             return false;
         }
-        self.relaying.resume_after.clone_from(&last_id);
+        self.relaying.resume_after = last_id;
         if self.relaying.on_broken().is_err() {
             return false;
         }
@@ -125,7 +139,7 @@
         if !answer.exchange.head.status.is_success() {
             return false;
         }
-        self.reader = EventReader::new(last_id, kind);
+        self.reader = event_reader(&self.relaying, &answer);
         self.answer = Some(answer);
         true
     }
--- a/components/forwarding-shell/src/stream/cut.rs
+++ b/components/forwarding-shell/src/stream/cut.rs
@@ -15,6 +15,8 @@
     EngineBroke,
     /// The engine was abandoned or broke off, and no other one resumed the stream.
     NoSuccessor,
+    /// The engine that resumed the stream did not mark the end of its answer.
+    EndNotMarked,
 }
 
 impl CutCause {
@@ -24,6 +26,7 @@
             CutCause::TimeOver => "time_over",
             CutCause::EngineBroke => "engine_broke",
             CutCause::NoSuccessor => "no_successor",
+            CutCause::EndNotMarked => "end_not_marked",
         }
     }
 }
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -5,29 +5,30 @@
 use hyper::http::response::Parts;
 
 use crate::attempt::OpenAnswer;
-use crate::event_reader::{EventReader, Received};
+use crate::buffered::copy_head;
+use crate::event_reader::{BreakCause, EventReader, Received};
 use crate::ports::{BackendPort, Call, CallerPort};
 
 /// An engine that answers. Dropping it closes the connection, which ends its work.
 pub(super) struct EngineRun<C: CallerPort, B: BackendPort> {
     open: OpenAnswer<C, B>,
     reader: EventReader,
-    /// Whether the engine has sent any of its answer.
-    has_begun: bool,
 }
 
 impl<C: CallerPort, B: BackendPort> EngineRun<C, B> {
     /// Reads an answer that resumes after the event `after`.
     pub(super) fn new(open: OpenAnswer<C, B>, after: Option<String>, kind: WorkKind) -> Self {
-        EngineRun {
-            open,
-            reader: EventReader::new(after, kind),
-            has_begun: false,
-        }
+        let reader = EventReader::new(after, kind, &open.exchange);
+        EngineRun { open, reader }
+    }
+
+    /// The head of the answer to the caller.
+    pub(super) fn answer_head(&self) -> Parts {
+        copy_head(&self.open.exchange)
     }
 
-    pub(super) fn head(&self) -> &Parts {
-        &self.open.exchange.head
+    pub(super) fn framing(&self) -> Framing {
+        self.open.exchange.framing()
     }
 
     /// Id of the last complete event that the engine sent, or after which it resumed.
@@ -38,26 +39,28 @@
     /// Receives the next bytes; see [`EventReader::next`].
     pub(super) async fn next(&mut self) -> Received {
         let OpenAnswer { exchange, guard } = &mut self.open;
-        let has_begun = &mut self.has_begun;
-        let on_chunk = || {
-            *has_begun = true;
-            guard.prefill_done();
-        };
+        let on_chunk = || guard.prefill_done();
         self.reader.next(exchange, on_chunk).await
     }
 
-    /// Notes that the answer came to its proper end.
+    /// Notes that the answer came to its end. If the end is not marked, it is open whether the run
+    /// completed or crashed.
     pub(super) fn ended(mut self, call: &Call) {
         self.open.guard.succeeded();
-        if self.has_begun && self.open.exchange.framing() == Framing::Delimited {
+        if self.reader.has_begun() && self.open.exchange.framing() == Framing::Delimited {
             self.open.guard.completed(call);
         }
         self.open.exchange.finish();
     }
 
     /// Notes that the answer broke off.
-    pub(super) fn broke_off(mut self, call: &Call) {
-        self.open.guard.connection_lost(call);
+    pub(super) fn broke_off(mut self, call: &Call, cause: &BreakCause) {
+        let is_marked = self.framing() == Framing::Delimited;
+        match cause {
+            // An engine that marks the end of its answer has not crashed.
+            BreakCause::IncompleteEvent if is_marked => self.open.guard.failed(),
+            _ => self.open.guard.connection_lost(call),
+        }
     }
 
     /// Notes that the engine has been silent for too long. `silent` opens its circuit
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -12,15 +12,14 @@
 
 use futures_lite::stream::unfold;
 use garnet_routes::WorkKind;
-use garnet_runtime::Body;
 use garnet_runtime::server::{BodyAborted, stream_body};
+use garnet_runtime::{Body, Framing};
 use garnet_types::{BackendId, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
 
 use crate::answers::OwnAnswer;
-use crate::buffered::copy_head;
-use crate::event_reader::Received;
+use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{RunningRequest, Unserved, count_usage_once, record_end, sleep_until_due};
@@ -36,6 +35,8 @@
     search: Search<C, B>,
     /// The engine that answers; `None` after its answer has ended or broken off.
     run: Option<EngineRun<C, B>>,
+    /// How the end of the answer to the caller is marked, which its head has fixed.
+    framing: Framing,
     /// When the last event came.
     last_event_at: Millis,
     /// Why the last engine that broke off or was abandoned did not finish the answer.
@@ -95,6 +96,7 @@
             gateway: Rc::clone(gateway),
             search,
             run: None,
+            framing: Framing::UntilClose,
             last_event_at: gateway.now(),
             engine_end: String::new(),
             ended: false,
@@ -103,7 +105,8 @@
 
     /// Builds the answer from its first event and those that follow.
     fn answer(mut self, found: Found<C, B>) -> Response<Body> {
-        let head = copy_head(found.run.head());
+        let head = found.run.answer_head();
+        self.framing = found.run.framing();
         self.run = Some(found.run);
         let first = self.on_received(found.first);
         self.log_begun();
@@ -208,10 +211,14 @@
                 self.search.resume_after = last_id.map(str::to_owned);
                 Next::Event(event)
             }
-            Received::End => {
+            Received::End(framing) => {
                 if let Some(run) = self.run.take() {
                     run.ended(&self.search.running.call);
                 }
+                // The caller's framing would mark an end that this engine has not marked.
+                if !self.framing.may_end_with(framing) {
+                    return Next::Cut(CutCause::EndNotMarked);
+                }
                 self.ended = true;
                 Next::End
             }
@@ -237,12 +244,12 @@
 
     /// Handles an engine that broke off. Its connection is closed, which ends its work. An
     /// incomplete event is dropped, since the next engine sends that event from its start.
-    fn note_broken(&mut self, cause: &str) {
+    fn note_broken(&mut self, cause: &BreakCause) {
         if let Some(run) = self.run.take() {
-            run.broke_off(&self.search.running.call);
+            run.broke_off(&self.search.running.call, cause);
         }
         let backend = self.search.running.served_by.clone();
-        self.log_broken(backend.as_ref(), cause);
+        self.log_broken(backend.as_ref(), &cause.to_string());
     }
 
     fn log_broken(&mut self, backend: Option<&BackendId>, cause: &str) {
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -103,7 +103,8 @@
             let mut run = EngineRun::new(open, self.resume_after.clone(), kind);
             match run.next().await {
                 Received::Broke(cause) => {
-                    run.broke_off(&self.running.call);
+                    run.broke_off(&self.running.call, &cause);
+                    let cause = cause.to_string();
                     self.log_broken(self.running.served_by.as_ref(), &cause);
                     self.handle_attempt_end(AttemptEnd::Broken)?;
                 }
@@ -159,7 +160,7 @@
     /// Handles a failure answer of an engine. Another engine starts again if the work may be
     /// repeated; otherwise the failure is passed on.
     async fn on_failure_answer(&mut self, mut open: OpenAnswer<C, B>) -> Result<(), NotStreamed> {
-        let head = copy_head(&open.exchange.head);
+        let head = copy_head(&open.exchange);
         let is_fault = head.status.is_server_error();
         if is_fault {
             open.guard.failed();
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -5,7 +5,7 @@
 use garnet_forwarding::AttemptEnd;
 use garnet_types::BackendId;
 
-use crate::event_reader::Received;
+use crate::event_reader::{BreakCause, Received};
 use crate::ports::{BackendPort, CallerPort};
 
 use super::cut::CutCause;
@@ -18,7 +18,7 @@
     Successor {
         found: Result<Box<Found<C, B>>, NotStreamed>,
         /// The cause, if the silent engine broke off meanwhile.
-        broke_off: Option<String>,
+        broke_off: Option<BreakCause>,
     },
 }
 
@@ -90,14 +90,14 @@
     }
 
     /// Drops the engine that was silent.
-    fn drop_silent_engine(&mut self, silent: Option<&BackendId>, broke_off: Option<String>) {
+    fn drop_silent_engine(&mut self, silent: Option<&BackendId>, broke_off: Option<BreakCause>) {
         let Some(run) = self.run.take() else {
             return;
         };
         match broke_off {
             Some(cause) => {
-                run.broke_off(&self.search.running.call);
-                self.log_broken(silent, &cause);
+                run.broke_off(&self.search.running.call, &cause);
+                self.log_broken(silent, &cause.to_string());
             }
             None => {
                 drop(run);
--- a/components/forwarding-shell/tests/events.rs
+++ b/components/forwarding-shell/tests/events.rs
@@ -2,6 +2,7 @@
 
 use garnet_forwarding_shell::EventSplitter;
 use proptest::prelude::*;
+use rstest::rstest;
 
 #[test]
 fn only_complete_events_are_returned() {
@@ -22,20 +23,54 @@
     assert_eq!(splitter.last_id(), Some("12"));
 }
 
+/// A line end, an event and a comment are incomplete until their last byte.
+#[rstest]
+#[case("data: a\n\n", true)]
+#[case("data: a\r\r", true)]
+#[case("data: a\r\n\r", true)]
+#[case("data: a\r\n\r\n", true)]
+#[case("data: a\n\n: ping\n", true)]
+#[case("\u{feff}", true)]
+#[case("", true)]
+#[case("data: a\r\n", false)]
+#[case("data: a\r", false)]
+#[case("data: a\n: ping\n", false)]
+#[case("data: a\n\n: pi", false)]
+#[case("data", false)]
+#[case("\u{feff}d", false)]
+fn only_whole_events_and_comments_end_at_a_boundary(#[case] stream: &str, #[case] expected: bool) {
+    let mut splitter = EventSplitter::default();
+    for byte in stream.as_bytes() {
+        splitter.push(&[*byte]);
+    }
+    assert_eq!(splitter.is_at_boundary(), expected);
+}
+
+/// Comments may follow the last event of a whole stream.
+#[test]
+fn a_comment_after_the_last_event_is_kept() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(&splitter.push(b"data: a\n\n: end\n")[..], b"data: a\n\n");
+    assert!(splitter.is_at_boundary());
+    assert_eq!(&splitter.take_pending()[..], b": end\n");
+}
+
 proptest! {
     /// However the bytes are split into chunks, the same stream is returned.
     #[test]
     fn chunk_sizes_do_not_change_the_stream(
         events in prop::collection::vec("[a-z]{0,9}", 1..20),
         chunk_sizes in prop::collection::vec(1_usize..7, 1..200),
-        windows_lines in any::<bool>(),
+        end in prop::sample::select(vec!["\n", "\r\n", "\r"]),
+        begin in prop::sample::select(vec!["", "\u{feff}"]),
+        comment in prop::sample::select(vec!["", ":", ": ping"]),
     ) {
-        let end = if windows_lines { "\r\n" } else { "\n" };
-        let stream: String = events
-            .iter()
-            .enumerate()
-            .map(|(id, data)| format!("id: {id}{end}data: {data}{end}{end}"))
-            .collect();
+        let comment = if comment.is_empty() { String::new() } else { format!("{comment}{end}") };
+        let lines = |(id, data): (usize, &String)| {
+            format!("{comment}id: {id}{end}{comment}data: {data}{end}{end}")
+        };
+        let events_text: String = events.iter().enumerate().map(lines).collect();
+        let stream = format!("{begin}{events_text}");
         let mut splitter = EventSplitter::default();
         let mut returned = Vec::new();
         let mut rest = stream.as_bytes();
--- a/components/runtime/src/connection_timer.rs
+++ b/components/runtime/src/connection_timer.rs
@@ -16,6 +16,8 @@
 use smol::Timer;
 use smol::net::TcpStream;
 
+use crate::close_mode::CloseMode;
+use crate::framing::Framing;
 use crate::server::{Body, BodyAborted};
 use crate::shared::Shared;
 
@@ -135,6 +137,7 @@
 pub(crate) struct TimedStream {
     pub(crate) stream: TcpStream,
     pub(crate) connection_timer: Rc<ConnectionTimer>,
+    pub(crate) close_mode: Rc<CloseMode>,
 }
 
 impl AsyncRead for TimedStream {
@@ -165,6 +168,8 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library shuts a connection down only after a complete answer.
+        self.close_mode.complete();
         Pin::new(&mut self.stream).poll_close(context)
     }
 }
@@ -172,6 +177,7 @@
 /// A response body. When it is dropped, its connection becomes idle.
 pub(crate) struct TimedBody {
     pub(crate) body: Body,
+    pub(crate) framing: Framing,
     pub(crate) connection_timer: Rc<ConnectionTimer>,
 }
 
@@ -187,11 +193,15 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.framing == Framing::Delimited && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match self.framing {
+            Framing::Delimited => self.body.size_hint(),
+            // A known size would become a length.
+            Framing::UntilClose => SizeHint::default(),
+        }
     }
 }
 
--- a/components/runtime/src/framing.rs
+++ b/components/runtime/src/framing.rs
@@ -26,6 +26,12 @@
             Framing::UntilClose
         }
     }
+
+    /// Whether an answer with this framing may come to its end where the answer that it passes on
+    /// has come to an end that is marked as `source`.
+    pub fn may_end_with(self, source: Framing) -> bool {
+        self == Framing::UntilClose || source == Framing::Delimited
+    }
 }
 
 fn last_coding_is_chunked(codings: &[u8]) -> bool {
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod clock;
+mod close_mode;
 pub mod command_line;
 pub mod connect_timeout;
 pub mod connection_limit;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -300,6 +300,11 @@
         }
     }
 
+    /// Replaces the framing of an answer that passes on another one.
+    pub fn set_framing(&mut self, framing: Framing) {
+        self.framing = framing;
+    }
+
     /// Reads the whole body, up to `limit` bytes.
     ///
     /// # Errors
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -14,16 +14,19 @@
 use futures_lite::{Stream, StreamExt};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
+use hyper::header::CONTENT_LENGTH;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use smol::channel::Receiver;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use crate::close_mode::CloseMode;
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
+use crate::framing::Framing;
 use crate::shared::Shared;
 
 /// Body of a response.
@@ -334,15 +337,25 @@
     // Low latency is more important than a low packet count.
     let _unset = stream.set_nodelay(true);
     let connection_timer = ConnectionTimer::start();
+    let close_mode = CloseMode::new(stream.clone());
     let serving = Rc::clone(&connection_timer);
+    let closing = Rc::clone(&close_mode);
     let service = service_fn(move |request| {
         serving.on_request();
         let response = handler(request);
         let connection_timer = Rc::clone(&serving);
+        let close_mode = Rc::clone(&closing);
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            let framing = response.extensions_mut().remove::<Framing>();
+            let framing = framing.unwrap_or(Framing::Delimited);
+            if framing == Framing::UntilClose {
+                close_mode.begin_until_close();
+                set_until_close(&mut response);
+            }
             Ok::<_, Infallible>(response.map(|body| TimedBody {
                 body,
+                framing,
                 connection_timer,
             }))
         }
@@ -350,6 +363,7 @@
     let stream = TimedStream {
         stream,
         connection_timer: Rc::clone(&connection_timer),
+        close_mode,
     };
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(SmolTimer::new())
@@ -387,6 +401,14 @@
     }
 }
 
+/// Makes the end of the connection the end of the answer. The HTTP library has no other way to send
+/// an answer without a length or chunks than in version 1.0.
+fn set_until_close(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_10;
+    response.headers_mut().remove(CONTENT_LENGTH);
+    set_header(response, "connection", "close");
+}
+
 /// Logs the error of a connection, which affects no other connection. Its caller may
 /// have missed a complete answer, which no other line reports.
 fn log_connection_error(connection_timer: &ConnectionTimer, ended: hyper::Result<()>) {
