Completions gateway: a response that ends with its connection is no result

The gateway's core now gets it as UnmarkedResponse and takes it for broken off; the interface of engines asks for a length or chunks. The engines' streams end with an explicit event and were not concerned.

Framing moves to garnet-types, where the core reads it.

--- a/bin/garnet-bench/src/soak/fault.rs
+++ b/bin/garnet-bench/src/soak/fault.rs
@@ -36,6 +36,8 @@
     BackendRefuse,
     /// An application refuses calls and requests a backoff.
     BackendOverload,
+    /// An application ends its answers with their connections, cut at some byte.
+    BackendUnframed,
     /// SIGKILL to an engine, started again.
     EngineKill,
     /// SIGSTOP to an engine, then SIGCONT.
@@ -45,7 +47,7 @@
 }
 
 /// All kinds and their names on the command line.
-pub(super) const ALL: [(FaultKind, &str); 18] = [
+pub(super) const ALL: [(FaultKind, &str); 19] = [
     (FaultKind::ReplicaKill, "replica-kill"),
     (FaultKind::ReplicaPause, "replica-pause"),
     (FaultKind::ReplicaStop, "replica-stop"),
@@ -64,6 +66,7 @@
     (FaultKind::EngineKill, "engine-kill"),
     (FaultKind::EnginePause, "engine-pause"),
     (FaultKind::CrashingRequest, "crashing-request"),
+    (FaultKind::BackendUnframed, "backend-unframed"),
 ];
 
 impl FaultKind {
--- a/bin/garnet-bench/src/soak/striker.rs
+++ b/bin/garnet-bench/src/soak/striker.rs
@@ -23,6 +23,9 @@
 const LONGEST_MS: u64 = 2_500;
 /// Backoff that an overloaded application requests, in seconds.
 const RETRY_AFTER_S: &str = "1.5";
+/// An answer that ends with its connection has fewer bytes of its body; whole ones have about
+/// a hundred.
+const MAX_UNFRAMED_BYTES: usize = 200;
 /// Pause before the next one strikes, while earlier ones may go on.
 const LONGEST_PAUSE_MS: u64 = 1_200;
 /// A process that has not ended this long after SIGTERM does not stop.
@@ -111,7 +114,8 @@
         FaultKind::AnswerLost
         | FaultKind::BackendPause
         | FaultKind::BackendRefuse
-        | FaultKind::BackendOverload => Target::Application(random.random_range(0..APPLICATIONS)),
+        | FaultKind::BackendOverload
+        | FaultKind::BackendUnframed => Target::Application(random.random_range(0..APPLICATIONS)),
         FaultKind::EngineKill | FaultKind::EnginePause => {
             Target::Engine(random.random_range(0..ENGINES))
         }
@@ -273,6 +277,11 @@
             retry_after: RETRY_AFTER_S.to_owned(),
             ..Faults::default()
         },
+        FaultKind::BackendUnframed => Faults {
+            // The seed has drawn the time.
+            unframed_bytes: Some(lasts.as_millis() as usize % MAX_UNFRAMED_BYTES),
+            ..Faults::default()
+        },
         _ => Faults {
             refuse: true,
             ..Faults::default()
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -12,7 +12,7 @@
 use garnet_routing::{LoadReport, RetryAfter};
 use garnet_runtime::client::StreamedResponse;
 use garnet_runtime::{HttpError, client};
-use garnet_types::{BackendId, Millis, RecordedResponse};
+use garnet_types::{BackendId, Framing, Millis, RecordedResponse};
 use hyper::header::{DATE, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 
@@ -251,12 +251,19 @@
         .get("content-type")
         .and_then(|value| value.to_str().ok())
         .unwrap_or("application/octet-stream");
-    AttemptEvent::Response(RecordedResponse {
+    let recorded = RecordedResponse {
         status: response.status().as_u16(),
         content_type: content_type.to_owned(),
         body: response.body().to_vec(),
         served_by: backend.to_string(),
-    })
+    };
+    match response.extensions().get::<Framing>() {
+        Some(Framing::Delimited) => AttemptEvent::Response(recorded),
+        _ => {
+            log::warn!(backend = backend.as_str(); "answer_until_close");
+            AttemptEvent::UnmarkedResponse(recorded)
+        }
+    }
 }
 
 /// Asks an engine for its load.
--- a/bin/garnet-standin/src/application.rs
+++ b/bin/garnet-standin/src/application.rs
@@ -10,10 +10,10 @@
     DRAINING, DRAINING_HEADER, Faults, LIMIT_HEADER, NOT_STARTED, NotStarted, RETRY_AFTER_HEADER,
     STARTED_HEADER, paths,
 };
-use garnet_runtime::server::{channel_body, read_body, set_header};
+use garnet_runtime::server::{channel_body, read_body, set_header, with_type};
 use garnet_runtime::{Body, Limits, json_response, text_response};
-use garnet_stand_in::ApplicationStandIn;
-use garnet_types::{BackendId, BackendKind, ServiceId};
+use garnet_stand_in::{ApplicationStandIn, application::ApplicationAnswer};
+use garnet_types::{BackendId, BackendKind, Framing, ServiceId};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use smol::Timer;
@@ -152,7 +152,20 @@
     if lose {
         return broken_response();
     }
-    json_response(200, &answer)
+    let unframed_bytes = instance.borrow().faults.unframed_bytes;
+    match unframed_bytes {
+        Some(max_bytes) => unframed_response(&answer, max_bytes),
+        None => json_response(200, &answer),
+    }
+}
+
+/// A response that ends with its connection, after `max_bytes` of its body at most.
+fn unframed_response(answer: &ApplicationAnswer, max_bytes: usize) -> Response<Body> {
+    let mut body = serde_json::to_vec(answer).unwrap_or_default();
+    body.truncate(max_bytes);
+    let mut response = with_type(200, "application/json", body);
+    response.extensions_mut().insert(Framing::UntilClose);
+    response
 }
 
 /// When this process started, in Unix milliseconds.
--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -160,6 +160,9 @@
     pub delay_ms: u64,
     /// Makes an application run the next call and close the connection without an answer.
     pub lose_next_answer: bool,
+    /// Makes an application end its answers with their connections, after this many bytes of the
+    /// body at most.
+    pub unframed_bytes: Option<usize>,
 }
 
 /// Body of [`paths::MACHINE_STATE`].
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 
 use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
+use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
-use garnet_runtime::{Exchange, Framing};
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, Framing, Millis};
 use hyper::StatusCode;
 
 use crate::backend_reports::note_reports;
--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -7,8 +7,8 @@
 
 use garnet_forwarding::{AttemptEnd, GivenUp, Placement, Progress};
 use garnet_runtime::client::HttpError;
-use garnet_runtime::{Body, Exchange, Framing, bytes_body};
-use garnet_types::{BackendId, Millis};
+use garnet_runtime::{Body, Exchange, bytes_body};
+use garnet_types::{BackendId, Framing, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::http::response::Parts;
--- a/components/forwarding-shell/src/event_reader.rs
+++ b/components/forwarding-shell/src/event_reader.rs
@@ -2,7 +2,8 @@
 
 use displaydoc::Display;
 use garnet_routes::WorkKind;
-use garnet_runtime::{Exchange, Framing};
+use garnet_runtime::Exchange;
+use garnet_types::Framing;
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 
--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -3,8 +3,7 @@
 
 use std::fmt::Write as _;
 
-use garnet_runtime::Framing;
-use garnet_types::{EncodingVersion, Millis, ServiceId, TenantId};
+use garnet_types::{EncodingVersion, Framing, Millis, ServiceId, TenantId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use serde::{Deserialize, Serialize};
 
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
+use garnet_runtime::Body;
 use garnet_runtime::server::{read_body, text_response};
-use garnet_runtime::{Body, Framing};
+use garnet_types::Framing;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -5,8 +5,9 @@
 
 use futures_lite::stream::unfold;
 use garnet_routes::WorkKind;
+use garnet_runtime::Body;
 use garnet_runtime::server::{BodyAborted, stream_body};
-use garnet_runtime::{Body, Framing};
+use garnet_types::Framing;
 use hyper::Response;
 use hyper::body::Bytes;
 
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -1,7 +1,7 @@
 //! The events of an answer that one engine sends, from the head on.
 
 use garnet_routes::WorkKind;
-use garnet_runtime::Framing;
+use garnet_types::Framing;
 use hyper::http::response::Parts;
 
 use crate::attempt::OpenAnswer;
--- a/components/gateway/src/application.rs
+++ b/components/gateway/src/application.rs
@@ -143,11 +143,10 @@
             }
             AttemptEvent::Broken => {
                 self.record_crash(id, backend);
-                self.attempts.remove(&attempt);
-                self.backends.failed(backend, attempt, self.now);
-                self.record_failed_backend(id, backend);
-                self.retry_application(id, false);
+                self.end_broken(id, attempt, backend);
             }
+            // A result is recorded as the only one of its request, so it must be complete.
+            AttemptEvent::UnmarkedResponse(_) => self.end_broken(id, attempt, backend),
             // Handled in `handle_attempt`, or sent only by engines.
             AttemptEvent::Limit(_)
             | AttemptEvent::Backoff(_)
@@ -191,6 +190,14 @@
         self.finish(id, Answer::Refused(Refusal::failed(message)));
     }
 
+    /// Ends an attempt that may have run and has no complete response.
+    fn end_broken(&mut self, id: RequestId, attempt: AttemptId, backend: &BackendId) {
+        self.attempts.remove(&attempt);
+        self.backends.failed(backend, attempt, self.now);
+        self.record_failed_backend(id, backend);
+        self.retry_application(id, false);
+    }
+
     /// Ends an attempt that the back end provably did not start.
     pub(crate) fn end_not_started(
         &mut self,
--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -38,7 +38,8 @@
             AttemptEvent::Limit(_)
             | AttemptEvent::Backoff(_)
             | AttemptEvent::Draining
-            | AttemptEvent::Response(_) => {}
+            | AttemptEvent::Response(_)
+            | AttemptEvent::UnmarkedResponse(_) => {}
         }
     }
 
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -94,6 +94,8 @@
     },
     /// A complete response of an application.
     Response(RecordedResponse),
+    /// A response of an application that has ended with its connection, and may be incomplete.
+    UnmarkedResponse(RecordedResponse),
     /// The attempt was provably not started: no byte reached the back end, or the back end
     /// rejected it.
     NotStarted {
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -87,7 +87,8 @@
         }
     }
 
-    /// Sends a request and reads the whole answer within `timeout`.
+    /// Sends a request and reads the whole answer within `timeout`. Its extensions hold its
+    /// [`Framing`](garnet_types::Framing).
     ///
     /// # Errors
     /// See [`HttpError`].
@@ -100,7 +101,8 @@
         let complete_answer = async {
             let mut exchange = self.exchange(address, request).await?;
             let body = exchange.read_whole(MAX_RESPONSE_BYTES).await?;
-            let head = exchange.head.clone();
+            let mut head = exchange.head.clone();
+            head.extensions.insert(exchange.framing());
             exchange.finish();
             Ok(Response::from_parts(head, body))
         };
--- a/components/runtime/src/connection_timer.rs
+++ b/components/runtime/src/connection_timer.rs
@@ -17,9 +17,9 @@
 use smol::net::TcpStream;
 
 use crate::close_mode::CloseMode;
-use crate::framing::Framing;
 use crate::server::{Body, BodyAborted};
 use crate::shared::Shared;
+use garnet_types::Framing;
 
 /// Interval at which changed timeouts are noticed.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -34,7 +34,7 @@
 pub use connect_timeout::ConnectTimeout;
 pub use connection_limit::ConnectionLimit;
 pub use connection_timer::ConnectionTimeouts;
-pub use framing::Framing;
+pub use framing::framing_of;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
 pub use server::{
     Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use garnet_types::Millis;
+use garnet_types::{Framing, Millis};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -22,7 +22,7 @@
 
 use crate::client::HttpError;
 use crate::clock::Clock;
-use crate::framing::Framing;
+use crate::framing::framing_of;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 
 /// Header in which the server announces its idle timeout.
@@ -228,7 +228,7 @@
     ) -> Exchange {
         let (head, body) = response.into_parts();
         Exchange {
-            framing: Framing::of(&head.headers, body.is_end_stream()),
+            framing: framing_of(&head.headers, body.is_end_stream()),
             head,
             fresh,
             body,
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -26,8 +26,8 @@
 use crate::close_mode::CloseMode;
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
-use crate::framing::Framing;
 use crate::shared::Shared;
+use garnet_types::Framing;
 
 /// Body of a response.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyAborted>>>;
--- a/components/runtime/tests/framing.rs
+++ b/components/runtime/tests/framing.rs
@@ -1,6 +1,7 @@
 //! How the end of an answer is marked, by its headers.
 
-use garnet_runtime::Framing;
+use garnet_runtime::framing_of;
+use garnet_types::Framing;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use rstest::rstest;
 
@@ -27,10 +28,10 @@
     #[case] fields: &[(&'static str, &'static str)],
     #[case] expected: Framing,
 ) {
-    assert_eq!(Framing::of(&headers(fields), false), expected);
+    assert_eq!(framing_of(&headers(fields), false), expected);
 }
 
 #[test]
 fn an_answer_without_a_body_ends_with_its_head() {
-    assert_eq!(Framing::of(&headers(&[]), true), Framing::Delimited);
+    assert_eq!(framing_of(&headers(&[]), true), Framing::Delimited);
 }
--- a/components/simulator/src/faults.rs
+++ b/components/simulator/src/faults.rs
@@ -50,6 +50,8 @@
     /// A gateway is cut off from all back ends, silently, while callers, replicas and the
     /// other gateways still reach it.
     CutFromBackEnds,
+    /// The application's responses end with their connection, some of them cut at any byte.
+    UnframedResponses,
 }
 
 impl FaultKind {
@@ -82,9 +84,8 @@
         FaultKind::Overload,
     ];
 
-    /// Kinds that are planned only if they are named, like [`FaultKind::ADDED`]: the system
-    /// does not bear them yet.
-    pub const SEPARATE: [FaultKind; 1] = [FaultKind::CutFromBackEnds];
+    /// Kinds that are planned only if they are named, like [`FaultKind::ADDED`].
+    pub const SEPARATE: [FaultKind; 2] = [FaultKind::CutFromBackEnds, FaultKind::UnframedResponses];
 
     /// Kinds that are no failure: everything must end well under them.
     pub const PLANNED: [FaultKind; 2] = [FaultKind::PlannedStop, FaultKind::Leaving];
@@ -109,6 +110,7 @@
             FaultKind::NameLimit => "name-limit",
             FaultKind::Overload => "overload",
             FaultKind::CutFromBackEnds => "cut-from-back-ends",
+            FaultKind::UnframedResponses => "unframed-responses",
         }
     }
 
@@ -255,6 +257,7 @@
         FaultKind::WrongMachineList => Host::Platform,
         FaultKind::CrashingRequest => Host::Callers,
         FaultKind::CutFromBackEnds => gateway,
+        FaultKind::UnframedResponses => application,
         FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload if choice < 5 => engine,
         FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload => application,
         _ if choice < 4 => control,
--- a/components/simulator/src/world/applications.rs
+++ b/components/simulator/src/world/applications.rs
@@ -13,6 +13,9 @@
 /// A leaving back end may get new work for so long, when nothing else fails.
 const LEAVING_ALLOWANCE: Millis = Millis::from_secs(6);
 
+/// Share of the responses without a marked end that are cut.
+const CUT_SHARE: f64 = 0.5;
+
 impl World {
     pub(super) fn deliver_application(&mut self, place: usize, from: Host, message: Message) {
         let host = Host::Application(place);
@@ -91,8 +94,22 @@
             };
             self.say_limit(host, call.owner);
             self.report_draining(host, call.owner);
-            self.job_event(host, call.owner, AttemptEvent::Response(response));
+            let event = self.response_event(host, response);
+            self.job_event(host, call.owner, event);
+        }
+    }
+
+    /// The event of a response, which may have no marked end and may then be cut.
+    fn response_event(&mut self, host: Host, mut response: RecordedResponse) -> AttemptEvent {
+        let until = self.unframed_until.get(&host);
+        if until.is_none_or(|until| *until <= self.now) {
+            return AttemptEvent::Response(response);
+        }
+        if self.random.random_bool(CUT_SHARE) {
+            let len = self.random.random_range(0..response.body.len());
+            response.body.truncate(len);
         }
+        AttemptEvent::UnmarkedResponse(response)
     }
 
     /// A leaving back end gets no new work after a few seconds, counted from
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -30,6 +30,10 @@
             self.begin_overload(fault.host, end);
             return;
         }
+        if fault.kind == FaultKind::UnframedResponses {
+            self.unframed_until.insert(fault.host, end);
+            return;
+        }
         self.open_faults += 1;
         self.note_trouble(fault.host);
         match fault.kind {
@@ -45,7 +49,10 @@
                 }
             }
             FaultKind::Freeze | FaultKind::Suspend => self.freeze(fault.host, end),
-            FaultKind::CrashingRequest | FaultKind::NameLimit | FaultKind::Overload => {}
+            FaultKind::CrashingRequest
+            | FaultKind::NameLimit
+            | FaultKind::Overload
+            | FaultKind::UnframedResponses => {}
             FaultKind::Isolate => {
                 self.network.cut_inbound(fault.host);
                 self.network.cut_outbound(fault.host);
--- a/components/simulator/src/world/mod.rs
+++ b/components/simulator/src/world/mod.rs
@@ -114,6 +114,8 @@
     limits: BTreeMap<Host, NamedLimit>,
     overloads: BTreeMap<Host, Overload>,
     path_cuts: PathCuts,
+    /// Until when the responses of an application have no marked end.
+    unframed_until: BTreeMap<Host, Millis>,
     reports: BTreeMap<Host, Reports>,
     /// Faults that go on.
     open_faults: u64,
@@ -240,6 +242,7 @@
             limits: BTreeMap::new(),
             overloads: BTreeMap::new(),
             path_cuts: PathCuts::default(),
+            unframed_until: BTreeMap::new(),
             reports: BTreeMap::new(),
             open_faults: 0,
             callers: new_callers(&scenario, demand.as_ref(), only_planned_faults),
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -265,6 +265,18 @@
     }
 }
 
+/// Responses that end with their connection, some of them cut at any byte, beside other faults: no
+/// caller gets a part of one as a whole answer, and no part is recorded as a result.
+#[rstest]
+fn no_part_of_a_response_is_answered_as_the_whole(#[values(0, 6)] first: u64) {
+    let kinds: Vec<FaultKind> = other_kinds()
+        .into_iter()
+        .chain([FaultKind::UnframedResponses])
+        .collect();
+    run_seeds(first..first + 6, &kinds);
+    run_seeds(first..first + 6, &[FaultKind::UnframedResponses]);
+}
+
 /// Only replicas are replaced, beside all faults and a request that crashes engines: the log
 /// can't hold a verdict, and a leader of version 11 takes no reports.
 #[rstest]
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod encoding_version;
 pub mod engine;
 pub mod fence;
+pub mod framing;
 pub mod identity;
 pub mod outcome;
 pub mod time;
@@ -18,6 +19,7 @@
 pub use encoding_version::EncodingVersion;
 pub use engine::{EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, OrderAnswer};
 pub use fence::Fence;
+pub use framing::Framing;
 pub use identity::{
     BackendId, ClaimId, CommandId, GatewayId, IdempotencyKey, ModelId, PrefixId, ReplicaId,
     RequestId, ServiceId, SessionId, TenantId,
