Server: an answer is sent in the version of its own connection

What a caller would see: a stream of an engine of HTTP/1.0 that broke off, as a whole one.

Cause: the head of an answer is copied with its version, and the HTTP library sends an answer of unknown length without framing in version 1.0; its break was the proper end of the connection.

The test a_broken_stream_of_an_engine_of_http_1_0_is_not_complete failed before, on both routes, and passes now.

--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -349,6 +349,8 @@
             let mut response = response.await;
             let framing = response.extensions_mut().remove::<Framing>();
             let framing = framing.unwrap_or(Framing::Delimited);
+            // The version of an answer that is passed on is of another connection.
+            *response.version_mut() = Version::HTTP_11;
             if framing == Framing::UntilClose {
                 close_mode.begin_until_close();
                 set_until_close(&mut response);
