Streams: a service that marks no ends gets no promise of one

The first engine had marked its end, so that the caller's head promised chunks, and the second one did not.

Change: a service that has sent an answer without a marked end in the last 60 s gets resumable streams with the same promise: none. A hedge takes no such answer in place of a silent engine whose end is promised. What remains: the first such answer of a service at a gateway, where the first engine broke off; the caller may take the stream up again.

The test a_resumed_stream_is_whole_if_its_service_is_known_to_mark_no_ends failed before (the stream ended without its last chunk).

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -336,6 +336,10 @@
     job: &Job,
 ) {
     gateway.metrics.until_close(phase_name(job));
+    if let Some(backend) = gateway.forwarder.borrow().backend(&job.backend) {
+        let service = backend.registration.service.clone();
+        gateway.unmarked_ends.note(service, gateway.now());
+    }
     log::info!(
         request = call.facts.id.as_str(),
         backend = job.backend.as_str(),
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::permits::PermitClient;
 use crate::ports::{BackendPort, CallerPort};
 use crate::unknown_headers::UnknownHeaders;
+use crate::unmarked_ends::UnmarkedEnds;
 
 /// Expected time until a gateway has its configuration, when the control group starts
 /// together with its gateways: the group elects a leader, which then sends it.
@@ -41,6 +42,7 @@
     pub(crate) connections: ConnectionQueue,
     /// Unknown headers in answers of back ends.
     pub(crate) unknown_headers: UnknownHeaders,
+    pub(crate) unmarked_ends: UnmarkedEnds,
     /// Timeouts of callers' connections, from the route table in force.
     pub(crate) connection_timeouts: Shared<ConnectionTimeouts>,
     /// When the route table in force took effect.
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -31,6 +31,7 @@
 mod stream;
 mod timeout;
 mod unknown_headers;
+mod unmarked_ends;
 mod watch;
 
 pub use events::EventSplitter;
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -29,6 +29,7 @@
 use crate::report_handler::ReportHandler;
 use crate::stopping::{StopTimes, announce_stop};
 use crate::unknown_headers::UnknownHeaders;
+use crate::unmarked_ends::UnmarkedEnds;
 use crate::watch::{self, Watch, WatchHandler};
 use crate::{path_probes, relay, request};
 
@@ -115,6 +116,7 @@
         permits: PermitClient::new(id.clone(), requests_in.clone()),
         connections: ConnectionQueue::default(),
         unknown_headers: UnknownHeaders::default(),
+        unmarked_ends: UnmarkedEnds::default(),
         connection_timeouts: times,
         routes_since: Cell::new(shell.clock.now()),
         stop_deadline: Cell::new(None),
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -105,8 +105,9 @@
 
     /// Builds the answer from its first event and those that follow.
     fn answer(mut self, found: Found<C, B>) -> Response<Body> {
-        let head = found.run.answer_head();
-        self.framing = found.run.framing();
+        let mut head = found.run.answer_head();
+        self.framing = self.framing_for_caller(found.run.framing());
+        head.extensions.insert(self.framing);
         self.run = Some(found.run);
         let first = self.on_received(found.first);
         self.log_begun();
@@ -133,6 +134,18 @@
         Response::from_parts(head, stream_body(events))
     }
 
+    /// How the end of the answer to the caller is marked, if its first engine marks its own as
+    /// `first`. Another engine of the service may resume it.
+    fn framing_for_caller(&self, first: Framing) -> Framing {
+        let RunningRequest { service, work, .. } = &self.search.running;
+        let may_resume = work.kind == WorkKind::ResumableStream;
+        let now = self.gateway.now();
+        if may_resume && self.gateway.unmarked_ends.are_expected(service, now) {
+            return Framing::UntilClose;
+        }
+        first
+    }
+
     fn log_begun(&self) {
         let RunningRequest {
             call,
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -5,7 +5,7 @@
 
 use garnet_forwarding::{AttemptEnd, GivenUp, NotRunReason, Placement, Progress};
 use garnet_runtime::{Body, bytes_body};
-use garnet_types::{BackendId, Millis};
+use garnet_types::{BackendId, Framing, Millis};
 use hyper::Response;
 
 use crate::attempt::OpenAnswer;
@@ -36,6 +36,8 @@
     pub(super) was_prefilled: bool,
     /// An engine's failure answer, which is passed on if no other engine answers.
     failure: Option<Box<Response<Body>>>,
+    /// Whether only an answer whose end is marked is of use.
+    pub(super) needs_marked_end: bool,
     /// Set while an engine has the request and the end of the attempt is not yet noted. If
     /// the search is dropped meanwhile, the request may have run there.
     pub(super) may_run: Rc<Cell<bool>>,
@@ -81,6 +83,7 @@
             full_for_prompt: Vec::new(),
             was_prefilled: false,
             failure: None,
+            needs_marked_end: false,
             may_run: Rc::default(),
         }
     }
@@ -99,6 +102,11 @@
                 self.on_failure_answer(open).await?;
                 continue;
             }
+            if self.needs_marked_end && open.exchange.framing() == Framing::UntilClose {
+                drop(open);
+                self.handle_attempt_end(AttemptEnd::Broken)?;
+                continue;
+            }
             let kind = self.running.work.kind;
             let mut run = EngineRun::new(open, self.resume_after.clone(), kind);
             match run.next().await {
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -3,7 +3,7 @@
 use std::pin::pin;
 
 use garnet_forwarding::AttemptEnd;
-use garnet_types::BackendId;
+use garnet_types::{BackendId, Framing};
 
 use crate::event_reader::{BreakCause, Received};
 use crate::ports::{BackendPort, CallerPort};
@@ -38,7 +38,11 @@
         if let Some(run) = &mut self.run {
             run.note_silent();
         }
-        match self.first_received().await {
+        // The silent engine may still complete the answer, which this end could not.
+        self.search.needs_marked_end = self.framing == Framing::Delimited;
+        let first = self.first_received().await;
+        self.search.needs_marked_end = false;
+        match first {
             First::Silent(received) => {
                 self.search.cancel();
                 self.keep_silent_engine(silent);
