Encoding version 19: builds of engines, and the builds at which streams began

Gateways know no builds, and a gateway at which a client takes a stream up does not know where it began. The leader sends each gateway the build of each engine once on a connection, after answers to watches, in pages of 512, and the services whose engines are, or in the last 60 s were, of several builds. Gateways report the builds of streams of these services, and ask for one. All of it are estimates, as load reports are: not logged, empty at a new leader.

Version 19 is version 18 with two requests and two replies more, none of which is sent on a connection of an earlier version (test); 18, 16 and 11 are still spoken to. Bytes of 19 are recorded, the earlier ones are unchanged. Nothing uses the builds yet.

--- a/components/control-shell/src/metrics.rs
+++ b/components/control-shell/src/metrics.rs
@@ -33,6 +33,7 @@
     usage_open: Gauge,
     duty_token: Gauge,
     quarantined: Gauge,
+    noted_streams: Gauge,
     inspected: Gauge,
     backends: Gauge,
     skipped_entries: Gauge,
@@ -92,6 +93,8 @@
         let duty_token = registered(all, "duty_token", help, Gauge::default());
         let help = "Requests that are refused since engines ended under them";
         let quarantined = registered(all, "quarantined_requests", help, Gauge::default());
+        let help = "Streams whose build is known, where engines of several builds serve";
+        let noted_streams = registered(all, "noted_streams", help, Gauge::default());
         let help = "Back ends that the regular work of a leader has looked at";
         let inspected = registered(all, "backends_looked_at", help, Gauge::default());
         let help = "Back ends that are known";
@@ -116,6 +119,7 @@
             limited,
             skipped_entries,
             quarantined,
+            noted_streams,
             inspected,
             backends,
 
@@ -206,6 +210,8 @@
         self.limited.set(gauge_value(limited as u64));
         let quarantined = replica.state().configuration.quarantine.len();
         self.quarantined.set(gauge_value(quarantined as u64));
+        self.noted_streams
+            .set(gauge_value(replica.noted_streams() as u64));
     }
 
     /// Renders the metrics as the text that the metrics address serves.
--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -4,7 +4,7 @@
 use garnet_planner::PhaseOccupancy;
 use garnet_quarantine::RefusedRequest;
 use garnet_types::{
-    BackendId, EncodingVersion, EngineAssignment, EngineOrder, EngineStatus, MachineState,
+    BackendId, BuildId, EncodingVersion, EngineAssignment, EngineOrder, EngineStatus, MachineState,
     OrderAnswer, ReplicaId,
 };
 use serde::{Deserialize, Serialize};
@@ -29,6 +29,9 @@
     /// Whether the provider may take the machine away.
     #[serde(default)]
     pub is_preemptible: bool,
+    /// Build of the back end's software; empty if the platform does not name it.
+    #[serde(default)]
+    pub build: BuildId,
 }
 
 /// A request to an engine.
--- a/components/control/src/encoding/v11/messages.rs
+++ b/components/control/src/encoding/v11/messages.rs
@@ -63,7 +63,9 @@
             | CurrentRequest::Part(_)
             | CurrentRequest::LimitReports { .. }
             | CurrentRequest::Permit(_)
-            | CurrentRequest::Relay(_) => None,
+            | CurrentRequest::Relay(_)
+            | CurrentRequest::NoteStreams(_)
+            | CurrentRequest::FindStream(_) => None,
         }
     }
 }
@@ -225,7 +227,9 @@
             | CurrentReply::Part(_)
             | CurrentReply::Limits(_)
             | CurrentReply::Permit(_)
-            | CurrentReply::Relays(_) => return Ok(None),
+            | CurrentReply::Relays(_)
+            | CurrentReply::Builds(_)
+            | CurrentReply::StreamBuild { .. } => return Ok(None),
         };
         Ok(Some(ControlReply(reply)))
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod balancing;
+mod builds;
 mod claims;
 mod command;
 mod configuration;
@@ -37,6 +38,7 @@
 mod watch;
 
 pub use answer::{ClaimAnswer, CommandAnswer};
+pub use builds::STREAM_LIFETIME;
 pub use claims::{CLAIM_RETENTION, ClaimState, Claims, MAX_CLAIMS, MAX_RECORDED_BYTES};
 pub use command::{ClaimCommand, Command, CommandEnvelope, MachineUpdate};
 pub use garnet_types::UNKNOWN_START;
@@ -56,8 +58,9 @@
 pub use group_step::{GroupSettings, GroupStep, MemberStatus, next_step};
 pub use load_digest::{BackendListHash, BackendState, GatewayDigest, LoadDigest, PositionedState};
 pub use messages::{
-    Backlog, ClaimRequest, ControlReply, CopyUpdates, Evidence, GatewayRequest, GroupView,
-    JoinRequest, LimitUpdate, PoolMix, PositionedCopy, PromptCopy, Relay, RelayReport, WatchUpdate,
+    Backlog, BuildUpdate, ClaimRequest, ControlReply, CopyUpdates, EngineBuild, Evidence,
+    GatewayRequest, GroupView, JoinRequest, LimitUpdate, PoolMix, PositionedCopy, PromptCopy,
+    Relay, RelayReport, StreamKey, StreamNote, WatchUpdate,
 };
 pub use operator::{
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -5,10 +5,11 @@
 use garnet_limits::{LimitEntry, LimitList, LimitReports, PermitAnswer, PermitRequest};
 use garnet_quarantine::{RunReport, Suspects};
 use garnet_types::{
-    BackendId, EncodingVersion, GatewayId, Millis, ModelId, PrefixId, RecordedResponse, ReplicaId,
-    ServiceId,
+    BackendId, BuildId, EncodingVersion, GatewayId, Millis, ModelId, PrefixId, RecordedResponse,
+    ReplicaId, ServiceId,
 };
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::ClaimAnswer;
 use crate::command::ClaimCommand;
@@ -159,6 +160,10 @@
     /// Whether the gateway relays requests of its peers. Answered with the relays that it
     /// may use itself.
     Relay(RelayReport),
+    /// At which builds resumable streams began, of services whose engines are of several.
+    NoteStreams(Vec<StreamNote>),
+    /// Asks at which build a stream began.
+    FindStream(StreamKey),
 }
 
 impl GatewayRequest {
@@ -172,6 +177,7 @@
             | GatewayRequest::LimitReports { .. }
             | GatewayRequest::Permit(_) => EncodingVersion::V16,
             GatewayRequest::Relay(_) => EncodingVersion::V18,
+            GatewayRequest::NoteStreams(_) | GatewayRequest::FindStream(_) => EncodingVersion::V19,
         }
     }
 }
@@ -211,6 +217,45 @@
     pub unreached: Vec<ServiceId>,
 }
 
+/// Identifies a stream by a hash of its caller's id for the attempt that brought the first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// The key of the stream whose first event came with this request.
+    pub fn of(request: &str) -> Self {
+        StreamKey(xxh3_64(request.as_bytes()))
+    }
+}
+
+/// At which build a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamNote {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The build.
+    pub build: BuildId,
+}
+
+/// The build of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineBuild {
+    /// The engine.
+    pub backend: BackendId,
+    /// Its build.
+    pub build: BuildId,
+}
+
+/// What a gateway does not know yet of the builds of engines.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BuildUpdate {
+    /// Engines whose builds are new to the gateway.
+    pub engines: Vec<EngineBuild>,
+    /// All services whose engines are, or were lately, of several builds.
+    pub mixed: Vec<ServiceId>,
+}
+
 /// Members of the control group, for gateways that have to reconnect.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupView {
@@ -336,6 +381,15 @@
     },
     /// Answer to a relay report: gateways that may relay requests, the nearest first.
     Relays(Vec<Relay>),
+    /// Builds of engines; follows the answer to a watch if there is any news.
+    Builds(BuildUpdate),
+    /// Answer to the question at which build a stream began.
+    StreamBuild {
+        /// The stream.
+        stream: StreamKey,
+        /// The build, if it is known.
+        build: Option<BuildId>,
+    },
 }
 
 impl ControlReply {
@@ -351,6 +405,7 @@
             | ControlReply::Limits(_)
             | ControlReply::Permit(_) => EncodingVersion::V16,
             ControlReply::Relays(_) => EncodingVersion::V18,
+            ControlReply::Builds(_) | ControlReply::StreamBuild { .. } => EncodingVersion::V19,
         }
     }
 }
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -152,6 +152,7 @@
         if !self.node.holds_lease(self.now) {
             return;
         }
+        self.builds.update(machines, self.now);
         let machines_without_starts = self.machines_without_starts(machines);
         let machines = machines_without_starts.as_deref().unwrap_or(machines);
         self.sizing.update_machines(machines, self.now);
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -49,6 +49,7 @@
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
                 self.send_limits(&gateway, connection);
+                self.send_builds(&gateway, connection);
                 self.gateways.grant(gateway, configuration_index, self.now);
                 self.answer_waiters();
             }
@@ -80,9 +81,39 @@
                 self.effects
                     .push(Effect::ReplyGateway { connection, reply });
             }
+            GatewayRequest::NoteStreams(notes) => self.builds.note(notes, self.now),
+            GatewayRequest::FindStream(stream) => {
+                let build = self.builds.find(stream).cloned();
+                let reply = ControlReply::StreamBuild { stream, build };
+                self.effects
+                    .push(Effect::ReplyGateway { connection, reply });
+            }
+        }
+    }
+
+    /// Sends the gateway the builds of engines that it does not know, if its version has them.
+    fn send_builds(&mut self, gateway: &GatewayId, connection: u64) {
+        if self.versions.of_connection(connection) < EncodingVersion::V19 {
+            return;
+        }
+        if let Some(update) = self.builds.update_for(gateway, connection, self.now) {
+            let reply = ControlReply::Builds(update);
+            self.effects
+                .push(Effect::ReplyGateway { connection, reply });
         }
     }
 
+    /// Number of streams whose build this replica knows.
+    pub fn noted_streams(&self) -> usize {
+        self.builds.known_streams()
+    }
+
+    pub(super) fn prune_builds(&mut self) {
+        let gateways = &self.gateways;
+        self.builds
+            .prune(self.now, |gateway| gateways.is_known(gateway));
+    }
+
     fn update_for(&mut self, gateway: &GatewayId, connection: u64, from_index: u64) -> WatchUpdate {
         if self.versions.of_connection(connection) <= EncodingVersion::V11 {
             let configuration = &self.state.configuration;
--- a/components/control/src/replica/leadership.rs
+++ b/components/control/src/replica/leadership.rs
@@ -33,6 +33,7 @@
             self.fleet_load.clear();
             self.copies.clear();
             self.relays.clear();
+            self.builds.clear();
             self.planning = self.settings.planner.map(Planning::new);
             self.balancing = self.settings.balance.map(Balancing::new);
             self.missing_since.clear();
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::answer::CommandAnswer;
 use crate::balancing::Balancing;
+use crate::builds::Builds;
 use crate::command::ClaimCommand;
 use crate::copies::Copies;
 use crate::duties::DutySettings;
@@ -189,6 +190,7 @@
     fleet_load: FleetLoad,
     copies: Copies,
     relays: Relays,
+    builds: Builds,
     quarantining: Quarantining,
     limiting: Limiting,
     reconciler: Reconciler,
@@ -260,6 +262,7 @@
             fleet_load: FleetLoad::default(),
             copies: Copies::default(),
             relays: Relays::default(),
+            builds: Builds::default(),
             quarantining: Quarantining::default(),
             limiting: Limiting::default(),
             reconciler,
@@ -411,6 +414,7 @@
             self.gateways.forget_silent(self.now);
             self.prune_gateway_names();
             self.relays.prune(self.now);
+            self.prune_builds();
             self.sent_updates.forget(self.now);
         }
         if !leads {
--- a/components/control/tests/state/balancing.rs
+++ b/components/control/tests/state/balancing.rs
@@ -8,13 +8,14 @@
 use garnet_limits::{LimitReport, LimitReports};
 use garnet_planner::BalanceSettings;
 use garnet_types::{
-    BackendId, BackendKind, EngineAssignment, EngineRole, GatewayId, MachineState, Millis, ModelId,
-    ServiceId,
+    BackendId, BackendKind, BuildId, EngineAssignment, EngineRole, GatewayId, MachineState, Millis,
+    ModelId, ServiceId,
 };
 
 fn entry(number: usize, role: EngineRole) -> MachineEntry {
     MachineEntry {
         is_preemptible: false,
+        build: BuildId::default(),
         registration: BackendRegistration {
             id: BackendId::new(format!("engine-{number}")),
             kind: BackendKind::Engine,
--- a/components/control/tests/state/fleet_size.rs
+++ b/components/control/tests/state/fleet_size.rs
@@ -11,7 +11,7 @@
 use garnet_planner::EngineKind;
 use garnet_routes::{PriceMilli, RouteTable, ScalingSettings, ServiceSettings};
 use garnet_types::{
-    BackendId, BackendKind, EngineRole, MachineState, Millis, ReplicaId, ServiceId,
+    BackendId, BackendKind, BuildId, EngineRole, MachineState, Millis, ReplicaId, ServiceId,
 };
 
 use crate::fleet::assignment;
@@ -149,6 +149,7 @@
             assignment: assignment(EngineRole::Mixed, "m"),
         }),
         is_preemptible: kind == EngineKind::Preemptible,
+        build: BuildId::default(),
     }
 }
 
--- a/components/control/tests/state/level.rs
+++ b/components/control/tests/state/level.rs
@@ -8,7 +8,7 @@
 };
 use garnet_routes::{RouteTable, Tenant};
 use garnet_types::{
-    BackendId, BackendKind, EncodingVersion, MachineState, Millis, ServiceId, TenantId,
+    BackendId, BackendKind, BuildId, EncodingVersion, MachineState, Millis, ServiceId, TenantId,
 };
 use rstest::rstest;
 
@@ -261,6 +261,7 @@
         state: MachineState::Leaving,
         observed: None,
         is_preemptible: false,
+        build: BuildId::default(),
     };
     let send_list = |leader: &mut Leader| {
         let machines = vec![entry.clone()];
--- a/components/control/tests/state/machine_list.rs
+++ b/components/control/tests/state/machine_list.rs
@@ -10,12 +10,14 @@
     UNKNOWN_START,
 };
 use garnet_types::{
-    BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
+    BackendId, BackendKind, BuildId, EngineAssignment, EngineRole, MachineState, Millis, ModelId,
+    ServiceId,
 };
 
 pub fn entry(number: usize, state: MachineState) -> MachineEntry {
     MachineEntry {
         is_preemptible: false,
+        build: BuildId::default(),
         registration: BackendRegistration {
             id: BackendId::new(format!("engine-{number}")),
             kind: BackendKind::Engine,
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated state and of the leader: what each command answers and changes.
 
 mod balancing;
+mod builds;
 mod claims;
 mod configuration_transfer;
 mod copies;
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -78,7 +78,11 @@
             // The driver connects to the named leader; unacknowledged messages are sent again.
             ControlReply::NotLeader { .. } => self.on_leader_contact(Millis::NEVER),
             // This gateway sends neither usage reports nor relay reports.
-            ControlReply::Usage(_) | ControlReply::Relays(_) => {}
+            ControlReply::Usage(_)
+            | ControlReply::Relays(_)
+            // The interface of engines names no builds.
+            | ControlReply::Builds(_)
+            | ControlReply::StreamBuild { .. } => {}
             ControlReply::Limits(limit_update) => self.on_limit_update(&limit_update),
             ControlReply::Permit(answer) => self.on_permit_answer(&answer),
             ControlReply::RunsNoted { through } => self.on_runs_acknowledged(through),
--- a/components/stand-in/src/platform.rs
+++ b/components/stand-in/src/platform.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use garnet_control::{BackendRegistration, MachineEntry};
-use garnet_types::{BackendId, MachineState, Millis};
+use garnet_types::{BackendId, BuildId, MachineState, Millis};
 
 /// The list of machines. Readers get the list as it was one lag ago.
 #[derive(Debug, Clone)]
@@ -27,6 +27,7 @@
     pub fn register(&mut self, registration: BackendRegistration, now: Millis) {
         let entry = MachineEntry {
             is_preemptible: false,
+            build: BuildId::default(),
             registration,
             state: MachineState::Live,
             observed: None,
--- a/components/types/src/encoding_version.rs
+++ b/components/types/src/encoding_version.rs
@@ -27,8 +27,10 @@
     pub const V17: Self = EncodingVersion(17);
     /// Gateways report whether they relay requests for peer gateways.
     pub const V18: Self = EncodingVersion(18);
+    /// The leader sends the builds of engines, and the builds at which streams began.
+    pub const V19: Self = EncodingVersion(19);
     /// The version of this build.
-    pub const CURRENT: Self = Self::V18;
+    pub const CURRENT: Self = Self::V19;
 }
 
 impl fmt::Display for EncodingVersion {
--- a/components/types/src/identity.rs
+++ b/components/types/src/identity.rs
@@ -43,6 +43,8 @@
     ServiceId;
     /// One back-end process, an engine or an application instance.
     BackendId;
+    /// Build of the software of an engine, as the platform names it.
+    BuildId;
     /// One gateway process; each start of the process has its own identifier.
     GatewayId;
     /// The caller's key for a request that must not run more than once.
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -21,8 +21,8 @@
 pub use fence::Fence;
 pub use framing::Framing;
 pub use identity::{
-    BackendId, ClaimId, CommandId, GatewayId, IdempotencyKey, ModelId, PrefixId, ReplicaId,
-    RequestId, ServiceId, SessionId, TenantId,
+    BackendId, BuildId, ClaimId, CommandId, GatewayId, IdempotencyKey, ModelId, PrefixId,
+    ReplicaId, RequestId, ServiceId, SessionId, TenantId,
 };
 pub use outcome::{Execution, Outcome, OutcomeCode, RecordedResponse, Refusal};
 pub use time::Millis;
--- a/components/wire/tests/upgrade/coverage.rs
+++ b/components/wire/tests/upgrade/coverage.rs
@@ -81,6 +81,8 @@
         ControlReply::Permit(_) => 6,
         ControlReply::NotLeader { .. } => 7,
         ControlReply::Relays(_) => 8,
+        ControlReply::Builds(_) => 9,
+        ControlReply::StreamBuild { .. } => 10,
     }
 }
 
@@ -94,6 +96,8 @@
         GatewayRequest::LimitReports { .. } => 5,
         GatewayRequest::Permit(_) => 6,
         GatewayRequest::Relay(_) => 7,
+        GatewayRequest::NoteStreams(_) => 8,
+        GatewayRequest::FindStream(_) => 9,
     }
 }
 
@@ -191,12 +195,13 @@
         .into_iter()
         .chain(samples::frames_since_16())
         .chain(samples::frames_since_17())
-        .chain(samples::frames_since_18());
+        .chain(samples::frames_since_18())
+        .chain(samples::frames_since_19());
     all.for_each(|(_, frame)| covered.add_frame(&frame));
     assert_eq!(covered.changes, (0..9).collect());
     assert_eq!(covered.updates, (0..5).collect());
-    assert_eq!(covered.replies, (0..9).collect());
-    assert_eq!(covered.requests, (0..8).collect());
+    assert_eq!(covered.replies, (0..11).collect());
+    assert_eq!(covered.requests, (0..10).collect());
     assert_eq!(covered.messages, (0..7).collect());
     assert_eq!(covered.payloads, (0..3).collect());
     assert_eq!(covered.answers, (0..7).collect());
--- a/components/wire/tests/upgrade/samples/frames.rs
+++ b/components/wire/tests/upgrade/samples/frames.rs
@@ -536,3 +536,37 @@
         ),
     ]
 }
+
+/// Frames that exist since version 19.
+pub fn frames_since_19() -> Vec<(&'static str, Frame)> {
+    let stream = StreamKey(0x1122_3344_5566_7788);
+    let build = || BuildId::new("v1.1");
+    let update = BuildUpdate {
+        engines: vec![EngineBuild {
+            backend: BackendId::new("engine-1"),
+            build: build(),
+        }],
+        mixed: vec![ServiceId::new("chat")],
+    };
+    let note = StreamNote {
+        stream,
+        build: build(),
+    };
+    let found = |build| Frame::Control(ControlReply::StreamBuild { stream, build });
+    vec![
+        (
+            "gateway_note_streams",
+            Frame::Gateway(GatewayRequest::NoteStreams(vec![note])),
+        ),
+        (
+            "gateway_find_stream",
+            Frame::Gateway(GatewayRequest::FindStream(stream)),
+        ),
+        (
+            "control_builds",
+            Frame::Control(ControlReply::Builds(update)),
+        ),
+        ("control_stream_build", found(Some(build()))),
+        ("control_stream_build_unknown", found(None)),
+    ]
+}
