Streams: what one build of an engine began, no other continues

Cause: the version in the platform's list was read and dropped, and the name of the stream that a client takes up was read nowhere. Placement took any engine of the service, for resumptions, hedges, relays and KV caches.

Gateways keep the builds of the streams that they began; where engines of several builds serve, or did in the last minute, they report them to the leader, and ask it for streams of other gateways. A stream whose build is not known is refused at once as not run. KV caches and copies stay within a build. Relays name the build in both directions, in a header that version 18 ignores.

Why it works: the build is fixed by the one engine whose event was passed on, and each later choice is filtered by it in one place, the placement context. The first gateway may be gone, as the leader has its notes.

Without several builds nothing is sent or asked.

--- a/bin/garnet-bench/src/fleet.rs
+++ b/bin/garnet-bench/src/fleet.rs
@@ -263,5 +263,6 @@
             likely_output_tokens: None,
         }),
         is_deferred: false,
+        build: None,
     }
 }
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::permits::PermitClient;
 use crate::ports::{BackendPort, CallerPort};
+use crate::stream_builds::StreamBuilds;
 use crate::unknown_headers::UnknownHeaders;
 use crate::unmarked_ends::UnmarkedEnds;
 
@@ -43,6 +44,7 @@
     /// Unknown headers in answers of back ends.
     pub(crate) unknown_headers: UnknownHeaders,
     pub(crate) unmarked_ends: UnmarkedEnds,
+    pub(crate) stream_builds: StreamBuilds,
     /// Timeouts of callers' connections, from the route table in force.
     pub(crate) connection_timeouts: Shared<ConnectionTimeouts>,
     /// When the route table in force took effect.
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -29,6 +29,7 @@
 mod start;
 mod stopping;
 mod stream;
+mod stream_builds;
 mod timeout;
 mod unknown_headers;
 mod unmarked_ends;
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -30,6 +30,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller has, for a stream to resume after it.
     pub resume_after: Option<String>,
+    /// The caller's id for the request that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// A request as it is passed on. All attempts share its bytes.
--- a/components/forwarding-shell/src/relay/answer.rs
+++ b/components/forwarding-shell/src/relay/answer.rs
@@ -1,6 +1,7 @@
 //! An answer of a back end that a relay passes on.
 
 use garnet_runtime::Exchange;
+use garnet_types::BuildId;
 
 use crate::ports::{BackendPort, CallerPort};
 
@@ -11,6 +12,8 @@
 pub(super) struct RelayedAnswer<C: CallerPort + 'static, B: BackendPort + 'static> {
     pub(super) exchange: Exchange,
     pub(super) guard: RelayGuard<C, B>,
+    /// The build of the engine that answers, if the relay has named it.
+    pub(super) build: Option<BuildId>,
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> RelayedAnswer<C, B> {
--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -3,7 +3,7 @@
 
 use std::fmt::Write as _;
 
-use garnet_types::{EncodingVersion, Framing, Millis, ServiceId, TenantId};
+use garnet_types::{BuildId, EncodingVersion, Framing, Millis, ServiceId, TenantId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use serde::{Deserialize, Serialize};
 
@@ -26,10 +26,14 @@
 /// Value of [`FRAMING`] for [`Framing::UntilClose`].
 const UNTIL_CLOSE: &str = "until-close";
 
+/// The build of the engine that began a stream, in either direction. Gateways of version 18 ignore
+/// it.
+const BUILD: HeaderName = HeaderName::from_static("garnet-relay-build");
+
 /// What the first gateway decided about a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedCall {
-    /// Version of the sender. A relay of an earlier one takes no request of it.
+    /// Version of this encoding. A relay of an earlier one takes no request of the sender.
     pub version: EncodingVersion,
     /// Version of the route table by which the sender works.
     pub routes_version: u64,
@@ -106,6 +110,20 @@
     }
 }
 
+/// Adds the build that began a stream to the headers of a request or an answer.
+pub(super) fn write_build(build: Option<&BuildId>, headers: &mut HeaderMap) {
+    let value = build.and_then(|build| HeaderValue::from_str(build.as_str()).ok());
+    if let Some(value) = value {
+        headers.insert(BUILD, value);
+    }
+}
+
+/// Takes the build that began a stream out of the headers of a request or an answer.
+pub(super) fn take_build(headers: &mut HeaderMap) -> Option<BuildId> {
+    let value = headers.remove(BUILD)?;
+    Some(BuildId::new(value.to_str().ok()?))
+}
+
 /// Adds the framing of a back end's answer to the headers of an answer.
 pub(super) fn write_framing(framing: Framing, headers: &mut HeaderMap) {
     let name = match framing {
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -4,7 +4,7 @@
 
 use garnet_runtime::Body;
 use garnet_runtime::server::{read_body, text_response};
-use garnet_types::Framing;
+use garnet_types::{BuildId, Framing};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -16,7 +16,7 @@
     with_connection_close,
 };
 
-use super::message::{RelayOutcome, RelayedCall, write_framing};
+use super::message::{RelayOutcome, RelayedCall, take_build, write_build, write_framing};
 
 /// Maximum number of peers' requests in flight. A gateway without a path hands over all of its
 /// requests at once, and their bodies take memory.
@@ -61,6 +61,7 @@
     let arrived = gateway.now();
     let (mut head, body) = request.into_parts();
     let call = RelayedCall::take(&mut head.headers);
+    let build = take_build(&mut head.headers);
     let limits = gateway.forwarder.borrow().limits();
     let body = read_body(body, &body_limits(limits)).await;
     let call = call.ok_or(NotTaken("malformed"))?;
@@ -84,6 +85,7 @@
         attempts_left: call.attempts_left,
         resume_after: call.resume_after,
         is_counted: call.is_counted,
+        build,
     };
     let running = begin_relayed(gateway, head, facts, body, handover);
     let running = running.ok_or(NotTaken("no_route"))?;
@@ -99,6 +101,8 @@
 /// Adds the outcome, and how the back end marked the end of its answer. The answer to the peer
 /// always marks its end, as the peer could not distinguish the end of a relay otherwise.
 fn with_outcome(mut response: Response<Body>, outcome: RelayOutcome) -> Response<Body> {
+    let build = response.extensions_mut().remove::<BuildId>();
+    write_build(build.as_ref(), response.headers_mut());
     let framing = response.extensions_mut().remove::<Framing>();
     write_framing(
         framing.unwrap_or(Framing::Delimited),
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -20,7 +20,7 @@
 use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_due};
 
 use super::answer::RelayedAnswer;
-use super::message::{RelayOutcome, RelayedCall, take_framing};
+use super::message::{RelayOutcome, RelayedCall, take_build, take_framing, write_build};
 use super::stream;
 
 /// Maximum number of relays that one request is handed to.
@@ -229,8 +229,13 @@
         let outcome = RelayOutcome::take(&mut exchange.head.headers);
         let framing = take_framing(&mut exchange.head.headers);
         exchange.set_framing(framing);
+        let build = take_build(&mut exchange.head.headers);
         match self.on_outcome(relay, outcome) {
-            Ok(()) => Ok(RelayedAnswer { exchange, guard }),
+            Ok(()) => Ok(RelayedAnswer {
+                exchange,
+                guard,
+                build,
+            }),
             Err(end) => {
                 read_rest(exchange).await;
                 Err(end)
@@ -288,7 +293,7 @@
         }
         let now = self.gateway.now();
         let relayed_call = RelayedCall {
-            version: EncodingVersion::CURRENT,
+            version: EncodingVersion::V18,
             routes_version: self
                 .gateway
                 .forwarder
@@ -307,6 +312,7 @@
             is_counted: self.running.usage_counted.get(),
         };
         relayed_call.write(request.headers_mut());
+        write_build(work.build.as_ref(), request.headers_mut());
         request
     }
 
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use crate::event_reader::{EventReader, Received};
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{record_end, sleep_until_due};
+use crate::stream_builds::knows_build;
 
 use super::answer::RelayedAnswer;
 use super::sender::Relaying;
@@ -36,12 +37,18 @@
 }
 
 /// Builds the answer to the caller.
-pub(super) fn pass_on<C, B>(relaying: Relaying<C, B>, answer: RelayedAnswer<C, B>) -> Response<Body>
+pub(super) fn pass_on<C, B>(
+    mut relaying: Relaying<C, B>,
+    answer: RelayedAnswer<C, B>,
+) -> Response<Body>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
     let head = copy_head(&answer.exchange);
+    if answer.build.is_some() {
+        relaying.running.work.build.clone_from(&answer.build);
+    }
     let status = head.status.as_u16();
     let stream = RelayedStream {
         reader: event_reader(&relaying, &answer),
@@ -127,7 +134,8 @@
         let last_id = self.reader.last_id().map(str::to_owned);
         self.relaying.log_broken(cause);
         let kind = self.relaying.running.work.kind;
-        if kind != WorkKind::ResumableStream || last_id.is_none() {
+        let knows_build = knows_build(&self.relaying.gateway, &self.relaying.running);
+        if kind != WorkKind::ResumableStream || last_id.is_none() || !knows_build {
             return false;
         }
         self.relaying.resume_after = last_id;
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -8,7 +8,7 @@
 use garnet_routes::{CallerLimits, Route, WeightedService};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
-use garnet_types::{BackendId, Millis, ServiceId, TenantId};
+use garnet_types::{BackendId, BuildId, Millis, ServiceId, TenantId};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
@@ -94,6 +94,8 @@
     pub(crate) resume_after: Option<String>,
     /// Whether usage has counted it.
     pub(crate) is_counted: bool,
+    /// The build that began the stream, if the peer knows it.
+    pub(crate) build: Option<BuildId>,
 }
 
 impl RunningRequest {
@@ -330,6 +332,7 @@
     running.work.max_attempts = running.work.max_attempts.min(handover.attempts_left);
     running.usage_counted.set(handover.is_counted);
     running.is_relayed = true;
+    running.work.build = handover.build;
     running._relayed = Some(OpenRequestGuard::begin(&gateway.relayed_requests));
     Some(running)
 }
@@ -371,6 +374,7 @@
         max_attempts: route.max_attempts.max(1),
         prompt: facts.prompt.clone(),
         is_deferred: false,
+        build: None,
     };
     RunningRequest {
         call: Rc::new(Call::new(facts, head, body, tenant)),
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -28,6 +28,7 @@
 use crate::relay_report::RelayReports;
 use crate::report_handler::ReportHandler;
 use crate::stopping::{StopTimes, announce_stop};
+use crate::stream_builds::StreamBuilds;
 use crate::unknown_headers::UnknownHeaders;
 use crate::unmarked_ends::UnmarkedEnds;
 use crate::watch::{self, Watch, WatchHandler};
@@ -117,6 +118,7 @@
         connections: ConnectionQueue::default(),
         unknown_headers: UnknownHeaders::default(),
         unmarked_ends: UnmarkedEnds::default(),
+        stream_builds: StreamBuilds::new(requests_in.clone()),
         connection_timeouts: times,
         routes_since: Cell::new(shell.clock.now()),
         stop_deadline: Cell::new(None),
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -14,7 +14,7 @@
 use garnet_routes::WorkKind;
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyAborted, stream_body};
-use garnet_types::{BackendId, Framing, Millis};
+use garnet_types::{BackendId, BuildId, Framing, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
 
@@ -23,6 +23,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{RunningRequest, Unserved, count_usage_once, record_end, sleep_until_due};
+use crate::stream_builds::{bind_taken_up, bind_to_engine, knows_build};
 use crate::timeout::with_timeout;
 
 use cut::CutCause;
@@ -57,12 +58,15 @@
 /// The request, if no engine answered it.
 pub(crate) async fn serve<C, B>(
     gateway: &Rc<Gateway<C, B>>,
-    running: RunningRequest,
+    mut running: RunningRequest,
 ) -> Result<Response<Body>, Unserved>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
+    if let Err(answer) = bind_taken_up(gateway, &mut running).await {
+        return Err(Unserved { running, answer });
+    }
     let due = running.due;
     let mut search = Search::new(gateway, running);
     let opening = async { Some(search.find_run().await) };
@@ -108,6 +112,10 @@
         let mut head = found.run.answer_head();
         self.framing = self.framing_for_caller(found.run.framing());
         head.extensions.insert(self.framing);
+        bind_to_engine(&self.gateway, &mut self.search.running);
+        if let Some(build) = &self.search.running.work.build {
+            head.extensions.insert(build.clone());
+        }
         self.run = Some(found.run);
         let first = self.on_received(found.first);
         self.log_begun();
@@ -163,6 +171,7 @@
             request = call.facts.id.as_str(),
             route = route.name.as_str(),
             backend = served_by.as_ref().map_or("", BackendId::as_str),
+            build = work.build.as_ref().map_or("", BuildId::as_str),
             most_output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
             likely_output_tokens = likely.unwrap_or_default(),
             ttft_ms = took.0;
@@ -246,7 +255,9 @@
     /// an engine would start again from the beginning.
     fn can_resume(&self) -> bool {
         let kind = self.search.running.work.kind;
-        kind == WorkKind::ResumableStream && self.search.resume_after.is_some()
+        kind == WorkKind::ResumableStream
+            && self.search.resume_after.is_some()
+            && knows_build(&self.gateway, &self.search.running)
     }
 
     /// How long to wait for the next event before another engine is asked.
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -3,7 +3,7 @@
 use std::pin::pin;
 
 use garnet_forwarding::AttemptEnd;
-use garnet_types::{BackendId, Framing};
+use garnet_types::{BackendId, BuildId, Framing};
 
 use crate::event_reader::{BreakCause, Received};
 use crate::ports::{BackendPort, CallerPort};
@@ -121,9 +121,11 @@
     }
 
     fn switch_to(&mut self, found: Found<C, B>) -> Next {
+        let build = self.search.running.work.build.as_ref();
         log::info!(
             request = self.search.running.call.facts.id.as_str(),
-            after = self.search.resume_after.as_deref().unwrap_or_default();
+            after = self.search.resume_after.as_deref().unwrap_or_default(),
+            build = build.map_or("", BuildId::as_str);
             "stream_resumed"
         );
         self.run = Some(found.run);
--- /dev/null
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -0,0 +1,231 @@
+//! The builds at which streams began: what one build of an engine began, no other continues.
+//!
+//! Contract: a stream that its client takes up, at any gateway, goes on at the build that began it, or
+//! is refused as not run. A gateway knows the builds of the streams that it began. Where engines of
+//! several builds serve a service, the leader is told of each of its streams, and is asked for those
+//! of other gateways; see `docs/design/engine-builds.md`.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+
+use garnet_control::{BuildUpdate, GatewayRequest, STREAM_LIFETIME, StreamKey, StreamNote};
+use garnet_routes::WorkKind;
+use garnet_types::{BuildId, Millis, ServiceId};
+use smol::channel::{Sender, bounded};
+
+use crate::answers::{OwnAnswer, retry_after};
+use crate::gateway::Gateway;
+use crate::ports::{BackendPort, CallerPort};
+use crate::request::RunningRequest;
+use crate::timeout::with_timeout;
+
+/// Longest wait for the leader's answer: a round trip to another region.
+const MAX_WAIT: Millis = Millis(250);
+/// Maximum number of own streams whose builds are kept: ten times those of one lifetime at the
+/// intended load of a gateway.
+const MAX_OWN_STREAMS: usize = 4_096;
+
+/// A stream that this gateway began.
+struct OwnStream {
+    service: ServiceId,
+    build: BuildId,
+}
+
+/// Streams that this gateway began, by the time when they did.
+#[derive(Default)]
+struct OwnStreams {
+    streams: HashMap<StreamKey, OwnStream>,
+    order: VecDeque<(Millis, StreamKey)>,
+}
+
+impl OwnStreams {
+    fn add(&mut self, key: StreamKey, stream: OwnStream, now: Millis) {
+        if self.streams.insert(key, stream).is_none() {
+            self.order.push_back((now, key));
+        }
+        while let Some((began_at, key)) = self.order.front() {
+            let is_old = now.since(*began_at) > STREAM_LIFETIME;
+            if !is_old && self.order.len() <= MAX_OWN_STREAMS {
+                return;
+            }
+            self.streams.remove(key);
+            self.order.pop_front();
+        }
+    }
+
+    fn notes_of(&self, services: &BTreeSet<ServiceId>) -> Vec<StreamNote> {
+        let of_services = self.streams.iter();
+        let of_services = of_services.filter(|(_, stream)| services.contains(&stream.service));
+        let note = |(key, stream): (&StreamKey, &OwnStream)| StreamNote {
+            stream: *key,
+            build: stream.build.clone(),
+        };
+        of_services.map(note).collect()
+    }
+}
+
+/// A gateway's knowledge of the builds of streams.
+pub(crate) struct StreamBuilds {
+    requests: Sender<GatewayRequest>,
+    own: RefCell<OwnStreams>,
+    /// Services of whose streams the leader is told.
+    reported: RefCell<BTreeSet<ServiceId>>,
+    waiting: RefCell<HashMap<StreamKey, Vec<Sender<Option<BuildId>>>>>,
+}
+
+impl StreamBuilds {
+    pub(crate) fn new(requests: Sender<GatewayRequest>) -> Self {
+        StreamBuilds {
+            requests,
+            own: RefCell::default(),
+            reported: RefCell::default(),
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// Has all streams reported again: a new connection may lead to another leader.
+    pub(crate) fn on_connected(&self) {
+        self.reported.borrow_mut().clear();
+    }
+
+    /// Takes the leader's answer.
+    pub(crate) fn on_answer(&self, stream: StreamKey, build: Option<&BuildId>) {
+        let waiting = self.waiting.borrow_mut().remove(&stream);
+        for waiter in waiting.into_iter().flatten() {
+            // The waiter may have timed out.
+            let _gone = waiter.try_send(build.cloned());
+        }
+    }
+
+    fn report(&self, notes: Vec<StreamNote>) {
+        if !notes.is_empty() {
+            // A stream whose note is lost is refused when it is taken up.
+            let _lost = self.requests.try_send(GatewayRequest::NoteStreams(notes));
+        }
+    }
+
+    fn add_waiter(&self, stream: StreamKey, waiter: Sender<Option<BuildId>>) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.entry(stream).or_default().push(waiter);
+    }
+
+    async fn ask_leader(&self, stream: StreamKey) -> Option<BuildId> {
+        let (sender, answer) = bounded(1);
+        self.add_waiter(stream, sender);
+        let asked = self.requests.try_send(GatewayRequest::FindStream(stream));
+        let answered = async { answer.recv().await.ok().flatten() };
+        let found = match asked {
+            Ok(()) => with_timeout(Some(MAX_WAIT), answered).await.flatten(),
+            Err(_) => None,
+        };
+        self.waiting.borrow_mut().remove(&stream);
+        found
+    }
+
+    async fn find(&self, stream: StreamKey) -> Option<BuildId> {
+        let own = self
+            .own
+            .borrow()
+            .streams
+            .get(&stream)
+            .map(|s| s.build.clone());
+        match own {
+            Some(build) => Some(build),
+            None => self.ask_leader(stream).await,
+        }
+    }
+}
+
+/// Applies the leader's news of builds. The leader is told of all streams of a service whose
+/// engines have become of several builds.
+pub(crate) fn on_builds<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    update: BuildUpdate,
+) {
+    let mixed: BTreeSet<ServiceId> = update.mixed.iter().cloned().collect();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    forwarder.take_builds(update, gateway.now());
+    let (engines, builds) = forwarder.known_builds();
+    drop(forwarder);
+    log::info!(engines = engines, builds = builds, mixed_services = mixed.len(); "builds_known");
+    let StreamBuilds { own, reported, .. } = &gateway.stream_builds;
+    let new: BTreeSet<ServiceId> = mixed.difference(&reported.borrow()).cloned().collect();
+    let notes = own.borrow().notes_of(&new);
+    *reported.borrow_mut() = mixed;
+    gateway.stream_builds.report(notes);
+}
+
+/// Binds a stream that has begun to the build of its engine.
+pub(crate) fn bind_to_engine<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &mut RunningRequest,
+) {
+    if running.work.kind != WorkKind::ResumableStream {
+        return;
+    }
+    let now = gateway.now();
+    let forwarder = gateway.forwarder.borrow();
+    let engine = running.served_by.as_ref();
+    let Some(build) = engine.and_then(|engine| forwarder.build_of(engine)) else {
+        return;
+    };
+    running.work.build = Some(build.clone());
+    let key = StreamKey::of(&running.call.facts.id);
+    let stream = OwnStream {
+        service: running.service.clone(),
+        build: build.clone(),
+    };
+    let note = StreamNote {
+        stream: key,
+        build: build.clone(),
+    };
+    let is_mixed = forwarder.is_mixed(&running.service, now);
+    drop(forwarder);
+    gateway.stream_builds.own.borrow_mut().add(key, stream, now);
+    if is_mixed {
+        gateway.stream_builds.report(vec![note]);
+    }
+}
+
+/// Whether it is known which engines may resume a stream that has begun.
+pub(crate) fn knows_build<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+) -> bool {
+    let forwarder = gateway.forwarder.borrow();
+    running.work.build.is_some() || !forwarder.is_mixed(&running.service, gateway.now())
+}
+
+/// Binds a stream that its client, or a peer gateway, takes up to the build that began it.
+///
+/// # Errors
+/// The refusal, if engines of several builds serve and it is not known which one began it.
+pub(crate) async fn bind_taken_up<C: CallerPort, B: BackendPort>(
+    gateway: &Rc<Gateway<C, B>>,
+    running: &mut RunningRequest,
+) -> Result<(), OwnAnswer> {
+    let facts = &running.call.facts;
+    let is_taken_up =
+        running.work.kind == WorkKind::ResumableStream && facts.resume_after.is_some();
+    if !is_taken_up || knows_build(gateway, running) {
+        return Ok(());
+    }
+    // A peer gateway resumes a stream under the id with which it began, unless the client has
+    // taken that up as well.
+    let own_id = running.is_relayed.then_some(&facts.id);
+    for request in own_id.into_iter().chain(&facts.resumes) {
+        let found = gateway.stream_builds.find(StreamKey::of(request)).await;
+        if found.is_some() {
+            running.work.build = found;
+            return Ok(());
+        }
+    }
+    log::info!(
+        request = facts.id.as_str(),
+        resumes = facts.resumes.as_deref().unwrap_or_default(),
+        service = running.service.as_str();
+        "stream_build_unknown"
+    );
+    Err(OwnAnswer::NotRun(retry_after(running.work.objective)))
+}
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -21,6 +21,7 @@
 use crate::ports::{BackendPort, CallerPort};
 use crate::relay_report::RelayReports;
 use crate::start::Replicas;
+use crate::stream_builds::on_builds;
 
 /// The interval between watch requests is this times the number of gateways, within the
 /// bounds below, since the leader answers all gateways. With eight gateways, an interval of
@@ -186,6 +187,11 @@
                 let now = self.gateway.now();
                 return self.gateway.relays.borrow_mut().take_list(list, now);
             }
+            ControlReply::Builds(update) => return on_builds(&self.gateway, update),
+            ControlReply::StreamBuild { stream, build } => {
+                let stream_builds = &self.gateway.stream_builds;
+                return stream_builds.on_answer(stream, build.as_ref());
+            }
             reply => reply,
         };
         let ControlReply::Watch {
@@ -352,6 +358,7 @@
     fn on_connected(&self, version: EncodingVersion) {
         while self.0.pending_requests.try_recv().is_ok() {}
         self.0.relay_reports.on_connected();
+        self.0.gateway.stream_builds.on_connected();
         let mut forwarder = self.0.gateway.forwarder.borrow_mut();
         forwarder.connected(version, self.0.gateway.now());
         drop(forwarder);
--- a/components/forwarding/src/backends.rs
+++ b/components/forwarding/src/backends.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::{BackendRecord, BackendRegistration, Backlog, PriorityCounts, UNKNOWN_START};
 use garnet_routing::{Availability, CircuitBreaker};
-use garnet_types::{BackendId, BackendKind, EngineRole, Millis};
+use garnet_types::{BackendId, BackendKind, BuildId, EngineRole, Millis};
 
 use crate::connections::ConnectionShare;
 use crate::peer_load::PeerLoad;
@@ -178,6 +178,8 @@
     /// Whether it reported a rate limit. Spares looking up all others: of thousands of
     /// engines a few have one.
     pub(crate) has_limit: bool,
+    /// Build of an engine's software, if the leader has sent it.
+    pub build: Option<BuildId>,
     /// Connections that this gateway may have to it.
     pub(crate) connections: ConnectionShare,
     /// Its load.
@@ -198,6 +200,7 @@
             failing_at: None,
             may_probe: false,
             has_limit: false,
+            build: None,
             connections: ConnectionShare::unbounded(),
             load: BackendLoad::default(),
         };
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -178,13 +178,16 @@
                 }
                 (Some(record), None) => {
                     members_changed = true;
-                    self.backends.insert(id.clone(), Backend::new(record));
+                    let mut backend = Backend::new(record);
+                    backend.build = self.builds.get(id).cloned();
+                    self.backends.insert(id.clone(), backend);
                     self.note_whether_limited(id);
                     self.share_connections_of(id);
                 }
                 (None, Some(_)) => {
                     members_changed = true;
                     self.backends.remove(id);
+                    self.builds.remove(id);
                     self.residency.remove(id);
                     self.limits.forget(id);
                 }
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod availability;
+mod builds;
 mod configuration;
 mod connections;
 mod estimates;
@@ -22,7 +23,7 @@
 use garnet_limits::GatewayLimits;
 use garnet_quarantine::CrashLog;
 use garnet_routes::{Route, RouteIndex, Tenant};
-use garnet_types::{BackendId, BackendKind, Millis, ServiceId, TenantId};
+use garnet_types::{BackendId, BackendKind, BuildId, Millis, ServiceId, TenantId};
 
 use crate::access::{AccessDenied, Credential, authorize};
 use crate::admission::PendingRetries;
@@ -108,6 +109,10 @@
     arrival_count: u64,
     /// Paths to back ends that failed lately.
     paths: PathMonitor,
+    /// Builds of engines by the leader's list, which may be ahead of the configuration.
+    builds: HashMap<BackendId, BuildId>,
+    /// Services whose engines are of several builds, and until when they count as such.
+    mixed_until: HashMap<ServiceId, Millis>,
     /// Makes the draws of this gateway differ from those of its peers.
     seed: u64,
 }
@@ -153,6 +158,8 @@
             permits_are_granted: true,
             arrival_count: 0,
             paths: PathMonitor::default(),
+            builds: HashMap::new(),
+            mixed_until: HashMap::new(),
             seed,
         }
     }
@@ -213,6 +220,7 @@
         self.draw_count += 1;
         let context = PlacementContext {
             may_hand_over,
+            build: work.build.as_ref(),
             ..self.context(tried, now)
         };
         // A back end that failed recently is better than none.
@@ -237,6 +245,7 @@
             any_engine: false,
             sampled: 0,
             draw: self.draw_count,
+            build: None,
         }
     }
 
@@ -270,10 +279,12 @@
         now: Millis,
     ) -> Option<BackendId> {
         self.draw_count += 1;
-        let zone = &self.backends.get(prefill_engine)?.registration.zone;
+        let prefill_engine = self.backends.get(prefill_engine)?;
+        let zone = &prefill_engine.registration.zone;
         let find = |ignore_failures| {
             let context = PlacementContext {
                 ignore_failures,
+                build: prefill_engine.build.as_ref(),
                 ..self.context(tried, now)
             };
             place_decode(self.backends_of(service), zone, &context)
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -1,7 +1,9 @@
 //! Chooses the back end of a request: pure functions over the gateway's estimates.
 
+use std::collections::BTreeSet;
+
 use garnet_limits::GatewayLimits;
-use garnet_types::{BackendId, EngineRole, Millis};
+use garnet_types::{BackendId, BuildId, EngineRole, Millis};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::backends::Backend;
@@ -60,6 +62,8 @@
     pub sampled: usize,
     /// A number that differs between requests, to break ties and to draw a random sample.
     pub draw: u64,
+    /// The build that began the work, or whose KV cache it needs; only its engines may go on.
+    pub build: Option<&'a BuildId>,
 }
 
 impl PlacementContext<'_> {
@@ -68,6 +72,9 @@
         backend.is_open(self.now, self.ignore_failures)
             && (self.ignore_connections || backend.has_connection())
             && !self.tried.contains(id)
+            && self
+                .build
+                .is_none_or(|build| backend.build.as_ref() == Some(build))
             && (!backend.has_limit || self.limits.may_send(id, self.now))
     }
 
@@ -139,15 +146,19 @@
         if due.is_empty() { all } else { due }
     };
     let mixed = with_role(EngineRole::Mixed);
-    let may_hand_over = context.may_hand_over
-        && open
-            .iter()
-            .any(|engine| engine.backend.generates() && context.is_unlimited(engine.backend));
-    let prefill_engines = if may_hand_over {
+    // A KV cache of one build is of no use to another.
+    let decoding = open
+        .iter()
+        .filter(|engine| engine.backend.generates() && context.is_unlimited(engine.backend));
+    let decoding: BTreeSet<Option<&BuildId>> = decoding
+        .map(|engine| engine.backend.build.as_ref())
+        .collect();
+    let mut prefill_engines = if context.may_hand_over {
         with_role(EngineRole::Prefill)
     } else {
         Vec::new()
     };
+    prefill_engines.retain(|engine| decoding.contains(&engine.backend.build.as_ref()));
     let search = PrefillSearch {
         any_engine: context.any_engine,
         sampled: context.sampled,
--- a/components/forwarding/src/prefill_choice.rs
+++ b/components/forwarding/src/prefill_choice.rs
@@ -213,7 +213,8 @@
     };
     let other_sources = sources
         .iter()
-        .filter(|source| source.engine.id() != engine.id());
+        .filter(|source| source.engine.id() != engine.id())
+        .filter(|source| source.engine.backend.build == engine.backend.build);
     let cheapest = other_sources
         .map(copying)
         .min_by_key(|copy| copy.to_prefill + copy.cost);
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::LOWEST_PRIORITY;
 use garnet_routes::WorkKind;
-use garnet_types::{Millis, PrefixId};
+use garnet_types::{BuildId, Millis, PrefixId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One part of a prompt. Parts are shared between requests; the last one belongs to the
@@ -141,4 +141,6 @@
     pub prompt: Option<Prompt>,
     /// Set when its answer can't be in time any more.
     pub is_deferred: bool,
+    /// The build of the engine that began a stream; no other build continues it.
+    pub build: Option<BuildId>,
 }
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -128,6 +128,7 @@
         max_attempts: 2,
         prompt,
         is_deferred: false,
+        build: None,
     }
 }
 
