--- a/components/control/src/balancing.rs
+++ b/components/control/src/balancing.rs
@@ -13,6 +13,7 @@
 use garnet_routes::EngineLimits;
 use garnet_types::{BackendId, EngineAssignment, EngineRole, Millis, ServiceId};
 
+use crate::builds::Builds;
 use crate::configuration::{BackendRecord, Configuration};
 use crate::messages::Backlog;
 
@@ -33,6 +34,9 @@
 /// less than one in this many engines, no role changes: the load of the other engines would
 /// hardly change, and a role change takes an engine out of routing for seconds.
 const SHARE_TOLERANCE_DIVISOR: usize = 100;
+/// Maximum number of pools, beyond which those without engines are forgotten: each build of a
+/// service has its own.
+const MAX_POOLS: usize = 256;
 /// Limits of an engine if the route table states none.
 const DEFAULT_LIMITS: EngineLimits = EngineLimits {
     slots: 64,
@@ -164,12 +168,18 @@
     }
 
     /// Returns whether the pool of an engine is known to have no work.
-    pub(crate) fn is_idle(&self, configuration: &Configuration, engine: &BackendId) -> bool {
+    pub(crate) fn is_idle(
+        &self,
+        configuration: &Configuration,
+        builds: &Builds,
+        engine: &BackendId,
+    ) -> bool {
         let record = configuration.backends.get(engine);
         let Some((service, model)) = record.and_then(BackendRecord::pool) else {
             return false;
         };
-        let balance = self.pools.get(&(service.clone(), model.clone()));
+        let pool = (service.clone(), model.clone(), builds.of(engine).clone());
+        let balance = self.pools.get(&pool);
         balance.is_some_and(|balance| !balance.loaded && balance.was_evaluated)
     }
 
@@ -178,26 +188,27 @@
     pub(crate) fn decide(
         &mut self,
         configuration: &Configuration,
+        builds: &Builds,
         backlogs: &BTreeMap<BackendId, Backlog>,
         excluded: BTreeSet<BackendId>,
         now: Millis,
     ) -> Vec<BalanceChange> {
-        self.update(configuration, excluded);
-        let busy = busy_engines(configuration, backlogs, &self.excluded);
+        self.update(configuration, builds, excluded);
+        let busy = busy_engines(configuration, backlogs, builds, &self.excluded);
         let mut changes = Vec::new();
         for (pool, balance) in &mut self.pools {
             if balance.roles.engines() == 0 {
                 continue;
             }
             let limits = limits(configuration, &pool.0);
-            let busy = busy.get(&(&pool.0, &pool.1));
+            let busy = busy.get(&(&pool.0, &pool.1, &pool.2));
             let busy = busy.map_or(&[][..], Vec::as_slice);
             let sampled = sample(balance.roles, busy, &limits);
             balance.add_sample(&sampled, limits.role_change_ms, now);
             let occupancy = balance.occupancy(&sampled);
             let examined_count = &mut self.examined_count;
             let members = || {
-                let members = members(configuration, &self.excluded, pool);
+                let members = members(configuration, builds, &self.excluded, pool);
                 *examined_count += members.len() as u64;
                 members
             };
@@ -218,7 +229,12 @@
     }
 
     /// Updates the members of all pools if they may have changed.
-    fn update(&mut self, configuration: &Configuration, excluded: BTreeSet<BackendId>) {
+    fn update(
+        &mut self,
+        configuration: &Configuration,
+        builds: &Builds,
+        excluded: BTreeSet<BackendId>,
+    ) {
         let is_same = self.updated_index == Some(configuration.index);
         if is_same && self.excluded == excluded {
             return;
@@ -229,11 +245,14 @@
         for balance in self.pools.values_mut() {
             balance.roles = RoleCount::default();
         }
-        for ((service, model), members) in pools(configuration, &self.excluded) {
+        for ((service, model, build), members) in pools(configuration, builds, &self.excluded) {
             self.examined_count += members.len() as u64;
-            let pool = (service.clone(), model.clone());
+            let pool = (service.clone(), model.clone(), build.clone());
             self.pools.entry(pool).or_default().update(&members);
         }
+        if self.pools.len() > MAX_POOLS {
+            self.pools.retain(|_, balance| balance.roles.engines() > 0);
+        }
     }
 }
 
--- a/components/control/src/balancing/members.rs
+++ b/components/control/src/balancing/members.rs
@@ -2,13 +2,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use garnet_types::{BackendId, EngineAssignment, EngineRole, MachineState, ModelId, ServiceId};
+use garnet_types::{
+    BackendId, BuildId, EngineAssignment, EngineRole, MachineState, ModelId, ServiceId,
+};
 
+use crate::builds::Builds;
 use crate::configuration::{BackendRecord, Configuration};
 use crate::messages::Backlog;
 
-pub(super) type Pool = (ServiceId, ModelId);
-pub(super) type PoolKey<'a> = (&'a ServiceId, &'a ModelId);
+/// Engines that hand KV caches to one another: those of one build.
+pub(super) type Pool = (ServiceId, ModelId, BuildId);
+pub(super) type PoolKey<'a> = (&'a ServiceId, &'a ModelId, &'a BuildId);
 
 /// An engine of a pool.
 pub(super) struct Member<'a> {
@@ -49,6 +53,7 @@
 fn member<'a>(
     id: &'a BackendId,
     record: &'a BackendRecord,
+    builds: &'a Builds,
     excluded: &BTreeSet<BackendId>,
 ) -> Option<(PoolKey<'a>, Member<'a>)> {
     // A role change does not pay off for an engine that leaves or takes few requests.
@@ -65,17 +70,23 @@
         zone: &record.registration.zone,
         role: assignment.role,
     };
-    Some(((&record.registration.service, &assignment.model), member))
+    let pool = (
+        &record.registration.service,
+        &assignment.model,
+        builds.of(id),
+    );
+    Some((pool, member))
 }
 
 /// The balanced engines by pool; an engine counts with its target assignment.
 pub(super) fn pools<'a>(
     configuration: &'a Configuration,
+    builds: &'a Builds,
     excluded: &BTreeSet<BackendId>,
 ) -> BTreeMap<PoolKey<'a>, Vec<Member<'a>>> {
     let mut pools: BTreeMap<PoolKey<'_>, Vec<Member<'_>>> = BTreeMap::new();
     let backends = configuration.backends.iter();
-    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, excluded)) {
+    for (pool, member) in backends.filter_map(|(id, record)| member(id, record, builds, excluded)) {
         pools.entry(pool).or_default().push(member);
     }
     pools
@@ -84,13 +95,14 @@
 /// The balanced engines of one pool.
 pub(super) fn members<'a>(
     configuration: &'a Configuration,
+    builds: &'a Builds,
     excluded: &BTreeSet<BackendId>,
-    (service, model): &Pool,
+    (service, model, build): &Pool,
 ) -> Vec<Member<'a>> {
     let backends = configuration.backends.iter();
     backends
-        .filter_map(|(id, record)| member(id, record, excluded))
-        .filter(|(pool, _)| *pool == (service, model))
+        .filter_map(|(id, record)| member(id, record, builds, excluded))
+        .filter(|(pool, _)| *pool == (service, model, build))
         .map(|(_, member)| member)
         .collect()
 }
@@ -99,12 +111,14 @@
 pub(super) fn busy_engines<'a>(
     configuration: &'a Configuration,
     backlogs: &'a BTreeMap<BackendId, Backlog>,
+    builds: &'a Builds,
     excluded: &BTreeSet<BackendId>,
 ) -> BTreeMap<PoolKey<'a>, Vec<BusyEngine<'a>>> {
     let mut busy: BTreeMap<PoolKey<'_>, Vec<BusyEngine<'_>>> = BTreeMap::new();
     for (id, backlog) in backlogs {
         let record = configuration.backends.get(id);
-        if let Some((pool, member)) = record.and_then(|record| member(id, record, excluded)) {
+        if let Some((pool, member)) = record.and_then(|record| member(id, record, builds, excluded))
+        {
             let role = member.role;
             busy.entry(pool)
                 .or_default()
--- a/components/control/src/builds.rs
+++ b/components/control/src/builds.rs
@@ -23,10 +23,11 @@
 
 #[derive(Debug)]
 struct Engine {
-    service: ServiceId,
     build: BuildId,
     /// Number of the last change; increases with each change of any engine.
     changed: u64,
+    /// When the list last held the engine.
+    listed_at: Millis,
 }
 
 /// What a gateway was sent on its connection.
@@ -59,7 +60,7 @@
         let is_engine = |entry: &&MachineEntry| entry.registration.kind == BackendKind::Engine;
         let mut builds: BTreeMap<&ServiceId, BTreeSet<&BuildId>> = BTreeMap::new();
         for entry in machines.iter().filter(is_engine) {
-            self.update_engine(entry);
+            self.update_engine(entry, now);
             let of_service = builds.entry(&entry.registration.service).or_default();
             of_service.insert(&entry.build);
         }
@@ -68,33 +69,30 @@
             let until = now + STREAM_LIFETIME;
             self.mixed_until.insert(service.clone(), until);
         }
-        let listed: BTreeSet<&BackendId> = machines
-            .iter()
-            .map(|entry| &entry.registration.id)
-            .collect();
         let by_change = &mut self.by_change;
-        self.engines.retain(|id, engine| {
-            let is_listed = listed.contains(id);
-            if !is_listed {
+        // The list may omit an engine for a while, such as during a change of its role.
+        self.engines.retain(|_, engine| {
+            let is_kept = now.since(engine.listed_at) <= STREAM_LIFETIME;
+            if !is_kept {
                 by_change.remove(&engine.changed);
             }
-            is_listed
+            is_kept
         });
     }
 
-    fn update_engine(&mut self, entry: &MachineEntry) {
+    fn update_engine(&mut self, entry: &MachineEntry, now: Millis) {
         let id = &entry.registration.id;
-        let known = self.engines.get(id);
-        if known.is_some_and(|engine| {
-            engine.build == entry.build && engine.service == entry.registration.service
-        }) {
+        if let Some(engine) = self.engines.get_mut(id)
+            && engine.build == entry.build
+        {
+            engine.listed_at = now;
             return;
         }
         self.changes += 1;
         let engine = Engine {
-            service: entry.registration.service.clone(),
             build: entry.build.clone(),
             changed: self.changes,
+            listed_at: now,
         };
         if let Some(before) = self.engines.insert(id.clone(), engine) {
             self.by_change.remove(&before.changed);
@@ -153,6 +151,13 @@
         self.forget_old_streams(now);
     }
 
+    /// The build of an engine; empty if it is not known.
+    pub(crate) fn of(&self, engine: &BackendId) -> &BuildId {
+        static UNKNOWN: BuildId = BuildId(String::new());
+        let engine = self.engines.get(engine);
+        engine.map_or(&UNKNOWN, |engine| &engine.build)
+    }
+
     /// The build at which a stream began.
     pub(crate) fn find(&self, stream: StreamKey) -> Option<&BuildId> {
         self.streams.get(&stream)
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -30,10 +30,12 @@
         self.inspected_backends += (engines.len() + configuration.backends.len()) as u64;
         let census = configuration.pool_census();
         let balancing = self.balancing.as_ref();
+        let builds = &self.builds;
         let supports_idle_orders = self.has_all_commands();
         let is_idle = |engine: &BackendId| {
             supports_idle_orders
-                && balancing.is_some_and(|balancing| balancing.is_idle(configuration, engine))
+                && balancing
+                    .is_some_and(|balancing| balancing.is_idle(configuration, builds, engine))
         };
         let context = StepContext {
             configuration,
@@ -120,7 +122,7 @@
         // An engine with a limit adds almost no capacity to its phase, and a change of role
         // would not help it.
         excluded.extend(self.limiting.backends().cloned());
-        let changes = balancing.decide(configuration, &backlogs, excluded, self.now);
+        let changes = balancing.decide(configuration, &self.builds, &backlogs, excluded, self.now);
         self.inspected_backends += balancing.take_examined();
         let applied = self.node.status().applied_index;
         for change in changes {
