--- a/components/control/src/builds.rs
+++ b/components/control/src/builds.rs
@@ -5,13 +5,14 @@
 //! began, and ask where one began that another gateway has served. All of it are estimates: they
 //! are never logged, and a new leader reads them from the next list and the gateways' next reports.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound::{Excluded, Unbounded};
 
 use garnet_types::{BackendId, BackendKind, BuildId, GatewayId, Millis, ServiceId};
 
 use crate::effects::MachineEntry;
 use crate::messages::{BuildUpdate, EngineBuild, StreamKey, StreamNote};
+use crate::recent_streams::RecentStreams;
 
 /// Maximum number of engines in one update: about 16 KB.
 const MAX_ENGINES_PER_UPDATE: usize = 512;
@@ -40,7 +41,7 @@
 }
 
 /// The leader's knowledge of builds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Builds {
     engines: BTreeMap<BackendId, Engine>,
     by_change: BTreeMap<u64, BackendId>,
@@ -49,9 +50,20 @@
     /// mixed.
     mixed_until: BTreeMap<ServiceId, Millis>,
     sent: BTreeMap<GatewayId, Sent>,
-    streams: HashMap<StreamKey, BuildId>,
-    /// The streams by the time of their first note.
-    stream_order: VecDeque<(Millis, StreamKey)>,
+    streams: RecentStreams<BuildId>,
+}
+
+impl Default for Builds {
+    fn default() -> Self {
+        Builds {
+            engines: BTreeMap::new(),
+            by_change: BTreeMap::new(),
+            changes: 0,
+            mixed_until: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            streams: RecentStreams::new(MAX_STREAMS),
+        }
+    }
 }
 
 impl Builds {
@@ -144,11 +156,8 @@
     /// Records at which builds streams began.
     pub(crate) fn note(&mut self, notes: Vec<StreamNote>, now: Millis) {
         for StreamNote { stream, build } in notes {
-            if self.streams.insert(stream, build).is_none() {
-                self.stream_order.push_back((now, stream));
-            }
+            self.streams.insert(stream, build, now);
         }
-        self.forget_old_streams(now);
     }
 
     /// The build of an engine; empty if it is not known.
@@ -160,7 +169,7 @@
 
     /// The build at which a stream began.
     pub(crate) fn find(&self, stream: StreamKey) -> Option<&BuildId> {
-        self.streams.get(&stream)
+        self.streams.get(stream)
     }
 
     /// Number of streams whose build is known.
@@ -170,22 +179,11 @@
 
     /// Forgets old streams, and gateways of which `is_known` does not hold.
     pub(crate) fn prune(&mut self, now: Millis, is_known: impl Fn(&GatewayId) -> bool) {
-        self.forget_old_streams(now);
+        self.streams.prune(now);
         self.mixed_until.retain(|_, until| *until > now);
         self.sent.retain(|gateway, _| is_known(gateway));
     }
 
-    fn forget_old_streams(&mut self, now: Millis) {
-        while let Some((noted_at, stream)) = self.stream_order.front() {
-            let is_old = now.since(*noted_at) > STREAM_LIFETIME;
-            if !is_old && self.stream_order.len() <= MAX_STREAMS {
-                return;
-            }
-            self.streams.remove(stream);
-            self.stream_order.pop_front();
-        }
-    }
-
     /// Forgets everything: another replica may have led meanwhile.
     pub(crate) fn clear(&mut self) {
         *self = Builds::default();
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -29,6 +29,7 @@
 mod planning;
 mod pool_census;
 mod priority_counts;
+mod recent_streams;
 mod reconciler;
 mod relays;
 mod replica;
@@ -66,6 +67,7 @@
     GatewayView, MemberChange, MemberView, OperatorAnswer, OperatorRequest, StatusView,
 };
 pub use planner_settings::planner_settings;
+pub use recent_streams::RecentStreams;
 pub use reconciler::EnginePolling;
 pub use replica::{DirectorySettings, Replica, ReplicaSettings, RestoreError, UpgradeSettings};
 pub use shared::Shared;
--- a/components/forwarding-shell/src/stream_builds.rs
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -6,10 +6,10 @@
 //! of other gateways; see `docs/design/engine-builds.md`.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
-use garnet_control::{BuildUpdate, GatewayRequest, STREAM_LIFETIME, StreamKey, StreamNote};
+use garnet_control::{BuildUpdate, GatewayRequest, RecentStreams, StreamKey, StreamNote};
 use garnet_routes::WorkKind;
 use garnet_types::{BuildId, Millis, ServiceId};
 use smol::channel::{Sender, bounded};
@@ -32,43 +32,10 @@
     build: BuildId,
 }
 
-/// Streams that this gateway began, by the time when they did.
-#[derive(Default)]
-struct OwnStreams {
-    streams: HashMap<StreamKey, OwnStream>,
-    order: VecDeque<(Millis, StreamKey)>,
-}
-
-impl OwnStreams {
-    fn add(&mut self, key: StreamKey, stream: OwnStream, now: Millis) {
-        if self.streams.insert(key, stream).is_none() {
-            self.order.push_back((now, key));
-        }
-        while let Some((began_at, key)) = self.order.front() {
-            let is_old = now.since(*began_at) > STREAM_LIFETIME;
-            if !is_old && self.order.len() <= MAX_OWN_STREAMS {
-                return;
-            }
-            self.streams.remove(key);
-            self.order.pop_front();
-        }
-    }
-
-    fn notes_of(&self, services: &BTreeSet<ServiceId>) -> Vec<StreamNote> {
-        let of_services = self.streams.iter();
-        let of_services = of_services.filter(|(_, stream)| services.contains(&stream.service));
-        let note = |(key, stream): (&StreamKey, &OwnStream)| StreamNote {
-            stream: *key,
-            build: stream.build.clone(),
-        };
-        of_services.map(note).collect()
-    }
-}
-
 /// A gateway's knowledge of the builds of streams.
 pub(crate) struct StreamBuilds {
     requests: Sender<GatewayRequest>,
-    own: RefCell<OwnStreams>,
+    own: RefCell<RecentStreams<OwnStream>>,
     /// Services of whose streams the leader is told.
     reported: RefCell<BTreeSet<ServiceId>>,
     waiting: RefCell<HashMap<StreamKey, Vec<Sender<Option<BuildId>>>>>,
@@ -78,7 +45,7 @@
     pub(crate) fn new(requests: Sender<GatewayRequest>) -> Self {
         StreamBuilds {
             requests,
-            own: RefCell::default(),
+            own: RefCell::new(RecentStreams::new(MAX_OWN_STREAMS)),
             reported: RefCell::default(),
             waiting: RefCell::default(),
         }
@@ -124,12 +91,7 @@
     }
 
     async fn find(&self, stream: StreamKey) -> Option<BuildId> {
-        let own = self
-            .own
-            .borrow()
-            .streams
-            .get(&stream)
-            .map(|s| s.build.clone());
+        let own = self.own.borrow().get(stream).map(|s| s.build.clone());
         match own {
             Some(build) => Some(build),
             None => self.ask_leader(stream).await,
@@ -151,11 +113,23 @@
     log::info!(engines = engines, builds = builds, mixed_services = mixed.len(); "builds_known");
     let StreamBuilds { own, reported, .. } = &gateway.stream_builds;
     let new: BTreeSet<ServiceId> = mixed.difference(&reported.borrow()).cloned().collect();
-    let notes = own.borrow().notes_of(&new);
+    let notes = notes_of(&own.borrow(), &new);
     *reported.borrow_mut() = mixed;
     gateway.stream_builds.report(notes);
 }
 
+/// The notes of all streams of these services.
+fn notes_of(own: &RecentStreams<OwnStream>, services: &BTreeSet<ServiceId>) -> Vec<StreamNote> {
+    let of_services = own
+        .iter()
+        .filter(|(_, stream)| services.contains(&stream.service));
+    let note = |(key, stream): (StreamKey, &OwnStream)| StreamNote {
+        stream: key,
+        build: stream.build.clone(),
+    };
+    of_services.map(note).collect()
+}
+
 /// Binds a stream that has begun to the build of its engine.
 pub(crate) fn bind_to_engine<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
@@ -182,7 +156,11 @@
     };
     let is_mixed = forwarder.is_mixed(&running.service, now);
     drop(forwarder);
-    gateway.stream_builds.own.borrow_mut().add(key, stream, now);
+    gateway
+        .stream_builds
+        .own
+        .borrow_mut()
+        .insert(key, stream, now);
     if is_mixed {
         gateway.stream_builds.report(vec![note]);
     }
