Relays: a stream is resumed only at an answer of its build

A relay of version 18 ignores the build in its request and names none in its answer; while engines of several builds serve, such an answer continues no stream. Found by reading; no test has a relay of that version.

--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -107,10 +107,10 @@
                     if let Some(answer) = self.answer.take() {
                         answer.finish();
                     }
-                    return match self.framing.may_end_with(framing) {
-                        true => Next::End,
-                        false => Next::Cut,
-                    };
+                    if !self.framing.may_end_with(framing) {
+                        return Next::Cut;
+                    }
+                    return Next::End;
                 }
                 Received::Broke(cause) => {
                     if !self.resume(&cause.to_string()).await {
@@ -128,6 +128,19 @@
         }
     }
 
+    /// Whether the engine that resumes the stream is of the build that began it. A relay of
+    /// version 18 ignores builds, and names none.
+    fn is_of_same_build(&self, answer: &RelayedAnswer<C, B>) -> bool {
+        let Relaying {
+            gateway, running, ..
+        } = &self.relaying;
+        let is_mixed = gateway
+            .forwarder
+            .borrow()
+            .is_mixed(&running.service, gateway.now());
+        !is_mixed || answer.build == running.work.build
+    }
+
     /// Has another relay resume the stream. Returns `false` if none does.
     async fn resume(&mut self, cause: &str) -> bool {
         self.answer = None;
@@ -145,7 +158,7 @@
         let Ok(answer) = self.relaying.open().await else {
             return false;
         };
-        if !answer.exchange.head.status.is_success() {
+        if !answer.exchange.head.status.is_success() || !self.is_of_same_build(&answer) {
             return false;
         }
         self.reader = event_reader(&self.relaying, &answer);
