--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod availability;
 mod budgets;
+mod builds;
 mod configuration;
 mod connections;
 mod fleet;
