--- a/components/forwarding-shell/src/stream_builds.rs
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -2,8 +2,8 @@
 //!
 //! Contract: a stream that its client takes up, at any gateway, goes on at the build that began it, or
 //! is refused as not run. A gateway knows the builds of the streams that it began. Where engines of
-//! several builds serve a service, the leader is told of each of its streams, and is asked for those
-//! of other gateways; see `docs/design/engine-builds.md`.
+//! several builds serve a service, it reports each of its streams to the leader, and requests the
+//! builds of other gateways' streams from it; see `docs/design/engine-builds.md`.
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
@@ -36,7 +36,7 @@
 pub(crate) struct StreamBuilds {
     requests: Sender<GatewayRequest>,
     own: RefCell<RecentStreams<OwnStream>>,
-    /// Services of whose streams the leader is told.
+    /// Services whose streams are reported to the leader.
     reported: RefCell<BTreeSet<ServiceId>>,
     waiting: RefCell<HashMap<StreamKey, Vec<Sender<Option<BuildId>>>>>,
 }
@@ -99,8 +99,8 @@
     }
 }
 
-/// Applies the leader's news of builds. The leader is told of all streams of a service whose
-/// engines have become of several builds.
+/// Applies an update of builds. If the engines of a service have become of several builds, its
+/// streams so far are reported to the leader.
 pub(crate) fn on_builds<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     update: BuildUpdate,
