Test: a service stays mixed at a gateway while the leader says so

The gateway counts a service as mixed for 60 s after an update that lists it, and the leader sends an update only on a change, so that streams of a mix that lasts are taken up by engines of any build after a minute.

The first test replaces a_service_counts_as_mixed_for_the_lifetime_of_its_streams, which held the fault to be right: it asked that a service that the leader has listed, and has not dropped since, is no longer mixed after 60 s. The second one keeps its bound, from the time when the leader drops the service.

--- a/components/forwarding/tests/core/builds.rs
+++ b/components/forwarding/tests/core/builds.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::{NOW, engines_named, forwarder, id, prompt, work};
 
-/// For how long a service counts as mixed after its engines were of several builds.
+/// For how long a service counts as mixed after the leader's list drops it.
 const MIXED_TIME: Millis = Millis::from_secs(60);
 
 fn update(builds: &[(&str, &str)]) -> BuildUpdate {
@@ -72,12 +72,31 @@
     }
 }
 
+/// The leader sends an update only on a change, so that a mix of builds that lasts is listed once.
+/// Gateways forgot it after the lifetime of a stream.
 #[test]
-fn a_service_counts_as_mixed_for_the_lifetime_of_its_streams() {
+fn a_service_stays_mixed_at_a_gateway_while_the_leader_says_so() {
     let gateway = gateway(&[("e-1", EngineRole::Mixed, "v1")]);
     assert!(gateway.is_mixed(&words(), NOW));
+    assert!(gateway.is_mixed(&words(), NOW + MIXED_TIME));
+    assert!(gateway.is_mixed(&words(), NOW + MIXED_TIME + MIXED_TIME));
     assert!(!gateway.is_mixed(&ServiceId::new("till"), NOW));
-    assert!(!gateway.is_mixed(&words(), NOW + MIXED_TIME));
+}
+
+/// A new leader that has seen the second build alone lists no service as mixed, while streams of
+/// the first build may still be taken up.
+#[test]
+fn a_service_counts_as_mixed_for_the_lifetime_of_its_streams_after_the_leader_drops_it() {
+    let mut gateway = gateway(&[("e-1", EngineRole::Mixed, "v1")]);
+    let dropped_at = NOW + MIXED_TIME;
+    gateway.take_builds(BuildUpdate::default(), dropped_at);
+    assert!(gateway.is_mixed(&words(), dropped_at));
+    let last = dropped_at + MIXED_TIME.since(Millis(1));
+    assert!(gateway.is_mixed(&words(), last));
+    assert!(!gateway.is_mixed(&words(), dropped_at + MIXED_TIME));
+    // Later updates that do not list it do not hold it any longer.
+    gateway.take_builds(BuildUpdate::default(), last);
+    assert!(!gateway.is_mixed(&words(), dropped_at + MIXED_TIME));
 }
 
 /// The list may be ahead of the configuration, and an engine may restart with another build.
