Gateways keep a service as mixed while the leader lists it

What callers would see: a stream that its client takes up may go on at another build of the engine once a mix of builds has lasted for a minute without a change of any engine. Cause: the gateway counted a service as mixed for 60 s after an update that lists it; the leader sends an update on a change only. Change: the leader's last list stays in force, and a service that it drops is held for 60 s. Why it works: a list is replaced by the next one alone, and the leader itself drops a service only 60 s after its engines were of several builds; the hold covers a new leader that has seen only one.

--- a/components/forwarding/src/forwarder/builds.rs
+++ b/components/forwarding/src/forwarder/builds.rs
@@ -1,6 +1,6 @@
 //! Builds of engines: what one build of an engine began, no other continues.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use garnet_control::{BuildUpdate, STREAM_LIFETIME};
 use garnet_types::{BackendId, BuildId, Millis, ServiceId};
@@ -10,6 +10,39 @@
 /// Number of engines that may be listed and not yet be part of the configuration.
 const MAX_UNKNOWN_ENGINES: usize = 1_000;
 
+/// Services whose engines are, or were lately, of several builds.
+///
+/// A service that the leader no longer lists counts as mixed for the lifetime of its streams: a new
+/// leader may have seen one build alone.
+#[derive(Debug, Default)]
+pub(super) struct MixedServices {
+    /// The leader's last list, which is in force until the next one.
+    listed: BTreeSet<ServiceId>,
+    /// Services that the list has dropped, and until when they count as mixed.
+    held_until: BTreeMap<ServiceId, Millis>,
+}
+
+impl MixedServices {
+    /// Takes the leader's list.
+    fn take_list(&mut self, list: Vec<ServiceId>, now: Millis) {
+        let list: BTreeSet<ServiceId> = list.into_iter().collect();
+        let before = std::mem::replace(&mut self.listed, list);
+        self.held_until.retain(|_, until| now < *until);
+        for dropped in before.difference(&self.listed) {
+            let until = now + STREAM_LIFETIME;
+            self.held_until.insert(dropped.clone(), until);
+        }
+    }
+
+    fn contains(&self, service: &ServiceId, now: Millis) -> bool {
+        let is_held = self
+            .held_until
+            .get(service)
+            .is_some_and(|until| now < *until);
+        is_held || self.listed.contains(service)
+    }
+}
+
 impl Forwarder {
     /// Applies the leader's news of builds.
     pub fn take_builds(&mut self, update: BuildUpdate, now: Millis) {
@@ -19,9 +52,7 @@
             }
             self.builds.insert(news.backend, news.build);
         }
-        for service in update.mixed {
-            self.mixed_until.insert(service, now + STREAM_LIFETIME);
-        }
+        self.mixed.take_list(update.mixed, now);
         // An engine may be listed before the configuration holds it, but not for long.
         if self.builds.len() > 2 * self.backends.len() + MAX_UNKNOWN_ENGINES {
             let backends = &self.backends;
@@ -37,8 +68,7 @@
     /// Whether engines of several builds serve the service, or did while streams of them may still
     /// be taken up.
     pub fn is_mixed(&self, service: &ServiceId, now: Millis) -> bool {
-        let until = self.mixed_until.get(service);
-        until.is_some_and(|until| now < *until)
+        self.mixed.contains(service, now)
     }
 
     /// Number of engines whose build is known, and of their builds.
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -41,6 +41,8 @@
 use crate::retry_budget::{ServiceBudget, SharedRetryBudget};
 use crate::work::Work;
 
+use builds::MixedServices;
+
 /// Multiples of this number, modulo 1, are spread evenly however many are drawn.
 const GOLDEN_RATIO_CONJUGATE: f64 = 0.618_033_988_749_894_9;
 
@@ -111,8 +113,8 @@
     paths: PathMonitor,
     /// Builds of engines by the leader's list, which may be ahead of the configuration.
     builds: HashMap<BackendId, BuildId>,
-    /// Services whose engines are of several builds, and until when they count as such.
-    mixed_until: HashMap<ServiceId, Millis>,
+    /// Services whose engines are, or were lately, of several builds.
+    mixed: MixedServices,
     /// Makes the draws of this gateway differ from those of its peers.
     seed: u64,
 }
@@ -159,7 +161,7 @@
             arrival_count: 0,
             paths: PathMonitor::default(),
             builds: HashMap::new(),
-            mixed_until: HashMap::new(),
+            mixed: MixedServices::default(),
             seed,
         }
     }
