Gateways report the streams of a mix to a leader that has not seen it

What callers saw: after a change of the leader during a roll, streams of the build that still serves were refused at other gateways (0 of 7 went on in the test). Cause: streams were reported for the services that the update lists as mixed. A leader that has seen one build alone lists none. Change: the services that count as mixed at the gateway decide, which are the listed ones and those that were dropped in the last 60 s. The log line builds_known tells both numbers. Why it works: a new connection clears what was reported, its first update names all engines, and thus all streams of such services are sent to the new leader.

--- a/components/forwarding-shell/src/stream_builds.rs
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -99,18 +99,26 @@
     }
 }
 
-/// Applies an update of builds. If the engines of a service have become of several builds, its
-/// streams so far are reported to the leader.
+/// Applies an update of builds. If the engines of a service have become of several builds, or the
+/// leader may be another one, the service's streams so far are reported to the leader.
 pub(crate) fn on_builds<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     update: BuildUpdate,
 ) {
-    let mixed: BTreeSet<ServiceId> = update.mixed.iter().cloned().collect();
+    let now = gateway.now();
+    let listed = update.mixed.len();
     let mut forwarder = gateway.forwarder.borrow_mut();
-    forwarder.take_builds(update, gateway.now());
+    forwarder.take_builds(update, now);
     let (engines, builds) = forwarder.known_builds();
+    let mixed = forwarder.mixed_services(now);
     drop(forwarder);
-    log::info!(engines = engines, builds = builds, mixed_services = mixed.len(); "builds_known");
+    log::info!(
+        engines = engines,
+        builds = builds,
+        listed_as_mixed = listed,
+        mixed_services = mixed.len();
+        "builds_known"
+    );
     let StreamBuilds { own, reported, .. } = &gateway.stream_builds;
     let new: BTreeSet<ServiceId> = mixed.difference(&reported.borrow()).cloned().collect();
     let notes = notes_of(&own.borrow(), &new);
--- a/components/forwarding/src/forwarder/builds.rs
+++ b/components/forwarding/src/forwarder/builds.rs
@@ -35,11 +35,14 @@
     }
 
     fn contains(&self, service: &ServiceId, now: Millis) -> bool {
-        let is_held = self
-            .held_until
-            .get(service)
-            .is_some_and(|until| now < *until);
-        is_held || self.listed.contains(service)
+        let until = self.held_until.get(service);
+        until.is_some_and(|until| now < *until) || self.listed.contains(service)
+    }
+
+    fn iter(&self, now: Millis) -> impl Iterator<Item = &ServiceId> {
+        let is_held = move |(_, until): &(&ServiceId, &Millis)| now < **until;
+        let held = self.held_until.iter().filter(is_held);
+        held.map(|(service, _)| service).chain(&self.listed)
     }
 }
 
@@ -71,6 +74,11 @@
         self.mixed.contains(service, now)
     }
 
+    /// The services for which [`Forwarder::is_mixed`] holds.
+    pub fn mixed_services(&self, now: Millis) -> BTreeSet<ServiceId> {
+        self.mixed.iter(now).cloned().collect()
+    }
+
     /// Number of engines whose build is known, and of their builds.
     pub fn known_builds(&self) -> (usize, usize) {
         let distinct: BTreeSet<&BuildId> = self.builds.values().collect();
--- a/components/forwarding/tests/core/builds.rs
+++ b/components/forwarding/tests/core/builds.rs
@@ -1,5 +1,7 @@
 //! Placement while engines of several builds serve one service.
 
+use std::collections::BTreeSet;
+
 use garnet_control::{BuildUpdate, EngineBuild};
 use garnet_forwarding::{Forwarder, Placement};
 use garnet_routes::WorkKind;
@@ -93,10 +95,13 @@
     assert!(gateway.is_mixed(&words(), dropped_at));
     let last = dropped_at + MIXED_TIME.since(Millis(1));
     assert!(gateway.is_mixed(&words(), last));
+    assert_eq!(gateway.mixed_services(last), BTreeSet::from([words()]));
     assert!(!gateway.is_mixed(&words(), dropped_at + MIXED_TIME));
     // Later updates that do not list it do not hold it any longer.
     gateway.take_builds(BuildUpdate::default(), last);
-    assert!(!gateway.is_mixed(&words(), dropped_at + MIXED_TIME));
+    let after = dropped_at + MIXED_TIME;
+    assert!(!gateway.is_mixed(&words(), after));
+    assert_eq!(gateway.mixed_services(after), BTreeSet::new());
 }
 
 /// The list may be ahead of the configuration, and an engine may restart with another build.
