Test: no text of a completions gateway is of two builds

Stand-in engines have a build, which decides what they write; a KV cache of another build garbles it. Load reports and exported KV caches name the build, and jobs may name the one they are meant for, which the engine checks (wrong_build). The gateway names none yet.

The simulator learns replace-build (planned stop or kill of an engine, which starts as another build; planned only if named) and garnet-bench soak engine-replace. Callers ask for whole answers of one build, whichever it is; what they asked before is the case of one build.

--- a/bin/garnet-bench/src/soak/fleet.rs
+++ b/bin/garnet-bench/src/soak/fleet.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use garnet_stand_in::text::BUILDS;
 use garnet_test_support::ReservedAddress;
 use rustix::process::Signal;
 use smol::LocalExecutor;
@@ -178,6 +179,8 @@
                 &platform,
                 "--model",
                 MODEL,
+                "--build",
+                BUILDS[0],
                 "--data",
                 &data,
                 "--speed",
@@ -287,6 +290,14 @@
         self.slot_mut(process).start(&folder, false)
     }
 
+    /// Has the next start of an engine be of another build.
+    pub(super) fn replace_build(&mut self, place: usize) {
+        let [one, other] = BUILDS;
+        let before = self.engines[place].option("--build");
+        let next = if before == Some(one) { other } else { one };
+        self.engines[place].set_option("--build", next);
+    }
+
     /// Ends all processes and removes what they wrote.
     pub(super) fn stop(&mut self) {
         let all = self
--- a/bin/garnet-bench/src/soak/slot.rs
+++ b/bin/garnet-bench/src/soak/slot.rs
@@ -35,6 +35,21 @@
         self
     }
 
+    /// The value of an option.
+    pub(super) fn option(&self, name: &str) -> Option<&str> {
+        let mut pairs = self.arguments.windows(2);
+        let pair = pairs.find(|pair| pair[0] == name)?;
+        Some(&pair[1])
+    }
+
+    /// Replaces the value of an option, from the next start on.
+    pub(super) fn set_option(&mut self, name: &str, value: &str) {
+        let position = self.arguments.iter().position(|argument| argument == name);
+        if let Some(argument) = position.and_then(|at| self.arguments.get_mut(at + 1)) {
+            value.clone_into(argument);
+        }
+    }
+
     /// Starts the process; what it writes is added to its log in `folder`.
     pub(super) fn start(&mut self, folder: &Path, first: bool) -> Result<(), String> {
         let file = folder.join(format!("{}.log", self.name));
--- a/bin/garnet-bench/src/soak/striker.rs
+++ b/bin/garnet-bench/src/soak/striker.rs
@@ -116,7 +116,7 @@
         | FaultKind::BackendRefuse
         | FaultKind::BackendOverload
         | FaultKind::BackendUnframed => Target::Application(random.random_range(0..APPLICATIONS)),
-        FaultKind::EngineKill | FaultKind::EnginePause => {
+        FaultKind::EngineKill | FaultKind::EnginePause | FaultKind::EngineReplace => {
             Target::Engine(random.random_range(0..ENGINES))
         }
         _ => Target::Replica(random.random_range(0..REPLICAS)),
@@ -142,6 +142,9 @@
         (FaultKind::EngineKill, Target::Engine(place)) => {
             kill(soak, Process::Engine(place), lasts).await?;
         }
+        (FaultKind::EngineReplace, Target::Engine(place)) => {
+            replace_engine(soak, place, lasts).await?;
+        }
         (FaultKind::EnginePause, Target::Engine(place)) => {
             pause(soak, Process::Engine(place), lasts).await;
         }
@@ -172,6 +175,22 @@
     soak.fleet.borrow_mut().restart(process)
 }
 
+/// Stops an engine, half of the times as planned, and starts it as another build.
+async fn replace_engine(soak: &Soak, place: usize, lasts: Duration) -> Result<(), String> {
+    let process = Process::Engine(place);
+    let is_planned = lasts.as_millis().is_multiple_of(2);
+    let signal = if is_planned {
+        Signal::TERM
+    } else {
+        Signal::KILL
+    };
+    soak.fleet.borrow().signal(process, signal);
+    wait_for_end(soak, process).await?;
+    let mut fleet = soak.fleet.borrow_mut();
+    fleet.replace_build(place);
+    fleet.restart(process)
+}
+
 async fn kill_all(soak: &Soak, lasts: Duration) -> Result<(), String> {
     for place in 0..REPLICAS {
         soak.fleet
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -41,11 +41,13 @@
             model,
             prompt,
             class,
+            build,
         } => {
             let body = PrefillRequest {
                 model: model.0,
                 prompt,
                 class,
+                build,
             };
             prefill(&context, attempt, &address, &body, patience).await
         }
@@ -56,6 +58,7 @@
             from_token,
             kv,
             class,
+            build,
         } => {
             let body = GenerateRequest {
                 model: model.0,
@@ -64,6 +67,7 @@
                 from_token,
                 kv: kv.map(locate),
                 class,
+                build,
             };
             generate(&context, attempt, &address, &body).await
         }
--- a/bin/garnet-standin/src/arguments.rs
+++ b/bin/garnet-standin/src/arguments.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use garnet_stand_in::text::BUILDS;
 use garnet_types::{EngineRole, Millis};
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
@@ -17,6 +18,7 @@
   --platform IP:PORT    platform to register with
   --data DIR            folder for an engine's highest fence
   --model NAME          model that an engine has loaded
+  --build NAME          build of an engine: 1 or 2, each of which writes other texts (default 1)
   --role ROLE           prefill, decode or mixed (default mixed)
   --speed FACTOR        makes an engine so many times as fast (default 1)
   --role-change-ms MS   time that a change of role takes (default 3000)
@@ -46,6 +48,7 @@
     pub(crate) platform: Option<String>,
     pub(crate) data: PathBuf,
     pub(crate) model: String,
+    pub(crate) build: String,
     pub(crate) role: EngineRole,
     pub(crate) speed: f64,
     pub(crate) role_change: Millis,
@@ -70,6 +73,7 @@
                 Long("platform") => arguments.platform = Some(parser.value()?.string()?),
                 Long("data") => arguments.data = parser.value()?.into(),
                 Long("model") => arguments.model = parser.value()?.string()?,
+                Long("build") => arguments.build = parse_build(parser.value()?.string()?)?,
                 Long("role") => arguments.role = parse_role(&parser.value()?.string()?)?,
                 Long("speed") => arguments.speed = parser.value()?.parse()?,
                 Long("role-change-ms") => arguments.role_change = Millis(parser.value()?.parse()?),
@@ -99,6 +103,7 @@
             platform: None,
             data: PathBuf::from("data"),
             model: "model".to_owned(),
+            build: BUILDS[0].to_owned(),
             role: EngineRole::Mixed,
             speed: 1.0,
             role_change: Millis(3000),
@@ -118,6 +123,13 @@
     }
 }
 
+fn parse_build(name: String) -> Result<String, lexopt::Error> {
+    if BUILDS.contains(&name.as_str()) {
+        return Ok(name);
+    }
+    Err(format!("unknown build \"{name}\"; see --help").into())
+}
+
 fn parse_role(word: &str) -> Result<EngineRole, lexopt::Error> {
     match word {
         "prefill" => Ok(EngineRole::Prefill),
--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -8,7 +8,7 @@
 pub use events::{EventReader, encode_event};
 
 use garnet_control::BackendRegistration;
-use garnet_types::{Class, MachineState};
+use garnet_types::{BuildId, Class, MachineState};
 use serde::{Deserialize, Serialize};
 
 /// Header that is set to [`NOT_STARTED`] on a response to a request that was not started.
@@ -65,6 +65,9 @@
     pub prompt: String,
     /// Priority.
     pub class: Class,
+    /// Build that the engine must be of, if any.
+    #[serde(default)]
+    pub build: Option<BuildId>,
 }
 
 /// Answer to [`paths::PREFILL`].
@@ -99,6 +102,10 @@
     pub kv: Option<KvLocation>,
     /// Priority.
     pub class: Class,
+    /// Build that the engine must be of, if any: the one that began the text or wrote the KV
+    /// cache.
+    #[serde(default)]
+    pub build: Option<BuildId>,
 }
 
 /// One server-sent event of a generated text.
@@ -124,6 +131,9 @@
 pub struct KvExport {
     /// Number of tokens that the KV cache covers.
     pub tokens: u64,
+    /// Build that wrote it; empty if the engine names none.
+    #[serde(default)]
+    pub build: BuildId,
 }
 
 /// [`NotStarted::reason`] if the KV cache to import is not available.
@@ -132,7 +142,7 @@
 /// Body of a response to a request that was not started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotStarted {
-    /// One of `draining`, `wrong_model`, `wrong_role`, `no_kv` or `overloaded`.
+    /// One of `draining`, `wrong_model`, `wrong_role`, `wrong_build`, `no_kv` or `overloaded`.
     pub reason: String,
 }
 
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -4,7 +4,7 @@
 use garnet_limits::RequestRate;
 use garnet_routing::{LoadReport, RetryAfter};
 use garnet_types::{
-    BackendId, Class, EncodingVersion, Millis, ModelId, RecordedResponse, RequestId,
+    BackendId, BuildId, Class, EncodingVersion, Millis, ModelId, RecordedResponse, RequestId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,8 @@
         prompt: String,
         /// Priority.
         class: Class,
+        /// Build of the engine, if it is known.
+        build: Option<BuildId>,
     },
     /// Generate tokens.
     Generate {
@@ -49,6 +51,8 @@
         kv: Option<KvSource>,
         /// Priority.
         class: Class,
+        /// Build of the engine, if it is known.
+        build: Option<BuildId>,
     },
     /// Call an application instance.
     Application {
--- /dev/null
+++ b/components/gateway/tests/core/builds.rs
@@ -0,0 +1,122 @@
+//! Engines of two builds: what one began, no other continues.
+
+use garnet_gateway::{AttemptEvent, Job};
+use garnet_types::{BackendId, BuildId, Millis};
+
+use crate::harness::{Dispatched, Harness, completion};
+
+/// Two engines that run both phases, each of its own build.
+fn mixed() -> Harness {
+    let mut harness = Harness::ready();
+    report_both(&mut harness);
+    harness
+}
+
+fn report_both(harness: &mut Harness) {
+    harness.report_load_of_build("engine-1", "1");
+    harness.report_load_of_build("engine-2", "2");
+}
+
+fn build_of(dispatched: &Dispatched) -> Option<BuildId> {
+    match &dispatched.job {
+        Job::Prefill { build, .. } | Job::Generate { build, .. } => build.clone(),
+        Job::Application { .. } => None,
+    }
+}
+
+fn other_engine(engine: &BackendId) -> &'static str {
+    match engine.as_str() {
+        "engine-1" => "engine-2",
+        _ => "engine-1",
+    }
+}
+
+/// Begins a text and breaks it off after a token; gives its engine.
+fn break_off(harness: &mut Harness) -> BackendId {
+    harness.event(completion(1, None));
+    let first = harness.dispatch();
+    harness.tokens(first.attempt, 0, &["a"]);
+    harness.attempt(first.attempt, AttemptEvent::Broken);
+    first.backend
+}
+
+#[test]
+fn a_text_that_breaks_off_goes_on_at_its_build() {
+    let mut harness = mixed();
+    let engine = break_off(&mut harness);
+    for _ in 0..20 {
+        harness.wait_with_lease(Millis(100));
+        report_both(&mut harness);
+        for resumed in harness.dispatches() {
+            assert_eq!(resumed.backend, engine);
+        }
+    }
+}
+
+/// An engine checks the build itself, as it may have restarted since its last report.
+#[test]
+fn jobs_name_the_build_that_they_are_meant_for() {
+    let mut harness = mixed();
+    harness.event(completion(1, None));
+    let first = harness.dispatch();
+    let expected = match first.backend.as_str() {
+        "engine-1" => "1",
+        _ => "2",
+    };
+    assert_eq!(build_of(&first), Some(BuildId::new(expected)));
+}
+
+/// The engine comes back as another build, and no other one is of the text's.
+#[test]
+fn a_text_whose_build_is_gone_ends_at_once() {
+    let mut harness = mixed();
+    let engine = break_off(&mut harness);
+    harness.answers();
+    let other = other_engine(&engine);
+    let other_build = if other == "engine-1" { "1" } else { "2" };
+    harness.report_load_of_build(engine.as_str(), other_build);
+    harness.wait_with_lease(Millis(100));
+    assert!(harness.dispatches().is_empty());
+    let answers = harness.answers();
+    assert_eq!(answers.len(), 1, "it ends");
+}
+
+#[test]
+fn a_kv_cache_is_used_by_its_build_only() {
+    let mut harness = Harness::split();
+    report_both(&mut harness);
+    harness.event(completion(1, None));
+    assert!(
+        harness.dispatches().is_empty(),
+        "no engine of the prefill engine's build decodes"
+    );
+}
+
+#[test]
+fn a_kv_cache_is_used_within_its_build() {
+    let mut harness = Harness::split();
+    harness.report_load_of_build("engine-1", "1");
+    harness.report_load_of_build("engine-2", "1");
+    harness.event(completion(1, None));
+    let prefill = harness.dispatch();
+    assert_eq!(build_of(&prefill), Some(BuildId::new("1")));
+    harness.attempt(prefill.attempt, AttemptEvent::Prefilled { handle: 7 });
+    let decode = harness.dispatch();
+    assert_eq!(build_of(&decode), Some(BuildId::new("1")));
+}
+
+/// A text that waits for its build holds up no other one.
+#[test]
+fn a_text_that_waits_for_its_build_holds_up_no_other() {
+    let mut harness = mixed();
+    let engine = break_off(&mut harness);
+    harness.dispatches();
+    let other = other_engine(&engine);
+    harness.wait_with_lease(Millis(100));
+    harness.event(completion(2, None));
+    let second = harness.dispatches();
+    assert!(
+        second.iter().any(|sent| sent.backend.as_str() == other),
+        "{second:?}"
+    );
+}
--- a/components/gateway/tests/core/main.rs
+++ b/components/gateway/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's state machine with scripted replicas and back ends.
 
 mod availability;
+mod builds;
 mod claims;
 mod configuration;
 mod crashes;
--- a/components/routing/src/report.rs
+++ b/components/routing/src/report.rs
@@ -1,6 +1,6 @@
 //! Load reports of engines. Their figures are already old on arrival.
 
-use garnet_types::{EngineCapacity, EngineRole};
+use garnet_types::{BuildId, EngineCapacity, EngineRole};
 use serde::{Deserialize, Serialize};
 
 use crate::prefix_index::CacheEvent;
@@ -10,6 +10,9 @@
 pub struct LoadReport {
     /// Distinguishes the starts of the engine.
     pub incarnation: u64,
+    /// Build of the engine; empty if it names none.
+    #[serde(default)]
+    pub build: BuildId,
     /// Actual role of the engine.
     pub role: EngineRole,
     /// Whether the engine accepts new work.
--- a/components/routing/tests/parts/choice.rs
+++ b/components/routing/tests/parts/choice.rs
@@ -3,13 +3,14 @@
 use garnet_routing::{
     Candidate, EngineEstimate, InFlightWork, LoadReport, WorkShape, choose, predict_first_token,
 };
-use garnet_types::{BackendId, EngineCapacity, EngineRole, Millis};
+use garnet_types::{BackendId, BuildId, EngineCapacity, EngineRole, Millis};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
 fn report(queued_prompt_tokens: u64, active_sequences: u64) -> LoadReport {
     LoadReport {
+        build: BuildId::default(),
         incarnation: 1,
         role: EngineRole::Mixed,
         accepting: true,
--- a/components/simulator/src/faults.rs
+++ b/components/simulator/src/faults.rs
@@ -52,6 +52,8 @@
     CutFromBackEnds,
     /// The application's responses end with their connection, some of them cut at any byte.
     UnframedResponses,
+    /// An engine is stopped as planned, or killed, and starts again as another build.
+    ReplaceBuild,
 }
 
 impl FaultKind {
@@ -85,7 +87,11 @@
     ];
 
     /// Kinds that are planned only if they are named, like [`FaultKind::ADDED`].
-    pub const SEPARATE: [FaultKind; 2] = [FaultKind::CutFromBackEnds, FaultKind::UnframedResponses];
+    pub const SEPARATE: [FaultKind; 3] = [
+        FaultKind::CutFromBackEnds,
+        FaultKind::UnframedResponses,
+        FaultKind::ReplaceBuild,
+    ];
 
     /// Kinds that are no failure: everything must end well under them.
     pub const PLANNED: [FaultKind; 2] = [FaultKind::PlannedStop, FaultKind::Leaving];
@@ -111,6 +117,7 @@
             FaultKind::Overload => "overload",
             FaultKind::CutFromBackEnds => "cut-from-back-ends",
             FaultKind::UnframedResponses => "unframed-responses",
+            FaultKind::ReplaceBuild => "replace-build",
         }
     }
 
@@ -258,6 +265,7 @@
         FaultKind::CrashingRequest => Host::Callers,
         FaultKind::CutFromBackEnds => gateway,
         FaultKind::UnframedResponses => application,
+        FaultKind::ReplaceBuild => engine,
         FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload if choice < 5 => engine,
         FaultKind::Leaving | FaultKind::NameLimit | FaultKind::Overload => application,
         _ if choice < 4 => control,
--- a/components/simulator/src/service_hosts.rs
+++ b/components/simulator/src/service_hosts.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use garnet_gateway::AttemptId;
+use garnet_stand_in::text::BUILDS;
 use garnet_stand_in::{ApplicationStandIn, EngineSettings, EngineStandIn, JobId};
-use garnet_types::{EngineAssignment, EngineCapacity, EngineRole, Fence, Millis, ModelId};
+use garnet_types::{BuildId, EngineAssignment, EngineCapacity, EngineRole, Fence, Millis, ModelId};
 
 /// Model that all engines of the simulation hold.
 pub(crate) const MODEL: &str = "model";
@@ -52,6 +53,13 @@
         self.starts
     }
 
+    /// Has the next start be of another build.
+    pub(crate) fn replace_build(&mut self) {
+        let is_other = |build: &&&str| **build != self.settings.build.as_str();
+        let other = BUILDS.iter().find(is_other);
+        self.settings.build = BuildId::new(*other.unwrap_or(&BUILDS[0]));
+    }
+
     pub(crate) fn start(&mut self) {
         self.starts += 1;
         let settings = self.settings.clone();
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -66,6 +66,7 @@
             }
             FaultKind::WrongMachineList => self.wrong_list += 1,
             FaultKind::PlannedStop => self.planned_stop(fault.host),
+            FaultKind::ReplaceBuild => self.begin_replacing_build(fault.host, fault.lasts),
             FaultKind::Leaving => self.set_leaving(fault.host, true),
         }
         self.schedule(end, WorldEvent::FaultEnds(number));
@@ -97,7 +98,9 @@
                 self.delayed_orders.remove(&fault.host);
             }
             FaultKind::WrongMachineList => self.wrong_list -= 1,
-            FaultKind::PlannedStop => self.end_planned_stop(fault.host, number),
+            FaultKind::PlannedStop | FaultKind::ReplaceBuild => {
+                self.end_planned_stop(fault.host, number);
+            }
             FaultKind::Leaving => self.set_leaving(fault.host, false),
             _ => {}
         }
@@ -127,6 +130,18 @@
         self.schedule(end, WorldEvent::Start(host));
     }
 
+    /// Stops an engine, half of the times as planned.
+    fn begin_replacing_build(&mut self, host: Host, lasts: Millis) {
+        if let Host::Engine(place) = host {
+            self.engines[place].replace_build();
+        }
+        if lasts.0.is_multiple_of(2) {
+            self.planned_stop(host);
+        } else {
+            self.end_process(host);
+        }
+    }
+
     pub(super) fn planned_stop(&mut self, host: Host) {
         match host {
             Host::Control(place) => {
--- a/components/simulator/tests/seeds.rs
+++ b/components/simulator/tests/seeds.rs
@@ -277,6 +277,20 @@
     run_seeds(first..first + 6, &[FaultKind::UnframedResponses]);
 }
 
+/// Engines of two builds generated parts of one text, and used each other's KV caches.
+#[rstest]
+fn no_text_is_of_two_builds(#[values(0, 6)] first: u64) {
+    let kinds: Vec<FaultKind> = other_kinds()
+        .into_iter()
+        .chain([FaultKind::ReplaceBuild])
+        .collect();
+    run_seeds(first..first + 6, &kinds);
+    run_seeds(
+        first..first + 6,
+        &[FaultKind::Kill, FaultKind::ReplaceBuild],
+    );
+}
+
 /// Only replicas are replaced, beside all faults and a request that crashes engines: the log
 /// can't hold a verdict, and a leader of version 11 takes no reports.
 #[rstest]
--- a/components/stand-in/src/engine/iterations.rs
+++ b/components/stand-in/src/engine/iterations.rs
@@ -146,14 +146,24 @@
             return;
         };
         let SubmittedJob::Generate {
-            prompt, max_tokens, ..
+            prompt,
+            max_tokens,
+            imported,
+            ..
         } = &job.job
         else {
             return;
         };
         if job.next_token < *max_tokens {
             let index = job.next_token;
-            let text = text::token(prompt, index);
+            let own = self.settings.build.as_str();
+            let text = match imported {
+                // The layout of the KV cache differs between builds.
+                Some(other) if other.as_str() != own => {
+                    text::token(&format!("{other} and {own}"), prompt, index)
+                }
+                _ => text::token(own, prompt, index),
+            };
             job.next_token += 1;
             self.outputs.push((id, JobOutput::Token { index, text }));
         }
--- a/components/stand-in/src/engine/jobs.rs
+++ b/components/stand-in/src/engine/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs of an engine and their outputs.
 
-use garnet_types::Class;
+use garnet_types::{BuildId, Class};
 
 /// Identifies a job within one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -17,6 +17,8 @@
         prompt: String,
         /// Priority.
         class: Class,
+        /// Build that the engine must be of, if any.
+        build: Option<BuildId>,
     },
     /// Generate tokens.
     Generate {
@@ -28,10 +30,12 @@
         max_tokens: u64,
         /// Index of the first token to generate.
         from_token: u64,
-        /// Whether the KV cache was imported, so that the prompt isn't prefilled.
-        imported: bool,
+        /// Build of the engine whose KV cache was imported, so that the prompt isn't prefilled.
+        imported: Option<BuildId>,
         /// Priority.
         class: Class,
+        /// Build that the engine must be of, if any.
+        build: Option<BuildId>,
     },
 }
 
@@ -45,7 +49,7 @@
     pub(super) fn needs_prefill(&self) -> bool {
         match self {
             SubmittedJob::Prefill { .. } => true,
-            SubmittedJob::Generate { imported, .. } => !imported,
+            SubmittedJob::Generate { imported, .. } => imported.is_none(),
         }
     }
 
@@ -56,6 +60,14 @@
         }
     }
 
+    pub(super) fn build(&self) -> Option<&BuildId> {
+        match self {
+            SubmittedJob::Prefill { build, .. } | SubmittedJob::Generate { build, .. } => {
+                build.as_ref()
+            }
+        }
+    }
+
     pub(super) fn generates(&self) -> bool {
         matches!(self, SubmittedJob::Generate { .. })
     }
@@ -70,6 +82,8 @@
     WrongModel,
     /// The engine's role does not include the job.
     WrongRole,
+    /// The job continues what another build began.
+    WrongBuild,
 }
 
 /// Output of a job.
--- a/components/stand-in/src/engine/mod.rs
+++ b/components/stand-in/src/engine/mod.rs
@@ -12,10 +12,12 @@
 
 use garnet_routing::{LoadReport, block_hashes};
 use garnet_types::{
-    EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, Fence, Millis, OrderAnswer,
+    BuildId, EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, Fence, Millis,
+    OrderAnswer,
 };
 
 use crate::prefix_cache::PrefixCache;
+use crate::text::BUILDS;
 
 use iterations::Iteration;
 pub use jobs::{JobId, JobOutput, JobRejection, SubmittedJob};
@@ -30,6 +32,8 @@
 pub struct EngineSettings {
     /// Role and model at the start.
     pub assignment: EngineAssignment,
+    /// Build of the engine.
+    pub build: BuildId,
     /// Speed of the engine.
     pub capacity: EngineCapacity,
     /// Maximum number of prompt tokens per iteration.
@@ -49,6 +53,7 @@
     pub fn new(assignment: EngineAssignment) -> Self {
         EngineSettings {
             assignment,
+            build: BuildId::new(BUILDS[0]),
             capacity: EngineCapacity::default(),
             chunk_tokens: 2000,
             cache_blocks: 4096,
@@ -151,6 +156,7 @@
             .find(|sample| sample.at <= sampled_at);
         LoadReport {
             incarnation: self.incarnation,
+            build: self.settings.build.clone(),
             role: self.assignment.role,
             accepting: self.accepts_work(),
             queued_prompt_tokens: sample.map_or(0, |sample| sample.queued_prompt_tokens),
@@ -161,6 +167,11 @@
         }
     }
 
+    /// Build of the engine.
+    pub fn build(&self) -> &BuildId {
+        &self.settings.build
+    }
+
     /// Begins a planned stop: running jobs finish, new ones are rejected.
     pub fn drain(&mut self) {
         self.draining = true;
@@ -302,6 +313,12 @@
         if job.model() != self.assignment.model.as_str() {
             return Err(JobRejection::WrongModel);
         }
+        if job
+            .build()
+            .is_some_and(|build| *build != self.settings.build)
+        {
+            return Err(JobRejection::WrongBuild);
+        }
         let role = self.assignment.role;
         let can_prefill = !job.needs_prefill() || role.prefills();
         let can_generate = !job.generates() || role.generates();
