Completions gateway: what one build of an engine began, no other continues

What callers would get: a text whose first part one build generated and whose rest another one did, or one that was generated from another build's KV cache. Cause: the gateway chose engines by service and model; the interface of engines named no build. Change: load reports name the build. A text that has begun goes on at its build, a KV cache is used by the build that wrote it, and a prefill engine is taken only where an engine of its build decodes. Each job names its build, so that an engine that restarted since its last report rejects it. Why it works: an engine takes a job only if it is of the build by which the gateway chose it, and the gateway resumes by the build of the engine that generated the first token.

An engine that has not reported its build when the text begins is no obstacle while all engines are of one build; otherwise the text is not resumed.

--- a/components/gateway/src/backends.rs
+++ b/components/gateway/src/backends.rs
@@ -7,7 +7,7 @@
     Availability, CircuitBreaker, EngineEstimate, InFlightWork, LoadReport, PrefixIndex, Probe,
 };
 use garnet_types::{
-    BackendId, BackendKind, EngineCapacity, EngineRole, Millis, ModelId, ServiceId,
+    BackendId, BackendKind, BuildId, EngineCapacity, EngineRole, Millis, ModelId, ServiceId,
 };
 
 use crate::effects::AttemptId;
@@ -30,6 +30,8 @@
     reported_at: Option<Millis>,
     /// Incarnation of the process that reported its load last; differs for each start.
     pub(crate) incarnation: u64,
+    /// Build of that process.
+    build: Option<BuildId>,
     availability: Availability,
     /// Attempts that probe the back end after a backoff.
     probes: BTreeMap<AttemptId, Probe>,
@@ -111,11 +113,17 @@
         });
     }
 
+    /// The build of an engine, if it has reported one.
+    pub(crate) fn build_of(&self, id: &BackendId) -> Option<&BuildId> {
+        self.view_of(id)?.build.as_ref()
+    }
+
     pub(crate) fn observe(&mut self, id: &BackendId, report: &LoadReport, now: Millis) {
         let view = self.view_mut(id);
         view.estimate.observe(report, now);
         view.reported_at = Some(now);
         view.incarnation = report.incarnation;
+        view.build = Some(report.build.clone());
         self.prefixes
             .observe(id, report.incarnation, &report.cache_events);
     }
--- a/components/gateway/src/completion/dispatch.rs
+++ b/components/gateway/src/completion/dispatch.rs
@@ -56,7 +56,7 @@
             model: model.clone(),
             prompt: prompt_with_delivered_tokens(prompt, &request.delivered),
             class: engine_class(request.verdict.class),
-            build: None,
+            build: self.backends.build_of(backend).cloned(),
         };
         let attempt = self.start_attempt(id, backend, job, Phase::Prefill);
         self.set_stage(id, Stage::Prefilling { attempt });
@@ -92,7 +92,7 @@
             from_token: request.delivered.len() as u64,
             kv,
             class: engine_class(request.verdict.class),
-            build: None,
+            build: self.backends.build_of(backend).cloned(),
         };
         let attempt = self.start_attempt(id, backend, job, phase);
         self.set_stage(id, Stage::Generating { attempt });
--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -54,6 +54,10 @@
             return;
         }
         let request = &self.requests[&id];
+        if request.has_begun() && !self.has_engine_of_required_build(request) {
+            self.end_without_build(id);
+            return;
+        }
         // A request that has been prefilled waits until its deadline, since work was done for it
         // and engines return from planned stops.
         let has_begun = request.is_prefilled || !request.delivered.is_empty();
@@ -77,6 +81,13 @@
         self.end_without_answer(id, refusal);
     }
 
+    /// Ends a text that no engine may continue.
+    fn end_without_build(&mut self, id: RequestId) {
+        let message = "no engine of the build that began the text is left";
+        let refusal = Refusal::not_run(OutcomeCode::NotRun, NO_ENGINE_RETRY_AFTER, message);
+        self.end_without_answer(id, refusal);
+    }
+
     /// Queues a request until any engine is available, including those at which it failed.
     pub(crate) fn wait_for_engine(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
@@ -160,6 +171,16 @@
         if !self.watched.holds_lease(self.now) {
             return;
         }
+        let mut held_back = Vec::new();
+        self.serve_first_waiting(&mut held_back);
+        for waiting in held_back.into_iter().rev() {
+            self.waiting.return_to_front(waiting);
+        }
+    }
+
+    /// Serves the queue up to the first request that no engine takes. Texts that wait for an
+    /// engine of their build are put into `held_back`, as others may serve those behind them.
+    fn serve_first_waiting(&mut self, held_back: &mut Vec<Waiting<RequestId>>) {
         let target = self.settings.admission.first_token_target;
         for _ in 0..MAX_WAITING_PER_PASS {
             let Some(waiting) = self.waiting.pop(self.now) else {
@@ -172,6 +193,14 @@
                 Some(predicted) if predicted.first_token <= target => {
                     self.dispatch_completion(waiting.item, &predicted.placement);
                 }
+                None if self.requests[&waiting.item].has_begun() => {
+                    self.request_spare_permit(waiting.item);
+                    if self.has_engine_of_required_build(&self.requests[&waiting.item]) {
+                        held_back.push(waiting);
+                    } else {
+                        self.end_without_build(waiting.item);
+                    }
+                }
                 prediction => {
                     if prediction.is_none() {
                         self.request_spare_permit(waiting.item);
--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -55,6 +55,7 @@
         let kv = KvSource {
             address: self.address_of(backend),
             handle,
+            build: self.backends.build_of(backend).cloned(),
         };
         if self.refuse_if_quarantined(id) {
             return;
@@ -107,6 +108,9 @@
             self.on_broken(id, attempt, backend);
             return;
         }
+        if request.build.is_none() {
+            request.build = self.backends.build_of(backend).cloned();
+        }
         let repeated = (delivered - first) as usize;
         let new_tokens: Vec<String> = tokens.into_iter().skip(repeated).collect();
         if new_tokens.is_empty() {
--- a/components/gateway/src/completion/placement.rs
+++ b/components/gateway/src/completion/placement.rs
@@ -1,9 +1,11 @@
 //! Chooses the engine, or the pair of engines, that generates a text.
 
+use std::collections::BTreeSet;
+
 use garnet_routing::{Candidate, WorkShape, choose, predict_first_token};
-use garnet_types::{BackendId, Millis, RequestId};
+use garnet_types::{BackendId, BuildId, Millis, RequestId};
 
-use crate::backends::BackendRef;
+use crate::backends::{BackendRef, engines_of};
 use crate::gateway::Gateway;
 use crate::request::Request;
 
@@ -54,11 +56,22 @@
         if decode.is_empty() {
             decode = limited;
         }
-        let [single, prefill, decode] = [single, prefill, decode].map(|candidates_of_phase| {
+        // Only an engine of the same build can use the KV cache.
+        let build_of = |candidate: &Candidate| self.backends.build_of(&candidate.backend);
+        prefill.retain(|prefill| {
+            let build = build_of(prefill);
+            decode.iter().any(|decode| build_of(decode) == build)
+        });
+        let [single, prefill] = [single, prefill].map(|candidates_of_phase| {
             self.prefer_due_for_refresh(candidates_of_phase, |entry| &entry.backend)
         });
         let single = choose(&single, &mut self.random);
         let prefill = choose(&prefill, &mut self.random);
+        if let Some(prefill) = &prefill {
+            let build = self.backends.build_of(&prefill.backend);
+            decode.retain(|decode| self.backends.build_of(&decode.backend) == build);
+        }
+        let decode = self.prefer_due_for_refresh(decode, |entry| &entry.backend);
         let decode = choose(&decode, &mut self.random);
         best_placement(single, prefill, decode)
     }
@@ -73,10 +86,49 @@
             &request.failed_backends,
             self.now,
         );
-        let engines = engines.into_iter().filter(|entry| self.may_send(entry.id));
+        let engines = engines.into_iter().filter(|entry| {
+            self.may_send(entry.id) && self.is_of_required_build(request, entry.id)
+        });
         Some(self.restrict_suspected(request, engines.collect()))
     }
 
+    /// Whether an engine may run a request: what one build began, no other continues.
+    pub(crate) fn is_of_required_build(&self, request: &Request, engine: &BackendId) -> bool {
+        !request.has_begun() || self.may_continue(request, request.build.as_ref(), engine)
+    }
+
+    /// Whether an engine may continue what an engine of `build` began. If that one had not reported
+    /// its build yet, any engine may as long as all are of one build.
+    fn may_continue(&self, request: &Request, build: Option<&BuildId>, engine: &BackendId) -> bool {
+        match build {
+            Some(build) => self.backends.build_of(engine) == Some(build),
+            None => !self.is_mixed(request),
+        }
+    }
+
+    /// Whether engines that could run a request are of several builds.
+    fn is_mixed(&self, request: &Request) -> bool {
+        let Some(model) = request.model() else {
+            return false;
+        };
+        let engines = engines_of(&self.watched.configuration, &request.service, model);
+        let builds = engines
+            .iter()
+            .filter_map(|engine| self.backends.build_of(engine.id));
+        let distinct: BTreeSet<&BuildId> = builds.collect();
+        distinct.len() > 1
+    }
+
+    /// Whether the configuration holds an engine that may run a request, now or later.
+    pub(super) fn has_engine_of_required_build(&self, request: &Request) -> bool {
+        let Some(model) = request.model() else {
+            return false;
+        };
+        let engines = engines_of(&self.watched.configuration, &request.service, model);
+        let mut engines = engines.iter();
+        engines.any(|engine| self.is_of_required_build(request, engine.id))
+    }
+
     pub(super) fn candidate(
         &self,
         request: &Request,
@@ -126,9 +178,14 @@
     pub(crate) fn choose_decode(&mut self, id: RequestId) -> Option<BackendId> {
         let request = self.requests.get(&id)?;
         let engines = self.untried_engines(request)?;
+        let cache = request.kv_cache.as_ref();
+        let can_import = |engine: &&BackendRef<'_>| {
+            cache.is_none_or(|cache| self.may_continue(request, cache.build.as_ref(), engine.id))
+        };
         let candidates: Vec<Candidate> = engines
             .iter()
             .filter(|engine| engine.role.generates())
+            .filter(can_import)
             .map(|engine| self.candidate(request, engine, Phase::Decode))
             .collect();
         let candidates = self.prefer_due_for_refresh(candidates, |entry| &entry.backend);
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -21,6 +21,8 @@
     pub address: String,
     /// Handle of the cache at that engine.
     pub handle: u64,
+    /// Build of that engine, if it is known.
+    pub build: Option<BuildId>,
 }
 
 /// A job sent to one back end.
--- a/components/gateway/src/gateway/arrival.rs
+++ b/components/gateway/src/gateway/arrival.rs
@@ -64,6 +64,7 @@
             verdict,
             claim: None,
             delivered: Vec::new(),
+            build: None,
             prompt_tokens,
             prompt_blocks,
             failed_backends: Vec::new(),
--- a/components/gateway/src/gateway/limits.rs
+++ b/components/gateway/src/gateway/limits.rs
@@ -188,8 +188,12 @@
         let (service, failed_backends) = (&request.service, &request.failed_backends);
         match request.model() {
             Some(model) => {
-                self.backends
-                    .engines(configuration, service, model, failed_backends, self.now)
+                let engines =
+                    self.backends
+                        .engines(configuration, service, model, failed_backends, self.now);
+                let is_of_build =
+                    |engine: &BackendRef<'_>| self.is_of_required_build(request, engine.id);
+                engines.into_iter().filter(is_of_build).collect()
             }
             None => self
                 .backends
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -2,7 +2,7 @@
 
 use garnet_control::ClaimCommand;
 use garnet_quarantine::{RequestFingerprint, RequestIdentity};
-use garnet_types::{BackendId, Millis, ModelId, ServiceId, TenantId, Verdict};
+use garnet_types::{BackendId, BuildId, Millis, ModelId, ServiceId, TenantId, Verdict};
 
 use crate::body_hash::body_hash;
 use crate::call::{Call, Work};
@@ -41,6 +41,8 @@
     pub(crate) verdict: Verdict,
     pub(crate) claim: Option<ClaimCommand>,
     pub(crate) delivered: Vec<String>,
+    /// Build of the engine that generated the first token, once that engine has reported it.
+    pub(crate) build: Option<BuildId>,
     pub(crate) prompt_tokens: u64,
     pub(crate) prompt_blocks: Vec<u64>,
     /// Back ends at which this request failed.
@@ -127,6 +129,12 @@
             .saturating_sub(self.delivered.len() as u64)
     }
 
+    /// Whether a token has been generated. What follows has to come from an engine of the same
+    /// build.
+    pub(crate) fn has_begun(&self) -> bool {
+        !self.delivered.is_empty()
+    }
+
     /// Whether the current attempt is a prefill.
     pub(crate) fn is_prefilling(&self) -> bool {
         matches!(self.stage, Stage::Prefilling { .. })
--- a/components/gateway/tests/core/builds.rs
+++ b/components/gateway/tests/core/builds.rs
@@ -105,18 +105,38 @@
     assert_eq!(build_of(&decode), Some(BuildId::new("1")));
 }
 
-/// A text that waits for its build holds up no other one.
+/// The engine of the first text is silent. Its text waits, and the one behind it is served.
 #[test]
 fn a_text_that_waits_for_its_build_holds_up_no_other() {
     let mut harness = mixed();
-    let engine = break_off(&mut harness);
-    harness.dispatches();
-    let other = other_engine(&engine);
-    harness.wait_with_lease(Millis(100));
-    harness.event(completion(2, None));
-    let second = harness.dispatches();
+    let first = begin(&mut harness, 1);
+    // The second text begins at the other engine.
+    harness.attempt(first.attempt, AttemptEvent::Draining);
+    let second = begin(&mut harness, 2);
+    assert_ne!(first.backend, second.backend);
+    // A gap fails the attempt and is no crash.
+    harness.tokens(first.attempt, 2, &["c"]);
+    harness.tokens(second.attempt, 2, &["c"]);
+    for sent in harness.dispatches() {
+        harness.attempt(sent.attempt, AttemptEvent::NotStarted { draining: true });
+    }
+    let served = second.backend.as_str();
+    let build = build_of(&second).expect("a build");
+    for _ in 0..25 {
+        harness.wait_with_lease(Millis(100));
+        harness.report_load_of_build(served, build.as_str());
+    }
+    let sent = harness.dispatches();
     assert!(
-        second.iter().any(|sent| sent.backend.as_str() == other),
-        "{second:?}"
+        sent.iter().any(|sent| sent.backend == second.backend),
+        "{sent:?}"
     );
 }
+
+/// Sends a text and its first token.
+fn begin(harness: &mut Harness, number: u64) -> Dispatched {
+    harness.event(completion(number, None));
+    let begun = harness.dispatch();
+    harness.tokens(begun.attempt, 0, &["a"]);
+    begun
+}
