Completions gateway: a text waits for engines of its build that are stopped

What callers would get: in a fleet of one build as well, a text that broke off while no engine took work, as during changes of role, ended at once where it waited for its deadline before. Cause: "no engine of the build is left" was read off the engines that take work now. Change: a build counts as gone if engines of the service have reported builds and all of them are of another one, whatever state they are in.

--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -54,7 +54,7 @@
             return;
         }
         let request = &self.requests[&id];
-        if request.has_begun() && !self.has_engine_of_required_build(request) {
+        if self.is_build_gone(request) {
             self.end_without_build(id);
             return;
         }
@@ -195,10 +195,10 @@
                 }
                 None if self.requests[&waiting.item].has_begun() => {
                     self.request_spare_permit(waiting.item);
-                    if self.has_engine_of_required_build(&self.requests[&waiting.item]) {
-                        held_back.push(waiting);
-                    } else {
+                    if self.is_build_gone(&self.requests[&waiting.item]) {
                         self.end_without_build(waiting.item);
+                    } else {
+                        held_back.push(waiting);
                     }
                 }
                 prediction => {
--- a/components/gateway/src/completion/placement.rs
+++ b/components/gateway/src/completion/placement.rs
@@ -119,14 +119,18 @@
         distinct.len() > 1
     }
 
-    /// Whether the configuration holds an engine that may run a request, now or later.
-    pub(super) fn has_engine_of_required_build(&self, request: &Request) -> bool {
-        let Some(model) = request.model() else {
+    /// Whether all engines of the service that have reported a build are of another one than a text
+    /// that has begun. An engine that doesn't take work now may do so later.
+    pub(super) fn is_build_gone(&self, request: &Request) -> bool {
+        let Some(build) = request.build.as_ref().filter(|_| request.has_begun()) else {
             return false;
         };
-        let engines = engines_of(&self.watched.configuration, &request.service, model);
-        let mut engines = engines.iter();
-        engines.any(|engine| self.is_of_required_build(request, engine.id))
+        let records = self.watched.configuration.backends.values();
+        let of_service = records.filter(|record| record.registration.service == request.service);
+        let mut builds = of_service
+            .filter_map(|record| self.backends.build_of(&record.registration.id))
+            .peekable();
+        builds.peek().is_some() && builds.all(|other| other != build)
     }
 
     pub(super) fn candidate(
--- a/components/gateway/tests/core/builds.rs
+++ b/components/gateway/tests/core/builds.rs
@@ -1,9 +1,10 @@
 //! Engines of two builds: what one began, no other continues.
 
-use garnet_gateway::{AttemptEvent, Job};
-use garnet_types::{BackendId, BuildId, Millis};
+use garnet_control::WatchUpdate;
+use garnet_gateway::{AttemptEvent, Event, Job};
+use garnet_types::{BackendId, BuildId, MachineState, Millis};
 
-use crate::harness::{Dispatched, Harness, completion};
+use crate::harness::{Dispatched, Harness, completion, configuration};
 
 /// Two engines that run both phases, each of its own build.
 fn mixed() -> Harness {
@@ -105,6 +106,24 @@
     assert_eq!(build_of(&decode), Some(BuildId::new("1")));
 }
 
+/// Both engines are of the text's build and are being stopped. They may come back, so that the text
+/// waits as it does in a fleet of one build.
+#[test]
+fn a_text_waits_for_engines_of_its_build_that_are_stopped() {
+    let mut harness = Harness::ready();
+    harness.report_load_of_build("engine-1", "1");
+    harness.report_load_of_build("engine-2", "1");
+    let first = begin(&mut harness, 1);
+    let mut stopping = configuration(11);
+    for record in stopping.backends.values_mut() {
+        record.machine = MachineState::Leaving;
+    }
+    harness.watch_answered(WatchUpdate::Snapshot(stopping.into()));
+    harness.event(Event::IndexPersisted(11));
+    harness.attempt(first.attempt, AttemptEvent::Broken);
+    assert!(harness.answers().is_empty());
+}
+
 /// The engine of the first text is silent. Its text waits, and the one behind it is served.
 #[test]
 fn a_text_that_waits_for_its_build_holds_up_no_other() {
