--- a/bin/garnet-bench/src/soak/fleet.rs
+++ b/bin/garnet-bench/src/soak/fleet.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use garnet_stand_in::text::BUILDS;
+use garnet_stand_in::text::{BUILDS, other_build};
 use garnet_test_support::ReservedAddress;
 use rustix::process::Signal;
 use smol::LocalExecutor;
@@ -292,10 +292,9 @@
 
     /// Has the next start of an engine be of another build.
     pub(super) fn replace_build(&mut self, place: usize) {
-        let [one, other] = BUILDS;
-        let before = self.engines[place].option("--build");
-        let next = if before == Some(one) { other } else { one };
-        self.engines[place].set_option("--build", next);
+        let engine = &mut self.engines[place];
+        let next = other_build(engine.option("--build").unwrap_or(BUILDS[0]));
+        engine.set_option("--build", next);
     }
 
     /// Ends all processes and removes what they wrote.
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -329,7 +329,7 @@
     Err(end)
 }
 
-/// Notes an answer whose end is not marked, so that a break can't be told from its end.
+/// Notes an answer whose end is not marked, so that a break can't be distinguished from its end.
 fn note_until_close<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     call: &Call,
--- a/components/simulator/src/service_hosts.rs
+++ b/components/simulator/src/service_hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use garnet_gateway::AttemptId;
-use garnet_stand_in::text::BUILDS;
+use garnet_stand_in::text::other_build;
 use garnet_stand_in::{ApplicationStandIn, EngineSettings, EngineStandIn, JobId};
 use garnet_types::{BuildId, EngineAssignment, EngineCapacity, EngineRole, Fence, Millis, ModelId};
 
@@ -55,9 +55,8 @@
 
     /// Has the next start be of another build.
     pub(crate) fn replace_build(&mut self) {
-        let is_other = |build: &&&str| **build != self.settings.build.as_str();
-        let other = BUILDS.iter().find(is_other);
-        self.settings.build = BuildId::new(*other.unwrap_or(&BUILDS[0]));
+        let other = other_build(self.settings.build.as_str());
+        self.settings.build = BuildId::new(other);
     }
 
     pub(crate) fn start(&mut self) {
--- a/components/stand-in/src/text.rs
+++ b/components/stand-in/src/text.rs
@@ -7,10 +7,16 @@
     "jacket", "kettle", "lantern", "meadow", "notary", "orchard", "pharmacy",
 ];
 
-/// Builds of stand-in engines, each of which writes another answer to a prompt. Engines are of the
-/// first one unless they are told otherwise.
+/// Builds of stand-in engines, each of which writes another answer to a prompt. The first one is the
+/// default.
 pub const BUILDS: [&str; 2] = ["1", "2"];
 
+/// The build that replaces `build`.
+pub fn other_build(build: &str) -> &'static str {
+    let [one, other] = BUILDS;
+    if build == one { other } else { one }
+}
+
 /// The token at `index` in the answer of a build to `prompt`.
 pub fn token(build: &str, prompt: &str, index: u64) -> String {
     let seed = if build == BUILDS[0] {
