Gateways log the shared parts of a run that broke off, and whether it had begun

No line told which parts the broken runs of an engine's end share, nor whether an event of them had come: a part that crashes engines and engines that end by themselves look alike. run_broken gets parts= and has_begun=. No behaviour changes.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -119,13 +119,22 @@
         log::info!(
             request = call.facts.id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
-            backend = self.backend.as_str();
+            backend = self.backend.as_str(),
+            parts = self.shared_parts().as_str(),
+            has_begun = self.is_prefilled;
             "run_broken"
         );
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.run_crashed(fingerprint, &self.backend, now);
     }
 
+    /// The ids of the parts that the prompt may share with others, as its caller spells them.
+    fn shared_parts(&self) -> String {
+        let parts = self.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
+        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Notes that the run completed, as the framing of the answer shows.
     pub(crate) fn completed(&self, call: &Call) {
         let now = self.gateway.now();
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -108,11 +108,15 @@
         self.tokens + self.likely_output()
     }
 
+    /// The parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
     /// Length of the longest prefix that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
-        let last = self.parts.last().map_or(0, |part| part.tokens);
-        let all: u64 = self.parts.iter().map(|part| part.tokens).sum();
-        all - last
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// The longest prefix that other requests may share, or the whole prompt if it has
