Quarantine: an estimate of which parts of prompts crash engines

Not used yet. PromptLog keeps the runs of prompts that break off at one gateway, with the parts that other requests may share, and when engines last wrote an answer on a part. Parts that were in the same runs at all crashes are refused only where a prompt has all of them, so that no verdict is made on a companion. A crash that a refused set explains counts against no other part, nor against a whole request.

Tests of the tracker: each way in which a sound part looks guilty, two crashing parts at once, several services, releases; one property over random companions.

--- a/components/quarantine/src/crash_log.rs
+++ b/components/quarantine/src/crash_log.rs
@@ -147,15 +147,26 @@
     /// The status of a request, from the runs recorded here and the leader's suspects.
     pub fn status(&self, fingerprint: RequestFingerprint) -> QuarantineStatus {
         let engines = self.engines_of(fingerprint);
+        let published = self.published_status(fingerprint);
+        if published == QuarantineStatus::Refused || self.is_certain_cause(fingerprint, &engines) {
+            QuarantineStatus::Refused
+        } else if engines.len() + 1 >= CRASH_THRESHOLD {
+            QuarantineStatus::Suspected
+        } else {
+            published
+        }
+    }
+
+    /// The status of a request, or of a set of parts of prompts, by the lists of the leader and
+    /// of previous ones.
+    pub fn published_status(&self, fingerprint: RequestFingerprint) -> QuarantineStatus {
         let previous = self.previous_suspects.get(&fingerprint);
         let previous = previous.map(|previous| previous.status);
         if self.leader_suspects.refused.contains(&fingerprint)
             || previous == Some(QuarantineStatus::Refused)
-            || self.is_certain_cause(fingerprint, &engines)
         {
             QuarantineStatus::Refused
-        } else if engines.len() + 1 >= CRASH_THRESHOLD
-            || self.leader_suspects.suspected.contains(&fingerprint)
+        } else if self.leader_suspects.suspected.contains(&fingerprint)
             || previous == Some(QuarantineStatus::Suspected)
         {
             QuarantineStatus::Suspected
@@ -312,14 +323,21 @@
 
     /// Sets the requests that the configuration refuses. The recorded runs of a request that it no
     /// longer refuses are dropped; otherwise the request would be refused again as soon as an
-    /// operator released it.
-    pub fn update_quarantined(&mut self, quarantined: impl Iterator<Item = RequestFingerprint>) {
+    /// operator released it. Returns the requests that it no longer refuses.
+    pub fn update_quarantined(
+        &mut self,
+        quarantined: impl Iterator<Item = RequestFingerprint>,
+    ) -> Vec<RequestFingerprint> {
         let current: BTreeSet<RequestFingerprint> = quarantined.collect();
         let previous = std::mem::replace(&mut self.quarantined, current);
-        for released in previous.difference(&self.quarantined) {
-            self.entries.retain(|entry| entry.fingerprint != *released);
-            self.previous_suspects.remove(released);
+        let released = previous.difference(&self.quarantined).copied();
+        let released: Vec<RequestFingerprint> = released.collect();
+        for fingerprint in &released {
+            self.entries
+                .retain(|entry| entry.fingerprint != *fingerprint);
+            self.previous_suspects.remove(fingerprint);
         }
+        released
     }
 
     /// Sets the suspects that the leader published, or the replica that receives the reports in
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -14,8 +14,8 @@
 /// one.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// Identifies a request across all attempts of its caller. The text form is 32 hexadecimal
-/// digits.
+/// Identifies a request across all attempts of its caller, or a set of parts of prompts
+/// ([`PartSet`](crate::PartSet)). The text form is 32 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
 
@@ -23,6 +23,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub struct FingerprintError;
 
+impl RequestFingerprint {
+    /// The fingerprint with these bytes.
+    pub(crate) fn from_bytes(bytes: [u8; FINGERPRINT_BYTES]) -> Self {
+        RequestFingerprint(bytes)
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Gateways record the runs during which an engine crashed ([`CrashLog`]) and report them to the
 //! leader. The leader combines the reports of all gateways ([`CrashTracker`]) and decides which
-//! requests are refused.
+//! requests are refused. In the same way it decides which parts of prompts are refused
+//! ([`PromptLog`], [`PromptTracker`]).
 //!
 //! Contract: no socket, file or clock.
 
@@ -10,6 +11,10 @@
 mod crash_log;
 mod fingerprint;
 mod isolation;
+mod prompt_log;
+mod prompt_part;
+mod prompt_report;
+mod prompt_tracker;
 mod tracker;
 
 pub use crash::{
@@ -18,4 +23,10 @@
 pub use crash_log::{CrashLog, QuarantineStatus};
 pub use fingerprint::{FingerprintError, RequestFingerprint, RequestIdentity};
 pub use isolation::isolation_backend;
+pub use prompt_log::{BrokenPrompt, PromptLog};
+pub use prompt_part::{MAX_PARTS_PER_SET, PartId, PartSet, matching_fingerprints};
+pub use prompt_report::{
+    BrokenPromptRun, PART_CRASH_THRESHOLD, PromptReport, SoundPart, TrackedParts,
+};
+pub use prompt_tracker::{PartDecision, PromptTracker, RefusedParts};
 pub use tracker::{CrashTracker, RefusedRequest};
--- /dev/null
+++ b/components/quarantine/src/prompt_tracker.rs
@@ -0,0 +1,573 @@
+//! The estimate of which parts of prompts crash engines.
+//!
+//! All runs on an engine break off when it crashes, and most share parts with many sound prompts.
+//! Four rules tell the cause apart. A part on which an engine lately wrote an answer is sound. A
+//! crash during a run of a refused set does not count against other parts. The part with the most
+//! crashes is refused first, and the others are decided on without these crashes. Parts that were
+//! in the same runs at all crashes can't be told apart, so they are refused only where a prompt
+//! contains all of them: a sound prompt with some of them is still served, which clears these, and
+//! a crash without some of them rules those out.
+//!
+//! The estimate is bounded and never replicated: gateways report their runs again to a new leader.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use garnet_types::{BackendId, Millis, ServiceId};
+
+use crate::crash::EngineStart;
+use crate::crash_log::CRASH_LIFETIME;
+use crate::fingerprint::RequestFingerprint;
+use crate::prompt_part::{
+    MAX_PARTS_PER_SET, PartId, PartSet, matching_fingerprints, matching_sets,
+};
+use crate::prompt_report::{PART_CRASH_THRESHOLD, PromptReport, TrackedParts};
+
+/// Threshold for a part that was sound before: its crashes are probably those of others, unless
+/// the engines have changed.
+const SOUND_PART_THRESHOLD: usize = 2 * PART_CRASH_THRESHOLD;
+/// A request may crash engines by itself. It is refused after fewer crashes than a part, so a part
+/// is refused only if several requests were running.
+const MIN_REQUESTS: usize = 2;
+/// Maximum number of tracked crashes.
+const MAX_CRASHES: usize = 256;
+/// Maximum number of runs that are kept of a crash, some 100 bytes each.
+const MAX_RUNS_PER_CRASH: usize = 128;
+/// Maximum number of sound parts that are kept, some 50 bytes each.
+const MAX_SOUND_PARTS: usize = 4096;
+/// Maximum number of parts that gateways are asked about, 8 bytes each.
+const MAX_TRACKED_PARTS: usize = 256;
+/// Maximum number of sets that are published as suspected, 16 bytes each.
+const MAX_SUSPECTED_SETS: usize = 64;
+/// Time after the decisive crash in which gateways report it, learn which parts are tracked, and
+/// report which of them are sound. The users allow 3 s until all gateways refuse the part.
+const DECISION_DELAY: Millis = Millis(1_000);
+/// Time within which all gateways have reported a crash.
+const REPORT_DELAY: Millis = Millis(350);
+/// Time after a reported crash in which an answer of the engine may still be from before it.
+const STALE_ANSWER_WINDOW: Millis = Millis::from_secs(5);
+
+/// A set of parts that is refused from now on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RefusedParts {
+    /// The set.
+    pub set: PartSet,
+    /// Number of engines that crashed during runs of prompts with it.
+    pub crashes: usize,
+}
+
+/// Changes of the refused sets.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartDecision {
+    /// Sets that are refused from now on.
+    pub refused: Vec<RefusedParts>,
+    /// Sets that are no longer refused.
+    pub released: Vec<RequestFingerprint>,
+}
+
+/// A run that broke off with its engine.
+#[derive(Debug, PartialEq, Eq)]
+struct Run {
+    request: RequestFingerprint,
+    /// The parts that other prompts may share, in their order.
+    parts: Vec<PartId>,
+    /// Fingerprints of the sets that the prompt matches.
+    sets: Vec<RequestFingerprint>,
+}
+
+impl Run {
+    fn contains_all(&self, parts: &[PartId]) -> bool {
+        parts.iter().all(|part| self.parts.contains(part))
+    }
+}
+
+/// The crash of an engine.
+#[derive(Debug)]
+struct Crash {
+    service: ServiceId,
+    /// When the first of its runs broke off.
+    at: Millis,
+    reported_at: Millis,
+    runs: Vec<Run>,
+}
+
+/// What is known of a part during whose runs engines crashed.
+#[derive(Debug, Clone)]
+struct Candidate<'a> {
+    part: PartId,
+    /// The crashes since the part was last sound.
+    crashes: Vec<&'a Crash>,
+    /// When the crashes that no refused set explains were reported.
+    unexplained: Vec<Millis>,
+    requests: BTreeSet<RequestFingerprint>,
+    runs: usize,
+    was_sound: bool,
+}
+
+impl Candidate<'_> {
+    fn new(part: PartId) -> Self {
+        Candidate {
+            part,
+            crashes: Vec::new(),
+            unexplained: Vec::new(),
+            requests: BTreeSet::new(),
+            runs: 0,
+            was_sound: false,
+        }
+    }
+
+    fn threshold(&self) -> usize {
+        if self.was_sound {
+            SOUND_PART_THRESHOLD
+        } else {
+            PART_CRASH_THRESHOLD
+        }
+    }
+
+    /// Whether the part is refused once `missing` more of its runs break off.
+    fn nearly_reaches_threshold(&self, missing: usize) -> bool {
+        self.crashes.len() + missing >= self.threshold() && !self.unexplained.is_empty()
+    }
+
+    fn reaches_threshold(&self) -> bool {
+        self.nearly_reaches_threshold(0) && self.requests.len() >= MIN_REQUESTS
+    }
+
+    /// Whether all gateways have had time to report the decisive crash, and which parts are
+    /// sound. Later crashes don't extend the wait.
+    fn is_fully_reported(&self, now: Millis) -> bool {
+        let mut times: Vec<Millis> = self.crashes.iter().map(|crash| crash.reported_at).collect();
+        times.sort_unstable();
+        let waited =
+            |since: Option<&Millis>, delay| since.is_some_and(|at| now.since(*at) >= delay);
+        waited(times.get(self.threshold() - 1), DECISION_DELAY)
+            && waited(self.unexplained.iter().min(), REPORT_DELAY)
+    }
+}
+
+/// Orders candidates; the most probable cause is the greatest.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    was_never_sound: bool,
+    unexplained: usize,
+    /// A larger set refuses fewer prompts.
+    set_size: usize,
+    crashes: usize,
+    /// A part that crashes engines is in one run at each crash, a popular one in many.
+    runs: Reverse<usize>,
+}
+
+/// The record of crashes during runs of prompts, and of the refused sets of parts.
+#[derive(Debug, Default)]
+pub struct PromptTracker {
+    crashes: BTreeMap<EngineStart, Crash>,
+    /// When engines of a service last wrote an answer on a part.
+    sound: BTreeMap<(ServiceId, PartId), Millis>,
+    /// The refused sets, also those of which only the fingerprint is known.
+    refused: BTreeSet<RequestFingerprint>,
+    /// The refused sets that were decided on here.
+    decided: BTreeMap<RequestFingerprint, PartSet>,
+    suspected: Vec<RequestFingerprint>,
+    tracked: Vec<TrackedParts>,
+    /// Whether anything has changed that [`Self::decide`] has not taken into account.
+    has_changed: bool,
+}
+
+impl PromptTracker {
+    /// Applies a gateway's report.
+    pub fn apply_report(&mut self, report: &PromptReport, now: Millis) {
+        for run in &report.broken {
+            let at = now - run.ago;
+            let crash = self.crashes.entry(run.engine.clone());
+            let crash = crash.or_insert_with(|| Crash {
+                service: run.service.clone(),
+                at,
+                reported_at: now,
+                runs: Vec::new(),
+            });
+            let run = Run {
+                request: run.request,
+                parts: run.parts.clone(),
+                sets: matching_fingerprints(&run.service, &run.parts),
+            };
+            if crash.runs.len() < MAX_RUNS_PER_CRASH && !crash.runs.contains(&run) {
+                crash.runs.push(run);
+            }
+        }
+        for sound in &report.sound {
+            let at = now - sound.ago;
+            let key = (sound.service.clone(), sound.part);
+            let last = self.sound.entry(key).or_insert(at);
+            *last = at.max(*last);
+        }
+        self.has_changed |= !report.is_empty();
+        self.drop_excess();
+    }
+
+    /// Records that an engine answered a request. If its crash was reported long enough ago, only
+    /// a connection broke, and the crash is dropped.
+    pub fn answered(&mut self, backend: &BackendId, now: Millis) {
+        let before = self.crashes.len();
+        self.crashes.retain(|engine, crash| {
+            engine.backend != *backend || now.since(crash.reported_at) < STALE_ANSWER_WINDOW
+        });
+        self.has_changed |= self.crashes.len() != before;
+    }
+
+    /// Decides which sets of parts are refused and which no longer are.
+    pub fn decide(&mut self, now: Millis) -> PartDecision {
+        self.forget_old(now);
+        let mut decision = PartDecision::default();
+        if !self.has_changed {
+            return decision;
+        }
+        self.has_changed = false;
+        self.identify_refused();
+        self.revise(&mut decision);
+        while let Some(probable) = self.most_probable() {
+            if !probable.is_fully_reported(now) {
+                self.has_changed = true;
+                break;
+            }
+            let crashes = probable.crashes.len();
+            let sets = self.sets_of(&probable);
+            if !self.refuse_sets(sets, crashes, &mut decision) {
+                break;
+            }
+        }
+        self.suspected = self.compute_suspected();
+        self.tracked = self.compute_tracked();
+        decision
+    }
+
+    /// Finds the refused sets of which only the fingerprint is known among those of the runs.
+    fn identify_refused(&mut self) {
+        let is_unknown = |set: &RequestFingerprint| {
+            self.refused.contains(set) && !self.decided.contains_key(set)
+        };
+        let mut found = Vec::new();
+        for crash in self.crashes.values() {
+            for run in crash
+                .runs
+                .iter()
+                .filter(|run| run.sets.iter().any(is_unknown))
+            {
+                found.extend(matching_sets(&crash.service, &run.parts));
+            }
+        }
+        for set in found {
+            let fingerprint = set.fingerprint();
+            if self.refused.contains(&fingerprint) {
+                self.decided.insert(fingerprint, set);
+            }
+        }
+    }
+
+    /// The part that most probably crashes engines, of those that reach the threshold.
+    fn most_probable(&self) -> Option<Candidate<'_>> {
+        let candidates = self.candidates();
+        let reaching = candidates
+            .values()
+            .filter(|candidate| candidate.reaches_threshold());
+        let most_probable = reaching.max_by_key(|candidate| self.rank(candidate, &candidates))?;
+        Some(most_probable.clone())
+    }
+
+    fn rank(
+        &self,
+        candidate: &Candidate<'_>,
+        candidates: &BTreeMap<PartId, Candidate<'_>>,
+    ) -> Rank {
+        Rank {
+            was_never_sound: !candidate.was_sound,
+            unexplained: candidate.unexplained.len(),
+            set_size: inseparable_parts(candidate, candidates).len(),
+            crashes: candidate.crashes.len(),
+            runs: Reverse(candidate.runs),
+        }
+    }
+
+    /// Refuses these sets. Returns whether any of them is new.
+    fn refuse_sets(
+        &mut self,
+        sets: Vec<PartSet>,
+        crashes: usize,
+        decision: &mut PartDecision,
+    ) -> bool {
+        let before = decision.refused.len();
+        for set in sets {
+            let fingerprint = set.fingerprint();
+            if self.refused.insert(fingerprint) {
+                self.decided.insert(fingerprint, set.clone());
+                decision.refused.push(RefusedParts { set, crashes });
+            }
+        }
+        decision.refused.len() > before
+    }
+
+    /// The part and those that were in the same runs at each of its crashes, as a set for each
+    /// service of the crashes.
+    fn sets_of(&self, candidate: &Candidate<'_>) -> Vec<PartSet> {
+        let parts = inseparable_parts(candidate, &self.candidates());
+        let crashes = candidate.crashes.iter();
+        let services: BTreeSet<&ServiceId> = crashes.map(|crash| &crash.service).collect();
+        let set = |service: &ServiceId| PartSet::new(service.clone(), parts.clone());
+        services.into_iter().map(set).collect()
+    }
+
+    /// Releases refused sets that later reports speak against.
+    fn revise(&mut self, decision: &mut PartDecision) {
+        for (fingerprint, set) in self.decided.clone() {
+            let suspicious = self.without_cleared(&set);
+            if suspicious.len() == set.parts.len() && !self.is_explained_by_another(&set) {
+                continue;
+            }
+            self.release(&fingerprint);
+            decision.released.push(fingerprint);
+            if suspicious.is_empty() || suspicious.len() == set.parts.len() {
+                continue;
+            }
+            let set = PartSet::new(set.service, suspicious);
+            let crashes = self.crashes_of(&set).len();
+            self.refused.insert(set.fingerprint());
+            self.decided.insert(set.fingerprint(), set.clone());
+            decision.refused.push(RefusedParts { set, crashes });
+        }
+    }
+
+    /// The parts of a set that are not known to be sound.
+    fn without_cleared(&self, set: &PartSet) -> Vec<PartId> {
+        let is_cleared = |part: &PartId| {
+            let sound_at = self.sound.get(&(set.service.clone(), *part));
+            sound_at.is_some_and(|sound_at| {
+                let crashes = self.crashes.values();
+                let later = crashes.filter(|crash| {
+                    crash.at > *sound_at && crash.runs.iter().any(|run| run.parts.contains(part))
+                });
+                later.count() < SOUND_PART_THRESHOLD
+            })
+        };
+        let parts = set.parts.iter();
+        parts.filter(|part| !is_cleared(part)).copied().collect()
+    }
+
+    /// Whether another refused set was running at all crashes of this one and at further ones:
+    /// then it alone is the cause.
+    fn is_explained_by_another(&self, set: &PartSet) -> bool {
+        let own = self.crashes_of(set);
+        let others = self.decided.values().filter(|other| *other != set);
+        !own.is_empty()
+            && others.into_iter().any(|other| {
+                let crashes = self.crashes_of(other);
+                crashes.len() > own.len() && crashes.is_superset(&own)
+            })
+    }
+
+    /// The crashes during runs of prompts with all parts of the set.
+    fn crashes_of(&self, set: &PartSet) -> BTreeSet<&EngineStart> {
+        let is_at = |crash: &Crash| crash.runs.iter().any(|run| run.contains_all(&set.parts));
+        let crashes = self.crashes.iter();
+        crashes
+            .filter(|(_, crash)| is_at(crash))
+            .map(|(engine, _)| engine)
+            .collect()
+    }
+
+    /// All parts during whose runs engines crashed, with the crashes that count against them.
+    fn candidates(&self) -> BTreeMap<PartId, Candidate<'_>> {
+        let mut candidates = BTreeMap::new();
+        for crash in self.crashes.values() {
+            self.add_crash(crash, &mut candidates);
+        }
+        candidates
+    }
+
+    fn add_crash<'a>(&self, crash: &'a Crash, candidates: &mut BTreeMap<PartId, Candidate<'a>>) {
+        let is_explained = self.is_explained(crash);
+        let mut runs_by_part: BTreeMap<PartId, Vec<&Run>> = BTreeMap::new();
+        for run in &crash.runs {
+            for part in self.accusable_parts(run) {
+                runs_by_part.entry(part).or_default().push(run);
+            }
+        }
+        for (part, runs) in runs_by_part {
+            let sound_at = self.sound.get(&(crash.service.clone(), part));
+            if sound_at.is_some_and(|sound_at| crash.at <= *sound_at) {
+                continue;
+            }
+            let candidate = candidates
+                .entry(part)
+                .or_insert_with(|| Candidate::new(part));
+            candidate.was_sound |= sound_at.is_some();
+            candidate.crashes.push(crash);
+            if !is_explained {
+                candidate.unexplained.push(crash.reported_at);
+            }
+            candidate.runs += runs.len();
+            candidate
+                .requests
+                .extend(runs.iter().map(|run| run.request));
+        }
+    }
+
+    /// The parts against which the run counts: if it has a refused set, only those of the set, of
+    /// which one may be the cause alone.
+    fn accusable_parts(&self, run: &Run) -> Vec<PartId> {
+        if !self.is_refused(run) {
+            return run.parts.clone();
+        }
+        let sets = run.sets.iter().filter_map(|set| self.decided.get(set));
+        let of_sets: BTreeSet<PartId> = sets.flat_map(|set| &set.parts).copied().collect();
+        let parts = run.parts.iter().copied();
+        parts.filter(|part| of_sets.contains(part)).collect()
+    }
+
+    fn is_refused(&self, run: &Run) -> bool {
+        run.sets.iter().any(|set| self.refused.contains(set))
+    }
+
+    /// Whether a prompt with a refused set was running during the crash.
+    fn is_explained(&self, crash: &Crash) -> bool {
+        crash.runs.iter().any(|run| self.is_refused(run))
+    }
+
+    /// Engines whose crashes refused sets explain.
+    pub fn explained(&self) -> impl Iterator<Item = &EngineStart> {
+        let crashes = self.crashes.iter();
+        crashes
+            .filter(|(_, crash)| self.is_explained(crash))
+            .map(|(engine, _)| engine)
+    }
+
+    /// Sets that are refused after one more crash.
+    pub fn suspected(&self) -> &[RequestFingerprint] {
+        &self.suspected
+    }
+
+    fn compute_suspected(&self) -> Vec<RequestFingerprint> {
+        let candidates = self.candidates();
+        let nearly = candidates
+            .values()
+            .filter(|candidate| candidate.nearly_reaches_threshold(1));
+        let sets = nearly.flat_map(|candidate| self.sets_of(candidate));
+        let fingerprints: BTreeSet<RequestFingerprint> =
+            sets.map(|set| set.fingerprint()).collect();
+        let open = fingerprints.difference(&self.refused);
+        open.take(MAX_SUSPECTED_SETS).copied().collect()
+    }
+
+    /// Parts of which gateways report whether they are sound.
+    pub fn tracked(&self) -> &[TrackedParts] {
+        &self.tracked
+    }
+
+    fn compute_tracked(&self) -> Vec<TrackedParts> {
+        let candidates = self.candidates();
+        let mut parts: Vec<(&PartId, &Candidate<'_>)> = candidates.iter().collect();
+        parts.sort_by_key(|(_, candidate)| std::cmp::Reverse(candidate.crashes.len()));
+        parts.truncate(MAX_TRACKED_PARTS);
+        let mut by_service: BTreeMap<&ServiceId, BTreeSet<PartId>> = BTreeMap::new();
+        for (part, candidate) in parts {
+            for crash in &candidate.crashes {
+                by_service.entry(&crash.service).or_default().insert(*part);
+            }
+        }
+        by_service
+            .into_iter()
+            .map(|(service, parts)| TrackedParts {
+                service: service.clone(),
+                parts: parts.into_iter().collect(),
+            })
+            .collect()
+    }
+
+    /// Refuses a set of which only the fingerprint may be known.
+    pub fn refuse(&mut self, fingerprint: RequestFingerprint) {
+        self.has_changed |= self.refused.insert(fingerprint);
+    }
+
+    /// Stops refusing a set.
+    pub fn release(&mut self, fingerprint: &RequestFingerprint) {
+        self.has_changed |= self.refused.remove(fingerprint);
+        self.decided.remove(fingerprint);
+    }
+
+    /// Stops refusing a set at an operator's request, and drops the crashes that stand against
+    /// it, which would have it refused again.
+    pub fn forgive(&mut self, fingerprint: &RequestFingerprint) {
+        self.release(fingerprint);
+        let is_concerned = |crash: &Crash| {
+            let mut sets = crash.runs.iter().flat_map(|run| &run.sets);
+            sets.any(|set| set == fingerprint)
+        };
+        self.crashes.retain(|_, crash| !is_concerned(crash));
+        self.has_changed = true;
+    }
+
+    /// Fingerprints of the refused sets.
+    pub fn refused(&self) -> impl Iterator<Item = RequestFingerprint> {
+        self.refused.iter().copied()
+    }
+
+    /// Number of tracked crashes.
+    pub fn crashes(&self) -> usize {
+        self.crashes.len()
+    }
+
+    fn forget_old(&mut self, now: Millis) {
+        let before = self.crashes.len();
+        self.crashes
+            .retain(|_, crash| now.since(crash.reported_at) <= CRASH_LIFETIME);
+        self.sound
+            .retain(|_, sound_at| now.since(*sound_at) <= CRASH_LIFETIME);
+        self.has_changed |= self.crashes.len() != before;
+    }
+
+    fn drop_excess(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            let Some(oldest) = oldest.map(|(engine, _)| engine.clone()) else {
+                return;
+            };
+            self.crashes.remove(&oldest);
+        }
+        while self.sound.len() > MAX_SOUND_PARTS {
+            let oldest = self.sound.iter().min_by_key(|(_, at)| **at);
+            let Some(oldest) = oldest.map(|(key, _)| key.clone()) else {
+                return;
+            };
+            self.sound.remove(&oldest);
+        }
+    }
+}
+
+/// The part and others of which none is known to be sound, and all of which were in one run at
+/// each crash of the part. Later parts of a prompt come first, as fewer prompts share them.
+fn inseparable_parts(
+    candidate: &Candidate<'_>,
+    candidates: &BTreeMap<PartId, Candidate<'_>>,
+) -> Vec<PartId> {
+    let mut inseparable = vec![candidate.part];
+    let Some(first) = candidate.crashes.first() else {
+        return inseparable;
+    };
+    let is_with_part = |run: &&Run| run.parts.contains(&candidate.part);
+    let runs = first.runs.iter().filter(is_with_part);
+    for other in runs.flat_map(|run| run.parts.iter().rev()) {
+        if inseparable.len() == MAX_PARTS_PER_SET {
+            break;
+        }
+        let is_sound = candidates.get(other).is_none_or(|other| other.was_sound);
+        if is_sound || inseparable.contains(other) {
+            continue;
+        }
+        let mut together = inseparable.clone();
+        together.push(*other);
+        let is_in_one_run =
+            |crash: &&Crash| crash.runs.iter().any(|run| run.contains_all(&together));
+        if candidate.crashes.iter().all(is_in_one_run) {
+            inseparable = together;
+        }
+    }
+    inseparable
+}
--- a/components/quarantine/src/tracker.rs
+++ b/components/quarantine/src/tracker.rs
@@ -96,6 +96,9 @@
     /// Engines whose crash was reported, with the time of the first report. The crash is dropped
     /// if the engine still answers.
     crashed_engines: BTreeMap<BackendId, Millis>,
+    /// Crashes that a refused part of a prompt caused, with the time at which that was known.
+    /// They don't count against requests.
+    caused_by_parts: BTreeMap<EngineStart, Millis>,
     suspected: Vec<RequestFingerprint>,
     /// Whether anything has changed that [`Self::decide`] has not taken into account.
     has_changed: bool,
@@ -151,6 +154,18 @@
         self.has_changed = true;
     }
 
+    /// Records that a refused part of a prompt caused these crashes.
+    pub fn caused_by_parts<'a>(
+        &mut self,
+        engines: impl Iterator<Item = &'a EngineStart>,
+        now: Millis,
+    ) {
+        for engine in engines {
+            let is_new = self.caused_by_parts.insert(engine.clone(), now).is_none();
+            self.has_changed |= is_new;
+        }
+    }
+
     /// Decides which further requests are refused, and returns them. They stay refused until they
     /// are released.
     pub fn decide(&mut self, now: Millis) -> Vec<RefusedRequest> {
@@ -194,7 +209,9 @@
     /// The crashes of each request that is not refused.
     fn unrefused_crashes(&self) -> BTreeMap<RequestFingerprint, Crashes> {
         let refused = self.refused.iter().filter_map(|id| self.tracked.get(id));
-        let explained: BTreeSet<&EngineStart> = refused.flat_map(|t| t.engines.keys()).collect();
+        let explained = refused.flat_map(|tracked| tracked.engines.keys());
+        let explained: BTreeSet<&EngineStart> =
+            explained.chain(self.caused_by_parts.keys()).collect();
         let unrefused = self.tracked.iter();
         let unrefused = unrefused.filter(|(id, _)| !self.refused.contains(*id));
         unrefused
@@ -273,6 +290,7 @@
         self.tracked
             .retain(|id, tracked| refused.contains(id) || !is_old(tracked.reported_at));
         self.crashed_engines.retain(|_, at| !is_old(*at));
+        self.caused_by_parts.retain(|_, at| !is_old(*at));
         self.has_changed |= self.tracked.len() != before;
     }
 
--- a/components/quarantine/tests/crashes/main.rs
+++ b/components/quarantine/tests/crashes/main.rs
@@ -1,6 +1,8 @@
 //! Suspicion and refusal of requests that are running when engines crash.
 
 mod log;
+mod prompt_log;
+mod prompts;
 mod tracker;
 
 use garnet_quarantine::{
