Prompt parts that crash engines are refused at all gateways; encoding version 20

Cause: what is known of a crashing request goes by a fingerprint of the whole request. Each request with the part is another one with one or two crashes, so none reaches three.

Change: gateways report runs of prompts that break off, and whether tracked parts are sound, to the receiver of the reports on crashing requests. Its verdicts are fingerprints of sets of parts, which the present commands, lists and the log carry; gateways compare the sets that a prompt matches. All places that ask whether a request is refused or suspected ask for its prompt too: arrival, each send, hedges, resumptions, relays. While nobody confirms its runs, a gateway decides on its own five.

Why it works: a part is refused at five crashes without an answer in between, wherever it stands, by all gateways within a list's way; what engines answer is never refused.

--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -296,6 +296,13 @@
                 cause = halted.cause.to_string().as_str();
                 "log_not_readable"
             ),
+            Effect::PartsQuarantined(verdict) => log::warn!(
+                fingerprint = verdict.set.fingerprint().to_string().as_str(),
+                service = verdict.set.service.as_str(),
+                parts = verdict.set.part_list().as_str(),
+                crashes = verdict.crashes;
+                "parts_quarantined"
+            ),
             Effect::Quarantined(verdict) => log::warn!(
                 fingerprint = verdict.fingerprint.to_string().as_str(),
                 crashes = verdict.crashes;
--- a/components/control/src/effects.rs
+++ b/components/control/src/effects.rs
@@ -2,7 +2,7 @@
 
 use garnet_consensus::Envelope;
 use garnet_planner::PhaseOccupancy;
-use garnet_quarantine::RefusedRequest;
+use garnet_quarantine::{RefusedParts, RefusedRequest};
 use garnet_types::{
     BackendId, BuildId, EncodingVersion, EngineAssignment, EngineOrder, EngineStatus, MachineState,
     OrderAnswer, ReplicaId,
@@ -176,6 +176,8 @@
     Halted(Halted),
     /// The leader quarantined a request.
     Quarantined(RefusedRequest),
+    /// The leader quarantined a set of parts of prompts.
+    PartsQuarantined(RefusedParts),
     /// The replica became the leader.
     BecameLeader {
         /// The term.
--- a/components/control/src/encoding/v11/messages.rs
+++ b/components/control/src/encoding/v11/messages.rs
@@ -65,7 +65,8 @@
             | CurrentRequest::Permit(_)
             | CurrentRequest::Relay(_)
             | CurrentRequest::NoteStreams(_)
-            | CurrentRequest::FindStream(_) => None,
+            | CurrentRequest::FindStream(_)
+            | CurrentRequest::PromptRuns(_) => None,
         }
     }
 }
@@ -229,7 +230,9 @@
             | CurrentReply::Permit(_)
             | CurrentReply::Relays(_)
             | CurrentReply::Builds(_)
-            | CurrentReply::StreamBuild { .. } => return Ok(None),
+            | CurrentReply::StreamBuild { .. }
+            | CurrentReply::PromptRunsNoted { .. }
+            | CurrentReply::TrackedParts(_) => return Ok(None),
         };
         Ok(Some(ControlReply(reply)))
     }
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use garnet_limits::{LimitEntry, LimitList, LimitReports, PermitAnswer, PermitRequest};
-use garnet_quarantine::{RunReport, Suspects};
+use garnet_quarantine::{PromptReport, RunReport, Suspects, TrackedParts};
 use garnet_types::{
     BackendId, BuildId, EncodingVersion, GatewayId, Millis, ModelId, PrefixId, RecordedResponse,
     ReplicaId, ServiceId,
@@ -164,6 +164,9 @@
     NoteStreams(Vec<StreamNote>),
     /// Asks at which build a stream began.
     FindStream(StreamKey),
+    /// Runs of prompts during which the engine ended, and parts of prompts that engines answer.
+    /// Taken by the receiver of [`GatewayRequest::Runs`].
+    PromptRuns(PromptReport),
 }
 
 impl GatewayRequest {
@@ -178,6 +181,7 @@
             | GatewayRequest::Permit(_) => EncodingVersion::V16,
             GatewayRequest::Relay(_) => EncodingVersion::V18,
             GatewayRequest::NoteStreams(_) | GatewayRequest::FindStream(_) => EncodingVersion::V19,
+            GatewayRequest::PromptRuns(_) => EncodingVersion::V20,
         }
     }
 }
@@ -390,6 +394,13 @@
         /// The build, if it is known.
         build: Option<BuildId>,
     },
+    /// The receiver of the reports has recorded the runs of prompts up to this number.
+    PromptRunsNoted {
+        /// Number of the newest recorded run.
+        through: u64,
+    },
+    /// Parts of prompts of which the gateway reports whether engines answer them.
+    TrackedParts(Vec<TrackedParts>),
 }
 
 impl ControlReply {
@@ -406,6 +417,9 @@
             | ControlReply::Permit(_) => EncodingVersion::V16,
             ControlReply::Relays(_) => EncodingVersion::V18,
             ControlReply::Builds(_) | ControlReply::StreamBuild { .. } => EncodingVersion::V19,
+            ControlReply::PromptRunsNoted { .. } | ControlReply::TrackedParts(_) => {
+                EncodingVersion::V20
+            }
         }
     }
 }
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -50,6 +50,7 @@
                     .push(Effect::ReplyGateway { connection, reply });
                 self.send_limits(&gateway, connection);
                 self.send_builds(&gateway, connection);
+                self.send_tracked_parts(&gateway, connection);
                 self.gateways.grant(gateway, configuration_index, self.now);
                 self.answer_waiters();
             }
@@ -76,6 +77,9 @@
             GatewayRequest::Runs(report) => {
                 self.handle_run_report(connection, &report);
             }
+            GatewayRequest::PromptRuns(report) => {
+                self.handle_prompt_report(connection, &report);
+            }
             GatewayRequest::Relay(report) => {
                 let reply = ControlReply::Relays(self.relays.report(report, self.now));
                 self.effects
--- a/components/control/src/replica/quarantining.rs
+++ b/components/control/src/replica/quarantining.rs
@@ -6,10 +6,13 @@
 //! disk nor a log of version 11 delays one. What the log holds outlives the leader.
 
 mod report_connections;
+mod tracked_parts;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use garnet_quarantine::{CrashTracker, RequestFingerprint, SuspectedRequest, Suspects};
+use garnet_quarantine::{
+    CrashTracker, PartDecision, PromptTracker, RequestFingerprint, SuspectedRequest, Suspects,
+};
 use garnet_types::{GatewayId, Millis};
 
 use crate::command::Command;
@@ -18,6 +21,7 @@
 use crate::state::QUARANTINE_DURATION;
 
 use super::Replica;
+use tracked_parts::SentTrackedParts;
 
 /// A list that is not empty is sent again after this time: an answer may be lost on a bad
 /// link while its connection stays open.
@@ -38,6 +42,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Quarantining {
     tracker: CrashTracker,
+    /// The same for parts of prompts.
+    prompts: PromptTracker,
+    tracked_parts: SentTrackedParts,
     /// Verdicts that the log does not hold yet.
     unlogged: BTreeMap<RequestFingerprint, UnloggedVerdict>,
     /// The list that gateways receive.
@@ -88,8 +95,10 @@
         let previous = std::mem::take(self);
         self.number = previous.number + 1;
         self.report_connections = previous.report_connections;
+        self.tracked_parts = previous.tracked_parts.after_leadership_change();
         for (fingerprint, verdict) in previous.unlogged {
             self.tracker.refuse(fingerprint);
+            self.prompts.refuse(fingerprint);
             let proposed_at = None;
             let verdict = UnloggedVerdict {
                 proposed_at,
@@ -140,8 +149,10 @@
 
     /// Updates the list that gateways receive.
     fn update_list(&mut self) {
+        let suspected = self.tracker.suspected().iter();
+        let suspected = suspected.chain(self.prompts.suspected());
         let suspects = Suspects {
-            suspected: self.tracker.suspected().to_vec(),
+            suspected: suspected.copied().collect(),
             refused: self.unlogged.keys().copied().collect(),
         };
         if suspects != self.suspects {
@@ -157,6 +168,8 @@
         for evidence in evidence.iter().filter(|evidence| evidence.answered > 0) {
             let tracker = &mut self.quarantining.tracker;
             tracker.answered(&evidence.backend, self.now);
+            let prompts = &mut self.quarantining.prompts;
+            prompts.answered(&evidence.backend, self.now);
         }
     }
 
@@ -166,6 +179,8 @@
         let gateways = &self.gateways;
         let sent = &mut self.quarantining.sent;
         sent.retain(|gateway, _| gateways.is_known(gateway));
+        let tracked_parts = &mut self.quarantining.tracked_parts;
+        tracked_parts.prune(|gateway| gateways.is_known(gateway));
         if !self.node.has_applied_own_term() {
             return;
         }
@@ -182,30 +197,62 @@
     }
 
     fn decide_verdicts(&mut self) {
+        self.decide_on_parts();
         for verdict in self.quarantining.tracker.decide(self.now) {
-            let unlogged = UnloggedVerdict {
-                crashes: u32::try_from(verdict.crashes).unwrap_or(u32::MAX),
-                decided_at: self.now,
-                proposed_at: None,
-            };
-            self.quarantining
-                .unlogged
-                .insert(verdict.fingerprint, unlogged);
+            self.add_unlogged(verdict.fingerprint, verdict.crashes);
+            // It may be a set of parts that a gateway reported as refused by a previous leader.
+            self.quarantining.prompts.refuse(verdict.fingerprint);
             self.effects.push(Effect::Quarantined(verdict));
         }
     }
 
+    fn decide_on_parts(&mut self) {
+        let PartDecision { refused, released } = self.quarantining.prompts.decide(self.now);
+        for fingerprint in released {
+            self.quarantining.unlogged.remove(&fingerprint);
+            if self
+                .state
+                .configuration
+                .quarantine
+                .contains_key(&fingerprint)
+            {
+                self.propose_own(Command::ReleaseRequest(fingerprint));
+            }
+        }
+        for verdict in refused {
+            self.add_unlogged(verdict.set.fingerprint(), verdict.crashes);
+            self.effects.push(Effect::PartsQuarantined(verdict));
+        }
+        let Quarantining {
+            tracker, prompts, ..
+        } = &mut self.quarantining;
+        tracker.caused_by_parts(prompts.explained(), self.now);
+    }
+
+    fn add_unlogged(&mut self, fingerprint: RequestFingerprint, crashes: usize) {
+        let verdict = UnloggedVerdict {
+            crashes: u32::try_from(crashes).unwrap_or(u32::MAX),
+            decided_at: self.now,
+            proposed_at: None,
+        };
+        self.quarantining.unlogged.insert(fingerprint, verdict);
+    }
+
     /// Releases verdicts that the log has not taken in the time of a quarantine, and the oldest
     /// ones above [`MAX_UNLOGGED`].
     fn release_unlogged(&mut self) {
         let now = self.now;
         let Quarantining {
-            tracker, unlogged, ..
+            tracker,
+            prompts,
+            unlogged,
+            ..
         } = &mut self.quarantining;
         let is_expired =
             |verdict: &UnloggedVerdict| now.since(verdict.decided_at) >= QUARANTINE_DURATION;
         for (fingerprint, _) in unlogged.extract_if(.., |_, verdict| is_expired(verdict)) {
             tracker.release(&fingerprint);
+            prompts.forgive(&fingerprint);
         }
         while unlogged.len() > MAX_UNLOGGED {
             let oldest = unlogged.iter().min_by_key(|(_, v)| v.decided_at);
@@ -214,6 +261,7 @@
             };
             unlogged.remove(&oldest);
             tracker.release(&oldest);
+            prompts.forgive(&oldest);
         }
     }
 
@@ -297,17 +345,22 @@
         self.quarantining.synced_index = index;
         let logged = &self.state.configuration.quarantine;
         let Quarantining {
-            tracker, unlogged, ..
+            tracker,
+            prompts,
+            unlogged,
+            ..
         } = &mut self.quarantining;
         let is_released =
             |id: &RequestFingerprint| !logged.contains_key(id) && !unlogged.contains_key(id);
-        let to_release: Vec<RequestFingerprint> =
-            tracker.refused().filter(|id| is_released(id)).collect();
-        for fingerprint in to_release {
+        let refused: BTreeSet<RequestFingerprint> =
+            tracker.refused().chain(prompts.refused()).collect();
+        for fingerprint in refused.into_iter().filter(is_released) {
             tracker.release(&fingerprint);
+            prompts.forgive(&fingerprint);
         }
         for fingerprint in logged.keys() {
             tracker.refuse(*fingerprint);
+            prompts.refuse(*fingerprint);
         }
     }
 
--- a/components/control/src/replica/quarantining/report_connections.rs
+++ b/components/control/src/replica/quarantining/report_connections.rs
@@ -29,6 +29,7 @@
 impl Quarantining {
     pub(in crate::replica) fn on_connection_closed(&mut self, connection: u64) {
         self.report_connections.remove(&connection);
+        self.tracked_parts.on_connection_closed(connection);
     }
 
     /// The list for a report connection, unless it is known to have been received.
@@ -63,6 +64,13 @@
         if let Some(suspects) = suspects {
             self.reply_to_gateway(connection, suspects_reply(suspects));
         }
+        if self
+            .quarantining
+            .report_connections
+            .contains_key(&connection)
+        {
+            self.send_tracked_parts_to_reporter(connection);
+        }
     }
 
     /// Whether this replica takes the report although it does not lead. On other connections
@@ -72,11 +80,14 @@
         connection: u64,
         request: &GatewayRequest,
     ) -> bool {
-        let GatewayRequest::Runs(report) = request else {
-            return false;
-        };
         let connections = &self.quarantining.report_connections;
-        self.halted.is_none() && (report.runs.is_empty() || connections.contains_key(&connection))
+        let is_reporter = connections.contains_key(&connection);
+        let takes = match request {
+            GatewayRequest::Runs(report) => report.runs.is_empty() || is_reporter,
+            GatewayRequest::PromptRuns(_) => is_reporter,
+            _ => false,
+        };
+        takes && self.halted.is_none()
     }
 
     fn reply_to_gateway(&mut self, connection: u64, reply: ControlReply) {
--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -19,6 +19,7 @@
 mod load_digest;
 mod machine_list;
 mod operators;
+mod prompt_parts;
 mod quarantine;
 mod relays;
 mod routes;
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -12,6 +12,9 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase, ParsedHead};
 
+/// An engine that has written for this long after its first event does not crash on the prompt.
+const MIN_SOUND_WRITING_TIME: Millis = Millis(500);
+
 /// Counts an attempt as in flight until dropped.
 pub(crate) struct AttemptGuard<C: CallerPort, B: BackendPort> {
     gateway: Rc<Gateway<C, B>>,
@@ -23,6 +26,10 @@
     decode_since: Option<Millis>,
     /// Whether the forwarder knows that the prompt is prefilled.
     is_prefilled: bool,
+    /// When the first of the answer arrived.
+    began_at: Option<Millis>,
+    /// Whether the forwarder knows that the engine writes on the prompt without crashing.
+    is_prompt_sound: bool,
     outcome_recorded: bool,
     /// The probe, while the attempt probes a back end that recovers from a backoff.
     probe: Option<Probe>,
@@ -58,6 +65,8 @@
             prefill_work,
             decode_since: decodes.then_some(now),
             is_prefilled: false,
+            began_at: None,
+            is_prompt_sound: false,
             outcome_recorded: false,
             probe,
         }
@@ -126,6 +135,9 @@
         );
         let mut forwarder = self.gateway.forwarder.borrow_mut();
         forwarder.run_crashed(fingerprint, &self.backend, now);
+        if let Some(prompt) = &self.prompt {
+            forwarder.prompt_run_crashed(fingerprint, prompt, &self.backend, now);
+        }
     }
 
     /// The ids of the parts that the prompt may share with others, as its caller spells them.
@@ -142,6 +154,25 @@
         if !forwarder.has_no_suspects() {
             forwarder.run_completed(call.fingerprint(), now);
         }
+        if let Some(prompt) = &self.prompt {
+            forwarder.prompt_is_sound(prompt, &self.backend, now);
+        }
+    }
+
+    /// Notes that more of the answer has arrived. An engine that crashes on a part of a prompt
+    /// does so when it begins to write.
+    pub(crate) fn received_more(&mut self) {
+        self.prefill_done();
+        let now = self.gateway.now();
+        let began_at = *self.began_at.get_or_insert(now);
+        if self.is_prompt_sound || now.since(began_at) < MIN_SOUND_WRITING_TIME {
+            return;
+        }
+        self.is_prompt_sound = true;
+        if let Some(prompt) = &self.prompt {
+            let mut forwarder = self.gateway.forwarder.borrow_mut();
+            forwarder.prompt_is_sound(prompt, &self.backend, now);
+        }
     }
 
     /// Notes that nothing of the request can have reached the back end.
--- a/components/forwarding-shell/src/failover.rs
+++ b/components/forwarding-shell/src/failover.rs
@@ -1,11 +1,11 @@
 //! Whether a request may be retried or hedged at another back end.
 
 use garnet_forwarding::{AttemptEnd, GivenUp, NextMove, Progress, next_move};
-use garnet_quarantine::QuarantineStatus;
+use garnet_quarantine::{QuarantineStatus, RequestFingerprint};
 use garnet_types::{BackendId, Millis};
 
 use crate::gateway::Gateway;
-use crate::ports::{BackendPort, Call, CallerPort};
+use crate::ports::{BackendPort, CallerPort};
 use crate::request::RunningRequest;
 
 /// Notes the end of an attempt and decides whether another one may follow.
@@ -24,9 +24,7 @@
     }
     // A suspected request whose run broke off has probably crashed one more engine. Its
     // caller may retry, at a gateway that knows of the crash by then.
-    if end == AttemptEnd::Broken
-        && quarantine_status(gateway, &running.call) == QuarantineStatus::Suspected
-    {
+    if end == AttemptEnd::Broken && is_suspected(gateway, running) {
         return Err(given_up);
     }
     match next_move(&running.work, &running.progress, end) {
@@ -67,9 +65,7 @@
     count: impl FnOnce(&mut Progress),
 ) -> bool {
     // A suspected request may crash one more engine.
-    if !may_be_sent(gateway, running)
-        || quarantine_status(gateway, &running.call) == QuarantineStatus::Suspected
-    {
+    if !may_be_sent(gateway, running) || is_suspected(gateway, running) {
         return false;
     }
     let before = running.progress;
@@ -82,24 +78,58 @@
     begins
 }
 
-/// Quarantine status of a request. Its body is hashed only if any request is suspected.
-pub(crate) fn quarantine_status<C: CallerPort, B: BackendPort>(
+/// Whether a request is suspected of crashing engines or refused for it.
+pub(crate) struct Quarantine {
+    pub(crate) status: QuarantineStatus,
+    /// What the status stands for: the request, or a set of parts of its prompt.
+    pub(crate) cause: RequestFingerprint,
+}
+
+/// The quarantine of a request, by itself or by parts of its prompt; `None` if it is not even
+/// suspected. Its body is hashed only if anything is.
+pub(crate) fn quarantine<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
-    call: &Call,
-) -> QuarantineStatus {
+    running: &RunningRequest,
+) -> Option<Quarantine> {
     let forwarder = gateway.forwarder.borrow();
     if forwarder.has_no_suspects() {
-        return QuarantineStatus::Clear;
+        return None;
     }
-    forwarder.quarantine_status(call.fingerprint())
+    let cause = running.call.fingerprint();
+    let status = forwarder.quarantine_status(cause);
+    let own = std::iter::once(Quarantine { status, cause });
+    let of_parts = running.part_sets().iter().map(|cause| Quarantine {
+        status: forwarder.part_set_status(*cause),
+        cause: *cause,
+    });
+    let mut suspected = None;
+    for quarantine in own.chain(of_parts) {
+        match quarantine.status {
+            QuarantineStatus::Refused => return Some(quarantine),
+            QuarantineStatus::Suspected => suspected = suspected.or(Some(quarantine)),
+            QuarantineStatus::Clear => {}
+        }
+    }
+    suspected
+}
+
+/// Whether another crash of an engine would probably be caused by the request.
+pub(crate) fn is_suspected<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+) -> bool {
+    let quarantine = quarantine(gateway, running);
+    quarantine.is_some_and(|quarantine| quarantine.status == QuarantineStatus::Suspected)
 }
 
-/// Whether the request may be sent to no engine, since engines crashed while running it.
+/// Whether the request may be sent to no engine, since engines crashed while running it, or
+/// prompts that share parts with it.
 pub(crate) fn is_quarantined<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
-    call: &Call,
+    running: &RunningRequest,
 ) -> bool {
-    quarantine_status(gateway, call) == QuarantineStatus::Refused
+    let quarantine = quarantine(gateway, running);
+    quarantine.is_some_and(|quarantine| quarantine.status == QuarantineStatus::Refused)
 }
 
 /// Places a request with `place`, which is given the back ends to leave out. Each
@@ -111,13 +141,16 @@
     place: impl Fn(&[BackendId]) -> Option<T>,
 ) -> Option<T> {
     let RunningRequest { service, tried, .. } = running;
-    if quarantine_status(gateway, &running.call) != QuarantineStatus::Suspected {
-        return place(tried);
-    }
+    let cause = match quarantine(gateway, running) {
+        Some(Quarantine {
+            status: QuarantineStatus::Suspected,
+            cause,
+        }) => cause,
+        _ => return place(tried),
+    };
     let mut left_out = {
         let forwarder = gateway.forwarder.borrow();
-        let fingerprint = running.call.fingerprint();
-        forwarder.excluded_for_suspect(service, fingerprint, tried, gateway.now())
+        forwarder.excluded_for_suspect(service, cause, tried, gateway.now())
     };
     left_out.extend(tried.iter().cloned());
     place(&left_out).or_else(|| place(tried))
@@ -138,7 +171,7 @@
     running: &RunningRequest,
 ) -> bool {
     let is_in_time = running.remaining(gateway.now()) > Millis::ZERO;
-    is_in_time && !is_quarantined(gateway, &running.call)
+    is_in_time && !is_quarantined(gateway, running)
 }
 
 /// Whether this gateway reaches back ends that could serve the request.
--- a/components/forwarding-shell/src/report_handler.rs
+++ b/components/forwarding-shell/src/report_handler.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use garnet_control::ControlReply;
-use garnet_quarantine::RunReport;
+use garnet_quarantine::{PromptReport, RunReport};
 use garnet_runtime::report_link::ReportLinkHandler;
 
 use crate::gateway::Gateway;
@@ -46,7 +46,12 @@
         self.gateway.forwarder.borrow_mut().next_report(now)
     }
 
-    /// Handles the only two replies that a replica sends on a report connection. Of a watch
+    fn next_prompt_report(&self) -> Option<PromptReport> {
+        let now = self.gateway.now();
+        self.gateway.forwarder.borrow_mut().next_prompt_report(now)
+    }
+
+    /// Handles the only replies that a replica sends on a report connection. Of a watch
     /// answer only the suspects count: the replica's configuration may lag behind the leader's.
     fn on_reply(&self, reply: ControlReply) {
         let mut forwarder = self.gateway.forwarder.borrow_mut();
@@ -56,6 +61,8 @@
         }
         match reply {
             ControlReply::RunsNoted { through } => forwarder.runs_confirmed(through),
+            ControlReply::PromptRunsNoted { through } => forwarder.prompt_runs_confirmed(through),
+            ControlReply::TrackedParts(tracked) => forwarder.take_tracked_parts(tracked),
             ControlReply::Watch {
                 suspects: Some(suspects),
                 ..
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -1,10 +1,11 @@
 //! The life cycle of a request, from its head to its final answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use garnet_forwarding::{Arrival, GivenUp, Progress, SilenceLimits, Work};
+use garnet_quarantine::{QuarantineStatus, RequestFingerprint};
 use garnet_routes::{CallerLimits, Route, WeightedService};
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
@@ -15,7 +16,7 @@
 use smol::Timer;
 
 use crate::answers::{OwnAnswer, retry_after};
-use crate::failover::{has_path, is_quarantined};
+use crate::failover::{Quarantine, has_path, is_quarantined, quarantine};
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::permits::{all_in_backoff, request_spare_permit};
@@ -57,6 +58,8 @@
     pub(crate) usage_counted: Rc<Cell<bool>>,
     /// Whether a peer gateway handed over the request; it is then not handed on.
     pub(crate) is_relayed: bool,
+    /// See [`Self::part_sets`].
+    part_sets: OnceCell<Vec<RequestFingerprint>>,
     ended: Cell<bool>,
     _open: OpenRequestGuard,
     _relayed: Option<OpenRequestGuard>,
@@ -112,6 +115,14 @@
         may_repeat || self.progress.surely_not_run()
     }
 
+    /// The sets of parts of the prompt for which the request may be refused.
+    pub(crate) fn part_sets(&self) -> &[RequestFingerprint] {
+        self.part_sets.get_or_init(|| {
+            let prompt = self.work.prompt.as_ref();
+            prompt.map_or(Vec::new(), |prompt| prompt.part_sets(&self.service))
+        })
+    }
+
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
         self.due.since(now + CLOCK_STEP)
     }
@@ -389,6 +400,7 @@
         served_by: None,
         usage_counted: Rc::default(),
         is_relayed: false,
+        part_sets: OnceCell::new(),
         ended: Cell::new(false),
         _open: OpenRequestGuard::begin(&gateway.open_requests),
         _relayed: None,
@@ -418,7 +430,7 @@
     running: &RunningRequest,
 ) -> Option<OwnAnswer> {
     let until = gateway.now() + MAX_DECISION_WAIT;
-    while is_quarantined(gateway, &running.call)
+    while is_quarantined(gateway, running)
         && gateway.forwarder.borrow().has_suspected_path()
         && gateway.now() < until
     {
@@ -431,10 +443,13 @@
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
 ) -> Option<OwnAnswer> {
-    if !is_quarantined(gateway, &running.call) {
-        return None;
-    }
-    let fingerprint = running.call.fingerprint();
+    let fingerprint = match quarantine(gateway, running) {
+        Some(Quarantine {
+            status: QuarantineStatus::Refused,
+            cause,
+        }) => cause,
+        _ => return None,
+    };
     let refused_for = {
         let forwarder = gateway.forwarder.borrow();
         forwarder.refused_for(fingerprint, gateway.now())
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -39,7 +39,7 @@
     /// Receives the next bytes; see [`EventReader::next`].
     pub(super) async fn next(&mut self) -> Received {
         let OpenAnswer { exchange, guard } = &mut self.open;
-        let on_chunk = || guard.prefill_done();
+        let on_chunk = || guard.received_more();
         self.reader.next(exchange, on_chunk).await
     }
 
--- a/components/forwarding-shell/src/stream/placement.rs
+++ b/components/forwarding-shell/src/stream/placement.rs
@@ -1,11 +1,10 @@
 //! Chooses the engine that a stream is sent to next, and builds the job for it.
 
 use garnet_forwarding::{Admission, AttemptEnd, Placement};
-use garnet_quarantine::QuarantineStatus;
 use garnet_types::{BackendId, Millis};
 
 use crate::attempt::{OpenAnswer, attempt, log_failure, status_cause};
-use crate::failover::{place_with_isolation, quarantine_status};
+use crate::failover::{place_with_isolation, quarantine};
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::{RunningRequest, log_no_back_end};
@@ -26,7 +25,7 @@
             // Any other gateway may take the request now.
             return Err(NotStreamed::Busy(Millis::ZERO));
         }
-        if quarantine_status(&self.gateway, &self.running.call) != QuarantineStatus::Clear {
+        if quarantine(&self.gateway, &self.running).is_some() {
             // Quarantine decides where the request runs, whatever the load.
             return Ok(self.place());
         }
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -133,6 +133,15 @@
             // A lost report is sent again.
             let _lost = self.requests.try_send(GatewayRequest::Runs(report));
         }
+        let prompt_report = {
+            let mut forwarder = self.gateway.forwarder.borrow_mut();
+            forwarder.update_prompt_log(now);
+            forwarder.prompt_report(now)
+        };
+        if let Some(report) = prompt_report {
+            // A lost report is sent again.
+            let _lost = self.requests.try_send(GatewayRequest::PromptRuns(report));
+        }
     }
 
     /// Reports usage if there is any; otherwise requests the leader's time at longer
@@ -188,6 +197,14 @@
                 return self.gateway.relays.borrow_mut().take_list(list, now);
             }
             ControlReply::Builds(update) => return on_builds(&self.gateway, update),
+            ControlReply::PromptRunsNoted { through } => {
+                let mut forwarder = self.gateway.forwarder.borrow_mut();
+                return forwarder.prompt_runs_confirmed(through);
+            }
+            ControlReply::TrackedParts(tracked) => {
+                let mut forwarder = self.gateway.forwarder.borrow_mut();
+                return forwarder.take_tracked_parts(tracked);
+            }
             ControlReply::StreamBuild { stream, build } => {
                 let stream_builds = &self.gateway.stream_builds;
                 return stream_builds.on_answer(stream, build.as_ref());
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -154,7 +154,9 @@
             self.share_connections();
         }
         let quarantined = self.configuration.quarantine.keys().copied();
-        self.crash_log.update_quarantined(quarantined);
+        for released in self.crash_log.update_quarantined(quarantined) {
+            self.prompt_log.release(released);
+        }
     }
 
     /// Applies the records of these back ends; all others are unchanged.
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod load_exchange;
 mod paths;
+mod prompt_parts;
 mod quarantine;
 
 pub use estimates::PrefillWork;
@@ -21,7 +22,7 @@
 
 use garnet_control::{Configuration, ConfigurationLoader, PromptCopy};
 use garnet_limits::GatewayLimits;
-use garnet_quarantine::CrashLog;
+use garnet_quarantine::{CrashLog, PromptLog};
 use garnet_routes::{Route, RouteIndex, Tenant};
 use garnet_types::{BackendId, BackendKind, BuildId, Millis, ServiceId, TenantId};
 
@@ -103,6 +104,7 @@
     reporting: Reporting,
     estimate_age: EstimateAge,
     crash_log: CrashLog,
+    prompt_log: PromptLog,
     /// Limits of back ends, and permits for them.
     limits: GatewayLimits,
     permits_are_granted: bool,
@@ -156,6 +158,7 @@
             reporting: Reporting::default(),
             estimate_age: EstimateAge::default(),
             crash_log: CrashLog::default(),
+            prompt_log: PromptLog::default(),
             limits: GatewayLimits::default(),
             permits_are_granted: true,
             arrival_count: 0,
--- a/components/forwarding/src/forwarder/paths.rs
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -62,8 +62,9 @@
             let members = self.members_of(&path, now);
             if members.len() >= MIN_MEMBERS_TO_WITHDRAW {
                 let is_member = |id: &BackendId| members.contains(id);
-                self.crash_log
-                    .withdraw(is_member, now.since(SUSPICION_LIFETIME));
+                let since = now.since(SUSPICION_LIFETIME);
+                self.crash_log.withdraw(is_member, since);
+                self.prompt_log.withdraw(is_member, since);
             }
             changes.push(change);
         }
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -7,6 +7,8 @@
 };
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 
+use crate::paths::PathMonitor;
+
 use super::Forwarder;
 
 /// Time after which the caller of a refused request may retry, while the log does not yet
@@ -20,7 +22,9 @@
 impl Forwarder {
     /// Whether no suspected request is known, so that none need be looked up.
     pub fn has_no_suspects(&self) -> bool {
-        self.crash_log.is_empty() && self.configuration.quarantine.is_empty()
+        self.crash_log.is_empty()
+            && self.prompt_log.has_no_verdicts()
+            && self.configuration.quarantine.is_empty()
     }
 
     /// Whether a request is suspected or refused, by the configuration and this gateway's
@@ -48,15 +52,19 @@
         if self.is_unreached(id, now) {
             return;
         }
-        let engine = EngineStart {
-            backend: id.clone(),
-            incarnation: self
-                .backend(id)
-                .map_or(UNKNOWN_START, |engine| engine.start),
-        };
+        let engine = self.engine_start(id);
         self.crash_log.crashed(fingerprint, engine, now);
     }
 
+    /// The present start of a back end.
+    pub(super) fn engine_start(&self, id: &BackendId) -> EngineStart {
+        let backend = self.backend(id);
+        EngineStart {
+            backend: id.clone(),
+            incarnation: backend.map_or(UNKNOWN_START, |backend| backend.start),
+        }
+    }
+
     /// Records a run that completed.
     pub fn run_completed(&mut self, fingerprint: RequestFingerprint, now: Millis) {
         self.crash_log.completed(fingerprint, now);
@@ -90,10 +98,7 @@
     /// The runs to report, without those that broke off while it is open whether their engine
     /// crashed or the path to it was lost.
     fn report_crashes(&mut self, now: Millis) -> Option<RunReport> {
-        let paths = &self.paths;
-        let is_held = |engine: &EngineStart, age: Millis| {
-            age < MAX_CRASH_HOLD && paths.is_undecided(&engine.backend)
-        };
+        let is_held = is_held(&self.paths);
         self.crash_log.report_unless(now, is_held)
     }
 
@@ -106,6 +111,7 @@
     /// [`garnet_quarantine::CrashLog::on_leader_change`].
     pub fn on_leader_change(&mut self, now: Millis) {
         self.crash_log.on_leader_change(now);
+        self.prompt_log.on_leader_change(now);
     }
 
     /// Takes the requests that the receiver of the reports suspects or refuses.
@@ -134,3 +140,8 @@
         others.map(|id| (*id).clone()).collect()
     }
 }
+
+/// Whether it is open for a crash of this age if the engine crashed or the path to it was lost.
+pub(super) fn is_held(paths: &PathMonitor) -> impl Fn(&EngineStart, Millis) -> bool {
+    |engine, age| age < MAX_CRASH_HOLD && paths.is_undecided(&engine.backend)
+}
--- a/components/forwarding/tests/core/main.rs
+++ b/components/forwarding/tests/core/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod paths;
 mod placement;
+mod prompt_parts;
 mod quarantine;
 mod split_fleet;
 mod usage;
--- a/components/gateway/src/gateway/control.rs
+++ b/components/gateway/src/gateway/control.rs
@@ -82,7 +82,9 @@
             | ControlReply::Relays(_)
             // The interface of engines names no builds.
             | ControlReply::Builds(_)
-            | ControlReply::StreamBuild { .. } => {}
+            | ControlReply::StreamBuild { .. }
+            | ControlReply::PromptRunsNoted { .. }
+            | ControlReply::TrackedParts(_) => {}
             ControlReply::Limits(limit_update) => self.on_limit_update(&limit_update),
             ControlReply::Permit(answer) => self.on_permit_answer(&answer),
             ControlReply::RunsNoted { through } => self.on_runs_acknowledged(through),
--- a/components/runtime/src/report_link.rs
+++ b/components/runtime/src/report_link.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use garnet_control::{ControlReply, GatewayRequest};
-use garnet_quarantine::RunReport;
+use garnet_quarantine::{PromptReport, RunReport};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::{EncodingVersion, GatewayId};
 use garnet_wire::{Frame, Sender as FrameSender};
@@ -49,6 +49,10 @@
     fn on_connected(&self);
     /// The runs to report next; an empty report if there are none.
     fn next_report(&self) -> RunReport;
+    /// The runs of prompts to report next, if there are any.
+    fn next_prompt_report(&self) -> Option<PromptReport> {
+        None
+    }
     /// Handles a reply of the replica.
     fn on_reply(&self, reply: ControlReply);
 }
@@ -228,6 +232,9 @@
 impl<H: ReportLinkHandler> Connection<H> {
     /// Reports the next runs, or sends an empty report if one is due.
     async fn report_if_due(&mut self) -> Result<(), String> {
+        if let Some(report) = self.handler.next_prompt_report() {
+            self.report_prompts(report).await?;
+        }
         let report = self.handler.next_report();
         if report.runs.is_empty() && !self.is_empty_report_due() {
             return Ok(());
@@ -259,6 +266,17 @@
         .await
     }
 
+    /// Sends a report of prompts. It is confirmed by a later reply, and sent again until then.
+    async fn report_prompts(&mut self, report: PromptReport) -> Result<(), String> {
+        self.runs_reported_at = Some(Instant::now());
+        within(REPLY_TIMEOUT, async {
+            let request = Frame::Gateway(GatewayRequest::PromptRuns(report));
+            let sent = self.writer.send(request).await;
+            sent.map_err(|error| error.to_string())
+        })
+        .await
+    }
+
     /// Handles replies for a time.
     async fn read_for(&mut self, time: Duration) -> Result<(), String> {
         let reading = async {
--- a/components/simulator/src/world/control.rs
+++ b/components/simulator/src/world/control.rs
@@ -136,6 +136,7 @@
             | ControlEffect::CallPlatform(_)
             | ControlEffect::Balanced { .. }
             | ControlEffect::Quarantined(_)
+            | ControlEffect::PartsQuarantined(_)
             | ControlEffect::Halted(_)
             | ControlEffect::GroupChanged { .. }
             | ControlEffect::LostLeadership { .. } => {}
--- a/components/types/src/encoding_version.rs
+++ b/components/types/src/encoding_version.rs
@@ -29,8 +29,10 @@
     pub const V18: Self = EncodingVersion(18);
     /// The leader sends the builds of engines, and the builds at which streams began.
     pub const V19: Self = EncodingVersion(19);
+    /// Gateways report the parts of prompts during whose runs engines crashed.
+    pub const V20: Self = EncodingVersion(20);
     /// The version of this build.
-    pub const CURRENT: Self = Self::V19;
+    pub const CURRENT: Self = Self::V20;
 }
 
 impl fmt::Display for EncodingVersion {
--- a/components/wire/tests/upgrade/samples/frames.rs
+++ b/components/wire/tests/upgrade/samples/frames.rs
@@ -7,7 +7,10 @@
 use garnet_limits::{
     LimitEntry, LimitReport, LimitReports, PermitAnswer, PermitOutcome, PermitRequest,
 };
-use garnet_quarantine::{EndedRun, RunEnd, RunReport, Suspects};
+use garnet_quarantine::{
+    BrokenPromptRun, EndedRun, PartId, PromptReport, RunEnd, RunReport, SoundPart, Suspects,
+    TrackedParts,
+};
 use garnet_types::*;
 use garnet_wire::{Frame, Sender};
 
@@ -570,3 +573,43 @@
         ("control_stream_build_unknown", found(None)),
     ]
 }
+
+/// Frames that exist since version 20.
+pub fn frames_since_20() -> Vec<(&'static str, Frame)> {
+    let service = || ServiceId::new("chat");
+    let broken = BrokenPromptRun {
+        service: service(),
+        request: fingerprint(),
+        parts: vec![PartId(0x5c1e), PartId(0xbad0)],
+        engine: engine_start(),
+        ago: Millis(40),
+    };
+    let sound = SoundPart {
+        service: service(),
+        part: PartId(0x5c1e),
+        ago: Millis(15),
+    };
+    let report = PromptReport {
+        broken: vec![broken],
+        sound: vec![sound],
+        through: 9,
+    };
+    let tracked = TrackedParts {
+        service: service(),
+        parts: vec![PartId(0xbad0)],
+    };
+    vec![
+        (
+            "gateway_prompt_runs",
+            Frame::Gateway(GatewayRequest::PromptRuns(report)),
+        ),
+        (
+            "control_prompt_runs_noted",
+            Frame::Control(ControlReply::PromptRunsNoted { through: 9 }),
+        ),
+        (
+            "control_tracked_parts",
+            Frame::Control(ControlReply::TrackedParts(vec![tracked])),
+        ),
+    ]
+}
