Prompt parts: crashes of all engines of a phase count; what engines answer lately is never refused

What callers would see: where all decode engines crash within a second, as they do under a crashing part, gateways take the path to them for lost and withdrew the crashes, so that the part went on ending engines; and a sound request that many callers send alike was refused for four hours, as it was beside three such crashes.

Cause: crashes and cuts look alike at one gateway; the rule for requests prefers to forget.

Change: runs of prompts are reported whatever the state of the path. A part that engines answered in the last 15 minutes is never refused (it took ten crashes), so that a cut of any number of engines blames no shared part; a crash is dropped if its engine answers anyone 0.8 s after its report (5 s), and a verdict that then lacks five crashes is withdrawn. Crashes of a part that was at three, in runs of two requests, and that nobody has answered don't count against requests.

--- a/components/control/src/replica/quarantining.rs
+++ b/components/control/src/replica/quarantining.rs
@@ -226,7 +226,7 @@
         let Quarantining {
             tracker, prompts, ..
         } = &mut self.quarantining;
-        tracker.caused_by_parts(prompts.explained(), self.now);
+        tracker.set_caused_by_parts(prompts.explained());
     }
 
     fn add_unlogged(&mut self, fingerprint: RequestFingerprint, crashes: usize) {
--- a/components/forwarding/src/forwarder/paths.rs
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -62,9 +62,8 @@
             let members = self.members_of(&path, now);
             if members.len() >= MIN_MEMBERS_TO_WITHDRAW {
                 let is_member = |id: &BackendId| members.contains(id);
-                let since = now.since(SUSPICION_LIFETIME);
-                self.crash_log.withdraw(is_member, since);
-                self.prompt_log.withdraw(is_member, since);
+                self.crash_log
+                    .withdraw(is_member, now.since(SUSPICION_LIFETIME));
             }
             changes.push(change);
         }
--- a/components/forwarding/src/forwarder/prompt_parts.rs
+++ b/components/forwarding/src/forwarder/prompt_parts.rs
@@ -9,7 +9,6 @@
 use crate::work::Prompt;
 
 use super::Forwarder;
-use super::quarantine::is_held;
 
 impl Prompt {
     /// The ids of the parts that other requests may share.
@@ -33,8 +32,9 @@
         self.crash_log.published_status(set)
     }
 
-    /// Records a run of a prompt that broke off as it does when its back end crashes, unless the
-    /// gateway has no path to the back end.
+    /// Records a run of a prompt that broke off as it does when its back end crashes. It counts
+    /// also while the path is taken for lost, as it is when all back ends of a phase crash: what
+    /// engines answer is never refused, and an engine that answers another gateway has not crashed.
     pub fn prompt_run_crashed(
         &mut self,
         request: RequestFingerprint,
@@ -45,9 +45,6 @@
         let Some(service) = self.service_of(id) else {
             return;
         };
-        if self.is_unreached(id, now) {
-            return;
-        }
         let run = BrokenPrompt {
             service,
             request,
@@ -88,8 +85,7 @@
     }
 
     fn report_prompts(&mut self, now: Millis) -> Option<PromptReport> {
-        let is_held = is_held(&self.paths);
-        self.prompt_log.report_unless(now, is_held)
+        self.prompt_log.report(now)
     }
 
     /// Decides on the own runs of prompts if no replica does.
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -7,8 +7,6 @@
 };
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 
-use crate::paths::PathMonitor;
-
 use super::Forwarder;
 
 /// Time after which the caller of a refused request may retry, while the log does not yet
@@ -98,7 +96,10 @@
     /// The runs to report, without those that broke off while it is open whether their engine
     /// crashed or the path to it was lost.
     fn report_crashes(&mut self, now: Millis) -> Option<RunReport> {
-        let is_held = is_held(&self.paths);
+        let paths = &self.paths;
+        let is_held = |engine: &EngineStart, age: Millis| {
+            age < MAX_CRASH_HOLD && paths.is_undecided(&engine.backend)
+        };
         self.crash_log.report_unless(now, is_held)
     }
 
@@ -140,8 +141,3 @@
         others.map(|id| (*id).clone()).collect()
     }
 }
-
-/// Whether it is open for a crash of this age if the engine crashed or the path to it was lost.
-pub(super) fn is_held(paths: &PathMonitor) -> impl Fn(&EngineStart, Millis) -> bool {
-    |engine, age| age < MAX_CRASH_HOLD && paths.is_undecided(&engine.backend)
-}
--- a/components/quarantine/src/prompt_log.rs
+++ b/components/quarantine/src/prompt_log.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use garnet_types::{BackendId, Millis, ServiceId};
+use garnet_types::{Millis, ServiceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::crash::EngineStart;
@@ -53,8 +53,6 @@
     number: u64,
     recorded_at: Millis,
     run: BrokenPrompt,
-    /// Whether it broke off at this gateway.
-    is_own: bool,
 }
 
 /// The runs of prompts at one gateway.
@@ -84,7 +82,6 @@
             number: self.last_number,
             recorded_at: now,
             run,
-            is_own: true,
         });
         self.update(now);
     }
@@ -96,15 +93,6 @@
         }
     }
 
-    /// Removes the runs that broke off at these engines since `since`: the gateway lost its path
-    /// to them.
-    pub fn withdraw(&mut self, is_concerned: impl Fn(&BackendId) -> bool, since: Millis) {
-        self.entries.retain(|entry| {
-            let is_kept = !entry.is_own || entry.recorded_at < since;
-            is_kept || !is_concerned(&entry.run.engine.backend)
-        });
-    }
-
     /// Removes the runs of prompts with a set that is no longer refused, which would have it
     /// refused again.
     pub fn release(&mut self, set: RequestFingerprint) {
@@ -121,23 +109,14 @@
         }
     }
 
-    /// The report to the leader, if there is anything to report. The runs are those up to the
-    /// first that is held back: `is_held` is given its engine and its age.
-    pub fn report_unless(
-        &mut self,
-        now: Millis,
-        is_held: impl Fn(&EngineStart, Millis) -> bool,
-    ) -> Option<PromptReport> {
+    /// The report to the leader, if there is anything to report.
+    pub fn report(&mut self, now: Millis) -> Option<PromptReport> {
         self.update(now);
         let unconfirmed = self
             .entries
             .iter()
             .filter(|entry| entry.number > self.confirmed);
-        let may_report = |entry: &&Entry| !is_held(&entry.run.engine, now.since(entry.recorded_at));
-        let batch: Vec<&Entry> = unconfirmed
-            .take_while(may_report)
-            .take(MAX_RUNS_PER_REPORT)
-            .collect();
+        let batch: Vec<&Entry> = unconfirmed.take(MAX_RUNS_PER_REPORT).collect();
         let through = batch.last().map_or(0, |entry| entry.number);
         let broken = batch.iter().map(|entry| entry.report(now)).collect();
         let report = PromptReport {
@@ -221,7 +200,6 @@
             number,
             recorded_at,
             run,
-            is_own: false,
         });
     }
 
--- a/components/quarantine/src/prompt_tracker.rs
+++ b/components/quarantine/src/prompt_tracker.rs
@@ -1,7 +1,8 @@
 //! The estimate of which parts of prompts crash engines.
 //!
 //! All runs on an engine break off when it crashes, and most share parts with many sound prompts.
-//! Four rules tell the cause apart. A part on which an engine lately wrote an answer is sound. A
+//! Four rules tell the cause apart. A part on which an engine lately wrote an answer is sound and
+//! never refused. A
 //! crash during a run of a refused set does not count against other parts. The part with the most
 //! crashes is refused first, and the others are decided on without these crashes. Parts that were
 //! in the same runs at all crashes can't be told apart, so they are refused only where a prompt
@@ -25,9 +26,6 @@
     BrokenPromptRun, PART_CRASH_THRESHOLD, PromptReport, SoundPart, TrackedParts,
 };
 
-/// Threshold for a part that was sound before: its crashes are probably those of others, unless
-/// the engines have changed.
-const SOUND_PART_THRESHOLD: usize = 2 * PART_CRASH_THRESHOLD;
 /// A request may crash engines by itself. It is refused after fewer crashes than a part, so a part
 /// is refused only if several requests were running.
 const MIN_REQUESTS: usize = 2;
@@ -53,8 +51,12 @@
 const DECISION_DELAY: Millis = Millis(1_000);
 /// Time within which all gateways have reported a crash.
 const REPORT_DELAY: Millis = Millis(350);
-/// Time after a reported crash in which an answer of the engine may still be from before it.
-const STALE_ANSWER_WINDOW: Millis = Millis::from_secs(5);
+/// Time after a reported crash in which a reported answer of the engine may still be from before
+/// it: the longest interval between two reports of a gateway, and its delays.
+const STALE_ANSWER_WINDOW: Millis = Millis(800);
+/// Number of crashes from which on a part is the more probable cause of them than one request of
+/// several that were running.
+const MIN_PROBABLE_CRASHES: usize = 3;
 
 /// A set of parts that is refused from now on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -93,6 +95,7 @@
 /// The crash of an engine.
 #[derive(Debug)]
 struct Crash {
+    engine: EngineStart,
     service: ServiceId,
     /// When the first of its runs broke off.
     at: Millis,
@@ -100,11 +103,10 @@
     runs: Vec<Run>,
 }
 
-/// What is known of a part during whose runs engines crashed.
+/// What is known of a part that is not sound and during whose runs engines crashed.
 #[derive(Debug, Clone)]
 struct Candidate<'a> {
     part: PartId,
-    /// The crashes since the part was last sound.
     crashes: Vec<&'a Crash>,
     /// When the crashes that no refused set explains were reported.
     unexplained: Vec<Millis>,
@@ -112,7 +114,6 @@
     is_bystander: bool,
     requests: BTreeSet<RequestFingerprint>,
     runs: usize,
-    was_sound: bool,
 }
 
 impl Candidate<'_> {
@@ -124,15 +125,6 @@
             is_bystander: false,
             requests: BTreeSet::new(),
             runs: 0,
-            was_sound: false,
-        }
-    }
-
-    fn threshold(&self) -> usize {
-        if self.was_sound {
-            SOUND_PART_THRESHOLD
-        } else {
-            PART_CRASH_THRESHOLD
         }
     }
 
@@ -143,7 +135,7 @@
         } else {
             1
         };
-        self.crashes.len() + missing >= self.threshold()
+        self.crashes.len() + missing >= PART_CRASH_THRESHOLD
             && self.unexplained.len() + missing >= min_unexplained
             && !self.unexplained.is_empty()
     }
@@ -159,7 +151,7 @@
         times.sort_unstable();
         let waited =
             |since: Option<&Millis>, delay| since.is_some_and(|at| now.since(*at) >= delay);
-        waited(times.get(self.threshold() - 1), DECISION_DELAY)
+        waited(times.get(PART_CRASH_THRESHOLD - 1), DECISION_DELAY)
             && waited(self.unexplained.iter().min(), REPORT_DELAY)
     }
 }
@@ -167,7 +159,6 @@
 /// Orders candidates; the most probable cause is the greatest.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    was_never_sound: bool,
     unexplained: usize,
     /// A larger set refuses fewer prompts.
     set_size: usize,
@@ -188,6 +179,8 @@
     decided: BTreeMap<RequestFingerprint, PartSet>,
     suspected: Vec<RequestFingerprint>,
     tracked: Vec<TrackedParts>,
+    /// Whether crashes were dropped since their engines answered.
+    has_disproved: bool,
     /// Whether anything has changed that [`Self::decide`] has not taken into account.
     has_changed: bool,
 }
@@ -199,6 +192,7 @@
             let at = now - run.ago;
             let crash = self.crashes.entry(run.engine.clone());
             let crash = crash.or_insert_with(|| Crash {
+                engine: run.engine.clone(),
                 service: run.service.clone(),
                 at,
                 reported_at: now,
@@ -230,7 +224,8 @@
         self.crashes.retain(|engine, crash| {
             engine.backend != *backend || now.since(crash.reported_at) < STALE_ANSWER_WINDOW
         });
-        self.has_changed |= self.crashes.len() != before;
+        self.has_disproved |= self.crashes.len() != before;
+        self.has_changed |= self.has_disproved;
     }
 
     /// Decides which sets of parts are refused and which no longer are.
@@ -243,6 +238,7 @@
         self.has_changed = false;
         self.identify_refused();
         self.revise(&mut decision);
+        self.has_disproved = false;
         while let Some(probable) = self.most_probable() {
             if !probable.is_fully_reported(now) {
                 self.has_changed = true;
@@ -298,7 +294,6 @@
         candidates: &BTreeMap<PartId, Candidate<'_>>,
     ) -> Rank {
         Rank {
-            was_never_sound: !candidate.was_sound,
             unexplained: candidate.unexplained.len(),
             set_size: inseparable_parts(candidate, candidates).len(),
             crashes: candidate.crashes.len(),
@@ -338,12 +333,15 @@
     fn revise(&mut self, decision: &mut PartDecision) {
         for (fingerprint, set) in self.decided.clone() {
             let suspicious = self.without_cleared(&set);
-            if suspicious.len() == set.parts.len() && !self.is_explained_by_another(&set) {
+            let is_disproved =
+                self.has_disproved && self.crashes_of(&set).len() < PART_CRASH_THRESHOLD;
+            let is_unfounded = is_disproved || self.is_explained_by_another(&set);
+            if suspicious.len() == set.parts.len() && !is_unfounded {
                 continue;
             }
             self.release(&fingerprint);
             decision.released.push(fingerprint);
-            if suspicious.is_empty() || suspicious.len() == set.parts.len() {
+            if suspicious.is_empty() || is_unfounded {
                 continue;
             }
             let set = PartSet::new(set.service, suspicious);
@@ -357,14 +355,8 @@
     /// The parts of a set that are not known to be sound.
     fn without_cleared(&self, set: &PartSet) -> Vec<PartId> {
         let is_cleared = |part: &PartId| {
-            let sound_at = self.sound.get(&(set.service.clone(), *part));
-            sound_at.is_some_and(|sound_at| {
-                let crashes = self.crashes.values();
-                let later = crashes.filter(|crash| {
-                    crash.at > *sound_at && crash.runs.iter().any(|run| run.parts.contains(part))
-                });
-                later.count() < SOUND_PART_THRESHOLD
-            })
+            let key = (set.service.clone(), *part);
+            self.sound.contains_key(&key)
         };
         let parts = set.parts.iter();
         parts.filter(|part| !is_cleared(part)).copied().collect()
@@ -392,7 +384,7 @@
             .collect()
     }
 
-    /// All parts during whose runs engines crashed, with the crashes that count against them.
+    /// All parts that are not sound, with the crashes that count against them.
     fn candidates(&self) -> BTreeMap<PartId, Candidate<'_>> {
         let mut candidates = BTreeMap::new();
         for crash in self.crashes.values() {
@@ -411,13 +403,12 @@
         }
         for (part, runs) in runs_by_part {
             let sound_at = self.sound.get(&(crash.service.clone(), part));
-            if sound_at.is_some_and(|sound_at| crash.at <= *sound_at) {
+            if sound_at.is_some() {
                 continue;
             }
             let candidate = candidates
                 .entry(part)
                 .or_insert_with(|| Candidate::new(part));
-            candidate.was_sound |= sound_at.is_some();
             candidate.crashes.push(crash);
             if !is_explained {
                 candidate.unexplained.push(crash.reported_at);
@@ -451,12 +442,23 @@
         crash.runs.iter().any(|run| self.is_refused(run))
     }
 
-    /// Engines whose crashes refused sets explain.
-    pub fn explained(&self) -> impl Iterator<Item = &EngineStart> {
-        let crashes = self.crashes.iter();
-        crashes
+    /// Engines whose crashes a refused set explains, or a part that was in runs of several requests
+    /// at several crashes and that no engine has answered.
+    pub fn explained(&self) -> BTreeSet<EngineStart> {
+        let mut explained: BTreeSet<EngineStart> = self
+            .crashes
+            .iter()
             .filter(|(_, crash)| self.is_explained(crash))
-            .map(|(engine, _)| engine)
+            .map(|(engine, _)| engine.clone())
+            .collect();
+        for candidate in self.candidates().values() {
+            let is_probable = candidate.crashes.len() >= MIN_PROBABLE_CRASHES
+                && candidate.requests.len() >= MIN_REQUESTS;
+            if is_probable {
+                explained.extend(candidate.crashes.iter().map(|crash| crash.engine.clone()));
+            }
+        }
+        explained
     }
 
     /// Sets that are refused after one more crash.
@@ -615,8 +617,7 @@
         if inseparable.len() == MAX_PARTS_PER_SET {
             break;
         }
-        let is_sound = candidates.get(other).is_none_or(|other| other.was_sound);
-        if is_sound || inseparable.contains(other) {
+        if !candidates.contains_key(other) || inseparable.contains(other) {
             continue;
         }
         let mut together = inseparable.clone();
--- a/components/quarantine/src/tracker.rs
+++ b/components/quarantine/src/tracker.rs
@@ -96,9 +96,8 @@
     /// Engines whose crash was reported, with the time of the first report. The crash is dropped
     /// if the engine still answers.
     crashed_engines: BTreeMap<BackendId, Millis>,
-    /// Crashes that a refused part of a prompt caused, with the time at which that was known.
-    /// They don't count against requests.
-    caused_by_parts: BTreeMap<EngineStart, Millis>,
+    /// Crashes that parts of prompts caused. They don't count against requests.
+    caused_by_parts: BTreeSet<EngineStart>,
     suspected: Vec<RequestFingerprint>,
     /// Whether anything has changed that [`Self::decide`] has not taken into account.
     has_changed: bool,
@@ -154,16 +153,10 @@
         self.has_changed = true;
     }
 
-    /// Records that a refused part of a prompt caused these crashes.
-    pub fn caused_by_parts<'a>(
-        &mut self,
-        engines: impl Iterator<Item = &'a EngineStart>,
-        now: Millis,
-    ) {
-        for engine in engines {
-            let is_new = self.caused_by_parts.insert(engine.clone(), now).is_none();
-            self.has_changed |= is_new;
-        }
+    /// Sets the crashes that parts of prompts caused.
+    pub fn set_caused_by_parts(&mut self, engines: BTreeSet<EngineStart>) {
+        self.has_changed |= engines != self.caused_by_parts;
+        self.caused_by_parts = engines;
     }
 
     /// Decides which further requests are refused, and returns them. They stay refused until they
@@ -210,8 +203,7 @@
     fn unrefused_crashes(&self) -> BTreeMap<RequestFingerprint, Crashes> {
         let refused = self.refused.iter().filter_map(|id| self.tracked.get(id));
         let explained = refused.flat_map(|tracked| tracked.engines.keys());
-        let explained: BTreeSet<&EngineStart> =
-            explained.chain(self.caused_by_parts.keys()).collect();
+        let explained: BTreeSet<&EngineStart> = explained.chain(&self.caused_by_parts).collect();
         let unrefused = self.tracked.iter();
         let unrefused = unrefused.filter(|(id, _)| !self.refused.contains(*id));
         unrefused
@@ -290,7 +282,6 @@
         self.tracked
             .retain(|id, tracked| refused.contains(id) || !is_old(tracked.reported_at));
         self.crashed_engines.retain(|_, at| !is_old(*at));
-        self.caused_by_parts.retain(|_, at| !is_old(*at));
         self.has_changed |= self.tracked.len() != before;
     }
 
