Prompt parts: only a verdict whose own crashes are disproved is withdrawn

Found by reading: a crash of any engine that answers later would have withdrawn each verdict older than 15 minutes, whose crashes are forgotten by then. The tracker keeps which refused sets were running at a disproved crash. Test: a_verdict_outlives_its_crashes.

--- a/components/quarantine/src/prompt_tracker.rs
+++ b/components/quarantine/src/prompt_tracker.rs
@@ -2,9 +2,8 @@
 //!
 //! All runs on an engine break off when it crashes, and most share parts with many sound prompts.
 //! Four rules tell the cause apart. A part on which an engine lately wrote an answer is sound and
-//! never refused. A
-//! crash during a run of a refused set does not count against other parts. The part with the most
-//! crashes is refused first, and the others are decided on without these crashes. Parts that were
+//! never refused. A crash during a run of a refused set counts against no other part of that run.
+//! The part with the most crashes that no refused set explains is refused first. Parts that were
 //! in the same runs at all crashes can't be told apart, so they are refused only where a prompt
 //! contains all of them: a sound prompt with some of them is still served, which clears these, and
 //! a crash without some of them rules those out.
@@ -179,8 +178,8 @@
     decided: BTreeMap<RequestFingerprint, PartSet>,
     suspected: Vec<RequestFingerprint>,
     tracked: Vec<TrackedParts>,
-    /// Whether crashes were dropped since their engines answered.
-    has_disproved: bool,
+    /// Refused sets of which crashes were dropped since their engines answered.
+    disproved: BTreeSet<RequestFingerprint>,
     /// Whether anything has changed that [`Self::decide`] has not taken into account.
     has_changed: bool,
 }
@@ -220,12 +219,15 @@
     /// Records that an engine answered a request. If its crash was reported long enough ago, only
     /// a connection broke, and the crash is dropped.
     pub fn answered(&mut self, backend: &BackendId, now: Millis) {
-        let before = self.crashes.len();
-        self.crashes.retain(|engine, crash| {
-            engine.backend != *backend || now.since(crash.reported_at) < STALE_ANSWER_WINDOW
-        });
-        self.has_disproved |= self.crashes.len() != before;
-        self.has_changed |= self.has_disproved;
+        let is_disproved = |engine: &EngineStart, crash: &mut Crash| {
+            engine.backend == *backend && now.since(crash.reported_at) >= STALE_ANSWER_WINDOW
+        };
+        for (_, crash) in self.crashes.extract_if(.., is_disproved) {
+            self.has_changed = true;
+            let sets = crash.runs.iter().flat_map(|run| &run.sets);
+            let refused = sets.filter(|set| self.refused.contains(set));
+            self.disproved.extend(refused);
+        }
     }
 
     /// Decides which sets of parts are refused and which no longer are.
@@ -238,7 +240,7 @@
         self.has_changed = false;
         self.identify_refused();
         self.revise(&mut decision);
-        self.has_disproved = false;
+        self.disproved.clear();
         while let Some(probable) = self.most_probable() {
             if !probable.is_fully_reported(now) {
                 self.has_changed = true;
@@ -333,8 +335,8 @@
     fn revise(&mut self, decision: &mut PartDecision) {
         for (fingerprint, set) in self.decided.clone() {
             let suspicious = self.without_cleared(&set);
-            let is_disproved =
-                self.has_disproved && self.crashes_of(&set).len() < PART_CRASH_THRESHOLD;
+            let is_disproved = self.disproved.contains(&fingerprint)
+                && self.crashes_of(&set).len() < PART_CRASH_THRESHOLD;
             let is_unfounded = is_disproved || self.is_explained_by_another(&set);
             if suspicious.len() == set.parts.len() && !is_unfounded {
                 continue;
@@ -402,8 +404,7 @@
             }
         }
         for (part, runs) in runs_by_part {
-            let sound_at = self.sound.get(&(crash.service.clone(), part));
-            if sound_at.is_some() {
+            if self.sound.contains_key(&(crash.service.clone(), part)) {
                 continue;
             }
             let candidate = candidates
@@ -524,7 +525,7 @@
     fn compute_tracked(&self) -> Vec<TrackedParts> {
         let candidates = self.candidates();
         let mut parts: Vec<(&PartId, &Candidate<'_>)> = candidates.iter().collect();
-        parts.sort_by_key(|(_, candidate)| std::cmp::Reverse(candidate.crashes.len()));
+        parts.sort_by_key(|(_, candidate)| Reverse(candidate.crashes.len()));
         parts.truncate(MAX_TRACKED_PARTS);
         let mut by_service: BTreeMap<&ServiceId, BTreeSet<PartId>> = BTreeMap::new();
         for (part, candidate) in parts {
--- a/components/quarantine/tests/crashes/prompts.rs
+++ b/components/quarantine/tests/crashes/prompts.rs
@@ -305,6 +305,22 @@
     assert!(!fleet.refuses(&[BAD]));
 }
 
+/// The crashes of the verdict are forgotten after a while; that alone does not release it.
+#[test]
+fn a_verdict_outlives_its_crashes() {
+    let mut fleet = Fleet::new();
+    for number in 0..5 {
+        fleet.crash(&[&[BAD, number]]);
+    }
+    fleet.settle();
+    fleet.pass(Millis::from_secs(1_000));
+    fleet.crash(&[&[RARE, 9]]);
+    fleet.pass(Millis(800));
+    fleet.answer(6);
+    fleet.settle();
+    assert!(fleet.refuses(&[BAD]));
+}
+
 /// An operator releases the part; the old crashes alone don't have it refused again.
 #[test]
 fn a_released_part_starts_over() {
