Prompt parts: what explains crashes is computed once for each change

The leader built the candidates of all crashes at each step of its regular work, 15 minutes long after a storm; worked out, some 100,000 map entries a step where 256 crashes of 128 runs are kept. It is kept with the other results of a decision now. No behaviour changes.

--- a/components/quarantine/src/prompt_tracker.rs
+++ b/components/quarantine/src/prompt_tracker.rs
@@ -178,6 +178,7 @@
     decided: BTreeMap<RequestFingerprint, PartSet>,
     suspected: Vec<RequestFingerprint>,
     tracked: Vec<TrackedParts>,
+    explained: BTreeSet<EngineStart>,
     /// Refused sets of which crashes were dropped since their engines answered.
     disproved: BTreeSet<RequestFingerprint>,
     /// Whether anything has changed that [`Self::decide`] has not taken into account.
@@ -254,6 +255,7 @@
         }
         self.suspected = self.compute_suspected();
         self.tracked = self.compute_tracked();
+        self.explained = self.compute_explained();
         decision
     }
 
@@ -445,7 +447,11 @@
 
     /// Engines whose crashes a refused set explains, or a part that was in runs of several requests
     /// at several crashes and that no engine has answered.
-    pub fn explained(&self) -> BTreeSet<EngineStart> {
+    pub fn explained(&self) -> &BTreeSet<EngineStart> {
+        &self.explained
+    }
+
+    fn compute_explained(&self) -> BTreeSet<EngineStart> {
         let mut explained: BTreeSet<EngineStart> = self
             .crashes
             .iter()
--- a/components/quarantine/src/tracker.rs
+++ b/components/quarantine/src/tracker.rs
@@ -154,9 +154,11 @@
     }
 
     /// Sets the crashes that parts of prompts caused.
-    pub fn set_caused_by_parts(&mut self, engines: BTreeSet<EngineStart>) {
-        self.has_changed |= engines != self.caused_by_parts;
-        self.caused_by_parts = engines;
+    pub fn set_caused_by_parts(&mut self, engines: &BTreeSet<EngineStart>) {
+        if *engines != self.caused_by_parts {
+            self.caused_by_parts.clone_from(engines);
+            self.has_changed = true;
+        }
     }
 
     /// Decides which further requests are refused, and returns them. They stay refused until they
