Prompt parts: what stood twice serves both places

From a second reading; no behaviour changes, bounds and assertions are the same.

- run_broken writes the parts as parts_quarantined does (part_list), not in a spelling of its own.
- Forwarder::prompt_report updates its log itself, as run_report does; the watch made a separate call for that.

--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -299,7 +299,7 @@
             Effect::PartsQuarantined(verdict) => log::warn!(
                 fingerprint = verdict.set.fingerprint().to_string().as_str(),
                 service = verdict.set.service.as_str(),
-                parts = verdict.set.part_list().as_str(),
+                parts = verdict.part_list().as_str(),
                 crashes = verdict.crashes;
                 "parts_quarantined"
             ),
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
+use garnet_quarantine::part_list;
 use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
 use garnet_types::{BackendId, Framing, Millis};
@@ -126,11 +127,12 @@
         self.gateway.on_path_failed(&self.backend, true);
         let now = self.gateway.now();
         let fingerprint = call.fingerprint();
+        let parts = self.prompt.as_ref().map(Prompt::shared_part_ids);
         log::info!(
             request = call.facts.id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
             backend = self.backend.as_str(),
-            parts = self.shared_parts().as_str(),
+            parts = part_list(&parts.unwrap_or_default()).as_str(),
             has_begun = self.is_prefilled;
             "run_broken"
         );
@@ -148,13 +150,6 @@
         }
     }
 
-    /// The ids of the parts that the prompt may share with others, as its caller spells them.
-    fn shared_parts(&self) -> String {
-        let parts = self.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
-        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
-        ids.join(",")
-    }
-
     /// Notes that the run completed, as the framing of the answer shows.
     pub(crate) fn completed(&self, call: &Call) {
         let now = self.gateway.now();
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -133,12 +133,8 @@
             // A lost report is sent again.
             let _lost = self.requests.try_send(GatewayRequest::Runs(report));
         }
-        let prompt_report = {
-            let mut forwarder = self.gateway.forwarder.borrow_mut();
-            forwarder.update_prompt_log(now);
-            forwarder.prompt_report(now)
-        };
-        if let Some(report) = prompt_report {
+        let report = self.gateway.forwarder.borrow_mut().prompt_report(now);
+        if let Some(report) = report {
             // A lost report is sent again.
             let _lost = self.requests.try_send(GatewayRequest::PromptRuns(report));
         }
--- a/components/forwarding/src/forwarder/prompt_parts.rs
+++ b/components/forwarding/src/forwarder/prompt_parts.rs
@@ -70,10 +70,11 @@
     /// Returns the runs of prompts to report to the leader, if any. There are none while it does
     /// not take them.
     pub fn prompt_report(&mut self, now: Millis) -> Option<PromptReport> {
+        self.prompt_log.update(now);
         if self.uses_report_connection() {
             return None;
         }
-        self.report_prompts(now)
+        self.prompt_log.report(now)
     }
 
     /// Returns the next report of prompts for the report connection, if there is any.
@@ -81,18 +82,9 @@
         if !self.uses_report_connection() {
             return None;
         }
-        self.report_prompts(now)
-    }
-
-    fn report_prompts(&mut self, now: Millis) -> Option<PromptReport> {
         self.prompt_log.report(now)
     }
 
-    /// Decides on the own runs of prompts if no replica does.
-    pub fn update_prompt_log(&mut self, now: Millis) {
-        self.prompt_log.update(now);
-    }
-
     /// Records that the receiver of the reports has the runs of prompts up to this number.
     pub fn prompt_runs_confirmed(&mut self, through: u64) {
         self.prompt_log.confirmed(through);
--- a/components/forwarding/tests/core/prompt_parts.rs
+++ b/components/forwarding/tests/core/prompt_parts.rs
@@ -139,9 +139,9 @@
     for number in 0..5 {
         crash(&mut gateway, number, NOW);
     }
-    gateway.update_prompt_log(NOW + Millis(2_900));
+    gateway.prompt_report(NOW + Millis(2_900));
     assert_eq!(status(&gateway, &[FIRST, BAD, 9]), QuarantineStatus::Clear);
-    gateway.update_prompt_log(NOW + Millis(3_000));
+    gateway.prompt_report(NOW + Millis(3_000));
     assert_eq!(
         status(&gateway, &[FIRST, BAD, 9]),
         QuarantineStatus::Refused
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -24,7 +24,7 @@
 pub use fingerprint::{FingerprintError, RequestFingerprint, RequestIdentity};
 pub use isolation::isolation_backend;
 pub use prompt_log::{BrokenPrompt, PromptLog};
-pub use prompt_part::{MAX_PARTS_PER_SET, PartId, PartSet, matching_fingerprints};
+pub use prompt_part::{MAX_PARTS_PER_SET, PartId, PartSet, matching_fingerprints, part_list};
 pub use prompt_report::{
     BrokenPromptRun, PART_CRASH_THRESHOLD, PromptEvidence, PromptReport, SoundPart, TrackedParts,
 };
--- a/components/quarantine/src/prompt_part.rs
+++ b/components/quarantine/src/prompt_part.rs
@@ -35,6 +35,12 @@
     }
 }
 
+/// The parts as text, separated by commas.
+pub fn part_list(parts: &[PartId]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    parts.join(",")
+}
+
 /// Parts that are refused at a service where one prompt contains all of them.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PartSet {
@@ -52,12 +58,6 @@
         PartSet { service, parts }
     }
 
-    /// The parts as text, separated by commas.
-    pub fn part_list(&self) -> String {
-        let parts: Vec<String> = self.parts.iter().map(PartId::to_string).collect();
-        parts.join(",")
-    }
-
     /// The fingerprint under which verdicts on the set are stored and published.
     pub fn fingerprint(&self) -> RequestFingerprint {
         fingerprint(&service_hash(&self.service), &self.parts)
--- a/components/quarantine/src/prompt_tracker.rs
+++ b/components/quarantine/src/prompt_tracker.rs
@@ -19,7 +19,7 @@
 use crate::crash_log::CRASH_LIFETIME;
 use crate::fingerprint::RequestFingerprint;
 use crate::prompt_part::{
-    MAX_PARTS_PER_SET, PartId, PartSet, matching_fingerprints, matching_sets,
+    MAX_PARTS_PER_SET, PartId, PartSet, matching_fingerprints, matching_sets, part_list,
 };
 use crate::prompt_report::{
     BrokenPromptRun, PART_CRASH_THRESHOLD, PromptReport, SoundPart, TrackedParts,
@@ -66,6 +66,13 @@
     pub crashes: usize,
 }
 
+impl RefusedParts {
+    /// The parts as text, separated by commas.
+    pub fn part_list(&self) -> String {
+        part_list(&self.set.parts)
+    }
+}
+
 /// Changes of the refused sets.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PartDecision {
