--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -608,6 +608,6 @@
     flag.load(Ordering::Relaxed)
 }
 
-pub fn set(flag: &Flag) {
-    flag.store(true, Ordering::Relaxed);
+pub fn set(flag: &Flag, value: bool) {
+    flag.store(value, Ordering::Relaxed);
 }
