--- a/review/harness/src/bin/surplus.rs
+++ b/review/harness/src/bin/surplus.rs
@@ -32,6 +32,14 @@
 }
 
 fn main() {
+    let code = std::panic::catch_unwind(run);
+    match code {
+        Ok(code) => std::process::exit(code),
+        Err(_) => could_not_run("the driver failed"),
+    }
+}
+
+fn run() -> i32 {
     let record = Record::open();
     let seed = seed();
     let trouble = trouble();
@@ -93,7 +101,7 @@
     thread::sleep(Duration::from_secs(2));
     let code = judge(&attempts, &runs, &counts, &record);
     deployment.end();
-    std::process::exit(code);
+    code
 }
 
 /// A client with a connection for many requests, one at a time.
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -93,9 +93,15 @@
     }
 }
 
-/// Ends the case because it can't run.
+/// Ids of the processes that were started and may still run.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case because it can't run, with all processes that it started.
 pub fn could_not_run(why: &str) -> ! {
     eprintln!("could not run: {why}");
+    for id in STARTED.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).iter() {
+        let _sent = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+    }
     std::process::exit(COULD_NOT_RUN);
 }
 
@@ -518,7 +524,10 @@
         let errors = log.try_clone().expect("a handle");
         command.stdin(Stdio::null()).stdout(Stdio::from(log)).stderr(Stdio::from(errors));
         match command.spawn() {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                STARTED.lock().expect("no panic").push(child.id());
+                self.child = Some(child);
+            }
             Err(error) => could_not_run(&format!("{}: {error}", self.name)),
         }
     }
@@ -532,6 +541,7 @@
         if let Some(mut child) = self.child.take() {
             let _sent = child.kill();
             let _ended = child.wait();
+            STARTED.lock().expect("no panic").retain(|id| *id != child.id());
         }
     }
 
