--- a/review/harness/src/application.rs
+++ b/review/harness/src/application.rs
@@ -125,6 +125,16 @@
                     return;
                 }
             }
+            if head.method() == "GET" && head.path() == "/health" {
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nx-garnetcourse-instance-id: {}\r\ncontent-length: 0\r\n\r\n",
+                    self.id
+                );
+                if writer.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let Some(request) = request else {
                 let answer = "HTTP/1.1 400 Bad Request\r\nx-garnetcourse-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
                 if writer.write_all(answer.as_bytes()).is_err() {
