Gateways log whose answer a rejected or unattributed head is

A rejection is logged as attempt_failed cause=full, whether its head carries the id of the attempt's request, of another one or none. The logs so can't tell a rejection from a surplus copy of an earlier one. The new line head_without_answer names the request, the id in the head, the status, what the gateway takes the head for, and whether the connection is new.

No change of logic.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -279,6 +279,10 @@
             gateway.on_path_answered(&job.backend, sent_at);
             let parsed = gateway.backends.read_head(call, job, &exchange.head);
             let status = exchange.head.status;
+            let answered_id = gateway.backends.answered_id(&exchange.head);
+            if parsed.meaning != HeadMeaning::Answer || answered_id.is_none() {
+                log_no_answer(gateway, call, job, &parsed, &exchange);
+            }
             note_reports(gateway, call, job, &parsed, status, sent_at);
             if parsed.meaning == HeadMeaning::Answer && parsed.retry_after.is_none() {
                 guard.accepted();
@@ -407,6 +411,27 @@
     }
 }
 
+/// Logs a head that is not the answer to this request, and what tells whose it is.
+fn log_no_answer<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+    parsed: &ParsedHead,
+    exchange: &Exchange,
+) {
+    let answered_id = gateway.backends.answered_id(&exchange.head);
+    log::info!(
+        request = call.facts.id.as_str(),
+        answered_id = answered_id.unwrap_or_default(),
+        backend = job.backend.as_str(),
+        phase = phase_name(job),
+        status = exchange.head.status.as_u16(),
+        meaning = parsed.meaning.as_str(),
+        new_connection = exchange.fresh;
+        "head_without_answer"
+    );
+}
+
 /// Logs an attempt that ended without an answer to pass on.
 pub(crate) fn log_failure(call: &Call, job: &Job, cause: &str) {
     log::info!(
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -140,6 +140,18 @@
     OtherRequest,
 }
 
+impl HeadMeaning {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            HeadMeaning::Answer => "answer",
+            HeadMeaning::NotRun(reason) => reason.as_str(),
+            HeadMeaning::AnotherBackend => "another_backend",
+            HeadMeaning::OtherRequest => "other_request",
+        }
+    }
+}
+
 /// The parsed head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParsedHead {
@@ -184,6 +196,8 @@
 pub trait BackendPort {
     /// Builds the request for a job.
     fn request(&self, call: &Call, job: &Job) -> Request<Full<Bytes>>;
+    /// Id of the request that an answer belongs to; `None` if its head names none.
+    fn answered_id<'a>(&self, head: &'a ResponseParts) -> Option<&'a str>;
     /// Parses the head of an answer.
     fn read_head(&self, call: &Call, job: &Job, head: &ResponseParts) -> ParsedHead;
     /// Parses the body of the answer to [`JobPhase::Prefill`].
