An answer is matched to its request before anything is read of it

Callers saw 503, and engines a second run, for requests that an engine was running: REFUSED and TWICE. Cause: 421 and x-garnetcourse-not-executed were looked at before the request id, and a prefill answer needed no id, so that any surplus rejection in the place of an answer that was due counted as the rejection of the request in flight.

What an answer reports is now read from an AnswerHead, which exists only for a head that names the request of the attempt, once. The adapter for back ends gets nothing else, so that no further status or header can be read too early. Everything else ends the attempt as broken (the request may run) and closes the connection. Load, limit, backoff and draining in such a head are not read either, and a 421 of another request removes no back end any more.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -9,6 +9,7 @@
 use garnet_types::{BackendId, Framing, Millis};
 use hyper::StatusCode;
 
+use crate::answer_head::AnswerHead;
 use crate::backend_reports::note_reports;
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, HeadMeaning, Job, JobPhase, ParsedHead};
@@ -277,17 +278,21 @@
     let result = match sent {
         Ok(exchange) => {
             gateway.on_path_answered(&job.backend, sent_at);
-            let parsed = gateway.backends.read_head(call, job, &exchange.head);
-            let status = exchange.head.status;
-            let answered_id = gateway.backends.answered_id(&exchange.head);
-            if parsed.meaning != HeadMeaning::Answer || answered_id.is_none() {
-                log_no_answer(gateway, call, job, &parsed, &exchange);
-            }
-            note_reports(gateway, call, job, &parsed, status, sent_at);
-            if parsed.meaning == HeadMeaning::Answer && parsed.retry_after.is_none() {
-                guard.accepted();
+            match AnswerHead::matching(&gateway.backends, call, &exchange.head) {
+                Some(head) => {
+                    let parsed = gateway.backends.read_head(job, &head);
+                    let status = exchange.head.status;
+                    note_reports(gateway, call, job, &parsed, status, sent_at);
+                    on_head(gateway, call, job, parsed, exchange, guard).await
+                }
+                None => {
+                    // The request may still run, and its answer might come on this connection,
+                    // which is closed.
+                    log_no_answer(gateway, call, job, "other_request", &exchange);
+                    log_failure(call, job, "the answer belongs to another request");
+                    Err(AttemptEnd::Broken)
+                }
             }
-            on_head(gateway, call, job, parsed, exchange, guard).await
         }
         Err(error) => {
             match error {
@@ -348,8 +353,14 @@
         forwarder.note_load_report(&job.backend, load, now);
     }
     gateway.unknown_headers.note(&gateway.metrics, job, &parsed);
+    if parsed.meaning != HeadMeaning::Answer {
+        log_no_answer(gateway, call, job, parsed.meaning.as_str(), &exchange);
+    }
     let end = match parsed.meaning {
         HeadMeaning::Answer => {
+            if parsed.retry_after.is_none() {
+                guard.accepted();
+            }
             if exchange.framing() == Framing::UntilClose {
                 note_until_close(gateway, call, job);
             }
@@ -360,12 +371,6 @@
             guard.gone();
             AttemptEnd::NotRun(NotRunReason::Misdirected)
         }
-        HeadMeaning::OtherRequest => {
-            // The request may still run, and its answer might come on this connection,
-            // which is closed.
-            log_failure(call, job, "the answer belongs to another request");
-            return Err(AttemptEnd::Broken);
-        }
     };
     log_failure(call, job, end.as_str());
     // The connection can be reused if the body is read to its end.
@@ -416,7 +421,7 @@
     gateway: &Gateway<C, B>,
     call: &Call,
     job: &Job,
-    parsed: &ParsedHead,
+    meaning: &str,
     exchange: &Exchange,
 ) {
     let answered_id = gateway.backends.answered_id(&exchange.head);
@@ -426,7 +431,7 @@
         backend = job.backend.as_str(),
         phase = phase_name(job),
         status = exchange.head.status.as_u16(),
-        meaning = parsed.meaning.as_str(),
+        meaning = meaning,
         new_connection = exchange.fresh;
         "head_without_answer"
     );
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -7,6 +7,7 @@
 //! A gateway of this kind has no disk: it starts without a configuration and
 //! refuses requests until the leader has sent one.
 
+mod answer_head;
 mod answers;
 mod attempt;
 mod backend_reports;
@@ -35,6 +36,7 @@
 mod unmarked_ends;
 mod watch;
 
+pub use answer_head::AnswerHead;
 pub use events::EventSplitter;
 pub use ports::{
     BackendPort, Call, CallFacts, CallerPort, CopySource, HeadMeaning, Job, JobPhase, KvSource,
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -15,6 +15,8 @@
 use hyper::http::response::Parts as ResponseParts;
 use hyper::{Request, Response};
 
+use crate::answer_head::AnswerHead;
+
 /// What a caller states about its request.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CallFacts {
@@ -127,7 +129,7 @@
     pub resume_after: Option<String>,
 }
 
-/// What the head of an answer means.
+/// What the head of an answer to the request means.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadMeaning {
     /// The back end's own answer to this request.
@@ -136,8 +138,6 @@
     NotRun(NotRunReason),
     /// Another back end answers at the address.
     AnotherBackend,
-    /// The answer belongs to another request.
-    OtherRequest,
 }
 
 impl HeadMeaning {
@@ -147,7 +147,6 @@
             HeadMeaning::Answer => "answer",
             HeadMeaning::NotRun(reason) => reason.as_str(),
             HeadMeaning::AnotherBackend => "another_backend",
-            HeadMeaning::OtherRequest => "other_request",
         }
     }
 }
@@ -196,10 +195,10 @@
 pub trait BackendPort {
     /// Builds the request for a job.
     fn request(&self, call: &Call, job: &Job) -> Request<Full<Bytes>>;
-    /// Id of the request that an answer belongs to; `None` if its head names none.
+    /// Id of the request that an answer belongs to; `None` if its head does not name one.
     fn answered_id<'a>(&self, head: &'a ResponseParts) -> Option<&'a str>;
     /// Parses the head of an answer.
-    fn read_head(&self, call: &Call, job: &Job, head: &ResponseParts) -> ParsedHead;
+    fn read_head(&self, job: &Job, head: &AnswerHead<'_>) -> ParsedHead;
     /// Parses the body of the answer to [`JobPhase::Prefill`].
     fn read_prefill_answer(&self, body: &[u8]) -> Option<PrefillAnswer>;
     /// Builds a request that any back end answers at once and does not run.
