An attempt uses no connection on which its request was answered before

An engine that rejects a stream for want of room for its prompt is asked again to decode it. A second copy of the rejection then arrives in the place of the answer to the decode and names the same request: the caller got 503 while the engine decoded (attempt_failed cause=full at d-1, prefill, cause=full at d-2, cause=cache_gone at d-1, request_ended outcome=not_run). Class: an answer taken for that of another attempt. The id is the request's, so it can't tell attempts apart; the connection does, as a surplus copy arrives on the one of its original. A request now names the connections on which it was answered, and its later attempts use others.

Requests with one attempt at an engine, which is nearly all, use connections as before.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -4,8 +4,8 @@
 
 use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
 use garnet_quarantine::part_list;
-use garnet_runtime::Exchange;
 use garnet_runtime::client::HttpError;
+use garnet_runtime::{Exchange, SendConditions};
 use garnet_types::{BackendId, Framing, Millis};
 use hyper::StatusCode;
 
@@ -271,13 +271,16 @@
         let forwarder = gateway.forwarder.borrow();
         forwarder.connection_share(&job.backend).idle
     };
-    let sent = gateway
-        .pool
-        .send_if(&address, request, max_idle, is_available)
-        .await;
+    let conditions = SendConditions {
+        max_idle,
+        may_send: is_available,
+        may_reuse: |connection| call.may_use(connection),
+    };
+    let sent = gateway.pool.send_if(&address, request, conditions).await;
     let result = match sent {
         Ok(exchange) => {
             gateway.on_path_answered(&job.backend, sent_at);
+            call.note_answered_on(exchange.connection());
             match AnswerHead::matching(&gateway.backends, call, &exchange.head) {
                 Some(head) => {
                     let parsed = gateway.backends.read_head(job, &head);
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -1,12 +1,12 @@
 //! The ports to callers and back ends.
 
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
 
 use garnet_forwarding::{Credential, LoadReport, NotRunReason, Prompt, ReportedLimit, RetryAfter};
 use garnet_quarantine::{RequestFingerprint, RequestIdentity};
 use garnet_routes::Route;
-use garnet_runtime::Body;
+use garnet_runtime::{Body, ConnectionId};
 use garnet_types::{BackendId, Millis, TenantId};
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -48,6 +48,8 @@
     /// The caller's tenant; `None` if callers are not asked for keys.
     pub tenant: Option<TenantId>,
     fingerprint: OnceCell<RequestFingerprint>,
+    /// Connections on which an attempt was answered.
+    answered_on: RefCell<Vec<ConnectionId>>,
 }
 
 impl Call {
@@ -64,9 +66,21 @@
             body,
             tenant,
             fingerprint: OnceCell::new(),
+            answered_on: RefCell::default(),
         }
     }
 
+    /// Notes that an attempt was answered on a connection.
+    pub(crate) fn note_answered_on(&self, connection: ConnectionId) {
+        self.answered_on.borrow_mut().push(connection);
+    }
+
+    /// Whether another attempt may use a connection. A surplus copy of an answer arrives on the
+    /// connection of that answer, and its id does not distinguish attempts of one request.
+    pub(crate) fn may_use(&self, connection: ConnectionId) -> bool {
+        !self.answered_on.borrow().contains(&connection)
+    }
+
     /// The fingerprint of the request, which is the same in each retry of its caller.
     /// The body is hashed on first use.
     pub fn fingerprint(&self) -> RequestFingerprint {
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -35,7 +35,7 @@
 pub use connection_limit::ConnectionLimit;
 pub use connection_timer::ConnectionTimeouts;
 pub use framing::framing_of;
-pub use pool::{ConnectionPool, Exchange, PoolSettings};
+pub use pool::{ConnectionId, ConnectionPool, Exchange, PoolSettings, SendConditions};
 pub use server::{
     Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
 };
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -5,7 +5,7 @@
 //! end of its answer closes the connection, which cancels the request at the
 //! server. Errors tell whether any byte can have reached the server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,10 +57,31 @@
     }
 }
 
+/// Identifies a connection of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
+/// What must hold for a request to be sent.
+pub struct SendConditions<S, R> {
+    /// Maximum count of idle connections to the address that are kept afterwards.
+    pub max_idle: usize,
+    /// Whether the request may be sent. Asked when the connection is open, as the conditions
+    /// may have changed while it was opened.
+    pub may_send: S,
+    /// Whether an idle connection may be used for this request.
+    pub may_reuse: R,
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
-struct Idle {
+/// An open connection on which no request is in flight.
+struct Connection {
+    id: ConnectionId,
     sender: Sender,
+}
+
+struct Idle {
+    connection: Connection,
     until: Millis,
 }
 
@@ -73,6 +94,7 @@
     /// idle connections meanwhile.
     clock: Clock,
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
+    next_id: Rc<Cell<u64>>,
 }
 
 /// A request whose answer has begun: its status and headers have arrived.
@@ -83,7 +105,7 @@
     pub fresh: bool,
     framing: Framing,
     body: Incoming,
-    sender: Sender,
+    connection: Connection,
     address: String,
     /// Maximum count of idle connections to the address, including this one.
     max_idle: usize,
@@ -107,6 +129,7 @@
             settings,
             clock,
             idle: Rc::default(),
+            next_id: Rc::default(),
         }
     }
 
@@ -120,34 +143,40 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, HttpError> {
-        let max_idle = self.settings.idle_per_address;
-        self.send_if(address, request, max_idle, || true).await
+        let conditions = SendConditions {
+            max_idle: self.settings.idle_per_address,
+            may_send: || true,
+            may_reuse: |_| true,
+        };
+        self.send_if(address, request, conditions).await
     }
 
-    /// Sends a request like [`Self::send`], provided that `may_send` holds when the connection
-    /// is open, as the conditions may have changed while it was opened. At most `max_idle` idle
-    /// connections to the address are kept afterwards.
+    /// Sends a request like [`Self::send`] under conditions.
     ///
     /// # Errors
-    /// [`HttpError::Withheld`] if `may_send` does not hold; see [`HttpError`] for the others.
+    /// [`HttpError::Withheld`] if the request may not be sent; see [`HttpError`] for the others.
     pub async fn send_if(
         &self,
         address: &str,
         mut request: Request<Full<Bytes>>,
-        max_idle: usize,
-        may_send: impl Fn() -> bool,
+        conditions: SendConditions<impl Fn() -> bool, impl Fn(ConnectionId) -> bool>,
     ) -> Result<Exchange, HttpError> {
-        while let Some(mut sender) = self.take_idle(address) {
-            if sender.ready().await.is_err() {
+        let SendConditions {
+            max_idle,
+            may_send,
+            may_reuse,
+        } = conditions;
+        while let Some(mut connection) = self.take_idle(address, &may_reuse) {
+            if connection.sender.ready().await.is_err() {
                 continue;
             }
             if !may_send() {
-                self.keep(address, sender, self.settings.idle_timeout, max_idle);
+                self.keep(address, connection, self.settings.idle_timeout, max_idle);
                 return Err(HttpError::Withheld);
             }
-            match sender.try_send_request(request).await {
+            match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    return Ok(self.exchange(address, sender, response, false, max_idle));
+                    return Ok(self.exchange(address, connection, response, false, max_idle));
                 }
                 Err(mut error) => match error.take_message() {
                     Some(not_sent) => request = not_sent,
@@ -155,13 +184,13 @@
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
+        let mut connection = self.connect(address).await?;
         if !may_send() {
-            self.keep(address, sender, self.settings.idle_timeout, max_idle);
+            self.keep(address, connection, self.settings.idle_timeout, max_idle);
             return Err(HttpError::Withheld);
         }
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.exchange(address, sender, response, true, max_idle)),
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.exchange(address, connection, response, true, max_idle)),
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -188,10 +217,10 @@
         max_idle: usize,
     ) -> Result<(), HttpError> {
         let answered = async {
-            let mut sender = self.connect(address).await?;
-            let response = sender.send_request(request).await;
+            let mut connection = self.connect(address).await?;
+            let response = connection.sender.send_request(request).await;
             let response = response.map_err(|error| HttpError::Broken(error.to_string()))?;
-            let mut exchange = self.exchange(address, sender, response, true, max_idle);
+            let mut exchange = self.exchange(address, connection, response, true, max_idle);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             exchange.finish();
             Ok(())
@@ -213,7 +242,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            connections.retain(|idle| idle.is_usable(now));
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -221,7 +250,7 @@
     fn exchange(
         &self,
         address: &str,
-        sender: Sender,
+        connection: Connection,
         response: Response<Incoming>,
         fresh: bool,
         max_idle: usize,
@@ -232,14 +261,14 @@
             head,
             fresh,
             body,
-            sender,
+            connection,
             address: address.to_owned(),
             max_idle,
             pool: self.clone(),
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<Sender, HttpError> {
+    async fn connect(&self, address: &str) -> Result<Connection, HttpError> {
         let not_sent = |error: std::io::Error| HttpError::NotSent(error.to_string());
         let connecting = connect_with_timeout(address, self.settings.connect_timeout);
         let stream = connecting.await.map_err(not_sent)?;
@@ -254,33 +283,44 @@
             let _ended = connection.await;
         };
         self.executor.spawn(drive).detach();
-        Ok(sender)
+        let id = ConnectionId(self.next_id.get());
+        self.next_id.set(id.0 + 1);
+        Ok(Connection { id, sender })
     }
 
-    fn take_idle(&self, address: &str) -> Option<Sender> {
+    fn take_idle(
+        &self,
+        address: &str,
+        may_reuse: &impl Fn(ConnectionId) -> bool,
+    ) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
-        while let Some(candidate) = connections.pop() {
-            if candidate.until > now && !candidate.sender.is_closed() {
-                return Some(candidate.sender);
-            }
-        }
-        None
+        connections.retain(|idle| idle.is_usable(now));
+        let newest = connections
+            .iter()
+            .rposition(|idle| may_reuse(idle.connection.id))?;
+        Some(connections.remove(newest).connection)
     }
 
-    fn keep(&self, address: &str, sender: Sender, idle_timeout: Duration, max_idle: usize) {
+    fn keep(&self, address: &str, connection: Connection, idle_timeout: Duration, max_idle: usize) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.to_owned()).or_default();
         let max_idle = max_idle.min(self.settings.idle_per_address);
         connections.truncate(max_idle);
-        if connections.len() < max_idle && !sender.is_closed() {
+        if connections.len() < max_idle && !connection.sender.is_closed() {
             let until = self.clock.now() + Millis(idle_timeout.as_millis() as u64);
-            connections.push(Idle { sender, until });
+            connections.push(Idle { connection, until });
         }
     }
 }
 
+impl Idle {
+    fn is_usable(&self, now: Millis) -> bool {
+        self.until > now && !self.connection.sender.is_closed()
+    }
+}
+
 impl Exchange {
     /// Returns the next chunk of the body, or `None` after the last one.
     ///
@@ -320,6 +360,11 @@
         Ok(Bytes::from(collected))
     }
 
+    /// The connection that the request was sent on.
+    pub fn connection(&self) -> ConnectionId {
+        self.connection.id
+    }
+
     /// How the end of the answer is marked.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -335,11 +380,11 @@
         let Exchange {
             pool,
             address,
-            sender,
+            connection,
             max_idle,
             ..
         } = self;
-        pool.keep(&address, sender, idle_timeout, max_idle);
+        pool.keep(&address, connection, idle_timeout, max_idle);
     }
 }
 
