A connection whose request is not written whole is not used again

A back end may answer a long request before it has read it, as when it rejects it. The connection went back to the pool; the next request waited there until the back end read on, was sent nowhere, and ended as broken, in doubt, when the rest of the first body was not taken for 1.2 s. Reads of the HTTP library's own readiness do not tell (tried: SendRequest::is_ready is true while 32 MB are queued). The writes under it do: a connection whose last write waits for the peer when the answer ends is closed.

--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod sockets;
 pub mod timers;
 pub mod version_offers;
+mod write_monitor;
 
 pub use client::{HttpClient, HttpError, StreamedResponse};
 pub use clock::{Clock, TimeSource};
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::framing::framing_of;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
+use crate::write_monitor::{MonitoredStream, WriteMonitor};
 
 /// Header in which the server announces its idle timeout.
 const KEEP_ALIVE: &str = "keep-alive";
@@ -78,6 +79,7 @@
 struct Connection {
     id: ConnectionId,
     sender: Sender,
+    writes: WriteMonitor,
 }
 
 struct Idle {
@@ -274,6 +276,11 @@
         let stream = connecting.await.map_err(not_sent)?;
         let _unset = stream.set_nodelay(true);
         set_silence_timeouts(&stream, self.settings.ack_timeout);
+        let writes = WriteMonitor::default();
+        let stream = MonitoredStream {
+            stream,
+            monitor: writes.clone(),
+        };
         let (sender, connection) = Builder::new()
             .handshake(FuturesIo::new(stream))
             .await
@@ -285,7 +292,7 @@
         self.executor.spawn(drive).detach();
         let id = ConnectionId(self.next_id.get());
         self.next_id.set(id.0 + 1);
-        Ok(Connection { id, sender })
+        Ok(Connection { id, sender, writes })
     }
 
     fn take_idle(
@@ -370,9 +377,11 @@
         self.framing
     }
 
-    /// Returns the connection to the pool after the end of the body.
+    /// Returns the connection to the pool after the end of the body. A connection is closed if
+    /// its request was answered before it was written whole, as the next one would wait there
+    /// until the server reads the rest.
     pub fn finish(self) {
-        if announces_close(&self.head.headers) {
+        if announces_close(&self.head.headers) || self.connection.writes.is_waiting() {
             return;
         }
         let announced = idle_timeout(&self.head.headers);
--- /dev/null
+++ b/components/runtime/tests/pool.rs
@@ -0,0 +1,169 @@
+//! Which connections a pool uses again.
+
+use std::future::Future;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
+
+use garnet_runtime::{ConnectionPool, HttpError, PoolSettings, SendConditions};
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use smol::{LocalExecutor, Timer};
+
+/// Time without a result after which a request is taken to hang.
+const HANG_TIMEOUT: Duration = Duration::from_secs(30);
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Starts a server that serves each connection with `serve`.
+fn start(serve: fn(TcpStream)) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// Reads the head of a request and returns the length of its body.
+fn read_head(reader: &mut BufReader<TcpStream>) -> Option<usize> {
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            return Some(length);
+        }
+        if let Some(value) = line.to_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+}
+
+fn run<T>(future: impl Future<Output = T>, executor: &LocalExecutor<'_>) -> T {
+    let hang = async {
+        Timer::after(HANG_TIMEOUT).await;
+        panic!("it hangs");
+    };
+    smol::block_on(executor.run(smol::future::or(future, hang)))
+}
+
+fn request(body: Vec<u8>) -> Request<Full<Bytes>> {
+    let request = Request::post("/").header("host", "s");
+    request
+        .body(Full::new(Bytes::from(body)))
+        .expect("a request")
+}
+
+/// Sends a request, reads its answer and returns the connection. Returns whether it was new.
+async fn exchange(pool: &ConnectionPool, address: &str, body: Vec<u8>) -> Result<bool, HttpError> {
+    let mut exchange = pool.send(address, request(body)).await?;
+    let fresh = exchange.fresh;
+    exchange.read_whole(1024).await?;
+    exchange.finish();
+    Ok(fresh)
+}
+
+fn answer_all(stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    while let Some(length) = read_head(&mut reader) {
+        let mut body = vec![0; length];
+        if reader.read_exact(&mut body).is_err()
+            || reader.get_mut().write_all(OK.as_bytes()).is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Answers after the head and reads none of the body.
+fn answer_early(stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    if read_head(&mut reader).is_some() {
+        let _sent = reader.get_mut().write_all(OK.as_bytes());
+    }
+    thread::park();
+}
+
+#[test]
+fn a_connection_is_used_again_after_its_answer() {
+    let address = start(answer_all);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let fresh = run(
+        async {
+            let first = exchange(&pool, &address, vec![0; 100_000]).await;
+            let second = exchange(&pool, &address, Vec::new()).await;
+            [
+                first.expect("the early answer"),
+                second.expect("the next answer"),
+            ]
+        },
+        &executor,
+    );
+    assert_eq!(fresh, [true, false]);
+}
+
+/// A connection whose request was answered before it was written whole was returned to the pool.
+/// The next request waited there until the server read on, or until its deadline.
+#[test]
+fn a_connection_whose_request_is_not_written_whole_is_closed() {
+    let address = start(answer_early);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let fresh = run(
+        async {
+            // More than the buffers of both sockets hold.
+            let first = exchange(&pool, &address, vec![0; 32 << 20]).await;
+            let second = exchange(&pool, &address, Vec::new()).await;
+            [
+                first.expect("the early answer"),
+                second.expect("the next answer"),
+            ]
+        },
+        &executor,
+    );
+    assert_eq!(fresh, [true, true]);
+}
+
+#[test]
+fn a_connection_that_a_request_may_not_use_is_kept_for_others() {
+    let address = start(answer_all);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let fresh = run(
+        async {
+            let mut first = pool
+                .send(&address, request(Vec::new()))
+                .await
+                .expect("sent");
+            let used = first.connection();
+            first.read_whole(1024).await.expect("an answer");
+            first.finish();
+            let conditions = SendConditions {
+                max_idle: 8,
+                may_send: || true,
+                may_reuse: |connection| connection != used,
+            };
+            let second = pool
+                .send_if(&address, request(Vec::new()), conditions)
+                .await;
+            let second = second.expect("sent");
+            let third = pool
+                .send(&address, request(Vec::new()))
+                .await
+                .expect("sent");
+            assert_eq!(third.connection(), used);
+            [second.fresh, third.fresh]
+        },
+        &executor,
+    );
+    assert_eq!(fresh, [true, false]);
+}
