--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -3,6 +3,7 @@
 //! Its errors tell whether any byte of the request can have reached the server,
 //! as the decision to retry depends on it.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use smol::{LocalExecutor, Timer};
 use thiserror::Error;
 
-use crate::pool::{ConnectionPool, Exchange, PoolSettings};
+use crate::pool::{ConnectionPool, Exchange, PoolSettings, SendConditions};
 
 /// Maximum count of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
@@ -100,17 +101,35 @@
     ) -> Result<Response<Bytes>, HttpError> {
         let complete_answer = async {
             let mut exchange = self.exchange(address, request).await?;
-            let body = exchange.read_whole(MAX_RESPONSE_BYTES).await?;
-            let mut head = exchange.head.clone();
-            head.extensions.insert(exchange.framing());
+            let response = read_response(&mut exchange).await?;
             exchange.finish();
-            Ok(Response::from_parts(head, body))
+            Ok(response)
         };
-        let timed_out = async {
-            Timer::after(timeout).await;
-            Err(HttpError::TimedOut)
+        or_time_out(complete_answer, timeout).await
+    }
+
+    /// Sends a request like [`Self::send`] on a connection of its own. An answer that names no
+    /// request is certainly its own only there.
+    ///
+    /// # Errors
+    /// See [`HttpError`].
+    pub async fn send_once(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let conditions = SendConditions {
+            max_idle: 0,
+            may_send: || true,
+            may_reuse: |_| false,
         };
-        smol::future::or(complete_answer, timed_out).await
+        let complete_answer = async {
+            let request = with_host(address, request);
+            let sent = self.pool.send_if(address, request, conditions);
+            read_response(&mut sent.await?).await
+        };
+        or_time_out(complete_answer, timeout).await
     }
 
     /// Sends a request and returns its answer as a stream of chunks.
@@ -130,13 +149,35 @@
     async fn exchange(
         &self,
         address: &str,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
     ) -> Result<Exchange, HttpError> {
-        if let Ok(host) = address.parse() {
-            request.headers_mut().entry("host").or_insert(host);
-        }
-        self.pool.send(address, request).await
+        self.pool.send(address, with_host(address, request)).await
+    }
+}
+
+fn with_host(address: &str, mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    if let Ok(host) = address.parse() {
+        request.headers_mut().entry("host").or_insert(host);
     }
+    request
+}
+
+async fn read_response(exchange: &mut Exchange) -> Result<Response<Bytes>, HttpError> {
+    let body = exchange.read_whole(MAX_RESPONSE_BYTES).await?;
+    let mut head = exchange.head.clone();
+    head.extensions.insert(exchange.framing());
+    Ok(Response::from_parts(head, body))
+}
+
+async fn or_time_out(
+    answer: impl Future<Output = Result<Response<Bytes>, HttpError>>,
+    timeout: Duration,
+) -> Result<Response<Bytes>, HttpError> {
+    let timed_out = async {
+        Timer::after(timeout).await;
+        Err(HttpError::TimedOut)
+    };
+    smol::future::or(answer, timed_out).await
 }
 
 /// Builds a request with a JSON body to one of this system's own interfaces.
--- a/components/runtime/tests/pool.rs
+++ b/components/runtime/tests/pool.rs
@@ -4,10 +4,11 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use garnet_runtime::{ConnectionPool, HttpError, PoolSettings, SendConditions};
+use garnet_runtime::{ConnectionPool, HttpClient, HttpError, PoolSettings, SendConditions};
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
@@ -167,3 +168,45 @@
     );
     assert_eq!(fresh, [true, false]);
 }
+
+/// Answers each request twice; the second answer arrives with the next request.
+fn answer_twice(stream: TcpStream) {
+    static CALLS: AtomicUsize = AtomicUsize::new(1);
+    let mut reader = BufReader::new(stream);
+    let mut surplus = String::new();
+    while let Some(length) = read_head(&mut reader) {
+        let mut body = vec![0; length];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
+        let number = CALLS.fetch_add(1, Ordering::Relaxed);
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+        let sent = reader
+            .get_mut()
+            .write_all(format!("{surplus}{answer}").as_bytes());
+        if sent.is_err() {
+            return;
+        }
+        surplus = answer;
+    }
+}
+
+/// A call whose answer names no request was given the answer to the call before it.
+#[test]
+fn a_call_on_its_own_connection_receives_its_own_answer() {
+    let address = start(answer_twice);
+    let executor = Rc::new(LocalExecutor::new());
+    let client = HttpClient::new(Rc::clone(&executor));
+    let bodies = run(
+        async {
+            let mut bodies = Vec::new();
+            for _ in 0..3 {
+                let sent = client.send_once(&address, request(Vec::new()), HANG_TIMEOUT);
+                bodies.push(sent.await.expect("an answer").into_body());
+            }
+            bodies
+        },
+        &executor,
+    );
+    assert_eq!(bodies, ["1", "2", "3"]);
+}
