Soak: surplus answers, and what became of each request

The soak's engines sent no surplus answers at all, so that no run could show it.

The runtime's server can give requests a handle of their connection, as its filter and limit a tool for stand-ins: the HTTP library writes one answer a request.

--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -37,7 +37,8 @@
 pub use framing::framing_of;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
 pub use server::{
-    Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
+    Body, ConnectionFilter, ConnectionHandle, HttpServer, Limits, bytes_body, json_response,
+    text_response,
 };
 pub use shared::Shared;
 pub use shell::{Shell, bind, read_json};
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
@@ -106,6 +106,17 @@
     fn interrupted(&self, stream: &TcpStream) -> Pin<Box<dyn Future<Output = ()>>>;
 }
 
+/// The connection of a request, for handlers that write to it beside the HTTP library, as stand-ins
+/// of faulty back ends do. Bytes may be written from the arrival of a request until the response
+/// is returned.
+#[derive(Debug, Clone)]
+pub struct ConnectionHandle {
+    /// Number of the connection, unique in its server.
+    pub number: u64,
+    /// The socket.
+    pub stream: TcpStream,
+}
+
 /// A listening server.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -115,6 +126,8 @@
     timeouts: Shared<ConnectionTimeouts>,
     connection_limit: Option<Arc<ConnectionLimit>>,
     filter: Option<Rc<dyn ConnectionFilter>>,
+    /// Number of the next connection, if requests carry a [`ConnectionHandle`].
+    next_connection: Option<Cell<u64>>,
 }
 
 /// Binds a listener; the error names the address.
@@ -154,6 +167,7 @@
             timeouts: Shared::new(DEFAULT_TIMEOUTS),
             connection_limit: None,
             filter: None,
+            next_connection: None,
         })
     }
 
@@ -178,6 +192,13 @@
         self
     }
 
+    /// Adds a [`ConnectionHandle`] to the extensions of each request.
+    #[must_use]
+    pub fn with_connection_handles(mut self) -> Self {
+        self.next_connection = Some(Cell::new(0));
+        self
+    }
+
     /// The address of the listener.
     ///
     /// # Errors
@@ -215,6 +236,7 @@
                 stream.clone(),
                 self.limits,
                 timeouts,
+                self.connection_handle(&stream),
                 handler.clone(),
                 open.clone(),
             );
@@ -247,6 +269,17 @@
 }
 
 impl HttpServer {
+    /// The handle of a new connection, if requests carry one.
+    fn connection_handle(&self, stream: &TcpStream) -> Option<ConnectionHandle> {
+        let next = self.next_connection.as_ref()?;
+        let number = next.get();
+        next.set(number + 1);
+        Some(ConnectionHandle {
+            number,
+            stream: stream.clone(),
+        })
+    }
+
     /// Admits a connection, unless the connection limit is reached.
     fn admit(&self, stream: TcpStream) -> Option<(TcpStream, Option<OpenConnection>)> {
         match &self.connection_limit {
@@ -328,6 +361,7 @@
     stream: TcpStream,
     limits: Limits,
     timeouts: Shared<ConnectionTimeouts>,
+    handle: Option<ConnectionHandle>,
     handler: H,
     stop: Receiver<()>,
 ) where
@@ -340,8 +374,11 @@
     let close_mode = CloseMode::new(stream.clone());
     let serving = Rc::clone(&connection_timer);
     let closing = Rc::clone(&close_mode);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         serving.on_request();
+        if let Some(handle) = &handle {
+            request.extensions_mut().insert(handle.clone());
+        }
         let response = handler(request);
         let connection_timer = Rc::clone(&serving);
         let close_mode = Rc::clone(&closing);
