--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -38,7 +38,8 @@
 pub use framing::framing_of;
 pub use pool::{ConnectionId, ConnectionPool, Exchange, PoolSettings, SendConditions};
 pub use server::{
-    Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
+    Body, ConnectionFilter, ConnectionHandle, HttpServer, Limits, bytes_body, json_response,
+    text_response,
 };
 pub use shared::Shared;
 pub use shell::{Shell, bind, read_json};
