Connections read in turns, so that no peer stops the event loop

What callers saw: while one back end, or one caller without a key, sent an endless chunk size, all others waited until it ended by itself, no deadline was kept and a stop was not obeyed.

Cause: the HTTP library reads on as long as the socket has bytes. While bytes come faster than they are parsed, the future of the connection never returns Pending, and the loop polls neither other tasks nor timers.

Change: FairStream, below every connection (pool, server, frames). It reads 32 KiB, then waits until the reactor has been polled, and one stream at most goes on per poll of the reactor, in order. Waking its own waker would not do: the executor runs up to 200 tasks before it polls the reactor, and each of many such connections would read in each round. The loops that accept connections pause after 64 as well, as they do not wait while callers connect.

--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -7,6 +7,7 @@
 
 use garnet_consensus::Envelope;
 use garnet_control::{ControlReply, Event, JoinRequest, OperatorAnswer, OperatorRequest};
+use garnet_runtime::fair_stream::reactor_turn;
 use garnet_runtime::frames::{self, FrameReader, FrameWriter};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::{EncodingVersion, ReplicaId};
@@ -20,6 +21,8 @@
 /// Frames that may wait for one connection. Further ones are dropped, which the protocol
 /// tolerates like any other loss.
 const MAX_QUEUED_FRAMES: usize = 1024;
+/// Number of connections accepted in a row before other tasks run.
+const MAX_ACCEPTS_PER_TURN: usize = 64;
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long an operator's request waits for its answer. It is long because a change may
@@ -143,7 +146,13 @@
     }
 
     async fn accept(&self, listener: &TcpListener) {
+        let mut accepted_in_turn = 0;
         loop {
+            if accepted_in_turn == MAX_ACCEPTS_PER_TURN {
+                accepted_in_turn = 0;
+                reactor_turn().await;
+            }
+            accepted_in_turn += 1;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let connection = self.clone().serve(stream);
--- a/components/runtime/src/frames.rs
+++ b/components/runtime/src/frames.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::connect_timeout::ConnectTimeout;
+use crate::fair_stream::FairStream;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 
 /// Largest buffer that a connection keeps between frames.
@@ -20,7 +21,7 @@
 
 /// The reading half of a connection.
 pub struct FrameReader {
-    frames: FramedRead<TcpStream, FrameCodec>,
+    frames: FramedRead<FairStream<TcpStream>, FrameCodec>,
 }
 
 /// The writing half of a connection.
@@ -37,7 +38,7 @@
     let _unset = stream.set_nodelay(true);
     set_silence_timeouts(&stream, ACK_TIMEOUT);
     let reader = FrameReader {
-        frames: FramedRead::new(stream.clone(), FrameCodec::new(version)),
+        frames: FramedRead::new(FairStream::new(stream.clone()), FrameCodec::new(version)),
     };
     let writer = FrameWriter {
         stream,
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod connection_limit;
 mod connection_timer;
 pub mod control_link;
+pub mod fair_stream;
 pub mod frames;
 pub mod framing;
 pub mod log_limit;
@@ -34,6 +35,7 @@
 pub use connect_timeout::ConnectTimeout;
 pub use connection_limit::ConnectionLimit;
 pub use connection_timer::ConnectionTimeouts;
+pub use fair_stream::FairStream;
 pub use framing::framing_of;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
 pub use server::{
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -22,6 +22,7 @@
 
 use crate::client::HttpError;
 use crate::clock::Clock;
+use crate::fair_stream::FairStream;
 use crate::framing::framing_of;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 
@@ -246,7 +247,7 @@
         let _unset = stream.set_nodelay(true);
         set_silence_timeouts(&stream, self.settings.ack_timeout);
         let (sender, connection) = Builder::new()
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| HttpError::NotSent(error.to_string()))?;
         let drive = async move {
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -26,6 +26,7 @@
 use crate::close_mode::CloseMode;
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
+use crate::fair_stream::{FairStream, reactor_turn};
 use crate::shared::Shared;
 use garnet_types::Framing;
 
@@ -78,6 +79,8 @@
     idle: Duration::from_secs(5),
 };
 
+/// Number of connections accepted in a row before other tasks run.
+const MAX_ACCEPTS_PER_TURN: usize = 64;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum count of errors while the accept queue is emptied during a stop.
@@ -285,7 +288,13 @@
     stop: impl Future<Output = ()>,
 ) {
     let mut stop = pin!(stop);
+    let mut accepted_in_turn = 0;
     loop {
+        if accepted_in_turn == MAX_ACCEPTS_PER_TURN {
+            accepted_in_turn = 0;
+            reactor_turn().await;
+        }
+        accepted_in_turn += 1;
         let accepted = async { Some(listener.accept().await) };
         let stopped = async {
             stop.as_mut().await;
@@ -363,7 +372,7 @@
         }
     });
     let stream = TimedStream {
-        stream,
+        stream: FairStream::new(stream),
         connection_timer: Rc::clone(&connection_timer),
         close_mode,
     };
