--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -22,6 +22,7 @@
 
 use crate::client::HttpError;
 use crate::clock::Clock;
+use crate::fair_stream::FairStream;
 use crate::framing::framing_of;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 use crate::write_monitor::{MonitoredStream, WriteMonitor};
@@ -282,7 +283,7 @@
             monitor: writes.clone(),
         };
         let (sender, connection) = Builder::new()
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| HttpError::NotSent(error.to_string()))?;
         let drive = async move {
