--- a/components/storage/src/directory.rs
+++ b/components/storage/src/directory.rs
@@ -24,6 +24,40 @@
     fn sync_names(&mut self) -> io::Result<()>;
 }
 
+impl<D: Directory + ?Sized> Directory for &mut D {
+    fn list(&self) -> io::Result<Vec<String>> {
+        (**self).list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        (**self).read(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        (**self).append(name, bytes)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        (**self).truncate(name, length)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        (**self).sync(name)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        (**self).rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        (**self).remove(name)
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        (**self).sync_names()
+    }
+}
+
 /// A folder on a real disk.
 #[derive(Debug)]
 pub struct DiskDirectory {
--- a/components/storage/src/lib.rs
+++ b/components/storage/src/lib.rs
@@ -15,6 +15,7 @@
 mod frame;
 mod identity;
 mod memory;
+mod memory_file;
 mod replica;
 mod value;
 
@@ -22,5 +23,6 @@
 pub use error::StorageError;
 pub use identity::{DiskIdentity, FORMAT_VERSION};
 pub use memory::{MemoryDirectory, PowerLoss};
+pub use memory_file::ChangeFate;
 pub use replica::{Recovered, ReplicaStorage};
 pub use value::{load_value, save_value};
--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -16,7 +16,7 @@
 use crate::frame;
 use crate::value::{TEMPORARY_SUFFIX, decode, encode, load_value, save_value};
 
-/// Size at which a segment is closed and the next one is started.
+/// Size of a segment at which it is closed, if the caller names no other.
 const SEGMENT_BYTES: u64 = 1 << 20;
 const SEGMENT_PREFIX: &str = "segment-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
@@ -59,6 +59,8 @@
 pub struct ReplicaStorage<D: Directory> {
     directory: D,
     segments: Vec<Segment>,
+    /// Size at which a segment is closed and the next one is started.
+    segment_bytes: u64,
     next_segment: u64,
     hard_state: HardState,
     poisoned: bool,
@@ -71,7 +73,18 @@
     ///
     /// # Errors
     /// When synced content is damaged or a disk operation fails.
-    pub fn open(mut directory: D) -> Result<(Self, Recovered), StorageError> {
+    pub fn open(directory: D) -> Result<(Self, Recovered), StorageError> {
+        Self::open_with_segment_bytes(directory, SEGMENT_BYTES)
+    }
+
+    /// Like [`ReplicaStorage::open`], for tests that fill many segments.
+    ///
+    /// # Errors
+    /// When synced content is damaged or a disk operation fails.
+    pub fn open_with_segment_bytes(
+        mut directory: D,
+        segment_bytes: u64,
+    ) -> Result<(Self, Recovered), StorageError> {
         let names = directory.list().map_err(StorageError::io("list", "."))?;
         remove_temporary_files(&mut directory, &names)?;
         let snapshot = newest_snapshot(&directory, &names)?;
@@ -100,6 +113,7 @@
         let storage = ReplicaStorage {
             directory,
             segments,
+            segment_bytes,
             next_segment,
             hard_state: recovered.hard_state,
             poisoned: false,
@@ -206,7 +220,7 @@
         let is_full = self
             .segments
             .last()
-            .is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
+            .is_none_or(|segment| segment.bytes >= self.segment_bytes);
         if is_full {
             self.start_segment()?;
         }
