Control shell: a start waits for space whichever file has none

Seen: a replica that starts on a full disk ends with "No space left on device" as soon as it writes any file of its folder: only the probe that opens the folder was retried.

Change: all stores of the folder are opened within the wait. An error of a store on a full disk keeps its kind; any other one ends the start as before.

--- a/components/control-shell/src/data_folder.rs
+++ b/components/control-shell/src/data_folder.rs
@@ -9,7 +9,7 @@
 use garnet_control::{Replica, ReplicaSettings, STATE_FORMAT};
 use garnet_runtime::Clock;
 use garnet_storage::{
-    DiskDirectory, DiskIdentity, ReplicaStorage, StorageError, load_value, save_value,
+    DiskDirectory, DiskIdentity, Recovered, ReplicaStorage, StorageError, load_value, save_value,
 };
 use garnet_types::{EncodingVersion, ReplicaId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -74,27 +74,23 @@
     clock: Clock,
     stop_requested: impl Fn() -> bool,
 ) -> io::Result<Option<OpenedReplica>> {
-    let open_disk = || {
+    let open_stores = || {
         if stop_requested() {
             return Ok(None);
         }
-        DiskDirectory::open(&settings.data).map(Some)
+        Stores::open(settings).map(Some)
     };
-    let opened = wait_for_space(open_disk, || thread::sleep(SPACE_RETRY_INTERVAL));
-    let opened = opened.map_err(|error| {
-        let folder = settings.data.display();
-        io::Error::new(error.kind(), format!("data folder {folder}: {error}"))
-    })?;
-    let Some(mut directory) = opened else {
+    let opened = wait_for_space(open_stores, || thread::sleep(SPACE_RETRY_INTERVAL))?;
+    let Some(stores) = opened else {
         return Ok(None);
     };
-    let new_incarnation = settings.initial_id.map_or_else(rand::random, |id| id.0);
-    let (identity, created) =
-        DiskIdentity::open_or_create(&mut directory, &settings.name, new_incarnation)
-            .map_err(io::Error::other)?;
-    let id = ReplicaId(identity.incarnation);
-    let group = initial_group(&mut directory, settings, id, created).map_err(io::Error::other)?;
-    let (storage, recovered) = ReplicaStorage::open(directory).map_err(io::Error::other)?;
+    let Stores {
+        id,
+        created,
+        group,
+        storage,
+        recovered,
+    } = stores;
     log::info!(
         replica = id.0,
         new_disk = created,
@@ -130,6 +126,47 @@
     }))
 }
 
+/// What the data folder holds.
+struct Stores {
+    id: ReplicaId,
+    /// Whether the folder had no identity before.
+    created: bool,
+    group: Membership,
+    storage: ReplicaStorage<DiskDirectory>,
+    recovered: Recovered,
+}
+
+impl Stores {
+    /// Opens all stores of the folder. An error on a full disk is of the kind
+    /// [`io::ErrorKind::StorageFull`].
+    fn open(settings: &OpenSettings) -> io::Result<Self> {
+        let directory = DiskDirectory::open(&settings.data).map_err(|error| {
+            let folder = settings.data.display();
+            io::Error::new(error.kind(), format!("data folder {folder}: {error}"))
+        })?;
+        Stores::read(directory, settings).map_err(|error| match error.is_full() {
+            true => io::Error::new(io::ErrorKind::StorageFull, error),
+            false => io::Error::other(error),
+        })
+    }
+
+    fn read(mut directory: DiskDirectory, settings: &OpenSettings) -> Result<Self, StorageError> {
+        let new_incarnation = settings.initial_id.map_or_else(rand::random, |id| id.0);
+        let (identity, created) =
+            DiskIdentity::open_or_create(&mut directory, &settings.name, new_incarnation)?;
+        let id = ReplicaId(identity.incarnation);
+        let group = initial_group(&mut directory, settings, id, created)?;
+        let (storage, recovered) = ReplicaStorage::open(directory)?;
+        Ok(Stores {
+            id,
+            created,
+            group,
+            storage,
+            recovered,
+        })
+    }
+}
+
 /// The group that is valid before the log holds any membership entry. It is empty for a
 /// replica that joins later, which learns the group from its leader.
 fn initial_group(
