Storage: the segments that a start reads back are synced

Cause: ReplicaStorage::open takes each frame that it can read as durable, and the consensus acknowledges it. A process that was killed between the write and the sync of a frame has left it unsynced. If the segment is full, the next frame starts another one, and nothing syncs the first again; the next loss of power takes its end. If it isn't full, the sync of the next frame covers it, unless the power is lost before that.

Change: each segment is synced after it was read, once a file. Not only the last one: a build without this change may have left any of them so.

--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -69,7 +69,8 @@
 }
 
 impl<D: Directory> ReplicaStorage<D> {
-    /// Recovers the state from a folder and truncates a torn last write.
+    /// Recovers the state from a folder, truncates a torn last write and makes durable what
+    /// was recovered.
     ///
     /// # Errors
     /// When synced content is damaged or a disk operation fails.
@@ -390,10 +391,12 @@
         directory
             .truncate(&name, frames.valid_length as u64)
             .map_err(StorageError::io("truncate", &name))?;
-        directory
-            .sync(&name)
-            .map_err(StorageError::io("sync", &name))?;
     }
+    // A killed process may have written these frames without syncing them, and a full
+    // segment is never written again.
+    directory
+        .sync(&name)
+        .map_err(StorageError::io("sync", &name))?;
     Ok(Some(Segment {
         name,
         highest_index,
