Storage: the names of files that a start reads back are synced

Likewise a segment whose name was not synced takes all acknowledged entries with it, without an error, and an identity that was read back is gone: the next start makes another.

Cause: a rename or a new file lasts only once its folder was synced, and nothing syncs the folder for what a killed process left.

Change: ReplicaStorage::open syncs the folder once, after all files were read; load_value syncs the file and the folder and takes the folder as mutable for that (identity, first group, starts and configuration index of a gateway, fence of the stand-in). What save_value wrote is synced before it gets its name, so that the sync of the file itself only guards against other writers.

--- a/bin/garnet-standin/src/engine.rs
+++ b/bin/garnet-standin/src/engine.rs
@@ -107,7 +107,7 @@
 
 fn open(arguments: &Arguments) -> io::Result<Engine> {
     let mut directory = DiskDirectory::open(&arguments.data)?;
-    let mut kept: Kept = load_value(&directory, FENCE_FILE)
+    let mut kept: Kept = load_value(&mut directory, FENCE_FILE)
         .map_err(io::Error::other)?
         .unwrap_or_default();
     kept.starts += 1;
--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -14,7 +14,7 @@
 use crate::directory::Directory;
 use crate::error::StorageError;
 use crate::frame;
-use crate::value::{TEMPORARY_SUFFIX, decode, encode, load_value, save_value};
+use crate::value::{TEMPORARY_SUFFIX, decode, encode, read_value, save_value};
 
 /// Size of a segment at which it is closed, if the caller names no other.
 const SEGMENT_BYTES: u64 = 1 << 20;
@@ -88,7 +88,7 @@
     ) -> Result<(Self, Recovered), StorageError> {
         let names = directory.list().map_err(StorageError::io("list", "."))?;
         remove_temporary_files(&mut directory, &names)?;
-        let snapshot = newest_snapshot(&directory, &names)?;
+        let snapshot = newest_snapshot(&mut directory, &names)?;
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let mut recovered = Recovered {
             snapshot,
@@ -110,6 +110,10 @@
         }
         discard_replaced_log(&mut recovered);
         check_contiguous(&recovered, snapshot_index)?;
+        // A killed process may have made or renamed these files without syncing the folder.
+        directory
+            .sync_names()
+            .map_err(StorageError::io("sync of the folder for", SEGMENT_PREFIX))?;
         let next_segment = segments.last().map_or(0, |s| segment_number(&s.name) + 1);
         let storage = ReplicaStorage {
             directory,
@@ -340,14 +344,19 @@
     Ok(())
 }
 
+/// Reads the newest snapshot and syncs its content. The caller syncs its name.
 fn newest_snapshot(
-    directory: &dyn Directory,
+    directory: &mut dyn Directory,
     names: &[String],
 ) -> Result<Option<Snapshot>, StorageError> {
-    match with_prefix(names, SNAPSHOT_PREFIX).last() {
-        Some(name) => load_value(directory, name),
-        None => Ok(None),
-    }
+    let Some(name) = with_prefix(names, SNAPSHOT_PREFIX).pop() else {
+        return Ok(None);
+    };
+    let snapshot = read_value(directory, &name)?;
+    directory
+        .sync(&name)
+        .map_err(StorageError::io("sync", &name))?;
+    Ok(Some(snapshot))
 }
 
 fn replay_segment(
--- a/components/storage/src/value.rs
+++ b/components/storage/src/value.rs
@@ -60,24 +60,40 @@
         .map_err(StorageError::io("sync of the folder for", name))
 }
 
-/// Loads the value in `name`, or `None` when it was never saved.
+/// Loads the value in `name`, or `None` when it was never saved, and makes it durable: the
+/// process that saved it may have been killed before its last sync.
 ///
 /// # Errors
-/// When the file can't be read or is damaged.
+/// When the file can't be read or synced, or is damaged.
 pub fn load_value<T: DeserializeOwned>(
-    directory: &dyn Directory,
+    directory: &mut dyn Directory,
     name: &str,
 ) -> Result<Option<T>, StorageError> {
     let names = directory.list().map_err(StorageError::io("list", name))?;
     if !names.iter().any(|found| found == name) {
         return Ok(None);
     }
+    let value = read_value(directory, name)?;
+    directory
+        .sync(name)
+        .map_err(StorageError::io("sync", name))?;
+    directory
+        .sync_names()
+        .map_err(StorageError::io("sync of the folder for", name))?;
+    Ok(Some(value))
+}
+
+/// Reads the value in `name`, durable or not.
+pub(crate) fn read_value<T: DeserializeOwned>(
+    directory: &dyn Directory,
+    name: &str,
+) -> Result<T, StorageError> {
     let bytes = directory
         .read(name)
         .map_err(StorageError::io("read", name))?;
     let frames = frame::read_all(&bytes);
     match frames.payloads.as_slice() {
-        [payload] => decode(payload, name).map(Some),
+        [payload] => decode(payload, name),
         _ => Err(StorageError::Damaged {
             file: name.to_owned(),
             offset: frames.valid_length as u64,
--- a/components/storage/tests/recovery.rs
+++ b/components/storage/tests/recovery.rs
@@ -251,11 +251,11 @@
     save_value(&mut directory, "v", &1_u64).expect("saved");
     let mut later = directory.clone();
     save_value(&mut later, "v", &2_u64).expect("saved");
-    for state in [
+    for mut state in [
         directory.after_power_loss(loss),
         later.after_power_loss(loss),
     ] {
-        let value: Option<u64> = load_value(&state, "v").expect("an intact file");
+        let value: Option<u64> = load_value(&mut state, "v").expect("an intact file");
         assert!(matches!(value, Some(1 | 2)));
     }
 }
