Control shell: the first group is stored if the identity alone is found

Seen by reading, while the files of a start were listed: a member of the first group that is killed (or whose disk fills up) between the writes of its identity and of the first group finds the identity at its next start and takes the missing file for "joins later". It then starts with an empty group, while the others count it as a voter; if a majority is killed there, the group has nobody to elect.

Cause: initial_group went by whether the identity was created in this start.

Change: it goes by the file. Where that is missing, the settings are asked, as at the first start; a replica whose identity they don't name stores nothing, as before. Not covered: a restart in that gap whose settings no longer say `bootstrap`.

--- a/components/control-shell/src/data_folder.rs
+++ b/components/control-shell/src/data_folder.rs
@@ -155,7 +155,7 @@
         let (identity, created) =
             DiskIdentity::open_or_create(&mut directory, &settings.name, new_incarnation)?;
         let id = ReplicaId(identity.incarnation);
-        let group = initial_group(&mut directory, settings, id, created)?;
+        let group = initial_group(&mut directory, settings, id)?;
         let (storage, recovered) = ReplicaStorage::open(directory)?;
         Ok(Stores {
             id,
@@ -173,7 +173,6 @@
     directory: &mut DiskDirectory,
     settings: &OpenSettings,
     id: ReplicaId,
-    created: bool,
 ) -> Result<Membership, StorageError> {
     let addresses = match &settings.initial_group {
         InitialGroup::WithIds(members) if members.members.contains_key(&id) => {
@@ -182,9 +181,10 @@
         InitialGroup::WithIds(_) => return Ok(Membership::default()),
         InitialGroup::ByAddress(addresses) => addresses,
     };
-    if !created {
-        return Ok(load_value(directory, INITIAL_GROUP_FILE)?.unwrap_or_default());
+    if let Some(group) = load_value(directory, INITIAL_GROUP_FILE)? {
+        return Ok(group);
     }
+    // The first start, or one after a kill between the identity and this file.
     let member = |address: &MemberAddress| {
         let member = Member {
             peer_address: address.peer.clone(),
