Storage: the name of a data folder that is found is synced in its parent

Seen by reading: a folder is created and its parent synced, but a process killed between the two leaves a folder that the next start finds and doesn't sync. A loss of power may then take the folder with all that was synced inside.

Change: where a folder (or the deepest one there is on its path) is found, its parent is synced as well. A parent that may not be opened is left: such a process has not created the folder. One sync more at a start.

Test: no test cuts the power of a disk. strace of the test that opens a folder twice shows an fsync of the parent at the second opening, and none before.

--- a/components/storage/src/directory.rs
+++ b/components/storage/src/directory.rs
@@ -102,13 +102,14 @@
 /// Creates a folder and its parents, and syncs each parent. Without that a power loss
 /// could remove the name of the folder, and with it everything synced inside.
 fn create_folder(path: &Path) -> io::Result<()> {
-    if path.is_dir() {
-        return Ok(());
-    }
     let parent_path = match path.parent() {
         Some(parent_path) if !parent_path.as_os_str().is_empty() => parent_path,
-        _ => Path::new("."),
+        Some(_) => Path::new("."),
+        None => return Ok(()),
     };
+    if path.is_dir() {
+        return sync_existing_name(parent_path);
+    }
     create_folder(parent_path)?;
     match fs::create_dir(path) {
         // Another process created it meanwhile.
@@ -118,6 +119,16 @@
     File::open(parent_path)?.sync_all()
 }
 
+/// Syncs the name of a folder that was found: a process that was killed may have created
+/// it and not synced its parent. One that may not open the parent has not created it.
+fn sync_existing_name(parent_path: &Path) -> io::Result<()> {
+    match File::open(parent_path) {
+        Ok(parent) => parent.sync_all(),
+        Err(error) if error.kind() == io::ErrorKind::PermissionDenied => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
 impl Directory for DiskDirectory {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
--- a/components/storage/tests/folder.rs
+++ b/components/storage/tests/folder.rs
@@ -1,7 +1,8 @@
 //! The data folder on a real disk. That its name survives a power loss is not tested:
 //! no test cuts the power.
 
-use std::fs;
+use std::fs::{self, Permissions};
+use std::os::unix::fs::PermissionsExt;
 
 use garnet_storage::{Directory, DiskDirectory};
 
@@ -16,6 +17,20 @@
     assert_eq!(reopened.read("log").expect("there"), b"entry");
 }
 
+/// The sync of the parent of a folder that was found must not keep a process from a folder
+/// below one that it may not read.
+#[test]
+fn a_folder_below_one_that_can_not_be_read_is_opened() {
+    let parent_folder = tempfile::tempdir().expect("a folder");
+    let parent_path = parent_folder.path().join("parent");
+    let path = parent_path.join("data");
+    fs::create_dir_all(&path).expect("made");
+    fs::set_permissions(&parent_path, Permissions::from_mode(0o311)).expect("changed");
+    let opened = DiskDirectory::open(&path);
+    fs::set_permissions(&parent_path, Permissions::from_mode(0o755)).expect("changed back");
+    assert!(opened.is_ok(), "{opened:?}");
+}
+
 #[test]
 fn a_path_with_a_file_in_place_of_a_folder_is_refused() {
     let parent_folder = tempfile::tempdir().expect("a folder");
