--- a/components/storage/tests/durability/main.rs
+++ b/components/storage/tests/durability/main.rs
@@ -5,6 +5,7 @@
 //! read back at a start that was completed, may be missing later.
 
 mod believed;
+mod cost;
 mod disk_log;
 mod host;
 mod lives;
