--- a/components/storage/src/directory.rs
+++ b/components/storage/src/directory.rs
@@ -24,6 +24,40 @@
     fn sync_names(&mut self) -> io::Result<()>;
 }
 
+impl<D: Directory + ?Sized> Directory for &mut D {
+    fn list(&self) -> io::Result<Vec<String>> {
+        (**self).list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        (**self).read(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        (**self).append(name, bytes)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        (**self).truncate(name, length)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        (**self).sync(name)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        (**self).rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        (**self).remove(name)
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        (**self).sync_names()
+    }
+}
+
 /// A folder on a real disk.
 #[derive(Debug)]
 pub struct DiskDirectory {
@@ -68,13 +102,14 @@
 /// Creates a folder and its parents, and syncs each parent. Without that a power loss
 /// could remove the name of the folder, and with it everything synced inside.
 fn create_folder(path: &Path) -> io::Result<()> {
-    if path.is_dir() {
-        return Ok(());
-    }
     let parent_path = match path.parent() {
         Some(parent_path) if !parent_path.as_os_str().is_empty() => parent_path,
-        _ => Path::new("."),
+        Some(_) => Path::new("."),
+        None => return Ok(()),
     };
+    if path.is_dir() {
+        return sync_existing_name(parent_path);
+    }
     create_folder(parent_path)?;
     match fs::create_dir(path) {
         // Another process created it meanwhile.
@@ -84,6 +119,16 @@
     File::open(parent_path)?.sync_all()
 }
 
+/// Syncs the name of a folder that was found: a process that was killed may have created
+/// it and not synced its parent. One that may not open the parent has not created it.
+fn sync_existing_name(parent_path: &Path) -> io::Result<()> {
+    match File::open(parent_path) {
+        Ok(parent) => parent.sync_all(),
+        Err(error) if error.kind() == io::ErrorKind::PermissionDenied => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
 impl Directory for DiskDirectory {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -14,9 +14,9 @@
 use crate::directory::Directory;
 use crate::error::StorageError;
 use crate::frame;
-use crate::value::{TEMPORARY_SUFFIX, decode, encode, load_value, save_value};
+use crate::value::{TEMPORARY_SUFFIX, decode, encode, read_value, save_value};
 
-/// Size at which a segment is closed and the next one is started.
+/// Size of a segment at which it is closed, if the caller names no other.
 const SEGMENT_BYTES: u64 = 1 << 20;
 const SEGMENT_PREFIX: &str = "segment-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
@@ -59,6 +59,8 @@
 pub struct ReplicaStorage<D: Directory> {
     directory: D,
     segments: Vec<Segment>,
+    /// Size at which a segment is closed and the next one is started.
+    segment_bytes: u64,
     next_segment: u64,
     hard_state: HardState,
     poisoned: bool,
@@ -67,14 +69,26 @@
 }
 
 impl<D: Directory> ReplicaStorage<D> {
-    /// Recovers the state from a folder and truncates a torn last write.
+    /// Recovers the state from a folder, truncates a torn last write and makes durable what
+    /// was recovered.
     ///
     /// # Errors
     /// When synced content is damaged or a disk operation fails.
-    pub fn open(mut directory: D) -> Result<(Self, Recovered), StorageError> {
+    pub fn open(directory: D) -> Result<(Self, Recovered), StorageError> {
+        Self::open_with_segment_bytes(directory, SEGMENT_BYTES)
+    }
+
+    /// Like [`ReplicaStorage::open`], for tests that fill many segments.
+    ///
+    /// # Errors
+    /// When synced content is damaged or a disk operation fails.
+    pub fn open_with_segment_bytes(
+        mut directory: D,
+        segment_bytes: u64,
+    ) -> Result<(Self, Recovered), StorageError> {
         let names = directory.list().map_err(StorageError::io("list", "."))?;
         remove_temporary_files(&mut directory, &names)?;
-        let snapshot = newest_snapshot(&directory, &names)?;
+        let snapshot = newest_snapshot(&mut directory, &names)?;
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let mut recovered = Recovered {
             snapshot,
@@ -96,10 +110,15 @@
         }
         discard_replaced_log(&mut recovered);
         check_contiguous(&recovered, snapshot_index)?;
+        // A killed process may have made or renamed these files without syncing the folder.
+        directory
+            .sync_names()
+            .map_err(StorageError::io("sync of the folder for", SEGMENT_PREFIX))?;
         let next_segment = segments.last().map_or(0, |s| segment_number(&s.name) + 1);
         let storage = ReplicaStorage {
             directory,
             segments,
+            segment_bytes,
             next_segment,
             hard_state: recovered.hard_state,
             poisoned: false,
@@ -206,7 +225,7 @@
         let is_full = self
             .segments
             .last()
-            .is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
+            .is_none_or(|segment| segment.bytes >= self.segment_bytes);
         if is_full {
             self.start_segment()?;
         }
@@ -325,14 +344,19 @@
     Ok(())
 }
 
+/// Reads the newest snapshot and syncs its content. The caller syncs its name.
 fn newest_snapshot(
-    directory: &dyn Directory,
+    directory: &mut dyn Directory,
     names: &[String],
 ) -> Result<Option<Snapshot>, StorageError> {
-    match with_prefix(names, SNAPSHOT_PREFIX).last() {
-        Some(name) => load_value(directory, name),
-        None => Ok(None),
-    }
+    let Some(name) = with_prefix(names, SNAPSHOT_PREFIX).pop() else {
+        return Ok(None);
+    };
+    let snapshot = read_value(directory, &name)?;
+    directory
+        .sync(&name)
+        .map_err(StorageError::io("sync", &name))?;
+    Ok(Some(snapshot))
 }
 
 fn replay_segment(
@@ -376,10 +400,12 @@
         directory
             .truncate(&name, frames.valid_length as u64)
             .map_err(StorageError::io("truncate", &name))?;
-        directory
-            .sync(&name)
-            .map_err(StorageError::io("sync", &name))?;
     }
+    // A killed process may have written these frames without syncing them, and a full
+    // segment is never written again.
+    directory
+        .sync(&name)
+        .map_err(StorageError::io("sync", &name))?;
     Ok(Some(Segment {
         name,
         highest_index,
