Connections without progress end after 512 KiB

What callers saw: a back end that sent a chunk size, spaces after it or 103 answers without end held a request until its deadline (504), and other back ends were tried only once it counted as silent. A caller that did the same occupied its connection for 20 s.

Cause: the HTTP library limits heads, chunk extensions and trailers, but not these.

Change: ProgressStream fails once a connection has received 512 KiB since its last whole head or the last part of a body that was taken; the longest head that the library reads has 408 KiB. To note parts of request bodies, handlers receive them as RequestBody in place of hyper's Incoming. The cause of a broken connection is logged with its source.

--- a/bin/garnet-bench/src/relay.rs
+++ b/bin/garnet-bench/src/relay.rs
@@ -10,10 +10,10 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
+use garnet_runtime::RequestBody;
 use garnet_runtime::client::build_request;
 use garnet_runtime::{Body, HttpClient, HttpServer, Limits, bytes_body, text_response};
 use hdrhistogram::Histogram;
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use serde_json::{Value, json};
 use smol::LocalExecutor;
@@ -107,7 +107,11 @@
         .await;
 }
 
-async fn pass_on(http: HttpClient, backend: String, request: Request<Incoming>) -> Response<Body> {
+async fn pass_on(
+    http: HttpClient,
+    backend: String,
+    request: Request<RequestBody>,
+) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let passed = build_request(request.method().as_str(), &path, "text/plain", Vec::new());
     let Ok(passed) = passed else {
--- a/bin/garnet-control/src/admin.rs
+++ b/bin/garnet-control/src/admin.rs
@@ -7,6 +7,7 @@
     Command, CommandAnswer, CommandEnvelope, MemberChange, OperatorAnswer, OperatorRequest,
     Session, StatusView,
 };
+use garnet_runtime::RequestBody;
 use garnet_runtime::metrics::{self, Sample};
 use garnet_runtime::server::{read_body, set_header, with_type};
 use garnet_runtime::{Body, Limits, json_response, read_json, text_response};
@@ -14,7 +15,6 @@
     BackendId, CommandId, EngineAssignment, Millis, ModelId, ReplicaId, ServiceId, SessionId,
     TenantId,
 };
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::Deserialize;
 use serde_json::json;
@@ -65,7 +65,7 @@
 }
 
 /// Answers one request.
-pub(crate) async fn handle(admin: Admin, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(admin: Admin, request: Request<RequestBody>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     match path.as_str() {
         "/healthz" => return text_response(200, "ok\n"),
@@ -134,7 +134,7 @@
 async fn put_session(
     admin: &Admin,
     id: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     options: Options,
 ) -> Response<Body> {
     let body: SessionBody = match read_json(request).await {
@@ -153,7 +153,7 @@
 async fn put_policy(
     admin: &Admin,
     name: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     options: Options,
 ) -> Response<Body> {
     match read_text(request).await {
@@ -165,7 +165,11 @@
     }
 }
 
-async fn put_routes(admin: &Admin, request: Request<Incoming>, options: Options) -> Response<Body> {
+async fn put_routes(
+    admin: &Admin,
+    request: Request<RequestBody>,
+    options: Options,
+) -> Response<Body> {
     let document = match read_text(request).await {
         Ok(document) => document,
         Err(response) => return response,
@@ -179,7 +183,7 @@
     }
 }
 
-async fn read_text(request: Request<Incoming>) -> Result<String, Response<Body>> {
+async fn read_text(request: Request<RequestBody>) -> Result<String, Response<Body>> {
     let Ok(bytes) = read_body(request.into_body(), &Limits::default()).await else {
         return Err(bad_request("the body is not whole, or too large"));
     };
@@ -189,7 +193,7 @@
 async fn put_assignment(
     admin: &Admin,
     id: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     options: Options,
 ) -> Response<Body> {
     let assignment: EngineAssignment = match read_json(request).await {
@@ -213,7 +217,7 @@
 
 // ---- Members ----
 
-async fn add_member(admin: &Admin, request: Request<Incoming>) -> Response<Body> {
+async fn add_member(admin: &Admin, request: Request<RequestBody>) -> Response<Body> {
     let body: MemberBody = match read_json(request).await {
         Ok(body) => body,
         Err(response) => return response,
@@ -310,7 +314,7 @@
     json_response(400, &json!({"code": "invalid", "message": message}))
 }
 
-fn read_options(request: &Request<Incoming>) -> Result<Options, String> {
+fn read_options(request: &Request<RequestBody>) -> Result<Options, String> {
     let mut options = Options {
         expected_revision: None,
         wait: false,
--- a/bin/garnet-gateway/src/callers.rs
+++ b/bin/garnet-gateway/src/callers.rs
@@ -5,11 +5,12 @@
 
 use garnet_engine_api::encode_event;
 use garnet_gateway::{Answer, Call, Event, Work, openai};
+use garnet_runtime::RequestBody;
 use garnet_runtime::metrics::{self, Sample};
 use garnet_runtime::server::{BodyError, channel_body, read_body, set_header, with_type};
 use garnet_runtime::{Body, Limits, json_response, text_response};
 use garnet_types::{OutcomeCode, Refusal, RequestId};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use hyper::{HeaderMap, Method, Request, Response};
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 
@@ -46,7 +47,7 @@
 }
 
 /// Answers one HTTP request.
-pub(crate) async fn handle(callers: Callers, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(callers: Callers, request: Request<RequestBody>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let context = &callers.context;
     match (request.method(), path.as_str()) {
@@ -75,7 +76,7 @@
 
 async fn take(
     callers: Callers,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     interface: Interface,
 ) -> Response<Body> {
     let id = callers.next_id();
@@ -88,7 +89,7 @@
 async fn read_call(
     callers: &Callers,
     id: RequestId,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     interface: Interface,
 ) -> Result<Call, Refusal> {
     let (head, body) = request.into_parts();
--- a/bin/garnet-standin/src/application.rs
+++ b/bin/garnet-standin/src/application.rs
@@ -10,11 +10,11 @@
     DRAINING, DRAINING_HEADER, Faults, LIMIT_HEADER, NOT_STARTED, NotStarted, RETRY_AFTER_HEADER,
     STARTED_HEADER, paths,
 };
+use garnet_runtime::RequestBody;
 use garnet_runtime::server::{channel_body, read_body, set_header, with_type};
 use garnet_runtime::{Body, Limits, json_response, text_response};
 use garnet_stand_in::{ApplicationStandIn, application::ApplicationAnswer};
 use garnet_types::{BackendId, BackendKind, Framing, ServiceId};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use smol::Timer;
 
@@ -75,7 +75,7 @@
 async fn handle(
     instance: Shared<Instance>,
     link: Duration,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     Timer::after(link * 2).await;
     match (request.method(), request.uri().path()) {
@@ -111,7 +111,7 @@
     text_response(200, "set\n")
 }
 
-async fn call(instance: Shared<Instance>, request: Request<Incoming>) -> Response<Body> {
+async fn call(instance: Shared<Instance>, request: Request<RequestBody>) -> Response<Body> {
     let refuses = {
         let state = instance.borrow();
         state.draining || state.faults.refuse
@@ -131,7 +131,7 @@
     response
 }
 
-async fn run_call(instance: &Shared<Instance>, request: Request<Incoming>) -> Response<Body> {
+async fn run_call(instance: &Shared<Instance>, request: Request<RequestBody>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let key = request
         .headers()
--- a/bin/garnet-standin/src/engine.rs
+++ b/bin/garnet-standin/src/engine.rs
@@ -12,6 +12,7 @@
     LIMIT_HEADER, NOT_STARTED, NotStarted, PrefillRequest, PrefillResponse, REASON_NO_KV,
     REJECTED_STATUS, RETRY_AFTER_HEADER, STARTED_HEADER, encode_event, paths,
 };
+use garnet_runtime::RequestBody;
 use garnet_runtime::server::{channel_body, set_header};
 use garnet_runtime::{Body, Clock, HttpClient, client, json_response, text_response};
 use garnet_stand_in::{
@@ -23,7 +24,7 @@
     BackendId, BackendKind, BuildId, EngineAssignment, EngineCapacity, EngineOrder, Fence, ModelId,
     ServiceId,
 };
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use hyper::{Method, Request, Response};
 use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender, bounded, unbounded};
@@ -190,7 +191,7 @@
     due.map_or(IDLE, |due| Duration::from_millis(due.since(now).0.max(1)))
 }
 
-async fn handle(context: Context, request: Request<Incoming>) -> Response<Body> {
+async fn handle(context: Context, request: Request<RequestBody>) -> Response<Body> {
     let engine = Rc::clone(&context.engine);
     let mut response = answer(context, request).await;
     let state = engine.borrow();
@@ -204,7 +205,7 @@
     response
 }
 
-async fn answer(context: Context, request: Request<Incoming>) -> Response<Body> {
+async fn answer(context: Context, request: Request<RequestBody>) -> Response<Body> {
     Timer::after(context.link * 2).await;
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
--- a/bin/garnet-standin/src/platform.rs
+++ b/bin/garnet-standin/src/platform.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 
 use garnet_engine_api::{MachineRegistration, MachineStateRequest, paths};
+use garnet_runtime::RequestBody;
 use garnet_runtime::server::set_header;
 use garnet_runtime::{Body, Clock, json_response, text_response};
 use garnet_stand_in::{PlatformStandIn, WeightStore};
 use garnet_types::{BackendId, Millis};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 
 use crate::arguments::Arguments;
@@ -40,7 +40,7 @@
 async fn handle(
     platform: Shared<Platform>,
     clock: Clock,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 
 use garnet_runtime::Body;
+use garnet_runtime::RequestBody;
 use garnet_runtime::server::{read_body, text_response};
 use garnet_types::{BuildId, Framing};
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 
 use crate::answers::OwnAnswer;
@@ -25,7 +25,7 @@
 /// Answers a request of a peer gateway.
 pub(crate) async fn handle<C, B>(
     gateway: Rc<Gateway<C, B>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body>
 where
     C: CallerPort + 'static,
@@ -52,7 +52,7 @@
 
 async fn answer<C, B>(
     gateway: &Rc<Gateway<C, B>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, NotTaken>
 where
     C: CallerPort + 'static,
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -8,9 +8,10 @@
 use garnet_quarantine::{QuarantineStatus, RequestFingerprint};
 use garnet_routes::{CallerLimits, Route, WeightedService};
 use garnet_runtime::Body;
+use garnet_runtime::RequestBody;
 use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
 use garnet_types::{BackendId, BuildId, Millis, ServiceId, TenantId};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
 use smol::Timer;
@@ -192,7 +193,7 @@
 /// Answers one request.
 pub(crate) async fn handle<C, B>(
     gateway: Rc<Gateway<C, B>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body>
 where
     C: CallerPort + 'static,
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -20,8 +20,10 @@
 pub mod logging;
 pub mod metrics;
 pub mod pool;
+mod progress;
 pub mod reload;
 pub mod report_link;
+mod request_body;
 pub mod server;
 pub mod shared;
 pub mod shell;
@@ -38,6 +40,7 @@
 pub use fair_stream::FairStream;
 pub use framing::framing_of;
 pub use pool::{ConnectionPool, Exchange, PoolSettings};
+pub use request_body::RequestBody;
 pub use server::{
     Body, ConnectionFilter, HttpServer, Limits, bytes_body, json_response, text_response,
 };
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use crate::clock::Clock;
 use crate::fair_stream::FairStream;
 use crate::framing::framing_of;
+use crate::progress::{Progress, ProgressStream};
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 
 /// Header in which the server announces its idle timeout.
@@ -58,10 +60,13 @@
     }
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
+}
 
 struct Idle {
-    sender: Sender,
+    connection: Connection,
     until: Millis,
 }
 
@@ -84,7 +89,7 @@
     pub fresh: bool,
     framing: Framing,
     body: Incoming,
-    sender: Sender,
+    connection: Connection,
     address: String,
     /// Maximum count of idle connections to the address, including this one.
     max_idle: usize,
@@ -138,34 +143,34 @@
         max_idle: usize,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, HttpError> {
-        while let Some(mut sender) = self.take_idle(address) {
-            if sender.ready().await.is_err() {
+        while let Some(mut connection) = self.take_idle(address) {
+            if connection.sender.ready().await.is_err() {
                 continue;
             }
             if !may_send() {
-                self.keep(address, sender, self.settings.idle_timeout, max_idle);
+                self.keep(address, connection, self.settings.idle_timeout, max_idle);
                 return Err(HttpError::Withheld);
             }
-            match sender.try_send_request(request).await {
+            match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    return Ok(self.exchange(address, sender, response, false, max_idle));
+                    return Ok(self.exchange(address, connection, response, false, max_idle));
                 }
                 Err(mut error) => match error.take_message() {
                     Some(not_sent) => request = not_sent,
-                    None => return Err(HttpError::Broken(error.into_error().to_string())),
+                    None => return Err(HttpError::Broken(described(&error.into_error()))),
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
+        let mut connection = self.connect(address).await?;
         if !may_send() {
-            self.keep(address, sender, self.settings.idle_timeout, max_idle);
+            self.keep(address, connection, self.settings.idle_timeout, max_idle);
             return Err(HttpError::Withheld);
         }
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.exchange(address, sender, response, true, max_idle)),
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.exchange(address, connection, response, true, max_idle)),
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
-                let cause = error.into_error().to_string();
+                let cause = described(&error.into_error());
                 Err(if not_sent {
                     HttpError::NotSent(cause)
                 } else {
@@ -189,10 +194,10 @@
         max_idle: usize,
     ) -> Result<(), HttpError> {
         let answered = async {
-            let mut sender = self.connect(address).await?;
-            let response = sender.send_request(request).await;
-            let response = response.map_err(|error| HttpError::Broken(error.to_string()))?;
-            let mut exchange = self.exchange(address, sender, response, true, max_idle);
+            let mut connection = self.connect(address).await?;
+            let response = connection.sender.send_request(request).await;
+            let response = response.map_err(|error| HttpError::Broken(described(&error)))?;
+            let mut exchange = self.exchange(address, connection, response, true, max_idle);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             exchange.finish();
             Ok(())
@@ -214,7 +219,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -222,32 +227,35 @@
     fn exchange(
         &self,
         address: &str,
-        sender: Sender,
+        connection: Connection,
         response: Response<Incoming>,
         fresh: bool,
         max_idle: usize,
     ) -> Exchange {
+        connection.progress.note();
         let (head, body) = response.into_parts();
         Exchange {
             framing: framing_of(&head.headers, body.is_end_stream()),
             head,
             fresh,
             body,
-            sender,
+            connection,
             address: address.to_owned(),
             max_idle,
             pool: self.clone(),
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<Sender, HttpError> {
+    async fn connect(&self, address: &str) -> Result<Connection, HttpError> {
         let not_sent = |error: std::io::Error| HttpError::NotSent(error.to_string());
         let connecting = connect_with_timeout(address, self.settings.connect_timeout);
         let stream = connecting.await.map_err(not_sent)?;
         let _unset = stream.set_nodelay(true);
         set_silence_timeouts(&stream, self.settings.ack_timeout);
+        let progress = Progress::default();
+        let stream = ProgressStream::new(FairStream::new(stream), progress.clone());
         let (sender, connection) = Builder::new()
-            .handshake(FuturesIo::new(FairStream::new(stream)))
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| HttpError::NotSent(error.to_string()))?;
         let drive = async move {
@@ -255,29 +263,29 @@
             let _ended = connection.await;
         };
         self.executor.spawn(drive).detach();
-        Ok(sender)
+        Ok(Connection { sender, progress })
     }
 
-    fn take_idle(&self, address: &str) -> Option<Sender> {
+    fn take_idle(&self, address: &str) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
         while let Some(candidate) = connections.pop() {
-            if candidate.until > now && !candidate.sender.is_closed() {
-                return Some(candidate.sender);
+            if candidate.until > now && !candidate.connection.sender.is_closed() {
+                return Some(candidate.connection);
             }
         }
         None
     }
 
-    fn keep(&self, address: &str, sender: Sender, idle_timeout: Duration, max_idle: usize) {
+    fn keep(&self, address: &str, connection: Connection, idle_timeout: Duration, max_idle: usize) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.to_owned()).or_default();
         let max_idle = max_idle.min(self.settings.idle_per_address);
         connections.truncate(max_idle);
-        if connections.len() < max_idle && !sender.is_closed() {
+        if connections.len() < max_idle && !connection.sender.is_closed() {
             let until = self.clock.now() + Millis(idle_timeout.as_millis() as u64);
-            connections.push(Idle { sender, until });
+            connections.push(Idle { connection, until });
         }
     }
 }
@@ -292,11 +300,12 @@
             match self.body.frame().await {
                 None => return Ok(None),
                 Some(Ok(frame)) => {
+                    self.connection.progress.note();
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
                 }
-                Some(Err(error)) => return Err(HttpError::Broken(error.to_string())),
+                Some(Err(error)) => return Err(HttpError::Broken(described(&error))),
             }
         }
     }
@@ -336,11 +345,19 @@
         let Exchange {
             pool,
             address,
-            sender,
+            connection,
             max_idle,
             ..
         } = self;
-        pool.keep(&address, sender, idle_timeout, max_idle);
+        pool.keep(&address, connection, idle_timeout, max_idle);
+    }
+}
+
+/// The error of a connection and its cause.
+fn described(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
     }
 }
 
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -27,6 +27,8 @@
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
 use crate::fair_stream::{FairStream, reactor_turn};
+use crate::progress::{Progress, ProgressStream};
+use crate::request_body::RequestBody;
 use crate::shared::Shared;
 use garnet_types::Framing;
 
@@ -200,7 +202,7 @@
         handler: H,
         stop: impl Future<Output = ()>,
     ) where
-        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        H: Fn(Request<RequestBody>) -> F + Clone + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
         let listener = self.listener.borrow().clone();
@@ -340,7 +342,7 @@
     handler: H,
     stop: Receiver<()>,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<RequestBody>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     // Low latency is more important than a low packet count.
@@ -349,9 +351,13 @@
     let close_mode = CloseMode::new(stream.clone());
     let serving = Rc::clone(&connection_timer);
     let closing = Rc::clone(&close_mode);
-    let service = service_fn(move |request| {
+    let progress = Progress::default();
+    let received = progress.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         serving.on_request();
-        let response = handler(request);
+        received.note();
+        let body = |body| RequestBody::new(body, received.clone());
+        let response = handler(request.map(body));
         let connection_timer = Rc::clone(&serving);
         let close_mode = Rc::clone(&closing);
         async move {
@@ -372,7 +378,7 @@
         }
     });
     let stream = TimedStream {
-        stream: FairStream::new(stream),
+        stream: ProgressStream::new(FairStream::new(stream), progress),
         connection_timer: Rc::clone(&connection_timer),
         close_mode,
     };
@@ -450,7 +456,7 @@
 ///
 /// # Errors
 /// See [`BodyError`].
-pub async fn read_body(mut body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
+pub async fn read_body(mut body: RequestBody, limits: &Limits) -> Result<Bytes, BodyError> {
     let read = async { Some(collect(&mut body, limits.body_bytes).await) };
     let expired = async {
         Timer::after(limits.body_time).await;
@@ -463,7 +469,7 @@
     read.unwrap_or(Err(BodyError::TooSlow))
 }
 
-async fn collect(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+async fn collect(body: &mut RequestBody, max_bytes: usize) -> Result<Bytes, BodyError> {
     let mut collected = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::CutOff)?;
@@ -480,7 +486,7 @@
 
 /// Reads and discards the rest of a body, within limits. Closing a connection
 /// with unread bytes resets it, and the reset would overtake the answer.
-pub async fn discard_body(mut body: Incoming) {
+pub async fn discard_body(mut body: RequestBody) {
     let discarding = async {
         let mut remaining = MAX_DISCARDED_BYTES;
         while let Some(Ok(frame)) = body.frame().await {
--- a/components/runtime/src/shell.rs
+++ b/components/runtime/src/shell.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 
 use crate::clock::Clock;
+use crate::request_body::RequestBody;
 use crate::server::{Body, HttpServer, Limits, json_response, read_body};
 use crate::signal::WatchedSignals;
 use garnet_supervisor::{
     ChildError, ChildSpec, Intensity, Restart, StopSignal, Strategy, Supervisor, stop_channel,
 };
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use serde::de::DeserializeOwned;
 use smol::LocalExecutor;
@@ -95,7 +95,7 @@
     /// use is detected at start-up.
     pub fn http_child<H, F>(&self, server: Rc<HttpServer>, handler: H) -> ChildSpec
     where
-        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        H: Fn(Request<RequestBody>) -> F + Clone + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
         let executor = Rc::clone(&self.executor);
@@ -129,7 +129,7 @@
 /// # Errors
 /// A response that describes what is wrong with the body.
 pub async fn read_json<T: DeserializeOwned>(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<T, Response<Body>> {
     let limits = Limits::default();
     let bytes = read_body(request.into_body(), &limits)
--- a/components/runtime/tests/planned_stop.rs
+++ b/components/runtime/tests/planned_stop.rs
@@ -16,9 +16,9 @@
 use std::thread;
 use std::time::Duration;
 
+use garnet_runtime::RequestBody;
 use garnet_runtime::{ConnectionTimeouts, HttpServer, Limits, Shared, text_response};
 use hyper::Request;
-use hyper::body::Incoming;
 use smol::LocalExecutor;
 use smol::channel::bounded;
 
@@ -76,7 +76,7 @@
     let (release, released) = bounded::<()>(1);
     let (stop, stopped) = bounded::<()>(1);
     let (taken_in, taken) = bounded::<()>(1);
-    let handler = move |request: Request<Incoming>| {
+    let handler = move |request: Request<RequestBody>| {
         let (begun, released) = (begun_in.clone(), released.clone());
         async move {
             if request.uri().path() == "/slow" {
