--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -20,8 +20,10 @@
 pub mod logging;
 pub mod metrics;
 pub mod pool;
+mod progress;
 pub mod reload;
 pub mod report_link;
+mod request_body;
 pub mod server;
 pub mod shared;
 pub mod shell;
@@ -39,6 +41,7 @@
 pub use fair_stream::FairStream;
 pub use framing::framing_of;
 pub use pool::{ConnectionId, ConnectionPool, Exchange, PoolSettings, SendConditions};
+pub use request_body::RequestBody;
 pub use server::{
     Body, ConnectionFilter, ConnectionHandle, HttpServer, Limits, bytes_body, json_response,
     text_response,
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use crate::clock::Clock;
 use crate::fair_stream::FairStream;
 use crate::framing::framing_of;
+use crate::progress::{Progress, ProgressStream};
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 use crate::write_monitor::{MonitoredStream, WriteMonitor};
 
@@ -74,13 +76,12 @@
     pub may_reuse: R,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
 /// An open connection on which no request is in flight.
 struct Connection {
     id: ConnectionId,
-    sender: Sender,
+    sender: SendRequest<Full<Bytes>>,
     writes: WriteMonitor,
+    progress: Progress,
 }
 
 struct Idle {
@@ -183,7 +184,7 @@
                 }
                 Err(mut error) => match error.take_message() {
                     Some(not_sent) => request = not_sent,
-                    None => return Err(HttpError::Broken(error.into_error().to_string())),
+                    None => return Err(HttpError::Broken(described(&error.into_error()))),
                 },
             }
         }
@@ -196,7 +197,7 @@
             Ok(response) => Ok(self.exchange(address, connection, response, true, max_idle)),
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
-                let cause = error.into_error().to_string();
+                let cause = described(&error.into_error());
                 Err(if not_sent {
                     HttpError::NotSent(cause)
                 } else {
@@ -222,7 +223,7 @@
         let answered = async {
             let mut connection = self.connect(address).await?;
             let response = connection.sender.send_request(request).await;
-            let response = response.map_err(|error| HttpError::Broken(error.to_string()))?;
+            let response = response.map_err(|error| HttpError::Broken(described(&error)))?;
             let mut exchange = self.exchange(address, connection, response, true, max_idle);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             exchange.finish();
@@ -258,6 +259,7 @@
         fresh: bool,
         max_idle: usize,
     ) -> Exchange {
+        connection.progress.note();
         let (head, body) = response.into_parts();
         Exchange {
             framing: framing_of(&head.headers, body.is_end_stream()),
@@ -282,8 +284,10 @@
             stream,
             monitor: writes.clone(),
         };
+        let progress = Progress::default();
+        let stream = ProgressStream::new(FairStream::new(stream), progress.clone());
         let (sender, connection) = Builder::new()
-            .handshake(FuturesIo::new(FairStream::new(stream)))
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| HttpError::NotSent(error.to_string()))?;
         let drive = async move {
@@ -293,7 +297,12 @@
         self.executor.spawn(drive).detach();
         let id = ConnectionId(self.next_id.get());
         self.next_id.set(id.0 + 1);
-        Ok(Connection { id, sender, writes })
+        Ok(Connection {
+            id,
+            sender,
+            writes,
+            progress,
+        })
     }
 
     fn take_idle(
@@ -339,11 +348,12 @@
             match self.body.frame().await {
                 None => return Ok(None),
                 Some(Ok(frame)) => {
+                    self.connection.progress.note();
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
                 }
-                Some(Err(error)) => return Err(HttpError::Broken(error.to_string())),
+                Some(Err(error)) => return Err(HttpError::Broken(described(&error))),
             }
         }
     }
@@ -398,6 +408,14 @@
     }
 }
 
+/// The error of a connection and its cause.
+fn described(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 /// Whether the server closes the connection after this answer.
 fn announces_close(headers: &HeaderMap) -> bool {
     let value = headers
