--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -290,7 +290,10 @@
                 }
                 None => {
                     // The request may still run, and its answer might come on this connection,
-                    // which is closed.
+                    // which is closed. On a new one, no earlier request explains the head.
+                    if exchange.fresh {
+                        guard.failed();
+                    }
                     log_no_answer(gateway, call, job, "other_request", &exchange);
                     log_failure(call, job, "the answer belongs to another request");
                     Err(AttemptEnd::Broken)
