garnet-gateway: an attempt has a connection of its own

A surplus 'garnet-started: no' was believed of the next call (routed again without the retry budget, also with an idempotency key, or refused as not run), a prefill answer gave another prompt's KV cache, and an application's response was recorded under another caller's key. Found by reading, twice. Attempts now use a connection each, as do orders of garnet-control; load reports and states share connections as before.

What the connections cost is not measured; an id that engines echo would save them.

--- a/bin/garnet-control/src/engines.rs
+++ b/bin/garnet-control/src/engines.rs
@@ -8,8 +8,8 @@
 use garnet_runtime::{HttpClient, client};
 use garnet_types::{BackendId, EngineStatus, OrderAnswer};
 use http_body_util::Full;
-use hyper::Request;
 use hyper::body::Bytes;
+use hyper::{Request, Response};
 use serde::de::DeserializeOwned;
 
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -47,7 +47,9 @@
                     "order_sent"
                 );
                 let request = client::json_request("POST", paths::ORDERS, &order);
-                let answer: OrderAnswer = fetch(&self.http, &address, request).await?;
+                // An earlier answer on a kept connection would acknowledge this order.
+                let sent = self.http.send_once(&address, request, PATIENCE);
+                let answer: OrderAnswer = read_json(&sent.await.ok()?)?;
                 Some(Event::OrderAnswered { engine, answer })
             }
         }
@@ -61,6 +63,10 @@
     request: Request<Full<Bytes>>,
 ) -> Option<T> {
     let response = http.send(address, request, PATIENCE).await.ok()?;
+    read_json(&response)
+}
+
+fn read_json<T: DeserializeOwned>(response: &Response<Bytes>) -> Option<T> {
     if !response.status().is_success() {
         return None;
     }
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -1,4 +1,7 @@
 //! One attempt at one back end, over HTTP.
+//!
+//! Contract: an attempt has a connection of its own. Answers name no request, so that a surplus
+//! answer on a kept connection would be taken for the answer to the next one.
 
 use std::time::Duration;
 
@@ -84,7 +87,8 @@
                     if let Some(key) = key.and_then(|key| key.parse().ok()) {
                         request.headers_mut().insert("idempotency-key", key);
                     }
-                    let answer = context.http.send(&address, request, patience).await;
+                    let sent = context.http.send_once(&address, request, patience);
+                    let answer = sent.await;
                     if let Ok(answer) = &answer {
                         tell_reports(&context, attempt, answer.status(), answer.headers());
                     }
@@ -162,7 +166,7 @@
     patience: Duration,
 ) -> AttemptEvent {
     let request = client::json_request("POST", paths::PREFILL, body);
-    let response = match context.http.send(address, request, patience).await {
+    let response = match context.http.send_once(address, request, patience).await {
         Ok(response) => response,
         Err(error) => return failure(&error),
     };
@@ -185,7 +189,7 @@
     body: &GenerateRequest,
 ) -> AttemptEvent {
     let request = client::json_request("POST", paths::GENERATE, body);
-    let mut stream = match context.http.stream(address, request).await {
+    let mut stream = match context.http.stream_once(address, request).await {
         Ok(stream) => stream,
         Err(error) => return failure(&error),
     };
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -51,6 +51,11 @@
 }
 
 impl StreamedResponse {
+    fn new(exchange: Exchange) -> Self {
+        let response = Response::from_parts(exchange.head.clone(), ());
+        StreamedResponse { response, exchange }
+    }
+
     /// Returns the next chunk of the body, or `None` after the last one.
     ///
     /// # Errors
@@ -119,15 +124,9 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
-        let conditions = SendConditions {
-            max_idle: 0,
-            may_send: || true,
-            may_reuse: |_| false,
-        };
         let complete_answer = async {
-            let request = with_host(address, request);
-            let sent = self.pool.send_if(address, request, conditions);
-            read_response(&mut sent.await?).await
+            let mut exchange = self.exchange_once(address, request).await?;
+            read_response(&mut exchange).await
         };
         or_time_out(complete_answer, timeout).await
     }
@@ -142,8 +141,20 @@
         request: Request<Full<Bytes>>,
     ) -> Result<StreamedResponse, HttpError> {
         let exchange = self.exchange(address, request).await?;
-        let response = Response::from_parts(exchange.head.clone(), ());
-        Ok(StreamedResponse { response, exchange })
+        Ok(StreamedResponse::new(exchange))
+    }
+
+    /// Sends a request like [`Self::stream`] on a connection of its own.
+    ///
+    /// # Errors
+    /// See [`HttpError`].
+    pub async fn stream_once(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<StreamedResponse, HttpError> {
+        let exchange = self.exchange_once(address, request).await?;
+        Ok(StreamedResponse::new(exchange))
     }
 
     async fn exchange(
@@ -153,6 +164,21 @@
     ) -> Result<Exchange, HttpError> {
         self.pool.send(address, with_host(address, request)).await
     }
+
+    /// Sends a request on a connection that serves no other one.
+    async fn exchange_once(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, HttpError> {
+        let conditions = SendConditions {
+            max_idle: 0,
+            may_send: || true,
+            may_reuse: |_| false,
+        };
+        let request = with_host(address, request);
+        self.pool.send_if(address, request, conditions).await
+    }
 }
 
 fn with_host(address: &str, mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
