Streams: an event without end ends the attempt

Callers of a resumable stream whose engine never ended an event waited until their deadline (200, cut after 15 s), and the gateway kept all that came.

Cause: `EventSplitter` buffered an incomplete event, and comments without an event, of any length.

Change: an event, with the comments before it, has at most `MAX_EVENT_BYTES` (1 MiB; one event may hold several tokens). What is longer ends the attempt as broken, and another engine resumes after the last whole event. The engine counts as failed and not as crashed, since it was still sending. The limit does not depend on how the event is cut into chunks.

Its earlier tests check the same as before: `push` returns a result now, which they unwrap.

--- a/components/forwarding-shell/src/event_reader.rs
+++ b/components/forwarding-shell/src/event_reader.rs
@@ -7,7 +7,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 
-use crate::events::{EventScanner, EventSplitter};
+use crate::events::{EventScanner, EventSplitter, EventTooLong};
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -28,6 +28,8 @@
     Connection(String),
     /// the last event is incomplete
     IncompleteEvent,
+    /// {0}
+    EventTooLong(EventTooLong),
     /// the connection ended before the first event
     NoEvent,
 }
@@ -90,9 +92,12 @@
                 Ok(Some(chunk)) => {
                     self.has_begun = true;
                     on_chunk();
-                    let ready = self.push(chunk);
-                    if !ready.is_empty() {
-                        return Received::Event(ready);
+                    match self.push(chunk) {
+                        Ok(ready) if ready.is_empty() => {}
+                        Ok(ready) => return Received::Event(ready),
+                        Err(too_long) => {
+                            return Received::Broke(BreakCause::EventTooLong(too_long));
+                        }
                     }
                 }
                 Ok(None) => return self.on_end(),
@@ -101,14 +106,14 @@
         }
     }
 
-    fn push(&mut self, chunk: Bytes) -> Bytes {
+    fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLong> {
         match &mut self.mode {
             Mode::Split(splitter) => splitter.push(&chunk),
             Mode::Pass(scanner) => {
                 scanner.scan(&chunk);
-                chunk
+                Ok(chunk)
             }
-            Mode::Opaque => chunk,
+            Mode::Opaque => Ok(chunk),
         }
     }
 
--- a/components/forwarding-shell/src/events.rs
+++ b/components/forwarding-shell/src/events.rs
@@ -1,12 +1,19 @@
 //! Finds the ends of events in a stream of server-sent events, so that another back end can
 //! resume it between two events.
 
+use displaydoc::Display;
 use hyper::body::Bytes;
 
+/// Longest event, with the comments before it. Longer ones are not buffered.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 const ID_FIELD: &[u8] = b"id:";
 /// May precede the first line of a stream.
 const BYTE_ORDER_MARK: &[u8] = &[0xef, 0xbb, 0xbf];
 
+/// an event is longer than 1048576 bytes
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub struct EventTooLong;
+
 /// Buffers chunks and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -26,10 +33,17 @@
 
     /// Takes a chunk and returns all events that are complete now; empty if there is
     /// none.
-    pub fn push(&mut self, chunk: &[u8]) -> Bytes {
-        let Some(end) = self.scanner.scan(chunk) else {
+    ///
+    /// # Errors
+    /// If an event is too long, wherever its chunks begin. The splitter is of no use then.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventTooLong> {
+        let end = self.scanner.scan(chunk);
+        if self.scanner.longest_event > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        let Some(end) = end else {
             self.pending.extend_from_slice(chunk);
-            return Bytes::new();
+            return Ok(Bytes::new());
         };
         let (ended, rest) = chunk.split_at(end);
         let mut complete = std::mem::replace(&mut self.pending, rest.to_vec());
@@ -37,7 +51,7 @@
         if let Some(id) = last_id_in(&complete) {
             self.last_id = Some(id);
         }
-        Bytes::from(complete)
+        Ok(Bytes::from(complete))
     }
 
     /// Whether no incomplete event is buffered.
@@ -75,6 +89,10 @@
     mark_len: usize,
     /// Whether any other byte has come.
     has_begun: bool,
+    /// Number of bytes since the end of the last event.
+    event_len: usize,
+    /// The largest that `event_len` has been.
+    longest_event: usize,
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -97,9 +115,12 @@
         let mut end = None;
         for (idx, byte) in chunk.iter().enumerate() {
             if self.take(*byte) == Some(LineEnd::OfEvent) {
-                end = Some(idx + 1);
+                let begun = end.replace(idx + 1).unwrap_or(0);
+                self.note_length(idx + 1 - begun);
+                self.event_len = 0;
             }
         }
+        self.note_length(chunk.len() - end.unwrap_or(0));
         end
     }
 
@@ -108,6 +129,12 @@
         !self.is_in_event && self.line == Line::Empty
     }
 
+    /// Counts the next bytes of an event.
+    fn note_length(&mut self, bytes: usize) {
+        self.event_len += bytes;
+        self.longest_event = self.longest_event.max(self.event_len);
+    }
+
     /// Takes a byte. Returns the end of a line if it completes one.
     fn take(&mut self, byte: u8) -> Option<LineEnd> {
         let after_cr = self.after_cr.take();
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -35,7 +35,7 @@
 mod unmarked_ends;
 mod watch;
 
-pub use events::EventSplitter;
+pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use ports::{
     BackendPort, Call, CallFacts, CallerPort, CopySource, HeadMeaning, Job, JobPhase, KvSource,
     ParsedHead, PrefillAnswer,
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -59,6 +59,8 @@
         match cause {
             // An engine that marks the end of its answer has not crashed.
             BreakCause::IncompleteEvent if is_marked => self.open.guard.failed(),
+            // The engine was still sending when its answer was given up.
+            BreakCause::EventTooLong(_) => self.open.guard.failed(),
             _ => self.open.guard.connection_lost(call),
         }
     }
--- a/components/forwarding-shell/tests/events.rs
+++ b/components/forwarding-shell/tests/events.rs
@@ -1,15 +1,21 @@
 //! Streams of events are split between two events.
 
-use garnet_forwarding_shell::EventSplitter;
+use garnet_forwarding_shell::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
+use hyper::body::Bytes;
 use proptest::prelude::*;
 use rstest::rstest;
 
+fn returned(pushed: Result<Bytes, EventTooLong>) -> Vec<u8> {
+    pushed.expect("a short event").to_vec()
+}
+
 #[test]
 fn only_complete_events_are_returned() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(&splitter.push(b"id: 1\ndata: a\n")[..], b"");
+    assert_eq!(returned(splitter.push(b"id: 1\ndata: a\n")), b"");
     assert_eq!(splitter.last_id(), None);
-    assert_eq!(&splitter.push(b"\nid: 2\nda")[..], b"id: 1\ndata: a\n\n");
+    let complete = returned(splitter.push(b"\nid: 2\nda"));
+    assert_eq!(complete, b"id: 1\ndata: a\n\n");
     assert_eq!(splitter.last_id(), Some("1"));
     assert!(!splitter.is_at_boundary());
     splitter.drop_partial();
@@ -41,7 +47,7 @@
 fn only_whole_events_and_comments_end_at_a_boundary(#[case] stream: &str, #[case] expected: bool) {
     let mut splitter = EventSplitter::default();
     for byte in stream.as_bytes() {
-        splitter.push(&[*byte]);
+        returned(splitter.push(&[*byte]));
     }
     assert_eq!(splitter.is_at_boundary(), expected);
 }
@@ -50,11 +56,42 @@
 #[test]
 fn a_comment_after_the_last_event_is_kept() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(&splitter.push(b"data: a\n\n: end\n")[..], b"data: a\n\n");
+    let complete = returned(splitter.push(b"data: a\n\n: end\n"));
+    assert_eq!(complete, b"data: a\n\n");
     assert!(splitter.is_at_boundary());
     assert_eq!(&splitter.take_pending()[..], b": end\n");
 }
 
+/// The length counts from the end of the event before, comments included.
+#[rstest]
+#[case::one_chunk(usize::MAX)]
+#[case::small_chunks(7)]
+#[case::large_chunks(65_536)]
+fn an_event_may_have_a_maximum_length(#[case] chunk_size: usize) {
+    let comment = ": ping\n".repeat(99);
+    let fields = "data: ".len() + "\n\n".len();
+    for (excess, expected) in [(0, Ok(())), (1, Err(EventTooLong))] {
+        let data = "d".repeat(MAX_EVENT_BYTES - comment.len() - fields + excess);
+        let stream = format!("data: first\n\n{comment}data: {data}\n\ndata: last\n\n");
+        let mut splitter = EventSplitter::default();
+        let mut chunks = stream.as_bytes().chunks(chunk_size.min(stream.len()));
+        let pushed = chunks.try_for_each(|chunk| splitter.push(chunk).map(drop));
+        assert_eq!(pushed, expected);
+    }
+}
+
+#[rstest]
+#[case::a_line("data: d")]
+#[case::lines("data: d\n")]
+#[case::comments(": ping\n")]
+#[case::bytes_without_a_field("\0\0")]
+fn what_never_ends_an_event_is_refused(#[case] part: &str) {
+    let mut splitter = EventSplitter::default();
+    let pushes = MAX_EVENT_BYTES / part.len() + 1;
+    let refused = (0..pushes).find_map(|_| splitter.push(part.as_bytes()).err());
+    assert_eq!(refused, Some(EventTooLong));
+}
+
 proptest! {
     /// However the bytes are split into chunks, the same stream is returned.
     #[test]
@@ -72,18 +109,18 @@
         let events_text: String = events.iter().enumerate().map(lines).collect();
         let stream = format!("{begin}{events_text}");
         let mut splitter = EventSplitter::default();
-        let mut returned = Vec::new();
+        let mut all = Vec::new();
         let mut rest = stream.as_bytes();
         for size in chunk_sizes.iter().cycle() {
             let (chunk, later) = rest.split_at((*size).min(rest.len()));
-            returned.extend_from_slice(&splitter.push(chunk));
+            all.extend(returned(splitter.push(chunk)));
             rest = later;
             if rest.is_empty() {
                 break;
             }
         }
         prop_assert!(splitter.is_at_boundary());
-        prop_assert_eq!(returned, stream.into_bytes());
+        prop_assert_eq!(all, stream.into_bytes());
         let last = (events.len() - 1).to_string();
         prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
     }
