One budget for the bytes that all requests of a process buffer

Callers saw a gateway killed for its memory by the requests of others: each request buffers an answer of up to 16 MiB, a body of up to 4 MiB and an incomplete event, however many there are.

Cause: each buffer had a bound of its own and all together had none.

What a buffer has reserved is freed with the last reference to its bytes. A body without room is refused with 503 and Retry-After; an answer without room ends its attempt as broken. Its back end counts as failed if the answer was large, and never as crashed; likewise a prefill answer that is too long, which counted as a crash.

The tests of the event splitter name the new error and a budget, and check the same.

--- a/bin/garnet-bench/src/load/mod.rs
+++ b/bin/garnet-bench/src/load/mod.rs
@@ -265,7 +265,8 @@
         HttpError::NotSent(_)
         | HttpError::Withheld
         | HttpError::Broken(_)
-        | HttpError::TooLong(_) => Outcome::Broken,
+        | HttpError::TooLong(_)
+        | HttpError::NoRoom(_) => Outcome::Broken,
         HttpError::TimedOut => Outcome::TimedOut,
     }
 }
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -109,7 +109,10 @@
 fn failure(error: &HttpError) -> AttemptEvent {
     match error {
         HttpError::NotSent(_) | HttpError::Withheld => AttemptEvent::NotStarted { draining: false },
-        HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::TimedOut => AttemptEvent::Broken,
+        HttpError::Broken(_)
+        | HttpError::TooLong(_)
+        | HttpError::NoRoom(_)
+        | HttpError::TimedOut => AttemptEvent::Broken,
     }
 }
 
--- a/bin/garnet-gateway/src/callers.rs
+++ b/bin/garnet-gateway/src/callers.rs
@@ -6,15 +6,18 @@
 use garnet_engine_api::encode_event;
 use garnet_gateway::{Answer, Call, Event, Work, openai};
 use garnet_runtime::metrics::{self, Sample};
-use garnet_runtime::server::{BodyError, channel_body, read_body, set_header, with_type};
+use garnet_runtime::server::{BodyError, channel_body, read_body_within, set_header, with_type};
 use garnet_runtime::{Body, Limits, json_response, text_response};
-use garnet_types::{OutcomeCode, Refusal, RequestId};
+use garnet_types::{Millis, OutcomeCode, Refusal, RequestId};
 use hyper::body::{Bytes, Incoming};
 use hyper::{HeaderMap, Method, Request, Response};
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 
 use crate::context::{CallerMessage, Context};
 use crate::parse::{self, CallHeaders};
+
+/// Retry-After of a request whose body found no room.
+const NO_ROOM_RETRY_AFTER: Millis = Millis(500);
 use crate::respond::{refusal_response, whole, with_request_id};
 
 const SERVICES: &str = "/services/";
@@ -97,7 +100,9 @@
         body_bytes: callers.context.max_body_bytes,
         ..Limits::default()
     };
-    let body = read_body(body, &limits).await.map_err(body_refusal)?;
+    let budget = &callers.context.buffer_budget;
+    let body = read_body_within(budget, body, &limits).await;
+    let body = body.map_err(body_refusal)?;
     match interface {
         Interface::Completions => parse::completion(id, headers, &body),
         Interface::Chat => parse::chat(id, headers, &body),
@@ -142,6 +147,10 @@
 
 fn body_refusal(error: BodyError) -> Refusal {
     let message = match error {
+        BodyError::NoRoom(exceeded) => {
+            let message = exceeded.to_string();
+            return Refusal::not_run(OutcomeCode::NotRun, NO_ROOM_RETRY_AFTER, message);
+        }
         BodyError::TooLarge => "the body is too large",
         BodyError::CutOff => "the body ended before it was whole",
         BodyError::TooSlow => "the body came too slowly",
--- a/bin/garnet-gateway/src/context.rs
+++ b/bin/garnet-gateway/src/context.rs
@@ -7,7 +7,7 @@
 use garnet_control::GatewayRequest;
 use garnet_gateway::{Answer, AttemptId, Effect, Event, Gateway};
 use garnet_quarantine::RunReport;
-use garnet_runtime::{Clock, HttpClient};
+use garnet_runtime::{ByteBudget, Clock, HttpClient};
 use garnet_types::{Millis, RequestId};
 use smol::channel::Sender;
 use smol::{LocalExecutor, Task};
@@ -39,6 +39,8 @@
     open: Rc<RefCell<Open>>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) http: HttpClient,
+    /// For the bodies and answers that the process buffers.
+    pub(crate) buffer_budget: ByteBudget,
     pub(crate) clock: Clock,
     pub(crate) max_body_bytes: usize,
     to_control: Sender<GatewayRequest>,
@@ -54,10 +56,12 @@
         to_control: Sender<GatewayRequest>,
         to_disk: Sender<u64>,
     ) -> Self {
+        let buffer_budget = ByteBudget::default();
         Context {
             gateway: Rc::new(RefCell::new(gateway)),
             open: Rc::default(),
-            http: HttpClient::new(Rc::clone(&executor)),
+            http: HttpClient::new(Rc::clone(&executor)).with_budget(buffer_budget.clone()),
+            buffer_budget,
             executor,
             clock,
             max_body_bytes,
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -290,7 +290,9 @@
                 HttpError::Withheld => gateway.metrics.withheld(phase_name(job)),
                 HttpError::NotSent(_) => guard.unreachable(),
                 HttpError::Broken(_) => guard.connection_lost(call),
-                HttpError::TooLong(_) | HttpError::TimedOut => guard.failed(),
+                HttpError::TooLong(_) | HttpError::NoRoom(_) | HttpError::TimedOut => {
+                    guard.failed();
+                }
             }
             log_failure(call, job, &error.to_string());
             Err(attempt_end(&error))
@@ -326,7 +328,10 @@
 fn attempt_end(error: &HttpError) -> AttemptEnd {
     match error {
         HttpError::NotSent(_) | HttpError::Withheld => AttemptEnd::Unsent,
-        HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::TimedOut => AttemptEnd::Broken,
+        HttpError::Broken(_)
+        | HttpError::TooLong(_)
+        | HttpError::NoRoom(_)
+        | HttpError::TimedOut => AttemptEnd::Broken,
     }
 }
 
--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 
 use garnet_forwarding::{AttemptEnd, GivenUp, Placement, Progress};
-use garnet_runtime::client::HttpError;
 use garnet_runtime::{Body, Exchange, bytes_body};
 use garnet_types::{BackendId, Framing, Millis};
 use hyper::Response;
@@ -24,6 +23,7 @@
     RunningRequest, Unserved, count_usage_once, log_no_back_end, record_end, sleep_until_due,
 };
 use crate::timeout::with_timeout;
+use crate::unread_answer::note_unread;
 
 /// Longest answer that is buffered.
 pub(crate) const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -260,15 +260,7 @@
             Ok(BufferedAnswer { head, body })
         }
         Err(error) => {
-            match &error {
-                HttpError::Broken(_) => open.guard.connection_lost(call),
-                HttpError::NotSent(_)
-                | HttpError::Withheld
-                | HttpError::TooLong(_)
-                | HttpError::TimedOut => {
-                    open.guard.failed();
-                }
-            }
+            note_unread(&mut open.guard, call, &error);
             log::info!(
                 request = call.facts.id.as_str(),
                 backend = job.backend.as_str(),
--- a/components/forwarding-shell/src/event_reader.rs
+++ b/components/forwarding-shell/src/event_reader.rs
@@ -2,12 +2,12 @@
 
 use displaydoc::Display;
 use garnet_routes::WorkKind;
-use garnet_runtime::Exchange;
+use garnet_runtime::{ByteBudget, Exchange};
 use garnet_types::Framing;
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 
-use crate::events::{EventScanner, EventSplitter, EventTooLong};
+use crate::events::{EventRefused, EventScanner, EventSplitter};
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -29,7 +29,7 @@
     /// the last event is incomplete
     IncompleteEvent,
     /// {0}
-    EventTooLong(EventTooLong),
+    Refused(EventRefused),
     /// the connection ended before the first event
     NoEvent,
 }
@@ -51,12 +51,17 @@
 }
 
 impl EventReader {
-    /// Reads an answer that resumes after the event `after`.
-    pub(crate) fn new(after: Option<String>, kind: WorkKind, exchange: &Exchange) -> Self {
+    /// Reads an answer that resumes after the event `after`, and buffers within `budget`.
+    pub(crate) fn new(
+        after: Option<String>,
+        kind: WorkKind,
+        exchange: &Exchange,
+        budget: &ByteBudget,
+    ) -> Self {
         let head = &exchange.head;
         let mode = match kind {
             _ if !head.status.is_success() => Mode::Opaque,
-            WorkKind::ResumableStream => Mode::Split(EventSplitter::after(after)),
+            WorkKind::ResumableStream => Mode::Split(EventSplitter::after(after, budget)),
             _ if is_event_stream(&head.headers) => Mode::Pass(EventScanner::default()),
             _ => Mode::Opaque,
         };
@@ -95,9 +100,7 @@
                     match self.push(chunk) {
                         Ok(ready) if ready.is_empty() => {}
                         Ok(ready) => return Received::Event(ready),
-                        Err(too_long) => {
-                            return Received::Broke(BreakCause::EventTooLong(too_long));
-                        }
+                        Err(refused) => return Received::Broke(BreakCause::Refused(refused)),
                     }
                 }
                 Ok(None) => return self.on_end(),
@@ -106,7 +109,7 @@
         }
     }
 
-    fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLong> {
+    fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventRefused> {
         match &mut self.mode {
             Mode::Split(splitter) => splitter.push(&chunk),
             Mode::Pass(scanner) => {
--- a/components/forwarding-shell/src/events.rs
+++ b/components/forwarding-shell/src/events.rs
@@ -2,6 +2,7 @@
 //! resume it between two events.
 
 use displaydoc::Display;
+use garnet_runtime::{BudgetExceeded, ByteBudget, ByteBuffer};
 use hyper::body::Bytes;
 
 /// Longest event, with the comments before it. Longer ones are not buffered.
@@ -10,24 +11,38 @@
 /// May precede the first line of a stream.
 const BYTE_ORDER_MARK: &[u8] = &[0xef, 0xbb, 0xbf];
 
-/// an event is longer than 1048576 bytes
+/// Why an event is not buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub struct EventTooLong;
+pub enum EventRefused {
+    /// an event is longer than 1048576 bytes
+    TooLong,
+    /// {0}
+    NoRoom(BudgetExceeded),
+}
 
 /// Buffers chunks and returns complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
-    pending: Vec<u8>,
+    budget: ByteBudget,
+    pending: ByteBuffer,
     scanner: EventScanner,
     last_id: Option<String>,
 }
 
+impl Default for EventSplitter {
+    fn default() -> Self {
+        EventSplitter::after(None, &ByteBudget::default())
+    }
+}
+
 impl EventSplitter {
     /// A splitter for a stream that resumes after the event `last_id`.
-    pub fn after(last_id: Option<String>) -> Self {
+    pub fn after(last_id: Option<String>, budget: &ByteBudget) -> Self {
         EventSplitter {
+            budget: budget.clone(),
+            pending: ByteBuffer::new(budget),
+            scanner: EventScanner::default(),
             last_id,
-            ..EventSplitter::default()
         }
     }
 
@@ -35,23 +50,25 @@
     /// none.
     ///
     /// # Errors
-    /// If an event is too long, wherever its chunks begin. The splitter is of no use then.
-    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventTooLong> {
+    /// If an event is too long, wherever its chunks begin, or the budget has no room for it. The
+    /// splitter is of no use then.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventRefused> {
         let end = self.scanner.scan(chunk);
         if self.scanner.longest_event > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
+            return Err(EventRefused::TooLong);
         }
         let Some(end) = end else {
-            self.pending.extend_from_slice(chunk);
+            self.pending.extend(chunk).map_err(EventRefused::NoRoom)?;
             return Ok(Bytes::new());
         };
         let (ended, rest) = chunk.split_at(end);
-        let mut complete = std::mem::replace(&mut self.pending, rest.to_vec());
-        complete.extend_from_slice(ended);
+        self.pending.extend(ended).map_err(EventRefused::NoRoom)?;
+        let complete = self.take_pending();
+        self.pending.extend(rest).map_err(EventRefused::NoRoom)?;
         if let Some(id) = last_id_in(&complete) {
             self.last_id = Some(id);
         }
-        Ok(Bytes::from(complete))
+        Ok(complete)
     }
 
     /// Whether no incomplete event is buffered.
@@ -61,7 +78,7 @@
 
     /// Takes what is buffered.
     pub fn take_pending(&mut self) -> Bytes {
-        Bytes::from(std::mem::take(&mut self.pending))
+        std::mem::replace(&mut self.pending, ByteBuffer::new(&self.budget)).freeze()
     }
 
     /// Id of the last event that was returned.
@@ -71,7 +88,7 @@
 
     /// Drops the incomplete event that is buffered.
     pub fn drop_partial(&mut self) {
-        self.pending.clear();
+        self.pending = ByteBuffer::new(&self.budget);
         self.scanner = EventScanner::default();
     }
 }
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use garnet_forwarding::{Forwarder, PathChange, RelayDirectory, UsageMeter};
 use garnet_routes::CallerLimits;
-use garnet_runtime::{Clock, ConnectionPool, ConnectionTimeouts, Shared, Timers};
+use garnet_runtime::{ByteBudget, Clock, ConnectionPool, ConnectionTimeouts, Shared, Timers};
 use garnet_types::{BackendId, Millis, TenantId};
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
@@ -33,6 +33,8 @@
     /// Counts requests that begin to run; `None` if usage is not reported.
     pub(crate) usage: Option<RefCell<UsageMeter>>,
     pub(crate) pool: ConnectionPool,
+    /// For the bytes that all requests of the process buffer.
+    pub(crate) budget: ByteBudget,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) clock: Clock,
     pub(crate) timers: Timers,
--- a/components/forwarding-shell/src/kv_transfer.rs
+++ b/components/forwarding-shell/src/kv_transfer.rs
@@ -8,6 +8,7 @@
 use crate::attempt::{OpenAnswer, attempt, log_failure, status_cause};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase, KvSource};
+use crate::unread_answer::note_unread;
 
 /// Longest body of the answer to a prefill.
 const MAX_PREFILL_BODY_BYTES: usize = 64 * 1024;
@@ -113,7 +114,7 @@
     let body = match open.exchange.read_whole(MAX_PREFILL_BODY_BYTES).await {
         Ok(body) => body,
         Err(error) => {
-            open.guard.connection_lost(call);
+            note_unread(&mut open.guard, call, &error);
             log_failure(call, job, &error.to_string());
             return Err(AttemptEnd::NotRun(NotRunReason::CacheGone));
         }
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -33,9 +33,10 @@
 mod timeout;
 mod unknown_headers;
 mod unmarked_ends;
+mod unread_answer;
 mod watch;
 
-pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
+pub use events::{EventRefused, EventSplitter, MAX_EVENT_BYTES};
 pub use ports::{
     BackendPort, Call, CallFacts, CallerPort, CopySource, HeadMeaning, Job, JobPhase, KvSource,
     ParsedHead, PrefillAnswer,
--- a/components/forwarding-shell/src/metrics.rs
+++ b/components/forwarding-shell/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters and latency histograms of a gateway.
 
 use garnet_routes::WorkKind;
+use garnet_runtime::ByteBudget;
 use garnet_runtime::metrics::{encode_registry, gauge_value, registered};
-use garnet_types::{EncodingVersion, Millis};
+use garnet_types::{ByteCount, EncodingVersion, Millis};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -36,6 +37,10 @@
     connection_waits: Family<Labels, Counter>,
     relayed: Family<Labels, Counter>,
     until_close: Family<Labels, Counter>,
+    buffer_refusals: Gauge,
+    buffered: Gauge,
+    buffered_peak: Gauge,
+    buffer_budget: Gauge,
     lost_paths: Gauge,
     limited: Gauge,
     usage_lost: Counter,
@@ -80,6 +85,14 @@
         let relayed = registered(all, "relayed", help, counters());
         let help = "Answers that end with their connection, by phase of the attempt";
         let until_close = registered(all, "until_close", help, counters());
+        let help = "Bodies and answers for which the budget of buffered bytes had no room";
+        let buffer_refusals = registered(all, "buffer_refusals", help, Gauge::default());
+        let help = "Bytes of bodies and answers that are buffered";
+        let buffered = registered(all, "buffered_bytes", help, Gauge::default());
+        let help = "Most bytes that were buffered at once";
+        let buffered_peak = registered(all, "buffered_bytes_peak", help, Gauge::default());
+        let help = "Budget of buffered bytes";
+        let buffer_budget = registered(all, "buffer_budget_bytes", help, Gauge::default());
         let help = "Services to whose back ends there is no path";
         let lost_paths = registered(all, "lost_paths", help, Gauge::default());
         let help = "Back ends that are known to have a limit";
@@ -110,6 +123,10 @@
             connection_waits,
             relayed,
             until_close,
+            buffer_refusals,
+            buffered,
+            buffered_peak,
+            buffer_budget,
             lost_paths,
             limited,
             usage_lost,
@@ -181,6 +198,14 @@
         self.until_close.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn set_buffered(&self, budget: &ByteBudget) {
+        let set = |gauge: &Gauge, count: ByteCount| gauge.set(gauge_value(count.0 as u64));
+        set(&self.buffered, budget.used());
+        set(&self.buffered_peak, budget.peak());
+        set(&self.buffer_budget, budget.limit());
+        self.buffer_refusals.set(gauge_value(budget.refusals()));
+    }
+
     pub(crate) fn set_lost_paths(&self, services: usize) {
         self.lost_paths.set(gauge_value(services as u64));
     }
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use garnet_runtime::Body;
-use garnet_runtime::server::{read_body, text_response};
+use garnet_runtime::server::{read_body_within, text_response};
 use garnet_types::{BuildId, Framing};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -63,7 +63,7 @@
     let call = RelayedCall::take(&mut head.headers);
     let build = take_build(&mut head.headers);
     let limits = gateway.forwarder.borrow().limits();
-    let body = read_body(body, &body_limits(limits)).await;
+    let body = read_body_within(&gateway.budget, body, &body_limits(limits)).await;
     let call = call.ok_or(NotTaken("malformed"))?;
     let body = body.map_err(|_| NotTaken("body"))?;
     let facts = gateway.callers.read(&head).map_err(|_| NotTaken("head"))?;
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -248,7 +248,10 @@
         self.gateway.relays.borrow_mut().unavailable(relay, now);
         match error {
             HttpError::NotSent(_) | HttpError::Withheld => RelayEnd::Unsent,
-            HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::TimedOut => RelayEnd::Broken,
+            HttpError::Broken(_)
+            | HttpError::TooLong(_)
+            | HttpError::NoRoom(_)
+            | HttpError::TimedOut => RelayEnd::Broken,
         }
     }
 
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -78,7 +78,12 @@
     answer: &RelayedAnswer<C, B>,
 ) -> EventReader {
     let after = relaying.resume_after.clone();
-    EventReader::new(after, relaying.running.work.kind, &answer.exchange)
+    EventReader::new(
+        after,
+        relaying.running.work.kind,
+        &answer.exchange,
+        &relaying.gateway.budget,
+    )
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> RelayedStream<C, B> {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -8,7 +8,7 @@
 use garnet_quarantine::{QuarantineStatus, RequestFingerprint};
 use garnet_routes::{CallerLimits, Route, WeightedService};
 use garnet_runtime::Body;
-use garnet_runtime::server::{BodyError, Limits, discard_body, read_body};
+use garnet_runtime::server::{BodyError, Limits, discard_body, read_body_within};
 use garnet_types::{BackendId, BuildId, Millis, ServiceId, TenantId};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, EXPECT, HeaderValue};
@@ -26,6 +26,9 @@
 /// Longest time to read the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Retry-After of a request whose body found no room.
+const NO_ROOM_RETRY_AFTER: Millis = Millis(500);
+
 /// Resolution of the clock, which rounds down. A time span measured from a clock reading has
 /// surely passed one step after its nominal end.
 const CLOCK_STEP: Millis = Millis(1);
@@ -216,8 +219,12 @@
         }
     };
     let limits = gateway.forwarder.borrow().limits();
-    let body = match read_body(body, &body_limits(limits)).await {
+    let body = match read_body_within(&gateway.budget, body, &body_limits(limits)).await {
         Ok(body) => body,
+        Err(BodyError::NoRoom(exceeded)) => {
+            let answer = OwnAnswer::NotRun(NO_ROOM_RETRY_AFTER);
+            return refuse(&gateway, &facts, answer, &exceeded.to_string());
+        }
         Err(error) => return refuse(&gateway, &facts, body_answer(error), ""),
     };
     let running = match begin(&gateway, head, facts, body, arrived) {
@@ -420,6 +427,7 @@
         BodyError::TooLarge => OwnAnswer::TooLarge,
         BodyError::CutOff => OwnAnswer::BadRequest,
         BodyError::TooSlow => OwnAnswer::TooSlow,
+        BodyError::NoRoom(_) => OwnAnswer::NotRun(NO_ROOM_RETRY_AFTER),
     }
 }
 
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -12,8 +12,8 @@
 use garnet_routes::CallerLimits;
 use garnet_runtime::server::{Limits, bind_metrics, with_type};
 use garnet_runtime::{
-    Body, ConnectionPool, HttpServer, PoolSettings, Shared, Shell, Timers, control_link, metrics,
-    report_link, text_response,
+    Body, ByteBudget, ConnectionPool, HttpServer, PoolSettings, Shared, Shell, Timers,
+    control_link, metrics, report_link, text_response,
 };
 use garnet_supervisor::ChildSpec;
 use garnet_types::{EncodingVersion, GatewayId, Millis};
@@ -67,6 +67,8 @@
     pub budget: SharedRetryBudget,
     /// Times of a planned stop.
     pub stop: StopTimes,
+    /// For the bytes that all requests of the process buffer.
+    pub buffer_budget: ByteBudget,
 }
 
 /// The ports that are plugged into the shell.
@@ -108,7 +110,9 @@
             budget: options.budget,
             first_draw: rand::random(),
         })),
-        pool: ConnectionPool::new(Rc::clone(&shell.executor), PoolSettings::default()),
+        pool: ConnectionPool::new(Rc::clone(&shell.executor), PoolSettings::default())
+            .with_budget(options.buffer_budget.clone()),
+        budget: options.buffer_budget,
         executor: Rc::clone(&shell.executor),
         clock: shell.clock,
         timers: Timers::new(shell.clock),
@@ -227,6 +231,7 @@
     gateway.metrics.set_limited(limited);
     let unreached = gateway.forwarder.borrow().unreached_services();
     gateway.metrics.set_lost_paths(unreached.len());
+    gateway.metrics.set_buffered(&gateway.budget);
     let text = gateway
         .metrics
         .render(watch.age(), version.unwrap_or_default(), open);
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -1,13 +1,16 @@
 //! The events of an answer that one engine sends, from the head on.
 
 use garnet_routes::WorkKind;
+use garnet_runtime::ByteBudget;
 use garnet_types::Framing;
 use hyper::http::response::Parts;
 
 use crate::attempt::OpenAnswer;
 use crate::buffered::copy_head;
 use crate::event_reader::{BreakCause, EventReader, Received};
+use crate::events::EventRefused;
 use crate::ports::{BackendPort, Call, CallerPort};
+use crate::unread_answer::note_no_room;
 
 /// An engine that answers. Dropping it closes the connection, which ends its work.
 pub(super) struct EngineRun<C: CallerPort, B: BackendPort> {
@@ -17,8 +20,13 @@
 
 impl<C: CallerPort, B: BackendPort> EngineRun<C, B> {
     /// Reads an answer that resumes after the event `after`.
-    pub(super) fn new(open: OpenAnswer<C, B>, after: Option<String>, kind: WorkKind) -> Self {
-        let reader = EventReader::new(after, kind, &open.exchange);
+    pub(super) fn new(
+        open: OpenAnswer<C, B>,
+        after: Option<String>,
+        kind: WorkKind,
+        budget: &ByteBudget,
+    ) -> Self {
+        let reader = EventReader::new(after, kind, &open.exchange, budget);
         EngineRun { open, reader }
     }
 
@@ -60,7 +68,10 @@
             // An engine that marks the end of its answer has not crashed.
             BreakCause::IncompleteEvent if is_marked => self.open.guard.failed(),
             // The engine was still sending when its answer was given up.
-            BreakCause::EventTooLong(_) => self.open.guard.failed(),
+            BreakCause::Refused(EventRefused::TooLong) => self.open.guard.failed(),
+            BreakCause::Refused(EventRefused::NoRoom(refused)) => {
+                note_no_room(&mut self.open.guard, *refused);
+            }
             _ => self.open.guard.connection_lost(call),
         }
     }
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -108,7 +108,8 @@
                 continue;
             }
             let kind = self.running.work.kind;
-            let mut run = EngineRun::new(open, self.resume_after.clone(), kind);
+            let mut run =
+                EngineRun::new(open, self.resume_after.clone(), kind, &self.gateway.budget);
             match run.next().await {
                 Received::Broke(cause) => {
                     run.broke_off(&self.running.call, &cause);
@@ -173,8 +174,13 @@
         if is_fault {
             open.guard.failed();
         }
-        let Ok(body) = open.exchange.read_whole(MAX_FAILURE_BYTES).await else {
-            return self.handle_attempt_end(AttemptEnd::Broken);
+        let body = match open.exchange.read_whole(MAX_FAILURE_BYTES).await {
+            Ok(body) => body,
+            Err(error) => {
+                let cause = error.to_string();
+                self.log_broken(self.running.served_by.as_ref(), &cause);
+                return self.handle_attempt_end(AttemptEnd::Broken);
+            }
         };
         open.exchange.finish();
         let answer = Box::new(Response::from_parts(head, bytes_body(body)));
--- a/components/forwarding-shell/tests/events.rs
+++ b/components/forwarding-shell/tests/events.rs
@@ -1,11 +1,13 @@
 //! Streams of events are split between two events.
 
-use garnet_forwarding_shell::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
+use garnet_forwarding_shell::{EventRefused, EventSplitter, MAX_EVENT_BYTES};
+use garnet_runtime::ByteBudget;
+use garnet_types::ByteCount;
 use hyper::body::Bytes;
 use proptest::prelude::*;
 use rstest::rstest;
 
-fn returned(pushed: Result<Bytes, EventTooLong>) -> Vec<u8> {
+fn returned(pushed: Result<Bytes, EventRefused>) -> Vec<u8> {
     pushed.expect("a short event").to_vec()
 }
 
@@ -25,7 +27,7 @@
 
 #[test]
 fn a_resumed_stream_starts_from_the_last_event_id() {
-    let splitter = EventSplitter::after(Some("12".into()));
+    let splitter = EventSplitter::after(Some("12".into()), &ByteBudget::default());
     assert_eq!(splitter.last_id(), Some("12"));
 }
 
@@ -70,7 +72,7 @@
 fn an_event_may_have_a_maximum_length(#[case] chunk_size: usize) {
     let comment = ": ping\n".repeat(99);
     let fields = "data: ".len() + "\n\n".len();
-    for (excess, expected) in [(0, Ok(())), (1, Err(EventTooLong))] {
+    for (excess, expected) in [(0, Ok(())), (1, Err(EventRefused::TooLong))] {
         let data = "d".repeat(MAX_EVENT_BYTES - comment.len() - fields + excess);
         let stream = format!("data: first\n\n{comment}data: {data}\n\ndata: last\n\n");
         let mut splitter = EventSplitter::default();
@@ -89,7 +91,20 @@
     let mut splitter = EventSplitter::default();
     let pushes = MAX_EVENT_BYTES / part.len() + 1;
     let refused = (0..pushes).find_map(|_| splitter.push(part.as_bytes()).err());
-    assert_eq!(refused, Some(EventTooLong));
+    assert_eq!(refused, Some(EventRefused::TooLong));
+}
+
+/// The event that is not complete and those that were returned share the budget.
+#[test]
+fn events_are_buffered_within_a_budget() {
+    let budget = ByteBudget::new(ByteCount(40));
+    let mut splitter = EventSplitter::after(None, &budget);
+    let complete = splitter.push(b"data: a\n\ndata: b").expect("room");
+    assert_eq!(budget.used(), ByteCount(16));
+    let refused = splitter.push(&[b'c'; 25]).expect_err("no room");
+    assert!(matches!(refused, EventRefused::NoRoom(_)), "{refused}");
+    drop((complete, splitter));
+    assert_eq!(budget.used(), ByteCount(0));
 }
 
 proptest! {
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -13,6 +13,7 @@
 use smol::{LocalExecutor, Timer};
 use thiserror::Error;
 
+use crate::byte_budget::{BudgetExceeded, ByteBudget};
 use crate::pool::{ConnectionPool, Exchange, PoolSettings};
 
 /// Maximum count of idle connections to one address.
@@ -37,6 +38,8 @@
     Broken(String),
     /// the answer is longer than {0} bytes
     TooLong(usize),
+    /// the answer was not buffered: {0}
+    NoRoom(BudgetExceeded),
     /// no complete answer arrived before the timeout
     TimedOut,
 }
@@ -87,6 +90,13 @@
         }
     }
 
+    /// Sets the budget for answers that are read as a whole.
+    #[must_use]
+    pub fn with_budget(mut self, budget: ByteBudget) -> Self {
+        self.pool = self.pool.with_budget(budget);
+        self
+    }
+
     /// Sends a request and reads the whole answer within `timeout`. Its extensions hold its
     /// [`Framing`](garnet_types::Framing).
     ///
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`smol::LocalExecutor`], except file syncs, which run by [`smol::unblock`]
 //! because they would block the loop (docs/design/one-loop.md).
 
+pub mod byte_budget;
+pub mod byte_buffer;
 pub mod client;
 pub mod clock;
 mod close_mode;
@@ -29,6 +31,8 @@
 pub mod timers;
 pub mod version_offers;
 
+pub use byte_budget::{BudgetExceeded, ByteBudget, Reservation};
+pub use byte_buffer::ByteBuffer;
 pub use client::{HttpClient, HttpError, StreamedResponse};
 pub use clock::{Clock, TimeSource};
 pub use connect_timeout::ConnectTimeout;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -20,6 +20,8 @@
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
 
+use crate::byte_budget::ByteBudget;
+use crate::byte_buffer::ByteBuffer;
 use crate::client::HttpError;
 use crate::clock::Clock;
 use crate::framing::framing_of;
@@ -72,6 +74,7 @@
     /// A clock that continues while this machine is suspended, as servers close
     /// idle connections meanwhile.
     clock: Clock,
+    budget: ByteBudget,
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
 }
 
@@ -106,10 +109,18 @@
             executor,
             settings,
             clock,
+            budget: ByteBudget::default(),
             idle: Rc::default(),
         }
     }
 
+    /// Sets the budget for answers that are read as a whole.
+    #[must_use]
+    pub fn with_budget(mut self, budget: ByteBudget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Sends a request and waits for the head of its answer. If an idle connection
     /// fails before any of the request is sent, the next one is tried.
     ///
@@ -305,19 +316,19 @@
         self.framing = framing;
     }
 
-    /// Reads the whole body, up to `limit` bytes.
+    /// Reads the whole body, up to `limit` bytes and within the budget of the pool.
     ///
     /// # Errors
-    /// When the body is longer, or the connection ends before it is complete.
+    /// When the body is longer or finds no room, or the connection ends before it is complete.
     pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, HttpError> {
-        let mut collected = Vec::new();
+        let mut collected = ByteBuffer::new(&self.pool.budget);
         while let Some(chunk) = self.next().await? {
             if collected.len() + chunk.len() > limit {
                 return Err(HttpError::TooLong(limit));
             }
-            collected.extend_from_slice(&chunk);
+            collected.extend(&chunk).map_err(HttpError::NoRoom)?;
         }
-        Ok(Bytes::from(collected))
+        Ok(collected.freeze())
     }
 
     /// How the end of the answer is marked.
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -23,6 +23,8 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use crate::byte_budget::{BudgetExceeded, ByteBudget};
+use crate::byte_buffer::ByteBuffer;
 use crate::close_mode::CloseMode;
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
@@ -70,6 +72,8 @@
     CutOff,
     /// The body was not received in time.
     TooSlow,
+    /// The budget of the process has no room for the body.
+    NoRoom(BudgetExceeded),
 }
 
 /// Default timeouts of a connection.
@@ -437,25 +441,41 @@
     );
 }
 
-/// Reads a whole body within the limits.
+/// Reads a whole body within the limits, whatever else is buffered.
 ///
 /// # Errors
 /// See [`BodyError`].
-pub async fn read_body(mut body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
-    let read = async { Some(collect(&mut body, limits.body_bytes).await) };
+pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
+    read_body_within(&ByteBudget::default(), body, limits).await
+}
+
+/// Reads a whole body within the limits and a budget.
+///
+/// # Errors
+/// See [`BodyError`].
+pub async fn read_body_within(
+    budget: &ByteBudget,
+    mut body: Incoming,
+    limits: &Limits,
+) -> Result<Bytes, BodyError> {
+    let collected = ByteBuffer::new(budget);
+    let read = async { Some(collect(&mut body, collected, limits.body_bytes).await) };
     let expired = async {
         Timer::after(limits.body_time).await;
         None
     };
     let read = smol::future::or(read, expired).await;
-    if matches!(read, Some(Err(BodyError::TooLarge))) {
+    if matches!(read, Some(Err(BodyError::TooLarge | BodyError::NoRoom(_)))) {
         discard_body(body).await;
     }
     read.unwrap_or(Err(BodyError::TooSlow))
 }
 
-async fn collect(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let mut collected = Vec::new();
+async fn collect(
+    body: &mut Incoming,
+    mut collected: ByteBuffer,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::CutOff)?;
         let Ok(data) = frame.into_data() else {
@@ -464,9 +484,9 @@
         if collected.len() + data.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
-        collected.extend_from_slice(&data);
+        collected.extend(&data).map_err(BodyError::NoRoom)?;
     }
-    Ok(Bytes::from(collected))
+    Ok(collected.freeze())
 }
 
 /// Reads and discards the rest of a body, within limits. Closing a connection
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Contract: plain data only. Nothing in this crate reads a clock, a socket or a file.
 
 pub mod backend;
+pub mod byte_count;
 pub mod decimal;
 pub mod encoding_version;
 pub mod engine;
@@ -15,6 +16,7 @@
 pub mod verdict;
 
 pub use backend::{BackendKind, EngineRole, MachineState, UNKNOWN_START};
+pub use byte_count::ByteCount;
 pub use decimal::Decimal;
 pub use encoding_version::EncodingVersion;
 pub use engine::{EngineAssignment, EngineCapacity, EngineOrder, EngineStatus, OrderAnswer};
