--- a/components/forwarding-shell/src/event_reader.rs
+++ b/components/forwarding-shell/src/event_reader.rs
@@ -2,12 +2,12 @@
 
 use displaydoc::Display;
 use garnet_routes::WorkKind;
-use garnet_runtime::Exchange;
+use garnet_runtime::{ByteBudget, Exchange};
 use garnet_types::Framing;
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 
-use crate::events::{EventScanner, EventSplitter};
+use crate::events::{EventRefused, EventScanner, EventSplitter};
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -28,6 +28,8 @@
     Connection(String),
     /// the last event is incomplete
     IncompleteEvent,
+    /// {0}
+    Refused(EventRefused),
     /// the connection ended before the first event
     NoEvent,
 }
@@ -49,12 +51,17 @@
 }
 
 impl EventReader {
-    /// Reads an answer that resumes after the event `after`.
-    pub(crate) fn new(after: Option<String>, kind: WorkKind, exchange: &Exchange) -> Self {
+    /// Reads an answer that resumes after the event `after`, and buffers within `budget`.
+    pub(crate) fn new(
+        after: Option<String>,
+        kind: WorkKind,
+        exchange: &Exchange,
+        budget: &ByteBudget,
+    ) -> Self {
         let head = &exchange.head;
         let mode = match kind {
             _ if !head.status.is_success() => Mode::Opaque,
-            WorkKind::ResumableStream => Mode::Split(EventSplitter::after(after)),
+            WorkKind::ResumableStream => Mode::Split(EventSplitter::after(after, budget)),
             _ if is_event_stream(&head.headers) => Mode::Pass(EventScanner::default()),
             _ => Mode::Opaque,
         };
@@ -90,9 +97,10 @@
                 Ok(Some(chunk)) => {
                     self.has_begun = true;
                     on_chunk();
-                    let ready = self.push(chunk);
-                    if !ready.is_empty() {
-                        return Received::Event(ready);
+                    match self.push(chunk) {
+                        Ok(ready) if ready.is_empty() => {}
+                        Ok(ready) => return Received::Event(ready),
+                        Err(refused) => return Received::Broke(BreakCause::Refused(refused)),
                     }
                 }
                 Ok(None) => return self.on_end(),
@@ -101,14 +109,14 @@
         }
     }
 
-    fn push(&mut self, chunk: Bytes) -> Bytes {
+    fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventRefused> {
         match &mut self.mode {
             Mode::Split(splitter) => splitter.push(&chunk),
             Mode::Pass(scanner) => {
                 scanner.scan(&chunk);
-                chunk
+                Ok(chunk)
             }
-            Mode::Opaque => chunk,
+            Mode::Opaque => Ok(chunk),
         }
     }
 
--- a/components/forwarding-shell/src/events.rs
+++ b/components/forwarding-shell/src/events.rs
@@ -1,43 +1,74 @@
 //! Finds the ends of events in a stream of server-sent events, so that another back end can
 //! resume it between two events.
 
+use displaydoc::Display;
+use garnet_runtime::{BudgetExceeded, ByteBudget, ByteBuffer};
 use hyper::body::Bytes;
 
+/// Longest event, with the comments before it. Longer ones are not buffered.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 const ID_FIELD: &[u8] = b"id:";
 /// May precede the first line of a stream.
 const BYTE_ORDER_MARK: &[u8] = &[0xef, 0xbb, 0xbf];
 
+/// Why an event is not buffered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum EventRefused {
+    /// an event is longer than 1048576 bytes
+    TooLong,
+    /// {0}
+    NoRoom(BudgetExceeded),
+}
+
 /// Buffers chunks and returns complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
-    pending: Vec<u8>,
+    budget: ByteBudget,
+    pending: ByteBuffer,
     scanner: EventScanner,
     last_id: Option<String>,
 }
 
+impl Default for EventSplitter {
+    fn default() -> Self {
+        EventSplitter::after(None, &ByteBudget::default())
+    }
+}
+
 impl EventSplitter {
     /// A splitter for a stream that resumes after the event `last_id`.
-    pub fn after(last_id: Option<String>) -> Self {
+    pub fn after(last_id: Option<String>, budget: &ByteBudget) -> Self {
         EventSplitter {
+            budget: budget.clone(),
+            pending: ByteBuffer::new(budget),
+            scanner: EventScanner::default(),
             last_id,
-            ..EventSplitter::default()
         }
     }
 
     /// Takes a chunk and returns all events that are complete now; empty if there is
     /// none.
-    pub fn push(&mut self, chunk: &[u8]) -> Bytes {
-        let Some(end) = self.scanner.scan(chunk) else {
-            self.pending.extend_from_slice(chunk);
-            return Bytes::new();
+    ///
+    /// # Errors
+    /// If an event is too long, wherever its chunks begin, or the budget has no room for it. The
+    /// splitter is of no use then.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventRefused> {
+        let end = self.scanner.scan(chunk);
+        if self.scanner.longest_event > MAX_EVENT_BYTES {
+            return Err(EventRefused::TooLong);
+        }
+        let Some(end) = end else {
+            self.pending.extend(chunk).map_err(EventRefused::NoRoom)?;
+            return Ok(Bytes::new());
         };
         let (ended, rest) = chunk.split_at(end);
-        let mut complete = std::mem::replace(&mut self.pending, rest.to_vec());
-        complete.extend_from_slice(ended);
+        self.pending.extend(ended).map_err(EventRefused::NoRoom)?;
+        let complete = self.take_pending();
+        self.pending.extend(rest).map_err(EventRefused::NoRoom)?;
         if let Some(id) = last_id_in(&complete) {
             self.last_id = Some(id);
         }
-        Bytes::from(complete)
+        Ok(complete)
     }
 
     /// Whether no incomplete event is buffered.
@@ -47,7 +78,7 @@
 
     /// Takes what is buffered.
     pub fn take_pending(&mut self) -> Bytes {
-        Bytes::from(std::mem::take(&mut self.pending))
+        std::mem::replace(&mut self.pending, ByteBuffer::new(&self.budget)).freeze()
     }
 
     /// Id of the last event that was returned.
@@ -57,7 +88,7 @@
 
     /// Drops the incomplete event that is buffered.
     pub fn drop_partial(&mut self) {
-        self.pending.clear();
+        self.pending = ByteBuffer::new(&self.budget);
         self.scanner = EventScanner::default();
     }
 }
@@ -75,6 +106,10 @@
     mark_len: usize,
     /// Whether any other byte has come.
     has_begun: bool,
+    /// Number of bytes since the end of the last event.
+    event_len: usize,
+    /// The largest that `event_len` has been.
+    longest_event: usize,
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -97,9 +132,12 @@
         let mut end = None;
         for (idx, byte) in chunk.iter().enumerate() {
             if self.take(*byte) == Some(LineEnd::OfEvent) {
-                end = Some(idx + 1);
+                let begun = end.replace(idx + 1).unwrap_or(0);
+                self.note_length(idx + 1 - begun);
+                self.event_len = 0;
             }
         }
+        self.note_length(chunk.len() - end.unwrap_or(0));
         end
     }
 
@@ -108,6 +146,12 @@
         !self.is_in_event && self.line == Line::Empty
     }
 
+    /// Counts the next bytes of an event.
+    fn note_length(&mut self, bytes: usize) {
+        self.event_len += bytes;
+        self.longest_event = self.longest_event.max(self.event_len);
+    }
+
     /// Takes a byte. Returns the end of a line if it completes one.
     fn take(&mut self, byte: u8) -> Option<LineEnd> {
         let after_cr = self.after_cr.take();
