--- a/components/storage/src/lib.rs
+++ b/components/storage/src/lib.rs
@@ -4,9 +4,9 @@
 //! After a crash at any moment, [`ReplicaStorage::open`] recovers everything that
 //! a completed call wrote, and makes durable whatever else it recovers: the process that
 //! wrote it may have been killed before its sync. It refuses a folder whose synced content
-//! is damaged, and reports the file and offset of the damage. Except on a full disk, a failed write
-//! or sync is final: the storage refuses further calls, since the kernel may have
-//! dropped the data.
+//! is damaged, and reports the file and offset of the damage. Except on a full disk, a
+//! failed write or sync is final: the storage refuses further calls, since the kernel may
+//! have dropped the data.
 //!
 //! All file access goes through [`Directory`], so that the simulator can lose
 //! or tear writes that were not synced.
