--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -241,6 +241,18 @@
             .since(last_acknowledged.max(tracked).max(self.leader_since))
     }
 
+    /// Whether this leader is sending its snapshot to a member that responds. A newer
+    /// snapshot would start that transfer anew.
+    pub fn is_sending_snapshot(&self) -> bool {
+        let timeout = self.config.election_timeout;
+        let responds = |id| self.silent_for(id) < timeout + timeout;
+        let mut receivers = self
+            .progress
+            .iter()
+            .filter(|(_, progress)| progress.snapshot_offset.is_some());
+        self.is_leader() && receivers.any(|(id, _)| responds(*id))
+    }
+
     /// Whether a member is known to hold all of the log but the last few entries.
     pub fn is_caught_up(&self, id: ReplicaId) -> bool {
         let acknowledged_index = self.progress.get(&id).map_or(0, |p| p.match_index);
--- a/components/consensus/tests/group.rs
+++ b/components/consensus/tests/group.rs
@@ -306,3 +306,32 @@
     let largest = network.largest_message();
     assert!(largest <= 500_000, "{largest} bytes in one message");
 }
+
+/// The driver waits with its next snapshot while one is being sent, which a newer one would
+/// start anew, but not for a replica that no longer responds.
+#[test]
+fn a_snapshot_is_being_sent_until_it_has_arrived_or_the_receiver_is_silent() {
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    let behind = network.others(leader)[0];
+    network.isolate(behind);
+    for number in 0..200_u32 {
+        network.propose(leader, &number.to_le_bytes());
+        network.run(Millis(20));
+    }
+    network.compact(leader);
+    assert!(!network.node(leader).is_sending_snapshot());
+    network.delay(behind, Millis(50));
+    network.reconnect(behind);
+    network.run(Millis(400));
+    assert!(network.node(leader).is_sending_snapshot());
+    network.isolate(behind);
+    network.run(Millis(2500));
+    assert!(!network.node(leader).is_sending_snapshot());
+    network.reconnect(behind);
+    network.run(Millis(400));
+    assert!(network.node(leader).is_sending_snapshot());
+    network.run(Millis(5000));
+    assert!(!network.node(leader).is_sending_snapshot());
+    assert_eq!(network.commands(behind).len(), 200);
+}
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -16,10 +16,6 @@
 use super::level::ProposalError;
 use super::{PendingProposal, Replica, Requester, Waiter};
 
-/// The number of entries between two snapshots is at least the size of the first one divided
-/// by this, so that a large state is written less often.
-const SNAPSHOT_BYTES_PER_ENTRY: u64 = 2048;
-
 /// Longest time that an operator request waits for its change to be in force.
 const MAX_IN_FORCE_WAIT: Millis = Millis::from_secs(30);
 
@@ -57,6 +53,7 @@
             Ok(answer) => answer,
             Err(cause) => return self.halt(entry.index, cause),
         };
+        self.snapshots.on_applied(entry.payload.len_bytes());
         let Some(pending) = self.pending.remove(&entry.index) else {
             return;
         };
@@ -151,6 +148,7 @@
         match ControlState::decode_by(self.settings.upgrade.version, &snapshot.data) {
             Ok(state) => {
                 self.recent = RecentChanges::starting_at(state.configuration.index);
+                self.snapshots.on_snapshot(snapshot.data.len());
                 self.state = state;
                 self.halted = None;
                 if self.has_all_commands() {
@@ -162,13 +160,7 @@
     }
 
     pub(super) fn take_snapshot_if_due(&mut self) {
-        let status = self.node.status();
-        let covered = self.node.snapshot_index();
-        let due_after = self
-            .settings
-            .snapshot_every
-            .max(self.snapshot_bytes / SNAPSHOT_BYTES_PER_ENTRY);
-        let is_due = status.applied_index.saturating_sub(covered) >= due_after;
+        let is_due = self.snapshots.is_due(self.node.is_sending_snapshot());
         if !is_due || self.halted.is_some() {
             return;
         }
@@ -177,8 +169,9 @@
         let Ok(data) = self.state.encode() else {
             return;
         };
-        self.snapshot_bytes = data.len() as u64;
-        if let Some(snapshot) = self.node.compact(status.applied_index, data) {
+        let applied_index = self.node.status().applied_index;
+        if let Some(snapshot) = self.node.compact(applied_index, data) {
+            self.snapshots.on_snapshot(snapshot.data.len());
             self.snapshot_due = Some(snapshot);
         }
     }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod log;
 mod operator_requests;
 mod quarantining;
+mod snapshot_schedule;
 
 use std::collections::BTreeMap;
 
@@ -24,6 +25,7 @@
 use level::Versions;
 use limiting::Limiting;
 use quarantining::Quarantining;
+use snapshot_schedule::SnapshotSchedule;
 
 use crate::answer::CommandAnswer;
 use crate::balancing::Balancing;
@@ -70,7 +72,8 @@
 pub struct ReplicaSettings {
     /// Consensus timing and identity.
     pub consensus: Config,
-    /// Applied entries after which a snapshot is taken.
+    /// Applied entries after which a snapshot is taken; one is also taken after 16 MiB of
+    /// entries.
     pub snapshot_every: u64,
     /// The role planner; `None` leaves roles to the operators.
     pub planner: Option<PlannerSettings>,
@@ -210,8 +213,7 @@
     leader_known_at: Millis,
     effects: Vec<Effect>,
     snapshot_due: Option<Snapshot>,
-    /// Size of the latest snapshot.
-    snapshot_bytes: u64,
+    snapshots: SnapshotSchedule,
     restore_error: Option<StateDecodeError>,
     /// Set when the log holds an entry that this build can't read.
     halted: Option<Halted>,
@@ -242,6 +244,11 @@
             None => ControlState::default(),
         };
         let recent = RecentChanges::starting_at(state.configuration.index);
+        let snapshot_bytes = restored
+            .snapshot
+            .as_ref()
+            .map_or(0, |s| s.data.len() as u64);
+        let snapshots = SnapshotSchedule::new(settings.snapshot_every, snapshot_bytes);
         let reconciler = Reconciler::new(
             settings.engine_polling,
             state.configuration.backends.values(),
@@ -276,7 +283,7 @@
             leader_known_at: now,
             effects: Vec::new(),
             snapshot_due: None,
-            snapshot_bytes: 0,
+            snapshots,
             restore_error: None,
             halted: None,
             versions: Versions::default(),
