Bound the recent changes of the configuration in bytes

Cause: the bound was a count. Of the tables only the newest is ever sent, as it replaces the earlier ones.

The lists that were sent, one for each index that a gateway reported, are bounded by 16 MiB too and built anew beyond it.

--- a/components/control/src/configuration.rs
+++ b/components/control/src/configuration.rs
@@ -228,6 +228,26 @@
             _ => None,
         }
     }
+
+    /// Approximate size in memory, in bytes.
+    pub fn len_bytes(&self) -> usize {
+        let content = match self {
+            ConfigurationChange::RoutesPut(table) => table.len_bytes(),
+            ConfigurationChange::PolicyPut { name, record } => name.len() + record.document.len(),
+            ConfigurationChange::BackendPut(record) => {
+                record.registration.address.len() + record.registration.zone.len()
+            }
+            ConfigurationChange::PolicyWithdrawn(name) => name.len(),
+            ConfigurationChange::SessionCreated(session) => {
+                session.id.as_str().len() + session.tenant.as_str().len()
+            }
+            ConfigurationChange::SessionClosed(id) => id.as_str().len(),
+            ConfigurationChange::BackendRemoved(_)
+            | ConfigurationChange::RequestQuarantined(..)
+            | ConfigurationChange::RequestReleased(_) => 0,
+        };
+        size_of::<Self>() + content
+    }
 }
 
 impl Configuration {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod fleet_sizing;
 mod gateways;
 mod group_step;
+mod kept_changes;
 mod load_digest;
 mod messages;
 mod operator;
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -1,11 +1,12 @@
 //! Recent changes of the configuration, and the updates that bring gateways up to date.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use garnet_types::{BackendId, GatewayId, Millis};
 
 use crate::configuration::{Configuration, ConfigurationChange};
 use crate::configuration_transfer::{BACKENDS_IN_PART, ConfigurationPart, PartRequest, Parts};
+use crate::kept_changes::{IndexedChange, KeptChanges};
 use crate::messages::WatchUpdate;
 use crate::shared::Shared;
 
@@ -13,6 +14,8 @@
 /// ends. A gateway that is farther behind gets the full configuration, which is smaller
 /// than its missing changes.
 const MIN_KEPT_CHANGES: usize = 4096;
+/// Maximum size of the lists of changes that are kept encoded; beyond it they are built anew.
+const MAX_SENT_BYTES: usize = 16 * 1024 * 1024;
 /// The parts of a configuration are handed out until it is this many changes behind; the
 /// changes then follow in one message of about 30 KB. So during a start, while the log
 /// keeps growing, hundreds of gateways are sent the same encoded parts.
@@ -89,9 +92,7 @@
 /// The latest changes of the configuration.
 #[derive(Debug, Clone, Default)]
 pub struct RecentChanges {
-    changes: VecDeque<(u64, ConfigurationChange)>,
-    /// All changes after this index are kept.
-    complete_after: u64,
+    changes: KeptChanges,
     /// The newest configuration that was sent in one message, kept because many gateways
     /// ask for it at once when they all start.
     full: Option<Shared<Configuration>>,
@@ -99,30 +100,28 @@
     parts: Option<Parts>,
     /// Lists of changes sent since the last change, by the index that they start from;
     /// most gateways are at the same index.
-    sent_changes: BTreeMap<u64, Shared<Vec<(u64, ConfigurationChange)>>>,
+    sent_changes: BTreeMap<u64, Shared<Vec<IndexedChange>>>,
+    /// Size of these lists.
+    sent_bytes: usize,
 }
 
 impl RecentChanges {
     /// Starts without the changes up to `index`.
     pub fn starting_at(index: u64) -> Self {
         RecentChanges {
-            changes: VecDeque::new(),
-            complete_after: index,
+            changes: KeptChanges::starting_at(index),
             full: None,
             parts: None,
             sent_changes: BTreeMap::new(),
+            sent_bytes: 0,
         }
     }
 
     /// Adds a change of a configuration that has `backends` back ends.
     pub fn push(&mut self, index: u64, change: ConfigurationChange, backends: usize) {
-        self.sent_changes.clear();
-        self.changes.push_back((index, change));
-        while self.changes.len() > MIN_KEPT_CHANGES.max(backends) {
-            if let Some((dropped, _)) = self.changes.pop_front() {
-                self.complete_after = dropped;
-            }
-        }
+        self.clear_sent();
+        let max_changes = MIN_KEPT_CHANGES.max(backends);
+        self.changes.push(index, change, max_changes);
     }
 
     /// The update that brings a gateway from index `from` up to date.
@@ -130,7 +129,7 @@
         if from == configuration.index {
             return WatchUpdate::Current;
         }
-        let unknown = from < self.complete_after || from > configuration.index;
+        let unknown = from < self.changes.complete_after() || from > configuration.index;
         if unknown || from == 0 {
             return self.full_update(configuration);
         }
@@ -180,22 +179,30 @@
 
     /// Returns whether at most [`MAX_CHANGES_BEHIND`] changes were made since the index.
     fn is_recent(&self, index: u64) -> bool {
-        let newer = self.changes.iter().rev().map(|(at, _)| *at);
-        let after_index = newer.take_while(|at| *at > index);
-        index >= self.complete_after
-            && after_index.take(MAX_CHANGES_BEHIND + 1).count() <= MAX_CHANGES_BEHIND
+        let newer = self.changes.count_since(index, MAX_CHANGES_BEHIND + 1);
+        index >= self.changes.complete_after() && newer <= MAX_CHANGES_BEHIND
     }
 
-    fn since(&mut self, from: u64) -> Shared<Vec<(u64, ConfigurationChange)>> {
+    fn since(&mut self, from: u64) -> Shared<Vec<IndexedChange>> {
         if let Some(changes) = self.sent_changes.get(&from) {
             return changes.clone();
         }
-        let newer = self.changes.iter().filter(|(index, _)| *index > from);
-        let changes = Shared::from(without_replaced(newer));
+        let changes = without_replaced(self.changes.since(from));
+        let bytes: usize = changes.iter().map(|(_, change)| change.len_bytes()).sum();
+        if self.sent_bytes + bytes > MAX_SENT_BYTES {
+            self.clear_sent();
+        }
+        let changes = Shared::from(changes);
+        self.sent_bytes += bytes;
         self.sent_changes.insert(from, changes.clone());
         changes
     }
 
+    fn clear_sent(&mut self) {
+        self.sent_changes.clear();
+        self.sent_bytes = 0;
+    }
+
     /// The full configuration, shared by all gateways that are sent it.
     pub fn full_configuration(&mut self, configuration: &Configuration) -> Shared<Configuration> {
         let same = |full: &&Shared<Configuration>| full.index == configuration.index;
@@ -227,15 +234,15 @@
 /// The changes without superseded ones: of the changes to the route table and to each
 /// back end only the newest is kept, as it replaces the earlier ones completely.
 fn without_replaced<'a>(
-    changes: impl Iterator<Item = &'a (u64, ConfigurationChange)> + Clone,
-) -> Vec<(u64, ConfigurationChange)> {
+    changes: impl Iterator<Item = &'a IndexedChange> + Clone,
+) -> Vec<IndexedChange> {
     let mut newest = BTreeMap::new();
     for (position, (_, change)) in changes.clone().enumerate() {
         if let Some(replaced) = replaced(change) {
             newest.insert(replaced, position);
         }
     }
-    let is_newest = |(position, (_, change)): &(usize, &(u64, ConfigurationChange))| {
+    let is_newest = |(position, (_, change)): &(usize, &IndexedChange)| {
         replaced(change).is_none_or(|replaced| newest.get(&replaced) == Some(position))
     };
     changes
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -86,6 +86,14 @@
     pub services: Vec<WeightedService>,
 }
 
+impl Route {
+    /// Approximate size in memory, in bytes.
+    fn len_bytes(&self) -> usize {
+        let texts = self.name.len() + self.host.len() + self.path_prefix.len();
+        size_of::<Self>() + texts + self.services.len() * size_of::<WeightedService>()
+    }
+}
+
 fn one_attempt() -> u32 {
     1
 }
@@ -224,6 +232,14 @@
         Some(settings.max_connections)
     }
 
+    /// Approximate size in memory, in bytes.
+    pub fn len_bytes(&self) -> usize {
+        let routes: usize = self.routes.iter().map(Route::len_bytes).sum();
+        let services = self.services.len() * size_of::<ServiceSettings>();
+        let tenants = self.tenants.iter().flatten().map(Tenant::len_bytes);
+        size_of::<Self>() + routes + services + tenants.sum::<usize>()
+    }
+
     /// Limits of a service's engines, if the table has them.
     pub fn engine_limits(&self, service: &ServiceId) -> Option<EngineLimits> {
         let settings = self.services.iter().find(|s| s.name == *service)?;
--- a/components/routes/src/tenant.rs
+++ b/components/routes/src/tenant.rs
@@ -143,6 +143,13 @@
     pub keys: Vec<KeyDigest>,
 }
 
+impl Tenant {
+    /// Approximate size in memory, in bytes.
+    pub(crate) fn len_bytes(&self) -> usize {
+        size_of::<Self>() + self.name.as_str().len() + self.keys.len() * DIGEST_BYTES
+    }
+}
+
 /// Index of a table's tenants by key.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Tenants {
