Read a log of any size at a start

Change: the log is read segment by segment. Entries that may still be replaced are not applied, and an entry that can't be read halts the replica as before. In garnet-storage only a hook after each segment is new.

--- a/components/control-shell/src/data_folder.rs
+++ b/components/control-shell/src/data_folder.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use garnet_consensus::{Config, Member, Membership, Restored};
-use garnet_control::{Replica, ReplicaSettings, STATE_FORMAT};
+use garnet_control::{LogCompactor, Replica, ReplicaSettings, STATE_FORMAT};
 use garnet_runtime::Clock;
 use garnet_storage::{
-    DiskDirectory, DiskIdentity, ReplicaStorage, StorageError, load_value, save_value,
+    DiskDirectory, DiskIdentity, Recovered, ReplicaStorage, StorageError, load_value, save_value,
 };
 use garnet_types::{EncodingVersion, ReplicaId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -94,7 +94,9 @@
             .map_err(io::Error::other)?;
     let id = ReplicaId(identity.incarnation);
     let group = initial_group(&mut directory, settings, id, created).map_err(io::Error::other)?;
-    let (storage, recovered) = ReplicaStorage::open(directory).map_err(io::Error::other)?;
+    let version = settings.replica.upgrade.version;
+    let (storage, recovered) =
+        recover(directory, version, group.clone()).map_err(io::Error::other)?;
     log::info!(
         replica = id.0,
         new_disk = created,
@@ -102,7 +104,7 @@
         entries = recovered.entries.len(),
         commit_index = recovered.commit_index,
         cut_bytes = recovered.truncated_bytes,
-        snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index),
+        snapshot_index = recovered.snapshot_index(),
         protocol = EncodingVersion::CURRENT.0,
         state_format = STATE_FORMAT;
         "data_folder_opened"
@@ -130,6 +132,32 @@
     }))
 }
 
+/// Recovers the log and the snapshot. A log that is larger than a running replica lets it
+/// become is replaced by a snapshot while it is read.
+fn recover(
+    directory: DiskDirectory,
+    version: EncodingVersion,
+    group: Membership,
+) -> Result<(ReplicaStorage<DiskDirectory>, Recovered), StorageError> {
+    let compactor = LogCompactor::new(version, group);
+    let mut is_compacted = false;
+    let (mut storage, recovered) = ReplicaStorage::open_with(directory, |log| {
+        is_compacted |= compactor.compact(&mut log.snapshot, &mut log.entries, log.commit_index);
+    })?;
+    if let Some(snapshot) = recovered.snapshot.as_ref().filter(|_| is_compacted) {
+        log::info!(index = snapshot.index, bytes = snapshot.data.len(); "log_compacted_at_start");
+        match storage.save_snapshot(snapshot) {
+            Ok(()) => {}
+            // The log on disk is complete without it.
+            Err(error) if error.is_full() => {
+                log::warn!(cause = error.to_string().as_str(); "snapshot_left");
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    Ok((storage, recovered))
+}
+
 /// The group that is valid before the log holds any membership entry. It is empty for a
 /// replica that joins later, which learns the group from its leader.
 fn initial_group(
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -70,7 +70,9 @@
 pub use planner_settings::planner_settings;
 pub use recent_streams::RecentStreams;
 pub use reconciler::EnginePolling;
-pub use replica::{DirectorySettings, Replica, ReplicaSettings, RestoreError, UpgradeSettings};
+pub use replica::{
+    DirectorySettings, LogCompactor, Replica, ReplicaSettings, RestoreError, UpgradeSettings,
+};
 pub use shared::Shared;
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError, SuspectRecord};
 pub use usage::{Usage, UsageCount, UsageReceipt, UsageReport, WindowCounts, usage_interval};
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -7,7 +7,7 @@
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::ConfigurationChange;
 use crate::effects::{Effect, Halted};
-use crate::encoding::{DecodedEntry, EntryError, encode_entry};
+use crate::encoding::{EntryError, encode_entry};
 use crate::messages::ControlReply;
 use crate::operator::OperatorAnswer;
 use crate::state::ControlState;
@@ -65,13 +65,10 @@
     }
 
     fn apply_command(&mut self, entry: &Entry, bytes: &[u8]) -> Result<CommandAnswer, EntryError> {
-        let DecodedEntry { envelope, version } = self
-            .state
-            .encoding
-            .decode_up_to(self.settings.upgrade.version, bytes)?;
+        let supported = self.settings.upgrade.version;
         let applied = self
             .state
-            .apply_by(version, entry.index, entry.term, &envelope);
+            .apply_encoded(supported, entry.index, entry.term, bytes)?;
         let backends = self.state.configuration.backends.len();
         for change in applied.changes {
             match &change {
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod log;
 mod operator_requests;
 mod quarantining;
+mod recovery;
 mod snapshot_schedule;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 use level::Versions;
 use limiting::Limiting;
 use quarantining::Quarantining;
+pub use recovery::LogCompactor;
 use snapshot_schedule::SnapshotSchedule;
 
 use crate::answer::CommandAnswer;
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::duties::{Tenure, Tenures};
-use crate::encoding::LogEncoding;
+use crate::encoding::{DecodedEntry, EntryError, LogEncoding};
 use crate::usage::Usage;
 
 mod formats;
@@ -130,6 +130,22 @@
         applied
     }
 
+    /// Decodes an entry as a replica that supports versions up to `supported` does, and
+    /// applies its command.
+    ///
+    /// # Errors
+    /// When the entry can't be decoded: the log must not be applied any further.
+    pub(crate) fn apply_encoded(
+        &mut self,
+        supported: EncodingVersion,
+        index: u64,
+        term: u64,
+        bytes: &[u8],
+    ) -> Result<Applied, EntryError> {
+        let DecodedEntry { envelope, version } = self.encoding.decode_up_to(supported, bytes)?;
+        Ok(self.apply_by(version, index, term, &envelope))
+    }
+
     fn first_answer(&self, envelope: &CommandEnvelope) -> Option<CommandAnswer> {
         let id = envelope.command_id.as_ref()?;
         self.answers.get(id).cloned()
--- a/components/control/tests/state/leader.rs
+++ b/components/control/tests/state/leader.rs
@@ -15,7 +15,7 @@
 }
 
 /// A group of the replica and `peers` other members that never start.
-fn group(id: ReplicaId, peers: u64) -> Membership {
+pub fn group(id: ReplicaId, peers: u64) -> Membership {
     let member = || Member {
         peer_address: "10.0.0.1:7380".into(),
         admin_address: "10.0.0.1:8144".into(),
--- a/components/storage/src/replica.rs
+++ b/components/storage/src/replica.rs
@@ -54,6 +54,13 @@
     pub truncated_bytes: u64,
 }
 
+impl Recovered {
+    /// Last index that the snapshot covers, or 0.
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+}
+
 /// The open files of one replica.
 #[derive(Debug)]
 pub struct ReplicaStorage<D: Directory> {
@@ -71,11 +78,23 @@
     ///
     /// # Errors
     /// When synced content is damaged or a disk operation fails.
-    pub fn open(mut directory: D) -> Result<(Self, Recovered), StorageError> {
+    pub fn open(directory: D) -> Result<(Self, Recovered), StorageError> {
+        ReplicaStorage::open_with(directory, |_| {})
+    }
+
+    /// Does the same as [`Self::open`], and calls `compact` after each segment, so that a
+    /// log of any size can be read. `compact` may replace entries up to the commit index by
+    /// a snapshot, which is not saved here.
+    ///
+    /// # Errors
+    /// When synced content is damaged or a disk operation fails.
+    pub fn open_with(
+        mut directory: D,
+        mut compact: impl FnMut(&mut Recovered),
+    ) -> Result<(Self, Recovered), StorageError> {
         let names = directory.list().map_err(StorageError::io("list", "."))?;
         remove_temporary_files(&mut directory, &names)?;
         let snapshot = newest_snapshot(&directory, &names)?;
-        let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let mut recovered = Recovered {
             snapshot,
             ..Recovered::default()
@@ -85,17 +104,12 @@
         let last = segment_names.len().saturating_sub(1);
         for (position, name) in segment_names.into_iter().enumerate() {
             let is_last = position == last;
-            let segment = replay_segment(
-                &mut directory,
-                name,
-                is_last,
-                snapshot_index,
-                &mut recovered,
-            )?;
+            let segment = replay_segment(&mut directory, name, is_last, &mut recovered)?;
             segments.extend(segment);
+            compact(&mut recovered);
         }
         discard_replaced_log(&mut recovered);
-        check_contiguous(&recovered, snapshot_index)?;
+        check_contiguous(&recovered)?;
         let next_segment = segments.last().map_or(0, |s| segment_number(&s.name) + 1);
         let storage = ReplicaStorage {
             directory,
@@ -339,7 +353,6 @@
     directory: &mut dyn Directory,
     name: String,
     is_last: bool,
-    snapshot_index: u64,
     recovered: &mut Recovered,
 ) -> Result<Option<Segment>, StorageError> {
     let bytes = directory
@@ -368,7 +381,7 @@
             if let Record::Entry(entry) = &record {
                 highest_index = highest_index.max(entry.index);
             }
-            replay_record(record, snapshot_index, recovered);
+            replay_record(record, recovered);
         }
     }
     if torn {
@@ -403,7 +416,7 @@
     }
 }
 
-fn replay_record(record: Record, snapshot_index: u64, recovered: &mut Recovered) {
+fn replay_record(record: Record, recovered: &mut Recovered) {
     match record {
         Record::HardState(hard_state) => recovered.hard_state = hard_state,
         Record::Reset(_) => recovered.entries.clear(),
@@ -416,7 +429,7 @@
             {
                 recovered.entries.pop();
             }
-            if entry.index > snapshot_index {
+            if entry.index > recovered.snapshot_index() {
                 recovered.entries.push(entry);
             }
         }
@@ -424,8 +437,8 @@
 }
 
 /// Checks that the entries follow the snapshot without a gap.
-fn check_contiguous(recovered: &Recovered, snapshot_index: u64) -> Result<(), StorageError> {
-    for (expected, entry) in (snapshot_index + 1..).zip(&recovered.entries) {
+fn check_contiguous(recovered: &Recovered) -> Result<(), StorageError> {
+    for (expected, entry) in (recovered.snapshot_index() + 1..).zip(&recovered.entries) {
         if entry.index != expected {
             return Err(StorageError::Damaged {
                 file: format!("{SEGMENT_PREFIX}*"),
