Bound what is on its way to a replica in bytes

Seen by reading: up to 8 messages are in flight to a follower, each of 256 KiB or one larger entry, and 1,024 frames may wait for its connection; what is lost on a slow link is queued again each second. With entries of 0.5 MB these are hundreds of MB.

Change: at most 4 MiB of entries are in flight to a follower, or one message, and at most 8 MiB of frames wait for its connection, or one frame. Further frames are dropped, as those beyond 1,024 are; the protocol sends entries again.

No test shows the bound of the connection's queue. In the test peer_link the channel names its type, as send_frames takes any type that becomes a frame.

--- a/components/consensus/src/config.rs
+++ b/components/consensus/src/config.rs
@@ -26,6 +26,9 @@
     pub max_batch_bytes: usize,
     /// Maximum count of messages with entries in flight to one follower.
     pub max_inflight: usize,
+    /// Maximum bytes of entries in flight to one follower; a single message is sent however
+    /// large it is.
+    pub max_inflight_bytes: usize,
     /// Size of a snapshot chunk, in bytes.
     pub snapshot_chunk_bytes: usize,
     /// Seed of the election jitter.
@@ -48,6 +51,7 @@
             max_batch_entries: 256,
             max_batch_bytes: 256 * 1024,
             max_inflight: 8,
+            max_inflight_bytes: 4 * 1024 * 1024,
             snapshot_chunk_bytes: 128 * 1024,
             seed,
         }
--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -75,6 +75,14 @@
         &entries[..count.max(1).min(entries.len())]
     }
 
+    /// Bytes of the entries from `from` up to but without `end`, as far as the log holds them.
+    pub fn bytes_between(&self, from: u64, end: u64) -> usize {
+        let first = from.max(self.snapshot_index + 1);
+        let count = end.saturating_sub(first) as usize;
+        let entries = self.slice(first, count).iter();
+        entries.map(|entry| entry.payload.len_bytes()).sum()
+    }
+
     /// Entries that are not durable yet.
     pub fn unpersisted(&self) -> &[Entry] {
         self.slice(self.persisted_index + 1, usize::MAX >> 1)
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -92,3 +92,18 @@
     /// Tells a caught-up follower to start an election at once (leadership transfer).
     TimeoutNow,
 }
+
+impl Message {
+    /// Approximate encoded size of the entries or of the snapshot's chunk, in bytes.
+    pub fn len_bytes(&self) -> usize {
+        match self {
+            Message::Append { entries, .. } => entries.iter().map(|e| e.payload.len_bytes()).sum(),
+            Message::SnapshotChunk { data, .. } => data.len(),
+            Message::RequestVote { .. }
+            | Message::VoteReply { .. }
+            | Message::AppendReply { .. }
+            | Message::SnapshotReply { .. }
+            | Message::TimeoutNow => 0,
+        }
+    }
+}
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -7,6 +7,7 @@
 use crate::entry::{Entry, EntryPayload, Snapshot};
 use crate::message::{Envelope, Message};
 use crate::node::Node;
+use crate::progress::Progress;
 
 impl Node {
     pub(crate) fn tick_leader(&mut self) {
@@ -93,7 +94,7 @@
         let Some(progress) = self.progress.get(&to) else {
             return;
         };
-        if progress.inflight >= self.config.max_inflight {
+        if self.has_full_window(progress) {
             return;
         }
         let next_index = progress.next_index;
@@ -134,6 +135,17 @@
         }
     }
 
+    /// Whether no more entries may be sent to a follower before it acknowledges some.
+    fn has_full_window(&self, progress: &Progress) -> bool {
+        if progress.inflight == 0 {
+            return false;
+        }
+        let bytes = self
+            .log
+            .bytes_between(progress.match_index + 1, progress.next_index);
+        progress.inflight >= self.config.max_inflight || bytes >= self.config.max_inflight_bytes
+    }
+
     fn send_snapshot_chunk(&mut self, to: ReplicaId, resend: bool) {
         let Some(snapshot) = self.snapshot.clone() else {
             return;
--- a/components/consensus/tests/group.rs
+++ b/components/consensus/tests/group.rs
@@ -307,6 +307,29 @@
     assert!(largest <= 500_000, "{largest} bytes in one message");
 }
 
+/// Messages in flight wait in memory, so that their number alone is no bound for large
+/// entries.
+#[test]
+fn large_entries_in_flight_are_bounded() {
+    const ENTRY_BYTES: usize = 1_000_000;
+    const MAX_IN_FLIGHT_BYTES: usize = 5 * 1024 * 1024;
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    let other = network.others(leader)[0];
+    network.delay(other, Millis(400));
+    let sent_before = network.entry_bytes_sent_to(other);
+    for _ in 0..8 {
+        network.propose(leader, &[7; ENTRY_BYTES]);
+    }
+    network.run(Millis(100));
+    let sent = network.entry_bytes_sent_to(other) - sent_before;
+    assert!(sent <= MAX_IN_FLIGHT_BYTES, "{sent} bytes in flight");
+    network.run(Millis(5000));
+    assert_eq!(network.commands(other).len(), 8);
+    let sent = network.entry_bytes_sent_to(other) - sent_before;
+    assert!(sent <= 9 * ENTRY_BYTES, "{sent} bytes for 8 entries");
+}
+
 /// The driver waits with its next snapshot while one is being sent, which a newer one would
 /// start anew, but not for a replica that no longer responds.
 #[test]
--- a/components/control-shell/src/connections.rs
+++ b/components/control-shell/src/connections.rs
@@ -11,15 +11,13 @@
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
 use garnet_types::{EncodingVersion, ReplicaId};
 use garnet_wire::{AcceptedHello, Frame, Sender as FrameSender, WireError};
-use smol::channel::{Receiver, Sender, bounded, unbounded};
+use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
+use crate::frame_queue::{FrameQueue, QueuedFrame};
 use crate::peer_link::{self, Peer};
 
-/// Frames that may wait for one connection. Further ones are dropped, which the protocol
-/// tolerates like any other loss.
-const MAX_QUEUED_FRAMES: usize = 1024;
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long an operator's request waits for its answer. It is long because a change may
@@ -28,10 +26,10 @@
 
 #[derive(Default)]
 struct OpenConnections {
-    peers: HashMap<String, Sender<Frame>>,
+    peers: HashMap<String, FrameQueue>,
     /// Addresses that replicas reported when they connected.
     reported_addresses: HashMap<ReplicaId, String>,
-    gateways: HashMap<u64, Sender<Frame>>,
+    gateways: HashMap<u64, FrameQueue>,
     operators: HashMap<u64, Sender<OperatorAnswer>>,
     last_id: u64,
 }
@@ -88,21 +86,19 @@
         let Some(address) = address.or_else(reported) else {
             return;
         };
-        let sender = self.peer_queue(&address);
-        queue(&sender, Frame::Peer(envelope));
+        self.peer_queue(&address).push(Frame::Peer(envelope));
     }
 
     /// Queues a request to join for the replica at `address`.
     pub(crate) fn send_join(&self, address: &str, request: JoinRequest) {
-        let sender = self.peer_queue(address);
-        queue(&sender, Frame::Join(request));
+        self.peer_queue(address).push(Frame::Join(request));
     }
 
-    fn peer_queue(&self, address: &str) -> Sender<Frame> {
-        if let Some(sender) = self.open.borrow().peers.get(address) {
-            return sender.clone();
+    fn peer_queue(&self, address: &str) -> FrameQueue {
+        if let Some(queue) = self.open.borrow().peers.get(address) {
+            return queue.clone();
         }
-        let (sender, frames) = unbounded();
+        let (queue, frames) = FrameQueue::new();
         let hello = FrameSender::Replica {
             id: self.id,
             address: self.address.clone(),
@@ -115,15 +111,15 @@
         let task = peer_link::run(peer, frames);
         self.executor.spawn(task).detach();
         let mut open = self.open.borrow_mut();
-        open.peers.insert(address.to_owned(), sender.clone());
-        sender
+        open.peers.insert(address.to_owned(), queue.clone());
+        queue
     }
 
     // ---- Gateways ----
 
     pub(crate) fn reply_gateway(&self, connection: u64, reply: ControlReply) {
-        if let Some(sender) = self.open.borrow().gateways.get(&connection) {
-            queue(sender, Frame::Control(reply));
+        if let Some(queue) = self.open.borrow().gateways.get(&connection) {
+            queue.push(Frame::Control(reply));
         }
     }
 
@@ -218,9 +214,9 @@
         mut reader: FrameReader,
         writer: FrameWriter,
     ) -> Result<(), WireError> {
-        let (sender, replies) = unbounded();
+        let (queue, replies) = FrameQueue::new();
         let connection = self.next_id();
-        self.open.borrow_mut().gateways.insert(connection, sender);
+        self.open.borrow_mut().gateways.insert(connection, queue);
         let version = writer.version();
         let opened = Event::GatewayOpened {
             connection,
@@ -285,19 +281,9 @@
     }
 }
 
-/// Queues a frame unless [`MAX_QUEUED_FRAMES`] are waiting already. The channel is
-/// unbounded so that its memory grows with the frames that wait: one of a fixed capacity
-/// would take a quarter of a megabyte for each idle connection, which is half of a
-/// replica's memory with a thousand gateways.
-fn queue(sender: &Sender<Frame>, frame: Frame) {
-    if sender.len() < MAX_QUEUED_FRAMES {
-        let _closed = sender.try_send(frame);
-    }
-}
-
-async fn write_queued(mut writer: FrameWriter, frames: Receiver<Frame>) {
+async fn write_queued(mut writer: FrameWriter, frames: Receiver<QueuedFrame>) {
     while let Ok(frame) = frames.recv().await {
-        match writer.send(frame).await {
+        match writer.send(frame.into()).await {
             Ok(()) => {}
             Err(error @ WireError::NotInVersion(_)) => {
                 log::warn!(cause = error.to_string().as_str(); "gateway_not_served");
--- a/components/control-shell/src/lib.rs
+++ b/components/control-shell/src/lib.rs
@@ -13,6 +13,7 @@
 mod disk_space;
 mod duties;
 mod engines;
+mod frame_queue;
 mod joining;
 mod metrics;
 mod peer_link;
--- a/components/control-shell/src/peer_link.rs
+++ b/components/control-shell/src/peer_link.rs
@@ -18,6 +18,8 @@
 use smol::Timer;
 use smol::channel::Receiver;
 
+use crate::frame_queue::QueuedFrame;
+
 /// Delay before the next attempt after a connection failed.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
@@ -45,14 +47,14 @@
 
 /// Sends the frames that are queued for a peer, and opens a new connection when the
 /// last one has ended.
-pub(crate) async fn run(peer: Peer, frames: Receiver<Frame>) {
+pub(crate) async fn run(peer: Peer, frames: Receiver<QueuedFrame>) {
     let mut connect_timeout = ConnectTimeout::default();
     let mut offers = VersionOffers::default();
     while let Ok(first) = frames.recv().await {
         if let Some((reader, writer)) = open(&peer, &mut offers, &mut connect_timeout).await {
             let version = writer.version();
             let opened_at = Instant::now();
-            let end = send_frames(reader, writer, first, &frames).await;
+            let end = send_frames(reader, writer, first.into(), &frames).await;
             offers.ended(version, opened_at.elapsed());
             if matches!(end, LinkEnd::Closed | LinkEnd::OfferAgain) {
                 continue;
@@ -88,11 +90,11 @@
 }
 
 /// Sends `first` and then the queued frames until the connection ends.
-pub async fn send_frames(
+pub async fn send_frames<F: Into<Frame>>(
     mut reader: FrameReader,
     mut writer: FrameWriter,
     first: Frame,
-    frames: &Receiver<Frame>,
+    frames: &Receiver<F>,
 ) -> LinkEnd {
     let version = writer.version();
     let writing = async {
@@ -101,7 +103,7 @@
             if writer.send(frame).await.is_err() {
                 return LinkEnd::WriteFailed;
             }
-            next = frames.recv().await;
+            next = frames.recv().await.map(Into::into);
         }
         LinkEnd::QueueClosed
     };
--- a/components/control-shell/tests/peer_link.rs
+++ b/components/control-shell/tests/peer_link.rs
@@ -45,7 +45,7 @@
         };
         let (connected, accepted) = smol::future::zip(connecting, accepting).await;
         let (reader, writer) = connected.expect("it listens");
-        let (_sender, queued) = unbounded();
+        let (_sender, queued) = unbounded::<Frame>();
         let peer = async {
             let (mut reader, writer) = accepted;
             let received = reader.next().await.expect("a valid frame");
