Bound the log lines that wait in bytes

Seen by reading: 2,048 lines may wait for the reader of the output, and a line may carry text of another process.

Change: at most 1 MiB waits; further lines are dropped and counted, as those beyond 2,048 are.

lines_that_wait_are_bounded_in_bytes is new: without the change 10,000,000 bytes waited.

--- a/components/runtime/src/log_writer.rs
+++ b/components/runtime/src/log_writer.rs
@@ -13,6 +13,8 @@
 
 /// Capacity of the queue, in lines.
 const QUEUE_CAPACITY: usize = 2048;
+/// Capacity of the queue, in bytes. A line may carry text of another process.
+const QUEUE_CAPACITY_BYTES: u64 = 1024 * 1024;
 
 /// The event loop's end of the queue; it never blocks.
 pub struct LogWriter {
@@ -24,6 +26,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LogCounts {
     pending: Arc<AtomicU64>,
+    pending_bytes: Arc<AtomicU64>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -38,6 +41,22 @@
     }
 }
 
+impl LogCounts {
+    fn add_pending(&self, bytes: usize) {
+        self.pending.fetch_add(1, Ordering::AcqRel);
+        self.pending_bytes.fetch_add(bytes as u64, Ordering::AcqRel);
+    }
+
+    fn remove_pending(&self, bytes: usize) {
+        self.pending.fetch_sub(1, Ordering::AcqRel);
+        self.pending_bytes.fetch_sub(bytes as u64, Ordering::AcqRel);
+    }
+
+    fn has_space_for(&self, bytes: usize) -> bool {
+        self.pending_bytes.load(Ordering::Acquire) + bytes as u64 <= QUEUE_CAPACITY_BYTES
+    }
+}
+
 impl LogWriter {
     /// Starts the thread that writes to `output`.
     pub fn start(output: impl Write + Send + 'static) -> Self {
@@ -56,9 +75,10 @@
 
 impl Write for LogWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        self.counts.pending.fetch_add(1, Ordering::AcqRel);
-        if self.lines.try_send(line.to_vec()).is_err() {
-            self.counts.pending.fetch_sub(1, Ordering::AcqRel);
+        let has_space = self.counts.has_space_for(line.len());
+        self.counts.add_pending(line.len());
+        if !has_space || self.lines.try_send(line.to_vec()).is_err() {
+            self.counts.remove_pending(line.len());
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -78,6 +98,6 @@
         }
         let _gone = output.write_all(&line);
         let _gone = output.flush();
-        counts.pending.fetch_sub(1, Ordering::AcqRel);
+        counts.remove_pending(line.len());
     }
 }
--- a/components/runtime/tests/bounded_logs.rs
+++ b/components/runtime/tests/bounded_logs.rs
@@ -65,6 +65,25 @@
     assert!(dropped > 0 && text.ends_with("event=last\n"));
 }
 
+/// A line may carry text of another process, so that the number of lines is no bound.
+#[test]
+fn lines_that_wait_are_bounded_in_bytes() {
+    const LINE_BYTES: usize = 10_000;
+    const MAX_WAITING_BYTES: usize = 1024 * 1024;
+    let (output, release, written) = blocked_output();
+    let mut writer = LogWriter::start(output);
+    let counts = writer.counts();
+    let line = format!("{}\n", "x".repeat(LINE_BYTES - 1));
+    for _ in 0..1000 {
+        writer.write_all(line.as_bytes()).expect("never an error");
+    }
+    drop(release);
+    counts.wait_until_written(Duration::from_secs(60));
+    let text = String::from_utf8(written.lock().expect("no panic").clone()).expect("text");
+    let waited = text.matches(&line).count() * LINE_BYTES;
+    assert!(waited > 0 && waited <= MAX_WAITING_BYTES, "{waited} bytes");
+}
+
 #[test]
 fn each_event_has_its_own_limit_per_second() {
     let mut limit = LogLimit::default();
