Bound the length of unknown header names in metrics

Seen by reading: up to 32 names of headers that the adapter does not know become labels of a metric, whatever their length.

Change: names of more than 64 bytes are counted as "other" and not logged, as those beyond 32 are. No test of its own.

--- a/components/forwarding-shell/src/unknown_headers.rs
+++ b/components/forwarding-shell/src/unknown_headers.rs
@@ -9,7 +9,9 @@
 
 /// Maximum number of distinct names that are counted, since a back end may send any.
 const MAX_NAMES: usize = 32;
-/// The label under which all further names are counted.
+/// Maximum length of such a name, which becomes a label of a metric.
+const MAX_NAME_BYTES: usize = 64;
+/// The label under which all further and all longer names are counted.
 const OTHER_NAMES: &str = "other";
 
 /// Header names that were seen so far.
@@ -23,7 +25,7 @@
             let mut seen = self.0.borrow_mut();
             if seen.contains(name.as_str()) {
                 metrics.unknown_name(name.as_str());
-            } else if seen.len() < MAX_NAMES {
+            } else if seen.len() < MAX_NAMES && name.as_str().len() <= MAX_NAME_BYTES {
                 seen.insert(name.as_str().to_owned());
                 metrics.unknown_name(name.as_str());
                 log::warn!(
