--- a/components/control/tests/state/main.rs
+++ b/components/control/tests/state/main.rs
@@ -12,6 +12,7 @@
 mod fleet_size;
 mod gateway_leases;
 mod group;
+mod lagging_replica;
 mod large_log;
 mod last_known;
 mod leader;
