--- a/components/consensus/src/config.rs
+++ b/components/consensus/src/config.rs
@@ -29,6 +29,9 @@
     /// Maximum bytes of entries in flight to one follower; a single message is sent however
     /// large it is.
     pub max_inflight_bytes: usize,
+    /// Maximum bytes of entries that a leader keeps after a snapshot that covers them, for
+    /// followers that are behind.
+    pub max_retained_bytes: usize,
     /// Size of a snapshot chunk, in bytes.
     pub snapshot_chunk_bytes: usize,
     /// Seed of the election jitter.
@@ -52,6 +55,7 @@
             max_batch_bytes: 256 * 1024,
             max_inflight: 8,
             max_inflight_bytes: 4 * 1024 * 1024,
+            max_retained_bytes: 48 * 1024 * 1024,
             snapshot_chunk_bytes: 128 * 1024,
             seed,
         }
--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -1,43 +1,44 @@
-//! The in-memory log after the latest snapshot.
+//! The in-memory log, from some entry that a snapshot covers on.
 
 use crate::entry::{Entry, EntryPayload, Membership};
 
-/// Entries after a snapshot, and the index up to which they are durable.
+/// Entries after a base index, which a snapshot covers, and the index up to which they are
+/// durable.
 #[derive(Debug, Clone, Default)]
 pub struct ReplicatedLog {
-    snapshot_index: u64,
-    snapshot_term: u64,
+    base_index: u64,
+    base_term: u64,
     entries: Vec<Entry>,
     persisted_index: u64,
 }
 
 impl ReplicatedLog {
     /// Restores a log from disk; all of its entries are durable.
-    pub fn restored(snapshot_index: u64, snapshot_term: u64, entries: Vec<Entry>) -> Self {
-        let persisted_index = entries.last().map_or(snapshot_index, |entry| entry.index);
+    pub fn restored(base_index: u64, base_term: u64, entries: Vec<Entry>) -> Self {
+        let persisted_index = entries.last().map_or(base_index, |entry| entry.index);
         ReplicatedLog {
-            snapshot_index,
-            snapshot_term,
+            base_index,
+            base_term,
             entries,
             persisted_index,
         }
     }
 
-    /// Last index that the snapshot covers.
-    pub fn snapshot_index(&self) -> u64 {
-        self.snapshot_index
+    /// Index of the last entry that was dropped.
+    pub fn base_index(&self) -> u64 {
+        self.base_index
     }
 
     /// Index of the last entry.
     pub fn last_index(&self) -> u64 {
-        self.snapshot_index + self.entries.len() as u64
+        self.base_index + self.entries.len() as u64
     }
 
     /// Term of the last entry.
     pub fn last_term(&self) -> u64 {
         self.entries
             .last()
-            .map_or(self.snapshot_term, |entry| entry.term)
+            .map_or(self.base_term, |entry| entry.term)
     }
 
     /// Index of the last durable entry.
@@ -47,8 +48,8 @@
 
     /// Term at `index`, or `None` when the log does not hold it.
     pub fn term_at(&self, index: u64) -> Option<u64> {
-        if index == self.snapshot_index {
-            return Some(self.snapshot_term);
+        if index == self.base_index {
+            return Some(self.base_term);
         }
         self.position(index).map(|at| self.entries[at].term)
     }
@@ -77,12 +78,24 @@
 
     /// Bytes of the entries from `from` up to but without `end`, as far as the log holds them.
     pub fn bytes_between(&self, from: u64, end: u64) -> usize {
-        let first = from.max(self.snapshot_index + 1);
+        let first = from.max(self.base_index + 1);
         let count = end.saturating_sub(first) as usize;
         let entries = self.slice(first, count).iter();
         entries.map(|entry| entry.payload.len_bytes()).sum()
     }
 
+    /// The lowest index from `index` on after which at most `max_bytes` of entries up to
+    /// `end` follow.
+    pub fn index_before(&self, index: u64, end: u64, max_bytes: usize) -> u64 {
+        let mut bytes = self.bytes_between(index + 1, end + 1);
+        let mut index = index.max(self.base_index);
+        while bytes > max_bytes && index < end {
+            index += 1;
+            bytes -= self.bytes_between(index, index + 1);
+        }
+        index
+    }
+
     /// Entries that are not durable yet.
     pub fn unpersisted(&self) -> &[Entry] {
         self.slice(self.persisted_index + 1, usize::MAX >> 1)
@@ -115,8 +128,8 @@
         let Some(at) = self.position(index) else {
             return;
         };
-        self.snapshot_term = self.entries[at].term;
-        self.snapshot_index = index;
+        self.base_term = self.entries[at].term;
+        self.base_index = index;
         self.entries.drain(..=at);
     }
 
@@ -137,7 +150,7 @@
     }
 
     fn position(&self, index: u64) -> Option<usize> {
-        let offset = index.checked_sub(self.snapshot_index + 1)?;
+        let offset = index.checked_sub(self.base_index + 1)?;
         let offset = usize::try_from(offset).ok()?;
         (offset < self.entries.len()).then_some(offset)
     }
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -161,7 +161,7 @@
 
     /// Last index that the latest snapshot covers.
     pub fn snapshot_index(&self) -> u64 {
-        self.log.snapshot_index()
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
     }
 
     /// The members of the group according to this replica's log.
@@ -241,16 +241,20 @@
             .since(last_acknowledged.max(tracked).max(self.leader_since))
     }
 
+    /// Bytes of the entries in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log
+            .bytes_between(self.log.base_index() + 1, self.log.last_index() + 1)
+    }
+
     /// Whether this leader is sending its snapshot to a member that responds. A newer
     /// snapshot would start that transfer anew.
     pub fn is_sending_snapshot(&self) -> bool {
-        let timeout = self.config.election_timeout;
-        let responds = |id| self.silent_for(id) < timeout + timeout;
         let mut receivers = self
             .progress
             .iter()
             .filter(|(_, progress)| progress.snapshot_offset.is_some());
-        self.is_leader() && receivers.any(|(id, _)| responds(*id))
+        self.is_leader() && receivers.any(|(id, _)| self.responds(*id))
     }
 
     /// Whether a member is known to hold all of the log but the last few entries.
@@ -354,11 +358,11 @@
     }
 
     /// Makes the state machine's `data` at `index` the latest snapshot and drops
-    /// the log up to it from memory. The driver must make the returned snapshot
+    /// the log up to it from memory, except for entries that a follower needs. The driver must make the returned snapshot
     /// durable before it deletes any log from disk. `None` if `index` is not yet
     /// applied or a snapshot already covers it.
     pub fn compact(&mut self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
-        if index > self.applied_index || index <= self.log.snapshot_index() {
+        if index > self.applied_index || index <= self.snapshot_index() {
             return None;
         }
         let term = self.log.term_at(index)?;
@@ -369,11 +373,34 @@
             membership,
             data: Arc::new(data),
         };
-        self.log.compact(index);
+        self.log.compact(self.droppable_index(index));
         self.snapshot = Some(snapshot.clone());
         Some(snapshot)
     }
 
+    /// The index up to which the log is dropped when a snapshot covers it up to `index`. A
+    /// follower that responds is sent the entries that it lacks; it would be sent the whole
+    /// snapshot otherwise.
+    fn droppable_index(&self, index: u64) -> u64 {
+        if !self.is_leader() {
+            return index;
+        }
+        let is_behind = |(id, progress): &(&ReplicaId, &Progress)| {
+            progress.match_index > 0 && self.responds(**id)
+        };
+        let behind = self.progress.iter().filter(is_behind);
+        let needed_after = behind.map(|(_, progress)| progress.match_index).min();
+        let from = needed_after.map_or(index, |needed_after| needed_after.min(index));
+        self.log
+            .index_before(from, index, self.config.max_retained_bytes)
+    }
+
+    /// Whether this leader has heard from a member lately.
+    fn responds(&self, id: ReplicaId) -> bool {
+        let timeout = self.config.election_timeout;
+        self.silent_for(id) < timeout + timeout
+    }
+
     /// Whether [`Node::ready`] would return any work.
     pub fn has_ready(&self) -> bool {
         self.hard_state_changed
@@ -443,7 +470,7 @@
     pub(crate) fn refresh_membership(&mut self) {
         let (index, membership) = match self.log.latest_membership() {
             Some((index, membership)) => (index, membership.clone()),
-            None => (self.log.snapshot_index(), self.snapshot_membership()),
+            None => (self.log.base_index(), self.snapshot_membership()),
         };
         self.membership = membership;
         self.membership_index = index;
@@ -456,7 +483,7 @@
     }
 
     fn membership_at(&self, index: u64) -> Membership {
-        let first = self.log.snapshot_index() + 1;
+        let first = self.log.base_index() + 1;
         let covered = self.log.slice(first, (index + 1 - first) as usize);
         covered
             .iter()
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -193,7 +193,7 @@
             return;
         };
         self.on_leader_contact(envelope.from);
-        let previous_matches = previous_index < self.log.snapshot_index()
+        let previous_matches = previous_index < self.log.base_index()
             || self.log.term_at(previous_index) == Some(previous_term);
         let match_index = if previous_matches {
             self.accept_entries(previous_index, entries, commit_index)
@@ -231,7 +231,7 @@
     }
 
     fn accept_entry(&mut self, entry: Entry) {
-        if entry.index <= self.log.snapshot_index() {
+        if entry.index <= self.log.base_index() {
             return;
         }
         match self.log.term_at(entry.index) {
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -14,6 +14,7 @@
 use crate::watch::RecentChanges;
 
 use super::level::ProposalError;
+use super::snapshot_schedule::MAX_LOG_BYTES;
 use super::{PendingProposal, Replica, Requester, Waiter};
 
 /// Longest time that an operator request waits for its change to be in force.
@@ -157,8 +158,10 @@
     }
 
     pub(super) fn take_snapshot_if_due(&mut self) {
-        let is_due = self.snapshots.is_due(self.node.is_sending_snapshot());
-        if !is_due || self.halted.is_some() {
+        if !self.snapshots.is_due() || self.halted.is_some() {
+            return;
+        }
+        if self.node.is_sending_snapshot() && self.node.log_bytes() < MAX_LOG_BYTES {
             return;
         }
         // This does not fail: a command that the level's version can't express is refused
--- a/components/control/src/replica/snapshot_schedule.rs
+++ b/components/control/src/replica/snapshot_schedule.rs
@@ -8,8 +8,9 @@
 
 /// Bytes of applied entries after which a snapshot is due, unless the last one is large.
 const MIN_LOG_BYTES: u64 = 16 * 1024 * 1024;
-/// Bytes of applied entries after which a snapshot that is due waits no longer.
-const MAX_LOG_BYTES: u64 = 64 * 1024 * 1024;
+/// While a snapshot is being sent to another replica the next one waits, as it would start
+/// the transfer anew, until the log has this many bytes.
+pub(crate) const MAX_LOG_BYTES: usize = 64 * 1024 * 1024;
 /// Size of an entry in memory without its content.
 const ENTRY_OVERHEAD_BYTES: u64 = size_of::<Entry>() as u64;
 /// The bytes between two snapshots are at least this many times the size of the first one,
@@ -60,12 +61,8 @@
         MIN_LOG_BYTES.max(snapshot_bytes * MIN_LOG_BYTES_PER_SNAPSHOT_BYTE)
     }
 
-    /// Whether a snapshot is due. While the latest one is being sent to another replica the
-    /// next one waits, up to [`MAX_LOG_BYTES`], as it would start the transfer anew.
-    pub(crate) fn is_due(&self, is_sending: bool) -> bool {
-        if is_sending && self.log_bytes < MAX_LOG_BYTES {
-            return false;
-        }
+    /// Whether a snapshot is due.
+    pub(crate) fn is_due(&self) -> bool {
         let due_entries = self
             .every
             .max(self.snapshot_bytes / SNAPSHOT_BYTES_PER_ENTRY);
