--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -15,6 +15,8 @@
     pub acknowledged_at: Option<Millis>,
     /// Offset of the next snapshot byte to send, while a snapshot is in flight.
     pub snapshot_offset: Option<u64>,
+    /// When a snapshot chunk was last sent.
+    pub snapshot_sent_at: Millis,
     /// When the leader began to track the follower.
     pub since: Millis,
     /// When a message was last sent, for heartbeats.
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -146,6 +146,8 @@
         progress.inflight >= self.config.max_inflight || bytes >= self.config.max_inflight_bytes
     }
 
+    /// Sends the first chunk of the snapshot, or the last one again if it is lost. While it
+    /// is under way, a heartbeat is sent at most, if `resend` is set.
     fn send_snapshot_chunk(&mut self, to: ReplicaId, resend: bool) {
         let Some(snapshot) = self.snapshot.clone() else {
             return;
@@ -153,11 +155,44 @@
         let Some(progress) = self.progress.get_mut(&to) else {
             return;
         };
-        if progress.snapshot_offset.is_some() && !resend {
+        let silence = self.config.election_timeout;
+        let is_under_way = progress.snapshot_offset.is_some()
+            && self.now.since(progress.snapshot_sent_at) < silence;
+        if is_under_way {
+            if resend && self.now.since(progress.last_sent) >= self.config.heartbeat_interval {
+                self.send_snapshot_heartbeat(to, &snapshot);
+            }
             return;
         }
+        self.send_chunk(to, &snapshot);
+    }
+
+    /// Sends a chunk without bytes, at the end of the snapshot: the follower answers with
+    /// the offset that it has received, and changes nothing.
+    fn send_snapshot_heartbeat(&mut self, to: ReplicaId, snapshot: &Snapshot) {
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.last_sent = self.now;
+        }
+        let message = Message::SnapshotChunk {
+            index: snapshot.index,
+            snapshot_term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            offset: snapshot.data.len() as u64,
+            data: Vec::new(),
+            done: false,
+            sent_at: self.now,
+        };
+        self.send(to, message);
+    }
+
+    /// Sends the chunk at the offset that the follower has received.
+    fn send_chunk(&mut self, to: ReplicaId, snapshot: &Snapshot) {
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
         let offset = progress.snapshot_offset.unwrap_or(0);
         progress.snapshot_offset = Some(offset);
+        progress.snapshot_sent_at = self.now;
         progress.last_sent = self.now;
         let start = (offset as usize).min(snapshot.data.len());
         let end = (start + self.config.snapshot_chunk_bytes).min(snapshot.data.len());
@@ -405,16 +440,27 @@
         if !self.is_leader() {
             return;
         }
-        let current = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
         let Some(progress) = self.progress.get_mut(&from) else {
             return;
         };
         progress.acknowledged_at = progress.acknowledged_at.max(Some(sent_at));
-        if progress.snapshot_offset.is_none() {
+        let Some(sent_offset) = progress.snapshot_offset else {
+            return;
+        };
+        let offset = if index == snapshot.index {
+            next_offset
+        } else {
+            0
+        };
+        // The follower answered before the latest chunk could arrive. Only a later answer
+        // shows that the chunk is lost.
+        if offset == sent_offset && sent_at <= progress.snapshot_sent_at {
             return;
         }
-        let offset = if index == current { next_offset } else { 0 };
         progress.snapshot_offset = Some(offset);
-        self.send_snapshot_chunk(from, true);
+        self.send_chunk(from, &snapshot);
     }
 }
