--- a/components/control-shell/src/data_folder.rs
+++ b/components/control-shell/src/data_folder.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use garnet_consensus::{Config, Member, Membership, Restored};
-use garnet_control::{Replica, ReplicaSettings, STATE_FORMAT};
+use garnet_control::{LogCompactor, Replica, ReplicaSettings, STATE_FORMAT};
 use garnet_runtime::Clock;
 use garnet_storage::{
     DiskDirectory, DiskIdentity, Recovered, ReplicaStorage, StorageError, load_value, save_value,
@@ -98,7 +98,7 @@
         entries = recovered.entries.len(),
         commit_index = recovered.commit_index,
         cut_bytes = recovered.truncated_bytes,
-        snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index),
+        snapshot_index = recovered.snapshot_index(),
         protocol = EncodingVersion::CURRENT.0,
         state_format = STATE_FORMAT;
         "data_folder_opened"
@@ -156,7 +156,8 @@
             DiskIdentity::open_or_create(&mut directory, &settings.name, new_incarnation)?;
         let id = ReplicaId(identity.incarnation);
         let group = initial_group(&mut directory, settings, id)?;
-        let (storage, recovered) = ReplicaStorage::open(directory)?;
+        let version = settings.replica.upgrade.version;
+        let (storage, recovered) = recover(directory, version, group.clone())?;
         Ok(Stores {
             id,
             created,
@@ -167,6 +168,32 @@
     }
 }
 
+/// Recovers the log and the snapshot. A log that is larger than a running replica lets it
+/// become is replaced by a snapshot while it is read.
+fn recover(
+    directory: DiskDirectory,
+    version: EncodingVersion,
+    group: Membership,
+) -> Result<(ReplicaStorage<DiskDirectory>, Recovered), StorageError> {
+    let compactor = LogCompactor::new(version, group);
+    let mut is_compacted = false;
+    let (mut storage, recovered) = ReplicaStorage::open_with(directory, |log| {
+        is_compacted |= compactor.compact(&mut log.snapshot, &mut log.entries, log.commit_index);
+    })?;
+    if let Some(snapshot) = recovered.snapshot.as_ref().filter(|_| is_compacted) {
+        log::info!(index = snapshot.index, bytes = snapshot.data.len(); "log_compacted_at_start");
+        match storage.save_snapshot(snapshot) {
+            Ok(()) => {}
+            // The log on disk is complete without it.
+            Err(error) if error.is_full() => {
+                log::warn!(cause = error.to_string().as_str(); "snapshot_left");
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    Ok((storage, recovered))
+}
+
 /// The group that is valid before the log holds any membership entry. It is empty for a
 /// replica that joins later, which learns the group from its leader.
 fn initial_group(
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod fleet_sizing;
 mod gateways;
 mod group_step;
+mod kept_changes;
 mod load_digest;
 mod messages;
 mod operator;
@@ -69,7 +70,9 @@
 pub use planner_settings::planner_settings;
 pub use recent_streams::RecentStreams;
 pub use reconciler::EnginePolling;
-pub use replica::{DirectorySettings, Replica, ReplicaSettings, RestoreError, UpgradeSettings};
+pub use replica::{
+    DirectorySettings, LogCompactor, Replica, ReplicaSettings, RestoreError, UpgradeSettings,
+};
 pub use shared::Shared;
 pub use state::{ControlState, STATE_FORMAT, StateDecodeError, SuspectRecord};
 pub use usage::{Usage, UsageCount, UsageReceipt, UsageReport, WindowCounts, usage_interval};
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -7,19 +7,16 @@
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::ConfigurationChange;
 use crate::effects::{Effect, Halted};
-use crate::encoding::{DecodedEntry, EntryError, encode_entry};
+use crate::encoding::{EntryError, encode_entry};
 use crate::messages::ControlReply;
 use crate::operator::OperatorAnswer;
 use crate::state::ControlState;
 use crate::watch::RecentChanges;
 
 use super::level::ProposalError;
+use super::snapshot_schedule::MAX_LOG_BYTES;
 use super::{PendingProposal, Replica, Requester, Waiter};
 
-/// The number of entries between two snapshots is at least the size of the first one divided
-/// by this, so that a large state is written less often.
-const SNAPSHOT_BYTES_PER_ENTRY: u64 = 2048;
-
 /// Longest time that an operator request waits for its change to be in force.
 const MAX_IN_FORCE_WAIT: Millis = Millis::from_secs(30);
 
@@ -57,6 +54,7 @@
             Ok(answer) => answer,
             Err(cause) => return self.halt(entry.index, cause),
         };
+        self.snapshots.on_applied(entry.payload.len_bytes());
         let Some(pending) = self.pending.remove(&entry.index) else {
             return;
         };
@@ -68,13 +66,10 @@
     }
 
     fn apply_command(&mut self, entry: &Entry, bytes: &[u8]) -> Result<CommandAnswer, EntryError> {
-        let DecodedEntry { envelope, version } = self
-            .state
-            .encoding
-            .decode_up_to(self.settings.upgrade.version, bytes)?;
+        let supported = self.settings.upgrade.version;
         let applied = self
             .state
-            .apply_by(version, entry.index, entry.term, &envelope);
+            .apply_encoded(supported, entry.index, entry.term, bytes)?;
         let backends = self.state.configuration.backends.len();
         for change in applied.changes {
             match &change {
@@ -151,6 +146,7 @@
         match ControlState::decode_by(self.settings.upgrade.version, &snapshot.data) {
             Ok(state) => {
                 self.recent = RecentChanges::starting_at(state.configuration.index);
+                self.snapshots.on_snapshot(snapshot.data.len());
                 self.state = state;
                 self.halted = None;
                 if self.has_all_commands() {
@@ -162,14 +158,10 @@
     }
 
     pub(super) fn take_snapshot_if_due(&mut self) {
-        let status = self.node.status();
-        let covered = self.node.snapshot_index();
-        let due_after = self
-            .settings
-            .snapshot_every
-            .max(self.snapshot_bytes / SNAPSHOT_BYTES_PER_ENTRY);
-        let is_due = status.applied_index.saturating_sub(covered) >= due_after;
-        if !is_due || self.halted.is_some() {
+        if !self.snapshots.is_due() || self.halted.is_some() {
+            return;
+        }
+        if self.node.is_sending_snapshot() && self.node.log_bytes() < MAX_LOG_BYTES {
             return;
         }
         // This does not fail: a command that the level's version can't express is refused
@@ -177,8 +169,9 @@
         let Ok(data) = self.state.encode() else {
             return;
         };
-        self.snapshot_bytes = data.len() as u64;
-        if let Some(snapshot) = self.node.compact(status.applied_index, data) {
+        let applied_index = self.node.status().applied_index;
+        if let Some(snapshot) = self.node.compact(applied_index, data) {
+            self.snapshots.on_snapshot(snapshot.data.len());
             self.snapshot_due = Some(snapshot);
         }
     }
