A rejection that does not end holds no request

What callers saw: a request that a back end had rejected, or that a relay had not run, was held until its deadline, 504, if the body of that answer did not end, though it was known not to have run.

Cause: the body was read to its end, so that its connection could be reused, before the request went on.

Change: the rest is discarded in a task of its own, for 200 ms at most; the connection is closed otherwise. The attempt counts as in flight until then, so that no more connections are open than the route table allows.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one back end.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use garnet_forwarding::{AttemptEnd, NotRunReason, PrefillWork, Probe, Prompt};
 use garnet_quarantine::part_list;
@@ -237,7 +238,7 @@
 ///
 /// # Errors
 /// How the attempt ended, if there is no answer to this request.
-pub(crate) async fn attempt<C: CallerPort, B: BackendPort>(
+pub(crate) async fn attempt<C: CallerPort + 'static, B: BackendPort + 'static>(
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
@@ -330,12 +331,12 @@
     }
 }
 
-async fn on_head<C: CallerPort, B: BackendPort>(
+async fn on_head<C: CallerPort + 'static, B: BackendPort + 'static>(
     gateway: &Rc<Gateway<C, B>>,
     call: &Call,
     job: &Job,
     parsed: ParsedHead,
-    mut exchange: Exchange,
+    exchange: Exchange,
     mut guard: AttemptGuard<C, B>,
 ) -> Result<OpenAnswer<C, B>, AttemptEnd> {
     if let Some(load) = parsed.load {
@@ -364,13 +365,25 @@
         }
     };
     log_failure(call, job, end.as_str());
-    // The connection can be reused if the body is read to its end.
-    if exchange.read_whole(MAX_NOT_RUN_BODY_BYTES).await.is_ok() {
-        exchange.finish();
-    }
+    discard_rest(gateway, exchange, guard);
     Err(end)
 }
 
+/// Discards the rest of an answer while its request goes on elsewhere. The attempt counts as in
+/// flight meanwhile, as its connection is open.
+fn discard_rest<C: CallerPort + 'static, B: BackendPort + 'static>(
+    gateway: &Gateway<C, B>,
+    exchange: Exchange,
+    guard: AttemptGuard<C, B>,
+) {
+    let discarding = async move {
+        let rest = exchange.discard_rest(MAX_NOT_RUN_BODY_BYTES, MAX_REST_TIME);
+        rest.await;
+        drop(guard);
+    };
+    gateway.executor.spawn(discarding).detach();
+}
+
 /// Notes an answer whose end is not marked, so that a break can't be distinguished from its end.
 fn note_until_close<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
@@ -392,6 +405,8 @@
 
 /// Longest body of an answer that says that a request did not run.
 const MAX_NOT_RUN_BODY_BYTES: usize = 64 * 1024;
+/// Longest time in which the rest of such an answer is read to keep its connection.
+pub(crate) const MAX_REST_TIME: Duration = Duration::from_millis(200);
 
 /// The cause that is logged for a failure status of a back end.
 pub(crate) fn status_cause(status: StatusCode) -> String {
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response};
 
 use crate::answers::{OwnAnswer, retry_after};
+use crate::attempt::MAX_REST_TIME;
 use crate::buffered::{MAX_ANSWER_BYTES, copy_head};
 use crate::failover::{is_allowed, take_repeat};
 use crate::gateway::Gateway;
@@ -237,7 +238,7 @@
                 build,
             }),
             Err(end) => {
-                read_rest(exchange).await;
+                self.discard_rest(exchange, guard);
                 Err(end)
             }
         }
@@ -276,6 +277,16 @@
         }
     }
 
+    /// Discards the rest of a relay's own answer while the request goes on elsewhere.
+    fn discard_rest(&self, exchange: Exchange, guard: RelayGuard<C, B>) {
+        let discarding = async move {
+            let rest = exchange.discard_rest(MAX_OWN_ANSWER_BYTES, MAX_REST_TIME);
+            rest.await;
+            drop(guard);
+        };
+        self.gateway.executor.spawn(discarding).detach();
+    }
+
     /// Builds the request for a relay.
     fn request(&self) -> Request<Full<Bytes>> {
         let RunningRequest { call, work, .. } = &self.running;
@@ -326,13 +337,6 @@
     }
 }
 
-/// Reads the rest of an own answer, so that its connection can be reused.
-async fn read_rest(mut exchange: Exchange) {
-    if exchange.read_whole(MAX_OWN_ANSWER_BYTES).await.is_ok() {
-        exchange.finish();
-    }
-}
-
 /// Counts a request as in flight at a relay until dropped.
 pub(super) struct RelayGuard<C, B> {
     gateway: Rc<Gateway<C, B>>,
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -330,6 +330,27 @@
         Ok(Bytes::from(collected))
     }
 
+    /// Reads and discards the rest of the body, so that the connection can be reused. It is closed
+    /// if the rest is longer than `max_bytes` or takes longer than `max_time`.
+    pub async fn discard_rest(mut self, max_bytes: usize, max_time: Duration) {
+        let discarding = async { self.read_whole(max_bytes).await.map(drop) };
+        let timed_out = async {
+            Timer::after(max_time).await;
+            Err(HttpError::TimedOut)
+        };
+        match smol::future::or(discarding, timed_out).await {
+            Ok(()) => self.finish(),
+            Err(error) => {
+                let cause = error.to_string();
+                log::info!(
+                    address = self.address.as_str(),
+                    cause = cause.as_str();
+                    "connection_not_kept"
+                );
+            }
+        }
+    }
+
     /// How the end of the answer is marked.
     pub fn framing(&self) -> Framing {
         self.framing
