The limit without progress allows for a reader that is behind

Change: ProgressStream contains the stream that reads in turns, the limit is 1 MiB, and an assertion at compile time relates it to both.

--- a/components/runtime/src/connection_timer.rs
+++ b/components/runtime/src/connection_timer.rs
@@ -17,7 +17,6 @@
 use smol::net::TcpStream;
 
 use crate::close_mode::CloseMode;
-use crate::fair_stream::FairStream;
 use crate::progress::ProgressStream;
 use crate::server::{Body, BodyAborted};
 use crate::shared::Shared;
@@ -137,7 +136,7 @@
 /// A stream that informs its connection timer when bytes arrive.
 #[derive(Debug)]
 pub(crate) struct TimedStream {
-    pub(crate) stream: ProgressStream<FairStream<TcpStream>>,
+    pub(crate) stream: ProgressStream<TcpStream>,
     pub(crate) connection_timer: Rc<ConnectionTimer>,
     pub(crate) close_mode: Rc<CloseMode>,
 }
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -23,7 +23,6 @@
 
 use crate::client::HttpError;
 use crate::clock::Clock;
-use crate::fair_stream::FairStream;
 use crate::framing::framing_of;
 use crate::progress::{Progress, ProgressStream};
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
@@ -253,7 +252,7 @@
         let _unset = stream.set_nodelay(true);
         set_silence_timeouts(&stream, self.settings.ack_timeout);
         let progress = Progress::default();
-        let stream = ProgressStream::new(FairStream::new(stream), progress.clone());
+        let stream = ProgressStream::new(stream, progress.clone());
         let (sender, connection) = Builder::new()
             .handshake(FuturesIo::new(stream))
             .await
--- a/components/runtime/src/progress.rs
+++ b/components/runtime/src/progress.rs
@@ -16,9 +16,20 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use thiserror::Error;
 
-/// Maximum number of bytes received without progress. It exceeds the longest head that the HTTP
-/// library reads, 408 KiB.
-const MAX_BYTES_WITHOUT_PROGRESS: usize = 512 * 1024;
+use crate::fair_stream::{FairStream, MAX_BYTES_PER_TURN};
+
+/// Maximum number of bytes received without progress.
+const MAX_BYTES_WITHOUT_PROGRESS: usize = 1024 * 1024;
+/// Longest head that the HTTP library reads.
+const MAX_HEAD_BYTES: usize = 408 * 1024;
+/// Number of reads in which the HTTP library is ahead of the reader of a body: a part that waits
+/// to be taken, and the one after it.
+const MAX_READS_AHEAD: usize = 2;
+
+// A reader that takes its time is not taken for a peer without progress.
+const _: () = assert!(
+    MAX_HEAD_BYTES + (MAX_READS_AHEAD + 1) * MAX_BYTES_PER_TURN < MAX_BYTES_WITHOUT_PROGRESS
+);
 
 /// more than {0} bytes were received without progress
 #[derive(Debug, Display, Error)]
@@ -46,15 +57,16 @@
     }
 }
 
-/// A stream that fails without progress.
+/// A stream that fails without progress. It reads at most [`MAX_BYTES_PER_TURN`] at once.
 #[derive(Debug)]
 pub(crate) struct ProgressStream<S> {
-    stream: S,
+    stream: FairStream<S>,
     progress: Progress,
 }
 
 impl<S> ProgressStream<S> {
     pub(crate) fn new(stream: S, progress: Progress) -> Self {
+        let stream = FairStream::new(stream);
         ProgressStream { stream, progress }
     }
 }
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -26,7 +26,7 @@
 use crate::close_mode::CloseMode;
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
-use crate::fair_stream::{FairStream, reactor_turn};
+use crate::fair_stream::reactor_turn;
 use crate::progress::{Progress, ProgressStream};
 use crate::request_body::RequestBody;
 use crate::shared::Shared;
@@ -378,7 +378,7 @@
         }
     });
     let stream = TimedStream {
-        stream: ProgressStream::new(FairStream::new(stream), progress),
+        stream: ProgressStream::new(stream, progress),
         connection_timer: Rc::clone(&connection_timer),
         close_mode,
     };
