--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -25,7 +25,6 @@
 use crate::byte_buffer::ByteBuffer;
 use crate::client::HttpError;
 use crate::clock::Clock;
-use crate::fair_stream::FairStream;
 use crate::framing::framing_of;
 use crate::progress::{Progress, ProgressStream};
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
@@ -296,7 +295,7 @@
             monitor: writes.clone(),
         };
         let progress = Progress::default();
-        let stream = ProgressStream::new(FairStream::new(stream), progress.clone());
+        let stream = ProgressStream::new(stream, progress.clone());
         let (sender, connection) = Builder::new()
             .handshake(FuturesIo::new(stream))
             .await
@@ -394,6 +393,27 @@
         self.connection.id
     }
 
+    /// Reads and discards the rest of the body, so that the connection can be reused. It is closed
+    /// if the rest is longer than `max_bytes` or takes longer than `max_time`.
+    pub async fn discard_rest(mut self, max_bytes: usize, max_time: Duration) {
+        let discarding = async { self.read_whole(max_bytes).await.map(drop) };
+        let timed_out = async {
+            Timer::after(max_time).await;
+            Err(HttpError::TimedOut)
+        };
+        match smol::future::or(discarding, timed_out).await {
+            Ok(()) => self.finish(),
+            Err(error) => {
+                let cause = error.to_string();
+                log::info!(
+                    address = self.address.as_str(),
+                    cause = cause.as_str();
+                    "connection_not_kept"
+                );
+            }
+        }
+    }
+
     /// How the end of the answer is marked.
     pub fn framing(&self) -> Framing {
         self.framing
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -28,7 +28,7 @@
 use crate::close_mode::CloseMode;
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
-use crate::fair_stream::{FairStream, reactor_turn};
+use crate::fair_stream::reactor_turn;
 use crate::progress::{Progress, ProgressStream};
 use crate::request_body::RequestBody;
 use crate::shared::Shared;
@@ -419,7 +419,7 @@
         }
     });
     let stream = TimedStream {
-        stream: ProgressStream::new(FairStream::new(stream), progress),
+        stream: ProgressStream::new(stream, progress),
         connection_timer: Rc::clone(&connection_timer),
         close_mode,
     };
