--- a/components/consensus/tests/group.rs
+++ b/components/consensus/tests/group.rs
@@ -358,3 +358,31 @@
     assert!(!network.node(leader).is_sending_snapshot());
     assert_eq!(network.commands(behind).len(), 200);
 }
+
+/// A follower that responds is sent the entries that it lacks, also if a snapshot covers them.
+#[test]
+fn a_snapshot_leaves_the_entries_that_a_slow_follower_lacks() {
+    const ENTRY_BYTES: usize = 1_000_000;
+    let mut network = Network::new(3);
+    let leader = network.elect();
+    let slow = network.others(leader)[0];
+    network.delay(slow, Millis(400));
+    network.run(Millis(1000));
+    for _ in 0..8 {
+        network.propose(leader, &[7; ENTRY_BYTES]);
+    }
+    network.run(Millis(100));
+    network.compact(leader);
+    assert!(network.node(leader).log_bytes() >= 8 * ENTRY_BYTES);
+    network.run(Millis(5000));
+    assert_eq!(network.commands(slow).len(), 8);
+    assert_eq!(
+        network.node(slow).snapshot_index(),
+        0,
+        "it was sent no snapshot"
+    );
+    network.propose(leader, b"last");
+    network.run(Millis(1000));
+    network.compact(leader);
+    assert!(network.node(leader).log_bytes() < ENTRY_BYTES);
+}
