--- a/components/control/tests/state/retained_bytes.rs
+++ b/components/control/tests/state/retained_bytes.rs
@@ -22,7 +22,7 @@
 fn route(number: u64) -> Route {
     Route {
         name: format!("route-{number:06}"),
-        host: format!("shop-{number:06}.reefline.example"),
+        host: format!("shop-{number:06}.internal.example"),
         path_prefix: format!("/v1/orders/{number:06}/"),
         kind: WorkKind::Repeatable,
         timeout_ms: Millis(10_000),
