Bodies are sent in slices, and connections buffer 64 KiB

Callers saw a gateway use more memory than its budget of buffered bytes tells: 24 bodies of 4 MiB, of which it took 15 (60 MB), needed 135 MB.

Cause: the HTTP library copies a frame into the write buffer of its connection, whole, and keeps that buffer until the connection ends. A body of one frame was there once more, outside the budget, also on idle connections and for as long as a caller reads slowly. Each connection to a back end read up to 417,792 bytes ahead.

Change: `SlicedBody` hands the library 16 KiB at a time, for requests to back ends and for answers that are at hand; such an answer now counts until its caller has taken it. Connections to servers buffer at most 64 KiB in each direction; an answer's head may be as long (417,792 bytes before). The idle timeout of a caller's connection counts from the first byte of an answer at hand, as it did when the whole answer was copied at once.

--- a/components/runtime/src/connection_timer.rs
+++ b/components/runtime/src/connection_timer.rs
@@ -174,11 +174,25 @@
     }
 }
 
-/// A response body. When it is dropped, its connection becomes idle.
+/// A response body. Its connection becomes idle when it is dropped, or when the first of a body
+/// is taken that is at hand: from then on, only the caller can delay it.
 pub(crate) struct TimedBody {
-    pub(crate) body: Body,
-    pub(crate) framing: Framing,
-    pub(crate) connection_timer: Rc<ConnectionTimer>,
+    body: Body,
+    framing: Framing,
+    connection_timer: Rc<ConnectionTimer>,
+    /// Whether all of the body is at hand and none of it was taken yet.
+    is_whole: bool,
+}
+
+impl TimedBody {
+    pub(crate) fn new(body: Body, framing: Framing, connection_timer: Rc<ConnectionTimer>) -> Self {
+        TimedBody {
+            is_whole: body.size_hint().exact().is_some(),
+            body,
+            framing,
+            connection_timer,
+        }
+    }
 }
 
 impl HttpBody for TimedBody {
@@ -189,6 +203,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        if std::mem::take(&mut self.is_whole) {
+            self.connection_timer.enter(Phase::Idle);
+        }
         self.body.as_mut().poll_frame(context)
     }
 
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod shared;
 pub mod shell;
 pub mod signal;
+pub mod sliced_body;
 pub mod sockets;
 pub mod timers;
 pub mod version_offers;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -25,6 +25,7 @@
 use crate::client::HttpError;
 use crate::clock::Clock;
 use crate::framing::framing_of;
+use crate::sliced_body::SlicedBody;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 
 /// Header in which the server announces its idle timeout.
@@ -32,6 +33,9 @@
 /// An idle connection is closed this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Most that a connection buffers in each direction, and the longest head of an answer.
+const MAX_CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Longest answer to a probe.
 const MAX_PROBE_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -59,7 +63,7 @@
     }
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+type Sender = SendRequest<SlicedBody>;
 
 struct Idle {
     sender: Sender,
@@ -144,10 +148,11 @@
     pub async fn send_if(
         &self,
         address: &str,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         max_idle: usize,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, HttpError> {
+        let mut request = sliced(request).await;
         while let Some(mut sender) = self.take_idle(address) {
             if sender.ready().await.is_err() {
                 continue;
@@ -200,7 +205,7 @@
     ) -> Result<(), HttpError> {
         let answered = async {
             let mut sender = self.connect(address).await?;
-            let response = sender.send_request(request).await;
+            let response = sender.send_request(sliced(request).await).await;
             let response = response.map_err(|error| HttpError::Broken(error.to_string()))?;
             let mut exchange = self.exchange(address, sender, response, true, max_idle);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
@@ -257,6 +262,7 @@
         let _unset = stream.set_nodelay(true);
         set_silence_timeouts(&stream, self.settings.ack_timeout);
         let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| HttpError::NotSent(error.to_string()))?;
@@ -354,6 +360,17 @@
     }
 }
 
+/// The request with a body that is sent in slices.
+async fn sliced(request: Request<Full<Bytes>>) -> Request<SlicedBody> {
+    let (head, body) = request.into_parts();
+    // A body of one frame is collected without a copy.
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(never) => match never {},
+    };
+    Request::from_parts(head, SlicedBody::new(body))
+}
+
 /// Whether the server closes the connection after this answer.
 fn announces_close(headers: &HeaderMap) -> bool {
     let value = headers
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -12,7 +12,7 @@
 
 use displaydoc::Display;
 use futures_lite::{Stream, StreamExt};
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::service::service_fn;
@@ -29,6 +29,7 @@
 use crate::connection_limit::{ConnectionLimit, OpenConnection, reset};
 use crate::connection_timer::{ConnectionTimeouts, ConnectionTimer, Phase, TimedBody, TimedStream};
 use crate::shared::Shared;
+use crate::sliced_body::SlicedBody;
 use garnet_types::Framing;
 
 /// Body of a response.
@@ -359,11 +360,9 @@
                 close_mode.begin_until_close();
                 set_until_close(&mut response);
             }
-            Ok::<_, Infallible>(response.map(|body| TimedBody {
-                body,
-                framing,
-                connection_timer,
-            }))
+            Ok::<_, Infallible>(
+                response.map(|body| TimedBody::new(body, framing, connection_timer)),
+            )
         }
     });
     let stream = TimedStream {
@@ -510,8 +509,8 @@
 
 /// Creates a body from bytes.
 pub fn bytes_body(bytes: impl Into<Bytes>) -> Body {
-    let collected = Full::new(bytes.into());
-    Box::pin(collected.map_err(|never| match never {}))
+    let sliced = SlicedBody::new(bytes.into());
+    Box::pin(sliced.map_err(|never| match never {}))
 }
 
 /// Creates a body from a channel of chunks; it ends when the channel closes.
