--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -27,6 +27,7 @@
 use crate::clock::Clock;
 use crate::framing::framing_of;
 use crate::progress::{Progress, ProgressStream};
+use crate::sliced_body::SlicedBody;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 use crate::write_monitor::{MonitoredStream, WriteMonitor};
 
@@ -35,6 +36,9 @@
 /// An idle connection is closed this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Most that a connection buffers in each direction, and the longest head of an answer.
+const MAX_CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Longest answer to a probe.
 const MAX_PROBE_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -80,7 +84,7 @@
 /// An open connection on which no request is in flight.
 struct Connection {
     id: ConnectionId,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SlicedBody>,
     writes: WriteMonitor,
     progress: Progress,
 }
@@ -172,7 +176,7 @@
     pub async fn send_if(
         &self,
         address: &str,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         conditions: SendConditions<impl Fn() -> bool, impl Fn(ConnectionId) -> bool>,
     ) -> Result<Exchange, HttpError> {
         let SendConditions {
@@ -180,6 +184,7 @@
             may_send,
             may_reuse,
         } = conditions;
+        let mut request = sliced(request).await;
         while let Some(mut connection) = self.take_idle(address, &may_reuse) {
             if connection.sender.ready().await.is_err() {
                 continue;
@@ -232,7 +237,7 @@
     ) -> Result<(), HttpError> {
         let answered = async {
             let mut connection = self.connect(address).await?;
-            let response = connection.sender.send_request(request).await;
+            let response = connection.sender.send_request(sliced(request).await).await;
             let response = response.map_err(|error| HttpError::Broken(described(&error)))?;
             let mut exchange = self.exchange(address, connection, response, true, max_idle);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
@@ -297,6 +302,7 @@
         let progress = Progress::default();
         let stream = ProgressStream::new(stream, progress.clone());
         let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| HttpError::NotSent(error.to_string()))?;
@@ -447,6 +453,17 @@
     }
 }
 
+/// The request with a body that is sent in slices.
+async fn sliced(request: Request<Full<Bytes>>) -> Request<SlicedBody> {
+    let (head, body) = request.into_parts();
+    // A body of one frame is collected without a copy.
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(never) => match never {},
+    };
+    Request::from_parts(head, SlicedBody::new(body))
+}
+
 /// Whether the server closes the connection after this answer.
 fn announces_close(headers: &HeaderMap) -> bool {
     let value = headers
