--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -358,8 +358,8 @@
     }
 
     /// Makes the state machine's `data` at `index` the latest snapshot and drops
-    /// the log up to it from memory, except for entries that a follower needs. The driver must make the returned snapshot
-    /// durable before it deletes any log from disk. `None` if `index` is not yet
+    /// the log up to it from memory, except for entries that a follower needs. The driver must
+    /// make the returned snapshot durable before it deletes any log from disk. `None` if `index` is not yet
     /// applied or a snapshot already covers it.
     pub fn compact(&mut self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
         if index > self.applied_index || index <= self.snapshot_index() {
@@ -395,7 +395,7 @@
             .index_before(from, index, self.config.max_retained_bytes)
     }
 
-    /// Whether this leader has heard from a member lately.
+    /// Whether a member has responded to this leader within two election timeouts.
     fn responds(&self, id: ReplicaId) -> bool {
         let timeout = self.config.election_timeout;
         self.silent_for(id) < timeout + timeout
--- a/components/runtime/tests/fair_stream.rs
+++ b/components/runtime/tests/fair_stream.rs
@@ -109,7 +109,7 @@
     assert!(counts.iter().all(|count| *count >= 5), "{counts:?}");
 }
 
-/// A stream that is granted a turn and then no longer read blocks nobody.
+/// A stream that is granted a turn and then no longer read blocks no other one.
 #[test]
 fn a_stream_that_is_no_longer_read_holds_no_turn() {
     let executor = Rc::new(LocalExecutor::new());
