A probe's connection serves no requests

Callers saw a 502 for work that runs at most once: a back end sent its answer to a probe a second time, after the next request had been written to the connection that the probe had opened. The gateway took the copy for the answer to that request. The head names no request, so that the attempt ended as broken, although the back end ran it.

Cause: ConnectionPool::probe put its connection into the pool, though nothing in its answer distinguishes a second copy from the next answer.

Fix: the connection is closed after the probe, as those of orders and calls to the platform are. A late copy arrives on a closed connection.

--- a/components/forwarding-shell/src/path_probes.rs
+++ b/components/forwarding-shell/src/path_probes.rs
@@ -49,17 +49,14 @@
     }
 }
 
-/// Sends a probe to a back end on a new connection, which then serves requests.
+/// Sends a probe to a back end on a connection of its own.
 async fn probe<C: CallerPort, B: BackendPort>(gateway: Rc<Gateway<C, B>>, backend: BackendId) {
-    let (address, max_idle) = {
+    let address = {
         let forwarder = gateway.forwarder.borrow();
         let Some(address) = forwarder.address(&backend) else {
             return;
         };
-        (
-            address.to_owned(),
-            forwarder.connection_share(&backend).idle,
-        )
+        address.to_owned()
     };
     let began = gateway.now();
     let pool = &gateway.pool;
@@ -67,7 +64,7 @@
     if let Ok(host) = address.parse() {
         request.headers_mut().insert(HOST, host);
     }
-    match pool.probe(&address, request, PROBE_TIMEOUT, max_idle).await {
+    match pool.probe(&address, request, PROBE_TIMEOUT).await {
         Ok(()) => gateway.on_path_answered(&backend, began),
         Err(error) => {
             log::debug!(
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -223,8 +223,8 @@
     }
 
     /// Sends a request on a new connection and waits for any answer, for `time_limit` at most.
-    /// The connection is then kept for other requests, unless there are `max_idle` idle
-    /// connections to the address.
+    /// The connection is then closed: the answer names no request, and a second copy of it would
+    /// come in the place of the answer to the next one.
     ///
     /// # Errors
     /// See [`HttpError`].
@@ -233,15 +233,13 @@
         address: &str,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
-        max_idle: usize,
     ) -> Result<(), HttpError> {
         let answered = async {
             let mut connection = self.connect(address).await?;
             let response = connection.sender.send_request(sliced(request).await).await;
             let response = response.map_err(|error| HttpError::Broken(described(&error)))?;
-            let mut exchange = self.exchange(address, connection, response, true, max_idle);
+            let mut exchange = self.exchange(address, connection, response, true, 0);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
-            exchange.finish();
             Ok(())
         };
         let timed_out = async {
