A release's connection serves no requests

When a decode engine could not fetch a KV cache, the gateway had the prefill engine free it and kept the connection. A second copy of the engine's answer came in the place of the answer to the next prefill there: the head names no request, the prefill counted as failed, and its prompt was prefilled again elsewhere. At an engine that has since changed its role, the next request is one that may run once, which ended in doubt.

Fix: the release takes an idle connection, as before, and closes it.

The second consequence, after a change of role, is by reading.

--- a/components/forwarding-shell/src/kv_transfer.rs
+++ b/components/forwarding-shell/src/kv_transfer.rs
@@ -66,11 +66,10 @@
                 Some(due) => timers.sleep_until(due).await,
                 None => return,
             }
-            // If the request does not arrive, the cache expires by itself.
-            if let Ok(mut exchange) = pool.send(&address, request).await
-                && exchange.read_whole(MAX_PREFILL_BODY_BYTES).await.is_ok()
-            {
-                exchange.finish();
+            // If the request does not arrive, the cache expires by itself. The connection is
+            // closed, as a second copy of this answer would be taken for that of a prefill.
+            if let Ok(mut exchange) = pool.send(&address, request).await {
+                let _any = exchange.read_whole(MAX_PREFILL_BODY_BYTES).await;
             }
         };
         self.gateway.executor.spawn(release).detach();
