Relays of earlier builds take no work that runs at most once

During a roll, callers of an upgraded gateway got 503 with a promise for requests that ran.

Fix: a relayed call names the earliest version of relays that may take it, 21 for work that runs at most once. Earlier relays decline a version that they do not know before they send anything to a back end, so that the request has not run. Answers name the version of their relay, and one that has declined is left out for such work until the leader's next list.

--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -43,6 +43,6 @@
     BackendPort, Call, CallFacts, CallerPort, CopySource, HeadMeaning, Job, JobPhase, KvSource,
     ParsedHead, PrefillAnswer,
 };
-pub use relay::RelayedCall;
+pub use relay::{RelayVersion, RelayedCall};
 pub use start::{GatewayOptions, Ports, Replicas, run};
 pub use stopping::StopTimes;
--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -1,9 +1,12 @@
 //! What gateways tell each other about a relayed request, in headers of the HTTP request and
 //! its answer. The request itself is passed on as its caller sent it.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
+use std::num::ParseIntError;
+use std::str::FromStr;
 
-use garnet_types::{BuildId, EncodingVersion, Framing, Millis, ServiceId, TenantId};
+use garnet_routes::WorkKind;
+use garnet_types::{BuildId, Framing, Millis, ServiceId, TenantId};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use serde::{Deserialize, Serialize};
 
@@ -30,11 +33,53 @@
 /// it.
 const BUILD: HeaderName = HeaderName::from_static("garnet-relay-build");
 
+/// The latest version of relayed calls that the relay takes. Relays before
+/// [`RelayVersion::MATCHED`] have no such header.
+const VERSION: HeaderName = HeaderName::from_static("garnet-relay-version");
+
+/// Version of the calls between gateways. A relay takes no call of a later version than its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RelayVersion(pub u32);
+
+impl RelayVersion {
+    /// The first version.
+    pub const FIRST: Self = RelayVersion(18);
+    /// The relay matches each answer of a back end to its request. Earlier relays took a rejection
+    /// of another request for one of the relayed request, which they sent again or reported as not
+    /// run.
+    pub const MATCHED: Self = RelayVersion(21);
+    /// The version of this build.
+    pub const CURRENT: Self = Self::MATCHED;
+
+    /// The earliest version of relays that may take work of this kind.
+    pub(super) fn required_for(kind: WorkKind) -> Self {
+        match kind.may_repeat() {
+            true => Self::FIRST,
+            false => Self::MATCHED,
+        }
+    }
+}
+
+impl fmt::Display for RelayVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for RelayVersion {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(RelayVersion)
+    }
+}
+
 /// What the first gateway decided about a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedCall {
-    /// Version of this encoding. A relay of an earlier one takes no request of the sender.
-    pub version: EncodingVersion,
+    /// The earliest version of relays that may take the request.
+    pub version: RelayVersion,
     /// Version of the route table by which the sender works.
     pub routes_version: u64,
     /// The service that takes the request.
@@ -72,7 +117,7 @@
         let config = bincode::config::standard();
         let (call, _): (RelayedCall, usize) =
             bincode::serde::decode_from_slice(&bytes, config).ok()?;
-        (call.version <= EncodingVersion::CURRENT).then_some(call)
+        (call.version <= RelayVersion::CURRENT).then_some(call)
     }
 }
 
@@ -124,6 +169,19 @@
     Some(BuildId::new(value.to_str().ok()?))
 }
 
+/// Adds the version of this relay to the headers of an answer.
+pub(super) fn write_version(headers: &mut HeaderMap) {
+    headers.insert(VERSION, HeaderValue::from(RelayVersion::CURRENT.0));
+}
+
+/// Takes the version of the relay out of the headers of an answer.
+pub(super) fn take_version(headers: &mut HeaderMap) -> RelayVersion {
+    let value = headers.remove(VERSION);
+    let text = value.as_ref().and_then(|value| value.to_str().ok());
+    let version = text.and_then(|text| text.parse().ok());
+    version.unwrap_or(RelayVersion::FIRST)
+}
+
 /// Adds the framing of a back end's answer to the headers of an answer.
 pub(super) fn write_framing(framing: Framing, headers: &mut HeaderMap) {
     let name = match framing {
--- a/components/forwarding-shell/src/relay/mod.rs
+++ b/components/forwarding-shell/src/relay/mod.rs
@@ -14,6 +14,6 @@
 mod sender;
 mod stream;
 
-pub use message::RelayedCall;
+pub use message::{RelayVersion, RelayedCall};
 pub(crate) use receiver::handle;
 pub(crate) use sender::serve;
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -16,7 +16,9 @@
     with_connection_close,
 };
 
-use super::message::{RelayOutcome, RelayedCall, take_build, write_build, write_framing};
+use super::message::{
+    RelayOutcome, RelayedCall, take_build, write_build, write_framing, write_version,
+};
 
 /// Maximum number of peers' requests in flight. A gateway without a path hands over all of its
 /// requests at once, and their bodies take memory.
@@ -98,7 +100,7 @@
     })
 }
 
-/// Adds the outcome, and how the back end marked the end of its answer. The answer to the peer
+/// Adds the outcome, the version of this relay, and how the back end marked the end of its answer. The answer to the peer
 /// always marks its end, as the peer could not distinguish the end of a relay otherwise.
 fn with_outcome(mut response: Response<Body>, outcome: RelayOutcome) -> Response<Body> {
     let build = response.extensions_mut().remove::<BuildId>();
@@ -108,6 +110,7 @@
         framing.unwrap_or(Framing::Delimited),
         response.headers_mut(),
     );
+    write_version(response.headers_mut());
     outcome.write(response.headers_mut());
     response
 }
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -6,7 +6,6 @@
 use garnet_forwarding::AttemptEnd;
 use garnet_runtime::client::HttpError;
 use garnet_runtime::{Body, Exchange, bytes_body};
-use garnet_types::EncodingVersion;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::HOST;
@@ -21,7 +20,9 @@
 use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_due};
 
 use super::answer::RelayedAnswer;
-use super::message::{RelayOutcome, RelayedCall, take_build, take_framing, write_build};
+use super::message::{
+    RelayOutcome, RelayVersion, RelayedCall, take_build, take_framing, take_version, write_build,
+};
 use super::stream;
 
 /// Maximum number of relays that one request is handed to.
@@ -97,6 +98,8 @@
     Unsent,
     /// The relay does not take the request, which has not run.
     Unavailable,
+    /// The relay is of an earlier build than the request needs, and does not take it.
+    EarlierBuild,
     /// The relay has no path to the service either; the request has not run.
     NoPath,
     /// The relay's own final answer.
@@ -110,6 +113,7 @@
         match self {
             RelayEnd::Unsent => "unsent",
             RelayEnd::Unavailable => "unavailable",
+            RelayEnd::EarlierBuild => "earlier_build",
             RelayEnd::NoPath => "no_path",
             RelayEnd::Own(answer) => answer.as_str(),
             RelayEnd::Broken => "broken",
@@ -124,6 +128,8 @@
     /// Id of the last event that the caller has.
     pub(super) resume_after: Option<String>,
     tried: Vec<SocketAddr>,
+    /// Number of relays in `tried` whose build is too early for the request.
+    of_earlier_builds: usize,
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Relaying<C, B> {
@@ -133,6 +139,7 @@
             resume_after: running.call.facts.resume_after.clone(),
             running,
             tried: Vec::new(),
+            of_earlier_builds: 0,
         }
     }
 
@@ -147,6 +154,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(RelayEnd::Own(answer)) => return Err(self.truthful(answer)),
                 Err(RelayEnd::Broken) => self.on_broken()?,
+                Err(RelayEnd::EarlierBuild) => self.of_earlier_builds += 1,
                 Err(RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::NoPath) => {}
             }
         }
@@ -171,11 +179,13 @@
     }
 
     fn next_relay(&self) -> Option<SocketAddr> {
-        if self.tried.len() >= MAX_RELAYS || !is_allowed(&self.gateway, &self.running) {
+        let asked = self.tried.len() - self.of_earlier_builds;
+        if asked >= MAX_RELAYS || !is_allowed(&self.gateway, &self.running) {
             return None;
         }
+        let RunningRequest { service, work, .. } = &self.running;
         let relays = self.gateway.relays.borrow();
-        relays.choose(&self.running.service, &self.tried, self.gateway.now())
+        relays.choose(service, work.kind, &self.tried, self.gateway.now())
     }
 
     /// Counts an attempt that may have run.
@@ -228,10 +238,11 @@
         let sent = self.gateway.pool.send(&address, self.request()).await;
         let mut exchange = sent.map_err(|error| self.on_error(relay, &error))?;
         let outcome = RelayOutcome::take(&mut exchange.head.headers);
+        let version = take_version(&mut exchange.head.headers);
         let framing = take_framing(&mut exchange.head.headers);
         exchange.set_framing(framing);
         let build = take_build(&mut exchange.head.headers);
-        match self.on_outcome(relay, outcome) {
+        match self.on_outcome(relay, version, outcome) {
             Ok(()) => Ok(RelayedAnswer {
                 exchange,
                 guard,
@@ -256,13 +267,22 @@
         }
     }
 
-    fn on_outcome(&self, relay: SocketAddr, outcome: Option<RelayOutcome>) -> Result<(), RelayEnd> {
+    fn on_outcome(
+        &self,
+        relay: SocketAddr,
+        version: RelayVersion,
+        outcome: Option<RelayOutcome>,
+    ) -> Result<(), RelayEnd> {
         let mut relays = self.gateway.relays.borrow_mut();
         match outcome {
             Some(RelayOutcome::Answered) => {
                 relays.answered(relay);
                 Ok(())
             }
+            Some(RelayOutcome::Unavailable) if version < self.required_version() => {
+                relays.declines_single_runs(relay);
+                Err(RelayEnd::EarlierBuild)
+            }
             Some(RelayOutcome::Unavailable) => {
                 relays.unavailable(relay, self.gateway.now());
                 Err(RelayEnd::Unavailable)
@@ -290,6 +310,11 @@
         self.gateway.executor.spawn(discarding).detach();
     }
 
+    /// The earliest version of relays that may take the request.
+    fn required_version(&self) -> RelayVersion {
+        RelayVersion::required_for(self.running.work.kind)
+    }
+
     /// Builds the request for a relay.
     fn request(&self) -> Request<Full<Bytes>> {
         let RunningRequest { call, work, .. } = &self.running;
@@ -307,7 +332,7 @@
         }
         let now = self.gateway.now();
         let relayed_call = RelayedCall {
-            version: EncodingVersion::V18,
+            version: self.required_version(),
             routes_version: self
                 .gateway
                 .forwarder
--- a/components/forwarding/src/relays.rs
+++ b/components/forwarding/src/relays.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use garnet_control::Relay;
+use garnet_routes::WorkKind;
 use garnet_routing::CircuitBreaker;
 use garnet_types::{Millis, ServiceId};
 
@@ -28,6 +29,8 @@
     /// Number of the last request that it was sent, in the order of all.
     last_sent: u64,
     breaker: CircuitBreaker,
+    /// Whether it has declined work that may run at most once, as it is of an earlier build.
+    declines_single_runs: bool,
 }
 
 /// The relays that this gateway may use.
@@ -55,6 +58,7 @@
                 Some(known) => {
                     known.relay = relay;
                     known.listed_at = now;
+                    known.declines_single_runs = false;
                 }
                 None => {
                     let known = Known {
@@ -62,6 +66,7 @@
                         in_flight: 0,
                         last_sent: 0,
                         breaker: CircuitBreaker::default(),
+                        declines_single_runs: false,
                         relay,
                     };
                     self.relays.insert(known.relay.address, known);
@@ -83,16 +88,18 @@
         self.relays.is_empty()
     }
 
-    /// The relay for the next request to a service, none of those in `tried`: the one with the
+    /// The relay for the next request of a kind to a service, none of those in `tried`: the one with the
     /// fewest requests of this gateway, where one in another zone counts as busier.
     pub fn choose(
         &self,
         service: &ServiceId,
+        kind: WorkKind,
         tried: &[SocketAddr],
         now: Millis,
     ) -> Option<SocketAddr> {
         let may_take = |known: &&Known| {
             known.breaker.allows(now)
+                && (kind.may_repeat() || !known.declines_single_runs)
                 && !known.relay.unreached.contains(service)
                 && !tried.contains(&known.relay.address)
         };
@@ -139,6 +146,15 @@
         }
     }
 
+    /// Records that a relay declines work that may run at most once. The leader's next list, from
+    /// which the relay's build can't be told, replaces this.
+    pub fn declines_single_runs(&mut self, address: SocketAddr) {
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.breaker.succeeded();
+            known.declines_single_runs = true;
+        }
+    }
+
     /// Records that a relay is not reached, is stopping, or has no room.
     pub fn unavailable(&mut self, address: SocketAddr, now: Millis) {
         if let Some(known) = self.relays.get_mut(&address) {
--- a/components/forwarding/tests/core/paths.rs
+++ b/components/forwarding/tests/core/paths.rs
@@ -7,6 +7,7 @@
 use garnet_quarantine::{QuarantineStatus, RequestFingerprint};
 use garnet_routes::WorkKind;
 use garnet_types::{EngineRole, Millis, ServiceId};
+use rstest::rstest;
 
 use crate::fleet::{NOW, engines_named, forwarder, id, prompt, record, work};
 
@@ -176,7 +177,9 @@
     let mut directory = directory(&[(1, "b"), (2, "a"), (3, "a")]);
     let mut chosen = Vec::new();
     for _ in 0..10 {
-        let relay = directory.choose(&till(), &[], NOW).expect("a relay");
+        let relay = directory
+            .choose(&till(), WorkKind::Repeatable, &[], NOW)
+            .expect("a relay");
         directory.sent(relay);
         chosen.push(relay);
     }
@@ -195,11 +198,17 @@
 fn relays_without_a_path_to_the_service_are_left_out() {
     let mut directory = directory(&[(1, "a"), (2, "a")]);
     directory.lacks_path(relay_address(1), &till());
-    assert_eq!(directory.choose(&till(), &[], NOW), Some(relay_address(2)));
+    assert_eq!(
+        directory.choose(&till(), WorkKind::Repeatable, &[], NOW),
+        Some(relay_address(2))
+    );
     let tried = [relay_address(2)];
-    assert_eq!(directory.choose(&till(), &tried, NOW), None);
     assert_eq!(
-        directory.choose(&words(), &tried, NOW),
+        directory.choose(&till(), WorkKind::Repeatable, &tried, NOW),
+        None
+    );
+    assert_eq!(
+        directory.choose(&words(), WorkKind::Repeatable, &tried, NOW),
         Some(relay_address(1))
     );
 }
@@ -214,14 +223,36 @@
     assert_eq!(directory.len(), 1);
 }
 
+/// A relay of an earlier build is asked again after the next list, as it may have been upgraded.
+#[rstest]
+#[case(WorkKind::Repeatable, true)]
+#[case(WorkKind::ResumableStream, true)]
+#[case(WorkKind::AtMostOnce, false)]
+#[case(WorkKind::Stream, false)]
+fn a_relay_that_declines_single_runs_takes_what_may_be_repeated(
+    #[case] kind: WorkKind,
+    #[case] is_chosen: bool,
+) {
+    let mut directory = directory(&[(1, "a")]);
+    directory.declines_single_runs(relay_address(1));
+    let chosen = directory.choose(&till(), kind, &[], NOW);
+    assert_eq!(chosen.is_some(), is_chosen);
+    directory.take_list(vec![relay(1, "a")], NOW + Millis(1_000));
+    let chosen = directory.choose(&till(), kind, &[], NOW + Millis(1_000));
+    assert_eq!(chosen, Some(relay_address(1)));
+}
+
 #[test]
 fn a_relay_that_is_not_reached_is_left_out_for_a_while() {
     let mut directory = directory(&[(1, "a")]);
     directory.unavailable(relay_address(1), NOW);
-    assert_eq!(directory.choose(&till(), &[], NOW), None);
+    assert_eq!(
+        directory.choose(&till(), WorkKind::Repeatable, &[], NOW),
+        None
+    );
     let later = NOW + Millis(501);
     assert_eq!(
-        directory.choose(&till(), &[], later),
+        directory.choose(&till(), WorkKind::Repeatable, &[], later),
         Some(relay_address(1))
     );
 }
