Test: a second copy of an answer fails no later call at garnet-gateway

A back end now sends the copy of a rejection, or of a load report, before the answer to the next request on the connection.

With the attempts on kept connections (trial: send and stream in place of send_once and stream_once) both cases fail: a call that ran once was refused with "not_run" (application), and one ended in a 502 (engine, after a load report). Both pass on the code as it is.

Load reports keep their connections: a copy of one is another, older report of the same engine, which the next poll replaces; they decide on placement only.

--- a/bin/garnet-gateway/tests/process/main.rs
+++ b/bin/garnet-gateway/tests/process/main.rs
@@ -4,3 +4,4 @@
 mod bad_starts;
 mod report_link;
 mod running;
+mod surplus_answers;
