An answer that follows a surplus one is read

Callers got 502 for work that ran: on a kept connection, a back end sent an answer to an earlier request before the one that was due, and the gateway closed the connection at the first head.

At that moment front-0 logged head_without_answer request=c43-3 answered_id=c28-12 backend=m-1 meaning=other_request: the rejection of c43-3, which asked for the backoff, came after that head, on a connection that was closed.

Fix: Exchange::skip reads a surplus answer to its end, takes the stream back from the HTTP library and hands it to a new connection of the library, whose writes are discarded, as the request has been sent. Only on connections that have served a request: on a new one, no earlier request explains the head. The connection is closed afterwards. If nothing follows, the attempt is silent, and is hedged or ends at its deadline like any other.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -278,6 +278,7 @@
         may_reuse: |connection| call.may_use(connection),
     };
     let sent = gateway.pool.send_if(&address, request, conditions).await;
+    let sent = skip_surplus_answers(gateway, call, job, sent).await;
     let result = match sent {
         Ok(exchange) => {
             gateway.on_path_answered(&job.backend, sent_at);
@@ -290,8 +291,8 @@
                     on_head(gateway, call, job, parsed, exchange, guard).await
                 }
                 None => {
-                    // The request may still run, and its answer might come on this connection,
-                    // which is closed. On a new one, no earlier request explains the head.
+                    // The request may still run. On a new connection, no earlier request explains
+                    // the head.
                     if exchange.fresh {
                         guard.failed();
                     }
@@ -319,6 +320,34 @@
     result
 }
 
+/// Skips answers to earlier requests of a connection, after which the answer to this one follows.
+async fn skip_surplus_answers<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    job: &Job,
+    mut sent: Result<Exchange, HttpError>,
+) -> Result<Exchange, HttpError> {
+    for _ in 0..MAX_SURPLUS_ANSWERS {
+        match sent {
+            Ok(exchange) if !exchange.fresh && !is_own(gateway, call, &exchange) => {
+                call.note_answered_on(exchange.connection());
+                log_no_answer(gateway, call, job, "surplus", &exchange);
+                sent = exchange.skip(MAX_NOT_RUN_BODY_BYTES, MAX_REST_TIME).await;
+            }
+            sent => return sent,
+        }
+    }
+    sent
+}
+
+fn is_own<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    exchange: &Exchange,
+) -> bool {
+    AnswerHead::matching(&gateway.backends, call, &exchange.head).is_some()
+}
+
 /// Notes that a back end has been silent for too long, while its attempt stays open, so
 /// that other requests avoid it meanwhile.
 pub(crate) fn note_silent<C: CallerPort, B: BackendPort>(
@@ -423,6 +452,8 @@
     );
 }
 
+/// Maximum number of answers to other requests that are skipped in one attempt.
+const MAX_SURPLUS_ANSWERS: usize = 3;
 /// Longest body of an answer that says that a request did not run.
 const MAX_NOT_RUN_BODY_BYTES: usize = 64 * 1024;
 /// Longest time in which the rest of such an answer is read to keep its connection.
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod reload;
 pub mod report_link;
 mod request_body;
+mod resumable_stream;
 pub mod server;
 pub mod shared;
 pub mod shell;
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -3,21 +3,27 @@
 //! Contract: a connection is reused only when the previous answer was read to
 //! its end and nothing followed it. An [`Exchange`] that is dropped before the
 //! end of its answer closes the connection, which cancels the request at the
-//! server. Errors tell whether any byte can have reached the server.
+//! server. Errors tell whether any byte can have reached the server. An answer that belongs to
+//! another request can be skipped, to read the one that follows it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error as _;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
 use garnet_types::{Framing, Millis};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Bytes, Incoming};
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::http1::{
+    Builder, Connection as HttpConnection, Parts as HttpParts, SendRequest,
+};
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
+use smol::channel::{Receiver, bounded};
+use smol::net::TcpStream;
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
 
@@ -27,6 +33,7 @@
 use crate::clock::Clock;
 use crate::framing::framing_of;
 use crate::progress::{Progress, ProgressStream};
+use crate::resumable_stream::ResumableStream;
 use crate::sliced_body::SlicedBody;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
 use crate::write_monitor::{MonitoredStream, WriteMonitor};
@@ -81,10 +88,14 @@
     pub may_reuse: R,
 }
 
+type Stream = FuturesIo<ResumableStream<ProgressStream<MonitoredStream<TcpStream>>>>;
+
 /// An open connection on which no request is in flight.
 struct Connection {
     id: ConnectionId,
     sender: SendRequest<SlicedBody>,
+    /// Receives the stream when the HTTP library has ended its work on it.
+    stream: Receiver<HttpParts<Stream>>,
     writes: WriteMonitor,
     progress: Progress,
 }
@@ -113,9 +124,12 @@
     pub head: Parts,
     /// Whether the request was sent on a new connection.
     pub fresh: bool,
+    method: Method,
     framing: Framing,
     body: Incoming,
     connection: Connection,
+    /// Whether the connection can serve other requests after this one.
+    is_reusable: bool,
     address: String,
     /// Maximum count of idle connections to the address, including this one.
     max_idle: usize,
@@ -185,6 +199,7 @@
             may_reuse,
         } = conditions;
         let mut request = sliced(request).await;
+        let method = request.method().clone();
         while let Some(mut connection) = self.take_idle(address, &may_reuse) {
             if connection.sender.ready().await.is_err() {
                 continue;
@@ -195,7 +210,12 @@
             }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    return Ok(self.exchange(address, connection, response, false, max_idle));
+                    let answered = Answered {
+                        method,
+                        connection,
+                        response,
+                    };
+                    return Ok(self.exchange(address, answered, false, max_idle));
                 }
                 Err(mut error) => match error.take_message() {
                     Some(not_sent) => request = not_sent,
@@ -209,7 +229,14 @@
             return Err(HttpError::Withheld);
         }
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.exchange(address, connection, response, true, max_idle)),
+            Ok(response) => {
+                let answered = Answered {
+                    method,
+                    connection,
+                    response,
+                };
+                Ok(self.exchange(address, answered, true, max_idle))
+            }
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
                 let cause = described(&error.into_error());
@@ -235,10 +262,16 @@
         time_limit: Duration,
     ) -> Result<(), HttpError> {
         let answered = async {
+            let method = request.method().clone();
             let mut connection = self.connect(address).await?;
             let response = connection.sender.send_request(sliced(request).await).await;
             let response = response.map_err(|error| HttpError::Broken(described(&error)))?;
-            let mut exchange = self.exchange(address, connection, response, true, 0);
+            let answered = Answered {
+                method,
+                connection,
+                response,
+            };
+            let mut exchange = self.exchange(address, answered, true, 0);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             Ok(())
         };
@@ -267,19 +300,25 @@
     fn exchange(
         &self,
         address: &str,
-        connection: Connection,
-        response: Response<Incoming>,
+        answered: Answered,
         fresh: bool,
         max_idle: usize,
     ) -> Exchange {
+        let Answered {
+            method,
+            connection,
+            response,
+        } = answered;
         connection.progress.note();
         let (head, body) = response.into_parts();
         Exchange {
+            method,
             framing: framing_of(&head.headers, body.is_end_stream()),
             head,
             fresh,
             body,
             connection,
+            is_reusable: true,
             address: address.to_owned(),
             max_idle,
             pool: self.clone(),
@@ -299,21 +338,34 @@
         };
         let progress = Progress::default();
         let stream = ProgressStream::new(stream, progress.clone());
-        let (sender, connection) = Builder::new()
-            .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream))
-            .await
-            .map_err(|error| HttpError::NotSent(error.to_string()))?;
+        let stream = FuturesIo::new(ResumableStream::new(stream));
+        let id = ConnectionId(self.next_id.get());
+        self.next_id.set(id.0 + 1);
+        let opened = self.open(id, stream, writes, progress).await;
+        opened.map_err(|error| HttpError::NotSent(error.to_string()))
+    }
+
+    /// Has the HTTP library work on a stream.
+    async fn open(
+        &self,
+        id: ConnectionId,
+        stream: Stream,
+        writes: WriteMonitor,
+        progress: Progress,
+    ) -> hyper::Result<Connection> {
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_CONNECTION_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(stream).await?;
+        let (ended, stream) = bounded(1);
         let drive = async move {
-            // Errors of the connection are returned by the requests on it.
-            let _ended = connection.await;
+            // The stream is closed if nothing reads on.
+            let _closed = ended.try_send(drive_to_end(connection).await);
         };
         self.executor.spawn(drive).detach();
-        let id = ConnectionId(self.next_id.get());
-        self.next_id.set(id.0 + 1);
         Ok(Connection {
             id,
             sender,
+            stream,
             writes,
             progress,
         })
@@ -346,6 +398,21 @@
     }
 }
 
+/// The head of an answer, with its connection.
+struct Answered {
+    /// Method of the request.
+    method: Method,
+    connection: Connection,
+    response: Response<Incoming>,
+}
+
+/// Drives a connection until it has ended or its sender is dropped, and returns its stream.
+async fn drive_to_end(mut connection: HttpConnection<Stream, SlicedBody>) -> HttpParts<Stream> {
+    // Errors of the connection are returned by the requests on it.
+    let _ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    connection.into_parts()
+}
+
 impl Idle {
     fn is_usable(&self, now: Millis) -> bool {
         self.until > now && !self.connection.sender.is_closed()
@@ -400,12 +467,7 @@
     /// Reads and discards the rest of the body, so that the connection can be reused. It is closed
     /// if the rest is longer than `max_bytes` or takes longer than `max_time`.
     pub async fn discard_rest(mut self, max_bytes: usize, max_time: Duration) {
-        let discarding = async { self.read_whole(max_bytes).await.map(drop) };
-        let timed_out = async {
-            Timer::after(max_time).await;
-            Err(HttpError::TimedOut)
-        };
-        match smol::future::or(discarding, timed_out).await {
+        match self.read_rest(max_bytes, max_time).await {
             Ok(()) => self.finish(),
             Err(error) => {
                 let cause = error.to_string();
@@ -418,6 +480,73 @@
         }
     }
 
+    /// Reads the rest of the body within these limits.
+    async fn read_rest(&mut self, max_bytes: usize, max_time: Duration) -> Result<(), HttpError> {
+        let reading = async { self.read_whole(max_bytes).await.map(drop) };
+        let timed_out = async {
+            Timer::after(max_time).await;
+            Err(HttpError::TimedOut)
+        };
+        smol::future::or(reading, timed_out).await
+    }
+
+    /// Skips this answer, which belongs to an earlier request of the connection, and waits for the
+    /// head of the next one. The rest of the answer is discarded as by [`Self::discard_rest`]. The
+    /// connection serves no other requests afterwards.
+    ///
+    /// # Errors
+    /// When the answer is longer than `max_bytes` or takes longer than `max_time`, or the connection
+    /// ends.
+    pub async fn skip(
+        mut self,
+        max_bytes: usize,
+        max_time: Duration,
+    ) -> Result<Exchange, HttpError> {
+        self.read_rest(max_bytes, max_time).await?;
+        let Exchange {
+            method,
+            connection,
+            address,
+            max_idle,
+            pool,
+            ..
+        } = self;
+        let Connection {
+            id,
+            sender,
+            stream,
+            writes,
+            progress,
+        } = connection;
+        if writes.is_waiting() {
+            return Err(HttpError::Broken(
+                "answered before the request was written".to_owned(),
+            ));
+        }
+        drop(sender);
+        let broken = |error: &hyper::Error| HttpError::Broken(described(error));
+        let ended = stream.recv().await;
+        let HttpParts { io, read_buf, .. } =
+            ended.map_err(|error| HttpError::Broken(error.to_string()))?;
+        let stream = FuturesIo::new(io.into_inner().after_answer(read_buf));
+        let opened = pool.open(id, stream, writes, progress).await;
+        let mut connection = opened.map_err(|error| broken(&error))?;
+        // The method tells the HTTP library whether the answer has a body.
+        let mut sent_request = Request::new(SlicedBody::new(Bytes::new()));
+        *sent_request.method_mut() = method.clone();
+        let response = connection.sender.send_request(sent_request).await;
+        let answered = Answered {
+            method,
+            connection,
+            response: response.map_err(|error| broken(&error))?,
+        };
+        let exchange = pool.exchange(&address, answered, false, max_idle);
+        Ok(Exchange {
+            is_reusable: false,
+            ..exchange
+        })
+    }
+
     /// How the end of the answer is marked.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -427,7 +556,8 @@
     /// its request was answered before it was written whole, as the next one would wait there
     /// until the server reads the rest.
     pub fn finish(self) {
-        if announces_close(&self.head.headers) || self.connection.writes.is_waiting() {
+        let is_kept = self.is_reusable && !announces_close(&self.head.headers);
+        if !is_kept || self.connection.writes.is_waiting() {
             return;
         }
         let announced = idle_timeout(&self.head.headers);
--- a/components/runtime/tests/pool.rs
+++ b/components/runtime/tests/pool.rs
@@ -210,3 +210,98 @@
     );
     assert_eq!(bodies, ["1", "2", "3"]);
 }
+
+/// Before the answer to a later request of a connection, answers the one before it again. Answers
+/// end with their length, or in chunks, and the two arrive together or one after the other.
+fn answer_late(stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    let mut surplus = String::new();
+    let mut number = 0;
+    while let Some(length) = read_head(&mut reader) {
+        let mut body = vec![0; length];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
+        number += 1;
+        let answer = match number % 2 {
+            0 => format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}"),
+            _ => format!(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n{number}\r\n0\r\n\r\n"
+            ),
+        };
+        let writer = reader.get_mut();
+        let sent = if length.is_multiple_of(2) {
+            writer.write_all(format!("{surplus}{answer}").as_bytes())
+        } else {
+            let surplus_sent = writer.write_all(surplus.as_bytes());
+            thread::sleep(Duration::from_millis(20));
+            surplus_sent.and_then(|()| writer.write_all(answer.as_bytes()))
+        };
+        if sent.is_err() {
+            return;
+        }
+        surplus = answer;
+    }
+}
+
+/// The answer that followed a surplus answer was lost with its connection.
+#[test]
+fn the_answer_that_follows_a_skipped_one_is_read() {
+    let address = start(answer_late);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let skip = async |body_len: usize| {
+        let first = exchange(&pool, &address, vec![0; body_len]).await?;
+        let surplus = pool.send(&address, request(vec![0; body_len])).await?;
+        let mut own = surplus.skip(1024, HANG_TIMEOUT).await?;
+        let body = own.read_whole(1024).await?;
+        own.finish();
+        Ok::<_, HttpError>((first, body))
+    };
+    for body_len in [0, 1, 2, 100_000, 100_001] {
+        let (is_new, body) = run(skip(body_len), &executor).expect("an answer");
+        assert_eq!(body, "2", "{body_len}");
+        // The connection on which an answer was skipped is not used again.
+        assert!(is_new, "{body_len}");
+    }
+}
+
+/// An answer that is longer than the limit is not skipped.
+#[test]
+fn a_long_answer_is_not_skipped() {
+    let address = start(answer_all);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let skipped = run(
+        async {
+            let answer = pool.send(&address, request(Vec::new())).await?;
+            answer.skip(1, HANG_TIMEOUT).await
+        },
+        &executor,
+    );
+    assert!(matches!(skipped, Err(HttpError::TooLong(1))));
+}
+
+/// Answers once and closes the connection.
+fn answer_and_close(stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    if read_head(&mut reader).is_some() {
+        let _sent = reader.get_mut().write_all(OK.as_bytes());
+    }
+}
+
+/// A request whose answer does not follow the skipped one may have run.
+#[test]
+fn a_connection_that_ends_after_a_skipped_answer_is_broken() {
+    let address = start(answer_and_close);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let skipped = run(
+        async {
+            let answer = pool.send(&address, request(Vec::new())).await?;
+            answer.skip(1024, HANG_TIMEOUT).await
+        },
+        &executor,
+    );
+    assert!(matches!(skipped, Err(HttpError::Broken(_))));
+}
