Tests: "not run" while connections close, requests are withheld, attempts are open

- A withheld request arrives neither on a new nor on an idle connection.
- A property over Progress with silent attempts that stay open: "not run" is reported exactly while no attempt has run or may run, and work that runs at most once is not tried again.

--- a/components/forwarding/tests/core/attempts.rs
+++ b/components/forwarding/tests/core/attempts.rs
@@ -106,3 +106,92 @@
     progress.silent_ended();
     assert_eq!((progress.ran, progress.silent), (ran + 1, 0));
 }
+
+/// A step of a request's attempts, as its gateway takes it.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// An attempt is sent and ends.
+    Attempt(AttemptEnd),
+    /// An attempt is sent; its back end becomes silent, and another one is tried beside it.
+    Silent,
+    /// A silent attempt is awaited again and ends.
+    SilentAwaited(AttemptEnd),
+    /// A silent attempt is closed.
+    SilentClosed,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        any_end().prop_map(Step::Attempt),
+        Just(Step::Silent),
+        any_end().prop_map(Step::SilentAwaited),
+        Just(Step::SilentClosed),
+    ]
+}
+
+/// What is known of the attempts apart from their counts.
+#[derive(Default)]
+struct Attempts {
+    open: usize,
+    has_perhaps_run: bool,
+}
+
+impl Attempts {
+    fn note(&mut self, end: AttemptEnd) {
+        self.has_perhaps_run |= matches!(end, AttemptEnd::Broken | AttemptEnd::Failed);
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.has_perhaps_run || self.open > 0
+    }
+}
+
+fn take_step(step: Step, progress: &mut Progress, attempts: &mut Attempts) {
+    match step {
+        Step::Attempt(end) => {
+            progress.note(end);
+            attempts.note(end);
+        }
+        Step::Silent => {
+            progress.silent_begun();
+            attempts.open += 1;
+        }
+        Step::SilentAwaited(end) if attempts.open > 0 => {
+            progress.silent_resumed();
+            progress.note(end);
+            attempts.open -= 1;
+            attempts.note(end);
+        }
+        Step::SilentClosed if attempts.open > 0 => {
+            progress.silent_ended();
+            attempts.open -= 1;
+            attempts.has_perhaps_run = true;
+        }
+        Step::SilentAwaited(_) | Step::SilentClosed => {}
+    }
+}
+
+proptest! {
+    /// A request that may have run is not reported as not run, and is not sent again if it may run
+    /// once.
+    #[test]
+    fn a_request_that_may_have_run_is_never_reported_as_not_run(
+        steps in prop::collection::vec(any_step(), 0..12),
+        end in any_end(),
+        kind in prop_oneof![Just(WorkKind::AtMostOnce), Just(WorkKind::Stream)],
+    ) {
+        let mut progress = Progress::default();
+        let mut attempts = Attempts::default();
+        for step in steps {
+            take_step(step, &mut progress, &mut attempts);
+        }
+        take_step(Step::Attempt(end), &mut progress, &mut attempts);
+        let may_have_run = attempts.may_have_run();
+        prop_assert_eq!(progress.given_up() == GivenUp::InDoubt, may_have_run);
+        let next = next_move(&work(kind, None), &progress, end);
+        if may_have_run {
+            let is_tried_again = matches!(next, NextMove::TryAnother { .. });
+            prop_assert!(!is_tried_again && next != NextMove::GiveUp(GivenUp::NotRun));
+        }
+    }
+}
--- a/components/runtime/tests/pool.rs
+++ b/components/runtime/tests/pool.rs
@@ -4,7 +4,8 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use smol::{LocalExecutor, Timer};
 
 /// Time without a result after which a request is taken to hang.
@@ -305,3 +308,116 @@
     );
     assert!(matches!(skipped, Err(HttpError::Broken(_))));
 }
+
+/// Number of requests to a server that closes its connections.
+const REQUESTS_AT_CLOSING: usize = 2_000;
+/// Delays between an answer and the close of its connection are drawn below this number of
+/// microseconds, so that some close before, some while and some after the next request is sent.
+const MAX_CLOSE_DELAY_US: u64 = 400;
+
+static ARRIVED: Mutex<Vec<usize>> = Mutex::new(Vec::new());
+
+/// Answers one request of each connection, records the number in its path, and closes the
+/// connection after a delay. What arrives meanwhile is recorded and not answered.
+fn answer_and_close_later(stream: TcpStream) {
+    static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
+    let connection = CONNECTIONS.fetch_add(1, Ordering::Relaxed);
+    let delay = Pcg64::seed_from_u64(connection).random_range(0..MAX_CLOSE_DELAY_US);
+    let closed = stream.try_clone().expect("a handle");
+    let mut reader = BufReader::new(stream);
+    let Some(number) = read_number(&mut reader) else {
+        return;
+    };
+    ARRIVED.lock().expect("no panic").push(number);
+    if reader.get_mut().write_all(OK.as_bytes()).is_err() {
+        return;
+    }
+    let closing = thread::spawn(move || {
+        thread::sleep(Duration::from_micros(delay));
+        let _gone = closed.shutdown(std::net::Shutdown::Both);
+    });
+    while let Some(number) = read_number(&mut reader) {
+        ARRIVED.lock().expect("no panic").push(number);
+    }
+    closing.join().expect("no panic");
+}
+
+/// Reads the head of a request and returns the number in its path.
+fn read_number(reader: &mut BufReader<TcpStream>) -> Option<usize> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let number = line.split(['/', ' ']).find_map(|part| part.parse().ok())?;
+    read_head(reader)?;
+    Some(number)
+}
+
+/// A request would be sent again if a connection that closed as it was written were taken for one
+/// on which nothing was sent.
+#[test]
+fn a_request_arrives_once_at_most_while_connections_close() {
+    let address = start(answer_and_close_later);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let mut unsent = Vec::new();
+    for number in 0..REQUESTS_AT_CLOSING {
+        let request = Request::get(format!("/{number}")).header("host", "s");
+        let request = request.body(Full::default()).expect("a request");
+        let sent = run(
+            async {
+                let mut answer = pool.send(&address, request).await?;
+                answer.read_whole(1024).await?;
+                answer.finish();
+                Ok(())
+            },
+            &executor,
+        );
+        if matches!(sent, Err(HttpError::NotSent(_) | HttpError::Withheld)) {
+            unsent.push(number);
+        }
+    }
+    let mut arrived = ARRIVED.lock().expect("no panic").clone();
+    arrived.sort_unstable();
+    let twice: Vec<_> = arrived.windows(2).filter(|two| two[0] == two[1]).collect();
+    assert!(twice.is_empty(), "arrived twice: {twice:?}");
+    unsent.retain(|number| arrived.contains(number));
+    assert!(unsent.is_empty(), "reported as not sent: {unsent:?}");
+}
+
+/// Heads that arrived at [`count_heads`].
+static HEADS: AtomicUsize = AtomicUsize::new(0);
+
+fn count_heads(stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    while read_head(&mut reader).is_some() {
+        HEADS.fetch_add(1, Ordering::Relaxed);
+        if reader.get_mut().write_all(OK.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Nothing of a request that is withheld arrives, on a new connection or on an idle one.
+#[test]
+fn a_withheld_request_does_not_arrive() {
+    let address = start(count_heads);
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let withhold = async || {
+        let conditions = SendConditions {
+            max_idle: 1,
+            may_send: || false,
+            may_reuse: |_| true,
+        };
+        let sent = pool.send_if(&address, request(Vec::new()), conditions);
+        matches!(sent.await, Err(HttpError::Withheld))
+    };
+    assert!(run(withhold(), &executor));
+    assert_eq!(HEADS.load(Ordering::Relaxed), 0);
+    // This one uses the connection that was opened, and those after it wait for an answer.
+    let fresh = run(exchange(&pool, &address, Vec::new()), &executor);
+    assert!(!fresh.expect("an answer"));
+    assert!(run(withhold(), &executor));
+    let answered = run(exchange(&pool, &address, Vec::new()), &executor);
+    assert!(!answered.expect("an answer"));
+    assert_eq!(HEADS.load(Ordering::Relaxed), 2);
+}
