An idle connection that its server ends is closed at once

The stream is now closed at once while no request uses the connection.

an_idle_connection_that_its_server_ends_is_closed hangs without this change and passes with it.

--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -94,12 +94,19 @@
 struct Connection {
     id: ConnectionId,
     sender: SendRequest<SlicedBody>,
-    /// Receives the stream when the HTTP library has ended its work on it.
-    stream: Receiver<HttpParts<Stream>>,
+    handover: Handover,
     writes: WriteMonitor,
     progress: Progress,
 }
 
+/// How the stream of a connection is taken back from the HTTP library.
+struct Handover {
+    /// Set while no request uses the connection. Its stream is then closed when the server ends it,
+    /// and holds no descriptor.
+    is_idle: Rc<Cell<bool>>,
+    stream: Receiver<HttpParts<Stream>>,
+}
+
 struct Idle {
     connection: Connection,
     until: Millis,
@@ -357,15 +364,23 @@
         builder.max_buf_size(MAX_CONNECTION_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(stream).await?;
         let (ended, stream) = bounded(1);
+        let handover = Handover {
+            is_idle: Rc::default(),
+            stream,
+        };
+        let is_idle = Rc::clone(&handover.is_idle);
         let drive = async move {
-            // The stream is closed if nothing reads on.
-            let _closed = ended.try_send(drive_to_end(connection).await);
+            let stream = drive_to_end(connection).await;
+            if !is_idle.get() {
+                // Its receiver may be gone, which closes the stream.
+                let _closed = ended.try_send(stream);
+            }
         };
         self.executor.spawn(drive).detach();
         Ok(Connection {
             id,
             sender,
-            stream,
+            handover,
             writes,
             progress,
         })
@@ -383,13 +398,16 @@
         let newest = connections
             .iter()
             .rposition(|idle| may_reuse(idle.connection.id))?;
-        Some(connections.remove(newest).connection)
+        let connection = connections.remove(newest).connection;
+        connection.handover.is_idle.set(false);
+        Some(connection)
     }
 
     fn keep(&self, address: &str, connection: Connection, idle_timeout: Duration, max_idle: usize) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.to_owned()).or_default();
         let max_idle = max_idle.min(self.settings.idle_per_address);
+        connection.handover.is_idle.set(true);
         connections.truncate(max_idle);
         if connections.len() < max_idle && !connection.sender.is_closed() {
             let until = self.clock.now() + Millis(idle_timeout.as_millis() as u64);
@@ -514,7 +532,7 @@
         let Connection {
             id,
             sender,
-            stream,
+            handover,
             writes,
             progress,
         } = connection;
@@ -525,7 +543,7 @@
         }
         drop(sender);
         let broken = |error: &hyper::Error| HttpError::Broken(described(error));
-        let ended = stream.recv().await;
+        let ended = handover.stream.recv().await;
         let HttpParts { io, read_buf, .. } =
             ended.map_err(|error| HttpError::Broken(error.to_string()))?;
         let stream = FuturesIo::new(io.into_inner().after_answer(read_buf));
--- a/components/runtime/tests/pool.rs
+++ b/components/runtime/tests/pool.rs
@@ -5,7 +5,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -421,3 +421,37 @@
     assert!(!answered.expect("an answer"));
     assert_eq!(HEADS.load(Ordering::Relaxed), 2);
 }
+
+/// Whether the client has closed a connection of [`answer_and_end`].
+static IS_CLOSED: AtomicBool = AtomicBool::new(false);
+
+/// Answers one request, ends the connection and waits until the client closes it too.
+fn answer_and_end(stream: TcpStream) {
+    let mut reader = BufReader::new(stream);
+    if read_head(&mut reader).is_some() {
+        let _sent = reader.get_mut().write_all(OK.as_bytes());
+        let _ended = reader.get_mut().shutdown(std::net::Shutdown::Write);
+        let _closed = reader.read(&mut [0]);
+        IS_CLOSED.store(true, Ordering::Relaxed);
+    }
+}
+
+/// An idle connection that its server had ended would keep its descriptor until it expired.
+#[test]
+fn an_idle_connection_that_its_server_ends_is_closed() {
+    let address = start(answer_and_end);
+    let executor = Rc::new(LocalExecutor::new());
+    let settings = PoolSettings {
+        idle_timeout: 2 * HANG_TIMEOUT,
+        ..PoolSettings::default()
+    };
+    let pool = ConnectionPool::new(Rc::clone(&executor), settings);
+    let answered = async {
+        exchange(&pool, &address, Vec::new()).await?;
+        while !IS_CLOSED.load(Ordering::Relaxed) {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        Ok::<(), HttpError>(())
+    };
+    run(answered, &executor).expect("an answer");
+}
