--- a/components/forwarding-shell/src/kv_transfer.rs
+++ b/components/forwarding-shell/src/kv_transfer.rs
@@ -66,10 +66,19 @@
                 Some(due) => timers.sleep_until(due).await,
                 None => return,
             }
-            // If the request does not arrive, the cache expires by itself. The connection is
-            // closed, as a second copy of this answer would be taken for that of a prefill.
-            if let Ok(mut exchange) = pool.send(&address, request).await {
-                let _any = exchange.read_whole(MAX_PREFILL_BODY_BYTES).await;
+            // The connection is closed, as a second copy of this answer would be taken for that of a
+            // prefill.
+            let released = async {
+                let mut exchange = pool.send(&address, request).await?;
+                exchange.read_whole(MAX_PREFILL_BODY_BYTES).await
+            };
+            if let Err(error) = released.await {
+                // The cache expires by itself.
+                log::debug!(
+                    address = address.as_str(),
+                    cause = error.to_string().as_str();
+                    "release_failed"
+                );
             }
         };
         self.gateway.executor.spawn(release).detach();
--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -34,7 +34,7 @@
 const BUILD: HeaderName = HeaderName::from_static("garnet-relay-build");
 
 /// The latest version of relayed calls that the relay takes. Relays before
-/// [`RelayVersion::MATCHED`] have no such header.
+/// [`RelayVersion::MATCHES_ANSWERS`] have no such header.
 const VERSION: HeaderName = HeaderName::from_static("garnet-relay-version");
 
 /// Version of the calls between gateways. A relay takes no call of a later version than its own.
@@ -48,15 +48,15 @@
     /// The relay matches each answer of a back end to its request. Earlier relays took a rejection
     /// of another request for one of the relayed request, which they sent again or reported as not
     /// run.
-    pub const MATCHED: Self = RelayVersion(21);
+    pub const MATCHES_ANSWERS: Self = RelayVersion(21);
     /// The version of this build.
-    pub const CURRENT: Self = Self::MATCHED;
+    pub const CURRENT: Self = Self::MATCHES_ANSWERS;
 
     /// The earliest version of relays that may take work of this kind.
     pub(super) fn required_for(kind: WorkKind) -> Self {
         match kind.may_repeat() {
             true => Self::FIRST,
-            false => Self::MATCHED,
+            false => Self::MATCHES_ANSWERS,
         }
     }
 }
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -100,8 +100,9 @@
     })
 }
 
-/// Adds the outcome, the version of this relay, and how the back end marked the end of its answer. The answer to the peer
-/// always marks its end, as the peer could not distinguish the end of a relay otherwise.
+/// Adds the outcome, the version of this relay, and how the back end marked the end of its answer.
+/// The answer to the peer always marks its end, as the peer could not distinguish the end of a relay
+/// otherwise.
 fn with_outcome(mut response: Response<Body>, outcome: RelayOutcome) -> Response<Body> {
     let build = response.extensions_mut().remove::<BuildId>();
     write_build(build.as_ref(), response.headers_mut());
--- a/components/forwarding/src/relays.rs
+++ b/components/forwarding/src/relays.rs
@@ -88,8 +88,8 @@
         self.relays.is_empty()
     }
 
-    /// The relay for the next request of a kind to a service, none of those in `tried`: the one with the
-    /// fewest requests of this gateway, where one in another zone counts as busier.
+    /// The relay for the next request of a kind to a service, none of those in `tried`: the one with
+    /// the fewest requests of this gateway, where one in another zone counts as busier.
     pub fn choose(
         &self,
         service: &ServiceId,
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod pool;
+mod pooled_connection;
 mod progress;
 pub mod reload;
 pub mod report_link;
@@ -46,7 +47,8 @@
 pub use connection_timer::ConnectionTimeouts;
 pub use fair_stream::FairStream;
 pub use framing::framing_of;
-pub use pool::{ConnectionId, ConnectionPool, Exchange, PoolSettings, SendConditions};
+pub use pool::{ConnectionPool, Exchange, PoolSettings, SendConditions};
+pub use pooled_connection::ConnectionId;
 pub use request_body::RequestBody;
 pub use server::{
     Body, ConnectionFilter, ConnectionHandle, HttpServer, Limits, bytes_body, json_response,
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -9,21 +9,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error as _;
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
 use garnet_types::{Framing, Millis};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Bytes, Incoming};
-use hyper::client::conn::http1::{
-    Builder, Connection as HttpConnection, Parts as HttpParts, SendRequest,
-};
+use hyper::client::conn::TrySendError;
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
-use hyper::{Method, Request, Response};
-use smol::channel::{Receiver, bounded};
-use smol::net::TcpStream;
+use hyper::{Method, Request};
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
 
@@ -32,6 +27,7 @@
 use crate::client::HttpError;
 use crate::clock::Clock;
 use crate::framing::framing_of;
+use crate::pooled_connection::{Answered, Connection, ConnectionId};
 use crate::progress::{Progress, ProgressStream};
 use crate::resumable_stream::ResumableStream;
 use crate::sliced_body::SlicedBody;
@@ -43,9 +39,6 @@
 /// An idle connection is closed this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Most that a connection buffers in each direction, and the longest head of an answer.
-const MAX_CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
-
 /// Longest answer to a probe.
 const MAX_PROBE_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -73,10 +66,6 @@
     }
 }
 
-/// Identifies a connection of a pool.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ConnectionId(u64);
-
 /// What must hold for a request to be sent.
 pub struct SendConditions<S, R> {
     /// Maximum count of idle connections to the address that are kept afterwards.
@@ -88,25 +77,6 @@
     pub may_reuse: R,
 }
 
-type Stream = FuturesIo<ResumableStream<ProgressStream<MonitoredStream<TcpStream>>>>;
-
-/// An open connection on which no request is in flight.
-struct Connection {
-    id: ConnectionId,
-    sender: SendRequest<SlicedBody>,
-    handover: Handover,
-    writes: WriteMonitor,
-    progress: Progress,
-}
-
-/// How the stream of a connection is taken back from the HTTP library.
-struct Handover {
-    /// Set while no request uses the connection. Its stream is then closed when the server ends it,
-    /// and holds no descriptor.
-    is_idle: Rc<Cell<bool>>,
-    stream: Receiver<HttpParts<Stream>>,
-}
-
 struct Idle {
     connection: Connection,
     until: Millis,
@@ -206,44 +176,29 @@
             may_reuse,
         } = conditions;
         let mut request = sliced(request).await;
-        let method = request.method().clone();
         while let Some(mut connection) = self.take_idle(address, &may_reuse) {
-            if connection.sender.ready().await.is_err() {
+            if !connection.is_ready().await {
                 continue;
             }
             if !may_send() {
                 self.keep(address, connection, self.settings.idle_timeout, max_idle);
                 return Err(HttpError::Withheld);
             }
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => {
-                    let answered = Answered {
-                        method,
-                        connection,
-                        response,
-                    };
-                    return Ok(self.exchange(address, answered, false, max_idle));
-                }
+            match connection.send(request).await {
+                Ok(answered) => return Ok(self.exchange(address, answered, false, max_idle)),
                 Err(mut error) => match error.take_message() {
                     Some(not_sent) => request = not_sent,
-                    None => return Err(HttpError::Broken(described(&error.into_error()))),
+                    None => return Err(broken(error)),
                 },
             }
         }
-        let mut connection = self.connect(address).await?;
+        let connection = self.connect(address).await?;
         if !may_send() {
             self.keep(address, connection, self.settings.idle_timeout, max_idle);
             return Err(HttpError::Withheld);
         }
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => {
-                let answered = Answered {
-                    method,
-                    connection,
-                    response,
-                };
-                Ok(self.exchange(address, answered, true, max_idle))
-            }
+        match connection.send(request).await {
+            Ok(answered) => Ok(self.exchange(address, answered, true, max_idle)),
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
                 let cause = described(&error.into_error());
@@ -269,15 +224,9 @@
         time_limit: Duration,
     ) -> Result<(), HttpError> {
         let answered = async {
-            let method = request.method().clone();
-            let mut connection = self.connect(address).await?;
-            let response = connection.sender.send_request(sliced(request).await).await;
-            let response = response.map_err(|error| HttpError::Broken(described(&error)))?;
-            let answered = Answered {
-                method,
-                connection,
-                response,
-            };
+            let connection = self.connect(address).await?;
+            let answered = connection.send(sliced(request).await).await;
+            let answered = answered.map_err(broken)?;
             let mut exchange = self.exchange(address, answered, true, 0);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             Ok(())
@@ -348,44 +297,10 @@
         let stream = FuturesIo::new(ResumableStream::new(stream));
         let id = ConnectionId(self.next_id.get());
         self.next_id.set(id.0 + 1);
-        let opened = self.open(id, stream, writes, progress).await;
+        let opened = Connection::open(&self.executor, id, stream, writes, progress).await;
         opened.map_err(|error| HttpError::NotSent(error.to_string()))
     }
 
-    /// Has the HTTP library work on a stream.
-    async fn open(
-        &self,
-        id: ConnectionId,
-        stream: Stream,
-        writes: WriteMonitor,
-        progress: Progress,
-    ) -> hyper::Result<Connection> {
-        let mut builder = Builder::new();
-        builder.max_buf_size(MAX_CONNECTION_BUFFER_BYTES);
-        let (sender, connection) = builder.handshake(stream).await?;
-        let (ended, stream) = bounded(1);
-        let handover = Handover {
-            is_idle: Rc::default(),
-            stream,
-        };
-        let is_idle = Rc::clone(&handover.is_idle);
-        let drive = async move {
-            let stream = drive_to_end(connection).await;
-            if !is_idle.get() {
-                // Its receiver may be gone, which closes the stream.
-                let _closed = ended.try_send(stream);
-            }
-        };
-        self.executor.spawn(drive).detach();
-        Ok(Connection {
-            id,
-            sender,
-            handover,
-            writes,
-            progress,
-        })
-    }
-
     fn take_idle(
         &self,
         address: &str,
@@ -399,7 +314,7 @@
             .iter()
             .rposition(|idle| may_reuse(idle.connection.id))?;
         let connection = connections.remove(newest).connection;
-        connection.handover.is_idle.set(false);
+        connection.note_idle(false);
         Some(connection)
     }
 
@@ -407,33 +322,18 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.to_owned()).or_default();
         let max_idle = max_idle.min(self.settings.idle_per_address);
-        connection.handover.is_idle.set(true);
+        connection.note_idle(true);
         connections.truncate(max_idle);
-        if connections.len() < max_idle && !connection.sender.is_closed() {
+        if connections.len() < max_idle && !connection.is_closed() {
             let until = self.clock.now() + Millis(idle_timeout.as_millis() as u64);
             connections.push(Idle { connection, until });
         }
     }
 }
 
-/// The head of an answer, with its connection.
-struct Answered {
-    /// Method of the request.
-    method: Method,
-    connection: Connection,
-    response: Response<Incoming>,
-}
-
-/// Drives a connection until it has ended or its sender is dropped, and returns its stream.
-async fn drive_to_end(mut connection: HttpConnection<Stream, SlicedBody>) -> HttpParts<Stream> {
-    // Errors of the connection are returned by the requests on it.
-    let _ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
-    connection.into_parts()
-}
-
 impl Idle {
     fn is_usable(&self, now: Millis) -> bool {
-        self.until > now && !self.connection.sender.is_closed()
+        self.until > now && !self.connection.is_closed()
     }
 }
 
@@ -529,35 +429,11 @@
             pool,
             ..
         } = self;
-        let Connection {
-            id,
-            sender,
-            handover,
-            writes,
-            progress,
-        } = connection;
-        if writes.is_waiting() {
-            return Err(HttpError::Broken(
-                "answered before the request was written".to_owned(),
-            ));
-        }
-        drop(sender);
-        let broken = |error: &hyper::Error| HttpError::Broken(described(error));
-        let ended = handover.stream.recv().await;
-        let HttpParts { io, read_buf, .. } =
-            ended.map_err(|error| HttpError::Broken(error.to_string()))?;
-        let stream = FuturesIo::new(io.into_inner().after_answer(read_buf));
-        let opened = pool.open(id, stream, writes, progress).await;
-        let mut connection = opened.map_err(|error| broken(&error))?;
+        let connection = connection.take_back(&pool.executor).await?;
         // The method tells the HTTP library whether the answer has a body.
         let mut sent_request = Request::new(SlicedBody::new(Bytes::new()));
-        *sent_request.method_mut() = method.clone();
-        let response = connection.sender.send_request(sent_request).await;
-        let answered = Answered {
-            method,
-            connection,
-            response: response.map_err(|error| broken(&error))?,
-        };
+        *sent_request.method_mut() = method;
+        let answered = connection.send(sent_request).await.map_err(broken)?;
         let exchange = pool.exchange(&address, answered, false, max_idle);
         Ok(Exchange {
             is_reusable: false,
@@ -575,7 +451,7 @@
     /// until the server reads the rest.
     pub fn finish(self) {
         let is_kept = self.is_reusable && !announces_close(&self.head.headers);
-        if !is_kept || self.connection.writes.is_waiting() {
+        if !is_kept || self.connection.is_writing() {
             return;
         }
         let announced = idle_timeout(&self.head.headers);
@@ -591,8 +467,12 @@
     }
 }
 
+fn broken(error: TrySendError<Request<SlicedBody>>) -> HttpError {
+    HttpError::Broken(described(&error.into_error()))
+}
+
 /// The error of a connection and its cause.
-fn described(error: &hyper::Error) -> String {
+pub(crate) fn described(error: &hyper::Error) -> String {
     match error.source() {
         Some(cause) => format!("{error}: {cause}"),
         None => error.to_string(),
