A hedged request that no back end ran is answered as not run

Callers got 502, which says that a request may have run, for requests of which nothing was sent or that all back ends had rejected.

Cause: a silent attempt counts as one that may have run, while it is open. When the hedge had failed, run_hedged awaited the silent attempt and returned what the hedge had concluded before.

Change: the end of the silent attempt is counted, and the conclusion drawn again. One that broke off or failed still leaves the request in doubt; the property over Progress covers the same two steps.

Before: a_hedged_request_that_all_back_ends_reject_has_not_run::case_1 and a_hedged_request_that_reaches_no_back_end_has_not_run fail, 502 in place of 503 (attempt_silent and "timed out while connecting" at both back ends, outcome=in_doubt unreachable=1).

--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -185,6 +185,12 @@
             running.served_by = Some(job.backend.clone());
             Ok(answer)
         }
+        // While the hedge was given up, the silent attempt was open and might have run.
+        (Err(end), Some(Err(NotServed::GivenUp(_)))) => {
+            running.progress.silent_resumed();
+            running.progress.note(end);
+            Err(NotServed::GivenUp(running.progress.given_up()))
+        }
         (_, Some(hedge)) => hedge,
         (_, None) => Err(NotServed::GivenUp(running.progress.given_up())),
     }
