Retries avoid back ends that have failed since their last answer

Callers saw a sound request refused at once (503, outcome=no_path) while ten engines were in service.

Cause: an engine that crashed has failed once or twice, its breaker opens after three failures, and it has the fewest requests. A request whose first connection was refused was placed at the next such engine, four times within 1 ms, and four unreachable back ends end a request.

Change: an attempt after the first goes to a back end that has not failed since its last answer, if there is one. `ignore_failures: bool` becomes `Failures`, whose order tells which back ends are looked for first.

The case of the core for applications and the one for engines failed before.

--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -36,7 +36,8 @@
 use crate::pace::{PrefillPace, TokenTime};
 use crate::paths::PathMonitor;
 use crate::placement::{
-    EngineView, Placement, PlacementContext, place_application, place_decode, place_engines,
+    EngineView, Failures, Placement, PlacementContext, place_application, place_decode,
+    place_engines,
 };
 use crate::residency::Residency;
 use crate::retry_budget::{ServiceBudget, SharedRetryBudget};
@@ -228,14 +229,8 @@
             build: work.build.as_ref(),
             ..self.context(tried, now)
         };
-        // A back end that failed recently is better than none.
-        self.place_with(service, work, &context).or_else(|| {
-            let context = PlacementContext {
-                ignore_failures: true,
-                ..context
-            };
-            self.place_with(service, work, &context)
-        })
+        let place = |failures| self.place_with(service, work, &context.with(failures));
+        Failures::in_order(tried).find_map(place)
     }
 
     fn context<'a>(&'a self, tried: &'a [BackendId], now: Millis) -> PlacementContext<'a> {
@@ -245,7 +240,7 @@
             now,
             tried,
             may_hand_over: true,
-            ignore_failures: false,
+            failures: Failures::Recovering,
             ignore_connections: false,
             any_engine: false,
             sampled: 0,
@@ -286,15 +281,13 @@
         self.draw_count += 1;
         let prefill_engine = self.backends.get(prefill_engine)?;
         let zone = &prefill_engine.registration.zone;
-        let find = |ignore_failures| {
-            let context = PlacementContext {
-                ignore_failures,
-                build: prefill_engine.build.as_ref(),
-                ..self.context(tried, now)
-            };
-            place_decode(self.backends_of(service), zone, &context)
+        let context = PlacementContext {
+            build: prefill_engine.build.as_ref(),
+            ..self.context(tried, now)
         };
-        find(false).or_else(|| find(true))
+        let place =
+            |failures| place_decode(self.backends_of(service), zone, &context.with(failures));
+        Failures::in_order(tried).find_map(place)
     }
 
     /// Pairs engines, given in order of their ids, with the estimates of their caches.
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -38,7 +38,7 @@
 pub use garnet_routing::{Probe, RetryAfter, RetryAfterError};
 pub use pace::{PrefillPace, TokenTime};
 pub use paths::{PathChange, PathId, PathPhase};
-pub use placement::{Placement, PlacementContext};
+pub use placement::{Failures, Placement, PlacementContext};
 pub use relays::RelayDirectory;
 pub use residency::Residency;
 pub use retry_budget::SharedRetryBudget;
--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -51,8 +51,8 @@
     pub tried: &'a [BackendId],
     /// Whether one engine may prefill the prompt and another one decode it.
     pub may_hand_over: bool,
-    /// Whether back ends that failed recently are eligible as well.
-    pub ignore_failures: bool,
+    /// Which back ends that failed recently are eligible as well.
+    pub failures: Failures,
     /// Whether back ends without a free connection are eligible as well.
     pub ignore_connections: bool,
     /// Whether any engine may prefill a prompt, instead of only the owners of its prefix.
@@ -66,10 +66,46 @@
     pub build: Option<&'a BuildId>,
 }
 
+/// Which back ends that failed recently are eligible.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failures {
+    /// None that has failed since its last answer.
+    None,
+    /// Those whose circuit breaker allows a request.
+    Recovering,
+    /// All of them.
+    All,
+}
+
+impl Failures {
+    /// The order in which back ends are looked for, by those that the request was sent to before.
+    /// A request meets at most one back end that has failed, as long as there are others. One that
+    /// failed is better than none.
+    pub(crate) fn in_order(tried: &[BackendId]) -> impl Iterator<Item = Failures> {
+        let first_of_repeat = (!tried.is_empty()).then_some(Failures::None);
+        first_of_repeat
+            .into_iter()
+            .chain([Failures::Recovering, Failures::All])
+    }
+
+    fn allow(self, backend: &Backend, now: Millis) -> bool {
+        match self {
+            Failures::None => backend.is_open(now, false) && !backend.breaker.has_failures(),
+            Failures::Recovering => backend.is_open(now, false),
+            Failures::All => backend.is_open(now, true),
+        }
+    }
+}
+
 impl PlacementContext<'_> {
+    /// The same circumstances with other back ends that failed recently.
+    pub(crate) fn with(&self, failures: Failures) -> Self {
+        PlacementContext { failures, ..*self }
+    }
+
     fn may_take(&self, backend: &Backend) -> bool {
         let id = &backend.registration.id;
-        backend.is_open(self.now, self.ignore_failures)
+        self.failures.allow(backend, self.now)
             && (self.ignore_connections || backend.has_connection())
             && !self.tried.contains(id)
             && self
--- a/components/forwarding/tests/core/placement.rs
+++ b/components/forwarding/tests/core/placement.rs
@@ -4,8 +4,9 @@
 use garnet_forwarding::{Forwarder, LoadReport, Placement, Prompt};
 use garnet_routes::WorkKind;
 use garnet_types::{BackendId, EngineRole, Millis, PrefixId, ServiceId};
+use rstest::rstest;
 
-use crate::fleet::{NOW, forwarder, prompt, receive_digest, record, work};
+use crate::fleet::{NOW, forwarder, id, prompt, receive_digest, record, work};
 
 fn instances() -> Vec<BackendRecord> {
     ["a", "b", "c"]
@@ -280,3 +281,45 @@
     assert_eq!(prefix.to_string().parse(), Ok(prefix));
     assert!("no prefix".parse::<PrefixId>().is_err());
 }
+
+/// Engines that crashed once were tried one after another while others were in service, and a
+/// sound request was refused after four refused connections.
+#[rstest]
+#[case::applications("till", None)]
+#[case::engines("words", Some(prompt(1, 2, 2_000)))]
+fn a_request_that_was_sent_before_avoids_back_ends_that_failed(
+    #[case] service: &str,
+    #[case] prompt: Option<Prompt>,
+) {
+    let role = prompt.is_some().then_some(EngineRole::Mixed);
+    let records: Vec<BackendRecord> = (0..8)
+        .map(|number| record(&format!("b-{number}"), service, "a", role))
+        .collect();
+    let mut gateway = forwarder(&records);
+    let crashed: Vec<BackendId> = (0..4).map(|number| id(&format!("b-{number}"))).collect();
+    for backend in &crashed {
+        gateway.failed(backend, NOW);
+    }
+    let service = ServiceId::new(service);
+    let work = work(WorkKind::Repeatable, prompt);
+    for _ in 0..40 {
+        let placement = gateway.place(&service, &work, &crashed[..1], false, NOW);
+        let Some(Placement::One(chosen)) = placement else {
+            panic!("no back end: {placement:?}");
+        };
+        assert!(!crashed.contains(&chosen), "{chosen:?}");
+    }
+}
+
+/// A back end that failed is better than none.
+#[test]
+fn a_request_that_was_sent_before_goes_to_a_back_end_that_failed_if_there_is_no_other() {
+    let mut gateway = forwarder(&instances());
+    for zone in ["a", "b", "c"] {
+        gateway.failed(&id(&format!("till-{zone}")), NOW);
+    }
+    let work = work(WorkKind::Repeatable, None);
+    let tried = [id("till-a"), id("till-b")];
+    let placement = gateway.place(&ServiceId::new("till"), &work, &tried, false, NOW);
+    assert_eq!(placement, one("till-c"));
+}
--- a/components/routing/src/circuit_breaker.rs
+++ b/components/routing/src/circuit_breaker.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Whether the back end has failed since its last answer.
+    pub fn has_failures(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records a sent request, which is the probe if the breaker is open.
     pub fn sent(&mut self) {
         self.probe_in_flight = self.open_until.is_some();
