--- a/components/forwarding-shell/src/path_probes.rs
+++ b/components/forwarding-shell/src/path_probes.rs
@@ -13,9 +13,8 @@
 
 /// How often a gateway checks whether probes are due, while connections have failed lately.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time in which a back end that has accepted the connection of a probe has to answer it, which
-/// needs no free slot there. Back ends that share a busy machine take over a second at times.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in which a back end has to answer a probe, which needs no free slot there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A child that sends the probes that the forwarder asks for.
 pub(crate) fn child<C: CallerPort + 'static, B: BackendPort + 'static>(
--- a/components/forwarding/src/forwarder/quarantine.rs
+++ b/components/forwarding/src/forwarder/quarantine.rs
@@ -7,8 +7,6 @@
 };
 use garnet_types::{BackendId, EngineRole, Millis, ServiceId};
 
-use crate::paths::SUSPICION_LIFETIME;
-
 use super::Forwarder;
 
 /// Time after which the caller of a refused request may retry, while the log does not yet
@@ -16,8 +14,7 @@
 const DEFAULT_RETRY_AFTER: Millis = Millis::from_secs(60);
 
 /// Longest time for which a crash is not reported, since the path may be lost instead: the
-/// connect timeouts of two back ends, and the probes of others. Longer only while the path is
-/// suspected.
+/// connect timeouts of two back ends, and the probes of others.
 const MAX_CRASH_HOLD: Millis = Millis(1_000);
 
 impl Forwarder {
@@ -100,12 +97,8 @@
     /// crashed or the path to it was lost.
     fn report_crashes(&mut self, now: Millis) -> Option<RunReport> {
         let paths = &self.paths;
-        let max_hold = match paths.is_suspected() {
-            true => SUSPICION_LIFETIME,
-            false => MAX_CRASH_HOLD,
-        };
         let is_held = |engine: &EngineStart, age: Millis| {
-            age < max_hold && paths.is_undecided(&engine.backend)
+            age < MAX_CRASH_HOLD && paths.is_undecided(&engine.backend)
         };
         self.crash_log.report_unless(now, is_held)
     }
--- a/components/forwarding/src/paths.rs
+++ b/components/forwarding/src/paths.rs
@@ -27,8 +27,7 @@
 /// After this time without an answer, a connection that ended with a request in flight is
 /// verified by a probe of another back end.
 const VERIFICATION_DELAY: Millis = Millis(100);
-/// Longest time until the probes of a suspected path have ended: their own timeout and several
-/// connect timeouts.
+/// Longest time until the probes of a suspected path have ended: several connect timeouts.
 pub(crate) const SUSPICION_LIFETIME: Millis = Millis::from_secs(2);
 
 /// What a back end is needed for. Requests with a prompt need a path for both phases.
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -211,21 +211,20 @@
         }
     }
 
-    /// Sends a request on a new connection and waits for any answer, for `time_limit` at most
-    /// from when the peer accepted the connection. The connection is then closed: the answer names
-    /// no request, and a second copy of it would come in the place of the answer to the next one.
+    /// Sends a request on a new connection and waits for any answer, for `time_limit` at most.
+    /// The connection is then closed: the answer names no request, and a second copy of it would
+    /// come in the place of the answer to the next one.
     ///
     /// # Errors
-    /// [`HttpError::TimedOut`] if the peer accepted the connection and did not answer in time;
-    /// otherwise see [`HttpError`].
+    /// See [`HttpError`].
     pub async fn probe(
         &self,
         address: &str,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
     ) -> Result<(), HttpError> {
-        let connection = self.connect(address).await?;
         let answered = async {
+            let connection = self.connect(address).await?;
             let answered = connection.send(sliced(request).await).await;
             let answered = answered.map_err(broken)?;
             let mut exchange = self.exchange(address, answered, true, 0);
