--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -205,15 +205,19 @@
     Ok(Response::from_parts(head, body))
 }
 
-async fn or_time_out(
-    answer: impl Future<Output = Result<Response<Bytes>, HttpError>>,
+/// Waits for a result, for `timeout` at most.
+///
+/// # Errors
+/// That of the result, or [`HttpError::TimedOut`].
+pub(crate) async fn or_time_out<T>(
+    result: impl Future<Output = Result<T, HttpError>>,
     timeout: Duration,
-) -> Result<Response<Bytes>, HttpError> {
+) -> Result<T, HttpError> {
     let timed_out = async {
         Timer::after(timeout).await;
         Err(HttpError::TimedOut)
     };
-    smol::future::or(answer, timed_out).await
+    smol::future::or(result, timed_out).await
 }
 
 /// Builds a request with a JSON body to one of this system's own interfaces.
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -19,12 +19,12 @@
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Method, Request};
-use smol::{LocalExecutor, Timer};
+use smol::LocalExecutor;
 use smol_hyper::rt::FuturesIo;
 
 use crate::byte_budget::ByteBudget;
 use crate::byte_buffer::ByteBuffer;
-use crate::client::HttpError;
+use crate::client::{HttpError, or_time_out};
 use crate::clock::Clock;
 use crate::framing::framing_of;
 use crate::pooled_connection::{Answered, Connection, ConnectionId};
@@ -231,11 +231,7 @@
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             Ok(())
         };
-        let timed_out = async {
-            Timer::after(time_limit).await;
-            Err(HttpError::TimedOut)
-        };
-        smol::future::or(answered, timed_out).await
+        or_time_out(answered, time_limit).await
     }
 
     /// Closes all idle connections to an address.
@@ -401,11 +397,7 @@
     /// Reads the rest of the body within these limits.
     async fn read_rest(&mut self, max_bytes: usize, max_time: Duration) -> Result<(), HttpError> {
         let reading = async { self.read_whole(max_bytes).await.map(drop) };
-        let timed_out = async {
-            Timer::after(max_time).await;
-            Err(HttpError::TimedOut)
-        };
-        smol::future::or(reading, timed_out).await
+        or_time_out(reading, max_time).await
     }
 
     /// Skips this answer, which belongs to an earlier request of the connection, and waits for the
