--- a/components/forwarding/src/placement.rs
+++ b/components/forwarding/src/placement.rs
@@ -78,9 +78,8 @@
 }
 
 impl Failures {
-    /// The order in which back ends are looked for, by those that the request was sent to before.
-    /// A request meets at most one back end that has failed, as long as there are others. One that
-    /// failed is better than none.
+    /// The order in which to look for a back end, for a request that was sent to those in `tried`.
+    /// A retry goes to a back end without failures if there is one.
     pub(crate) fn in_order(tried: &[BackendId]) -> impl Iterator<Item = Failures> {
         let first_of_repeat = (!tried.is_empty()).then_some(Failures::None);
         first_of_repeat
--- a/components/forwarding/src/relays.rs
+++ b/components/forwarding/src/relays.rs
@@ -146,8 +146,8 @@
         }
     }
 
-    /// Records that a relay declines work that may run at most once. The leader's next list, from
-    /// which the relay's build can't be told, replaces this.
+    /// Records that a relay declines work that may run at most once. It is asked again after the
+    /// leader's next list: the relay may have been upgraded, and the list does not name builds.
     pub fn declines_single_runs(&mut self, address: SocketAddr) {
         if let Some(known) = self.relays.get_mut(&address) {
             known.breaker.succeeded();
