Tests: one builder of records of live back ends

The tests of garnet-forwarding, of garnet-gateway's core and of its daemon each wrote the same record. It stands in garnet-test-support now. Assertions are unchanged.

--- a/bin/garnet-gateway/tests/process/surplus_answers.rs
+++ b/bin/garnet-gateway/tests/process/surplus_answers.rs
@@ -9,14 +9,15 @@
 use std::time::{Duration, Instant};
 
 use garnet_control::{
-    BackendRecord, BackendRegistration, Configuration, ControlReply, CopyUpdates,
-    EngineObservation, GatewayRequest, Shared, UNKNOWN_START, WatchUpdate,
+    BackendRecord, BackendRegistration, Configuration, ControlReply, CopyUpdates, GatewayRequest,
+    Shared, UNKNOWN_START, WatchUpdate,
 };
 use garnet_routing::LoadReport;
 use garnet_runtime::frames;
+use garnet_test_support::live_record;
 use garnet_types::{
-    BackendId, BackendKind, BuildId, EngineAssignment, EngineCapacity, EngineRole, MachineState,
-    ModelId, ServiceId,
+    BackendId, BackendKind, BuildId, EngineAssignment, EngineCapacity, EngineRole, ModelId,
+    ServiceId,
 };
 use garnet_wire::Frame;
 use rstest::rstest;
@@ -126,28 +127,19 @@
 }
 
 fn record(kind: BackendKind, service: &str, address: &str) -> BackendRecord {
-    let observed = (kind == BackendKind::Engine).then(|| EngineObservation {
-        incarnation: 1,
-        assignment: EngineAssignment {
-            role: EngineRole::Mixed,
-            model: ModelId::new(MODEL),
-        },
+    let assignment = (kind == BackendKind::Engine).then(|| EngineAssignment {
+        role: EngineRole::Mixed,
+        model: ModelId::new(MODEL),
     });
-    BackendRecord {
-        registration: BackendRegistration {
-            id: BackendId::new(service),
-            kind,
-            service: ServiceId::new(service),
-            address: address.to_owned(),
-            zone: "a".to_owned(),
-            start: UNKNOWN_START,
-        },
-        machine: MachineState::Live,
-        desired: None,
-        observed,
-        order: None,
-        revision: 1,
-    }
+    let registration = BackendRegistration {
+        id: BackendId::new(service),
+        kind,
+        service: ServiceId::new(service),
+        address: address.to_owned(),
+        zone: "a".to_owned(),
+        start: UNKNOWN_START,
+    };
+    live_record(registration, assignment)
 }
 
 /// Starts a leader with this configuration and returns its address.
--- a/components/forwarding/tests/core/fleet.rs
+++ b/components/forwarding/tests/core/fleet.rs
@@ -4,44 +4,36 @@
 
 use garnet_control::{
     BackendListHash, BackendRecord, BackendRegistration, BackendState, Backlog, Configuration,
-    EngineObservation, GatewayDigest, LoadDigest, UNKNOWN_START, WatchUpdate,
+    GatewayDigest, LoadDigest, UNKNOWN_START, WatchUpdate,
 };
 use garnet_forwarding::{
     Forwarder, ForwarderSettings, Prompt, PromptPart, SharedRetryBudget, Work,
 };
 use garnet_routes::{EngineLimits, Route, RouteTable, ServiceSettings, WeightedService, WorkKind};
+use garnet_test_support::live_record;
 use garnet_types::{
-    BackendId, BackendKind, EngineAssignment, EngineRole, MachineState, Millis, ModelId, ServiceId,
+    BackendId, BackendKind, EngineAssignment, EngineRole, Millis, ModelId, ServiceId,
 };
 
 pub const NOW: Millis = Millis(10_000);
 
 pub fn record(id: &str, service: &str, zone: &str, role: Option<EngineRole>) -> BackendRecord {
-    let observed = role.map(|role| EngineObservation {
-        incarnation: 1,
-        assignment: EngineAssignment {
-            role,
-            model: ModelId::new("m"),
-        },
+    let assignment = role.map(|role| EngineAssignment {
+        role,
+        model: ModelId::new("m"),
     });
-    BackendRecord {
-        registration: BackendRegistration {
-            id: BackendId::new(id),
-            kind: match role {
-                Some(_) => BackendKind::Engine,
-                None => BackendKind::Application,
-            },
-            service: ServiceId::new(service),
-            address: format!("10.0.0.1:{}", 8000 + id.len()),
-            zone: zone.to_owned(),
-            start: UNKNOWN_START,
+    let registration = BackendRegistration {
+        id: BackendId::new(id),
+        kind: match role {
+            Some(_) => BackendKind::Engine,
+            None => BackendKind::Application,
         },
-        machine: MachineState::Live,
-        desired: None,
-        observed,
-        order: None,
-        revision: 1,
-    }
+        service: ServiceId::new(service),
+        address: format!("10.0.0.1:{}", 8000 + id.len()),
+        zone: zone.to_owned(),
+        start: UNKNOWN_START,
+    };
+    live_record(registration, assignment)
 }
 
 pub fn id(name: &str) -> BackendId {
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -2,15 +2,16 @@
 
 use garnet_control::{
     BackendRecord, BackendRegistration, ClaimAnswer, ClaimRequest, Configuration, ControlReply,
-    CopyUpdates, EngineObservation, GatewayRequest, UNKNOWN_START, WatchUpdate,
+    CopyUpdates, GatewayRequest, UNKNOWN_START, WatchUpdate,
 };
 use garnet_gateway::{
     Answer, AttemptEvent, AttemptId, Call, Effect, Event, Gateway, GatewaySettings, Job, Work,
 };
 use garnet_routing::LoadReport;
+use garnet_test_support::live_record;
 use garnet_types::{
     BackendId, BackendKind, BuildId, EngineAssignment, EngineCapacity, EngineRole, GatewayId,
-    IdempotencyKey, MachineState, Millis, ModelId, Refusal, RequestId, ServiceId,
+    IdempotencyKey, Millis, ModelId, Refusal, RequestId, ServiceId,
 };
 
 pub const MODEL: &str = "model";
@@ -247,28 +248,19 @@
         BackendKind::Engine => ENGINES,
         BackendKind::Application => APPLICATIONS,
     };
-    let observed = (kind == BackendKind::Engine).then(|| EngineObservation {
-        incarnation: 1,
-        assignment: EngineAssignment {
-            role: EngineRole::Mixed,
-            model: ModelId::new(MODEL),
-        },
+    let assignment = (kind == BackendKind::Engine).then(|| EngineAssignment {
+        role: EngineRole::Mixed,
+        model: ModelId::new(MODEL),
     });
-    BackendRecord {
-        registration: BackendRegistration {
-            id: BackendId::new(id),
-            kind,
-            service: ServiceId::new(service),
-            address: id.to_owned(),
-            zone: "a".to_owned(),
-            start: UNKNOWN_START,
-        },
-        machine: MachineState::Live,
-        desired: None,
-        observed,
-        order: None,
-        revision: 1,
-    }
+    let registration = BackendRegistration {
+        id: BackendId::new(id),
+        kind,
+        service: ServiceId::new(service),
+        address: id.to_owned(),
+        zone: "a".to_owned(),
+        start: UNKNOWN_START,
+    };
+    live_record(registration, assignment)
 }
 
 /// A streamed completion.
--- a/components/test-support/src/lib.rs
+++ b/components/test-support/src/lib.rs
@@ -1,7 +1,9 @@
-//! Helpers shared by the process tests of several packages.
+//! Helpers shared by the tests of several packages.
 
 mod address;
+mod records;
 mod sockets;
 
 pub use address::ReservedAddress;
+pub use records::live_record;
 pub use sockets::{connected_process, local_ports, process_between};
