--- a/components/forwarding-shell/src/stream_builds.rs
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -194,7 +194,11 @@
     let facts = &running.call.facts;
     let is_taken_up =
         running.work.kind == WorkKind::ResumableStream && facts.resume_after.is_some();
-    if !is_taken_up || knows_build(gateway, running) {
+    if !is_taken_up {
+        return Ok(());
+    }
+    if knows_build(gateway, running) {
+        log_taken_up(running, "not_mixed");
         return Ok(());
     }
     // A peer gateway resumes a stream under the id with which it began, unless the client has
@@ -204,14 +208,23 @@
         let found = gateway.stream_builds.find(StreamKey::of(request)).await;
         if found.is_some() {
             running.work.build = found;
+            log_taken_up(running, "noted");
             return Ok(());
         }
     }
+    log_taken_up(running, "unknown");
+    Err(OwnAnswer::NotRun(retry_after(running.work.objective)))
+}
+
+/// Logs how the build of a stream that is taken up was determined.
+fn log_taken_up(running: &RunningRequest, source: &str) {
+    let facts = &running.call.facts;
     log::info!(
         request = facts.id.as_str(),
         resumes = facts.resumes.as_deref().unwrap_or_default(),
-        service = running.service.as_str();
-        "stream_build_unknown"
+        service = running.service.as_str(),
+        build = running.work.build.as_ref().map_or("", BuildId::as_str),
+        source = source;
+        "stream_taken_up"
     );
-    Err(OwnAnswer::NotRun(retry_after(running.work.objective)))
 }
