Streams that are taken up go on only at a build that is known; encoding version 21

Cause: not having received that a service is mixed was taken for knowing that it has one build. A gateway that had just started, was suspended, had no leader or one of an earlier version decided so; a new leader knew of the newest list only; and the leader compared the engines of one list, so that a build that another one replaced at once never made the service mixed. Relays of earlier builds were handed such streams as well.

Change: a gateway that did not begin the stream asks the leader, after the request came in (FindStreamOf). The leader names the noted build or the only build of the service: all engines that serve or served in the last 60 s are of it, all engines of the configuration have been read, and none of unknown build was removed in the last 70 s. A replica knows removals from the log; no command, state or level is new. Without an answer within 250 ms the stream is refused as not run, at once under a leader of an earlier version. Resumptions and hedges within an answer need a known build; resumed streams go to relays of version 21 at least, of 22 if their build is not known; a KV cache goes to engines of its build or, while builds are not known, to others of which none is known.

Why it works: every engine that a gateway may use was registered by a leader that had read its build, so the answer can't be older than the engine.

--- a/components/control/src/encoding/v11/messages.rs
+++ b/components/control/src/encoding/v11/messages.rs
@@ -66,7 +66,8 @@
             | CurrentRequest::Relay(_)
             | CurrentRequest::NoteStreams(_)
             | CurrentRequest::FindStream(_)
-            | CurrentRequest::PromptRuns(_) => None,
+            | CurrentRequest::PromptRuns(_)
+            | CurrentRequest::FindStreamOf { .. } => None,
         }
     }
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod duties;
 mod effects;
 mod encoding;
+mod engine_removals;
 mod fleet_health;
 mod fleet_load;
 mod fleet_sizing;
--- a/components/control/src/messages.rs
+++ b/components/control/src/messages.rs
@@ -167,6 +167,14 @@
     /// Runs of prompts during which the engine ended, and parts of prompts that engines answer.
     /// Taken by the receiver of [`GatewayRequest::Runs`].
     PromptRuns(PromptReport),
+    /// Asks at which build a stream of a service began. If it was not reported, the answer names
+    /// the only build of the service, if it is known that there is only one.
+    FindStreamOf {
+        /// The stream.
+        stream: StreamKey,
+        /// The service.
+        service: ServiceId,
+    },
 }
 
 impl GatewayRequest {
@@ -182,6 +190,7 @@
             GatewayRequest::Relay(_) => EncodingVersion::V18,
             GatewayRequest::NoteStreams(_) | GatewayRequest::FindStream(_) => EncodingVersion::V19,
             GatewayRequest::PromptRuns(_) => EncodingVersion::V20,
+            GatewayRequest::FindStreamOf { .. } => EncodingVersion::V21,
         }
     }
 }
@@ -256,7 +265,7 @@
 pub struct BuildUpdate {
     /// Engines whose builds are new to the gateway.
     pub engines: Vec<EngineBuild>,
-    /// All services whose engines are, or were lately, of several builds.
+    /// All services of which streams of several builds may live.
     pub mixed: Vec<ServiceId>,
 }
 
--- a/components/control/src/replica/engines.rs
+++ b/components/control/src/replica/engines.rs
@@ -154,7 +154,9 @@
         if !self.node.holds_lease(self.now) {
             return;
         }
-        self.builds.update(machines, self.now);
+        let configuration = &self.state.configuration;
+        self.builds
+            .update(machines, configuration, &self.engine_removals, self.now);
         let machines_without_starts = self.machines_without_starts(machines);
         let machines = machines_without_starts.as_deref().unwrap_or(machines);
         self.sizing.update_machines(machines, self.now);
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -1,12 +1,14 @@
 //! Gateways' requests: watches, claims, and reports.
 
 use garnet_consensus::Member;
-use garnet_types::{EncodingVersion, GatewayId, Millis};
+use garnet_types::{BuildId, EncodingVersion, GatewayId, Millis};
 
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::Configuration;
 use crate::effects::Effect;
-use crate::messages::{ClaimRequest, ControlReply, GatewayRequest, GroupView, WatchUpdate};
+use crate::messages::{
+    ClaimRequest, ControlReply, GatewayRequest, GroupView, StreamKey, WatchUpdate,
+};
 use crate::shared::Shared;
 
 use super::{Replica, Requester};
@@ -88,19 +90,28 @@
             GatewayRequest::NoteStreams(notes) => self.builds.note(notes, self.now),
             GatewayRequest::FindStream(stream) => {
                 let build = self.builds.find(stream).cloned();
-                let reply = ControlReply::StreamBuild { stream, build };
-                self.effects
-                    .push(Effect::ReplyGateway { connection, reply });
+                self.answer_stream_build(connection, stream, build);
+            }
+            GatewayRequest::FindStreamOf { stream, service } => {
+                let noted = self.builds.find(stream);
+                let build = noted.or_else(|| self.builds.only_build(&service)).cloned();
+                self.answer_stream_build(connection, stream, build);
             }
         }
     }
 
+    fn answer_stream_build(&mut self, connection: u64, stream: StreamKey, build: Option<BuildId>) {
+        let reply = ControlReply::StreamBuild { stream, build };
+        self.effects
+            .push(Effect::ReplyGateway { connection, reply });
+    }
+
     /// Sends the gateway the builds of engines that it does not know, if its version has them.
     fn send_builds(&mut self, gateway: &GatewayId, connection: u64) {
         if self.versions.of_connection(connection) < EncodingVersion::V19 {
             return;
         }
-        if let Some(update) = self.builds.update_for(gateway, connection, self.now) {
+        if let Some(update) = self.builds.update_for(gateway, connection) {
             let reply = ControlReply::Builds(update);
             self.effects
                 .push(Effect::ReplyGateway { connection, reply });
--- a/components/control/src/replica/log.rs
+++ b/components/control/src/replica/log.rs
@@ -8,6 +8,7 @@
 use crate::configuration::ConfigurationChange;
 use crate::effects::{Effect, Halted};
 use crate::encoding::{EntryError, encode_entry};
+use crate::engine_removals::EngineRemovals;
 use crate::messages::ControlReply;
 use crate::operator::OperatorAnswer;
 use crate::state::ControlState;
@@ -73,8 +74,15 @@
         let backends = self.state.configuration.backends.len();
         for change in applied.changes {
             match &change {
-                ConfigurationChange::BackendPut(record) => self.reconciler.update(record),
-                ConfigurationChange::BackendRemoved(id) => self.reconciler.forget(id),
+                ConfigurationChange::BackendPut(record) => {
+                    self.reconciler.update(record);
+                    self.engine_removals.on_put(record);
+                    self.builds.on_put(record);
+                }
+                ConfigurationChange::BackendRemoved(id) => {
+                    self.reconciler.forget(id);
+                    self.engine_removals.on_removed(id, self.state.clock());
+                }
                 ConfigurationChange::RequestQuarantined(id, _) => self.quarantining.on_logged(id),
                 _ => {}
             }
@@ -146,6 +154,7 @@
         match ControlState::decode_by(self.settings.upgrade.version, &snapshot.data) {
             Ok(state) => {
                 self.recent = RecentChanges::starting_at(state.configuration.index);
+                self.engine_removals = EngineRemovals::new(&state.configuration, state.clock());
                 self.snapshots.on_snapshot(snapshot.data.len());
                 self.state = state;
                 self.halted = None;
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -36,6 +36,7 @@
 use crate::copies::Copies;
 use crate::duties::DutySettings;
 use crate::effects::{Effect, Event, Halted};
+use crate::engine_removals::EngineRemovals;
 use crate::fleet_load::FleetLoad;
 use crate::fleet_sizing::FleetSizing;
 use crate::gateways::GatewayLeases;
@@ -196,6 +197,7 @@
     copies: Copies,
     relays: Relays,
     builds: Builds,
+    engine_removals: EngineRemovals,
     quarantining: Quarantining,
     limiting: Limiting,
     reconciler: Reconciler,
@@ -246,6 +248,7 @@
             None => ControlState::default(),
         };
         let recent = RecentChanges::starting_at(state.configuration.index);
+        let engine_removals = EngineRemovals::new(&state.configuration, state.clock());
         let snapshot_bytes = restored
             .snapshot
             .as_ref()
@@ -272,6 +275,7 @@
             copies: Copies::default(),
             relays: Relays::default(),
             builds: Builds::default(),
+            engine_removals,
             quarantining: Quarantining::default(),
             limiting: Limiting::default(),
             reconciler,
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -101,6 +101,11 @@
 }
 
 impl ControlState {
+    /// The clock of the log: the highest clock reading of any command.
+    pub(crate) fn clock(&self) -> Millis {
+        self.clock
+    }
+
     /// Applies the command at `index`, written by the leader of `term`.
     pub fn apply(&mut self, index: u64, term: u64, envelope: &CommandEnvelope) -> Applied {
         self.apply_by(EncodingVersion::CURRENT, index, term, envelope)
--- a/components/control/tests/state/leader.rs
+++ b/components/control/tests/state/leader.rs
@@ -1,6 +1,8 @@
 //! A test harness for a replica that leads its own group, driven in virtual time.
 
-use garnet_consensus::{Config, Entry, EntryPayload, HardState, Member, Membership, Restored};
+use garnet_consensus::{
+    Config, Entry, EntryPayload, HardState, Member, Membership, Restored, Snapshot,
+};
 use garnet_control::{
     Command, CommandEnvelope, ControlReply, Effect, Event, GatewayRequest, Replica,
     ReplicaSettings, encode_entry,
@@ -57,13 +59,37 @@
     /// Does the same as [`Self::elected`] with encoded entries in the log.
     pub fn elected_with_entries(settings: ReplicaSettings, entries: Vec<Vec<u8>>) -> Self {
         let mut leader = Leader::start(settings, entries, 0, 0);
-        while !leader.replica.node().is_leader() {
-            leader.now = leader.now + STEP;
-            leader.replica.handle(Event::Tick, leader.now);
-        }
+        leader.wait_for_election();
         leader
     }
 
+    /// Restarts a replica from a snapshot alone, and elects it.
+    pub fn elected_from(settings: ReplicaSettings, snapshot: Snapshot) -> Self {
+        let id = settings.consensus.id;
+        let restored = Restored {
+            hard_state: HardState {
+                term: snapshot.term,
+                voted_for: Some(id),
+            },
+            commit_index: snapshot.index,
+            initial_membership: group(id, 0),
+            snapshot: Some(snapshot),
+            ..Restored::default()
+        };
+        let now = Millis(1000);
+        let replica = Replica::new(settings, restored, now).expect("a healthy disk");
+        let mut leader = Leader { replica, now };
+        leader.wait_for_election();
+        leader
+    }
+
+    fn wait_for_election(&mut self) {
+        while !self.replica.node().is_leader() {
+            self.now = self.now + STEP;
+            self.replica.handle(Event::Tick, self.now);
+        }
+    }
+
     /// Restarts a replica with these commands in its log, of which those up to
     /// `commit_index` are known to be committed. The two other members of its group never
     /// start.
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -280,7 +280,11 @@
                 Ok(())
             }
             Some(RelayOutcome::Unavailable) if version < self.required_version() => {
-                relays.declines_single_runs(relay);
+                if version < RelayVersion::required_for(self.running.work.kind) {
+                    relays.declines_single_runs(relay);
+                } else {
+                    relays.answered(relay);
+                }
                 Err(RelayEnd::EarlierBuild)
             }
             Some(RelayOutcome::Unavailable) => {
@@ -312,7 +316,17 @@
 
     /// The earliest version of relays that may take the request.
     fn required_version(&self) -> RelayVersion {
-        RelayVersion::required_for(self.running.work.kind)
+        let RunningRequest { work, .. } = &self.running;
+        let of_kind = RelayVersion::required_for(work.kind);
+        if self.resume_after.is_none() {
+            return of_kind;
+        }
+        // Relays of the first version ignore builds.
+        let of_resumption = match work.build {
+            Some(_) => RelayVersion::MATCHES_ANSWERS,
+            None => RelayVersion::KNOWS_BUILDS,
+        };
+        of_kind.max(of_resumption)
     }
 
     /// Builds the request for a relay.
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -15,7 +15,6 @@
 use crate::event_reader::{EventReader, Received};
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{record_end, sleep_until_due};
-use crate::stream_builds::knows_build;
 
 use super::answer::RelayedAnswer;
 use super::sender::Relaying;
@@ -133,27 +132,13 @@
         }
     }
 
-    /// Whether the engine that resumes the stream is of the build that began it. A relay of
-    /// version 18 ignores builds, and names none.
-    fn is_of_same_build(&self, answer: &RelayedAnswer<C, B>) -> bool {
-        let Relaying {
-            gateway, running, ..
-        } = &self.relaying;
-        let is_mixed = gateway
-            .forwarder
-            .borrow()
-            .is_mixed(&running.service, gateway.now());
-        !is_mixed || answer.build == running.work.build
-    }
-
     /// Has another relay resume the stream. Returns `false` if none does.
     async fn resume(&mut self, cause: &str) -> bool {
         self.answer = None;
         let last_id = self.reader.last_id().map(str::to_owned);
         self.relaying.log_broken(cause);
-        let kind = self.relaying.running.work.kind;
-        let knows_build = knows_build(&self.relaying.gateway, &self.relaying.running);
-        if kind != WorkKind::ResumableStream || last_id.is_none() || !knows_build {
+        let work = &self.relaying.running.work;
+        if work.kind != WorkKind::ResumableStream || last_id.is_none() || work.build.is_none() {
             return false;
         }
         self.relaying.resume_after = last_id;
@@ -163,7 +148,8 @@
         let Ok(answer) = self.relaying.open().await else {
             return false;
         };
-        if !answer.exchange.head.status.is_success() || !self.is_of_same_build(&answer) {
+        let is_of_same_build = answer.build == self.relaying.running.work.build;
+        if !answer.exchange.head.status.is_success() || !is_of_same_build {
             return false;
         }
         self.reader = event_reader(&self.relaying, &answer);
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -23,7 +23,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{RunningRequest, Unserved, count_usage_once, record_end, sleep_until_due};
-use crate::stream_builds::{bind_taken_up, bind_to_engine, knows_build};
+use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
 
 use cut::CutCause;
@@ -194,6 +194,10 @@
         if self.ended {
             return Next::End;
         }
+        if self.search.running.work.build.is_none() {
+            // The leader may have sent the engine's build since the stream began.
+            bind_to_engine(&self.gateway, &mut self.search.running);
+        }
         loop {
             let time_limit = self.event_timeout();
             let Some(run) = &mut self.run else {
@@ -251,13 +255,13 @@
         }
     }
 
-    /// Whether another engine may resume after the last event. Without the id of that event
-    /// an engine would start again from the beginning.
+    /// Whether another engine may resume after the last event. Without the id of that event an
+    /// engine would start again from the beginning, and without the build any engine might resume.
     fn can_resume(&self) -> bool {
-        let kind = self.search.running.work.kind;
-        kind == WorkKind::ResumableStream
+        let work = &self.search.running.work;
+        work.kind == WorkKind::ResumableStream
             && self.search.resume_after.is_some()
-            && knows_build(&self.gateway, &self.search.running)
+            && work.build.is_some()
     }
 
     /// How long to wait for the next event before another engine is asked.
--- a/components/forwarding-shell/src/stream_builds.rs
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -1,17 +1,18 @@
 //! The builds at which streams began: what one build of an engine began, no other continues.
 //!
 //! Contract: a stream that its client takes up, at any gateway, goes on at the build that began it, or
-//! is refused as not run. A gateway knows the builds of the streams that it began. Where engines of
-//! several builds serve a service, it reports each of its streams to the leader, and requests the
-//! builds of other gateways' streams from it; see `docs/design/engine-builds.md`.
+//! is refused as not run. A gateway knows the builds of the streams that it began, and requests those
+//! of other gateways' streams from the leader, each after it was asked for: what it was sent before may
+//! be out of date. Where streams of several builds may live, it reports each of its own to the leader;
+//! see `docs/design/engine-builds.md`.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use garnet_control::{BuildUpdate, GatewayRequest, RecentStreams, StreamKey, StreamNote};
 use garnet_routes::WorkKind;
-use garnet_types::{BuildId, Millis, ServiceId};
+use garnet_types::{BuildId, EncodingVersion, Millis, ServiceId};
 use smol::channel::{Sender, bounded};
 
 use crate::answers::{OwnAnswer, retry_after};
@@ -32,13 +33,31 @@
     build: BuildId,
 }
 
+/// A question to the leader that is not answered yet.
+struct Question {
+    service: ServiceId,
+    /// Those who wait for the answer.
+    waiters: Vec<Sender<Option<BuildId>>>,
+}
+
+impl Question {
+    fn request(&self, stream: StreamKey) -> GatewayRequest {
+        GatewayRequest::FindStreamOf {
+            stream,
+            service: self.service.clone(),
+        }
+    }
+}
+
 /// A gateway's knowledge of the builds of streams.
 pub(crate) struct StreamBuilds {
     requests: Sender<GatewayRequest>,
     own: RefCell<RecentStreams<OwnStream>>,
     /// Services whose streams are reported to the leader.
     reported: RefCell<BTreeSet<ServiceId>>,
-    waiting: RefCell<HashMap<StreamKey, Vec<Sender<Option<BuildId>>>>>,
+    questions: RefCell<HashMap<StreamKey, Question>>,
+    /// Version of the last connection to a leader.
+    leader_version: Cell<EncodingVersion>,
 }
 
 impl StreamBuilds {
@@ -47,19 +66,29 @@
             requests,
             own: RefCell::new(RecentStreams::new(MAX_OWN_STREAMS)),
             reported: RefCell::default(),
-            waiting: RefCell::default(),
+            questions: RefCell::default(),
+            leader_version: Cell::new(EncodingVersion::CURRENT),
         }
     }
 
-    /// Has all streams reported again: a new connection may lead to another leader.
-    pub(crate) fn on_connected(&self) {
+    /// Has all streams reported and all questions asked again: a new connection may lead to another
+    /// leader, and what was sent on the last one may be lost.
+    pub(crate) fn on_connected(&self, version: EncodingVersion) {
+        self.leader_version.set(version);
         self.reported.borrow_mut().clear();
+        for (stream, question) in self.questions.borrow().iter() {
+            let request = question.request(*stream);
+            if self.may_ask(&request) {
+                // The waiters of a lost question time out.
+                let _lost = self.requests.try_send(request);
+            }
+        }
     }
 
     /// Takes the leader's answer.
     pub(crate) fn on_answer(&self, stream: StreamKey, build: Option<&BuildId>) {
-        let waiting = self.waiting.borrow_mut().remove(&stream);
-        for waiter in waiting.into_iter().flatten() {
+        let question = self.questions.borrow_mut().remove(&stream);
+        for waiter in question.into_iter().flat_map(|question| question.waiters) {
             // The waiter may have timed out.
             let _gone = waiter.try_send(build.cloned());
         }
@@ -72,30 +101,47 @@
         }
     }
 
-    fn add_waiter(&self, stream: StreamKey, waiter: Sender<Option<BuildId>>) {
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.entry(stream).or_default().push(waiter);
+    fn add_waiter(
+        &self,
+        stream: StreamKey,
+        service: &ServiceId,
+        waiter: Sender<Option<BuildId>>,
+    ) -> GatewayRequest {
+        let mut questions = self.questions.borrow_mut();
+        let question = questions.entry(stream).or_insert_with(|| Question {
+            service: service.clone(),
+            waiters: Vec::new(),
+        });
+        question.waiters.push(waiter);
+        question.request(stream)
     }
 
-    async fn ask_leader(&self, stream: StreamKey) -> Option<BuildId> {
-        let (sender, answer) = bounded(1);
-        self.add_waiter(stream, sender);
-        let asked = self.requests.try_send(GatewayRequest::FindStream(stream));
-        let answered = async { answer.recv().await.ok().flatten() };
-        let found = match asked {
-            Ok(()) => with_timeout(Some(MAX_WAIT), answered).await.flatten(),
-            Err(_) => None,
+    /// Asks the leader for the build that may continue a stream of another gateway.
+    async fn ask_leader(&self, stream: StreamKey, service: &ServiceId) -> Option<BuildId> {
+        let (waiter, answer) = bounded(1);
+        let request = self.add_waiter(stream, service, waiter);
+        let found = if self.may_ask(&request) {
+            // A lost question is asked again on the next connection.
+            let _lost = self.requests.try_send(request);
+            let answered = async { answer.recv().await.ok().flatten() };
+            with_timeout(Some(MAX_WAIT), answered).await.flatten()
+        } else {
+            None
         };
-        self.waiting.borrow_mut().remove(&stream);
+        self.questions.borrow_mut().remove(&stream);
         found
     }
 
-    async fn find(&self, stream: StreamKey) -> Option<BuildId> {
-        let own = self.own.borrow().get(stream).map(|s| s.build.clone());
-        match own {
-            Some(build) => Some(build),
-            None => self.ask_leader(stream).await,
-        }
+    /// Whether the leader can answer: one of an earlier version does not name the only build of a
+    /// service.
+    fn may_ask(&self, request: &GatewayRequest) -> bool {
+        request.since() <= self.leader_version.get()
+    }
+
+    /// The build of a stream that this gateway began.
+    fn of_own(&self, stream: StreamKey) -> Option<BuildId> {
+        let own = self.own.borrow();
+        own.get(stream).map(|stream| stream.build.clone())
     }
 }
 
@@ -174,19 +220,10 @@
     }
 }
 
-/// Whether it is known which engines may resume a stream that has begun.
-pub(crate) fn knows_build<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &RunningRequest,
-) -> bool {
-    let forwarder = gateway.forwarder.borrow();
-    running.work.build.is_some() || !forwarder.is_mixed(&running.service, gateway.now())
-}
-
 /// Binds a stream that its client, or a peer gateway, takes up to the build that began it.
 ///
 /// # Errors
-/// The refusal, if engines of several builds serve and it is not known which one began it.
+/// The refusal, if it is not known which build began it.
 pub(crate) async fn bind_taken_up<C: CallerPort, B: BackendPort>(
     gateway: &Rc<Gateway<C, B>>,
     running: &mut RunningRequest,
@@ -194,23 +231,27 @@
     let facts = &running.call.facts;
     let is_taken_up =
         running.work.kind == WorkKind::ResumableStream && facts.resume_after.is_some();
-    if !is_taken_up {
-        return Ok(());
-    }
-    if knows_build(gateway, running) {
-        log_taken_up(running, "not_mixed");
+    if !is_taken_up || running.work.build.is_some() {
         return Ok(());
     }
+    let builds = &gateway.stream_builds;
     // A peer gateway resumes a stream under the id with which it began, unless the client has
     // taken that up as well.
     let own_id = running.is_relayed.then_some(&facts.id);
-    for request in own_id.into_iter().chain(&facts.resumes) {
-        let found = gateway.stream_builds.find(StreamKey::of(request)).await;
-        if found.is_some() {
-            running.work.build = found;
-            log_taken_up(running, "noted");
-            return Ok(());
-        }
+    let begun_as = own_id.into_iter().chain(&facts.resumes);
+    let streams: Vec<StreamKey> = begun_as.map(|request| StreamKey::of(request)).collect();
+    if let Some(build) = streams.iter().find_map(|stream| builds.of_own(*stream)) {
+        running.work.build = Some(build);
+        log_taken_up(running, "own");
+        return Ok(());
+    }
+    // The last one is what the client names. Without it, the only build of the service serves.
+    let stream = streams.last().copied();
+    let stream = stream.unwrap_or_else(|| StreamKey::of(&facts.id));
+    running.work.build = builds.ask_leader(stream, &running.service).await;
+    if running.work.build.is_some() {
+        log_taken_up(running, "leader");
+        return Ok(());
     }
     log_taken_up(running, "unknown");
     Err(OwnAnswer::NotRun(retry_after(running.work.objective)))
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -372,11 +372,12 @@
     fn on_connected(&self, version: EncodingVersion) {
         while self.0.pending_requests.try_recv().is_ok() {}
         self.0.relay_reports.on_connected();
-        self.0.gateway.stream_builds.on_connected();
         let mut forwarder = self.0.gateway.forwarder.borrow_mut();
         forwarder.connected(version, self.0.gateway.now());
         drop(forwarder);
         self.0.request_update();
+        // The answers follow the builds of the engines, which come after the first update.
+        self.0.gateway.stream_builds.on_connected(version);
     }
 
     fn on_reply(&self, reply: ControlReply) {
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -281,12 +281,13 @@
         self.draw_count += 1;
         let prefill_engine = self.backends.get(prefill_engine)?;
         let zone = &prefill_engine.registration.zone;
-        let context = PlacementContext {
-            build: prefill_engine.build.as_ref(),
-            ..self.context(tried, now)
+        let context = self.context(tried, now);
+        // A KV cache of one build is of no use to another, or to one that is not known.
+        let of_same_build = || {
+            let backends = self.backends_of(service);
+            backends.filter(|backend| backend.build == prefill_engine.build)
         };
-        let place =
-            |failures| place_decode(self.backends_of(service), zone, &context.with(failures));
+        let place = |failures| place_decode(of_same_build(), zone, &context.with(failures));
         Failures::in_order(tried).find_map(place)
     }
 
--- a/components/types/src/encoding_version.rs
+++ b/components/types/src/encoding_version.rs
@@ -31,8 +31,10 @@
     pub const V19: Self = EncodingVersion(19);
     /// Gateways report the parts of prompts during whose runs engines crashed.
     pub const V20: Self = EncodingVersion(20);
+    /// The leader names the only build of a service.
+    pub const V21: Self = EncodingVersion(21);
     /// The version of this build.
-    pub const CURRENT: Self = Self::V20;
+    pub const CURRENT: Self = Self::V21;
 }
 
 impl fmt::Display for EncodingVersion {
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -114,7 +114,8 @@
 #[case(18, Some((18, true)))]
 #[case(19, Some((19, true)))]
 #[case(20, Some((20, true)))]
-#[case(21, Some((20, true)))]
+#[case(21, Some((21, true)))]
+#[case(22, Some((21, true)))]
 fn a_hello_opens_a_connection_of_a_version_that_both_ends_support(
     #[case] version: u32,
     #[case] expected: Option<(u32, bool)>,
--- a/components/wire/tests/upgrade/coverage.rs
+++ b/components/wire/tests/upgrade/coverage.rs
@@ -101,6 +101,7 @@
         GatewayRequest::NoteStreams(_) => 8,
         GatewayRequest::FindStream(_) => 9,
         GatewayRequest::PromptRuns(_) => 10,
+        GatewayRequest::FindStreamOf { .. } => 11,
     }
 }
 
@@ -200,12 +201,13 @@
         .chain(samples::frames_since_17())
         .chain(samples::frames_since_18())
         .chain(samples::frames_since_19())
-        .chain(samples::frames_since_20());
+        .chain(samples::frames_since_20())
+        .chain(samples::frames_since_21());
     all.for_each(|(_, frame)| covered.add_frame(&frame));
     assert_eq!(covered.changes, (0..9).collect());
     assert_eq!(covered.updates, (0..5).collect());
     assert_eq!(covered.replies, (0..13).collect());
-    assert_eq!(covered.requests, (0..11).collect());
+    assert_eq!(covered.requests, (0..12).collect());
     assert_eq!(covered.messages, (0..7).collect());
     assert_eq!(covered.payloads, (0..3).collect());
     assert_eq!(covered.answers, (0..7).collect());
--- a/components/wire/tests/upgrade/disks.rs
+++ b/components/wire/tests/upgrade/disks.rs
@@ -132,7 +132,7 @@
 /// that were acknowledged.
 #[rstest]
 fn state_acknowledged_by_an_earlier_build_survives_the_upgrade(
-    #[values(11, 12, 15, 16, 17, 18, 19, 20)] protocol: u32,
+    #[values(11, 12, 15, 16, 17, 18, 19, 20, 21)] protocol: u32,
     #[values("log.folder.hex", "snapshot.folder.hex")] file: &str,
 ) {
     let single = Single::start(folder(protocol, file));
@@ -170,7 +170,7 @@
 /// build of that level.
 #[rstest]
 fn a_snapshot_is_encoded_as_recorded_for_its_version(
-    #[values(11, 16, 17, 18, 19, 20)] protocol: u32,
+    #[values(11, 16, 17, 18, 19, 20, 21)] protocol: u32,
 ) {
     let directory = folder(protocol, "snapshot.folder.hex");
     let (_, recovered) = ReplicaStorage::open(directory).expect("an intact data folder");
--- a/components/wire/tests/upgrade/encodings.rs
+++ b/components/wire/tests/upgrade/encodings.rs
@@ -51,6 +51,9 @@
     if version >= EncodingVersion::V20 {
         frames.extend(samples::frames_since_20());
     }
+    if version >= EncodingVersion::V21 {
+        frames.extend(samples::frames_since_21());
+    }
     frames
 }
 
@@ -64,7 +67,9 @@
 /// A log entry whose encoding differs from its version would be another command to the
 /// other members.
 #[rstest]
-fn an_entry_is_encoded_as_recorded_for_its_version(#[values(11, 16, 17, 18, 19, 20)] version: u32) {
+fn an_entry_is_encoded_as_recorded_for_its_version(
+    #[values(11, 16, 17, 18, 19, 20, 21)] version: u32,
+) {
     let version = EncodingVersion(version);
     let entry = |(name, command): (&'static str, Command)| {
         let bytes = encode_entry(&envelope(command), version).expect("a command of the version");
@@ -80,7 +85,7 @@
 }
 
 #[rstest]
-fn a_recorded_entry_decodes_to_its_sample(#[values(11, 16, 17, 18, 19, 20)] version: u32) {
+fn a_recorded_entry_decodes_to_its_sample(#[values(11, 16, 17, 18, 19, 20, 21)] version: u32) {
     let version = EncodingVersion(version);
     let recorded = lines(version.0, "commands.hex");
     // The first entry decoded tells the decoder the version: only that version can have
@@ -109,7 +114,9 @@
 /// A frame whose encoding differs from its version would end the connection to a process
 /// of another build.
 #[rstest]
-fn a_frame_is_encoded_as_recorded_for_its_version(#[values(11, 16, 17, 18, 19, 20)] version: u32) {
+fn a_frame_is_encoded_as_recorded_for_its_version(
+    #[values(11, 16, 17, 18, 19, 20, 21)] version: u32,
+) {
     let version = EncodingVersion(version);
     let frame = |(name, frame): (&'static str, Frame)| (name.to_owned(), encoded(frame, version));
     let encodings: Vec<_> = frames(version).into_iter().map(frame).collect();
@@ -122,7 +129,7 @@
 }
 
 #[rstest]
-fn a_recorded_frame_decodes_to_its_sample(#[values(11, 16, 17, 18, 19, 20)] version: u32) {
+fn a_recorded_frame_decodes_to_its_sample(#[values(11, 16, 17, 18, 19, 20, 21)] version: u32) {
     let version = EncodingVersion(version);
     let recorded = lines(version.0, "frames.hex");
     for (name, frame) in frames(version) {
@@ -141,7 +148,8 @@
     let later = later.chain(samples::frames_since_17());
     let later = later.chain(samples::frames_since_18());
     let later = later.chain(samples::frames_since_19());
-    for (name, frame) in later.chain(samples::frames_since_20()) {
+    let later = later.chain(samples::frames_since_20());
+    for (name, frame) in later.chain(samples::frames_since_21()) {
         let mut bytes = BytesMut::new();
         let result = FrameCodec::new(EncodingVersion::V11).encode(frame, &mut bytes);
         match name {
@@ -192,3 +200,13 @@
         assert!(bytes.is_empty(), "{name}");
     }
 }
+
+#[rstest]
+fn frames_since_version_21_are_not_sent_to_earlier_versions(
+    #[values(11, 16, 17, 18, 19, 20)] version: u32,
+) {
+    for (name, frame) in samples::frames_since_21() {
+        let bytes = encoded(frame, EncodingVersion(version));
+        assert!(bytes.is_empty(), "{name}");
+    }
+}
--- a/components/wire/tests/upgrade/samples/frames.rs
+++ b/components/wire/tests/upgrade/samples/frames.rs
@@ -618,3 +618,12 @@
         ),
     ]
 }
+
+/// Frames that exist since version 21.
+pub fn frames_since_21() -> Vec<(&'static str, Frame)> {
+    let request = GatewayRequest::FindStreamOf {
+        stream: StreamKey(0x1122_3344_5566_7788),
+        service: ServiceId::new("chat"),
+    };
+    vec![("gateway_find_stream_of", Frame::Gateway(request))]
+}
