Completions gateway: a text goes on only at a build that is known

What callers could see: a text that an engine had begun and broken off before the gateway received its first load report was continued by an engine of another build.

A text whose build was not known could go on anywhere unless engines of several builds had reported, and a KV cache likewise.

Change: a text that has begun goes on only at a known build, which is also taken from a report that comes between its first token and its end; without one it ends at once. A KV cache goes to engines of its build, or of none that is known if its own is not. Core tests: the harness's engines have reported their load from the start, as engines do within a poll; the two that have not are built so. Assertions are as before.

--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -108,9 +108,7 @@
             self.on_broken(id, attempt, backend);
             return;
         }
-        if request.build.is_none() {
-            request.build = self.backends.build_of(backend).cloned();
-        }
+        request.bind_build(self.backends.build_of(backend));
         let repeated = (delivered - first) as usize;
         let new_tokens: Vec<String> = tokens.into_iter().skip(repeated).collect();
         if new_tokens.is_empty() {
@@ -175,6 +173,8 @@
         }
         request.kv_cache = None;
         if !request.delivered.is_empty() {
+            // The engine may have reported its build after it began the text.
+            request.bind_build(self.backends.build_of(backend));
             request.resumed += 1;
             self.counters.resumed += 1;
         }
--- a/components/gateway/src/completion/placement.rs
+++ b/components/gateway/src/completion/placement.rs
@@ -1,11 +1,9 @@
 //! Chooses the engine, or the pair of engines, that generates a text.
 
-use std::collections::BTreeSet;
-
 use garnet_routing::{Candidate, WorkShape, choose, predict_first_token};
-use garnet_types::{BackendId, BuildId, Millis, RequestId};
+use garnet_types::{BackendId, Millis, RequestId};
 
-use crate::backends::{BackendRef, engines_of};
+use crate::backends::BackendRef;
 use crate::gateway::Gateway;
 use crate::request::Request;
 
@@ -92,38 +90,22 @@
         Some(self.restrict_suspected(request, engines.collect()))
     }
 
-    /// Whether an engine may run a request: what one build began, no other continues.
+    /// Whether an engine may run a request: what one build began, no other continues, and none
+    /// continues what an engine began that had not reported its build.
     pub(crate) fn is_of_required_build(&self, request: &Request, engine: &BackendId) -> bool {
-        !request.has_begun() || self.may_continue(request, request.build.as_ref(), engine)
-    }
-
-    /// Whether an engine may continue what an engine of `build` began. If that one had not reported
-    /// its build yet, any engine may as long as all are of one build.
-    fn may_continue(&self, request: &Request, build: Option<&BuildId>, engine: &BackendId) -> bool {
-        match build {
-            Some(build) => self.backends.build_of(engine) == Some(build),
-            None => !self.is_mixed(request),
-        }
-    }
-
-    /// Whether engines that could run a request are of several builds.
-    fn is_mixed(&self, request: &Request) -> bool {
-        let Some(model) = request.model() else {
-            return false;
-        };
-        let engines = engines_of(&self.watched.configuration, &request.service, model);
-        let builds = engines
-            .iter()
-            .filter_map(|engine| self.backends.build_of(engine.id));
-        let distinct: BTreeSet<&BuildId> = builds.collect();
-        distinct.len() > 1
+        !request.has_begun()
+            || (request.build.is_some() && self.backends.build_of(engine) == request.build.as_ref())
     }
 
-    /// Whether all engines of the service that have reported a build are of another one than a text
-    /// that has begun. An engine that doesn't take work now may do so later.
+    /// Whether no engine may continue a text that has begun: its build is not known, or all engines
+    /// of the service that have reported one are of another. An engine that doesn't take work now
+    /// may do so later.
     pub(super) fn is_build_gone(&self, request: &Request) -> bool {
-        let Some(build) = request.build.as_ref().filter(|_| request.has_begun()) else {
+        if !request.has_begun() {
             return false;
+        }
+        let Some(build) = &request.build else {
+            return true;
         };
         let records = self.watched.configuration.backends.values();
         let of_service = records.filter(|record| record.registration.service == request.service);
@@ -184,7 +166,7 @@
         let engines = self.untried_engines(request)?;
         let cache = request.kv_cache.as_ref();
         let can_import = |engine: &&BackendRef<'_>| {
-            cache.is_none_or(|cache| self.may_continue(request, cache.build.as_ref(), engine.id))
+            cache.is_none_or(|cache| self.backends.build_of(engine.id) == cache.build.as_ref())
         };
         let candidates: Vec<Candidate> = engines
             .iter()
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -135,6 +135,13 @@
         !self.delivered.is_empty()
     }
 
+    /// Records the build that began the text, if it is known and the first one was not.
+    pub(crate) fn bind_build(&mut self, build: Option<&BuildId>) {
+        if self.build.is_none() {
+            self.build = build.cloned();
+        }
+    }
+
     /// Whether the current attempt is a prefill.
     pub(crate) fn is_prefilling(&self) -> bool {
         matches!(self.stage, Stage::Prefilling { .. })
--- a/components/gateway/tests/core/builds.rs
+++ b/components/gateway/tests/core/builds.rs
@@ -159,3 +159,42 @@
     harness.tokens(begun.attempt, 0, &["a"]);
     begun
 }
+
+/// The gateway has not received the build of the engine that began the text, and the other engine may
+/// be of another one.
+#[test]
+fn a_text_whose_build_was_not_reported_is_continued_by_no_engine() {
+    let mut harness = Harness::without_reports();
+    let first = begin(&mut harness, 1);
+    harness.report_load_of_build(other_engine(&first.backend), "2");
+    harness.attempt(first.attempt, AttemptEvent::Broken);
+    let continued = harness.dispatches();
+    assert!(continued.is_empty(), "{continued:?}");
+    assert_eq!(harness.answers().len(), 1, "it ends at once");
+}
+
+/// The report comes after the first token and before the engine breaks the text off.
+#[test]
+fn a_text_whose_build_was_reported_late_is_continued_by_its_build() {
+    let mut harness = Harness::without_reports();
+    let first = begin(&mut harness, 1);
+    harness.report_load_of_build("engine-1", "1");
+    harness.report_load_of_build("engine-2", "1");
+    harness.attempt(first.attempt, AttemptEvent::Broken);
+    assert_ne!(harness.dispatch().backend, first.backend);
+}
+
+/// A KV cache of unknown build was imported by an engine of another one.
+#[test]
+fn a_kv_cache_whose_build_was_not_reported_is_used_by_no_engine_of_a_known_one() {
+    let mut harness = Harness::split_without_reports();
+    harness.event(completion(1, None));
+    let prefill = harness.dispatch();
+    harness.report_load_of_build(other_engine(&prefill.backend), "2");
+    harness.attempt(prefill.attempt, AttemptEvent::Prefilled { handle: 7 });
+    let imports = |sent: &Dispatched| match &sent.job {
+        Job::Generate { kv, .. } => kv.is_some(),
+        _ => false,
+    };
+    assert!(!harness.dispatches().iter().any(imports));
+}
--- a/components/gateway/tests/core/harness.rs
+++ b/components/gateway/tests/core/harness.rs
@@ -34,16 +34,30 @@
 }
 
 impl Harness {
-    /// A gateway with [`configuration`] and a lease.
+    /// A gateway with [`configuration`] and a lease, to which all engines have reported.
     pub fn ready() -> Self {
+        let mut harness = Harness::without_reports();
+        harness.report_loads();
+        harness
+    }
+
+    /// A gateway with [`configuration`] and a lease, to which no engine has reported.
+    pub fn without_reports() -> Self {
         let mut harness = Harness::new(0);
         harness.watch_answered(WatchUpdate::Snapshot(configuration(10).into()));
         harness.event(Event::IndexPersisted(10));
         harness
     }
 
-    /// A gateway with [`split_configuration`] and a lease.
+    /// A gateway with [`split_configuration`] and a lease, to which all engines have reported.
     pub fn split() -> Self {
+        let mut harness = Harness::split_without_reports();
+        harness.report_loads();
+        harness
+    }
+
+    /// A gateway with [`split_configuration`] and a lease, to which no engine has reported.
+    pub fn split_without_reports() -> Self {
         let mut harness = Harness::new(0);
         harness.watch_answered(WatchUpdate::Snapshot(split_configuration(10).into()));
         harness.event(Event::IndexPersisted(10));
@@ -97,6 +111,13 @@
         }
     }
 
+    /// Reports the loads of both engines, which are idle.
+    fn report_loads(&mut self) {
+        for engine in ["engine-1", "engine-2"] {
+            self.report_load(engine);
+        }
+    }
+
     /// Reports the load of an idle engine.
     pub fn report_load(&mut self, id: &str) {
         self.report_load_of_build(id, "");
