Tests: heads of answers that are cut, at engines, relays and the completions gateway

Heads with a length, in chunks, ended by close and with bare line ends are cut at each seventh byte, on fresh connections, after 100, after a surplus answer, after a pause longer than the timeout, at the second engine of a stream, at the back end of a relay, at a relay and at garnet-gateway. None was answered with a success.

--- a/bin/garnet-gateway/tests/process/main.rs
+++ b/bin/garnet-gateway/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_requests;
 mod bad_starts;
+mod cut_heads;
 mod report_link;
 mod running;
 mod surplus_answers;
--- a/bin/garnet-gateway/tests/process/surplus_answers.rs
+++ b/bin/garnet-gateway/tests/process/surplus_answers.rs
@@ -27,8 +27,8 @@
 const MODEL: &str = "words-model";
 /// Time without a result after which the gateway is taken to hang. The tests make no claim about
 /// speed.
-const HANG_TIMEOUT: Duration = Duration::from_secs(60);
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
+pub const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time from a surplus answer to the answer that is due, in which the request runs.
 const RUN_TIME: Duration = Duration::from_millis(40);
 /// Number of calls after the one that is rejected.
@@ -36,8 +36,9 @@
 
 const REJECTED: &str = "HTTP/1.1 409 Conflict\r\ngarnet-started: no\r\ncontent-length: 22\r\n\r\n\
                         {\"reason\":\"draining\"}\n";
-const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\ngood";
-const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 62\r\n\r\n\
+pub const ANSWER: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\ngood";
+pub const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 62\r\n\r\n\
                       data: {\"index\":0,\"text\":\"good\"}\n\ndata: {\"total\":1}\n\n          ";
 
 /// A back end that rejects a request which contains `full`. If the connection is used again after a
@@ -89,7 +90,7 @@
 
 /// The answer to a load request. An engine that has rejected a request is left out until it reports
 /// that it accepts work.
-fn load_report() -> String {
+pub fn load_report() -> String {
     let report = LoadReport {
         incarnation: 1,
         build: BuildId::default(),
@@ -109,7 +110,7 @@
 }
 
 /// Reads a request with its body.
-fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0];
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -126,7 +127,7 @@
     Some(String::from_utf8_lossy(&bytes).into_owned())
 }
 
-fn record(kind: BackendKind, service: &str, address: &str) -> BackendRecord {
+pub fn record(kind: BackendKind, service: &str, address: &str) -> BackendRecord {
     let assignment = (kind == BackendKind::Engine).then(|| EngineAssignment {
         role: EngineRole::Mixed,
         model: ModelId::new(MODEL),
@@ -143,7 +144,7 @@
 }
 
 /// Starts a leader with this configuration and returns its address.
-fn lead(configuration: Configuration) -> String {
+pub fn lead(configuration: Configuration) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     thread::spawn(move || {
@@ -188,7 +189,7 @@
 }
 
 /// A call whose back end is named by its kind.
-fn call(gateway: &Running, kind: BackendKind, text: &str) -> String {
+pub fn call(gateway: &Running, kind: BackendKind, text: &str) -> String {
     match kind {
         BackendKind::Application => gateway.post(&format!("/services/application/{text}"), "", "b"),
         BackendKind::Engine => {
@@ -202,7 +203,7 @@
     }
 }
 
-fn is_served(answer: &str) -> bool {
+pub fn is_served(answer: &str) -> bool {
     answer.starts_with("HTTP/1.1 200")
 }
 
