Requests without an answer are answered before the end of a planned stop

Cause: a stop waits for each open request, and a request that waits in an engine's queue or at a relay has no end but its own deadline.

A relay leaves this to the gateway that took the request. Streams that have begun are not touched.

--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -20,7 +20,7 @@
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
 use crate::request::{
-    RunningRequest, Unserved, count_usage_once, log_no_back_end, record_end, sleep_until_due,
+    RunningRequest, Unserved, count_usage_once, log_no_back_end, record_end, sleep_until_answer_due,
 };
 use crate::timeout::with_timeout;
 use crate::unread_answer::note_unread;
@@ -46,10 +46,10 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let due = running.due;
+    let (due, is_relayed) = (running.due, running.is_relayed);
     let working = async { Some(run(gateway, &mut running).await) };
     let late = async {
-        sleep_until_due(gateway, due).await;
+        sleep_until_answer_due(gateway, due, is_relayed).await;
         None
     };
     let answer = match smol::future::or(working, late).await {
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::permits::PermitClient;
 use crate::ports::{BackendPort, CallerPort};
+use crate::stopping::StopEnd;
 use crate::stream_builds::StreamBuilds;
 use crate::unknown_headers::UnknownHeaders;
 use crate::unmarked_ends::UnmarkedEnds;
@@ -54,6 +55,8 @@
     /// End of the grace time of a planned stop, once one has begun. Answers then ask
     /// callers to close their connections.
     pub(crate) stop_deadline: Cell<Option<Millis>>,
+    /// Open until shortly before the end of a planned stop.
+    pub(crate) stop_end: StopEnd,
     /// Number of requests without their final answer.
     pub(crate) open_requests: Rc<Cell<usize>>,
     /// Number of these that peer gateways handed over.
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -17,7 +17,7 @@
 use crate::failover::{is_allowed, take_repeat};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_due};
+use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_answer_due};
 
 use super::answer::RelayedAnswer;
 use super::message::{
@@ -55,7 +55,7 @@
     };
     let answering = async { Some(answering.await) };
     let late = async {
-        sleep_until_due(gateway, due).await;
+        sleep_until_answer_due(gateway, due, false).await;
         None
     };
     match smol::future::or(answering, late).await {
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -493,6 +493,23 @@
     gateway.timers.sleep_until(due).await;
 }
 
+/// Waits until a request without an answer has to be answered: when it is due, or shortly before
+/// the end of a planned stop. A relay leaves the latter to the peer that handed the request over,
+/// which may still find another gateway.
+pub(crate) async fn sleep_until_answer_due<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    due: Millis,
+    is_relayed: bool,
+) {
+    let stop_end = async {
+        match is_relayed {
+            true => std::future::pending().await,
+            false => gateway.stop_end.until_near().await,
+        }
+    };
+    smol::future::or(gateway.timers.sleep_until(due), stop_end).await;
+}
+
 /// The gateway's own answer to a request that is refused before it is routed.
 fn refuse<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -27,7 +27,7 @@
 use crate::ports::{BackendPort, CallerPort};
 use crate::relay_report::RelayReports;
 use crate::report_handler::ReportHandler;
-use crate::stopping::{StopTimes, announce_stop};
+use crate::stopping::{StopEnd, StopTimes, announce_stop};
 use crate::stream_builds::StreamBuilds;
 use crate::unknown_headers::UnknownHeaders;
 use crate::unmarked_ends::UnmarkedEnds;
@@ -122,6 +122,7 @@
         connections: ConnectionQueue::default(),
         unknown_headers: UnknownHeaders::default(),
         unmarked_ends: UnmarkedEnds::default(),
+        stop_end: StopEnd::default(),
         stream_builds: StreamBuilds::new(requests_in.clone()),
         connection_timeouts: times,
         routes_since: Cell::new(shell.clock.now()),
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -1,11 +1,13 @@
 //! A planned stop of a gateway: answers ask callers to close their connections, and
 //! requests that would outlast the process are refused.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use garnet_types::Millis;
 use smol::Timer;
+use smol::channel::{Receiver, Sender, bounded};
 
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
@@ -14,6 +16,36 @@
 /// How often a stop logs how many requests are still open.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time before the end of the grace time at which requests that still have no answer are answered:
+/// several stalls of a tenth of a second, and the way to the caller.
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(500);
+/// Largest fraction of the grace time that this may take.
+const MAX_FINAL_ANSWERS_FRACTION: f64 = 0.1;
+
+/// Wakes requests without an answer shortly before the process is killed.
+pub(crate) struct StopEnd {
+    is_near: Receiver<Infallible>,
+    /// Closing it wakes all receivers.
+    closed_when_near: Sender<Infallible>,
+}
+
+impl Default for StopEnd {
+    fn default() -> Self {
+        let (closed_when_near, is_near) = bounded(1);
+        StopEnd {
+            is_near,
+            closed_when_near,
+        }
+    }
+}
+
+impl StopEnd {
+    /// Waits until the process is about to be killed.
+    pub(crate) async fn until_near(&self) {
+        let _closed = self.is_near.recv().await;
+    }
+}
+
 /// Times of a planned stop.
 #[derive(Debug, Clone, Copy)]
 pub struct StopTimes {
@@ -34,12 +66,29 @@
     let grace = Millis(u64::try_from(times.grace.as_millis()).unwrap_or(u64::MAX));
     gateway.stop_deadline.set(Some(gateway.now() + grace));
     log::info!(open_requests = gateway.open_requests.get(); "stop_begun");
+    let executor = Rc::clone(&gateway.executor);
+    executor
+        .spawn(answer_before_end(Rc::clone(&gateway), times.grace))
+        .detach();
     Timer::after(times.notice).await;
     log::info!(open_requests = gateway.open_requests.get(); "stop_serving");
     let executor = Rc::clone(&gateway.executor);
     executor.spawn(log_open_requests(gateway)).detach();
 }
 
+/// Has all requests answered that have no answer shortly before the end of the grace time. A
+/// connection that closes with the process would leave their callers without one.
+async fn answer_before_end<C, B>(gateway: Rc<Gateway<C, B>>, grace: Duration)
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let margin = FINAL_ANSWERS_TIME.min(grace.mul_f64(MAX_FINAL_ANSWERS_FRACTION));
+    Timer::after(grace.saturating_sub(margin)).await;
+    log::info!(open_requests = gateway.open_requests.get(); "stop_ends");
+    gateway.stop_end.closed_when_near.close();
+}
+
 /// Logs the number of open requests while a stop waits for them: a process that is
 /// killed at the end of its grace time leaves no other trace of them.
 async fn log_open_requests<C, B>(gateway: Rc<Gateway<C, B>>)
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -22,7 +22,9 @@
 use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{RunningRequest, Unserved, count_usage_once, record_end, sleep_until_due};
+use crate::request::{
+    RunningRequest, Unserved, count_usage_once, record_end, sleep_until_answer_due, sleep_until_due,
+};
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
 
@@ -67,11 +69,11 @@
     if let Err(answer) = bind_taken_up(gateway, &mut running).await {
         return Err(Unserved { running, answer });
     }
-    let due = running.due;
+    let (due, is_relayed) = (running.due, running.is_relayed);
     let mut search = Search::new(gateway, running);
     let opening = async { Some(search.find_run().await) };
     let late = async {
-        sleep_until_due(gateway, due).await;
+        sleep_until_answer_due(gateway, due, is_relayed).await;
         None
     };
     let found = smol::future::or(opening, late).await;
