A gateway waits for the engines of a build that the leader has named

Cause: the leader answers the question at once, while the configuration and the builds of new engines come with the next answer to a watch.

--- a/components/forwarding-shell/src/stream_builds.rs
+++ b/components/forwarding-shell/src/stream_builds.rs
@@ -27,6 +27,10 @@
 /// intended load of a gateway.
 const MAX_OWN_STREAMS: usize = 4_096;
 
+/// Number of answers to watches after which a gateway has received all engines that the leader knew
+/// when it named a build: one may have been under way, and builds follow the next one.
+const WATCHES_TO_UPDATE: usize = 2;
+
 /// A stream that this gateway began.
 struct OwnStream {
     service: ServiceId,
@@ -56,6 +60,8 @@
     /// Services whose streams are reported to the leader.
     reported: RefCell<BTreeSet<ServiceId>>,
     questions: RefCell<HashMap<StreamKey, Question>>,
+    /// Those who wait for the next answer to a watch.
+    watch_waiters: RefCell<Vec<Sender<()>>>,
     /// Version of the last connection to a leader.
     leader_version: Cell<EncodingVersion>,
 }
@@ -67,6 +73,7 @@
             own: RefCell::new(RecentStreams::new(MAX_OWN_STREAMS)),
             reported: RefCell::default(),
             questions: RefCell::default(),
+            watch_waiters: RefCell::default(),
             leader_version: Cell::new(EncodingVersion::CURRENT),
         }
     }
@@ -94,6 +101,20 @@
         }
     }
 
+    /// Takes note of an answer to a watch.
+    pub(crate) fn on_watch_answer(&self) {
+        for waiter in self.watch_waiters.take() {
+            // The waiter may have timed out.
+            let _gone = waiter.try_send(());
+        }
+    }
+
+    async fn next_watch_answer(&self) {
+        let (waiter, answered) = bounded(1);
+        self.watch_waiters.borrow_mut().push(waiter);
+        let _late = with_timeout(Some(MAX_WAIT), answered.recv()).await;
+    }
+
     fn report(&self, notes: Vec<StreamNote>) {
         if !notes.is_empty() {
             // A stream whose note is lost is refused when it is taken up.
@@ -248,8 +269,9 @@
     // The last one is what the client names. Without it, the only build of the service serves.
     let stream = streams.last().copied();
     let stream = stream.unwrap_or_else(|| StreamKey::of(&facts.id));
-    running.work.build = builds.ask_leader(stream, &running.service).await;
-    if running.work.build.is_some() {
+    if let Some(build) = builds.ask_leader(stream, &running.service).await {
+        wait_for_engines(gateway, &running.service, &build).await;
+        running.work.build = Some(build);
         log_taken_up(running, "leader");
         return Ok(());
     }
@@ -257,6 +279,21 @@
     Err(OwnAnswer::NotRun(retry_after(running.work.objective)))
 }
 
+/// Waits until engines of a build are known that the leader has named: a gateway that was suspended
+/// may not have received them yet.
+async fn wait_for_engines<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    service: &ServiceId,
+    build: &BuildId,
+) {
+    for _ in 0..WATCHES_TO_UPDATE {
+        if gateway.forwarder.borrow().has_engine_of(service, build) {
+            return;
+        }
+        gateway.stream_builds.next_watch_answer().await;
+    }
+}
+
 /// Logs how the build of a stream that is taken up was determined.
 fn log_taken_up(running: &RunningRequest, source: &str) {
     let facts = &running.call.facts;
--- a/components/forwarding-shell/src/watch.rs
+++ b/components/forwarding-shell/src/watch.rs
@@ -221,6 +221,7 @@
             return;
         };
         self.received_at.set(self.gateway.now());
+        self.gateway.stream_builds.on_watch_answer();
         self.gateway.permits.on_leader_answer(self.gateway.now());
         if let Some(group) = group {
             self.group_index.set(group.index);
--- a/components/forwarding/src/forwarder/builds.rs
+++ b/components/forwarding/src/forwarder/builds.rs
@@ -68,6 +68,12 @@
         self.backends.get(engine)?.build.as_ref()
     }
 
+    /// Whether an engine of the service is known to be of this build.
+    pub fn has_engine_of(&self, service: &ServiceId, build: &BuildId) -> bool {
+        let mut of_service = self.backends_of(service);
+        of_service.any(|backend| backend.build.as_ref() == Some(build))
+    }
+
     /// Whether engines of several builds serve the service, or did while streams of them may still
     /// be taken up.
     pub fn is_mixed(&self, service: &ServiceId, now: Millis) -> bool {
