--- a/bin/garnet-gateway/tests/process/cut_heads.rs
+++ b/bin/garnet-gateway/tests/process/cut_heads.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Instant;
@@ -14,37 +13,15 @@
 
 use crate::running::Running;
 use crate::surplus_answers::{
-    ANSWER, HANG_TIMEOUT, POLL_INTERVAL, STREAM, call, is_served, lead, load_report, read_request,
-    record,
+    ANSWER, BackEnd, HANG_TIMEOUT, POLL_INTERVAL, STREAM, call, is_served, lead, load_report,
+    read_request, record,
 };
 
 /// Heads are cut after each multiple of this many bytes.
 const STEP_BYTES: usize = 7;
 
-/// A back end that writes the first bytes of its answer and closes the connection. A request names
-/// their number after `cut-`.
-struct CuttingBackEnd {
-    address: String,
-    runs: Arc<AtomicUsize>,
-}
-
-impl CuttingBackEnd {
-    fn start(answer: &'static str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address").to_string();
-        let runs = Arc::new(AtomicUsize::new(0));
-        let counted = Arc::clone(&runs);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let counted = Arc::clone(&counted);
-                thread::spawn(move || serve(stream, answer, &counted));
-            }
-        });
-        CuttingBackEnd { address, runs }
-    }
-}
-
-/// Answers the requests of a connection until one is to be cut.
+/// Writes the first bytes of the answer and closes the connection. A request names their number after
+/// `cut-`.
 fn serve(mut stream: TcpStream, answer: &str, runs: &AtomicUsize) -> Option<()> {
     loop {
         let request = read_request(&mut stream)?;
@@ -70,7 +47,7 @@
     #[case] service: &str,
     #[case] answer: &'static str,
 ) {
-    let back_end = CuttingBackEnd::start(answer);
+    let back_end = BackEnd::start_with(answer, serve);
     let record = record(kind, service, &back_end.address);
     let configuration = Configuration {
         index: 1,
@@ -80,13 +57,13 @@
     let gateway = Running::start_with(&[lead(configuration)]);
     let end = answer.find("\r\n\r\n").expect("an end") + 3;
     for len in (0..=end).rev().step_by(STEP_BYTES) {
-        let before = back_end.runs.load(Ordering::Relaxed);
+        let before = back_end.runs();
         let began = Instant::now();
         // After a failure the back end is left out for a while.
         for number in 0.. {
             let answer = call(&gateway, kind, &format!("cut-{len}-{number}"));
             assert!(!is_served(&answer), "{len} bytes: {answer}");
-            if back_end.runs.load(Ordering::Relaxed) > before {
+            if back_end.runs() > before {
                 break;
             }
             assert!(began.elapsed() < HANG_TIMEOUT, "no call reached it");
--- a/bin/garnet-gateway/tests/process/surplus_answers.rs
+++ b/bin/garnet-gateway/tests/process/surplus_answers.rs
@@ -43,13 +43,21 @@
 
 /// A back end that rejects a request which contains `full`. If the connection is used again after a
 /// rejection or a load report, that answer comes a second time before the next one.
-struct BackEnd {
-    address: String,
+pub struct BackEnd {
+    pub address: String,
     runs: Arc<AtomicUsize>,
 }
 
+/// Answers the requests of a connection with an answer, and counts those that run.
+type Serve = fn(TcpStream, &str, &AtomicUsize) -> Option<()>;
+
 impl BackEnd {
     fn start(answer: &'static str) -> Self {
+        Self::start_with(answer, serve)
+    }
+
+    /// Starts a back end with other connections.
+    pub fn start_with(answer: &'static str, serve: Serve) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let runs = Arc::new(AtomicUsize::new(0));
@@ -63,7 +71,7 @@
         BackEnd { address, runs }
     }
 
-    fn runs(&self) -> usize {
+    pub fn runs(&self) -> usize {
         self.runs.load(Ordering::Relaxed)
     }
 }
--- a/components/control/src/builds.rs
+++ b/components/control/src/builds.rs
@@ -4,8 +4,8 @@
 //! engines of several builds serve a service, gateways report at which build each resumable stream
 //! began, and ask where one began that another gateway has served. The only build of a service is
 //! named if it is known that no other one served while streams of it may live. Builds are never
-//! logged: a new leader reads them from the next list and the gateways' next reports, and the log
-//! tells it which engines have been removed.
+//! logged: a new leader reads them from the next list and the gateways' next reports, and which
+//! engines have been removed from the log.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound::{Excluded, Unbounded};
--- a/components/control/src/engine_removals.rs
+++ b/components/control/src/engine_removals.rs
@@ -1,4 +1,4 @@
-//! Engines that were removed from the configuration lately, as the log tells.
+//! Engines that were removed from the configuration lately, according to the log.
 //!
 //! Contract: a replica that becomes leader knows from the log which engines served during the last
 //! [`RETENTION`], or that it doesn't know. The machine list that it reads next no longer names the
--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -49,8 +49,8 @@
     /// of another request for one of the relayed request, which they sent again or reported as not
     /// run.
     pub const MATCHES_ANSWERS: Self = RelayVersion(21);
-    /// The relay continues a stream only if it knows which build began it. Earlier relays took a
-    /// service for one of a single build until the leader had told them otherwise.
+    /// The relay continues a stream only if it knows which build began it. Earlier relays take a
+    /// service for one of a single build until they have received another one.
     pub const KNOWS_BUILDS: Self = RelayVersion(22);
     /// The version of this build.
     pub const CURRENT: Self = Self::KNOWS_BUILDS;
