--- a/bin/garnet-gateway/tests/process/cut_heads.rs
+++ b/bin/garnet-gateway/tests/process/cut_heads.rs
@@ -1,20 +1,17 @@
 //! Back ends that close a connection inside the head of an answer.
 
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Instant;
 
-use garnet_control::Configuration;
 use garnet_types::BackendKind;
 use rstest::rstest;
 
-use crate::running::Running;
 use crate::surplus_answers::{
-    ANSWER, BackEnd, HANG_TIMEOUT, POLL_INTERVAL, STREAM, call, is_served, lead, load_report,
-    read_request, record,
+    ANSWER, BackEnd, HANG_TIMEOUT, POLL_INTERVAL, STREAM, call, is_served, load_report,
+    read_request, start_gateway,
 };
 
 /// Heads are cut after each multiple of this many bytes.
@@ -48,13 +45,7 @@
     #[case] answer: &'static str,
 ) {
     let back_end = BackEnd::start_with(answer, serve);
-    let record = record(kind, service, &back_end.address);
-    let configuration = Configuration {
-        index: 1,
-        backends: BTreeMap::from([(record.registration.id.clone(), record)]),
-        ..Configuration::default()
-    };
-    let gateway = Running::start_with(&[lead(configuration)]);
+    let gateway = start_gateway(kind, service, &back_end);
     let end = answer.find("\r\n\r\n").expect("an end") + 3;
     for len in (0..=end).rev().step_by(STEP_BYTES) {
         let before = back_end.runs();
--- a/bin/garnet-gateway/tests/process/surplus_answers.rs
+++ b/bin/garnet-gateway/tests/process/surplus_answers.rs
@@ -44,7 +44,7 @@
 /// A back end that rejects a request which contains `full`. If the connection is used again after a
 /// rejection or a load report, that answer comes a second time before the next one.
 pub struct BackEnd {
-    pub address: String,
+    address: String,
     runs: Arc<AtomicUsize>,
 }
 
@@ -135,7 +135,7 @@
     Some(String::from_utf8_lossy(&bytes).into_owned())
 }
 
-pub fn record(kind: BackendKind, service: &str, address: &str) -> BackendRecord {
+fn record(kind: BackendKind, service: &str, address: &str) -> BackendRecord {
     let assignment = (kind == BackendKind::Engine).then(|| EngineAssignment {
         role: EngineRole::Mixed,
         model: ModelId::new(MODEL),
@@ -152,7 +152,7 @@
 }
 
 /// Starts a leader with this configuration and returns its address.
-pub fn lead(configuration: Configuration) -> String {
+fn lead(configuration: Configuration) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     thread::spawn(move || {
@@ -196,6 +196,17 @@
     None
 }
 
+/// Starts a gateway with a single back end.
+pub fn start_gateway(kind: BackendKind, service: &str, back_end: &BackEnd) -> Running {
+    let record = record(kind, service, &back_end.address);
+    let configuration = Configuration {
+        index: 1,
+        backends: BTreeMap::from([(record.registration.id.clone(), record)]),
+        ..Configuration::default()
+    };
+    Running::start_with(&[lead(configuration)])
+}
+
 /// A call whose back end is named by its kind.
 pub fn call(gateway: &Running, kind: BackendKind, text: &str) -> String {
     match kind {
@@ -243,13 +254,7 @@
     #[case] answer: &'static str,
 ) {
     let back_end = BackEnd::start(answer);
-    let record = record(kind, service, &back_end.address);
-    let configuration = Configuration {
-        index: 1,
-        backends: BTreeMap::from([(record.registration.id.clone(), record)]),
-        ..Configuration::default()
-    };
-    let gateway = Running::start_with(&[lead(configuration)]);
+    let gateway = start_gateway(kind, service, &back_end);
     call_until_served(&gateway, &back_end, kind, "first");
     for number in 0..CALLS {
         let rejected = call(&gateway, kind, "full");
--- a/components/control/tests/state/builds.rs
+++ b/components/control/tests/state/builds.rs
@@ -34,7 +34,7 @@
     answered_build(leader, stream, GatewayRequest::FindStream(stream))
 }
 
-/// The build that may continue a stream of the service `words` that was not reported.
+/// The build that may continue a stream of the service `words` without a record.
 fn only_build(leader: &mut Leader) -> Option<BuildId> {
     let stream = StreamKey::of("never-reported");
     let service = ServiceId::new("words");
