Logs tell which process cut an answer, and how long after a reload

A relayed stream that was cut left `request_ended outcome=cut` alone; a connection that the gateway itself closed by its head or idle timeout left nothing; `caller_left` was the same line for both; no line had the time since a SIGHUP.

Change, of logs only: - `answer_cut` for relayed streams too, with `relay=` and a cause; `ended_by=` names the process that ended the run (`gateway`, `engine`, `relay`), `reloaded_for_ms=` (empty without a SIGHUP) and `started_for_ms=` stand beside `routes_for_ms=`. - `caller_connection_timed_out phase= for_ms= has_unsent=` if a timeout of the gateway ends a connection in the middle of a head or with bytes that wait for the caller. - `caller_connection_failed phase=serving for_ms=` if the connection of a request that is being served ends otherwise; it was on the debug level.

--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -52,6 +52,8 @@
     pub(crate) connection_timeouts: Shared<ConnectionTimeouts>,
     /// When the route table in force took effect.
     pub(crate) routes_since: Cell<Millis>,
+    /// When a SIGHUP last reloaded the settings.
+    pub(crate) reloaded_at: Shared<Option<Millis>>,
     /// End of the grace time of a planned stop, once one has begun. Answers then ask
     /// callers to close their connections.
     pub(crate) stop_deadline: Cell<Option<Millis>>,
--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -7,6 +7,7 @@
 //! A gateway of this kind has no disk: it starts without a configuration and
 //! refuses requests until the leader has sent one.
 
+mod answer_cut;
 mod answer_head;
 mod answers;
 mod attempt;
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -201,6 +201,11 @@
         Err(OwnAnswer::InDoubt)
     }
 
+    /// The relay that has the request or had it last.
+    pub(super) fn last_relay(&self) -> Option<SocketAddr> {
+        self.tried.last().copied()
+    }
+
     fn given_up(&self) -> OwnAnswer {
         self.truthful(OwnAnswer::NoPath(retry_after(self.running.work.objective)))
     }
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -7,12 +7,13 @@
 use garnet_routes::WorkKind;
 use garnet_runtime::Body;
 use garnet_runtime::server::{BodyAborted, stream_body};
-use garnet_types::Framing;
+use garnet_types::{Framing, Millis};
 use hyper::Response;
 use hyper::body::Bytes;
 
+use crate::answer_cut::{AnswerCut, CutCause, RunEnd};
 use crate::buffered::copy_head;
-use crate::event_reader::{EventReader, Received};
+use crate::event_reader::{BreakCause, EventReader, Received};
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{record_end, sleep_until_due};
 
@@ -26,13 +27,17 @@
     reader: EventReader,
     /// How the end of the answer to the caller is marked, which its head has fixed.
     framing: Framing,
+    /// When the last event came.
+    last_event_at: Millis,
+    /// How the last relay that did not finish the answer ended.
+    run_end: RunEnd,
 }
 
 enum Next {
     Event(Bytes),
     End,
     /// The answer can't be completed.
-    Cut,
+    Cut(CutCause),
 }
 
 /// Builds the answer to the caller.
@@ -52,6 +57,8 @@
     let stream = RelayedStream {
         reader: event_reader(&relaying, &answer),
         framing: answer.exchange.framing(),
+        last_event_at: relaying.gateway.now(),
+        run_end: RunEnd::default(),
         relaying,
         answer: Some(answer),
     };
@@ -63,7 +70,8 @@
                 stream.record_end("streamed", status);
                 None
             }
-            Next::Cut => {
+            Next::Cut(cause) => {
+                stream.note_cut(cause);
                 stream.record_end("cut", status);
                 Some((Err(BodyAborted::BackendDisconnected), None))
             }
@@ -93,12 +101,23 @@
         record_end(gateway, running, outcome, status);
     }
 
+    fn note_cut(&self, cause: CutCause) {
+        let cut = AnswerCut {
+            cause,
+            run_end: &self.run_end,
+            after: self.reader.last_id(),
+            last_event_at: self.last_event_at,
+            relay: self.relaying.last_relay(),
+        };
+        cut.note(&self.relaying.gateway, &self.relaying.running);
+    }
+
     async fn next(&mut self) -> Next {
         let due = self.relaying.running.due;
         let gateway = Rc::clone(&self.relaying.gateway);
         let late = async {
             sleep_until_due(&gateway, due).await;
-            Next::Cut
+            Next::Cut(CutCause::TimeOver)
         };
         smol::future::or(self.next_or_resume(), late).await
     }
@@ -106,19 +125,22 @@
     async fn next_or_resume(&mut self) -> Next {
         loop {
             match self.receive().await {
-                Received::Event(event) => return Next::Event(event),
+                Received::Event(event) => {
+                    self.last_event_at = self.relaying.gateway.now();
+                    return Next::Event(event);
+                }
                 Received::End(framing) => {
                     if let Some(answer) = self.answer.take() {
                         answer.finish();
                     }
                     if !self.framing.may_end_with(framing) {
-                        return Next::Cut;
+                        return Next::Cut(CutCause::EndNotMarked);
                     }
                     return Next::End;
                 }
                 Received::Broke(cause) => {
-                    if !self.resume(&cause.to_string()).await {
-                        return Next::Cut;
+                    if let Err(cause) = self.resume(cause).await {
+                        return Next::Cut(cause);
                     }
                 }
             }
@@ -132,28 +154,32 @@
         }
     }
 
-    /// Has another relay resume the stream. Returns `false` if none does.
-    async fn resume(&mut self, cause: &str) -> bool {
+    /// Has another relay resume the stream.
+    ///
+    /// # Errors
+    /// Why the answer is cut, if none does.
+    async fn resume(&mut self, cause: BreakCause) -> Result<(), CutCause> {
         self.answer = None;
         let last_id = self.reader.last_id().map(str::to_owned);
-        self.relaying.log_broken(cause);
+        self.relaying.log_broken(&cause.to_string());
+        self.run_end = RunEnd::Broke(cause);
         let work = &self.relaying.running.work;
         if work.kind != WorkKind::ResumableStream || last_id.is_none() || work.build.is_none() {
-            return false;
+            return Err(CutCause::EngineBroke);
         }
         self.relaying.resume_after = last_id;
         if self.relaying.on_broken().is_err() {
-            return false;
+            return Err(CutCause::NoSuccessor);
         }
         let Ok(answer) = self.relaying.open().await else {
-            return false;
+            return Err(CutCause::NoSuccessor);
         };
         let is_of_same_build = answer.build == self.relaying.running.work.build;
         if !answer.exchange.head.status.is_success() || !is_of_same_build {
-            return false;
+            return Err(CutCause::NoSuccessor);
         }
         self.reader = event_reader(&self.relaying, &answer);
         self.answer = Some(answer);
-        true
+        Ok(())
     }
 }
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -67,6 +67,8 @@
     pub budget: SharedRetryBudget,
     /// Times of a planned stop.
     pub stop: StopTimes,
+    /// When a SIGHUP last reloaded the settings.
+    pub reloaded_at: Shared<Option<Millis>>,
     /// For the bytes that all requests of the process buffer.
     pub buffer_budget: ByteBudget,
 }
@@ -126,6 +128,7 @@
         stream_builds: StreamBuilds::new(requests_in.clone()),
         connection_timeouts: times,
         routes_since: Cell::new(shell.clock.now()),
+        reloaded_at: options.reloaded_at,
         stop_deadline: Cell::new(None),
         open_requests: Rc::default(),
         relayed_requests: Rc::default(),
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -1,7 +1,6 @@
 //! Streams of events, passed on as they arrive and resumed at another engine if the route
 //! allows it.
 
-mod cut;
 mod engine_run;
 mod placement;
 mod prefill;
@@ -18,6 +17,7 @@
 use hyper::Response;
 use hyper::body::Bytes;
 
+use crate::answer_cut::{AnswerCut, CutCause, RunEnd};
 use crate::answers::OwnAnswer;
 use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
@@ -28,7 +28,6 @@
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
 
-use cut::CutCause;
 use engine_run::EngineRun;
 use search::{Found, NotStreamed, Search};
 
@@ -42,8 +41,8 @@
     framing: Framing,
     /// When the last event came.
     last_event_at: Millis,
-    /// Why the last engine that broke off or was abandoned did not finish the answer.
-    engine_end: String,
+    /// How the last run that did not finish the answer ended.
+    run_end: RunEnd,
     ended: bool,
 }
 
@@ -104,7 +103,7 @@
             run: None,
             framing: Framing::UntilClose,
             last_event_at: gateway.now(),
-            engine_end: String::new(),
+            run_end: RunEnd::default(),
             ended: false,
         }
     }
@@ -207,7 +206,7 @@
             };
             match with_timeout(time_limit, run.next()).await {
                 Some(Received::Broke(cause)) => {
-                    self.note_broken(&cause);
+                    self.note_broken(cause);
                     if !self.can_resume() {
                         return Next::Cut(CutCause::EngineBroke);
                     }
@@ -251,7 +250,7 @@
                 Next::End
             }
             Received::Broke(cause) => {
-                self.note_broken(&cause);
+                self.note_broken(cause);
                 Next::Cut(CutCause::EngineBroke)
             }
         }
@@ -274,16 +273,27 @@
 
     /// Handles an engine that broke off. Its connection is closed, which ends its work. An
     /// incomplete event is dropped, since the next engine sends that event from its start.
-    fn note_broken(&mut self, cause: &BreakCause) {
+    fn note_broken(&mut self, cause: BreakCause) {
         if let Some(run) = self.run.take() {
-            run.broke_off(&self.search.running.call, cause);
+            run.broke_off(&self.search.running.call, &cause);
         }
         let backend = self.search.running.served_by.clone();
-        self.log_broken(backend.as_ref(), &cause.to_string());
+        self.note_run_end(backend.as_ref(), RunEnd::Broke(cause));
     }
 
-    fn log_broken(&mut self, backend: Option<&BackendId>, cause: &str) {
-        self.search.log_broken(backend, cause);
-        cause.clone_into(&mut self.engine_end);
+    fn note_run_end(&mut self, backend: Option<&BackendId>, end: RunEnd) {
+        self.search.log_broken(backend, &end.text());
+        self.run_end = end;
+    }
+
+    fn note_cut(&self, cause: CutCause) {
+        let cut = AnswerCut {
+            cause,
+            run_end: &self.run_end,
+            after: self.search.resume_after.as_deref(),
+            last_event_at: self.last_event_at,
+            relay: None,
+        };
+        cut.note(&self.gateway, &self.search.running);
     }
 }
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -5,10 +5,10 @@
 use garnet_forwarding::AttemptEnd;
 use garnet_types::{BackendId, BuildId, Framing};
 
+use crate::answer_cut::{CutCause, RunEnd};
 use crate::event_reader::{BreakCause, Received};
 use crate::ports::{BackendPort, CallerPort};
 
-use super::cut::CutCause;
 use super::search::{Found, NotStreamed};
 use super::{Next, Stream};
 
@@ -101,11 +101,11 @@
         match broke_off {
             Some(cause) => {
                 run.broke_off(&self.search.running.call, &cause);
-                self.log_broken(silent, &cause.to_string());
+                self.note_run_end(silent, RunEnd::Broke(cause));
             }
             None => {
                 drop(run);
-                self.log_broken(silent, "silent");
+                self.note_run_end(silent, RunEnd::LeftSilent);
             }
         }
     }
--- a/components/runtime/src/connection_timer.rs
+++ b/components/runtime/src/connection_timer.rs
@@ -65,6 +65,8 @@
     phase: Cell<Phase>,
     since: Cell<Instant>,
     has_served: Cell<bool>,
+    /// Whether bytes of an answer wait until the caller's connection takes them.
+    has_unsent: Cell<bool>,
 }
 
 impl ConnectionTimer {
@@ -73,6 +75,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
             has_served: Cell::new(false),
+            has_unsent: Cell::new(false),
         })
     }
 
@@ -89,6 +92,11 @@
         }
     }
 
+    /// Whether bytes of an answer wait until the caller's connection takes them.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.has_unsent.get()
+    }
+
     /// The current phase and its duration so far.
     pub(crate) fn phase(&self) -> (Phase, Duration) {
         (self.phase.get(), self.since.get().elapsed())
@@ -161,7 +169,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.connection_timer.has_unsent.set(written.is_pending());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/components/runtime/src/reload.rs
+++ b/components/runtime/src/reload.rs
@@ -11,8 +11,17 @@
 /// Interval of reloads without a signal, as settings may change without one.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// What triggers a reload.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trigger {
+    /// SIGHUP.
+    Signal,
+    /// The end of the interval.
+    Interval,
+}
+
 /// A child that calls `reload` at each SIGHUP and at a fixed interval.
-pub fn child(reload: impl Fn() + 'static) -> ChildSpec {
+pub fn child(reload: impl Fn(Trigger) + 'static) -> ChildSpec {
     let reload = Rc::new(reload);
     ChildSpec::new("reload", Restart::Permanent, move |stop: StopSignal| {
         let reload = Rc::clone(&reload);
@@ -20,15 +29,19 @@
             let mut signals = Signals::new([Signal::Hup]).map_err(ChildError::new)?;
             let reloading = async {
                 loop {
-                    let signalled = async { signals.next().await.is_some() };
+                    let signalled = async {
+                        let signal = signals.next().await;
+                        signal.map_or(Trigger::Interval, |_| Trigger::Signal)
+                    };
                     let later = async {
                         Timer::after(RELOAD_INTERVAL).await;
-                        false
+                        Trigger::Interval
                     };
-                    if smol::future::or(signalled, later).await {
+                    let trigger = smol::future::or(signalled, later).await;
+                    if trigger == Trigger::Signal {
                         log::info!("settings_reloaded");
                     }
-                    reload();
+                    reload(trigger);
                 }
             };
             smol::future::or(reloading, stop.stopped()).await;
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -435,6 +435,7 @@
     };
     let timed_out = async {
         connection_timer.timed_out(&timeouts).await;
+        log_timeout(&connection_timer);
         false
     };
     let stopping = {
@@ -454,7 +455,11 @@
             let ended = connection.await;
             log_connection_error(&connection_timer, ended);
         };
-        smol::future::or(finished, connection_timer.timed_out(&timeouts)).await;
+        let timed_out = async {
+            connection_timer.timed_out(&timeouts).await;
+            log_timeout(&connection_timer);
+        };
+        smol::future::or(finished, timed_out).await;
     }
 }
 
@@ -466,6 +471,26 @@
     set_header(response, "connection", "close");
 }
 
+/// Logs that a timeout of this server ends a connection. Its caller sees a connection that
+/// ends, as after any other failure.
+fn log_timeout(connection_timer: &ConnectionTimer) {
+    let (phase, elapsed) = connection_timer.phase();
+    let has_unsent = connection_timer.has_unsent();
+    let is_unfinished = phase != Phase::Idle || has_unsent;
+    let level = if is_unfinished {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        level,
+        phase = phase.as_str(),
+        for_ms = elapsed.as_millis() as u64,
+        has_unsent = has_unsent;
+        "caller_connection_timed_out"
+    );
+}
+
 /// Logs the error of a connection, which affects no other connection. Its caller may
 /// have missed a complete answer, which no other line reports.
 fn log_connection_error(connection_timer: &ConnectionTimer, ended: hyper::Result<()>) {
@@ -474,9 +499,12 @@
     };
     let (phase, elapsed) = connection_timer.phase();
     let source = error.source().map(ToString::to_string).unwrap_or_default();
-    // A caller that disconnects or is cut off while it is served is logged elsewhere.
-    let may_be_undelivered =
-        phase == Phase::Idle && elapsed < MAX_DELIVERY_TIME && !error.is_user();
+    // An answer that is cut off is logged elsewhere.
+    let may_be_undelivered = match phase {
+        Phase::Idle => elapsed < MAX_DELIVERY_TIME && !error.is_user(),
+        Phase::Head => false,
+        Phase::Serving => !error.is_user(),
+    };
     let level = if may_be_undelivered {
         log::Level::Info
     } else {
