A stopping gateway begins no request that it could not answer

Callers saw 504 at the end of a planned stop for requests that were sent after SIGTERM and took longer than the process had left, requests that may run only once among them: they worked in vain to the end. Streams were cut by the kill.

Cause: Work::outlasts said "no" for all kinds that may repeat, for resumable streams and for all requests without a prompt, and was asked once, before the first placement. Requests that waited for a connection, were rejected and sent again, were at a relay, or were complete only after the last answers had been given, were sent all the same.

Now each request is checked before each attempt, by the time within which seven eighths of the last 32 requests of its route were answered at this gateway, and by the time of its caller where nothing is known of the route. It is refused with 503 and Retry-After 0, which is true: nothing has run. A relay leaves such a request to the peer, which asks another relay. What has begun to answer goes on. The end that counts is that of the last answers, half a second before the kill.

The case no_prompt of a_stream_outlasts_the_remaining_time expected that a request of unknown length is begun whatever its caller's time; that is the fault. It expects the opposite now, and a further case that a request whose time ends before the stop does is begun.

--- a/components/forwarding-shell/src/answers.rs
+++ b/components/forwarding-shell/src/answers.rs
@@ -21,6 +21,9 @@
     TooSlow,
     /// The request has not run and will not; it may be retried after this time.
     NotRun(Millis),
+    /// The request has not run and will not, since this gateway stops before it could be answered.
+    /// Other gateways may take it at once.
+    Stopping,
     /// The request has not run and will not: neither this gateway nor a relay has a path to
     /// the service. It may be retried after this time.
     NoPath(Millis),
@@ -43,6 +46,7 @@
             OwnAnswer::TooLarge => "too_large",
             OwnAnswer::TooSlow => "too_slow",
             OwnAnswer::NotRun(_) => "not_run",
+            OwnAnswer::Stopping => "stopping",
             OwnAnswer::NoPath(_) => "no_path",
             OwnAnswer::Quarantined(_) => "quarantined",
             OwnAnswer::InDoubt => "in_doubt",
@@ -54,7 +58,10 @@
     pub(crate) fn promises_not_run(self) -> bool {
         matches!(
             self,
-            OwnAnswer::NotRun(_) | OwnAnswer::NoPath(_) | OwnAnswer::Quarantined(_)
+            OwnAnswer::NotRun(_)
+                | OwnAnswer::Stopping
+                | OwnAnswer::NoPath(_)
+                | OwnAnswer::Quarantined(_)
         )
     }
 
@@ -79,7 +86,7 @@
             OwnAnswer::Unauthorized(_) => (401, "the key is missing or unknown"),
             OwnAnswer::TooLarge => (413, "the body is too large"),
             OwnAnswer::TooSlow => (408, "the body did not arrive in time; not run"),
-            OwnAnswer::NotRun(_) | OwnAnswer::NoPath(_) => {
+            OwnAnswer::NotRun(_) | OwnAnswer::Stopping | OwnAnswer::NoPath(_) => {
                 (503, "not run; the request may be retried")
             }
             // 429 and 503 both mean "not run"; 429 blames the caller's requests rather
@@ -98,9 +105,9 @@
         let mut response = text_response(status, text);
         match self {
             OwnAnswer::NotRun(after) | OwnAnswer::NoPath(after) | OwnAnswer::Quarantined(after) => {
-                let seconds = format!("{:.3}", after.as_secs_f64());
-                set_header(&mut response, "retry-after", &seconds);
+                set_retry_after(&mut response, after);
             }
+            OwnAnswer::Stopping => set_retry_after(&mut response, Millis::ZERO),
             OwnAnswer::Unauthorized(_) => {
                 set_header(&mut response, "www-authenticate", "Bearer");
             }
@@ -110,6 +117,11 @@
     }
 }
 
+fn set_retry_after(response: &mut Response<Body>, after: Millis) {
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    set_header(response, "retry-after", &seconds);
+}
+
 /// Retry time of a refused caller: late enough for a short burst of requests to pass,
 /// early enough for the answer to be useful.
 pub(crate) fn retry_after(objective: Millis) -> Millis {
--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -14,7 +14,9 @@
 
 use crate::answers::OwnAnswer;
 use crate::attempt::{attempt, log_failure, note_silent, status_cause};
-use crate::failover::{admit_hedge, can_fail_over, on_attempt_ended, place_with_isolation};
+use crate::failover::{
+    admit_hedge, can_fail_over, is_allowed, on_attempt_ended, place_with_isolation,
+};
 use crate::gateway::Gateway;
 use crate::headers::remove_connection_headers;
 use crate::permits::{NotPlaced, place_within_limits};
@@ -81,6 +83,9 @@
     B: BackendPort + 'static,
 {
     let mut failure = None;
+    if !is_allowed(gateway, running) {
+        return Err(NotServed::GivenUp(running.progress.given_up()));
+    }
     loop {
         let placed = place_within_limits(gateway, running, || place(gateway, running)).await;
         let backend = match placed {
--- a/components/forwarding-shell/src/failover.rs
+++ b/components/forwarding-shell/src/failover.rs
@@ -7,6 +7,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::RunningRequest;
+use crate::stopping::outlasts_stop;
 
 /// Notes the end of an attempt and decides whether another one may follow.
 ///
@@ -164,14 +165,14 @@
     is_allowed(gateway, running) && has_path(gateway, running)
 }
 
-/// Whether the request may still run: it has time left and is not quarantined. After a
-/// suspension of the machine, an expired time is noticed here first.
+/// Whether the request may still run: it has time left, does not outlast a planned stop and is not
+/// quarantined. After a suspension of the machine, an expired time is noticed here first.
 pub(crate) fn is_allowed<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
 ) -> bool {
     let is_in_time = running.remaining(gateway.now()) > Millis::ZERO;
-    is_in_time && !is_quarantined(gateway, running)
+    is_in_time && !outlasts_stop(gateway, running) && !is_quarantined(gateway, running)
 }
 
 /// Whether this gateway reaches back ends that could serve the request.
--- a/components/forwarding-shell/src/gateway.rs
+++ b/components/forwarding-shell/src/gateway.rs
@@ -52,9 +52,9 @@
     pub(crate) connection_timeouts: Shared<ConnectionTimeouts>,
     /// When the route table in force took effect.
     pub(crate) routes_since: Cell<Millis>,
-    /// End of the grace time of a planned stop, once one has begun. Answers then ask
-    /// callers to close their connections.
-    pub(crate) stop_deadline: Cell<Option<Millis>>,
+    /// When a planned stop that has begun answers the last requests. Answers ask callers to
+    /// close their connections from its beginning on.
+    pub(crate) stop_ends_at: Cell<Option<Millis>>,
     /// Open until shortly before the end of a planned stop.
     pub(crate) stop_end: StopEnd,
     /// Number of requests without their final answer.
@@ -118,7 +118,7 @@
 
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stop_deadline.get().is_some()
+        self.stop_ends_at.get().is_some()
     }
 
     /// Whether the gateway is ready for new callers.
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -12,8 +12,8 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{
-    Handover, begin_relayed, body_limits, own_answer, quarantine_answer, serve_directly,
-    with_connection_close,
+    Handover, Unserved, begin_relayed, body_limits, own_answer, quarantine_answer, record_end,
+    serve_directly, with_connection_close,
 };
 
 use super::message::{
@@ -94,10 +94,17 @@
     if let Some(answer) = quarantine_answer(gateway, &running).await {
         return Ok(own_answer(gateway, &running, answer));
     }
-    Ok(match serve_directly(gateway, running).await {
-        Ok(response) => response,
-        Err(unserved) => own_answer(gateway, &unserved.running, unserved.answer),
-    })
+    match serve_directly(gateway, running).await {
+        Ok(response) => Ok(response),
+        Err(Unserved {
+            running,
+            answer: OwnAnswer::Stopping,
+        }) => {
+            record_end(gateway, &running, OwnAnswer::Stopping.as_str(), 0);
+            Err(NotTaken("stopping"))
+        }
+        Err(unserved) => Ok(own_answer(gateway, &unserved.running, unserved.answer)),
+    }
 }
 
 /// Adds the outcome, the version of this relay, and how the back end marked the end of its answer.
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -202,6 +202,9 @@
     }
 
     fn given_up(&self) -> OwnAnswer {
+        if self.running.outlasts_stop.get() {
+            return self.truthful(OwnAnswer::Stopping);
+        }
         self.truthful(OwnAnswer::NoPath(retry_after(self.running.work.objective)))
     }
 
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -48,6 +48,7 @@
     if answer.build.is_some() {
         relaying.running.work.build.clone_from(&answer.build);
     }
+    relaying.running.answer_has_begun = true;
     let status = head.status.as_u16();
     let stream = RelayedStream {
         reader: event_reader(&relaying, &answer),
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -38,6 +38,9 @@
 /// the rest on an earlier try, so its request counts as a retry.
 const FIRST_CALL_MIN_FRACTION: f64 = 0.95;
 
+/// Failures of a back end say nothing about the time that its answers take.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// Longest time that a quarantined request waits until it is known whether a path is lost: the
 /// connect timeouts of two back ends, and their probes.
 const MAX_DECISION_WAIT: Millis = Millis(500);
@@ -64,6 +67,10 @@
     pub(crate) is_relayed: bool,
     /// See [`Self::part_sets`].
     part_sets: OnceCell<Vec<RequestFingerprint>>,
+    /// Whether the caller has received a part of the answer.
+    pub(crate) answer_has_begun: bool,
+    /// Whether the request is given up since it would outlast a planned stop.
+    pub(crate) outlasts_stop: Cell<bool>,
     ended: Cell<bool>,
     _open: OpenRequestGuard,
     _relayed: Option<OpenRequestGuard>,
@@ -409,6 +416,8 @@
         usage_counted: Rc::default(),
         is_relayed: false,
         part_sets: OnceCell::new(),
+        answer_has_begun: false,
+        outlasts_stop: Cell::new(false),
         ended: Cell::new(false),
         _open: OpenRequestGuard::begin(&gateway.open_requests),
         _relayed: None,
@@ -538,6 +547,7 @@
     given_up: GivenUp,
 ) -> OwnAnswer {
     match given_up {
+        GivenUp::NotRun if running.outlasts_stop.get() => OwnAnswer::Stopping,
         GivenUp::NotRun => {
             let all_in_backoff = all_in_backoff(gateway, running);
             let default_retry_after = retry_after(running.work.objective);
@@ -584,11 +594,30 @@
         took_ms = took.0;
         "request_ended"
     );
+    note_answer_time(gateway, running, outcome, status, took);
     gateway
         .metrics
         .request(&running.route.name, running.work.kind, outcome, took);
 }
 
+/// Learns from the end of a request how long those of its route take.
+fn note_answer_time<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+    outcome: &str,
+    status: u16,
+    took: Millis,
+) {
+    let route = &running.route.name;
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    match outcome {
+        "answered" if status < FIRST_SERVER_ERROR => forwarder.note_answer_time(route, took),
+        "streamed" => forwarder.note_answer_time(route, took),
+        "cut" | "timed_out" => forwarder.note_unfinished(route, took),
+        _ => {}
+    }
+}
+
 /// Logs that no back end can take a request, and how many are open and known.
 pub(crate) fn log_no_back_end<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -126,7 +126,7 @@
         stream_builds: StreamBuilds::new(requests_in.clone()),
         connection_timeouts: times,
         routes_since: Cell::new(shell.clock.now()),
-        stop_deadline: Cell::new(None),
+        stop_ends_at: Cell::new(None),
         open_requests: Rc::default(),
         relayed_requests: Rc::default(),
         path_failed,
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -63,12 +63,15 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let grace = Millis(u64::try_from(times.grace.as_millis()).unwrap_or(u64::MAX));
-    gateway.stop_deadline.set(Some(gateway.now() + grace));
+    let margin = FINAL_ANSWERS_TIME.min(times.grace.mul_f64(MAX_FINAL_ANSWERS_FRACTION));
+    let until_end = times.grace.saturating_sub(margin);
+    let until_end_ms = u64::try_from(until_end.as_millis()).unwrap_or(u64::MAX);
+    let ends_at = gateway.now() + Millis(until_end_ms);
+    gateway.stop_ends_at.set(Some(ends_at));
     log::info!(open_requests = gateway.open_requests.get(); "stop_begun");
     let executor = Rc::clone(&gateway.executor);
     executor
-        .spawn(answer_before_end(Rc::clone(&gateway), times.grace))
+        .spawn(answer_before_end(Rc::clone(&gateway), until_end))
         .detach();
     Timer::after(times.notice).await;
     log::info!(open_requests = gateway.open_requests.get(); "stop_serving");
@@ -78,13 +81,12 @@
 
 /// Has all requests answered that have no answer shortly before the end of the grace time. A
 /// connection that closes with the process would leave their callers without one.
-async fn answer_before_end<C, B>(gateway: Rc<Gateway<C, B>>, grace: Duration)
+async fn answer_before_end<C, B>(gateway: Rc<Gateway<C, B>>, until_end: Duration)
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let margin = FINAL_ANSWERS_TIME.min(grace.mul_f64(MAX_FINAL_ANSWERS_FRACTION));
-    Timer::after(grace.saturating_sub(margin)).await;
+    Timer::after(until_end).await;
     log::info!(open_requests = gateway.open_requests.get(); "stop_ends");
     gateway.stop_end.closed_when_near.close();
 }
@@ -102,26 +104,35 @@
     }
 }
 
-/// Whether a stream that has not begun would probably be cut by the end of this
-/// process; another gateway should then take it.
+/// Whether a request without an answer would probably get none before the end of this process.
+/// Another gateway should then take it: a relay's answer would also pass through this process.
 pub(crate) fn outlasts_stop<C, B>(gateway: &Gateway<C, B>, running: &RunningRequest) -> bool
 where
     C: CallerPort,
     B: BackendPort,
 {
-    let Some(stop_deadline) = gateway.stop_deadline.get() else {
+    let Some(stop_ends_at) = gateway.stop_ends_at.get() else {
         return false;
     };
+    if running.answer_has_begun {
+        return false;
+    }
     let now = gateway.now();
     let remaining = running.remaining(now);
-    let until_stop = stop_deadline.since(now);
-    let outlasts = running.work.outlasts(remaining, until_stop);
+    let until_end = stop_ends_at.since(now);
+    let usual = {
+        let forwarder = gateway.forwarder.borrow();
+        forwarder.usual_answer_time(&running.route.name)
+    };
+    let outlasts = running.work.outlasts(remaining, until_end, usual);
     if outlasts {
+        running.outlasts_stop.set(true);
         log::info!(
             request = running.call.facts.id.as_str(),
             route = running.route.name.as_str(),
             remaining_ms = remaining.0,
-            left_ms = until_stop.0;
+            usual_ms = usual.map_or(0, |usual| usual.0),
+            left_ms = until_end.0;
             "stop_refused"
         );
     }
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -118,6 +118,7 @@
         if let Some(build) = &self.search.running.work.build {
             head.extensions.insert(build.clone());
         }
+        self.search.running.answer_has_begun = true;
         self.run = Some(found.run);
         let first = self.on_received(found.first);
         self.log_begun();
--- a/components/forwarding-shell/src/stream/placement.rs
+++ b/components/forwarding-shell/src/stream/placement.rs
@@ -1,14 +1,13 @@
 //! Chooses the engine that a stream is sent to next, and builds the job for it.
 
 use garnet_forwarding::{Admission, AttemptEnd, Placement};
-use garnet_types::{BackendId, Millis};
+use garnet_types::BackendId;
 
 use crate::attempt::{OpenAnswer, attempt, log_failure, status_cause};
 use crate::failover::{place_with_isolation, quarantine};
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, CallerPort, CopySource, Job, JobPhase};
 use crate::request::{RunningRequest, log_no_back_end};
-use crate::stopping::outlasts_stop;
 
 use super::search::{NotStreamed, Search};
 
@@ -21,10 +20,6 @@
     /// Places a new request. If the engines can't answer it in time, it is refused before
     /// it reaches one of them, or deferred: prefilled after all others.
     pub(super) fn place_new(&mut self) -> Result<Option<Placement>, NotStreamed> {
-        if outlasts_stop(&self.gateway, &self.running) {
-            // Any other gateway may take the request now.
-            return Err(NotStreamed::Busy(Millis::ZERO));
-        }
         if quarantine(&self.gateway, &self.running).is_some() {
             // Quarantine decides where the request runs, whatever the load.
             return Ok(self.place());
--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -151,6 +151,8 @@
             && table.version != self.routes.table().version
         {
             self.routes = RouteIndex::new((**table).clone());
+            self.answer_times
+                .retain(|name, _| table.routes.iter().any(|route| route.name == *name));
             self.share_connections();
         }
         let quarantined = self.configuration.quarantine.keys().copied();
--- a/components/forwarding/src/forwarder/estimates.rs
+++ b/components/forwarding/src/forwarder/estimates.rs
@@ -3,6 +3,7 @@
 use garnet_control::PromptCopy;
 use garnet_types::{BackendId, Millis, ServiceId};
 
+use crate::answer_times::AnswerTimes;
 use crate::backends::LoadReport;
 use crate::work::Prompt;
 
@@ -41,6 +42,25 @@
         learned.prompt_rate.note(prompt.tokens, now);
     }
 
+    /// Records that a request of a route was answered this long after its arrival.
+    pub fn note_answer_time(&mut self, route: &str, took: Millis) {
+        self.answer_times_of(route).note(took);
+    }
+
+    /// Records that a request of a route ended without a whole answer.
+    pub fn note_unfinished(&mut self, route: &str, lasted: Millis) {
+        self.answer_times_of(route).note_unfinished(lasted);
+    }
+
+    fn answer_times_of(&mut self, route: &str) -> &mut AnswerTimes {
+        self.answer_times.entry(route.to_owned()).or_default()
+    }
+
+    /// Time within which most requests of a route are answered; `None` if none has ended.
+    pub fn usual_answer_time(&self, route: &str) -> Option<Millis> {
+        self.answer_times.get(route)?.usual()
+    }
+
     /// Records that a request is sent to a back end, which copies what it lacks from
     /// `source`. Returns what the back end has to prefill for it.
     pub fn sent(
--- a/components/forwarding/src/forwarder/mod.rs
+++ b/components/forwarding/src/forwarder/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::access::{AccessDenied, Credential, authorize};
 use crate::admission::PendingRetries;
+use crate::answer_times::AnswerTimes;
 use crate::backend_groups::BackendGroups;
 use crate::backends::Backend;
 use crate::cache_lifetime::PromptRate;
@@ -100,6 +101,8 @@
     shared_among: u64,
     draw_count: u64,
     learned: HashMap<ServiceId, Learned>,
+    /// By name of the route.
+    answer_times: HashMap<String, AnswerTimes>,
     /// Prefix copies to report to peer gateways.
     pending_copies: Vec<PromptCopy>,
     reporting: Reporting,
@@ -155,6 +158,7 @@
             shared_among: 1,
             draw_count: 0,
             learned: HashMap::new(),
+            answer_times: HashMap::new(),
             pending_copies: Vec::new(),
             reporting: Reporting::default(),
             estimate_age: EstimateAge::default(),
--- a/components/forwarding/src/lib.rs
+++ b/components/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod access;
 mod admission;
+mod answer_times;
 mod attempts;
 mod backend_groups;
 mod backends;
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -45,15 +45,30 @@
 const SHORT_PREFILL: u64 = 512;
 
 impl Work {
-    /// Whether a stream that can't be resumed on another back end probably runs for
-    /// longer than `available`. Assumes that the maximum output takes all of the caller's
-    /// `remaining` time, and the likely fraction of the output that fraction of the time.
-    pub fn outlasts(&self, remaining: Millis, available: Millis) -> bool {
-        if self.kind.may_repeat() {
-            return false;
-        }
-        let likely_fraction = self.prompt.as_ref().map_or(0.0, Prompt::likely_fraction);
-        remaining.0 as f64 * likely_fraction > available.0 as f64
+    /// Whether the whole answer probably takes longer than `available`. The caller waits for
+    /// `remaining`, and most requests of the route are answered within `usual`, if that is known.
+    pub fn outlasts(&self, remaining: Millis, available: Millis, usual: Option<Millis>) -> bool {
+        available == Millis::ZERO || self.likely_time(remaining, usual) > available
+    }
+
+    /// Assumes that the maximum output of a stream takes all of the caller's `remaining` time, and
+    /// the likely fraction of the output that fraction of the time.
+    fn likely_time(&self, remaining: Millis, usual: Option<Millis>) -> Millis {
+        let by_length = self
+            .prompt
+            .as_ref()
+            .map(|prompt| Millis((remaining.0 as f64 * prompt.likely_fraction()) as u64));
+        let likely = match self.kind {
+            WorkKind::Repeatable | WorkKind::AtMostOnce => usual,
+            WorkKind::Stream => by_length.or(usual),
+            // A stream that is cut can be taken up elsewhere, so that the longest possible time
+            // alone is no reason to refuse it.
+            WorkKind::ResumableStream => {
+                let usual = usual.unwrap_or(self.objective);
+                Some(by_length.map_or(usual, |by_length| by_length.min(usual)))
+            }
+        };
+        likely.map_or(remaining, |likely| likely.min(remaining))
     }
 
     /// Priority of the request at an engine of its service, 0 first. Each doubling of the
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -234,14 +234,15 @@
 }
 
 /// A stream that can't be resumed elsewhere is cut when its gateway process ends, so none
-/// is begun that probably lasts longer.
+/// is begun that probably lasts longer. A request of an unknown length may take all of its time.
 #[rstest]
 #[case::shorter(WorkKind::Stream, Some(300), 8_000, false)]
 #[case::longer(WorkKind::Stream, Some(700), 8_000, true)]
 #[case::no_guess(WorkKind::Stream, None, 8_000, true)]
 #[case::a_guess_beyond_the_maximum(WorkKind::Stream, Some(9_000), 16_000, false)]
 #[case::resumable(WorkKind::ResumableStream, Some(700), 8_000, false)]
-#[case::no_prompt(WorkKind::AtMostOnce, None, 8_000, false)]
+#[case::no_prompt(WorkKind::AtMostOnce, None, 8_000, true)]
+#[case::no_prompt_in_time(WorkKind::AtMostOnce, None, 15_000, false)]
 fn a_stream_outlasts_the_remaining_time(
     #[case] kind: WorkKind,
     #[case] likely: Option<u64>,
@@ -254,5 +255,67 @@
         ..Prompt::default()
     };
     let work = work(kind, (kind != WorkKind::AtMostOnce).then_some(prompt));
-    assert_eq!(work.outlasts(Millis(15_000), Millis(left_ms)), expected);
+    let outlasts = work.outlasts(Millis(15_000), Millis(left_ms), None);
+    assert_eq!(outlasts, expected);
+}
+
+/// Requests were begun during a stop that usually took longer than the process had left.
+#[rstest]
+#[case::longer(WorkKind::AtMostOnce, None, 15_000, 6_500, 6_000, true)]
+#[case::shorter(WorkKind::AtMostOnce, None, 15_000, 900, 6_000, false)]
+#[case::repeatable(WorkKind::Repeatable, None, 15_000, 6_500, 6_000, true)]
+#[case::the_caller_gives_up_before(WorkKind::AtMostOnce, None, 5_000, 6_500, 6_000, false)]
+#[case::no_time_left(WorkKind::Repeatable, None, 15_000, 0, 0, true)]
+#[case::stream_without_prompt(WorkKind::Stream, None, 15_000, 6_500, 6_000, true)]
+#[case::stream_by_its_length(WorkKind::Stream, Some(700), 15_000, 900, 8_000, true)]
+#[case::resumable_without_prompt(WorkKind::ResumableStream, None, 15_000, 6_500, 6_000, true)]
+#[case::resumable_and_long(WorkKind::ResumableStream, Some(700), 15_000, 6_500, 6_000, true)]
+#[case::resumable_usually_short(WorkKind::ResumableStream, Some(700), 15_000, 900, 6_000, false)]
+#[case::resumable_of_short_output(
+    WorkKind::ResumableStream,
+    Some(300),
+    15_000,
+    6_500,
+    6_000,
+    false
+)]
+fn a_request_outlasts_the_remaining_time_by_the_usual_time_of_its_route(
+    #[case] kind: WorkKind,
+    #[case] likely: Option<u64>,
+    #[case] remaining_ms: u64,
+    #[case] usual_ms: u64,
+    #[case] left_ms: u64,
+    #[case] expected: bool,
+) {
+    let prompt = likely.map(|likely| Prompt {
+        output_tokens: 1_000,
+        likely_output_tokens: Some(likely),
+        ..Prompt::default()
+    });
+    let work = work(kind, prompt);
+    let usual = Some(Millis(usual_ms));
+    let outlasts = work.outlasts(Millis(remaining_ms), Millis(left_ms), usual);
+    assert_eq!(outlasts, expected);
+}
+
+/// One request in eight of a route may take longer than the usual time. Requests that ended without
+/// an answer count only if they lasted longer than that.
+#[test]
+fn the_usual_time_of_a_route_is_learned_from_its_requests() {
+    let mut gateway = empty_forwarder();
+    let usual = |gateway: &Forwarder| gateway.usual_answer_time("r");
+    assert_eq!(usual(&gateway), None);
+    gateway.note_unfinished("r", Millis(700));
+    assert_eq!(usual(&gateway), Some(Millis(700)));
+    for took_ms in 1..=32 {
+        gateway.note_answer_time("r", Millis(took_ms));
+    }
+    assert_eq!(usual(&gateway), Some(Millis(28)));
+    gateway.note_unfinished("r", Millis(5));
+    assert_eq!(usual(&gateway), Some(Millis(28)));
+    for _ in 0..5 {
+        gateway.note_unfinished("r", Millis(7_000));
+    }
+    assert_eq!(usual(&gateway), Some(Millis(7_000)));
+    assert_eq!(gateway.usual_answer_time("other"), None);
 }
