--- a/components/forwarding-shell/src/start.rs
+++ b/components/forwarding-shell/src/start.rs
@@ -129,7 +129,7 @@
         connection_timeouts: times,
         routes_since: Cell::new(shell.clock.now()),
         reloaded_at: options.reloaded_at,
-        stop_deadline: Cell::new(None),
+        stop_ends_at: Cell::new(None),
         open_requests: Rc::default(),
         relayed_requests: Rc::default(),
         path_failed,
