What has not been sent at the end of a stop is answered as not run

Callers saw 504, "may have run", for requests that still waited for a connection when the last answers of a planned stop were given.

Cause: the last answer did not depend on whether the request had been sent. Now a request counts the attempts that may have run; a prefill is none, and one that was rejected or reached nobody is taken back. A relay gives such a request back to its peer; what may run there goes on until the process is killed, as before.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -277,6 +277,11 @@
         may_send: is_available,
         may_reuse: |connection| call.may_use(connection),
     };
+    // Only its prompt is read by a prefill.
+    let may_run = !matches!(job.phase, JobPhase::Prefill(_));
+    if may_run {
+        call.begin_attempt();
+    }
     let sent = gateway.pool.send_if(&address, request, conditions).await;
     let sent = skip_surplus_answers(gateway, call, job, sent).await;
     let result = match sent {
@@ -315,6 +320,9 @@
             Err(attempt_end(&error))
         }
     };
+    if may_run && matches!(result, Err(AttemptEnd::Unsent | AttemptEnd::NotRun(_))) {
+        call.attempt_did_not_run();
+    }
     let outcome = result.as_ref().err().map_or("answer", |end| end.as_str());
     gateway.metrics.attempt(outcome);
     result
--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -22,7 +22,7 @@
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
 use crate::request::{
-    RunningRequest, Unserved, count_usage_once, log_no_back_end, record_end, sleep_until_answer_due,
+    RunningRequest, Unserved, count_usage_once, last_answer, log_no_back_end, record_end,
 };
 use crate::timeout::with_timeout;
 use crate::unread_answer::note_unread;
@@ -48,19 +48,16 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let (due, is_relayed) = (running.due, running.is_relayed);
-    let working = async { Some(run(gateway, &mut running).await) };
-    let late = async {
-        sleep_until_answer_due(gateway, due, is_relayed).await;
-        None
-    };
+    let (call, due, is_relayed) = (Rc::clone(&running.call), running.due, running.is_relayed);
+    let working = async { Ok(run(gateway, &mut running).await) };
+    let late = async { Err(last_answer(gateway, &call, due, is_relayed).await) };
     let answer = match smol::future::or(working, late).await {
-        Some(Ok(answer)) => return Ok(pass_on(gateway, &running, answer)),
-        Some(Err(NotServed::GivenUp(given_up))) => {
+        Ok(Ok(answer)) => return Ok(pass_on(gateway, &running, answer)),
+        Ok(Err(NotServed::GivenUp(given_up))) => {
             return Err(Unserved::given_up(gateway, running, given_up));
         }
-        Some(Err(NotServed::Unavailable(retry_after))) => OwnAnswer::NotRun(retry_after),
-        None => OwnAnswer::TimedOut,
+        Ok(Err(NotServed::Unavailable(retry_after))) => OwnAnswer::NotRun(retry_after),
+        Err(last_answer) => last_answer,
     };
     Err(Unserved { running, answer })
 }
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -1,6 +1,6 @@
 //! The ports to callers and back ends.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
 use garnet_forwarding::{Credential, LoadReport, NotRunReason, Prompt, ReportedLimit, RetryAfter};
@@ -50,6 +50,8 @@
     fingerprint: OnceCell<RequestFingerprint>,
     /// Connections on which an attempt was answered.
     answered_on: RefCell<Vec<ConnectionId>>,
+    /// Number of attempts that ran, may have run or may still run.
+    possible_runs: Cell<u32>,
 }
 
 impl Call {
@@ -67,9 +69,26 @@
             tenant,
             fingerprint: OnceCell::new(),
             answered_on: RefCell::default(),
+            possible_runs: Cell::new(0),
         }
     }
 
+    /// Notes that the request is sent, so that it may run.
+    pub(crate) fn begin_attempt(&self) {
+        self.possible_runs.set(self.possible_runs.get() + 1);
+    }
+
+    /// Notes that an attempt has certainly not run and will not.
+    pub(crate) fn attempt_did_not_run(&self) {
+        let runs = self.possible_runs.get();
+        self.possible_runs.set(runs.saturating_sub(1));
+    }
+
+    /// Whether any attempt may have run or may still run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
+    }
+
     /// Notes that an attempt was answered on a connection.
     pub(crate) fn note_answered_on(&self, connection: ConnectionId) {
         self.answered_on.borrow_mut().push(connection);
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -17,7 +17,7 @@
 use crate::failover::{is_allowed, take_repeat};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{RunningRequest, Unserved, own_answer, record_end, sleep_until_answer_due};
+use crate::request::{RunningRequest, Unserved, last_answer, own_answer, record_end};
 
 use super::answer::RelayedAnswer;
 use super::message::{
@@ -41,7 +41,7 @@
     if !may_relay(gateway, &running, answer) {
         return own_answer(gateway, &running, answer);
     }
-    let due = running.due;
+    let (call, due) = (Rc::clone(&running.call), running.due);
     let mut relaying = Relaying::new(gateway, running);
     let answering = async {
         if relaying.running.work.kind.is_stream() {
@@ -53,20 +53,15 @@
             relaying.read_whole().await.map(Opened::Whole)
         }
     };
-    let answering = async { Some(answering.await) };
-    let late = async {
-        sleep_until_answer_due(gateway, due, false).await;
-        None
-    };
+    let late = async { Err(last_answer(gateway, &call, due, false).await) };
     match smol::future::or(answering, late).await {
-        Some(Ok(Opened::Whole(response))) => {
+        Ok(Opened::Whole(response)) => {
             let status = response.status().as_u16();
             record_end(gateway, &relaying.running, "answered", status);
             *response
         }
-        Some(Ok(Opened::Stream(answer))) => stream::pass_on(relaying, *answer),
-        Some(Err(own)) => own_answer(gateway, &relaying.running, own),
-        None => own_answer(gateway, &relaying.running, OwnAnswer::TimedOut),
+        Ok(Opened::Stream(answer)) => stream::pass_on(relaying, *answer),
+        Err(own) => own_answer(gateway, &relaying.running, own),
     }
 }
 
@@ -218,7 +213,14 @@
     }
 
     async fn send(&self, relay: SocketAddr) -> Result<RelayedAnswer<C, B>, RelayEnd> {
+        self.running.call.begin_attempt();
         let sent = self.exchange(relay).await;
+        if let Err(
+            RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::EarlierBuild | RelayEnd::NoPath,
+        ) = sent
+        {
+            self.running.call.attempt_did_not_run();
+        }
         let outcome = match &sent {
             Ok(_) => "answered",
             Err(end) => end.as_str(),
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -502,21 +502,28 @@
     gateway.timers.sleep_until(due).await;
 }
 
-/// Waits until a request without an answer has to be answered: when it is due, or shortly before
-/// the end of a planned stop. A relay leaves the latter to the peer that handed the request over,
-/// which may still find another gateway.
-pub(crate) async fn sleep_until_answer_due<C: CallerPort, B: BackendPort>(
+/// Waits until a request without an answer has to be answered, and returns the answer: when it is
+/// due, or shortly before the end of a planned stop. A relay does not answer a request that may run
+/// at the end of its own stop, as the peer that handed it over may still find another gateway.
+pub(crate) async fn last_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
+    call: &Call,
     due: Millis,
     is_relayed: bool,
-) {
+) -> OwnAnswer {
+    let timed_out = async {
+        gateway.timers.sleep_until(due).await;
+        OwnAnswer::TimedOut
+    };
     let stop_end = async {
-        match is_relayed {
-            true => std::future::pending().await,
-            false => gateway.stop_end.until_near().await,
+        gateway.stop_end.until_near().await;
+        match (call.may_have_run(), is_relayed) {
+            (false, _) => OwnAnswer::Stopping,
+            (true, false) => OwnAnswer::TimedOut,
+            (true, true) => std::future::pending().await,
         }
     };
-    smol::future::or(gateway.timers.sleep_until(due), stop_end).await;
+    smol::future::or(timed_out, stop_end).await
 }
 
 /// The gateway's own answer to a request that is refused before it is routed.
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -23,7 +23,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{
-    RunningRequest, Unserved, count_usage_once, record_end, sleep_until_answer_due, sleep_until_due,
+    RunningRequest, Unserved, count_usage_once, last_answer, record_end, sleep_until_due,
 };
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
@@ -69,28 +69,25 @@
     if let Err(answer) = bind_taken_up(gateway, &mut running).await {
         return Err(Unserved { running, answer });
     }
-    let (due, is_relayed) = (running.due, running.is_relayed);
+    let (call, due, is_relayed) = (Rc::clone(&running.call), running.due, running.is_relayed);
     let mut search = Search::new(gateway, running);
-    let opening = async { Some(search.find_run().await) };
-    let late = async {
-        sleep_until_answer_due(gateway, due, is_relayed).await;
-        None
-    };
+    let opening = async { Ok(search.find_run().await) };
+    let late = async { Err(last_answer(gateway, &call, due, is_relayed).await) };
     let found = smol::future::or(opening, late).await;
     let failure = search.take_failure();
     let found = found.map(|found| found.map_err(|not_streamed| not_streamed.or_answered(failure)));
     let answer = match found {
-        Some(Ok(found)) => return Ok(Stream::new(gateway, search).answer(found)),
-        Some(Err(NotStreamed::Answered(response))) => {
+        Ok(Ok(found)) => return Ok(Stream::new(gateway, search).answer(found)),
+        Ok(Err(NotStreamed::Answered(response))) => {
             let status = response.status().as_u16();
             record_end(gateway, &search.running, "answered", status);
             return Ok(*response);
         }
-        Some(Err(NotStreamed::GivenUp(given_up))) => {
+        Ok(Err(NotStreamed::GivenUp(given_up))) => {
             return Err(Unserved::given_up(gateway, search.running, given_up));
         }
-        Some(Err(NotStreamed::Busy(retry_after))) => OwnAnswer::NotRun(retry_after),
-        None => OwnAnswer::TimedOut,
+        Ok(Err(NotStreamed::Busy(retry_after))) => OwnAnswer::NotRun(retry_after),
+        Err(last_answer) => last_answer,
     };
     let running = search.running;
     Err(Unserved { running, answer })
