A request that was given up early is no usual time of its route

Callers saw 504 at the end of a planned stop for requests that may run only once, of a route of which the gateway had answered none, but had given up one whose caller waited for 0.3 s: the work takes 4.5 s, 3.6 s were left.

Cause: the time after which a request ends without an answer was taken for the usual time of the route where no other was known. It says only that answers take longer. It counts now if it is longer than the usual time of answered requests, as before, and not where there is none: the route stays unknown then, and a request is judged by its caller's time.

The unit test the_usual_time_of_a_route_is_learned_from_its_requests expected 700 ms after a single unfinished request, which is the fault. It expects none now, and 700 ms after a request that was answered in 1 ms.

--- a/components/forwarding/src/answer_times.rs
+++ b/components/forwarding/src/answer_times.rs
@@ -24,15 +24,15 @@
         self.latest.push_back(took);
     }
 
-    /// Adds a request that had no whole answer when it ended. It says something only if it lasted
-    /// longer than others usually do.
+    /// Adds a request that had no whole answer when it ended. It would have taken longer, so it says
+    /// something only if it lasted longer than others usually do, and nothing where there are none.
     pub(crate) fn note_unfinished(&mut self, lasted: Millis) {
-        if self.usual().is_none_or(|usual| lasted > usual) {
+        if self.usual().is_some_and(|usual| lasted > usual) {
             self.note(lasted);
         }
     }
 
-    /// Time within which most requests are answered; `None` if none has ended.
+    /// Time within which most requests are answered; `None` if none was.
     pub(crate) fn usual(&self) -> Option<Millis> {
         let longer = self.latest.len() / LONGER_ONE_IN;
         let mut sorted: Vec<Millis> = self.latest.iter().copied().collect();
--- a/components/forwarding/src/forwarder/estimates.rs
+++ b/components/forwarding/src/forwarder/estimates.rs
@@ -56,7 +56,7 @@
         self.answer_times.entry(route.to_owned()).or_default()
     }
 
-    /// Time within which most requests of a route are answered; `None` if none has ended.
+    /// Time within which most requests of a route are answered; `None` if none was.
     pub fn usual_answer_time(&self, route: &str) -> Option<Millis> {
         self.answer_times.get(route)?.usual()
     }
--- a/components/forwarding/tests/core/admission.rs
+++ b/components/forwarding/tests/core/admission.rs
@@ -299,13 +299,17 @@
 }
 
 /// One request in eight of a route may take longer than the usual time. Requests that ended without
-/// an answer count only if they lasted longer than that.
+/// an answer count only if they lasted longer than that: where none was answered, the time after
+/// which one was given up is no time within which others are answered.
 #[test]
 fn the_usual_time_of_a_route_is_learned_from_its_requests() {
     let mut gateway = empty_forwarder();
     let usual = |gateway: &Forwarder| gateway.usual_answer_time("r");
     assert_eq!(usual(&gateway), None);
     gateway.note_unfinished("r", Millis(700));
+    assert_eq!(usual(&gateway), None);
+    gateway.note_answer_time("r", Millis(1));
+    gateway.note_unfinished("r", Millis(700));
     assert_eq!(usual(&gateway), Some(Millis(700)));
     for took_ms in 1..=32 {
         gateway.note_answer_time("r", Millis(took_ms));
