A request that may have run is tried again during a stop of unknown length

Callers saw 502, "may have run", for requests that may run again, had begun before a planned stop, and whose back end broke off during it, if their gateway had answered no request of the route: another back end would have answered at once. Since a stopping gateway takes such a route to need all of the caller's time, before a retry and a hedge as well.

Cause: that a refusal costs one connection holds for what has not run. What may have run is answered 502 instead, and its retry costs less than that. Such a request is tried again now until the last answers, if no time of its route is known. With a known time that does not fit, it is given up as before.

--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -124,7 +124,11 @@
         let forwarder = gateway.forwarder.borrow();
         forwarder.usual_answer_time(&running.route.name)
     };
-    let outlasts = running.work.outlasts(remaining, until_end, usual);
+    let outlasts = match usual {
+        // It can no longer be refused as not run, so that another attempt costs less.
+        None if running.call.may_have_run() => until_end == Millis::ZERO,
+        _ => running.work.outlasts(remaining, until_end, usual),
+    };
     if outlasts {
         running.outlasts_stop.set(true);
         log::info!(
