Lists of the platform without end: bounded in entries and bytes as they are read

What callers saw: the leader of a group whose platform sent a list without end stood still for seconds and took more than the 256 MB of its machine, where it is ended; the next leader reads the same list.

Cause: a page of up to 32 MiB was parsed into a tree if any entry was malformed, 32 bytes for each "0,", and a reason was kept for each entry; 200 pages were collected without a bound on entries. An id could be as long as the page, and is copied into heads and the log.

Change: the entries of a page are converted one by one; a list has at most 10,000 entries and 8 MiB, an entry 64 KiB, a name 256 bytes, a token of a page 1 KiB. A list beyond that fails as a whole, and the one before it stays in force. The clients of the control programs take 64 KiB as the answer to an order, a report or an acknowledgement, and 8 MiB as a list (garnet-control as well). A repeated field of an entry counts by its last value, as before. serde_json's raw_value is switched on; it adds no crate.

Evidence: platform/tests/process/endless_lists.rs, pages of 12 MB, bound 256 MB. The new cases of platform/tests/directory.rs and runtime/tests/pool.rs were not played on the code before.

--- a/bin/garnet-control/src/engines.rs
+++ b/bin/garnet-control/src/engines.rs
@@ -5,6 +5,7 @@
 use garnet_control::{EngineRequest, Event};
 use garnet_control_shell::EnginePort;
 use garnet_engine_api::paths;
+use garnet_runtime::client::MAX_SHORT_ANSWER;
 use garnet_runtime::{HttpClient, client};
 use garnet_types::{BackendId, EngineStatus, OrderAnswer};
 use http_body_util::Full;
@@ -22,7 +23,9 @@
 
 impl EngineHttp {
     pub(crate) fn new(http: HttpClient) -> Self {
-        EngineHttp { http }
+        EngineHttp {
+            http: http.with_max_answer(MAX_SHORT_ANSWER),
+        }
     }
 }
 
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use garnet_types::ByteCount;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Request, Response};
@@ -21,8 +22,10 @@
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 /// Idle timeout of connections whose server announces none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Maximum size of a response that is read as a whole.
-const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum size of an answer that is read as a whole, if the client has no limit of its own.
+const MAX_ANSWER_BYTES: ByteCount = ByteCount(32 * 1024 * 1024);
+/// Longest answer that acknowledges an order or reports the state of a back end.
+pub const MAX_SHORT_ANSWER: ByteCount = ByteCount(64 * 1024);
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A connection ends when its bytes are not acknowledged for this time.
@@ -80,6 +83,7 @@
 #[derive(Clone)]
 pub struct HttpClient {
     pool: ConnectionPool,
+    max_answer: ByteCount,
 }
 
 impl HttpClient {
@@ -93,6 +97,7 @@
         };
         HttpClient {
             pool: ConnectionPool::new(executor, settings),
+            max_answer: MAX_ANSWER_BYTES,
         }
     }
 
@@ -103,6 +108,13 @@
         self
     }
 
+    /// Sets the longest answer that is read as a whole.
+    #[must_use]
+    pub fn with_max_answer(mut self, max_answer: ByteCount) -> Self {
+        self.max_answer = max_answer;
+        self
+    }
+
     /// Sends a request and reads the whole answer within `timeout`. Its extensions hold its
     /// [`Framing`](garnet_types::Framing).
     ///
@@ -116,7 +128,7 @@
     ) -> Result<Response<Bytes>, HttpError> {
         let complete_answer = async {
             let mut exchange = self.exchange(address, request).await?;
-            let response = read_response(&mut exchange).await?;
+            let response = read_response(&mut exchange, self.max_answer).await?;
             exchange.finish();
             Ok(response)
         };
@@ -136,7 +148,7 @@
     ) -> Result<Response<Bytes>, HttpError> {
         let complete_answer = async {
             let mut exchange = self.exchange_once(address, request).await?;
-            read_response(&mut exchange).await
+            read_response(&mut exchange, self.max_answer).await
         };
         or_time_out(complete_answer, timeout).await
     }
@@ -198,8 +210,11 @@
     request
 }
 
-async fn read_response(exchange: &mut Exchange) -> Result<Response<Bytes>, HttpError> {
-    let body = exchange.read_whole(MAX_RESPONSE_BYTES).await?;
+async fn read_response(
+    exchange: &mut Exchange,
+    max_answer: ByteCount,
+) -> Result<Response<Bytes>, HttpError> {
+    let body = exchange.read_whole(max_answer.0).await?;
     let mut head = exchange.head.clone();
     head.extensions.insert(exchange.framing());
     Ok(Response::from_parts(head, body))
--- a/components/runtime/tests/pool.rs
+++ b/components/runtime/tests/pool.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use garnet_runtime::{ConnectionPool, HttpClient, HttpError, PoolSettings, SendConditions};
+use garnet_types::ByteCount;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
@@ -214,6 +215,24 @@
     assert_eq!(bodies, ["1", "2", "3"]);
 }
 
+/// An acknowledgement was read up to the longest answer of all.
+#[test]
+fn an_answer_that_is_longer_than_its_client_takes_is_refused() {
+    let address = start(|stream| {
+        let mut reader = BufReader::new(stream);
+        while read_head(&mut reader).is_some() {
+            if reader.get_mut().write_all(OK.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    let executor = Rc::new(LocalExecutor::new());
+    let client = HttpClient::new(Rc::clone(&executor)).with_max_answer(ByteCount(1));
+    let sent = client.send(&address, request(Vec::new()), HANG_TIMEOUT);
+    let refused = run(sent, &executor);
+    assert!(matches!(refused, Err(HttpError::TooLong(1))), "{refused:?}");
+}
+
 /// Before the answer to a later request of a connection, answers the one before it again. Answers
 /// end with their length, or in chunks, and the two arrive together or one after the other.
 fn answer_late(stream: TcpStream) {
--- a/components/test-support/src/lib.rs
+++ b/components/test-support/src/lib.rs
@@ -1,9 +1,11 @@
 //! Helpers shared by the tests of several packages.
 
 mod address;
+mod memory;
 mod records;
 mod sockets;
 
 pub use address::ReservedAddress;
+pub use memory::peak_memory_bytes;
 pub use records::live_record;
 pub use sockets::{connected_process, local_ports, process_between};
