Completions gateway: a line without end breaks its attempt

What callers saw: a call to an engine that sent a line without end was held until its deadline, 504 after 30 s, while the event loop was busy with it.

Cause: the reader of events kept the unfinished line without a bound, beside the budget of the process, and searched all of it for its end again with each chunk.

Change: a line has at most 1 MiB, and what waits for its end is reserved in the budget; the attempt is broken otherwise, with a log line.

Evidence: bin/garnet-gateway/tests/process/endless_bytes.rs.

--- a/bin/garnet-bench/src/text_stream.rs
+++ b/bin/garnet-bench/src/text_stream.rs
@@ -22,7 +22,14 @@
     /// for the rest.
     pub(crate) fn push(&mut self, chunk: &[u8]) -> bool {
         let before = self.text.len();
-        for event in self.reader.push(chunk) {
+        let events = match self.reader.push(chunk) {
+            Ok(events) => events,
+            Err(error) => {
+                eprintln!("a stream was not read: {error}");
+                return false;
+            }
+        };
+        for event in events {
             if event == END_MARK {
                 self.is_done = true;
                 continue;
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -13,8 +13,8 @@
 use garnet_gateway::{AttemptEvent, AttemptId, Event, Job, KvSource};
 use garnet_limits::RequestRate;
 use garnet_routing::{LoadReport, RetryAfter};
-use garnet_runtime::client::StreamedResponse;
-use garnet_runtime::{HttpError, client};
+use garnet_runtime::client::{MAX_SHORT_ANSWER, StreamedResponse};
+use garnet_runtime::{HttpError, Reservation, client};
 use garnet_types::{BackendId, Framing, Millis, RecordedResponse};
 use hyper::header::{DATE, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
@@ -169,7 +169,8 @@
     patience: Duration,
 ) -> AttemptEvent {
     let request = client::json_request("POST", paths::PREFILL, body);
-    let response = match context.http.send_once(address, request, patience).await {
+    let http = context.http.clone().with_max_answer(MAX_SHORT_ANSWER);
+    let response = match http.send_once(address, request, patience).await {
         Ok(response) => response,
         Err(error) => return failure(&error),
     };
@@ -205,8 +206,15 @@
         return AttemptEvent::Broken;
     }
     let mut reader = EventReader::default();
+    let mut buffered = context.buffer_budget.reserve();
     while let Ok(Some(chunk)) = stream.next().await {
-        let events = reader.push(&chunk);
+        let events = match read_events(&mut reader, &mut buffered, &chunk) {
+            Ok(events) => events,
+            Err(cause) => {
+                log::warn!(address = address, cause = cause.as_str(); "stream_broken");
+                return AttemptEvent::Broken;
+            }
+        };
         if let Some(last) = take_events(context, attempt, &events) {
             return last;
         }
@@ -215,6 +223,21 @@
     AttemptEvent::Broken
 }
 
+/// Reads the events that a chunk completes, and reserves what waits for the rest of its line.
+///
+/// # Errors
+/// The cause, if the line is too long or the budget has no room for it.
+fn read_events(
+    reader: &mut EventReader,
+    buffered: &mut Reservation,
+    chunk: &[u8],
+) -> Result<Vec<Vec<u8>>, String> {
+    let events = reader.push(chunk).map_err(|error| error.to_string())?;
+    let reserved = buffered.resize(reader.buffered_len());
+    reserved.map_err(|error| error.to_string())?;
+    Ok(events)
+}
+
 /// Why an engine did not begin to generate.
 async fn not_started(stream: &mut StreamedResponse) -> AttemptEvent {
     let body = stream.read_whole(LONGEST_REFUSAL).await.unwrap_or_default();
--- a/bin/garnet-gateway/tests/process/main.rs
+++ b/bin/garnet-gateway/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod bad_requests;
 mod bad_starts;
 mod cut_heads;
+mod endless_bytes;
 mod report_link;
 mod running;
 mod surplus_answers;
--- a/bin/garnet-gateway/tests/process/running.rs
+++ b/bin/garnet-gateway/tests/process/running.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// The id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends bytes and gives the whole answer, up to the connection's end.
     pub fn send(&self, bytes: &[u8]) -> String {
         read_answer(self.connect_and_write(bytes))
--- a/components/engine-api/src/events.rs
+++ b/components/engine-api/src/events.rs
@@ -1,5 +1,15 @@
 //! Encoding and decoding of server-sent events.
 
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Longest line, without its end. A longer one is not buffered.
+pub const MAX_LINE_BYTES: usize = 1024 * 1024;
+
+/// a line is longer than 1048576 bytes
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub struct LineTooLong;
+
 /// Decodes the `data:` lines of server-sent events from a body that arrives in chunks.
 #[derive(Debug, Default)]
 pub struct EventReader {
@@ -10,8 +20,16 @@
 const DATA: &[u8] = b"data: ";
 
 impl EventReader {
+    /// Number of bytes of the line that is incomplete.
+    pub fn buffered_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Adds a chunk and returns the data of all lines that it completes.
-    pub fn push(&mut self, chunk: &[u8]) -> Vec<Vec<u8>> {
+    ///
+    /// # Errors
+    /// If the last line is too long. The reader is of no use then.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Vec<u8>>, LineTooLong> {
         self.buffer.extend_from_slice(chunk);
         let mut events = Vec::new();
         while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
@@ -20,7 +38,10 @@
                 events.push(data.to_vec());
             }
         }
-        events
+        if self.buffer.len() > MAX_LINE_BYTES {
+            return Err(LineTooLong);
+        }
+        Ok(events)
     }
 }
 
--- a/components/engine-api/src/lib.rs
+++ b/components/engine-api/src/lib.rs
@@ -5,7 +5,7 @@
 
 mod events;
 
-pub use events::{EventReader, encode_event};
+pub use events::{EventReader, LineTooLong, MAX_LINE_BYTES, encode_event};
 
 use garnet_control::BackendRegistration;
 use garnet_types::{BuildId, Class, MachineState};
