--- a/components/runtime/src/byte_budget.rs
+++ b/components/runtime/src/byte_budget.rs
@@ -120,12 +120,33 @@
         ByteCount(self.held)
     }
 
+    /// Takes what is reserved, if there is any, and leaves an empty reservation.
+    pub(crate) fn take(&mut self) -> Option<Reservation> {
+        if self.held == 0 {
+            return None;
+        }
+        let empty = self.budget.reserve();
+        Some(std::mem::replace(self, empty))
+    }
+
     /// Whether the reservation may have this size now.
     pub fn may_have(&self, wanted: usize) -> bool {
         let used = self.budget.0.used.load(Ordering::Relaxed);
         wanted <= self.held || self.budget.allows(wanted, used - self.held)
     }
 
+    /// Reserves `wanted` bytes outside the part for small reservations, if there is room. Whoever
+    /// holds the reservation goes on without room as well.
+    pub fn try_reserve(&mut self, wanted: usize) {
+        let account = &self.budget.0;
+        let for_large = account.limit - account.limit / SMALL_PART;
+        let used = account.used.load(Ordering::Relaxed);
+        if used.saturating_add(wanted) <= for_large {
+            // The limit allows it.
+            let _reserved = self.resize(wanted);
+        }
+    }
+
     /// Changes the size of the reservation. Making it smaller never fails.
     ///
     /// # Errors
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -22,13 +22,13 @@
 use smol::LocalExecutor;
 use smol_hyper::rt::FuturesIo;
 
-use crate::byte_budget::ByteBudget;
+use crate::byte_budget::{ByteBudget, Reservation};
 use crate::byte_buffer::ByteBuffer;
 use crate::client::{HttpError, or_time_out};
 use crate::clock::Clock;
 use crate::framing::framing_of;
 use crate::pooled_connection::{Answered, Connection, ConnectionId};
-use crate::progress::{Progress, ProgressStream};
+use crate::progress::{Progress, ProgressStream, ReadRefused};
 use crate::resumable_stream::ResumableStream;
 use crate::sliced_body::SlicedBody;
 use crate::sockets::{connect_with_timeout, set_silence_timeouts};
@@ -39,6 +39,10 @@
 /// An idle connection is closed this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// What a request takes beside the bytes of its answer: two buffers to read and one to write, which
+/// the HTTP library allocates anew as they are passed on.
+const EXCHANGE_BYTES: usize = 3 * 16 * 1024;
+
 /// Longest answer to a probe.
 const MAX_PROBE_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -110,6 +114,8 @@
     address: String,
     /// Maximum count of idle connections to the address, including this one.
     max_idle: usize,
+    /// The room that the request takes in the budget.
+    room: Reservation,
     pool: ConnectionPool,
 }
 
@@ -176,6 +182,8 @@
             may_reuse,
         } = conditions;
         let mut request = sliced(request).await;
+        let mut room = self.budget.reserve();
+        room.try_reserve(EXCHANGE_BYTES);
         while let Some(mut connection) = self.take_idle(address, &may_reuse) {
             if !connection.is_ready().await {
                 continue;
@@ -185,7 +193,10 @@
                 return Err(HttpError::Withheld);
             }
             match connection.send(request).await {
-                Ok(answered) => return Ok(self.exchange(address, answered, false, max_idle)),
+                Ok(answered) => {
+                    let exchange = self.exchange(address, answered, room, false, max_idle);
+                    return Ok(exchange);
+                }
                 Err(mut error) => match error.take_message() {
                     Some(not_sent) => request = not_sent,
                     None => return Err(broken(error)),
@@ -198,14 +209,14 @@
             return Err(HttpError::Withheld);
         }
         match connection.send(request).await {
-            Ok(answered) => Ok(self.exchange(address, answered, true, max_idle)),
+            Ok(answered) => Ok(self.exchange(address, answered, room, true, max_idle)),
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
-                let cause = described(&error.into_error());
+                let error = error.into_error();
                 Err(if not_sent {
-                    HttpError::NotSent(cause)
+                    HttpError::NotSent(described(&error))
                 } else {
-                    HttpError::Broken(cause)
+                    failed(&error)
                 })
             }
         }
@@ -227,7 +238,8 @@
             let connection = self.connect(address).await?;
             let answered = connection.send(sliced(request).await).await;
             let answered = answered.map_err(broken)?;
-            let mut exchange = self.exchange(address, answered, true, 0);
+            let room = self.budget.reserve();
+            let mut exchange = self.exchange(address, answered, room, true, 0);
             exchange.read_whole(MAX_PROBE_ANSWER_BYTES).await?;
             Ok(())
         };
@@ -253,6 +265,7 @@
         &self,
         address: &str,
         answered: Answered,
+        room: Reservation,
         fresh: bool,
         max_idle: usize,
     ) -> Exchange {
@@ -261,8 +274,11 @@
             connection,
             response,
         } = answered;
-        connection.progress.note();
-        let (head, body) = response.into_parts();
+        let head_room = connection.progress.note_head();
+        let (mut head, body) = response.into_parts();
+        if let Some(head_room) = head_room {
+            head.extensions.insert(head_room);
+        }
         Exchange {
             method,
             framing: framing_of(&head.headers, body.is_end_stream()),
@@ -273,6 +289,7 @@
             is_reusable: true,
             address: address.to_owned(),
             max_idle,
+            room,
             pool: self.clone(),
         }
     }
@@ -288,7 +305,7 @@
             stream,
             monitor: writes.clone(),
         };
-        let progress = Progress::default();
+        let progress = Progress::within(&self.budget);
         let stream = ProgressStream::new(stream, progress.clone());
         let stream = FuturesIo::new(ResumableStream::new(stream));
         let id = ConnectionId(self.next_id.get());
@@ -348,7 +365,7 @@
                         return Ok(Some(data));
                     }
                 }
-                Some(Err(error)) => return Err(HttpError::Broken(described(&error))),
+                Some(Err(error)) => return Err(failed(&error)),
             }
         }
     }
@@ -418,6 +435,7 @@
             connection,
             address,
             max_idle,
+            room,
             pool,
             ..
         } = self;
@@ -426,7 +444,7 @@
         let mut sent_request = Request::new(SlicedBody::new(Bytes::new()));
         *sent_request.method_mut() = method;
         let answered = connection.send(sent_request).await.map_err(broken)?;
-        let exchange = pool.exchange(&address, answered, false, max_idle);
+        let exchange = pool.exchange(&address, answered, room, false, max_idle);
         Ok(Exchange {
             is_reusable: false,
             ..exchange
@@ -460,7 +478,19 @@
 }
 
 fn broken(error: TrySendError<Request<SlicedBody>>) -> HttpError {
-    HttpError::Broken(described(&error.into_error()))
+    failed(&error.into_error())
+}
+
+/// Why an answer was not received whole.
+fn failed(error: &hyper::Error) -> HttpError {
+    let source = error
+        .source()
+        .and_then(|source| source.downcast_ref::<std::io::Error>());
+    let refused = source.and_then(|error| error.get_ref()?.downcast_ref::<ReadRefused>());
+    match refused {
+        Some(ReadRefused::NoRoom(exceeded)) => HttpError::NoRoom(*exceeded),
+        Some(ReadRefused::NoProgress(_)) | None => HttpError::Broken(described(error)),
+    }
 }
 
 /// The error of a connection and its cause.
--- a/components/runtime/src/pooled_connection.rs
+++ b/components/runtime/src/pooled_connection.rs
@@ -24,7 +24,7 @@
 use crate::write_monitor::{MonitoredStream, WriteMonitor};
 
 /// Most that a connection buffers in each direction, and the longest head of an answer.
-const MAX_CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Identifies a connection of a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/runtime/tests/byte_budget.rs
+++ b/components/runtime/tests/byte_budget.rs
@@ -76,6 +76,21 @@
     }
 }
 
+/// What requests take beside their bytes leaves the eighth for small reservations free.
+#[test]
+fn requests_leave_the_part_for_small_reservations() {
+    const REQUEST: usize = 50_000;
+    let budget = ByteBudget::new(LIMIT);
+    let mut requests: Vec<Reservation> = (0..LIMIT.0 / REQUEST).map(|_| budget.reserve()).collect();
+    for request in &mut requests {
+        request.try_reserve(REQUEST);
+    }
+    assert_eq!(budget.used(), ByteCount(70 * MB));
+    assert_eq!(budget.refusals(), 0);
+    let mut small = budget.reserve();
+    assert_eq!(small.resize(MAX_SMALL.0), Ok(()));
+}
+
 #[test]
 fn a_refusal_changes_nothing() {
     let budget = ByteBudget::new(ByteCount(1000));
