A stopping gateway refuses streams by the pace of their route

Callers of streams saw 503 from stopping gateways for nearly all streams whose deadline is long, although most would have ended in time: in the soak, chats of 0.3 to 6 s whose callers wait for 15 s.

Cause: a stream was taken to need the likely fraction of its caller's time. Now its length is estimated from the mean time per token of its route at this gateway: twice the likely output, the maximum at most, and a fourth more. The caller's time counts only where nothing is known of the route.

--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -616,11 +616,12 @@
     took: Millis,
 ) {
     let route = &running.route.name;
+    let prompt = running.work.prompt.as_ref();
     let mut forwarder = gateway.forwarder.borrow_mut();
     match outcome {
-        "answered" if status < FIRST_SERVER_ERROR => forwarder.note_answer_time(route, took),
-        "streamed" => forwarder.note_answer_time(route, took),
-        "cut" | "timed_out" => forwarder.note_unfinished(route, took),
+        "answered" if status >= FIRST_SERVER_ERROR => {}
+        "answered" | "streamed" => forwarder.note_answer_time(route, prompt, took),
+        "cut" | "timed_out" => forwarder.note_unfinished(route, prompt, took),
         _ => {}
     }
 }
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -122,7 +122,8 @@
     let until_end = stop_ends_at.since(now);
     let usual = {
         let forwarder = gateway.forwarder.borrow();
-        forwarder.usual_answer_time(&running.route.name)
+        let prompt = running.work.prompt.as_ref();
+        forwarder.usual_answer_time(&running.route.name, prompt)
     };
     let outlasts = running.work.outlasts(remaining, until_end, usual);
     if outlasts {
--- a/components/forwarding/src/forwarder/estimates.rs
+++ b/components/forwarding/src/forwarder/estimates.rs
@@ -43,22 +43,23 @@
     }
 
     /// Records that a request of a route was answered this long after its arrival.
-    pub fn note_answer_time(&mut self, route: &str, took: Millis) {
-        self.answer_times_of(route).note(took);
+    pub fn note_answer_time(&mut self, route: &str, prompt: Option<&Prompt>, took: Millis) {
+        self.answer_times_of(route).note(prompt, took);
     }
 
     /// Records that a request of a route ended without a whole answer.
-    pub fn note_unfinished(&mut self, route: &str, lasted: Millis) {
-        self.answer_times_of(route).note_unfinished(lasted);
+    pub fn note_unfinished(&mut self, route: &str, prompt: Option<&Prompt>, lasted: Millis) {
+        self.answer_times_of(route).note_unfinished(prompt, lasted);
     }
 
     fn answer_times_of(&mut self, route: &str) -> &mut AnswerTimes {
         self.answer_times.entry(route.to_owned()).or_default()
     }
 
-    /// Time within which most requests of a route are answered; `None` if none has ended.
-    pub fn usual_answer_time(&self, route: &str) -> Option<Millis> {
-        self.answer_times.get(route)?.usual()
+    /// Time within which most requests of a route with such a prompt are answered; `None` if none
+    /// has ended.
+    pub fn usual_answer_time(&self, route: &str, prompt: Option<&Prompt>) -> Option<Millis> {
+        self.answer_times.get(route)?.usual(prompt)
     }
 
     /// Records that a request is sent to a back end, which copies what it lacks from
--- a/components/forwarding/src/pace.rs
+++ b/components/forwarding/src/pace.rs
@@ -102,6 +102,11 @@
         self.sum_tokens = self.sum_tokens * SAMPLE_DECAY + likely_output_tokens as f64;
     }
 
+    /// Whether a request has ended.
+    pub(crate) fn is_known(&self) -> bool {
+        self.sum_tokens > 0.0
+    }
+
     /// Expected time to generate `tokens`; zero while no request has ended.
     pub fn expected_ms(&self, tokens: f64) -> f64 {
         tokens * self.sum_ms / self.sum_tokens.max(1.0)
--- a/components/forwarding/src/work.rs
+++ b/components/forwarding/src/work.rs
@@ -46,29 +46,26 @@
 
 impl Work {
     /// Whether the whole answer probably takes longer than `available`. The caller waits for
-    /// `remaining`, and most requests of the route are answered within `usual`, if that is known.
+    /// `remaining`, and most such requests of the route are answered within `usual`, if that is
+    /// known.
     pub fn outlasts(&self, remaining: Millis, available: Millis, usual: Option<Millis>) -> bool {
         available == Millis::ZERO || self.likely_time(remaining, usual) > available
     }
 
-    /// Assumes that the maximum output of a stream takes all of the caller's `remaining` time, and
-    /// the likely fraction of the output that fraction of the time.
     fn likely_time(&self, remaining: Millis, usual: Option<Millis>) -> Millis {
-        let by_length = self
-            .prompt
-            .as_ref()
-            .map(|prompt| Millis((remaining.0 as f64 * prompt.likely_fraction()) as u64));
-        let likely = match self.kind {
-            WorkKind::Repeatable | WorkKind::AtMostOnce => usual,
-            WorkKind::Stream => by_length.or(usual),
-            // A stream that is cut can be taken up elsewhere, so that the longest possible time
-            // alone is no reason to refuse it.
-            WorkKind::ResumableStream => {
-                let usual = usual.unwrap_or(self.objective);
-                Some(by_length.map_or(usual, |by_length| by_length.min(usual)))
-            }
-        };
-        likely.map_or(remaining, |likely| likely.min(remaining))
+        let likely = usual.unwrap_or_else(|| self.longest_time(remaining));
+        likely.min(remaining)
+    }
+
+    /// Assumes that the maximum output takes all of the caller's `remaining` time, and the likely
+    /// fraction of the output that fraction of the time.
+    fn longest_time(&self, remaining: Millis) -> Millis {
+        // A stream that is cut can be taken up elsewhere.
+        if self.kind == WorkKind::ResumableStream {
+            return self.objective;
+        }
+        let likely_fraction = self.prompt.as_ref().map_or(1.0, Prompt::likely_fraction);
+        Millis((remaining.0 as f64 * likely_fraction) as u64)
     }
 
     /// Priority of the request at an engine of its service, 0 first. Each doubling of the
