--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -122,7 +122,8 @@
     let until_end = stop_ends_at.since(now);
     let usual = {
         let forwarder = gateway.forwarder.borrow();
-        forwarder.usual_answer_time(&running.route.name)
+        let prompt = running.work.prompt.as_ref();
+        forwarder.usual_answer_time(&running.route.name, prompt)
     };
     let outlasts = match usual {
         // It can no longer be refused as not run, so that another attempt costs less.
