The usual time of a route counts from the sending of a request

Callers saw 503 in a planned stop for requests that could still be served: one that had waited 1.2 s for the only connection, as requests of its route did before, and a stream whose prompt had been prefilled for it and that lacked only its decode. Since each attempt is compared with the time that requests of the route usually take, which counted from their arrival: what a request had waited, or an engine had worked for it, was demanded once more.

Now the time counts from the sending of the attempt that led to the answer, to an engine, an application or a relay; with earlier attempts that may have run, from the first of these. What a prefill took is subtracted before the decode that follows it. A request that ended without having been sent counts for nothing.

Evidence: a_request_that_has_waited_as_long_as_usual_is_begun holds with the code before and fails on (usual_ms=2401 left_ms=2399). a_stream_that_is_prefilled_in_time_is_decoded_during_a_stop fails without this change (usual_ms=2405 left_ms=2078 after a prefill of 1.5 s). Both hold now.

--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -277,6 +277,10 @@
         may_send: is_available,
         may_reuse: |connection| call.may_use(connection),
     };
+    // A decode goes on with what a prefill began.
+    if !matches!(job.phase, JobPhase::Decode(_)) {
+        call.note_work_begins(sent_at);
+    }
     // Only its prompt is read by a prefill.
     let may_run = !matches!(job.phase, JobPhase::Prefill(_));
     if may_run {
--- a/components/forwarding-shell/src/ports.rs
+++ b/components/forwarding-shell/src/ports.rs
@@ -52,6 +52,8 @@
     answered_on: RefCell<Vec<ConnectionId>>,
     /// Number of attempts that ran, may have run or may still run.
     possible_runs: Cell<u32>,
+    /// When the work on the request began for the last time, if no earlier attempt may have run.
+    work_began_at: Cell<Option<Millis>>,
 }
 
 impl Call {
@@ -70,9 +72,23 @@
             fingerprint: OnceCell::new(),
             answered_on: RefCell::default(),
             possible_runs: Cell::new(0),
+            work_began_at: Cell::new(None),
         }
     }
 
+    /// Notes that a back end or a relay begins with the request. What an attempt has begun that may
+    /// still run counts from its beginning.
+    pub(crate) fn note_work_begins(&self, now: Millis) {
+        if !self.may_have_run() {
+            self.work_began_at.set(Some(now));
+        }
+    }
+
+    /// When the work that led to the answer began; `None` if nothing was sent.
+    pub(crate) fn work_began_at(&self) -> Option<Millis> {
+        self.work_began_at.get()
+    }
+
     /// Notes that the request is sent, so that it may run.
     pub(crate) fn begin_attempt(&self) {
         self.possible_runs.set(self.possible_runs.get() + 1);
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -218,6 +218,7 @@
     }
 
     async fn send(&self, relay: SocketAddr) -> Result<RelayedAnswer<C, B>, RelayEnd> {
+        self.running.call.note_work_begins(self.gateway.now());
         self.running.call.begin_attempt();
         let sent = self.exchange(relay).await;
         if let Err(
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -69,6 +69,8 @@
     part_sets: OnceCell<Vec<RequestFingerprint>>,
     /// Whether the caller has received a part of the answer.
     pub(crate) answer_has_begun: bool,
+    /// Whether the prompt is prefilled and waits for its decode engine.
+    pub(crate) is_prefilled: Cell<bool>,
     /// Whether the request is given up since it would outlast a planned stop.
     pub(crate) outlasts_stop: Cell<bool>,
     ended: Cell<bool>,
@@ -134,6 +136,13 @@
         })
     }
 
+    /// Time that was spent on work that the next attempt goes on with.
+    pub(crate) fn spent(&self, now: Millis) -> Millis {
+        let began_at = self.call.work_began_at();
+        let spent = began_at.filter(|_| self.is_prefilled.get());
+        spent.map_or(Millis::ZERO, |began_at| now.since(began_at))
+    }
+
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
         self.due.since(now + CLOCK_STEP)
     }
@@ -417,6 +426,7 @@
         is_relayed: false,
         part_sets: OnceCell::new(),
         answer_has_begun: false,
+        is_prefilled: Cell::new(false),
         outlasts_stop: Cell::new(false),
         ended: Cell::new(false),
         _open: OpenRequestGuard::begin(&gateway.open_requests),
@@ -601,20 +611,23 @@
         took_ms = took.0;
         "request_ended"
     );
-    note_answer_time(gateway, running, outcome, status, took);
+    note_answer_time(gateway, running, outcome, status);
     gateway
         .metrics
         .request(&running.route.name, running.work.kind, outcome, took);
 }
 
-/// Learns from the end of a request how long those of its route take.
+/// Learns from the end of a request how long those of its route take once they are sent.
 fn note_answer_time<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
     outcome: &str,
     status: u16,
-    took: Millis,
 ) {
+    let Some(began_at) = running.call.work_began_at() else {
+        return;
+    };
+    let took = gateway.now().since(began_at);
     let route = &running.route.name;
     let mut forwarder = gateway.forwarder.borrow_mut();
     match outcome {
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -124,6 +124,7 @@
         let forwarder = gateway.forwarder.borrow();
         forwarder.usual_answer_time(&running.route.name)
     };
+    let usual = usual.map(|usual| usual.since(running.spent(now)));
     let outlasts = match usual {
         // It can no longer be refused as not run, so that another attempt costs less.
         None if running.call.may_have_run() => until_end == Millis::ZERO,
--- a/components/forwarding-shell/src/stream/prefill.rs
+++ b/components/forwarding-shell/src/stream/prefill.rs
@@ -128,6 +128,7 @@
     /// a prefill takes time. The cache is kept for another decode engine if
     /// this one did not take it.
     pub(super) async fn decode(&mut self, cache: WaitingCache<C, B>) -> Opened<C, B> {
+        self.running.is_prefilled.set(true);
         // The request may have been quarantined, or may have timed out, during the
         // prefill.
         if !may_be_sent(&self.gateway, &self.running) {
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -219,6 +219,7 @@
     /// Sends the whole request to one engine, or its prompt to a prefill engine. Returns
     /// `None` as answer if a prefilled prompt waits for its decode engine.
     async fn send_next(&mut self) -> Result<Opened<C, B>, NotStreamed> {
+        self.running.is_prefilled.set(false);
         if !may_be_sent(&self.gateway, &self.running) {
             return Err(NotStreamed::GivenUp(self.running.progress.given_up()));
         }
--- a/components/forwarding/src/answer_times.rs
+++ b/components/forwarding/src/answer_times.rs
@@ -9,7 +9,7 @@
 /// One request in this number takes longer than the usual time.
 const LONGER_ONE_IN: usize = 8;
 
-/// Times from the arrival of a request to the end of its answer.
+/// Times from the sending of a request to the end of its answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct AnswerTimes {
     latest: VecDeque<Millis>,
--- a/components/forwarding/src/forwarder/estimates.rs
+++ b/components/forwarding/src/forwarder/estimates.rs
@@ -42,7 +42,7 @@
         learned.prompt_rate.note(prompt.tokens, now);
     }
 
-    /// Records that a request of a route was answered this long after its arrival.
+    /// Records that a request of a route was answered this long after it was sent.
     pub fn note_answer_time(&mut self, route: &str, took: Millis) {
         self.answer_times_of(route).note(took);
     }
