--- a/components/forwarding/src/answer_times.rs
+++ b/components/forwarding/src/answer_times.rs
@@ -17,7 +17,7 @@
 /// slowly.
 const TOKEN_TIME_SLACK: f64 = 1.25;
 
-/// Times from the arrival of a request to the end of its answer.
+/// Times from the sending of a request to the end of its answer.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct AnswerTimes {
     latest: VecDeque<Millis>,
