An answer that arrived while its gateway stood is passed on, not cut

What callers saw: a connection that closes without a byte, although their request had been sent to an engine and the engine had answered it whole.

Cause: a process that has not run for a while notices the end of the time together with what has arrived. Head and first event were at hand and began the answer; the rest reaches its reader a turn of the event loop later, and the timer was due before. The HTTP library drops what it has not flushed if a body fails.

Change: forwarding-shell/src/cut_timer.rs. When the time is over, the event loop takes three turns before an answer is cut, in which what has arrived is passed on, for at most 300 ms after the end was noticed. Streams of engines and of relays; they were the only users of `sleep_until_due`.

--- a/components/forwarding-shell/src/lib.rs
+++ b/components/forwarding-shell/src/lib.rs
@@ -14,6 +14,7 @@
 mod backend_reports;
 mod buffered;
 mod connection_queue;
+mod cut_timer;
 mod event_reader;
 mod events;
 mod failover;
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -13,9 +13,10 @@
 
 use crate::answer_cut::{AnswerCut, CutCause, RunEnd};
 use crate::buffered::copy_head;
+use crate::cut_timer::CutTimer;
 use crate::event_reader::{BreakCause, EventReader, Received};
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{record_end, sleep_until_due};
+use crate::request::record_end;
 
 use super::answer::RelayedAnswer;
 use super::sender::Relaying;
@@ -27,6 +28,7 @@
     reader: EventReader,
     /// How the end of the answer to the caller is marked, which its head has fixed.
     framing: Framing,
+    cut_timer: Rc<CutTimer>,
     /// When the last event came.
     last_event_at: Millis,
     /// How the last relay that did not finish the answer ended.
@@ -57,6 +59,7 @@
     let stream = RelayedStream {
         reader: event_reader(&relaying, &answer),
         framing: answer.exchange.framing(),
+        cut_timer: CutTimer::new(&relaying.gateway, relaying.running.due),
         last_event_at: relaying.gateway.now(),
         run_end: RunEnd::default(),
         relaying,
@@ -113,10 +116,9 @@
     }
 
     async fn next(&mut self) -> Next {
-        let due = self.relaying.running.due;
-        let gateway = Rc::clone(&self.relaying.gateway);
+        let cut_timer = Rc::clone(&self.cut_timer);
         let late = async {
-            sleep_until_due(&gateway, due).await;
+            cut_timer.expired().await;
             Next::Cut(CutCause::TimeOver)
         };
         smol::future::or(self.next_or_resume(), late).await
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -485,14 +485,6 @@
     }
 }
 
-/// Waits until `due`.
-pub(crate) async fn sleep_until_due<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    due: Millis,
-) {
-    gateway.timers.sleep_until(due).await;
-}
-
 /// Waits until a request without an answer has to be answered: when it is due, or shortly before
 /// the end of a planned stop. A relay leaves the latter to the peer that handed the request over,
 /// which may still find another gateway.
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -19,11 +19,12 @@
 
 use crate::answer_cut::{AnswerCut, CutCause, RunEnd};
 use crate::answers::OwnAnswer;
+use crate::cut_timer::CutTimer;
 use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{
-    RunningRequest, Unserved, count_usage_once, record_end, sleep_until_answer_due, sleep_until_due,
+    RunningRequest, Unserved, count_usage_once, record_end, sleep_until_answer_due,
 };
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
@@ -39,6 +40,7 @@
     run: Option<EngineRun<C, B>>,
     /// How the end of the answer to the caller is marked, which its head has fixed.
     framing: Framing,
+    cut_timer: Rc<CutTimer>,
     /// When the last event came.
     last_event_at: Millis,
     /// How the last run that did not finish the answer ended.
@@ -99,6 +101,7 @@
     fn new(gateway: &Rc<Gateway<C, B>>, search: Search<C, B>) -> Self {
         Stream {
             gateway: Rc::clone(gateway),
+            cut_timer: CutTimer::new(gateway, search.running.due),
             search,
             run: None,
             framing: Framing::UntilClose,
@@ -182,10 +185,9 @@
 
     /// Returns the next complete events, from another engine if this one broke off.
     async fn next(&mut self) -> Next {
-        let due = self.search.running.due;
-        let gateway = Rc::clone(&self.gateway);
+        let cut_timer = Rc::clone(&self.cut_timer);
         let late = async {
-            sleep_until_due(&gateway, due).await;
+            cut_timer.expired().await;
             Next::Cut(CutCause::TimeOver)
         };
         smol::future::or(self.next_or_resume(), late).await
