--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -504,14 +504,6 @@
     }
 }
 
-/// Waits until `due`.
-pub(crate) async fn sleep_until_due<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    due: Millis,
-) {
-    gateway.timers.sleep_until(due).await;
-}
-
 /// Waits until a request without an answer has to be answered, and returns the answer: when it is
 /// due, or shortly before the end of a planned stop. A relay does not answer a request that may run
 /// at the end of its own stop, as the peer that handed it over may still find another gateway.
