A relay in a planned stop is left out for the whole of it

What callers saw: gateways that are cut off from all engines refused requests (503, no_path) after three relays that were stopping, while another one reached the engines.

Cause: a relay that stops was left out for 500 ms at first, like one that is full; a relay that had left the leader's list was as good as the others for 3 s; and each refusal counted as one of the three relays of a request. Of the 59 refusals 36 came within 1 s of the relay's stop_begun (the leader's list is that old) and 23 later. The report to the leader already names no address from the start of a stop on.

Change: "unavailable" with Connection: close, which gateways set from the start of a stop on (earlier builds too), leaves the relay out until the leader lists it anew, 8 s at most. Relays that the last list lacks come last. A stopping relay is not one of the three. Outcome `stopping` of request_relayed. No encoding changes.

--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -5,7 +5,7 @@
 
 use garnet_forwarding::AttemptEnd;
 use garnet_runtime::client::HttpError;
-use garnet_runtime::{Body, Exchange, bytes_body};
+use garnet_runtime::{Body, Exchange, announces_close, bytes_body};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::HOST;
@@ -98,6 +98,8 @@
     Unsent,
     /// The relay does not take the request, which has not run.
     Unavailable,
+    /// The relay has begun a planned stop and does not take the request, which has not run.
+    Stopping,
     /// The relay is of an earlier build than the request needs, and does not take it.
     EarlierBuild,
     /// The relay has no path to the service either; the request has not run.
@@ -113,6 +115,7 @@
         match self {
             RelayEnd::Unsent => "unsent",
             RelayEnd::Unavailable => "unavailable",
+            RelayEnd::Stopping => "stopping",
             RelayEnd::EarlierBuild => "earlier_build",
             RelayEnd::NoPath => "no_path",
             RelayEnd::Own(answer) => answer.as_str(),
@@ -128,8 +131,8 @@
     /// Id of the last event that the caller has.
     pub(super) resume_after: Option<String>,
     tried: Vec<SocketAddr>,
-    /// Number of relays in `tried` whose build is too early for the request.
-    of_earlier_builds: usize,
+    /// Number of relays in `tried` that stop, or whose build is too early for the request.
+    not_counted: usize,
 }
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Relaying<C, B> {
@@ -139,7 +142,7 @@
             resume_after: running.call.facts.resume_after.clone(),
             running,
             tried: Vec::new(),
-            of_earlier_builds: 0,
+            not_counted: 0,
         }
     }
 
@@ -154,7 +157,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(RelayEnd::Own(answer)) => return Err(self.truthful(answer)),
                 Err(RelayEnd::Broken) => self.on_broken()?,
-                Err(RelayEnd::EarlierBuild) => self.of_earlier_builds += 1,
+                Err(RelayEnd::EarlierBuild | RelayEnd::Stopping) => self.not_counted += 1,
                 Err(RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::NoPath) => {}
             }
         }
@@ -179,7 +182,7 @@
     }
 
     fn next_relay(&self) -> Option<SocketAddr> {
-        let asked = self.tried.len() - self.of_earlier_builds;
+        let asked = self.tried.len() - self.not_counted;
         if asked >= MAX_RELAYS || !is_allowed(&self.gateway, &self.running) {
             return None;
         }
@@ -242,7 +245,8 @@
         let framing = take_framing(&mut exchange.head.headers);
         exchange.set_framing(framing);
         let build = take_build(&mut exchange.head.headers);
-        match self.on_outcome(relay, version, outcome) {
+        let closes = announces_close(&exchange.head.headers);
+        match self.on_outcome(relay, version, outcome, closes) {
             Ok(()) => Ok(RelayedAnswer {
                 exchange,
                 guard,
@@ -272,6 +276,7 @@
         relay: SocketAddr,
         version: RelayVersion,
         outcome: Option<RelayOutcome>,
+        closes: bool,
     ) -> Result<(), RelayEnd> {
         let mut relays = self.gateway.relays.borrow_mut();
         match outcome {
@@ -279,6 +284,11 @@
                 relays.answered(relay);
                 Ok(())
             }
+            // A gateway closes the connections of its peers from the start of a planned stop on.
+            Some(RelayOutcome::Unavailable) if closes => {
+                relays.stopping(relay, self.gateway.now());
+                Err(RelayEnd::Stopping)
+            }
             Some(RelayOutcome::Unavailable) if version < self.required_version() => {
                 if version < RelayVersion::required_for(self.running.work.kind) {
                     relays.declines_single_runs(relay);
--- a/components/forwarding/src/relays.rs
+++ b/components/forwarding/src/relays.rs
@@ -16,6 +16,10 @@
 /// knows all gateways after about a second.
 const UNLISTED_LIFETIME: Millis = Millis::from_secs(3);
 
+/// A relay that stops is left out for this time at most: no list may tell that it has been started
+/// again.
+const MAX_STOP_TIME: Millis = Millis::from_secs(8);
+
 /// A relay in another zone is chosen if the nearest one has more requests in flight by this
 /// number.
 const FAR_PENALTY: usize = 4;
@@ -31,6 +35,15 @@
     breaker: CircuitBreaker,
     /// Whether it has declined work that may run at most once, as it is of an earlier build.
     declines_single_runs: bool,
+    /// When it last refused a request as it stops.
+    stopping_since: Option<Millis>,
+}
+
+impl Known {
+    fn is_stopping(&self, now: Millis) -> bool {
+        let since = self.stopping_since;
+        since.is_some_and(|since| now.since(since) <= MAX_STOP_TIME)
+    }
 }
 
 /// The relays that this gateway may use.
@@ -38,6 +51,8 @@
 pub struct RelayDirectory {
     zone: String,
     relays: BTreeMap<SocketAddr, Known>,
+    /// When the last list was taken.
+    listed_at: Millis,
     sent: u64,
 }
 
@@ -47,15 +62,22 @@
         RelayDirectory {
             zone,
             relays: BTreeMap::new(),
+            listed_at: Millis(0),
             sent: 0,
         }
     }
 
     /// Takes the leader's list.
     pub fn take_list(&mut self, list: Vec<Relay>, now: Millis) {
+        let last_list_at = std::mem::replace(&mut self.listed_at, now);
         for relay in list {
             match self.relays.get_mut(&relay.address) {
                 Some(known) => {
+                    // The leader may not have the report of a stop yet.
+                    let is_listed_anew = known.listed_at < last_list_at;
+                    if is_listed_anew {
+                        known.stopping_since = None;
+                    }
                     known.relay = relay;
                     known.listed_at = now;
                     known.declines_single_runs = false;
@@ -67,6 +89,7 @@
                         last_sent: 0,
                         breaker: CircuitBreaker::default(),
                         declines_single_runs: false,
+                        stopping_since: None,
                         relay,
                     };
                     self.relays.insert(known.relay.address, known);
@@ -89,7 +112,8 @@
     }
 
     /// The relay for the next request of a kind to a service, none of those in `tried`: the one with
-    /// the fewest requests of this gateway, where one in another zone counts as busier.
+    /// the fewest requests of this gateway, where one in another zone counts as busier. Relays that
+    /// the last list lacks come last.
     pub fn choose(
         &self,
         service: &ServiceId,
@@ -99,6 +123,7 @@
     ) -> Option<SocketAddr> {
         let may_take = |known: &&Known| {
             known.breaker.allows(now)
+                && !known.is_stopping(now)
                 && (kind.may_repeat() || !known.declines_single_runs)
                 && !known.relay.unreached.contains(service)
                 && !tried.contains(&known.relay.address)
@@ -107,7 +132,8 @@
         let order = |known: &&Known| {
             let is_far = known.relay.zone != self.zone;
             let penalty = if is_far { FAR_PENALTY } else { 0 };
-            (known.in_flight + penalty, known.last_sent)
+            let is_unlisted = known.listed_at < self.listed_at;
+            (is_unlisted, known.in_flight + penalty, known.last_sent)
         };
         let chosen = candidates.min_by_key(order)?;
         Some(chosen.relay.address)
@@ -155,7 +181,16 @@
         }
     }
 
-    /// Records that a relay is not reached, is stopping, or has no room.
+    /// Records that a relay has begun a planned stop and takes no more requests. It is left out
+    /// until the leader lists it anew.
+    pub fn stopping(&mut self, address: SocketAddr, now: Millis) {
+        if let Some(known) = self.relays.get_mut(&address) {
+            known.breaker.succeeded();
+            known.stopping_since = Some(now);
+        }
+    }
+
+    /// Records that a relay is not reached or has no room.
     pub fn unavailable(&mut self, address: SocketAddr, now: Millis) {
         if let Some(known) = self.relays.get_mut(&address) {
             known.breaker.unresponsive(now);
--- a/components/forwarding/tests/core/paths.rs
+++ b/components/forwarding/tests/core/paths.rs
@@ -223,6 +223,55 @@
     assert_eq!(directory.len(), 1);
 }
 
+/// The nearest relay that takes a request now.
+fn chosen(directory: &RelayDirectory, now: Millis) -> Option<SocketAddr> {
+    directory.choose(&till(), WorkKind::Repeatable, &[], now)
+}
+
+/// Gateways that had left the leader's list for a planned stop were asked for 3 s more.
+#[test]
+fn a_relay_that_is_no_longer_listed_is_the_last_choice() {
+    let mut directory = directory(&[(1, "a"), (2, "b")]);
+    assert_eq!(chosen(&directory, NOW), Some(relay_address(1)));
+    let later = NOW + Millis(1_000);
+    directory.take_list(vec![relay(2, "b")], later);
+    for _ in 0..10 {
+        directory.sent(relay_address(2));
+    }
+    assert_eq!(chosen(&directory, later), Some(relay_address(2)));
+    // A new leader's list is empty at first.
+    directory.take_list(Vec::new(), later + Millis(1));
+    assert_eq!(chosen(&directory, later), Some(relay_address(1)));
+}
+
+/// Relays in a planned stop were asked again every 0.5 to 2 s.
+#[test]
+fn a_relay_that_stops_is_left_out_until_it_is_listed_anew() {
+    let mut directory = directory(&[(1, "a")]);
+    directory.stopping(relay_address(1), NOW);
+    assert_eq!(chosen(&directory, NOW), None);
+    // The leader may not have its report yet.
+    let outdated = NOW + Millis(600);
+    directory.take_list(vec![relay(1, "a")], outdated);
+    assert_eq!(chosen(&directory, outdated), None);
+    let without = NOW + Millis(1_600);
+    directory.take_list(Vec::new(), without);
+    assert_eq!(chosen(&directory, without), None);
+    let anew = NOW + Millis(2_600);
+    directory.take_list(vec![relay(1, "a")], anew);
+    assert_eq!(chosen(&directory, anew), Some(relay_address(1)));
+}
+
+/// Without a leader no list tells that a relay has been started again.
+#[test]
+fn a_relay_that_stops_is_asked_again_after_the_longest_stop() {
+    let mut directory = directory(&[(1, "a")]);
+    directory.stopping(relay_address(1), NOW);
+    assert_eq!(chosen(&directory, NOW + Millis(8_000)), None);
+    let after = NOW + Millis(8_001);
+    assert_eq!(chosen(&directory, after), Some(relay_address(1)));
+}
+
 /// A relay of an earlier build is asked again after the next list, as it may have been upgraded.
 #[rstest]
 #[case(WorkKind::Repeatable, true)]
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -47,7 +47,7 @@
 pub use connection_timer::ConnectionTimeouts;
 pub use fair_stream::FairStream;
 pub use framing::framing_of;
-pub use pool::{ConnectionPool, Exchange, PoolSettings, SendConditions};
+pub use pool::{ConnectionPool, Exchange, PoolSettings, SendConditions, announces_close};
 pub use pooled_connection::ConnectionId;
 pub use request_body::RequestBody;
 pub use server::{
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -483,7 +483,7 @@
 }
 
 /// Whether the server closes the connection after this answer.
-fn announces_close(headers: &HeaderMap) -> bool {
+pub fn announces_close(headers: &HeaderMap) -> bool {
     let value = headers
         .get(CONNECTION)
         .and_then(|value| value.to_str().ok());
