--- a/components/forwarding-shell/src/buffered.rs
+++ b/components/forwarding-shell/src/buffered.rs
@@ -21,9 +21,8 @@
 use crate::headers::remove_connection_headers;
 use crate::permits::{NotPlaced, place_within_limits};
 use crate::ports::{BackendPort, Call, CallerPort, Job, JobPhase};
-use crate::request::{
-    RunningRequest, Unserved, count_usage_once, last_answer, log_no_back_end, record_end,
-};
+use crate::request::{RunningRequest, Unserved, count_usage_once, log_no_back_end, record_end};
+use crate::stopping::last_answer;
 use crate::timeout::with_timeout;
 use crate::unread_answer::note_unread;
 
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -17,7 +17,8 @@
 use crate::failover::{is_allowed, take_repeat};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{RunningRequest, Unserved, last_answer, own_answer, record_end};
+use crate::request::{RunningRequest, Unserved, own_answer, record_end};
+use crate::stopping::last_answer;
 
 use super::answer::RelayedAnswer;
 use super::message::{
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -22,6 +22,7 @@
 use crate::headers::remove_connection_headers;
 use crate::permits::{all_in_backoff, request_spare_permit};
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
+use crate::stopping::note_answer_time;
 use crate::{buffered, relay, stream};
 
 /// Longest time to read the body of a request.
@@ -38,9 +39,6 @@
 /// the rest on an earlier try, so its request counts as a retry.
 const FIRST_CALL_MIN_FRACTION: f64 = 0.95;
 
-/// Failures of a back end say nothing about the time that its answers take.
-const FIRST_SERVER_ERROR: u16 = 500;
-
 /// Longest time that a quarantined request waits until it is known whether a path is lost: the
 /// connect timeouts of two back ends, and their probes.
 const MAX_DECISION_WAIT: Millis = Millis(500);
@@ -504,30 +502,6 @@
     }
 }
 
-/// Waits until a request without an answer has to be answered, and returns the answer: when it is
-/// due, or shortly before the end of a planned stop. A relay does not answer a request that may run
-/// at the end of its own stop, as the peer that handed it over may still find another gateway.
-pub(crate) async fn last_answer<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    call: &Call,
-    due: Millis,
-    is_relayed: bool,
-) -> OwnAnswer {
-    let timed_out = async {
-        gateway.timers.sleep_until(due).await;
-        OwnAnswer::TimedOut
-    };
-    let stop_end = async {
-        gateway.stop_end.until_near().await;
-        match (call.may_have_run(), is_relayed) {
-            (false, _) => OwnAnswer::Stopping,
-            (true, false) => OwnAnswer::TimedOut,
-            (true, true) => std::future::pending().await,
-        }
-    };
-    smol::future::or(timed_out, stop_end).await
-}
-
 /// The gateway's own answer to a request that is refused before it is routed.
 fn refuse<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
@@ -609,28 +583,6 @@
         .request(&running.route.name, running.work.kind, outcome, took);
 }
 
-/// Learns from the end of a request how long those of its route take once they are sent.
-fn note_answer_time<C: CallerPort, B: BackendPort>(
-    gateway: &Gateway<C, B>,
-    running: &RunningRequest,
-    outcome: &str,
-    status: u16,
-) {
-    let Some(began_at) = running.call.work_began_at() else {
-        return;
-    };
-    let took = gateway.now().since(began_at);
-    let route = &running.route.name;
-    let prompt = running.work.prompt.as_ref();
-    let mut forwarder = gateway.forwarder.borrow_mut();
-    match outcome {
-        "answered" if status >= FIRST_SERVER_ERROR => {}
-        "answered" | "streamed" => forwarder.note_answer_time(route, prompt, took),
-        "cut" | "timed_out" => forwarder.note_unfinished(route, prompt, took),
-        _ => {}
-    }
-}
-
 /// Logs that no back end can take a request, and how many are open and known.
 pub(crate) fn log_no_back_end<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -9,8 +9,9 @@
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 
+use crate::answers::OwnAnswer;
 use crate::gateway::Gateway;
-use crate::ports::{BackendPort, CallerPort};
+use crate::ports::{BackendPort, Call, CallerPort};
 use crate::request::RunningRequest;
 
 /// How often a stop logs how many requests are still open.
@@ -22,6 +23,9 @@
 /// Largest fraction of the grace time that this may take.
 const MAX_FINAL_ANSWERS_FRACTION: f64 = 0.1;
 
+/// Failures of a back end say nothing about the time that its answers take.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// Wakes requests without an answer shortly before the process is killed.
 pub(crate) struct StopEnd {
     is_near: Receiver<Infallible>,
@@ -144,3 +148,49 @@
     }
     outlasts
 }
+
+/// Waits until a request without an answer has to be answered, and returns the answer: when it is
+/// due, or shortly before the end of a planned stop. A relay does not answer a request that may run
+/// at the end of its own stop, as the peer that handed it over may still find another gateway.
+pub(crate) async fn last_answer<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    call: &Call,
+    due: Millis,
+    is_relayed: bool,
+) -> OwnAnswer {
+    let timed_out = async {
+        gateway.timers.sleep_until(due).await;
+        OwnAnswer::TimedOut
+    };
+    let stop_end = async {
+        gateway.stop_end.until_near().await;
+        match (call.may_have_run(), is_relayed) {
+            (false, _) => OwnAnswer::Stopping,
+            (true, false) => OwnAnswer::TimedOut,
+            (true, true) => std::future::pending().await,
+        }
+    };
+    smol::future::or(timed_out, stop_end).await
+}
+
+/// Learns from the end of a request how long those of its route take once they are sent.
+pub(crate) fn note_answer_time<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+    outcome: &str,
+    status: u16,
+) {
+    let Some(began_at) = running.call.work_began_at() else {
+        return;
+    };
+    let took = gateway.now().since(began_at);
+    let route = &running.route.name;
+    let prompt = running.work.prompt.as_ref();
+    let mut forwarder = gateway.forwarder.borrow_mut();
+    match outcome {
+        "answered" if status >= FIRST_SERVER_ERROR => {}
+        "answered" | "streamed" => forwarder.note_answer_time(route, prompt, took),
+        "cut" | "timed_out" => forwarder.note_unfinished(route, prompt, took),
+        _ => {}
+    }
+}
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -23,7 +23,8 @@
 use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{RunningRequest, Unserved, count_usage_once, last_answer, record_end};
+use crate::request::{RunningRequest, Unserved, count_usage_once, record_end};
+use crate::stopping::last_answer;
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
 
--- a/components/runtime/src/server.rs
+++ b/components/runtime/src/server.rs
@@ -471,19 +471,23 @@
     set_header(response, "connection", "close");
 }
 
+/// The level of a line that is of use to operators in some cases only.
+fn info_if(is_of_use: bool) -> log::Level {
+    if is_of_use {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    }
+}
+
 /// Logs that a timeout of this server ends a connection. Its caller sees a connection that
 /// ends, as after any other failure.
 fn log_timeout(connection_timer: &ConnectionTimer) {
     let (phase, elapsed) = connection_timer.phase();
     let has_unsent = connection_timer.has_unsent();
     let is_unfinished = phase != Phase::Idle || has_unsent;
-    let level = if is_unfinished {
-        log::Level::Info
-    } else {
-        log::Level::Debug
-    };
     log::log!(
-        level,
+        info_if(is_unfinished),
         phase = phase.as_str(),
         for_ms = elapsed.as_millis() as u64,
         has_unsent = has_unsent;
@@ -505,13 +509,8 @@
         Phase::Head => false,
         Phase::Serving => !error.is_user(),
     };
-    let level = if may_be_undelivered {
-        log::Level::Info
-    } else {
-        log::Level::Debug
-    };
     log::log!(
-        level,
+        info_if(may_be_undelivered),
         phase = phase.as_str(),
         for_ms = elapsed.as_millis() as u64,
         error = error.to_string().as_str(),
