--- a/components/planner/tests/balance.rs
+++ b/components/planner/tests/balance.rs
@@ -133,3 +133,20 @@
         }
     }
 }
+
+/// Found by `no_oscillation`: a change of roles is reversed under the same load.
+#[test]
+fn a_single_decode_engine_under_load_is_no_reason_to_oscillate() {
+    let settings = BalanceSettings::default();
+    let (prefill, decode) = (0.8634292510163317, 1.9563979627756867);
+    let target = target_prefill_engines(&occupancy(35, 1, prefill, decode), &settings);
+    let rest = 36 - target;
+    let after = occupancy(
+        target,
+        rest,
+        prefill * 35.0 / target as f64,
+        decode / rest as f64,
+    );
+    let next = target_prefill_engines(&after, &settings);
+    assert!(target < 35 && next <= target, "{target}, then {next}");
+}
