Times of answers: routes that are gone are looked up, not searched

A new route table compared each route that was served with each route of the table: with 1,400 served of 5,600, up to 8 million comparisons of strings in the event loop for each change of a storm. From reading, not measured; behaviour is the same.

--- a/components/forwarding/src/forwarder/configuration.rs
+++ b/components/forwarding/src/forwarder/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at a gateway. It never reverts to an older one.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 
 use garnet_control::{
@@ -151,8 +151,10 @@
             && table.version != self.routes.table().version
         {
             self.routes = RouteIndex::new((**table).clone());
+            let routes = table.routes.iter().map(|route| route.name.as_str());
+            let names: HashSet<&str> = routes.collect();
             self.answer_times
-                .retain(|name, _| table.routes.iter().any(|route| route.name == *name));
+                .retain(|name, _| names.contains(name.as_str()));
             self.share_connections();
         }
         let quarantined = self.configuration.quarantine.keys().copied();
