garnet-gateway: a stop has an end, and open requests are answered before it

Callers of garnet-gateway whose requests no back end had answered when the process of a planned stop was killed got no answer; what waited for its claim, or was rejected during the stop, was begun although it could not end in time.

Cause: the planned stop named no end (Event::Drain). Setting grace_ms gives it one; without it nothing changes. Texts are weighed by the predicted time of the first token and of the remaining tokens, calls of applications by the time that their callers wait. The time of the last answers is that of the other gateway, moved to components/runtime (until_last_answers).

--- a/bin/garnet-gateway/src/settings.rs
+++ b/bin/garnet-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use garnet_routing::AdmissionSettings;
 use garnet_runtime::command_line::read_file;
@@ -21,6 +22,7 @@
 ";
 
 const MAX_INTERVAL_MS: u64 = 600_000;
+const MIN_GRACE_MS: u64 = 100;
 const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 
 #[derive(Debug, Default)]
@@ -40,6 +42,8 @@
     pub(crate) max_body_bytes: usize,
     pub(crate) waiting_capacity: usize,
     pub(crate) application_concurrency: usize,
+    /// Time after which the process of a planned stop is killed, if that is known.
+    pub(crate) grace: Option<Duration>,
     pub(crate) admission: AdmissionSettings,
 }
 
@@ -96,6 +100,7 @@
         let max_body_bytes = table.integer("max_body_bytes", 1024..=MAX_BODY_BYTES);
         let waiting_capacity = table.integer("waiting_capacity", 1..=1_000_000);
         let concurrency = table.integer("application_concurrency", 1..=100_000);
+        let grace_ms = table.integer("grace_ms", MIN_GRACE_MS..=MAX_INTERVAL_MS);
         let admission = table.table("admission", read_admission);
         Some(Settings {
             name: name?,
@@ -106,6 +111,7 @@
             max_body_bytes: max_body_bytes.unwrap_or(4 * 1024 * 1024) as usize,
             waiting_capacity: waiting_capacity.unwrap_or(1024) as usize,
             application_concurrency: concurrency.unwrap_or(64) as usize,
+            grace: grace_ms.map(Duration::from_millis),
             admission: admission.unwrap_or_default(),
         })
     })?;
--- a/bin/garnet-gateway/src/start.rs
+++ b/bin/garnet-gateway/src/start.rs
@@ -10,10 +10,10 @@
 use garnet_runtime::control_link::{self, ControlLinkHandler};
 use garnet_runtime::report_link::{self, ReportLinkHandler};
 use garnet_runtime::server::Limits;
-use garnet_runtime::{HttpServer, Shell};
+use garnet_runtime::{HttpServer, Shell, until_last_answers};
 use garnet_storage::{DiskDirectory, DiskIdentity, StorageError, load_value, save_value};
 use garnet_supervisor::{ChildError, ChildSpec, Restart, StopSignal};
-use garnet_types::{EncodingVersion, GatewayId};
+use garnet_types::{EncodingVersion, GatewayId, Millis};
 use smol::Timer;
 use smol::channel::{Receiver, bounded, unbounded};
 
@@ -137,7 +137,7 @@
             callers::handle(callers.clone(), request)
         }),
     ];
-    shell.run(children, drain(context))
+    shell.run(children, drain(context, settings.grace))
 }
 
 fn open(settings: &Settings) -> io::Result<Opened> {
@@ -216,9 +216,15 @@
     .map_err(ChildError::new)
 }
 
-/// A planned stop: new requests are refused as not run, open ones finish.
-async fn drain(context: Context) {
-    context.handle(Event::Drain);
+/// A planned stop: new requests are refused as not run, open ones finish or are answered shortly
+/// before the process is killed.
+async fn drain(context: Context, grace: Option<Duration>) {
+    let until_end = grace.map(until_last_answers);
+    let until_end_ms = until_end.and_then(|until_end| u64::try_from(until_end.as_millis()).ok());
+    let ends_at = until_end_ms.map(|until_end_ms| context.clock.now() + Millis(until_end_ms));
+    let open_requests = context.with_gateway(|gateway, _| gateway.open_requests());
+    log::info!(open_requests = open_requests; "stop_begun");
+    context.handle(Event::Drain { ends_at });
     while !context.with_gateway(|gateway, _| gateway.is_drained()) {
         Timer::after(TICK).await;
     }
--- a/bin/garnet-gateway/tests/process/bad_starts.rs
+++ b/bin/garnet-gateway/tests/process/bad_starts.rs
@@ -13,7 +13,10 @@
 
 #[test]
 fn every_mistake_of_the_settings_is_found_and_nothing_starts() {
-    let output = run_to_end("nmae = \"g\"\nlisten = \"here\"\nmax_body_bytes = 1\n", &[]);
+    let output = run_to_end(
+        "nmae = \"g\"\nlisten = \"here\"\nmax_body_bytes = 1\ngrace_ms = 1\n",
+        &[],
+    );
     let text = error_text(&output);
     assert_eq!(output.status.code(), Some(WRONG_SETTINGS), "{text}");
     for key in [
@@ -23,6 +26,7 @@
         "listen",
         "controls",
         "max_body_bytes",
+        "grace_ms",
     ] {
         assert!(text.contains(key), "{key}: {text}");
     }
--- a/bin/garnet-gateway/tests/process/main.rs
+++ b/bin/garnet-gateway/tests/process/main.rs
@@ -6,4 +6,5 @@
 mod endless_bytes;
 mod report_link;
 mod running;
+mod stopping;
 mod surplus_answers;
--- a/bin/garnet-gateway/tests/process/running.rs
+++ b/bin/garnet-gateway/tests/process/running.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
 
+use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_garnet-gateway");
@@ -50,10 +51,15 @@
 
     /// Starts a gateway with these replicas.
     pub fn start_with(controls: &[String]) -> Self {
+        Self::start_with_more(controls, "")
+    }
+
+    /// Starts a gateway with these replicas and more lines of settings.
+    pub fn start_with_more(controls: &[String], more: &str) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let file = folder.path().join("settings.toml");
         let text = settings_with("127.0.0.1:0", &folder.path().join("data"), controls);
-        std::fs::write(&file, text).expect("written");
+        std::fs::write(&file, text + more).expect("written");
         let mut child = Command::new(PROGRAM)
             .arg("--settings")
             .arg(&file)
@@ -74,6 +80,12 @@
         self.child.id()
     }
 
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        let id = Pid::from_child(&self.child);
+        kill_process(id, Signal::TERM).expect("it runs");
+    }
+
     /// Sends bytes and gives the whole answer, up to the connection's end.
     pub fn send(&self, bytes: &[u8]) -> String {
         read_answer(self.connect_and_write(bytes))
--- a/bin/garnet-gateway/tests/process/surplus_answers.rs
+++ b/bin/garnet-gateway/tests/process/surplus_answers.rs
@@ -198,13 +198,23 @@
 
 /// Starts a gateway with a single back end.
 pub fn start_gateway(kind: BackendKind, service: &str, back_end: &BackEnd) -> Running {
+    start_gateway_with(kind, service, back_end, "")
+}
+
+/// Starts a gateway with a single back end and more lines of settings.
+pub fn start_gateway_with(
+    kind: BackendKind,
+    service: &str,
+    back_end: &BackEnd,
+    more: &str,
+) -> Running {
     let record = record(kind, service, &back_end.address);
     let configuration = Configuration {
         index: 1,
         backends: BTreeMap::from([(record.registration.id.clone(), record)]),
         ..Configuration::default()
     };
-    Running::start_with(&[lead(configuration)])
+    Running::start_with_more(&[lead(configuration)], more)
 }
 
 /// A call whose back end is named by its kind.
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use garnet_runtime::until_last_answers;
 use garnet_types::Millis;
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
@@ -17,12 +18,6 @@
 /// How often a stop logs how many requests are still open.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time before the end of the grace time at which requests that still have no answer are answered:
-/// several stalls of a tenth of a second, and the way to the caller.
-const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(500);
-/// Largest fraction of the grace time that this may take.
-const MAX_FINAL_ANSWERS_FRACTION: f64 = 0.1;
-
 /// Failures of a back end say nothing about the time that its answers take.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -67,8 +62,7 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let margin = FINAL_ANSWERS_TIME.min(times.grace.mul_f64(MAX_FINAL_ANSWERS_FRACTION));
-    let until_end = times.grace.saturating_sub(margin);
+    let until_end = until_last_answers(times.grace);
     let until_end_ms = u64::try_from(until_end.as_millis()).unwrap_or(u64::MAX);
     let ends_at = gateway.now() + Millis(until_end_ms);
     gateway.stop_ends_at.set(Some(ends_at));
--- a/components/gateway/src/application.rs
+++ b/components/gateway/src/application.rs
@@ -16,6 +16,10 @@
 
 impl Gateway {
     pub(crate) fn route_application(&mut self, id: RequestId) {
+        // How long an application takes is not known here.
+        if self.refuse_if_outlasting(id, None) {
+            return;
+        }
         match self.choose_instance(id) {
             Ok((backend, address)) => self.dispatch_application(id, backend, address),
             Err(_) if self.await_permit(id, None) => {}
--- a/components/gateway/src/completion/mod.rs
+++ b/components/gateway/src/completion/mod.rs
@@ -25,6 +25,10 @@
         let request = &self.requests[&id];
         let time_left = request.deadline.since(self.now);
         let generation = self.generation_time(request);
+        if self.refuse_if_outlasting(id, Some(predicted.first_token + generation)) {
+            return;
+        }
+        let request = &self.requests[&id];
         let decision = admit(
             predicted.first_token,
             generation,
@@ -191,7 +195,11 @@
             }
             match self.choose_placement(waiting.item) {
                 Some(predicted) if predicted.first_token <= target => {
-                    self.dispatch_completion(waiting.item, &predicted.placement);
+                    let generation = self.generation_time(&self.requests[&waiting.item]);
+                    let likely = predicted.first_token + generation;
+                    if !self.refuse_if_outlasting(waiting.item, Some(likely)) {
+                        self.dispatch_completion(waiting.item, &predicted.placement);
+                    }
                 }
                 None if self.requests[&waiting.item].has_begun() => {
                     self.request_spare_permit(waiting.item);
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -140,7 +140,11 @@
     /// This configuration index is now the highest on disk.
     IndexPersisted(u64),
     /// A planned stop begins: finish open requests and refuse new ones.
-    Drain,
+    Drain {
+        /// When all requests that are still open have to be answered, if the end of the process is
+        /// known.
+        ends_at: Option<Millis>,
+    },
 }
 
 /// An output of the gateway, to be carried out by the driver.
--- a/components/gateway/src/gateway/mod.rs
+++ b/components/gateway/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod limits;
 mod quarantine;
+mod stopping;
 mod ticks;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -91,6 +92,8 @@
     next_attempt: u64,
     watch_sent_at: Option<Millis>,
     draining: bool,
+    /// When the last requests are answered in a planned stop, if its end is known.
+    stop_ends_at: Option<Millis>,
 }
 
 impl Gateway {
@@ -120,6 +123,7 @@
             next_attempt: 0,
             watch_sent_at: None,
             draining: false,
+            stop_ends_at: None,
             settings,
         }
     }
@@ -151,7 +155,10 @@
             Event::IndexPersisted(index) => {
                 self.watched.persisted_index = self.watched.persisted_index.max(index);
             }
-            Event::Drain => self.draining = true,
+            Event::Drain { ends_at } => {
+                self.draining = true;
+                self.stop_ends_at = ends_at;
+            }
         }
     }
 
--- a/components/gateway/src/gateway/ticks.rs
+++ b/components/gateway/src/gateway/ticks.rs
@@ -10,6 +10,7 @@
 impl Gateway {
     pub(super) fn tick(&mut self) {
         self.run_due_timers();
+        self.answer_before_end();
         self.serve_waiting();
         self.resend_claims();
         self.abort_stalled();
--- a/components/gateway/tests/core/planned_stops.rs
+++ b/components/gateway/tests/core/planned_stops.rs
@@ -4,6 +4,8 @@
 use garnet_gateway::{AttemptEvent, Event, Job};
 use garnet_types::{BackendId, Execution, Millis, OutcomeCode, RecordedResponse};
 
+use rstest::rstest;
+
 use crate::harness::{Dispatched, Harness, completion, order};
 
 #[test]
@@ -11,7 +13,7 @@
     let mut harness = Harness::ready();
     harness.event(completion(1, None));
     let attempt = harness.dispatch().attempt;
-    harness.event(Event::Drain);
+    harness.event(Event::Drain { ends_at: None });
     harness.event(completion(2, None));
     assert_eq!(harness.refusal().code, OutcomeCode::NotRun);
     assert!(!harness.gateway.is_drained());
@@ -28,7 +30,7 @@
     harness.event(order(1, "POST", Some("key")));
     harness.answer_claim(ClaimAnswer::Granted);
     let attempt = harness.dispatch().attempt;
-    harness.event(Event::Drain);
+    harness.event(Event::Drain { ends_at: None });
     harness.attempt(
         attempt,
         AttemptEvent::Response(RecordedResponse {
@@ -46,6 +48,77 @@
     assert!(harness.gateway.is_drained());
 }
 
+/// Begins a planned stop whose last answers are given after `left`.
+fn begin_stop(harness: &mut Harness, left: Millis) {
+    let ends_at = Some(harness.now + left);
+    harness.event(Event::Drain { ends_at });
+}
+
+/// Requests that no back end had answered at the end of a planned stop got no answer at all.
+#[rstest]
+#[case::not_repeatable("POST", OutcomeCode::InDoubt)]
+#[case::repeatable("GET", OutcomeCode::Deadline)]
+fn requests_that_may_have_run_are_answered_before_the_end_of_a_stop(
+    #[case] method: &str,
+    #[case] code: OutcomeCode,
+) {
+    let mut harness = Harness::ready();
+    harness.event(order(1, method, None));
+    let _attempt = harness.dispatch();
+    begin_stop(&mut harness, Millis(1_000));
+    harness.wait(Millis(990));
+    assert!(harness.answers().is_empty());
+    harness.wait(Millis(10));
+    assert_eq!(harness.refusal().code, code);
+    assert!(harness.gateway.is_drained());
+}
+
+/// A request that waited for its claim until the end of a planned stop has not run.
+#[test]
+fn a_request_that_was_not_begun_is_refused_as_not_run_before_the_end_of_a_stop() {
+    let mut harness = Harness::ready();
+    harness.event(order(1, "POST", Some("key")));
+    begin_stop(&mut harness, Millis(1_000));
+    harness.wait(Millis(1_000));
+    let refusal = harness.refusal();
+    assert_eq!(refusal.code, OutcomeCode::NotRun);
+    assert_eq!(refusal.ran, Execution::No);
+    assert!(refusal.retry_after.is_some());
+    assert!(harness.dispatches().is_empty());
+}
+
+/// A request whose caller waited for longer than the process had left was begun, and its result was
+/// lost with the process.
+#[rstest]
+#[case::outlasts(Millis(1_000), true)]
+#[case::in_time(Millis(600_000), false)]
+fn a_request_that_would_outlast_a_stop_is_not_begun(#[case] left: Millis, #[case] refused: bool) {
+    let mut harness = Harness::ready();
+    harness.event(order(1, "POST", Some("key")));
+    begin_stop(&mut harness, left);
+    harness.answer_claim(ClaimAnswer::Granted);
+    assert_eq!(harness.dispatches().is_empty(), refused);
+    let refusals = harness.answers().len();
+    assert_eq!(refusals, usize::from(refused));
+}
+
+/// A text that is rejected during a stop is sent to another engine only if it ends in time.
+#[rstest]
+#[case::outlasts(Millis(1), true)]
+#[case::in_time(Millis(600_000), false)]
+fn a_text_that_would_outlast_a_stop_is_not_begun(#[case] left: Millis, #[case] refused: bool) {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let first = harness.dispatch();
+    begin_stop(&mut harness, left);
+    let rejected = AttemptEvent::NotStarted { draining: true };
+    harness.attempt(first.attempt, rejected);
+    assert_eq!(harness.dispatches().is_empty(), refused);
+    if refused {
+        assert_eq!(harness.refusal().code, OutcomeCode::NotRun);
+    }
+}
+
 const HANDLE: u64 = 7;
 
 /// Completes the prefill of a request and returns the decode dispatch.
--- a/components/simulator/src/world/faulting.rs
+++ b/components/simulator/src/world/faulting.rs
@@ -152,7 +152,7 @@
             }
             Host::Gateway(place) => {
                 self.gateways[place].draining = true;
-                self.gateway_event(place, GatewayEvent::Drain);
+                self.gateway_event(place, GatewayEvent::Drain { ends_at: None });
             }
             Host::Engine(place) => {
                 if let Some(engine) = &mut self.engines[place].engine {
