Relays: what a stopping relay has not answered goes back to its peer before its end

A gateway without a path, in no stop itself, had handed a request to a relay that was then stopped. If the relay had not answered, the request stayed with it until its process was killed; the peer learned of it only by the closed connection, and of a machine that went with its process not at all. Test (grace time 8 s, the process is not killed): callers got 504 at their deadline of 30 s, a resumable stream was cut then.

Cause: the last answer of a relayed request that may have run waited for ever, as the peer might find another gateway; nobody told the peer. Earlier builds read an unknown outcome as a broken relay. A resumable stream is left by closing its connection if the peer knows its build, has an event's id and may ask again.

--- a/components/forwarding-shell/src/relay/message.rs
+++ b/components/forwarding-shell/src/relay/message.rs
@@ -20,6 +20,9 @@
 const ANSWERED: &str = "answered";
 /// Value of [`OUTCOME`] for a request that the relay does not take.
 const UNAVAILABLE: &str = "unavailable";
+/// Value of [`OUTCOME`] for a request that the relay leaves to its peer. Earlier builds take it for
+/// one that may have run.
+const LEFT: &str = "left";
 
 /// Tells the sender how the back end marked the end of its answer. Encoding version 18 has no such
 /// header.
@@ -131,6 +134,8 @@
     Answered,
     /// The relay does not take the request, which has not run.
     Unavailable,
+    /// The relay stops and gives up the request, which may have run.
+    Left,
     /// The relay's own final answer to the request.
     Own(OwnAnswer),
 }
@@ -141,6 +146,7 @@
         let name = match self {
             RelayOutcome::Answered => ANSWERED,
             RelayOutcome::Unavailable => UNAVAILABLE,
+            RelayOutcome::Left => LEFT,
             RelayOutcome::Own(answer) => answer.as_str(),
         };
         headers.insert(OUTCOME, HeaderValue::from_static(name));
@@ -153,6 +159,7 @@
         match value.to_str().ok()? {
             ANSWERED => Some(RelayOutcome::Answered),
             UNAVAILABLE => Some(RelayOutcome::Unavailable),
+            LEFT => Some(RelayOutcome::Left),
             name => OwnAnswer::from_name(name, retry_after(headers)).map(RelayOutcome::Own),
         }
     }
--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -12,8 +12,8 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{
-    Handover, Unserved, begin_relayed, body_limits, own_answer, quarantine_answer, record_end,
-    serve_directly, with_connection_close,
+    Handover, LEFT_TO_PEER, Unserved, begin_relayed, body_limits, own_answer, quarantine_answer,
+    record_end, serve_directly, with_connection_close,
 };
 
 use super::message::{
@@ -39,23 +39,32 @@
             let outcome = own.map_or(RelayOutcome::Answered, RelayOutcome::Own);
             with_outcome(response, outcome)
         }
-        Err(NotTaken(cause)) => {
+        Err(Declined::NotTaken(cause)) => {
             log::info!(cause = cause; "relayed_request_not_taken");
             let response = text_response(503, "not run; this gateway does not take the request\n");
             with_outcome(response, RelayOutcome::Unavailable)
         }
+        Err(Declined::Left) => {
+            let response = text_response(502, "this gateway stops; the request may have run\n");
+            with_outcome(response, RelayOutcome::Left)
+        }
     };
     response = with_connection_close(&gateway, response);
     response
 }
 
-/// Why a request is not taken; it has not run.
-struct NotTaken(&'static str);
+/// Why a request is left to the peer.
+enum Declined {
+    /// It is not taken, for this reason, and has not run.
+    NotTaken(&'static str),
+    /// It may have run, and has no answer shortly before the end of a planned stop.
+    Left,
+}
 
 async fn answer<C, B>(
     gateway: &Rc<Gateway<C, B>>,
     request: Request<RequestBody>,
-) -> Result<Response<Body>, NotTaken>
+) -> Result<Response<Body>, Declined>
 where
     C: CallerPort + 'static,
     B: BackendPort + 'static,
@@ -66,18 +75,21 @@
     let build = take_build(&mut head.headers);
     let limits = gateway.forwarder.borrow().limits();
     let body = read_body_within(&gateway.budget, body, &body_limits(limits)).await;
-    let call = call.ok_or(NotTaken("malformed"))?;
-    let body = body.map_err(|_| NotTaken("body"))?;
-    let facts = gateway.callers.read(&head).map_err(|_| NotTaken("head"))?;
+    let call = call.ok_or(Declined::NotTaken("malformed"))?;
+    let body = body.map_err(|_| Declined::NotTaken("body"))?;
+    let facts = gateway
+        .callers
+        .read(&head)
+        .map_err(|_| Declined::NotTaken("head"))?;
     if gateway.is_stopping() {
-        return Err(NotTaken("stopping"));
+        return Err(Declined::NotTaken("stopping"));
     }
     if gateway.relayed_requests.get() >= MAX_RELAYED_REQUESTS {
-        return Err(NotTaken("too_many"));
+        return Err(Declined::NotTaken("too_many"));
     }
     let version = gateway.forwarder.borrow().routes_version();
     if version.is_none_or(|version| version < call.routes_version) {
-        return Err(NotTaken("older_routes"));
+        return Err(Declined::NotTaken("older_routes"));
     }
     let handover = Handover {
         service: call.service,
@@ -90,7 +102,7 @@
         build,
     };
     let running = begin_relayed(gateway, head, facts, body, handover);
-    let running = running.ok_or(NotTaken("no_route"))?;
+    let running = running.ok_or(Declined::NotTaken("no_route"))?;
     if let Some(answer) = quarantine_answer(gateway, &running).await {
         return Ok(own_answer(gateway, &running, answer));
     }
@@ -101,7 +113,14 @@
             answer: OwnAnswer::Stopping,
         }) => {
             record_end(gateway, &running, OwnAnswer::Stopping.as_str(), 0);
-            Err(NotTaken("stopping"))
+            Err(Declined::NotTaken("stopping"))
+        }
+        Err(Unserved {
+            running,
+            answer: OwnAnswer::InDoubt,
+        }) if gateway.stop_end.is_near() => {
+            record_end(gateway, &running, LEFT_TO_PEER, 0);
+            Err(Declined::Left)
         }
         Err(unserved) => Ok(own_answer(gateway, &unserved.running, unserved.answer)),
     }
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -102,6 +102,8 @@
     NoPath,
     /// The relay's own final answer.
     Own(OwnAnswer),
+    /// The relay is at the end of a planned stop. The request may have run, and there is no answer.
+    Left,
     /// The request may have run, and there is no answer.
     Broken,
 }
@@ -115,6 +117,7 @@
             RelayEnd::EarlierBuild => "earlier_build",
             RelayEnd::NoPath => "no_path",
             RelayEnd::Own(answer) => answer.as_str(),
+            RelayEnd::Left => "left",
             RelayEnd::Broken => "broken",
         }
     }
@@ -152,7 +155,7 @@
             match self.send(relay).await {
                 Ok(answer) => return Ok(answer),
                 Err(RelayEnd::Own(answer)) => return Err(self.truthful(answer)),
-                Err(RelayEnd::Broken) => self.on_broken()?,
+                Err(RelayEnd::Broken | RelayEnd::Left) => self.on_broken()?,
                 Err(RelayEnd::EarlierBuild | RelayEnd::Stopping) => self.not_counted += 1,
                 Err(RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::NoPath) => {}
             }
@@ -301,6 +304,10 @@
                 relays.stopping(relay, self.gateway.now());
                 Err(RelayEnd::Stopping)
             }
+            Some(RelayOutcome::Left) => {
+                relays.stopping(relay, self.gateway.now());
+                Err(RelayEnd::Left)
+            }
             Some(RelayOutcome::Unavailable) if version < self.required_version() => {
                 if version < RelayVersion::required_for(self.running.work.kind) {
                     relays.declines_single_runs(relay);
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -43,6 +43,11 @@
     pub(crate) async fn until_near(&self) {
         let _closed = self.is_near.recv().await;
     }
+
+    /// Whether the process is about to be killed.
+    pub(crate) fn is_near(&self) -> bool {
+        self.is_near.is_closed()
+    }
 }
 
 /// Times of a planned stop.
@@ -144,8 +149,8 @@
 }
 
 /// Waits until a request without an answer has to be answered, and returns the answer: when it is
-/// due, or shortly before the end of a planned stop. A relay does not answer a request that may run
-/// at the end of its own stop, as the peer that handed it over may still find another gateway.
+/// due, or shortly before the end of a planned stop. The peer that handed over a relayed request may
+/// then still find another gateway.
 pub(crate) async fn last_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     call: &Call,
@@ -161,7 +166,7 @@
         match (call.may_have_run(), is_relayed) {
             (false, _) => OwnAnswer::Stopping,
             (true, false) => OwnAnswer::TimedOut,
-            (true, true) => std::future::pending().await,
+            (true, true) => OwnAnswer::InDoubt,
         }
     };
     smol::future::or(timed_out, stop_end).await
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -23,7 +23,7 @@
 use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::{RunningRequest, Unserved, count_usage_once, record_end};
+use crate::request::{LEFT_TO_PEER, RunningRequest, Unserved, count_usage_once, record_end};
 use crate::stopping::last_answer;
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
 use crate::timeout::with_timeout;
@@ -45,6 +45,8 @@
     /// How the last run that did not finish the answer ended.
     run_end: RunEnd,
     ended: bool,
+    /// Whether the answer has told the peer that handed over the stream which build began it.
+    peer_knows_build: bool,
 }
 
 /// The next step of a stream.
@@ -52,6 +54,8 @@
     Event(Bytes),
     End,
     Cut(CutCause),
+    /// The peer that handed over the stream resumes it at another gateway.
+    LeftToPeer,
 }
 
 /// Serves the request until it times out.
@@ -104,6 +108,7 @@
             last_event_at: gateway.now(),
             run_end: RunEnd::default(),
             ended: false,
+            peer_knows_build: false,
         }
     }
 
@@ -115,6 +120,7 @@
         bind_to_engine(&self.gateway, &mut self.search.running);
         if let Some(build) = &self.search.running.work.build {
             head.extensions.insert(build.clone());
+            self.peer_knows_build = self.search.running.is_relayed;
         }
         self.search.running.answer_has_begun = true;
         self.run = Some(found.run);
@@ -138,6 +144,10 @@
                     record_end(&stream.gateway, &stream.search.running, "cut", 200);
                     Some((Err(BodyAborted::BackendDisconnected), None))
                 }
+                Next::LeftToPeer => {
+                    record_end(&stream.gateway, &stream.search.running, LEFT_TO_PEER, 200);
+                    Some((Err(BodyAborted::BackendDisconnected), None))
+                }
             }
         });
         Response::from_parts(head, stream_body(events))
@@ -187,7 +197,23 @@
             cut_timer.expired().await;
             Next::Cut(CutCause::TimeOver)
         };
-        smol::future::or(self.next_or_resume(), late).await
+        let gateway = Rc::clone(&self.gateway);
+        let peer_may_resume = self.peer_may_resume();
+        let stop_end = async {
+            if !peer_may_resume {
+                return std::future::pending().await;
+            }
+            gateway.stop_end.until_near().await;
+            Next::LeftToPeer
+        };
+        let ended = smol::future::or(late, stop_end);
+        smol::future::or(self.next_or_resume(), ended).await
+    }
+
+    /// Whether the peer that handed over the stream may have another gateway resume it. It then
+    /// counts this one's runs as one attempt.
+    fn peer_may_resume(&self) -> bool {
+        self.peer_knows_build && self.can_resume() && self.search.running.work.max_attempts > 1
     }
 
     async fn next_or_resume(&mut self) -> Next {
