--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use garnet_runtime::until_last_answers;
 use garnet_types::Millis;
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
@@ -17,12 +18,6 @@
 /// How often a stop logs how many requests are still open.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time before the end of the grace time at which requests that still have no answer are answered:
-/// several stalls of a tenth of a second, and the way to the caller.
-const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(500);
-/// Largest fraction of the grace time that this may take.
-const MAX_FINAL_ANSWERS_FRACTION: f64 = 0.1;
-
 /// Failures of a back end say nothing about the time that its answers take.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -48,6 +43,11 @@
     pub(crate) async fn until_near(&self) {
         let _closed = self.is_near.recv().await;
     }
+
+    /// Whether the process is about to be killed.
+    pub(crate) fn is_near(&self) -> bool {
+        self.is_near.is_closed()
+    }
 }
 
 /// Times of a planned stop.
@@ -67,8 +67,7 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    let margin = FINAL_ANSWERS_TIME.min(times.grace.mul_f64(MAX_FINAL_ANSWERS_FRACTION));
-    let until_end = times.grace.saturating_sub(margin);
+    let until_end = until_last_answers(times.grace);
     let until_end_ms = u64::try_from(until_end.as_millis()).unwrap_or(u64::MAX);
     let ends_at = gateway.now() + Millis(until_end_ms);
     gateway.stop_ends_at.set(Some(ends_at));
@@ -150,8 +149,8 @@
 }
 
 /// Waits until a request without an answer has to be answered, and returns the answer: when it is
-/// due, or shortly before the end of a planned stop. A relay does not answer a request that may run
-/// at the end of its own stop, as the peer that handed it over may still find another gateway.
+/// due, or shortly before the end of a planned stop. The peer that handed over a relayed request may
+/// then still find another gateway.
 pub(crate) async fn last_answer<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
     call: &Call,
@@ -167,7 +166,7 @@
         match (call.may_have_run(), is_relayed) {
             (false, _) => OwnAnswer::Stopping,
             (true, false) => OwnAnswer::TimedOut,
-            (true, true) => std::future::pending().await,
+            (true, true) => OwnAnswer::InDoubt,
         }
     };
     smol::future::or(timed_out, stop_end).await
