An answer that a gateway gives up itself is no crash of its engine

Cause: HttpError::Broken stood both for a connection that its server ended and for one that this process gave up, as what it read was no answer or too long. AttemptGuard::connection_lost takes it for a crash. A stream lost the kind of its error on the way (BreakCause::Connection held a text), so that a head or body without room counted as well. garnet-gateway took every end without an answer for a crash: timeouts, lines that are too long, failure answers.

Change: HttpError::NoAnswer for errors of the HTTP library's parsers and for bytes without progress; AttemptEvent::AnswerGivenUp at garnet-gateway. Both count as a failure of the engine, as before, and not as a crash. A connection that the engine ends goes on counting, also in the middle of a head, a chunk size or trailers: pool.rs of the runtime compares the two at six places.

Excluded: bodies, events and prefills that are too long, heads without room of whole answers, and answers that name another request were no crashes before.

--- a/bin/garnet-bench/src/load/mod.rs
+++ b/bin/garnet-bench/src/load/mod.rs
@@ -265,6 +265,7 @@
         HttpError::NotSent(_)
         | HttpError::Withheld
         | HttpError::Broken(_)
+        | HttpError::NoAnswer(_)
         | HttpError::TooLong(_)
         | HttpError::NoRoom(_) => Outcome::Broken,
         HttpError::TimedOut => Outcome::TimedOut,
--- a/bin/garnet-bench/src/soak/callers.rs
+++ b/bin/garnet-bench/src/soak/callers.rs
@@ -79,7 +79,12 @@
     let outcome = match soak.http.send(gateway, request, PATIENCE).await {
         Ok(response) => judge(call, response.status().as_u16(), response.body()),
         Err(HttpError::NotSent(_) | HttpError::Withheld) => Outcome::NotSent,
-        Err(HttpError::Broken(_) | HttpError::TooLong(_) | HttpError::NoRoom(_)) => Outcome::Broken,
+        Err(
+            HttpError::Broken(_)
+            | HttpError::NoAnswer(_)
+            | HttpError::TooLong(_)
+            | HttpError::NoRoom(_),
+        ) => Outcome::Broken,
         Err(HttpError::TimedOut) => Outcome::NoAnswer,
     };
     call.note(gateway, sent_ms, soak.elapsed_ms(), outcome);
--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -113,10 +113,11 @@
 fn failure(error: &HttpError) -> AttemptEvent {
     match error {
         HttpError::NotSent(_) | HttpError::Withheld => AttemptEvent::NotStarted { draining: false },
-        HttpError::Broken(_)
+        HttpError::Broken(_) => AttemptEvent::Broken,
+        HttpError::NoAnswer(_)
         | HttpError::TooLong(_)
         | HttpError::NoRoom(_)
-        | HttpError::TimedOut => AttemptEvent::Broken,
+        | HttpError::TimedOut => AttemptEvent::AnswerGivenUp,
     }
 }
 
@@ -182,7 +183,7 @@
         Ok(read) => AttemptEvent::Prefilled {
             handle: read.handle,
         },
-        Err(_) => AttemptEvent::Broken,
+        Err(_) => AttemptEvent::AnswerGivenUp,
     }
 }
 
@@ -203,24 +204,28 @@
         return not_started(&mut stream).await;
     }
     if !stream.response.status().is_success() {
-        return AttemptEvent::Broken;
+        return AttemptEvent::AnswerGivenUp;
     }
     let mut reader = EventReader::default();
     let mut buffered = context.buffer_budget.reserve();
-    while let Ok(Some(chunk)) = stream.next().await {
+    loop {
+        let chunk = match stream.next().await {
+            Ok(Some(chunk)) => chunk,
+            // A stream that ends without its explicit end was cut short.
+            Ok(None) => return AttemptEvent::Broken,
+            Err(error) => return failure(&error),
+        };
         let events = match read_events(&mut reader, &mut buffered, &chunk) {
             Ok(events) => events,
             Err(cause) => {
                 log::warn!(address = address, cause = cause.as_str(); "stream_broken");
-                return AttemptEvent::Broken;
+                return AttemptEvent::AnswerGivenUp;
             }
         };
         if let Some(last) = take_events(context, attempt, &events) {
             return last;
         }
     }
-    // A stream that ends without its explicit end was cut short.
-    AttemptEvent::Broken
 }
 
 /// Reads the events that a chunk completes, and reserves what waits for the rest of its line.
@@ -259,7 +264,7 @@
                 tokens.push(text);
             }
             Ok(GenerateEvent::End { total }) => last = Some(AttemptEvent::Finished { total }),
-            Err(_) => last = Some(AttemptEvent::Broken),
+            Err(_) => last = Some(AttemptEvent::AnswerGivenUp),
         }
     }
     if let Some(first) = first {
--- a/bin/garnet-gateway/tests/process/surplus_answers.rs
+++ b/bin/garnet-gateway/tests/process/surplus_answers.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
     BackendRecord, BackendRegistration, Configuration, ControlReply, CopyUpdates, GatewayRequest,
     Shared, UNKNOWN_START, WatchUpdate,
 };
+use garnet_quarantine::EndedRun;
 use garnet_routing::LoadReport;
 use garnet_runtime::frames;
 use garnet_test_support::live_record;
@@ -151,25 +152,38 @@
     live_record(registration, assignment)
 }
 
+/// Runs that were reported to a leader.
+pub type ReportedRuns = Arc<Mutex<Vec<EndedRun>>>;
+
 /// Starts a leader with this configuration and returns its address.
-fn lead(configuration: Configuration) -> String {
+fn lead(configuration: Configuration, reported: &ReportedRuns) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
+    let reported = Arc::clone(reported);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let configuration = Shared::from(configuration.clone());
-            thread::spawn(move || smol::block_on(answer_watches(stream, configuration)));
+            let reported = Arc::clone(&reported);
+            thread::spawn(move || smol::block_on(answer_watches(stream, configuration, &reported)));
         }
     });
     address
 }
 
-async fn answer_watches(stream: TcpStream, configuration: Shared<Configuration>) -> Option<()> {
+async fn answer_watches(
+    stream: TcpStream,
+    configuration: Shared<Configuration>,
+    reported: &ReportedRuns,
+) -> Option<()> {
     let stream = smol::net::TcpStream::try_from(stream).ok()?;
     let (mut reader, mut writer) = frames::split(stream);
     let accepted = reader.accept().await.ok()?;
     writer.welcome(&accepted).await.ok()?;
     while let Ok(Some(frame)) = reader.next().await {
+        if let Frame::Gateway(GatewayRequest::Runs(report)) = frame {
+            reported.lock().expect("no panic").extend(report.runs);
+            continue;
+        }
         let Frame::Gateway(GatewayRequest::Watch {
             sent_at,
             configuration_index,
@@ -198,13 +212,24 @@
 
 /// Starts a gateway with a single back end.
 pub fn start_gateway(kind: BackendKind, service: &str, back_end: &BackEnd) -> Running {
+    start_reporting_gateway(kind, service, back_end).0
+}
+
+/// Starts a gateway like [`start_gateway`], and returns the runs that it reports.
+pub fn start_reporting_gateway(
+    kind: BackendKind,
+    service: &str,
+    back_end: &BackEnd,
+) -> (Running, ReportedRuns) {
     let record = record(kind, service, &back_end.address);
     let configuration = Configuration {
         index: 1,
         backends: BTreeMap::from([(record.registration.id.clone(), record)]),
         ..Configuration::default()
     };
-    Running::start_with(&[lead(configuration)])
+    let reported = ReportedRuns::default();
+    let gateway = Running::start_with(&[lead(configuration, &reported)]);
+    (gateway, reported)
 }
 
 /// A call whose back end is named by its kind.
--- a/components/forwarding-shell/src/answer_cut.rs
+++ b/components/forwarding-shell/src/answer_cut.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use garnet_runtime::HttpError;
 use garnet_types::{BackendId, Millis};
 
 use crate::event_reader::BreakCause;
@@ -60,7 +61,8 @@
     fn is_of_other_end(&self) -> bool {
         match self {
             RunEnd::Open | RunEnd::LeftSilent | RunEnd::Broke(BreakCause::Refused(_)) => false,
-            RunEnd::Broke(_) => true,
+            RunEnd::Broke(BreakCause::Connection(error)) => matches!(error, HttpError::Broken(_)),
+            RunEnd::Broke(BreakCause::IncompleteEvent | BreakCause::NoEvent) => true,
         }
     }
 }
--- a/components/forwarding-shell/src/attempt.rs
+++ b/components/forwarding-shell/src/attempt.rs
@@ -316,9 +316,11 @@
                 HttpError::Withheld => gateway.metrics.withheld(phase_name(job)),
                 HttpError::NotSent(_) => guard.unreachable(),
                 HttpError::Broken(_) => guard.connection_lost(call),
-                HttpError::TooLong(_) | HttpError::NoRoom(_) | HttpError::TimedOut => {
-                    guard.failed();
-                }
+                // The back end was still sending, or was silent.
+                HttpError::NoAnswer(_)
+                | HttpError::TooLong(_)
+                | HttpError::NoRoom(_)
+                | HttpError::TimedOut => guard.failed(),
             }
             log_failure(call, job, &error.to_string());
             Err(attempt_end(&error))
@@ -386,6 +388,7 @@
     match error {
         HttpError::NotSent(_) | HttpError::Withheld => AttemptEnd::Unsent,
         HttpError::Broken(_)
+        | HttpError::NoAnswer(_)
         | HttpError::TooLong(_)
         | HttpError::NoRoom(_)
         | HttpError::TimedOut => AttemptEnd::Broken,
--- a/components/forwarding-shell/src/event_reader.rs
+++ b/components/forwarding-shell/src/event_reader.rs
@@ -2,7 +2,7 @@
 
 use displaydoc::Display;
 use garnet_routes::WorkKind;
-use garnet_runtime::{ByteBudget, Exchange};
+use garnet_runtime::{ByteBudget, Exchange, HttpError};
 use garnet_types::Framing;
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
@@ -25,7 +25,7 @@
 #[derive(Debug, Display)]
 pub(crate) enum BreakCause {
     /// {0}
-    Connection(String),
+    Connection(HttpError),
     /// the last event is incomplete
     IncompleteEvent,
     /// {0}
@@ -104,7 +104,7 @@
                     }
                 }
                 Ok(None) => return self.on_end(),
-                Err(error) => return Received::Broke(BreakCause::Connection(error.to_string())),
+                Err(error) => return Received::Broke(BreakCause::Connection(error)),
             }
         }
     }
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -277,6 +277,7 @@
         match error {
             HttpError::NotSent(_) | HttpError::Withheld => RelayEnd::Unsent,
             HttpError::Broken(_)
+            | HttpError::NoAnswer(_)
             | HttpError::TooLong(_)
             | HttpError::NoRoom(_)
             | HttpError::TimedOut => RelayEnd::Broken,
--- a/components/forwarding-shell/src/stream/engine_run.rs
+++ b/components/forwarding-shell/src/stream/engine_run.rs
@@ -10,7 +10,7 @@
 use crate::event_reader::{BreakCause, EventReader, Received};
 use crate::events::EventRefused;
 use crate::ports::{BackendPort, Call, CallerPort};
-use crate::unread_answer::note_no_room;
+use crate::unread_answer::{note_no_room, note_unread};
 
 /// An engine that answers. Dropping it closes the connection, which ends its work.
 pub(super) struct EngineRun<C: CallerPort, B: BackendPort> {
@@ -72,7 +72,10 @@
             BreakCause::Refused(EventRefused::NoRoom(refused)) => {
                 note_no_room(&mut self.open.guard, *refused);
             }
-            _ => self.open.guard.connection_lost(call),
+            BreakCause::Connection(error) => note_unread(&mut self.open.guard, call, error),
+            BreakCause::IncompleteEvent | BreakCause::NoEvent => {
+                self.open.guard.connection_lost(call);
+            }
         }
     }
 
--- a/components/forwarding-shell/src/unread_answer.rs
+++ b/components/forwarding-shell/src/unread_answer.rs
@@ -6,7 +6,8 @@
 use crate::attempt::AttemptGuard;
 use crate::ports::{BackendPort, Call, CallerPort};
 
-/// Notes what the error says of the back end that sent the answer.
+/// Notes what the error says of the back end that sent the answer. Only one that ends the
+/// connection itself may have crashed: if this gateway does, the back end is still sending.
 pub(crate) fn note_unread<C: CallerPort, B: BackendPort>(
     guard: &mut AttemptGuard<C, B>,
     call: &Call,
@@ -17,6 +18,7 @@
         HttpError::NoRoom(exceeded) => note_no_room(guard, *exceeded),
         HttpError::NotSent(_)
         | HttpError::Withheld
+        | HttpError::NoAnswer(_)
         | HttpError::TooLong(_)
         | HttpError::TimedOut => guard.failed(),
     }
--- a/components/gateway/src/application.rs
+++ b/components/gateway/src/application.rs
@@ -146,7 +146,9 @@
                 self.end_broken(id, attempt, backend);
             }
             // A result is recorded as the only one of its request, so it must be complete.
-            AttemptEvent::UnmarkedResponse(_) => self.end_broken(id, attempt, backend),
+            AttemptEvent::AnswerGivenUp | AttemptEvent::UnmarkedResponse(_) => {
+                self.end_broken(id, attempt, backend);
+            }
             // Handled in `handle_attempt`, or sent only by engines.
             AttemptEvent::Limit(_)
             | AttemptEvent::Backoff(_)
--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -34,6 +34,7 @@
                 self.record_crash(id, backend);
                 self.on_broken(id, attempt, backend);
             }
+            AttemptEvent::AnswerGivenUp => self.on_broken(id, attempt, backend),
             // Handled in `handle_attempt`, or sent only by applications.
             AttemptEvent::Limit(_)
             | AttemptEvent::Backoff(_)
--- a/components/gateway/src/effects.rs
+++ b/components/gateway/src/effects.rs
@@ -111,8 +111,12 @@
     /// The attempt was provably not started, because the KV cache to import doesn't exist any
     /// more. The decode engine is healthy; the prefill engine has stopped or dropped the cache.
     CacheGone,
-    /// The attempt may have started, but no complete answer was received.
+    /// The attempt may have started, but its connection ended before a complete answer was
+    /// received, as it does if the back end crashes.
     Broken,
+    /// The attempt may have started, but its answer failed or was given up while the back end was
+    /// connected.
+    AnswerGivenUp,
 }
 
 /// An input to the gateway.
--- a/components/gateway/tests/core/crashes.rs
+++ b/components/gateway/tests/core/crashes.rs
@@ -51,6 +51,21 @@
     }
 }
 
+/// A back end that sends what is no answer, or does not end it, is alive.
+#[test]
+fn an_answer_that_is_given_up_is_no_crash() {
+    let mut harness = Harness::ready();
+    harness.event(completion(1, None));
+    let completed = harness.dispatch();
+    harness.attempt(completed.attempt, AttemptEvent::AnswerGivenUp);
+    assert_ne!(harness.dispatch().backend, completed.backend, "retried");
+    harness.event(order(2, "GET", None));
+    let ordered = harness.dispatch();
+    harness.attempt(ordered.attempt, AttemptEvent::AnswerGivenUp);
+    assert_ne!(harness.dispatch().backend, ordered.backend, "retried");
+    assert_eq!(reports(&mut harness), []);
+}
+
 #[test]
 fn a_request_that_the_leader_quarantines_is_not_dispatched() {
     let mut harness = Harness::ready();
--- a/components/runtime/src/client.rs
+++ b/components/runtime/src/client.rs
@@ -40,6 +40,8 @@
     Withheld,
     /// the connection failed before the answer was complete: {0}
     Broken(String),
+    /// what was received is no answer: {0}
+    NoAnswer(String),
     /// the answer is longer than {0} bytes
     TooLong(usize),
     /// the answer was not buffered: {0}
--- a/components/runtime/src/pool.rs
+++ b/components/runtime/src/pool.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error as _;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -489,10 +490,26 @@
     let refused = source.and_then(|error| error.get_ref()?.downcast_ref::<ReadRefused>());
     match refused {
         Some(ReadRefused::NoRoom(exceeded)) => HttpError::NoRoom(*exceeded),
-        Some(ReadRefused::NoProgress(_)) | None => HttpError::Broken(described(error)),
+        Some(ReadRefused::NoProgress(_)) => HttpError::NoAnswer(described(error)),
+        None if is_malformed(error) => HttpError::NoAnswer(described(error)),
+        None => HttpError::Broken(described(error)),
     }
 }
 
+/// Whether the HTTP library gave up what it read, while the server was still connected.
+fn is_malformed(error: &hyper::Error) -> bool {
+    let source = error
+        .source()
+        .and_then(|source| source.downcast_ref::<std::io::Error>());
+    let is_malformed_body = source.is_some_and(|error| {
+        matches!(
+            error.kind(),
+            ErrorKind::InvalidData | ErrorKind::InvalidInput
+        )
+    });
+    error.is_parse() || is_malformed_body
+}
+
 /// The error of a connection and its cause.
 pub(crate) fn described(error: &hyper::Error) -> String {
     match error.source() {
--- a/components/runtime/tests/pool.rs
+++ b/components/runtime/tests/pool.rs
@@ -16,6 +16,7 @@
 use hyper::body::Bytes;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use rstest::rstest;
 use smol::{LocalExecutor, Timer};
 
 /// Time without a result after which a request is taken to hang.
@@ -474,3 +475,60 @@
     };
     run(answered, &executor).expect("an answer");
 }
+
+/// Writes the beginning of an answer, and closes the connection or goes on without an end.
+fn serve_part(begin: &'static str, more: Option<&'static str>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream);
+            if read_head(&mut reader).is_none() {
+                continue;
+            }
+            let stream = reader.get_mut();
+            let mut sent = stream.write_all(begin.as_bytes());
+            while let (Ok(()), Some(more)) = (&sent, more) {
+                sent = stream.write_all(more.repeat(REPEATS).as_bytes());
+            }
+        }
+    });
+    address
+}
+
+/// Number of times that a part is written at once.
+const REPEATS: usize = 1000;
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n";
+
+/// A server that ends the connection may have crashed; one that is given up while it sends has not.
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\nx-long: ", "x")]
+#[case::headers("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n")]
+#[case::informational_answers(
+    "HTTP/1.1 103 Early Hints\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\n"
+)]
+#[case::chunk_size(CHUNKED, "0")]
+#[case::chunk_extension("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "x")]
+#[case::trailers(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+    "x-more: 1\r\n"
+)]
+fn a_connection_that_ends_differs_from_one_that_is_given_up(
+    #[case] begin: &'static str,
+    #[case] more: &'static str,
+) {
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = ConnectionPool::new(Rc::clone(&executor), PoolSettings::default());
+    let receive = |address: String| {
+        let receiving = async { exchange(&pool, &address, Vec::new()).await };
+        run(receiving, &executor)
+    };
+    let ended = receive(serve_part(begin, None));
+    assert!(matches!(ended, Err(HttpError::Broken(_))), "{ended:?}");
+    let given_up = receive(serve_part(begin, Some(more)));
+    assert!(
+        matches!(given_up, Err(HttpError::NoAnswer(_))),
+        "{given_up:?}"
+    );
+}
