Completions gateway: a load report has at most 1 MiB

An engine whose load reports do not end took up to half of the gateway's buffer budget, so that large sound answers beside it found no room.

--- a/bin/garnet-gateway/src/attempts.rs
+++ b/bin/garnet-gateway/src/attempts.rs
@@ -15,7 +15,7 @@
 use garnet_routing::{LoadReport, RetryAfter};
 use garnet_runtime::client::{MAX_SHORT_ANSWER, StreamedResponse};
 use garnet_runtime::{HttpError, Reservation, client};
-use garnet_types::{BackendId, Framing, Millis, RecordedResponse};
+use garnet_types::{BackendId, ByteCount, Framing, Millis, RecordedResponse};
 use hyper::header::{DATE, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 
@@ -23,6 +23,8 @@
 
 /// Longest wait for a load report.
 const LOAD_PATIENCE: Duration = Duration::from_millis(800);
+/// Longest load report. Stand-ins report at most 4,096 events of their caches, some 300 KB.
+const MAX_LOAD_REPORT: ByteCount = ByteCount(1024 * 1024);
 /// Time on top of a request's deadline before an attempt is given up: what
 /// runs once is waited for, so that its result can be kept.
 const GRACE: Duration = Duration::from_secs(30);
@@ -310,7 +312,8 @@
     let from = context.cache_cursor(backend.as_str());
     let path = format!("{}?events_from={from}", paths::LOAD);
     let request = client::get_request(&path);
-    let answer = context.http.send(&address, request, LOAD_PATIENCE).await;
+    let http = context.http.clone().with_max_answer(MAX_LOAD_REPORT);
+    let answer = http.send(&address, request, LOAD_PATIENCE).await;
     let report = answer
         .ok()
         .and_then(|answer| serde_json::from_slice::<LoadReport>(answer.body()).ok());
--- a/bin/garnet-gateway/tests/process/endless_bytes.rs
+++ b/bin/garnet-gateway/tests/process/endless_bytes.rs
@@ -143,3 +143,34 @@
     let all_are_equal = reported.iter().all(|run| run.fingerprint == crashed);
     assert!(all_are_equal, "{reported:?}");
 }
+
+/// More than a gateway takes that reads load reports.
+const REPORTS_MEMORY_BYTES: u64 = 24_000_000;
+/// Number of load reports of a test.
+const REPORTS: usize = 5;
+
+/// Writes load reports without an end.
+fn flood_reports(mut stream: TcpStream, text: &str, reports: &AtomicUsize) -> Option<()> {
+    read_request(&mut stream)?;
+    stream.write_all(HEAD.as_bytes()).ok()?;
+    reports.fetch_add(1, Ordering::Relaxed);
+    let block = text.repeat(WRITE_BYTES.div_ceil(text.len()));
+    for _ in 0..FLOOD_BYTES / block.len() {
+        stream.write_all(block.as_bytes()).ok()?;
+    }
+    None
+}
+
+/// Each load report could take half of the buffer budget, until its time was over.
+#[test]
+fn a_load_report_without_end_takes_no_memory() {
+    let engine = BackEnd::start_with(" ", flood_reports);
+    let gateway = start_gateway(BackendKind::Engine, "engine", &engine);
+    let began = Instant::now();
+    while engine.runs() < REPORTS {
+        assert!(began.elapsed() < HANG_TIMEOUT, "no report was asked for");
+        thread::sleep(POLL_INTERVAL);
+    }
+    let peak = peak_memory_bytes(gateway.process_id());
+    assert!(peak < REPORTS_MEMORY_BYTES, "{peak} bytes");
+}
