Relays: a refusal by a stopping relay is no run

A gateway that was being stopped, and whose relay refused a request as it stopped itself, handed the request to the next relay, although nothing was known of the route's times and its own stop left too little for the caller's: the request was run in vain, or answered at the end as if it might have run.

Cause: the attempts that may have run were not counted back for RelayEnd::Stopping, as they are for the other ends at which nothing has run.

Failed before: a_refusal_of_a_relay_that_stops_is_no_run (200 from the other relay, in place of 503). Now it holds.

--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -229,7 +229,11 @@
         self.running.call.begin_attempt();
         let sent = self.exchange(relay).await;
         if let Err(
-            RelayEnd::Unsent | RelayEnd::Unavailable | RelayEnd::EarlierBuild | RelayEnd::NoPath,
+            RelayEnd::Unsent
+            | RelayEnd::Unavailable
+            | RelayEnd::Stopping
+            | RelayEnd::EarlierBuild
+            | RelayEnd::NoPath,
         ) = sent
         {
             self.running.call.attempt_did_not_run();
