Stopping: a refusal is logged once, where it is decided

The question whether a request would outlast a planned stop wrote the log line stop_refused and marked the request as refused, for hedges that were withheld as well. A request that was answered with 200 after 2 s had three lines, and a request that was given up later for another reason was answered as refused by the stop.

The question (outlasts_stop) has no effect any more; the line is written with the answer (is_refused_by_stop), and the mark is gone.

Failed before: a_request_whose_hedge_is_withheld_is_not_logged_as_refused. Held before and kept: a_refused_request_is_logged_once.

--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
 use crate::request::{RunningRequest, Unserved, own_answer, record_end};
-use crate::stopping::last_answer;
+use crate::stopping::{is_refused_by_stop, last_answer};
 
 use super::answer::RelayedAnswer;
 use super::message::{
@@ -209,8 +209,9 @@
     }
 
     fn given_up(&self) -> OwnAnswer {
-        if self.running.outlasts_stop.get() {
-            return self.truthful(OwnAnswer::Stopping);
+        let has_not_run = self.running.progress.surely_not_run();
+        if has_not_run && is_refused_by_stop(&self.gateway, &self.running) {
+            return OwnAnswer::Stopping;
         }
         self.truthful(OwnAnswer::NoPath(retry_after(self.running.work.objective)))
     }
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -22,7 +22,7 @@
 use crate::headers::remove_connection_headers;
 use crate::permits::{all_in_backoff, request_spare_permit};
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
-use crate::stopping::note_answer_time;
+use crate::stopping::{is_refused_by_stop, note_answer_time};
 use crate::{buffered, relay, stream};
 
 /// Longest time to read the body of a request.
@@ -72,8 +72,6 @@
     pub(crate) answer_has_begun: bool,
     /// Whether the prompt is prefilled and waits for its decode engine.
     pub(crate) is_prefilled: Cell<bool>,
-    /// Whether the request is given up since it would outlast a planned stop.
-    pub(crate) outlasts_stop: Cell<bool>,
     ended: Cell<bool>,
     _open: OpenRequestGuard,
     _relayed: Option<OpenRequestGuard>,
@@ -428,7 +426,6 @@
         part_sets: OnceCell::new(),
         answer_has_begun: false,
         is_prefilled: Cell::new(false),
-        outlasts_stop: Cell::new(false),
         ended: Cell::new(false),
         _open: OpenRequestGuard::begin(&gateway.open_requests),
         _relayed: None,
@@ -533,7 +530,7 @@
     given_up: GivenUp,
 ) -> OwnAnswer {
     match given_up {
-        GivenUp::NotRun if running.outlasts_stop.get() => OwnAnswer::Stopping,
+        GivenUp::NotRun if is_refused_by_stop(gateway, running) => OwnAnswer::Stopping,
         GivenUp::NotRun => {
             let all_in_backoff = all_in_backoff(gateway, running);
             let default_retry_after = retry_after(running.work.objective);
--- a/components/forwarding-shell/src/stopping.rs
+++ b/components/forwarding-shell/src/stopping.rs
@@ -107,6 +107,46 @@
     }
 }
 
+/// What is known of the time that a request without an answer needs during a planned stop.
+struct StopForecast {
+    /// Time for which its caller waits.
+    remaining: Millis,
+    /// Time within which most requests of the route are answered.
+    usual: Option<Millis>,
+    /// Time until the last answers.
+    left: Millis,
+}
+
+impl StopForecast {
+    /// `None` if there is no planned stop, or the answer has begun.
+    fn of<C: CallerPort, B: BackendPort>(
+        gateway: &Gateway<C, B>,
+        running: &RunningRequest,
+    ) -> Option<Self> {
+        let stop_ends_at = gateway.stop_ends_at.get()?;
+        if running.answer_has_begun {
+            return None;
+        }
+        let now = gateway.now();
+        let forwarder = gateway.forwarder.borrow();
+        let prompt = running.work.prompt.as_ref();
+        let usual = forwarder.usual_answer_time(&running.route.name, prompt);
+        Some(StopForecast {
+            remaining: running.remaining(now),
+            usual: usual.map(|usual| usual.since(running.spent(now))),
+            left: stop_ends_at.since(now),
+        })
+    }
+
+    fn outlasts(&self, running: &RunningRequest) -> bool {
+        match self.usual {
+            // It can no longer be refused as not run, so that another attempt costs less.
+            None if running.call.may_have_run() => self.left == Millis::ZERO,
+            _ => running.work.outlasts(self.remaining, self.left, self.usual),
+        }
+    }
+}
+
 /// Whether a request without an answer would probably get none before the end of this process.
 /// Another gateway should then take it: a relay's answer would also pass through this process.
 pub(crate) fn outlasts_stop<C, B>(gateway: &Gateway<C, B>, running: &RunningRequest) -> bool
@@ -114,38 +154,30 @@
     C: CallerPort,
     B: BackendPort,
 {
-    let Some(stop_ends_at) = gateway.stop_ends_at.get() else {
-        return false;
-    };
-    if running.answer_has_begun {
+    let forecast = StopForecast::of(gateway, running);
+    forecast.is_some_and(|forecast| forecast.outlasts(running))
+}
+
+/// Whether a request that has not run and is given up is refused because of a planned stop, which is
+/// logged.
+pub(crate) fn is_refused_by_stop<C, B>(gateway: &Gateway<C, B>, running: &RunningRequest) -> bool
+where
+    C: CallerPort,
+    B: BackendPort,
+{
+    let forecast = StopForecast::of(gateway, running);
+    let Some(forecast) = forecast.filter(|forecast| forecast.outlasts(running)) else {
         return false;
-    }
-    let now = gateway.now();
-    let remaining = running.remaining(now);
-    let until_end = stop_ends_at.since(now);
-    let usual = {
-        let forwarder = gateway.forwarder.borrow();
-        let prompt = running.work.prompt.as_ref();
-        forwarder.usual_answer_time(&running.route.name, prompt)
-    };
-    let usual = usual.map(|usual| usual.since(running.spent(now)));
-    let outlasts = match usual {
-        // It can no longer be refused as not run, so that another attempt costs less.
-        None if running.call.may_have_run() => until_end == Millis::ZERO,
-        _ => running.work.outlasts(remaining, until_end, usual),
     };
-    if outlasts {
-        running.outlasts_stop.set(true);
-        log::info!(
-            request = running.call.facts.id.as_str(),
-            route = running.route.name.as_str(),
-            remaining_ms = remaining.0,
-            usual_ms = usual.map_or(0, |usual| usual.0),
-            left_ms = until_end.0;
-            "stop_refused"
-        );
-    }
-    outlasts
+    log::info!(
+        request = running.call.facts.id.as_str(),
+        route = running.route.name.as_str(),
+        remaining_ms = forecast.remaining.0,
+        usual_ms = forecast.usual.map_or(0, |usual| usual.0),
+        left_ms = forecast.left.0;
+        "stop_refused"
+    );
+    true
 }
 
 /// Waits until a request without an answer has to be answered, and returns the answer: when it is
