Stopping: waits before the first attempt end with the last answer

A stream that was taken up, and whose last byte arrived when the last answers were due, waited for the leader's answer about its build (0.25 s here, 0.75 s at most), and was then refused with a Retry-After of 7.500 in place of 0.000; a request whose quarantine was not decided could wait for 0.5 s. Found by reading; half a second later the process is killed.

Both waits end with last_answer now. A relay that gives up a request in them leaves it to its peer as not taken.

Failed before: a_stream_that_is_taken_up_after_the_last_answers_waits_for_no_build.

--- a/components/forwarding-shell/src/relay/receiver.rs
+++ b/components/forwarding-shell/src/relay/receiver.rs
@@ -103,26 +103,35 @@
     };
     let running = begin_relayed(gateway, head, facts, body, handover);
     let running = running.ok_or(Declined::NotTaken("no_route"))?;
-    if let Some(answer) = quarantine_answer(gateway, &running).await {
-        return Ok(own_answer(gateway, &running, answer));
-    }
-    match serve_directly(gateway, running).await {
-        Ok(response) => Ok(response),
-        Err(Unserved {
-            running,
-            answer: OwnAnswer::Stopping,
-        }) => {
-            record_end(gateway, &running, OwnAnswer::Stopping.as_str(), 0);
+    let unserved = match quarantine_answer(gateway, &running).await {
+        Some(answer) => Unserved { running, answer },
+        None => match serve_directly(gateway, running).await {
+            Ok(response) => return Ok(response),
+            Err(unserved) => unserved,
+        },
+    };
+    answer_unserved(gateway, &unserved)
+}
+
+fn answer_unserved<C, B>(
+    gateway: &Gateway<C, B>,
+    unserved: &Unserved,
+) -> Result<Response<Body>, Declined>
+where
+    C: CallerPort + 'static,
+    B: BackendPort + 'static,
+{
+    let Unserved { running, answer } = unserved;
+    match answer {
+        OwnAnswer::Stopping => {
+            record_end(gateway, running, OwnAnswer::Stopping.as_str(), 0);
             Err(Declined::NotTaken("stopping"))
         }
-        Err(Unserved {
-            running,
-            answer: OwnAnswer::InDoubt,
-        }) if gateway.stop_end.is_near() => {
-            record_end(gateway, &running, LEFT_TO_PEER, 0);
+        OwnAnswer::InDoubt if gateway.stop_end.is_near() => {
+            record_end(gateway, running, LEFT_TO_PEER, 0);
             Err(Declined::Left)
         }
-        Err(unserved) => Ok(own_answer(gateway, &unserved.running, unserved.answer)),
+        answer => Ok(own_answer(gateway, running, *answer)),
     }
 }
 
--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -22,7 +22,7 @@
 use crate::headers::remove_connection_headers;
 use crate::permits::{all_in_backoff, request_spare_permit};
 use crate::ports::{BackendPort, Call, CallFacts, CallerPort};
-use crate::stopping::{is_refused_by_stop, note_answer_time};
+use crate::stopping::{is_refused_by_stop, last_answer, note_answer_time};
 use crate::{buffered, relay, stream};
 
 /// Longest time to read the body of a request.
@@ -455,6 +455,25 @@
     gateway: &Gateway<C, B>,
     running: &RunningRequest,
 ) -> Option<OwnAnswer> {
+    let RunningRequest {
+        call,
+        due,
+        is_relayed,
+        ..
+    } = running;
+    let decided = async {
+        until_path_is_decided(gateway, running).await;
+        None
+    };
+    let late = async { Some(last_answer(gateway, call, *due, *is_relayed).await) };
+    let last_answer = smol::future::or(decided, late).await;
+    last_answer.or_else(|| refusal_of_quarantined(gateway, running))
+}
+
+async fn until_path_is_decided<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+) {
     let until = gateway.now() + MAX_DECISION_WAIT;
     while is_quarantined(gateway, running)
         && gateway.forwarder.borrow().has_suspected_path()
@@ -462,7 +481,6 @@
     {
         Timer::after(DECISION_CHECK_INTERVAL).await;
     }
-    refusal_of_quarantined(gateway, running)
 }
 
 fn refusal_of_quarantined<C: CallerPort, B: BackendPort>(
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -70,10 +70,15 @@
     C: CallerPort + 'static,
     B: BackendPort + 'static,
 {
-    if let Err(answer) = bind_taken_up(gateway, &mut running).await {
+    let (call, due, is_relayed) = (Rc::clone(&running.call), running.due, running.is_relayed);
+    let bound = {
+        let binding = bind_taken_up(gateway, &mut running);
+        let late = async { Err(last_answer(gateway, &call, due, is_relayed).await) };
+        smol::future::or(binding, late).await
+    };
+    if let Err(answer) = bound {
         return Err(Unserved { running, answer });
     }
-    let (call, due, is_relayed) = (Rc::clone(&running.call), running.due, running.is_relayed);
     let mut search = Search::new(gateway, running);
     let opening = async { Ok(search.find_run().await) };
     let late = async { Err(last_answer(gateway, &call, due, is_relayed).await) };
