Streams that have begun go on at a relay when their path is lost

Cause: only requests that no engine had answered went to `relay::serve`. A stream that had begun spent its attempts on engines that could not be reached, before the path was known to be lost, and ended with `no_successor`.

Change: while the path is suspected, a stream that has begun waits for the verdict before its next attempt. If the path is lost, the rest is opened at a relay after the last whole event, at the build that began it, within the attempts of the route. One retry is taken for it, unless one was taken for an attempt that was not sent. What the head of the answer has fixed (framing, time) is kept in `BegunAnswer`. The relay's answer is read with the code that resumes a stream after its relay ended.

--- a/components/forwarding-shell/src/failover.rs
+++ b/components/forwarding-shell/src/failover.rs
@@ -184,6 +184,15 @@
     forwarder.has_path(&running.service, &running.work)
 }
 
+/// Whether it is open if the path to back ends that could serve the request is lost.
+pub(crate) fn is_path_suspected<C: CallerPort, B: BackendPort>(
+    gateway: &Gateway<C, B>,
+    running: &RunningRequest,
+) -> bool {
+    let forwarder = gateway.forwarder.borrow();
+    forwarder.is_path_suspected(&running.service, &running.work)
+}
+
 /// Takes one retry from the service's retry budget; logs it if none is left.
 pub(crate) fn take_repeat<C: CallerPort, B: BackendPort>(
     gateway: &Gateway<C, B>,
--- a/components/forwarding-shell/src/relay/mod.rs
+++ b/components/forwarding-shell/src/relay/mod.rs
@@ -17,3 +17,4 @@
 pub use message::{RelayVersion, RelayedCall};
 pub(crate) use receiver::handle;
 pub(crate) use sender::serve;
+pub(crate) use stream::{BegunAnswer, RelayedStream};
--- a/components/forwarding-shell/src/relay/sender.rs
+++ b/components/forwarding-shell/src/relay/sender.rs
@@ -133,9 +133,19 @@
 
 impl<C: CallerPort + 'static, B: BackendPort + 'static> Relaying<C, B> {
     fn new(gateway: &Rc<Gateway<C, B>>, running: RunningRequest) -> Self {
+        let resume_after = running.call.facts.resume_after.clone();
+        Self::resuming(gateway, running, resume_after)
+    }
+
+    /// A stream of which the caller has the events up to `resume_after`.
+    pub(super) fn resuming(
+        gateway: &Rc<Gateway<C, B>>,
+        running: RunningRequest,
+        resume_after: Option<String>,
+    ) -> Self {
         Relaying {
             gateway: Rc::clone(gateway),
-            resume_after: running.call.facts.resume_after.clone(),
+            resume_after,
             running,
             tried: Vec::new(),
             not_counted: 0,
--- a/components/forwarding-shell/src/relay/stream.rs
+++ b/components/forwarding-shell/src/relay/stream.rs
@@ -1,5 +1,6 @@
 //! Streams of events that a relay passes on. If it breaks off, another relay resumes the
-//! stream after the last whole event that the caller has.
+//! stream after the last whole event that the caller has. A relay also resumes a stream that an
+//! engine began, if this gateway has lost its path to the engines since.
 
 use std::rc::Rc;
 
@@ -15,24 +16,36 @@
 use crate::buffered::copy_head;
 use crate::cut_timer::CutTimer;
 use crate::event_reader::{BreakCause, EventReader, Received};
+use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
-use crate::request::record_end;
+use crate::request::{RunningRequest, record_end};
 
 use super::answer::RelayedAnswer;
 use super::sender::Relaying;
 
-struct RelayedStream<C: CallerPort + 'static, B: BackendPort + 'static> {
+/// A stream whose answer has begun, and which a relay passes on or is to resume.
+pub(crate) struct RelayedStream<C: CallerPort + 'static, B: BackendPort + 'static> {
     relaying: Relaying<C, B>,
-    /// `None` after the answer has ended or broken off.
-    answer: Option<RelayedAnswer<C, B>>,
-    reader: EventReader,
+    /// `None` while a relay is to resume the stream, and after its end.
+    answer: Option<OpenRelay<C, B>>,
+    begun: BegunAnswer,
+}
+
+/// What the answer to the caller has fixed, and its course so far.
+pub(crate) struct BegunAnswer {
     /// How the end of the answer to the caller is marked, which its head has fixed.
-    framing: Framing,
-    cut_timer: Rc<CutTimer>,
+    pub(crate) framing: Framing,
+    pub(crate) cut_timer: Rc<CutTimer>,
     /// When the last event came.
-    last_event_at: Millis,
-    /// How the last relay that did not finish the answer ended.
-    run_end: RunEnd,
+    pub(crate) last_event_at: Millis,
+    /// How the last run or relay that did not finish the answer ended.
+    pub(crate) run_end: RunEnd,
+}
+
+/// A relay's answer and the state of reading it.
+struct OpenRelay<C: CallerPort + 'static, B: BackendPort + 'static> {
+    answer: RelayedAnswer<C, B>,
+    reader: EventReader,
 }
 
 enum Next {
@@ -57,47 +70,72 @@
     }
     relaying.running.answer_has_begun = true;
     let status = head.status.as_u16();
-    let stream = RelayedStream {
-        reader: event_reader(&relaying, &answer),
+    let begun = BegunAnswer {
         framing: answer.exchange.framing(),
         cut_timer: CutTimer::new(&relaying.gateway, relaying.running.due),
         last_event_at: relaying.gateway.now(),
         run_end: RunEnd::default(),
+    };
+    let answer = Some(OpenRelay::new(&relaying, answer));
+    let stream = RelayedStream {
         relaying,
-        answer: Some(answer),
+        answer,
+        begun,
     };
     let events = unfold(Some(stream), move |stream| async move {
-        let mut stream = stream?;
-        match stream.next().await {
-            Next::Event(event) => Some((Ok(event), Some(stream))),
+        let (event, stream) = stream?.step(status).await?;
+        Some((event, stream))
+    });
+    Response::from_parts(head, stream_body(events))
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> OpenRelay<C, B> {
+    fn new(relaying: &Relaying<C, B>, answer: RelayedAnswer<C, B>) -> Self {
+        let reader = EventReader::new(
+            relaying.resume_after.clone(),
+            relaying.running.work.kind,
+            &answer.exchange,
+            &relaying.gateway.budget,
+        );
+        OpenRelay { answer, reader }
+    }
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> RelayedStream<C, B> {
+    /// Continues an answer that an engine of this gateway began. The relay is asked by the first
+    /// [`Self::step`]; the retry for it has been taken from the budget.
+    pub(crate) fn resuming(
+        gateway: &Rc<Gateway<C, B>>,
+        running: RunningRequest,
+        resume_after: Option<String>,
+        begun: BegunAnswer,
+    ) -> Self {
+        RelayedStream {
+            relaying: Relaying::resuming(gateway, running, resume_after),
+            answer: None,
+            begun,
+        }
+    }
+
+    /// Returns the next part of the body and the rest of the stream; `None` at its end.
+    pub(crate) async fn step(
+        mut self,
+        status: u16,
+    ) -> Option<(Result<Bytes, BodyAborted>, Option<Self>)> {
+        match self.next().await {
+            Next::Event(event) => Some((Ok(event), Some(self))),
             Next::End => {
-                stream.record_end("streamed", status);
+                self.record_end("streamed", status);
                 None
             }
             Next::Cut(cause) => {
-                stream.note_cut(cause);
-                stream.record_end("cut", status);
+                self.note_cut(cause);
+                self.record_end("cut", status);
                 Some((Err(BodyAborted::BackendDisconnected), None))
             }
         }
-    });
-    Response::from_parts(head, stream_body(events))
-}
-
-fn event_reader<C: CallerPort, B: BackendPort>(
-    relaying: &Relaying<C, B>,
-    answer: &RelayedAnswer<C, B>,
-) -> EventReader {
-    let after = relaying.resume_after.clone();
-    EventReader::new(
-        after,
-        relaying.running.work.kind,
-        &answer.exchange,
-        &relaying.gateway.budget,
-    )
-}
+    }
 
-impl<C: CallerPort + 'static, B: BackendPort + 'static> RelayedStream<C, B> {
     fn record_end(&self, outcome: &str, status: u16) {
         let Relaying {
             gateway, running, ..
@@ -108,16 +146,24 @@
     fn note_cut(&self, cause: CutCause) {
         let cut = AnswerCut {
             cause,
-            run_end: &self.run_end,
-            after: self.reader.last_id(),
-            last_event_at: self.last_event_at,
+            run_end: &self.begun.run_end,
+            after: self.last_id(),
+            last_event_at: self.begun.last_event_at,
             relay: self.relaying.last_relay(),
         };
         cut.note(&self.relaying.gateway, &self.relaying.running);
     }
 
+    /// Id of the last whole event that the caller has.
+    fn last_id(&self) -> Option<&str> {
+        match &self.answer {
+            Some(open) => open.reader.last_id(),
+            None => self.relaying.resume_after.as_deref(),
+        }
+    }
+
     async fn next(&mut self) -> Next {
-        let cut_timer = Rc::clone(&self.cut_timer);
+        let cut_timer = Rc::clone(&self.begun.cut_timer);
         let late = async {
             cut_timer.expired().await;
             Next::Cut(CutCause::TimeOver)
@@ -127,22 +173,29 @@
 
     async fn next_or_resume(&mut self) -> Next {
         loop {
-            match self.receive().await {
+            let open = match &mut self.answer {
+                Some(open) => open,
+                None => match self.open_rest().await {
+                    Ok(open) => self.answer.insert(open),
+                    Err(cause) => return Next::Cut(cause),
+                },
+            };
+            match open.reader.next(&mut open.answer.exchange, || {}).await {
                 Received::Event(event) => {
-                    self.last_event_at = self.relaying.gateway.now();
+                    self.begun.last_event_at = self.relaying.gateway.now();
                     return Next::Event(event);
                 }
                 Received::End(framing) => {
-                    if let Some(answer) = self.answer.take() {
-                        answer.finish();
+                    if let Some(open) = self.answer.take() {
+                        open.answer.finish();
                     }
-                    if !self.framing.may_end_with(framing) {
+                    if !self.begun.framing.may_end_with(framing) {
                         return Next::Cut(CutCause::EndNotMarked);
                     }
                     return Next::End;
                 }
                 Received::Broke(cause) => {
-                    if let Err(cause) = self.resume(cause).await {
+                    if let Err(cause) = self.on_broken(cause) {
                         return Next::Cut(cause);
                     }
                 }
@@ -150,30 +203,29 @@
         }
     }
 
-    async fn receive(&mut self) -> Received {
-        match &mut self.answer {
-            Some(answer) => self.reader.next(&mut answer.exchange, || {}).await,
-            None => Received::End(self.framing),
-        }
-    }
-
-    /// Has another relay resume the stream.
+    /// Handles a relay that broke off.
     ///
     /// # Errors
-    /// Why the answer is cut, if none does.
-    async fn resume(&mut self, cause: BreakCause) -> Result<(), CutCause> {
+    /// Why the answer is cut, if no other relay may resume it.
+    fn on_broken(&mut self, cause: BreakCause) -> Result<(), CutCause> {
+        let last_id = self.last_id().map(str::to_owned);
         self.answer = None;
-        let last_id = self.reader.last_id().map(str::to_owned);
         self.relaying.log_broken(&cause.to_string());
-        self.run_end = RunEnd::Broke(cause);
+        self.begun.run_end = RunEnd::Broke(cause);
         let work = &self.relaying.running.work;
         if work.kind != WorkKind::ResumableStream || last_id.is_none() || work.build.is_none() {
             return Err(CutCause::EngineBroke);
         }
         self.relaying.resume_after = last_id;
-        if self.relaying.on_broken().is_err() {
-            return Err(CutCause::NoSuccessor);
-        }
+        let resumes = self.relaying.on_broken();
+        resumes.map_err(|_| CutCause::NoSuccessor)
+    }
+
+    /// Has a relay resume the stream.
+    ///
+    /// # Errors
+    /// Why the answer is cut, if none does.
+    async fn open_rest(&mut self) -> Result<OpenRelay<C, B>, CutCause> {
         let Ok(answer) = self.relaying.open().await else {
             return Err(CutCause::NoSuccessor);
         };
@@ -181,8 +233,6 @@
         if !answer.exchange.head.status.is_success() || !is_of_same_build {
             return Err(CutCause::NoSuccessor);
         }
-        self.reader = event_reader(&self.relaying, &answer);
-        self.answer = Some(answer);
-        Ok(())
+        Ok(OpenRelay::new(&self.relaying, answer))
     }
 }
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -23,6 +23,7 @@
 use crate::event_reader::{BreakCause, Received};
 use crate::gateway::Gateway;
 use crate::ports::{BackendPort, CallerPort};
+use crate::relay::{BegunAnswer, RelayedStream};
 use crate::request::{RunningRequest, Unserved, count_usage_once, record_end};
 use crate::stopping::last_answer;
 use crate::stream_builds::{bind_taken_up, bind_to_engine};
@@ -31,6 +32,9 @@
 use engine_run::EngineRun;
 use search::{Found, NotStreamed, Search};
 
+/// Status of each answer that is streamed.
+const STATUS: u16 = 200;
+
 /// A stream whose answer has begun.
 struct Stream<C: CallerPort + 'static, B: BackendPort + 'static> {
     gateway: Rc<Gateway<C, B>>,
@@ -52,6 +56,55 @@
     Event(Bytes),
     End,
     Cut(CutCause),
+    /// A relay is to resume the stream.
+    HandOver,
+}
+
+/// An answer that has begun, and who serves the rest of it.
+enum Answer<C: CallerPort + 'static, B: BackendPort + 'static> {
+    Direct {
+        stream: Box<Stream<C, B>>,
+        /// The next step, if it is known.
+        next: Option<Next>,
+    },
+    Relayed(Box<RelayedStream<C, B>>),
+}
+
+impl<C: CallerPort + 'static, B: BackendPort + 'static> Answer<C, B> {
+    /// Returns the next part of the body and the rest of the answer; `None` at its end.
+    async fn step(self) -> Option<(Result<Bytes, BodyAborted>, Option<Self>)> {
+        let (mut stream, next) = match self {
+            Answer::Direct { stream, next } => (stream, next),
+            Answer::Relayed(stream) => return Self::step_relayed(*stream).await,
+        };
+        let next = match next {
+            Some(next) => next,
+            None => stream.next().await,
+        };
+        match next {
+            Next::Event(event) => {
+                let rest = Answer::Direct { stream, next: None };
+                Some((Ok(event), Some(rest)))
+            }
+            Next::End => {
+                record_end(&stream.gateway, &stream.search.running, "streamed", STATUS);
+                None
+            }
+            Next::Cut(cause) => {
+                stream.note_cut(cause);
+                record_end(&stream.gateway, &stream.search.running, "cut", STATUS);
+                Some((Err(BodyAborted::BackendDisconnected), None))
+            }
+            Next::HandOver => Self::step_relayed(stream.into_relayed()).await,
+        }
+    }
+
+    async fn step_relayed(
+        stream: RelayedStream<C, B>,
+    ) -> Option<(Result<Bytes, BodyAborted>, Option<Self>)> {
+        let (event, rest) = stream.step(STATUS).await?;
+        Some((event, rest.map(|rest| Answer::Relayed(Box::new(rest)))))
+    }
 }
 
 /// Serves the request until it times out.
@@ -120,26 +173,11 @@
         self.run = Some(found.run);
         let first = self.on_received(found.first);
         self.log_begun();
-        let state = (self, Some(first));
-        let events = unfold(Some(state), |state| async move {
-            let (mut stream, first) = state?;
-            let next = match first {
-                Some(first) => first,
-                None => stream.next().await,
-            };
-            match next {
-                Next::Event(event) => Some((Ok(event), Some((stream, None)))),
-                Next::End => {
-                    record_end(&stream.gateway, &stream.search.running, "streamed", 200);
-                    None
-                }
-                Next::Cut(cause) => {
-                    stream.note_cut(cause);
-                    record_end(&stream.gateway, &stream.search.running, "cut", 200);
-                    Some((Err(BodyAborted::BackendDisconnected), None))
-                }
-            }
-        });
+        let answer = Answer::Direct {
+            stream: Box::new(self),
+            next: Some(first),
+        };
+        let events = unfold(Some(answer), |answer| async move { answer?.step().await });
         Response::from_parts(head, stream_body(events))
     }
 
@@ -155,6 +193,34 @@
         first
     }
 
+    /// The rest of the stream, which a relay is to serve.
+    fn into_relayed(self) -> RelayedStream<C, B> {
+        let Search {
+            mut running,
+            resume_after,
+            ..
+        } = self.search;
+        log::info!(
+            request = running.call.facts.id.as_str(),
+            service = running.service.as_str(),
+            backend = running.served_by.as_ref().map_or("", BackendId::as_str),
+            after = resume_after.as_deref().unwrap_or_default(),
+            build = running.work.build.as_ref().map_or("", BuildId::as_str),
+            ran = running.progress.ran,
+            unreachable = running.progress.unreachable,
+            remaining_ms = running.remaining(self.gateway.now()).0;
+            "stream_handed_over"
+        );
+        running.served_by = None;
+        let begun = BegunAnswer {
+            framing: self.framing,
+            cut_timer: self.cut_timer,
+            last_event_at: self.last_event_at,
+            run_end: self.run_end,
+        };
+        RelayedStream::resuming(&self.gateway, running, resume_after, begun)
+    }
+
     fn log_begun(&self) {
         let RunningRequest {
             call,
--- a/components/forwarding-shell/src/stream/placement.rs
+++ b/components/forwarding-shell/src/stream/placement.rs
@@ -69,6 +69,7 @@
     pub(super) async fn send(&mut self, job: &Job) -> Result<OpenAnswer<C, B>, AttemptEnd> {
         self.running.served_by = Some(job.backend.clone());
         self.may_run.set(true);
+        self.has_unused_repeat = false;
         // No timeout: a decode engine under load is slow with its first event, and one that
         // is gone is noticed when the request's bytes are not acknowledged.
         let answer = attempt(&self.gateway, &self.running.call, job).await;
--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -2,16 +2,21 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use garnet_forwarding::{AttemptEnd, GivenUp, NotRunReason, Placement, Progress};
 use garnet_runtime::{Body, bytes_body};
 use garnet_types::{BackendId, Framing, Millis};
 use hyper::Response;
+use smol::Timer;
 
 use crate::attempt::OpenAnswer;
 use crate::buffered::copy_head;
 use crate::event_reader::Received;
-use crate::failover::{admit_hedge, can_fail_over, may_be_sent, on_attempt_ended, take_repeat};
+use crate::failover::{
+    admit_hedge, can_fail_over, has_path, is_allowed, is_path_suspected, is_suspected, may_be_sent,
+    on_attempt_ended, take_repeat,
+};
 use crate::gateway::Gateway;
 use crate::kv_transfer::WaitingCache;
 use crate::ports::{BackendPort, CallerPort, JobPhase};
@@ -21,6 +26,8 @@
 
 /// Longest failure answer of an engine that is passed on.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
+/// How often a stream that waits for the verdict on its path checks it.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The search for engines that answer a request.
 pub(super) struct Search<C: CallerPort + 'static, B: BackendPort + 'static> {
@@ -41,6 +48,8 @@
     /// Set while an engine has the request and the end of the attempt is not yet noted. If
     /// the search is dropped meanwhile, the request may have run there.
     pub(super) may_run: Rc<Cell<bool>>,
+    /// Whether a retry was taken from the budget for an attempt that has not been sent.
+    pub(super) has_unused_repeat: bool,
 }
 
 /// An engine that answers, and what was received from it first.
@@ -85,6 +94,7 @@
             failure: None,
             needs_marked_end: false,
             may_run: Rc::default(),
+            has_unused_repeat: false,
         }
     }
 
@@ -132,6 +142,7 @@
         let begins = can_fail_over(&self.gateway, &self.running, true)
             && admit_hedge(&self.gateway, &mut self.running, Progress::silent_begun);
         if begins {
+            self.has_unused_repeat = true;
             log::info!(
                 request = self.running.call.facts.id.as_str(),
                 backend = self.running.served_by.as_ref().map_or("", BackendId::as_str),
@@ -163,7 +174,30 @@
     pub(super) fn handle_attempt_end(&mut self, end: AttemptEnd) -> Result<(), NotStreamed> {
         self.may_run.set(false);
         self.note_tried();
-        on_attempt_ended(&self.gateway, &mut self.running, end).map_err(NotStreamed::GivenUp)
+        let ended = on_attempt_ended(&self.gateway, &mut self.running, end);
+        self.has_unused_repeat |= ended.is_ok() && self.running.progress.has_arrived();
+        ended.map_err(NotStreamed::GivenUp)
+    }
+
+    /// Whether the rest of a stream that has begun may be handed to a relay: no engine is reached
+    /// from here, and the request may run once more. A retry is taken from the budget unless one
+    /// was taken for an attempt that was not sent.
+    pub(super) fn may_hand_over(&mut self) -> bool {
+        let running = &self.running;
+        !running.is_relayed
+            && !has_path(&self.gateway, running)
+            && is_allowed(&self.gateway, running)
+            && !is_suspected(&self.gateway, running)
+            && running.may_run_again()
+            && (std::mem::take(&mut self.has_unused_repeat) || take_repeat(&self.gateway, running))
+    }
+
+    /// Waits while it is open whether the path to the engines is lost. A stream that has begun can
+    /// go on at a relay, so that it need not use up its attempts.
+    pub(super) async fn path_decided(&self) {
+        while is_path_suspected(&self.gateway, &self.running) {
+            Timer::after(PATH_CHECK_INTERVAL).await;
+        }
     }
 
     /// Handles a failure answer of an engine. Another engine starts again if the work may be
@@ -220,6 +254,9 @@
     /// `None` as answer if a prefilled prompt waits for its decode engine.
     async fn send_next(&mut self) -> Result<Opened<C, B>, NotStreamed> {
         self.running.is_prefilled.set(false);
+        if self.running.answer_has_begun {
+            self.path_decided().await;
+        }
         if !may_be_sent(&self.gateway, &self.running) {
             return Err(NotStreamed::GivenUp(self.running.progress.given_up()));
         }
--- a/components/forwarding-shell/src/stream/successor.rs
+++ b/components/forwarding-shell/src/stream/successor.rs
@@ -58,8 +58,10 @@
             First::Successor { found, broke_off } => {
                 self.search.running.progress.silent_ended();
                 self.drop_silent_engine(silent.as_ref(), broke_off);
-                let cut = Next::Cut(CutCause::NoSuccessor);
-                Some(found.map_or(cut, |found| self.switch_to(*found)))
+                Some(match found {
+                    Ok(found) => self.switch_to(*found),
+                    Err(_) => self.hand_over().await,
+                })
             }
         }
     }
@@ -116,8 +118,19 @@
             Ok(()) => self.search.find_run().await,
             Err(not_streamed) => Err(not_streamed),
         };
-        let cut = Next::Cut(CutCause::NoSuccessor);
-        found.map_or(cut, |found| self.switch_to(found))
+        match found {
+            Ok(found) => self.switch_to(found),
+            Err(_) => self.hand_over().await,
+        }
+    }
+
+    /// Hands the rest of the stream to a relay if this gateway has lost its path to the engines.
+    async fn hand_over(&mut self) -> Next {
+        self.search.path_decided().await;
+        if self.can_resume() && self.search.may_hand_over() {
+            return Next::HandOver;
+        }
+        Next::Cut(CutCause::NoSuccessor)
     }
 
     fn switch_to(&mut self, found: Found<C, B>) -> Next {
--- a/components/forwarding/src/forwarder/paths.rs
+++ b/components/forwarding/src/forwarder/paths.rs
@@ -15,17 +15,13 @@
 impl Forwarder {
     /// Whether this gateway reaches back ends that can do the work.
     pub fn has_path(&self, service: &ServiceId, work: &Work) -> bool {
-        if self.paths.is_empty() {
-            return true;
-        }
-        let is_lost = |phase| {
-            let service = service.clone();
-            self.paths.is_lost(&PathId { service, phase })
-        };
-        match work.prompt {
-            None => !is_lost(PathPhase::Application),
-            Some(_) => !is_lost(PathPhase::Prefill) && !is_lost(PathPhase::Decode),
-        }
+        self.paths.is_empty() || !paths_for(service, work).any(|path| self.paths.is_lost(&path))
+    }
+
+    /// Whether it is open if a path to back ends that can do the work is lost.
+    pub fn is_path_suspected(&self, service: &ServiceId, work: &Work) -> bool {
+        let mut paths = paths_for(service, work);
+        !self.paths.is_empty() && paths.any(|path| self.paths.is_path_suspected(&path))
     }
 
     /// Whether no connection to a back end has failed lately and no path is lost.
@@ -154,3 +150,15 @@
             .collect()
     }
 }
+
+/// The paths that the work needs.
+fn paths_for<'a>(service: &'a ServiceId, work: &Work) -> impl Iterator<Item = PathId> + 'a {
+    let phases: &[PathPhase] = match work.prompt {
+        None => &[PathPhase::Application],
+        Some(_) => &[PathPhase::Prefill, PathPhase::Decode],
+    };
+    phases.iter().map(|phase| PathId {
+        service: service.clone(),
+        phase: *phase,
+    })
+}
--- a/components/forwarding/src/paths.rs
+++ b/components/forwarding/src/paths.rs
@@ -154,6 +154,12 @@
         paths.any(|path| matches!(path.state, State::Suspected { .. }))
     }
 
+    /// Whether this path is suspected to be lost.
+    pub(crate) fn is_path_suspected(&self, id: &PathId) -> bool {
+        let path = self.paths.get(id);
+        path.is_some_and(|path| matches!(path.state, State::Suspected { .. }))
+    }
+
     /// The lost paths.
     pub(crate) fn lost(&self) -> impl Iterator<Item = &PathId> {
         self.paths.keys().filter(|id| self.is_lost(id))
