The leader names builds of streams while its log is written

Cause, traced with a log line for slow writes (sync_slow): the leader's loop handles events, writes its log, and sends the answers after the sync. A question that came 18 ms after the begin of a write of 379 ms waited for its end; the gateway waits 250 ms. The builds of streams are not in the log, and the lease alone makes the answer valid. Excluded by the logs: a lost question (the link was up), two take-ups of one stream.

All other events, and these after the lease, wait in order. What is written is applied after the write, so that no answer differs from one before it. The wait of 250 ms is unchanged.

--- a/components/control-shell/src/disk.rs
+++ b/components/control-shell/src/disk.rs
@@ -5,21 +5,25 @@
 //! replica keeps running; any other disk failure ends it.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::time::{Duration, Instant};
 
 use garnet_consensus::{Ready, Snapshot};
-use garnet_control::{ControlReply, Event, OperatorAnswer, Replica};
+use garnet_control::{ControlReply, Effect, Event, OperatorAnswer, Replica};
 use garnet_runtime::Clock;
 use garnet_storage::{DiskDirectory, ReplicaStorage, StorageError};
 use garnet_supervisor::StopSignal;
 use smol::Timer;
-use smol::channel::Receiver;
 
 use crate::connections::Connections;
+use crate::event_queue::EventQueue;
 use crate::metrics::ReplicaMetrics;
 
 /// How often a write to a full disk is retried.
 const SPACE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Writes to the log that take this long are logged: a lease lasts little longer, and gateways wait
+/// for answers.
+const SLOW_SYNC: Duration = Duration::from_millis(100);
 
 /// Why writing to the disk ended.
 pub(crate) enum PersistEnd {
@@ -32,8 +36,8 @@
 /// Writes to the disk of a replica, and refuses requests while the disk is full.
 pub(crate) struct DiskWriter<'a> {
     pub(crate) storage: ReplicaStorage<DiskDirectory>,
-    /// Events that arrive while the disk is full.
-    pub(crate) events: &'a Receiver<Event>,
+    /// Events that arrive meanwhile.
+    pub(crate) events: &'a EventQueue,
     pub(crate) connections: &'a Connections,
     pub(crate) metrics: &'a ReplicaMetrics,
     /// Whether the replica leads, as published to the other children.
@@ -51,34 +55,42 @@
         while replica.has_ready() {
             let mut ready = replica.ready();
             if ready.needs_sync() {
-                (self, ready) = self.write(ready).await?;
+                (self, ready) = self.write(ready, replica, clock).await?;
             }
             replica.persisted(ready, clock.now());
         }
         if let Some(snapshot) = replica.take_snapshot() {
-            self = self.save_snapshot(snapshot).await?;
+            self = self.save_snapshot(snapshot, replica, clock).await?;
         }
         Ok(self.storage)
     }
 
     /// Writes, and retries while the disk is full. Until the write succeeds the
-    /// replica neither handles nor sends messages. It acknowledges nothing that is
-    /// not durable, its lease expires, and the other replicas elect a leader, as
-    /// they do for a replica whose disk stalls.
-    async fn write(mut self, mut ready: Ready) -> Result<(Self, Ready), PersistEnd> {
+    /// replica neither handles nor sends messages, except for requests that need no log
+    /// while it holds its lease. It acknowledges nothing that is not durable, its lease
+    /// expires, and the other replicas elect a leader, as they do for a replica whose disk
+    /// stalls.
+    async fn write(
+        mut self,
+        mut ready: Ready,
+        replica: &mut Replica,
+        clock: &Clock,
+    ) -> Result<(Self, Ready), PersistEnd> {
+        let (events, connections) = (self.events, self.connections);
         let mut failed_writes: u64 = 0;
         loop {
             let started_at = Instant::now();
             let mut storage = self.storage;
             let result;
-            (storage, ready, result) = smol::unblock(move || {
+            let writing = smol::unblock(move || {
                 let result = storage.write(&ready);
                 (storage, ready, result)
-            })
-            .await;
+            });
+            (storage, ready, result) =
+                answer_during(writing, events, connections, replica, clock).await;
             self.storage = storage;
             match result {
-                Ok(()) => self.metrics.observe_sync(started_at.elapsed()),
+                Ok(()) => self.note_sync(started_at.elapsed()),
                 Err(error) if error.is_full() => {
                     if failed_writes == 0 {
                         log::warn!(cause = error.to_string().as_str(); "disk_full");
@@ -97,17 +109,30 @@
         }
     }
 
+    fn note_sync(&self, duration: Duration) {
+        self.metrics.observe_sync(duration);
+        if duration >= SLOW_SYNC {
+            log::warn!(took_ms = duration.as_millis() as u64; "sync_slow");
+        }
+    }
+
     /// Saves a snapshot. Where the disk has no space for it, it is skipped: a snapshot
     /// only shortens the log, which the next one does as well.
-    async fn save_snapshot(mut self, snapshot: Snapshot) -> Result<Self, PersistEnd> {
+    async fn save_snapshot(
+        mut self,
+        snapshot: Snapshot,
+        replica: &mut Replica,
+        clock: &Clock,
+    ) -> Result<Self, PersistEnd> {
         log::info!(index = snapshot.index, bytes = snapshot.data.len(); "snapshot");
+        let (events, connections) = (self.events, self.connections);
         let mut storage = self.storage;
         let result;
-        (storage, result) = smol::unblock(move || {
+        let saving = smol::unblock(move || {
             let result = storage.save_snapshot(&snapshot);
             (storage, result)
-        })
-        .await;
+        });
+        (storage, result) = answer_during(saving, events, connections, replica, clock).await;
         self.storage = storage;
         match result {
             Ok(()) => self.metrics.count_snapshot(),
@@ -126,7 +151,7 @@
         self.metrics.set_disk_full(true);
         self.leads.set(false);
         let refusing = async {
-            while let Ok(event) = self.events.recv().await {
+            while let Some(event) = self.events.next().await {
                 refuse_event(event, self.connections);
             }
         };
@@ -141,6 +166,28 @@
     }
 }
 
+/// Waits for a write, and meanwhile answers requests that need no log.
+async fn answer_during<T>(
+    writing: impl Future<Output = T>,
+    events: &EventQueue,
+    connections: &Connections,
+    replica: &mut Replica,
+    clock: &Clock,
+) -> T {
+    let now = || clock.now();
+    let carry_out = |effect| reply(effect, connections);
+    events
+        .handle_while_writing(writing, replica, now, carry_out)
+        .await
+}
+
+/// Carries out an effect of an event that was handled during a write.
+fn reply(effect: Effect, connections: &Connections) {
+    if let Effect::ReplyGateway { connection, reply } = effect {
+        connections.reply_gateway(connection, reply);
+    }
+}
+
 fn refuse_event(event: Event, connections: &Connections) {
     match event {
         Event::Gateway { connection, .. } => {
--- a/components/control-shell/src/replica_task.rs
+++ b/components/control-shell/src/replica_task.rs
@@ -22,6 +22,7 @@
 use crate::disk::{DiskWriter, PersistEnd};
 use crate::duties::{DutyPort, log_answer};
 use crate::engines::{self, EnginePort};
+use crate::event_queue::EventQueue;
 use crate::joining::{self, GroupAddresses, MembershipStatus};
 use crate::metrics::ReplicaMetrics;
 
@@ -169,12 +170,13 @@
         clock,
         ..
     } = opened;
+    let events = EventQueue::new(events);
     let mut last_tick = Millis::ZERO;
     while !stop.is_stopped() {
         let first = next_event(&events).await;
         replica.handle(first, clock.now());
         for _ in 1..MAX_EVENTS_PER_SYNC {
-            let Ok(event) = events.try_recv() else {
+            let Some(event) = events.try_next() else {
                 break;
             };
             replica.handle(event, clock.now());
@@ -208,8 +210,8 @@
     Ok(())
 }
 
-async fn next_event(events: &Receiver<Event>) -> Event {
-    let received = async { events.recv().await.unwrap_or(Event::Tick) };
+async fn next_event(events: &EventQueue) -> Event {
+    let received = async { events.next().await.unwrap_or(Event::Tick) };
     let tick = async {
         Timer::after(Duration::from_millis(TICK_INTERVAL.0)).await;
         Event::Tick
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -5,7 +5,7 @@
 
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::Configuration;
-use crate::effects::Effect;
+use crate::effects::{Effect, Event};
 use crate::messages::{
     ClaimRequest, ControlReply, GatewayRequest, GroupView, StreamKey, WatchUpdate,
 };
@@ -100,6 +100,36 @@
         }
     }
 
+    /// Whether an event may be handled at `now` while the log is written. The builds of streams are
+    /// not in the log, and the lease makes the answer valid.
+    pub fn may_handle_while_writing(&self, event: &Event, now: Millis) -> bool {
+        let is_of_builds = matches!(
+            event,
+            Event::Gateway {
+                request: GatewayRequest::NoteStreams(_)
+                    | GatewayRequest::FindStream(_)
+                    | GatewayRequest::FindStreamOf { .. },
+                ..
+            }
+        );
+        is_of_builds && self.may_answer_reads_at(now)
+    }
+
+    /// Handles an event of which [`Self::may_handle_while_writing`] holds, and returns its effects.
+    /// Those of earlier events remain until the log is written.
+    pub fn handle_while_writing(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        let earlier = std::mem::take(&mut self.effects);
+        if let Event::Gateway {
+            connection,
+            request,
+        } = event
+        {
+            self.handle_gateway(connection, request);
+        }
+        std::mem::replace(&mut self.effects, earlier)
+    }
+
     fn answer_stream_build(&mut self, connection: u64, stream: StreamKey, build: Option<BuildId>) {
         let reply = ControlReply::StreamBuild { stream, build };
         self.effects
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -324,8 +324,12 @@
     /// applied an entry of its own term. A new leader may hold its lease before it has
     /// applied all entries that its predecessors committed.
     fn may_answer_reads(&self) -> bool {
+        self.may_answer_reads_at(self.now)
+    }
+
+    fn may_answer_reads_at(&self, now: Millis) -> bool {
         let has_applied_all = self.node.has_applied_own_term() && self.halted.is_none();
-        self.node.holds_lease(self.now) && has_applied_all
+        self.node.holds_lease(now) && has_applied_all
     }
 
     /// Where and why the replica has stopped applying its log, if it has.
