Engines whose failure answers to streams do not end are avoided

Streams went again and again to engines that refused them with a body without an end. Each cost its service a retry; one caller of 42 got 502, as none was left.

Cause: Search::on_failure_answer recorded a failure for a status of 5xx alone. A refusal that could not be read to its end left no trace.

Change: the engine counts as failed if its failure answer could not be read. It does not count as crashed, whoever ended the connection, as before.

Evidence: an_engine_whose_refusals_do_not_end_is_avoided, two such engines of eight and 120 streams, test profile.

--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -16,6 +16,7 @@
 use crate::kv_transfer::WaitingCache;
 use crate::ports::{BackendPort, CallerPort, JobPhase};
 use crate::request::RunningRequest;
+use crate::unread_answer::note_unread_failure;
 
 use super::engine_run::EngineRun;
 
@@ -177,6 +178,7 @@
         let body = match open.exchange.read_whole(MAX_FAILURE_BYTES).await {
             Ok(body) => body,
             Err(error) => {
+                note_unread_failure(&mut open.guard, &error);
                 let cause = error.to_string();
                 self.log_broken(self.running.served_by.as_ref(), &cause);
                 return self.handle_attempt_end(AttemptEnd::Broken);
--- a/components/forwarding-shell/src/unread_answer.rs
+++ b/components/forwarding-shell/src/unread_answer.rs
@@ -24,6 +24,18 @@
     }
 }
 
+/// Notes what the error says of the back end that sent a failure answer. It has not crashed: it
+/// decided against the request.
+pub(crate) fn note_unread_failure<C: CallerPort, B: BackendPort>(
+    guard: &mut AttemptGuard<C, B>,
+    error: &HttpError,
+) {
+    match error {
+        HttpError::NoRoom(exceeded) => note_no_room(guard, *exceeded),
+        _ => guard.failed(),
+    }
+}
+
 /// Notes that there was no room for an answer. A back end whose large answers fill the budget
 /// counts as failed, so that it is sent fewer requests; a small answer says nothing of its back
 /// end.
