Cuts of connections look up one socket, not the table of all

Cause: the back ends of the tests, which reset the connections of a gateway that is cut off, read /proc/net/tcp for each connection that they accept and for each open one at the start of a cut. That costs a time that grows with the number of sockets of the machine, those in TIME_WAIT included: 8.3 ms with 7,300 of them, for the read alone. Four copies of six tests without busy processes (other work went on on the machine): 143 to 234 runnable threads of the tests' back ends in six samples, 17,700 sockets after 4 s and 37,800 after 57 s. A back end that can't accept resets nothing. To the gateway it is silent, which is no evidence of a lost path (docs/design/relays.md), so that requests end after their 3 s (`attempt_silent`, `timed_out`) and none is handed on. The simulated fault was another one than intended.

The process at the other end is now found by the kernel's diagnosis of one socket. The table is read only if that finds none, as on a kernel without it. Which connections are reset is unchanged. The soak's cuts use the same lookup.

Excluded by reading: full receive windows of peers that read no replies (300 lists a minute are some 10 KB), and probes left out by the circuit breaker.

--- a/components/test-support/src/lib.rs
+++ b/components/test-support/src/lib.rs
@@ -3,6 +3,7 @@
 mod address;
 mod memory;
 mod records;
+mod socket_diag;
 mod sockets;
 
 pub use address::ReservedAddress;
--- a/components/test-support/src/sockets.rs
+++ b/components/test-support/src/sockets.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::fs;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 use std::path::PathBuf;
 
+use crate::socket_diag;
+
 /// Column of `/proc/net/tcp` with the local address.
 const LOCAL_COLUMN: usize = 1;
 /// Column with the remote address.
@@ -24,14 +26,24 @@
     if processes.is_empty() {
         return None;
     }
-    let (local, remote) = (kernel_form(local)?, kernel_form(remote)?);
-    let sockets = connected_sockets();
-    let is_it = |socket: &&Socket| socket.local == local && socket.remote == remote;
-    let inode = &sockets.iter().find(is_it)?.inode;
-    let has_socket = |process: &&u32| open_sockets(**process).contains(inode);
+    let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else {
+        return None;
+    };
+    // The diagnosis does not tell a kernel without it from a socket that is gone.
+    let inode =
+        socket_diag::inode_between(local, remote).or_else(|| listed_inode(local, remote))?;
+    let has_socket = |process: &&u32| open_sockets(**process).contains(&inode);
     processes.iter().find(has_socket).copied()
 }
 
+/// The inode in the table of all sockets, which takes milliseconds with tens of thousands of them.
+fn listed_inode(local: SocketAddrV4, remote: SocketAddrV4) -> Option<String> {
+    let (local, remote) = (kernel_form(local), kernel_form(remote));
+    let is_it = |socket: &Socket| socket.local == local && socket.remote == remote;
+    let socket = connected_sockets().into_iter().find(is_it)?;
+    Some(socket.inode)
+}
+
 /// Local ports of all TCP sockets of a process.
 pub fn local_ports(process: u32) -> BTreeSet<u16> {
     let own = open_sockets(process);
@@ -89,10 +101,7 @@
 
 /// The address as `/proc/net/tcp` shows it: the bytes of the IP address in the order of the
 /// machine.
-fn kernel_form(address: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(address) = address else {
-        return None;
-    };
+fn kernel_form(address: SocketAddrV4) -> String {
     let ip = u32::from_ne_bytes(address.ip().octets());
-    Some(format!("{ip:08X}:{:04X}", address.port()))
+    format!("{ip:08X}:{:04X}", address.port())
 }
