Soak: cuts are applied with one read of the connections at a time

In a cut each new connection to an engine was looked up on a thread of its own, each reading all of /proc/net/tcp, and the ports of the open ones were read in the soak's loop, once a gateway.

The filter decides by the same addresses as before.

--- a/components/test-support/src/lib.rs
+++ b/components/test-support/src/lib.rs
@@ -8,4 +8,4 @@
 pub use address::ReservedAddress;
 pub use memory::peak_memory_bytes;
 pub use records::live_record;
-pub use sockets::{connected_process, local_ports, process_between};
+pub use sockets::{Connections, connected_process};
--- a/components/test-support/src/sockets.rs
+++ b/components/test-support/src/sockets.rs
@@ -20,7 +20,7 @@
 }
 
 /// Returns which of `processes` has the socket that is connected from `local` to `remote`.
-pub fn process_between(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
+fn process_between(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
     if processes.is_empty() {
         return None;
     }
@@ -32,14 +32,37 @@
     processes.iter().find(has_socket).copied()
 }
 
-/// Local ports of all TCP sockets of a process.
-pub fn local_ports(process: u32) -> BTreeSet<u16> {
-    let own = open_sockets(process);
-    let sockets = connected_sockets().into_iter();
-    let of_process = sockets.filter(|socket| own.contains(&socket.inode));
-    of_process
-        .filter_map(|socket| socket.local_port())
-        .collect()
+/// The connections of some processes at one time.
+#[derive(Debug, Clone, Default)]
+pub struct Connections(BTreeSet<(String, String)>);
+
+impl Connections {
+    /// Reads the connections of these processes.
+    pub fn of(processes: &[u32]) -> Self {
+        let own: BTreeSet<String> = processes
+            .iter()
+            .flat_map(|process| open_sockets(*process))
+            .collect();
+        let sockets = connected_sockets().into_iter();
+        let of_processes = sockets.filter(|socket| own.contains(&socket.inode));
+        Connections(
+            of_processes
+                .map(|socket| (socket.local, socket.remote))
+                .collect(),
+        )
+    }
+
+    /// The local ports of all of them, those of listeners included.
+    pub fn local_ports(&self) -> BTreeSet<u16> {
+        let ports = self.0.iter().filter_map(|(local, _)| port(local));
+        ports.collect()
+    }
+
+    /// Whether one of them is connected from `local` to `remote`.
+    pub fn has(&self, local: SocketAddr, remote: SocketAddr) -> bool {
+        let addresses = kernel_form(local).zip(kernel_form(remote));
+        addresses.is_some_and(|addresses| self.0.contains(&addresses))
+    }
 }
 
 /// A line of `/proc/net/tcp`.
@@ -59,11 +82,6 @@
             inode: column(INODE_COLUMN)?,
         })
     }
-
-    fn local_port(&self) -> Option<u16> {
-        let (_, port) = self.local.split_once(':')?;
-        u16::from_str_radix(port, 16).ok()
-    }
 }
 
 fn connected_sockets() -> Vec<Socket> {
@@ -96,3 +114,9 @@
     let ip = u32::from_ne_bytes(address.ip().octets());
     Some(format!("{ip:08X}:{:04X}", address.port()))
 }
+
+/// The port of an address in that form.
+fn port(address: &str) -> Option<u16> {
+    let (_, port) = address.split_once(':')?;
+    u16::from_str_radix(port, 16).ok()
+}
