--- a/components/test-support/src/sockets.rs
+++ b/components/test-support/src/sockets.rs
@@ -22,7 +22,7 @@
 }
 
 /// Returns which of `processes` has the socket that is connected from `local` to `remote`.
-pub fn process_between(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
+fn process_between(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
     if processes.is_empty() {
         return None;
     }
@@ -44,14 +44,40 @@
     Some(socket.inode)
 }
 
-/// Local ports of all TCP sockets of a process.
-pub fn local_ports(process: u32) -> BTreeSet<u16> {
-    let own = open_sockets(process);
-    let sockets = connected_sockets().into_iter();
-    let of_process = sockets.filter(|socket| own.contains(&socket.inode));
-    of_process
-        .filter_map(|socket| socket.local_port())
-        .collect()
+/// The connections of some processes at one time.
+#[derive(Debug, Clone, Default)]
+pub struct Connections(BTreeSet<(String, String)>);
+
+impl Connections {
+    /// Reads the connections of these processes.
+    pub fn of(processes: &[u32]) -> Self {
+        let own: BTreeSet<String> = processes
+            .iter()
+            .flat_map(|process| open_sockets(*process))
+            .collect();
+        let sockets = connected_sockets().into_iter();
+        let of_processes = sockets.filter(|socket| own.contains(&socket.inode));
+        Connections(
+            of_processes
+                .map(|socket| (socket.local, socket.remote))
+                .collect(),
+        )
+    }
+
+    /// The local ports of all of them, those of listeners included.
+    pub fn local_ports(&self) -> BTreeSet<u16> {
+        let ports = self.0.iter().filter_map(|(local, _)| port(local));
+        ports.collect()
+    }
+
+    /// Whether one of them is connected from `local` to `remote`.
+    pub fn has(&self, local: SocketAddr, remote: SocketAddr) -> bool {
+        let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else {
+            return false;
+        };
+        let addresses = (kernel_form(local), kernel_form(remote));
+        self.0.contains(&addresses)
+    }
 }
 
 /// A line of `/proc/net/tcp`.
@@ -71,11 +97,6 @@
             inode: column(INODE_COLUMN)?,
         })
     }
-
-    fn local_port(&self) -> Option<u16> {
-        let (_, port) = self.local.split_once(':')?;
-        u16::from_str_radix(port, 16).ok()
-    }
 }
 
 fn connected_sockets() -> Vec<Socket> {
@@ -105,3 +126,9 @@
     let ip = u32::from_ne_bytes(address.ip().octets());
     format!("{ip:08X}:{:04X}", address.port())
 }
+
+/// The port of an address in that form.
+fn port(address: &str) -> Option<u16> {
+    let (_, port) = address.split_once(':')?;
+    u16::from_str_radix(port, 16).ok()
+}
