garnet-gateway: a text that is refused at the end of a stop is not generated

Cause: a claimed request with an attempt is answered while its attempt goes on, so that its result is recorded. A prefill is no run, so the answer was that nothing had run. Now the attempt goes on only if the request may have run; otherwise it is cancelled and its claim released.

a_prompt_that_is_prefilled_at_the_end_of_a_stop_is_not_generated_after_its_refusal failed before; the 87 core tests hold.

--- a/components/gateway/src/gateway/stopping.rs
+++ b/components/gateway/src/gateway/stopping.rs
@@ -46,8 +46,10 @@
             return;
         };
         let refusal = last_answer(request);
-        // Its result may still be recorded for a resend.
-        if request.claim.is_some() && request.attempt().is_some() {
+        // Its result may still be recorded for a resend. A prefill is no run: its text must not be
+        // generated once the request is refused as not run.
+        let has_result = request.may_have_run && request.attempt().is_some();
+        if request.claim.is_some() && has_result {
             self.answer_and_keep_running(id, refusal);
         } else {
             self.refuse(id, refusal);
--- a/components/gateway/tests/core/planned_stops.rs
+++ b/components/gateway/tests/core/planned_stops.rs
@@ -119,6 +119,22 @@
     }
 }
 
+/// A text under a key was refused as not run while its prompt was prefilled, and generated after that.
+#[test]
+fn a_prompt_that_is_prefilled_at_the_end_of_a_stop_is_not_generated_after_its_refusal() {
+    let mut harness = Harness::split();
+    harness.event(completion(1, Some("key")));
+    harness.answer_claim(ClaimAnswer::Granted);
+    let prefill = harness.dispatch();
+    begin_stop(&mut harness, Millis(1_000));
+    harness.wait_with_lease(Millis(1_000));
+    let refusal = harness.refusal();
+    assert_eq!(refusal.ran, Execution::No);
+    let event = AttemptEvent::Prefilled { handle: HANDLE };
+    harness.attempt(prefill.attempt, event);
+    assert!(harness.dispatches().is_empty());
+}
+
 const HANDLE: u64 = 7;
 
 /// Completes the prefill of a request and returns the decode dispatch.
