garnet-gateway: a prefilled text that would outlast a stop is not generated

Callers of texts whose prompt was prefilled during a planned stop got 504 or 409 at its end, after an engine had generated in vain; another gateway could have served them.

Cause: the decode that follows a prefill, or a permit, did not ask whether the text would outlast the stop, as all other beginnings do. Class: what is begun without regard to the time in which it can end (docs/incidents/2026-12-late-requests-of-a-planned-stop.md).

a_prefilled_text_that_would_outlast_a_stop_is_not_generated: two of four cases failed before, none now. The wait for a permit is not played. Found by review.

--- a/components/gateway/src/completion/dispatch.rs
+++ b/components/gateway/src/completion/dispatch.rs
@@ -62,6 +62,15 @@
         self.set_stage(id, Stage::Prefilling { attempt });
     }
 
+    /// Sends a prefilled prompt to a decode engine, unless its text would outlast a planned stop.
+    pub(crate) fn dispatch_decode(&mut self, id: RequestId, backend: &BackendId, kv: KvSource) {
+        let request = self.requests.get(&id);
+        let generation = request.map(|request| self.generation_time(request));
+        if !self.refuse_if_outlasting(id, generation) {
+            self.dispatch_generate(id, backend, Some(kv));
+        }
+    }
+
     pub(crate) fn dispatch_generate(
         &mut self,
         id: RequestId,
--- a/components/gateway/src/completion/outcomes.rs
+++ b/components/gateway/src/completion/outcomes.rs
@@ -67,7 +67,7 @@
         }
         // The decode engine is chosen after the prefill, by the load at that time.
         match self.choose_decode(id) {
-            Some(decode) => self.dispatch_generate(id, &decode, Some(kv)),
+            Some(decode) => self.dispatch_decode(id, &decode, kv),
             None if self.await_permit(id, Some(kv)) => {}
             None => self.retry_elsewhere(id),
         }
--- a/components/gateway/src/gateway/limits.rs
+++ b/components/gateway/src/gateway/limits.rs
@@ -266,7 +266,7 @@
         match stage {
             Stage::AwaitingPermit(AwaitedPermit { kv: Some(kv), .. }) => {
                 match self.choose_decode(id) {
-                    Some(decode) => self.dispatch_generate(id, &decode, Some(kv)),
+                    Some(decode) => self.dispatch_decode(id, &decode, kv),
                     None => self.retry_elsewhere(id),
                 }
             }
--- a/components/gateway/tests/core/planned_stops.rs
+++ b/components/gateway/tests/core/planned_stops.rs
@@ -135,6 +135,34 @@
     assert!(harness.dispatches().is_empty());
 }
 
+/// A prompt that was prefilled during a stop was generated although its text could not end in time.
+#[rstest]
+#[case::outlasts(Millis(1), true)]
+#[case::in_time(Millis(600_000), false)]
+fn a_prefilled_text_that_would_outlast_a_stop_is_not_generated(
+    #[case] left: Millis,
+    #[case] refused: bool,
+    #[values(None, Some("key"))] key: Option<&str>,
+) {
+    let mut harness = Harness::split();
+    harness.event(completion(1, key));
+    if key.is_some() {
+        harness.answer_claim(ClaimAnswer::Granted);
+    }
+    let prefill = harness.dispatch();
+    begin_stop(&mut harness, left);
+    let event = AttemptEvent::Prefilled { handle: HANDLE };
+    harness.attempt(prefill.attempt, event);
+    assert_eq!(harness.dispatches().is_empty(), refused);
+    if refused {
+        let refusal = harness.refusal();
+        assert_eq!(
+            (refusal.code, refusal.ran),
+            (OutcomeCode::NotRun, Execution::No)
+        );
+    }
+}
+
 const HANDLE: u64 = 7;
 
 /// Completes the prefill of a request and returns the decode dispatch.
