The leader answers no question for a build before an earlier list of engines

A question for the build of a stream that nobody had noted could overtake a list of engines during a write of the log, and was answered with the only build known before the list, where it was answered with none in order (ORDER, if an engine was restarted with another build under its id). It could also overtake a note that had waited since an earlier write.

A question waits if an event that its answer may depend on waits: a list of engines, unless the stream is noted, or a note. Both new tests failed without that; the third, for a noted stream, held.

--- a/components/control-shell/src/event_queue.rs
+++ b/components/control-shell/src/event_queue.rs
@@ -1,7 +1,8 @@
 //! The events of a replica, some of which are handled while its log is written.
 //!
 //! Contract: events are handled in order of arrival, except that those which need no log are handled
-//! at once while it is written. A write may take longer than gateways wait for their answers.
+//! at once while it is written, unless their answer depends on an event that waits for the end of
+//! the write. A write may take longer than gateways wait for their answers.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -42,6 +43,13 @@
             .or_else(|| self.arriving.try_recv().ok())
     }
 
+    /// Whether an event that waits has to be handled before this one.
+    fn must_wait(&self, event: &Event, replica: &Replica) -> bool {
+        let deferred = self.deferred.borrow();
+        let mut earlier = deferred.iter();
+        earlier.any(|earlier| replica.must_precede(earlier, event))
+    }
+
     fn next_deferred(&self) -> Option<Event> {
         self.deferred.borrow_mut().pop_front()
     }
@@ -58,7 +66,8 @@
         let handling = async {
             while let Ok(event) = self.arriving.recv().await {
                 let at = now();
-                if replica.may_handle_while_writing(&event, at) {
+                if replica.may_handle_while_writing(&event, at) && !self.must_wait(&event, replica)
+                {
                     let effects = replica.handle_while_writing(event, at);
                     effects.into_iter().for_each(&carry_out);
                 } else {
--- a/components/control-shell/tests/event_queue.rs
+++ b/components/control-shell/tests/event_queue.rs
@@ -5,10 +5,14 @@
 
 use garnet_consensus::{Config, Member, Membership, Restored};
 use garnet_control::{
-    ControlReply, Effect, Event, GatewayRequest, Replica, ReplicaSettings, StreamKey, StreamNote,
+    BackendRegistration, ControlReply, Effect, EngineObservation, Event, GatewayRequest,
+    MachineEntry, Replica, ReplicaSettings, StreamKey, StreamNote, UNKNOWN_START,
 };
 use garnet_control_shell::EventQueue;
-use garnet_types::{BuildId, GatewayId, Millis, ReplicaId, ServiceId};
+use garnet_types::{
+    BackendId, BackendKind, BuildId, EngineAssignment, EngineRole, GatewayId, MachineState, Millis,
+    ModelId, ReplicaId, ServiceId,
+};
 use smol::channel::{Sender, unbounded};
 use smol::future::poll_once;
 
@@ -98,6 +102,30 @@
     }
 }
 
+/// A live engine of a build.
+fn engine(number: u8, build: &str) -> MachineEntry {
+    MachineEntry {
+        is_preemptible: false,
+        build: BuildId::new(build),
+        registration: BackendRegistration {
+            id: BackendId::new(format!("engine-{number}")),
+            kind: BackendKind::Engine,
+            service: ServiceId::new("words"),
+            address: format!("10.1.0.{number}:8080"),
+            zone: "zone-1".to_owned(),
+            start: UNKNOWN_START,
+        },
+        state: MachineState::Live,
+        observed: Some(EngineObservation {
+            incarnation: u64::from(number),
+            assignment: EngineAssignment {
+                role: EngineRole::Prefill,
+                model: ModelId::new("m"),
+            },
+        }),
+    }
+}
+
 /// The replies during a write that does not end, `after` its begin.
 fn replies_while_writing(
     leader: &mut Leader,
@@ -177,6 +205,54 @@
     assert_eq!(next_request(&queue), Some(question()));
 }
 
+/// The question overtook a list that names another build, and the stream of a gateway that had not
+/// noted it was continued by the wrong one.
+#[test]
+fn a_question_waits_for_a_list_of_engines_that_came_before_it() {
+    let mut leader = Leader::elected();
+    let list =
+        |builds: [&str; 2]| Event::Machines(vec![engine(1, builds[0]), engine(2, builds[1])]);
+    leader.replica.handle(list(["v1", "v1"]), leader.now);
+    leader.persist();
+    leader.replica.take_effects();
+    let (events, arriving) = unbounded();
+    let queue = EventQueue::new(arriving);
+    let sent = events.try_send(list(["v2", "v1"]));
+    sent.expect("an open channel");
+    send(&events, question());
+    assert_eq!(replies_while_writing(&mut leader, &queue, Millis::ZERO), []);
+    assert!(matches!(queue.try_next(), Some(Event::Machines(_))));
+    assert_eq!(next_request(&queue), Some(question()));
+}
+
+/// What is noted of a stream does not depend on the list.
+#[test]
+fn a_question_for_a_noted_stream_waits_for_no_list() {
+    let mut leader = Leader::elected();
+    let (events, arriving) = unbounded();
+    let queue = EventQueue::new(arriving);
+    send(&events, note());
+    let sent = events.try_send(Event::Machines(vec![engine(1, "v1")]));
+    sent.expect("an open channel");
+    send(&events, question());
+    let replies = replies_while_writing(&mut leader, &queue, Millis::ZERO);
+    assert_eq!(replies.len(), 1);
+}
+
+/// A note that came after the lease of an earlier write still waits when the next one begins.
+#[test]
+fn a_question_does_not_overtake_a_note_that_waits() {
+    let mut leader = Leader::elected();
+    let (events, arriving) = unbounded();
+    let queue = EventQueue::new(arriving);
+    send(&events, note());
+    assert_eq!(replies_while_writing(&mut leader, &queue, LONG_WRITE), []);
+    send(&events, question());
+    assert_eq!(replies_while_writing(&mut leader, &queue, Millis::ZERO), []);
+    assert_eq!(next_request(&queue), Some(note()));
+    assert_eq!(next_request(&queue), Some(question()));
+}
+
 #[test]
 fn effects_of_earlier_events_wait_for_the_write() {
     let mut leader = Leader::elected();
--- a/components/control/src/replica/gateway_requests.rs
+++ b/components/control/src/replica/gateway_requests.rs
@@ -115,6 +115,28 @@
         is_of_builds && self.may_answer_reads_at(now)
     }
 
+    /// Whether the answer to `event`, a question for the build of a stream, may depend on an event
+    /// that arrived before it. What is noted of a stream does not change with the list of engines.
+    pub fn must_precede(&self, earlier: &Event, event: &Event) -> bool {
+        match (earlier, event) {
+            (
+                Event::Machines(_),
+                Event::Gateway {
+                    request: GatewayRequest::FindStreamOf { stream, .. },
+                    ..
+                },
+            ) => self.builds.find(*stream).is_none(),
+            (
+                Event::Gateway {
+                    request: GatewayRequest::NoteStreams(_),
+                    ..
+                },
+                _,
+            ) => true,
+            _ => false,
+        }
+    }
+
     /// Handles an event of which [`Self::may_handle_while_writing`] holds, and returns its effects.
     /// Those of earlier events remain until the log is written.
     pub fn handle_while_writing(&mut self, event: Event, now: Millis) -> Vec<Effect> {
