Streams that no relay may resume do not wait for the verdict on their path

A stream that was relayed itself, or had no attempt left, waited up to the timeout of the probes before it was cut or tried another engine, though nothing could be handed over. A relayed stream lost time in which its first gateway might have had it resumed. No test: nothing holds a path suspected for a given time in a process test.

--- a/components/forwarding-shell/src/stream/search.rs
+++ b/components/forwarding-shell/src/stream/search.rs
@@ -185,18 +185,22 @@
     /// was taken for an attempt that was not sent.
     pub(super) fn may_hand_over(&mut self) -> bool {
         let running = &self.running;
-        !running.is_relayed
+        self.relay_may_resume()
             && !has_path(&self.gateway, running)
             && is_allowed(&self.gateway, running)
             && !is_suspected(&self.gateway, running)
-            && running.may_run_again()
             && (std::mem::take(&mut self.has_unused_repeat) || take_repeat(&self.gateway, running))
     }
 
-    /// Waits while it is open whether the path to the engines is lost. A stream that has begun can
-    /// go on at a relay, so that it need not use up its attempts.
+    /// Whether a relay might resume the stream if the path were lost.
+    fn relay_may_resume(&self) -> bool {
+        !self.running.is_relayed && self.running.may_run_again()
+    }
+
+    /// Waits while it is open whether the path to the engines is lost, if a relay might then resume
+    /// the stream: it need not use up its attempts before.
     pub(super) async fn path_decided(&self) {
-        while is_path_suspected(&self.gateway, &self.running) {
+        while self.relay_may_resume() && is_path_suspected(&self.gateway, &self.running) {
             Timer::after(PATH_CHECK_INTERVAL).await;
         }
     }
