--- a/components/forwarding-shell/src/request.rs
+++ b/components/forwarding-shell/src/request.rs
@@ -39,12 +39,12 @@
 /// the rest on an earlier try, so its request counts as a retry.
 const FIRST_CALL_MIN_FRACTION: f64 = 0.95;
 
-/// Longest time that a quarantined request waits until it is known whether a path is lost: the
-/// connect timeouts of two back ends, and their probes.
-const MAX_DECISION_WAIT: Millis = Millis(500);
 /// Outcome of a relayed request that is left to its peer shortly before the end of a planned stop.
 pub(crate) const LEFT_TO_PEER: &str = "left_to_peer";
 
+/// Longest time that a quarantined request waits until it is known whether a path is lost: the
+/// connect timeouts of two back ends, and their probes.
+const MAX_DECISION_WAIT: Millis = Millis(500);
 /// How often it checks that.
 const DECISION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/components/forwarding-shell/src/stream/mod.rs
+++ b/components/forwarding-shell/src/stream/mod.rs
@@ -49,7 +49,7 @@
     /// How the last run that did not finish the answer ended.
     run_end: RunEnd,
     ended: bool,
-    /// Whether the answer has told the peer that handed over the stream which build began it.
+    /// Whether the head of the answer names the stream's build to the peer that handed it over.
     peer_knows_build: bool,
 }
 
